Lay out the workspace: shared types, wire bodies, bounded HTTP, first state and policy machines

Cause: nothing existed. The shared types and the seams between crates come first, so that each part can be built against them.

--- /dev/null
+++ b/crates/onyxshed-core/src/id/name.rs
@@ -0,0 +1,87 @@
+//! Names that operators and the platform give: classes, hosts, zones, upstreams, executors.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+use smol_str::SmolStr;
+
+use crate::error::{Error, Result};
+
+/// Longest name, in bytes.
+const NAME_MAX_BYTES: usize = 64;
+
+/// Checks the rules that hold for every name.
+fn is_name(text: &str) -> bool {
+    let first_is_plain = text
+        .bytes()
+        .next()
+        .is_some_and(|b| b.is_ascii_lowercase() || b.is_ascii_digit());
+    let all_allowed = text
+        .bytes()
+        .all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || matches!(b, b'.' | b'_' | b'-'));
+    first_is_plain && all_allowed && text.len() <= NAME_MAX_BYTES
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+        )]
+        pub struct $name(SmolStr);
+
+        impl $name {
+            /// Gets the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(text: &str) -> Result<Self> {
+                if is_name(text) { Ok(Self(text.into())) } else { Err(Error::name($kind, text)) }
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.pad(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+name_type!(
+    /// Name of a class of work.
+    ClassName,
+    "class name"
+);
+name_type!(
+    /// Name of an entry host.
+    HostName,
+    "host name"
+);
+name_type!(
+    /// Name of an availability zone.
+    ZoneName,
+    "zone name"
+);
+name_type!(
+    /// Name of an upstream service, which many executors serve.
+    UpstreamName,
+    "upstream name"
+);
+name_type!(
+    /// Name of one executor of an upstream.
+    ExecutorName,
+    "executor name"
+);
--- /dev/null
+++ b/crates/onyxshed-core/src/lib.rs
@@ -0,0 +1,28 @@
+//! The words every onyxshed crate shares.
+//!
+//! This crate holds identifiers, units, the target of a class, outcomes and result codes, the
+//! catalogue of events, and the clocks. It makes no decision and does no input or output: time is
+//! always handed in as a [`Now`], so whatever is built on these types replays exactly.
+
+pub mod code;
+pub mod error;
+pub mod event;
+pub mod hlc;
+pub mod id;
+pub mod outcome;
+pub mod target;
+pub mod time;
+pub mod units;
+
+pub use code::ResultCode;
+pub use error::{Error, Result};
+pub use event::{Event, EventKind};
+pub use hlc::{Hlc, HlcClock};
+pub use id::{
+    ChangeId, ClassName, ExecutorName, HostName, Incarnation, Offset, Revision, SubmissionId,
+    TaskId, UpstreamName, ZoneName,
+};
+pub use outcome::Outcome;
+pub use target::ClassTarget;
+pub use time::{Mono, Now, UnixMs};
+pub use units::{Bytes, Micros, Millis, RatePerS, Slots};
--- /dev/null
+++ b/crates/onyxshed-core/src/outcome.rs
@@ -0,0 +1,50 @@
+//! How a request ends.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+
+use crate::error::{Error, Result};
+
+/// The one end of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, SerializeDisplay, DeserializeFromStr)]
+pub enum Outcome {
+    /// Every task ran and the answer holds every result.
+    Complete,
+    /// Some task ran and failed, or the job was stopped after a task had started.
+    Failed,
+    /// Proved: no task of this submission was started. Only this outcome invites a repeat.
+    NotRun,
+    /// It can't be told whether some task ran.
+    Unknown,
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Outcome::Complete => "complete",
+            Outcome::Failed => "failed",
+            Outcome::NotRun => "not_run",
+            Outcome::Unknown => "unknown",
+        })
+    }
+}
+
+impl FromStr for Outcome {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        match text {
+            "complete" => Ok(Outcome::Complete),
+            "failed" => Ok(Outcome::Failed),
+            "not_run" => Ok(Outcome::NotRun),
+            "unknown" => Ok(Outcome::Unknown),
+            _ => Err(Error::id(
+                "outcome",
+                text,
+                "complete, failed, not_run or unknown",
+            )),
+        }
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-core/src/units.rs
@@ -0,0 +1,82 @@
+//! Quantities with their units.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::error::{Error, Result};
+
+macro_rules! unit_type {
+    ($(#[$doc:meta])* $name:ident($inner:ty), $kind:literal, $suffix:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!("{}", $suffix), self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(text: &str) -> Result<Self> {
+                text.strip_suffix($suffix)
+                    .and_then(|digits| digits.trim_end().parse().ok())
+                    .map(Self)
+                    .ok_or_else(|| Error::quantity($kind, text, $suffix))
+            }
+        }
+    };
+}
+
+unit_type!(
+    /// Span in microseconds.
+    Micros(u64), "span in microseconds", "us"
+);
+unit_type!(
+    /// Span in milliseconds.
+    Millis(u64), "span in milliseconds", "ms"
+);
+unit_type!(
+    /// Size in bytes.
+    Bytes(u64), "size in bytes", "B"
+);
+unit_type!(
+    /// Events a second.
+    RatePerS(u32), "rate a second", "/s"
+);
+unit_type!(
+    /// Places for tasks that run at the same time.
+    Slots(u32), "number of slots", "slots"
+);
+
+impl Micros {
+    /// Gets the span in milliseconds, rounded down.
+    pub fn as_millis(self) -> Millis {
+        Millis(self.0 / 1_000)
+    }
+}
+
+impl From<Millis> for Micros {
+    fn from(span: Millis) -> Micros {
+        Micros(span.0.saturating_mul(1_000))
+    }
+}
+
+impl From<Micros> for std::time::Duration {
+    fn from(span: Micros) -> Self {
+        std::time::Duration::from_micros(span.0)
+    }
+}
+
+impl From<Millis> for std::time::Duration {
+    fn from(span: Millis) -> Self {
+        std::time::Duration::from_millis(span.0)
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-policy/src/lib.rs
@@ -0,0 +1,12 @@
+//! Decisions on work, without input or output: what to admit, which task next, on which executor,
+//! what to retry, whom not to trust.
+//!
+//! [`Policy`] is one zone-local state machine in an entry host. It sees classes, executors and every
+//! attempt's end; it says what to start and when to ask again. Operators set only targets, so
+//! everything else here is learned or derived.
+
+pub mod policy;
+pub mod work;
+
+pub use policy::{Policy, PolicyOptions};
+pub use work::{Admission, AttemptEnd, ExecutorInfo, NextStep, RetryStep, Verdict, Work};
--- /dev/null
+++ b/crates/onyxshed-state/src/lib.rs
@@ -0,0 +1,14 @@
+//! Decisions on what entry hosts agree about, without input or output.
+//!
+//! The platform's log is the only arbiter. [`config`] folds the `config` stream into the
+//! configuration in force; [`claim`] decides from the `claims` stream which host may start a
+//! submission; [`member`] judges which peers are live. Each is a state machine: an event with its
+//! time goes in, a typed step comes out.
+
+pub mod claim;
+pub mod config;
+pub mod member;
+
+pub use claim::{BatchStep, ClaimBook, ClaimOptions, ClaimStep, Settled, Verdict};
+pub use config::{Config, ConfigFold, FoldStep};
+pub use member::{Member, MemberState};
