--- a/crates/onyxshed-wire/src/platform.rs
+++ b/crates/onyxshed-wire/src/platform.rs
@@ -6,7 +6,7 @@
 
 use std::net::SocketAddr;
 
-use onyxshed_core::{ExecutorName, Millis, Offset, UnixMs, UpstreamName, ZoneName};
+use onyxshed_core::{ExecutorName, HostName, Millis, Offset, UnixMs, UpstreamName, ZoneName};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -88,6 +88,19 @@
     pub state: HostState,
 }
 
+/// An entry host in the host list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryHost {
+    /// Its name.
+    pub name: HostName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Where its control process listens for peers.
+    pub peer_address: SocketAddr,
+    /// Whether it is in service.
+    pub state: HostState,
+}
+
 /// Answer to `GET /v1/hosts`: lagging, so it carries its age.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostList {
@@ -95,6 +108,9 @@
     pub age_ms: Millis,
     /// Every executor that the platform believes in.
     pub executors: Vec<ExecutorHost>,
+    /// Every entry host that the platform believes in.
+    #[serde(default)]
+    pub entries: Vec<EntryHost>,
 }
 
 impl Appended {
