Let a claim be looked up before it is wanted; mark first copies

Cause: a refusal before the claim must not queue one, and a host that can't read the log can't know whether an earlier copy ran elsewhere. Saying "not run" there would be untrue; it says "unknown" unless the caller states that no copy was sent before.

--- a/crates/onyxshed-core/src/code.rs
+++ b/crates/onyxshed-core/src/code.rs
@@ -56,6 +56,7 @@
     2004 DeadlinePassed 504 "The deadline passed after a task had started; the rest was stopped.";
     2005 ResultTooLarge 502 "A task's result is larger than the entry host keeps.";
     2006 NeverRuns 502 "The job failed on several healthy workers and is held to be unable to run.";
+    2007 PartlyRefused 502 "A task was refused or ran out of time after others had run; the job failed as a whole.";
     3001 CancelledUnstarted 409 "The caller cancelled before any task had started.";
     3002 DeadlineOutOfReach 503 "No upstream could finish it before its deadline.";
     3003 Overloaded 503 "The class's share of the queue is full.";
@@ -82,6 +83,8 @@
     4006 IdFromFuture 409 "The submission id's time lies ahead of this host's clock; this copy was not started.";
     4007 AnswerDropped 410 "The answer was given once and is no longer kept.";
     4008 NotKnownHere 404 "This entry host knows no such submission.";
+    4009 ClaimsUnreadable 504 "The platform's log can't be read: whether an earlier copy ran can't be told; this copy was not started.";
+    4010 CancelledInDoubt 504 "The caller cancelled while a task may have been running.";
     5001 SettingsUnreadable 0 "The settings file can't be read.";
     5002 SettingsInvalid 0 "The settings hold a wrong value.";
     5003 AddressInUse 0 "An address can't be opened.";
--- a/crates/onyxshed-state/src/claim.rs
+++ b/crates/onyxshed-state/src/claim.rs
@@ -141,6 +141,20 @@
 
     /// Decides about a submission that this host has no job for, and queues a claim if it needs one.
     pub fn consult(&mut self, now: Now, id: SubmissionId, content: ContentHash) -> ClaimStep {
+        let step = self.peek(now, id, Some(content));
+        if step == ClaimStep::Wait {
+            self.wanted.push_back(Claim {
+                submission: id,
+                content,
+                replaces: None,
+            });
+        }
+        step
+    }
+
+    /// Tells what [`ClaimBook::consult`] would decide, without queueing a claim; without a content
+    /// none is compared.
+    pub fn peek(&self, now: Now, id: SubmissionId, content: Option<ContentHash>) -> ClaimStep {
         if now.wall.since(id.time()) > self.options.horizon_ms {
             return ClaimStep::TooOld;
         }
--- a/crates/onyxshed-wire/src/caller.rs
+++ b/crates/onyxshed-wire/src/caller.rs
@@ -31,6 +31,10 @@
     /// arrival.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub deadline_ms: Option<Millis>,
+    /// Whether the caller has never sent this id before. Only then can a host that is unable to
+    /// read the log tell that nothing ran.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_first_copy: bool,
     /// One opaque payload a task, in base64.
     #[serde_as(as = "Vec<Base64>")]
     pub tasks: Vec<Vec<u8>>,
