--- a/crates/onyxshed-state/src/claim.rs
+++ b/crates/onyxshed-state/src/claim.rs
@@ -167,18 +167,13 @@
             None => {}
         }
         match self.held.get(&id) {
-            Some(held) if held.content != content => ClaimStep::OtherContent,
+            Some(held) if content.is_some_and(|found| found != held.content) => {
+                ClaimStep::OtherContent
+            }
             Some(held) if held.by == self.me => ClaimStep::Start,
             Some(held) => ClaimStep::HeldBy(held.by),
             None if !self.is_caught_up => ClaimStep::Unavailable,
-            None => {
-                self.wanted.push_back(Claim {
-                    submission: id,
-                    content,
-                    replaces: None,
-                });
-                ClaimStep::Wait
-            }
+            None => ClaimStep::Wait,
         }
     }
 
