--- /dev/null
+++ b/crates/onyxshed-dispatch/src/dispatch.rs
@@ -0,0 +1,357 @@
+//! The machine as a whole: takes an input, lets the parts decide, gives the outputs.
+
+mod attempt;
+mod caller;
+mod claim;
+mod pump;
+
+use std::collections::{BTreeMap, HashMap};
+
+use onyxshed_core::{
+    Event, EventKind, ExecutorName, Incarnation, Mono, Now, ResultCode, SubmissionId, TaskId,
+};
+use onyxshed_policy::Policy;
+use onyxshed_state::{ClaimBook, Config, Member};
+use onyxshed_wire::caller::Answer;
+use smol_str::SmolStr;
+
+use crate::input::Input;
+use crate::job::{Claiming, Ended, GiveUp, Job, Running};
+use crate::options::DispatchOptions;
+use crate::output::{AttemptId, Output, RequestId};
+use crate::table::JobTable;
+
+/// One start that has not ended.
+#[derive(Debug, Clone)]
+struct Attempt {
+    task: TaskId,
+    executor: ExecutorName,
+    /// Its connection was lost and a stop was sent to learn what became of it.
+    is_resolving: bool,
+}
+
+/// One entry host's state machine.
+#[derive(Debug)]
+pub struct Dispatch {
+    me: Incarnation,
+    options: DispatchOptions,
+    config: Option<Config>,
+    book: ClaimBook,
+    policy: Policy,
+    jobs: JobTable,
+    attempts: HashMap<AttemptId, Attempt>,
+    last_attempt: u64,
+    members: BTreeMap<Incarnation, Member>,
+    running_bytes: u64,
+    is_draining: bool,
+    wake_at: Option<Mono>,
+    outputs: Vec<Output>,
+}
+
+impl Dispatch {
+    /// Makes the machine for one incarnation; `seed` feeds every draw it makes.
+    pub fn new(me: Incarnation, options: DispatchOptions, seed: u64) -> Self {
+        Dispatch {
+            me,
+            config: None,
+            book: ClaimBook::new(me, options.claims.clone()),
+            policy: Policy::new(options.policy.clone(), seed),
+            jobs: JobTable::default(),
+            attempts: HashMap::new(),
+            last_attempt: 0,
+            members: BTreeMap::new(),
+            running_bytes: 0,
+            is_draining: false,
+            wake_at: None,
+            outputs: Vec::new(),
+            options,
+        }
+    }
+
+    /// Takes in one event and gives what to do about it, in order.
+    pub fn handle(&mut self, now: Now, input: Input) -> Vec<Output> {
+        // What time has made due comes first: a process that was frozen must find out that a job is
+        // over before it starts another task of it.
+        self.settle_due(now);
+        self.take_in(now, input);
+        self.pump(now);
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// Gets when the machine wants a [`Input::Tick`] at the latest.
+    pub fn wake_at(&self) -> Option<Mono> {
+        self.wake_at
+    }
+
+    /// Gets the configuration in force.
+    pub fn config(&self) -> Option<&Config> {
+        self.config.as_ref()
+    }
+
+    /// Gets the offset of the claims stream to read from next.
+    pub fn log_next(&self) -> onyxshed_core::Offset {
+        self.book.next()
+    }
+
+    /// Gets how many jobs have not ended.
+    pub fn live_jobs(&self) -> usize {
+        self.jobs.live_count()
+    }
+
+    /// Gets how many submissions are remembered.
+    pub fn remembered_jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Gets how many attempts have not ended.
+    pub fn live_attempts(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Gets the member of an incarnation.
+    pub fn member(&self, incarnation: Incarnation) -> Option<&Member> {
+        self.members.get(&incarnation)
+    }
+
+    fn take_in(&mut self, now: Now, input: Input) {
+        match input {
+            Input::Submit {
+                request,
+                submission,
+                is_forwarded,
+            } => {
+                self.submit(now, request, submission, is_forwarded);
+            }
+            Input::Fetch {
+                request,
+                id,
+                is_forwarded,
+            } => {
+                self.fetch(now, request, id, is_forwarded);
+            }
+            Input::Cancel {
+                request,
+                id,
+                is_forwarded,
+            } => {
+                self.cancel(now, request, id, is_forwarded);
+            }
+            Input::Forwarded {
+                request,
+                id,
+                answer,
+            } => self.forwarded(request, id, answer),
+            Input::Configured(config) => self.configure(now, config),
+            Input::Executors(executors) => self.policy.set_executors(now, &executors),
+            Input::Members {
+                members,
+                sharers,
+                live,
+            } => {
+                self.set_members(now, members, sharers, live);
+            }
+            Input::LogRead {
+                oldest,
+                next,
+                records,
+            } => {
+                self.log_read(now, oldest, next, &records);
+            }
+            Input::LogLost => self.log_lost(now),
+            Input::Appended { batch, result } => self.appended(now, batch, result),
+            Input::AttemptEnded { attempt, report } => self.attempt_ended(now, attempt, report),
+            Input::StopEnded { attempt, report } => self.stop_ended(now, attempt, report),
+            Input::Drain => self.is_draining = true,
+            Input::Tick => {}
+        }
+    }
+
+    fn configure(&mut self, now: Now, config: Config) {
+        let is_newer = self
+            .config
+            .as_ref()
+            .is_none_or(|held| config.revision > held.revision);
+        if !is_newer {
+            return;
+        }
+        self.policy.set_classes(now, &config.classes);
+        let detail = smol_str::format_smolstr!("revision {}", config.revision);
+        self.note(Event::new(EventKind::ConfigInForce).detail(detail));
+        self.config = Some(config);
+    }
+
+    fn set_members(&mut self, now: Now, members: Vec<Member>, sharers: u32, _live: u32) {
+        self.members = members
+            .into_iter()
+            .map(|member| (member.incarnation, member))
+            .collect();
+        self.policy.set_sharers(now, sharers.max(1));
+    }
+
+    /// Ends what time has made due.
+    fn settle_due(&mut self, now: Now) {
+        self.settle_expired_tasks(now);
+        while let Some(id) = self.jobs.due(now.mono) {
+            self.settle_due_job(now, id);
+        }
+    }
+
+    fn settle_due_job(&mut self, now: Now, id: SubmissionId) {
+        match self.jobs.get(id) {
+            Some(Job::Claiming(_)) => self.end_unclaimed(id, ResultCode::ExpiredInQueue, ""),
+            Some(Job::Running(job)) if job.is_unstarted() || job.head.end_by <= now.mono => {
+                self.give_up(id, GiveUp::OUT_OF_TIME, "");
+            }
+            Some(Job::Running(job)) => {
+                let end_by = job.head.end_by;
+                self.jobs.set_due(id, Some(end_by));
+            }
+            Some(Job::Ended(_)) | None => self.jobs.set_due(id, None),
+        }
+    }
+
+    /// Ends a running job for a reason, with the code that tells the truth.
+    fn give_up(&mut self, id: SubmissionId, reason: GiveUp, detail: &str) {
+        let Some(Job::Running(job)) = self.jobs.get(id) else {
+            return;
+        };
+        let code = job.truthful(reason);
+        self.end(id, code, detail.into());
+    }
+
+    /// Ends a running job: waiting tasks are withdrawn, running ones stopped, the caller answered.
+    fn end(&mut self, id: SubmissionId, code: ResultCode, detail: SmolStr) {
+        let Some(Job::Running(job)) = self.jobs.take(id) else {
+            return;
+        };
+        self.withdraw_rest(&job);
+        self.stop_rest(&job);
+        self.release_bytes(&job.payloads);
+        let is_unstarted = job.is_unstarted();
+        let class = job.head.class.clone();
+        let (ended, waiters) = job.end(code, detail);
+        self.answer_all(&waiters, id, &ended);
+        self.note(
+            Event::new(EventKind::JobAnswered)
+                .submission(id)
+                .class(&class)
+                .detail(smol_str::format_smolstr!("{code}")),
+        );
+        // A job of which nothing has started is forgotten: its claim stays ours, so a copy that
+        // comes again may start it here without a risk of a second start.
+        if !is_unstarted {
+            self.jobs
+                .put_ended(id, ended, self.options.answers_max_bytes);
+        }
+    }
+
+    /// Ends a job whose claim was never granted.
+    fn end_unclaimed(&mut self, id: SubmissionId, code: ResultCode, detail: &str) {
+        let Some(Job::Claiming(job)) = self.jobs.take(id) else {
+            return;
+        };
+        self.release_bytes(&job.payloads);
+        let answer = self.refusal(Some(id), code, detail);
+        self.note(
+            Event::new(EventKind::JobRefused)
+                .submission(id)
+                .class(&job.head.class)
+                .detail(smol_str::format_smolstr!("{code}")),
+        );
+        for request in job.waiters {
+            self.answer(request, answer.clone());
+        }
+    }
+
+    fn withdraw_rest(&mut self, job: &Running) {
+        for task in job.tasks().filter(|task| !job.has_result(task.index)) {
+            self.policy.withdraw(task);
+        }
+    }
+
+    fn stop_rest(&mut self, job: &Running) {
+        for attempt in &job.attempts {
+            self.stop(*attempt);
+        }
+    }
+
+    fn stop(&mut self, attempt: AttemptId) {
+        let Some(found) = self.attempts.get(&attempt) else {
+            return;
+        };
+        if found.is_resolving {
+            return;
+        }
+        let (task, executor) = (found.task, found.executor.clone());
+        self.note(
+            Event::new(EventKind::TaskStopped)
+                .submission(task.submission)
+                .task(task.index)
+                .party(executor.as_str()),
+        );
+        self.outputs.push(Output::Stop {
+            attempt,
+            task,
+            executor,
+        });
+    }
+
+    fn answer_all(&mut self, waiters: &[RequestId], id: SubmissionId, ended: &Ended) {
+        let is_refusal = ended.code.outcome() == Some(onyxshed_core::Outcome::NotRun);
+        let answer = match is_refusal {
+            true => self.refusal(Some(id), ended.code, &ended.detail),
+            false => ended.answer(id),
+        };
+        for request in waiters {
+            self.answer(*request, answer.clone());
+        }
+    }
+
+    /// Makes an answer that invites a repeat where that can help.
+    fn refusal(&self, id: Option<SubmissionId>, code: ResultCode, detail: &str) -> Answer {
+        let answer = Answer::ended(id, code, detail);
+        match code {
+            ResultCode::CancelledUnstarted
+            | ResultCode::BadRequest
+            | ResultCode::UnknownClass
+            | ResultCode::TaskCount
+            | ResultCode::OtherContent => answer,
+            _ => answer.retry_after(self.options.retry_after_ms),
+        }
+    }
+
+    fn answer(&mut self, request: RequestId, mut answer: Answer) {
+        answer.bind_to = answer.bind_to.or(Some(self.me));
+        self.outputs.push(Output::Answer { request, answer });
+    }
+
+    fn note(&mut self, event: Event) {
+        self.outputs.push(Output::Note(event));
+    }
+
+    fn claiming_mut(&mut self, id: SubmissionId) -> Option<&mut Claiming> {
+        match self.jobs.get_mut(id) {
+            Some(Job::Claiming(job)) => Some(job),
+            _ => None,
+        }
+    }
+
+    fn running_mut(&mut self, id: SubmissionId) -> Option<&mut Running> {
+        match self.jobs.get_mut(id) {
+            Some(Job::Running(job)) => Some(job),
+            _ => None,
+        }
+    }
+
+    fn hold_bytes(&mut self, payloads: &[std::rc::Rc<Vec<u8>>]) {
+        self.running_bytes += total_bytes(payloads);
+    }
+
+    fn release_bytes(&mut self, payloads: &[std::rc::Rc<Vec<u8>>]) {
+        self.running_bytes -= total_bytes(payloads);
+    }
+}
+
+fn total_bytes(payloads: &[std::rc::Rc<Vec<u8>>]) -> u64 {
+    payloads.iter().map(|payload| payload.len() as u64).sum()
+}
--- /dev/null
+++ b/crates/onyxshed-dispatch/src/dispatch/attempt.rs
@@ -0,0 +1,188 @@
+//! What becomes of starts: results, failures, losses, and stops.
+
+use onyxshed_core::{Event, EventKind, Now, ResultCode, TaskId};
+use onyxshed_policy::{AttemptEnd, RetryStep, Verdict};
+use onyxshed_wire::upstream::TaskState;
+
+use super::{Attempt, Dispatch};
+use crate::input::{AttemptReport, StopReport};
+use crate::job::GiveUp;
+use crate::output::{AttemptId, Output};
+
+impl Dispatch {
+    pub(super) fn attempt_ended(&mut self, now: Now, id: AttemptId, report: AttemptReport) {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        if report.verdict == Verdict::Lost && !attempt.is_resolving {
+            attempt.is_resolving = true;
+            let attempt = attempt.clone();
+            self.resolve(id, &attempt, &report);
+            return;
+        }
+        self.conclude(now, id, report);
+    }
+
+    /// Asks the executor, over another connection, what became of a task whose connection was lost.
+    ///
+    /// The stop is also a fence: an executor that answers "refused" promises that a start still on
+    /// its way will not run, which proves the task unstarted.
+    fn resolve(&mut self, id: AttemptId, attempt: &Attempt, report: &AttemptReport) {
+        self.note(task_event(EventKind::TaskLost, attempt).detail(report.detail.clone()));
+        self.outputs.push(Output::Stop {
+            attempt: id,
+            task: attempt.task,
+            executor: attempt.executor.clone(),
+        });
+    }
+
+    pub(super) fn stop_ended(&mut self, now: Now, id: AttemptId, stop: Option<StopReport>) {
+        let is_resolving = self
+            .attempts
+            .get(&id)
+            .is_some_and(|attempt| attempt.is_resolving);
+        if !is_resolving {
+            return;
+        }
+        let (verdict, body) = match stop {
+            None => (Verdict::Lost, Vec::new()),
+            Some(stop) => (verdict_of(stop.state), stop.body),
+        };
+        let report = AttemptReport {
+            verdict,
+            body,
+            service_us: None,
+            load: None,
+            detail: "stop".into(),
+        };
+        self.conclude(now, id, report);
+    }
+
+    /// Books an attempt's end and decides what becomes of its task and job.
+    fn conclude(&mut self, now: Now, id: AttemptId, report: AttemptReport) {
+        let Some(attempt) = self.attempts.remove(&id) else {
+            return;
+        };
+        let task = attempt.task;
+        self.note_end(&attempt, &report);
+        let step = self.policy.ended(
+            now,
+            &AttemptEnd {
+                task,
+                executor: attempt.executor.clone(),
+                verdict: report.verdict,
+                service_us: report.service_us,
+                load: report.load,
+            },
+        );
+        let Some(job) = self.running_mut(task.submission) else {
+            self.drop_late(&attempt, step);
+            return;
+        };
+        job.attempts.remove(&id);
+        match report.verdict {
+            Verdict::Finished | Verdict::Failed | Verdict::Lapsed | Verdict::Stopped => {
+                job.evidence.has_run = true;
+            }
+            Verdict::Lost => job.evidence.is_in_doubt = true,
+            Verdict::Refused | Verdict::Unsent => {}
+        }
+        match report.verdict {
+            Verdict::Finished => self.keep_result(task, report.body),
+            _ => self.follow(task, step, &report),
+        }
+    }
+
+    fn keep_result(&mut self, task: TaskId, body: Vec<u8>) {
+        if body.len() as u64 > self.options.result_max_bytes.0 {
+            return self.end(task.submission, ResultCode::ResultTooLarge, "".into());
+        }
+        let Some(job) = self.running_mut(task.submission) else {
+            return;
+        };
+        job.keep_result(task.index, body);
+        if job.is_complete() {
+            self.end(task.submission, ResultCode::Complete, "".into());
+            return;
+        }
+        self.stop_copies(task);
+    }
+
+    /// Stops what still runs of a task that has its result.
+    fn stop_copies(&mut self, task: TaskId) {
+        let Some(job) = self.running_mut(task.submission) else {
+            return;
+        };
+        let others: Vec<AttemptId> = job.attempts.iter().copied().collect();
+        for other in others {
+            if self
+                .attempts
+                .get(&other)
+                .is_some_and(|attempt| attempt.task == task)
+            {
+                self.stop(other);
+            }
+        }
+    }
+
+    fn follow(&mut self, task: TaskId, step: RetryStep, report: &AttemptReport) {
+        let has_result = self
+            .running_mut(task.submission)
+            .is_some_and(|job| job.has_result(task.index));
+        match step {
+            RetryStep::Queued if has_result => {
+                self.policy.withdraw(task);
+            }
+            RetryStep::GiveUp(code) if !has_result => {
+                let detail = smol_str::format_smolstr!("task {}: {}", task.index, report.detail);
+                self.give_up(task.submission, GiveUp::task(code), &detail);
+            }
+            RetryStep::Queued => self.note(
+                Event::new(EventKind::TaskRetried)
+                    .submission(task.submission)
+                    .task(task.index)
+                    .detail(smol_str::format_smolstr!("{:?}", report.verdict)),
+            ),
+            RetryStep::Wait | RetryStep::GiveUp(_) => {}
+        }
+    }
+
+    /// Drops what came for a job that is over.
+    fn drop_late(&mut self, attempt: &Attempt, step: RetryStep) {
+        if step == RetryStep::Queued {
+            self.policy.withdraw(attempt.task);
+        }
+        self.note(task_event(EventKind::AnswerDropped, attempt).detail("the job is over"));
+    }
+
+    fn note_end(&mut self, attempt: &Attempt, report: &AttemptReport) {
+        let kind = match report.verdict {
+            Verdict::Refused | Verdict::Unsent => EventKind::TaskRefused,
+            Verdict::Lost => EventKind::TaskLost,
+            _ => EventKind::TaskFinished,
+        };
+        let detail = match report.detail.is_empty() {
+            true => smol_str::format_smolstr!("{:?}", report.verdict),
+            false => smol_str::format_smolstr!("{:?}: {}", report.verdict, report.detail),
+        };
+        self.note(task_event(kind, attempt).detail(detail));
+    }
+}
+
+fn task_event(kind: EventKind, attempt: &Attempt) -> Event {
+    Event::new(kind)
+        .submission(attempt.task.submission)
+        .task(attempt.task.index)
+        .party(attempt.executor.as_str())
+}
+
+/// Gets what an executor's answer to a stop proves.
+fn verdict_of(state: TaskState) -> Verdict {
+    match state {
+        TaskState::Finished => Verdict::Finished,
+        TaskState::Failed => Verdict::Failed,
+        TaskState::Refused => Verdict::Refused,
+        TaskState::Stopped => Verdict::Stopped,
+        TaskState::Lapsed => Verdict::Lapsed,
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-dispatch/src/dispatch/claim.rs
@@ -0,0 +1,134 @@
+//! What the log says: claims won, lost or undecided.
+
+use onyxshed_core::{Event, EventKind, Now, Offset, ResultCode, SubmissionId};
+use onyxshed_policy::Work;
+use onyxshed_state::claim::AppendFailure;
+use onyxshed_state::{Settled, Verdict};
+use onyxshed_wire::caller::Submission;
+use onyxshed_wire::platform::Record;
+
+use super::Dispatch;
+use super::caller::unclaimable;
+use crate::job::{Claiming, Job};
+use crate::output::{ForwardedCall, Output};
+
+impl Dispatch {
+    pub(super) fn log_read(&mut self, now: Now, _oldest: Offset, next: Offset, records: &[Record]) {
+        for record in records {
+            for settled in self.book.read(now, record.offset, &record.data) {
+                self.settle(now, settled);
+            }
+        }
+        self.book.caught_up(next);
+    }
+
+    pub(super) fn log_lost(&mut self, _now: Now) {
+        self.book.lost_log();
+    }
+
+    pub(super) fn appended(&mut self, now: Now, batch: u64, result: Result<Offset, AppendFailure>) {
+        if let Err(failure) = result {
+            let detail = smol_str::format_smolstr!("batch {batch}: {failure:?}");
+            self.note(
+                Event::new(EventKind::ClaimFailed)
+                    .party("platform")
+                    .detail(detail),
+            );
+        }
+        for settled in self.book.appended(now, batch, result) {
+            self.settle(now, settled);
+        }
+    }
+
+    fn settle(&mut self, now: Now, settled: Settled) {
+        let id = settled.submission;
+        match settled.verdict {
+            Verdict::Won => {
+                self.note(Event::new(EventKind::ClaimWon).submission(id));
+                self.grant(now, id);
+            }
+            Verdict::HeldBy(holder) => {
+                let party = smol_str::format_smolstr!("{holder}");
+                self.note(Event::new(EventKind::ClaimLost).submission(id).party(party));
+                self.hand_over(id, holder);
+            }
+            Verdict::OtherContent => self.end_unclaimed(id, ResultCode::OtherContent, ""),
+            Verdict::Failed => self.claim_failed(now, id),
+        }
+    }
+
+    /// Starts the tasks of a job that this host holds.
+    pub(super) fn grant(&mut self, now: Now, id: SubmissionId) {
+        let Some(job) = self.take_claiming(id) else {
+            return;
+        };
+        let job = job.granted();
+        for task in job.tasks() {
+            let work = Work {
+                task,
+                class: job.head.class.clone(),
+                deadline: job.head.deadline,
+                may_run_twice: job.head.may_run_twice,
+            };
+            self.policy.enqueue(now, work);
+        }
+        let due = job.head.deadline;
+        self.jobs.put_live(id, Job::Running(job), due);
+    }
+
+    /// Starts a job whose tasks may run twice without a claim.
+    pub(super) fn start_unclaimed(&mut self, now: Now, id: SubmissionId) {
+        self.note(
+            Event::new(EventKind::ClaimSkipped)
+                .submission(id)
+                .detail("the log can't be reached"),
+        );
+        self.grant(now, id);
+    }
+
+    fn claim_failed(&mut self, now: Now, id: SubmissionId) {
+        let Some(job) = self.claiming_mut(id) else {
+            return;
+        };
+        let (may_run_twice, is_first_copy) = (job.head.may_run_twice, job.head.is_first_copy);
+        match may_run_twice {
+            true => self.start_unclaimed(now, id),
+            false => self.end_unclaimed(id, unclaimable(is_first_copy), ""),
+        }
+    }
+
+    /// Passes every request of a job on to the host that won its claim.
+    fn hand_over(&mut self, id: SubmissionId, holder: onyxshed_core::Incarnation) {
+        let Some(job) = self.take_claiming(id) else {
+            return;
+        };
+        self.release_bytes(&job.payloads);
+        let submission = Submission {
+            submission: id,
+            class: job.head.class,
+            deadline_ms: None,
+            is_first_copy: false,
+            tasks: job
+                .payloads
+                .iter()
+                .map(|payload| payload.as_ref().clone())
+                .collect(),
+        };
+        for request in job.waiters {
+            let call = ForwardedCall::Submit(Box::new(submission.clone()));
+            self.outputs.push(Output::Forward {
+                request,
+                to: holder,
+                call,
+            });
+        }
+    }
+
+    fn take_claiming(&mut self, id: SubmissionId) -> Option<Claiming> {
+        self.claiming_mut(id)?;
+        match self.jobs.take(id) {
+            Some(Job::Claiming(job)) => Some(job),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-dispatch/src/dispatch/pump.rs
@@ -0,0 +1,137 @@
+//! What the machine does of itself after every event: starts, appends, forgetting, the next alarm.
+
+use onyxshed_core::{Event, EventKind, ExecutorName, Micros, Millis, Mono, Now, TaskId, UnixMs};
+use onyxshed_policy::{NextStep, Work};
+use onyxshed_state::BatchStep;
+
+use super::{Attempt, Dispatch};
+use crate::job::{GiveUp, Job};
+use crate::output::{AttemptId, Output};
+
+impl Dispatch {
+    pub(super) fn pump(&mut self, now: Now) {
+        let start_again = self.start_tasks(now);
+        let append_again = self.append_claims(now);
+        self.forget(now);
+        self.wake_at = [start_again, append_again, self.jobs.next_due()]
+            .into_iter()
+            .flatten()
+            .min();
+    }
+
+    /// Starts what the policy says, and gets when to ask it again.
+    fn start_tasks(&mut self, now: Now) -> Option<Mono> {
+        loop {
+            match self.policy.next(now) {
+                NextStep::Start {
+                    task,
+                    executor,
+                    is_hedge,
+                } => {
+                    self.start(now, task, executor, is_hedge);
+                }
+                NextStep::WaitUntil(then) => return Some(then),
+                NextStep::Idle => return None,
+            }
+        }
+    }
+
+    fn start(&mut self, now: Now, task: TaskId, executor: ExecutorName, is_hedge: bool) {
+        // A host that was frozen past the horizon must not start: other hosts have forgotten its
+        // claim by now. The id's own age tells, whatever happened in between.
+        if !self.book.may_start(now, task.submission) {
+            self.give_up(
+                task.submission,
+                GiveUp::OUT_OF_TIME,
+                "the id is past the horizon",
+            );
+            return;
+        }
+        self.last_attempt += 1;
+        let attempt = AttemptId(self.last_attempt);
+        let lease_slack_ms = self.options.lease_slack_ms;
+        let Some(job) = self.running_mut(task.submission) else {
+            return;
+        };
+        let Some(payload) = job.payloads.get(usize::from(task.index)).cloned() else {
+            return;
+        };
+        job.attempts.insert(attempt);
+        let lease_ms = Micros(job.head.end_by.since(now.mono).0).as_millis();
+        let output = Output::Start {
+            attempt,
+            task,
+            executor: executor.clone(),
+            class: job.head.class.clone(),
+            payload,
+            lease_ms: Millis(lease_ms.0 + lease_slack_ms.0),
+            needs_proven_connection: !job.head.may_run_twice,
+        };
+        let kind = if is_hedge {
+            EventKind::TaskHedged
+        } else {
+            EventKind::TaskStarted
+        };
+        self.note(
+            Event::new(kind)
+                .submission(task.submission)
+                .task(task.index)
+                .party(executor.as_str()),
+        );
+        self.attempts.insert(
+            attempt,
+            Attempt {
+                task,
+                executor,
+                is_resolving: false,
+            },
+        );
+        self.outputs.push(output);
+    }
+
+    /// Appends the claims that are due, and gets when to ask again.
+    fn append_claims(&mut self, now: Now) -> Option<Mono> {
+        match self.book.next_batch(now) {
+            BatchStep::Append(batch) => {
+                let count = batch.claims.len();
+                let detail = smol_str::format_smolstr!("batch {}: {count} claims", batch.batch);
+                self.note(
+                    Event::new(EventKind::ClaimAppended)
+                        .party("platform")
+                        .detail(detail),
+                );
+                self.outputs.push(Output::Append(batch));
+                None
+            }
+            BatchStep::WaitUntil(then) => Some(then),
+            BatchStep::Idle => None,
+        }
+    }
+
+    /// Deals with waiting tasks whose deadline has passed: a job that has begun goes on until it is
+    /// given up, one that has not is over.
+    pub(super) fn settle_expired_tasks(&mut self, now: Now) {
+        for task in self.policy.expired(now) {
+            match self.jobs.get(task.submission) {
+                Some(Job::Running(job)) if !job.is_unstarted() && job.head.end_by > now.mono => {
+                    let work = Work {
+                        task,
+                        class: job.head.class.clone(),
+                        deadline: job.head.end_by,
+                        may_run_twice: job.head.may_run_twice,
+                    };
+                    self.policy.enqueue(now, work);
+                }
+                _ => self.give_up(task.submission, GiveUp::OUT_OF_TIME, ""),
+            }
+        }
+    }
+
+    fn forget(&mut self, now: Now) {
+        self.book.expire(now);
+        let claims = &self.options.claims;
+        let keep_ms = claims.horizon_ms.0 + 2 * claims.skew_ms.0;
+        self.jobs
+            .forget_older(UnixMs(now.wall.0.saturating_sub(keep_ms)));
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-dispatch/src/job/claiming.rs
@@ -0,0 +1,25 @@
+//! A job whose claim is not decided yet; none of its tasks may start.
+
+use std::rc::Rc;
+
+use super::JobHead;
+use super::running::Running;
+use crate::output::RequestId;
+
+/// A job that waits for the log to say who holds it.
+#[derive(Debug)]
+pub struct Claiming {
+    /// What stays the same.
+    pub head: JobHead,
+    /// One payload a task.
+    pub payloads: Vec<Rc<Vec<u8>>>,
+    /// Requests that wait for the answer.
+    pub waiters: Vec<RequestId>,
+}
+
+impl Claiming {
+    /// Turns the job into one whose tasks may start.
+    pub fn granted(self) -> Running {
+        Running::new(self.head, self.payloads, self.waiters)
+    }
+}
