--- a/crates/onyxshed-proto/src/lib.rs
+++ b/crates/onyxshed-proto/src/lib.rs
@@ -1,1 +1,19 @@
-//! Placeholder.
+//! What onyxshed's own processes say to each other, over `capnp-rpc`.
+//!
+//! The schema is `schema/onyxshed.capnp`; `onyxshed_capnp` is generated from it and committed, so a
+//! build needs no generator. The other modules turn messages into the types that decisions use, and
+//! check every text on the way in; [`rpc`] carries the interfaces over TCP.
+
+pub mod config;
+pub mod error;
+#[allow(missing_docs, unused_qualifications, clippy::all, clippy::unwrap_used)]
+#[rustfmt::skip]
+pub mod onyxshed_capnp;
+pub mod rpc;
+pub mod snapshot;
+pub mod status;
+pub mod text;
+
+pub use error::{Error, Result};
+pub use snapshot::{ExecutorEntry, Snapshot};
+pub use status::EntryStatus;
--- /dev/null
+++ b/crates/onyxshed-proto/src/rpc.rs
@@ -0,0 +1,80 @@
+//! The interfaces over TCP: serving one and calling one.
+//!
+//! A message is bounded before it is read: one that claims more than its limit ends the connection,
+//! so a garbled or hostile peer costs a connection and no memory.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use async_executor::LocalExecutor;
+use async_net::{TcpListener, TcpStream};
+use capnp::capability::{Client, FromClientHook};
+use capnp::message::ReaderOptions;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+
+/// Largest message between processes, in 8-byte words (8 MiB).
+const MESSAGE_MAX_WORDS: usize = 1 << 20;
+
+/// Deepest nesting in a message.
+const NESTING_MAX: i32 = 16;
+
+/// Most connections that one interface serves at a time.
+const CONNECTIONS_MAX: usize = 256;
+
+fn reader_options() -> ReaderOptions {
+    let mut options = ReaderOptions::new();
+    options
+        .traversal_limit_in_words(Some(MESSAGE_MAX_WORDS))
+        .nesting_limit(NESTING_MAX);
+    options
+}
+
+fn network(stream: TcpStream, side: Side) -> Box<VatNetwork<TcpStream>> {
+    let writer = stream.clone();
+    Box::new(VatNetwork::new(stream, writer, side, reader_options()))
+}
+
+/// Serves `bootstrap` to every connection until dropped.
+pub async fn serve(listener: TcpListener, bootstrap: Client, executor: Rc<LocalExecutor<'static>>) {
+    let open = Rc::new(Cell::new(0_usize));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            futures_lite::future::yield_now().await;
+            continue;
+        };
+        if open.get() >= CONNECTIONS_MAX || stream.set_nodelay(true).is_err() {
+            continue;
+        }
+        open.set(open.get() + 1);
+        let system = RpcSystem::new(network(stream, Side::Server), Some(bootstrap.clone()));
+        let open = open.clone();
+        executor
+            .spawn(async move {
+                let _ = system.await;
+                open.set(open.get() - 1);
+            })
+            .detach();
+    }
+}
+
+/// Tries to connect to an interface; the connection lives as long as the client and its calls.
+pub async fn connect<T: FromClientHook>(
+    address: SocketAddr,
+    executor: &Rc<LocalExecutor<'static>>,
+) -> capnp::Result<T> {
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(capnp::Error::from)?;
+    stream.set_nodelay(true).map_err(capnp::Error::from)?;
+    let mut system = RpcSystem::new(network(stream, Side::Client), None);
+    let client: T = system.bootstrap(Side::Server);
+    executor
+        .spawn(async move {
+            let _ = system.await;
+        })
+        .detach();
+    Ok(client)
+}
