--- /dev/null
+++ b/crates/onyxshed-entry/src/callers.rs
@@ -0,0 +1,183 @@
+//! Requests of callers, and of peers on their behalf.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use async_io::Timer;
+use http_types::Method;
+use onyxshed_core::{Event, EventKind, ResultCode, SubmissionId};
+use onyxshed_dispatch::Input;
+use onyxshed_http::{Call, Handler, Reply, Server, ServerOptions, ServerStats};
+use onyxshed_kernel::{Descriptor, Error, Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_wire::caller::{Answer, FORWARDED_HEADER, JOBS_PATH, Submission};
+
+use crate::engine::Engine;
+use crate::names::{CALLERS, CLAIM_LOG, CONTROL_PORT, ENGINE, PEERS, UPSTREAMS};
+
+/// Which door a request came through.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Door {
+    /// A caller's.
+    Caller,
+    /// A peer's, which may pass requests on to us.
+    Peer,
+}
+
+/// What a request asks.
+enum Route {
+    Submit,
+    Fetch(SubmissionId),
+    Cancel(SubmissionId),
+    Bad(ResultCode),
+}
+
+/// Where callers and peers are served, and within which limits.
+#[derive(Debug, Clone, Copy)]
+pub struct CallerOptions {
+    /// Where callers are served.
+    pub caller_address: SocketAddr,
+    /// Where peers are served.
+    pub peer_address: SocketAddr,
+    /// Limits of both.
+    pub server: ServerOptions,
+}
+
+/// Live counts of both doors.
+pub struct Callers {
+    /// The callers' door.
+    pub caller: Rc<ServerStats>,
+    /// The peers' door.
+    pub peer: Rc<ServerStats>,
+}
+
+/// Both doors as a service.
+pub struct CallerService {
+    engine: Rc<Engine>,
+    options: CallerOptions,
+}
+
+impl CallerService {
+    /// Makes the service.
+    pub fn new(engine: Rc<Engine>, options: CallerOptions) -> Self {
+        CallerService { engine, options }
+    }
+
+    /// Opens one door.
+    async fn open(
+        &self,
+        kernel: &Kernel,
+        name: &'static str,
+        address: SocketAddr,
+        door: Door,
+    ) -> Result<Rc<ServerStats>> {
+        let engine = self.engine.clone();
+        let draining = kernel.readiness().clone();
+        let handler: Handler = Rc::new(move |call| {
+            let (engine, draining) = (engine.clone(), draining.clone());
+            Box::pin(async move {
+                let reply = handle(&engine, door, call).await;
+                if draining.is_draining() { reply.last() } else { reply }
+            })
+        });
+        let reporter = kernel.clone();
+        let reject = Rc::new(move |code: ResultCode| {
+            let detail = smol_str::format_smolstr!("{code}");
+            reporter.emit(Event::new(EventKind::RequestRejected).detail(detail));
+            reply_of(&Answer::ended(None, code, ""))
+        });
+        let server = Server::new(self.options.server, handler, reject);
+        let stats = server.stats();
+        let listener = Server::listen(address).await.map_err(|error| Error::failed(CALLERS, error))?;
+        let bound = listener.local_addr().map_err(|error| Error::failed(CALLERS, error))?;
+        kernel.announce(name, bound);
+        kernel.spawn(server.run(listener, kernel.executor())).detach();
+        Ok(stats)
+    }
+}
+
+impl Service for CallerService {
+    fn name(&self) -> ServiceName {
+        CALLERS
+    }
+
+    fn needs(&self) -> &[ServiceName] {
+        &[ENGINE, UPSTREAMS, CLAIM_LOG, PEERS, CONTROL_PORT]
+    }
+
+    fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
+        Box::pin(async move {
+            let options = &self.options;
+            let caller = self.open(kernel, "caller", options.caller_address, Door::Caller).await?;
+            let peer = self.open(kernel, "peer", options.peer_address, Door::Peer).await?;
+            let descriptor = Descriptor { name: CALLERS, summary: "requests of callers and peers" };
+            kernel.register(descriptor, Rc::new(Callers { caller, peer }))
+        })
+    }
+
+    /// Refuses new jobs from now on and waits until every reply in the making has been written.
+    fn drain<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, ()> {
+        Box::pin(async move {
+            self.engine.feed(Input::Drain);
+            let Ok(callers) = kernel.find::<Callers>(CALLERS) else {
+                return;
+            };
+            while callers.caller.busy.get() + callers.peer.busy.get() > 0 {
+                Timer::after(DRAIN_POLL).await;
+            }
+        })
+    }
+}
+
+/// How often a drain looks whether the last reply has been written.
+const DRAIN_POLL: std::time::Duration = std::time::Duration::from_millis(10);
+
+async fn handle(engine: &Engine, door: Door, call: Call) -> Reply {
+    let is_forwarded = door == Door::Peer && call.header(FORWARDED_HEADER).is_some();
+    let answer = match route(&call) {
+        Route::Submit => submit(engine, &call.body, is_forwarded).await,
+        Route::Fetch(id) => {
+            engine.ask(|request| Input::Fetch { request, id, is_forwarded }).await
+        }
+        Route::Cancel(id) => {
+            engine.ask(|request| Input::Cancel { request, id, is_forwarded }).await
+        }
+        Route::Bad(code) => Answer::ended(None, code, ""),
+    };
+    reply_of(&answer)
+}
+
+async fn submit(engine: &Engine, body: &[u8], is_forwarded: bool) -> Answer {
+    match Submission::decode(body) {
+        Ok(submission) => {
+            engine.ask(|request| Input::Submit { request, submission, is_forwarded }).await
+        }
+        Err(error) => Answer::ended(None, error.code(), &error.to_string()),
+    }
+}
+
+fn route(call: &Call) -> Route {
+    let Some(rest) = call.path().strip_prefix(JOBS_PATH) else {
+        return Route::Bad(ResultCode::NoSuchPath);
+    };
+    if rest.is_empty() {
+        return match call.method() {
+            Method::Post => Route::Submit,
+            _ => Route::Bad(ResultCode::NoSuchPath),
+        };
+    }
+    let id = rest.strip_prefix('/').and_then(|text| text.parse().ok());
+    match (call.method(), id) {
+        (Method::Get, Some(id)) => Route::Fetch(id),
+        (Method::Delete, Some(id)) => Route::Cancel(id),
+        (Method::Get | Method::Delete, None) => Route::Bad(ResultCode::BadRequest),
+        _ => Route::Bad(ResultCode::NoSuchPath),
+    }
+}
+
+fn reply_of(answer: &Answer) -> Reply {
+    let reply = Reply::json(answer.http_status(), answer);
+    match answer.retry_after_ms {
+        Some(wait) => reply.retry_after_ms(wait.0),
+        None => reply,
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-entry/src/control_port.rs
@@ -0,0 +1,163 @@
+//! Snapshots from the control process of this host.
+//!
+//! The control process may die, hang or restart at any time: the entry goes on with the last
+//! snapshot, tells that the control process is gone, and shows in its status how old it is.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use capnp::capability::Rc as ServerRc;
+use onyxshed_core::{Event, EventKind, HostName, Incarnation};
+use onyxshed_dispatch::{Dispatch, Input};
+use onyxshed_http::Server;
+use onyxshed_kernel::{Descriptor, Error, Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_proto::onyxshed_capnp::entry_port;
+use onyxshed_proto::{EntryStatus, Snapshot, rpc, snapshot, status};
+
+use crate::engine::Engine;
+use crate::names::{CONTROL_PORT, ENGINE, UPSTREAMS};
+use crate::upstreams::Upstreams;
+
+/// How long after the last snapshot the control process is held to be gone.
+const LOST_AFTER: Duration = Duration::from_secs(3);
+
+/// Who this entry is and where its control process finds it.
+#[derive(Debug, Clone)]
+pub struct ControlPortOptions {
+    /// The host.
+    pub host: HostName,
+    /// Its current life.
+    pub incarnation: Incarnation,
+    /// Where the control process connects.
+    pub control_address: SocketAddr,
+}
+
+/// Handle to what came from the control process.
+pub struct ControlPort {
+    kernel: Kernel,
+    options: ControlPortOptions,
+    last_snapshot: Cell<Option<Instant>>,
+    is_connected: Cell<bool>,
+}
+
+impl ControlPort {
+    /// Gets how old the last snapshot is, none before the first.
+    pub fn snapshot_age(&self) -> Option<Duration> {
+        self.last_snapshot.get().map(|at| at.elapsed())
+    }
+
+    fn install(&self, snapshot: Snapshot) -> Result<EntryStatus> {
+        self.kernel.clock().observe(snapshot.hlc);
+        self.last_snapshot.set(Some(Instant::now()));
+        if !self.is_connected.replace(true) {
+            self.kernel.emit(Event::new(EventKind::ControlConnected));
+        }
+        let engine = self.kernel.find::<Engine>(ENGINE)?;
+        if let Some(executors) = snapshot.executors {
+            self.kernel.find::<Upstreams>(UPSTREAMS)?.set_executors(&executors);
+            let infos = executors.into_iter().map(|entry| entry.info).collect();
+            engine.feed(Input::Executors(infos));
+        }
+        let (members, sharers, live) = (snapshot.members, snapshot.sharers, snapshot.live);
+        engine.feed(Input::Members { members, sharers, live });
+        if let Some(config) = snapshot.config {
+            engine.feed(Input::Configured(config));
+            self.kernel.readiness().allow(WITHOUT_CONFIG);
+        }
+        Ok(self.status(&engine))
+    }
+
+    fn status(&self, engine: &Engine) -> EntryStatus {
+        let addresses = self.kernel.addresses();
+        EntryStatus {
+            host: self.options.host.clone(),
+            incarnation: self.options.incarnation,
+            peer_address: addresses.get("peer").copied().unwrap_or(self.options.control_address),
+            config_revision: engine.look(|machine| machine.config().map(|held| held.revision)),
+            live_jobs: u32::try_from(engine.look(Dispatch::live_jobs)).unwrap_or(u32::MAX),
+            is_draining: self.kernel.readiness().is_draining(),
+            hlc: self.kernel.clock().stamp(),
+        }
+    }
+
+    /// Tells once when the control process has gone.
+    async fn watch(self: Rc<Self>) {
+        loop {
+            Timer::after(LOST_AFTER / 3).await;
+            let is_lost = self.snapshot_age().is_some_and(|age| age > LOST_AFTER);
+            if is_lost && self.is_connected.replace(false) {
+                self.kernel.emit(Event::new(EventKind::ControlLost));
+            }
+        }
+    }
+}
+
+/// Reason for which readiness is held back until a configuration came.
+pub const WITHOUT_CONFIG: &str = "no configuration yet";
+
+/// The interface that the control process calls.
+struct EntryPort {
+    port: Rc<ControlPort>,
+}
+
+impl entry_port::Server for EntryPort {
+    async fn install(
+        self: ServerRc<Self>,
+        params: entry_port::InstallParams,
+        mut results: entry_port::InstallResults,
+    ) -> capnp::Result<()> {
+        let snapshot = snapshot::read(params.get()?.get_snapshot()?)?;
+        let installed = self.port.install(snapshot);
+        let found = installed.map_err(|error| capnp::Error::failed(error.to_string()))?;
+        status::write(&found, results.get().init_status());
+        Ok(())
+    }
+}
+
+/// The control process's door as a service.
+pub struct ControlPortService {
+    options: ControlPortOptions,
+}
+
+impl ControlPortService {
+    /// Makes the service.
+    pub fn new(options: ControlPortOptions) -> Self {
+        ControlPortService { options }
+    }
+}
+
+impl Service for ControlPortService {
+    fn name(&self) -> ServiceName {
+        CONTROL_PORT
+    }
+
+    fn needs(&self) -> &[ServiceName] {
+        &[ENGINE, UPSTREAMS]
+    }
+
+    fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
+        Box::pin(async move {
+            kernel.readiness().withhold(WITHOUT_CONFIG);
+            let port = Rc::new(ControlPort {
+                kernel: kernel.clone(),
+                options: self.options.clone(),
+                last_snapshot: Cell::new(None),
+                is_connected: Cell::new(false),
+            });
+            let failed = |error: &dyn ToString| Error::failed(CONTROL_PORT, error.to_string());
+            let listener = Server::listen(self.options.control_address)
+                .await
+                .map_err(|error| failed(&error))?;
+            kernel.announce("control", listener.local_addr().map_err(|error| failed(&error))?);
+            let client: entry_port::Client = capnp_rpc::new_client(EntryPort { port: port.clone() });
+            kernel.spawn(rpc::serve(listener, client.client, kernel.executor())).detach();
+            kernel.spawn(port.clone().watch()).detach();
+            let descriptor =
+                Descriptor { name: CONTROL_PORT, summary: "snapshots from the control process" };
+            kernel.register(descriptor, port)
+        })
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-entry/src/engine.rs
@@ -0,0 +1,177 @@
+//! The dispatch machine in its process: feeds it events, carries out what it says.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use futures_lite::FutureExt;
+use onyxshed_core::Mono;
+use onyxshed_dispatch::{Dispatch, Input, Output, RequestId};
+use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_wire::caller::Answer;
+
+use crate::claim_log::ClaimLog;
+use crate::names::{CLAIM_LOG, ENGINE, PEERS, UPSTREAMS};
+use crate::peers::Peers;
+use crate::upstreams::Upstreams;
+
+/// Longest time between two ticks of the machine.
+const TICK_MAX: Duration = Duration::from_millis(100);
+
+/// How often a drain looks whether the last job has ended.
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+
+/// Handle to the dispatch machine.
+pub struct Engine {
+    kernel: Kernel,
+    dispatch: RefCell<Dispatch>,
+    waiting: RefCell<HashMap<RequestId, Sender<Answer>>>,
+    last_request: Cell<u64>,
+    armed_for: Cell<Option<Mono>>,
+    rearm: (Sender<()>, Receiver<()>),
+}
+
+impl Engine {
+    /// Makes an engine round a machine.
+    pub fn new(kernel: &Kernel, dispatch: Dispatch) -> Rc<Self> {
+        Rc::new(Engine {
+            kernel: kernel.clone(),
+            dispatch: RefCell::new(dispatch),
+            waiting: RefCell::default(),
+            last_request: Cell::new(0),
+            armed_for: Cell::new(None),
+            rearm: async_channel::bounded(1),
+        })
+    }
+
+    /// Feeds the machine one event and carries out what it says.
+    pub fn feed(&self, input: Input) {
+        let now = self.kernel.clock().now();
+        let outputs = self.dispatch.borrow_mut().handle(now, input);
+        for output in outputs {
+            self.carry_out(output);
+        }
+        self.arm();
+    }
+
+    /// Feeds the machine a request and waits for its answer.
+    pub async fn ask(&self, make: impl FnOnce(RequestId) -> Input) -> Answer {
+        let request = RequestId(self.last_request.get() + 1);
+        self.last_request.set(request.0);
+        let (sender, receiver) = async_channel::bounded(1);
+        self.waiting.borrow_mut().insert(request, sender);
+        self.feed(make(request));
+        receiver.recv().await.expect("the machine answers every request")
+    }
+
+    /// Looks into the machine.
+    pub fn look<T>(&self, at: impl FnOnce(&Dispatch) -> T) -> T {
+        at(&self.dispatch.borrow())
+    }
+
+    /// Gets how many requests wait for an answer.
+    pub fn waiting_requests(&self) -> usize {
+        self.waiting.borrow().len()
+    }
+
+    /// Carries out one output; whatever takes time goes on beside, never within the machine's step.
+    fn carry_out(&self, output: Output) {
+        match output {
+            Output::Answer { request, answer } => self.answer(request, answer),
+            Output::Note(event) => self.kernel.emit(event),
+            Output::Append(batch) => self.service::<ClaimLog>(CLAIM_LOG).append(batch),
+            Output::Forward { request, to, call } => {
+                let address = self.dispatch.borrow().member(to).map(|member| member.peer_address);
+                self.service::<Peers>(PEERS).forward(request, address, call);
+            }
+            output @ (Output::Start { .. } | Output::Stop { .. }) => {
+                self.service::<Upstreams>(UPSTREAMS).carry_out(output);
+            }
+        }
+    }
+
+    fn answer(&self, request: RequestId, answer: Answer) {
+        let waiting = self.waiting.borrow_mut().remove(&request);
+        if let Some(sender) = waiting {
+            // The channel holds one answer, and a caller that has gone needs none.
+            let _ = sender.try_send(answer);
+        }
+    }
+
+    fn service<T: 'static>(&self, name: ServiceName) -> Rc<T> {
+        self.kernel.find(name).expect("every service is started before a request comes in")
+    }
+
+    fn arm(&self) {
+        let wanted = self.dispatch.borrow().wake_at();
+        let is_sooner = match (wanted, self.armed_for.get()) {
+            (Some(wanted), Some(armed)) => wanted < armed,
+            (Some(_), None) => true,
+            (None, _) => false,
+        };
+        if is_sooner {
+            // A full channel means that the alarm is about to look anyway.
+            let _ = self.rearm.0.try_send(());
+        }
+    }
+
+    /// Ticks the machine whenever it wants to be woken.
+    async fn tick(self: Rc<Self>) {
+        loop {
+            let wake_at = self.dispatch.borrow().wake_at();
+            self.armed_for.set(wake_at);
+            let alarm = async {
+                match wake_at {
+                    Some(at) => self.kernel.clock().sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            let sooner = async {
+                let _ = self.rearm.1.recv().await;
+            };
+            let at_latest = async {
+                Timer::after(TICK_MAX).await;
+            };
+            sooner.or(alarm).or(at_latest).await;
+            self.feed(Input::Tick);
+        }
+    }
+}
+
+/// The engine as a service.
+pub struct EngineService {
+    engine: Rc<Engine>,
+}
+
+impl EngineService {
+    /// Makes the service.
+    pub fn new(engine: Rc<Engine>) -> Self {
+        EngineService { engine }
+    }
+}
+
+impl Service for EngineService {
+    fn name(&self) -> ServiceName {
+        ENGINE
+    }
+
+    fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
+        Box::pin(async move {
+            let descriptor = Descriptor { name: ENGINE, summary: "the dispatch machine" };
+            kernel.register(descriptor, self.engine.clone())?;
+            kernel.spawn(self.engine.clone().tick()).detach();
+            Ok(())
+        })
+    }
+
+    fn drain<'a>(&'a self, _kernel: &'a Kernel) -> LocalFuture<'a, ()> {
+        Box::pin(async move {
+            while self.engine.look(Dispatch::live_jobs) > 0 {
+                Timer::after(DRAIN_POLL).await;
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-entry/src/peers.rs
@@ -0,0 +1,134 @@
+//! Requests passed on to the entry host that holds their submission.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_types::Method;
+use onyxshed_core::SubmissionId;
+use onyxshed_dispatch::output::ForwardedCall;
+use onyxshed_dispatch::{Input, RequestId};
+use onyxshed_http::ClientOptions;
+use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_wire::caller::{Answer, FORWARDED_HEADER, JOBS_PATH};
+use smol_str::SmolStr;
+
+use crate::engine::Engine;
+use crate::names::{ENGINE, PEERS};
+use crate::pool::{Health, Pool};
+
+/// How long a peer may take to answer before the caller is told that it can't be reached.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// How long opening a connection to a peer may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How recently a connection to a peer must have answered to be used again.
+const PROVEN_WITHIN: Duration = Duration::from_secs(2);
+
+/// Most idle connections kept to one peer.
+const IDLE_MAX: usize = 32;
+
+/// Handle to the connections to peers.
+pub struct Peers {
+    kernel: Kernel,
+    pools: RefCell<BTreeMap<SocketAddr, Rc<Pool>>>,
+}
+
+impl Peers {
+    /// Makes a handle without connections.
+    pub fn new(kernel: &Kernel) -> Rc<Self> {
+        Rc::new(Peers { kernel: kernel.clone(), pools: RefCell::default() })
+    }
+
+    /// Passes a request on and reports the peer's answer to the engine.
+    pub fn forward(
+        self: &Rc<Self>,
+        request: RequestId,
+        address: Option<SocketAddr>,
+        call: ForwardedCall,
+    ) {
+        let peers = self.clone();
+        let run = async move {
+            let id = id_of(&call);
+            let answer = match address {
+                Some(address) => peers.ask(address, call).await,
+                None => None,
+            };
+            if let Ok(engine) = peers.kernel.find::<Engine>(ENGINE) {
+                engine.feed(Input::Forwarded { request, id, answer });
+            }
+        };
+        self.kernel.spawn(run).detach();
+    }
+
+    /// Asks a peer; none if it can't be reached or its answer can't be read.
+    async fn ask(&self, address: SocketAddr, call: ForwardedCall) -> Option<Answer> {
+        let pool = self.pool(address);
+        let mut connection = pool.get(Health::Proven(PROVEN_WITHIN)).await.ok()?;
+        let (method, path, body) = request_of(call);
+        let headers = [(FORWARDED_HEADER, SmolStr::new_static("1"))];
+        let reply = connection.call(method, &path, &headers, body, ANSWER_TIMEOUT).await.ok()?;
+        let answer = Answer::decode(&reply.body).ok()?;
+        pool.put(connection);
+        Some(answer)
+    }
+
+    fn pool(&self, address: SocketAddr) -> Rc<Pool> {
+        let options = ClientOptions { connect_timeout: CONNECT_TIMEOUT, ..Default::default() };
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools
+            .entry(address)
+            .or_insert_with(|| Rc::new(Pool::new(address, options, IDLE_MAX)));
+        pool.clone()
+    }
+}
+
+fn id_of(call: &ForwardedCall) -> SubmissionId {
+    match call {
+        ForwardedCall::Submit(submission) => submission.submission,
+        ForwardedCall::Fetch(id) | ForwardedCall::Cancel(id) => *id,
+    }
+}
+
+fn request_of(call: ForwardedCall) -> (Method, String, Vec<u8>) {
+    match call {
+        ForwardedCall::Submit(submission) => {
+            let body = serde_json::to_vec(&submission).unwrap_or_default();
+            (Method::Post, JOBS_PATH.to_owned(), body)
+        }
+        ForwardedCall::Fetch(id) => (Method::Get, format!("{JOBS_PATH}/{id}"), Vec::new()),
+        ForwardedCall::Cancel(id) => (Method::Delete, format!("{JOBS_PATH}/{id}"), Vec::new()),
+    }
+}
+
+/// The connections to peers as a service.
+pub struct PeerService {
+    peers: Rc<Peers>,
+}
+
+impl PeerService {
+    /// Makes the service.
+    pub fn new(peers: Rc<Peers>) -> Self {
+        PeerService { peers }
+    }
+}
+
+impl Service for PeerService {
+    fn name(&self) -> ServiceName {
+        PEERS
+    }
+
+    fn needs(&self) -> &[ServiceName] {
+        &[ENGINE]
+    }
+
+    fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
+        Box::pin(async move {
+            let descriptor = Descriptor { name: PEERS, summary: "requests passed on to peers" };
+            kernel.register(descriptor, self.peers.clone())
+        })
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-entry/src/upstreams.rs
@@ -0,0 +1,159 @@
+//! Starts and stops of tasks on executors.
+
+mod call;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use onyxshed_core::{Event, EventKind, ExecutorName, Incarnation};
+use onyxshed_dispatch::{Input, Output};
+use onyxshed_http::ClientOptions;
+use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_proto::ExecutorEntry;
+
+use crate::engine::Engine;
+use crate::names::{ENGINE, UPSTREAMS};
+use crate::pool::Pool;
+
+pub use call::{StartCall, StopCall};
+
+/// Limits of the connections to executors.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UpstreamOptions {
+    /// Most idle connections kept to one executor. Default 16.
+    pub connections_per_executor: usize,
+    /// How recently a connection must have answered to carry a task that may not run twice.
+    /// Default 2 s.
+    pub proven_within: Duration,
+    /// How long a stop may take. Default 1 s.
+    pub stop_timeout: Duration,
+    /// What a call may last beyond the task's lease. Default 200 ms.
+    pub call_slack: Duration,
+    /// Limits of each connection.
+    pub client: ClientOptions,
+}
+
+impl Default for UpstreamOptions {
+    fn default() -> Self {
+        UpstreamOptions {
+            connections_per_executor: 16,
+            proven_within: Duration::from_secs(2),
+            stop_timeout: Duration::from_secs(1),
+            call_slack: Duration::from_millis(200),
+            client: ClientOptions::default(),
+        }
+    }
+}
+
+/// Handle to the executors' connections.
+pub struct Upstreams {
+    kernel: Kernel,
+    me: Incarnation,
+    options: UpstreamOptions,
+    pools: RefCell<BTreeMap<ExecutorName, Rc<Pool>>>,
+}
+
+impl Upstreams {
+    /// Makes a handle that knows no executor.
+    pub fn new(kernel: &Kernel, me: Incarnation, options: UpstreamOptions) -> Rc<Self> {
+        let kernel = kernel.clone();
+        Rc::new(Upstreams { kernel, me, options, pools: RefCell::default() })
+    }
+
+    /// Sets the executors known; connections to those left out are closed once idle.
+    pub fn set_executors(&self, executors: &[ExecutorEntry]) {
+        let mut pools = self.pools.borrow_mut();
+        let mut known = std::mem::take(&mut *pools);
+        for entry in executors {
+            let name = entry.info.name.clone();
+            let kept = known.remove(&name).filter(|pool| pool.address() == entry.address);
+            let joined = kept.is_none();
+            let pool = kept.unwrap_or_else(|| self.new_pool(entry));
+            pools.insert(name.clone(), pool);
+            if joined {
+                self.kernel.emit(Event::new(EventKind::UpstreamJoined).party(name.as_str()));
+            }
+        }
+        for name in known.keys() {
+            self.kernel.emit(Event::new(EventKind::UpstreamGone).party(name.as_str()));
+        }
+    }
+
+    fn new_pool(&self, entry: &ExecutorEntry) -> Rc<Pool> {
+        let idle_max = self.options.connections_per_executor;
+        Rc::new(Pool::new(entry.address, self.options.client, idle_max))
+    }
+
+    /// Carries out a start or a stop and reports its end to the engine.
+    pub fn carry_out(self: &Rc<Self>, output: Output) {
+        match output {
+            Output::Start {
+                attempt,
+                task,
+                executor,
+                class,
+                payload,
+                lease_ms,
+                needs_proven_connection,
+            } => {
+                let call = StartCall { task, class, payload, lease_ms, needs_proven_connection };
+                let upstreams = self.clone();
+                let run = async move {
+                    let report = upstreams.start(&executor, call).await;
+                    upstreams.report(Input::AttemptEnded { attempt, report });
+                };
+                self.kernel.spawn(run).detach();
+            }
+            Output::Stop { attempt, task, executor } => {
+                let upstreams = self.clone();
+                let run = async move {
+                    let report = upstreams.stop(&executor, StopCall { task }).await;
+                    upstreams.report(Input::StopEnded { attempt, report });
+                };
+                self.kernel.spawn(run).detach();
+            }
+            _ => {}
+        }
+    }
+
+    fn report(&self, input: Input) {
+        if let Ok(engine) = self.kernel.find::<Engine>(ENGINE) {
+            engine.feed(input);
+        }
+    }
+
+    fn pool(&self, executor: &ExecutorName) -> Option<Rc<Pool>> {
+        self.pools.borrow().get(executor).cloned()
+    }
+}
+
+/// The executors' connections as a service.
+pub struct UpstreamService {
+    upstreams: Rc<Upstreams>,
+}
+
+impl UpstreamService {
+    /// Makes the service.
+    pub fn new(upstreams: Rc<Upstreams>) -> Self {
+        UpstreamService { upstreams }
+    }
+}
+
+impl Service for UpstreamService {
+    fn name(&self) -> ServiceName {
+        UPSTREAMS
+    }
+
+    fn needs(&self) -> &[ServiceName] {
+        &[ENGINE]
+    }
+
+    fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
+        Box::pin(async move {
+            let descriptor = Descriptor { name: UPSTREAMS, summary: "starts and stops of tasks" };
+            kernel.register(descriptor, self.upstreams.clone())
+        })
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-entry/src/upstreams/call.rs
@@ -0,0 +1,158 @@
+//! One start or stop as an HTTP call, and what its reply or silence proves.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_types::Method;
+use onyxshed_core::{ClassName, ExecutorName, Micros, Millis, TaskId};
+use onyxshed_dispatch::{AttemptReport, StopReport};
+use onyxshed_http::{CallError, Connection, Reply, Sent};
+use onyxshed_policy::Verdict;
+use onyxshed_wire::upstream::{
+    CLASS_HEADER, DRAINING_HEADER, LEASE_HEADER, LoadReport, QUEUED_HEADER, RUNNING_HEADER,
+    SERVICE_HEADER, STARTER_HEADER, STATE_HEADER, TASK_HEADER, TaskState, task_path,
+};
+use smol_str::SmolStr;
+
+use super::Upstreams;
+use crate::pool::{Health, Pool};
+
+/// A start to carry out.
+#[derive(Debug, Clone)]
+pub struct StartCall {
+    /// The task.
+    pub task: TaskId,
+    /// Its class.
+    pub class: ClassName,
+    /// Its payload.
+    pub payload: Rc<Vec<u8>>,
+    /// How long the executor may work on it, in milliseconds.
+    pub lease_ms: Millis,
+    /// Whether it may only go onto a connection that proved of late that it works.
+    pub needs_proven_connection: bool,
+}
+
+/// A stop to carry out.
+#[derive(Debug, Clone, Copy)]
+pub struct StopCall {
+    /// The task.
+    pub task: TaskId,
+}
+
+impl Upstreams {
+    /// Starts a task and waits for its end.
+    pub(super) async fn start(&self, executor: &ExecutorName, call: StartCall) -> AttemptReport {
+        let Some(pool) = self.pool(executor) else {
+            return ended(Verdict::Unsent, "the executor is no longer known");
+        };
+        let health = match call.needs_proven_connection {
+            true => Health::Proven(self.options.proven_within),
+            false => Health::Open,
+        };
+        let mut connection = match pool.get(health).await {
+            Ok(connection) => connection,
+            Err(error) => return ended(Verdict::Unsent, error.reason),
+        };
+        match self.send_start(&mut connection, &call).await {
+            Ok(reply) => {
+                let report = read_report(call.task, reply);
+                if report.verdict != Verdict::Lost {
+                    pool.put(connection);
+                }
+                report
+            }
+            Err(error) => broken(&pool, &error),
+        }
+    }
+
+    async fn send_start(
+        &self,
+        connection: &mut Connection,
+        call: &StartCall,
+    ) -> Result<Reply, CallError> {
+        let headers = [
+            (CLASS_HEADER, SmolStr::from(call.class.as_str())),
+            (LEASE_HEADER, smol_str::format_smolstr!("{}", call.lease_ms.0)),
+            (STARTER_HEADER, smol_str::format_smolstr!("{}", self.me)),
+        ];
+        let timeout = Duration::from(call.lease_ms) + self.options.call_slack;
+        let payload = call.payload.as_ref().clone();
+        connection.call(Method::Post, &task_path(&call.task), &headers, payload, timeout).await
+    }
+
+    /// Stops a task; none if the executor did not answer.
+    ///
+    /// It always takes a new connection: the one that carried the start may have gone silent.
+    pub(super) async fn stop(&self, executor: &ExecutorName, call: StopCall) -> Option<StopReport> {
+        let pool = self.pool(executor)?;
+        let timeout = self.options.stop_timeout;
+        let mut connection = Connection::open(pool.address(), self.options.client).await.ok()?;
+        let path = task_path(&call.task);
+        let reply = connection.call(Method::Delete, &path, &[], Vec::new(), timeout).await.ok()?;
+        let state = state_of(call.task, &reply)?;
+        pool.put(connection);
+        Some(StopReport { state, body: reply.body })
+    }
+}
+
+fn ended(verdict: Verdict, detail: impl Into<SmolStr>) -> AttemptReport {
+    AttemptReport {
+        verdict,
+        body: Vec::new(),
+        service_us: None,
+        load: None,
+        detail: detail.into(),
+    }
+}
+
+/// Judges a call that brought no reply: only one of which no byte left us did not start the task.
+fn broken(pool: &Pool, error: &CallError) -> AttemptReport {
+    // A connection that went silent was forgotten by something on the way, and its idle
+    // neighbours most likely with it.
+    if error.is_timeout {
+        pool.clear();
+    }
+    match error.sent {
+        Sent::Nothing => ended(Verdict::Unsent, error.reason.clone()),
+        Sent::Maybe => ended(Verdict::Lost, error.reason.clone()),
+    }
+}
+
+/// Gets the task's state, none if the reply is another task's or tells no state.
+fn state_of(task: TaskId, reply: &Reply) -> Option<TaskState> {
+    let is_ours = reply.get(TASK_HEADER).is_some_and(|found| found.parse() == Ok(task));
+    let state = reply.get(STATE_HEADER)?.parse().ok()?;
+    is_ours.then_some(state)
+}
+
+fn read_report(task: TaskId, reply: Reply) -> AttemptReport {
+    let Some(state) = state_of(task, &reply) else {
+        return ended(Verdict::Lost, "the answer is foreign or tells no state");
+    };
+    let verdict = match state {
+        TaskState::Finished => Verdict::Finished,
+        TaskState::Failed => Verdict::Failed,
+        TaskState::Refused => Verdict::Refused,
+        TaskState::Stopped => Verdict::Stopped,
+        TaskState::Lapsed => Verdict::Lapsed,
+    };
+    let number = |name| reply.get(name).and_then(|found| found.parse::<u64>().ok());
+    let load = LoadReport {
+        running: number(RUNNING_HEADER).and_then(|n| u32::try_from(n).ok()).unwrap_or_default(),
+        queued: number(QUEUED_HEADER).and_then(|n| u32::try_from(n).ok()).unwrap_or_default(),
+        is_draining: reply.get(DRAINING_HEADER) == Some("1"),
+    };
+    let detail = match verdict {
+        Verdict::Finished => SmolStr::default(),
+        _ => excerpt(&reply.body),
+    };
+    let service_us = number(SERVICE_HEADER).map(Micros);
+    AttemptReport { verdict, body: reply.body, service_us, load: Some(load), detail }
+}
+
+/// Longest reason repeated from an executor, in characters.
+const REASON_CHARS: usize = 120;
+
+fn excerpt(body: &[u8]) -> SmolStr {
+    String::from_utf8_lossy(body).chars().take(REASON_CHARS).collect()
+}
