Add stand-ins of the platform, an upstream and the faulty network

Tests need real processes around onyxshed that misbehave on command: an outage, an append whose answer is lost, an executor that never answers, a connection that goes silent while new ones work. The HTTP of the stand-ins is served by async-h1 directly, because the bounded server always answers.

--- /dev/null
+++ b/crates/onyxshed-standins/src/faults.rs
@@ -0,0 +1,10 @@
+//! A TCP proxy that breaks connections on command.
+
+pub mod control;
+pub mod mode;
+pub mod pump;
+pub mod route;
+
+pub use control::Proxy;
+pub use mode::{Mode, NewRoute, SetMode};
+pub use route::Route;
--- /dev/null
+++ b/crates/onyxshed-standins/src/platform/log.rs
@@ -0,0 +1,71 @@
+//! One stream of the log, in memory.
+
+use std::collections::VecDeque;
+
+use onyxshed_core::{Millis, Offset, UnixMs};
+use onyxshed_wire::platform::{Page, Record};
+
+/// One stream.
+#[derive(Debug, Default)]
+pub struct Stream {
+    next: Offset,
+    records: VecDeque<Record>,
+}
+
+impl Stream {
+    /// Appends a record.
+    pub fn append(&mut self, at_ms: UnixMs, data: String) -> Offset {
+        let offset = self.next;
+        self.next = offset.next();
+        self.records.push_back(Record {
+            offset,
+            at_ms,
+            data,
+        });
+        offset
+    }
+
+    /// Gets the offset that the next append will get.
+    pub fn next(&self) -> Offset {
+        self.next
+    }
+
+    /// Reads records from an offset on, none at or after `end`.
+    pub fn read(&self, from: Offset, end: Offset, max: usize) -> Page {
+        let next = self.next.min(end);
+        let wanted = self
+            .records
+            .iter()
+            .filter(|record| record.offset >= from && record.offset < next);
+        Page {
+            oldest: self.oldest().min(next),
+            next,
+            records: wanted.take(max).cloned().collect(),
+        }
+    }
+
+    /// Drops records before an offset.
+    pub fn truncate(&mut self, to: Offset) {
+        while self
+            .records
+            .front()
+            .is_some_and(|record| record.offset < to)
+        {
+            self.records.pop_front();
+        }
+    }
+
+    /// Drops records past the retention.
+    pub fn expire(&mut self, now: UnixMs, retention: Millis) {
+        let is_old = |record: &Record| now.since(record.at_ms) > retention;
+        while self.records.front().is_some_and(is_old) {
+            self.records.pop_front();
+        }
+    }
+
+    fn oldest(&self) -> Offset {
+        self.records
+            .front()
+            .map_or(self.next, |record| record.offset)
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-standins/src/platform/service.rs
@@ -0,0 +1,211 @@
+//! Answers the platform's calls.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+
+use async_io::Timer;
+use futures_lite::{FutureExt, future};
+use http_types::Method;
+use onyxshed_core::{Millis, Offset, UnixMs};
+use onyxshed_http::{Call, Reply};
+use onyxshed_wire::platform::{Appended, HOSTS_PATH, HostList, Page, RECORD_MAX_BYTES};
+use smol_str::SmolStr;
+
+use crate::serve::{Act, Handler, no_such_path, read_json};
+use crate::signal::Signal;
+
+use super::state::{Faults, Hosts, Outage, PlatformOptions, State, take_one};
+
+/// Records in one page unless the reader asks for fewer.
+const PAGE_MAX: usize = 1_000;
+
+const OK: u16 = 200;
+const BAD_REQUEST: u16 = 400;
+const TOO_LARGE: u16 = 413;
+
+/// The stand-in.
+#[derive(Clone)]
+pub struct Platform {
+    state: Rc<RefCell<State>>,
+    changed: Rc<Signal>,
+}
+
+impl Platform {
+    /// Makes an empty log and host list.
+    pub fn new(options: PlatformOptions) -> Self {
+        Platform {
+            state: Rc::new(RefCell::new(State::new(options))),
+            changed: Rc::default(),
+        }
+    }
+
+    /// Gets what answers requests.
+    pub fn handler(&self) -> Handler {
+        let platform = self.clone();
+        Rc::new(move |call| {
+            let platform = platform.clone();
+            Box::pin(async move { platform.answer(call).await })
+        })
+    }
+
+    async fn answer(&self, call: Call) -> Act {
+        if call.path().starts_with("/control/") || call.method() == Method::Put {
+            return self.control(&call);
+        }
+        if let Some(act) = self.misbehave().await {
+            return act;
+        }
+        match (call.method(), stream_of(call.path())) {
+            (Method::Post, Some(stream)) => self.append(stream, call.body).await,
+            (Method::Get, Some(stream)) => self.read(stream, &call).await,
+            (Method::Get, None) if call.path() == HOSTS_PATH => self.host_list(),
+            _ => no_such_path(),
+        }
+    }
+
+    fn control(&self, call: &Call) -> Act {
+        let mut state = self.state.borrow_mut();
+        match (call.method(), call.path()) {
+            (Method::Get, "/control/counts") => Act::Reply(Reply::json(OK, &state.counts)),
+            (Method::Get, "/control/faults") => Act::Reply(Reply::json(OK, &state.faults)),
+            (Method::Post, "/control/faults") => match read_json::<Faults>(&call.body) {
+                Ok(faults) => {
+                    state.set_faults(faults);
+                    self.changed.notify();
+                    Act::Reply(Reply::bytes(OK, ""))
+                }
+                Err(act) => act,
+            },
+            (Method::Put, HOSTS_PATH) => match read_json::<Hosts>(&call.body) {
+                Ok(hosts) => {
+                    state.hosts.set(hosts);
+                    Act::Reply(Reply::bytes(OK, ""))
+                }
+                Err(act) => act,
+            },
+            _ => no_such_path(),
+        }
+    }
+
+    /// Fails the call if that is in force.
+    async fn misbehave(&self) -> Option<Act> {
+        let faults = self.state.borrow().faults.clone();
+        match faults.down {
+            Some(Outage::Refuse) => return Some(Act::Close),
+            Some(Outage::Hang) => return future::pending().await,
+            None => {}
+        }
+        if faults.slow_ms > 0 {
+            Timer::after(Duration::from_millis(faults.slow_ms)).await;
+        }
+        faults
+            .error_status
+            .map(|status| Act::Reply(Reply::bytes(status, "an error on purpose")))
+    }
+
+    async fn append(&self, stream: SmolStr, body: Vec<u8>) -> Act {
+        if body.len() > RECORD_MAX_BYTES {
+            return Act::Reply(Reply::bytes(TOO_LARGE, "the record is too large"));
+        }
+        let Ok(data) = String::from_utf8(body) else {
+            return Act::Reply(Reply::bytes(BAD_REQUEST, "the record is no UTF-8"));
+        };
+        let synced_at = {
+            let mut state = self.state.borrow_mut();
+            state.counts.appends += 1;
+            if take_one(&mut state.faults.drop_append) {
+                return Act::Close;
+            }
+            state.reserve_append()
+        };
+        Timer::at(synced_at).await;
+        let (offset, is_lost) = self.take_effect(stream, data);
+        // An outage that began meanwhile takes the answer, not the effect.
+        let down = self.state.borrow().faults.down;
+        match down {
+            Some(Outage::Hang) => future::pending().await,
+            Some(Outage::Refuse) => Act::Close,
+            None if is_lost => Act::Close,
+            None => Act::Reply(Reply::json(OK, &Appended { offset })),
+        }
+    }
+
+    fn take_effect(&self, stream: SmolStr, data: String) -> (Offset, bool) {
+        let mut state = self.state.borrow_mut();
+        state.counts.appended += 1;
+        let log = state.streams.entry(stream).or_default();
+        let offset = log.append(now_ms(), data);
+        self.changed.notify();
+        (offset, take_one(&mut state.faults.lose_append_answer))
+    }
+
+    async fn read(&self, stream: SmolStr, call: &Call) -> Act {
+        let number = |name| call.query(name).and_then(|text| text.parse::<u64>().ok());
+        let from = Offset(number("from").unwrap_or(0));
+        let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
+        let max = number("max").map_or(PAGE_MAX, |max| {
+            usize::try_from(max).unwrap_or(PAGE_MAX).min(PAGE_MAX)
+        });
+        self.state.borrow_mut().counts.reads += 1;
+        let give_up_at = Instant::now() + wait;
+        loop {
+            let waiting = self.changed.waiting();
+            let page = self.page(&stream, from, max);
+            if !page.records.is_empty() || Instant::now() >= give_up_at {
+                return Act::Reply(Reply::json(OK, &page));
+            }
+            let give_up = async {
+                Timer::at(give_up_at).await;
+            };
+            waiting.wait().or(give_up).await;
+            let down = self.state.borrow().faults.down;
+            if down.is_some() {
+                return self.misbehave().await.unwrap_or(Act::Close);
+            }
+        }
+    }
+
+    fn page(&self, stream: &SmolStr, from: Offset, max: usize) -> Page {
+        let mut state = self.state.borrow_mut();
+        let retention = state.options.retention_ms;
+        let frozen = state.frozen.as_ref();
+        let end = frozen.map_or(Offset(u64::MAX), |frozen| {
+            frozen.ends.get(stream).copied().unwrap_or_default()
+        });
+        let log = state.streams.entry(stream.clone()).or_default();
+        log.expire(now_ms(), retention);
+        log.read(from, end, max)
+    }
+
+    fn host_list(&self) -> Act {
+        let mut state = self.state.borrow_mut();
+        state.counts.host_lists += 1;
+        let now = Instant::now();
+        let seen_at = state.frozen.as_ref().map_or(now, |frozen| frozen.at);
+        let hosts = state.hosts.view_at(seen_at).clone();
+        let age = now - seen_at + Duration::from(state.options.host_list_lag_ms);
+        let list = HostList {
+            age_ms: Millis(u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+            executors: hosts.executors,
+            entries: hosts.entries,
+        };
+        Act::Reply(Reply::json(OK, &list))
+    }
+}
+
+/// Finds the stream's name in a records path.
+fn stream_of(path: &str) -> Option<SmolStr> {
+    path.strip_prefix("/v1/streams/")?
+        .strip_suffix("/records")
+        .filter(|name| !name.is_empty() && !name.contains('/'))
+        .map(SmolStr::from)
+}
+
+/// Reads the wall clock.
+pub fn now_ms() -> UnixMs {
+    let since_epoch = SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default();
+    UnixMs(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX))
+}
