--- a/crates/onyxshed-entry/src/callers.rs
+++ b/crates/onyxshed-entry/src/callers.rs
@@ -76,7 +76,11 @@
             let (engine, draining) = (engine.clone(), draining.clone());
             Box::pin(async move {
                 let reply = handle(&engine, door, call).await;
-                if draining.is_draining() { reply.last() } else { reply }
+                if draining.is_draining() {
+                    reply.last()
+                } else {
+                    reply
+                }
             })
         });
         let reporter = kernel.clone();
@@ -87,10 +91,16 @@
         });
         let server = Server::new(self.options.server, handler, reject);
         let stats = server.stats();
-        let listener = Server::listen(address).await.map_err(|error| Error::failed(CALLERS, error))?;
-        let bound = listener.local_addr().map_err(|error| Error::failed(CALLERS, error))?;
+        let listener = Server::listen(address)
+            .await
+            .map_err(|error| Error::start(CALLERS, error.code(), error))?;
+        let bound = listener
+            .local_addr()
+            .map_err(|error| Error::start(CALLERS, ResultCode::AddressInUse, error))?;
         kernel.announce(name, bound);
-        kernel.spawn(server.run(listener, kernel.executor())).detach();
+        kernel
+            .spawn(server.run(listener, kernel.executor()))
+            .detach();
         Ok(stats)
     }
 }
@@ -107,9 +117,16 @@
     fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
         Box::pin(async move {
             let options = &self.options;
-            let caller = self.open(kernel, "caller", options.caller_address, Door::Caller).await?;
-            let peer = self.open(kernel, "peer", options.peer_address, Door::Peer).await?;
-            let descriptor = Descriptor { name: CALLERS, summary: "requests of callers and peers" };
+            let caller = self
+                .open(kernel, "caller", options.caller_address, Door::Caller)
+                .await?;
+            let peer = self
+                .open(kernel, "peer", options.peer_address, Door::Peer)
+                .await?;
+            let descriptor = Descriptor {
+                name: CALLERS,
+                summary: "requests of callers and peers",
+            };
             kernel.register(descriptor, Rc::new(Callers { caller, peer }))
         })
     }
@@ -136,10 +153,22 @@
     let answer = match route(&call) {
         Route::Submit => submit(engine, &call.body, is_forwarded).await,
         Route::Fetch(id) => {
-            engine.ask(|request| Input::Fetch { request, id, is_forwarded }).await
+            engine
+                .ask(|request| Input::Fetch {
+                    request,
+                    id,
+                    is_forwarded,
+                })
+                .await
         }
         Route::Cancel(id) => {
-            engine.ask(|request| Input::Cancel { request, id, is_forwarded }).await
+            engine
+                .ask(|request| Input::Cancel {
+                    request,
+                    id,
+                    is_forwarded,
+                })
+                .await
         }
         Route::Bad(code) => Answer::ended(None, code, ""),
     };
@@ -149,7 +178,13 @@
 async fn submit(engine: &Engine, body: &[u8], is_forwarded: bool) -> Answer {
     match Submission::decode(body) {
         Ok(submission) => {
-            engine.ask(|request| Input::Submit { request, submission, is_forwarded }).await
+            engine
+                .ask(|request| Input::Submit {
+                    request,
+                    submission,
+                    is_forwarded,
+                })
+                .await
         }
         Err(error) => Answer::ended(None, error.code(), &error.to_string()),
     }
--- /dev/null
+++ b/crates/onyxshed-entry/src/claim_log.rs
@@ -0,0 +1,138 @@
+//! Claims in the platform's log: appends them, follows everybody's.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use async_lock::Mutex;
+use onyxshed_core::{Event, EventKind, Millis};
+use onyxshed_dispatch::{Dispatch, Input};
+use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_platform::{PlatformClient, PlatformOptions};
+use onyxshed_state::claim::AppendFailure;
+use onyxshed_wire::platform::CLAIMS_STREAM;
+use onyxshed_wire::record::{ClaimBatch, ClaimRecord};
+
+use crate::engine::Engine;
+use crate::names::{CLAIM_LOG, ENGINE};
+
+/// How long a read waits for the next record.
+const READ_WAIT: Millis = Millis(1_000);
+
+/// How long to wait after a read that failed.
+const READ_PAUSE: Duration = Duration::from_millis(200);
+
+/// Handle to the claims stream.
+pub struct ClaimLog {
+    kernel: Kernel,
+    engine: Rc<Engine>,
+    platform_address: SocketAddr,
+    options: PlatformOptions,
+    appender: Mutex<PlatformClient>,
+}
+
+impl ClaimLog {
+    /// Makes a handle; nothing is opened yet.
+    pub fn new(
+        kernel: &Kernel,
+        engine: Rc<Engine>,
+        platform_address: SocketAddr,
+        options: PlatformOptions,
+    ) -> Rc<Self> {
+        let appender = Mutex::new(PlatformClient::new(platform_address, options));
+        Rc::new(ClaimLog {
+            kernel: kernel.clone(),
+            engine,
+            platform_address,
+            options,
+            appender,
+        })
+    }
+
+    /// Appends a batch and reports to the engine how it went.
+    pub fn append(self: &Rc<Self>, batch: ClaimBatch) {
+        let log = self.clone();
+        let run = async move {
+            let number = batch.batch;
+            let record = ClaimRecord::ClaimsV1(batch).encode();
+            let mut appender = log.appender.lock().await;
+            let appended = appender.append(CLAIMS_STREAM, record.into_bytes()).await;
+            drop(appender);
+            let result = appended.map_err(|error| match error.may_have_taken_effect() {
+                true => AppendFailure::AnswerLost,
+                false => AppendFailure::NotAppended,
+            });
+            log.engine.feed(Input::Appended {
+                batch: number,
+                result,
+            });
+        };
+        self.kernel.spawn(run).detach();
+    }
+
+    /// Follows the stream for as long as the process lives.
+    async fn follow(self: Rc<Self>) {
+        let mut client = PlatformClient::new(self.platform_address, self.options);
+        let mut is_lost = false;
+        loop {
+            let from = self.engine.look(Dispatch::log_next);
+            match client.read(CLAIMS_STREAM, from, READ_WAIT).await {
+                Ok(page) => {
+                    if std::mem::replace(&mut is_lost, false) {
+                        self.kernel
+                            .emit(Event::new(EventKind::PlatformBack).party("platform"));
+                    }
+                    let (oldest, next, records) = (page.oldest, page.next, page.records);
+                    self.engine.feed(Input::LogRead {
+                        oldest,
+                        next,
+                        records,
+                    });
+                }
+                Err(error) => {
+                    if !std::mem::replace(&mut is_lost, true) {
+                        let event = Event::new(EventKind::PlatformLost).party("platform");
+                        self.kernel.emit(event.detail(error.to_string()));
+                        self.engine.feed(Input::LogLost);
+                    }
+                    Timer::after(READ_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+/// The claims stream as a service.
+pub struct ClaimLogService {
+    log: Rc<ClaimLog>,
+}
+
+impl ClaimLogService {
+    /// Makes the service.
+    pub fn new(log: Rc<ClaimLog>) -> Self {
+        ClaimLogService { log }
+    }
+}
+
+impl Service for ClaimLogService {
+    fn name(&self) -> ServiceName {
+        CLAIM_LOG
+    }
+
+    fn needs(&self) -> &[ServiceName] {
+        &[ENGINE]
+    }
+
+    fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
+        Box::pin(async move {
+            let descriptor = Descriptor {
+                name: CLAIM_LOG,
+                summary: "claims in the platform's log",
+            };
+            kernel.register(descriptor, self.log.clone())?;
+            kernel.spawn(self.log.clone().follow()).detach();
+            Ok(())
+        })
+    }
+}
--- a/crates/onyxshed-entry/src/control_port.rs
+++ b/crates/onyxshed-entry/src/control_port.rs
@@ -10,7 +10,7 @@
 
 use async_io::Timer;
 use capnp::capability::Rc as ServerRc;
-use onyxshed_core::{Event, EventKind, HostName, Incarnation};
+use onyxshed_core::{Event, EventKind, HostName, Incarnation, ResultCode};
 use onyxshed_dispatch::{Dispatch, Input};
 use onyxshed_http::Server;
 use onyxshed_kernel::{Descriptor, Error, Kernel, LocalFuture, Result, Service, ServiceName};
@@ -57,12 +57,18 @@
         }
         let engine = self.kernel.find::<Engine>(ENGINE)?;
         if let Some(executors) = snapshot.executors {
-            self.kernel.find::<Upstreams>(UPSTREAMS)?.set_executors(&executors);
+            self.kernel
+                .find::<Upstreams>(UPSTREAMS)?
+                .set_executors(&executors);
             let infos = executors.into_iter().map(|entry| entry.info).collect();
             engine.feed(Input::Executors(infos));
         }
         let (members, sharers, live) = (snapshot.members, snapshot.sharers, snapshot.live);
-        engine.feed(Input::Members { members, sharers, live });
+        engine.feed(Input::Members {
+            members,
+            sharers,
+            live,
+        });
         if let Some(config) = snapshot.config {
             engine.feed(Input::Configured(config));
             self.kernel.readiness().allow(WITHOUT_CONFIG);
@@ -75,7 +81,10 @@
         EntryStatus {
             host: self.options.host.clone(),
             incarnation: self.options.incarnation,
-            peer_address: addresses.get("peer").copied().unwrap_or(self.options.control_address),
+            peer_address: addresses
+                .get("peer")
+                .copied()
+                .unwrap_or(self.options.control_address),
             config_revision: engine.look(|machine| machine.config().map(|held| held.revision)),
             live_jobs: u32::try_from(engine.look(Dispatch::live_jobs)).unwrap_or(u32::MAX),
             is_draining: self.kernel.readiness().is_draining(),
@@ -147,16 +156,26 @@
                 last_snapshot: Cell::new(None),
                 is_connected: Cell::new(false),
             });
-            let failed = |error: &dyn ToString| Error::failed(CONTROL_PORT, error.to_string());
+            let failed = |error: &dyn ToString| {
+                Error::start(CONTROL_PORT, ResultCode::AddressInUse, error.to_string())
+            };
             let listener = Server::listen(self.options.control_address)
                 .await
                 .map_err(|error| failed(&error))?;
-            kernel.announce("control", listener.local_addr().map_err(|error| failed(&error))?);
-            let client: entry_port::Client = capnp_rpc::new_client(EntryPort { port: port.clone() });
-            kernel.spawn(rpc::serve(listener, client.client, kernel.executor())).detach();
+            kernel.announce(
+                "control",
+                listener.local_addr().map_err(|error| failed(&error))?,
+            );
+            let client: entry_port::Client =
+                capnp_rpc::new_client(EntryPort { port: port.clone() });
+            kernel
+                .spawn(rpc::serve(listener, client.client, kernel.executor()))
+                .detach();
             kernel.spawn(port.clone().watch()).detach();
-            let descriptor =
-                Descriptor { name: CONTROL_PORT, summary: "snapshots from the control process" };
+            let descriptor = Descriptor {
+                name: CONTROL_PORT,
+                summary: "snapshots from the control process",
+            };
             kernel.register(descriptor, port)
         })
     }
--- a/crates/onyxshed-entry/src/engine.rs
+++ b/crates/onyxshed-entry/src/engine.rs
@@ -64,7 +64,10 @@
         let (sender, receiver) = async_channel::bounded(1);
         self.waiting.borrow_mut().insert(request, sender);
         self.feed(make(request));
-        receiver.recv().await.expect("the machine answers every request")
+        receiver
+            .recv()
+            .await
+            .expect("the machine answers every request")
     }
 
     /// Looks into the machine.
@@ -84,7 +87,11 @@
             Output::Note(event) => self.kernel.emit(event),
             Output::Append(batch) => self.service::<ClaimLog>(CLAIM_LOG).append(batch),
             Output::Forward { request, to, call } => {
-                let address = self.dispatch.borrow().member(to).map(|member| member.peer_address);
+                let address = self
+                    .dispatch
+                    .borrow()
+                    .member(to)
+                    .map(|member| member.peer_address);
                 self.service::<Peers>(PEERS).forward(request, address, call);
             }
             output @ (Output::Start { .. } | Output::Stop { .. }) => {
@@ -102,7 +109,9 @@
     }
 
     fn service<T: 'static>(&self, name: ServiceName) -> Rc<T> {
-        self.kernel.find(name).expect("every service is started before a request comes in")
+        self.kernel
+            .find(name)
+            .expect("every service is started before a request comes in")
     }
 
     fn arm(&self) {
@@ -160,7 +169,10 @@
 
     fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
         Box::pin(async move {
-            let descriptor = Descriptor { name: ENGINE, summary: "the dispatch machine" };
+            let descriptor = Descriptor {
+                name: ENGINE,
+                summary: "the dispatch machine",
+            };
             kernel.register(descriptor, self.engine.clone())?;
             kernel.spawn(self.engine.clone().tick()).detach();
             Ok(())
--- a/crates/onyxshed-entry/src/lib.rs
+++ b/crates/onyxshed-entry/src/lib.rs
@@ -12,5 +12,4 @@
 pub mod names;
 pub mod peers;
 pub mod pool;
-pub mod status;
 pub mod upstreams;
--- a/crates/onyxshed-entry/src/peers.rs
+++ b/crates/onyxshed-entry/src/peers.rs
@@ -40,7 +40,10 @@
 impl Peers {
     /// Makes a handle without connections.
     pub fn new(kernel: &Kernel) -> Rc<Self> {
-        Rc::new(Peers { kernel: kernel.clone(), pools: RefCell::default() })
+        Rc::new(Peers {
+            kernel: kernel.clone(),
+            pools: RefCell::default(),
+        })
     }
 
     /// Passes a request on and reports the peer's answer to the engine.
@@ -58,7 +61,11 @@
                 None => None,
             };
             if let Ok(engine) = peers.kernel.find::<Engine>(ENGINE) {
-                engine.feed(Input::Forwarded { request, id, answer });
+                engine.feed(Input::Forwarded {
+                    request,
+                    id,
+                    answer,
+                });
             }
         };
         self.kernel.spawn(run).detach();
@@ -70,14 +77,20 @@
         let mut connection = pool.get(Health::Proven(PROVEN_WITHIN)).await.ok()?;
         let (method, path, body) = request_of(call);
         let headers = [(FORWARDED_HEADER, SmolStr::new_static("1"))];
-        let reply = connection.call(method, &path, &headers, body, ANSWER_TIMEOUT).await.ok()?;
+        let reply = connection
+            .call(method, &path, &headers, body, ANSWER_TIMEOUT)
+            .await
+            .ok()?;
         let answer = Answer::decode(&reply.body).ok()?;
         pool.put(connection);
         Some(answer)
     }
 
     fn pool(&self, address: SocketAddr) -> Rc<Pool> {
-        let options = ClientOptions { connect_timeout: CONNECT_TIMEOUT, ..Default::default() };
+        let options = ClientOptions {
+            connect_timeout: CONNECT_TIMEOUT,
+            ..Default::default()
+        };
         let mut pools = self.pools.borrow_mut();
         let pool = pools
             .entry(address)
@@ -127,7 +140,10 @@
 
     fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
         Box::pin(async move {
-            let descriptor = Descriptor { name: PEERS, summary: "requests passed on to peers" };
+            let descriptor = Descriptor {
+                name: PEERS,
+                summary: "requests passed on to peers",
+            };
             kernel.register(descriptor, self.peers.clone())
         })
     }
--- a/crates/onyxshed-entry/src/pool.rs
+++ b/crates/onyxshed-entry/src/pool.rs
@@ -33,7 +33,13 @@
 impl Pool {
     /// Makes a pool that keeps at most `idle_max` connections.
     pub fn new(address: SocketAddr, options: ClientOptions, idle_max: usize) -> Self {
-        Pool { address, options, idle_max, idle: RefCell::default(), replaced: Cell::new(0) }
+        Pool {
+            address,
+            options,
+            idle_max,
+            idle: RefCell::default(),
+            replaced: Cell::new(0),
+        }
     }
 
     /// Gets the address.
--- a/crates/onyxshed-entry/src/upstreams.rs
+++ b/crates/onyxshed-entry/src/upstreams.rs
@@ -59,7 +59,12 @@
     /// Makes a handle that knows no executor.
     pub fn new(kernel: &Kernel, me: Incarnation, options: UpstreamOptions) -> Rc<Self> {
         let kernel = kernel.clone();
-        Rc::new(Upstreams { kernel, me, options, pools: RefCell::default() })
+        Rc::new(Upstreams {
+            kernel,
+            me,
+            options,
+            pools: RefCell::default(),
+        })
     }
 
     /// Sets the executors known; connections to those left out are closed once idle.
@@ -68,16 +73,20 @@
         let mut known = std::mem::take(&mut *pools);
         for entry in executors {
             let name = entry.info.name.clone();
-            let kept = known.remove(&name).filter(|pool| pool.address() == entry.address);
+            let kept = known
+                .remove(&name)
+                .filter(|pool| pool.address() == entry.address);
             let joined = kept.is_none();
             let pool = kept.unwrap_or_else(|| self.new_pool(entry));
             pools.insert(name.clone(), pool);
             if joined {
-                self.kernel.emit(Event::new(EventKind::UpstreamJoined).party(name.as_str()));
+                self.kernel
+                    .emit(Event::new(EventKind::UpstreamJoined).party(name.as_str()));
             }
         }
         for name in known.keys() {
-            self.kernel.emit(Event::new(EventKind::UpstreamGone).party(name.as_str()));
+            self.kernel
+                .emit(Event::new(EventKind::UpstreamGone).party(name.as_str()));
         }
     }
 
@@ -98,7 +107,13 @@
                 lease_ms,
                 needs_proven_connection,
             } => {
-                let call = StartCall { task, class, payload, lease_ms, needs_proven_connection };
+                let call = StartCall {
+                    task,
+                    class,
+                    payload,
+                    lease_ms,
+                    needs_proven_connection,
+                };
                 let upstreams = self.clone();
                 let run = async move {
                     let report = upstreams.start(&executor, call).await;
@@ -106,7 +121,11 @@
                 };
                 self.kernel.spawn(run).detach();
             }
-            Output::Stop { attempt, task, executor } => {
+            Output::Stop {
+                attempt,
+                task,
+                executor,
+            } => {
                 let upstreams = self.clone();
                 let run = async move {
                     let report = upstreams.stop(&executor, StopCall { task }).await;
@@ -152,7 +171,10 @@
 
     fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
         Box::pin(async move {
-            let descriptor = Descriptor { name: UPSTREAMS, summary: "starts and stops of tasks" };
+            let descriptor = Descriptor {
+                name: UPSTREAMS,
+                summary: "starts and stops of tasks",
+            };
             kernel.register(descriptor, self.upstreams.clone())
         })
     }
--- a/crates/onyxshed-entry/src/upstreams/call.rs
+++ b/crates/onyxshed-entry/src/upstreams/call.rs
@@ -72,12 +72,23 @@
     ) -> Result<Reply, CallError> {
         let headers = [
             (CLASS_HEADER, SmolStr::from(call.class.as_str())),
-            (LEASE_HEADER, smol_str::format_smolstr!("{}", call.lease_ms.0)),
+            (
+                LEASE_HEADER,
+                smol_str::format_smolstr!("{}", call.lease_ms.0),
+            ),
             (STARTER_HEADER, smol_str::format_smolstr!("{}", self.me)),
         ];
         let timeout = Duration::from(call.lease_ms) + self.options.call_slack;
         let payload = call.payload.as_ref().clone();
-        connection.call(Method::Post, &task_path(&call.task), &headers, payload, timeout).await
+        connection
+            .call(
+                Method::Post,
+                &task_path(&call.task),
+                &headers,
+                payload,
+                timeout,
+            )
+            .await
     }
 
     /// Stops a task; none if the executor did not answer.
@@ -86,12 +97,20 @@
     pub(super) async fn stop(&self, executor: &ExecutorName, call: StopCall) -> Option<StopReport> {
         let pool = self.pool(executor)?;
         let timeout = self.options.stop_timeout;
-        let mut connection = Connection::open(pool.address(), self.options.client).await.ok()?;
+        let mut connection = Connection::open(pool.address(), self.options.client)
+            .await
+            .ok()?;
         let path = task_path(&call.task);
-        let reply = connection.call(Method::Delete, &path, &[], Vec::new(), timeout).await.ok()?;
+        let reply = connection
+            .call(Method::Delete, &path, &[], Vec::new(), timeout)
+            .await
+            .ok()?;
         let state = state_of(call.task, &reply)?;
         pool.put(connection);
-        Some(StopReport { state, body: reply.body })
+        Some(StopReport {
+            state,
+            body: reply.body,
+        })
     }
 }
 
@@ -120,7 +139,9 @@
 
 /// Gets the task's state, none if the reply is another task's or tells no state.
 fn state_of(task: TaskId, reply: &Reply) -> Option<TaskState> {
-    let is_ours = reply.get(TASK_HEADER).is_some_and(|found| found.parse() == Ok(task));
+    let is_ours = reply
+        .get(TASK_HEADER)
+        .is_some_and(|found| found.parse() == Ok(task));
     let state = reply.get(STATE_HEADER)?.parse().ok()?;
     is_ours.then_some(state)
 }
@@ -138,8 +159,12 @@
     };
     let number = |name| reply.get(name).and_then(|found| found.parse::<u64>().ok());
     let load = LoadReport {
-        running: number(RUNNING_HEADER).and_then(|n| u32::try_from(n).ok()).unwrap_or_default(),
-        queued: number(QUEUED_HEADER).and_then(|n| u32::try_from(n).ok()).unwrap_or_default(),
+        running: number(RUNNING_HEADER)
+            .and_then(|n| u32::try_from(n).ok())
+            .unwrap_or_default(),
+        queued: number(QUEUED_HEADER)
+            .and_then(|n| u32::try_from(n).ok())
+            .unwrap_or_default(),
         is_draining: reply.get(DRAINING_HEADER) == Some("1"),
     };
     let detail = match verdict {
@@ -147,12 +172,21 @@
         _ => excerpt(&reply.body),
     };
     let service_us = number(SERVICE_HEADER).map(Micros);
-    AttemptReport { verdict, body: reply.body, service_us, load: Some(load), detail }
+    AttemptReport {
+        verdict,
+        body: reply.body,
+        service_us,
+        load: Some(load),
+        detail,
+    }
 }
 
 /// Longest reason repeated from an executor, in characters.
 const REASON_CHARS: usize = 120;
 
 fn excerpt(body: &[u8]) -> SmolStr {
-    String::from_utf8_lossy(body).chars().take(REASON_CHARS).collect()
+    String::from_utf8_lossy(body)
+        .chars()
+        .take(REASON_CHARS)
+        .collect()
 }
