--- /dev/null
+++ b/crates/onyxshed-control/src/config_follower.rs
@@ -0,0 +1,93 @@
+//! Follows the configuration stream of the platform's log.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use onyxshed_core::{Event, EventKind, Millis};
+use onyxshed_kernel::{Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_platform::{PlatformClient, PlatformOptions};
+use onyxshed_wire::platform::{CONFIG_STREAM, Page};
+
+use crate::knowledge::Knowledge;
+use crate::names::{CONFIG_FOLLOWER, KNOWLEDGE};
+
+/// How long a read waits for the next record.
+const READ_WAIT: Millis = Millis(1_000);
+
+/// How long to wait after a read that failed.
+const READ_PAUSE: Duration = Duration::from_millis(500);
+
+/// The follower as a service.
+pub struct ConfigFollower {
+    platform_address: SocketAddr,
+    options: PlatformOptions,
+}
+
+impl ConfigFollower {
+    /// Makes the service.
+    pub fn new(platform_address: SocketAddr, options: PlatformOptions) -> Self {
+        ConfigFollower {
+            platform_address,
+            options,
+        }
+    }
+}
+
+impl Service for ConfigFollower {
+    fn name(&self) -> ServiceName {
+        CONFIG_FOLLOWER
+    }
+
+    fn needs(&self) -> &[ServiceName] {
+        &[KNOWLEDGE]
+    }
+
+    fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
+        Box::pin(async move {
+            let knowledge = kernel.find(KNOWLEDGE)?;
+            let client = PlatformClient::new(self.platform_address, self.options);
+            kernel
+                .spawn(follow(kernel.clone(), knowledge, client))
+                .detach();
+            Ok(())
+        })
+    }
+}
+
+async fn follow(kernel: Kernel, knowledge: Rc<Knowledge>, mut client: PlatformClient) {
+    let mut is_lost = false;
+    loop {
+        match client
+            .read(CONFIG_STREAM, knowledge.config_next(), READ_WAIT)
+            .await
+        {
+            Ok(page) => {
+                if std::mem::replace(&mut is_lost, false) {
+                    kernel.emit(Event::new(EventKind::PlatformBack).party("platform"));
+                }
+                take_in(&knowledge, &page);
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut is_lost, true) {
+                    let event = Event::new(EventKind::PlatformLost).party("platform");
+                    kernel.emit(event.detail(error.to_string()));
+                }
+                Timer::after(READ_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn take_in(knowledge: &Knowledge, page: &Page) {
+    let before = knowledge.config_next();
+    for record in &page.records {
+        knowledge.apply(record.offset, &record.data);
+    }
+    let is_first = knowledge.revision().is_none();
+    let is_at_end = knowledge.config_next() >= page.next;
+    if is_at_end && (is_first || knowledge.config_next() > before) {
+        knowledge.config_read();
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-control/src/entry_link.rs
@@ -0,0 +1,132 @@
+//! Hands snapshots to the entry process of this host.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::FutureExt;
+use onyxshed_core::{Event, EventKind};
+use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_proto::onyxshed_capnp::entry_port;
+use onyxshed_proto::{EntryStatus, rpc, snapshot, status};
+
+use crate::knowledge::Knowledge;
+use crate::names::{ENTRY_LINK, KNOWLEDGE};
+
+/// Longest time between two snapshots; the entry tells from their absence that we are gone.
+const HAND_OVER_EVERY: Duration = Duration::from_millis(500);
+
+/// How long the entry may take to take one in.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How long to wait before connecting again.
+const CONNECT_PAUSE: Duration = Duration::from_millis(200);
+
+/// Handle to what the entry process told last.
+pub struct EntryLink {
+    status: RefCell<Option<EntryStatus>>,
+}
+
+impl EntryLink {
+    /// Gets what the entry process told last, none while it can't be reached.
+    pub fn status(&self) -> Option<EntryStatus> {
+        self.status.borrow().clone()
+    }
+}
+
+/// The link as a service.
+pub struct EntryLinkService {
+    entry_address: SocketAddr,
+}
+
+impl EntryLinkService {
+    /// Makes the service.
+    pub fn new(entry_address: SocketAddr) -> Self {
+        EntryLinkService { entry_address }
+    }
+}
+
+impl Service for EntryLinkService {
+    fn name(&self) -> ServiceName {
+        ENTRY_LINK
+    }
+
+    fn needs(&self) -> &[ServiceName] {
+        &[KNOWLEDGE]
+    }
+
+    fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
+        Box::pin(async move {
+            let knowledge: Rc<Knowledge> = kernel.find(KNOWLEDGE)?;
+            let link = Rc::new(EntryLink {
+                status: RefCell::default(),
+            });
+            let descriptor = Descriptor {
+                name: ENTRY_LINK,
+                summary: "snapshots handed to the entry process",
+            };
+            kernel.register(descriptor, link.clone())?;
+            let run = keep_up(kernel.clone(), knowledge, link, self.entry_address);
+            kernel.spawn(run).detach();
+            Ok(())
+        })
+    }
+}
+
+/// Connects, hands over, and begins again when the connection breaks.
+async fn keep_up(
+    kernel: Kernel,
+    knowledge: Rc<Knowledge>,
+    link: Rc<EntryLink>,
+    address: SocketAddr,
+) {
+    loop {
+        let connected = rpc::connect::<entry_port::Client>(address, &kernel.executor()).await;
+        if let Ok(client) = connected {
+            hand_over_until_broken(&kernel, &knowledge, &link, &client).await;
+        }
+        link.status.replace(None);
+        Timer::after(CONNECT_PAUSE).await;
+    }
+}
+
+async fn hand_over_until_broken(
+    kernel: &Kernel,
+    knowledge: &Knowledge,
+    link: &EntryLink,
+    client: &entry_port::Client,
+) {
+    let mut is_first = true;
+    loop {
+        let Some(found) = hand_over(knowledge, client).await else {
+            return;
+        };
+        kernel.clock().observe(found.hlc);
+        if std::mem::replace(&mut is_first, false) {
+            let party = smol_str::format_smolstr!("{}", found.incarnation);
+            kernel.emit(Event::new(EventKind::ControlConnected).party(party));
+        }
+        link.status.replace(Some(found));
+        let pause = async {
+            Timer::after(HAND_OVER_EVERY).await;
+        };
+        knowledge.changed().or(pause).await;
+    }
+}
+
+/// Hands one snapshot over and gets the entry's status; none if the connection is of no use.
+async fn hand_over(knowledge: &Knowledge, client: &entry_port::Client) -> Option<EntryStatus> {
+    let mut request = client.install_request();
+    snapshot::write(&knowledge.snapshot(), request.get().init_snapshot());
+    let call = async {
+        let reply = request.send().promise.await.ok()?;
+        status::read(reply.get().ok()?.get_status().ok()?).ok()
+    };
+    let give_up = async {
+        Timer::after(CALL_TIMEOUT).await;
+        None
+    };
+    call.or(give_up).await
+}
--- /dev/null
+++ b/crates/onyxshed-control/src/host_follower.rs
@@ -0,0 +1,92 @@
+//! Follows the platform's lagging list of hosts.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use onyxshed_kernel::{Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_platform::{PlatformClient, PlatformOptions};
+use onyxshed_policy::ExecutorInfo;
+use onyxshed_proto::ExecutorEntry;
+use onyxshed_wire::platform::{ExecutorHost, HostList, HostState};
+
+use crate::knowledge::Knowledge;
+use crate::names::{HOST_FOLLOWER, KNOWLEDGE};
+
+/// How often the list is read; an executor that is leaving must be known within 2 s.
+const READ_EVERY: Duration = Duration::from_millis(500);
+
+/// The follower as a service.
+pub struct HostFollower {
+    platform_address: SocketAddr,
+    zone: onyxshed_core::ZoneName,
+    options: PlatformOptions,
+}
+
+impl HostFollower {
+    /// Makes the service for a host of `zone`.
+    pub fn new(
+        platform_address: SocketAddr,
+        zone: onyxshed_core::ZoneName,
+        options: PlatformOptions,
+    ) -> Self {
+        HostFollower {
+            platform_address,
+            zone,
+            options,
+        }
+    }
+}
+
+impl Service for HostFollower {
+    fn name(&self) -> ServiceName {
+        HOST_FOLLOWER
+    }
+
+    fn needs(&self) -> &[ServiceName] {
+        &[KNOWLEDGE]
+    }
+
+    fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
+        Box::pin(async move {
+            let knowledge: Rc<Knowledge> = kernel.find(KNOWLEDGE)?;
+            let zone = self.zone.clone();
+            let mut client = PlatformClient::new(self.platform_address, self.options);
+            let follow = async move {
+                loop {
+                    if let Ok(list) = client.hosts().await {
+                        knowledge.set_executors(executors_of(&list, &zone));
+                    }
+                    Timer::after(READ_EVERY).await;
+                }
+            };
+            kernel.spawn(follow).detach();
+            Ok(())
+        })
+    }
+}
+
+/// Gets the executors of the host's own zone: each zone has its own upstreams.
+fn executors_of(list: &HostList, zone: &onyxshed_core::ZoneName) -> Vec<ExecutorEntry> {
+    let ours = list
+        .executors
+        .iter()
+        .filter(|executor| executor.zone == *zone);
+    ours.map(entry_of).collect()
+}
+
+fn entry_of(host: &ExecutorHost) -> ExecutorEntry {
+    let info = ExecutorInfo {
+        name: host.name.clone(),
+        upstream: host.upstream.clone(),
+        zone: host.zone.clone(),
+        rack: host.rack.clone(),
+        slots: host.slots,
+        is_leaving: host.state == HostState::Leaving,
+    };
+    ExecutorEntry {
+        info,
+        address: host.address,
+    }
+}
