--- a/crates/onyxshed-wire/src/lib.rs
+++ b/crates/onyxshed-wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! decoder bounds what it takes and names what was wrong. docs/CALLERS.md, docs/UPSTREAMS.md and
 //! docs/PLATFORM.md describe the same for people.
 
+pub mod admin;
 pub mod caller;
 pub mod content;
 pub mod error;
