--- /dev/null
+++ b/crates/onyxshed-control/src/process.rs
@@ -0,0 +1,85 @@
+//! The control process put together from its settings.
+
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use onyxshed_core::Incarnation;
+use onyxshed_kernel::{Kernel, RunEnd, RunOptions, Service};
+use onyxshed_platform::PlatformOptions;
+use onyxshed_settings::ControlSettings;
+use onyxshed_telemetry::telemetry::StatusParts;
+use onyxshed_telemetry::{AdminService, Telemetry, TelemetryOptions};
+use serde_json::json;
+
+use crate::config_follower::ConfigFollower;
+use crate::entry_link::{EntryLink, EntryLinkService};
+use crate::host_follower::HostFollower;
+use crate::knowledge::{Knowledge, KnowledgeService};
+use crate::names::ENTRY_LINK;
+
+/// The binary's name.
+const NAME: &str = "onyxshed-control";
+
+/// Runs the process from start to end.
+pub fn run(settings: ControlSettings) -> ExitCode {
+    let kernel = Kernel::new();
+    let telemetry = match Telemetry::open(&kernel, telemetry_options(&settings)) {
+        Ok(telemetry) => telemetry,
+        Err(error) => {
+            eprintln!("{NAME}: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let options =
+        RunOptions { drain_timeout_ms: settings.drain_timeout_ms, ..RunOptions::new(NAME) };
+    let services = services(&kernel, &settings, telemetry);
+    let end = kernel.run(services, options);
+    if let RunEnd::Failed(error) = &end {
+        eprintln!("{NAME}: error {}: {error}", error.code());
+    }
+    end.into()
+}
+
+/// Makes every service of the process.
+fn services(
+    kernel: &Kernel,
+    settings: &ControlSettings,
+    telemetry: Rc<Telemetry>,
+) -> Vec<Box<dyn Service>> {
+    let knowledge = Knowledge::new(kernel);
+    set_status(kernel, &telemetry, &knowledge);
+    let platform = PlatformOptions::default();
+    let address = settings.platform_address;
+    vec![
+        Box::new(AdminService::new(telemetry, settings.admin_address)),
+        Box::new(KnowledgeService::new(knowledge)),
+        Box::new(ConfigFollower::new(address, platform)),
+        Box::new(HostFollower::new(address, settings.zone.clone(), platform)),
+        Box::new(EntryLinkService::new(settings.entry_control_address)),
+    ]
+}
+
+fn telemetry_options(settings: &ControlSettings) -> TelemetryOptions {
+    TelemetryOptions {
+        process: NAME.into(),
+        version: env!("CARGO_PKG_VERSION").into(),
+        host: settings.host.as_str().into(),
+        boot: Incarnation(rand::random()),
+        log: settings.log,
+        timeline_events_max: settings.timeline_events_max,
+    }
+}
+
+/// Tells operators what the process knows.
+fn set_status(kernel: &Kernel, telemetry: &Telemetry, knowledge: &Rc<Knowledge>) {
+    let (kernel, knowledge) = (kernel.clone(), knowledge.clone());
+    telemetry.set_status(Box::new(move || {
+        let entry = kernel.find::<EntryLink>(ENTRY_LINK).ok().and_then(|link| link.status());
+        let details = json!({
+            "config_next_offset": knowledge.config_next(),
+            "entry_incarnation": entry.as_ref().map(|found| found.incarnation.to_string()),
+            "entry_config_revision": entry.and_then(|found| found.config_revision),
+        });
+        StatusParts { config_revision: knowledge.revision(), details }
+    }));
+}
--- a/crates/onyxshed-entry/src/lib.rs
+++ b/crates/onyxshed-entry/src/lib.rs
@@ -7,9 +7,11 @@
 
 pub mod callers;
 pub mod claim_log;
+pub mod command;
 pub mod control_port;
 pub mod engine;
 pub mod names;
 pub mod peers;
 pub mod pool;
+pub mod process;
 pub mod upstreams;
--- /dev/null
+++ b/crates/onyxshed-entry/src/process.rs
@@ -0,0 +1,153 @@
+//! The entry process put together from its settings.
+
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use onyxshed_core::Incarnation;
+use onyxshed_dispatch::{Dispatch, DispatchOptions};
+use onyxshed_http::{ClientOptions, ServerOptions};
+use onyxshed_kernel::{Kernel, RunEnd, RunOptions, Service};
+use onyxshed_platform::PlatformOptions;
+use onyxshed_policy::PolicyOptions;
+use onyxshed_settings::EntrySettings;
+use onyxshed_state::ClaimOptions;
+use onyxshed_telemetry::telemetry::StatusParts;
+use onyxshed_telemetry::{AdminService, Telemetry, TelemetryOptions};
+use serde_json::json;
+
+use crate::callers::{CallerOptions, CallerService};
+use crate::claim_log::{ClaimLog, ClaimLogService};
+use crate::control_port::{ControlPort, ControlPortOptions, ControlPortService};
+use crate::engine::{Engine, EngineService};
+use crate::names::{CONTROL_PORT, UPSTREAMS};
+use crate::peers::{PeerService, Peers};
+use crate::upstreams::{UpstreamOptions, UpstreamService, Upstreams};
+
+/// The binary's name.
+const NAME: &str = "onyxshed-entry";
+
+/// Runs the process from start to end.
+pub fn run(settings: EntrySettings) -> ExitCode {
+    let incarnation = Incarnation(rand::random());
+    let kernel = Kernel::new();
+    let telemetry = match Telemetry::open(&kernel, telemetry_options(&settings, incarnation)) {
+        Ok(telemetry) => telemetry,
+        Err(error) => {
+            eprintln!("{NAME}: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let options =
+        RunOptions { drain_timeout_ms: settings.drain_timeout_ms, ..RunOptions::new(NAME) };
+    let services = services(&kernel, &settings, incarnation, telemetry);
+    let end = kernel.run(services, options);
+    if let RunEnd::Failed(error) = &end {
+        eprintln!("{NAME}: error {}: {error}", error.code());
+    }
+    end.into()
+}
+
+/// Makes every service of the process.
+fn services(
+    kernel: &Kernel,
+    settings: &EntrySettings,
+    incarnation: Incarnation,
+    telemetry: Rc<Telemetry>,
+) -> Vec<Box<dyn Service>> {
+    let dispatch = Dispatch::new(incarnation, dispatch_options(settings), rand::random());
+    let engine = Engine::new(kernel, dispatch);
+    set_status(kernel, &telemetry, &engine);
+    let upstreams = Upstreams::new(kernel, incarnation, upstream_options(settings));
+    let platform = PlatformOptions::default();
+    let claims = ClaimLog::new(kernel, engine.clone(), settings.platform_address, platform);
+    let control = ControlPortOptions {
+        host: settings.host.clone(),
+        incarnation,
+        control_address: settings.control_address,
+    };
+    vec![
+        Box::new(AdminService::new(telemetry, settings.admin_address)),
+        Box::new(EngineService::new(engine.clone())),
+        Box::new(UpstreamService::new(upstreams)),
+        Box::new(ClaimLogService::new(claims)),
+        Box::new(PeerService::new(Peers::new(kernel))),
+        Box::new(ControlPortService::new(control)),
+        Box::new(CallerService::new(engine, caller_options(settings))),
+    ]
+}
+
+fn telemetry_options(settings: &EntrySettings, boot: Incarnation) -> TelemetryOptions {
+    TelemetryOptions {
+        process: NAME.into(),
+        version: env!("CARGO_PKG_VERSION").into(),
+        host: settings.host.as_str().into(),
+        boot,
+        log: settings.log,
+        timeline_events_max: settings.timeline_events_max,
+    }
+}
+
+/// Tells operators the state of the machine and how old what it rests on is.
+fn set_status(kernel: &Kernel, telemetry: &Telemetry, engine: &Rc<Engine>) {
+    let (kernel, engine) = (kernel.clone(), engine.clone());
+    telemetry.set_status(Box::new(move || {
+        let age_ms = kernel
+            .find::<ControlPort>(CONTROL_PORT)
+            .ok()
+            .and_then(|port| port.snapshot_age())
+            .map(|age| age.as_millis());
+        let executors = kernel.find::<Upstreams>(UPSTREAMS).map_or(0, |found| found.count());
+        let config_revision = engine.look(|machine| machine.config().map(|held| held.revision));
+        let details = engine.look(|machine| {
+            json!({
+                "live_jobs": machine.live_jobs(),
+                "live_attempts": machine.live_attempts(),
+                "remembered_jobs": machine.remembered_jobs(),
+                "snapshot_age_ms": age_ms,
+                "executors": executors,
+            })
+        });
+        StatusParts { config_revision, details }
+    }));
+}
+
+fn dispatch_options(settings: &EntrySettings) -> DispatchOptions {
+    DispatchOptions {
+        jobs_max: settings.jobs_max,
+        answers_max_bytes: settings.answers_max_bytes,
+        result_max_bytes: settings.result_max_bytes,
+        lease_slack_ms: settings.lease_slack_ms,
+        claims: ClaimOptions {
+            horizon_ms: settings.horizon_ms,
+            skew_ms: settings.skew_ms,
+            ..ClaimOptions::default()
+        },
+        policy: PolicyOptions::default(),
+        ..DispatchOptions::default()
+    }
+}
+
+fn upstream_options(settings: &EntrySettings) -> UpstreamOptions {
+    let client =
+        ClientOptions { reply_max_bytes: settings.result_max_bytes.0, ..ClientOptions::default() };
+    UpstreamOptions {
+        connections_per_executor: settings.connections_per_executor,
+        client,
+        ..UpstreamOptions::default()
+    }
+}
+
+fn caller_options(settings: &EntrySettings) -> CallerOptions {
+    CallerOptions {
+        caller_address: settings.caller_address,
+        peer_address: settings.peer_address,
+        server: ServerOptions {
+            connections_max: settings.connections_max,
+            body_max_bytes: settings.body_max_bytes.0,
+            head_timeout: settings.head_timeout_ms.into(),
+            body_timeout: settings.body_timeout_ms.into(),
+            idle_timeout: settings.idle_timeout_ms.into(),
+            ..ServerOptions::default()
+        },
+    }
+}
--- a/crates/onyxshed-entry/src/upstreams.rs
+++ b/crates/onyxshed-entry/src/upstreams.rs
@@ -67,6 +67,11 @@
         })
     }
 
+    /// Gets how many executors are known.
+    pub fn count(&self) -> usize {
+        self.pools.borrow().len()
+    }
+
     /// Sets the executors known; connections to those left out are closed once idle.
     pub fn set_executors(&self, executors: &[ExecutorEntry]) {
         let mut pools = self.pools.borrow_mut();
