--- /dev/null
+++ b/crates/onyxshed-telemetry/src/admin.rs
@@ -0,0 +1,174 @@
+//! The admin address.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::str::FromStr;
+use std::time::Duration;
+
+use async_executor::Task;
+use async_io::Timer;
+use http_types::Method;
+use onyxshed_core::{ResultCode, UnixMs};
+use onyxshed_http::server::{PendingReply, RejectReply};
+use onyxshed_http::{Call, Handler, Reply, Server, ServerOptions};
+use onyxshed_kernel::{
+    Descriptor, Error as KernelError, Kernel, LocalFuture, Result, Service, ServiceName,
+    StopRequest,
+};
+use onyxshed_wire::admin::{
+    DRAIN_PATH, HEALTH_PATH, METRICS_PATH, Problem, READY_PATH, STATUS_PATH, TIMELINE_PATH,
+};
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::telemetry::Telemetry;
+use crate::timeline::Filter;
+
+/// How often metrics are brought up to date.
+const UPKEEP_PERIOD: Duration = Duration::from_secs(5);
+
+/// Limits of the admin address: few connections, small requests.
+const OPTIONS: ServerOptions = ServerOptions {
+    connections_max: 64,
+    head_max_bytes: 8 << 10,
+    body_max_bytes: 4 << 10,
+    idle_timeout: Duration::from_secs(30),
+    head_timeout: Duration::from_secs(5),
+    body_timeout: Duration::from_secs(5),
+    reply_timeout: Duration::from_secs(10),
+};
+
+/// Serves a process's telemetry on its admin address; the handle registered is the [`Telemetry`].
+pub struct AdminService {
+    telemetry: Rc<Telemetry>,
+    address: SocketAddr,
+    tasks: RefCell<Vec<Task<()>>>,
+}
+
+impl AdminService {
+    /// Name that the telemetry is found by.
+    pub const NAME: ServiceName = ServiceName::new("telemetry");
+
+    /// Makes the service for an address; port 0 takes a free one.
+    pub fn new(telemetry: Rc<Telemetry>, address: SocketAddr) -> Self {
+        AdminService {
+            telemetry,
+            address,
+            tasks: RefCell::default(),
+        }
+    }
+
+    async fn open(&self, kernel: &Kernel) -> Result<()> {
+        let descriptor = Descriptor {
+            name: Self::NAME,
+            summary: "log, metrics, time line and the admin address",
+        };
+        kernel.register(descriptor, self.telemetry.clone())?;
+        let not_opened =
+            |error: onyxshed_http::Error| KernelError::start(Self::NAME, error.code(), error);
+        let listener = Server::listen(self.address).await.map_err(not_opened)?;
+        let address = listener
+            .local_addr()
+            .map_err(|error| KernelError::start(Self::NAME, ResultCode::AddressInUse, error))?;
+        kernel.announce("admin", address);
+        let server = Server::new(OPTIONS, self.handler(kernel), rejection());
+        let serving = kernel.spawn(server.run(listener, kernel.executor()));
+        let upkeep = kernel.spawn(keep_up(self.telemetry.clone()));
+        self.tasks.borrow_mut().extend([serving, upkeep]);
+        Ok(())
+    }
+
+    fn handler(&self, kernel: &Kernel) -> Handler {
+        let telemetry = self.telemetry.clone();
+        let kernel = kernel.clone();
+        Rc::new(move |call: Call| -> PendingReply {
+            let reply = answer(&telemetry, &kernel, &call);
+            Box::pin(async move { reply })
+        })
+    }
+}
+
+impl Service for AdminService {
+    fn name(&self) -> ServiceName {
+        Self::NAME
+    }
+
+    fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
+        Box::pin(self.open(kernel))
+    }
+
+    fn stop<'a>(&'a self, _kernel: &'a Kernel) -> LocalFuture<'a, ()> {
+        Box::pin(async {
+            self.tasks.take();
+            self.telemetry.log().finish().await;
+        })
+    }
+}
+
+async fn keep_up(telemetry: Rc<Telemetry>) {
+    loop {
+        Timer::after(UPKEEP_PERIOD).await;
+        telemetry.upkeep();
+    }
+}
+
+fn rejection() -> RejectReply {
+    Rc::new(|code| problem(code, ""))
+}
+
+fn answer(telemetry: &Telemetry, kernel: &Kernel, call: &Call) -> Reply {
+    match (call.method(), call.path()) {
+        (Method::Get, HEALTH_PATH) => Reply::bytes(200, "ok\n"),
+        (Method::Get, READY_PATH) => readiness(kernel),
+        (Method::Get, METRICS_PATH) => Reply::bytes(200, telemetry.render_metrics())
+            .header("content-type", "text/plain; version=0.0.4"),
+        (Method::Get, STATUS_PATH) => Reply::json(200, &telemetry.status()),
+        (Method::Get, TIMELINE_PATH) => match filter_of(call) {
+            Ok(filter) => Reply::json(200, &telemetry.timeline(&filter)),
+            Err(reason) => problem(ResultCode::BadRequest, &reason),
+        },
+        (Method::Post, DRAIN_PATH) => {
+            kernel.request_stop(StopRequest::Drain);
+            Reply::json(202, &telemetry.status())
+        }
+        _ => problem(ResultCode::NoSuchPath, call.path()),
+    }
+}
+
+fn readiness(kernel: &Kernel) -> Reply {
+    match kernel.readiness().why_not() {
+        None => Reply::bytes(200, "ready\n"),
+        Some(reason) => Reply::bytes(503, format!("not ready: {reason}\n")),
+    }
+}
+
+fn problem(code: ResultCode, detail: &str) -> Reply {
+    let text = match detail {
+        "" => SmolStr::new_static(code.text()),
+        detail => format_smolstr!("{} ({detail})", code.text()),
+    };
+    Reply::json(code.http_status(), &Problem { code, text })
+}
+
+/// Reads the query of the time line.
+fn filter_of(call: &Call) -> std::result::Result<Filter, SmolStr> {
+    let defaults = Filter::default();
+    Ok(Filter {
+        submission: value(call, "submission")?,
+        class: value(call, "class")?,
+        party: call.query("party"),
+        since_ms: value(call, "since_ms")?.map_or(defaults.since_ms, UnixMs),
+        limit: value(call, "limit")?.unwrap_or(defaults.limit),
+    })
+}
+
+fn value<T: FromStr>(call: &Call, name: &str) -> std::result::Result<Option<T>, SmolStr>
+where
+    T::Err: std::fmt::Display,
+{
+    let parse = |text: SmolStr| {
+        text.parse()
+            .map_err(|error| format_smolstr!("{name}: {error}"))
+    };
+    call.query(name).map(parse).transpose()
+}
--- /dev/null
+++ b/crates/onyxshed-telemetry/tests/admin.rs
@@ -0,0 +1,155 @@
+//! The admin address over real sockets.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_lite::{FutureExt, future};
+use http_types::Method;
+use onyxshed_core::{Event, EventKind, Incarnation, Revision};
+use onyxshed_http::Reply;
+use onyxshed_http::client::call_once;
+use onyxshed_kernel::{Kernel, Process, RunEnd, RunOptions, Service};
+use onyxshed_settings::LogSettings;
+use onyxshed_telemetry::{AdminService, StatusParts, Telemetry, TelemetryOptions};
+use onyxshed_wire::admin::{Status, TimelinePage};
+use rstest::rstest;
+use serde_json::json;
+
+fn telemetry(kernel: &Kernel) -> Rc<Telemetry> {
+    let options = TelemetryOptions {
+        process: "onyxshed-test".into(),
+        version: "0.0.0".into(),
+        host: "host-1".into(),
+        boot: Incarnation(7),
+        log: LogSettings::default(),
+        timeline_events_max: 100,
+    };
+    let telemetry = Telemetry::open(kernel, options).expect("log and metrics open");
+    let parts = || StatusParts {
+        config_revision: Some(Revision(3)),
+        details: json!({ "jobs": 1 }),
+    };
+    telemetry.set_status(Box::new(parts));
+    telemetry
+}
+
+/// Starts a process with an admin address, runs `test` against it, then drains it.
+fn with_admin(test: impl AsyncFnOnce(Kernel, SocketAddr)) -> RunEnd {
+    let kernel = Kernel::new();
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let service = AdminService::new(telemetry(&kernel), address);
+    let services: Vec<Box<dyn Service>> = vec![Box::new(service)];
+    let options = RunOptions {
+        has_ready_line: false,
+        ..RunOptions::new("onyxshed-test")
+    };
+    let life = async {
+        let process = Process::new(kernel.clone(), services, options);
+        let process = process.start().await.expect("the process starts");
+        test(kernel.clone(), kernel.addresses()["admin"]).await;
+        process.live().await
+    };
+    async_io::block_on(kernel.executor().run(life.boxed_local()))
+}
+
+async fn call(address: SocketAddr, method: Method, path: &str) -> Reply {
+    let timeout = Duration::from_secs(20);
+    call_once(address, method, path, Vec::new(), timeout)
+        .await
+        .expect("the admin address answers")
+}
+
+fn text(reply: &Reply) -> String {
+    format!(
+        "{} {}",
+        reply.status,
+        String::from_utf8_lossy(&reply.body).trim_end()
+    )
+}
+
+#[test]
+fn tells_what_the_process_does_until_it_is_drained() {
+    let end = with_admin(async |kernel, address| {
+        assert_eq!(
+            text(&call(address, Method::Get, "/healthz").await),
+            "200 ok"
+        );
+        assert_eq!(
+            text(&call(address, Method::Get, "/readyz").await),
+            "200 ready"
+        );
+        kernel.readiness().withhold("no configuration");
+        let not_ready = call(address, Method::Get, "/readyz").await;
+        assert_eq!(text(&not_ready), "503 not ready: no configuration");
+
+        let status = call(address, Method::Get, "/v1/status").await;
+        let mut status = Status::decode(&status.body).unwrap();
+        status.uptime_ms = Default::default();
+        insta::assert_json_snapshot!(status, @r#"
+        {
+          "process": "onyxshed-test",
+          "version": "0.0.0",
+          "host": "host-1",
+          "boot": "0000000000000007",
+          "uptime_ms": 0,
+          "is_ready": false,
+          "why_not_ready": "no configuration",
+          "config_revision": 3,
+          "details": {
+            "jobs": 1
+          }
+        }
+        "#);
+
+        kernel.emit(Event::new(EventKind::TaskLost).party("executor-1"));
+        let page = call(address, Method::Get, "/v1/timeline?party=executor-1").await;
+        let page = TimelinePage::decode(&page.body).unwrap();
+        assert_eq!(
+            (page.events.len(), page.dropped, page.events_max),
+            (1, 0, 100)
+        );
+        assert_eq!(page.events[0].kind, EventKind::TaskLost);
+
+        let metrics = call(address, Method::Get, "/metrics").await;
+        let metrics = String::from_utf8(metrics.body).unwrap();
+        assert!(metrics.contains("onyxshed_events_total{kind=\"TaskLost\"}"));
+        assert!(metrics.contains("# TYPE onyxshed_timeline_bytes gauge"));
+
+        let drained = call(address, Method::Post, "/v1/drain").await;
+        assert_eq!(drained.status, 202);
+    });
+    assert_eq!(end, RunEnd::Drained);
+}
+
+#[rstest]
+#[case(
+    Method::Get,
+    "/none",
+    r#"404 {"code":3106,"text":"The address has no such path or method. (/none)"}"#
+)]
+#[case(
+    Method::Post,
+    "/metrics",
+    r#"404 {"code":3106,"text":"The address has no such path or method. (/metrics)"}"#
+)]
+#[case(Method::Get, "/v1/timeline?limit=-1", r#"400 {"code":3101,"text":"The request can't be read. (limit: invalid digit found in string)"}"#)]
+fn refuses_what_it_does_not_know(
+    #[case] method: Method,
+    #[case] path: &str,
+    #[case] expected: &str,
+) {
+    with_admin(async |kernel, address| {
+        assert_eq!(text(&call(address, method, path).await), expected);
+        kernel.request_stop(onyxshed_kernel::StopRequest::Drain);
+    });
+}
+
+#[test]
+fn an_address_that_is_taken_has_its_own_code() {
+    let kernel = Kernel::new();
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let service = AdminService::new(telemetry(&kernel), taken.local_addr().unwrap());
+    let started = future::block_on(service.start(&kernel));
+    assert_eq!(started.unwrap_err().code().number(), 5003);
+}
