Send open-loop load to entry hosts and report what callers see

Arrivals are planned from a seed (Poisson with bursts) and response times count from the planned arrival, so a stall is not hidden by callers that wait. Commands run, direct and idle; reports as table, JSON and SVG.

--- /dev/null
+++ b/crates/onyxshed-load/src/caller.rs
@@ -0,0 +1,187 @@
+//! Callers: connections to the entry hosts, and one submission from first try to final answer.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_io::Timer;
+use http_types::Method;
+use onyxshed_core::{Incarnation, Millis, Outcome, SubmissionId};
+use onyxshed_http::{CallError, ClientOptions, Connection};
+use onyxshed_wire::caller::{Answer, JOBS_PATH, Submission};
+
+use crate::tally::Wasted;
+
+/// Rules for callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerOptions {
+    /// Most times that a submission is sent again. Default 2.
+    pub repeats_max: u32,
+    /// Whether ids are bound to the entry host that they are sent to, once it has told its
+    /// incarnation. Default no.
+    pub may_bind: bool,
+    /// How long past its target a caller waits for an answer. Default 5 s.
+    pub patience: Duration,
+}
+
+impl Default for CallerOptions {
+    fn default() -> Self {
+        CallerOptions {
+            repeats_max: 2,
+            may_bind: false,
+            patience: Duration::from_secs(5),
+        }
+    }
+}
+
+/// One entry host as callers see it.
+#[derive(Debug)]
+struct Entry {
+    address: SocketAddr,
+    idle: RefCell<Vec<Connection>>,
+    incarnation: RefCell<Option<Incarnation>>,
+}
+
+/// All callers of a run.
+#[derive(Debug)]
+pub struct Callers {
+    entries: Vec<Entry>,
+    options: CallerOptions,
+    wasted: RefCell<Wasted>,
+}
+
+/// What a caller does after an answer or its loss.
+enum AfterTry {
+    Done(Option<Answer>),
+    Poll(Duration),
+    Repeat(Duration),
+}
+
+/// Wait before a lost submission is sent again.
+const REPEAT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Wait before an answer that is still running is asked for again.
+const POLL_PAUSE: Duration = Duration::from_millis(100);
+
+impl Callers {
+    /// Makes callers of these entry hosts, of which there must be one.
+    pub fn new(addresses: &[SocketAddr], options: CallerOptions) -> Self {
+        let entry = |address: &SocketAddr| Entry {
+            address: *address,
+            idle: RefCell::default(),
+            incarnation: RefCell::default(),
+        };
+        Callers {
+            entries: addresses.iter().map(entry).collect(),
+            options,
+            wasted: RefCell::default(),
+        }
+    }
+
+    /// Gets the messages wasted so far.
+    pub fn wasted(&self) -> Wasted {
+        *self.wasted.borrow()
+    }
+
+    /// Binds an id to the entry host that a draw sends it to, if callers bind.
+    pub fn bind(&self, draw: u64, id: SubmissionId) -> SubmissionId {
+        let known = *self.entry(draw).incarnation.borrow();
+        SubmissionId {
+            bound_to: known.filter(|_| self.options.may_bind),
+            ..id
+        }
+    }
+
+    /// Submits and follows a job to its final answer; none if no answer came in time.
+    pub async fn submit(&self, draw: u64, job: &Submission, target: Duration) -> Option<Answer> {
+        let patience = target + self.options.patience;
+        let body = serde_json::to_vec(job).expect("submissions hold only what JSON can write");
+        let mut repeats = 0;
+        loop {
+            let entry = self.entry(draw.wrapping_add(u64::from(repeats)));
+            let mut tried = entry.post(body.clone(), patience).await;
+            let mut step = self.after(&tried, repeats);
+            while let AfterTry::Poll(pause) = step {
+                self.wasted.borrow_mut().polls += 1;
+                Timer::after(pause).await;
+                tried = entry.fetch(&job.submission, patience).await;
+                step = self.after(&tried, repeats);
+            }
+            match step {
+                AfterTry::Done(answer) => return answer,
+                AfterTry::Repeat(pause) | AfterTry::Poll(pause) => Timer::after(pause).await,
+            };
+            repeats += 1;
+            self.wasted.borrow_mut().repeats += 1;
+        }
+    }
+
+    fn entry(&self, draw: u64) -> &Entry {
+        let count = u64::try_from(self.entries.len()).unwrap_or(1).max(1);
+        let place = usize::try_from(draw % count).unwrap_or_default();
+        &self.entries[place]
+    }
+
+    fn after(&self, tried: &Result<Answer, CallError>, repeats: u32) -> AfterTry {
+        let may_repeat = repeats < self.options.repeats_max;
+        let answer = match tried {
+            Ok(answer) => answer,
+            Err(error) if error.is_timeout || !may_repeat => return AfterTry::Done(None),
+            Err(_) => return AfterTry::Repeat(REPEAT_PAUSE),
+        };
+        match (answer.outcome, answer.retry_after_ms) {
+            (None, wait) => AfterTry::Poll(wait.map_or(POLL_PAUSE, Duration::from)),
+            (Some(Outcome::NotRun), Some(Millis(wait_ms))) if may_repeat => {
+                self.wasted.borrow_mut().refusals += 1;
+                AfterTry::Repeat(Duration::from_millis(wait_ms))
+            }
+            (Some(Outcome::NotRun), _) => {
+                self.wasted.borrow_mut().refusals += 1;
+                AfterTry::Done(Some(answer.clone()))
+            }
+            _ => AfterTry::Done(Some(answer.clone())),
+        }
+    }
+}
+
+impl Entry {
+    async fn post(&self, body: Vec<u8>, patience: Duration) -> Result<Answer, CallError> {
+        self.call(Method::Post, JOBS_PATH, body, patience).await
+    }
+
+    async fn fetch(&self, id: &SubmissionId, patience: Duration) -> Result<Answer, CallError> {
+        let path = format!("{JOBS_PATH}/{id}");
+        self.call(Method::Get, &path, Vec::new(), patience).await
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        patience: Duration,
+    ) -> Result<Answer, CallError> {
+        let mut connection = self.connection().await?;
+        let reply = connection.call(method, path, &[], body, patience).await?;
+        let answer = Answer::decode(&reply.body)
+            .map_err(|error| CallError::broken(onyxshed_http::Sent::Maybe, error))?;
+        if reply.get("connection") != Some("close") {
+            self.idle.borrow_mut().push(connection);
+        }
+        if answer.bind_to.is_some() {
+            self.incarnation.replace(answer.bind_to);
+        }
+        Ok(answer)
+    }
+
+    async fn connection(&self) -> Result<Connection, CallError> {
+        loop {
+            let idle = self.idle.borrow_mut().pop();
+            match idle {
+                Some(connection) if connection.is_open().await => return Ok(connection),
+                Some(_) => {}
+                None => return Connection::open(self.address, ClientOptions::default()).await,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-load/src/cli.rs
@@ -0,0 +1,101 @@
+//! The command line.
+
+mod args;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use clap::{ArgMatches, Command};
+use serde::Serialize;
+
+use crate::direct::{DirectOptions, direct};
+use crate::error::Result;
+use crate::idle::{IdleOptions, idle};
+use crate::plot;
+use crate::report::write_json;
+use crate::run::run;
+
+/// Exit status after an error.
+const FAILED: u8 = 1;
+
+/// Runs the command line to its end.
+pub fn main() -> ExitCode {
+    let matches = args::command().get_matches();
+    match dispatch(&matches) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("onyxshed-load: error {}: {error}", error.code());
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+/// Gets the command line's shape, for the pages that describe it.
+pub fn command() -> Command {
+    args::command()
+}
+
+fn dispatch(matches: &ArgMatches) -> Result<()> {
+    let executor = LocalExecutor::new();
+    match matches.subcommand() {
+        Some(("run", args)) => run_command(&executor, args),
+        Some(("direct", args)) => direct_command(&executor, args),
+        Some(("idle", args)) => idle_command(&executor, args),
+        _ => Ok(()),
+    }
+}
+
+fn run_command(executor: &LocalExecutor<'static>, args: &ArgMatches) -> Result<()> {
+    let options = args::run_options(args);
+    let report = async_io::block_on(executor.run(run(executor, &options)));
+    println!("{report}");
+    if let Some(folder) = args.get_one::<PathBuf>("out") {
+        write_json(&folder.join("run.json"), &report)?;
+        plot::ratio_bars(&report).draw(&folder.join("ratio.svg"))?;
+        plot::wasted_bars(&report).draw(&folder.join("wasted.svg"))?;
+    }
+    Ok(())
+}
+
+fn direct_command(executor: &LocalExecutor<'static>, args: &ArgMatches) -> Result<()> {
+    let options = DirectOptions {
+        executor: args::required(args, "executor"),
+        entry: args::one(args, "entry"),
+        class: args::required(args, "class"),
+        count: args::required(args, "count"),
+        service_ms: args::required(args, "service-ms"),
+        may_bind: args.get_flag("bind"),
+    };
+    let report = async_io::block_on(executor.run(direct(options)))?;
+    print_json(&report);
+    write_out(args, &report)
+}
+
+fn idle_command(executor: &LocalExecutor<'static>, args: &ArgMatches) -> Result<()> {
+    let options = IdleOptions {
+        address: args::required(args, "address"),
+        pid: args::one(args, "pid"),
+        count: args::required(args, "count"),
+        class: args::one(args, "class"),
+        service_ms: args::required(args, "service-ms"),
+        hold: Duration::from_millis(args::required(args, "hold-ms")),
+    };
+    let report = async_io::block_on(executor.run(idle(executor, Rc::new(options))))?;
+    print_json(&report);
+    write_out(args, &report)
+}
+
+fn print_json(value: &impl Serialize) {
+    let text = serde_json::to_string_pretty(value).expect("reports hold only what JSON can write");
+    println!("{text}");
+}
+
+fn write_out(args: &ArgMatches, value: &impl Serialize) -> Result<()> {
+    match args.get_one::<PathBuf>("out") {
+        Some(path) => write_json(path, value),
+        None => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-load/src/cli/args.rs
@@ -0,0 +1,210 @@
+//! Options of each command, and their values.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use smol_str::SmolStr;
+
+use crate::caller::CallerOptions;
+use crate::mix::Mix;
+use crate::plan::{Burst, PlanOptions};
+use crate::run::RunOptions;
+
+/// Makes the whole command.
+pub fn command() -> Command {
+    Command::new("onyxshed-load")
+        .version(clap::crate_version!())
+        .about("Sends load to entry hosts and measures what callers see")
+        .after_help("Exit status: 0 done, 1 an error (its result code is printed), 2 wrong usage.")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(run_args())
+        .subcommand(direct_args())
+        .subcommand(idle_args())
+}
+
+fn run_args() -> Command {
+    Command::new("run")
+        .about("Open-loop load over HTTP; response times count from the planned arrival")
+        .after_help(
+            "Example: onyxshed-load run --entry 127.0.0.1:7000 --entry 127.0.0.1:7001 \
+             --mix inzira --jobs-per-s 40 --span-s 20 --burst 5:7:10 --out results",
+        )
+        .arg(
+            Arg::new("entry")
+                .long("entry")
+                .required(true)
+                .action(ArgAction::Append)
+                .value_name("ADDRESS")
+                .value_parser(value_parser!(SocketAddr))
+                .help("An entry host's address; jobs are spread evenly over all given"),
+        )
+        .arg(
+            Arg::new("mix")
+                .long("mix")
+                .default_value("inzira")
+                .value_parser(value_parser!(Mix))
+                .help("Whose work: inzira or valbrenta"),
+        )
+        .arg(
+            number("jobs-per-s", "20", "Jobs a second outside bursts")
+                .value_parser(value_parser!(f64)),
+        )
+        .arg(number("span-s", "10", "How long jobs arrive").value_parser(value_parser!(f64)))
+        .arg(
+            number("time-scale", "1", "Multiplies every service time")
+                .value_parser(value_parser!(f64)),
+        )
+        .arg(
+            Arg::new("burst")
+                .long("burst")
+                .action(ArgAction::Append)
+                .value_name("FROM_S:TO_S:FACTOR")
+                .value_parser(parse_burst)
+                .help("A stretch with another rate; in order, not overlapping"),
+        )
+        .arg(number("seed", "1", "Seed of every draw").value_parser(value_parser!(u64)))
+        .arg(
+            number("repeats", "2", "Most times a refused job is sent again")
+                .value_parser(value_parser!(u32)),
+        )
+        .arg(bind())
+        .arg(
+            number(
+                "network-us",
+                "500",
+                "Least network time of one job, part of the ideal",
+            )
+            .value_parser(value_parser!(u64)),
+        )
+        .arg(out("Folder for run.json, ratio.svg and wasted.svg"))
+}
+
+fn direct_args() -> Command {
+    Command::new("direct")
+        .about("One task at a time, at an executor and through an entry host in turns")
+        .arg(address("executor", "The executor's address").required(true))
+        .arg(address("entry", "The entry host's address"))
+        .arg(class("The class of the tasks").default_value("lock-order"))
+        .arg(number("count", "1000", "Tasks each way").value_parser(value_parser!(u32)))
+        .arg(number("service-ms", "0", "How long each task runs").value_parser(value_parser!(u32)))
+        .arg(bind())
+        .arg(out("File for the report in JSON"))
+}
+
+fn idle_args() -> Command {
+    Command::new("idle")
+        .about("Holds connections or requests in flight and reads what they cost the other process")
+        .arg(address("address", "The process's address").required(true))
+        .arg(
+            Arg::new("pid")
+                .long("pid")
+                .value_parser(value_parser!(u32))
+                .help("The process's id, to read its memory and processor time"),
+        )
+        .arg(number("count", "1000", "Connections to hold").value_parser(value_parser!(u32)))
+        .arg(class(
+            "Send one job of this class on each connection; without it they idle",
+        ))
+        .arg(
+            number("service-ms", "10000", "How long each job's one task runs")
+                .value_parser(value_parser!(u32)),
+        )
+        .arg(
+            number(
+                "hold-ms",
+                "2000",
+                "How long to hold before reading the cost",
+            )
+            .value_parser(value_parser!(u64)),
+        )
+        .arg(out("File for the report in JSON"))
+}
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .default_value(default)
+        .value_name("N")
+        .help(help)
+}
+
+fn address(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("ADDRESS")
+        .value_parser(value_parser!(SocketAddr))
+        .help(help)
+}
+
+fn class(help: &'static str) -> Arg {
+    Arg::new("class")
+        .long("class")
+        .value_parser(value_parser!(SmolStr))
+        .help(help)
+}
+
+fn bind() -> Arg {
+    Arg::new("bind")
+        .long("bind")
+        .action(ArgAction::SetTrue)
+        .help("Bind ids to the entry host once it has told its incarnation: no claim is needed")
+}
+
+fn out(help: &'static str) -> Arg {
+    Arg::new("out")
+        .long("out")
+        .value_name("PATH")
+        .value_parser(value_parser!(PathBuf))
+        .help(help)
+}
+
+/// Gets an option that is required or has a default.
+pub fn required<T: Clone + Send + Sync + 'static>(args: &ArgMatches, name: &str) -> T {
+    one(args, name).expect("the option is required or has a default")
+}
+
+/// Gets an option's value, none if it was not given.
+pub fn one<T: Clone + Send + Sync + 'static>(args: &ArgMatches, name: &str) -> Option<T> {
+    args.get_one::<T>(name).cloned()
+}
+
+/// Reads the options of `run`.
+pub fn run_options(args: &ArgMatches) -> RunOptions {
+    let entries = args.get_many("entry").into_iter().flatten();
+    let bursts = args.get_many("burst").into_iter().flatten();
+    RunOptions {
+        entries: entries.copied().collect(),
+        plan: PlanOptions {
+            mix: required(args, "mix"),
+            jobs_per_s: required(args, "jobs-per-s"),
+            span_s: required(args, "span-s"),
+            bursts: bursts.copied().collect(),
+            time_scale: required(args, "time-scale"),
+            seed: required(args, "seed"),
+        },
+        caller: CallerOptions {
+            repeats_max: required(args, "repeats"),
+            may_bind: args.get_flag("bind"),
+            patience: Duration::from_secs(5),
+        },
+        network_us: required(args, "network-us"),
+    }
+}
+
+fn parse_burst(text: &str) -> Result<Burst, String> {
+    let numbers: Vec<f64> = text
+        .split(':')
+        .map(|part| part.parse().map_err(|_| format!("{part:?} is no number")))
+        .collect::<Result<_, _>>()?;
+    match numbers[..] {
+        [from_s, to_s, factor] if 0.0 <= from_s && from_s < to_s && factor >= 0.0 => Ok(Burst {
+            from_s,
+            to_s,
+            factor,
+        }),
+        _ => Err("allowed is FROM_S:TO_S:FACTOR, such as 5:7:10".to_owned()),
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-load/src/direct.rs
@@ -0,0 +1,182 @@
+//! `onyxshed-load direct`: one task after another, straight at an executor and through an entry
+//! host in turns, so that the entry host's added time is measured under the same conditions.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use http_types::Method;
+use onyxshed_core::{Incarnation, ResultCode, SubmissionId, TaskId};
+use onyxshed_http::{CallError, ClientOptions, Connection};
+use onyxshed_wire::caller::{Answer, JOBS_PATH, Submission};
+use onyxshed_wire::upstream::{
+    CLASS_HEADER, LEASE_HEADER, STARTER_HEADER, STATE_HEADER, TaskState, task_path,
+};
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use crate::error::{Error, Result};
+use crate::report::Percentiles;
+use crate::run::{class_name, fresh_ulid, payload};
+use crate::tally::histogram;
+
+/// What to compare.
+#[derive(Debug, Clone)]
+pub struct DirectOptions {
+    /// The executor to call.
+    pub executor: SocketAddr,
+    /// The entry host to compare with.
+    pub entry: Option<SocketAddr>,
+    /// The class under which tasks are submitted.
+    pub class: SmolStr,
+    /// Tasks through each.
+    pub count: u32,
+    /// How long each task runs, in milliseconds.
+    pub service_ms: u32,
+    /// Whether ids are bound to the entry host's incarnation, so that they need no claim.
+    pub may_bind: bool,
+}
+
+/// Response times both ways, in microseconds.
+#[derive(Debug, Clone, Serialize)]
+pub struct DirectReport {
+    /// Straight at the executor.
+    pub direct_us: Percentiles,
+    /// Through the entry host.
+    pub entry_us: Option<Percentiles>,
+    /// What the entry host adds, percentile by percentile.
+    pub added_us: Option<Percentiles>,
+    /// Calls that did not finish their task.
+    pub failed: u64,
+}
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+const LEASE_MS: &str = "10000";
+
+struct Pair {
+    options: DirectOptions,
+    executor: Connection,
+    entry: Option<Connection>,
+    bound_to: Option<Incarnation>,
+    failed: u64,
+}
+
+/// Tries to run the comparison, one task at a time.
+pub async fn direct(options: DirectOptions) -> Result<DirectReport> {
+    let executor = open(options.executor).await?;
+    let entry = match options.entry {
+        Some(address) => Some(open(address).await?),
+        None => None,
+    };
+    let mut pair = Pair {
+        options,
+        executor,
+        entry,
+        bound_to: None,
+        failed: 0,
+    };
+    pair.compare().await
+}
+
+async fn open(address: SocketAddr) -> Result<Connection> {
+    Connection::open(address, ClientOptions::default())
+        .await
+        .map_err(|error| unreachable(address, &error))
+}
+
+fn unreachable(address: SocketAddr, error: &CallError) -> Error {
+    Error::Unreachable {
+        address,
+        reason: error.reason.clone(),
+    }
+}
+
+impl Pair {
+    async fn compare(&mut self) -> Result<DirectReport> {
+        let (mut straight, mut through) = (histogram(), histogram());
+        for draw in 0..u64::from(self.options.count) {
+            self.time_executor(draw, &mut straight).await?;
+            self.time_entry(draw, &mut through).await?;
+        }
+        let direct_us = Percentiles::of(&straight, 1.0);
+        let entry_us = self.entry.is_some().then(|| Percentiles::of(&through, 1.0));
+        Ok(DirectReport {
+            direct_us,
+            entry_us,
+            added_us: entry_us.map(|entry| entry.minus(&direct_us)),
+            failed: self.failed,
+        })
+    }
+
+    async fn time_executor(&mut self, draw: u64, took: &mut Histogram<u64>) -> Result<()> {
+        let task = TaskId {
+            submission: SubmissionId::unbound(fresh_ulid(draw)),
+            index: 0,
+        };
+        let headers = [
+            (LEASE_HEADER, SmolStr::new_static(LEASE_MS)),
+            (CLASS_HEADER, self.options.class.clone()),
+            (STARTER_HEADER, SmolStr::new_static("0000000000000001")),
+        ];
+        let body = payload(self.options.service_ms);
+        let started = Instant::now();
+        let reply = self
+            .executor
+            .call(Method::Post, &task_path(&task), &headers, body, TIMEOUT)
+            .await
+            .map_err(|error| unreachable(self.options.executor, &error))?;
+        match reply.get(STATE_HEADER) == Some(TaskState::Finished.as_str()) {
+            true => took.saturating_record(elapsed_us(started)),
+            false => self.failed += 1,
+        }
+        Ok(())
+    }
+
+    async fn time_entry(&mut self, draw: u64, took: &mut Histogram<u64>) -> Result<()> {
+        let (Some(entry), Some(address)) = (&mut self.entry, self.options.entry) else {
+            return Ok(());
+        };
+        let job = Submission {
+            submission: SubmissionId {
+                ulid: fresh_ulid(draw),
+                bound_to: self.bound_to,
+            },
+            class: class_name(&self.options.class),
+            deadline_ms: None,
+            tasks: vec![payload(self.options.service_ms)],
+        };
+        let body = serde_json::to_vec(&job).expect("submissions hold only what JSON can write");
+        let started = Instant::now();
+        let reply = entry
+            .call(Method::Post, JOBS_PATH, &[], body, TIMEOUT)
+            .await
+            .map_err(|error| unreachable(address, &error))?;
+        let took_us = elapsed_us(started);
+        let answer = Answer::decode(&reply.body).ok();
+        if self.options.may_bind {
+            self.bound_to = answer.as_ref().and_then(|answer| answer.bind_to);
+        }
+        match answer.and_then(|answer| answer.code) {
+            Some(ResultCode::Complete) => took.saturating_record(took_us),
+            _ => self.failed += 1,
+        }
+        Ok(())
+    }
+}
+
+impl Percentiles {
+    /// Subtracts another distribution's percentiles, one by one.
+    fn minus(&self, other: &Percentiles) -> Percentiles {
+        Percentiles {
+            p50: self.p50 - other.p50,
+            p90: self.p90 - other.p90,
+            p99: self.p99 - other.p99,
+            p999: self.p999 - other.p999,
+            max: self.max - other.max,
+        }
+    }
+}
+
+fn elapsed_us(started: Instant) -> u64 {
+    u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/onyxshed-load/src/lib.rs
+++ b/crates/onyxshed-load/src/lib.rs
@@ -1,1 +1,22 @@
-//! Placeholder.
+//! Load and experiments: what callers would see, measured without flattering the system.
+//!
+//! Arrivals are planned ahead from a seed ([`plan`]) and sent at their planned time whatever became
+//! of earlier ones ([`run`]); latency counts from the planned time, so a system that stalls cannot
+//! hide behind a caller that waits for it. The same plans drive the decision core in virtual time
+//! ([`sim`]), where policies are set side by side. [`slopes`] measures how one process's memory and
+//! processor time grow, for docs/CAPACITY.md.
+
+pub mod caller;
+pub mod cli;
+pub mod direct;
+pub mod error;
+pub mod idle;
+pub mod mix;
+pub mod plan;
+pub mod plot;
+pub mod process;
+pub mod report;
+pub mod run;
+pub mod tally;
+
+pub use error::{Error, Result};
--- /dev/null
+++ b/crates/onyxshed-load/src/main.rs
@@ -0,0 +1,7 @@
+//! The command `onyxshed-load`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    onyxshed_load::cli::main()
+}
--- /dev/null
+++ b/crates/onyxshed-load/src/report.rs
@@ -0,0 +1,205 @@
+//! Results for people and for other programs.
+
+use std::fmt;
+use std::fs;
+use std::path::Path;
+
+use serde::Serialize;
+use snafu::ResultExt;
+
+use crate::error::{Result, WriteSnafu};
+use crate::tally::{ClassTally, RATIO_UNIT, Tally, Wasted, float};
+
+/// A run's results.
+#[derive(Debug, Clone, Serialize)]
+pub struct Report {
+    /// The mix.
+    pub mix: String,
+    /// Seed of the plan.
+    pub seed: u64,
+    /// How long jobs arrived, in seconds.
+    pub span_s: f64,
+    /// Results by class.
+    pub classes: Vec<ClassReport>,
+    /// Wasted messages by kind.
+    pub wasted: Wasted,
+    /// Wasted messages in percent of tasks.
+    pub wasted_percent: f64,
+    /// Tasks of jobs complete within their target, a second.
+    pub goodput_per_s: f64,
+    /// The sender's largest lag behind the plan, in microseconds; a lag near the response times
+    /// means that the sender was short of processor time.
+    pub sender_lag_max_us: u64,
+}
+
+/// One class's results.
+#[derive(Debug, Clone, Serialize)]
+pub struct ClassReport {
+    /// The class.
+    pub class: &'static str,
+    /// Jobs.
+    pub jobs: u64,
+    /// Tasks.
+    pub tasks: u64,
+    /// Jobs complete within the target, in percent.
+    pub hit_percent: f64,
+    /// Percentiles of response time over ideal.
+    pub ratio: Percentiles,
+    /// Percentiles of response time, in milliseconds.
+    pub took_ms: Percentiles,
+    /// Jobs without an answer.
+    pub unanswered: u64,
+    /// Final answers by result code.
+    pub codes: Vec<CodeCount>,
+}
+
+/// Final answers with one code.
+#[derive(Debug, Clone, Serialize)]
+pub struct CodeCount {
+    /// The code.
+    pub code: u16,
+    /// How many.
+    pub jobs: u64,
+}
+
+/// Percentiles of a distribution.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub struct Percentiles {
+    /// Median.
+    pub p50: f64,
+    /// 90th.
+    pub p90: f64,
+    /// 99th.
+    pub p99: f64,
+    /// 99.9th.
+    pub p999: f64,
+    /// Largest.
+    pub max: f64,
+}
+
+impl Percentiles {
+    /// Reads a histogram, dividing each value by `unit`.
+    pub fn of(histogram: &hdrhistogram::Histogram<u64>, unit: f64) -> Self {
+        if histogram.is_empty() {
+            return Percentiles::default();
+        }
+        let at = |percentile| float(histogram.value_at_percentile(percentile)) / unit;
+        Percentiles {
+            p50: at(50.0),
+            p90: at(90.0),
+            p99: at(99.0),
+            p999: at(99.9),
+            max: float(histogram.max()) / unit,
+        }
+    }
+}
+
+const MICROS_IN_MILLI: f64 = 1_000.0;
+
+impl Report {
+    /// Makes the report of a run.
+    pub fn new(tally: &Tally, seed: u64, span_s: f64, sender_lag_max_us: u64) -> Self {
+        let loads = tally.mix.classes().iter();
+        let good: u64 = tally.classes.iter().map(|class| class.good_tasks).sum();
+        Report {
+            mix: tally.mix.to_string(),
+            seed,
+            span_s,
+            classes: loads
+                .zip(&tally.classes)
+                .map(|(load, class)| ClassReport::new(load.class, class))
+                .collect(),
+            wasted: tally.wasted,
+            wasted_percent: tally.wasted_percent(),
+            goodput_per_s: float(good) / span_s,
+            sender_lag_max_us,
+        }
+    }
+}
+
+impl ClassReport {
+    fn new(class: &'static str, tally: &ClassTally) -> Self {
+        let codes = tally.codes.iter();
+        ClassReport {
+            class,
+            jobs: tally.jobs,
+            tasks: tally.tasks,
+            hit_percent: tally.hit_percent(),
+            ratio: Percentiles::of(&tally.ratio, RATIO_UNIT),
+            took_ms: Percentiles::of(&tally.took_us, MICROS_IN_MILLI),
+            unanswered: tally.unanswered,
+            codes: codes
+                .map(|(code, jobs)| CodeCount {
+                    code: code.number(),
+                    jobs: *jobs,
+                })
+                .collect(),
+        }
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Report {
+            mix, seed, span_s, ..
+        } = self;
+        writeln!(f, "mix {mix}, seed {seed}, {span_s} s of arrivals")?;
+        writeln!(
+            f,
+            "{:<14} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>9}  codes",
+            "class", "jobs", "tasks", "hits", "r p50", "r p90", "r p99", "p99 ms"
+        )?;
+        for class in &self.classes {
+            writeln!(f, "{class}")?;
+        }
+        writeln!(
+            f,
+            "goodput {:.1} tasks/s; sender's lag at most {:.1} ms",
+            self.goodput_per_s,
+            float(self.sender_lag_max_us) / MICROS_IN_MILLI
+        )?;
+        write!(f, "wasted {:.2}% of tasks:", self.wasted_percent)?;
+        for (kind, count) in self.wasted.kinds() {
+            write!(f, " {kind} {count},")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for ClassReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{:<14} {:>7} {:>7} {:>6.1}% {:>7.2} {:>7.2} {:>7.2} {:>9.1} ",
+            self.class,
+            self.jobs,
+            self.tasks,
+            self.hit_percent,
+            self.ratio.p50,
+            self.ratio.p90,
+            self.ratio.p99,
+            self.took_ms.p99
+        )?;
+        for count in &self.codes {
+            write!(f, " {}:{}", count.code, count.jobs)?;
+        }
+        match self.unanswered {
+            0 => Ok(()),
+            unanswered => write!(f, " none:{unanswered}"),
+        }
+    }
+}
+
+/// Writes a value as indented JSON.
+pub fn write_json(path: &Path, value: &impl Serialize) -> Result<()> {
+    let text = serde_json::to_string_pretty(value).expect("reports hold only what JSON can write");
+    write_text(path, &(text + "\n"))
+}
+
+/// Writes a text file, making its folder where needed.
+pub fn write_text(path: &Path, text: &str) -> Result<()> {
+    if let Some(folder) = path.parent() {
+        fs::create_dir_all(folder).context(WriteSnafu { path: folder })?;
+    }
+    fs::write(path, text).context(WriteSnafu { path })
+}
