--- a/crates/onyxshed-control/src/process.rs
+++ b/crates/onyxshed-control/src/process.rs
@@ -30,8 +30,10 @@
             return ExitCode::FAILURE;
         }
     };
-    let options =
-        RunOptions { drain_timeout_ms: settings.drain_timeout_ms, ..RunOptions::new(NAME) };
+    let options = RunOptions {
+        drain_timeout_ms: settings.drain_timeout_ms,
+        ..RunOptions::new(NAME)
+    };
     let services = services(&kernel, &settings, telemetry);
     let end = kernel.run(services, options);
     if let RunEnd::Failed(error) = &end {
@@ -74,12 +76,18 @@
 fn set_status(kernel: &Kernel, telemetry: &Telemetry, knowledge: &Rc<Knowledge>) {
     let (kernel, knowledge) = (kernel.clone(), knowledge.clone());
     telemetry.set_status(Box::new(move || {
-        let entry = kernel.find::<EntryLink>(ENTRY_LINK).ok().and_then(|link| link.status());
+        let entry = kernel
+            .find::<EntryLink>(ENTRY_LINK)
+            .ok()
+            .and_then(|link| link.status());
         let details = json!({
             "config_next_offset": knowledge.config_next(),
             "entry_incarnation": entry.as_ref().map(|found| found.incarnation.to_string()),
             "entry_config_revision": entry.and_then(|found| found.config_revision),
         });
-        StatusParts { config_revision: knowledge.revision(), details }
+        StatusParts {
+            config_revision: knowledge.revision(),
+            details,
+        }
     }));
 }
--- a/crates/onyxshed-entry/src/process.rs
+++ b/crates/onyxshed-entry/src/process.rs
@@ -37,8 +37,10 @@
             return ExitCode::FAILURE;
         }
     };
-    let options =
-        RunOptions { drain_timeout_ms: settings.drain_timeout_ms, ..RunOptions::new(NAME) };
+    let options = RunOptions {
+        drain_timeout_ms: settings.drain_timeout_ms,
+        ..RunOptions::new(NAME)
+    };
     let services = services(&kernel, &settings, incarnation, telemetry);
     let end = kernel.run(services, options);
     if let RunEnd::Failed(error) = &end {
@@ -96,7 +98,9 @@
             .ok()
             .and_then(|port| port.snapshot_age())
             .map(|age| age.as_millis());
-        let executors = kernel.find::<Upstreams>(UPSTREAMS).map_or(0, |found| found.count());
+        let executors = kernel
+            .find::<Upstreams>(UPSTREAMS)
+            .map_or(0, |found| found.count());
         let config_revision = engine.look(|machine| machine.config().map(|held| held.revision));
         let details = engine.look(|machine| {
             json!({
@@ -107,7 +111,10 @@
                 "executors": executors,
             })
         });
-        StatusParts { config_revision, details }
+        StatusParts {
+            config_revision,
+            details,
+        }
     }));
 }
 
@@ -128,8 +135,10 @@
 }
 
 fn upstream_options(settings: &EntrySettings) -> UpstreamOptions {
-    let client =
-        ClientOptions { reply_max_bytes: settings.result_max_bytes.0, ..ClientOptions::default() };
+    let client = ClientOptions {
+        reply_max_bytes: settings.result_max_bytes.0,
+        ..ClientOptions::default()
+    };
     UpstreamOptions {
         connections_per_executor: settings.connections_per_executor,
         client,
