--- a/crates/onyxshed-core/src/code.rs
+++ b/crates/onyxshed-core/src/code.rs
@@ -83,7 +83,7 @@
     4006 IdFromFuture 409 "The submission id's time lies ahead of this host's clock; this copy was not started.";
     4007 AnswerDropped 410 "The answer was given once and is no longer kept.";
     4008 NotKnownHere 404 "This entry host knows no such submission.";
-    4009 ClaimsUnreadable 504 "The platform's log can't be read: whether an earlier copy ran can't be told; this copy was not started.";
+    4009 EarlierCopyOpen 504 "Whether an earlier copy of the submission ran can't be told; this copy was not started.";
     4010 CancelledInDoubt 504 "The caller cancelled while a task may have been running.";
     5001 SettingsUnreadable 0 "The settings file can't be read.";
     5002 SettingsInvalid 0 "The settings hold a wrong value.";
--- a/crates/onyxshed-dispatch/src/dispatch.rs
+++ b/crates/onyxshed-dispatch/src/dispatch.rs
@@ -11,7 +11,7 @@
     Event, EventKind, ExecutorName, Incarnation, Mono, Now, ResultCode, SubmissionId, TaskId,
 };
 use onyxshed_policy::Policy;
-use onyxshed_state::{ClaimBook, Config, Member};
+use onyxshed_state::{ClaimBook, ClaimStep, Config, Member};
 use onyxshed_wire::caller::Answer;
 use smol_str::SmolStr;
 
@@ -198,7 +198,7 @@
 
     fn settle_due_job(&mut self, now: Now, id: SubmissionId) {
         match self.jobs.get(id) {
-            Some(Job::Claiming(_)) => self.end_unclaimed(id, ResultCode::ExpiredInQueue, ""),
+            Some(Job::Claiming(_)) => self.end_unclaimed(now, id, ResultCode::ExpiredInQueue),
             Some(Job::Running(job)) if job.is_unstarted() || job.head.end_by <= now.mono => {
                 self.give_up(id, GiveUp::OUT_OF_TIME, "");
             }
@@ -246,12 +246,14 @@
     }
 
     /// Ends a job whose claim was never granted.
-    fn end_unclaimed(&mut self, id: SubmissionId, code: ResultCode, detail: &str) {
+    fn end_unclaimed(&mut self, now: Now, id: SubmissionId, code: ResultCode) {
         let Some(Job::Claiming(job)) = self.jobs.take(id) else {
             return;
         };
         self.release_bytes(&job.payloads);
-        let answer = self.refusal(Some(id), code, detail);
+        let is_readable = self.book.peek(now, id, None) != ClaimStep::Unavailable;
+        let code = caller::unproved(code, job.head.copy, is_readable);
+        let answer = self.refusal(Some(id), code, "");
         self.note(
             Event::new(EventKind::JobRefused)
                 .submission(id)
--- a/crates/onyxshed-dispatch/src/dispatch/caller.rs
+++ b/crates/onyxshed-dispatch/src/dispatch/caller.rs
@@ -6,7 +6,7 @@
 use onyxshed_policy::Admission;
 use onyxshed_state::{ClaimStep, MemberState};
 use onyxshed_wire::ContentHash;
-use onyxshed_wire::caller::{Answer, Submission};
+use onyxshed_wire::caller::{Answer, CopyMark, Submission};
 
 use super::Dispatch;
 use crate::job::{Claiming, GiveUp, Job, JobHead};
@@ -50,7 +50,7 @@
                 .class(&submission.class),
         );
         match self.look_up(now, &submission, content) {
-            Entry::Join => self.join(request, id, content),
+            Entry::Join => self.join(request, id, content, submission.copy),
             Entry::Forward(holder) if !is_forwarded => {
                 self.forward(
                     request,
@@ -77,7 +77,11 @@
             ClaimStep::TooOld => Entry::Refuse(ResultCode::IdTooOld),
             ClaimStep::FromFuture => Entry::Refuse(ResultCode::IdFromFuture),
             ClaimStep::Unavailable if self.may_run_twice(submission) => Entry::StartUnclaimed,
-            ClaimStep::Unavailable => Entry::Refuse(unclaimable(submission.is_first_copy)),
+            ClaimStep::Unavailable => Entry::Refuse(unproved(
+                ResultCode::PlatformUnavailable,
+                submission.copy,
+                false,
+            )),
         }
     }
 
@@ -90,7 +94,7 @@
     }
 
     /// Adds a request to the job that is here, or answers it from the job that ended.
-    fn join(&mut self, request: RequestId, id: SubmissionId, content: ContentHash) {
+    fn join(&mut self, request: RequestId, id: SubmissionId, content: ContentHash, copy: CopyMark) {
         let waiters_max = self.options.waiters_max;
         let is_same = self
             .jobs
@@ -101,7 +105,13 @@
         }
         self.note(Event::new(EventKind::JobJoined).submission(id));
         let waiters = match self.jobs.get_mut(id) {
-            Some(Job::Claiming(job)) => &mut job.waiters,
+            Some(Job::Claiming(job)) => {
+                // The first copy's word no longer holds once another has come: that one may have
+                // been to other hosts on its way here.
+                job.head.copy = job.head.copy.max(copy);
+                &mut job.waiters
+            }
+
             Some(Job::Running(job)) => &mut job.waiters,
             Some(Job::Ended(job)) => {
                 let answer = job.answer(id);
@@ -127,18 +137,24 @@
         entry: &Entry,
     ) {
         let id = submission.submission;
+        let told = |code| match entry {
+            Entry::Start => code,
+            entry => unproved(code, submission.copy, matches!(entry, Entry::Claim)),
+        };
         if let Some(code) = self.closed_for(&submission) {
-            return self.refuse(request, id, code);
+            return self.refuse(request, id, told(code));
         }
         let Some(head) = self.head_of(now, &submission, content) else {
-            return self.refuse(request, id, ResultCode::UnknownClass);
+            return self.refuse(request, id, told(ResultCode::UnknownClass));
         };
+
         let count = submission.tasks.len();
         match self.policy.admit(now, &head.class, count, head.deadline) {
             Admission::Refuse {
                 code,
                 retry_after_ms,
             } => {
+                let code = told(code);
                 self.note_refused(id, code);
                 let answer = Answer::ended(Some(id), code, "").retry_after(retry_after_ms);
                 self.answer(request, answer);
@@ -176,7 +192,7 @@
             content,
             class: submission.class.clone(),
             may_run_twice: target.may_run_twice,
-            is_first_copy: submission.is_first_copy,
+            copy: submission.copy,
             deadline: now.mono + within_us,
             end_by: now.mono + end_us,
         })
@@ -246,7 +262,7 @@
             Some(Job::Claiming(job)) => {
                 job.waiters.push(request);
                 self.note(Event::new(EventKind::JobCancelled).submission(id));
-                self.end_unclaimed(id, ResultCode::CancelledUnstarted, "");
+                self.end_unclaimed(now, id, ResultCode::CancelledUnstarted);
             }
             Some(Job::Running(job)) => {
                 job.waiters.push(request);
@@ -271,7 +287,7 @@
         match self.book.peek(now, id, None) {
             ClaimStep::HeldBy(holder) if !is_forwarded => self.forward(request, id, holder, call),
             ClaimStep::TooOld => self.refuse(request, id, ResultCode::IdTooOld),
-            ClaimStep::Unavailable => self.refuse(request, id, ResultCode::ClaimsUnreadable),
+            ClaimStep::Unavailable => self.refuse(request, id, ResultCode::EarlierCopyOpen),
             _ => self.refuse(request, id, ResultCode::NotKnownHere),
         }
     }
@@ -330,13 +346,15 @@
     }
 }
 
-/// Gets the truth for a submission that may not run while the log can't be read.
+/// Gets the truth for a submission that is refused before the log has given it to this host.
 ///
-/// An earlier copy may have run on another host, whose claim can't be seen from here. Only the
-/// caller's word that there was none makes "not run" true.
-pub(super) fn unclaimable(is_first_copy: bool) -> ResultCode {
-    match is_first_copy {
-        true => ResultCode::PlatformUnavailable,
-        false => ResultCode::ClaimsUnreadable,
+/// Failure guarded against: an earlier copy runs on another host, unseen from here, and the caller is
+/// told "not run". Symptom: it submits the work under another id and it is done twice. So "not run"
+/// needs the caller's word that there is no earlier copy, or a readable log without a claim.
+pub(super) fn unproved(code: ResultCode, copy: CopyMark, is_log_readable: bool) -> ResultCode {
+    match copy {
+        CopyMark::First => code,
+        CopyMark::Unmarked if is_log_readable => code,
+        CopyMark::Unmarked | CopyMark::Again => ResultCode::EarlierCopyOpen,
     }
 }
--- a/crates/onyxshed-dispatch/src/dispatch/claim.rs
+++ b/crates/onyxshed-dispatch/src/dispatch/claim.rs
@@ -4,11 +4,11 @@
 use onyxshed_policy::Work;
 use onyxshed_state::claim::AppendFailure;
 use onyxshed_state::{Settled, Verdict};
-use onyxshed_wire::caller::Submission;
+use onyxshed_wire::caller::{CopyMark, Submission};
 use onyxshed_wire::platform::Record;
 
 use super::Dispatch;
-use super::caller::unclaimable;
+
 use crate::job::{Claiming, Job};
 use crate::output::{ForwardedCall, Output};
 
@@ -52,7 +52,7 @@
                 self.note(Event::new(EventKind::ClaimLost).submission(id).party(party));
                 self.hand_over(id, holder);
             }
-            Verdict::OtherContent => self.end_unclaimed(id, ResultCode::OtherContent, ""),
+            Verdict::OtherContent => self.end_unclaimed(now, id, ResultCode::OtherContent),
             Verdict::Failed => self.claim_failed(now, id),
         }
     }
@@ -90,10 +90,9 @@
         let Some(job) = self.claiming_mut(id) else {
             return;
         };
-        let (may_run_twice, is_first_copy) = (job.head.may_run_twice, job.head.is_first_copy);
-        match may_run_twice {
+        match job.head.may_run_twice {
             true => self.start_unclaimed(now, id),
-            false => self.end_unclaimed(id, unclaimable(is_first_copy), ""),
+            false => self.end_unclaimed(now, id, ResultCode::PlatformUnavailable),
         }
     }
 
@@ -107,7 +106,7 @@
             submission: id,
             class: job.head.class,
             deadline_ms: None,
-            is_first_copy: false,
+            copy: CopyMark::Again,
             tasks: job
                 .payloads
                 .iter()
--- a/crates/onyxshed-dispatch/src/job.rs
+++ b/crates/onyxshed-dispatch/src/job.rs
@@ -13,6 +13,7 @@
 
 use onyxshed_core::{ClassName, Mono, SubmissionId};
 use onyxshed_wire::ContentHash;
+use onyxshed_wire::caller::CopyMark;
 
 /// What stays the same from arrival to end.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -25,8 +26,8 @@
     pub class: ClassName,
     /// Whether its tasks may run more than once.
     pub may_run_twice: bool,
-    /// Whether the caller has never sent this id before.
-    pub is_first_copy: bool,
+    /// What the caller says of other copies.
+    pub copy: CopyMark,
     /// When it has to be finished; it does not begin after this.
     pub deadline: Mono,
     /// When it is given up even if it has begun.
--- a/crates/onyxshed-load/src/direct.rs
+++ b/crates/onyxshed-load/src/direct.rs
@@ -8,7 +8,7 @@
 use http_types::Method;
 use onyxshed_core::{Incarnation, ResultCode, SubmissionId, TaskId};
 use onyxshed_http::{CallError, ClientOptions, Connection};
-use onyxshed_wire::caller::{Answer, JOBS_PATH, Submission};
+use onyxshed_wire::caller::{Answer, CopyMark, JOBS_PATH, Submission};
 use onyxshed_wire::upstream::{
     CLASS_HEADER, LEASE_HEADER, STARTER_HEADER, STATE_HEADER, TaskState, task_path,
 };
@@ -143,7 +143,7 @@
             },
             class: class_name(&self.options.class),
             deadline_ms: None,
-            is_first_copy: true,
+            copy: CopyMark::First,
             tasks: vec![payload(self.options.service_ms)],
         };
         let body = serde_json::to_vec(&job).expect("submissions hold only what JSON can write");
--- a/crates/onyxshed-load/src/idle.rs
+++ b/crates/onyxshed-load/src/idle.rs
@@ -10,7 +10,7 @@
 use http_types::Method;
 use onyxshed_core::SubmissionId;
 use onyxshed_http::{ClientOptions, Connection};
-use onyxshed_wire::caller::{Answer, JOBS_PATH, Submission};
+use onyxshed_wire::caller::{Answer, CopyMark, JOBS_PATH, Submission};
 use serde::Serialize;
 use smol_str::SmolStr;
 
@@ -114,7 +114,7 @@
         submission: SubmissionId::unbound(fresh_ulid(rand::random())),
         class: class_name(class),
         deadline_ms: None,
-        is_first_copy: true,
+        copy: CopyMark::First,
         tasks: vec![payload(options.service_ms)],
     };
     let body = serde_json::to_vec(&job).expect("submissions hold only what JSON can write");
--- a/crates/onyxshed-load/src/run.rs
+++ b/crates/onyxshed-load/src/run.rs
@@ -8,6 +8,7 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use onyxshed_core::{ClassName, SubmissionId};
+use onyxshed_wire::caller::CopyMark;
 use onyxshed_wire::caller::Submission;
 use ulid::Ulid;
 
@@ -94,7 +95,7 @@
             submission: self.callers.bind(job.draw, id),
             class: class_name(load.class),
             deadline_ms: None,
-            is_first_copy: true,
+            copy: CopyMark::First,
             tasks: job.service_ms.iter().map(|ms| payload(*ms)).collect(),
         }
     }
--- a/crates/onyxshed-wire/src/caller.rs
+++ b/crates/onyxshed-wire/src/caller.rs
@@ -18,6 +18,30 @@
 /// Header that marks a request passed on by another entry host, so that it is not passed on again.
 pub const FORWARDED_HEADER: &str = "onyxshed-forwarded";
 
+/// What a caller says of other copies of its submission.
+///
+/// It decides what may be said of a copy that is refused before the log has given this host the
+/// submission: an earlier copy may be under way on another host without being seen from here.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CopyMark {
+    /// No copy was sent before: a refusal is "not run".
+    First,
+    /// Nothing is said: a refusal is "not run" while the log is readable and shows no claim.
+    #[default]
+    Unmarked,
+    /// A copy was sent before and its answer is open: a refusal is "not run" only when this host
+    /// holds the submission.
+    Again,
+}
+
+impl CopyMark {
+    /// Tells whether nothing is said.
+    pub fn is_unmarked(&self) -> bool {
+        *self == CopyMark::Unmarked
+    }
+}
+
 /// Body of `POST /v1/jobs`.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,10 +55,9 @@
     /// arrival.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub deadline_ms: Option<Millis>,
-    /// Whether the caller has never sent this id before. Only then can a host that is unable to
-    /// read the log tell that nothing ran.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub is_first_copy: bool,
+    /// What the caller says of other copies of this submission.
+    #[serde(default, skip_serializing_if = "CopyMark::is_unmarked")]
+    pub copy: CopyMark,
     /// One opaque payload a task, in base64.
     #[serde_as(as = "Vec<Base64>")]
     pub tasks: Vec<Vec<u8>>,
