--- /dev/null
+++ b/crates/onyxshed-policy/src/executor/sharing.rs
@@ -0,0 +1,90 @@
+//! What other entry hosts are believed to have running on an executor.
+//!
+//! Each answer tells how much runs on the executor; what is not ours is theirs. The belief is as
+//! old as the last answer and fades towards the long-run mean.
+
+use onyxshed_core::{Micros, Mono};
+use onyxshed_wire::upstream::LoadReport;
+
+use crate::span::as_us;
+
+/// Weight of the newest report in the long run.
+const ALPHA: f64 = 0.1;
+
+/// The belief about one executor.
+#[derive(Debug, Clone, Default)]
+pub struct Sharing {
+    others: f64,
+    others_mean: f64,
+    is_full: bool,
+    at: Option<Mono>,
+}
+
+/// What may be started on an executor by the belief.
+#[derive(Debug, Clone, Copy)]
+pub struct Room {
+    /// Tasks of ours it may hold at once.
+    pub limit: f64,
+    /// Tasks of ours in flight there.
+    pub in_flight: u32,
+    /// Entry hosts that share it.
+    pub sharers: u32,
+    /// Time after which a report says nothing more: the mean service time.
+    pub fade: Micros,
+}
+
+impl Sharing {
+    /// Takes in a report made when `in_flight` tasks of ours were there, the answered one left out.
+    pub fn observe(&mut self, now: Mono, load: &LoadReport, in_flight: u32, slots: u32) {
+        let there = load.running + load.queued;
+        let others = f64::from(there.saturating_sub(in_flight));
+        let alpha = if self.at.is_none() { 1.0 } else { ALPHA };
+        self.others = others;
+        self.others_mean += alpha * (others - self.others_mean);
+        self.is_full = there >= slots;
+        self.at = Some(now);
+    }
+
+    /// Gets how many tasks of others are believed to be there.
+    pub fn others(&self, now: Mono, fade: Micros) -> f64 {
+        let weight = self.weight(now, fade);
+        weight * self.others + (1.0 - weight) * self.others_mean
+    }
+
+    /// Gets how many tasks of others are there in the long run.
+    pub fn others_mean(&self) -> f64 {
+        self.others_mean
+    }
+
+    /// Tells whether one more task may be started.
+    ///
+    /// Within its share of the slots a host goes by its own count, unless a fresh report says that
+    /// all are taken: then the start would only be refused or wait there. Beyond its share it
+    /// borrows, only on a fresh report and only while a further slot stays idle, so that a host
+    /// that wants its own share back finds room.
+    pub fn may_start(&self, now: Mono, room: Room) -> bool {
+        let in_flight = f64::from(room.in_flight);
+        if in_flight + 1.0 > room.limit {
+            return false;
+        }
+        if room.sharers <= 1 {
+            return true;
+        }
+        let share = (room.limit / f64::from(room.sharers)).ceil();
+        let weight = self.weight(now, room.fade);
+        let free = room.limit - self.others(now, room.fade) - in_flight;
+        if in_flight + 1.0 <= share {
+            return free >= 1.0 || !(self.is_full && weight > FRESH_FROM);
+        }
+        weight > FRESH_FROM && free >= 2.0
+    }
+
+    fn weight(&self, now: Mono, fade: Micros) -> f64 {
+        self.at.map_or(0.0, |at| {
+            (-as_us(now.since(at)) / as_us(fade).max(1.0)).exp()
+        })
+    }
+}
+
+/// Weight from which on a report counts as fresh: about one mean service time old.
+const FRESH_FROM: f64 = 0.35;
--- a/crates/onyxshed-policy/src/policy.rs
+++ b/crates/onyxshed-policy/src/policy.rs
@@ -1,168 +1,242 @@
 //! The policy as a whole: admission, order, placement and what follows an attempt.
 
-use std::collections::{BTreeMap, VecDeque};
-
-use onyxshed_core::{ClassName, ClassTarget, ExecutorName, Millis, Mono, Now, ResultCode, TaskId};
-
-use crate::work::{Admission, AttemptEnd, ExecutorInfo, NextStep, RetryStep, Verdict, Work};
+mod end;
+mod hedge;
+mod intake;
+mod start;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use onyxshed_core::{ClassName, ClassTarget, ExecutorName, Mono, Now, TaskId, UpstreamName};
+use onyxshed_wire::upstream::LoadReport;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::blame::JobFaults;
+use crate::class::Class;
+use crate::executor::breaker::BreakerChange;
+use crate::fleet::{Fleet, Seat};
+use crate::note::{Note, Notes, Waste};
+use crate::placement::{Placement, PlacementKind};
+use crate::running::Running;
+use crate::upstream::Upstream;
+use crate::work::{ExecutorInfo, Expired};
 
 /// Limits of the policy.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PolicyOptions {
     /// Most tasks waiting. Default 20,000.
     pub queue_max: usize,
+    /// How executors are chosen. Default least expected finish; the others are baselines.
+    pub placement: PlacementKind,
 }
 
 impl Default for PolicyOptions {
     fn default() -> Self {
-        PolicyOptions { queue_max: 20_000 }
+        PolicyOptions {
+            queue_max: 20_000,
+            placement: PlacementKind::default(),
+        }
     }
 }
 
-#[derive(Debug)]
-struct Executor {
-    info: ExecutorInfo,
-    in_flight: u32,
-}
-
 /// The policy's state.
 #[derive(Debug)]
 pub struct Policy {
     options: PolicyOptions,
-    classes: BTreeMap<ClassName, ClassTarget>,
-    executors: BTreeMap<ExecutorName, Executor>,
-    queue: VecDeque<Work>,
-    running: BTreeMap<TaskId, Work>,
+    rng: SmallRng,
+    sharers: u32,
+    classes: BTreeMap<ClassName, Class>,
+    fleet: Fleet,
+    upstreams: BTreeMap<UpstreamName, Upstream>,
+    ready: BTreeSet<UpstreamName>,
+    wakes: BTreeSet<(Mono, UpstreamName)>,
+    last_served: Option<UpstreamName>,
+    waiting: usize,
+    running: BTreeMap<TaskId, Running>,
+    hedges: BTreeSet<(Mono, TaskId)>,
+    hopeless: Vec<Expired>,
+    jobs: JobFaults,
+    placement: Placement,
+    notes: Notes,
+    waste: Waste,
 }
 
 impl Policy {
     /// Makes a policy; `seed` feeds every draw it makes.
-    pub fn new(options: PolicyOptions, _seed: u64) -> Self {
+    pub fn new(options: PolicyOptions, seed: u64) -> Self {
         Policy {
+            placement: Placement::new(options.placement),
             options,
+            rng: SmallRng::seed_from_u64(seed),
+            sharers: 1,
             classes: BTreeMap::new(),
-            executors: BTreeMap::new(),
-            queue: VecDeque::new(),
+            fleet: Fleet::default(),
+            upstreams: BTreeMap::new(),
+            ready: BTreeSet::new(),
+            wakes: BTreeSet::new(),
+            last_served: None,
+            waiting: 0,
             running: BTreeMap::new(),
+            hedges: BTreeSet::new(),
+            hopeless: Vec::new(),
+            jobs: JobFaults::default(),
+            notes: Notes::default(),
+            waste: Waste::default(),
         }
     }
 
     /// Sets the classes in force.
+    ///
+    /// Tasks of a class that is left out, or moved to another upstream, still run.
     pub fn set_classes(&mut self, _now: Now, classes: &BTreeMap<ClassName, ClassTarget>) {
-        self.classes = classes.clone();
+        for class in self.classes.values_mut() {
+            class.is_configured = false;
+        }
+        for (name, target) in classes {
+            self.set_class(name, target);
+        }
+        let upstreams = &self.upstreams;
+        self.classes.retain(|name, class| {
+            let queue = upstreams.get(&class.target.upstream).map(|u| &u.queue);
+            let waiting = queue.map_or(0, |queue| queue.class_len(name));
+            class.is_configured || class.in_flight > 0 || waiting > 0
+        });
     }
 
     /// Sets the executors known; those left out get no new work.
-    pub fn set_executors(&mut self, _now: Now, executors: &[ExecutorInfo]) {
-        let mut known = std::mem::take(&mut self.executors);
-        for info in executors {
-            let in_flight = known
-                .remove(&info.name)
-                .map_or(0, |executor| executor.in_flight);
-            let executor = Executor {
-                info: info.clone(),
-                in_flight,
-            };
-            self.executors.insert(info.name.clone(), executor);
+    pub fn set_executors(&mut self, now: Now, executors: &[ExecutorInfo]) {
+        for id in self.fleet.set(executors) {
+            self.classes
+                .values_mut()
+                .for_each(|class| class.faults.forget(id));
+        }
+        for upstream in self.upstreams.values_mut() {
+            upstream.members.clear();
+            upstream.touch();
         }
+        for (seat, executor) in self.fleet.iter().filter(|(_, executor)| !executor.is_gone) {
+            let name = executor.info.upstream.clone();
+            self.upstreams.entry(name).or_default().members.push(seat);
+        }
+        self.ready.extend(self.upstreams.keys().cloned());
+        let is_used =
+            |upstream: &Upstream| !upstream.members.is_empty() || !upstream.queue.is_empty();
+        self.upstreams.retain(|_, upstream| is_used(upstream));
+        self.upstreams
+            .values_mut()
+            .for_each(|upstream| upstream.refresh(now.mono, &self.fleet, self.sharers));
     }
 
     /// Sets how many live entry hosts share this zone's executors, this one included.
-    pub fn set_sharers(&mut self, _now: Now, _sharers: u32) {}
-
-    /// Decides whether to take in a job of `tasks` tasks that must end by `deadline`.
-    pub fn admit(
-        &mut self,
-        _now: Now,
-        class: &ClassName,
-        tasks: usize,
-        _deadline: Mono,
-    ) -> Admission {
-        let refuse = |code| Admission::Refuse {
-            code,
-            retry_after_ms: Millis(1_000),
-        };
-        if !self.classes.contains_key(class) {
-            return refuse(ResultCode::UnknownClass);
-        }
-        if self.queue.len() + tasks > self.options.queue_max {
-            return refuse(ResultCode::Overloaded);
+    pub fn set_sharers(&mut self, _now: Now, sharers: u32) {
+        self.sharers = sharers.max(1);
+        self.upstreams.values_mut().for_each(Upstream::touch);
+        self.ready.extend(self.upstreams.keys().cloned());
+    }
+
+    /// Takes in a load report that came otherwise than with an attempt's end.
+    pub fn reported(&mut self, now: Now, executor: &ExecutorName, load: &LoadReport) {
+        if let Some(seat) = self.fleet.seat(executor) {
+            self.take_report(now.mono, seat, load);
+            self.wake_upstream_of(seat);
         }
-        Admission::Accept
     }
 
-    /// Queues a task.
-    pub fn enqueue(&mut self, _now: Now, work: Work) {
-        self.queue.push_back(work);
+    /// Gets the executors that still run a copy of the task.
+    pub fn copies_of(&self, task: TaskId) -> Vec<ExecutorName> {
+        let attempts = self.running.get(&task).map(|running| &running.attempts);
+        let seats = attempts.into_iter().flatten().map(|attempt| attempt.seat);
+        let executors = seats.filter_map(|seat| self.fleet.get(seat));
+        executors
+            .map(|executor| executor.info.name.clone())
+            .collect()
     }
 
-    /// Takes a waiting task out of the queue; false if it was not waiting.
-    pub fn withdraw(&mut self, task: TaskId) -> bool {
-        let before = self.queue.len();
-        self.queue.retain(|work| work.task != task);
-        self.queue.len() < before
+    /// Takes out what happened that people should read about, oldest first.
+    pub fn drain_notes(&mut self) -> Vec<Note> {
+        self.notes.drain()
     }
 
-    /// Decides what to start now.
-    pub fn next(&mut self, _now: Now) -> NextStep {
-        let Some(work) = self.queue.front() else {
-            return NextStep::Idle;
-        };
-        let Some(target) = self.classes.get(&work.class) else {
-            return NextStep::Idle;
-        };
-        let free = self.executors.values_mut().filter(|executor| {
-            executor.info.upstream == target.upstream
-                && !executor.info.is_leaving
-                && executor.in_flight < executor.info.slots
-        });
-        let Some(executor) = free.min_by_key(|executor| executor.in_flight) else {
-            return NextStep::Idle;
+    /// Gets the counts of messages that served no answer.
+    pub fn waste(&self) -> Waste {
+        self.waste
+    }
+
+    /// Gets the number of tasks waiting.
+    pub fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    fn set_class(&mut self, name: &ClassName, target: &ClassTarget) {
+        let Some(class) = self.classes.get_mut(name) else {
+            self.classes
+                .insert(name.clone(), Class::new(target.clone()));
+            return;
         };
-        executor.in_flight += 1;
-        let executor = executor.info.name.clone();
-        let work = self
-            .queue
-            .pop_front()
-            .expect("the front was just looked at");
-        let task = work.task;
-        self.running.insert(task, work);
-        NextStep::Start {
-            task,
-            executor,
-            is_hedge: false,
+        let old = class.target.upstream.clone();
+        class.update(target);
+        if old == target.upstream {
+            return;
         }
+        let moved = self
+            .upstreams
+            .get_mut(&old)
+            .map(|upstream| upstream.queue.take_class(name));
+        let queue = &mut self
+            .upstreams
+            .entry(target.upstream.clone())
+            .or_default()
+            .queue;
+        moved
+            .into_iter()
+            .flatten()
+            .for_each(|ticket| queue.push(ticket, None));
+        self.ready.insert(target.upstream.clone());
     }
 
-    /// Takes in an attempt's end and decides what becomes of its task.
-    ///
-    /// For [`Verdict::Finished`] the step has no meaning.
-    pub fn ended(&mut self, _now: Now, end: &AttemptEnd) -> RetryStep {
-        if let Some(executor) = self.executors.get_mut(&end.executor) {
-            executor.in_flight = executor.in_flight.saturating_sub(1);
+    fn take_report(&mut self, now: Mono, seat: Seat, load: &LoadReport) {
+        if let Some(executor) = self.fleet.get_mut(seat) {
+            let slots = executor.info.slots;
+            executor
+                .sharing
+                .observe(now, load, executor.in_flight, slots);
+            executor.draining(now, load.is_draining);
         }
-        let work = self.running.remove(&end.task);
-        match (end.verdict, work) {
-            (Verdict::Refused | Verdict::Unsent, Some(work)) => {
-                self.queue.push_back(work);
-                RetryStep::Queued
-            }
-            (Verdict::Lost, _) => RetryStep::GiveUp(ResultCode::ConnectionLost),
-            (Verdict::Lapsed, _) => RetryStep::GiveUp(ResultCode::LeaseLapsed),
-            _ => RetryStep::GiveUp(ResultCode::TaskFailed),
+    }
+
+    fn wake_upstream_of(&mut self, seat: Seat) {
+        let Some(executor) = self.fleet.get(seat) else {
+            return;
+        };
+        if let Some(upstream) = self.upstreams.get_mut(&executor.info.upstream) {
+            upstream.freed(seat);
+            self.ready.insert(executor.info.upstream.clone());
         }
     }
 
-    /// Takes out the waiting tasks whose deadline has passed.
-    pub fn expired(&mut self, now: Now) -> Vec<TaskId> {
-        let late = |work: &Work| work.deadline <= now.mono;
-        let expired = self
-            .queue
-            .iter()
-            .filter(|work| late(work))
-            .map(|work| work.task)
-            .collect();
-        self.queue.retain(|work| !late(work));
-        expired
+    fn draw(&mut self) -> f64 {
+        self.rng.random_range(0.0..1.0)
+    }
+
+    fn note_breaker(&mut self, seat: Seat, change: Option<BreakerChange>) {
+        let (Some(change), Some(executor)) = (change, self.fleet.get_mut(seat)) else {
+            return;
+        };
+        let name = executor.info.name.clone();
+        let note = match change {
+            BreakerChange::Opened(reason) => Note::BreakerOpened {
+                executor: name,
+                reason,
+            },
+            BreakerChange::Closed => {
+                executor.limit.ramp();
+                Note::BreakerClosed { executor: name }
+            }
+        };
+        if let Some(upstream) = self.upstreams.get_mut(&executor.info.upstream) {
+            upstream.touch();
+        }
+        self.notes.push(note);
     }
 }
--- /dev/null
+++ b/crates/onyxshed-policy/src/policy/end.rs
@@ -0,0 +1,339 @@
+//! What an attempt's end teaches, and what becomes of its task.
+
+use onyxshed_core::{Micros, Millis, Mono, Now, ResultCode};
+
+use super::Policy;
+use crate::blame::{ClassChange, JobFault};
+use crate::executor::breaker::{Breaker, BreakerReason, Sign};
+use crate::fleet::Seat;
+use crate::note::Note;
+use crate::queue::Ticket;
+use crate::running::Attempt;
+use crate::span::{as_us, to_micros};
+use crate::work::{AttemptEnd, RetryStep, Verdict};
+
+/// Wait after the first refused start, in milliseconds.
+const BACKOFF_FIRST: Millis = Millis(4);
+
+/// Doublings of that wait; the longest is half a second.
+const BACKOFF_DOUBLINGS_MAX: u32 = 7;
+
+/// Refused or unsent starts of one task before it is given up.
+const BOUNCES_MAX: u32 = 16;
+
+/// Evidence against an executor that tries out slow again: enough to open the breaker.
+const STILL_SLOW: f64 = 10.0;
+
+impl Policy {
+    /// Takes in an attempt's end and decides what becomes of its task.
+    ///
+    /// For [`Verdict::Finished`] the step has no meaning; other copies that still run are told by
+    /// [`Policy::copies_of`].
+    pub fn ended(&mut self, now: Now, end: &AttemptEnd) -> RetryStep {
+        let now = now.mono;
+        let seat = self.fleet.seat(&end.executor);
+        let attempt = seat.and_then(|seat| self.running.get_mut(&end.task)?.remove(seat));
+        let (Some(seat), Some(attempt)) = (seat, attempt) else {
+            return RetryStep::GiveUp(plain_code(end.verdict));
+        };
+        self.learn(now, end, attempt);
+        let step = self.decide(now, end, seat);
+        self.wake_upstream_of(seat);
+        if let Some(id) = self.fleet.remove_if_done(seat) {
+            self.classes
+                .values_mut()
+                .for_each(|class| class.faults.forget(id));
+        }
+        step
+    }
+
+    /// Takes in what the end says of the executor, the class and the job.
+    fn learn(&mut self, now: Mono, end: &AttemptEnd, attempt: Attempt) {
+        let seat = attempt.seat;
+        let was_heard = !matches!(end.verdict, Verdict::Unsent | Verdict::Lost);
+        if let Some(executor) = self.fleet.get_mut(seat) {
+            executor.ended(now, was_heard);
+        }
+        if let Some(load) = &end.load {
+            self.take_report(now, seat, load);
+        }
+        self.count(end, attempt);
+        let sign = match end.verdict {
+            Verdict::Finished => self.learn_finished(now, end, attempt),
+            Verdict::Failed => self.learn_failed(end, seat, BreakerReason::Failing),
+            Verdict::Lapsed => self.learn_failed(end, seat, BreakerReason::Lapsing),
+            Verdict::Refused => self.learn_refused(end, seat),
+            Verdict::Unsent | Verdict::Lost => Sign::Unanswered,
+            Verdict::Stopped => Sign::None,
+        };
+        let draw = self.draw();
+        let breaker = self
+            .fleet
+            .get_mut(seat)
+            .map(|executor| &mut executor.breaker);
+        let change = breaker.and_then(|b| b.ended(now, sign, attempt.is_probe, draw));
+        self.note_breaker(seat, change);
+    }
+
+    fn count(&mut self, end: &AttemptEnd, attempt: Attempt) {
+        match end.verdict {
+            Verdict::Refused => self.waste.refusals += 1,
+            Verdict::Unsent => self.waste.unsent += 1,
+            Verdict::Stopped => self.waste.stopped += 1,
+            Verdict::Finished | Verdict::Failed | Verdict::Lapsed | Verdict::Lost => {}
+        }
+        let has_failed = end.verdict != Verdict::Finished;
+        self.waste.failed_probes += u64::from(attempt.is_probe && has_failed);
+        let ticket = self.running.get(&end.task).map(|running| &running.ticket);
+        let class = ticket.and_then(|ticket| self.classes.get_mut(&ticket.work.class));
+        if let Some(class) = class {
+            class.in_flight = class.in_flight.saturating_sub(1);
+        }
+    }
+
+    fn learn_finished(&mut self, now: Mono, end: &AttemptEnd, attempt: Attempt) -> Sign {
+        let Some(executor) = self.fleet.get_mut(attempt.seat) else {
+            return Sign::Good;
+        };
+        let Some(running) = self.running.get(&end.task) else {
+            return Sign::Good;
+        };
+        let class_name = running.ticket.work.class.clone();
+        let Some(class) = self.classes.get_mut(&class_name) else {
+            return Sign::Good;
+        };
+        let change = class.faults.finished(executor.id);
+        let ratio = end
+            .service_us
+            .and_then(|service| class.estimate.ratio(service));
+        if let Some(ratio) = ratio {
+            executor.speed.observe(now, ratio);
+        }
+        let upstream = self.upstreams.get_mut(&executor.info.upstream);
+        let slowdown = executor.speed.slowdown(now);
+        if let Some(service) = end.service_us {
+            class.estimate.observe(service, slowdown);
+        }
+        if let Some(upstream) = upstream {
+            upstream.retries.finished();
+            upstream.hedges.finished();
+            if let Some(service) = end.service_us {
+                upstream.finished(as_us(service) / slowdown);
+            }
+        }
+        let (in_flight, slots) = (executor.in_flight, executor.info.slots);
+        let worsening = executor.speed.worsening();
+        executor.limit.finished(slots, in_flight, worsening);
+        let sign = good_or_slow(executor, attempt, ratio);
+        if change == Some(ClassChange::Cleared) {
+            self.notes.push(Note::ClassCleared { class: class_name });
+        }
+        sign
+    }
+
+    fn learn_failed(&mut self, end: &AttemptEnd, seat: Seat, reason: BreakerReason) -> Sign {
+        let job = end.task.submission;
+        let (Some(executor), Some(running)) = (self.fleet.get(seat), self.running.get(&end.task))
+        else {
+            return Sign::None;
+        };
+        let name = running.ticket.work.class.clone();
+        let Some(class) = self.classes.get_mut(&name) else {
+            return Sign::None;
+        };
+        // A job's tasks fail alike: counted again, one bad job would condemn the executor.
+        let was_suspect = self.jobs.has_failed(job);
+        let fault = self.jobs.failed(job, executor.id);
+        if fault == JobFault::Known {
+            return Sign::Bad {
+                weight: 0.0,
+                reason,
+            };
+        }
+        let weight = if was_suspect {
+            0.0
+        } else {
+            class.faults.weight_against(executor.id)
+        };
+        if class.faults.failed(executor.id, job) == Some(ClassChange::Blamed) {
+            self.notes.push(Note::ClassBlamed {
+                class: name.clone(),
+            });
+        }
+        if fault == JobFault::Blamed {
+            self.notes.push(Note::JobBlamed {
+                submission: job,
+                class: name,
+            });
+        }
+        Sign::Bad { weight, reason }
+    }
+
+    fn learn_refused(&mut self, end: &AttemptEnd, seat: Seat) -> Sign {
+        if let Some(executor) = self.fleet.get_mut(seat) {
+            // A refusal without a report came by way of a stop and says nothing of the load.
+            let is_explained = end.load.is_none_or(|load| {
+                load.is_draining || load.running + load.queued >= executor.info.slots
+            });
+            if !is_explained {
+                executor.limit.refused();
+            }
+        }
+        Sign::Answered
+    }
+
+    fn decide(&mut self, now: Mono, end: &AttemptEnd, seat: Seat) -> RetryStep {
+        let executor_id = self.fleet.get(seat).map(|executor| executor.id);
+        let code = self.attempt_code(now, end, seat);
+        let Some(running) = self.running.get_mut(&end.task) else {
+            return RetryStep::GiveUp(code);
+        };
+        let may_have_started = !matches!(end.verdict, Verdict::Refused | Verdict::Unsent);
+        if may_have_started {
+            running.ticket.started_code = Some(code);
+            running.ticket.failed_on.extend(executor_id);
+        }
+        if end.verdict == Verdict::Finished {
+            running.is_over = true;
+        }
+        if !running.attempts.is_empty() {
+            return RetryStep::Wait;
+        }
+        let is_over = running.is_over || end.verdict == Verdict::Stopped;
+        self.forget_hedge(end.task);
+        let Some(running) = self.running.remove(&end.task) else {
+            return RetryStep::GiveUp(code);
+        };
+        if is_over {
+            return RetryStep::GiveUp(running.ticket.started_code.unwrap_or(code));
+        }
+        if may_have_started {
+            self.retry(now, running.ticket, code)
+        } else {
+            self.bounce(now, running.ticket, end.verdict, seat)
+        }
+    }
+
+    /// Queues again a task that was provably not started.
+    fn bounce(&mut self, now: Mono, mut ticket: Ticket, verdict: Verdict, seat: Seat) -> RetryStep {
+        ticket.bounces += 1;
+        ticket.bounced_at = Some(seat);
+        let at = now + self.backoff(ticket.bounces);
+        let is_in_time = at + self.least_time(&ticket) < ticket.work.deadline;
+        let code = match (verdict, is_in_time) {
+            (Verdict::Unsent, _) => ResultCode::NoUpstream,
+            (_, false) => ResultCode::ExpiredInQueue,
+            (_, true) => ResultCode::RefusedByUpstream,
+        };
+        let code = ticket.started_code.unwrap_or(code);
+        let may_go_on = is_in_time && ticket.bounces < BOUNCES_MAX;
+        if !may_go_on || (verdict == Verdict::Refused && !self.take_retry(&ticket)) {
+            return RetryStep::GiveUp(code);
+        }
+        self.put(ticket, Some(at));
+        RetryStep::Queued
+    }
+
+    /// Queues again a task that ran or may have run, if that is allowed and of use.
+    fn retry(&mut self, now: Mono, ticket: Ticket, code: ResultCode) -> RetryStep {
+        let is_in_time = now + self.least_time(&ticket) < ticket.work.deadline;
+        let may_go_on = ticket.work.may_run_twice && is_in_time && code != ResultCode::NeverRuns;
+        if !may_go_on || !self.has_other(now, &ticket) || !self.take_retry(&ticket) {
+            return RetryStep::GiveUp(code);
+        }
+        self.waste.retries += 1;
+        self.put(ticket, None);
+        RetryStep::Queued
+    }
+
+    fn attempt_code(&self, now: Mono, end: &AttemptEnd, seat: Seat) -> ResultCode {
+        let executor = self.fleet.get(seat);
+        let is_silent = executor.is_some_and(|executor| {
+            executor.is_quiet(now) || executor.breaker.reason() == Some(BreakerReason::Silent)
+        });
+        let class = self.running.get(&end.task).map(|r| &r.ticket.work.class);
+        let class = class.and_then(|name| self.classes.get(name));
+        let is_blamed = class.is_some_and(|class| class.faults.is_blamed())
+            || self.jobs.is_blamed(end.task.submission);
+        match end.verdict {
+            Verdict::Lost if is_silent => ResultCode::UpstreamSilent,
+            Verdict::Failed if is_blamed => ResultCode::NeverRuns,
+            verdict => plain_code(verdict),
+        }
+    }
+
+    fn backoff(&mut self, bounces: u32) -> Micros {
+        let doublings = (bounces - 1).min(BACKOFF_DOUBLINGS_MAX);
+        let wait_us = Micros::from(BACKOFF_FIRST).0 << doublings;
+        to_micros(wait_us as f64 * (0.5 + self.draw()))
+    }
+
+    fn take_retry(&mut self, ticket: &Ticket) -> bool {
+        if !self.placement.kind().is_guarded() {
+            return true;
+        }
+        let class = self.classes.get(&ticket.work.class);
+        let upstream = class.and_then(|class| self.upstreams.get_mut(&class.target.upstream));
+        upstream.is_some_and(|upstream| upstream.retries.take())
+    }
+
+    /// Gets the least time that the task needs once it is started.
+    fn least_time(&self, ticket: &Ticket) -> Micros {
+        let class = self.classes.get(&ticket.work.class);
+        let upstream = class.and_then(|class| self.upstreams.get(&class.target.upstream));
+        match (class, upstream) {
+            (Some(class), Some(upstream)) => class.floor(upstream.capacity.fastest()),
+            _ => Micros(0),
+        }
+    }
+
+    fn has_other(&self, now: Mono, ticket: &Ticket) -> bool {
+        let class = self.classes.get(&ticket.work.class);
+        let upstream = class.and_then(|class| self.upstreams.get(&class.target.upstream));
+        let members = upstream.map(|upstream| upstream.members.as_slice());
+        members.into_iter().flatten().any(|seat| {
+            self.fleet.get(*seat).is_some_and(|executor| {
+                executor.is_live(now) && !ticket.failed_on.contains(&executor.id)
+            })
+        })
+    }
+}
+
+/// A finished task is a good sign, unless it tried out a slow executor that is slow still.
+fn good_or_slow(
+    executor: &mut crate::executor::Executor,
+    attempt: Attempt,
+    ratio: Option<f64>,
+) -> Sign {
+    let slow = Sign::Bad {
+        weight: STILL_SLOW,
+        reason: BreakerReason::Slow,
+    };
+    if attempt.is_probe {
+        let samples = executor.speed.samples();
+        let is_slow = ratio.is_some_and(|ratio| Breaker::is_slow(ratio, samples.max(4)));
+        if !is_slow {
+            executor.speed.reset();
+        }
+        return if is_slow { slow } else { Sign::Good };
+    }
+    let recent = executor.speed.recent_slowdown();
+    if Breaker::is_slow(recent, executor.speed.samples()) {
+        slow
+    } else {
+        Sign::Good
+    }
+}
+
+/// Gets the code that an attempt's end stands for by itself.
+fn plain_code(verdict: Verdict) -> ResultCode {
+    match verdict {
+        Verdict::Finished => ResultCode::Complete,
+        Verdict::Failed => ResultCode::TaskFailed,
+        Verdict::Refused => ResultCode::RefusedByUpstream,
+        Verdict::Lapsed => ResultCode::LeaseLapsed,
+        Verdict::Stopped => ResultCode::Cancelled,
+        Verdict::Unsent => ResultCode::NoUpstream,
+        Verdict::Lost => ResultCode::ConnectionLost,
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-policy/src/policy/intake.rs
@@ -0,0 +1,206 @@
+//! What comes in, and what leaves the queue without being started.
+
+use onyxshed_core::{ClassName, Micros, Millis, Mono, Now, ResultCode, TaskId};
+
+use super::Policy;
+use crate::admission::{Outlook, longest_q};
+use crate::class::Class;
+use crate::queue::{Depth, Ticket};
+use crate::span::as_us;
+use crate::upstream::Upstream;
+use crate::work::{Admission, Expired, Work};
+
+/// When to come back if no executor is known, in microseconds: about a host list's lag.
+const NO_UPSTREAM_COME_BACK: Micros = Micros(1_000_000);
+
+/// When to come back if no such class is configured, in microseconds: a configuration's way.
+const UNKNOWN_CLASS_COME_BACK: Micros = Micros(5_000_000);
+
+/// A class may queue so many times as much as is left free, so one alone gets two thirds.
+const QUEUE_SHARE: usize = 2;
+
+/// Part by which times to come back differ, so that refused callers don't return all at once.
+const COME_BACK_SPREAD: f64 = 0.25;
+
+impl Policy {
+    /// Decides whether to take in a job of `tasks` tasks that must end by `deadline`.
+    pub fn admit(
+        &mut self,
+        now: Now,
+        class: &ClassName,
+        tasks: usize,
+        deadline: Mono,
+    ) -> Admission {
+        match self.refusal(now.mono, class, tasks, deadline) {
+            None => Admission::Accept,
+            Some((code, come_back)) => {
+                let factor = 1.0 + COME_BACK_SPREAD * self.draw();
+                let come_back = crate::span::to_micros(as_us(come_back) * factor);
+                Admission::Refuse {
+                    code,
+                    retry_after_ms: come_back.as_millis().max(Millis(1)),
+                }
+            }
+        }
+    }
+
+    /// Queues a task.
+    pub fn enqueue(&mut self, now: Now, work: Work) {
+        self.put(Ticket::new(now.mono, work), None);
+    }
+
+    /// Takes a waiting task out of the queue; false if it was not waiting.
+    ///
+    /// A task that runs gets no retry and no hedge any more.
+    pub fn withdraw(&mut self, task: TaskId) -> bool {
+        if let Some(running) = self.running.get_mut(&task) {
+            running.is_over = true;
+        }
+        self.forget_hedge(task);
+        let hopeless_before = self.hopeless.len();
+        self.hopeless.retain(|expired| expired.task != task);
+        let mut queues = self
+            .upstreams
+            .values_mut()
+            .map(|upstream| &mut upstream.queue);
+        let was_waiting = queues.any(|queue| queue.take(task).is_some());
+        self.waiting -= usize::from(was_waiting);
+        was_waiting || self.hopeless.len() < hopeless_before
+    }
+
+    /// Takes out the waiting tasks whose deadline has passed or can't be made any more.
+    pub fn expired(&mut self, now: Now) -> Vec<TaskId> {
+        self.take_expired(now)
+            .into_iter()
+            .map(|expired| expired.task)
+            .collect()
+    }
+
+    /// Takes them out with what to tell of each.
+    pub fn take_expired(&mut self, now: Now) -> Vec<Expired> {
+        let mut expired = std::mem::take(&mut self.hopeless);
+        let classes = &self.classes;
+        for upstream in self.upstreams.values_mut() {
+            let fastest = upstream.capacity.fastest();
+            let floor = |name: &ClassName| {
+                classes
+                    .get(name)
+                    .map_or(Micros(0), |class| class.floor(fastest))
+            };
+            let tickets = upstream.queue.expire(now.mono, floor);
+            self.waiting -= tickets.len();
+            expired.extend(tickets.iter().map(given_up));
+        }
+        expired
+    }
+
+    /// Queues a ticket on its class's upstream.
+    pub(super) fn put(&mut self, ticket: Ticket, not_before: Option<Mono>) {
+        let Some(class) = self.classes.get(&ticket.work.class) else {
+            self.hopeless.push(given_up(&ticket));
+            return;
+        };
+        let name = class.target.upstream.clone();
+        let upstream = self.upstreams.entry(name.clone()).or_default();
+        upstream.queue.push(ticket, not_before);
+        self.waiting += 1;
+        self.ready.insert(name);
+    }
+
+    fn refusal(
+        &mut self,
+        now: Mono,
+        name: &ClassName,
+        tasks: usize,
+        deadline: Mono,
+    ) -> Option<(ResultCode, Micros)> {
+        let Some(class) = self.classes.get(name).filter(|class| class.is_configured) else {
+            return Some((ResultCode::UnknownClass, UNKNOWN_CLASS_COME_BACK));
+        };
+        let Some(upstream) = self.upstreams.get_mut(&class.target.upstream) else {
+            return Some((ResultCode::NoUpstream, NO_UPSTREAM_COME_BACK));
+        };
+        upstream.refresh(now, &self.fleet, self.sharers);
+        if let Some(come_back) = no_upstream(now, upstream) {
+            return Some((ResultCode::NoUpstream, come_back));
+        }
+        let outlook = outlook(&self.classes, upstream, name, class, tasks, deadline);
+        let is_guarded = self.placement.kind().is_guarded();
+        if is_guarded && let Some(come_back) = outlook.come_back(now, deadline) {
+            return Some((ResultCode::DeadlineOutOfReach, come_back));
+        }
+        let left = self.options.queue_max.saturating_sub(self.waiting);
+        let of_class = upstream.queue.class_len(name) + tasks;
+        let is_full = tasks > left || of_class > left.saturating_mul(QUEUE_SHARE);
+        is_full.then(|| {
+            let come_back = crate::span::to_micros(outlook.finish_us().max(OVERLOADED_MIN_US));
+            (ResultCode::Overloaded, come_back)
+        })
+    }
+}
+
+/// Shortest time to come back in if the queue is full, in microseconds.
+const OVERLOADED_MIN_US: f64 = 100_000.0;
+
+/// What to tell of a task that is given up while it waits.
+fn given_up(ticket: &Ticket) -> Expired {
+    Expired {
+        task: ticket.work.task,
+        code: ticket.started_code.unwrap_or(ResultCode::ExpiredInQueue),
+    }
+}
+
+/// When to come back if nothing can be started on the upstream.
+fn no_upstream(now: Mono, upstream: &Upstream) -> Option<Micros> {
+    let capacity = &upstream.capacity;
+    if capacity.live == 0 {
+        return Some(NO_UPSTREAM_COME_BACK);
+    }
+    if capacity.usable > 0 {
+        return None;
+    }
+    // Every breaker is open. A job that comes when a try is due may be that try.
+    let wait = capacity.probe_at.map(|at| at.since(now))?;
+    (wait > Micros(0)).then_some(wait)
+}
+
+fn outlook(
+    classes: &std::collections::BTreeMap<ClassName, Class>,
+    upstream: &Upstream,
+    name: &ClassName,
+    class: &Class,
+    tasks: usize,
+    deadline: Mono,
+) -> Outlook {
+    let mean_us = class.estimate.mean_us().unwrap_or(0.0);
+    let (mut ahead_us, mut own_ahead_us, mut users) = (0.0, 0.0, 0);
+    for (other_name, depth) in upstream.queue.depths() {
+        let other = classes.get(other_name);
+        let other_mean_us = other.and_then(|other| other.estimate.mean_us());
+        let work_us = ahead(depth, deadline) * other_mean_us.unwrap_or(0.0);
+        ahead_us += work_us;
+        users += usize::from(other_name != name);
+        if other_name == name {
+            own_ahead_us = work_us;
+        }
+    }
+    let longest = class.estimate.quantile_us(longest_q(tasks)).unwrap_or(0.0);
+    Outlook {
+        ahead_us,
+        own_ahead_us,
+        job_us: mean_us * tasks as f64,
+        longest_us: longest * upstream.capacity.fastest(),
+        power: upstream.capacity.power(),
+        classes: users + 1,
+    }
+}
+
+/// Estimates how many of a class's waiting tasks go before one with that deadline, taking their
+/// deadlines as evenly spread.
+fn ahead(depth: Depth, deadline: Mono) -> f64 {
+    if deadline >= depth.last {
+        return depth.tasks as f64;
+    }
+    let part = as_us(deadline.since(depth.first)) / as_us(depth.last.since(depth.first)).max(1.0);
+    part * depth.tasks as f64
+}
--- /dev/null
+++ b/crates/onyxshed-policy/src/span.rs
@@ -0,0 +1,22 @@
+//! Spans as floating-point microseconds, for estimates.
+
+use std::time::Duration;
+
+use onyxshed_core::Micros;
+
+/// Microseconds in a second.
+const US_PER_S: f64 = 1e6;
+
+/// Gets a span in microseconds as a number to reckon with.
+pub fn as_us(span: Micros) -> f64 {
+    span.0 as f64
+}
+
+/// Rounds an estimate to a span; what is no sensible span becomes zero or the longest one.
+pub fn to_micros(us: f64) -> Micros {
+    if us.is_nan() || us <= 0.0 {
+        return Micros(0);
+    }
+    let us = Duration::try_from_secs_f64(us / US_PER_S).map_or(u128::MAX, |d| d.as_micros());
+    Micros(u64::try_from(us).unwrap_or(u64::MAX))
+}
--- a/crates/onyxshed-policy/src/work.rs
+++ b/crates/onyxshed-policy/src/work.rs
@@ -112,3 +112,12 @@
     /// It is over.
     GiveUp(ResultCode),
 }
+
+/// A waiting task that was given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Expired {
+    /// The task.
+    pub task: TaskId,
+    /// What to tell: "not run", unless an earlier attempt may have started.
+    pub code: ResultCode,
+}
--- /dev/null
+++ b/crates/onyxshed-policy/tests/policy/facade.rs
@@ -0,0 +1,133 @@
+//! What the dispatch relies on, step by step.
+
+use onyxshed_core::{Millis, ResultCode};
+use onyxshed_policy::{Admission, NextStep, PolicyOptions, RetryStep, Verdict};
+use rstest::rstest;
+
+use crate::fixture::{at_ms, class, end, executor, policy, starts, target, task, work};
+
+fn code_of(admission: Admission) -> Option<ResultCode> {
+    match admission {
+        Admission::Accept => None,
+        Admission::Refuse {
+            code,
+            retry_after_ms,
+        } => {
+            assert!(retry_after_ms > Millis(0), "a time to come back");
+            Some(code)
+        }
+    }
+}
+
+#[test]
+fn admission_codes() {
+    let sync = target("sync", "desk", 1_000, false);
+    let away = target("away", "elsewhere", 1_000, false);
+    let options = PolicyOptions {
+        queue_max: 30,
+        ..PolicyOptions::default()
+    };
+    let mut policy = policy(options, &[sync.clone(), away], &[executor("x1", "desk", 8)]);
+    let now = at_ms(0);
+    let deadline = now.mono + Millis(1_000);
+    let mut admit = |name: &str, tasks| code_of(policy.admit(now, &class(name), tasks, deadline));
+    assert_eq!(admit("sync", 20), None);
+    assert_eq!(admit("sync", 31), Some(ResultCode::Overloaded));
+    assert_eq!(admit("none", 1), Some(ResultCode::UnknownClass));
+    assert_eq!(admit("away", 1), Some(ResultCode::NoUpstream));
+    assert_eq!(
+        code_of(policy.admit(now, &class("sync"), 1, now.mono)),
+        Some(ResultCode::DeadlineOutOfReach)
+    );
+}
+
+#[rstest]
+#[case(Verdict::Refused, false, RetryStep::Queued)]
+#[case(Verdict::Unsent, false, RetryStep::Queued)]
+#[case(Verdict::Failed, false, RetryStep::GiveUp(ResultCode::TaskFailed))]
+#[case(Verdict::Lost, false, RetryStep::GiveUp(ResultCode::ConnectionLost))]
+#[case(Verdict::Lapsed, false, RetryStep::GiveUp(ResultCode::LeaseLapsed))]
+#[case(Verdict::Stopped, true, RetryStep::GiveUp(ResultCode::Cancelled))]
+#[case(Verdict::Failed, true, RetryStep::Queued)]
+#[case(Verdict::Lost, true, RetryStep::Queued)]
+#[case(Verdict::Lapsed, true, RetryStep::Queued)]
+fn what_follows_an_end(
+    #[case] verdict: Verdict,
+    #[case] may_run_twice: bool,
+    #[case] expected: RetryStep,
+) {
+    let sync = target("sync", "desk", 1_000, may_run_twice);
+    let executors = [executor("x1", "desk", 1), executor("x2", "desk", 1)];
+    let mut policy = policy(
+        PolicyOptions::default(),
+        std::slice::from_ref(&sync),
+        &executors,
+    );
+    policy.enqueue(at_ms(0), work(task(1, 0), &sync, at_ms(0)));
+    let started = starts(&mut policy, at_ms(0));
+    let step = policy.ended(at_ms(10), &end(task(1, 0), &started[0].1, verdict));
+    assert_eq!(step, expected);
+    if expected == RetryStep::Queued {
+        let again = starts(&mut policy, at_ms(30));
+        assert_eq!(again.len(), 1);
+        assert_ne!(again[0].1, started[0].1, "on another executor");
+    }
+}
+
+/// A task that may not run twice was lost: nothing may start it again, and the answer must not say
+/// "not run". The same task of a class that may run twice is tried elsewhere; if that start is
+/// refused until the deadline, the earlier one still counts.
+#[test]
+fn an_attempt_that_may_have_started_is_never_called_not_run() {
+    let sync = target("sync", "desk", 1_000, true);
+    let executors = [executor("x1", "desk", 1), executor("x2", "desk", 1)];
+    let mut policy = policy(
+        PolicyOptions::default(),
+        std::slice::from_ref(&sync),
+        &executors,
+    );
+    let id = task(1, 0);
+    policy.enqueue(at_ms(0), work(id, &sync, at_ms(0)));
+    let first = starts(&mut policy, at_ms(0));
+    policy.ended(at_ms(10), &end(id, &first[0].1, Verdict::Lost));
+    let second = starts(&mut policy, at_ms(10));
+    let step = policy.ended(at_ms(999), &end(id, &second[0].1, Verdict::Refused));
+    assert_eq!(step, RetryStep::GiveUp(ResultCode::ConnectionLost));
+}
+
+#[test]
+fn withdrawn_tasks_are_neither_started_nor_tried_again() {
+    let sync = target("sync", "desk", 1_000, true);
+    let executors = [executor("x1", "desk", 1)];
+    let mut policy = policy(
+        PolicyOptions::default(),
+        std::slice::from_ref(&sync),
+        &executors,
+    );
+    for index in 0..2 {
+        policy.enqueue(at_ms(0), work(task(1, index), &sync, at_ms(0)));
+    }
+    assert_eq!(starts(&mut policy, at_ms(0)).len(), 1);
+    assert!(policy.withdraw(task(1, 1)), "it waited");
+    assert!(!policy.withdraw(task(1, 0)), "it ran");
+    let step = policy.ended(at_ms(5), &end(task(1, 0), "x1", Verdict::Refused));
+    assert_eq!(step, RetryStep::GiveUp(ResultCode::RefusedByUpstream));
+    assert_eq!(policy.next(at_ms(50)), NextStep::Idle);
+}
+
+#[test]
+fn late_tasks_expire() {
+    let sync = target("sync", "desk", 1_000, false);
+    let mut policy = policy(
+        PolicyOptions::default(),
+        std::slice::from_ref(&sync),
+        &[executor("x1", "desk", 1)],
+    );
+    for index in 0..3 {
+        policy.enqueue(at_ms(0), work(task(1, index), &sync, at_ms(0)));
+    }
+    starts(&mut policy, at_ms(0));
+    assert!(policy.expired(at_ms(999)).is_empty());
+    assert_eq!(policy.expired(at_ms(1_000)), [task(1, 1), task(1, 2)]);
+    assert_eq!(policy.waiting(), 0);
+}
--- /dev/null
+++ b/crates/onyxshed-policy/tests/policy/fixture.rs
@@ -0,0 +1,97 @@
+//! Short ways to make what the policy takes in.
+
+use std::collections::BTreeMap;
+
+use onyxshed_core::{ClassName, ClassTarget, Micros, Millis, Mono, Now, TaskId, UnixMs};
+use onyxshed_policy::{AttemptEnd, ExecutorInfo, NextStep, Policy, PolicyOptions, Verdict, Work};
+use onyxshed_wire::upstream::LoadReport;
+
+pub fn at_us(us: u64) -> Now {
+    Now {
+        mono: Mono(us),
+        wall: UnixMs(us / 1_000),
+    }
+}
+
+pub fn at_ms(ms: u64) -> Now {
+    at_us(ms * 1_000)
+}
+
+pub fn class(name: &str) -> ClassName {
+    name.parse().expect("a class name")
+}
+
+/// Gets the task `index` of job number `job`.
+pub fn task(job: u64, index: u16) -> TaskId {
+    let text = format!("{:026}.{index}", job);
+    text.parse().expect("a task id")
+}
+
+pub fn target(
+    name: &str,
+    upstream: &str,
+    finish_within_ms: u64,
+    may_run_twice: bool,
+) -> ClassTarget {
+    ClassTarget {
+        class: class(name),
+        upstream: upstream.parse().expect("an upstream name"),
+        finish_within_ms: Millis(finish_within_ms),
+        may_run_twice,
+    }
+}
+
+pub fn executor(name: &str, upstream: &str, slots: u32) -> ExecutorInfo {
+    ExecutorInfo {
+        name: name.parse().expect("an executor name"),
+        upstream: upstream.parse().expect("an upstream name"),
+        zone: "z1".parse().expect("a zone name"),
+        rack: "r1".into(),
+        slots,
+        is_leaving: false,
+    }
+}
+
+pub fn policy(
+    options: PolicyOptions,
+    targets: &[ClassTarget],
+    executors: &[ExecutorInfo],
+) -> Policy {
+    let mut policy = Policy::new(options, 7);
+    let classes: BTreeMap<ClassName, ClassTarget> = targets
+        .iter()
+        .map(|target| (target.class.clone(), target.clone()))
+        .collect();
+    policy.set_classes(at_ms(0), &classes);
+    policy.set_executors(at_ms(0), executors);
+    policy
+}
+
+pub fn work(task: TaskId, target: &ClassTarget, now: Now) -> Work {
+    Work {
+        task,
+        class: target.class.clone(),
+        deadline: now.mono + target.finish_within_ms,
+        may_run_twice: target.may_run_twice,
+    }
+}
+
+pub fn end(task: TaskId, executor: &str, verdict: Verdict) -> AttemptEnd {
+    let has_run = matches!(verdict, Verdict::Finished | Verdict::Failed);
+    AttemptEnd {
+        task,
+        executor: executor.parse().expect("an executor name"),
+        verdict,
+        service_us: has_run.then_some(Micros(100_000)),
+        load: has_run.then(LoadReport::default),
+    }
+}
+
+/// Asks until nothing more starts; gives back task and executor of each start.
+pub fn starts(policy: &mut Policy, now: Now) -> Vec<(TaskId, String)> {
+    let mut found = Vec::new();
+    while let NextStep::Start { task, executor, .. } = policy.next(now) {
+        found.push((task, executor.to_string()));
+    }
+    found
+}
--- /dev/null
+++ b/crates/onyxshed-policy/tests/policy/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the policy, on its own and against a small queueing model in virtual time.
+
+mod facade;
+mod faults;
+mod figures;
+mod fixture;
+mod model;
+mod orders;
+mod overload;
--- /dev/null
+++ b/crates/onyxshed-policy/tests/policy/model.rs
@@ -0,0 +1,448 @@
+//! A queueing model in virtual time: entry hosts with one policy each, executors with slots, a
+//! queue and faults, a network with a fixed delay, and callers that arrive whatever happens.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use onyxshed_core::{ClassTarget, Micros, Now, TaskId};
+use onyxshed_policy::{
+    Admission, AttemptEnd, ExecutorInfo, NextStep, PlacementKind, Policy, PolicyOptions, RetryStep,
+    Verdict,
+};
+use onyxshed_wire::upstream::LoadReport;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::fixture::{at_us, task, work};
+
+/// One way between entry host and executor, in microseconds.
+const NET_US: u64 = 300;
+
+/// Tasks that wait at an executor before it refuses.
+const EXECUTOR_QUEUE: usize = 16;
+
+/// Time after which the shell calls a silent attempt lost, in microseconds.
+const LOST_AFTER_US: u64 = 3_000_000;
+
+/// What is wrong with an executor.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Fault {
+    None,
+    /// It takes so many times as long.
+    Slow(f64),
+    /// It fails everything at once.
+    FailsAll,
+    /// It takes tasks and never answers.
+    Silent,
+    /// Connections to it are refused.
+    Dead,
+}
+
+/// A stream of jobs of one class.
+#[derive(Debug, Clone)]
+pub struct Stream {
+    pub target: ClassTarget,
+    pub per_s: f64,
+    /// Median service time on an executor of speed 1.
+    pub median_ms: f64,
+    /// Whether its tasks fail wherever they run.
+    pub never_runs: bool,
+    /// When it comes, in milliseconds.
+    pub from_ms: u64,
+    pub until_ms: u64,
+}
+
+impl Stream {
+    pub fn new(target: ClassTarget, per_s: f64, median_ms: f64, until_ms: u64) -> Self {
+        Stream {
+            target,
+            per_s,
+            median_ms,
+            never_runs: false,
+            from_ms: 0,
+            until_ms,
+        }
+    }
+}
+
+/// An executor of the model.
+#[derive(Debug, Clone)]
+pub struct Exec {
+    pub info: ExecutorInfo,
+    pub speed: f64,
+    pub fault: Fault,
+    /// When the fault begins and ends, in milliseconds.
+    pub fault_ms: (u64, u64),
+    running: BTreeMap<(usize, TaskId), u64>,
+    queue: VecDeque<(usize, TaskId)>,
+}
+
+impl Exec {
+    pub fn new(info: ExecutorInfo, speed: f64) -> Self {
+        Exec {
+            info,
+            speed,
+            fault: Fault::None,
+            fault_ms: (0, u64::MAX),
+            running: BTreeMap::new(),
+            queue: VecDeque::new(),
+        }
+    }
+
+    pub fn faulty(mut self, fault: Fault, from_ms: u64, until_ms: u64) -> Self {
+        self.fault = fault;
+        self.fault_ms = (from_ms, until_ms);
+        self
+    }
+
+    fn fault_at(&self, us: u64) -> Fault {
+        let (from_ms, until_ms) = self.fault_ms;
+        let is_on = (from_ms..until_ms).contains(&(us / 1_000));
+        if is_on { self.fault } else { Fault::None }
+    }
+}
+
+#[derive(Debug)]
+enum Event {
+    Arrive(usize),
+    Reach(usize, usize, TaskId),
+    Stop(usize, usize, TaskId),
+    Done(usize, usize, TaskId, u64, bool),
+    Reply(usize, Box<AttemptEnd>),
+    Look(usize),
+}
+
+#[derive(Debug)]
+struct Job {
+    stream: usize,
+    arrived_us: u64,
+    service_us: f64,
+}
+
+/// What became of one class's jobs, one task each.
+#[derive(Debug, Default, Clone)]
+pub struct Tally {
+    pub offered: u64,
+    pub refused: u64,
+    pub hits: u64,
+    pub late: u64,
+    pub failed: u64,
+    pub ratios: Vec<f64>,
+}
+
+impl Tally {
+    pub fn hit_share(&self) -> f64 {
+        self.hits as f64 / self.offered.max(1) as f64
+    }
+
+    pub fn ratio(&mut self, q: f64) -> f64 {
+        self.ratios.sort_by(f64::total_cmp);
+        let index = (self.ratios.len() as f64 * q) as usize;
+        self.ratios.get(index).copied().unwrap_or(f64::NAN)
+    }
+}
+
+/// The whole model.
+pub struct Model {
+    pub policies: Vec<Policy>,
+    pub tallies: Vec<Tally>,
+    /// Messages of starts and stops sent.
+    pub sent: u64,
+    pub finished: u64,
+    streams: Vec<Stream>,
+    execs: Vec<Exec>,
+    jobs: BTreeMap<TaskId, Job>,
+    events: BTreeMap<(u64, u64), Event>,
+    looks: Vec<Option<u64>>,
+    last: u64,
+    last_job: u64,
+    fastest: f64,
+    rng: SmallRng,
+}
+
+impl Model {
+    pub fn new(
+        kind: PlacementKind,
+        hosts: u32,
+        seed: u64,
+        streams: Vec<Stream>,
+        execs: Vec<Exec>,
+    ) -> Self {
+        let infos: Vec<ExecutorInfo> = execs.iter().map(|exec| exec.info.clone()).collect();
+        let classes = streams
+            .iter()
+            .map(|stream| (stream.target.class.clone(), stream.target.clone()))
+            .collect();
+        let policies = (0..hosts).map(|host| {
+            let options = PolicyOptions {
+                placement: kind,
+                ..PolicyOptions::default()
+            };
+            let mut policy = Policy::new(options, seed + u64::from(host));
+            policy.set_classes(at_us(0), &classes);
+            policy.set_executors(at_us(0), &infos);
+            policy.set_sharers(at_us(0), hosts);
+            policy
+        });
+        let mut model = Model {
+            policies: policies.collect(),
+            tallies: vec![Tally::default(); streams.len()],
+            sent: 0,
+            finished: 0,
+            looks: vec![None; hosts as usize],
+            fastest: execs.iter().map(|exec| exec.speed).fold(0.0, f64::max),
+            streams,
+            execs,
+            jobs: BTreeMap::new(),
+            events: BTreeMap::new(),
+            last: 0,
+            last_job: 0,
+            rng: SmallRng::seed_from_u64(seed),
+        };
+        for stream in 0..model.streams.len() {
+            let from_us = model.streams[stream].from_ms * 1_000;
+            model.at(from_us, Event::Arrive(stream));
+        }
+        model
+    }
+
+    /// Runs to the end of all events.
+    pub fn run(&mut self) {
+        while let Some(((us, _), event)) = self.events.pop_first() {
+            self.step(us, event);
+        }
+    }
+
+    /// Gets the messages that served no answer, over finished tasks.
+    pub fn wasted_share(&self) -> f64 {
+        (self.sent - self.finished) as f64 / self.finished.max(1) as f64
+    }
+
+    fn at(&mut self, us: u64, event: Event) {
+        self.last += 1;
+        self.events.insert((us, self.last), event);
+    }
+
+    fn step(&mut self, us: u64, event: Event) {
+        match event {
+            Event::Arrive(stream) => self.arrive(us, stream),
+            Event::Reach(exec, host, task) => self.reach(us, exec, host, task),
+            Event::Stop(exec, host, task) => self.stop(us, exec, host, task),
+            Event::Done(exec, host, task, begun_us, is_ok) => {
+                if self.execs[exec].running.get(&(host, task)) == Some(&begun_us) {
+                    let verdict = if is_ok {
+                        Verdict::Finished
+                    } else {
+                        Verdict::Failed
+                    };
+                    self.end(us, exec, host, task, verdict, us - begun_us);
+                }
+            }
+            Event::Reply(host, end) => self.reply(us, host, &end),
+            Event::Look(host) => {
+                if self.looks[host] == Some(us) {
+                    self.looks[host] = None;
+                    self.pump(us, host);
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, us: u64, index: usize) {
+        let stream = self.streams[index].clone();
+        if us >= stream.until_ms * 1_000 {
+            return;
+        }
+        let gap_us = -self.rng.random_range(f64::MIN_POSITIVE..1.0).ln() / stream.per_s * 1e6;
+        self.at(us + gap_us as u64 + 1, Event::Arrive(index));
+        // A sum of uniform draws is near enough to a normal one.
+        let normal: f64 = (0..4).map(|_| self.rng.random_range(-0.5..0.5)).sum();
+        let service_us = stream.median_ms * 1_000.0 * (normal * 0.9).exp();
+        self.last_job += 1;
+        let id = task(self.last_job, 0);
+        let host = self.rng.random_range(0..self.policies.len());
+        let now = at_us(us);
+        self.tallies[index].offered += 1;
+        let deadline = now.mono + stream.target.finish_within_ms;
+        let admission = self.policies[host].admit(now, &stream.target.class, 1, deadline);
+        if admission != Admission::Accept {
+            self.tallies[index].refused += 1;
+            return;
+        }
+        let job = Job {
+            stream: index,
+            arrived_us: us,
+            service_us,
+        };
+        self.jobs.insert(id, job);
+        self.policies[host].enqueue(now, work(id, &stream.target, now));
+        self.pump(us, host);
+    }
+
+    fn pump(&mut self, us: u64, host: usize) {
+        let now = at_us(us);
+        for task in self.policies[host].expired(now) {
+            self.give_up(task);
+        }
+        loop {
+            match self.policies[host].next(now) {
+                NextStep::Start { task, executor, .. } => {
+                    let exec = self.exec_of(&executor.to_string());
+                    self.sent += 1;
+                    self.at(us + NET_US, Event::Reach(exec, host, task));
+                }
+                NextStep::WaitUntil(then) => {
+                    let then = then.0.max(us + 1);
+                    if self.looks[host].is_none_or(|look| look > then || look <= us) {
+                        self.looks[host] = Some(then);
+                        self.at(then, Event::Look(host));
+                    }
+                    return;
+                }
+                NextStep::Idle => return,
+            }
+        }
+    }
+
+    fn exec_of(&self, name: &str) -> usize {
+        let found = self.execs.iter().position(|e| e.info.name.as_str() == name);
+        found.expect("the policy starts on known executors")
+    }
+
+    fn reach(&mut self, us: u64, exec: usize, host: usize, task: TaskId) {
+        match self.execs[exec].fault_at(us) {
+            Fault::Dead => self.end_unheard(us, exec, host, task, Verdict::Unsent, 0),
+            Fault::Silent => {
+                self.end_unheard(us, exec, host, task, Verdict::Lost, LOST_AFTER_US);
+            }
+            _ if self.execs[exec].running.len() < self.execs[exec].info.slots as usize => {
+                self.begin(us, exec, host, task);
+            }
+            _ if self.execs[exec].queue.len() < EXECUTOR_QUEUE => {
+                self.execs[exec].queue.push_back((host, task));
+            }
+            _ => self.send_end(us, exec, host, task, Verdict::Refused, None),
+        }
+    }
+
+    fn begin(&mut self, us: u64, exec: usize, host: usize, task: TaskId) {
+        let fault = self.execs[exec].fault_at(us);
+        let job = self.jobs.get(&task);
+        let service_us = job.map_or(0.0, |job| job.service_us) / self.execs[exec].speed;
+        let never_runs = job.is_some_and(|job| self.streams[job.stream].never_runs);
+        let (service_us, is_ok) = match fault {
+            Fault::Slow(factor) => (service_us * factor, !never_runs),
+            Fault::FailsAll => (1_000.0, false),
+            _ => (service_us, !never_runs),
+        };
+        self.execs[exec].running.insert((host, task), us);
+        let done_us = us + service_us as u64 + 1;
+        self.at(done_us, Event::Done(exec, host, task, us, is_ok));
+    }
+
+    fn end(&mut self, us: u64, exec: usize, host: usize, task: TaskId, verdict: Verdict, ran: u64) {
+        self.execs[exec].running.remove(&(host, task));
+        if let Some((next_host, next)) = self.execs[exec].queue.pop_front() {
+            self.begin(us, exec, next_host, next);
+        }
+        self.send_end(us, exec, host, task, verdict, Some(Micros(ran)));
+    }
+
+    fn stop(&mut self, us: u64, exec: usize, host: usize, task: TaskId) {
+        let before = self.execs[exec].queue.len();
+        self.execs[exec]
+            .queue
+            .retain(|queued| *queued != (host, task));
+        if self.execs[exec].running.contains_key(&(host, task)) {
+            self.end(us, exec, host, task, Verdict::Stopped, 0);
+        } else if self.execs[exec].queue.len() < before {
+            self.send_end(us, exec, host, task, Verdict::Stopped, None);
+        }
+    }
+
+    fn send_end(
+        &mut self,
+        us: u64,
+        exec: usize,
+        host: usize,
+        task: TaskId,
+        verdict: Verdict,
+        service_us: Option<Micros>,
+    ) {
+        let load = LoadReport {
+            running: self.execs[exec].running.len() as u32,
+            queued: self.execs[exec].queue.len() as u32,
+            is_draining: false,
+        };
+        let end = AttemptEnd {
+            task,
+            executor: self.execs[exec].info.name.clone(),
+            verdict,
+            service_us,
+            load: Some(load),
+        };
+        self.at(us + NET_US, Event::Reply(host, Box::new(end)));
+    }
+
+    fn end_unheard(
+        &mut self,
+        us: u64,
+        exec: usize,
+        host: usize,
+        task: TaskId,
+        verdict: Verdict,
+        after_us: u64,
+    ) {
+        let end = AttemptEnd {
+            task,
+            executor: self.execs[exec].info.name.clone(),
+            verdict,
+            service_us: None,
+            load: None,
+        };
+        self.at(us + NET_US + after_us, Event::Reply(host, Box::new(end)));
+    }
+
+    fn reply(&mut self, us: u64, host: usize, end: &AttemptEnd) {
+        let now = at_us(us);
+        let step = self.policies[host].ended(now, end);
+        if end.verdict == Verdict::Finished {
+            self.finish(us, host, end.task);
+        } else if let RetryStep::GiveUp(_) = step {
+            self.give_up(end.task);
+        }
+        self.pump(us, host);
+    }
+
+    fn finish(&mut self, us: u64, host: usize, id: TaskId) {
+        for copy in self.policies[host].copies_of(id) {
+            let exec = self.exec_of(&copy.to_string());
+            self.sent += 1;
+            self.at(us + NET_US, Event::Stop(exec, host, id));
+        }
+        let Some(job) = self.jobs.remove(&id) else {
+            return;
+        };
+        self.finished += 1;
+        let stream = &self.streams[job.stream];
+        let response_us = us - job.arrived_us;
+        let ideal_us = job.service_us / self.fastest + 2.0 * NET_US as f64;
+        let tally = &mut self.tallies[job.stream];
+        tally.ratios.push(response_us as f64 / ideal_us);
+        if response_us <= Micros::from(stream.target.finish_within_ms).0 {
+            tally.hits += 1;
+        } else {
+            tally.late += 1;
+        }
+    }
+
+    fn give_up(&mut self, id: TaskId) {
+        if let Some(job) = self.jobs.remove(&id) {
+            self.tallies[job.stream].failed += 1;
+        }
+    }
+}
+
+/// Gets a policy's time for a test that asks it by hand.
+pub fn later(us: u64) -> Now {
+    at_us(us)
+}
