Read the claims at once after a start or an outage

The first read of the claims stream waited a second for a record to come, and until it returned every at-most-once submission was refused with 3004: on an empty log, for the first second of each process's life. The stream's end is now asked for without waiting until it is known. The status tells whether the claims are read, which tests and operators can wait for.

--- a/crates/onyxshed-dispatch/src/dispatch.rs
+++ b/crates/onyxshed-dispatch/src/dispatch.rs
@@ -88,6 +88,11 @@
         self.config.as_ref()
     }
 
+    /// Tells whether the claims stream has been read to its end.
+    pub fn is_log_read(&self) -> bool {
+        self.book.is_caught_up()
+    }
+
     /// Gets the offset of the claims stream to read from next.
     pub fn log_next(&self) -> onyxshed_core::Offset {
         self.book.next()
--- a/crates/onyxshed-entry/src/claim_log.rs
+++ b/crates/onyxshed-entry/src/claim_log.rs
@@ -71,13 +71,22 @@
         self.kernel.spawn(run).detach();
     }
 
+    /// Gets how long the next read may wait. Until the end of the stream is known nothing can be
+    /// claimed, so the first read after a start or an outage must not wait for a record to come.
+    fn read_wait(&self) -> Millis {
+        match self.engine.look(Dispatch::is_log_read) {
+            true => READ_WAIT,
+            false => Millis(0),
+        }
+    }
+
     /// Follows the stream for as long as the process lives.
     async fn follow(self: Rc<Self>) {
         let mut client = PlatformClient::new(self.platform_address, self.options);
         let mut is_lost = false;
         loop {
             let from = self.engine.look(Dispatch::log_next);
-            match client.read(CLAIMS_STREAM, from, READ_WAIT).await {
+            match client.read(CLAIMS_STREAM, from, self.read_wait()).await {
                 Ok(page) => {
                     if std::mem::replace(&mut is_lost, false) {
                         self.kernel
--- a/crates/onyxshed-entry/src/process.rs
+++ b/crates/onyxshed-entry/src/process.rs
@@ -104,6 +104,7 @@
         let config_revision = engine.look(|machine| machine.config().map(|held| held.revision));
         let details = engine.look(|machine| {
             json!({
+                "is_log_read": machine.is_log_read(),
                 "live_jobs": machine.live_jobs(),
                 "live_attempts": machine.live_attempts(),
                 "remembered_jobs": machine.remembered_jobs(),
--- a/crates/onyxshed-state/src/claim.rs
+++ b/crates/onyxshed-state/src/claim.rs
@@ -134,6 +134,11 @@
         }
     }
 
+    /// Tells whether the log has been read to its end.
+    pub fn is_caught_up(&self) -> bool {
+        self.is_caught_up
+    }
+
     /// Gets the offset to read from next.
     pub fn next(&self) -> Offset {
         self.next
