Play scenarios with real processes: harness, caller, language, whole path

A scenario starts entry hosts, executors and the platform's stand-in around the fault-injecting proxy, and after its own expectations every job is held against the executors' records of starts: started at most once, complete with its own results, not run when said so.

--- /dev/null
+++ b/crates/onyxshed-proof/src/cluster.rs
@@ -0,0 +1,147 @@
+//! Entry hosts, executors and the platform's stand-in, with the fault-injecting proxy between them.
+
+pub mod executors;
+pub mod faults;
+pub mod hosts;
+pub mod operator;
+pub mod topology;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use http_types::Method;
+use onyxshed_standins::platform::{Faults, Hosts};
+use onyxshed_wire::platform::HOSTS_PATH;
+use smol_str::SmolStr;
+use snafu::ResultExt;
+use tempfile::TempDir;
+
+use crate::error::{Error, Result, SystemSnafu};
+use crate::process::Process;
+use crate::remote::send;
+
+pub use executors::ExecutorUnit;
+pub use faults::Edge;
+pub use hosts::{EntryHostUnit, Part};
+pub use topology::{Given, Topology};
+
+/// Everything that one test runs.
+#[derive(Debug)]
+pub struct Cluster {
+    pub(crate) given: Given,
+    pub(crate) platform: Process,
+    pub(crate) proxy: Process,
+    pub(crate) executors: BTreeMap<SmolStr, ExecutorUnit>,
+    pub(crate) hosts: BTreeMap<SmolStr, EntryHostUnit>,
+    folder: TempDir,
+}
+
+impl Cluster {
+    /// Tries to start all processes and waits until each serves.
+    pub async fn start(topology: &Topology, given: Given) -> Result<Self> {
+        let folder = tempfile::tempdir().context(SystemSnafu {
+            what: "make a folder",
+        })?;
+        let path = folder.path();
+        let mut platform = Process::start("standin-platform", "platform", &given.platform(), path)?;
+        let mut proxy = Process::start("standin-faults", "faults", &[], path)?;
+        platform.wait_ready()?;
+        proxy.wait_ready()?;
+        let mut cluster = Cluster {
+            given,
+            platform,
+            proxy,
+            executors: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            folder,
+        };
+        cluster.start_executors(topology).await?;
+        cluster.start_hosts(topology).await?;
+        cluster.publish_hosts().await?;
+        Ok(cluster)
+    }
+
+    /// Sets the platform's host list to what runs here.
+    pub async fn publish_hosts(&self) -> Result<()> {
+        let hosts = Hosts {
+            executors: self
+                .executors
+                .values()
+                .filter_map(ExecutorUnit::listed)
+                .collect(),
+            entries: self
+                .hosts
+                .values()
+                .filter_map(EntryHostUnit::listed)
+                .collect(),
+        };
+        send(self.platform_address()?, Method::Put, HOSTS_PATH, &hosts).await?;
+        Ok(())
+    }
+
+    /// Sets the platform's faults.
+    pub async fn set_platform_faults(&self, faults: &Faults) -> Result<()> {
+        let address = self.platform_address()?;
+        send(address, Method::Post, "/control/faults", faults).await?;
+        Ok(())
+    }
+
+    /// Gets the platform's own address, past the proxy.
+    pub fn platform_address(&self) -> Result<SocketAddr> {
+        self.platform.address("http")
+    }
+
+    /// Gets an executor.
+    pub fn executor(&mut self, name: &str) -> Result<&mut ExecutorUnit> {
+        let allowed = names(&self.executors);
+        self.executors
+            .get_mut(name)
+            .ok_or_else(|| no_such("executor", name, allowed))
+    }
+
+    /// Gets an entry host.
+    pub fn host(&mut self, name: &str) -> Result<&mut EntryHostUnit> {
+        let allowed = names(&self.hosts);
+        self.hosts
+            .get_mut(name)
+            .ok_or_else(|| no_such("entry host", name, allowed))
+    }
+
+    /// Gets the names of all entry hosts.
+    pub fn host_names(&self) -> Vec<SmolStr> {
+        self.hosts.keys().cloned().collect()
+    }
+
+    /// Gets the folder of settings and logs.
+    pub(crate) fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// Gets the end of every process's log, for a test that failed.
+    pub fn logs(&self) -> String {
+        let mut text = String::new();
+        let parts = self.hosts.values().flat_map(EntryHostUnit::processes);
+        let others = self.executors.values().map(|unit| &unit.process);
+        for process in parts.chain(others).chain([&self.platform, &self.proxy]) {
+            let tail = process.log_tail();
+            if !tail.is_empty() {
+                text += &format!("--- {}\n{tail}\n", process.name());
+            }
+        }
+        text
+    }
+}
+
+fn names<T>(things: &BTreeMap<SmolStr, T>) -> SmolStr {
+    let names: Vec<&str> = things.keys().map(SmolStr::as_str).collect();
+    names.join(", ").into()
+}
+
+pub(crate) fn no_such(kind: &'static str, found: &str, allowed: SmolStr) -> Error {
+    Error::NoSuch {
+        kind,
+        found: found.into(),
+        allowed,
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-proof/src/cluster/executors.rs
@@ -0,0 +1,121 @@
+//! Executors of a cluster.
+
+use std::net::SocketAddr;
+
+use http_types::Method;
+use onyxshed_core::{ExecutorName, UpstreamName, ZoneName};
+use onyxshed_standins::upstream::{StartRecord, UpstreamFaults};
+use onyxshed_wire::platform::{ExecutorHost, HostState};
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::error::{Error, Result};
+use crate::process::Process;
+use crate::remote::{call, get, send};
+
+use super::Cluster;
+use super::topology::{Topology, UPSTREAM};
+
+/// One executor.
+#[derive(Debug)]
+pub struct ExecutorUnit {
+    /// Its process.
+    pub process: Process,
+    /// What the host list says of it.
+    pub host: ExecutorHost,
+    /// Whether the host list names it.
+    pub is_listed: bool,
+    /// Its starts when it was killed: what a dead process can no longer tell.
+    pub kept_starts: Vec<StartRecord>,
+    /// Starts counted when a scenario took note.
+    pub noted_starts: usize,
+}
+
+impl ExecutorUnit {
+    /// Gets what the host list says of it, none if it is left out.
+    pub(super) fn listed(&self) -> Option<ExecutorHost> {
+        self.is_listed.then(|| self.host.clone())
+    }
+
+    /// Gets every start, in order.
+    pub async fn starts(&self) -> Result<Vec<StartRecord>> {
+        let mut starts = self.kept_starts.clone();
+        if let Ok(address) = self.process.address("http")
+            && starts.is_empty()
+        {
+            starts = get(address, "/control/starts").await?;
+        }
+        Ok(starts)
+    }
+
+    /// Sets its faults.
+    pub async fn set_faults(&self, faults: &UpstreamFaults) -> Result<()> {
+        let address = self.process.address("http")?;
+        send(address, Method::Post, "/control/faults", faults).await?;
+        Ok(())
+    }
+
+    /// Makes it say that it is leaving.
+    pub async fn drain(&self) -> Result<()> {
+        let address = self.process.address("http")?;
+        call(address, Method::Post, "/control/drain", Vec::new()).await?;
+        Ok(())
+    }
+}
+
+impl Cluster {
+    pub(super) async fn start_executors(&mut self, topology: &Topology) -> Result<()> {
+        let mut started = Vec::new();
+        for zone in &topology.zones {
+            for number in 1..=topology.executors {
+                let name = format_smolstr!("x{zone}{number}");
+                let arguments = self.given.executor(&name);
+                let folder = self.folder();
+                let process = Process::start("standin-upstream", &name, &arguments, folder)?;
+                started.push((zone.clone(), name, process));
+            }
+        }
+        for (zone, name, mut process) in started {
+            process.wait_ready()?;
+            let route = format_smolstr!("executor.{name}");
+            let address = self.open_route(route, process.address("http")?).await?;
+            let unit = ExecutorUnit {
+                process,
+                host: self.describe(&zone, &name, address)?,
+                is_listed: true,
+                kept_starts: Vec::new(),
+                noted_starts: 0,
+            };
+            self.executors.insert(name, unit);
+        }
+        Ok(())
+    }
+
+    fn describe(&self, zone: &str, name: &str, address: SocketAddr) -> Result<ExecutorHost> {
+        let bad = |error: onyxshed_core::Error| Error::unmet(format_smolstr!("{error}"));
+        Ok(ExecutorHost {
+            name: name.parse::<ExecutorName>().map_err(bad)?,
+            upstream: UPSTREAM.parse::<UpstreamName>().map_err(bad)?,
+            zone: zone.parse::<ZoneName>().map_err(bad)?,
+            rack: SmolStr::default(),
+            address,
+            slots: self.given.slots,
+            state: HostState::Live,
+        })
+    }
+
+    /// Kills an executor; what it started is asked for first, while it is frozen to new work.
+    pub async fn kill_executor(&mut self, name: &str) -> Result<()> {
+        let unit = self.executor(name)?;
+        unit.kept_starts = unit.starts().await?;
+        unit.process.kill()
+    }
+
+    /// Gets every start on every executor.
+    pub async fn starts(&self) -> Result<Vec<StartRecord>> {
+        let mut starts = Vec::new();
+        for unit in self.executors.values() {
+            starts.extend(unit.starts().await?);
+        }
+        Ok(starts)
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-proof/src/scenario/play.rs
@@ -0,0 +1,51 @@
+//! Plays a scenario with real processes.
+
+use std::fmt;
+use std::rc::Rc;
+
+use async_executor::LocalExecutor;
+
+use super::language::{Line, Script};
+use super::world::World;
+
+/// Where and why a scenario does not hold, with what was seen.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Failure {
+    /// The statement, or `at the end` for what always must hold.
+    pub at: String,
+    /// Why.
+    pub reason: String,
+    /// The jobs with what was heard, and the ends of the logs.
+    pub seen: String,
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Failure { at, reason, seen } = self;
+        write!(f, "{at}\n{reason}\n\n{seen}")
+    }
+}
+
+impl std::error::Error for Failure {}
+
+/// Plays a script to its end and checks what always must hold.
+pub fn play(script: &Script) -> Result<(), Failure> {
+    let executor = Rc::new(LocalExecutor::new());
+    let mut world = World::new(executor.clone());
+    let played = async_io::block_on(executor.run(play_lines(&mut world, script)));
+    played.map_err(|(at, reason)| Failure {
+        at,
+        reason,
+        seen: format!("{}\n{}", world.describe_jobs(), world.logs()),
+    })
+}
+
+async fn play_lines(world: &mut World, script: &Script) -> Result<(), (String, String)> {
+    for line in &script.lines {
+        let at = |line: &Line| format!("line {}: {}", line.number, line.text);
+        let played = world.play(&line.step).await;
+        played.map_err(|error| (at(line), error.to_string()))?;
+    }
+    let checked = world.check_truth().await;
+    checked.map_err(|error| ("at the end".to_owned(), error.to_string()))
+}
--- /dev/null
+++ b/crates/onyxshed-proof/src/truth.rs
@@ -0,0 +1,166 @@
+//! What must hold after every scenario, whatever else it expects.
+//!
+//! Starts are counted where they happen, on the executors; what callers heard is held against that
+//! record and never against the system's own books.
+
+use std::collections::BTreeMap;
+
+use onyxshed_core::{Outcome, SubmissionId, TaskId, UnixMs};
+use onyxshed_standins::upstream::StartRecord;
+use onyxshed_wire::caller::Answer;
+use smol_str::format_smolstr;
+
+use crate::caller::{Heard, HeardAt};
+use crate::error::{Error, Result};
+
+/// One request for a job and what was heard.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Exchange {
+    /// When it was sent, on the wall clock that executors stamp starts with.
+    pub sent_at_ms: UnixMs,
+    /// What was heard, none while it is awaited.
+    pub heard: Option<HeardAt>,
+}
+
+/// One job as its caller knows it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JobFacts {
+    /// Its id.
+    pub id: SubmissionId,
+    /// Whether its class allows second starts.
+    pub may_run_twice: bool,
+    /// The result of each task.
+    pub results: Vec<Vec<u8>>,
+    /// Every request with its own content.
+    pub exchanges: Vec<Exchange>,
+}
+
+/// All starts, by task.
+#[derive(Debug, Default)]
+pub struct Starts {
+    by_task: BTreeMap<TaskId, Vec<StartRecord>>,
+}
+
+impl Starts {
+    /// Sorts starts by task.
+    pub fn new(records: Vec<StartRecord>) -> Self {
+        let mut by_task: BTreeMap<TaskId, Vec<StartRecord>> = BTreeMap::new();
+        for record in records {
+            by_task.entry(record.task).or_default().push(record);
+        }
+        Starts { by_task }
+    }
+
+    /// Gets how often a task started.
+    pub fn count(&self, submission: SubmissionId, index: usize) -> usize {
+        let index = u16::try_from(index).unwrap_or(u16::MAX);
+        let task = TaskId { submission, index };
+        self.by_task.get(&task).map_or(0, Vec::len)
+    }
+
+    /// Gets all starts of a job's tasks.
+    pub fn of(&self, submission: SubmissionId) -> impl Iterator<Item = &StartRecord> {
+        let ours = move |record: &&StartRecord| record.task.submission == submission;
+        self.by_task.values().flatten().filter(ours)
+    }
+}
+
+/// Checks everything that must hold of one job.
+pub fn check(job: &JobFacts, starts: &Starts) -> Result<()> {
+    started_once(job, starts)?;
+    for exchange in &job.exchanges {
+        if let Some(HeardAt { heard, .. }) = &exchange.heard {
+            check_heard(job, exchange, heard, starts)?;
+        }
+    }
+    if is_all_not_run(job) && starts.of(job.id).next().is_some() {
+        let what = format_smolstr!("every answer to {} was not_run, but a task started", job.id);
+        return Err(Error::unmet(what));
+    }
+    Ok(())
+}
+
+/// No task of a submission starts twice.
+fn started_once(job: &JobFacts, starts: &Starts) -> Result<()> {
+    for index in 0..job.results.len() {
+        let count = starts.count(job.id, index);
+        if count > 1 && !job.may_run_twice {
+            let records: Vec<&StartRecord> = starts.of(job.id).collect();
+            return Err(Error::unmet(format_smolstr!(
+                "task {index} of {} started {count} times: {records:?}",
+                job.id
+            )));
+        }
+    }
+    Ok(())
+}
+
+fn check_heard(job: &JobFacts, exchange: &Exchange, heard: &Heard, starts: &Starts) -> Result<()> {
+    let Heard::Answer(status, answer) = heard else {
+        return Ok(());
+    };
+    if answer.submission.is_some_and(|id| id != job.id) {
+        return Err(lie(job, answer, "it is another submission's answer"));
+    }
+    if *status != answer.http_status() {
+        return Err(lie(
+            job,
+            answer,
+            "its HTTP status does not go with its code",
+        ));
+    }
+    match answer.outcome {
+        Some(Outcome::Complete) => check_complete(job, answer, starts),
+        Some(Outcome::NotRun) => check_not_run(job, exchange, answer, starts),
+        Some(Outcome::Failed) if starts.of(job.id).next().is_none() => {
+            Err(lie(job, answer, "no task started"))
+        }
+        _ => Ok(()),
+    }
+}
+
+/// A complete answer holds every task's own result, and every task ran.
+fn check_complete(job: &JobFacts, answer: &Answer, starts: &Starts) -> Result<()> {
+    if answer.results.as_ref() != Some(&job.results) {
+        return Err(lie(job, answer, "its results are not the job's own"));
+    }
+    let has_run = |index| starts.count(job.id, index) > 0;
+    match (0..job.results.len()).all(has_run) {
+        true => Ok(()),
+        false => Err(lie(job, answer, "not every task started")),
+    }
+}
+
+/// A request that was not run was not run, and carries no result.
+fn check_not_run(
+    job: &JobFacts,
+    exchange: &Exchange,
+    answer: &Answer,
+    starts: &Starts,
+) -> Result<()> {
+    let ran_before = |record: &StartRecord| record.at_ms < exchange.sent_at_ms;
+    if starts.of(job.id).any(ran_before) {
+        return Err(lie(job, answer, "a task had started before it was asked"));
+    }
+    match answer.results {
+        None => Ok(()),
+        Some(_) => Err(lie(job, answer, "it carries results")),
+    }
+}
+
+fn is_all_not_run(job: &JobFacts) -> bool {
+    let is_not_run = |exchange: &Exchange| {
+        let heard = exchange.heard.as_ref();
+        heard.and_then(|heard| heard.heard.outcome()) == Some(Outcome::NotRun)
+    };
+    !job.exchanges.is_empty() && job.exchanges.iter().all(is_not_run)
+}
+
+fn lie(job: &JobFacts, answer: &Answer, why: &str) -> Error {
+    let (outcome, code) = (answer.outcome, answer.code);
+    Error::unmet(format_smolstr!(
+        "the answer to {} can't be true: {why}: {outcome:?} {code:?} {}",
+        job.id,
+        answer.text
+    ))
+}
--- /dev/null
+++ b/crates/onyxshed-proof/tests/scenarios.rs
@@ -0,0 +1,44 @@
+//! Plays every scenario file with real processes.
+
+use std::path::PathBuf;
+use std::sync::{Condvar, Mutex, PoisonError};
+
+use onyxshed_proof::scenario::{parse, play};
+use rstest::rstest;
+
+/// Scenarios that run at the same time, so that the machine stays responsive.
+const AT_ONCE: usize = 4;
+
+static RUNNING: Mutex<usize> = Mutex::new(0);
+static ENDED: Condvar = Condvar::new();
+
+/// A place among the scenarios that run.
+struct Place;
+
+impl Place {
+    fn take() -> Self {
+        let running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut running = ENDED
+            .wait_while(running, |running| *running >= AT_ONCE)
+            .unwrap_or_else(PoisonError::into_inner);
+        *running += 1;
+        Place
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        *RUNNING.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
+        ENDED.notify_one();
+    }
+}
+
+#[rstest]
+fn holds(#[files("scenarios/*.scenario")] file: PathBuf) {
+    let text = std::fs::read_to_string(&file).unwrap();
+    let script = parse(&text).unwrap_or_else(|error| panic!("{}: {error}", file.display()));
+    let _place = Place::take();
+    if let Err(failure) = play(&script) {
+        panic!("{}: {failure}", file.display());
+    }
+}
