--- a/crates/onyxshed-proof/src/cluster/executors.rs
+++ b/crates/onyxshed-proof/src/cluster/executors.rs
@@ -10,7 +10,7 @@
 
 use crate::error::{Error, Result};
 use crate::process::Process;
-use crate::remote::{call, get, send};
+use crate::remote::{call, send};
 
 use super::Cluster;
 use super::topology::{Topology, UPSTREAM};
@@ -24,8 +24,6 @@
     pub host: ExecutorHost,
     /// Whether the host list names it.
     pub is_listed: bool,
-    /// Its starts when it was killed: what a dead process can no longer tell.
-    pub kept_starts: Vec<StartRecord>,
     /// Starts counted when a scenario took note.
     pub noted_starts: usize,
 }
@@ -36,15 +34,11 @@
         self.is_listed.then(|| self.host.clone())
     }
 
-    /// Gets every start, in order.
-    pub async fn starts(&self) -> Result<Vec<StartRecord>> {
-        let mut starts = self.kept_starts.clone();
-        if let Ok(address) = self.process.address("http")
-            && starts.is_empty()
-        {
-            starts = get(address, "/control/starts").await?;
-        }
-        Ok(starts)
+    /// Gets every start, in order, from what it wrote as they happened: that outlives a kill.
+    pub fn starts(&self) -> Vec<StartRecord> {
+        let log = self.process.log();
+        let records = log.lines().map(serde_json::from_str);
+        records.filter_map(std::result::Result::ok).collect()
     }
 
     /// Sets its faults.
@@ -82,7 +76,6 @@
                 process,
                 host: self.describe(&zone, &name, address)?,
                 is_listed: true,
-                kept_starts: Vec::new(),
                 noted_starts: 0,
             };
             self.executors.insert(name, unit);
@@ -103,19 +96,9 @@
         })
     }
 
-    /// Kills an executor; what it started is asked for first, while it is frozen to new work.
-    pub async fn kill_executor(&mut self, name: &str) -> Result<()> {
-        let unit = self.executor(name)?;
-        unit.kept_starts = unit.starts().await?;
-        unit.process.kill()
-    }
-
     /// Gets every start on every executor.
-    pub async fn starts(&self) -> Result<Vec<StartRecord>> {
-        let mut starts = Vec::new();
-        for unit in self.executors.values() {
-            starts.extend(unit.starts().await?);
-        }
-        Ok(starts)
+    pub fn starts(&self) -> Vec<StartRecord> {
+        let units = self.executors.values();
+        units.flat_map(ExecutorUnit::starts).collect()
     }
 }
--- a/crates/onyxshed-proof/src/cluster/topology.rs
+++ b/crates/onyxshed-proof/src/cluster/topology.rs
@@ -88,6 +88,7 @@
             format!("--slots={}", self.slots),
             format!("--queue={}", self.queue_max),
             "--usage-lag-ms=200".to_owned(),
+            "--log-starts".to_owned(),
         ]
     }
 }
--- a/crates/onyxshed-proof/src/process.rs
+++ b/crates/onyxshed-proof/src/process.rs
@@ -112,9 +112,14 @@
         self.child.try_wait().context(SystemSnafu { what: "wait" })
     }
 
+    /// Gets the process's log.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
     /// Gets the end of the process's log.
     pub fn log_tail(&self) -> String {
-        let text = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let text = self.log();
         let lines: Vec<&str> = text.lines().collect();
         lines[lines.len().saturating_sub(LOG_TAIL_LINES)..].join("\n")
     }
--- a/crates/onyxshed-proof/src/scenario/play.rs
+++ b/crates/onyxshed-proof/src/scenario/play.rs
@@ -46,6 +46,6 @@
         let played = world.play(&line.step).await;
         played.map_err(|error| (at(line), error.to_string()))?;
     }
-    let checked = world.check_truth().await;
+    let checked = world.check_truth();
     checked.map_err(|error| ("at the end".to_owned(), error.to_string()))
 }
--- a/crates/onyxshed-proof/src/scenario/steps.rs
+++ b/crates/onyxshed-proof/src/scenario/steps.rs
@@ -55,7 +55,7 @@
             Step::Executor(name, fault) => self.set_executor(name, *fault).await,
             Step::Note(name) => {
                 let unit = self.cluster()?.executor(name)?;
-                unit.noted_starts = unit.starts().await?.len();
+                unit.noted_starts = unit.starts().len();
                 Ok(())
             }
             Step::Expect(expectation) => self.expect(expectation).await,
@@ -132,7 +132,7 @@
     async fn signal(&mut self, action: Action, target: &Target) -> Result<()> {
         let cluster = self.cluster()?;
         match target {
-            Target::Executor(name) => signal_executor(cluster, action, name).await,
+            Target::Executor(name) => signal_executor(cluster, action, name),
             Target::Part(part, host) => {
                 signal_parts(cluster, action, &[*part], std::slice::from_ref(host)).await
             }
@@ -188,13 +188,13 @@
     Ok(())
 }
 
-async fn signal_executor(cluster: &mut Cluster, action: Action, name: &str) -> Result<()> {
-    let process = &cluster.executor(name)?.process;
+fn signal_executor(cluster: &mut Cluster, action: Action, name: &str) -> Result<()> {
+    let process = &mut cluster.executor(name)?.process;
     match action {
         Action::Freeze => process.freeze(),
         Action::Thaw => process.thaw(),
         Action::Stop => process.ask_to_stop(),
-        Action::Kill => cluster.kill_executor(name).await,
+        Action::Kill => process.kill(),
         Action::Restart => Err(Error::unmet("an executor that died does not come back")),
     }
 }
--- a/crates/onyxshed-proof/src/scenario/verdicts.rs
+++ b/crates/onyxshed-proof/src/scenario/verdicts.rs
@@ -36,7 +36,7 @@
     async fn look(&mut self, condition: &Condition) -> Result<Look> {
         match condition {
             Condition::Started(count, jobs) => {
-                let found = self.count_starts(jobs).await?;
+                let found = self.count_starts(jobs)?;
                 Ok(Look::when(found >= *count, || {
                     format_smolstr!("{found} started")
                 }))
@@ -93,13 +93,13 @@
     /// Judges an expectation; answers are waited for, everything else must hold now.
     pub(super) async fn expect(&mut self, expectation: &Expectation) -> Result<()> {
         match expectation {
-            Expectation::EveryTask(jobs, times) => self.every_task(jobs, *times).await,
+            Expectation::EveryTask(jobs, times) => self.every_task(jobs, *times),
             Expectation::NoTask(jobs) => {
-                let found = self.count_starts(jobs).await?;
+                let found = self.count_starts(jobs)?;
                 holds(found == 0, || format_smolstr!("{found} tasks started"))
             }
             Expectation::SomeTask(jobs) => {
-                let found = self.count_starts(jobs).await?;
+                let found = self.count_starts(jobs)?;
                 holds(found > 0, || "no task started".into())
             }
             Expectation::Answers(jobs, from, allowed) => {
@@ -119,11 +119,11 @@
             Expectation::Revision(revision, place) => self.revision(*revision, place).await,
             Expectation::ExitCode(host, code) => self.exit_code(host, *code),
             Expectation::NoNewStart(name) => {
-                let found = self.new_starts(name).await?;
+                let found = self.new_starts(name)?;
                 holds(found == 0, || format_smolstr!("{found} tasks started"))
             }
             Expectation::NewStart(name) => {
-                let found = self.new_starts(name).await?;
+                let found = self.new_starts(name)?;
                 holds(found > 0, || "no task started".into())
             }
             Expectation::AppendsAtMost(most) => {
@@ -133,8 +133,8 @@
         }
     }
 
-    async fn every_task(&mut self, jobs: &Jobs, times: Times) -> Result<()> {
-        let starts = self.starts().await?;
+    fn every_task(&mut self, jobs: &Jobs, times: Times) -> Result<()> {
+        let starts = self.starts()?;
         for (name, job) in self.jobs(jobs)? {
             for index in 0..job.results.len() {
                 let found = starts.count(job.submission.submission, index);
@@ -238,13 +238,13 @@
         })
     }
 
-    async fn new_starts(&mut self, name: &str) -> Result<usize> {
+    fn new_starts(&mut self, name: &str) -> Result<usize> {
         let unit = self.cluster()?.executor(name)?;
-        Ok(unit.starts().await?.len() - unit.noted_starts)
+        Ok(unit.starts().len() - unit.noted_starts)
     }
 
-    async fn count_starts(&mut self, jobs: &Jobs) -> Result<usize> {
-        let starts: Starts = self.starts().await?;
+    fn count_starts(&mut self, jobs: &Jobs) -> Result<usize> {
+        let starts: Starts = self.starts()?;
         let jobs = self.jobs(jobs)?;
         let started = jobs
             .iter()
--- a/crates/onyxshed-proof/src/scenario/world.rs
+++ b/crates/onyxshed-proof/src/scenario/world.rs
@@ -175,17 +175,17 @@
         Ok(())
     }
 
-    /// Asks every executor for its starts.
-    pub async fn starts(&mut self) -> Result<Starts> {
-        Ok(Starts::new(self.cluster()?.starts().await?))
+    /// Gets every start on every executor.
+    pub fn starts(&mut self) -> Result<Starts> {
+        Ok(Starts::new(self.cluster()?.starts()))
     }
 
     /// Checks what must hold of every job.
-    pub async fn check_truth(&mut self) -> Result<()> {
+    pub fn check_truth(&mut self) -> Result<()> {
         if self.cluster.is_none() {
             return Ok(());
         }
-        let starts = self.starts().await?;
+        let starts = self.starts()?;
         self.jobs
             .values()
             .try_for_each(|job| check(&self.facts(job), &starts))
--- a/crates/onyxshed-standins/src/bin/standin-upstream.rs
+++ b/crates/onyxshed-standins/src/bin/standin-upstream.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use async_executor::LocalExecutor;
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use onyxshed_core::{ExecutorName, Millis, UpstreamName};
 use onyxshed_standins::ready::ReadyLine;
 use onyxshed_standins::upstream::{Executor, UpstreamOptions};
@@ -66,6 +66,12 @@
                 .value_parser(value_parser!(u64).range(1..))
                 .help("How far the usage report lags"),
         )
+        .arg(
+            Arg::new("log-starts")
+                .long("log-starts")
+                .action(ArgAction::SetTrue)
+                .help("Writes every start to standard error as it happens"),
+        )
 }
 
 /// Gets an option's value, which is there by its default.
@@ -86,6 +92,7 @@
         speed: value(&matches, "speed"),
         service_ms: Millis(value(&matches, "service-ms")),
         usage_lag_ms: Millis(value(&matches, "usage-lag-ms")),
+        logs_starts: matches.get_flag("log-starts"),
     };
     let listener = serve::listen(value(&matches, "address")).await?;
     let standin = Executor::new(options);
--- a/crates/onyxshed-standins/src/upstream/options.rs
+++ b/crates/onyxshed-standins/src/upstream/options.rs
@@ -20,6 +20,9 @@
     pub service_ms: Millis,
     /// How far the usage report lags. Default 1 s.
     pub usage_lag_ms: Millis,
+    /// Whether every start is written to standard error as it happens, so that the record outlives
+    /// the process. Default false.
+    pub logs_starts: bool,
 }
 
 /// What a payload may ask of the executor; any other payload is echoed.
--- a/crates/onyxshed-standins/src/upstream/service.rs
+++ b/crates/onyxshed-standins/src/upstream/service.rs
@@ -213,6 +213,12 @@
             at_ms: now_ms(),
             content: text.chars().take(CONTENT_CHARS).collect(),
         };
+        if self.inner.options.logs_starts {
+            eprintln!(
+                "{}",
+                serde_json::to_string(&record).expect("a record is plain JSON")
+            );
+        }
         let stop = self.inner.tasks.borrow_mut().start(record);
         let asked = Payload::read(&payload);
         let began = Instant::now();
