Don't take a 5xx answer to an append as proof that it had no effect

Something between the log and us may have given up on an append that took effect; only a 4xx refusal proves the opposite. Operators would be told "not accepted" of a change that is in force.

--- a/crates/onyxshed-platform/src/error.rs
+++ b/crates/onyxshed-platform/src/error.rs
@@ -20,7 +20,7 @@
         /// What happened.
         reason: SmolStr,
     },
-    /// The platform refused the call: it had no effect.
+    /// The platform refused the call.
     #[snafu(display("the platform refused the call with status {status}"))]
     Refused {
         /// The HTTP status.
@@ -45,8 +45,16 @@
     }
 
     /// Tells whether an append that ended so may stand in the log.
+    ///
+    /// A status of 500 or more proves nothing: something between the log and us may have given up
+    /// on an append that took effect.
     pub fn may_have_taken_effect(&self) -> bool {
-        matches!(self, Error::AnswerLost { .. } | Error::Unreadable { .. })
+        const SERVER_FAULTS: u16 = 500;
+        match self {
+            Error::AnswerLost { .. } | Error::Unreadable { .. } => true,
+            Error::Refused { status } => *status >= SERVER_FAULTS,
+            Error::Unreachable { .. } => false,
+        }
     }
 }
 
