--- a/crates/onyxshed-core/src/code.rs
+++ b/crates/onyxshed-core/src/code.rs
@@ -99,6 +99,7 @@
     5012 BadMessage 0 "A message between processes can't be read.";
     5013 RecordIgnored 0 "A record on the log can't be read and was ignored.";
     5014 Usage 0 "The command line is wrong.";
+    5015 NotInForceYet 0 "What was asked for is under way, but not finished everywhere yet.";
 }
 
 impl ResultCode {
