--- a/crates/onyxshed-telemetry/src/telemetry.rs
+++ b/crates/onyxshed-telemetry/src/telemetry.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use onyxshed_core::{Event, Incarnation, Mono, Revision};
+use onyxshed_core::{Event, Incarnation, Mono, Revision, UnixMs};
 use onyxshed_kernel::Kernel;
 use onyxshed_settings::LogSettings;
 use onyxshed_wire::admin::{Status, TimelinePage};
@@ -52,6 +52,7 @@
     timeline: RefCell<Timeline>,
     status: RefCell<Option<StatusSource>>,
     timeline_dropped: Cell<u64>,
+    started_ms: UnixMs,
 }
 
 impl Telemetry {
@@ -71,6 +72,7 @@
             metrics: Metrics::install()?,
             status: RefCell::default(),
             timeline_dropped: Cell::new(0),
+            started_ms: kernel.clock().now().wall,
         });
         // Weak, because the bus is part of the kernel, which the telemetry holds.
         let taker = Rc::downgrade(&telemetry);
@@ -126,6 +128,7 @@
             process: self.options.process.clone(),
             host: self.options.host.clone(),
             boot: self.options.boot,
+            started_ms: self.started_ms,
             dropped: timeline.dropped(),
             events_max: timeline.events_max(),
             memory_bytes: timeline.memory_bytes(),
--- a/crates/onyxshed-wire/src/admin.rs
+++ b/crates/onyxshed-wire/src/admin.rs
@@ -4,7 +4,7 @@
 //! `GET /v1/status` with a [`Status`], `GET /v1/timeline` with a [`TimelinePage`]; `POST /v1/drain`
 //! does what SIGTERM does.
 
-use onyxshed_core::{Event, Incarnation, Millis, ResultCode, Revision};
+use onyxshed_core::{Event, Incarnation, Millis, ResultCode, Revision, UnixMs};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -63,6 +63,8 @@
     pub host: SmolStr,
     /// This run of it.
     pub boot: Incarnation,
+    /// When this run started: it knows nothing of what was before.
+    pub started_ms: UnixMs,
     /// Events that were dropped because newer ones needed their place.
     pub dropped: u64,
     /// Most events kept.
