Add the operator's command line

A change counts as accepted only once read back; one whose append's answer was lost is looked up by its id before it is repeated under the same id.

--- /dev/null
+++ b/crates/onyxshed-cli/src/ask.rs
@@ -0,0 +1,71 @@
+//! Asks many processes at the same time.
+
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use http_types::Method;
+use onyxshed_http::client::call_once;
+use onyxshed_settings::ProcessAddress;
+use onyxshed_wire::admin::{STATUS_PATH, Status};
+use smol_str::{SmolStr, format_smolstr};
+
+/// A process's answer, or why there is none.
+pub type Answered<T> = Result<T, SmolStr>;
+
+/// A process and its answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Asked<T> {
+    /// Its name in the settings.
+    pub process: SmolStr,
+    /// What it answered.
+    pub answer: Answered<T>,
+}
+
+/// Gets a path from every process, in the order given; none waits for another.
+pub async fn ask_all<T: 'static>(
+    processes: &[ProcessAddress],
+    path: &str,
+    timeout: Duration,
+    decode: fn(&[u8]) -> onyxshed_wire::Result<T>,
+) -> Vec<Asked<T>> {
+    let executor = LocalExecutor::new();
+    let mut asking = Vec::new();
+    for process in processes {
+        let answer = executor.spawn(ask(process, path, timeout, decode));
+        asking.push((process.name.clone(), answer));
+    }
+    let collect = async {
+        let mut asked = Vec::new();
+        for (process, answer) in asking {
+            let answer = answer.await;
+            asked.push(Asked { process, answer });
+        }
+        asked
+    };
+    executor.run(collect).await
+}
+
+/// Gets the status of every process.
+pub async fn ask_status(processes: &[ProcessAddress], timeout: Duration) -> Vec<Asked<Status>> {
+    ask_all(processes, STATUS_PATH, timeout, Status::decode).await
+}
+
+async fn ask<T>(
+    process: &ProcessAddress,
+    path: &str,
+    timeout: Duration,
+    decode: fn(&[u8]) -> onyxshed_wire::Result<T>,
+) -> Answered<T> {
+    let call = call_once(
+        process.admin_address,
+        Method::Get,
+        path,
+        Vec::new(),
+        timeout,
+    );
+    let reply = call.await.map_err(|error| error.reason)?;
+    match reply.status {
+        200 => decode(&reply.body).map_err(|error| format_smolstr!("{error}")),
+        status => Err(format_smolstr!("answered with status {status}")),
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-cli/src/command.rs
@@ -0,0 +1,312 @@
+//! The command line: what may be typed, and the help that teaches it.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::{Arg, ArgAction, ArgGroup, Command, value_parser};
+use onyxshed_core::{ChangeId, ClassName, Revision, SubmissionId, UpstreamName};
+use onyxshed_settings::SettingsKind;
+
+use crate::exit::EXIT_HELP;
+use crate::span;
+
+const ABOUT: &str =
+    "Operates onyxshed: classes of work and their targets, and what the processes do";
+
+const EXAMPLES: &str = "\
+Examples:
+  onyxshed check entry.jsonc --kind entry
+  onyxshed target put stock-sync --upstream stock --finish-within 2s --settings operator.jsonc --wait
+  onyxshed status --settings operator.jsonc
+  onyxshed timeline --settings operator.jsonc --submission 01JABCDEFGHJKMNPQRSTVWXYZ0
+
+Answers go to standard output (with --json as one JSON document), progress and errors to standard
+error. Every error has a number; `onyxshed explain NUMBER` tells more.
+";
+
+const TARGET_LONG: &str = "\
+Reads and publishes targets. A class of work has one target: how soon its jobs must be finished and
+whether its tasks may ever run twice. A target is published as a change on the platform's log, based
+on the revision that the operator saw. The log's order decides races: the change that comes second is
+not accepted, and its operator is told. A change counts as accepted only when it has been read back.";
+
+const TIMELINE_LONG: &str = "\
+Shows what happened, over all processes in the settings, in the order of their hybrid logical clocks.
+Each process keeps its latest events in memory only: a process that does not answer, one that started
+since, and events that were dropped are shown as gaps.";
+
+const DRAIN_LONG: &str = "\
+Takes a process out of service, as SIGTERM does: its readiness goes false, new work is answered as not
+run, work in flight is finished within the process's drain_timeout_ms, then the process ends. On the
+host itself, `kill -TERM` does the same; a second SIGTERM does not shorten it, SIGQUIT ends the process
+at once and cuts off what is in flight.";
+
+/// Makes the whole command line.
+pub fn command() -> Command {
+    Command::new("onyxshed")
+        .version(clap::crate_version!())
+        .about(ABOUT)
+        .after_help(format!("{EXAMPLES}\n{EXIT_HELP}"))
+        .max_term_width(100)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(check())
+        .subcommand(target())
+        .subcommand(status())
+        .subcommand(timeline())
+        .subcommand(drain())
+        .subcommand(explain())
+}
+
+fn check() -> Command {
+    let kinds = SettingsKind::ALL.iter().map(|kind| kind.as_str());
+    Command::new("check")
+        .about("Checks a settings file in full and reports every fault")
+        .arg(
+            Arg::new("file")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("The file, JSON with comments; docs/SETTINGS.md explains each field"),
+        )
+        .arg(
+            Arg::new("kind")
+                .long("kind")
+                .value_name("KIND")
+                .required(true)
+                .value_parser(kinds.collect::<Vec<_>>())
+                .help("Which process the file is for"),
+        )
+        .arg(json())
+}
+
+fn target() -> Command {
+    Command::new("target")
+        .about("Reads and publishes the targets of classes")
+        .long_about(TARGET_LONG)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(target_put())
+        .subcommand(
+            on_platform(Command::new("get"))
+                .about("Shows one class's target")
+                .arg(class()),
+        )
+        .subcommand(on_platform(Command::new("list")).about("Shows every class's target"))
+        .subcommand(target_history())
+        .subcommand(
+            published(Command::new("remove"))
+                .about("Removes a class; its jobs are then refused as of an unknown class")
+                .arg(class()),
+        )
+}
+
+fn target_put() -> Command {
+    published(Command::new("put"))
+        .about("Creates a class or replaces its target")
+        .arg(class())
+        .arg(
+            Arg::new("upstream")
+                .long("upstream")
+                .value_name("UPSTREAM")
+                .required(true)
+                .value_parser(value_parser!(UpstreamName))
+                .help("The upstream service that runs its tasks"),
+        )
+        .arg(
+            Arg::new("finish-within")
+                .long("finish-within")
+                .value_name("SPAN")
+                .required(true)
+                .value_parser(span::parse)
+                .help("How soon after its arrival a job must be finished: 500ms, 2s; up to 10m"),
+        )
+        .arg(
+            Arg::new("may-run-twice")
+                .long("may-run-twice")
+                .action(ArgAction::SetTrue)
+                .help("Its tasks may run more than once; without this they run at most once"),
+        )
+}
+
+fn target_history() -> Command {
+    on_platform(Command::new("history"))
+        .about("Shows the changes that the log still holds, and what became of each")
+        .arg(
+            Arg::new("class")
+                .value_name("CLASS")
+                .value_parser(value_parser!(ClassName))
+                .help("Only changes of this class"),
+        )
+        .arg(
+            Arg::new("change")
+                .long("change")
+                .value_name("CHANGE")
+                .value_parser(value_parser!(ChangeId))
+                .help("Only this change; tells what became of one whose answer was lost"),
+        )
+}
+
+fn status() -> Command {
+    on_processes(Command::new("status"))
+        .about("Shows every process: ready or not, the revision in force, its own figures")
+        .arg(timeout("3s", "How long a process may take to answer"))
+}
+
+fn timeline() -> Command {
+    on_processes(Command::new("timeline"))
+        .about("Shows what happened, over all processes")
+        .long_about(TIMELINE_LONG)
+        .arg(
+            Arg::new("submission")
+                .long("submission")
+                .value_name("ID")
+                .value_parser(value_parser!(SubmissionId))
+                .help("Only events of this submission"),
+        )
+        .arg(
+            Arg::new("class")
+                .long("class")
+                .value_name("CLASS")
+                .value_parser(value_parser!(ClassName))
+                .help("Only events of this class"),
+        )
+        .arg(
+            Arg::new("party")
+                .long("party")
+                .visible_alias("upstream")
+                .value_name("TEXT")
+                .help("Only events whose other party's name holds this: an executor, a peer"),
+        )
+        .arg(
+            Arg::new("since")
+                .long("since")
+                .value_name("SPAN")
+                .value_parser(span::parse)
+                .help("Only events of the last span, such as 5m"),
+        )
+        .arg(
+            Arg::new("lines")
+                .long("lines")
+                .value_name("COUNT")
+                .default_value("40")
+                .value_parser(value_parser!(u16).range(1..))
+                .help(
+                    "Most lines shown, the newest; events that only differ in their task share one",
+                ),
+        )
+        .arg(timeout("3s", "How long a process may take to answer"))
+}
+
+fn drain() -> Command {
+    on_processes(Command::new("drain"))
+        .about("Takes a process out of service without cutting off work")
+        .long_about(DRAIN_LONG)
+        .arg(
+            Arg::new("process")
+                .value_name("PROCESS")
+                .required(true)
+                .help("The process's name in the settings"),
+        )
+        .arg(
+            Arg::new("no-wait")
+                .long("no-wait")
+                .action(ArgAction::SetTrue)
+                .help("Returns once the drain has begun"),
+        )
+        .arg(timeout("60s", "How long to wait for the process's end"))
+}
+
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Explains a numbered result code (3004) or event (E301)")
+        .arg(
+            Arg::new("number")
+                .value_name("NUMBER")
+                .required(true)
+                .help("A result code such as 3004, or an event such as E301"),
+        )
+        .arg(json())
+}
+
+/// Adds what every command has that asks the platform.
+fn on_platform(command: Command) -> Command {
+    command
+        .arg(settings().help("Settings of kind operator, for the platform's address"))
+        .arg(
+            Arg::new("platform")
+                .long("platform")
+                .value_name("ADDRESS")
+                .value_parser(value_parser!(SocketAddr))
+                .help("The platform's address, in place of settings"),
+        )
+        .group(
+            ArgGroup::new("where")
+                .args(["settings", "platform"])
+                .required(true),
+        )
+        .arg(timeout("10s", "How long the whole command may take"))
+        .arg(json())
+}
+
+/// Adds what every command has that publishes a change.
+fn published(command: Command) -> Command {
+    on_platform(command)
+        .arg(
+            Arg::new("based-on")
+                .long("based-on")
+                .value_name("REVISION")
+                .value_parser(value_parser!(Revision))
+                .help("The revision that you looked at; without this, the one in force now"),
+        )
+        .arg(
+            Arg::new("wait")
+                .long("wait")
+                .action(ArgAction::SetTrue)
+                .requires("settings")
+                .help("Waits until every process in the settings has the revision in force"),
+        )
+}
+
+/// Adds what every command has that asks processes.
+fn on_processes(command: Command) -> Command {
+    command
+        .arg(
+            settings()
+                .required(true)
+                .help("Settings of kind operator, which name the processes"),
+        )
+        .arg(json())
+}
+
+fn class() -> Arg {
+    Arg::new("class")
+        .value_name("CLASS")
+        .required(true)
+        .value_parser(value_parser!(ClassName))
+        .help("Name of the class of work")
+}
+
+fn settings() -> Arg {
+    Arg::new("settings")
+        .long("settings")
+        .short('s')
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+}
+
+fn timeout(default: &'static str, help: &'static str) -> Arg {
+    Arg::new("timeout")
+        .long("timeout")
+        .value_name("SPAN")
+        .default_value(default)
+        .value_parser(span::parse)
+        .help(help)
+}
+
+fn json() -> Arg {
+    Arg::new("json")
+        .long("json")
+        .action(ArgAction::SetTrue)
+        .help("Answers and errors as JSON")
+}
--- /dev/null
+++ b/crates/onyxshed-cli/src/drain.rs
@@ -0,0 +1,117 @@
+//! `onyxshed drain`: takes a process out of service.
+
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use http_types::Method;
+use onyxshed_core::Millis;
+use onyxshed_http::Sent;
+use onyxshed_http::client::call_once;
+use onyxshed_settings::ProcessAddress;
+use onyxshed_wire::admin::{DRAIN_PATH, STATUS_PATH, Status};
+use serde::Serialize;
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::error::{Error, Result};
+use crate::output::{Format, json};
+use crate::progress::Progress;
+
+/// How long one call may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// How often the process is looked at.
+const POLL_PERIOD: Duration = Duration::from_millis(200);
+
+/// What became of the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum Drained {
+    Draining,
+    Ended,
+}
+
+#[derive(Serialize)]
+struct Answer<'a> {
+    process: &'a SmolStr,
+    state: Drained,
+}
+
+/// Asks the process to drain and waits for its end.
+pub async fn run(
+    process: &ProcessAddress,
+    is_waiting: bool,
+    timeout_ms: Millis,
+    format: Format,
+) -> Result<String> {
+    let status = call(process, Method::Post, DRAIN_PATH).await?;
+    let state = match is_waiting {
+        true => wait_for_end(process, &status, timeout_ms).await?,
+        false => Drained::Draining,
+    };
+    let name = &process.name;
+    Ok(match (format, state) {
+        (Format::Json, state) => json(&Answer {
+            process: name,
+            state,
+        }),
+        (Format::Human, Drained::Draining) => format!("{name} drains\n"),
+        (Format::Human, Drained::Ended) => format!("{name} has drained and ended\n"),
+    })
+}
+
+/// Waits until the process is gone, or another run of it has taken its place.
+async fn wait_for_end(
+    process: &ProcessAddress,
+    first: &Status,
+    timeout_ms: Millis,
+) -> Result<Drained> {
+    let give_up = Instant::now() + Duration::from(timeout_ms);
+    let mut progress = Progress::start();
+    while Instant::now() < give_up {
+        if has_ended(process, first).await {
+            return Ok(Drained::Ended);
+        }
+        progress.tell(|| format!("{} finishes its work in flight", process.name));
+        Timer::after(POLL_PERIOD).await;
+    }
+    Err(Error::StillDraining {
+        process: process.name.clone(),
+    })
+}
+
+/// Tells whether that run of the process has ended: nobody listens any more, or another run does.
+/// Silence proves nothing.
+async fn has_ended(process: &ProcessAddress, first: &Status) -> bool {
+    let call = call_once(
+        process.admin_address,
+        Method::Get,
+        STATUS_PATH,
+        Vec::new(),
+        CALL_TIMEOUT,
+    );
+    match call.await {
+        Ok(reply) => Status::decode(&reply.body).is_ok_and(|status| status.boot != first.boot),
+        Err(error) => error.sent == Sent::Nothing && !error.is_timeout,
+    }
+}
+
+async fn call(process: &ProcessAddress, method: Method, path: &str) -> Result<Status> {
+    let failed = |reason: SmolStr| Error::Process {
+        process: process.name.clone(),
+        reason,
+    };
+    let call = call_once(
+        process.admin_address,
+        method,
+        path,
+        Vec::new(),
+        CALL_TIMEOUT,
+    );
+    let reply = call.await.map_err(|error| failed(error.reason))?;
+    match reply.status {
+        200 | 202 => {
+            Status::decode(&reply.body).map_err(|error| failed(format_smolstr!("{error}")))
+        }
+        status => Err(failed(format_smolstr!("answered with status {status}"))),
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-cli/src/exit.rs
@@ -0,0 +1,27 @@
+//! Exit codes.
+
+use onyxshed_core::ResultCode;
+
+/// Explains every exit code, for the help text.
+pub const EXIT_HELP: &str = "\
+Exit codes:
+  0  done
+  1  failed: the platform or a process can't be reached or refused
+  2  the command line, the settings or the change is wrong; nothing was sent
+  3  the change lost a race against another one and is not in force
+  4  not known or not finished in time: ask again with the command that the error names
+  5  answered in part: some process did not answer";
+
+/// Gets the exit code that goes with an error.
+pub fn exit_number(code: ResultCode) -> u8 {
+    match code {
+        ResultCode::Usage
+        | ResultCode::SettingsUnreadable
+        | ResultCode::SettingsInvalid
+        | ResultCode::ChangeInvalid => 2,
+        ResultCode::ChangeRaced => 3,
+        ResultCode::ChangeUndecided | ResultCode::NotInForceYet => 4,
+        ResultCode::PeerUnreachable => 5,
+        _ => 1,
+    }
+}
--- a/crates/onyxshed-cli/src/lib.rs
+++ b/crates/onyxshed-cli/src/lib.rs
@@ -1,1 +1,24 @@
-//! Placeholder.
+//! `onyxshed`: the operator's command line.
+//!
+//! [`command`] says what may be typed, [`args`] turns it into an [`args::Action`], and one module for
+//! each action carries it out. Answers go to standard output, progress and errors to standard
+//! error, each error with its numbered code.
+
+pub mod args;
+pub mod ask;
+pub mod catalogue;
+pub mod check;
+pub mod command;
+pub mod drain;
+pub mod error;
+pub mod exit;
+pub mod output;
+pub mod progress;
+pub mod run;
+pub mod span;
+pub mod status;
+pub mod target;
+pub mod timeline;
+
+pub use error::{Error, Result};
+pub use run::main;
--- /dev/null
+++ b/crates/onyxshed-cli/src/run.rs
@@ -0,0 +1,140 @@
+//! The command from its words to its exit code.
+
+use std::ffi::OsString;
+use std::io::{self, Write};
+use std::process::ExitCode;
+
+use clap::error::ErrorKind;
+use onyxshed_core::ResultCode;
+use serde::Serialize;
+
+use crate::args::{self, Action};
+use crate::error::{Error, Result};
+use crate::exit::exit_number;
+use crate::output::{Format, json};
+use crate::{catalogue, check, command, drain, status, target, timeline};
+
+/// What a command has to say, and the code that goes with it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Said {
+    /// For standard output.
+    pub text: String,
+    /// Why it is not the whole answer, if it is not.
+    pub partly: Option<ResultCode>,
+}
+
+impl From<String> for Said {
+    fn from(text: String) -> Self {
+        Said { text, partly: None }
+    }
+}
+
+#[derive(Serialize)]
+struct JsonError<'a> {
+    error: JsonErrorBody<'a>,
+}
+
+#[derive(Serialize)]
+struct JsonErrorBody<'a> {
+    code: ResultCode,
+    text: &'a str,
+}
+
+/// Runs the command line from its words, the first being the program's own name.
+pub fn main(words: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let matches = match command::command().try_get_matches_from(words) {
+        Ok(matches) => matches,
+        Err(error) => return ExitCode::from(not_understood(&error)),
+    };
+    let format = match args::is_json(&matches) {
+        true => Format::Json,
+        false => Format::Human,
+    };
+    let said = args::action(&matches).and_then(|action| act(action, format));
+    ExitCode::from(conclude(said, format))
+}
+
+/// Prints help and version as clap made them, and its errors with our number.
+fn not_understood(error: &clap::Error) -> u8 {
+    let rendered = error.render().to_string();
+    match error.kind() {
+        ErrorKind::DisplayHelp | ErrorKind::DisplayVersion => {
+            say(&rendered);
+            0
+        }
+        ErrorKind::DisplayHelpOnMissingArgumentOrSubcommand => {
+            eprint!("{rendered}");
+            exit_number(ResultCode::Usage)
+        }
+        _ => {
+            let words = rendered.strip_prefix("error: ").unwrap_or(&rendered);
+            eprint!("error {}: {words}", ResultCode::Usage);
+            exit_number(ResultCode::Usage)
+        }
+    }
+}
+
+fn conclude(said: Result<Said>, format: Format) -> u8 {
+    match said {
+        Ok(said) => {
+            say(&said.text);
+            said.partly.map_or(0, exit_number)
+        }
+        Err(error) => {
+            complain(&error, format);
+            exit_number(error.code())
+        }
+    }
+}
+
+fn act(action: Action, format: Format) -> Result<Said> {
+    match action {
+        Action::Check { file, kind } => check::run(&file, kind, format).map(Said::from),
+        Action::Explain(number) => catalogue::explain(&number, format).map(Said::from),
+        Action::Publish(publish) => {
+            async_io::block_on(target::publish(publish, format)).map(Said::from)
+        }
+        Action::Show { platform, class } => {
+            async_io::block_on(target::show(platform, class, format)).map(Said::from)
+        }
+        Action::History {
+            platform,
+            class,
+            change,
+        } => async_io::block_on(target::history(platform, class, change, format)).map(Said::from),
+        Action::Status(ask) => Ok(async_io::block_on(status::run(&ask, format))),
+        Action::Timeline(args) => Ok(async_io::block_on(timeline::run(&args, format))),
+        Action::Drain {
+            process,
+            is_waiting,
+            timeout_ms,
+        } => {
+            async_io::block_on(drain::run(&process, is_waiting, timeout_ms, format)).map(Said::from)
+        }
+    }
+}
+
+/// Writes to standard output; if nobody reads it (`| head`), that is no failure of the command.
+fn say(text: &str) {
+    let mut stdout = io::stdout().lock();
+    let _ = stdout
+        .write_all(text.as_bytes())
+        .and_then(|()| stdout.flush());
+}
+
+fn complain(error: &Error, format: Format) {
+    match format {
+        Format::Human => eprintln!("{}", error.explain()),
+        Format::Json => {
+            let text = match error {
+                Error::Settings { source } => source.explain(),
+                other => other.to_string(),
+            };
+            let body = JsonErrorBody {
+                code: error.code(),
+                text: &text,
+            };
+            eprint!("{}", json(&JsonError { error: body }));
+        }
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-cli/src/span.rs
@@ -0,0 +1,41 @@
+//! Spans as people type them: `500ms`, `2s`, `5m`, `1h`.
+
+use onyxshed_core::Millis;
+
+/// Units and how many milliseconds each has; `ms` stands before `s` and `m`, which end it too.
+const UNITS: &[(&str, u64)] = &[("ms", 1), ("s", 1_000), ("m", 60_000), ("h", 3_600_000)];
+
+/// Tries to read a span.
+pub fn parse(text: &str) -> Result<Millis, String> {
+    let bad = || {
+        format!(
+            "{text:?} is no span: allowed is a whole number with ms, s, m or h, such as 500ms or 2s"
+        )
+    };
+    let with_unit = UNITS
+        .iter()
+        .find_map(|(unit, factor)| Some((text.strip_suffix(unit)?, *factor)));
+    let (digits, factor) = with_unit.ok_or_else(bad)?;
+    let number: u64 = digits.parse().map_err(|_| bad())?;
+    number.checked_mul(factor).map(Millis).ok_or_else(bad)
+}
+
+/// Writes a span with the largest unit that holds it in whole numbers.
+pub fn display(span: Millis) -> String {
+    let mut largest_first = UNITS.iter().rev();
+    let whole = largest_first.find(|(_, factor)| span.0 > 0 && span.0.is_multiple_of(*factor));
+    match whole {
+        Some((unit, factor)) => format!("{}{unit}", span.0 / factor),
+        None => "0ms".to_owned(),
+    }
+}
+
+/// Writes a span with its largest unit, rounded down.
+pub fn rough(span: Millis) -> String {
+    let mut largest_first = UNITS.iter().rev();
+    let largest = largest_first.find(|(_, factor)| span.0 >= *factor);
+    match largest {
+        Some((unit, factor)) => format!("{}{unit}", span.0 / factor),
+        None => "0ms".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-cli/src/target.rs
@@ -0,0 +1,10 @@
+//! `onyxshed target`: reads and publishes the targets of classes.
+
+mod log;
+mod publish;
+mod show;
+mod wait;
+
+pub use log::ConfigLog;
+pub use publish::publish;
+pub use show::{history, show};
--- /dev/null
+++ b/crates/onyxshed-cli/src/target/show.rs
@@ -0,0 +1,179 @@
+//! Shows targets, and the changes that made them.
+
+use onyxshed_core::{ChangeId, ClassName, ClassTarget, Offset, Revision, UnixMs};
+use onyxshed_wire::record::ChangeBody;
+use serde::Serialize;
+use smol_str::format_smolstr;
+
+use super::log::{ConfigLog, Fate, Logged};
+use crate::args::PlatformArgs;
+use crate::error::{Error, Result};
+use crate::output::{Format, json, table};
+use crate::span;
+
+#[derive(Serialize)]
+struct Targets<'a> {
+    revision: Revision,
+    classes: Vec<&'a ClassTarget>,
+}
+
+#[derive(Serialize)]
+struct Change<'a> {
+    offset: Offset,
+    at_ms: UnixMs,
+    change_id: ChangeId,
+    based_on: Revision,
+    body: &'a ChangeBody,
+    fate: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    revision: Option<Revision>,
+}
+
+/// Shows every target, or that of one class.
+pub async fn show(
+    platform: PlatformArgs,
+    class: Option<ClassName>,
+    format: Format,
+) -> Result<String> {
+    let mut log = ConfigLog::new(platform);
+    log.read_all().await?;
+    let config = log.fold().config();
+    let wanted = |target: &&ClassTarget| class.as_ref().is_none_or(|class| target.class == *class);
+    let classes: Vec<&ClassTarget> = config.classes.values().filter(wanted).collect();
+    if let (Some(class), true) = (&class, classes.is_empty()) {
+        return Err(Error::NotFound {
+            what: format_smolstr!("class {class} in revision {}", config.revision),
+        });
+    }
+    let revision = config.revision;
+    Ok(match format {
+        Format::Json => json(&Targets { revision, classes }),
+        Format::Human => format!("revision {revision}\n{}", targets_table(&classes)),
+    })
+}
+
+fn targets_table(classes: &[&ClassTarget]) -> String {
+    let rows: Vec<Vec<String>> = classes
+        .iter()
+        .map(|target| {
+            vec![
+                target.class.to_string(),
+                target.upstream.to_string(),
+                span::display(target.finish_within_ms),
+                yes_or_no(target.may_run_twice).to_owned(),
+            ]
+        })
+        .collect();
+    table(
+        &["CLASS", "UPSTREAM", "FINISH WITHIN", "MAY RUN TWICE"],
+        &rows,
+    )
+}
+
+/// Shows the changes that the log still holds, or those of one class, or one of them.
+pub async fn history(
+    platform: PlatformArgs,
+    class: Option<ClassName>,
+    change: Option<ChangeId>,
+    format: Format,
+) -> Result<String> {
+    let mut log = ConfigLog::new(platform);
+    // Also useful when the log has lost records: what it still holds is shown.
+    match log.read_all().await {
+        Ok(()) | Err(Error::ConfigIncomplete) => {}
+        Err(error) => return Err(error),
+    }
+    let is_wanted = |logged: &&Logged| {
+        class
+            .as_ref()
+            .is_none_or(|class| class_of(&logged.change.body) == class)
+            && change.is_none_or(|change| logged.change.change_id == change)
+    };
+    let changes: Vec<&Logged> = log.changes().iter().filter(is_wanted).collect();
+    if let (Some(change), true) = (change, changes.is_empty()) {
+        return Err(Error::NotFound {
+            what: format_smolstr!("change {change} on the log: it was not accepted so far"),
+        });
+    }
+    Ok(match format {
+        Format::Json => json(
+            &changes
+                .iter()
+                .map(|logged| as_json(logged))
+                .collect::<Vec<_>>(),
+        ),
+        Format::Human => history_table(&changes),
+    })
+}
+
+fn history_table(changes: &[&Logged]) -> String {
+    let rows: Vec<Vec<String>> = changes
+        .iter()
+        .map(|logged| {
+            let change = &logged.change;
+            vec![
+                logged.offset.to_string(),
+                change.change_id.to_string(),
+                change.based_on.to_string(),
+                fate_words(logged.fate),
+                body_words(&change.body),
+            ]
+        })
+        .collect();
+    table(&["OFFSET", "CHANGE", "BASED ON", "FATE", "WHAT"], &rows)
+}
+
+fn as_json(logged: &Logged) -> Change<'_> {
+    let (fate, revision) = match logged.fate {
+        Fate::Accepted(revision) => ("accepted", Some(revision)),
+        Fate::Raced(_) => ("raced", None),
+        Fate::Ignored => ("ignored", None),
+        Fate::Unjudged => ("unjudged", None),
+    };
+    Change {
+        offset: logged.offset,
+        at_ms: logged.at,
+        change_id: logged.change.change_id,
+        based_on: logged.change.based_on,
+        body: &logged.change.body,
+        fate,
+        revision,
+    }
+}
+
+fn fate_words(fate: Fate) -> String {
+    match fate {
+        Fate::Accepted(revision) => format!("revision {revision}"),
+        Fate::Raced(found) => format!("raced, found {found}"),
+        Fate::Ignored => "ignored, breaks a rule".to_owned(),
+        Fate::Unjudged => "copy or not to be judged".to_owned(),
+    }
+}
+
+fn body_words(body: &ChangeBody) -> String {
+    match body {
+        ChangeBody::Remove(class) => format!("remove {class}"),
+        ChangeBody::Put(target) => format!(
+            "put {} on {} within {}{}",
+            target.class,
+            target.upstream,
+            span::display(target.finish_within_ms),
+            if target.may_run_twice {
+                ", may run twice"
+            } else {
+                ""
+            }
+        ),
+    }
+}
+
+fn class_of(body: &ChangeBody) -> &ClassName {
+    match body {
+        ChangeBody::Put(target) => &target.class,
+        ChangeBody::Remove(class) => class,
+    }
+}
+
+fn yes_or_no(value: bool) -> &'static str {
+    if value { "yes" } else { "no" }
+}
--- /dev/null
+++ b/crates/onyxshed-cli/src/target/wait.rs
@@ -0,0 +1,72 @@
+//! Waits until a revision is in force in every process.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use onyxshed_core::Revision;
+use onyxshed_settings::ProcessAddress;
+use onyxshed_wire::admin::Status;
+
+use super::log::ConfigLog;
+use crate::ask::{Asked, ask_status};
+use crate::error::{Error, Result};
+use crate::progress::Progress;
+
+/// How long a process may take to answer.
+const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How often processes are asked.
+const POLL_PERIOD: Duration = Duration::from_millis(100);
+
+/// Waits until every process has the revision in force, or the command's time is up.
+pub(super) async fn wait_in_force(
+    processes: &[ProcessAddress],
+    revision: Revision,
+    log: &ConfigLog,
+) -> Result<()> {
+    let mut progress = Progress::start();
+    loop {
+        let asked = ask_status(processes, ASK_TIMEOUT).await;
+        let lacking: Vec<String> = asked
+            .iter()
+            .filter(|asked| !has_revision(asked, revision))
+            .map(describe)
+            .collect();
+        if lacking.is_empty() {
+            return Ok(());
+        }
+        let waiting = lacking.join(", ");
+        if log.is_late() {
+            return Err(Error::NotInForce {
+                revision,
+                waiting: waiting.into(),
+            });
+        }
+        let done = asked.len() - lacking.len();
+        progress.tell(|| {
+            let all = asked.len();
+            format!("{done} of {all} processes have revision {revision}; not yet {waiting}")
+        });
+        Timer::after(POLL_PERIOD).await;
+    }
+}
+
+fn has_revision(asked: &Asked<Status>, revision: Revision) -> bool {
+    let found = asked
+        .answer
+        .as_ref()
+        .ok()
+        .and_then(|status| status.config_revision);
+    found.is_some_and(|found| found >= revision)
+}
+
+fn describe(asked: &Asked<Status>) -> String {
+    let name = &asked.process;
+    match &asked.answer {
+        Err(reason) => format!("{name} (no answer: {reason})"),
+        Ok(status) => match status.config_revision {
+            Some(revision) => format!("{name} (revision {revision})"),
+            None => format!("{name} (none yet)"),
+        },
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-cli/src/timeline/merge.rs
@@ -0,0 +1,89 @@
+//! Events of several processes in one order, and what is missing from them.
+
+use onyxshed_core::{Event, UnixMs};
+use onyxshed_wire::admin::TimelinePage;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use crate::ask::Asked;
+
+/// An event and the process that it happened in.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Entry {
+    /// The process's name in the settings.
+    pub process: SmolStr,
+    /// The event.
+    #[serde(flatten)]
+    pub event: Event,
+}
+
+/// Why events of a process may be missing.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Missing {
+    /// It did not answer: none of its events are shown.
+    NoAnswer(SmolStr),
+    /// It started then: an earlier run's events are gone.
+    StartedAt(UnixMs),
+    /// So many of its oldest events were dropped for newer ones.
+    Dropped(u64),
+    /// More events match than it was asked for; the oldest are left out.
+    TooMany,
+}
+
+/// A gap in the time line.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Gap {
+    /// The process's name in the settings.
+    pub process: SmolStr,
+    /// Why events may be missing.
+    pub missing: Missing,
+}
+
+/// One time line over all processes.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct Merged {
+    /// Gaps, in the order of the processes.
+    pub gaps: Vec<Gap>,
+    /// Events, in the order of their clocks.
+    pub events: Vec<Entry>,
+}
+
+/// Merges what the processes answered.
+pub fn merge(asked: Vec<Asked<TimelinePage>>) -> Merged {
+    let mut merged = Merged::default();
+    for asked in asked {
+        let process = asked.process;
+        match asked.answer {
+            Err(reason) => merged.add_gap(&process, Missing::NoAnswer(reason)),
+            Ok(page) => merged.add_page(&process, page),
+        }
+    }
+    // Stable: events of one process with the same stamp stay in their order.
+    merged.events.sort_by_key(|entry| entry.event.hlc);
+    merged
+}
+
+impl Merged {
+    fn add_page(&mut self, process: &SmolStr, page: TimelinePage) {
+        self.add_gap(process, Missing::StartedAt(page.started_ms));
+        if page.dropped > 0 {
+            self.add_gap(process, Missing::Dropped(page.dropped));
+        }
+        if page.is_cut {
+            self.add_gap(process, Missing::TooMany);
+        }
+        let entries = page.events.into_iter().map(|event| Entry {
+            process: process.clone(),
+            event,
+        });
+        self.events.extend(entries);
+    }
+
+    fn add_gap(&mut self, process: &SmolStr, missing: Missing) {
+        self.gaps.push(Gap {
+            process: process.clone(),
+            missing,
+        });
+    }
+}
