--- a/crates/onyxshed-load/src/cli.rs
+++ b/crates/onyxshed-load/src/cli.rs
@@ -17,6 +17,7 @@
 use crate::plot;
 use crate::report::write_json;
 use crate::run::run;
+use crate::sim::simulate;
 
 /// Exit status after an error.
 const FAILED: u8 = 1;
@@ -44,6 +45,7 @@
         Some(("run", args)) => run_command(&executor, args),
         Some(("direct", args)) => direct_command(&executor, args),
         Some(("idle", args)) => idle_command(&executor, args),
+        Some(("simulate", args)) => simulate_command(args),
         _ => Ok(()),
     }
 }
@@ -88,6 +90,15 @@
     write_out(args, &report)
 }
 
+fn simulate_command(args: &ArgMatches) -> Result<()> {
+    let summary = simulate(&args::sim_options(args));
+    println!("{summary}");
+    match args.get_one::<PathBuf>("out") {
+        Some(folder) => summary.write(folder),
+        None => Ok(()),
+    }
+}
+
 fn print_json(value: &impl Serialize) {
     let text = serde_json::to_string_pretty(value).expect("reports hold only what JSON can write");
     println!("{text}");
--- a/crates/onyxshed-load/src/cli/args.rs
+++ b/crates/onyxshed-load/src/cli/args.rs
@@ -11,6 +11,9 @@
 use crate::mix::Mix;
 use crate::plan::{Burst, PlanOptions};
 use crate::run::RunOptions;
+use crate::sim::SimOptions;
+use crate::sim::scenario::Scenario;
+use crate::sim::world::WorldOptions;
 
 /// Makes the whole command.
 pub fn command() -> Command {
@@ -23,6 +26,7 @@
         .subcommand(run_args())
         .subcommand(direct_args())
         .subcommand(idle_args())
+        .subcommand(simulate_args())
 }
 
 fn run_args() -> Command {
@@ -41,13 +45,7 @@
                 .value_parser(value_parser!(SocketAddr))
                 .help("An entry host's address; jobs are spread evenly over all given"),
         )
-        .arg(
-            Arg::new("mix")
-                .long("mix")
-                .default_value("inzira")
-                .value_parser(value_parser!(Mix))
-                .help("Whose work: inzira or valbrenta"),
-        )
+        .arg(mix())
         .arg(
             number("jobs-per-s", "20", "Jobs a second outside bursts")
                 .value_parser(value_parser!(f64)),
@@ -123,6 +121,33 @@
         .arg(out("File for the report in JSON"))
 }
 
+fn simulate_args() -> Command {
+    Command::new("simulate")
+        .about("The decision core in virtual time, beside round robin and least outstanding")
+        .arg(mix())
+        .arg(
+            number("seeds", "5", "Runs of each, with seeds from 1")
+                .value_parser(value_parser!(u64)),
+        )
+        .arg(number("span-s", "45", "How long jobs arrive").value_parser(value_parser!(f64)))
+        .arg(
+            Arg::new("scenario")
+                .long("scenario")
+                .action(ArgAction::Append)
+                .value_name("NAME")
+                .help("Only scenarios whose name contains this, such as 'load' or 'rack'"),
+        )
+        .arg(out("Folder for JSON and plots"))
+}
+
+fn mix() -> Arg {
+    Arg::new("mix")
+        .long("mix")
+        .default_value("inzira")
+        .value_parser(value_parser!(Mix))
+        .help("Whose work: inzira or valbrenta")
+}
+
 fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
     Arg::new(name)
         .long(name)
@@ -194,6 +219,21 @@
     }
 }
 
+/// Reads the options of `simulate`.
+pub fn sim_options(args: &ArgMatches) -> SimOptions {
+    let wanted: Vec<&String> = args.get_many("scenario").into_iter().flatten().collect();
+    let is_wanted = |scenario: &Scenario| {
+        wanted.is_empty() || wanted.iter().any(|part| scenario.name().contains(*part))
+    };
+    SimOptions {
+        mix: required(args, "mix"),
+        seeds: (1..=required(args, "seeds")).collect(),
+        scenarios: Scenario::ALL.into_iter().filter(is_wanted).collect(),
+        span_s: required(args, "span-s"),
+        world: WorldOptions::default(),
+    }
+}
+
 fn parse_burst(text: &str) -> Result<Burst, String> {
     let numbers: Vec<f64> = text
         .split(':')
--- a/crates/onyxshed-load/src/lib.rs
+++ b/crates/onyxshed-load/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod process;
 pub mod report;
 pub mod run;
+pub mod sim;
 pub mod tally;
 
 pub use error::{Error, Result};
--- /dev/null
+++ b/crates/onyxshed-load/src/sim/summary.rs
@@ -0,0 +1,250 @@
+//! Results of all runs: medians and spread over the seeds, as table, JSON and plots.
+
+use std::fmt;
+use std::path::Path;
+
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use super::SimOptions;
+use super::chooser::Rival;
+use super::scenario::Scenario;
+use super::world::RunResult;
+use crate::error::Result;
+use crate::mix::Mix;
+use crate::plot::{Bars, Series};
+use crate::report::write_json;
+use crate::tally::{float, percent};
+
+/// Results of all scenarios and policies.
+#[derive(Debug, Clone, Serialize)]
+pub struct Summary {
+    /// The mix.
+    pub mix: String,
+    /// The seeds.
+    pub seeds: Vec<u64>,
+    /// How long jobs arrived in each run, in seconds.
+    pub span_s: f64,
+    /// One cell for each scenario and policy.
+    pub cells: Vec<Cell>,
+}
+
+/// Results of one scenario with one policy.
+#[derive(Debug, Clone, Serialize)]
+pub struct Cell {
+    /// The scenario.
+    pub scenario: String,
+    /// The policy.
+    pub rival: Rival,
+    /// Each class's results.
+    pub classes: Vec<ClassCell>,
+    /// Wasted messages in percent of tasks.
+    pub wasted_percent: Spread,
+    /// Tasks of jobs complete within their target, a second of arrivals.
+    pub goodput_per_s: Spread,
+    /// Seconds from the overload's end to the last later second in which fewer than 90% of the
+    /// arriving jobs were hits.
+    pub recovery_s: Option<Spread>,
+}
+
+/// One class's results in one cell.
+#[derive(Debug, Clone, Serialize)]
+pub struct ClassCell {
+    /// The class.
+    pub class: &'static str,
+    /// Jobs complete within the target, in percent.
+    pub hit_percent: Spread,
+    /// Median of response time over ideal, of complete jobs.
+    pub ratio_p50: Spread,
+    /// Its 99th percentile.
+    pub ratio_p99: Spread,
+}
+
+/// A figure over the seeds.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Spread {
+    /// Median.
+    pub median: f64,
+    /// Least.
+    pub min: f64,
+    /// Greatest.
+    pub max: f64,
+}
+
+impl Spread {
+    /// Takes the median and the ends of some values.
+    pub fn of(values: impl Iterator<Item = f64>) -> Self {
+        let mut sorted: Vec<f64> = values.collect();
+        sorted.sort_by(f64::total_cmp);
+        let at = |place: usize| sorted.get(place).copied().unwrap_or_default();
+        Spread {
+            median: at(sorted.len() / 2),
+            min: at(0),
+            max: at(sorted.len().saturating_sub(1)),
+        }
+    }
+}
+
+impl fmt::Display for Spread {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Spread { median, min, max } = self;
+        f.pad(&format!("{median:.1} [{min:.1}-{max:.1}]"))
+    }
+}
+
+impl Cell {
+    /// Sums up the runs of one scenario with one policy.
+    pub fn of(mix: Mix, scenario: Scenario, rival: Rival, runs: &[RunResult]) -> Self {
+        let classes = mix.classes().iter().enumerate().map(|(place, load)| {
+            let each = runs.iter().map(move |run| &run.tally.classes[place]);
+            ClassCell {
+                class: load.class,
+                hit_percent: Spread::of(each.clone().map(|class| class.hit_percent())),
+                ratio_p50: Spread::of(each.clone().map(|class| class.ratio_at(50.0))),
+                ratio_p99: Spread::of(each.map(|class| class.ratio_at(99.0))),
+            }
+        });
+        let seconds = |run: &RunResult| run.by_second.keys().last().map_or(1, |last| last + 1);
+        let goodput = runs.iter().map(|run| {
+            let good = run.tally.classes.iter().map(|class| class.good_tasks);
+            float(good.sum()) / float(seconds(run))
+        });
+        let longest = runs.iter().map(seconds).max().unwrap_or_default();
+        let end_s = scenario.overload_end_s(float(longest));
+        Cell {
+            scenario: scenario.name(),
+            rival,
+            classes: classes.collect(),
+            wasted_percent: Spread::of(runs.iter().map(|run| run.tally.wasted_percent())),
+            goodput_per_s: Spread::of(goodput),
+            recovery_s: end_s
+                .map(|end_s| Spread::of(runs.iter().map(|run| recovery_s(run, end_s)))),
+        }
+    }
+
+    fn worst(&self, value: fn(&ClassCell) -> f64, pick: fn(f64, f64) -> f64) -> f64 {
+        let values = self.classes.iter().map(value);
+        values.reduce(pick).unwrap_or_default()
+    }
+}
+
+fn recovery_s(run: &RunResult, end_s: f64) -> f64 {
+    const RECOVERED_PERCENT: f64 = 90.0;
+    let after = run.by_second.iter().rev();
+    let bad = after
+        .take_while(|(second, _)| float(**second) >= end_s)
+        .find(|(_, (jobs, hits))| percent(*hits, *jobs) < RECOVERED_PERCENT);
+    bad.map_or(0.0, |(second, _)| float(*second) + 1.0 - end_s)
+}
+
+impl Summary {
+    /// Makes an empty summary.
+    pub fn new(options: &SimOptions) -> Self {
+        Summary {
+            mix: options.mix.to_string(),
+            seeds: options.seeds.clone(),
+            span_s: options.span_s,
+            cells: Vec::new(),
+        }
+    }
+
+    /// Tries to write JSON and plots into a folder.
+    pub fn write(&self, folder: &Path) -> Result<()> {
+        write_json(&folder.join(format!("policy-{}.json", self.mix)), self)?;
+        let draw = |name: &str, bars: Bars| {
+            bars.draw(&folder.join(format!("policy-{name}-{}.svg", self.mix)))
+        };
+        draw("ratio", self.ratio_bars())?;
+        draw("missed", self.missed_bars())?;
+        draw("wasted", self.wasted_bars())
+    }
+
+    fn ratio_bars(&self) -> Bars {
+        self.bars(
+            "Worst class's p99 of response time over ideal",
+            "ratio",
+            1.0,
+            |cell| cell.worst(|class| class.ratio_p99.median, f64::max),
+        )
+    }
+
+    fn missed_bars(&self) -> Bars {
+        self.bars("Worst class's missed deadlines", "% of jobs", 0.1, |cell| {
+            100.0 - cell.worst(|class| class.hit_percent.median, f64::min)
+        })
+    }
+
+    fn wasted_bars(&self) -> Bars {
+        self.bars("Wasted messages", "% of tasks", 0.1, |cell| {
+            cell.wasted_percent.median
+        })
+    }
+
+    fn bars(&self, title: &str, unit: &'static str, floor: f64, value: fn(&Cell) -> f64) -> Bars {
+        let cells_of = |rival| self.cells.iter().filter(move |cell| cell.rival == rival);
+        Bars {
+            title: format!("{title}, {}", self.mix).into(),
+            unit,
+            floor,
+            groups: cells_of(Rival::Onyxshed)
+                .map(|cell| SmolStr::from(&cell.scenario))
+                .collect(),
+            series: Rival::ALL
+                .map(|rival| Series {
+                    name: rival.name().into(),
+                    values: cells_of(rival).map(value).collect(),
+                })
+                .into(),
+        }
+    }
+}
+
+impl fmt::Display for Summary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Summary {
+            mix, seeds, span_s, ..
+        } = self;
+        writeln!(
+            f,
+            "mix {mix}, seeds {seeds:?}, {span_s} s of arrivals a run"
+        )?;
+        writeln!(
+            f,
+            "median [least-greatest] over the seeds; a hit is a job complete in time"
+        )?;
+        write!(
+            f,
+            "{:<12} {:<13} {:<14} {:<20} {:<17} {:<17} {:<18} {:<20} recovery s",
+            "scenario",
+            "policy",
+            "class",
+            "hits %",
+            "ratio p50",
+            "ratio p99",
+            "wasted %",
+            "goodput/s"
+        )?;
+        self.cells.iter().try_for_each(|cell| write!(f, "{cell}"))
+    }
+}
+
+impl fmt::Display for Cell {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (place, class) in self.classes.iter().enumerate() {
+            let (scenario, rival) = match place {
+                0 => (self.scenario.as_str(), self.rival.name()),
+                _ => ("", ""),
+            };
+            write!(
+                f,
+                "\n{scenario:<12} {rival:<13} {:<14} {:<20} {:<17} {:<17}",
+                class.class, class.hit_percent, class.ratio_p50, class.ratio_p99
+            )?;
+            if place == 0 {
+                write!(f, " {:<18} {:<20}", self.wasted_percent, self.goodput_per_s)?;
+                self.recovery_s.iter().try_for_each(|s| write!(f, " {s}"))?;
+            }
+        }
+        Ok(())
+    }
+}
