--- a/crates/onyxshed-load/src/caller.rs
+++ b/crates/onyxshed-load/src/caller.rs
@@ -95,11 +95,11 @@
     /// Submits and follows a job to its final answer; none if no answer came in time.
     pub async fn submit(&self, draw: u64, job: &Submission, target: Duration) -> Option<Answer> {
         let patience = target + self.options.patience;
-        let body = serde_json::to_vec(job).expect("submissions hold only what JSON can write");
+        let mut job = job.clone();
         let mut repeats = 0;
         loop {
             let entry = self.entry(draw.wrapping_add(u64::from(repeats)));
-            let mut tried = entry.post(body.clone(), patience).await;
+            let mut tried = entry.post(encode(&job), patience).await;
             let mut step = self.after(&tried, repeats);
             while let AfterTry::Poll(pause) = step {
                 self.wasted.borrow_mut().polls += 1;
@@ -112,6 +112,7 @@
                 AfterTry::Repeat(pause) | AfterTry::Poll(pause) => Timer::after(pause).await,
             };
             repeats += 1;
+            job.is_first_copy = false;
             self.wasted.borrow_mut().repeats += 1;
         }
     }
@@ -144,6 +145,10 @@
     }
 }
 
+fn encode(job: &Submission) -> Vec<u8> {
+    serde_json::to_vec(job).expect("submissions hold only what JSON can write")
+}
+
 impl Entry {
     async fn post(&self, body: Vec<u8>, patience: Duration) -> Result<Answer, CallError> {
         self.call(Method::Post, JOBS_PATH, body, patience).await
--- a/crates/onyxshed-load/src/cli/args.rs
+++ b/crates/onyxshed-load/src/cli/args.rs
@@ -129,7 +129,14 @@
             number("seeds", "5", "Runs of each, with seeds from 1")
                 .value_parser(value_parser!(u64)),
         )
-        .arg(number("span-s", "45", "How long jobs arrive").value_parser(value_parser!(f64)))
+        .arg(
+            number(
+                "span-s",
+                "90",
+                "How long jobs arrive; the middle third counts",
+            )
+            .value_parser(value_parser!(f64)),
+        )
         .arg(
             Arg::new("scenario")
                 .long("scenario")
--- a/crates/onyxshed-load/src/direct.rs
+++ b/crates/onyxshed-load/src/direct.rs
@@ -143,6 +143,7 @@
             },
             class: class_name(&self.options.class),
             deadline_ms: None,
+            is_first_copy: true,
             tasks: vec![payload(self.options.service_ms)],
         };
         let body = serde_json::to_vec(&job).expect("submissions hold only what JSON can write");
--- a/crates/onyxshed-load/src/idle.rs
+++ b/crates/onyxshed-load/src/idle.rs
@@ -114,6 +114,7 @@
         submission: SubmissionId::unbound(fresh_ulid(rand::random())),
         class: class_name(class),
         deadline_ms: None,
+        is_first_copy: true,
         tasks: vec![payload(options.service_ms)],
     };
     let body = serde_json::to_vec(&job).expect("submissions hold only what JSON can write");
--- a/crates/onyxshed-load/src/run.rs
+++ b/crates/onyxshed-load/src/run.rs
@@ -94,6 +94,7 @@
             submission: self.callers.bind(job.draw, id),
             class: class_name(load.class),
             deadline_ms: None,
+            is_first_copy: true,
             tasks: job.service_ms.iter().map(|ms| payload(*ms)).collect(),
         }
     }
--- a/crates/onyxshed-load/src/sim.rs
+++ b/crates/onyxshed-load/src/sim.rs
@@ -16,7 +16,7 @@
 use chooser::Rival;
 use scenario::Scenario;
 use summary::{Cell, Summary};
-use world::{World, WorldOptions};
+use world::{RunResult, World, WorldOptions};
 
 /// What to run.
 #[derive(Debug, Clone)]
@@ -39,15 +39,21 @@
     for scenario in &options.scenarios {
         for rival in Rival::ALL {
             let runs = options.seeds.iter();
-            let results = runs.map(|seed| one_run(options, *scenario, rival, *seed));
-            let cell = Cell::of(options.mix, *scenario, rival, &results.collect::<Vec<_>>());
+            let results = runs.map(|seed| one_run(options, *scenario, rival, *seed).1);
+            let cell = Cell::of(options, *scenario, rival, &results.collect::<Vec<_>>());
             summary.cells.push(cell);
         }
     }
     summary
 }
 
-fn one_run(options: &SimOptions, scenario: Scenario, rival: Rival, seed: u64) -> world::RunResult {
+/// Makes one run; gets how many jobs were planned and what became of them.
+pub fn one_run(
+    options: &SimOptions,
+    scenario: Scenario,
+    rival: Rival,
+    seed: u64,
+) -> (usize, RunResult) {
     let capacity = options.world.capacity_ms_per_s() / options.mix.mean_job_ms();
     let jobs = plan(&PlanOptions {
         mix: options.mix,
@@ -57,5 +63,9 @@
         time_scale: 1.0,
         seed,
     });
-    World::new(options, scenario, rival, seed, jobs).run()
+    let planned = jobs.len();
+    (
+        planned,
+        World::new(options, scenario, rival, seed, jobs).run(),
+    )
 }
--- a/crates/onyxshed-load/src/sim/chooser.rs
+++ b/crates/onyxshed-load/src/sim/chooser.rs
@@ -4,7 +4,8 @@
 
 use onyxshed_core::{ClassName, Mono, Now, ResultCode, TaskId};
 use onyxshed_policy::{
-    Admission, AttemptEnd, ExecutorInfo, NextStep, Policy, PolicyOptions, RetryStep, Verdict, Work,
+    Admission, AttemptEnd, ExecutorInfo, Expired, NextStep, Policy, PolicyOptions, RetryStep,
+    Verdict, Work,
 };
 use serde::Serialize;
 
@@ -140,9 +141,9 @@
     }
 
     /// Takes out the waiting tasks whose deadline has passed.
-    pub fn expired(&mut self, now: Now) -> Vec<TaskId> {
+    pub fn expired(&mut self, now: Now) -> Vec<Expired> {
         match self {
-            Chooser::Policy(policy) => policy.expired(now),
+            Chooser::Policy(policy) => policy.take_expired(now),
             Chooser::Baseline(_) => Vec::new(),
         }
     }
--- a/crates/onyxshed-load/src/sim/summary.rs
+++ b/crates/onyxshed-load/src/sim/summary.rs
@@ -11,7 +11,6 @@
 use super::scenario::Scenario;
 use super::world::RunResult;
 use crate::error::Result;
-use crate::mix::Mix;
 use crate::plot::{Bars, Series};
 use crate::report::write_json;
 use crate::tally::{float, percent};
@@ -40,7 +39,7 @@
     pub classes: Vec<ClassCell>,
     /// Wasted messages in percent of tasks.
     pub wasted_percent: Spread,
-    /// Tasks of jobs complete within their target, a second of arrivals.
+    /// Tasks of jobs complete within their target, a second of the middle third.
     pub goodput_per_s: Spread,
     /// Seconds from the overload's end to the last later second in which fewer than 90% of the
     /// arriving jobs were hits.
@@ -94,23 +93,27 @@
 
 impl Cell {
     /// Sums up the runs of one scenario with one policy.
-    pub fn of(mix: Mix, scenario: Scenario, rival: Rival, runs: &[RunResult]) -> Self {
-        let classes = mix.classes().iter().enumerate().map(|(place, load)| {
-            let each = runs.iter().map(move |run| &run.tally.classes[place]);
-            ClassCell {
-                class: load.class,
-                hit_percent: Spread::of(each.clone().map(|class| class.hit_percent())),
-                ratio_p50: Spread::of(each.clone().map(|class| class.ratio_at(50.0))),
-                ratio_p99: Spread::of(each.map(|class| class.ratio_at(99.0))),
-            }
-        });
-        let seconds = |run: &RunResult| run.by_second.keys().last().map_or(1, |last| last + 1);
+    pub fn of(options: &SimOptions, scenario: Scenario, rival: Rival, runs: &[RunResult]) -> Self {
+        let span_s = options.span_s;
+        let classes = options
+            .mix
+            .classes()
+            .iter()
+            .enumerate()
+            .map(|(place, load)| {
+                let each = runs.iter().map(move |run| &run.tally.classes[place]);
+                ClassCell {
+                    class: load.class,
+                    hit_percent: Spread::of(each.clone().map(|class| class.hit_percent())),
+                    ratio_p50: Spread::of(each.clone().map(|class| class.ratio_at(50.0))),
+                    ratio_p99: Spread::of(each.map(|class| class.ratio_at(99.0))),
+                }
+            });
         let goodput = runs.iter().map(|run| {
             let good = run.tally.classes.iter().map(|class| class.good_tasks);
-            float(good.sum()) / float(seconds(run))
+            float(good.sum()) / (span_s / 3.0)
         });
-        let longest = runs.iter().map(seconds).max().unwrap_or_default();
-        let end_s = scenario.overload_end_s(float(longest));
+        let end_s = scenario.overload_end_s(span_s);
         Cell {
             scenario: scenario.name(),
             rival,
@@ -210,7 +213,7 @@
         )?;
         writeln!(
             f,
-            "median [least-greatest] over the seeds; a hit is a job complete in time"
+            "median [least-greatest] over the seeds; a hit is a job complete in time; the middle third counts"
         )?;
         write!(
             f,
--- a/crates/onyxshed-load/src/sim/world.rs
+++ b/crates/onyxshed-load/src/sim/world.rs
@@ -19,7 +19,7 @@
 use super::scenario::Scenario;
 use crate::mix::Mix;
 use crate::plan::PlannedJob;
-use crate::tally::{JobEnd, Tally};
+use crate::tally::{JobEnd, Tally, Wasted};
 
 /// The zone.
 #[derive(Debug, Clone)]
@@ -61,9 +61,9 @@
 /// What one run gave.
 #[derive(Debug, Clone)]
 pub struct RunResult {
-    /// Outcomes and wasted messages.
+    /// Outcomes of the jobs that arrived in the middle third, and the messages wasted in it.
     pub tally: Tally,
-    /// Jobs and deadline hits by the second of their arrival.
+    /// Jobs and deadline hits of the whole run, by the second of their arrival.
     pub by_second: BTreeMap<u64, (u64, u64)>,
 }
 
@@ -130,6 +130,7 @@
     attempts: Vec<Attempt>,
     jobs: Vec<Job>,
     result: RunResult,
+    uncounted: Wasted,
 }
 
 /// The wall clock at the start of every run; any value does.
@@ -178,6 +179,7 @@
                 tally: Tally::new(options.mix),
                 by_second: BTreeMap::new(),
             },
+            uncounted: Wasted::default(),
             options: world,
         };
         made.start_hosts(rival, seed, &upstream);
@@ -305,6 +307,18 @@
         }
     }
 
+    /// Gets where wasted messages are counted just now: those outside the middle third are not.
+    fn wasted(&mut self) -> &mut Wasted {
+        match self.is_in_middle(self.now_us) {
+            true => &mut self.result.tally.wasted,
+            false => &mut self.uncounted,
+        }
+    }
+
+    fn is_in_middle(&self, at_us: u64) -> bool {
+        (self.span_us / 3..2 * self.span_us / 3).contains(&at_us)
+    }
+
     fn record(&mut self, job: usize, code: Option<ResultCode>) {
         let planned = &self.jobs[job].planned;
         let load = &self.mix.classes()[planned.class];
@@ -318,8 +332,11 @@
             finish_within_us: u64::from(load.finish_within_ms) * 1_000 + network_us,
         };
         let second = planned.at_us / 1_000_000;
+        let is_counted = self.is_in_middle(planned.at_us);
         self.jobs[job].is_over = true;
-        self.result.tally.record(&end);
+        if is_counted {
+            self.result.tally.record(&end);
+        }
         let count = self.result.by_second.entry(second).or_default();
         count.0 += 1;
         let is_hit = code == Some(ResultCode::Complete) && end.took_us <= end.finish_within_us;
--- a/crates/onyxshed-load/src/sim/world/fault.rs
+++ b/crates/onyxshed-load/src/sim/world/fault.rs
@@ -131,7 +131,7 @@
         again.left = again.done.len();
         again.done.fill(false);
         again.attempts.clear();
-        self.result.tally.wasted.repeats += 1;
+        self.wasted().repeats += 1;
         self.after(REPEAT_US, Event::Arrive { job });
     }
 
--- a/crates/onyxshed-load/src/sim/world/host.rs
+++ b/crates/onyxshed-load/src/sim/world/host.rs
@@ -87,12 +87,12 @@
 
     /// The caller is told "not run" and comes back when told, a bounded number of times.
     fn refused(&mut self, job: usize, code: ResultCode, wait: Millis) {
-        self.result.tally.wasted.refusals += 1;
+        self.wasted().refusals += 1;
         if self.jobs[job].tries >= REPEATS_MAX {
             return self.record(job, Some(code));
         }
         self.jobs[job].tries += 1;
-        self.result.tally.wasted.repeats += 1;
+        self.wasted().repeats += 1;
         let back_us = wait.0 * 1_000 + 2 * self.options.caller_us;
         self.after(back_us, Event::Arrive { job });
     }
@@ -100,8 +100,8 @@
     /// Starts whatever the policy wants started.
     pub(super) fn pump(&mut self, host: usize) {
         let now = self.now();
-        for task in self.hosts[host].chooser.expired(now) {
-            self.deadline(job_of(&task));
+        for expired in self.hosts[host].chooser.expired(now) {
+            self.expired(job_of(&expired.task), expired.code);
         }
         loop {
             match self.hosts[host].chooser.next(now) {
@@ -121,7 +121,7 @@
                         verdict: Verdict::Lost,
                         service_us: 0,
                     });
-                    self.result.tally.wasted.hedges += u64::from(is_hedge);
+                    self.wasted().hedges += u64::from(is_hedge);
                     self.jobs[job].has_started = true;
                     self.jobs[job].attempts.push(attempt);
                     self.after(self.options.upstream_us, Event::Reach { attempt });
@@ -160,12 +160,11 @@
         let now = self.now();
         let step = self.hosts[host].chooser.ended(now, &end);
         let is_current = self.jobs[job].host == host && !self.jobs[job].is_over;
-        let wasted = &mut self.result.tally.wasted;
         match (verdict, step) {
             (Verdict::Finished, _) if is_current => self.task_done(attempt),
             (Verdict::Finished | Verdict::Stopped, _) => {}
-            (Verdict::Refused, _) => wasted.executor_refusals += 1,
-            _ => wasted.lost_starts += 1,
+            (Verdict::Refused, _) => self.wasted().executor_refusals += 1,
+            _ => self.wasted().lost_starts += 1,
         }
         match (verdict, step) {
             (Verdict::Finished, _) => {}
@@ -174,7 +173,7 @@
                 let task = self.attempts[attempt].task;
                 self.hosts[host].chooser.withdraw(task);
             }
-            (_, RetryStep::Queued) => self.result.tally.wasted.retries += 1,
+            (_, RetryStep::Queued) => self.wasted().retries += 1,
             (_, RetryStep::GiveUp(code)) if is_current => self.finish(job, code),
             _ => {}
         }
@@ -236,13 +235,25 @@
     fn stop_all(&mut self, attempts: &[usize]) {
         for attempt in attempts {
             if self.attempts[*attempt].is_open {
-                self.result.tally.wasted.stops += 1;
+                self.wasted().stops += 1;
                 let attempt = *attempt;
                 self.after(self.options.upstream_us, Event::Stop { attempt });
             }
         }
     }
 
+    /// The policy has given up a waiting task, and its job with it.
+    fn expired(&mut self, job: usize, code: ResultCode) {
+        if self.jobs[job].is_over || !self.jobs[job].is_running {
+            return;
+        }
+        let code = match self.jobs[job].has_started {
+            true => ResultCode::DeadlinePassed,
+            false => code,
+        };
+        self.finish(job, code);
+    }
+
     pub(super) fn deadline(&mut self, job: usize) {
         let due = &self.jobs[job];
         if due.is_over || !due.is_running || self.now_us < due.deadline.0 {
