Claims and configuration: first whole decisions

Claims: pacing by a token bucket derived from the live hosts, batches bounded by the largest record, releases, takeover, patience, the latest wall clock, forgetting by age and by room, gaps. ClaimStep gains AlreadyStarted: a submission that was told to start here and whose job is gone must not start again; whoever matches ClaimStep has to answer it. may_start is true only for what the book told this host to start. lost_log now returns the claims that failed; tick is new and has to be called when next_batch's WaitUntil comes. A batch that turns up after a later one of its claimant is ignored by all, else a late release could undo a claim on which its sender has started.

--- a/crates/onyxshed-state/src/claim.rs
+++ b/crates/onyxshed-state/src/claim.rs
@@ -4,119 +4,45 @@
 //! batch, paced so that all hosts together stay under what the log takes. A claim counts only when
 //! it has been read back: then every earlier record has been read too, so the first claim is known.
 //! A bound submission needs no claim, because only the incarnation it names may start it.
+//!
+//! The book also remembers what it told this host to start, so a resubmission that arrives after
+//! the job's answer was dropped is not started again. A claim whose job gave up is released by a
+//! later batch, and others may then claim the submission.
 
-use std::collections::{HashMap, VecDeque};
+mod batch;
+mod options;
+mod pace;
+mod queue;
+mod step;
+mod table;
 
-use onyxshed_core::{Incarnation, Millis, Mono, Now, Offset, RatePerS, SubmissionId};
+use onyxshed_core::{Incarnation, Millis, Now, Offset, SubmissionId, UnixMs};
 use onyxshed_wire::ContentHash;
 use onyxshed_wire::record::{Claim, ClaimBatch, ClaimRecord};
 
-/// Limits of the claim book.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ClaimOptions {
-    /// Ids older than this are refused; less than half of the log's retention. Default 10 min.
-    pub horizon_ms: Millis,
-    /// Most that two hosts' wall clocks differ. Default 2 s.
-    pub skew_ms: Millis,
-    /// Appends a second that this host may make. Default 30.
-    pub appends_per_s: RatePerS,
-    /// Most claims in one batch. Default 500.
-    pub batch_max: usize,
-    /// Most claims remembered. Default 1,000,000.
-    pub claims_max: usize,
-}
-
-impl Default for ClaimOptions {
-    fn default() -> Self {
-        ClaimOptions {
-            horizon_ms: Millis(600_000),
-            skew_ms: Millis(2_000),
-            appends_per_s: RatePerS(30),
-            batch_max: 500,
-            claims_max: 1_000_000,
-        }
-    }
-}
-
-/// What to do with a submission that this host has no job for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ClaimStep {
-    /// This host holds it and may start it.
-    Start,
-    /// A claim is queued or under way; [`Settled`] tells later.
-    Wait,
-    /// Another incarnation holds it.
-    HeldBy(Incarnation),
-    /// It was claimed with other content.
-    OtherContent,
-    /// Its id is past the horizon.
-    TooOld,
-    /// Its id's time lies ahead of the clock.
-    FromFuture,
-    /// The log can't be reached or has not been read to its end yet.
-    Unavailable,
-}
-
-/// How a claim ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Verdict {
-    /// This host holds the submission.
-    Won,
-    /// Another incarnation holds it.
-    HeldBy(Incarnation),
-    /// It was claimed earlier with other content.
-    OtherContent,
-    /// The append failed, or its answer was lost and it has not been read back in time. The claim
-    /// may still turn up; the submission is not started on its account.
-    Failed,
-}
-
-/// A claim that was decided.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Settled {
-    /// The submission.
-    pub submission: SubmissionId,
-    /// How the claim ended.
-    pub verdict: Verdict,
-}
-
-/// What to do about the log now.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum BatchStep {
-    /// Append this record and tell [`ClaimBook::appended`] how it went.
-    Append(ClaimBatch),
-    /// Ask again at that time.
-    WaitUntil(Mono),
-    /// Nothing to append.
-    Idle,
-}
-
-/// Why an append brought no offset.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AppendFailure {
-    /// Provably not appended.
-    NotAppended,
-    /// Its answer was lost; it may stand in the log.
-    AnswerLost,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Held {
-    by: Incarnation,
-    content: ContentHash,
-}
+use self::batch::Outbox;
+pub use self::options::ClaimOptions;
+use self::pace::Pace;
+use self::queue::ClaimQueue;
+pub use self::step::{BatchStep, ClaimCounts, ClaimStep, Settled, Verdict};
+use self::table::{ClaimTable, Found, Standing};
+pub use crate::append::AppendFailure;
 
 /// One host's view of all claims.
 #[derive(Debug)]
 pub struct ClaimBook {
     me: Incarnation,
     options: ClaimOptions,
-    held: HashMap<SubmissionId, Held>,
-    wanted: VecDeque<Claim>,
-    in_flight: Option<ClaimBatch>,
-    last_batch: u64,
+    table: ClaimTable,
+    queue: ClaimQueue,
+    outbox: Outbox,
+    pace: Pace,
     next: Offset,
     is_caught_up: bool,
+    latest_wall: UnixMs,
+    unreadable: u64,
+    stale_batches: u64,
+    gaps: u64,
 }
 
 impl ClaimBook {
@@ -124,13 +50,17 @@
     pub fn new(me: Incarnation, options: ClaimOptions) -> Self {
         ClaimBook {
             me,
-            options,
-            held: HashMap::new(),
-            wanted: VecDeque::new(),
-            in_flight: None,
-            last_batch: 0,
+            table: ClaimTable::new(options.claims_max),
+            queue: ClaimQueue::default(),
+            outbox: Outbox::new(me),
+            pace: Pace::new(&options),
             next: Offset::default(),
             is_caught_up: false,
+            latest_wall: UnixMs::default(),
+            unreadable: 0,
+            stale_batches: 0,
+            gaps: 0,
+            options,
         }
     }
 
@@ -139,130 +69,373 @@
         self.next
     }
 
-    /// Decides about a submission that this host has no job for, and queues a claim if it needs one.
-    pub fn consult(&mut self, now: Now, id: SubmissionId, content: ContentHash) -> ClaimStep {
-        if now.wall.since(id.time()) > self.options.horizon_ms {
-            return ClaimStep::TooOld;
+    /// Tells whether the log was read to its end and has not been lost since.
+    pub fn is_caught_up(&self) -> bool {
+        self.is_caught_up
+    }
+
+    /// Gets the holder of an unbound submission, as far as the log was read.
+    pub fn holder(&self, id: SubmissionId) -> Option<Incarnation> {
+        match id.bound_to {
+            Some(holder) => Some(holder),
+            None => self.table.get(id.ulid).map(|held| held.by),
         }
-        if id.time().since(now.wall) > self.options.skew_ms {
-            return ClaimStep::FromFuture;
+    }
+
+    /// Gets the counts for metrics.
+    pub fn counts(&self) -> ClaimCounts {
+        ClaimCounts {
+            held: self.table.len(),
+            pending: self.queue.len(),
+            claimants: self.table.claimants(),
+            unreadable: self.unreadable,
+            stale_batches: self.stale_batches,
+            evicted: self.table.evicted(),
+            gaps: self.gaps,
         }
+    }
+
+    /// Derives this host's share of the append budget from the number of live hosts, itself
+    /// included. Count suspects too: a host that is merely unheard still appends.
+    pub fn set_live_hosts(&mut self, live_hosts: usize) {
+        self.pace.set_share(&self.options, live_hosts);
+    }
+
+    /// Decides about a submission that this host has no job for, and queues a claim if it needs one.
+    pub fn consult(&mut self, now: Now, id: SubmissionId, content: ContentHash) -> ClaimStep {
+        self.consult_claim(
+            now,
+            Claim {
+                submission: id,
+                content,
+                replaces: None,
+            },
+        )
+    }
+
+    /// Decides like [`Self::consult`], and claims in place of `gone` if that incarnation holds the
+    /// submission. Only for classes whose tasks may run twice, and only when `gone` is held to be
+    /// gone; the log lets one host replace it.
+    pub fn take_over(
+        &mut self,
+        now: Now,
+        id: SubmissionId,
+        content: ContentHash,
+        gone: Incarnation,
+    ) -> ClaimStep {
+        self.consult_claim(
+            now,
+            Claim {
+                submission: id,
+                content,
+                replaces: Some(gone),
+            },
+        )
+    }
+
+    /// Gives up a submission of which no task was started: a claim under way, or one that holds.
+    ///
+    /// No [`Settled`] follows. A claim that holds, or turns up later, is released with the next
+    /// batch; until then a resubmission here may start it.
+    pub fn release(&mut self, now: Now, id: SubmissionId) {
         match id.bound_to {
-            Some(holder) if holder == self.me => return ClaimStep::Start,
-            Some(holder) => return ClaimStep::HeldBy(holder),
-            None => {}
-        }
-        match self.held.get(&id) {
-            Some(held) if held.content != content => ClaimStep::OtherContent,
-            Some(held) if held.by == self.me => ClaimStep::Start,
-            Some(held) => ClaimStep::HeldBy(held.by),
-            None if !self.is_caught_up => ClaimStep::Unavailable,
+            Some(holder) if holder == self.me => self.table.release_bound(id.ulid),
+            Some(_) => {}
             None => {
-                self.wanted.push_back(Claim {
-                    submission: id,
-                    content,
-                    replaces: None,
-                });
-                ClaimStep::Wait
+                self.queue.remove(id.ulid);
+                if self.standing(id) == Some(Standing::Started) {
+                    self.queue_release(now, id);
+                }
             }
         }
     }
 
-    /// Tells whether a task of a held submission may still be started: false once other hosts may
-    /// have forgotten the claim.
+    /// Tells whether a task of a submission that this book said to start may still be started.
+    ///
+    /// False once the horizon has passed, for a holder that was frozen: others forget the claim two
+    /// skews later, and the platform's log forgets it too. False as well once the submission was
+    /// released, or another host took it over.
     pub fn may_start(&self, now: Now, id: SubmissionId) -> bool {
-        now.wall.since(id.time()) <= self.options.horizon_ms
+        let is_ours = match id.bound_to {
+            Some(holder) => holder == self.me && self.table.bound(id.ulid).is_some(),
+            None => self.standing(id) == Some(Standing::Started),
+        };
+        is_ours && self.clock(now).since(id.time()) <= self.options.horizon_ms
     }
 
     /// Decides whether to append a batch now.
-    pub fn next_batch(&mut self, _now: Now) -> BatchStep {
-        if self.in_flight.is_some() || self.wanted.is_empty() {
-            return BatchStep::Idle;
-        }
-        let count = self.wanted.len().min(self.options.batch_max);
-        self.last_batch += 1;
-        let batch = ClaimBatch {
-            by: self.me,
-            batch: self.last_batch,
-            claims: self.wanted.drain(..count).collect(),
-            releases: Vec::new(),
+    pub fn next_batch(&mut self, now: Now) -> BatchStep {
+        let deadline = self.queue.next_deadline();
+        let wait = |at: Option<_>| at.map_or(BatchStep::Idle, BatchStep::WaitUntil);
+        let Some(due) = self.outbox.due_at(&mut self.queue, &self.table) else {
+            return wait(deadline);
         };
-        self.in_flight = Some(batch.clone());
-        BatchStep::Append(batch)
+        let ready = due.max(self.pace.ready_at(now.mono));
+        if ready > now.mono || !self.is_caught_up {
+            let at = if self.is_caught_up { Some(ready) } else { None };
+            return wait(at.into_iter().chain(deadline).min());
+        }
+        self.pace.spend();
+        let batch_max = self.options.batch_max;
+        BatchStep::Append(
+            self.outbox
+                .make_batch(&mut self.queue, &mut self.table, batch_max),
+        )
     }
 
     /// Takes in how an append went.
+    ///
+    /// A batch that was not appended goes out again while its jobs wait. One whose answer was lost
+    /// is awaited: it may be read back any time.
     pub fn appended(
         &mut self,
-        _now: Now,
+        now: Now,
         batch: u64,
         result: Result<Offset, AppendFailure>,
     ) -> Vec<Settled> {
-        match (result, self.in_flight.take()) {
-            (Err(_), Some(sent)) if sent.batch == batch => sent
-                .claims
-                .iter()
-                .map(|claim| Settled {
-                    submission: claim.submission,
-                    verdict: Verdict::Failed,
-                })
-                .collect(),
-            _ => Vec::new(),
+        let Some(sent) = self.outbox.take_sent(batch) else {
+            return Vec::new();
+        };
+        if result == Err(AppendFailure::NotAppended) {
+            self.queue.unsend(&sent.claims);
+            self.outbox.hold_until(now.mono + self.options.retry_ms);
+            for id in &sent.releases {
+                if self.standing(*id) == Some(Standing::ReleaseSent) {
+                    self.queue_release(now, *id);
+                }
+            }
         }
+        self.tick(now)
+    }
+
+    /// Settles as failed every claim that was not read back in time, and drops what the horizon
+    /// made needless.
+    pub fn tick(&mut self, now: Now) -> Vec<Settled> {
+        self.expire(now);
+        let overdue = self.queue.take_overdue(now.mono);
+        overdue.into_iter().map(failed).collect()
     }
 
     /// Takes in a record of the `claims` stream.
-    pub fn read(&mut self, _now: Now, offset: Offset, data: &str) -> Vec<Settled> {
+    pub fn read(&mut self, now: Now, offset: Offset, data: &str) -> Vec<Settled> {
         if offset < self.next {
             return Vec::new();
         }
+        self.note_clock(now);
+        self.skip_to(now, offset);
         self.next = offset.next();
         let Ok(ClaimRecord::ClaimsV1(batch)) = ClaimRecord::decode(data) else {
+            self.unreadable += 1;
             return Vec::new();
         };
-        batch
-            .claims
-            .iter()
-            .filter_map(|claim| self.settle(batch.by, claim))
-            .collect()
+        if !self
+            .table
+            .admit_batch(batch.by, batch.batch, self.latest_wall)
+        {
+            self.stale_batches += 1;
+            return Vec::new();
+        }
+        self.fold(now, &batch)
+    }
+
+    /// Notes that the log's oldest record is at `oldest`: records before it are lost.
+    ///
+    /// They were older than the retention, which exceeds twice the horizon, so their ids are
+    /// refused by age. Ids that could have stood in them are refused all the same, in case the
+    /// horizon was set too long for the log.
+    pub fn skip_to(&mut self, now: Now, oldest: Offset) {
+        if oldest <= self.next {
+            return;
+        }
+        self.note_clock(now);
+        self.gaps += 1;
+        self.next = oldest;
+        let lost_ms = Millis(
+            self.options
+                .retention_ms
+                .0
+                .saturating_sub(2 * self.options.skew_ms.0),
+        );
+        self.table.forget_before(self.latest_wall - lost_ms);
     }
 
     /// Notes that the stream was read up to `next`, the offset of the next append.
+    ///
+    /// Before that no claim goes out: it could not be read back before the whole backlog, and its
+    /// caller would wait for nothing.
     pub fn caught_up(&mut self, next: Offset) {
         if self.next >= next {
             self.is_caught_up = true;
         }
     }
 
-    /// Notes that the log can't be reached.
-    pub fn lost_log(&mut self) {
+    /// Notes that the log can't be reached, and fails at once every claim that a job waits for.
+    pub fn lost_log(&mut self) -> Vec<Settled> {
         self.is_caught_up = false;
+        self.queue.take_all().into_iter().map(failed).collect()
     }
 
-    /// Forgets what the horizon has made needless.
+    /// Forgets what the horizon has made needless; costs what it forgets.
     pub fn expire(&mut self, now: Now) {
-        let keep_ms = Millis(self.options.horizon_ms.0 + 2 * self.options.skew_ms.0);
-        self.held
-            .retain(|id, _| now.wall.since(id.time()) <= keep_ms);
+        self.note_clock(now);
+        let keep_ms = self.options.keep_ms();
+        self.table.expire(
+            self.latest_wall - keep_ms,
+            self.latest_wall - Millis(2 * keep_ms.0),
+        );
     }
 
-    fn settle(&mut self, by: Incarnation, claim: &Claim) -> Option<Settled> {
-        let fresh = Held {
-            by,
-            content: claim.content,
-        };
-        let held = *self.held.entry(claim.submission).or_insert(fresh);
-        if by != self.me {
-            return None;
+    fn consult_claim(&mut self, now: Now, claim: Claim) -> ClaimStep {
+        self.note_clock(now);
+        let id = claim.submission;
+        if let Some(refusal) = self.judge_time(now, id.time()) {
+            return refusal;
+        }
+        match id.bound_to {
+            Some(holder) if holder == self.me => self.consult_bound(&claim),
+            Some(holder) => ClaimStep::HeldBy(holder),
+            None => self.consult_unbound(now, claim),
+        }
+    }
+
+    fn judge_time(&self, now: Now, time: UnixMs) -> Option<ClaimStep> {
+        let is_old = self.latest_wall.since(time) > self.options.horizon_ms;
+        if is_old || self.table.is_forgotten(time) {
+            return Some(ClaimStep::TooOld);
         }
-        let verdict = match held {
-            held if held.content != claim.content => Verdict::OtherContent,
-            held if held.by == self.me => Verdict::Won,
-            held => Verdict::HeldBy(held.by),
+        (time.since(now.wall) > self.options.skew_ms).then_some(ClaimStep::FromFuture)
+    }
+
+    fn consult_bound(&mut self, claim: &Claim) -> ClaimStep {
+        let id = claim.submission.ulid;
+        match self.table.bound(id) {
+            Some(content) if content != claim.content => ClaimStep::OtherContent,
+            Some(_) => ClaimStep::AlreadyStarted,
+            None => {
+                self.table.start_bound(id, claim.content);
+                ClaimStep::Start
+            }
+        }
+    }
+
+    fn consult_unbound(&mut self, now: Now, claim: Claim) -> ClaimStep {
+        let id = claim.submission.ulid;
+        match self.table.get(id) {
+            Some(held) if held.content != claim.content => ClaimStep::OtherContent,
+            Some(held) if held.by != self.me && claim.replaces != Some(held.by) => {
+                ClaimStep::HeldBy(held.by)
+            }
+            Some(held) if held.standing == Standing::Started => ClaimStep::AlreadyStarted,
+            Some(held) if held.standing == Standing::ReleaseQueued => {
+                self.table.set_standing(id, Standing::Started);
+                ClaimStep::Start
+            }
+            Some(_) | None => self.want(now, claim),
+        }
+    }
+
+    fn want(&mut self, now: Now, claim: Claim) -> ClaimStep {
+        if !self.is_caught_up {
+            return ClaimStep::Unavailable;
+        }
+        match self.queue.get(claim.submission.ulid) {
+            Some(pending) if pending.claim.content != claim.content => ClaimStep::OtherContent,
+            Some(_) => ClaimStep::Wait,
+            None if self.queue.len() >= self.options.claims_max => ClaimStep::Unavailable,
+            None => {
+                self.queue.push(claim, now.mono + self.options.patience_ms);
+                ClaimStep::Wait
+            }
+        }
+    }
+
+    fn fold(&mut self, now: Now, batch: &ClaimBatch) -> Vec<Settled> {
+        for id in &batch.releases {
+            self.table.release(batch.by, id);
+        }
+        let keep_ms = self.options.keep_ms();
+        let is_fresh = |claim: &&Claim| self.latest_wall.since(claim.submission.time()) <= keep_ms;
+        let fresh: Vec<Claim> = batch.claims.iter().filter(is_fresh).copied().collect();
+        fresh
+            .iter()
+            .filter_map(|claim| self.fold_claim(now, batch, claim))
+            .collect()
+    }
+
+    fn fold_claim(&mut self, now: Now, batch: &ClaimBatch, claim: &Claim) -> Option<Settled> {
+        let id = claim.submission;
+        let is_own = batch.by == self.me;
+        let found = if is_own {
+            self.fold_own(now, batch.batch, claim)
+        } else {
+            self.table.claim(batch.by, claim, Standing::Foreign)
+        };
+        let pending = self.queue.get(id.ulid)?.claim;
+        let holding = match found {
+            Found::Forgotten => None,
+            Found::Taken | Found::Earlier => self.table.get(id.ulid),
+        };
+        let verdict = match holding {
+            None => Verdict::Failed,
+            Some(held) if held.content != pending.content => Verdict::OtherContent,
+            Some(held) if held.by == self.me => self.judge_own(id)?,
+            Some(held) if !is_own && pending.replaces == Some(held.by) => return None,
+            Some(held) => Verdict::HeldBy(held.by),
         };
+        self.queue.remove(id.ulid);
+        if verdict == Verdict::Won {
+            self.table.set_standing(id.ulid, Standing::Started);
+        }
         Some(Settled {
-            submission: claim.submission,
+            submission: id,
             verdict,
         })
     }
+
+    /// Folds in a claim of this host. One that no job waits for is ours but is not started on its
+    /// account: its job was told that it was not run. It is released.
+    fn fold_own(&mut self, now: Now, batch: u64, claim: &Claim) -> Found {
+        let id = claim.submission;
+        let found = self.table.claim(self.me, claim, Standing::ReleaseSent);
+        let is_idle = self.standing(id) == Some(Standing::ReleaseSent);
+        if is_idle && self.table.is_firm(id.ulid, batch) {
+            self.queue_release(now, id);
+        }
+        found
+    }
+
+    /// Judges a claim of ours that holds: not decided while a release of it is still to be read.
+    fn judge_own(&self, id: SubmissionId) -> Option<Verdict> {
+        (self.standing(id) != Some(Standing::ReleaseSent)).then_some(Verdict::Won)
+    }
+
+    fn queue_release(&mut self, now: Now, id: SubmissionId) {
+        self.table.set_standing(id.ulid, Standing::ReleaseQueued);
+        self.outbox
+            .queue_release(id, now.mono + self.options.release_delay_ms);
+    }
+
+    fn standing(&self, id: SubmissionId) -> Option<Standing> {
+        match id.bound_to {
+            Some(_) => None,
+            None => self.table.get(id.ulid).map(|held| held.standing),
+        }
+    }
+
+    /// Gets the latest wall time seen. A wall clock that steps back must not make ids acceptable
+    /// again whose claims were forgotten.
+    fn clock(&self, now: Now) -> UnixMs {
+        self.latest_wall.max(now.wall)
+    }
+
+    fn note_clock(&mut self, now: Now) {
+        self.latest_wall = self.clock(now);
+    }
+}
+
+fn failed(submission: SubmissionId) -> Settled {
+    Settled {
+        submission,
+        verdict: Verdict::Failed,
+    }
 }
--- a/crates/onyxshed-state/src/config.rs
+++ b/crates/onyxshed-state/src/config.rs
@@ -1,12 +1,46 @@
 //! The configuration as a fold of the log.
+//!
+//! Every process folds the records of the `config` stream in order, so all that have read the same
+//! records hold the same configuration. A process moves only to a higher revision, whether a
+//! record, a snapshot or a peer told it.
+//!
+//! A fold is *complete* while it stands for every record before the offset it reads next. It is
+//! *partial* after records were lost before they were read: at a late start, or when an outage
+//! outlasts the log's retention. A partial fold keeps what it holds in force, judges no change,
+//! and becomes complete again from a snapshot or a peer whose fold ends within what it has read.
+//!
+//! What a peer tells may be ahead of the log as read here. It takes force beside the fold, which
+//! goes on by itself and takes over again once it has reached that revision.
 
-use std::collections::BTreeMap;
+pub mod handover;
+pub mod proposal;
+pub mod republish;
 
-use onyxshed_core::{ClassName, ClassTarget, Offset, Revision};
-use onyxshed_wire::record::{ChangeBody, ConfigChange, ConfigRecord};
+mod fate;
+mod parts;
+mod rules;
+
+use std::collections::{BTreeMap, VecDeque};
+
+use onyxshed_core::{ChangeId, ClassName, ClassTarget, Millis, Offset, Revision, UnixMs};
+use onyxshed_wire::platform::Record;
+use onyxshed_wire::record::{ConfigChange, ConfigRecord};
+use serde::{Deserialize, Serialize};
+
+pub use self::fate::{ChangeFate, RECENT_CHANGES};
+use self::fate::{Fates, RecentChanges};
+pub use self::handover::Handover;
+use self::parts::Parts;
+pub use self::proposal::{Appended, Judged, Proposal};
+pub use self::republish::RepublishStep;
+pub use self::rules::CLASSES_MAX;
+
+/// Most records that a partial fold keeps for later; the oldest go first.
+const BACKLOG_MAX: usize = 4_096;
 
 /// The configuration that is in force after some revision.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Config {
     /// How many changes were accepted to make it.
     pub revision: Revision,
@@ -28,20 +62,91 @@
     },
     /// It broke the rules and was ignored.
     Ignored,
-    /// It told nothing new.
+    /// It told nothing new, or can't be judged yet.
     Nothing,
 }
 
+/// Options of the fold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigOptions {
+    /// How long the log keeps a record. Default 30 min.
+    pub retention_ms: Millis,
+}
+
+impl Default for ConfigOptions {
+    fn default() -> Self {
+        ConfigOptions {
+            retention_ms: Millis(1_800_000),
+        }
+    }
+}
+
+/// Counts of the fold, for metrics.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ConfigCounts {
+    /// Records that could not be read.
+    pub unreadable: u64,
+    /// Changes that broke a rule.
+    pub invalid: u64,
+    /// Changes that lost a race.
+    pub raced: u64,
+    /// Snapshots that contradict what this fold has read completely.
+    pub contradictions: u64,
+    /// Times that records were lost before they were read.
+    pub gaps: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Late {
+    offset: Offset,
+    at: UnixMs,
+    change: ConfigChange,
+}
+
+/// What a partial fold has read since the records it lost.
+#[derive(Debug, Clone)]
+struct Partial {
+    from: Offset,
+    since: UnixMs,
+    backlog: VecDeque<Late>,
+}
+
 /// Folds records of the `config` stream, in order, into the configuration.
 #[derive(Debug, Clone, Default)]
 pub struct ConfigFold {
+    options: ConfigOptions,
     config: Config,
+    /// What a peer told, while it is ahead of `config`.
+    adopted: Option<Handover>,
+    recent: RecentChanges,
+    fates: Fates,
+    parts: Parts,
+    partial: Option<Partial>,
     next: Offset,
+    /// When the oldest record was appended that a late reader needs.
+    anchor: Option<UnixMs>,
+    counts: ConfigCounts,
+    republished_at: Option<UnixMs>,
 }
 
 impl ConfigFold {
+    /// Makes an empty fold.
+    pub fn new(options: ConfigOptions) -> Self {
+        ConfigFold {
+            options,
+            ..ConfigFold::default()
+        }
+    }
+
     /// Gets the configuration in force.
     pub fn config(&self) -> &Config {
+        self.adopted
+            .as_ref()
+            .map_or(&self.config, |told| &told.config)
+    }
+
+    /// Gets the configuration as folded from the log alone.
+    pub fn folded(&self) -> &Config {
         &self.config
     }
 
@@ -50,37 +155,160 @@
         self.next
     }
 
-    /// Takes in the record at `offset`.
+    /// Tells whether [`Self::folded`] is the fold of every record before [`Self::next`].
+    pub fn is_complete(&self) -> bool {
+        self.partial.is_none()
+    }
+
+    /// Gets the counts for metrics.
+    pub fn counts(&self) -> ConfigCounts {
+        self.counts
+    }
+
+    /// Looks up what became of a change, as far as the log was read.
+    pub fn find_change(&self, change_id: ChangeId) -> ChangeFate {
+        match self.recent.revision_of(change_id, self.config.revision) {
+            Some(revision) => ChangeFate::Accepted(revision),
+            None => self.fates.get(change_id),
+        }
+    }
+
+    /// Takes in the record at `offset`, appended at an unknown time. Prefer [`Self::apply_record`],
+    /// which knows when the record expires.
     pub fn apply(&mut self, offset: Offset, data: &str) -> FoldStep {
+        self.apply_at(offset, UnixMs::default(), data)
+    }
+
+    /// Takes in a record as it was read.
+    pub fn apply_record(&mut self, record: &Record) -> FoldStep {
+        self.apply_at(record.offset, record.at_ms, &record.data)
+    }
+
+    /// Notes that the log's oldest record is at `oldest`, read at `at`: records before it are lost.
+    pub fn skip_to(&mut self, oldest: Offset, at: UnixMs) {
+        if oldest <= self.next {
+            return;
+        }
+        self.next = oldest;
+        self.counts.gaps += 1;
+        self.parts.clear();
+        self.partial = Some(Partial {
+            from: oldest,
+            since: at,
+            backlog: VecDeque::new(),
+        });
+    }
+
+    fn apply_at(&mut self, offset: Offset, at: UnixMs, data: &str) -> FoldStep {
         if offset < self.next {
             return FoldStep::Nothing;
         }
+        self.skip_to(offset, at);
         self.next = offset.next();
         match ConfigRecord::decode(data) {
-            Ok(ConfigRecord::ChangeV1(change)) => self.apply_change(change),
-            Ok(ConfigRecord::SnapshotV1(_)) => FoldStep::Nothing,
-            Err(_) => FoldStep::Ignored,
+            Ok(ConfigRecord::ChangeV1(change)) => self.take_change(offset, at, change),
+            Ok(ConfigRecord::SnapshotV1(part)) => match self.parts.add(at, part) {
+                Some(whole) => self.take_snapshot(offset, &whole),
+                None => FoldStep::Nothing,
+            },
+            Err(_) => {
+                self.counts.unreadable += 1;
+                FoldStep::Ignored
+            }
         }
     }
 
-    fn apply_change(&mut self, change: ConfigChange) -> FoldStep {
+    fn take_change(&mut self, offset: Offset, at: UnixMs, change: ConfigChange) -> FoldStep {
+        let Some(partial) = &mut self.partial else {
+            return self.fold_change(at, change);
+        };
+        partial.backlog.push_back(Late { offset, at, change });
+        if partial.backlog.len() > BACKLOG_MAX
+            && let Some(dropped) = partial.backlog.pop_front()
+        {
+            partial.from = dropped.offset.next();
+        }
+        FoldStep::Nothing
+    }
+
+    fn fold_change(&mut self, at: UnixMs, change: ConfigChange) -> FoldStep {
         let found = self.config.revision;
+        let id = change.change_id;
+        if self.recent.contains(id) {
+            return FoldStep::Nothing;
+        }
         if change.based_on != found {
-            return FoldStep::Raced {
-                based_on: change.based_on,
-                found,
-            };
-        }
-        match change.body {
-            ChangeBody::Put(target) if target.check().is_err() => return FoldStep::Ignored,
-            ChangeBody::Put(target) => {
-                self.config.classes.insert(target.class.clone(), target);
-            }
-            ChangeBody::Remove(class) => {
-                self.config.classes.remove(&class);
-            }
+            self.counts.raced += 1;
+            let based_on = change.based_on;
+            self.fates.put(id, ChangeFate::Raced { based_on, found });
+            return FoldStep::Raced { based_on, found };
+        }
+        if rules::check(&self.config, &change.body).is_err() {
+            self.counts.invalid += 1;
+            self.fates.put(id, ChangeFate::Invalid);
+            return FoldStep::Ignored;
         }
+        rules::apply(&mut self.config.classes, change.body);
         self.config.revision = found.next();
+        self.recent.push(id);
+        self.anchor.get_or_insert(at);
+        self.drop_adopted();
         FoldStep::Accepted(self.config.revision)
     }
+
+    /// Takes in a whole snapshot. A complete fold needs none: it only learns that the records
+    /// before the snapshot are no longer needed, or counts that the snapshot is wrong.
+    fn take_snapshot(&mut self, offset: Offset, whole: &parts::Whole) -> FoldStep {
+        if whole.handover.folded_to > offset {
+            return self.contradict();
+        }
+        if whole.is_salvage {
+            return self.take_salvage(whole);
+        }
+        if !self.is_complete() {
+            return self.rebase(&whole.handover, Some(whole.at));
+        }
+        let told = &whole.handover.config;
+        if told.revision < self.config.revision {
+            return FoldStep::Nothing;
+        }
+        if *told != self.config {
+            return self.contradict();
+        }
+        self.anchor = Some(whole.at);
+        FoldStep::Nothing
+    }
+
+    /// Takes in what a partial fold published because nobody had a complete one. Complete folds
+    /// move to it too if its revision is higher: then they stand on an earlier salvage, of a
+    /// process that knew less. All move at the same offset, so all go on alike.
+    fn take_salvage(&mut self, whole: &parts::Whole) -> FoldStep {
+        let before = self.config().revision;
+        let told = &whole.handover;
+        let is_wanted = if self.is_complete() {
+            told.config.revision > self.config.revision
+        } else {
+            told.config.revision >= self.config.revision
+        };
+        if !is_wanted {
+            return FoldStep::Nothing;
+        }
+        self.partial = None;
+        self.config = told.config.clone();
+        self.recent = RecentChanges::from_list(&told.recent_changes);
+        self.anchor = Some(whole.at);
+        self.drop_adopted();
+        self.step_since(before)
+    }
+
+    fn contradict(&mut self) -> FoldStep {
+        self.counts.contradictions += 1;
+        FoldStep::Ignored
+    }
+
+    /// Drops what a peer told once the fold has got there.
+    fn drop_adopted(&mut self) {
+        self.adopted
+            .take_if(|told| told.config.revision <= self.config.revision);
+    }
 }
--- /dev/null
+++ b/crates/onyxshed-state/src/config/rules.rs
@@ -0,0 +1,42 @@
+//! The rules that every change must meet, the same for the operator's command and for every fold.
+
+use std::collections::BTreeMap;
+
+use onyxshed_core::{ClassName, ClassTarget};
+use onyxshed_wire::record::ChangeBody;
+
+use super::Config;
+use crate::error::{Error, Result};
+
+/// Most classes that a configuration holds.
+pub const CLASSES_MAX: usize = 10_000;
+
+/// Checks a change against the configuration that it is based on.
+pub(super) fn check(config: &Config, body: &ChangeBody) -> Result<()> {
+    match body {
+        ChangeBody::Put(target) => {
+            target.check().map_err(Error::invalid)?;
+            let is_new = !config.classes.contains_key(&target.class);
+            if is_new && config.classes.len() >= CLASSES_MAX {
+                return Err(Error::invalid(format_args!(
+                    "at most {CLASSES_MAX} classes are allowed"
+                )));
+            }
+            Ok(())
+        }
+        ChangeBody::Remove(class) if config.classes.contains_key(class) => Ok(()),
+        ChangeBody::Remove(class) => Err(Error::invalid(format_args!("there is no class {class}"))),
+    }
+}
+
+/// Applies a change that met the rules.
+pub(super) fn apply(classes: &mut BTreeMap<ClassName, ClassTarget>, body: ChangeBody) {
+    match body {
+        ChangeBody::Put(target) => {
+            classes.insert(target.class.clone(), target);
+        }
+        ChangeBody::Remove(class) => {
+            classes.remove(&class);
+        }
+    }
+}
--- a/crates/onyxshed-state/src/lib.rs
+++ b/crates/onyxshed-state/src/lib.rs
@@ -5,10 +5,17 @@
 //! submission; [`member`] judges which peers are live. Each is a state machine: an event with its
 //! time goes in, a typed step comes out.
 
+pub mod append;
 pub mod claim;
 pub mod config;
+pub mod error;
 pub mod member;
 
-pub use claim::{BatchStep, ClaimBook, ClaimOptions, ClaimStep, Settled, Verdict};
-pub use config::{Config, ConfigFold, FoldStep};
+pub use append::AppendFailure;
+pub use claim::{BatchStep, ClaimBook, ClaimCounts, ClaimOptions, ClaimStep, Settled, Verdict};
+pub use config::{
+    ChangeFate, Config, ConfigCounts, ConfigFold, ConfigOptions, FoldStep, Handover, Proposal,
+    RepublishStep,
+};
+pub use error::{Error, Result};
 pub use member::{Member, MemberState};
--- a/crates/onyxshed-wire/src/content.rs
+++ b/crates/onyxshed-wire/src/content.rs
@@ -11,7 +11,9 @@
 ///
 /// Tells the same submission sent again from another that reuses its id by mistake. It is no
 /// defence against a caller who forges a collision: such a caller harms only its own submission.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, SerializeDisplay, DeserializeFromStr)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, SerializeDisplay, DeserializeFromStr,
+)]
 pub struct ContentHash(pub u64);
 
 impl ContentHash {
--- a/crates/onyxshed-wire/src/record.rs
+++ b/crates/onyxshed-wire/src/record.rs
@@ -3,7 +3,9 @@
 //! Every record is JSON with a `kind` and a `version`. A reader ignores and counts what it can't
 //! read, so all readers of one log ignore the same records.
 
-use onyxshed_core::{ChangeId, ClassName, ClassTarget, Incarnation, Revision, SubmissionId};
+use onyxshed_core::{
+    ChangeId, ClassName, ClassTarget, Incarnation, Offset, Revision, SubmissionId,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::content::ContentHash;
@@ -31,13 +33,39 @@
     pub body: ChangeBody,
 }
 
+/// Most bytes that one claim takes in a record, with its comma.
+pub const CLAIM_MAX_BYTES: usize = 82;
+
+/// Bytes that one release takes in a record, with its comma.
+pub const RELEASE_BYTES: usize = 29;
+
+/// Most bytes that a record of claims takes beside its claims and releases.
+pub const CLAIM_RECORD_BYTES: usize = 128;
+
 /// The whole configuration, published again before the changes that made it expire.
+///
+/// One that is too large for a record goes out in parts. What a part holds follows from the
+/// revision alone, so parts from different publishers fit together.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ConfigSnapshot {
     /// The revision it stands for.
     pub revision: Revision,
-    /// Every class, in order of name.
+    /// The offset that its publisher had folded up to: it is the fold of every record before.
+    pub folded_to: Offset,
+    /// Which part this is, from 0.
+    #[serde(default)]
+    pub part: u16,
+    /// How many parts there are.
+    #[serde(default = "one")]
+    pub parts: u16,
+    /// Whether its publisher had lost records and tells what its memory holds. It then stands for
+    /// the configuration at its own offset.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_salvage: bool,
+    /// Fingerprint of the whole, which keeps parts apart that don't belong together.
+    pub fingerprint: ContentHash,
+    /// The part's classes, in order of name.
     pub classes: Vec<ClassTarget>,
     /// Ids of the changes accepted of late, oldest first, so that a lost append answer can still
     /// be resolved after the changes themselves have expired.
@@ -92,6 +120,10 @@
     ClaimsV1(ClaimBatch),
 }
 
+fn one() -> u16 {
+    1
+}
+
 impl ConfigRecord {
     /// Reads a record of the `config` stream.
     pub fn decode(data: &str) -> Result<Self> {
