Membership: heartbeats passed on by gossip, judged with the platform's list

A peer is gone only if it was not heard for long and a newer list leaves it out, or its host was heard in a newer life. A process that was frozen puts off its judgement of others.

--- a/crates/onyxshed-state/src/claim.rs
+++ b/crates/onyxshed-state/src/claim.rs
@@ -10,6 +10,8 @@
 //! later batch, and others may then claim the submission.
 
 mod batch;
+mod consult;
+mod fold;
 mod options;
 mod pace;
 mod queue;
@@ -18,14 +20,14 @@
 
 use onyxshed_core::{Incarnation, Millis, Now, Offset, SubmissionId, UnixMs};
 use onyxshed_wire::ContentHash;
-use onyxshed_wire::record::{Claim, ClaimBatch, ClaimRecord};
+use onyxshed_wire::record::{Claim, ClaimRecord};
 
 use self::batch::Outbox;
 pub use self::options::ClaimOptions;
 use self::pace::Pace;
 use self::queue::ClaimQueue;
 pub use self::step::{BatchStep, ClaimCounts, ClaimStep, Settled, Verdict};
-use self::table::{ClaimTable, Found, Standing};
+use self::table::{ClaimTable, Standing};
 pub use crate::append::AppendFailure;
 
 /// One host's view of all claims.
@@ -285,130 +287,6 @@
         );
     }
 
-    fn consult_claim(&mut self, now: Now, claim: Claim) -> ClaimStep {
-        self.note_clock(now);
-        let id = claim.submission;
-        if let Some(refusal) = self.judge_time(now, id.time()) {
-            return refusal;
-        }
-        match id.bound_to {
-            Some(holder) if holder == self.me => self.consult_bound(&claim),
-            Some(holder) => ClaimStep::HeldBy(holder),
-            None => self.consult_unbound(now, claim),
-        }
-    }
-
-    fn judge_time(&self, now: Now, time: UnixMs) -> Option<ClaimStep> {
-        let is_old = self.latest_wall.since(time) > self.options.horizon_ms;
-        if is_old || self.table.is_forgotten(time) {
-            return Some(ClaimStep::TooOld);
-        }
-        (time.since(now.wall) > self.options.skew_ms).then_some(ClaimStep::FromFuture)
-    }
-
-    fn consult_bound(&mut self, claim: &Claim) -> ClaimStep {
-        let id = claim.submission.ulid;
-        match self.table.bound(id) {
-            Some(content) if content != claim.content => ClaimStep::OtherContent,
-            Some(_) => ClaimStep::AlreadyStarted,
-            None => {
-                self.table.start_bound(id, claim.content);
-                ClaimStep::Start
-            }
-        }
-    }
-
-    fn consult_unbound(&mut self, now: Now, claim: Claim) -> ClaimStep {
-        let id = claim.submission.ulid;
-        match self.table.get(id) {
-            Some(held) if held.content != claim.content => ClaimStep::OtherContent,
-            Some(held) if held.by != self.me && claim.replaces != Some(held.by) => {
-                ClaimStep::HeldBy(held.by)
-            }
-            Some(held) if held.standing == Standing::Started => ClaimStep::AlreadyStarted,
-            Some(held) if held.standing == Standing::ReleaseQueued => {
-                self.table.set_standing(id, Standing::Started);
-                ClaimStep::Start
-            }
-            Some(_) | None => self.want(now, claim),
-        }
-    }
-
-    fn want(&mut self, now: Now, claim: Claim) -> ClaimStep {
-        if !self.is_caught_up {
-            return ClaimStep::Unavailable;
-        }
-        match self.queue.get(claim.submission.ulid) {
-            Some(pending) if pending.claim.content != claim.content => ClaimStep::OtherContent,
-            Some(_) => ClaimStep::Wait,
-            None if self.queue.len() >= self.options.claims_max => ClaimStep::Unavailable,
-            None => {
-                self.queue.push(claim, now.mono + self.options.patience_ms);
-                ClaimStep::Wait
-            }
-        }
-    }
-
-    fn fold(&mut self, now: Now, batch: &ClaimBatch) -> Vec<Settled> {
-        for id in &batch.releases {
-            self.table.release(batch.by, id);
-        }
-        let keep_ms = self.options.keep_ms();
-        let is_fresh = |claim: &&Claim| self.latest_wall.since(claim.submission.time()) <= keep_ms;
-        let fresh: Vec<Claim> = batch.claims.iter().filter(is_fresh).copied().collect();
-        fresh
-            .iter()
-            .filter_map(|claim| self.fold_claim(now, batch, claim))
-            .collect()
-    }
-
-    fn fold_claim(&mut self, now: Now, batch: &ClaimBatch, claim: &Claim) -> Option<Settled> {
-        let id = claim.submission;
-        let is_own = batch.by == self.me;
-        let found = if is_own {
-            self.fold_own(now, batch.batch, claim)
-        } else {
-            self.table.claim(batch.by, claim, Standing::Foreign)
-        };
-        let pending = self.queue.get(id.ulid)?.claim;
-        let holding = match found {
-            Found::Forgotten => None,
-            Found::Taken | Found::Earlier => self.table.get(id.ulid),
-        };
-        let verdict = match holding {
-            None => Verdict::Failed,
-            Some(held) if held.content != pending.content => Verdict::OtherContent,
-            Some(held) if held.by == self.me => self.judge_own(id)?,
-            Some(held) if !is_own && pending.replaces == Some(held.by) => return None,
-            Some(held) => Verdict::HeldBy(held.by),
-        };
-        self.queue.remove(id.ulid);
-        if verdict == Verdict::Won {
-            self.table.set_standing(id.ulid, Standing::Started);
-        }
-        Some(Settled {
-            submission: id,
-            verdict,
-        })
-    }
-
-    /// Folds in a claim of this host. One that no job waits for is ours but is not started on its
-    /// account: its job was told that it was not run. It is released.
-    fn fold_own(&mut self, now: Now, batch: u64, claim: &Claim) -> Found {
-        let id = claim.submission;
-        let found = self.table.claim(self.me, claim, Standing::ReleaseSent);
-        let is_idle = self.standing(id) == Some(Standing::ReleaseSent);
-        if is_idle && self.table.is_firm(id.ulid, batch) {
-            self.queue_release(now, id);
-        }
-        found
-    }
-
-    /// Judges a claim of ours that holds: not decided while a release of it is still to be read.
-    fn judge_own(&self, id: SubmissionId) -> Option<Verdict> {
-        (self.standing(id) != Some(Standing::ReleaseSent)).then_some(Verdict::Won)
-    }
-
     fn queue_release(&mut self, now: Now, id: SubmissionId) {
         self.table.set_standing(id.ulid, Standing::ReleaseQueued);
         self.outbox
--- a/crates/onyxshed-state/src/lib.rs
+++ b/crates/onyxshed-state/src/lib.rs
@@ -18,4 +18,6 @@
     RepublishStep,
 };
 pub use error::{Error, Result};
-pub use member::{Member, MemberState};
+pub use member::{
+    Gossip, Heartbeat, LoadDigest, Member, MemberOptions, MemberState, MemberTable, Note,
+};
--- /dev/null
+++ b/crates/onyxshed-state/src/member/gossip.rs
@@ -0,0 +1,191 @@
+//! Whom to tell what, and what to make of what is told.
+
+use std::net::SocketAddr;
+
+use onyxshed_core::{Incarnation, Now, ZoneName};
+use onyxshed_wire::platform::HostState;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::{Heartbeat, MemberState, MemberTable, Note, Peer};
+
+/// A message between control processes; the answer has the same shape.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Gossip {
+    /// The sender.
+    pub from: Heartbeat,
+    /// Heartbeats that the sender has heard of, those passed on least first.
+    pub others: Vec<Heartbeat>,
+    /// Set if the sender holds the receiver's incarnation to be gone.
+    pub gone: Option<Incarnation>,
+}
+
+/// A message to send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Outgoing {
+    /// The receiver's control address.
+    pub to: SocketAddr,
+    /// What to tell.
+    pub gossip: Gossip,
+}
+
+/// What a message brought.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Heard {
+    /// What changed.
+    pub notes: Vec<Note>,
+    /// The answer, if the message was a request.
+    pub answer: Gossip,
+}
+
+impl MemberTable {
+    /// Counts a heartbeat and picks whom to tell it: mostly peers of the own zone, sometimes of
+    /// others, and now and then an address from the settings, so that a split heals by itself.
+    pub fn round(&mut self, now: Now) -> Vec<Outgoing> {
+        self.notice_pause(now);
+        self.me.counter += 1;
+        self.round += 1;
+        let mut targets = self.pick(self.contacts(true), self.options.zone_fanout);
+        if self.round.is_multiple_of(self.options.foreign_every.max(1)) {
+            targets.extend(self.pick(self.contacts(false), 1));
+        }
+        let is_alone = targets.is_empty();
+        if is_alone || self.round.is_multiple_of(self.options.seed_every.max(1)) {
+            targets.extend(self.pick(self.unmet_seeds(), 1));
+        }
+        let tell = |to| Outgoing {
+            to,
+            gossip: self.digest(to),
+        };
+        targets.into_iter().map(tell).collect()
+    }
+
+    /// Takes in a message, or the answer to one.
+    pub fn hear(&mut self, now: Now, gossip: &Gossip) -> Heard {
+        self.notice_pause(now);
+        let sender = gossip.from.incarnation;
+        self.hear_beat(now, &gossip.from, true);
+        for beat in &gossip.others {
+            self.hear_beat(now, beat, false);
+        }
+        if gossip.gone == Some(self.me.incarnation) {
+            self.notes.push(Note::HeldGone);
+        }
+        let mut answer = self.digest(gossip.from.control_address);
+        answer.gone = self.is_gone(sender).then_some(sender);
+        Heard {
+            notes: std::mem::take(&mut self.notes),
+            answer,
+        }
+    }
+
+    fn hear_beat(&mut self, now: Now, beat: &Heartbeat, is_direct: bool) {
+        let incarnation = beat.incarnation;
+        if incarnation == self.me.incarnation || self.is_gone(incarnation) {
+            return;
+        }
+        if beat.host == self.me.host {
+            return self.hear_other_life(now, beat, is_direct);
+        }
+        if let Some(peer) = self.peers.get_mut(&incarnation) {
+            if beat.counter > peer.beat.counter {
+                peer.beat = beat.clone();
+                peer.heard_at = now.mono;
+                peer.sent = 0;
+                if peer.state == MemberState::Suspect {
+                    peer.state = MemberState::Live;
+                    self.notes.push(Note::Refuted(incarnation));
+                }
+            }
+            return;
+        }
+        self.admit(now, beat, is_direct);
+    }
+
+    /// Hears of another life of this host: a former one, which peers have not forgotten yet, or a
+    /// newer one that runs beside this process and takes its place.
+    fn hear_other_life(&mut self, now: Now, beat: &Heartbeat, is_direct: bool) {
+        if beat.started_at_ms < self.me.started_at_ms {
+            self.gone.insert(beat.incarnation, now.mono);
+            self.notes.push(Note::Gone(beat.incarnation));
+        } else if is_direct {
+            self.notes.push(Note::HeldGone);
+        }
+    }
+
+    /// Admits an incarnation heard for the first time, in place of an older one of its host.
+    ///
+    /// The wall clock of a host may have stepped back over its restart. Then its new life looks
+    /// older, and is admitted once the former one has fallen silent.
+    fn admit(&mut self, now: Now, beat: &Heartbeat, is_direct: bool) {
+        let same_host = |peer: &&Peer| peer.beat.host == beat.host;
+        if let Some(former) = self.peers.values().find(same_host) {
+            let is_newer = beat.started_at_ms > former.beat.started_at_ms;
+            let is_silent = is_direct && former.state == MemberState::Suspect;
+            if !is_newer && !is_silent {
+                return;
+            }
+            self.bury(now, former.beat.incarnation);
+        }
+        if self.peers.len() >= self.options.members_max {
+            return;
+        }
+        let peer = Peer {
+            beat: beat.clone(),
+            heard_at: now.mono,
+            state: MemberState::Live,
+            sent: 0,
+        };
+        self.peers.insert(beat.incarnation, peer);
+        self.notes.push(Note::Joined(beat.incarnation));
+    }
+
+    /// Makes the message for `to`: the live peers' heartbeats passed on least since they changed.
+    fn digest(&mut self, to: SocketAddr) -> Gossip {
+        let max = self.options.digest_max;
+        let tellable =
+            |peer: &&mut Peer| peer.state == MemberState::Live && peer.beat.control_address != to;
+        let mut peers: Vec<&mut Peer> = self.peers.values_mut().filter(tellable).collect();
+        peers.sort_by_key(|peer| peer.sent);
+        let pass_on = |peer: &mut &mut Peer| {
+            peer.sent += 1;
+            peer.beat.clone()
+        };
+        Gossip {
+            from: self.me.clone(),
+            others: peers.iter_mut().take(max).map(pass_on).collect(),
+            gone: None,
+        }
+    }
+
+    /// Gets the addresses of the own zone, or of all others: peers heard of and hosts listed.
+    fn contacts(&self, is_own_zone: bool) -> Vec<SocketAddr> {
+        let fits = |zone: &ZoneName| (*zone == self.me.zone) == is_own_zone;
+        let heard = self.peers.values().map(|peer| &peer.beat);
+        let heard = heard.filter(|beat| fits(&beat.zone));
+        let listed = self.listed_unheard();
+        let listed = listed.filter(|host| host.state == HostState::Live && fits(&host.zone));
+        let addresses = heard.map(|beat| beat.control_address);
+        addresses
+            .chain(listed.map(|host| host.peer_address))
+            .collect()
+    }
+
+    fn unmet_seeds(&self) -> Vec<SocketAddr> {
+        let is_met = |seed: &SocketAddr| {
+            let mut live = self.peers.values().filter(|p| p.state == MemberState::Live);
+            *seed == self.me.control_address || live.any(|p| p.beat.control_address == *seed)
+        };
+        let seeds = self.seeds.iter().copied();
+        seeds.filter(|seed| !is_met(seed)).collect()
+    }
+
+    /// Picks `count` addresses by the seed and the round.
+    fn pick(&self, mut addresses: Vec<SocketAddr>, count: usize) -> Vec<SocketAddr> {
+        let seed = self.seed ^ self.round.rotate_left(32);
+        addresses.sort_by_cached_key(|a| (xxh3_64_with_seed(a.to_string().as_bytes(), seed), *a));
+        addresses.dedup();
+        addresses.truncate(count);
+        addresses
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-state/src/member/options.rs
@@ -0,0 +1,42 @@
+//! Times and bounds of the membership.
+
+use onyxshed_core::Millis;
+
+/// Times and bounds of the membership.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberOptions {
+    /// How long a peer's count may stand still before it is suspected. Default 6 s.
+    pub suspect_ms: Millis,
+    /// How long it may stand still before the platform's list is asked. Default 15 s.
+    pub gone_ms: Millis,
+    /// How long this process may not have run before it counts as paused. Default 2 s.
+    pub pause_ms: Millis,
+    /// How long an incarnation that is gone is remembered. Default 20 min, twice the horizon.
+    pub keep_gone_ms: Millis,
+    /// Peers of the own zone told in each round. Default 1.
+    pub zone_fanout: usize,
+    /// One round in so many tells a peer of another zone. Default 2.
+    pub foreign_every: u64,
+    /// One round in so many tells an address from the settings. Default 8.
+    pub seed_every: u64,
+    /// Most heartbeats passed on in a message. Default 16.
+    pub digest_max: usize,
+    /// Most peers remembered. Default 1024.
+    pub members_max: usize,
+}
+
+impl Default for MemberOptions {
+    fn default() -> Self {
+        MemberOptions {
+            suspect_ms: Millis(6_000),
+            gone_ms: Millis(15_000),
+            pause_ms: Millis(2_000),
+            keep_gone_ms: Millis(1_200_000),
+            zone_fanout: 1,
+            foreign_every: 2,
+            seed_every: 8,
+            digest_max: 16,
+            members_max: 1_024,
+        }
+    }
+}
