--- /dev/null
+++ b/crates/onyxshed-state/tests/claim_search.rs
@@ -0,0 +1,495 @@
+//! Random search: hosts that share one log under every fault the platform allows.
+//!
+//! A fixed seed makes every run the same. More cases, or another seed:
+//! `PROPTEST_CASES=100000 PROPTEST_RNG_SEED=7 cargo test -p onyxshed-state --test claim_search`.
+
+use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet};
+
+use onyxshed_core::{
+    Incarnation, Micros, Millis, Mono, Now, Offset, RatePerS, SubmissionId, UnixMs,
+};
+use onyxshed_state::{
+    AppendFailure, BatchStep, ClaimBook, ClaimOptions, ClaimStep, Settled, Verdict,
+};
+use onyxshed_wire::ContentHash;
+use onyxshed_wire::record::{ClaimBatch, ClaimRecord};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use ulid::Ulid;
+
+const HOSTS: usize = 3;
+const IDS: usize = 4;
+const SKEW_MS: u64 = 40;
+const START_MS: u64 = 1_000_000;
+const CASES: u32 = 20_000;
+const SEED: u64 = 4;
+
+/// One step of a run; numbers are taken modulo what there is.
+#[derive(Debug, Clone)]
+enum Op {
+    Submit {
+        host: usize,
+        id: usize,
+        is_bound: bool,
+    },
+    TakeOver {
+        host: usize,
+        id: usize,
+    },
+    Send {
+        host: usize,
+        fate: Fate,
+    },
+    Land {
+        place: usize,
+    },
+    Read {
+        host: usize,
+        back: u64,
+        count: u64,
+    },
+    StartTask {
+        host: usize,
+        id: usize,
+    },
+    GiveUp {
+        host: usize,
+        id: usize,
+    },
+    Crash {
+        host: usize,
+    },
+    LoseLog {
+        host: usize,
+    },
+    StepClock {
+        host: usize,
+        skew_ms: u64,
+    },
+    Advance {
+        ms: u64,
+    },
+}
+
+/// What becomes of an append.
+#[derive(Debug, Clone, Copy)]
+enum Fate {
+    Answered,
+    Refused,
+    AnswerLost,
+    /// The answer is lost, and the record reaches the log later, if at all.
+    Late,
+}
+
+impl Op {
+    /// Reads a step from a random number; a plain number is quicker to draw than a nested choice.
+    fn decode(code: u32) -> Op {
+        let [kind, a, b, c] = code.to_le_bytes();
+        let (host, id) = (usize::from(a) % HOSTS, usize::from(b) % IDS);
+        let place = usize::from(b);
+        match kind % 64 {
+            0..=12 => Op::Submit {
+                host,
+                id,
+                is_bound: c % 16 == 0,
+            },
+            13..=15 => Op::TakeOver { host, id },
+            16..=27 => Op::Send {
+                host,
+                fate: Fate::decode(c),
+            },
+            28..=31 => Op::Land { place: place % 4 },
+            32..=45 => Op::Read {
+                host,
+                back: u64::from(b % 3),
+                count: u64::from(1 + c % 5),
+            },
+            46..=53 => Op::StartTask { host, id },
+            54..=55 => Op::GiveUp { host, id },
+            56 => Op::Crash { host },
+            57 => Op::LoseLog { host },
+            58 => Op::StepClock {
+                host,
+                skew_ms: u64::from(c) % (SKEW_MS + 1),
+            },
+            59 => Op::Advance {
+                ms: u64::from(c) * 3,
+            },
+            _ => Op::Advance {
+                ms: u64::from(c) % 20,
+            },
+        }
+    }
+}
+
+impl Fate {
+    fn decode(code: u8) -> Fate {
+        match code % 9 {
+            0..=3 => Fate::Answered,
+            4 => Fate::Refused,
+            5..=6 => Fate::AnswerLost,
+            _ => Fate::Late,
+        }
+    }
+}
+
+fn ops() -> impl Strategy<Value = Vec<Op>> {
+    let codes = prop::collection::vec(any::<u32>(), 40..160);
+    codes.prop_map(|codes| codes.into_iter().map(Op::decode).collect())
+}
+
+fn options() -> ClaimOptions {
+    ClaimOptions {
+        horizon_ms: Millis(1_000),
+        skew_ms: Millis(SKEW_MS),
+        retention_ms: Millis(2_100),
+        log_appends_per_s: RatePerS(1_000),
+        appends_per_s: RatePerS(500),
+        patience_ms: Millis(60),
+        retry_ms: Millis(1),
+        release_delay_ms: Millis(5),
+        ..ClaimOptions::default()
+    }
+}
+
+/// A job, as the dispatcher keeps it: gone once given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Job {
+    Waiting,
+    Ready(u64),
+}
+
+struct Host {
+    book: ClaimBook,
+    me: Incarnation,
+    jobs: BTreeMap<SubmissionId, Job>,
+    skew_ms: u64,
+}
+
+struct World {
+    ms: u64,
+    log: Vec<(u64, String)>,
+    late: Vec<ClaimBatch>,
+    hosts: Vec<Host>,
+    dead: BTreeSet<Incarnation>,
+    ids: Vec<Ulid>,
+    next_number: u64,
+    /// Jobs that started a task, by submission.
+    starts: BTreeMap<SubmissionId, BTreeSet<u64>>,
+    /// Dead holders that were to be replaced, by submission.
+    replaced: BTreeMap<SubmissionId, BTreeSet<Incarnation>>,
+    tally: Tally,
+}
+
+/// How often something happened, to show that the search gets there.
+#[derive(Debug, Clone, Copy, Default)]
+struct Tally {
+    starts: u64,
+    take_overs: u64,
+    reclaims: u64,
+    stale: u64,
+    gaps: u64,
+}
+
+impl World {
+    fn new() -> Self {
+        let mut world = World {
+            ms: START_MS,
+            log: Vec::new(),
+            late: Vec::new(),
+            hosts: Vec::new(),
+            dead: BTreeSet::new(),
+            ids: (0..IDS as u128)
+                .map(|n| Ulid::from_parts(START_MS, n))
+                .collect(),
+            next_number: 0,
+            starts: BTreeMap::new(),
+            replaced: BTreeMap::new(),
+            tally: Tally::default(),
+        };
+        for _ in 0..HOSTS {
+            let host = world.new_host(0);
+            world.hosts.push(host);
+        }
+        world
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next_number += 1;
+        self.next_number
+    }
+
+    fn new_host(&mut self, skew_ms: u64) -> Host {
+        let me = Incarnation(self.number());
+        Host {
+            book: ClaimBook::new(me, options()),
+            me,
+            jobs: BTreeMap::new(),
+            skew_ms,
+        }
+    }
+
+    fn now(&self, host: usize) -> Now {
+        Now {
+            mono: Mono::default() + Micros(self.ms * 1_000),
+            wall: UnixMs(self.ms + self.hosts[host].skew_ms),
+        }
+    }
+
+    /// Tasks of ids with an even place may run twice, for a stated reason.
+    fn may_run_twice(&self, id: &SubmissionId) -> bool {
+        id.ulid.random().is_multiple_of(2)
+    }
+
+    fn step(&mut self, op: &Op) {
+        match *op {
+            Op::Submit { host, id, is_bound } => self.submit(host, id, is_bound),
+            Op::TakeOver { host, id } => self.take_over(host, id),
+            Op::Send { host, fate } => self.send(host, fate),
+            Op::Land { place } if place < self.late.len() => {
+                let batch = self.late.remove(place);
+                self.append(&batch);
+            }
+            Op::Land { .. } => {}
+            Op::Read { host, back, count } => self.read(host, back, count),
+            Op::StartTask { host, id } => self.start_task(host, id),
+            Op::GiveUp { host, id } => self.give_up(host, id),
+            Op::Crash { host } => {
+                self.dead.insert(self.hosts[host].me);
+                self.hosts[host] = self.new_host(self.hosts[host].skew_ms);
+            }
+            Op::LoseLog { host } => {
+                let settled = self.hosts[host].book.lost_log();
+                self.settle(host, &settled);
+            }
+            Op::StepClock { host, skew_ms } => self.hosts[host].skew_ms = skew_ms,
+            Op::Advance { ms } => self.advance(ms),
+        }
+    }
+
+    /// Lets time pass; ids that have been refused for long give way to new ones.
+    fn advance(&mut self, ms: u64) {
+        self.ms += ms;
+        let mut number = u128::from(self.number());
+        for (place, ulid) in (0..).zip(&mut self.ids) {
+            if ulid.timestamp_ms() + 1_500 < self.ms {
+                number += 1;
+                *ulid = Ulid::from_parts(self.ms, number * IDS as u128 + place);
+            }
+        }
+    }
+
+    fn submit(&mut self, host: usize, id: usize, is_bound: bool) {
+        let bound_to = is_bound.then(|| self.hosts[host].me);
+        let id = SubmissionId {
+            ulid: self.ids[id],
+            bound_to,
+        };
+        let now = self.now(host);
+        self.consult(host, id, |book| book.consult(now, id, ContentHash(1)));
+    }
+
+    fn take_over(&mut self, host: usize, id: usize) {
+        let id = SubmissionId::unbound(self.ids[id]);
+        let holder = self.hosts[host].book.holder(id);
+        let Some(gone) = holder.filter(|holder| self.dead.contains(holder)) else {
+            return;
+        };
+        if self.may_run_twice(&id) {
+            let now = self.now(host);
+            self.tally.take_overs += 1;
+            self.replaced.entry(id).or_default().insert(gone);
+            self.consult(host, id, |book| {
+                book.take_over(now, id, ContentHash(1), gone)
+            });
+        }
+    }
+
+    fn consult(
+        &mut self,
+        host: usize,
+        id: SubmissionId,
+        ask: impl Fn(&mut ClaimBook) -> ClaimStep,
+    ) {
+        if self.hosts[host].jobs.contains_key(&id) {
+            return;
+        }
+        let number = self.number();
+        let host = &mut self.hosts[host];
+        match ask(&mut host.book) {
+            ClaimStep::Start => host.jobs.insert(id, Job::Ready(number)),
+            ClaimStep::Wait => host.jobs.insert(id, Job::Waiting),
+            _ => None,
+        };
+    }
+
+    fn send(&mut self, host: usize, fate: Fate) {
+        let now = self.now(host);
+        let overdue = self.hosts[host].book.tick(now);
+        self.settle(host, &overdue);
+        let BatchStep::Append(batch) = self.hosts[host].book.next_batch(now) else {
+            return;
+        };
+        let result = match fate {
+            Fate::Answered => Ok(self.append(&batch)),
+            Fate::Refused => Err(AppendFailure::NotAppended),
+            Fate::AnswerLost => {
+                self.append(&batch);
+                Err(AppendFailure::AnswerLost)
+            }
+            Fate::Late => {
+                self.late.push(batch.clone());
+                Err(AppendFailure::AnswerLost)
+            }
+        };
+        let settled = self.hosts[host].book.appended(now, batch.batch, result);
+        self.settle(host, &settled);
+    }
+
+    fn append(&mut self, batch: &ClaimBatch) -> Offset {
+        let record = ClaimRecord::ClaimsV1(batch.clone()).encode();
+        self.log.push((self.ms, record));
+        Offset(self.log.len() as u64 - 1)
+    }
+
+    /// Reads some records, a few of them again, and none that has expired.
+    fn read(&mut self, host: usize, back: u64, count: u64) {
+        let now = self.now(host);
+        let oldest_ms = self.ms - options().retention_ms.0.min(self.ms);
+        let oldest = self
+            .log
+            .iter()
+            .take_while(|(at, _)| *at < oldest_ms)
+            .count() as u64;
+        self.hosts[host].book.skip_to(now, Offset(oldest));
+        let next = self.hosts[host].book.next().0;
+        let from = next.saturating_sub(back).max(oldest);
+        let end = (next + count).min(self.log.len() as u64);
+        for offset in from..end {
+            let (_, data) = &self.log[usize::try_from(offset).expect("small")];
+            let settled = self.hosts[host].book.read(now, Offset(offset), data);
+            self.settle(host, &settled);
+        }
+        self.hosts[host]
+            .book
+            .caught_up(Offset(self.log.len() as u64));
+    }
+
+    fn settle(&mut self, host: usize, settled: &[Settled]) {
+        for Settled {
+            submission,
+            verdict,
+        } in settled
+        {
+            let number = self.number();
+            let jobs = &mut self.hosts[host].jobs;
+            assert_eq!(
+                jobs.get(submission),
+                Some(&Job::Waiting),
+                "a verdict nobody waits for"
+            );
+            match verdict {
+                Verdict::Won => jobs.insert(*submission, Job::Ready(number)),
+                _ => jobs.remove(submission),
+            };
+        }
+    }
+
+    fn start_task(&mut self, host: usize, id: usize) {
+        let now = self.now(host);
+        let ulid = self.ids[id];
+        let is_this = |entry: &(&SubmissionId, &Job)| entry.0.ulid == ulid;
+        let Host { book, jobs, .. } = &self.hosts[host];
+        for (id, job) in jobs.iter().filter(is_this) {
+            if let Job::Ready(number) = job
+                && book.may_start(now, *id)
+            {
+                self.starts.entry(*id).or_default().insert(*number);
+                self.tally.starts += 1;
+            }
+        }
+    }
+
+    /// Gives up a job of which nothing was started.
+    fn give_up(&mut self, host: usize, id: usize) {
+        let id = SubmissionId::unbound(self.ids[id]);
+        let now = self.now(host);
+        let is_started = |number: &u64| self.starts.get(&id).is_some_and(|s| s.contains(number));
+        let host = &mut self.hosts[host];
+        match host.jobs.get(&id) {
+            Some(Job::Ready(number)) if is_started(number) => return,
+            Some(Job::Ready(_)) => self.tally.reclaims += 1,
+            Some(Job::Waiting) => {}
+            None => return,
+        }
+        host.book.release(now, id);
+        host.jobs.remove(&id);
+    }
+
+    fn check(&self) -> Result<(), TestCaseError> {
+        for (id, jobs) in &self.starts {
+            let replaced = self.replaced.get(id).map_or(0, BTreeSet::len);
+            let is_allowed = jobs.len() <= 1 + replaced;
+            prop_assert!(is_allowed, "{id} was started by jobs {jobs:?}");
+        }
+        Ok(())
+    }
+}
+
+/// Callers send the same submissions to all hosts, again and again, while appends are refused, lose
+/// their answers or land late and out of order, records are read twice or expire unread, hosts stop
+/// for any time (they are not picked) or die, and clocks step within the skew. After every step at
+/// most one job of a submission has started a task, and one more for each dead holder that was
+/// replaced because its class may run twice.
+#[test]
+fn no_submission_starts_twice() {
+    let total = Cell::new(Tally::default());
+    let cases = std::env::var("PROPTEST_CASES")
+        .ok()
+        .and_then(|n| n.parse().ok());
+    let seed = std::env::var("PROPTEST_RNG_SEED")
+        .ok()
+        .and_then(|n| n.parse().ok());
+    let config = Config {
+        cases: cases.unwrap_or(CASES),
+        rng_seed: RngSeed::Fixed(seed.unwrap_or(SEED)),
+        failure_persistence: None,
+        max_shrink_iters: 20_000,
+        ..Config::default()
+    };
+    let run = |ops: Vec<Op>| {
+        let mut world = World::new();
+        for op in &ops {
+            world.step(op);
+            world.check()?;
+        }
+        let counts = world.hosts.iter().map(|host| host.book.counts());
+        let (stale, gaps) = counts.fold((0, 0), |sum, c| (sum.0 + c.stale_batches, sum.1 + c.gaps));
+        let sum = total.get();
+        total.set(Tally {
+            starts: sum.starts + world.tally.starts,
+            take_overs: sum.take_overs + world.tally.take_overs,
+            reclaims: sum.reclaims + world.tally.reclaims,
+            stale: sum.stale + stale,
+            gaps: sum.gaps + gaps,
+        });
+        Ok(())
+    };
+    let result = TestRunner::new(config).run(&ops(), run);
+    let Tally {
+        starts,
+        take_overs,
+        reclaims,
+        stale,
+        gaps,
+    } = total.get();
+    println!("{:?}", total.get());
+    if let Err(failure) = result {
+        panic!("{failure}");
+    }
+    let is_thorough = [starts, take_overs, reclaims, stale, gaps]
+        .iter()
+        .all(|count| *count > 20);
+    assert!(is_thorough, "the search is too shallow: {:?}", total.get());
+}
--- a/crates/onyxshed-state/tests/claim_traps.rs
+++ b/crates/onyxshed-state/tests/claim_traps.rs
@@ -1,16 +1,46 @@
 //! The ways in which a submission could start twice, one test each.
 
-#[path = "support/log.rs"]
-mod log;
+#[path = "support/claims.rs"]
+mod claims;
 
-use log::{CONTENT, Log, at, host, id, take_batch};
+use claims::{CONTENT, at, host, id, take_batch};
 use onyxshed_core::{Incarnation, Millis, Now, Offset, SubmissionId};
 use onyxshed_state::{
     AppendFailure, BatchStep, ClaimBook, ClaimOptions, ClaimStep, Settled, Verdict,
 };
 use onyxshed_wire::ContentHash;
+use onyxshed_wire::record::{ClaimBatch, ClaimRecord};
 use rstest::rstest;
 
+/// A log that takes appends in order.
+#[derive(Default)]
+struct Log(Vec<String>);
+
+impl Log {
+    fn append(&mut self, batch: ClaimBatch) -> Offset {
+        self.0.push(ClaimRecord::ClaimsV1(batch).encode());
+        Offset(self.0.len() as u64 - 1)
+    }
+
+    /// Reads everything that the host has not read.
+    fn read(&self, book: &mut ClaimBook, now: Now) -> Vec<Settled> {
+        let mut settled = Vec::new();
+        for (offset, data) in (0..).zip(&self.0) {
+            settled.extend(book.read(now, Offset(offset), data));
+        }
+        book.caught_up(Offset(self.0.len() as u64));
+        settled
+    }
+
+    /// Sends the host's next batch and tells it that it was appended.
+    fn send(&mut self, book: &mut ClaimBook, now: Now) {
+        let batch = take_batch(book, now);
+        let number = batch.batch;
+        let offset = self.append(batch);
+        book.appended(now, number, Ok(offset));
+    }
+}
+
 const A: Incarnation = Incarnation(1);
 const B: Incarnation = Incarnation(2);
 const HORIZON_MS: u64 = 600_000;
