--- /dev/null
+++ b/crates/onyxshed-state/tests/config_fold.rs
@@ -0,0 +1,371 @@
+//! The configuration in force: races, lost records, peers, and the operator's command.
+
+#[path = "support/configs.rs"]
+mod configs;
+
+use configs::{Log, RETENTION_MS, put};
+use onyxshed_core::{ChangeId, ClassName, Offset, Revision, UnixMs};
+use onyxshed_state::config::{Appended, Judged};
+use onyxshed_state::{
+    AppendFailure, ChangeFate, Config, ConfigFold, Error, FoldStep, Handover, Proposal,
+    RepublishStep,
+};
+use onyxshed_wire::platform::RECORD_MAX_BYTES;
+use onyxshed_wire::record::{ChangeBody, ConfigChange, ConfigRecord};
+use rstest::rstest;
+use ulid::Ulid;
+
+fn change(change: ConfigChange) -> ConfigRecord {
+    ConfigRecord::ChangeV1(change)
+}
+
+/// Makes a log with `count` accepted changes, a second apart.
+fn log_of(count: u64) -> Log {
+    let mut log = Log::default();
+    for n in 0..count {
+        log.append(n * 1_000, &change(put(n, n, &format!("class-{n}"), 100)));
+    }
+    log
+}
+
+fn reader(log: &Log) -> ConfigFold {
+    let mut fold = ConfigFold::default();
+    log.read(&mut fold, 0);
+    fold
+}
+
+/// Publishes what `fold` holds, as of `now_ms`.
+fn publish(log: &mut Log, fold: &mut ConfigFold, now_ms: u64) -> usize {
+    match fold.republish(UnixMs(now_ms), 1) {
+        RepublishStep::Publish(records) => {
+            for record in &records {
+                assert!(record.encode().len() <= RECORD_MAX_BYTES);
+                log.append(now_ms, record);
+            }
+            records.len()
+        }
+        other => panic!("nothing is published: {other:?}"),
+    }
+}
+
+fn revision(fold: &ConfigFold) -> u64 {
+    fold.config().revision.0
+}
+
+/// Operators race, repeat themselves and break rules. Log order decides, and every reader comes to
+/// the same verdict about each record.
+#[test]
+fn log_order_decides() {
+    let remove = |number, class: &str| ConfigChange {
+        body: ChangeBody::Remove(class.parse().expect("a name")),
+        ..put(number, 1, class, 0)
+    };
+    let records = [
+        ("first", change(put(1, 0, "locks", 500)).encode()),
+        ("raced", change(put(2, 0, "prices", 900)).encode()),
+        ("first again", change(put(1, 0, "locks", 500)).encode()),
+        ("first, new base", change(put(1, 1, "locks", 500)).encode()),
+        ("out of range", change(put(3, 1, "prices", 0)).encode()),
+        ("no such class", change(remove(4, "prices")).encode()),
+        ("unreadable", "{}".to_owned()),
+        ("removed", change(remove(5, "locks")).encode()),
+    ];
+    let mut fold = ConfigFold::default();
+    let mut told = String::new();
+    for (offset, (name, data)) in (0..).zip(&records) {
+        told += &format!("{name}: {:?}\n", fold.apply(Offset(offset), data));
+    }
+    insta::assert_snapshot!(told, @r"
+    first: Accepted(Revision(1))
+    raced: Raced { based_on: Revision(0), found: Revision(1) }
+    first again: Nothing
+    first, new base: Nothing
+    out of range: Ignored
+    no such class: Ignored
+    unreadable: Ignored
+    removed: Accepted(Revision(2))
+    ");
+    let fates: Vec<ChangeFate> = (1..=6)
+        .map(|n| fold.find_change(ChangeId(Ulid(n))))
+        .collect();
+    insta::assert_snapshot!(format!("{fates:?}"), @"[Accepted(Revision(1)), Raced { based_on: Revision(0), found: Revision(1) }, Invalid, Invalid, Accepted(Revision(2)), NotSeen]");
+    assert_eq!(
+        fold.apply(Offset(0), &records[0].1),
+        FoldStep::Nothing,
+        "read twice"
+    );
+}
+
+/// A change lands between the moment a snapshot was made and its append. A host that starts after
+/// the first records expired finds the change before the snapshot, and must not lose it.
+#[test]
+fn late_start_from_a_snapshot_that_was_overtaken() {
+    let mut log = log_of(2);
+    let mut publisher = reader(&log);
+    log.append(5_000, &change(put(10, 2, "between", 100)));
+    log.append(5_001, &change(put(11, 2, "raced", 100)));
+    publish(&mut log, &mut publisher, RETENTION_MS);
+    log.append(6_000, &change(put(12, 3, "after", 100)));
+    log.oldest = 2;
+    let late = reader(&log);
+    assert!(late.is_complete());
+    assert_eq!(late.config(), reader(&Log { oldest: 0, ..log }).config());
+    assert_eq!(revision(&late), 4);
+}
+
+/// As before, but the accepted change expired too and only the one that lost to it is left. Judged
+/// alone the loser looks valid. The snapshot takes force, but no change is judged on it.
+#[test]
+fn loser_is_not_accepted_when_the_winner_was_lost() {
+    let mut log = log_of(2);
+    let mut publisher = reader(&log);
+    log.append(5_000, &change(put(10, 2, "winner", 100)));
+    log.append(5_001, &change(put(11, 2, "loser", 100)));
+    publish(&mut log, &mut publisher, RETENTION_MS);
+    log.oldest = 3;
+    let mut late = reader(&log);
+    assert_eq!((late.is_complete(), revision(&late)), (false, 2));
+    let loser: ClassName = "loser".parse().expect("a name");
+    assert!(!late.config().classes.contains_key(&loser));
+    log.oldest = 0;
+    late.adopt_handover(reader(&log).handover());
+    assert_eq!((late.is_complete(), revision(&late)), (true, 3));
+    let fate = late.find_change(ChangeId(Ulid(11)));
+    assert!(matches!(fate, ChangeFate::Raced { .. }), "{fate:?}");
+}
+
+/// Someone appends a snapshot that is wrong, or old. Whoever has read the log knows better, counts
+/// it and goes on; nobody moves to another configuration of the same revision, or to a lower one.
+#[rstest]
+#[case::other_content(2, 200, 1)]
+#[case::ahead_of_the_log(7, 100, 1)]
+#[case::old(1, 100, 0)]
+#[case::right(2, 100, 0)]
+fn wrong_snapshot_is_ignored(#[case] count: u64, #[case] span_ms: u64, #[case] wrong: u64) {
+    let mut told = Log::default();
+    for n in 0..count {
+        told.append(0, &change(put(n, n, &format!("class-{n}"), span_ms)));
+    }
+    let mut teller = reader(&told);
+    publish(&mut told, &mut teller, RETENTION_MS);
+    let snapshot = &told.records.last().expect("it was published").data;
+    let mut fold = reader(&log_of(2));
+    let before = fold.config().clone();
+    fold.apply(Offset(2), snapshot);
+    fold.apply(Offset(3), &snapshot.replace("class-0", "class-x"));
+    assert_eq!((fold.config(), fold.is_complete()), (&before, true));
+    assert_eq!(fold.counts().contradictions, wrong);
+}
+
+/// An outage outlasts the retention: records expired before this host read them. What it holds
+/// stays in force, it judges no change, and a peer or a snapshot brings it back.
+#[rstest]
+#[case::by_a_peer(true)]
+#[case::by_a_snapshot(false)]
+fn gap_keeps_what_is_in_force(#[case] is_by_peer: bool) {
+    let mut log = log_of(3);
+    let mut cut_off = reader(&log);
+    let mut other = cut_off.clone();
+    log.append(4_000, &change(put(10, 3, "unread", 100)));
+    log.append(4_001, &change(put(11, 4, "kept", 100)));
+    log.oldest = 4;
+    log.read(&mut cut_off, 5_000);
+    assert_eq!((cut_off.is_complete(), revision(&cut_off)), (false, 3));
+    let draft = put(12, 3, "more", 100);
+    assert_eq!(Proposal::prepare(draft, &cut_off), Err(Error::Incomplete));
+    for record in &log.records {
+        other.apply_record(record);
+    }
+    if is_by_peer {
+        assert_eq!(
+            cut_off.adopt_handover(other.handover()),
+            FoldStep::Accepted(Revision(5))
+        );
+    } else {
+        publish(&mut log, &mut other, RETENTION_MS);
+        log.read(&mut cut_off, 6_000);
+    }
+    assert_eq!((cut_off.is_complete(), revision(&cut_off)), (true, 5));
+    assert_eq!(cut_off.config(), other.config());
+}
+
+/// A host is born while the platform's log is down. It learns the configuration from peers, moves
+/// only to higher revisions, and goes on from the log when that is back.
+#[test]
+fn host_born_in_an_outage_learns_from_peers() {
+    let log = log_of(3);
+    let peer = reader(&log);
+    let mut born = ConfigFold::default();
+    assert_eq!(
+        born.adopt(peer.config().clone()),
+        FoldStep::Accepted(Revision(3))
+    );
+    let older = reader(&log_of(2)).config().clone();
+    assert_eq!(born.adopt(older), FoldStep::Nothing);
+    assert_eq!(born.adopt(Config::default()), FoldStep::Nothing);
+    assert_eq!(born.config(), peer.config());
+    for (read, record) in (1..).zip(&log.records) {
+        born.apply_record(record);
+        assert_eq!(revision(&born), 3, "after {read} records");
+    }
+    assert_eq!(born.folded(), peer.config());
+    let json = serde_json::to_string(&peer.handover()).expect("it can be written");
+    let told: Handover = serde_json::from_str(&json).expect("it was written");
+    assert_eq!(told, peer.handover());
+}
+
+/// Two processes find the configuration due. The first one's snapshot makes the other wait for the
+/// next time, well before the records it needs expire.
+#[test]
+fn republished_once_before_it_expires() {
+    let mut log = log_of(2);
+    let (mut a, mut b) = (reader(&log), reader(&log));
+    let due = |fold: &mut ConfigFold, now: u64, seed| match fold.republish(UnixMs(now), seed) {
+        RepublishStep::WaitUntil(due) => due.0,
+        other => panic!("{other:?}"),
+    };
+    let (first, second) = (due(&mut a, 0, 1), due(&mut b, 0, 2));
+    let window = RETENTION_MS / 2..RETENTION_MS * 5 / 8;
+    assert!(window.contains(&first) && window.contains(&second) && first != second);
+    assert_eq!(publish(&mut log, &mut a, first.max(second)), 1);
+    for fold in [&mut a, &mut b] {
+        log.read(fold, first);
+        assert!(due(fold, first.max(second), 2) >= first.max(second) + RETENTION_MS / 2);
+    }
+    let mut unread = reader(&log_of(2));
+    publish(&mut log, &mut unread, first);
+    let again = due(&mut unread, first + 1, 1);
+    assert_eq!(
+        again,
+        first + RETENTION_MS / 16,
+        "not read back: tried again later"
+    );
+    assert_eq!(
+        ConfigFold::default().republish(UnixMs(0), 1),
+        RepublishStep::Nothing
+    );
+}
+
+/// Every host lost records in an outage longer than the retention; they hold revisions 2 and 3 of
+/// one history. Nobody has a complete fold, so after a long wait both publish what they hold. All,
+/// whichever they read first, end at the higher one and accept changes again.
+#[rstest]
+#[case::lower_first([2, 3])]
+#[case::higher_first([3, 2])]
+fn memory_is_published_when_nobody_has_more(#[case] revisions: [u64; 2]) {
+    let mut log = log_of(4);
+    let mut folds = revisions.map(|count| reader(&log_of(count)));
+    log.oldest = 4;
+    for fold in &mut folds {
+        log.read(fold, 10_000);
+        let complete_due = 10_000 + RETENTION_MS * 5 / 8;
+        let step = fold.republish(UnixMs(complete_due), 1);
+        assert!(
+            matches!(step, RepublishStep::WaitUntil(_)),
+            "a complete fold comes first"
+        );
+    }
+    for fold in &mut folds {
+        publish(&mut log, fold, 10_000 + RETENTION_MS);
+    }
+    log.append(0, &change(put(20, 3, "on-top", 100)));
+    let [mut a, mut b] = folds;
+    for fold in [&mut a, &mut b] {
+        log.read(fold, 20_000);
+    }
+    let late = reader(&log);
+    for fold in [&a, &b, &late] {
+        assert_eq!((fold.is_complete(), revision(fold)), (true, 4));
+        assert_eq!(fold.config(), late.config());
+    }
+}
+
+/// The configuration is larger than a record. It goes out in parts, which two publishers interleave
+/// and a late reader joins; a part from another revision does not fit.
+#[test]
+fn large_configuration_goes_out_in_parts() {
+    let mut log = log_of(2_000);
+    let mut publishers = [reader(&log), reader(&log)];
+    let mut parts = Log::default();
+    let count = publish(&mut parts, &mut publishers[0], RETENTION_MS * 2);
+    assert_eq!(count, 3);
+    let start = log.next().0;
+    for record in &parts.records {
+        for _ in &publishers {
+            let record: ConfigRecord = ConfigRecord::decode(&record.data).expect("it was written");
+            log.append(RETENTION_MS, &record);
+        }
+    }
+    log.oldest = start;
+    let late = reader(&log);
+    assert!(late.is_complete());
+    assert_eq!(late.config(), publishers[1].config());
+    log.oldest = start + 2;
+    assert!(!reader(&log).is_complete(), "the first part expired");
+}
+
+/// The operator's command refuses what every fold would ignore, before anything is appended.
+#[rstest]
+#[case::invalid(put(9, 2, "locks", 0))]
+#[case::stale(put(9, 1, "locks", 100))]
+fn command_refuses_before_the_append(#[case] draft: ConfigChange) {
+    let refusal = Proposal::prepare(draft, &reader(&log_of(2))).expect_err("it is refused");
+    let code = refusal.code().number();
+    assert!([5008, 5009].contains(&code), "{refusal}");
+}
+
+/// The append's answer is lost. The command says nothing before it has read the log up to its end;
+/// then it says what it found, or appends the same change again. Both copies may land, and make one
+/// revision.
+#[rstest]
+#[case::took_effect(true)]
+#[case::lost_for_good(false)]
+fn lost_answer_is_looked_up(#[case] has_landed: bool) {
+    let mut log = log_of(2);
+    let mut fold = reader(&log);
+    let ready = Proposal::prepare(put(9, 2, "locks", 100), &fold).expect("it is valid");
+    let record = ConfigRecord::decode(&ready.record()).expect("it was written");
+    if has_landed {
+        log.append(0, &record);
+    }
+    log.append(0, &change(put(10, 3, "other", 100)));
+    let sent = match ready.appended(Err(AppendFailure::AnswerLost)) {
+        Appended::Sent(sent) => sent,
+        other => panic!("{other:?}"),
+    };
+    let Judged::Undecided(sent) = sent.judge(&fold, log.next()) else {
+        panic!("judged before the log was read");
+    };
+    log.read(&mut fold, 0);
+    match sent.judge(&fold, log.next()) {
+        Judged::Accepted(revision) => assert_eq!((has_landed, revision), (true, Revision(3))),
+        Judged::Repeat(ready) => {
+            assert!(!has_landed && ready.record() == record.encode());
+            for _ in 0..2 {
+                log.append(0, &record);
+            }
+            log.read(&mut fold, 0);
+            assert_eq!(revision(&fold), 3);
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Two operators change the same revision. Both appends are answered; the second is told that it
+/// lost, and only when its record was read back.
+#[test]
+fn loser_is_told() {
+    let mut log = log_of(1);
+    let mut fold = reader(&log);
+    let sent = [20, 21].map(|number| {
+        let ready = Proposal::prepare(put(number, 1, "locks", number), &fold).expect("valid");
+        let offset = log.append(0, &change(ready.change().clone()));
+        match ready.appended(Ok(offset)) {
+            Appended::Sent(sent) => sent,
+            other => panic!("{other:?}"),
+        }
+    });
+    log.read(&mut fold, 0);
+    let verdicts = sent.map(|sent| sent.judge(&fold, log.next()));
+    insta::assert_snapshot!(format!("{verdicts:?}"), @"[Accepted(Revision(2)), Raced { based_on: Revision(1), found: Revision(2) }]");
+}
--- /dev/null
+++ b/crates/onyxshed-state/tests/support/configs.rs
@@ -0,0 +1,54 @@
+//! Changes and a log for tests of the configuration.
+
+use onyxshed_core::{ChangeId, ClassTarget, Millis, Offset, Revision, UnixMs};
+use onyxshed_state::ConfigFold;
+use onyxshed_wire::platform::Record;
+use onyxshed_wire::record::{ChangeBody, ConfigChange, ConfigRecord};
+use ulid::Ulid;
+
+pub const RETENTION_MS: u64 = 1_800_000;
+
+/// Makes a change that sets a class's target.
+pub fn put(number: u64, based_on: u64, class: &str, finish_within_ms: u64) -> ConfigChange {
+    ConfigChange {
+        change_id: ChangeId(Ulid(number.into())),
+        based_on: Revision(based_on),
+        body: ChangeBody::Put(ClassTarget {
+            class: class.parse().expect("a name"),
+            upstream: "orders".parse().expect("a name"),
+            finish_within_ms: Millis(finish_within_ms),
+            may_run_twice: false,
+        }),
+    }
+}
+
+/// A log that forgets its oldest records.
+#[derive(Default)]
+pub struct Log {
+    pub records: Vec<Record>,
+    pub oldest: u64,
+}
+
+impl Log {
+    pub fn append(&mut self, at_ms: u64, record: &ConfigRecord) -> Offset {
+        let offset = self.next();
+        self.records.push(Record {
+            offset,
+            at_ms: UnixMs(at_ms),
+            data: record.encode(),
+        });
+        offset
+    }
+
+    pub fn next(&self) -> Offset {
+        Offset(self.records.len() as u64)
+    }
+
+    /// Has `fold` read what it has not read and what is still kept.
+    pub fn read(&self, fold: &mut ConfigFold, now_ms: u64) {
+        fold.skip_to(Offset(self.oldest), UnixMs(now_ms));
+        for record in &self.records[usize::try_from(self.oldest).expect("small")..] {
+            fold.apply_record(record);
+        }
+    }
+}
