--- a/crates/onyxshed-state/tests/config_fold.rs
+++ b/crates/onyxshed-state/tests/config_fold.rs
@@ -28,9 +28,17 @@
     log
 }
 
+/// Has `fold` read what it has not read and what is still kept.
+fn read(log: &Log, fold: &mut ConfigFold, now_ms: u64) {
+    fold.skip_to(Offset(log.oldest), UnixMs(now_ms));
+    for record in &log.records[usize::try_from(log.oldest).expect("small")..] {
+        fold.apply_record(record);
+    }
+}
+
 fn reader(log: &Log) -> ConfigFold {
     let mut fold = ConfigFold::default();
-    log.read(&mut fold, 0);
+    read(log, &mut fold, 0);
     fold
 }
 
@@ -169,7 +177,7 @@
     log.append(4_000, &change(put(10, 3, "unread", 100)));
     log.append(4_001, &change(put(11, 4, "kept", 100)));
     log.oldest = 4;
-    log.read(&mut cut_off, 5_000);
+    read(&log, &mut cut_off, 5_000);
     assert_eq!((cut_off.is_complete(), revision(&cut_off)), (false, 3));
     let draft = put(12, 3, "more", 100);
     assert_eq!(Proposal::prepare(draft, &cut_off), Err(Error::Incomplete));
@@ -183,7 +191,7 @@
         );
     } else {
         publish(&mut log, &mut other, RETENTION_MS);
-        log.read(&mut cut_off, 6_000);
+        read(&log, &mut cut_off, 6_000);
     }
     assert_eq!((cut_off.is_complete(), revision(&cut_off)), (true, 5));
     assert_eq!(cut_off.config(), other.config());
@@ -229,7 +237,7 @@
     assert!(window.contains(&first) && window.contains(&second) && first != second);
     assert_eq!(publish(&mut log, &mut a, first.max(second)), 1);
     for fold in [&mut a, &mut b] {
-        log.read(fold, first);
+        read(&log, fold, first);
         assert!(due(fold, first.max(second), 2) >= first.max(second) + RETENTION_MS / 2);
     }
     let mut unread = reader(&log_of(2));
@@ -257,7 +265,7 @@
     let mut folds = revisions.map(|count| reader(&log_of(count)));
     log.oldest = 4;
     for fold in &mut folds {
-        log.read(fold, 10_000);
+        read(&log, fold, 10_000);
         let complete_due = 10_000 + RETENTION_MS * 5 / 8;
         let step = fold.republish(UnixMs(complete_due), 1);
         assert!(
@@ -271,7 +279,7 @@
     log.append(0, &change(put(20, 3, "on-top", 100)));
     let [mut a, mut b] = folds;
     for fold in [&mut a, &mut b] {
-        log.read(fold, 20_000);
+        read(&log, fold, 20_000);
     }
     let late = reader(&log);
     for fold in [&a, &b, &late] {
@@ -336,7 +344,7 @@
     let Judged::Undecided(sent) = sent.judge(&fold, log.next()) else {
         panic!("judged before the log was read");
     };
-    log.read(&mut fold, 0);
+    read(&log, &mut fold, 0);
     match sent.judge(&fold, log.next()) {
         Judged::Accepted(revision) => assert_eq!((has_landed, revision), (true, Revision(3))),
         Judged::Repeat(ready) => {
@@ -344,7 +352,7 @@
             for _ in 0..2 {
                 log.append(0, &record);
             }
-            log.read(&mut fold, 0);
+            read(&log, &mut fold, 0);
             assert_eq!(revision(&fold), 3);
         }
         other => panic!("{other:?}"),
@@ -365,7 +373,7 @@
             other => panic!("{other:?}"),
         }
     });
-    log.read(&mut fold, 0);
+    read(&log, &mut fold, 0);
     let verdicts = sent.map(|sent| sent.judge(&fold, log.next()));
     insta::assert_snapshot!(format!("{verdicts:?}"), @"[Accepted(Revision(2)), Raced { based_on: Revision(1), found: Revision(2) }]");
 }
--- /dev/null
+++ b/crates/onyxshed-state/tests/config_search.rs
@@ -0,0 +1,380 @@
+//! Random search: processes that fold one log of changes while records expire and answers are lost.
+//!
+//! A fixed seed makes every run the same. More cases, or another seed:
+//! `PROPTEST_CASES=100000 PROPTEST_RNG_SEED=7 cargo test -p onyxshed-state --test config_search`.
+
+#[path = "support/configs.rs"]
+mod configs;
+
+use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet};
+
+use configs::{Log, RETENTION_MS, put};
+use onyxshed_core::{ChangeId, Offset, UnixMs};
+use onyxshed_state::config::{Appended, Judged, proposal::Sent};
+use onyxshed_state::{AppendFailure, ChangeFate, Config, ConfigFold, Proposal, RepublishStep};
+use onyxshed_wire::record::{ConfigChange, ConfigRecord};
+use proptest::prelude::*;
+use proptest::test_runner::{Config as RunnerConfig, RngSeed, TestRunner};
+use rstest::rstest;
+
+const HOSTS: usize = 3;
+const CASES: u32 = 4_000;
+const SEED: u64 = 5;
+
+/// One step of a run.
+#[derive(Debug, Clone)]
+enum Op {
+    Propose {
+        host: usize,
+        fate: u8,
+    },
+    ProposeStale {
+        host: usize,
+    },
+    Land {
+        place: usize,
+    },
+    Read {
+        host: usize,
+        count: usize,
+    },
+    Judge {
+        host: usize,
+    },
+    Tell {
+        from: usize,
+        to: usize,
+        is_whole: bool,
+    },
+    Republish {
+        host: usize,
+    },
+    Crash {
+        host: usize,
+    },
+    Advance {
+        ms: u64,
+    },
+}
+
+impl Op {
+    fn decode(code: u32) -> Op {
+        let [kind, a, b, c] = code.to_le_bytes();
+        let (host, place) = (usize::from(a) % HOSTS, usize::from(b));
+        match kind % 32 {
+            0..=4 => Op::Propose { host, fate: c },
+            5 => Op::ProposeStale { host },
+            6..=7 => Op::Land { place },
+            8..=16 => Op::Read {
+                host,
+                count: 1 + place % 6,
+            },
+            17..=20 => Op::Judge { host },
+            21..=23 => Op::Tell {
+                from: host,
+                to: place % HOSTS,
+                is_whole: c % 3 > 0,
+            },
+            24..=25 => Op::Republish { host },
+            26 => Op::Crash { host },
+            _ => Op::Advance {
+                ms: u64::from(c) * RETENTION_MS / 2_048,
+            },
+        }
+    }
+}
+
+#[derive(Default)]
+struct World {
+    has_keeper: bool,
+    ms: u64,
+    log: Log,
+    late: Vec<ConfigChange>,
+    folds: [ConfigFold; HOSTS],
+    /// The highest revision that was in force in each process's life.
+    highest: [u64; HOSTS],
+    sent: [Vec<(Proposal<Sent>, Offset)>; HOSTS],
+    number: u64,
+    /// Reads every record at once.
+    truth: ConfigFold,
+    truth_by_revision: BTreeMap<u64, Config>,
+    /// The revision before each offset.
+    truth_at: Vec<u64>,
+    told_lost: BTreeSet<ChangeId>,
+    tally: Tally,
+}
+
+/// How often something happened, to show that the search gets there.
+#[derive(Debug, Clone, Copy, Default)]
+struct Tally {
+    accepted: u64,
+    raced: u64,
+    repeats: u64,
+    gaps: u64,
+    heals: u64,
+    published: u64,
+}
+
+impl World {
+    fn new(has_keeper: bool) -> Self {
+        let mut world = World {
+            has_keeper,
+            ..World::default()
+        };
+        world.truth_at.push(0);
+        world.truth_by_revision.insert(0, Config::default());
+        world
+    }
+
+    fn step(&mut self, op: &Op) {
+        match *op {
+            Op::Propose { host, fate } => self.propose(host, fate),
+            Op::ProposeStale { host } => {
+                self.number += 1;
+                let change = put(
+                    self.number,
+                    self.folds[host].config().revision.0,
+                    "stale",
+                    7,
+                );
+                self.append(&ConfigRecord::ChangeV1(change));
+            }
+            Op::Land { place } if !self.late.is_empty() => {
+                let change = self.late.remove(place % self.late.len());
+                self.append(&ConfigRecord::ChangeV1(change));
+            }
+            Op::Land { .. } => {}
+            Op::Read { host, count } => self.read(host, count),
+            Op::Judge { host } => self.judge(host),
+            Op::Tell { from, to, is_whole } => self.tell(from, to, is_whole),
+            Op::Republish { host } => self.republish(host),
+            Op::Crash { host } if host == 0 && self.has_keeper => {}
+            Op::Crash { host } => {
+                self.folds[host] = ConfigFold::default();
+                self.highest[host] = 0;
+                self.sent[host].clear();
+            }
+            Op::Advance { ms } => self.advance(ms),
+        }
+    }
+
+    /// Lets time pass. The keeper reads and publishes throughout, as some process of the fleet that
+    /// reaches the log does.
+    fn advance(&mut self, ms: u64) {
+        self.ms += ms;
+        let oldest_ms = self.ms.saturating_sub(RETENTION_MS);
+        if self.has_keeper {
+            self.read(0, usize::MAX);
+            self.republish(0);
+        }
+        let is_expired = |at: &UnixMs| at.0 < oldest_ms;
+        let expired = self
+            .log
+            .records
+            .iter()
+            .take_while(|record| is_expired(&record.at_ms));
+        self.log.oldest = expired.count() as u64;
+    }
+
+    fn append(&mut self, record: &ConfigRecord) -> Offset {
+        let offset = self.log.append(self.ms, record);
+        self.truth.apply(offset, &record.encode());
+        let config = self.truth.config();
+        self.truth_at.push(config.revision.0);
+        self.truth_by_revision
+            .insert(config.revision.0, config.clone());
+        offset
+    }
+
+    fn propose(&mut self, host: usize, fate: u8) {
+        self.number += 1;
+        let class = format!("class-{}", fate % 5);
+        let based_on = self.folds[host].folded().revision.0;
+        let change = put(self.number, based_on, &class, self.number);
+        if let Ok(ready) = Proposal::prepare(change, &self.folds[host]) {
+            self.send(host, ready, fate);
+        }
+    }
+
+    fn send(
+        &mut self,
+        host: usize,
+        ready: Proposal<onyxshed_state::config::proposal::Ready>,
+        fate: u8,
+    ) {
+        let change = ready.change().clone();
+        let record = ConfigRecord::ChangeV1(change.clone());
+        let result = match fate % 6 {
+            0..=2 => Ok(self.append(&record)),
+            3 => {
+                self.append(&record);
+                Err(AppendFailure::AnswerLost)
+            }
+            4 => {
+                self.late.push(change);
+                Err(AppendFailure::AnswerLost)
+            }
+            _ => Err(AppendFailure::NotAppended),
+        };
+        if let Appended::Sent(sent) = ready.appended(result) {
+            self.sent[host].push((sent, self.log.next()));
+        }
+    }
+
+    fn judge(&mut self, host: usize) {
+        for (sent, end) in std::mem::take(&mut self.sent[host]) {
+            let id = sent.change().change_id;
+            match sent.judge(&self.folds[host], end) {
+                Judged::Accepted(revision) => {
+                    self.tally.accepted += 1;
+                    let truth = self.truth.find_change(id);
+                    assert!(
+                        !self.has_keeper || truth == ChangeFate::Accepted(revision),
+                        "{id}"
+                    );
+                }
+                Judged::Raced { .. } | Judged::Invalid => {
+                    self.tally.raced += 1;
+                    self.told_lost.insert(id);
+                }
+                Judged::Repeat(ready) => {
+                    self.tally.repeats += 1;
+                    self.send(host, ready, 0);
+                }
+                Judged::Undecided(sent) => self.sent[host].push((sent, end)),
+            }
+        }
+    }
+
+    fn read(&mut self, host: usize, count: usize) {
+        let fold = &mut self.folds[host];
+        let was_complete = fold.is_complete();
+        fold.skip_to(Offset(self.log.oldest), UnixMs(self.ms));
+        self.tally.gaps += u64::from(was_complete && !fold.is_complete());
+        let from = usize::try_from(fold.next().0).expect("small");
+        for record in self.log.records.iter().skip(from).take(count) {
+            let was_complete = fold.is_complete();
+            fold.apply_record(record);
+            self.tally.heals += u64::from(!was_complete && fold.is_complete());
+        }
+    }
+
+    fn tell(&mut self, from: usize, to: usize, is_whole: bool) {
+        let told = self.folds[from].handover();
+        if is_whole {
+            self.folds[to].adopt_handover(told);
+        } else {
+            let config = self.folds[from].config().clone();
+            self.folds[to].adopt(config);
+        }
+    }
+
+    fn republish(&mut self, host: usize) {
+        let step = self.folds[host].republish(UnixMs(self.ms), host as u64);
+        if let RepublishStep::Publish(records) = step {
+            self.tally.published += 1;
+            for record in &records {
+                self.append(record);
+            }
+        }
+    }
+
+    fn check(&mut self) -> Result<(), TestCaseError> {
+        for (fold, highest) in self.folds.iter().zip(&mut self.highest) {
+            let revision = fold.config().revision.0;
+            prop_assert!(
+                revision >= *highest,
+                "went back from {highest} to {revision}"
+            );
+            *highest = revision;
+            if self.has_keeper {
+                prop_assert_eq!(Some(fold.config()), self.truth_by_revision.get(&revision));
+                let place = usize::try_from(fold.next().0).expect("small");
+                let is_exact = fold.folded().revision.0 == self.truth_at[place];
+                prop_assert!(is_exact || !fold.is_complete(), "folded wrongly at {place}");
+            }
+        }
+        for pair in [(0, 1), (0, 2), (1, 2)] {
+            let (a, b) = (&self.folds[pair.0], &self.folds[pair.1]);
+            let are_level = a.is_complete() && b.is_complete() && a.next() == b.next();
+            prop_assert!(
+                !are_level || a.folded() == b.folded(),
+                "hosts {:?} differ",
+                pair
+            );
+        }
+        let is_accepted =
+            |id: &&ChangeId| matches!(self.truth.find_change(**id), ChangeFate::Accepted(_));
+        let wronged = self.told_lost.iter().find(is_accepted);
+        prop_assert!(
+            !self.has_keeper || wronged.is_none(),
+            "{:?} was accepted",
+            wronged
+        );
+        Ok(())
+    }
+}
+
+fn sum(a: Tally, b: Tally) -> Tally {
+    Tally {
+        accepted: a.accepted + b.accepted,
+        raced: a.raced + b.raced,
+        repeats: a.repeats + b.repeats,
+        gaps: a.gaps + b.gaps,
+        heals: a.heals + b.heals,
+        published: a.published + b.published,
+    }
+}
+
+/// Operators race on three processes; answers are lost, changes land late, records expire unread,
+/// processes start anew and tell each other what they hold. After every step no process has moved
+/// to a lower revision, processes that have read as far agree, and, while one of them keeps reading
+/// and publishing, each holds exactly what the whole log gives: no accepted change is lost, and no
+/// operator is told the wrong thing.
+#[rstest]
+#[case::one_process_keeps_up(true)]
+#[case::all_may_fall_behind(false)]
+fn all_folds_agree(#[case] has_keeper: bool) {
+    let total = Cell::new(Tally::default());
+    let number = |name| std::env::var(name).ok().and_then(|n| n.parse::<u64>().ok());
+    let config = RunnerConfig {
+        cases: number("PROPTEST_CASES")
+            .and_then(|n| n.try_into().ok())
+            .unwrap_or(CASES),
+        rng_seed: RngSeed::Fixed(number("PROPTEST_RNG_SEED").unwrap_or(SEED)),
+        failure_persistence: None,
+        max_shrink_iters: 20_000,
+        ..RunnerConfig::default()
+    };
+    let codes = prop::collection::vec(any::<u32>(), 30..140);
+    let ops = codes.prop_map(|codes| codes.into_iter().map(Op::decode).collect());
+    let run = |ops: Vec<Op>| {
+        let mut world = World::new(has_keeper);
+        for op in &ops {
+            world.step(op);
+            world.check()?;
+        }
+        total.set(sum(total.get(), world.tally));
+        Ok(())
+    };
+    let result = TestRunner::new(config).run(&ops, run);
+    if let Err(failure) = result {
+        panic!("{failure}");
+    }
+    let Tally {
+        accepted,
+        raced,
+        repeats,
+        gaps,
+        heals,
+        published,
+    } = total.get();
+    println!("{:?}", total.get());
+    let counts = [accepted, raced, repeats, gaps, heals, published];
+    assert!(
+        counts.iter().all(|count| *count > 100),
+        "too shallow: {:?}",
+        total.get()
+    );
+}
--- a/crates/onyxshed-state/tests/support/configs.rs
+++ b/crates/onyxshed-state/tests/support/configs.rs
@@ -1,7 +1,6 @@
 //! Changes and a log for tests of the configuration.
 
 use onyxshed_core::{ChangeId, ClassTarget, Millis, Offset, Revision, UnixMs};
-use onyxshed_state::ConfigFold;
 use onyxshed_wire::platform::Record;
 use onyxshed_wire::record::{ChangeBody, ConfigChange, ConfigRecord};
 use ulid::Ulid;
@@ -43,12 +42,4 @@
     pub fn next(&self) -> Offset {
         Offset(self.records.len() as u64)
     }
-
-    /// Has `fold` read what it has not read and what is still kept.
-    pub fn read(&self, fold: &mut ConfigFold, now_ms: u64) {
-        fold.skip_to(Offset(self.oldest), UnixMs(now_ms));
-        for record in &self.records[usize::try_from(self.oldest).expect("small")..] {
-            fold.apply_record(record);
-        }
-    }
 }
