Merge claims, configuration and membership; dispatch on the whole claim book

The claim book's releases, patience and horizon are wired in; a claim that turns up for a job given up is released so that another host may have it.

--- a/crates/onyxshed-dispatch/src/dispatch.rs
+++ b/crates/onyxshed-dispatch/src/dispatch.rs
@@ -185,7 +185,8 @@
         self.config = Some(config);
     }
 
-    fn set_members(&mut self, now: Now, members: Vec<Member>, sharers: u32, _live: u32) {
+    fn set_members(&mut self, now: Now, members: Vec<Member>, sharers: u32, live: u32) {
+        self.book.set_live_hosts(live as usize);
         self.members = members
             .into_iter()
             .map(|member| (member.incarnation, member))
@@ -195,6 +196,7 @@
 
     /// Ends what time has made due.
     fn settle_due(&mut self, now: Now) {
+        self.settle_overdue_claims(now);
         self.settle_expired_tasks(now);
         while let Some(id) = self.jobs.due(now.mono) {
             self.settle_due_job(now, id);
@@ -205,7 +207,7 @@
         match self.jobs.get(id) {
             Some(Job::Claiming(_)) => self.end_unclaimed(now, id, ResultCode::ExpiredInQueue),
             Some(Job::Running(job)) if job.is_unstarted() || job.head.end_by <= now.mono => {
-                self.give_up(id, GiveUp::OUT_OF_TIME, "");
+                self.give_up(now, id, GiveUp::OUT_OF_TIME, "");
             }
             Some(Job::Running(job)) => {
                 let end_by = job.head.end_by;
@@ -216,16 +218,16 @@
     }
 
     /// Ends a running job for a reason, with the code that tells the truth.
-    fn give_up(&mut self, id: SubmissionId, reason: GiveUp, detail: &str) {
+    fn give_up(&mut self, now: Now, id: SubmissionId, reason: GiveUp, detail: &str) {
         let Some(Job::Running(job)) = self.jobs.get(id) else {
             return;
         };
         let code = job.truthful(reason);
-        self.end(id, code, detail.into());
+        self.end(now, id, code, detail.into());
     }
 
     /// Ends a running job: waiting tasks are withdrawn, running ones stopped, the caller answered.
-    fn end(&mut self, id: SubmissionId, code: ResultCode, detail: SmolStr) {
+    fn end(&mut self, now: Now, id: SubmissionId, code: ResultCode, detail: SmolStr) {
         let Some(Job::Running(job)) = self.jobs.take(id) else {
             return;
         };
@@ -242,9 +244,11 @@
                 .class(&class)
                 .detail(smol_str::format_smolstr!("{code}")),
         );
-        // A job of which nothing has started is forgotten: its claim stays ours, so a copy that
-        // comes again may start it here without a risk of a second start.
-        if !is_unstarted {
+        // A job of which nothing has started is forgotten and its claim released, so that a copy that
+        // comes again may start it, here or on another host.
+        if is_unstarted {
+            self.book.release(now, id);
+        } else {
             self.jobs
                 .put_ended(id, ended, self.options.answers_max_bytes);
         }
@@ -255,6 +259,7 @@
         let Some(Job::Claiming(job)) = self.jobs.take(id) else {
             return;
         };
+        self.book.release(now, id);
         self.release_bytes(&job.payloads);
         let is_readable = self.book.peek(now, id, None) != ClaimStep::Unavailable;
         let code = caller::unproved(code, job.head.copy, is_readable);
--- a/crates/onyxshed-dispatch/src/dispatch/attempt.rs
+++ b/crates/onyxshed-dispatch/src/dispatch/attempt.rs
@@ -88,21 +88,21 @@
             Verdict::Refused | Verdict::Unsent => {}
         }
         match report.verdict {
-            Verdict::Finished => self.keep_result(task, report.body),
-            _ => self.follow(task, step, &report),
+            Verdict::Finished => self.keep_result(now, task, report.body),
+            _ => self.follow(now, task, step, &report),
         }
     }
 
-    fn keep_result(&mut self, task: TaskId, body: Vec<u8>) {
+    fn keep_result(&mut self, now: Now, task: TaskId, body: Vec<u8>) {
         if body.len() as u64 > self.options.result_max_bytes.0 {
-            return self.end(task.submission, ResultCode::ResultTooLarge, "".into());
+            return self.end(now, task.submission, ResultCode::ResultTooLarge, "".into());
         }
         let Some(job) = self.running_mut(task.submission) else {
             return;
         };
         job.keep_result(task.index, body);
         if job.is_complete() {
-            self.end(task.submission, ResultCode::Complete, "".into());
+            self.end(now, task.submission, ResultCode::Complete, "".into());
             return;
         }
         self.stop_copies(task);
@@ -125,7 +125,7 @@
         }
     }
 
-    fn follow(&mut self, task: TaskId, step: RetryStep, report: &AttemptReport) {
+    fn follow(&mut self, now: Now, task: TaskId, step: RetryStep, report: &AttemptReport) {
         let has_result = self
             .running_mut(task.submission)
             .is_some_and(|job| job.has_result(task.index));
@@ -135,7 +135,7 @@
             }
             RetryStep::GiveUp(code) if !has_result => {
                 let detail = smol_str::format_smolstr!("task {}: {}", task.index, report.detail);
-                self.give_up(task.submission, GiveUp::task(code), &detail);
+                self.give_up(now, task.submission, GiveUp::task(code), &detail);
             }
             RetryStep::Queued => self.note(
                 Event::new(EventKind::TaskRetried)
--- a/crates/onyxshed-dispatch/src/dispatch/caller.rs
+++ b/crates/onyxshed-dispatch/src/dispatch/caller.rs
@@ -74,6 +74,7 @@
             ClaimStep::Wait => Entry::Claim,
             ClaimStep::HeldBy(holder) => Entry::Forward(holder),
             ClaimStep::OtherContent => Entry::Refuse(ResultCode::OtherContent),
+            ClaimStep::AlreadyStarted => Entry::Refuse(ResultCode::AnswerDropped),
             ClaimStep::TooOld => Entry::Refuse(ResultCode::IdTooOld),
             ClaimStep::FromFuture => Entry::Refuse(ResultCode::IdFromFuture),
             ClaimStep::Unavailable if self.may_run_twice(submission) => Entry::StartUnclaimed,
@@ -220,7 +221,10 @@
                 self.book.consult(now, id, content);
             }
             Entry::StartUnclaimed => self.start_unclaimed(now, id),
-            _ => self.grant(now, id),
+            _ => {
+                self.book.consult(now, id, content);
+                self.grant(now, id, true);
+            }
         }
     }
 
@@ -259,15 +263,16 @@
                 let answer = job.answer(id);
                 self.answer(request, answer);
             }
-            Some(Job::Claiming(job)) => {
-                job.waiters.push(request);
+            Some(Job::Claiming(_)) => {
                 self.note(Event::new(EventKind::JobCancelled).submission(id));
                 self.end_unclaimed(now, id, ResultCode::CancelledUnstarted);
+                // Whoever cancels asks about every copy, and one may run on another host.
+                self.refuse(request, id, ResultCode::EarlierCopyOpen);
             }
             Some(Job::Running(job)) => {
                 job.waiters.push(request);
                 self.note(Event::new(EventKind::JobCancelled).submission(id));
-                self.give_up(id, GiveUp::CANCELLED, "");
+                self.give_up(now, id, GiveUp::CANCELLED, "");
             }
             None => {
                 self.ask_holder(now, request, id, is_forwarded, ForwardedCall::Cancel(id));
