--- a/crates/onyxshed-load/src/caller.rs
+++ b/crates/onyxshed-load/src/caller.rs
@@ -8,7 +8,7 @@
 use http_types::Method;
 use onyxshed_core::{Incarnation, Millis, Outcome, SubmissionId};
 use onyxshed_http::{CallError, ClientOptions, Connection};
-use onyxshed_wire::caller::{Answer, JOBS_PATH, Submission};
+use onyxshed_wire::caller::{Answer, CopyMark, JOBS_PATH, Submission};
 
 use crate::tally::Wasted;
 
@@ -112,7 +112,7 @@
                 AfterTry::Repeat(pause) | AfterTry::Poll(pause) => Timer::after(pause).await,
             };
             repeats += 1;
-            job.is_first_copy = false;
+            job.copy = CopyMark::Again;
             self.wasted.borrow_mut().repeats += 1;
         }
     }
--- a/crates/onyxshed-proof/src/scenario/steps.rs
+++ b/crates/onyxshed-proof/src/scenario/steps.rs
@@ -1,5 +1,6 @@
 //! Carries statements out.
 
+use onyxshed_wire::caller::CopyMark;
 use std::future::Future;
 use std::time::Duration;
 
@@ -100,7 +101,10 @@
             for host in hosts {
                 let address = self.cluster()?.host(host)?.caller_address()?;
                 let mut submission = submission.clone();
-                submission.is_first_copy = self.job(&name)?.copies.is_empty();
+                submission.copy = match self.job(&name)?.copies.is_empty() {
+                    true => CopyMark::First,
+                    false => CopyMark::Again,
+                };
                 let patience = match submit.is_persistent {
                     true => Patience::UntilRun,
                     false => Patience::Once,
--- a/crates/onyxshed-proof/src/scenario/world.rs
+++ b/crates/onyxshed-proof/src/scenario/world.rs
@@ -8,7 +8,7 @@
 use http_types::Method;
 use onyxshed_core::{ClassName, Incarnation, Millis, SubmissionId};
 use onyxshed_standins::upstream::Payload;
-use onyxshed_wire::caller::{Answer, JOBS_PATH, Submission};
+use onyxshed_wire::caller::{Answer, CopyMark, JOBS_PATH, Submission};
 use smol_str::{SmolStr, format_smolstr};
 use ulid::Ulid;
 
@@ -241,7 +241,7 @@
         submission: id,
         class: class.clone(),
         deadline_ms: deadline,
-        is_first_copy: false,
+        copy: CopyMark::Unmarked,
         tasks: payloads,
     };
     Job {
