Count the platform's appends by stream; wait until executors are known

Waiting for one append was met by the operator's change already, so scenarios that wait for a claim went on too early and proved nothing of the kind.

--- a/crates/onyxshed-proof/src/caller.rs
+++ b/crates/onyxshed-proof/src/caller.rs
@@ -1,11 +1,12 @@
 //! A caller: submits a job and stays with it until its one answer has come or the connection broke.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime};
 
 use async_io::Timer;
 use http_types::Method;
-use onyxshed_core::{Outcome, SubmissionId, UnixMs};
+use onyxshed_core::{Outcome, ResultCode, SubmissionId, UnixMs};
 use onyxshed_http::client::{ClientOptions, Connection};
 use onyxshed_http::{CallError, Reply};
 use onyxshed_wire::caller::{Answer, JOBS_PATH, Submission};
@@ -39,6 +40,19 @@
     pub at_ms: UnixMs,
 }
 
+impl fmt::Display for Heard {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Heard::Answer(status, answer) => {
+                let code = answer.code.map(ResultCode::number);
+                write!(f, "{status} {:?} {code:?} {}", answer.outcome, answer.text)
+            }
+            Heard::Garbage(status, text) => write!(f, "{status} garbage {text:?}"),
+            Heard::Lost(error) => write!(f, "lost: {error}"),
+        }
+    }
+}
+
 impl Heard {
     /// Gets the outcome, none if there was no final answer.
     pub fn outcome(&self) -> Option<Outcome> {
--- a/crates/onyxshed-proof/src/scenario/ask.rs
+++ b/crates/onyxshed-proof/src/scenario/ask.rs
@@ -34,6 +34,10 @@
             say(input, "has ended")?;
             Ok(Condition::Ended(host))
         }
+        6 => {
+            say(input, "are known")?;
+            place(input).map(Condition::KnowsExecutors)
+        }
         _ => {
             say(input, "are read")?;
             place(input).map(Condition::ReadsLog)
@@ -51,8 +55,10 @@
             Ok(Condition::Started(count, jobs))
         }
         _ => {
+            say(input, "to")?;
+            let stream = name(input)?;
             say(input, "taken")?;
-            Ok(Condition::Appended(count as u64))
+            Ok(Condition::Appended(count as u64, stream))
         }
     }
 }
@@ -115,7 +121,8 @@
             say(input, "most")?;
             let most = number(input)?;
             one_of(input, &["append", "appends"])?;
-            Ok(Expectation::AppendsAtMost(most))
+            say(input, "to")?;
+            Ok(Expectation::AppendsAtMost(most, name(input)?))
         }
     }
 }
--- a/crates/onyxshed-proof/src/scenario/language.rs
+++ b/crates/onyxshed-proof/src/scenario/language.rs
@@ -161,8 +161,10 @@
     Ended(SmolStr),
     /// The entry process can read the claims in the log.
     ReadsLog(Where),
-    /// The platform has taken that many appends, at least.
-    Appended(u64),
+    /// The executors of its zone are known to the entry process.
+    KnowsExecutors(Where),
+    /// The platform has taken that many appends to a stream, at least.
+    Appended(u64, SmolStr),
 }
 
 /// Entry hosts where something holds.
@@ -295,6 +297,6 @@
     NoNewStart(SmolStr),
     /// The executor started something since its starts were noted.
     NewStart(SmolStr),
-    /// The platform was asked for at most that many appends.
-    AppendsAtMost(u64),
+    /// The platform has taken at most that many appends to a stream.
+    AppendsAtMost(u64, SmolStr),
 }
--- a/crates/onyxshed-proof/src/scenario/verdicts.rs
+++ b/crates/onyxshed-proof/src/scenario/verdicts.rs
@@ -49,8 +49,9 @@
                 Ok(Look::when(has_ended, || "it still runs".into()))
             }
             Condition::ReadsLog(place) => self.look_claims_read(place).await,
-            Condition::Appended(count) => {
-                let found = self.counts().await?.appended;
+            Condition::KnowsExecutors(place) => self.look_executors(place).await,
+            Condition::Appended(count, stream) => {
+                let found = self.appended(stream).await?;
                 Ok(Look::when(found >= *count, || {
                     format_smolstr!("{found} taken")
                 }))
@@ -90,6 +91,15 @@
         Ok(Look::Holds)
     }
 
+    async fn look_executors(&mut self, place: &Where) -> Result<Look> {
+        for (host, status) in self.statuses(place).await? {
+            if status.details["executors"].as_u64().unwrap_or_default() == 0 {
+                return Ok(Look::NotYet(format_smolstr!("{host} knows none")));
+            }
+        }
+        Ok(Look::Holds)
+    }
+
     /// Judges an expectation; answers are waited for, everything else must hold now.
     pub(super) async fn expect(&mut self, expectation: &Expectation) -> Result<()> {
         match expectation {
@@ -113,7 +123,12 @@
             Expectation::SomeAnswer(jobs, allowed) => {
                 let answers = self.answers(jobs, None).await?;
                 let is_found = answers.iter().any(|(_, heard)| is_one_of(heard, allowed));
-                holds(is_found, || format_smolstr!("heard {answers:?}"))
+                holds(is_found, || {
+                    let heard = answers
+                        .iter()
+                        .map(|(name, heard)| format!("{name}: {heard}"));
+                    heard.collect::<Vec<_>>().join("; ").into()
+                })
             }
             Expectation::Target(publication, place) => self.target(publication, place).await,
             Expectation::Revision(revision, place) => self.revision(*revision, place).await,
@@ -126,8 +141,8 @@
                 let found = self.new_starts(name)?;
                 holds(found > 0, || "no task started".into())
             }
-            Expectation::AppendsAtMost(most) => {
-                let found = self.counts().await?.appends;
+            Expectation::AppendsAtMost(most, stream) => {
+                let found = self.appended(stream).await?;
                 holds(found <= *most, || format_smolstr!("{found} appends"))
             }
         }
@@ -160,7 +175,7 @@
         holds(!answers.is_empty(), || "nothing was asked".into())?;
         for (name, heard) in &answers {
             holds(is_allowed(heard), || {
-                format_smolstr!("{name} heard {heard:?}")
+                format_smolstr!("{name} heard {heard}")
             })?;
         }
         Ok(())
@@ -252,8 +267,11 @@
         Ok(started.sum())
     }
 
-    async fn counts(&mut self) -> Result<Counts> {
-        get(self.cluster()?.platform_address()?, "/control/counts").await
+    /// Gets how many appends to a stream the platform has taken.
+    async fn appended(&mut self, stream: &str) -> Result<u64> {
+        let address = self.cluster()?.platform_address()?;
+        let counts: Counts = get(address, "/control/counts").await?;
+        Ok(counts.appended.get(stream).copied().unwrap_or_default())
     }
 }
 
--- a/crates/onyxshed-proof/src/scenario/world.rs
+++ b/crates/onyxshed-proof/src/scenario/world.rs
@@ -197,8 +197,12 @@
         for (name, job) in &self.jobs {
             text += &format!("{name} {}\n", job.submission.submission);
             for copy in &job.copies {
-                let heard = copy.exchange.borrow().heard.clone();
-                text += &format!("  {}: {heard:?}\n", copy.host);
+                let exchange = copy.exchange.borrow();
+                let heard = match &exchange.heard {
+                    Some(heard_at) => format!("{} {}", heard_at.at_ms, heard_at.heard),
+                    None => "no answer yet".to_owned(),
+                };
+                text += &format!("  {} {} -> {heard}\n", copy.host, exchange.sent_at_ms);
             }
         }
         text
--- a/crates/onyxshed-standins/src/platform/service.rs
+++ b/crates/onyxshed-standins/src/platform/service.rs
@@ -133,7 +133,7 @@
 
     fn take_effect(&self, stream: SmolStr, data: String) -> (Offset, bool) {
         let mut state = self.state.borrow_mut();
-        state.counts.appended += 1;
+        *state.counts.appended.entry(stream.clone()).or_default() += 1;
         let log = state.streams.entry(stream).or_default();
         let offset = log.append(now_ms(), data);
         self.changed.notify();
--- a/crates/onyxshed-standins/src/platform/state.rs
+++ b/crates/onyxshed-standins/src/platform/state.rs
@@ -77,12 +77,12 @@
 }
 
 /// Calls served since the start.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Counts {
     /// Appends asked for.
     pub appends: u64,
-    /// Appends that took effect.
-    pub appended: u64,
+    /// Appends that took effect, by stream.
+    pub appended: BTreeMap<SmolStr, u64>,
     /// Reads of a stream.
     pub reads: u64,
     /// Reads of the host list.
