--- a/crates/onyxshed-proof/src/caller.rs
+++ b/crates/onyxshed-proof/src/caller.rs
@@ -9,7 +9,7 @@
 use onyxshed_core::{Outcome, ResultCode, SubmissionId, UnixMs};
 use onyxshed_http::client::{ClientOptions, Connection};
 use onyxshed_http::{CallError, Reply};
-use onyxshed_wire::caller::{Answer, JOBS_PATH, Submission};
+use onyxshed_wire::caller::{Answer, CopyMark, JOBS_PATH, Submission};
 
 use crate::remote::WAIT_CEILING;
 
@@ -78,7 +78,7 @@
     let give_up_at = Instant::now() + WAIT_CEILING;
     loop {
         let body = serde_json::to_vec(&submission).unwrap_or_default();
-        submission.is_first_copy = false;
+        submission.copy = CopyMark::Again;
         let first = call(address, Method::Post, JOBS_PATH, body).await;
         let heard_at = stay(address, submission.submission, first).await;
         match (patience, repeat_after(&heard_at.heard)) {
--- a/crates/onyxshed-proof/src/scenario/ask.rs
+++ b/crates/onyxshed-proof/src/scenario/ask.rs
@@ -16,7 +16,15 @@
     // The first three are JOBS_WORDS.
     match one_of(
         input,
-        &["job", "jobs", "every", "revision", "entry", "claims"],
+        &[
+            "job",
+            "jobs",
+            "every",
+            "revision",
+            "entry",
+            "claims",
+            "executors",
+        ],
     )? {
         place @ 0..=2 => {
             let jobs = jobs_behind(input, place)?;
--- a/crates/onyxshed-proof/src/scenario/steps.rs
+++ b/crates/onyxshed-proof/src/scenario/steps.rs
@@ -100,7 +100,7 @@
             for host in hosts {
                 let address = self.cluster()?.host(host)?.caller_address()?;
                 let mut submission = submission.clone();
-                submission.is_first_copy = self.job(&name)?.copies.is_empty();
+                submission.copy = self.job(&name)?.next_mark();
                 let patience = match submit.is_persistent {
                     true => Patience::UntilRun,
                     false => Patience::Once,
--- a/crates/onyxshed-proof/src/scenario/world.rs
+++ b/crates/onyxshed-proof/src/scenario/world.rs
@@ -6,9 +6,9 @@
 
 use async_executor::LocalExecutor;
 use http_types::Method;
-use onyxshed_core::{ClassName, Incarnation, Millis, SubmissionId};
+use onyxshed_core::{ClassName, Incarnation, Millis, Outcome, SubmissionId};
 use onyxshed_standins::upstream::Payload;
-use onyxshed_wire::caller::{Answer, JOBS_PATH, Submission};
+use onyxshed_wire::caller::{Answer, CopyMark, JOBS_PATH, Submission};
 use smol_str::{SmolStr, format_smolstr};
 use ulid::Ulid;
 
@@ -41,6 +41,22 @@
     pub copies: Vec<Copy>,
 }
 
+impl Job {
+    /// Gets what a truthful caller says of the copy it sends next.
+    pub fn next_mark(&self) -> CopyMark {
+        let is_settled = |copy: &Copy| {
+            let exchange = copy.exchange.borrow();
+            let heard = exchange.heard.as_ref();
+            heard.and_then(|heard_at| heard_at.heard.outcome()) == Some(Outcome::NotRun)
+        };
+        match self.copies.iter().all(is_settled) {
+            true if self.copies.is_empty() => CopyMark::First,
+            true => CopyMark::Unmarked,
+            false => CopyMark::Again,
+        }
+    }
+}
+
 /// The state of a running scenario.
 pub struct World {
     pub(super) executor: Rc<LocalExecutor<'static>>,
@@ -245,7 +261,7 @@
         submission: id,
         class: class.clone(),
         deadline_ms: deadline,
-        is_first_copy: false,
+        copy: CopyMark::First,
         tasks: payloads,
     };
     Job {
