--- a/crates/onyxshed-dispatch/src/job/claiming.rs
+++ b/crates/onyxshed-dispatch/src/job/claiming.rs
@@ -18,8 +18,8 @@
 }
 
 impl Claiming {
-    /// Turns the job into one whose tasks may start.
-    pub fn granted(self) -> Running {
-        Running::new(self.head, self.payloads, self.waiters)
+    /// Turns the job into one whose tasks may start, on a claim or without one.
+    pub fn granted(self, is_claimed: bool) -> Running {
+        Running::new(self.head, self.payloads, self.waiters, is_claimed)
     }
 }
