--- a/crates/onyxshed-proof/src/scenario/steps.rs
+++ b/crates/onyxshed-proof/src/scenario/steps.rs
@@ -1,6 +1,5 @@
 //! Carries statements out.
 
-use onyxshed_wire::caller::CopyMark;
 use std::future::Future;
 use std::time::Duration;
 
@@ -101,10 +100,7 @@
             for host in hosts {
                 let address = self.cluster()?.host(host)?.caller_address()?;
                 let mut submission = submission.clone();
-                submission.copy = match self.job(&name)?.copies.is_empty() {
-                    true => CopyMark::First,
-                    false => CopyMark::Again,
-                };
+                submission.copy = self.job(&name)?.next_mark();
                 let patience = match submit.is_persistent {
                     true => Patience::UntilRun,
                     false => Patience::Once,
