--- a/crates/onyxshed-state/src/member/gossip.rs
+++ b/crates/onyxshed-state/src/member/gossip.rs
@@ -39,19 +39,21 @@
 }
 
 impl MemberTable {
-    /// Counts a heartbeat and picks whom to tell it: mostly peers of the own zone, sometimes of
-    /// others, and now and then an address from the settings, so that a split heals by itself.
+    /// Counts a heartbeat and picks whom to tell it: peers of the own zone and of others in turn,
+    /// and now and then an address from the settings, so that a split heals by itself.
     pub fn round(&mut self, now: Now) -> Vec<Outgoing> {
         self.notice_pause(now);
         self.me.counter += 1;
         self.round += 1;
-        let mut targets = self.pick(self.contacts(true), self.options.zone_fanout);
-        if self.round.is_multiple_of(self.options.foreign_every.max(1)) {
-            targets.extend(self.pick(self.contacts(false), 1));
+        let fanout = self.options.zone_fanout as u64;
+        let mut targets = self.pick(self.contacts(true), self.round * fanout, fanout);
+        let foreign_every = self.options.foreign_every.max(1);
+        if self.round.is_multiple_of(foreign_every) {
+            targets.extend(self.pick(self.contacts(false), self.round / foreign_every, 1));
         }
         let is_alone = targets.is_empty();
         if is_alone || self.round.is_multiple_of(self.options.seed_every.max(1)) {
-            targets.extend(self.pick(self.unmet_seeds(), 1));
+            targets.extend(self.pick(self.unmet_seeds(), self.round, 1));
         }
         let tell = |to| Outgoing {
             to,
@@ -140,13 +142,16 @@
         self.notes.push(Note::Joined(beat.incarnation));
     }
 
-    /// Makes the message for `to`: the live peers' heartbeats passed on least since they changed.
+    /// Makes the message for `to`: the live peers' heartbeats passed on least since they changed,
+    /// drawn by lot among those alike, lest the last ones in order never have their turn.
     fn digest(&mut self, to: SocketAddr) -> Gossip {
         let max = self.options.digest_max;
         let tellable =
             |peer: &&mut Peer| peer.state == MemberState::Live && peer.beat.control_address != to;
         let mut peers: Vec<&mut Peer> = self.peers.values_mut().filter(tellable).collect();
-        peers.sort_by_key(|peer| peer.sent);
+        let shuffle = self.seed ^ self.round.rotate_left(16);
+        let lot = |peer: &Peer| xxh3_64_with_seed(&peer.beat.incarnation.0.to_le_bytes(), shuffle);
+        peers.sort_by_cached_key(|peer| (peer.sent, lot(peer)));
         let pass_on = |peer: &mut &mut Peer| {
             peer.sent += 1;
             peer.beat.clone()
@@ -180,12 +185,25 @@
         seeds.filter(|seed| !is_met(seed)).collect()
     }
 
-    /// Picks `count` addresses by the seed and the round.
-    fn pick(&self, mut addresses: Vec<SocketAddr>, count: usize) -> Vec<SocketAddr> {
-        let seed = self.seed ^ self.round.rotate_left(32);
-        addresses.sort_by_cached_key(|a| (xxh3_64_with_seed(a.to_string().as_bytes(), seed), *a));
+    /// Picks `count` addresses from the one whose turn it is. Everyone comes up once before anyone
+    /// comes up again, in an order that the seed shuffles anew for each pass.
+    fn pick(&self, mut addresses: Vec<SocketAddr>, turn: u64, count: u64) -> Vec<SocketAddr> {
+        addresses.sort_unstable();
         addresses.dedup();
-        addresses.truncate(count);
-        addresses
+        let length = addresses.len() as u64;
+        let shuffled = |pass: u64| {
+            let key = |address: &SocketAddr| {
+                let seed = self.seed ^ pass.rotate_left(32);
+                xxh3_64_with_seed(address.to_string().as_bytes(), seed)
+            };
+            let mut pass = addresses.clone();
+            pass.sort_by_cached_key(key);
+            pass
+        };
+        let at_turn = |turn: u64| {
+            let place = usize::try_from(turn % length).unwrap_or_default();
+            shuffled(turn / length)[place]
+        };
+        (turn..turn + count.min(length)).map(at_turn).collect()
     }
 }
