Test the guards; put stale estimates to the test; hurry one try while every breaker is open

Changes: an estimate without a sample for 2 s gives nothing up and lets one job in when nothing of its class is under way; while no executor of an upstream is usable, the first try is made within a second; pauses of executors that don't answer end at 8 s.

Also: an upstream that is known to be full is not looked through again until something ends there.

--- a/crates/onyxshed-policy/src/class.rs
+++ b/crates/onyxshed-policy/src/class.rs
@@ -1,6 +1,6 @@
 //! One class of work: its target and what was learned of it.
 
-use onyxshed_core::{ClassTarget, Micros};
+use onyxshed_core::{ClassTarget, Micros, Mono};
 
 use crate::blame::ClassFaults;
 use crate::demand::Demand;
@@ -56,6 +56,11 @@
         self.is_configured = true;
     }
 
+    /// Tells whether the class had better try a task than go by a stale estimate.
+    pub fn needs_try(&self, now: Mono) -> bool {
+        self.in_flight == 0 && self.estimate.is_stale(now)
+    }
+
     /// Tells whether the class has work under way on the same upstream as `other`.
     pub fn shares(&self, other: &Class) -> bool {
         self.in_flight > 0 && self.target.upstream == other.target.upstream
@@ -66,8 +71,11 @@
     ///
     /// A task with less time left is given up at once. While more work arrives than can be done,
     /// that is the middling time, since the place serves a task that makes it instead; otherwise
-    /// the time that hardly any task stays under.
-    pub fn floor(&self, slowdown: f64, is_crowded: bool) -> Micros {
+    /// the time that hardly any task stays under. A stale estimate gives nothing up.
+    pub fn floor(&self, now: Mono, slowdown: f64, is_crowded: bool) -> Micros {
+        if self.estimate.is_stale(now) {
+            return Micros(0);
+        }
         let q = if is_crowded { CROWDED_FLOOR_Q } else { FLOOR_Q };
         let floor_us = self.estimate.quantile_us(q).unwrap_or(0.0);
         to_micros(floor_us * slowdown)
--- a/crates/onyxshed-policy/src/estimate.rs
+++ b/crates/onyxshed-policy/src/estimate.rs
@@ -4,7 +4,7 @@
 //! seen, whose median is what an executor's speed is measured against, and the times with the
 //! executor's speed taken out, which say how long a task takes on an executor of ordinary speed.
 
-use onyxshed_core::Micros;
+use onyxshed_core::{Micros, Millis, Mono};
 
 use crate::span::as_us;
 
@@ -29,6 +29,9 @@
 /// Samples before a histogram is believed.
 const BELIEVED_AT: f64 = 4.0;
 
+/// Time without a sample after which an estimate is put to the test, in milliseconds.
+const STALE_AFTER: Millis = Millis(2_000);
+
 /// A decaying histogram of spans in steps of a quarter octave.
 #[derive(Debug, Clone)]
 pub struct Spread {
@@ -107,16 +110,25 @@
 pub struct ClassEstimate {
     seen: Spread,
     levelled: Spread,
+    at: Mono,
 }
 
 impl ClassEstimate {
     /// Takes in a service time of an executor `slowdown` times as slow as the ordinary one.
-    pub fn observe(&mut self, service: Micros, slowdown: f64) {
+    pub fn observe(&mut self, now: Mono, service: Micros, slowdown: f64) {
+        self.at = now;
         self.seen.observe(service);
         self.levelled
             .observe(crate::span::to_micros(as_us(service) / slowdown));
     }
 
+    /// Tells whether nothing was learned for so long that it may hold no more.
+    ///
+    /// A class refused because its tasks took too long would never show that they are faster now.
+    pub fn is_stale(&self, now: Mono) -> bool {
+        now.since(self.at) > STALE_AFTER.into()
+    }
+
     /// Gets how slow one service time is, relative to the class's median; none until learned.
     pub fn ratio(&self, service: Micros) -> Option<f64> {
         let median_us = self.seen.quantile_us(0.5)?;
--- a/crates/onyxshed-policy/src/executor/breaker.rs
+++ b/crates/onyxshed-policy/src/executor/breaker.rs
@@ -23,8 +23,12 @@
 /// First pause, in milliseconds.
 const PAUSE_FIRST: Millis = Millis(500);
 
-/// Doublings of the pause; the longest is 32 seconds.
-const DOUBLINGS_MAX: u32 = 6;
+/// Doublings of the pause of an executor that runs tasks badly; the longest is 32 seconds.
+const DOUBLINGS_RUNNING: u32 = 6;
+
+/// Doublings of the pause of an executor that does not answer; the longest is 8 seconds. A try of
+/// it costs the upstream little, and it may have been the way there that was broken.
+const DOUBLINGS_UNANSWERED: u32 = 4;
 
 /// Good ends in a row after which earlier openings are forgotten.
 const FORGET_AFTER: u32 = 20;
@@ -237,7 +241,7 @@
             Sign::Answered if is_about_answers => Some(self.close()),
             Sign::Answered | Sign::None => {
                 self.state = State::Open {
-                    until: now + self.pause(draw),
+                    until: now + self.pause(reason, draw),
                     reason,
                 };
                 None
@@ -253,9 +257,16 @@
         (sign == Sign::Good && is_about_answers).then(|| self.close())
     }
 
+    /// Moves the next try forward to `at`, if it would come later.
+    pub fn hurry(&mut self, at: Mono) {
+        if let State::Open { until, .. } = &mut self.state {
+            *until = at.min(*until);
+        }
+    }
+
     fn open(&mut self, now: Mono, reason: BreakerReason, draw: f64) -> BreakerChange {
         self.state = State::Open {
-            until: now + self.pause(draw),
+            until: now + self.pause(reason, draw),
             reason,
         };
         self.openings += 1;
@@ -270,8 +281,14 @@
         BreakerChange::Closed
     }
 
-    fn pause(&self, draw: f64) -> Micros {
-        let doublings = self.openings.min(DOUBLINGS_MAX);
+    fn pause(&self, reason: BreakerReason, draw: f64) -> Micros {
+        let most = match reason {
+            BreakerReason::Dead | BreakerReason::Silent => DOUBLINGS_UNANSWERED,
+            BreakerReason::Slow | BreakerReason::Failing | BreakerReason::Lapsing => {
+                DOUBLINGS_RUNNING
+            }
+        };
+        let doublings = self.openings.min(most);
         let pause_us = Micros::from(PAUSE_FIRST).0 << doublings;
         crate::span::to_micros(pause_us as f64 * (0.8 + 0.4 * draw))
     }
--- a/crates/onyxshed-policy/src/policy/end.rs
+++ b/crates/onyxshed-policy/src/policy/end.rs
@@ -112,7 +112,7 @@
         let upstream = self.upstreams.get_mut(&executor.info.upstream);
         let slowdown = executor.speed.slowdown(now);
         if let Some(service) = end.service_us {
-            class.estimate.observe(service, slowdown);
+            class.estimate.observe(now, service, slowdown);
         }
         if let Some(upstream) = upstream {
             upstream.retries.finished();
@@ -219,7 +219,7 @@
         ticket.bounces += 1;
         ticket.bounced_at = Some(seat);
         let at = now + self.backoff(ticket.bounces);
-        let is_in_time = at + self.least_time(&ticket) < ticket.work.deadline;
+        let is_in_time = at + self.least_time(now, &ticket) < ticket.work.deadline;
         let code = match (verdict, is_in_time) {
             (Verdict::Unsent, _) => ResultCode::NoUpstream,
             (_, false) => ResultCode::ExpiredInQueue,
@@ -236,7 +236,7 @@
 
     /// Queues again a task that ran or may have run, if that is allowed and of use.
     fn retry(&mut self, now: Mono, ticket: Ticket, code: ResultCode) -> RetryStep {
-        let is_in_time = now + self.least_time(&ticket) < ticket.work.deadline;
+        let is_in_time = now + self.least_time(now, &ticket) < ticket.work.deadline;
         let may_go_on = ticket.work.may_run_twice && is_in_time && code != ResultCode::NeverRuns;
         if !may_go_on || !self.has_other(now, &ticket) || !self.take_retry(&ticket) {
             return RetryStep::GiveUp(code);
@@ -278,11 +278,11 @@
     }
 
     /// Gets the least time that the task needs once it is started.
-    fn least_time(&self, ticket: &Ticket) -> Micros {
+    fn least_time(&self, now: Mono, ticket: &Ticket) -> Micros {
         let class = self.classes.get(&ticket.work.class);
         let upstream = class.and_then(|class| self.upstreams.get(&class.target.upstream));
         match (class, upstream) {
-            (Some(class), Some(upstream)) => class.floor(upstream.capacity.fastest(), false),
+            (Some(class), Some(upstream)) => class.floor(now, upstream.capacity.fastest(), false),
             _ => Micros(0),
         }
     }
--- a/crates/onyxshed-policy/src/policy/intake.rs
+++ b/crates/onyxshed-policy/src/policy/intake.rs
@@ -94,9 +94,9 @@
             let fastest = upstream.capacity.fastest();
             let is_crowded = upstream.is_crowded(now.mono);
             let floor = |name: &ClassName| {
-                classes
-                    .get(name)
-                    .map_or(Micros(0), |class| class.floor(fastest, is_crowded))
+                classes.get(name).map_or(Micros(0), |class| {
+                    class.floor(now.mono, fastest, is_crowded)
+                })
             };
             let tickets = upstream.queue.expire(now.mono, floor);
             self.waiting -= tickets.len();
@@ -128,16 +128,19 @@
         let Some(class) = self.classes.get(name).filter(|class| class.is_configured) else {
             return Some((ResultCode::UnknownClass, UNKNOWN_CLASS_COME_BACK));
         };
-        let Some(upstream) = self.upstreams.get_mut(&class.target.upstream) else {
+        let upstream_name = class.target.upstream.clone();
+        self.refresh(now, &upstream_name);
+        let class = self.classes.get(name)?;
+        let Some(upstream) = self.upstreams.get(&upstream_name) else {
             return Some((ResultCode::NoUpstream, NO_UPSTREAM_COME_BACK));
         };
-        upstream.refresh(now, &self.fleet, self.sharers);
         if let Some(come_back) = no_upstream(now, upstream) {
             return Some((ResultCode::NoUpstream, come_back));
         }
         let outlook = outlook(now, &self.classes, upstream, name, tasks, deadline)?;
-        let is_guarded = self.placement.kind().is_guarded();
-        if is_guarded && let Some(come_back) = outlook.come_back(now, deadline) {
+        let is_try = class.needs_try(now) && upstream.queue.class_len(name) == 0;
+        let is_judged = self.placement.kind().is_guarded() && !is_try;
+        if is_judged && let Some(come_back) = outlook.come_back(now, deadline) {
             return Some((ResultCode::DeadlineOutOfReach, come_back));
         }
         let left = self.options.queue_max.saturating_sub(self.waiting);
--- a/crates/onyxshed-policy/src/policy/start.rs
+++ b/crates/onyxshed-policy/src/policy/start.rs
@@ -20,6 +20,9 @@
 /// When a task that no executor but those it must avoid could take is looked at again.
 const AVOIDED_AGAIN: Millis = Millis(5);
 
+/// Pause between tries while every breaker of an upstream is open, in milliseconds.
+const ALL_OPEN_PAUSE: Millis = Millis(1_000);
+
 /// Tasks set aside in one look before giving the others a rest.
 const SET_ASIDE_MAX: usize = 8;
 
@@ -115,6 +118,9 @@
 
     fn start_from(&mut self, now: Mono, name: &UpstreamName) -> Option<NextStep> {
         self.look_after(now, name);
+        if self.upstreams.get(name)?.scan == Scan::Only(Vec::new()) {
+            return None;
+        }
         let mut holding: Vec<ClassName> = Vec::new();
         for _ in 0..SET_ASIDE_MAX {
             let class = self.first_class(name, &holding)?;
@@ -127,7 +133,9 @@
                 (Choice::Take(candidate), _) => {
                     let ticket = self.upstreams.get_mut(name)?.queue.pop(&class)?;
                     self.waiting -= 1;
-                    return self.begin(now, ticket, candidate, false);
+                    let step = self.begin(now, ticket, candidate, false);
+                    self.filled(now, name, candidate.seat);
+                    return step;
                 }
                 (Choice::Full, true) => self.set_aside(now, name, &class),
                 (Choice::Full, false) => {
@@ -141,27 +149,68 @@
         None
     }
 
+    /// Takes an executor without a further place off the list of those to look at.
+    fn filled(&mut self, now: Mono, name: &UpstreamName, seat: Seat) {
+        let (Some(upstream), Some(executor)) = (self.upstreams.get_mut(name), self.fleet.get(seat))
+        else {
+            return;
+        };
+        let fade = upstream.fade();
+        if let Scan::Only(seats) = &mut upstream.scan
+            && !executor.has_place(now, self.sharers, fade)
+        {
+            seats.retain(|other| *other != seat);
+        }
+    }
+
     /// Does what time alone brings about on an upstream.
     fn look_after(&mut self, now: Mono, name: &UpstreamName) {
-        let Some(upstream) = self.upstreams.get_mut(name) else {
+        if let Some(upstream) = self.upstreams.get_mut(name) {
+            upstream.queue.ripen(now);
+        }
+        self.refresh(now, name);
+    }
+
+    /// Reckons an upstream's capacity anew if it is old, and finds executors that went quiet.
+    pub(super) fn refresh(&mut self, now: Mono, name: &UpstreamName) {
+        let Some(upstream) = self.upstreams.get_mut(name).filter(|u| u.is_old(now)) else {
             return;
         };
-        upstream.queue.ripen(now);
-        if !upstream.is_old(now) {
-            return;
-        }
         upstream.refresh(now, &self.fleet, self.sharers);
-        let quiet: Vec<Seat> = upstream
-            .members
-            .iter()
-            .copied()
-            .filter(|seat| self.fleet.get(*seat).is_some_and(|e| e.is_quiet(now)))
-            .collect();
+        let members = upstream.members.iter().copied();
+        let is_quiet = |seat: &Seat| self.fleet.get(*seat).is_some_and(|e| e.is_quiet(now));
+        let quiet: Vec<Seat> = members.filter(is_quiet).collect();
+        if upstream.capacity.usable == 0 {
+            self.hurry_first(now, name);
+        }
         for seat in quiet {
             self.trip(now, seat, BreakerReason::Silent);
         }
     }
 
+    /// Moves the first try forward when every breaker is open.
+    ///
+    /// Then the fault may well be on this host's side or on the way; waiting out long pauses would
+    /// lengthen an outage that is over. One try a second tells.
+    fn hurry_first(&mut self, now: Mono, name: &UpstreamName) {
+        let Some(upstream) = self.upstreams.get_mut(name) else {
+            return;
+        };
+        let at = now + ALL_OPEN_PAUSE;
+        let probes = upstream.members.iter().filter_map(|seat| {
+            let executor = self.fleet.get(*seat)?;
+            let until = executor.breaker.probe_at()?;
+            executor.is_live(now).then_some((until, *seat))
+        });
+        let Some((until, seat)) = probes.min() else {
+            return;
+        };
+        if let Some(executor) = self.fleet.get_mut(seat) {
+            executor.breaker.hurry(at);
+        }
+        upstream.capacity.probe_at = Some(at.min(until));
+    }
+
     pub(super) fn trip(&mut self, now: Mono, seat: Seat, reason: BreakerReason) {
         let draw = self.draw();
         let executor = self.fleet.get_mut(seat);
@@ -198,7 +247,7 @@
         ) else {
             return false;
         };
-        let floor = class.floor(upstream.capacity.fastest(), upstream.is_crowded(now));
+        let floor = class.floor(now, upstream.capacity.fastest(), upstream.is_crowded(now));
         ticket.work.deadline <= now + floor
     }
 
@@ -247,7 +296,6 @@
         let is_guarded = self.placement.kind().is_guarded();
         let seats = seats_to_look_at(upstream, is_guarded);
         let fade = upstream.fade();
-        let may_probe = ticket.work.may_run_twice || !has_repeatable(&self.classes, name);
         let mut found: Vec<Candidate> = Vec::new();
         let mut has_avoided = false;
         for seat in seats {
@@ -259,8 +307,11 @@
                 continue;
             };
             let class = self.classes.get(&ticket.work.class);
-            if candidate.is_probe && !(may_probe && suits_probe(now, ticket, class, executor)) {
-                continue;
+            if candidate.is_probe {
+                let may_probe = ticket.work.may_run_twice || !has_repeatable(&self.classes, name);
+                if !may_probe || !suits_probe(now, ticket, class, executor) {
+                    continue;
+                }
             }
             if ticket.bounced_at == Some(seat) || ticket.failed_on.contains(&executor.id) {
                 has_avoided = true;
--- a/crates/onyxshed-policy/tests/policy/main.rs
+++ b/crates/onyxshed-policy/tests/policy/main.rs
@@ -4,6 +4,8 @@
 mod faults;
 mod figures;
 mod fixture;
+mod guards;
 mod model;
 mod orders;
 mod overload;
+mod random;
