--- a/crates/onyxshed-policy/src/policy/start.rs
+++ b/crates/onyxshed-policy/src/policy/start.rs
@@ -20,6 +20,9 @@
 /// When a task that no executor but those it must avoid could take is looked at again.
 const AVOIDED_AGAIN: Millis = Millis(5);
 
+/// Pause between tries while every breaker of an upstream is open, in milliseconds.
+const ALL_OPEN_PAUSE: Millis = Millis(1_000);
+
 /// Tasks set aside in one look before giving the others a rest.
 const SET_ASIDE_MAX: usize = 8;
 
@@ -115,8 +118,12 @@
 
     fn start_from(&mut self, now: Mono, name: &UpstreamName) -> Option<NextStep> {
         self.look_after(now, name);
+        if self.upstreams.get(name)?.scan == Scan::Only(Vec::new()) {
+            return None;
+        }
+        let mut holding: Vec<ClassName> = Vec::new();
         for _ in 0..SET_ASIDE_MAX {
-            let class = self.first_class(name)?;
+            let class = self.first_class(name, &holding)?;
             let ticket = self.upstreams.get(name)?.queue.peek(&class)?.clone();
             if self.is_hopeless(now, name, &ticket) {
                 self.give_up(name, &class, &ticket);
@@ -126,40 +133,84 @@
                 (Choice::Take(candidate), _) => {
                     let ticket = self.upstreams.get_mut(name)?.queue.pop(&class)?;
                     self.waiting -= 1;
-                    return self.begin(now, ticket, candidate, false);
+                    let step = self.begin(now, ticket, candidate, false);
+                    self.filled(now, name, candidate.seat);
+                    return step;
                 }
                 (Choice::Full, true) => self.set_aside(now, name, &class),
                 (Choice::Full, false) => {
                     self.upstreams.get_mut(name)?.scan = Scan::Only(Vec::new());
                     return None;
                 }
-                (Choice::Hold(_), _) => return None,
+                // Another class may have use for the place that this one lets pass.
+                (Choice::Hold(_), _) => holding.push(class),
             }
         }
         None
     }
 
+    /// Takes an executor without a further place off the list of those to look at.
+    fn filled(&mut self, now: Mono, name: &UpstreamName, seat: Seat) {
+        let (Some(upstream), Some(executor)) = (self.upstreams.get_mut(name), self.fleet.get(seat))
+        else {
+            return;
+        };
+        let fade = upstream.fade();
+        if let Scan::Only(seats) = &mut upstream.scan
+            && !executor.has_place(now, self.sharers, fade)
+        {
+            seats.retain(|other| *other != seat);
+        }
+    }
+
     /// Does what time alone brings about on an upstream.
     fn look_after(&mut self, now: Mono, name: &UpstreamName) {
-        let Some(upstream) = self.upstreams.get_mut(name) else {
+        if let Some(upstream) = self.upstreams.get_mut(name) {
+            upstream.queue.ripen(now);
+        }
+        self.refresh(now, name);
+    }
+
+    /// Reckons an upstream's capacity anew if it is old, and finds executors that went quiet.
+    pub(super) fn refresh(&mut self, now: Mono, name: &UpstreamName) {
+        let Some(upstream) = self.upstreams.get_mut(name).filter(|u| u.is_old(now)) else {
             return;
         };
-        upstream.queue.ripen(now);
-        if !upstream.is_old(now) {
-            return;
-        }
         upstream.refresh(now, &self.fleet, self.sharers);
-        let quiet: Vec<Seat> = upstream
-            .members
-            .iter()
-            .copied()
-            .filter(|seat| self.fleet.get(*seat).is_some_and(|e| e.is_quiet(now)))
-            .collect();
+        let members = upstream.members.iter().copied();
+        let is_quiet = |seat: &Seat| self.fleet.get(*seat).is_some_and(|e| e.is_quiet(now));
+        let quiet: Vec<Seat> = members.filter(is_quiet).collect();
+        if upstream.capacity.usable == 0 {
+            self.hurry_first(now, name);
+        }
         for seat in quiet {
             self.trip(now, seat, BreakerReason::Silent);
         }
     }
 
+    /// Moves the first try forward when every breaker is open.
+    ///
+    /// Then the fault may well be on this host's side or on the way; waiting out long pauses would
+    /// lengthen an outage that is over. One try a second tells.
+    fn hurry_first(&mut self, now: Mono, name: &UpstreamName) {
+        let Some(upstream) = self.upstreams.get_mut(name) else {
+            return;
+        };
+        let at = now + ALL_OPEN_PAUSE;
+        let probes = upstream.members.iter().filter_map(|seat| {
+            let executor = self.fleet.get(*seat)?;
+            let until = executor.breaker.probe_at()?;
+            executor.is_live(now).then_some((until, *seat))
+        });
+        let Some((until, seat)) = probes.min() else {
+            return;
+        };
+        if let Some(executor) = self.fleet.get_mut(seat) {
+            executor.breaker.hurry(at);
+        }
+        upstream.capacity.probe_at = Some(at.min(until));
+    }
+
     pub(super) fn trip(&mut self, now: Mono, seat: Seat, reason: BreakerReason) {
         let draw = self.draw();
         let executor = self.fleet.get_mut(seat);
@@ -167,12 +218,13 @@
         self.note_breaker(seat, change);
     }
 
-    fn first_class(&self, name: &UpstreamName) -> Option<ClassName> {
+    fn first_class(&self, name: &UpstreamName, holding: &[ClassName]) -> Option<ClassName> {
         let upstream = self.upstreams.get(name)?;
-        let users = upstream.queue.depths().count().max(1) as f64;
+        let users = upstream.queue.classes().max(1) as f64;
         let even_part = upstream.capacity.slots() / users;
         let blamed_part = (upstream.capacity.slots() * BLAMED_PART).max(1.0);
         let standing = |name: &ClassName| match self.classes.get(name) {
+            _ if holding.contains(name) => Standing::Held,
             None => Standing::Beyond,
             Some(class) => {
                 let in_flight = f64::from(class.in_flight);
@@ -189,12 +241,13 @@
     }
 
     fn is_hopeless(&self, now: Mono, name: &UpstreamName, ticket: &Ticket) -> bool {
-        let fastest = self
-            .upstreams
-            .get(name)
-            .map_or(1.0, |u| u.capacity.fastest());
-        let class = self.classes.get(&ticket.work.class);
-        let floor = class.map_or(Micros(0), |class| class.floor(fastest));
+        let (Some(upstream), Some(class)) = (
+            self.upstreams.get(name),
+            self.classes.get(&ticket.work.class),
+        ) else {
+            return false;
+        };
+        let floor = class.floor(now, upstream.capacity.fastest(), upstream.is_crowded(now));
         ticket.work.deadline <= now + floor
     }
 
@@ -243,7 +296,6 @@
         let is_guarded = self.placement.kind().is_guarded();
         let seats = seats_to_look_at(upstream, is_guarded);
         let fade = upstream.fade();
-        let may_probe = ticket.work.may_run_twice || !has_repeatable(&self.classes, name);
         let mut found: Vec<Candidate> = Vec::new();
         let mut has_avoided = false;
         for seat in seats {
@@ -255,8 +307,11 @@
                 continue;
             };
             let class = self.classes.get(&ticket.work.class);
-            if candidate.is_probe && !(may_probe && suits_probe(now, ticket, class, executor)) {
-                continue;
+            if candidate.is_probe {
+                let may_probe = ticket.work.may_run_twice || !has_repeatable(&self.classes, name);
+                if !may_probe || !suits_probe(now, ticket, class, executor) {
+                    continue;
+                }
             }
             if ticket.bounced_at == Some(seat) || ticket.failed_on.contains(&executor.id) {
                 has_avoided = true;
@@ -276,9 +331,11 @@
 
     /// Decides whether the task had better wait for a faster executor.
     ///
-    /// A slow executor costs the task the difference in service time; waiting costs the time that
-    /// the faster ones need for the tasks in the queue. The wait never goes beyond the difference,
-    /// nor beyond what the deadline allows.
+    /// A slow executor costs the task the difference in service time; waiting costs the task, and
+    /// those that come after it, the time that the faster ones need for what is queued. The nearer
+    /// the faster ones are to their capacity, the more later tasks a wait holds up; beyond it, the
+    /// slow ones are needed. The wait never goes beyond the difference. Where only one of the two ways
+    /// makes the deadline, that one is taken.
     fn hold_until(
         &self,
         now: Mono,
@@ -296,15 +353,20 @@
             .estimate
             .quantile_us(0.5)?;
         let (power, faster) = upstream.capacity.faster_than(candidate.slowdown)?;
-        let wait_us = (upstream.queue.len() + 1) as f64 * upstream.mean_us() / power;
+        let release_us = upstream.mean_us() / power;
+        let fast_us = median_us * faster;
         let slow_us = median_us * candidate.slowdown;
-        let gain_us = slow_us - median_us * faster;
-        let until = ticket.since + to_micros(gain_us);
-        let waited_finish = now + to_micros(wait_us + median_us * faster);
-        let misses_by_waiting = waited_finish > ticket.work.deadline;
-        let makes_it_now = now + to_micros(slow_us) <= ticket.work.deadline;
-        let is_better = wait_us < gain_us && until > now;
-        (is_better && !(misses_by_waiting && makes_it_now)).then_some(until)
+        let left_us = as_us(ticket.work.deadline.since(now));
+        match (slow_us <= left_us, release_us + fast_us <= left_us) {
+            (true, false) => return None,
+            (false, true) => return Some(now + to_micros(left_us - fast_us)),
+            (true, true) | (false, false) => {}
+        }
+        let idle_part = 1.0 - upstream.demand.slots(now) / power;
+        let wait_us = (upstream.queue.len() + 1) as f64 * release_us;
+        let until = ticket.since + to_micros(slow_us - fast_us);
+        let is_better = idle_part > 0.0 && wait_us / idle_part < slow_us - fast_us;
+        (is_better && until > now).then_some(until)
     }
 
     /// Books a start.
