--- a/crates/onyxshed-load/src/cli.rs
+++ b/crates/onyxshed-load/src/cli.rs
@@ -11,13 +11,16 @@
 use clap::{ArgMatches, Command};
 use serde::Serialize;
 
+use crate::bench::{bars, mix as run_mix};
 use crate::direct::{DirectOptions, direct};
 use crate::error::Result;
 use crate::idle::{IdleOptions, idle};
+use crate::mix::Mix;
 use crate::plot;
 use crate::report::write_json;
 use crate::run::run;
 use crate::sim::simulate;
+use crate::slopes::{self, SlopeOptions};
 
 /// Exit status after an error.
 const FAILED: u8 = 1;
@@ -46,6 +49,8 @@
         Some(("direct", args)) => direct_command(&executor, args),
         Some(("idle", args)) => idle_command(&executor, args),
         Some(("simulate", args)) => simulate_command(args),
+        Some(("bench", args)) => bench_command(&executor, args),
+        Some(("slopes", args)) => slopes_command(&executor, args),
         _ => Ok(()),
     }
 }
@@ -90,6 +95,42 @@
     write_out(args, &report)
 }
 
+fn bench_command(executor: &LocalExecutor<'static>, args: &ArgMatches) -> Result<()> {
+    let folder = args::binaries(args);
+    match args::one::<Mix>(args, "mix") {
+        None => {
+            let bars = async_io::block_on(executor.run(bars(executor, folder)))?;
+            print_json(&bars);
+            write_out(args, &bars)
+        }
+        Some(mix) => {
+            let options = args::mix_options(args, folder, mix);
+            let done = async_io::block_on(executor.run(run_mix(executor, &options)))?;
+            println!(
+                "load {:.0}% of capacity, {}",
+                100.0 * done.load,
+                done.report
+            );
+            write_out(args, &done)
+        }
+    }
+}
+
+fn slopes_command(executor: &LocalExecutor<'static>, args: &ArgMatches) -> Result<()> {
+    let options = SlopeOptions {
+        binaries: args::binaries(args),
+        only: args::one(args, "only"),
+    };
+    let slopes = async_io::block_on(executor.run(slopes::slopes(executor, &options)))?;
+    for slope in &slopes {
+        println!("{slope}");
+    }
+    match args.get_one::<PathBuf>("out") {
+        Some(folder) => slopes::write(&slopes, folder),
+        None => Ok(()),
+    }
+}
+
 fn simulate_command(args: &ArgMatches) -> Result<()> {
     let summary = simulate(&args::sim_options(args));
     println!("{summary}");
--- a/crates/onyxshed-load/src/cli/args.rs
+++ b/crates/onyxshed-load/src/cli/args.rs
@@ -7,6 +7,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use smol_str::SmolStr;
 
+use crate::bench::MixOptions;
 use crate::caller::CallerOptions;
 use crate::mix::Mix;
 use crate::plan::{Burst, PlanOptions};
@@ -27,6 +28,8 @@
         .subcommand(direct_args())
         .subcommand(idle_args())
         .subcommand(simulate_args())
+        .subcommand(bench_args())
+        .subcommand(slopes_args())
 }
 
 fn run_args() -> Command {
@@ -121,6 +124,46 @@
         .arg(out("File for the report in JSON"))
 }
 
+fn bench_args() -> Command {
+    Command::new("bench")
+        .about("Starts real processes on this machine and measures them")
+        .after_help(
+            "Without --mix: start, overhead, throughput and memory of one entry host.\n\
+             With --mix: callers' view of one zone, 3 entry hosts and 16 executors.",
+        )
+        .arg(mix_only())
+        .arg(number("load", "0.8", "Part of the capacity offered").value_parser(value_parser!(f64)))
+        .arg(number("span-s", "20", "How long jobs arrive").value_parser(value_parser!(f64)))
+        .arg(number("seed", "1", "Seed of every draw").value_parser(value_parser!(u64)))
+        .arg(bind())
+        .arg(binaries_arg())
+        .arg(out("File for the report in JSON"))
+}
+
+fn slopes_args() -> Command {
+    Command::new("slopes")
+        .about("Measures how one process grows with size, for docs/CAPACITY.md")
+        .arg(
+            Arg::new("only")
+                .long("only")
+                .value_name("NAME")
+                .value_parser(value_parser!(SmolStr))
+                .help("Only this: in-flight, executors, claims or job-size"),
+        )
+        .arg(binaries_arg())
+        .arg(out(
+            "Folder for one JSON file and plot each, such as docs/plots",
+        ))
+}
+
+fn binaries_arg() -> Arg {
+    Arg::new("binaries")
+        .long("binaries")
+        .value_name("FOLDER")
+        .value_parser(value_parser!(PathBuf))
+        .help("Folder of the other binaries; the one of this binary if not given")
+}
+
 fn simulate_args() -> Command {
     Command::new("simulate")
         .about("The decision core in virtual time, beside round robin and least outstanding")
@@ -148,9 +191,12 @@
 }
 
 fn mix() -> Arg {
+    mix_only().default_value("inzira")
+}
+
+fn mix_only() -> Arg {
     Arg::new("mix")
         .long("mix")
-        .default_value("inzira")
         .value_parser(value_parser!(Mix))
         .help("Whose work: inzira or valbrenta")
 }
@@ -226,6 +272,26 @@
     }
 }
 
+/// Gets the folder of the other binaries.
+pub fn binaries(args: &ArgMatches) -> PathBuf {
+    one(args, "binaries").unwrap_or_else(|| {
+        let own = std::env::current_exe().unwrap_or_default();
+        own.parent().map(PathBuf::from).unwrap_or_default()
+    })
+}
+
+/// Reads the options of `bench --mix`.
+pub fn mix_options(args: &ArgMatches, folder: PathBuf, mix: Mix) -> MixOptions {
+    MixOptions {
+        folder,
+        mix,
+        load: required(args, "load"),
+        span_s: required(args, "span-s"),
+        seed: required(args, "seed"),
+        may_bind: args.get_flag("bind"),
+    }
+}
+
 /// Reads the options of `simulate`.
 pub fn sim_options(args: &ArgMatches) -> SimOptions {
     let wanted: Vec<&String> = args.get_many("scenario").into_iter().flatten().collect();
--- a/crates/onyxshed-load/src/direct.rs
+++ b/crates/onyxshed-load/src/direct.rs
@@ -85,10 +85,7 @@
 }
 
 fn unreachable(address: SocketAddr, error: &CallError) -> Error {
-    Error::Unreachable {
-        address,
-        reason: error.reason.clone(),
-    }
+    Error::unreachable(address, &error.reason)
 }
 
 impl Pair {
--- a/crates/onyxshed-load/src/error.rs
+++ b/crates/onyxshed-load/src/error.rs
@@ -45,6 +45,12 @@
         /// What is allowed.
         allowed: &'static str,
     },
+    /// A process can't be started.
+    #[snafu(display("can't start a process: {reason}"))]
+    Start {
+        /// What happened.
+        reason: SmolStr,
+    },
     /// Another process can't be reached.
     #[snafu(display("can't reach {address}: {reason}"))]
     Unreachable {
@@ -73,14 +79,30 @@
         }
     }
 
+    /// Makes an error for a process that did not start.
+    pub fn start(reason: impl ToString) -> Self {
+        Error::Start {
+            reason: reason.to_string().into(),
+        }
+    }
+
+    /// Makes an error for a process that can't be reached.
+    pub fn unreachable(address: std::net::SocketAddr, reason: impl ToString) -> Self {
+        Error::Unreachable {
+            address,
+            reason: reason.to_string().into(),
+        }
+    }
+
     /// Gets the numbered code.
     pub fn code(&self) -> ResultCode {
         match self {
             Error::Option { .. } => ResultCode::Usage,
             Error::Unreachable { .. } => ResultCode::PeerUnreachable,
-            Error::Write { .. } | Error::Draw { .. } | Error::Process { .. } => {
-                ResultCode::ServiceFailed
-            }
+            Error::Write { .. }
+            | Error::Draw { .. }
+            | Error::Process { .. }
+            | Error::Start { .. } => ResultCode::ServiceFailed,
         }
     }
 }
--- a/crates/onyxshed-load/src/lib.rs
+++ b/crates/onyxshed-load/src/lib.rs
@@ -6,11 +6,13 @@
 //! ([`sim`]), where policies are set side by side. [`slopes`] measures how one process's memory and
 //! processor time grow, for docs/CAPACITY.md.
 
+pub mod bench;
 pub mod caller;
 pub mod cli;
 pub mod direct;
 pub mod error;
 pub mod idle;
+pub mod local;
 pub mod mix;
 pub mod plan;
 pub mod plot;
@@ -18,6 +20,8 @@
 pub mod report;
 pub mod run;
 pub mod sim;
+pub mod slopes;
 pub mod tally;
+pub mod throughput;
 
 pub use error::{Error, Result};
--- /dev/null
+++ b/crates/onyxshed-load/src/local.rs
@@ -0,0 +1,224 @@
+//! A set of real processes on this machine: platform, executors, entry hosts.
+//!
+//! Experiments start it, load it and end it; every process is ended when the set is dropped.
+
+mod child;
+mod options;
+mod settings;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use http_types::Method;
+use onyxshed_core::{ChangeId, ClassTarget, Revision};
+use onyxshed_http::Reply;
+use onyxshed_http::client::call_once;
+use onyxshed_wire::admin::READY_PATH;
+use onyxshed_wire::platform::{
+    CONFIG_STREAM, EntryHost, ExecutorHost, HOSTS_PATH, HostState, records_path,
+};
+use onyxshed_wire::record::{ChangeBody, ConfigChange, ConfigRecord};
+use serde::Serialize;
+use smol_str::format_smolstr;
+use ulid::Ulid;
+
+pub use child::Child;
+pub use options::{HELD_CLASS, LocalOptions};
+
+use crate::error::{Error, Result};
+use settings::EntryPorts;
+
+/// The running processes.
+pub struct LocalSet {
+    /// The entry hosts; ended first, so that they do not report the others' end.
+    pub entries: Vec<LocalEntry>,
+    /// The executors, several of the host list behind one where asked for.
+    pub executors: Vec<Child>,
+    /// The platform.
+    pub platform: Child,
+    _folder: tempfile::TempDir,
+}
+
+/// One entry host's processes.
+pub struct LocalEntry {
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where operators reach the entry process.
+    pub admin: SocketAddr,
+    /// The entry process.
+    pub entry: Child,
+    /// The control process.
+    pub control: Child,
+    /// From the entry process's start to its first ready answer.
+    pub ready_after: Duration,
+}
+
+/// Body of `PUT /v1/hosts`.
+#[derive(Serialize)]
+struct Hosts {
+    executors: Vec<ExecutorHost>,
+    entries: Vec<EntryHost>,
+}
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+const READY_TIMEOUT: Duration = Duration::from_secs(15);
+const READY_POLL: Duration = Duration::from_millis(2);
+
+impl LocalSet {
+    /// Tries to start everything and waits until every entry host is ready.
+    pub async fn start(options: &LocalOptions) -> Result<Self> {
+        let folder = tempfile::tempdir().map_err(Error::start)?;
+        let appends = options.appends_per_s.to_string();
+        let platform = Child::start(
+            &options.folder.join("standin-platform"),
+            &["--appends-per-s", &appends],
+        )?;
+        let executors: Result<Vec<_>> = (0..options.executors)
+            .map(|place| start_executor(options, place))
+            .collect();
+        let mut set = LocalSet {
+            platform,
+            executors: executors?,
+            entries: Vec::new(),
+            _folder: folder,
+        };
+        let ports: Result<Vec<_>> = (0..options.entries).map(|_| EntryPorts::free()).collect();
+        let ports = ports?;
+        set.publish_hosts(options, &ports).await?;
+        set.publish_classes(&options.classes).await?;
+        for (place, ports) in ports.iter().enumerate() {
+            let entry = set.start_entry(options, place, ports).await?;
+            set.entries.push(entry);
+        }
+        Ok(set)
+    }
+
+    /// Gets where callers reach each entry host.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(|entry| entry.callers).collect()
+    }
+
+    /// Tries to set the host list.
+    pub async fn publish_hosts(&self, options: &LocalOptions, ports: &[EntryPorts]) -> Result<()> {
+        let entries = ports.iter().enumerate().map(|(place, ports)| EntryHost {
+            name: name(&format!("e{place}")),
+            zone: name(settings::ZONE),
+            peer_address: ports.control_peer,
+            state: HostState::Live,
+        });
+        let hosts = Hosts {
+            executors: (0..options.listed())
+                .map(|place| self.listed(options, place))
+                .collect(),
+            entries: entries.collect(),
+        };
+        let body = serde_json::to_vec(&hosts).expect("hosts hold only what JSON can write");
+        self.call_platform(Method::Put, HOSTS_PATH, body).await
+    }
+
+    fn listed(&self, options: &LocalOptions, place: usize) -> ExecutorHost {
+        let process = &self.executors[place % self.executors.len()];
+        ExecutorHost {
+            name: name(&format!("x{place:05}")),
+            upstream: options.upstream.clone(),
+            zone: name(settings::ZONE),
+            rack: format_smolstr!("rack-{}", place / 8),
+            address: process.address,
+            slots: options.slots,
+            state: HostState::Live,
+        }
+    }
+
+    /// Tries to publish classes as changes on top of each other.
+    pub async fn publish_classes(&self, classes: &[ClassTarget]) -> Result<()> {
+        for (revision, target) in (0..).zip(classes) {
+            let record = ConfigRecord::ChangeV1(ConfigChange {
+                change_id: ChangeId(Ulid::from_parts(0, rand::random())),
+                based_on: Revision(revision),
+                body: ChangeBody::Put(target.clone()),
+            });
+            let body = record.encode().into_bytes();
+            self.call_platform(Method::Post, &records_path(CONFIG_STREAM), body)
+                .await?;
+        }
+        Ok(())
+    }
+
+    async fn call_platform(&self, method: Method, path: &str, body: Vec<u8>) -> Result<()> {
+        call(self.platform.address, method, path, body)
+            .await
+            .map(|_| ())
+    }
+
+    async fn start_entry(
+        &self,
+        options: &LocalOptions,
+        place: usize,
+        ports: &EntryPorts,
+    ) -> Result<LocalEntry> {
+        let folder = self._folder.path();
+        let files = settings::write(folder, place, ports, self.platform.address, options)?;
+        let control = Child::spawn(&options.folder.join("onyxshed-control"), &files.control)?;
+        let started = Instant::now();
+        let entry = Child::spawn(&options.folder.join("onyxshed-entry"), &files.entry)?;
+        wait_ready(ports.entry_admin, started).await?;
+        Ok(LocalEntry {
+            callers: ports.callers,
+            admin: ports.entry_admin,
+            entry,
+            control,
+            ready_after: started.elapsed(),
+        })
+    }
+}
+
+fn start_executor(options: &LocalOptions, place: usize) -> Result<Child> {
+    let speed = options.speeds[place % options.speeds.len()].to_string();
+    let name = format!("x{place:05}");
+    Child::start(
+        &options.folder.join("standin-upstream"),
+        &[
+            "--name",
+            &name,
+            "--upstream",
+            options.upstream.as_str(),
+            "--slots",
+            &(options.slots * options.listed_each).to_string(),
+            "--queue",
+            &options.executor_queue.to_string(),
+            "--speed",
+            &speed,
+        ],
+    )
+}
+
+async fn wait_ready(admin: SocketAddr, started: Instant) -> Result<()> {
+    loop {
+        let reply = call(admin, Method::Get, READY_PATH, Vec::new()).await;
+        match reply {
+            Ok(reply) if reply.status == 200 => return Ok(()),
+            _ if started.elapsed() < READY_TIMEOUT => {}
+            Ok(reply) => {
+                let why = String::from_utf8_lossy(&reply.body).into_owned();
+                return Err(Error::unreachable(admin, why));
+            }
+            Err(error) => return Err(error),
+        }
+        async_io::Timer::after(READY_POLL).await;
+    }
+}
+
+/// Tries to make one call and read its reply.
+pub async fn call(address: SocketAddr, method: Method, path: &str, body: Vec<u8>) -> Result<Reply> {
+    call_once(address, method, path, body, CALL_TIMEOUT)
+        .await
+        .map_err(|error| Error::unreachable(address, error.reason))
+}
+
+/// Makes a name that is known to keep the rules.
+fn name<T: std::str::FromStr>(text: &str) -> T {
+    match text.parse() {
+        Ok(name) => name,
+        Err(_) => unreachable!("{text} keeps the rules"),
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-load/src/local/child.rs
@@ -0,0 +1,72 @@
+//! One process that is ended when it is dropped.
+
+use std::io::{BufRead, BufReader};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::process::{Command, Stdio};
+
+use crate::error::{Error, Result};
+use crate::process::{Usage, usage};
+
+/// One process.
+#[derive(Debug)]
+pub struct Child {
+    process: std::process::Child,
+    /// Where it serves, if it said so on its first line.
+    pub address: SocketAddr,
+}
+
+impl Child {
+    /// Tries to start a stand-in and reads its address from the first line that it prints.
+    pub fn start(program: &Path, args: &[&str]) -> Result<Self> {
+        let mut process = Command::new(program)
+            .args(args)
+            .stdout(Stdio::piped())
+            .spawn()
+            .map_err(Error::start)?;
+        let mut line = String::new();
+        if let Some(stdout) = process.stdout.take() {
+            BufReader::new(stdout)
+                .read_line(&mut line)
+                .map_err(Error::start)?;
+        }
+        let ready: serde_json::Value = serde_json::from_str(&line).map_err(Error::start)?;
+        let address = ready["addresses"]["http"].as_str().unwrap_or_default();
+        Ok(Child {
+            address: address.parse().map_err(Error::start)?,
+            process,
+        })
+    }
+
+    /// Tries to start one of the product's processes; it prints its ready line to nobody.
+    pub fn spawn(program: &Path, settings: &Path) -> Result<Self> {
+        let process = Command::new(program)
+            .arg("--settings")
+            .arg(settings)
+            .stdout(Stdio::null())
+            .spawn()
+            .map_err(Error::start)?;
+        Ok(Child {
+            process,
+            address: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
+        })
+    }
+
+    /// Tries to read its use of the machine.
+    pub fn usage(&self) -> Result<Usage> {
+        usage(self.process.id())
+    }
+
+    /// Gets its process id.
+    pub fn id(&self) -> u32 {
+        self.process.id()
+    }
+}
+
+impl Drop for Child {
+    fn drop(&mut self) {
+        // It may have ended by itself; there is nothing left to do then.
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-load/src/slopes.rs
@@ -0,0 +1,197 @@
+//! `onyxshed-load slopes`: how one process's memory, processor time and appends grow with size.
+//!
+//! Each slope is measured at several sizes against real processes and fitted by a straight line;
+//! docs/CAPACITY.md multiplies the slopes up. The fit's largest residual is reported with it, so
+//! that a reader sees where a line does not describe what happens.
+
+pub mod fit;
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use http_types::Method;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::bench::{held, loaded};
+use crate::error::{Error, Result};
+use crate::local::{LocalOptions, LocalSet, call};
+use crate::report::write_json;
+use crate::tally::float;
+use fit::{Fit, Slope};
+
+/// What to measure and where to write it.
+#[derive(Debug, Clone)]
+pub struct SlopeOptions {
+    /// Folder of the binaries.
+    pub binaries: PathBuf,
+    /// Only slopes whose name contains this.
+    pub only: Option<SmolStr>,
+}
+
+/// One thing whose growth is measured.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Subject {
+    InFlight,
+    Executors,
+    Claims,
+    JobSize,
+}
+
+impl Subject {
+    const ALL: [Subject; 4] = [
+        Subject::InFlight,
+        Subject::Executors,
+        Subject::Claims,
+        Subject::JobSize,
+    ];
+
+    fn name(self) -> &'static str {
+        match self {
+            Subject::InFlight => "in-flight",
+            Subject::Executors => "executors",
+            Subject::Claims => "claims",
+            Subject::JobSize => "job-size",
+        }
+    }
+}
+
+/// Tries to measure every slope asked for.
+pub async fn slopes(
+    executor: &LocalExecutor<'static>,
+    options: &SlopeOptions,
+) -> Result<Vec<Slope>> {
+    let is_wanted = |subject: &Subject| {
+        let only = options.only.as_deref();
+        only.is_none_or(|only| subject.name().contains(only))
+    };
+    let mut all = Vec::new();
+    for subject in Subject::ALL.into_iter().filter(is_wanted) {
+        all.extend(match subject {
+            Subject::InFlight => in_flight(executor, &options.binaries).await?,
+            Subject::Executors => executors(executor, &options.binaries).await?,
+            Subject::Claims => claims(executor, &options.binaries).await?,
+            Subject::JobSize => job_size(executor, &options.binaries).await?,
+        });
+    }
+    Ok(all)
+}
+
+/// Memory of an entry process against requests in flight.
+async fn in_flight(executor: &LocalExecutor<'static>, binaries: &Path) -> Result<Vec<Slope>> {
+    let mut memory = Slope::new("in-flight-memory", "requests in flight", "entry MiB");
+    let mut processor = Slope::new("in-flight-processor", "requests", "entry processor ms");
+    for count in [100, 1_000, 2_500, 5_000, 9_000] {
+        let report = held(executor, binaries.into(), count).await?;
+        memory.add(count.into(), mib(report.held.resident_kib));
+        let spent_ms = report.held.processor_ms - report.before.processor_ms;
+        processor.add(count.into(), float(spent_ms));
+    }
+    Ok(vec![memory, processor])
+}
+
+/// Idle memory and processor time of both processes, and the cost of a task, against executors.
+async fn executors(executor: &LocalExecutor<'static>, binaries: &Path) -> Result<Vec<Slope>> {
+    const PROCESSES: usize = 10;
+    const IDLE: Duration = Duration::from_secs(3);
+    let mut entry_memory = Slope::new("executors-entry-memory", "executors", "entry MiB");
+    let mut control_memory = Slope::new("executors-control-memory", "executors", "control MiB");
+    let mut control_core = Slope::new("executors-control-core", "executors", "control % of a core");
+    let mut task = Slope::new("executors-task", "executors", "entry us/task");
+    for listed_each in [5, 20, 50, 100, 200] {
+        let options = LocalOptions {
+            executors: PROCESSES,
+            listed_each,
+            slots: 8,
+            ..LocalOptions::small(binaries.into())
+        };
+        let set = LocalSet::start(&options).await?;
+        let listed = options.listed() as f64;
+        let before = set.entries[0].control.usage()?;
+        Timer::after(IDLE).await;
+        let control = set.entries[0].control.usage()?;
+        let spent_ms = float(control.processor_ms - before.processor_ms);
+        entry_memory.add(listed, mib(set.entries[0].entry.usage()?.resident_kib));
+        control_memory.add(listed, mib(control.resident_kib));
+        control_core.add(listed, spent_ms / IDLE.as_secs_f64() / 10.0);
+        let load = loaded(executor, &set, 32, 8, true).await?;
+        task.add(listed, load.entry_us_per_task);
+    }
+    Ok(vec![entry_memory, control_memory, control_core, task])
+}
+
+/// Appends a second against claims a second, by callers that all use ids of their own.
+async fn claims(executor: &LocalExecutor<'static>, binaries: &Path) -> Result<Vec<Slope>> {
+    let mut appends = Slope::new("claims-appends", "claims a second", "appends a second");
+    let mut delay = Slope::new("claims-delay", "claims a second", "job p50 ms");
+    for callers in [1, 4, 16, 64, 256] {
+        let set = LocalSet::start(&LocalOptions::small(binaries.into())).await?;
+        let before = appended(&set).await?;
+        let load = loaded(executor, &set, callers, 1, false).await?;
+        let after = appended(&set).await?;
+        let span_s = crate::bench::SPAN.as_secs_f64();
+        appends.add(load.jobs_per_s, float(after - before) / span_s);
+        delay.add(load.jobs_per_s, load.took_ms.p50);
+    }
+    Ok(vec![appends, delay])
+}
+
+/// Processor time of one job against its number of tasks.
+async fn job_size(executor: &LocalExecutor<'static>, binaries: &Path) -> Result<Vec<Slope>> {
+    let mut job = Slope::new("job-size-processor", "tasks in a job", "entry us/job");
+    for tasks in [1, 10, 50, 150, 550] {
+        let set = LocalSet::start(&LocalOptions::small(binaries.into())).await?;
+        let load = loaded(executor, &set, 8, tasks, true).await?;
+        let tasks = f64::from(tasks);
+        job.add(tasks, load.entry_us_per_task * tasks);
+    }
+    Ok(vec![job])
+}
+
+/// What the platform's stand-in counted.
+#[derive(Debug, Deserialize)]
+struct Counts {
+    appended: u64,
+}
+
+async fn appended(set: &LocalSet) -> Result<u64> {
+    let address = set.platform.address;
+    let reply = call(address, Method::Get, "/control/counts", Vec::new()).await?;
+    let counts: Counts =
+        serde_json::from_slice(&reply.body).map_err(|error| Error::unreachable(address, error))?;
+    Ok(counts.appended)
+}
+
+fn mib(kib: u64) -> f64 {
+    float(kib) / 1_024.0
+}
+
+/// All slopes as written to a file.
+#[derive(Debug, Serialize)]
+struct Written<'a> {
+    name: &'a str,
+    x_unit: &'a str,
+    y_unit: &'a str,
+    points: &'a [(f64, f64)],
+    fit: Fit,
+}
+
+/// Tries to write figures and plots into a folder.
+pub fn write(slopes: &[Slope], folder: &Path) -> Result<()> {
+    for slope in slopes {
+        let written = Written {
+            name: slope.name,
+            x_unit: slope.x_unit,
+            y_unit: slope.y_unit,
+            points: &slope.points,
+            fit: slope.fit(),
+        };
+        write_json(&folder.join(format!("{}.json", slope.name)), &written)?;
+        slope
+            .plot()
+            .draw(&folder.join(format!("{}.svg", slope.name)))?;
+    }
+    Ok(())
+}
