--- a/crates/onyxshed-load/tests/fit.rs
+++ b/crates/onyxshed-load/tests/fit.rs
@@ -28,7 +28,7 @@
 
 proptest! {
     #[test]
-    fn points_on_a_line_give_the_line(a in -1e3..1e3, b in -1e3..1e3, step in 1.0..10.0) {
+    fn points_on_a_line_give_the_line(a in -1e3..1e3_f64, b in -1e3..1e3_f64, step in 1.0..10.0_f64) {
         let points: Vec<(f64, f64)> = (0..6_u8).map(|n| f64::from(n) * step).map(|x| (x, a + b * x)).collect();
         let fit = slope(&points).fit();
         prop_assert!((fit.slope - b).abs() < 1e-6 && (fit.intercept - a).abs() < 1e-6);
