--- a/crates/onyxshed-load/src/slopes.rs
+++ b/crates/onyxshed-load/src/slopes.rs
@@ -12,6 +12,7 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use http_types::Method;
+use onyxshed_wire::platform::HOSTS_PATH;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -99,6 +100,11 @@
     let mut entry_memory = Slope::new("executors-entry-memory", "executors", "entry MiB");
     let mut control_memory = Slope::new("executors-control-memory", "executors", "control MiB");
     let mut control_core = Slope::new("executors-control-core", "executors", "control % of a core");
+    let mut bytes = Slope::new(
+        "executors-control-bytes",
+        "executors",
+        "control read bytes/s",
+    );
     let mut task = Slope::new("executors-task", "executors", "entry us/task");
     for listed_each in [5, 20, 50, 100, 200] {
         let options = LocalOptions {
@@ -110,7 +116,13 @@
         let set = LocalSet::start(&options).await?;
         let listed = options.listed() as f64;
         let before = set.entries[0].control.usage()?;
+        let lists_before = counts(&set).await?.host_lists;
         Timer::after(IDLE).await;
+        let lists = counts(&set).await?.host_lists - lists_before;
+        bytes.add(
+            listed,
+            list_bytes(&set).await? * float(lists) / IDLE.as_secs_f64(),
+        );
         let control = set.entries[0].control.usage()?;
         let spent_ms = float(control.processor_ms - before.processor_ms);
         entry_memory.add(listed, mib(set.entries[0].entry.usage()?.resident_kib));
@@ -119,7 +131,13 @@
         let load = loaded(executor, &set, 32, 8, true).await?;
         task.add(listed, load.entry_us_per_task);
     }
-    Ok(vec![entry_memory, control_memory, control_core, task])
+    Ok(vec![
+        entry_memory,
+        control_memory,
+        control_core,
+        bytes,
+        task,
+    ])
 }
 
 /// Appends a second against claims a second, by callers that all use ids of their own.
@@ -128,9 +146,9 @@
     let mut delay = Slope::new("claims-delay", "claims a second", "job p50 ms");
     for callers in [1, 4, 16, 64, 256] {
         let set = LocalSet::start(&LocalOptions::small(binaries.into())).await?;
-        let before = appended(&set).await?;
+        let before = counts(&set).await?.appended;
         let load = loaded(executor, &set, callers, 1, false).await?;
-        let after = appended(&set).await?;
+        let after = counts(&set).await?.appended;
         let span_s = crate::bench::SPAN.as_secs_f64();
         appends.add(load.jobs_per_s, float(after - before) / span_s);
         delay.add(load.jobs_per_s, load.took_ms.p50);
@@ -154,9 +172,10 @@
 #[derive(Debug, Deserialize)]
 struct Counts {
     appended: u64,
+    host_lists: u64,
 }
 
-async fn appended(set: &LocalSet) -> Result<u64> {
+async fn counts(set: &LocalSet) -> Result<Counts> {
     let address = set.platform.address;
     let reply = call(address, Method::Get, "/control/counts", Vec::new()).await?;
     let counts: Counts =
