--- a/crates/onyxshed-dispatch/src/dispatch/pump.rs
+++ b/crates/onyxshed-dispatch/src/dispatch/pump.rs
@@ -1,6 +1,8 @@
 //! What the machine does of itself after every event: starts, appends, forgetting, the next alarm.
 
-use onyxshed_core::{Event, EventKind, ExecutorName, Micros, Millis, Mono, Now, TaskId, UnixMs};
+use onyxshed_core::{
+    Event, EventKind, ExecutorName, Micros, Millis, Mono, Now, SubmissionId, TaskId, UnixMs,
+};
 use onyxshed_policy::{NextStep, Work};
 use onyxshed_state::BatchStep;
 
@@ -36,11 +38,19 @@
         }
     }
 
+    fn may_start(&self, now: Now, id: SubmissionId) -> bool {
+        match self.jobs.get(id) {
+            Some(Job::Running(job)) if job.is_claimed => self.book.may_start(now, id),
+            _ => self.book.is_within_horizon(now, id),
+        }
+    }
+
     fn start(&mut self, now: Now, task: TaskId, executor: ExecutorName, is_hedge: bool) {
         // A host that was frozen past the horizon must not start: other hosts have forgotten its
         // claim by now. The id's own age tells, whatever happened in between.
-        if !self.book.may_start(now, task.submission) {
+        if !self.may_start(now, task.submission) {
             self.give_up(
+                now,
                 task.submission,
                 GiveUp::OUT_OF_TIME,
                 "the id is past the horizon",
@@ -122,7 +132,7 @@
                     };
                     self.policy.enqueue(now, work);
                 }
-                _ => self.give_up(task.submission, GiveUp::OUT_OF_TIME, ""),
+                _ => self.give_up(now, task.submission, GiveUp::OUT_OF_TIME, ""),
             }
         }
     }
