--- a/crates/onyxshed-load/src/caller.rs
+++ b/crates/onyxshed-load/src/caller.rs
@@ -7,8 +7,8 @@
 use async_io::Timer;
 use http_types::Method;
 use onyxshed_core::{Incarnation, Millis, Outcome, SubmissionId};
-use onyxshed_http::{CallError, ClientOptions, Connection};
-use onyxshed_wire::caller::{Answer, JOBS_PATH, Submission};
+use onyxshed_http::{CallError, ClientOptions, Connection, Sent};
+use onyxshed_wire::caller::{Answer, CopyMark, JOBS_PATH, Submission};
 
 use crate::tally::Wasted;
 
@@ -112,7 +112,7 @@
                 AfterTry::Repeat(pause) | AfterTry::Poll(pause) => Timer::after(pause).await,
             };
             repeats += 1;
-            job.is_first_copy = false;
+            job.copy = copy_after(&tried);
             self.wasted.borrow_mut().repeats += 1;
         }
     }
@@ -145,6 +145,15 @@
     }
 }
 
+/// Gets what a repeat says of the copies before it: their fate is open only if no answer came.
+fn copy_after(tried: &Result<Answer, CallError>) -> CopyMark {
+    match tried {
+        Ok(_) => CopyMark::Unmarked,
+        Err(error) if error.sent == Sent::Nothing => CopyMark::Unmarked,
+        Err(_) => CopyMark::Again,
+    }
+}
+
 fn encode(job: &Submission) -> Vec<u8> {
     serde_json::to_vec(job).expect("submissions hold only what JSON can write")
 }
@@ -168,8 +177,8 @@
     ) -> Result<Answer, CallError> {
         let mut connection = self.connection().await?;
         let reply = connection.call(method, path, &[], body, patience).await?;
-        let answer = Answer::decode(&reply.body)
-            .map_err(|error| CallError::broken(onyxshed_http::Sent::Maybe, error))?;
+        let answer =
+            Answer::decode(&reply.body).map_err(|error| CallError::broken(Sent::Maybe, error))?;
         if reply.get("connection") != Some("close") {
             self.idle.borrow_mut().push(connection);
         }
--- a/crates/onyxshed-load/src/run.rs
+++ b/crates/onyxshed-load/src/run.rs
@@ -8,8 +8,7 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use onyxshed_core::{ClassName, SubmissionId};
-use onyxshed_wire::caller::CopyMark;
-use onyxshed_wire::caller::Submission;
+use onyxshed_wire::caller::{CopyMark, Submission};
 use ulid::Ulid;
 
 use crate::caller::{CallerOptions, Callers};
--- a/crates/onyxshed-load/src/slopes.rs
+++ b/crates/onyxshed-load/src/slopes.rs
@@ -178,9 +178,13 @@
 async fn counts(set: &LocalSet) -> Result<Counts> {
     let address = set.platform.address;
     let reply = call(address, Method::Get, "/control/counts", Vec::new()).await?;
-    let counts: Counts =
-        serde_json::from_slice(&reply.body).map_err(|error| Error::unreachable(address, error))?;
-    Ok(counts.appended)
+    serde_json::from_slice(&reply.body).map_err(|error| Error::unreachable(address, error))
+}
+
+/// Gets the size of the host list as a control process reads it, in bytes.
+async fn list_bytes(set: &LocalSet) -> Result<f64> {
+    let list = call(set.platform.address, Method::Get, HOSTS_PATH, Vec::new()).await?;
+    Ok(list.body.len() as f64)
 }
 
 fn mib(kib: u64) -> f64 {
--- a/crates/onyxshed-load/src/throughput.rs
+++ b/crates/onyxshed-load/src/throughput.rs
@@ -10,7 +10,7 @@
 use http_types::Method;
 use onyxshed_core::{Incarnation, ResultCode, SubmissionId};
 use onyxshed_http::{ClientOptions, Connection};
-use onyxshed_wire::caller::{Answer, JOBS_PATH, Submission};
+use onyxshed_wire::caller::{Answer, CopyMark, JOBS_PATH, Submission};
 use serde::Serialize;
 use smol_str::SmolStr;
 
@@ -153,7 +153,7 @@
         },
         class: class_name(&options.class),
         deadline_ms: None,
-        is_first_copy: true,
+        copy: CopyMark::First,
         tasks: (0..options.tasks).map(|_| payload(0)).collect(),
     };
     serde_json::to_vec(&job).expect("submissions hold only what JSON can write")
