--- a/crates/onyxshed-cli/src/run.rs
+++ b/crates/onyxshed-cli/src/run.rs
@@ -126,13 +126,12 @@
     match format {
         Format::Human => eprintln!("{}", error.explain()),
         Format::Json => {
-            let text = match error {
-                Error::Settings { source } => source.explain(),
-                other => other.to_string(),
-            };
+            let explained = error.explain();
+            let head = format!("error {}: ", error.code());
+            let text = explained.strip_prefix(&head).unwrap_or(&explained);
             let body = JsonErrorBody {
                 code: error.code(),
-                text: &text,
+                text,
             };
             eprint!("{}", json(&JsonError { error: body }));
         }
--- a/crates/onyxshed-cli/src/target.rs
+++ b/crates/onyxshed-cli/src/target.rs
@@ -6,5 +6,5 @@
 mod wait;
 
 pub use log::ConfigLog;
-pub use publish::publish;
+pub use publish::{prepare, publish, send};
 pub use show::{history, show};
--- a/crates/onyxshed-cli/src/target/publish.rs
+++ b/crates/onyxshed-cli/src/target/publish.rs
@@ -77,8 +77,12 @@
     })
 }
 
-/// Checks a change before anything is sent.
-fn prepare(log: &ConfigLog, body: ChangeBody, based_on: Option<Revision>) -> Result<ConfigChange> {
+/// Tries to prepare a change: whatever can be refused is refused here, before anything is sent.
+pub fn prepare(
+    log: &ConfigLog,
+    body: ChangeBody,
+    based_on: Option<Revision>,
+) -> Result<ConfigChange> {
     let config = log.fold().config();
     let invalid = |reason: SmolStr| Error::ChangeInvalid { reason };
     match &body {
@@ -102,8 +106,8 @@
     })
 }
 
-/// Sends a change until its fate is known or the time is up.
-async fn send(log: &mut ConfigLog, change: ConfigChange) -> Result<Revision> {
+/// Sends a change until its fate is known or the time is up; gets the revision that it made.
+pub async fn send(log: &mut ConfigLog, change: ConfigChange) -> Result<Revision> {
     let mut sending = Sending {
         log,
         change,
--- a/crates/onyxshed-cli/src/timeline/merge.rs
+++ b/crates/onyxshed-cli/src/timeline/merge.rs
@@ -24,6 +24,7 @@
     /// It did not answer: none of its events are shown.
     NoAnswer(SmolStr),
     /// It started then: an earlier run's events are gone.
+    #[serde(rename = "started_at_ms")]
     StartedAt(UnixMs),
     /// So many of its oldest events were dropped for newer ones.
     Dropped(u64),
--- /dev/null
+++ b/crates/onyxshed-cli/tests/publish.rs
@@ -0,0 +1,204 @@
+//! Publishing a change against the platform's stand-in and its faults.
+
+#[path = "support/standin.rs"]
+mod standin;
+
+use http_types::Method;
+use onyxshed_cli::args::{PlatformArgs, Publish};
+use onyxshed_cli::output::Format;
+use onyxshed_cli::target::{self, ConfigLog, prepare, send};
+use onyxshed_cli::{Error, Result};
+use onyxshed_core::{ClassTarget, Millis, Revision};
+use onyxshed_wire::record::ChangeBody;
+use rstest::rstest;
+use serde_json::{Value, json};
+
+use standin::Standin;
+
+fn put(finish_within_ms: u64) -> ChangeBody {
+    ChangeBody::Put(ClassTarget {
+        class: "stock-sync".parse().expect("a name"),
+        upstream: "stock".parse().expect("a name"),
+        finish_within_ms: Millis(finish_within_ms),
+        may_run_twice: false,
+    })
+}
+
+fn args(standin: &Standin, timeout_ms: u64) -> PlatformArgs {
+    PlatformArgs {
+        address: standin.address,
+        timeout_ms: Millis(timeout_ms),
+    }
+}
+
+async fn publish(standin: &Standin, body: ChangeBody, timeout_ms: u64) -> Result<String> {
+    let publish = Publish {
+        platform: args(standin, timeout_ms),
+        body,
+        based_on: None,
+        wait_for: Vec::new(),
+    };
+    target::publish(publish, Format::Json).await
+}
+
+fn revision(said: Result<String>) -> Value {
+    let said = said.expect("the change is accepted");
+    serde_json::from_str::<Value>(&said).expect("JSON")["revision"].clone()
+}
+
+async fn fates(standin: &Standin) -> Vec<Value> {
+    let said = target::history(args(standin, 60_000), None, None, Format::Json).await;
+    let changes: Vec<Value> = serde_json::from_str(&said.expect("a history")).expect("JSON");
+    changes
+        .into_iter()
+        .map(|change| change["fate"].clone())
+        .collect()
+}
+
+#[test]
+fn changes_follow_each_other() {
+    standin::with_platform(async |standin| {
+        assert_eq!(revision(publish(standin, put(2_000), 60_000).await), 1);
+        assert_eq!(revision(publish(standin, put(3_000), 60_000).await), 2);
+        let shown = target::show(args(standin, 60_000), None, Format::Human).await;
+        insta::assert_snapshot!(shown.unwrap(), @"
+        revision 2
+        CLASS       UPSTREAM  FINISH WITHIN  MAY RUN TWICE
+        stock-sync  stock     3s             no
+        ");
+        let remove = ChangeBody::Remove("stock-sync".parse().unwrap());
+        assert_eq!(revision(publish(standin, remove, 60_000).await), 3);
+        let gone = target::show(
+            args(standin, 60_000),
+            Some("stock-sync".parse().unwrap()),
+            Format::Human,
+        )
+        .await;
+        assert_eq!(
+            gone.unwrap_err().to_string(),
+            "there is no class stock-sync in revision 3"
+        );
+    });
+}
+
+#[rstest]
+#[case::answer_lost(json!({ "lose_append_answer": 1 }))]
+#[case::dropped(json!({ "drop_append": 2 }))]
+#[case::both(json!({ "drop_append": 1, "lose_append_answer": 1 }))]
+fn an_append_without_an_answer_is_looked_up_and_takes_effect_once(#[case] faults: Value) {
+    // The connection closes after the append was sent. The operator must not be told "refused",
+    // and a blind repeat would put the change twice. The log is read to its end: what stands there
+    // is not sent again, what does not is sent again under the same id.
+    standin::with_platform(async |standin| {
+        standin.control("/control/faults", &faults).await;
+        assert_eq!(revision(publish(standin, put(2_000), 60_000).await), 1);
+        assert_eq!(fates(standin).await, ["accepted"]);
+    });
+}
+
+#[test]
+fn the_loser_of_a_race_is_told() {
+    // Two operators look at revision 0 and both publish. The log puts one first; the second's
+    // change is on the log too, so only reading it back tells that it was not accepted.
+    standin::with_platform(async |standin| {
+        let mut log = ConfigLog::new(args(standin, 60_000));
+        log.read_all().await.unwrap();
+        let late = prepare(&log, put(9_000), None).unwrap();
+        assert_eq!(revision(publish(standin, put(2_000), 60_000).await), 1);
+        let error = send(&mut log, late).await.unwrap_err();
+        assert_eq!(error.code().number(), 5008);
+        assert!(
+            matches!(
+                error,
+                Error::ChangeRaced {
+                    found: Revision(1),
+                    ..
+                }
+            ),
+            "{error}"
+        );
+        assert_eq!(fates(standin).await, ["accepted", "raced"]);
+        // Who looked at an old revision is told before anything is sent.
+        let stale = prepare(&log, put(9_000), Some(Revision(0))).unwrap_err();
+        assert_eq!(stale.code().number(), 5008);
+    });
+}
+
+#[rstest]
+#[case::too_long(
+    put(600_001),
+    "finish_within_ms is 600001: allowed is 1 to 600000; nothing was sent"
+)]
+#[case::no_class(ChangeBody::Remove("none".parse().expect("a name")), "there is no class none; nothing was sent")]
+fn an_invalid_change_is_refused_before_the_append(#[case] body: ChangeBody, #[case] text: &str) {
+    standin::with_platform(async |standin| {
+        let error = publish(standin, body, 60_000).await.unwrap_err();
+        assert_eq!(
+            (error.code().number(), error.to_string().as_str()),
+            (5009, text)
+        );
+        assert_eq!(standin.counts().await["appends"], 0);
+    });
+}
+
+#[test]
+fn an_append_into_silence_is_undecided_and_its_id_finds_it_later() {
+    // The platform takes the append in and hangs before it answers, until the command's time is
+    // up. Neither "accepted" nor "refused" would be true; the error names the command that tells
+    // later, and that command finds the change once the platform is back.
+    standin::with_platform(async |standin| {
+        let change = prepare(&ConfigLog::new(args(standin, 0)), put(2_000), None).unwrap();
+        let change_id = change.change_id;
+        standin
+            .control("/control/faults", &json!({ "down": "hang" }))
+            .await;
+        let mut log = ConfigLog::new(args(standin, 200));
+        let error = send(&mut log, change.clone()).await.unwrap_err();
+        assert_eq!(error.code().number(), 5010);
+        let command = format!("`onyxshed target history --change {change_id}`");
+        assert!(error.to_string().contains(&command), "{error}");
+
+        standin.control("/control/faults", &json!({})).await;
+        let mut log = ConfigLog::new(args(standin, 60_000));
+        log.read_all().await.unwrap();
+        assert_eq!(send(&mut log, change).await, Ok(Revision(1)));
+        let found = target::history(args(standin, 60_000), None, Some(change_id), Format::Human);
+        assert!(found.await.unwrap().contains("revision 1"));
+    });
+}
+
+#[test]
+fn a_refusal_is_no_doubt() {
+    standin::with_platform(async |standin| {
+        let mut log = ConfigLog::new(args(standin, 200));
+        let change = prepare(&log, put(2_000), None).unwrap();
+        standin
+            .control("/control/faults", &json!({ "error_status": 403 }))
+            .await;
+        let error = send(&mut log, change).await.unwrap_err();
+        assert_eq!(
+            (
+                error.code().number(),
+                standin.counts().await["appended"].clone()
+            ),
+            (5006, json!(0))
+        );
+    });
+}
+
+#[test]
+fn records_that_expired_are_not_taken_for_an_empty_configuration() {
+    // The log lost its first record and holds no snapshot. Reading on would show revision 0 and let
+    // the operator publish on top of a configuration that nobody has.
+    standin::with_platform(async |standin| {
+        assert_eq!(revision(publish(standin, put(2_000), 60_000).await), 1);
+        let lost = json!({ "truncate": { "stream": "config", "to": 1 } });
+        standin.control("/control/faults", &lost).await;
+        let error = publish(standin, put(3_000), 60_000).await.unwrap_err();
+        assert_eq!(error, Error::ConfigIncomplete);
+        let shown = standin
+            .call(Method::Get, "/v1/streams/config/records?from=0")
+            .await;
+        assert!(String::from_utf8_lossy(&shown.body).contains("\"records\":[]"));
+    });
+}
--- /dev/null
+++ b/crates/onyxshed-cli/tests/timeline.rs
@@ -0,0 +1,156 @@
+//! The merged time line: order, gaps, and one submission on one screen.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use onyxshed_cli::args::{ProcessArgs, TimelineArgs};
+use onyxshed_cli::ask::Asked;
+use onyxshed_cli::output::Format;
+use onyxshed_cli::timeline::merge::merge;
+use onyxshed_cli::timeline::{query, render};
+use onyxshed_core::{Event, EventKind, Hlc, Incarnation, Millis, SubmissionId, UnixMs};
+use onyxshed_wire::admin::TimelinePage;
+
+/// 12:00:00 UTC of some day.
+const NOON_MS: u64 = 1_700_049_600_000;
+
+fn id() -> SubmissionId {
+    "01JABCDEFGHJKMNPQRSTVWXYZ0".parse().expect("an id")
+}
+
+fn at(offset_ms: u64, event: Event) -> Event {
+    static COUNTER: AtomicU64 = AtomicU64::new(0);
+    let mut event = event
+        .submission(id())
+        .class(&"lock".parse().expect("a name"));
+    event.hlc = Hlc {
+        wall: UnixMs(NOON_MS + offset_ms),
+        counter: u32::try_from(COUNTER.fetch_add(1, Ordering::Relaxed)).unwrap_or(0),
+    };
+    event
+}
+
+fn page(events: Vec<Event>) -> TimelinePage {
+    TimelinePage {
+        process: "onyxshed-entry".into(),
+        host: "host".into(),
+        boot: Incarnation(1),
+        started_ms: UnixMs(NOON_MS - 60_000),
+        dropped: 0,
+        events_max: 100,
+        memory_bytes: 0,
+        events,
+        is_cut: false,
+    }
+}
+
+fn asked(process: &str, answer: Result<TimelinePage, &str>) -> Asked<TimelinePage> {
+    Asked {
+        process: process.into(),
+        answer: answer.map_err(Into::into),
+    }
+}
+
+fn args(submission: Option<SubmissionId>, lines: usize) -> TimelineArgs {
+    TimelineArgs {
+        ask: ProcessArgs {
+            processes: Vec::new(),
+            timeout_ms: Millis(1),
+        },
+        submission,
+        class: None,
+        party: None,
+        since_ms: None,
+        lines,
+    }
+}
+
+/// A job of three tasks: refused by one host's log record, run by another.
+fn story() -> Vec<Asked<TimelinePage>> {
+    let mut first = vec![at(0, Event::new(EventKind::JobReceived).detail("3 tasks"))];
+    first.push(at(
+        1,
+        Event::new(EventKind::ClaimAppended).party("platform"),
+    ));
+    first.push(at(6, Event::new(EventKind::ClaimWon).party("platform")));
+    for index in 0..3 {
+        let started = Event::new(EventKind::TaskStarted).task(index);
+        first.push(at(7, started.party(format!("executor-{index}"))));
+    }
+    for index in [2, 0, 1] {
+        let finished = Event::new(EventKind::TaskFinished).task(index);
+        first.push(at(
+            90 + u64::from(index),
+            finished.party(format!("executor-{index}")),
+        ));
+    }
+    first.push(at(95, Event::new(EventKind::JobAnswered).detail("1000")));
+    let second = vec![at(40, Event::new(EventKind::JobForwarded).party("entry-1"))];
+    let mut second = page(second);
+    second.dropped = 7;
+    let mut late = page(Vec::new());
+    late.started_ms = UnixMs(NOON_MS + 50);
+    vec![
+        asked("entry-1", Ok(page(first))),
+        asked("entry-2", Ok(second)),
+        asked("control-1", Ok(late)),
+        asked("entry-3", Err("connection refused")),
+    ]
+}
+
+#[test]
+fn one_submission_from_caller_to_upstream_and_back() {
+    let shown = render::render(&merge(story()), &args(Some(id()), 40), Format::Human);
+    insta::assert_snapshot!(shown);
+}
+
+#[test]
+fn many_submissions_name_each() {
+    let shown = render::render(&merge(story()), &args(None, 3), Format::Human);
+    insta::assert_snapshot!(shown);
+}
+
+#[test]
+fn a_big_job_still_fits_one_screen() {
+    // 550 tasks that start and finish in turn: no two neighbours look alike.
+    let mut events = vec![at(0, Event::new(EventKind::JobReceived))];
+    for index in 0..550 {
+        let offset_ms = 1 + u64::from(index);
+        events.push(at(
+            offset_ms,
+            Event::new(EventKind::TaskStarted).task(index).party("a"),
+        ));
+        events.push(at(
+            offset_ms,
+            Event::new(EventKind::TaskFinished).task(index).party("a"),
+        ));
+    }
+    events.push(at(600, Event::new(EventKind::JobAnswered)));
+    let merged = merge(vec![asked("entry-1", Ok(page(events)))]);
+    let shown = render::render(&merged, &args(Some(id()), 40), Format::Human);
+    insta::assert_snapshot!(shown, @"
+    TIME (UTC)           PROCESS  EVENT              TASKS         PARTY  DETAIL
+    12:00:00.000         entry-1  E100 JobReceived
+    12:00:00.001 +549ms  entry-1  E300 TaskStarted   0-549 (550x)  a
+    12:00:00.001 +549ms  entry-1  E301 TaskFinished  0-549 (550x)  a
+    12:00:00.600         entry-1  E103 JobAnswered
+    ");
+}
+
+#[test]
+fn json_keeps_every_event_and_gap() {
+    let shown = render::render(&merge(story()), &args(Some(id()), 1), Format::Json);
+    let shown: serde_json::Value = serde_json::from_str(&shown).unwrap();
+    assert_eq!(shown["events"].as_array().unwrap().len(), 11);
+    insta::assert_json_snapshot!(shown["gaps"]);
+}
+
+#[test]
+fn the_query_names_only_what_was_asked() {
+    let mut wanted = args(Some(id()), 40);
+    wanted.party = Some("a&b".into());
+    wanted.since_ms = Some(Millis(500));
+    insta::assert_snapshot!(
+        query(&wanted, UnixMs(2_000)),
+        @"/v1/timeline?limit=5000&submission=01JABCDEFGHJKMNPQRSTVWXYZ0&party=a%26b&since_ms=1500"
+    );
+}
