--- a/crates/onyxshed-cli/src/target.rs
+++ b/crates/onyxshed-cli/src/target.rs
@@ -8,3 +8,4 @@
 pub use log::ConfigLog;
 pub use publish::{prepare, publish, send};
 pub use show::{history, show};
+pub use wait::wait_in_force;
--- a/crates/onyxshed-cli/src/target/publish.rs
+++ b/crates/onyxshed-cli/src/target/publish.rs
@@ -49,6 +49,8 @@
     change: ConfigChange,
     /// Whether a copy may be on its way or on the log.
     may_be_sent: bool,
+    /// Whether the log has said that it took a copy: then it only has to be read.
+    is_taken: bool,
     progress: Progress,
 }
 
@@ -61,7 +63,7 @@
     let revision = send(&mut log, change).await?;
     let is_waiting = !publish.wait_for.is_empty();
     if is_waiting {
-        wait_in_force(&publish.wait_for, revision, &log).await?;
+        wait_in_force(&publish.wait_for, revision, || log.is_late()).await?;
     }
     Ok(match format {
         Format::Json => json(&Published {
@@ -112,6 +114,7 @@
         log,
         change,
         may_be_sent: false,
+        is_taken: false,
         progress: Progress::start(),
     };
     let mut next = Next::Append;
@@ -130,6 +133,7 @@
         match self.log.append(record).await {
             Ok(_) => {
                 self.may_be_sent = true;
+                self.is_taken = true;
                 Ok(Next::Read)
             }
             Err(error) if error.may_have_taken_effect() => {
@@ -166,6 +170,7 @@
             }
             (None, Err(error)) => Err(error),
             (None, Ok(_)) if self.log.is_late() => Err(self.undecided("it was not read back")),
+            (None, Ok(_)) if self.is_taken => Ok(Next::Read),
             (None, Ok(_)) => Ok(Next::Append),
         }
     }
--- a/crates/onyxshed-cli/src/target/wait.rs
+++ b/crates/onyxshed-cli/src/target/wait.rs
@@ -7,7 +7,6 @@
 use onyxshed_settings::ProcessAddress;
 use onyxshed_wire::admin::Status;
 
-use super::log::ConfigLog;
 use crate::ask::{Asked, ask_status};
 use crate::error::{Error, Result};
 use crate::progress::Progress;
@@ -18,11 +17,11 @@
 /// How often processes are asked.
 const POLL_PERIOD: Duration = Duration::from_millis(100);
 
-/// Waits until every process has the revision in force, or the command's time is up.
-pub(super) async fn wait_in_force(
+/// Waits until every process has the revision in force, or `is_late` says that the time is up.
+pub async fn wait_in_force(
     processes: &[ProcessAddress],
     revision: Revision,
-    log: &ConfigLog,
+    is_late: impl Fn() -> bool,
 ) -> Result<()> {
     let mut progress = Progress::start();
     loop {
@@ -36,7 +35,7 @@
             return Ok(());
         }
         let waiting = lacking.join(", ");
-        if log.is_late() {
+        if is_late() {
             return Err(Error::NotInForce {
                 revision,
                 waiting: waiting.into(),
--- a/crates/onyxshed-cli/tests/processes.rs
+++ b/crates/onyxshed-cli/tests/processes.rs
@@ -6,9 +6,10 @@
 use std::sync::mpsc::{Sender, channel};
 use std::thread::{self, JoinHandle};
 
+use onyxshed_cli::target::wait_in_force;
 use onyxshed_core::{Event, EventKind, Incarnation, Revision};
 use onyxshed_kernel::{Kernel, LocalFuture, Result, RunEnd, RunOptions, Service, ServiceName};
-use onyxshed_settings::LogSettings;
+use onyxshed_settings::{LogSettings, OperatorSettings, load};
 use onyxshed_telemetry::{AdminService, StatusParts, Telemetry, TelemetryOptions};
 
 /// Tells the test where the process listens, once it does.
@@ -145,6 +146,26 @@
     fleet.end();
 }
 
+#[test]
+fn waiting_for_a_revision_names_who_lacks_it() {
+    // The change is accepted; one process has an older revision and another does not answer. The
+    // operator must learn both: that it is accepted, and where it is not in force yet.
+    let fleet = Fleet::start("wait");
+    let settings = load::<OperatorSettings>(&fleet.settings).unwrap();
+    let wait = |revision| async_io::block_on(wait_in_force(&settings.processes, revision, || true));
+    let lacking = wait(Revision(4)).unwrap_err();
+    assert_eq!(lacking.code().number(), 5015);
+    let text = lacking.to_string();
+    assert!(
+        text.contains("not yet in force in entry-1 (revision 3), entry-2 (no answer: "),
+        "{text}"
+    );
+    let one = &settings.processes[..1];
+    let done = async_io::block_on(wait_in_force(one, Revision(3), || true));
+    assert_eq!(done, Ok(()));
+    fleet.end();
+}
+
 #[test]
 fn drain_knows_only_the_processes_in_the_settings() {
     let fleet = Fleet::start("drain");
--- a/crates/onyxshed-cli/tests/publish.rs
+++ b/crates/onyxshed-cli/tests/publish.rs
@@ -167,6 +167,23 @@
     });
 }
 
+#[test]
+fn a_log_that_reads_stale_is_read_on_and_not_appended_to_again() {
+    // The log answers the append, but reads show the time before it. Saying "accepted" would trust
+    // an append that was not read back, and a second append would put the change twice.
+    standin::with_platform(async |standin| {
+        let change = prepare(&ConfigLog::new(args(standin, 0)), put(2_000), None).unwrap();
+        let stale = json!({ "stale_reads": true });
+        standin.control("/control/faults", &stale).await;
+        let mut log = ConfigLog::new(args(standin, 700));
+        let error = send(&mut log, change).await.unwrap_err();
+        assert_eq!(error.code().number(), 5010);
+        assert_eq!(standin.counts().await["appends"], 1);
+        standin.control("/control/faults", &json!({})).await;
+        assert_eq!(fates(standin).await, ["accepted"]);
+    });
+}
+
 #[test]
 fn a_refusal_is_no_doubt() {
     standin::with_platform(async |standin| {
--- a/crates/onyxshed-telemetry/tests/admin.rs
+++ b/crates/onyxshed-telemetry/tests/admin.rs
@@ -4,7 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_lite::{FutureExt, future};
+use async_net::TcpStream;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future};
 use http_types::Method;
 use onyxshed_core::{Event, EventKind, Incarnation, Revision};
 use onyxshed_http::Reply;
@@ -145,6 +146,34 @@
     });
 }
 
+#[rstest]
+#[case::no_http(b"\x00\xff\xfe garbage\r\n\r\n".to_vec(), "3101")]
+#[case::large_body(b"POST /v1/drain HTTP/1.1\r\nhost: a\r\ncontent-length: 9999999\r\n\r\n".to_vec(), "3104")]
+#[case::endless_head([b"GET / HTTP/1.1\r\nx: ".as_slice(), &[b'a'; 20_000]].concat(), "3104")]
+#[case::no_utf8_in_query(b"GET /v1/timeline?class=%ff%fe HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n".to_vec(), "3101")]
+fn bad_input_is_answered_and_hurts_nobody_else(#[case] request: Vec<u8>, #[case] code: &str) {
+    // A scanner or a broken client sends what is no request of ours. It gets a numbered answer,
+    // the process neither drains nor dies, and the next operator is served.
+    with_admin(async |kernel, address| {
+        let mut stream = TcpStream::connect(address).await.expect("it listens");
+        stream.write_all(&request).await.expect("it reads");
+        let mut answer = vec![0; 4_096];
+        let count = stream.read(&mut answer).await.expect("it answers");
+        let mut answer = String::from_utf8_lossy(&answer[..count]).into_owned();
+        if !answer.contains("code") {
+            let mut rest = String::new();
+            let _ = stream.read_to_string(&mut rest).await;
+            answer.push_str(&rest);
+        }
+        assert!(answer.contains(code), "{answer}");
+        assert_eq!(
+            text(&call(address, Method::Get, "/readyz").await),
+            "200 ready"
+        );
+        kernel.request_stop(onyxshed_kernel::StopRequest::Drain);
+    });
+}
+
 #[test]
 fn an_address_that_is_taken_has_its_own_code() {
     let kernel = Kernel::new();
