--- a/crates/onyxshed-settings/src/tables.rs
+++ b/crates/onyxshed-settings/src/tables.rs
@@ -112,7 +112,7 @@
     "timeline_events_max",
     (100, 1_000_000),
     50_000,
-    "Events kept for the time line, about 250 bytes each; the oldest are dropped and counted.",
+    "Events kept for the time line, 170 bytes each and at most 700 with long texts; the oldest are dropped and counted.",
 );
 const RETENTION: Field = span(
     "platform_retention_ms",
