--- a/crates/onyxshed-dispatch/src/dispatch/claim.rs
+++ b/crates/onyxshed-dispatch/src/dispatch/claim.rs
@@ -13,17 +13,30 @@
 use crate::output::{ForwardedCall, Output};
 
 impl Dispatch {
-    pub(super) fn log_read(&mut self, now: Now, _oldest: Offset, next: Offset, records: &[Record]) {
+    pub(super) fn log_read(&mut self, now: Now, oldest: Offset, next: Offset, records: &[Record]) {
+        self.book.skip_to(now, oldest);
         for record in records {
-            for settled in self.book.read(now, record.offset, &record.data) {
-                self.settle(now, settled);
-            }
+            let settled = self.book.read(now, record.offset, &record.data);
+            self.settle_all(now, settled);
         }
         self.book.caught_up(next);
     }
 
-    pub(super) fn log_lost(&mut self, _now: Now) {
-        self.book.lost_log();
+    pub(super) fn log_lost(&mut self, now: Now) {
+        let failed = self.book.lost_log();
+        self.settle_all(now, failed);
+    }
+
+    /// Settles claims that were not read back in time.
+    pub(super) fn settle_overdue_claims(&mut self, now: Now) {
+        let overdue = self.book.tick(now);
+        self.settle_all(now, overdue);
+    }
+
+    fn settle_all(&mut self, now: Now, settled: Vec<Settled>) {
+        for one in settled {
+            self.settle(now, one);
+        }
     }
 
     pub(super) fn appended(&mut self, now: Now, batch: u64, result: Result<Offset, AppendFailure>) {
@@ -35,9 +48,8 @@
                     .detail(detail),
             );
         }
-        for settled in self.book.appended(now, batch, result) {
-            self.settle(now, settled);
-        }
+        let settled = self.book.appended(now, batch, result);
+        self.settle_all(now, settled);
     }
 
     fn settle(&mut self, now: Now, settled: Settled) {
@@ -45,7 +57,7 @@
         match settled.verdict {
             Verdict::Won => {
                 self.note(Event::new(EventKind::ClaimWon).submission(id));
-                self.grant(now, id);
+                self.grant(now, id, true);
             }
             Verdict::HeldBy(holder) => {
                 let party = smol_str::format_smolstr!("{holder}");
@@ -58,11 +70,16 @@
     }
 
     /// Starts the tasks of a job that this host holds.
-    pub(super) fn grant(&mut self, now: Now, id: SubmissionId) {
+    pub(super) fn grant(&mut self, now: Now, id: SubmissionId, is_claimed: bool) {
         let Some(job) = self.take_claiming(id) else {
+            // Given up while its claim was under way: another host may have it. A job that runs
+            // without a claim keeps the one that turned up late.
+            if self.jobs.get(id).is_none() {
+                self.book.release(now, id);
+            }
             return;
         };
-        let job = job.granted();
+        let job = job.granted(is_claimed);
         for task in job.tasks() {
             let work = Work {
                 task,
@@ -83,7 +100,7 @@
                 .submission(id)
                 .detail("the log can't be reached"),
         );
-        self.grant(now, id);
+        self.grant(now, id, false);
     }
 
     fn claim_failed(&mut self, now: Now, id: SubmissionId) {
--- a/crates/onyxshed-dispatch/src/job/running.rs
+++ b/crates/onyxshed-dispatch/src/job/running.rs
@@ -34,12 +34,19 @@
     pub attempts: BTreeSet<AttemptId>,
     /// What is known of starts.
     pub evidence: Evidence,
+    /// Whether it rests on a claim; one that may run twice can do without.
+    pub is_claimed: bool,
     results: Vec<Option<Vec<u8>>>,
     missing: usize,
 }
 
 impl Running {
-    pub(super) fn new(head: JobHead, payloads: Vec<Rc<Vec<u8>>>, waiters: Vec<RequestId>) -> Self {
+    pub(super) fn new(
+        head: JobHead,
+        payloads: Vec<Rc<Vec<u8>>>,
+        waiters: Vec<RequestId>,
+        is_claimed: bool,
+    ) -> Self {
         let missing = payloads.len();
         Running {
             head,
@@ -47,6 +54,7 @@
             waiters,
             attempts: BTreeSet::new(),
             evidence: Evidence::default(),
+            is_claimed,
             results: vec![None; missing],
             missing,
         }
