--- a/crates/onyxshed-cli/src/error.rs
+++ b/crates/onyxshed-cli/src/error.rs
@@ -90,6 +90,20 @@
     },
 }
 
+impl From<onyxshed_state::Error> for Error {
+    fn from(error: onyxshed_state::Error) -> Self {
+        match error {
+            onyxshed_state::Error::Stale { based_on, found } => {
+                Error::ChangeRaced { based_on, found }
+            }
+            onyxshed_state::Error::Incomplete => Error::ConfigIncomplete,
+            other => Error::ChangeInvalid {
+                reason: other.to_string().into(),
+            },
+        }
+    }
+}
+
 impl Error {
     /// Makes an error for a wrong command line.
     pub fn usage(reason: impl ToString) -> Self {
--- a/crates/onyxshed-cli/src/lib.rs
+++ b/crates/onyxshed-cli/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod ask;
 pub mod catalogue;
 pub mod check;
+pub mod clock;
 pub mod command;
 pub mod drain;
 pub mod error;
--- a/crates/onyxshed-cli/src/target/log.rs
+++ b/crates/onyxshed-cli/src/target/log.rs
@@ -2,13 +2,14 @@
 
 use std::time::{Duration, Instant};
 
-use onyxshed_core::{ChangeId, Millis, Offset, Revision, UnixMs};
+use onyxshed_core::{Millis, Offset, Revision, UnixMs};
 use onyxshed_platform::{PlatformClient, PlatformOptions};
-use onyxshed_state::{ConfigFold, FoldStep};
+use onyxshed_state::{ChangeFate, ConfigFold, FoldStep};
 use onyxshed_wire::platform::{CONFIG_STREAM, Page, Record};
 use onyxshed_wire::record::{ConfigChange, ConfigRecord};
 
 use crate::args::PlatformArgs;
+use crate::clock;
 use crate::error::{Error, Result};
 
 /// Longest time for one call.
@@ -23,7 +24,9 @@
     Raced(Revision),
     /// It broke a rule.
     Ignored,
-    /// It can't be judged, or is a copy of one before.
+    /// It is a copy of one that was accepted before.
+    Copy(Revision),
+    /// The log has lost what it takes to judge it.
     Unjudged,
 }
 
@@ -47,7 +50,6 @@
     fold: ConfigFold,
     changes: Vec<Logged>,
     give_up: Instant,
-    is_cut: bool,
 }
 
 impl ConfigLog {
@@ -62,7 +64,6 @@
             fold: ConfigFold::default(),
             changes: Vec::new(),
             give_up: Instant::now() + Duration::from(args.timeout_ms),
-            is_cut: false,
         }
     }
 
@@ -71,9 +72,15 @@
         &self.fold
     }
 
-    /// Gets every change read, in order.
-    pub fn changes(&self) -> &[Logged] {
-        &self.changes
+    /// Gets every change read, in order, and what became of it.
+    pub fn changes(&self) -> Vec<Logged> {
+        let mut changes = self.changes.clone();
+        for logged in &mut changes {
+            if logged.fate == Fate::Unjudged {
+                logged.fate = self.fate_in_hindsight(logged);
+            }
+        }
+        changes
     }
 
     /// Tells whether the time is up.
@@ -83,7 +90,7 @@
 
     /// Reads to the end of the stream, waiting up to `wait` if there is nothing new; gets the
     /// offset of the next append as the log told it.
-    pub async fn read_to_end(&mut self, wait: Millis) -> Result<Offset> {
+    pub async fn read_to_end(&mut self, wait: Millis) -> onyxshed_platform::Result<Offset> {
         loop {
             let page = self
                 .client
@@ -99,9 +106,9 @@
     /// Reads everything; an error if what the log still holds does not make up the configuration.
     pub async fn read_all(&mut self) -> Result<()> {
         self.read_to_end(Millis(0)).await?;
-        match self.is_cut {
-            true => Err(Error::ConfigIncomplete),
-            false => Ok(()),
+        match self.fold.is_complete() {
+            true => Ok(()),
+            false => Err(Error::ConfigIncomplete),
         }
     }
 
@@ -110,21 +117,25 @@
         self.client.append(CONFIG_STREAM, record.into_bytes()).await
     }
 
-    /// Gets what became of a change, if it was read.
-    pub fn fate(&self, change_id: ChangeId) -> Option<Fate> {
-        let mut found = self
-            .changes
-            .iter()
-            .filter(|logged| logged.change.change_id == change_id);
-        found.next().map(|logged| logged.fate)
+    /// Judges a change that told nothing new when it was read: a copy of an earlier one, or one
+    /// that a later snapshot gave the ground for.
+    fn fate_in_hindsight(&self, logged: &Logged) -> Fate {
+        let is_copy = self.changes.iter().any(|earlier| {
+            earlier.change.change_id == logged.change.change_id && earlier.offset < logged.offset
+        });
+        match self.fold.find_change(logged.change.change_id) {
+            ChangeFate::Accepted(revision) if is_copy => Fate::Copy(revision),
+            ChangeFate::Accepted(revision) => Fate::Accepted(revision),
+            ChangeFate::Raced { found, .. } => Fate::Raced(found),
+            ChangeFate::Invalid => Fate::Ignored,
+            ChangeFate::NotSeen => Fate::Unjudged,
+        }
     }
 
     fn take_in(&mut self, page: &Page) {
-        if page.oldest > self.fold.next() {
-            self.is_cut = true;
-        }
+        self.fold.skip_to(page.oldest, clock::now());
         for record in &page.records {
-            let step = self.fold.apply(record.offset, &record.data);
+            let step = self.fold.apply_record(record);
             self.note(record, step);
         }
     }
--- a/crates/onyxshed-cli/src/target/publish.rs
+++ b/crates/onyxshed-cli/src/target/publish.rs
@@ -1,19 +1,18 @@
-//! Publishes a change.
-//!
-//! A change counts as accepted only when it has been read back. After an append whose answer was
-//! lost, the log is read to its end first: only if the change is not there is it appended again,
-//! under the same id and based on the same revision, so that at most one copy takes effect.
+//! Publishes a change: carries out what [`Proposal`] decides, within the command's time.
 
 use std::time::Duration;
 
 use async_io::Timer;
 use onyxshed_core::{ChangeId, Millis, Revision};
-use onyxshed_wire::record::{ChangeBody, ConfigChange, ConfigRecord};
+use onyxshed_state::config::proposal::{Ready, Sent};
+use onyxshed_state::config::{Appended, Judged};
+use onyxshed_state::{AppendFailure, Proposal};
+use onyxshed_wire::record::{ChangeBody, ConfigChange};
 use serde::Serialize;
-use smol_str::{SmolStr, format_smolstr};
+use smol_str::SmolStr;
 use ulid::Ulid;
 
-use super::log::{ConfigLog, Fate};
+use super::log::ConfigLog;
 use super::wait::wait_in_force;
 use crate::args::Publish;
 use crate::error::{Error, Result};
@@ -36,9 +35,9 @@
 /// What to do next about a change.
 enum Next {
     /// Append it (again).
-    Append,
+    Append(Proposal<Ready>),
     /// It may be on the log: read on.
-    Read,
+    Read(Proposal<Sent>),
     /// It is accepted.
     Done(Revision),
 }
@@ -46,11 +45,9 @@
 /// A change on its way.
 struct Sending<'a> {
     log: &'a mut ConfigLog,
-    change: ConfigChange,
+    change_id: ChangeId,
     /// Whether a copy may be on its way or on the log.
     may_be_sent: bool,
-    /// Whether the log has said that it took a copy: then it only has to be read.
-    is_taken: bool,
     progress: Progress,
 }
 
@@ -59,7 +56,7 @@
     let mut log = ConfigLog::new(publish.platform);
     log.read_all().await?;
     let change = prepare(&log, publish.body, publish.based_on)?;
-    let change_id = change.change_id;
+    let change_id = change.change().change_id;
     let revision = send(&mut log, change).await?;
     let is_waiting = !publish.wait_for.is_empty();
     if is_waiting {
@@ -84,94 +81,71 @@
     log: &ConfigLog,
     body: ChangeBody,
     based_on: Option<Revision>,
-) -> Result<ConfigChange> {
-    let config = log.fold().config();
-    let invalid = |reason: SmolStr| Error::ChangeInvalid { reason };
-    match &body {
-        ChangeBody::Put(target) => target
-            .check()
-            .map_err(|error| invalid(format_smolstr!("{error}")))?,
-        ChangeBody::Remove(class) if !config.classes.contains_key(class) => {
-            return Err(invalid(format_smolstr!("there is no class {class}")));
-        }
-        ChangeBody::Remove(_) => {}
-    }
-    let found = config.revision;
-    let based_on = based_on.unwrap_or(found);
-    if based_on != found {
-        return Err(Error::ChangeRaced { based_on, found });
-    }
-    Ok(ConfigChange {
+) -> Result<Proposal<Ready>> {
+    let change = ConfigChange {
         change_id: ChangeId(Ulid::generate()),
-        based_on,
+        based_on: based_on.unwrap_or(log.fold().folded().revision),
         body,
-    })
+    };
+    Ok(Proposal::prepare(change, log.fold())?)
 }
 
 /// Sends a change until its fate is known or the time is up; gets the revision that it made.
-pub async fn send(log: &mut ConfigLog, change: ConfigChange) -> Result<Revision> {
+pub async fn send(log: &mut ConfigLog, proposal: Proposal<Ready>) -> Result<Revision> {
     let mut sending = Sending {
         log,
-        change,
+        change_id: proposal.change().change_id,
         may_be_sent: false,
-        is_taken: false,
         progress: Progress::start(),
     };
-    let mut next = Next::Append;
+    let mut next = Next::Append(proposal);
     loop {
         next = match next {
-            Next::Append => sending.append().await?,
-            Next::Read => sending.read().await?,
+            Next::Append(proposal) => sending.append(proposal).await?,
+            Next::Read(proposal) => sending.read(proposal).await?,
             Next::Done(revision) => return Ok(revision),
         };
     }
 }
 
 impl Sending<'_> {
-    async fn append(&mut self) -> Result<Next> {
-        let record = ConfigRecord::ChangeV1(self.change.clone()).encode();
-        match self.log.append(record).await {
-            Ok(_) => {
-                self.may_be_sent = true;
-                self.is_taken = true;
-                Ok(Next::Read)
-            }
-            Err(error) if error.may_have_taken_effect() => {
-                self.may_be_sent = true;
-                self.pause(&error).await?;
-                Ok(Next::Read)
-            }
-            Err(error) => {
-                self.pause(&error).await?;
-                // A copy sent before may have shown up meanwhile: look before appending again.
-                Ok(match self.may_be_sent {
-                    true => Next::Read,
-                    false => Next::Append,
-                })
-            }
+    async fn append(&mut self, proposal: Proposal<Ready>) -> Result<Next> {
+        let appended = self.log.append(proposal.record()).await;
+        let result = appended.as_ref().copied().map_err(failure);
+        let step = proposal.appended(result);
+        self.may_be_sent |= matches!(step, Appended::Sent(_));
+        if let Err(error) = appended {
+            self.pause(&error).await?;
         }
+        Ok(match step {
+            Appended::Retry(proposal) => Next::Append(proposal),
+            Appended::Sent(proposal) => Next::Read(proposal),
+        })
     }
 
-    async fn read(&mut self) -> Result<Next> {
-        let read = self.log.read_to_end(READ_WAIT).await;
-        match (self.log.fate(self.change.change_id), read) {
-            (Some(Fate::Accepted(revision)), _) => Ok(Next::Done(revision)),
-            (Some(Fate::Raced(found)), _) => Err(Error::ChangeRaced {
-                based_on: self.change.based_on,
-                found,
-            }),
-            (Some(Fate::Ignored), _) => Err(Error::ChangeInvalid {
-                reason: SmolStr::new_static("the log's readers ignore it"),
+    async fn read(&mut self, proposal: Proposal<Sent>) -> Result<Next> {
+        let end = match self.log.read_to_end(READ_WAIT).await {
+            Ok(end) => end,
+            Err(error) => {
+                self.pause(&error).await?;
+                return Ok(Next::Read(proposal));
+            }
+        };
+        match proposal.judge(self.log.fold(), end) {
+            Judged::Accepted(revision) => Ok(Next::Done(revision)),
+            Judged::Raced { based_on, found } => Err(Error::ChangeRaced { based_on, found }),
+            Judged::Invalid => Err(Error::ChangeInvalid {
+                reason: SmolStr::new_static("by the time it was read, the change broke a rule"),
             }),
-            (Some(Fate::Unjudged), _) => Err(self.undecided("the log has lost records")),
-            (None, Err(Error::Platform { source })) => {
-                self.pause(&source).await?;
-                Ok(Next::Read)
+            Judged::Repeat(_) | Judged::Undecided(_) if self.log.is_late() => {
+                Err(self.undecided("it was not read back"))
+            }
+            Judged::Repeat(proposal) => Ok(Next::Append(proposal)),
+            Judged::Undecided(proposal) => {
+                // A log that does not wait for records as asked is not asked without a pause.
+                Timer::after(RETRY_PAUSE).await;
+                Ok(Next::Read(proposal))
             }
-            (None, Err(error)) => Err(error),
-            (None, Ok(_)) if self.log.is_late() => Err(self.undecided("it was not read back")),
-            (None, Ok(_)) if self.is_taken => Ok(Next::Read),
-            (None, Ok(_)) => Ok(Next::Append),
         }
     }
 
@@ -192,8 +166,15 @@
 
     fn undecided(&self, reason: &str) -> Error {
         Error::ChangeUndecided {
-            change_id: self.change.change_id,
+            change_id: self.change_id,
             reason: reason.into(),
         }
     }
 }
+
+fn failure(error: &onyxshed_platform::Error) -> AppendFailure {
+    match error.may_have_taken_effect() {
+        true => AppendFailure::AnswerLost,
+        false => AppendFailure::NotAppended,
+    }
+}
--- a/crates/onyxshed-cli/src/target/show.rs
+++ b/crates/onyxshed-cli/src/target/show.rs
@@ -89,7 +89,8 @@
             .is_none_or(|class| class_of(&logged.change.body) == class)
             && change.is_none_or(|change| logged.change.change_id == change)
     };
-    let changes: Vec<&Logged> = log.changes().iter().filter(is_wanted).collect();
+    let all = log.changes();
+    let changes: Vec<&Logged> = all.iter().filter(is_wanted).collect();
     if let (Some(change), true) = (change, changes.is_empty()) {
         return Err(Error::NotFound {
             what: format_smolstr!("change {change} on the log: it was not accepted so far"),
@@ -128,6 +129,7 @@
         Fate::Accepted(revision) => ("accepted", Some(revision)),
         Fate::Raced(_) => ("raced", None),
         Fate::Ignored => ("ignored", None),
+        Fate::Copy(revision) => ("copy", Some(revision)),
         Fate::Unjudged => ("unjudged", None),
     };
     Change {
@@ -146,7 +148,8 @@
         Fate::Accepted(revision) => format!("revision {revision}"),
         Fate::Raced(found) => format!("raced, found {found}"),
         Fate::Ignored => "ignored, breaks a rule".to_owned(),
-        Fate::Unjudged => "copy or not to be judged".to_owned(),
+        Fate::Copy(revision) => format!("copy, revision {revision}"),
+        Fate::Unjudged => "not to be judged, records are lost".to_owned(),
     }
 }
 
--- a/crates/onyxshed-cli/src/timeline.rs
+++ b/crates/onyxshed-cli/src/timeline.rs
@@ -4,14 +4,13 @@
 pub mod merge;
 pub mod render;
 
-use std::time::{SystemTime, UNIX_EPOCH};
-
 use http_types::Url;
 use onyxshed_core::{ResultCode, UnixMs};
 use onyxshed_wire::admin::{TIMELINE_PATH, TimelinePage};
 
 use crate::args::TimelineArgs;
 use crate::ask::ask_all;
+use crate::clock;
 use crate::output::Format;
 use crate::run::Said;
 
@@ -20,7 +19,7 @@
 
 /// Asks every process for its events and shows them as one time line.
 pub async fn run(args: &TimelineArgs, format: Format) -> Said {
-    let path = query(args, now());
+    let path = query(args, clock::now());
     let timeout = args.ask.timeout_ms.into();
     let asked = ask_all(&args.ask.processes, &path, timeout, TimelinePage::decode).await;
     let is_whole = asked.iter().all(|asked| asked.answer.is_ok());
@@ -52,10 +51,3 @@
     drop(pairs);
     format!("{}?{}", url.path(), url.query().unwrap_or_default())
 }
-
-fn now() -> UnixMs {
-    let since_epoch = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    UnixMs(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX))
-}
--- a/crates/onyxshed-cli/tests/publish.rs
+++ b/crates/onyxshed-cli/tests/publish.rs
@@ -8,7 +8,8 @@
 use onyxshed_cli::output::Format;
 use onyxshed_cli::target::{self, ConfigLog, prepare, send};
 use onyxshed_cli::{Error, Result};
-use onyxshed_core::{ClassTarget, Millis, Revision};
+use onyxshed_core::{ClassTarget, Millis, Revision, UnixMs};
+use onyxshed_state::RepublishStep;
 use onyxshed_wire::record::ChangeBody;
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -127,9 +128,9 @@
 #[rstest]
 #[case::too_long(
     put(600_001),
-    "finish_within_ms is 600001: allowed is 1 to 600000; nothing was sent"
+    "the change is invalid: finish_within_ms is 600001: allowed is 1 to 600000; nothing was sent"
 )]
-#[case::no_class(ChangeBody::Remove("none".parse().expect("a name")), "there is no class none; nothing was sent")]
+#[case::no_class(ChangeBody::Remove("none".parse().expect("a name")), "the change is invalid: there is no class none; nothing was sent")]
 fn an_invalid_change_is_refused_before_the_append(#[case] body: ChangeBody, #[case] text: &str) {
     standin::with_platform(async |standin| {
         let error = publish(standin, body, 60_000).await.unwrap_err();
@@ -148,7 +149,7 @@
     // later, and that command finds the change once the platform is back.
     standin::with_platform(async |standin| {
         let change = prepare(&ConfigLog::new(args(standin, 0)), put(2_000), None).unwrap();
-        let change_id = change.change_id;
+        let change_id = change.change().change_id;
         standin
             .control("/control/faults", &json!({ "down": "hang" }))
             .await;
@@ -219,3 +220,24 @@
         assert!(String::from_utf8_lossy(&shown.body).contains("\"records\":[]"));
     });
 }
+
+#[test]
+fn a_snapshot_stands_in_for_records_that_expired() {
+    // A control process publishes the configuration again, then the changes that made it expire.
+    // The operator sees the same targets and may go on from the same revision.
+    standin::with_platform(async |standin| {
+        assert_eq!(revision(publish(standin, put(2_000), 60_000).await), 1);
+        let mut log = ConfigLog::new(args(standin, 60_000));
+        log.read_all().await.unwrap();
+        let RepublishStep::Publish(records) = log.fold().clone().republish(UnixMs(u64::MAX), 1)
+        else {
+            panic!("the end of time is past any retention");
+        };
+        for record in records {
+            log.append(record.encode()).await.unwrap();
+        }
+        let lost = json!({ "truncate": { "stream": "config", "to": 1 } });
+        standin.control("/control/faults", &lost).await;
+        assert_eq!(revision(publish(standin, put(3_000), 60_000).await), 2);
+    });
+}
