--- a/crates/onyxshed-cli/src/args.rs
+++ b/crates/onyxshed-cli/src/args.rs
@@ -100,6 +100,8 @@
     pub class: Option<ClassName>,
     /// Only those whose other party's name holds this.
     pub party: Option<SmolStr>,
+    /// Only those with this upstream's executors, and the platform that knows them.
+    pub upstream: Option<(UpstreamName, PlatformArgs)>,
     /// Only those of the last span, in milliseconds.
     pub since_ms: Option<Millis>,
     /// Most lines shown.
@@ -180,8 +182,13 @@
 }
 
 fn timeline(args: &ArgMatches) -> Result<Action> {
+    let upstream = match args.get_one::<UpstreamName>("upstream") {
+        Some(upstream) => Some((upstream.clone(), platform_in_settings(args)?)),
+        None => None,
+    };
     Ok(Action::Timeline(TimelineArgs {
         ask: processes(args)?,
+        upstream,
         submission: args.get_one("submission").copied(),
         class: args.get_one("class").cloned(),
         party: args.get_one::<String>("party").map(SmolStr::from),
@@ -207,12 +214,18 @@
 }
 
 fn platform(args: &ArgMatches) -> Result<PlatformArgs> {
-    let address = match args.get_one("platform") {
-        Some(address) => *address,
-        None => settings(args)?.platform_address,
-    };
+    match args.get_one("platform") {
+        Some(address) => Ok(PlatformArgs {
+            address: *address,
+            timeout_ms: required(args, "timeout"),
+        }),
+        None => platform_in_settings(args),
+    }
+}
+
+fn platform_in_settings(args: &ArgMatches) -> Result<PlatformArgs> {
     Ok(PlatformArgs {
-        address,
+        address: settings(args)?.platform_address,
         timeout_ms: required(args, "timeout"),
     })
 }
--- a/crates/onyxshed-cli/src/ask.rs
+++ b/crates/onyxshed-cli/src/ask.rs
@@ -9,6 +9,8 @@
 use onyxshed_wire::admin::{STATUS_PATH, Status};
 use smol_str::{SmolStr, format_smolstr};
 
+use crate::progress::Progress;
+
 /// A process's answer, or why there is none.
 pub type Answered<T> = Result<T, SmolStr>;
 
@@ -34,15 +36,17 @@
         let answer = executor.spawn(ask(process, path, timeout, decode));
         asking.push((process.name.clone(), answer));
     }
+    let progress = Progress::new("the first process's answer");
     let collect = async {
         let mut asked = Vec::new();
         for (process, answer) in asking {
+            progress.set(format!("{process} to answer"));
             let answer = answer.await;
             asked.push(Asked { process, answer });
         }
         asked
     };
-    executor.run(collect).await
+    executor.run(progress.during(collect)).await
 }
 
 /// Gets the status of every process.
--- a/crates/onyxshed-cli/src/command.rs
+++ b/crates/onyxshed-cli/src/command.rs
@@ -174,10 +174,16 @@
         .arg(
             Arg::new("party")
                 .long("party")
-                .visible_alias("upstream")
                 .value_name("TEXT")
                 .help("Only events whose other party's name holds this: an executor, a peer"),
         )
+        .arg(
+            Arg::new("upstream")
+                .long("upstream")
+                .value_name("UPSTREAM")
+                .value_parser(value_parser!(UpstreamName))
+                .help("Only events with this upstream's executors, as the platform lists them now"),
+        )
         .arg(
             Arg::new("since")
                 .long("since")
--- a/crates/onyxshed-cli/src/drain.rs
+++ b/crates/onyxshed-cli/src/drain.rs
@@ -43,11 +43,10 @@
     timeout_ms: Millis,
     format: Format,
 ) -> Result<String> {
-    let status = call(process, Method::Post, DRAIN_PATH).await?;
-    let state = match is_waiting {
-        true => wait_for_end(process, &status, timeout_ms).await?,
-        false => Drained::Draining,
-    };
+    let progress = Progress::new(format!("{} finishes its work in flight", process.name));
+    let state = progress
+        .during(drain(process, is_waiting, timeout_ms))
+        .await?;
     let name = &process.name;
     Ok(match (format, state) {
         (Format::Json, state) => json(&Answer {
@@ -59,6 +58,14 @@
     })
 }
 
+async fn drain(process: &ProcessAddress, is_waiting: bool, timeout_ms: Millis) -> Result<Drained> {
+    let status = call(process, Method::Post, DRAIN_PATH).await?;
+    match is_waiting {
+        true => wait_for_end(process, &status, timeout_ms).await,
+        false => Ok(Drained::Draining),
+    }
+}
+
 /// Waits until the process is gone, or another run of it has taken its place.
 async fn wait_for_end(
     process: &ProcessAddress,
@@ -66,12 +73,10 @@
     timeout_ms: Millis,
 ) -> Result<Drained> {
     let give_up = Instant::now() + Duration::from(timeout_ms);
-    let mut progress = Progress::start();
     while Instant::now() < give_up {
         if has_ended(process, first).await {
             return Ok(Drained::Ended);
         }
-        progress.tell(|| format!("{} finishes its work in flight", process.name));
         Timer::after(POLL_PERIOD).await;
     }
     Err(Error::StillDraining {
--- a/crates/onyxshed-cli/src/progress.rs
+++ b/crates/onyxshed-cli/src/progress.rs
@@ -1,29 +1,49 @@
 //! Progress of whatever takes more than a second, on standard error.
 
-use std::time::{Duration, Instant};
+use std::cell::RefCell;
+use std::future::Future;
+use std::time::Duration;
 
-/// Least time between two lines.
+use async_io::Timer;
+use futures_lite::FutureExt;
+
+/// How often is said what is being waited for.
 const PERIOD: Duration = Duration::from_secs(1);
 
-/// Says now and then what is being waited for.
+/// What is being waited for, said every second while the work lasts.
 #[derive(Debug)]
 pub struct Progress {
-    last: Instant,
+    what: RefCell<String>,
+    say: fn(&str),
 }
 
 impl Progress {
-    /// Starts; nothing is said in the first second.
-    pub fn start() -> Self {
+    /// Starts with what is waited for first.
+    pub fn new(what: impl Into<String>) -> Self {
+        Progress::saying_by(what, |what| eprintln!("waiting: {what}"))
+    }
+
+    /// Starts with another way to say it.
+    pub fn saying_by(what: impl Into<String>, say: fn(&str)) -> Self {
         Progress {
-            last: Instant::now(),
+            what: RefCell::new(what.into()),
+            say,
         }
     }
 
-    /// Says what is being waited for, if a second has passed since it was last said.
-    pub fn tell(&mut self, what: impl FnOnce() -> String) {
-        if self.last.elapsed() >= PERIOD {
-            self.last = Instant::now();
-            eprintln!("waiting: {}", what());
-        }
+    /// Sets what is being waited for now.
+    pub fn set(&self, what: impl Into<String>) {
+        *self.what.borrow_mut() = what.into();
+    }
+
+    /// Does the work, and says every second what it waits for.
+    pub async fn during<T>(&self, work: impl Future<Output = T>) -> T {
+        let tell = async {
+            loop {
+                Timer::after(PERIOD).await;
+                (self.say)(&self.what.borrow());
+            }
+        };
+        work.or(tell).await
     }
 }
--- a/crates/onyxshed-cli/src/run.rs
+++ b/crates/onyxshed-cli/src/run.rs
@@ -103,7 +103,7 @@
             change,
         } => async_io::block_on(target::history(platform, class, change, format)).map(Said::from),
         Action::Status(ask) => Ok(async_io::block_on(status::run(&ask, format))),
-        Action::Timeline(args) => Ok(async_io::block_on(timeline::run(&args, format))),
+        Action::Timeline(args) => async_io::block_on(timeline::run(&args, format)),
         Action::Drain {
             process,
             is_waiting,
--- a/crates/onyxshed-cli/src/target/publish.rs
+++ b/crates/onyxshed-cli/src/target/publish.rs
@@ -48,31 +48,47 @@
     change_id: ChangeId,
     /// Whether a copy may be on its way or on the log.
     may_be_sent: bool,
-    progress: Progress,
+    progress: &'a Progress,
 }
 
 /// Publishes a change and waits until it is in force, if that is asked for.
 pub async fn publish(publish: Publish, format: Format) -> Result<String> {
+    let progress = Progress::new("the platform's log");
+    let processes = publish.wait_for.len();
+    let published = progress.during(carry_out(publish, &progress)).await?;
+    Ok(match (format, &published) {
+        (Format::Json, published) => json(published),
+        (
+            Format::Human,
+            Published {
+                change_id,
+                revision,
+                ..
+            },
+        ) => {
+            let everywhere = match processes {
+                0 => String::new(),
+                count => format!(", in force in all {count} processes"),
+            };
+            format!("accepted as revision {revision} (change {change_id}){everywhere}\n")
+        }
+    })
+}
+
+async fn carry_out(publish: Publish, progress: &Progress) -> Result<Published> {
     let mut log = ConfigLog::new(publish.platform);
     log.read_all().await?;
     let change = prepare(&log, publish.body, publish.based_on)?;
     let change_id = change.change().change_id;
-    let revision = send(&mut log, change).await?;
+    let revision = send(&mut log, change, progress).await?;
     let is_waiting = !publish.wait_for.is_empty();
     if is_waiting {
-        wait_in_force(&publish.wait_for, revision, || log.is_late()).await?;
+        wait_in_force(&publish.wait_for, revision, || log.is_late(), progress).await?;
     }
-    Ok(match format {
-        Format::Json => json(&Published {
-            change_id,
-            revision,
-            is_in_force_everywhere: is_waiting.then_some(true),
-        }),
-        Format::Human if is_waiting => format!(
-            "accepted as revision {revision} (change {change_id}), in force in all {} processes\n",
-            publish.wait_for.len()
-        ),
-        Format::Human => format!("accepted as revision {revision} (change {change_id})\n"),
+    Ok(Published {
+        change_id,
+        revision,
+        is_in_force_everywhere: is_waiting.then_some(true),
     })
 }
 
@@ -91,12 +107,16 @@
 }
 
 /// Sends a change until its fate is known or the time is up; gets the revision that it made.
-pub async fn send(log: &mut ConfigLog, proposal: Proposal<Ready>) -> Result<Revision> {
+pub async fn send(
+    log: &mut ConfigLog,
+    proposal: Proposal<Ready>,
+    progress: &Progress,
+) -> Result<Revision> {
     let mut sending = Sending {
         log,
         change_id: proposal.change().change_id,
         may_be_sent: false,
-        progress: Progress::start(),
+        progress,
     };
     let mut next = Next::Append(proposal);
     loop {
@@ -159,7 +179,7 @@
                 },
             });
         }
-        self.progress.tell(|| format!("the platform: {error}"));
+        self.progress.set(format!("the platform ({error})"));
         Timer::after(RETRY_PAUSE).await;
         Ok(())
     }
--- a/crates/onyxshed-cli/src/target/show.rs
+++ b/crates/onyxshed-cli/src/target/show.rs
@@ -9,6 +9,7 @@
 use crate::args::PlatformArgs;
 use crate::error::{Error, Result};
 use crate::output::{Format, json, table};
+use crate::progress::Progress;
 use crate::span;
 
 #[derive(Serialize)]
@@ -36,7 +37,8 @@
     format: Format,
 ) -> Result<String> {
     let mut log = ConfigLog::new(platform);
-    log.read_all().await?;
+    let progress = Progress::new("the platform's log");
+    progress.during(log.read_all()).await?;
     let config = log.fold().config();
     let wanted = |target: &&ClassTarget| class.as_ref().is_none_or(|class| target.class == *class);
     let classes: Vec<&ClassTarget> = config.classes.values().filter(wanted).collect();
@@ -79,7 +81,8 @@
 ) -> Result<String> {
     let mut log = ConfigLog::new(platform);
     // Also useful when the log has lost records: what it still holds is shown.
-    match log.read_all().await {
+    let progress = Progress::new("the platform's log");
+    match progress.during(log.read_all()).await {
         Ok(()) | Err(Error::ConfigIncomplete) => {}
         Err(error) => return Err(error),
     }
--- a/crates/onyxshed-cli/src/target/wait.rs
+++ b/crates/onyxshed-cli/src/target/wait.rs
@@ -22,8 +22,8 @@
     processes: &[ProcessAddress],
     revision: Revision,
     is_late: impl Fn() -> bool,
+    progress: &Progress,
 ) -> Result<()> {
-    let mut progress = Progress::start();
     loop {
         let asked = ask_status(processes, ASK_TIMEOUT).await;
         let lacking: Vec<String> = asked
@@ -42,10 +42,10 @@
             });
         }
         let done = asked.len() - lacking.len();
-        progress.tell(|| {
-            let all = asked.len();
-            format!("{done} of {all} processes have revision {revision}; not yet {waiting}")
-        });
+        let all = asked.len();
+        progress.set(format!(
+            "{done} of {all} processes have revision {revision}; not yet {waiting}"
+        ));
         Timer::after(POLL_PERIOD).await;
     }
 }
--- a/crates/onyxshed-cli/src/timeline.rs
+++ b/crates/onyxshed-cli/src/timeline.rs
@@ -4,30 +4,62 @@
 pub mod merge;
 pub mod render;
 
+use std::collections::BTreeSet;
+
 use http_types::Url;
-use onyxshed_core::{ResultCode, UnixMs};
+use onyxshed_core::{ResultCode, UnixMs, UpstreamName};
+use onyxshed_platform::{PlatformClient, PlatformOptions};
 use onyxshed_wire::admin::{TIMELINE_PATH, TimelinePage};
+use smol_str::SmolStr;
 
-use crate::args::TimelineArgs;
+use crate::args::{PlatformArgs, TimelineArgs};
 use crate::ask::ask_all;
 use crate::clock;
+use crate::error::Result;
 use crate::output::Format;
+use crate::progress::Progress;
 use crate::run::Said;
 
 /// Most events that one process is asked for.
 const EVENTS_MAX: usize = 5_000;
 
 /// Asks every process for its events and shows them as one time line.
-pub async fn run(args: &TimelineArgs, format: Format) -> Said {
+pub async fn run(args: &TimelineArgs, format: Format) -> Result<Said> {
+    let executors = match &args.upstream {
+        Some((upstream, platform)) => Some(executors_of(upstream, *platform).await?),
+        None => None,
+    };
     let path = query(args, clock::now());
     let timeout = args.ask.timeout_ms.into();
     let asked = ask_all(&args.ask.processes, &path, timeout, TimelinePage::decode).await;
     let is_whole = asked.iter().all(|asked| asked.answer.is_ok());
-    let merged = merge::merge(asked);
-    Said {
+    let mut merged = merge::merge(asked);
+    if let Some(executors) = executors {
+        merged.keep_parties(&executors);
+    }
+    Ok(Said {
         text: render::render(&merged, args, format),
         partly: (!is_whole).then_some(ResultCode::PeerUnreachable),
-    }
+    })
+}
+
+/// Gets the names of an upstream's executors from the platform's host list.
+async fn executors_of(
+    upstream: &UpstreamName,
+    platform: PlatformArgs,
+) -> Result<BTreeSet<SmolStr>> {
+    let options = PlatformOptions {
+        timeout: platform.timeout_ms.into(),
+        ..PlatformOptions::default()
+    };
+    let mut client = PlatformClient::new(platform.address, options);
+    let progress = Progress::new("the platform's host list");
+    let hosts = progress.during(client.hosts()).await?;
+    let serving = hosts
+        .executors
+        .iter()
+        .filter(|host| host.upstream == *upstream);
+    Ok(serving.map(|host| host.name.as_str().into()).collect())
 }
 
 /// Makes the path and query that ask a process for the events wanted.
--- a/crates/onyxshed-cli/src/timeline/merge.rs
+++ b/crates/onyxshed-cli/src/timeline/merge.rs
@@ -1,5 +1,7 @@
 //! Events of several processes in one order, and what is missing from them.
 
+use std::collections::BTreeSet;
+
 use onyxshed_core::{Event, UnixMs};
 use onyxshed_wire::admin::TimelinePage;
 use serde::Serialize;
@@ -66,6 +68,12 @@
 }
 
 impl Merged {
+    /// Keeps only the events whose other party is one of these.
+    pub fn keep_parties(&mut self, parties: &BTreeSet<SmolStr>) {
+        self.events
+            .retain(|entry| parties.contains(&entry.event.party));
+    }
+
     fn add_page(&mut self, process: &SmolStr, page: TimelinePage) {
         self.add_gap(process, Missing::StartedAt(page.started_ms));
         if page.dropped > 0 {
--- a/crates/onyxshed-cli/tests/processes.rs
+++ b/crates/onyxshed-cli/tests/processes.rs
@@ -6,6 +6,7 @@
 use std::sync::mpsc::{Sender, channel};
 use std::thread::{self, JoinHandle};
 
+use onyxshed_cli::progress::Progress;
 use onyxshed_cli::target::wait_in_force;
 use onyxshed_core::{Event, EventKind, Incarnation, Revision};
 use onyxshed_kernel::{Kernel, LocalFuture, Result, RunEnd, RunOptions, Service, ServiceName};
@@ -152,7 +153,15 @@
     // operator must learn both: that it is accepted, and where it is not in force yet.
     let fleet = Fleet::start("wait");
     let settings = load::<OperatorSettings>(&fleet.settings).unwrap();
-    let wait = |revision| async_io::block_on(wait_in_force(&settings.processes, revision, || true));
+    let progress = Progress::new("the processes");
+    let wait = |revision| {
+        async_io::block_on(wait_in_force(
+            &settings.processes,
+            revision,
+            || true,
+            &progress,
+        ))
+    };
     let lacking = wait(Revision(4)).unwrap_err();
     assert_eq!(lacking.code().number(), 5015);
     let text = lacking.to_string();
@@ -161,7 +170,7 @@
         "{text}"
     );
     let one = &settings.processes[..1];
-    let done = async_io::block_on(wait_in_force(one, Revision(3), || true));
+    let done = async_io::block_on(wait_in_force(one, Revision(3), || true, &progress));
     assert_eq!(done, Ok(()));
     fleet.end();
 }
--- a/crates/onyxshed-cli/tests/publish.rs
+++ b/crates/onyxshed-cli/tests/publish.rs
@@ -6,6 +6,7 @@
 use http_types::Method;
 use onyxshed_cli::args::{PlatformArgs, Publish};
 use onyxshed_cli::output::Format;
+use onyxshed_cli::progress::Progress;
 use onyxshed_cli::target::{self, ConfigLog, prepare, send};
 use onyxshed_cli::{Error, Result};
 use onyxshed_core::{ClassTarget, Millis, Revision, UnixMs};
@@ -106,7 +107,9 @@
         log.read_all().await.unwrap();
         let late = prepare(&log, put(9_000), None).unwrap();
         assert_eq!(revision(publish(standin, put(2_000), 60_000).await), 1);
-        let error = send(&mut log, late).await.unwrap_err();
+        let error = send(&mut log, late, &Progress::new("the log"))
+            .await
+            .unwrap_err();
         assert_eq!(error.code().number(), 5008);
         assert!(
             matches!(
@@ -154,7 +157,9 @@
             .control("/control/faults", &json!({ "down": "hang" }))
             .await;
         let mut log = ConfigLog::new(args(standin, 200));
-        let error = send(&mut log, change.clone()).await.unwrap_err();
+        let error = send(&mut log, change.clone(), &Progress::new("the log"))
+            .await
+            .unwrap_err();
         assert_eq!(error.code().number(), 5010);
         let command = format!("`onyxshed target history --change {change_id}`");
         assert!(error.to_string().contains(&command), "{error}");
@@ -162,7 +167,10 @@
         standin.control("/control/faults", &json!({})).await;
         let mut log = ConfigLog::new(args(standin, 60_000));
         log.read_all().await.unwrap();
-        assert_eq!(send(&mut log, change).await, Ok(Revision(1)));
+        assert_eq!(
+            send(&mut log, change, &Progress::new("the log")).await,
+            Ok(Revision(1))
+        );
         let found = target::history(args(standin, 60_000), None, Some(change_id), Format::Human);
         assert!(found.await.unwrap().contains("revision 1"));
     });
@@ -177,7 +185,9 @@
         let stale = json!({ "stale_reads": true });
         standin.control("/control/faults", &stale).await;
         let mut log = ConfigLog::new(args(standin, 700));
-        let error = send(&mut log, change).await.unwrap_err();
+        let error = send(&mut log, change, &Progress::new("the log"))
+            .await
+            .unwrap_err();
         assert_eq!(error.code().number(), 5010);
         assert_eq!(standin.counts().await["appends"], 1);
         standin.control("/control/faults", &json!({})).await;
@@ -193,7 +203,9 @@
         standin
             .control("/control/faults", &json!({ "error_status": 403 }))
             .await;
-        let error = send(&mut log, change).await.unwrap_err();
+        let error = send(&mut log, change, &Progress::new("the log"))
+            .await
+            .unwrap_err();
         assert_eq!(
             (
                 error.code().number(),
--- a/crates/onyxshed-cli/tests/timeline.rs
+++ b/crates/onyxshed-cli/tests/timeline.rs
@@ -59,6 +59,7 @@
         submission,
         class: None,
         party: None,
+        upstream: None,
         since_ms: None,
         lines,
     }
@@ -136,6 +137,24 @@
     ");
 }
 
+#[test]
+fn only_the_executors_of_an_upstream_are_kept() {
+    let mut merged = merge(story());
+    merged.keep_parties(&["executor-1".into()].into());
+    let shown: Vec<String> = merged
+        .events
+        .iter()
+        .map(|entry| format!("{} {}", entry.event.kind, entry.event.party))
+        .collect();
+    assert_eq!(
+        shown,
+        [
+            "E300 TaskStarted executor-1",
+            "E301 TaskFinished executor-1"
+        ]
+    );
+}
+
 #[test]
 fn json_keeps_every_event_and_gap() {
     let shown = render::render(&merge(story()), &args(Some(id()), 1), Format::Json);
--- a/crates/onyxshed-cli/tests/words.rs
+++ b/crates/onyxshed-cli/tests/words.rs
@@ -1,7 +1,11 @@
 //! What the command line says without asking anybody: help, catalogues, spans, refusals.
 
 use std::process::{Command, Output};
+use std::sync::Mutex;
+use std::time::Duration;
 
+use async_io::Timer;
+use onyxshed_cli::progress::Progress;
 use onyxshed_cli::{catalogue, command, span};
 use onyxshed_core::Millis;
 use proptest::prelude::*;
@@ -110,6 +114,22 @@
     command::command().debug_assert();
 }
 
+#[test]
+fn progress_is_said_while_work_lasts() {
+    static SAID: Mutex<Vec<String>> = Mutex::new(Vec::new());
+    let progress = Progress::saying_by("the platform", |what| {
+        SAID.lock().expect("nobody panics").push(what.to_owned());
+    });
+    // The work ends once something was said, and would never end otherwise.
+    let work = async {
+        while SAID.lock().unwrap().is_empty() {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+    };
+    async_io::block_on(progress.during(work));
+    assert_eq!(*SAID.lock().unwrap(), ["the platform"]);
+}
+
 proptest! {
     #[test]
     fn spans_are_read_back(span_ms in 0_u64..10_000_000) {
