--- a/crates/onyxshed-cli/src/target/show.rs
+++ b/crates/onyxshed-cli/src/target/show.rs
@@ -9,6 +9,7 @@
 use crate::args::PlatformArgs;
 use crate::error::{Error, Result};
 use crate::output::{Format, json, table};
+use crate::progress::Progress;
 use crate::span;
 
 #[derive(Serialize)]
@@ -36,7 +37,8 @@
     format: Format,
 ) -> Result<String> {
     let mut log = ConfigLog::new(platform);
-    log.read_all().await?;
+    let progress = Progress::new("the platform's log");
+    progress.during(log.read_all()).await?;
     let config = log.fold().config();
     let wanted = |target: &&ClassTarget| class.as_ref().is_none_or(|class| target.class == *class);
     let classes: Vec<&ClassTarget> = config.classes.values().filter(wanted).collect();
@@ -79,7 +81,8 @@
 ) -> Result<String> {
     let mut log = ConfigLog::new(platform);
     // Also useful when the log has lost records: what it still holds is shown.
-    match log.read_all().await {
+    let progress = Progress::new("the platform's log");
+    match progress.during(log.read_all()).await {
         Ok(()) | Err(Error::ConfigIncomplete) => {}
         Err(error) => return Err(error),
     }
@@ -89,7 +92,8 @@
             .is_none_or(|class| class_of(&logged.change.body) == class)
             && change.is_none_or(|change| logged.change.change_id == change)
     };
-    let changes: Vec<&Logged> = log.changes().iter().filter(is_wanted).collect();
+    let all = log.changes();
+    let changes: Vec<&Logged> = all.iter().filter(is_wanted).collect();
     if let (Some(change), true) = (change, changes.is_empty()) {
         return Err(Error::NotFound {
             what: format_smolstr!("change {change} on the log: it was not accepted so far"),
@@ -128,6 +132,7 @@
         Fate::Accepted(revision) => ("accepted", Some(revision)),
         Fate::Raced(_) => ("raced", None),
         Fate::Ignored => ("ignored", None),
+        Fate::Copy(revision) => ("copy", Some(revision)),
         Fate::Unjudged => ("unjudged", None),
     };
     Change {
@@ -146,7 +151,8 @@
         Fate::Accepted(revision) => format!("revision {revision}"),
         Fate::Raced(found) => format!("raced, found {found}"),
         Fate::Ignored => "ignored, breaks a rule".to_owned(),
-        Fate::Unjudged => "copy or not to be judged".to_owned(),
+        Fate::Copy(revision) => format!("copy, revision {revision}"),
+        Fate::Unjudged => "not to be judged, records are lost".to_owned(),
     }
 }
 
