--- a/crates/onyxshed-control/src/config_follower.rs
+++ b/crates/onyxshed-control/src/config_follower.rs
@@ -8,7 +8,7 @@
 use onyxshed_core::{Event, EventKind, Millis};
 use onyxshed_kernel::{Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_platform::{PlatformClient, PlatformOptions};
-use onyxshed_wire::platform::{CONFIG_STREAM, Page};
+use onyxshed_wire::platform::CONFIG_STREAM;
 
 use crate::knowledge::Knowledge;
 use crate::names::{CONFIG_FOLLOWER, KNOWLEDGE};
@@ -67,7 +67,7 @@
                 if std::mem::replace(&mut is_lost, false) {
                     kernel.emit(Event::new(EventKind::PlatformBack).party("platform"));
                 }
-                take_in(&knowledge, &page);
+                knowledge.read(&page);
             }
             Err(error) => {
                 if !std::mem::replace(&mut is_lost, true) {
@@ -79,15 +79,3 @@
         }
     }
 }
-
-fn take_in(knowledge: &Knowledge, page: &Page) {
-    let before = knowledge.config_next();
-    for record in &page.records {
-        knowledge.apply(record.offset, &record.data);
-    }
-    let is_first = knowledge.revision().is_none();
-    let is_at_end = knowledge.config_next() >= page.next;
-    if is_at_end && (is_first || knowledge.config_next() > before) {
-        knowledge.config_read();
-    }
-}
--- a/crates/onyxshed-control/src/host_follower.rs
+++ b/crates/onyxshed-control/src/host_follower.rs
@@ -12,7 +12,8 @@
 use onyxshed_wire::platform::{ExecutorHost, HostList, HostState};
 
 use crate::knowledge::Knowledge;
-use crate::names::{HOST_FOLLOWER, KNOWLEDGE};
+use crate::names::{HOST_FOLLOWER, KNOWLEDGE, PEERS};
+use crate::peers::Peers;
 
 /// How often the list is read; an executor that is leaving must be known within 2 s.
 const READ_EVERY: Duration = Duration::from_millis(500);
@@ -45,17 +46,19 @@
     }
 
     fn needs(&self) -> &[ServiceName] {
-        &[KNOWLEDGE]
+        &[KNOWLEDGE, PEERS]
     }
 
     fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
         Box::pin(async move {
             let knowledge: Rc<Knowledge> = kernel.find(KNOWLEDGE)?;
+            let peers: Rc<Peers> = kernel.find(PEERS)?;
             let zone = self.zone.clone();
             let mut client = PlatformClient::new(self.platform_address, self.options);
             let follow = async move {
                 loop {
                     if let Ok(list) = client.hosts().await {
+                        peers.listed(&list);
                         knowledge.set_executors(executors_of(&list, &zone));
                     }
                     Timer::after(READ_EVERY).await;
--- a/crates/onyxshed-control/src/knowledge.rs
+++ b/crates/onyxshed-control/src/knowledge.rs
@@ -4,10 +4,13 @@
 use std::rc::Rc;
 
 use async_channel::{Receiver, Sender};
-use onyxshed_core::{Event, EventKind, Offset, Revision};
+use onyxshed_core::{Event, EventKind, Incarnation, Offset, Revision, UnixMs};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_proto::{ExecutorEntry, Snapshot};
-use onyxshed_state::{Config, ConfigFold, FoldStep, Member};
+use onyxshed_state::{
+    Config, ConfigFold, ConfigOptions, FoldStep, Handover, Member, RepublishStep,
+};
+use onyxshed_wire::platform::Page;
 
 use crate::names::KNOWLEDGE;
 
@@ -17,6 +20,7 @@
     has_config: bool,
     executors: Option<Vec<ExecutorEntry>>,
     members: Vec<Member>,
+    gone: Vec<Incarnation>,
     sharers: u32,
     live: u32,
 }
@@ -30,10 +34,14 @@
 
 impl Knowledge {
     /// Makes a handle that knows nothing.
-    pub fn new(kernel: &Kernel) -> Rc<Self> {
+    pub fn new(kernel: &Kernel, options: ConfigOptions) -> Rc<Self> {
+        let facts = Facts {
+            fold: ConfigFold::new(options),
+            ..Facts::default()
+        };
         Rc::new(Knowledge {
             kernel: kernel.clone(),
-            facts: RefCell::default(),
+            facts: RefCell::new(facts),
             changed: async_channel::bounded(1),
         })
     }
@@ -55,33 +63,73 @@
         facts.has_config.then(|| facts.fold.config().clone())
     }
 
-    /// Takes in a record of the configuration stream.
-    pub fn apply(&self, offset: Offset, data: &str) {
-        let step = self.facts.borrow_mut().fold.apply(offset, data);
-        match step {
-            FoldStep::Accepted(revision) => {
-                let detail = smol_str::format_smolstr!("revision {revision}");
-                self.kernel
-                    .emit(Event::new(EventKind::ConfigInForce).detail(detail));
-            }
-            FoldStep::Raced { based_on, found } => {
-                let detail = smol_str::format_smolstr!("based on {based_on}, found {found}");
-                self.kernel
-                    .emit(Event::new(EventKind::ConfigChangeLost).detail(detail));
-            }
-            FoldStep::Ignored => {
-                let detail = smol_str::format_smolstr!("offset {offset}");
-                self.kernel
-                    .emit(Event::new(EventKind::ConfigRecordIgnored).detail(detail));
-            }
-            FoldStep::Nothing => {}
+    /// Takes in what was read of the configuration stream.
+    pub fn read(&self, page: &Page) {
+        let before = self.revision();
+        self.skip_lost(page);
+        for record in &page.records {
+            let step = self.facts.borrow_mut().fold.apply_record(record);
+            self.tell(&step, record.offset);
         }
+        let mut facts = self.facts.borrow_mut();
+        let is_at_end = facts.fold.next() >= page.next;
+        // A fold that lost records may hold nothing yet; an empty one is no configuration then.
+        let is_known = facts.fold.is_complete() || facts.fold.config().revision > Revision(0);
+        facts.has_config |= is_at_end && is_known;
+        drop(facts);
+        if self.revision() != before {
+            self.notify();
+        }
+    }
+
+    /// Notes records that the log lost before they were read here.
+    fn skip_lost(&self, page: &Page) {
+        let mut facts = self.facts.borrow_mut();
+        if page.oldest <= facts.fold.next() {
+            return;
+        }
+        let detail = smol_str::format_smolstr!("{} to {}", facts.fold.next(), page.oldest);
+        facts
+            .fold
+            .skip_to(page.oldest, self.kernel.clock().now().wall);
+        drop(facts);
+        self.kernel
+            .emit(Event::new(EventKind::ConfigGap).detail(detail));
+    }
+
+    /// Takes in what a peer handed over.
+    pub fn adopt(&self, told: Handover) {
+        let step = self.facts.borrow_mut().fold.adopt_handover(told);
+        if let FoldStep::Accepted(_) = step {
+            self.facts.borrow_mut().has_config = true;
+            self.tell(&step, Offset::default());
+            self.notify();
+        }
+    }
+
+    /// Gets what a peer needs to go on from here, none while nothing is known.
+    pub fn handover(&self) -> Option<Handover> {
+        let facts = self.facts.borrow();
+        facts.has_config.then(|| facts.fold.handover())
+    }
+
+    /// Decides whether to publish the configuration again.
+    pub fn republish(&self, now: UnixMs, seed: u64) -> RepublishStep {
+        self.facts.borrow_mut().fold.republish(now, seed)
     }
 
-    /// Notes that the configuration stream was read to its end.
-    pub fn config_read(&self) {
-        self.facts.borrow_mut().has_config = true;
-        self.notify();
+    fn tell(&self, step: &FoldStep, offset: Offset) {
+        let event = match step {
+            FoldStep::Accepted(revision) => Event::new(EventKind::ConfigInForce)
+                .detail(smol_str::format_smolstr!("revision {revision}")),
+            FoldStep::Raced { based_on, found } => Event::new(EventKind::ConfigChangeLost).detail(
+                smol_str::format_smolstr!("based on {based_on}, found {found}"),
+            ),
+            FoldStep::Ignored => Event::new(EventKind::ConfigRecordIgnored)
+                .detail(smol_str::format_smolstr!("offset {offset}")),
+            FoldStep::Nothing => return,
+        };
+        self.kernel.emit(event);
     }
 
     /// Sets the executors known.
@@ -94,10 +142,20 @@
     }
 
     /// Sets the members known and how many of them are live here and everywhere.
-    pub fn set_members(&self, members: Vec<Member>, sharers: u32, live: u32) {
+    pub fn set_members(
+        &self,
+        members: Vec<Member>,
+        gone: Vec<Incarnation>,
+        sharers: u32,
+        live: u32,
+    ) {
         let mut facts = self.facts.borrow_mut();
-        let is_new = facts.members != members || facts.sharers != sharers || facts.live != live;
-        (facts.members, facts.sharers, facts.live) = (members, sharers, live);
+        let is_new = facts.members != members
+            || facts.gone != gone
+            || facts.sharers != sharers
+            || facts.live != live;
+        (facts.members, facts.gone) = (members, gone);
+        (facts.sharers, facts.live) = (sharers, live);
         drop(facts);
         if is_new {
             self.notify();
@@ -112,6 +170,7 @@
             config,
             executors: facts.executors.clone(),
             members: facts.members.clone(),
+            gone: facts.gone.clone(),
             sharers: facts.sharers.max(1),
             live: facts.live.max(1),
             hlc: self.kernel.clock().stamp(),
--- a/crates/onyxshed-control/src/lib.rs
+++ b/crates/onyxshed-control/src/lib.rs
@@ -11,4 +11,6 @@
 pub mod host_follower;
 pub mod knowledge;
 pub mod names;
+pub mod peers;
 pub mod process;
+pub mod republisher;
--- a/crates/onyxshed-control/src/names.rs
+++ b/crates/onyxshed-control/src/names.rs
@@ -12,3 +12,5 @@
 pub const PEERS: ServiceName = ServiceName::new("peers");
 /// Snapshots handed to the entry process.
 pub const ENTRY_LINK: ServiceName = ServiceName::new("entry-link");
+/// The configuration published again in time.
+pub const REPUBLISHER: ServiceName = ServiceName::new("republisher");
--- /dev/null
+++ b/crates/onyxshed-control/src/peers.rs
@@ -0,0 +1,223 @@
+//! Digests exchanged with the control processes of other hosts.
+//!
+//! The heartbeats are the entry process's: this process sends them only while it hears from its
+//! entry, so an entry that is gone or frozen falls silent to its peers within a second.
+
+mod calls;
+mod port;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use async_io::Timer;
+use onyxshed_core::{Event, EventKind, HostName, Millis, ResultCode, ZoneName};
+use onyxshed_http::Server;
+use onyxshed_kernel::{Descriptor, Error, Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_proto::onyxshed_capnp::peer_port;
+use onyxshed_proto::{EntryStatus, rpc};
+use onyxshed_state::member::{Gossip, Outgoing};
+use onyxshed_state::{Heartbeat, MemberOptions, MemberTable, Note};
+use onyxshed_wire::platform::HostList;
+
+use crate::entry_link::EntryLink;
+use crate::knowledge::Knowledge;
+use crate::names::{ENTRY_LINK, KNOWLEDGE, PEERS};
+
+/// Who this host is among its peers, and how often it tells them.
+#[derive(Debug, Clone)]
+pub struct PeerOptions {
+    /// The host.
+    pub host: HostName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Where peers are served.
+    pub address: SocketAddr,
+    /// Some peers' addresses.
+    pub seeds: Vec<SocketAddr>,
+    /// Time between two rounds.
+    pub heartbeat_ms: Millis,
+    /// Times and bounds of the membership.
+    pub members: MemberOptions,
+}
+
+/// Handle to the peers.
+pub struct Peers {
+    kernel: Kernel,
+    options: PeerOptions,
+    address: SocketAddr,
+    knowledge: Rc<Knowledge>,
+    table: RefCell<Option<MemberTable>>,
+    clients: RefCell<BTreeMap<SocketAddr, peer_port::Client>>,
+}
+
+impl Peers {
+    /// Takes in the platform's list of hosts.
+    pub fn listed(&self, list: &HostList) {
+        if let Some(table) = self.table.borrow_mut().as_mut() {
+            table.listed(self.kernel.clock().now(), list);
+        }
+    }
+
+    /// Takes in a peer's message and gets the answer; none while this host has no entry.
+    fn hear(&self, gossip: &Gossip) -> Option<Gossip> {
+        let now = self.kernel.clock().now();
+        let heard = self.table.borrow_mut().as_mut()?.hear(now, gossip);
+        self.tell(heard.notes);
+        self.share();
+        Some(heard.answer)
+    }
+
+    /// Does one round for the entry whose status is given.
+    fn round(&self, status: &EntryStatus) -> Vec<Outgoing> {
+        let now = self.kernel.clock().now();
+        let mut held = self.table.borrow_mut();
+        let table = match held.take().filter(|table| is_of(table, status)) {
+            Some(table) => held.insert(table),
+            None => held.insert(self.new_table(status)),
+        };
+        let revision = status.config_revision.unwrap_or_default();
+        table.set_own(status.load, revision, status.is_draining);
+        let notes = table.tick(now);
+        let outgoing = table.round(now);
+        drop(held);
+        self.tell(notes);
+        self.share();
+        outgoing
+    }
+
+    fn new_table(&self, status: &EntryStatus) -> MemberTable {
+        let me = Heartbeat {
+            host: self.options.host.clone(),
+            zone: self.options.zone.clone(),
+            incarnation: status.incarnation,
+            started_at_ms: status.started_at_ms,
+            control_address: self.address,
+            peer_address: status.peer_address,
+            // Counts on from the wall clock, so that a control process that restarts beside a
+            // living entry is not taken for an echo of its own past.
+            counter: self.kernel.clock().now().wall.0,
+            load: status.load,
+            config_revision: status.config_revision.unwrap_or_default(),
+            is_draining: status.is_draining,
+        };
+        let seeds = self.options.seeds.clone();
+        MemberTable::new(me, self.options.members.clone(), seeds, rand::random())
+    }
+
+    /// Hands what is known of the members on to the entry.
+    fn share(&self) {
+        let held = self.table.borrow();
+        let Some(table) = held.as_ref() else {
+            return;
+        };
+        let count = |found: usize| u32::try_from(found).unwrap_or(u32::MAX);
+        let (sharers, live) = (count(table.live_in_zone()), count(table.known_hosts()));
+        self.knowledge
+            .set_members(table.members(), table.gone(), sharers, live);
+    }
+
+    fn tell(&self, notes: Vec<Note>) {
+        for note in notes {
+            self.kernel.emit(event_of(&note));
+        }
+    }
+
+    /// Tells peers for as long as the process lives.
+    async fn keep_telling(self: Rc<Self>, link: Rc<EntryLink>) {
+        loop {
+            Timer::after(self.options.heartbeat_ms.into()).await;
+            let Some(status) = link.status() else {
+                continue;
+            };
+            for outgoing in self.round(&status) {
+                self.kernel.spawn(self.clone().send(outgoing)).detach();
+            }
+        }
+    }
+}
+
+fn is_of(table: &MemberTable, status: &EntryStatus) -> bool {
+    table.me().incarnation == status.incarnation && table.me().peer_address == status.peer_address
+}
+
+fn event_of(note: &Note) -> Event {
+    let (kind, party, detail) = match note {
+        Note::Joined(who) => (EventKind::PeerJoined, Some(who), ""),
+        Note::Suspected(who) => (EventKind::PeerSuspected, Some(who), ""),
+        Note::Refuted(who) => (EventKind::PeerJoined, Some(who), "heard again"),
+        Note::Gone(who) => (EventKind::PeerGone, Some(who), ""),
+        Note::Paused(_) => (EventKind::PauseDetected, None, ""),
+        Note::HeldGone => (
+            EventKind::PeerGone,
+            None,
+            "a peer holds this host to be gone",
+        ),
+    };
+    let event = match note {
+        Note::Paused(span) => Event::new(kind).detail(smol_str::format_smolstr!("{span}")),
+        _ => Event::new(kind).detail(detail),
+    };
+    match party {
+        Some(who) => event.party(smol_str::format_smolstr!("{who}")),
+        None => event,
+    }
+}
+
+/// The peers as a service.
+pub struct PeerService {
+    options: PeerOptions,
+}
+
+impl PeerService {
+    /// Makes the service.
+    pub fn new(options: PeerOptions) -> Self {
+        PeerService { options }
+    }
+
+    async fn open(&self, kernel: &Kernel) -> Result<()> {
+        let failed = |error: String| Error::start(PEERS, ResultCode::AddressInUse, error);
+        let listener = Server::listen(self.options.address)
+            .await
+            .map_err(|error| failed(error.to_string()))?;
+        let address = listener
+            .local_addr()
+            .map_err(|error| failed(error.to_string()))?;
+        kernel.announce("peer", address);
+        let peers = Rc::new(Peers {
+            kernel: kernel.clone(),
+            options: self.options.clone(),
+            address,
+            knowledge: kernel.find(KNOWLEDGE)?,
+            table: RefCell::default(),
+            clients: RefCell::default(),
+        });
+        let client: peer_port::Client = capnp_rpc::new_client(port::Port::new(peers.clone()));
+        kernel
+            .spawn(rpc::serve(listener, client.client, kernel.executor()))
+            .detach();
+        kernel
+            .spawn(peers.clone().keep_telling(kernel.find(ENTRY_LINK)?))
+            .detach();
+        let descriptor = Descriptor {
+            name: PEERS,
+            summary: "digests exchanged with peers",
+        };
+        kernel.register(descriptor, peers)
+    }
+}
+
+impl Service for PeerService {
+    fn name(&self) -> ServiceName {
+        PEERS
+    }
+
+    fn needs(&self) -> &[ServiceName] {
+        &[KNOWLEDGE, ENTRY_LINK]
+    }
+
+    fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
+        Box::pin(self.open(kernel))
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-control/src/peers/calls.rs
@@ -0,0 +1,77 @@
+//! Calls to peers, each on a connection that is kept while it works.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use onyxshed_core::Revision;
+use onyxshed_http::client::within;
+use onyxshed_proto::onyxshed_capnp::peer_port;
+use onyxshed_proto::{gossip, handover, rpc};
+use onyxshed_state::Handover;
+use onyxshed_state::member::{Gossip, Outgoing};
+
+use super::Peers;
+
+/// How long a peer may take to answer. A connection that has gone silent is dropped after this and
+/// opened anew in the next round.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl Peers {
+    /// Tells one peer, takes in its answer, and fetches its configuration if that is newer.
+    pub(super) async fn send(self: Rc<Self>, outgoing: Outgoing) {
+        let answer = within(CALL_TIMEOUT, self.exchange(&outgoing))
+            .await
+            .flatten();
+        let Some(answer) = answer else {
+            self.clients.borrow_mut().remove(&outgoing.to);
+            return;
+        };
+        let theirs = answer.from.config_revision;
+        self.hear(&answer);
+        if self.is_newer(theirs) {
+            self.fetch_config(outgoing.to).await;
+        }
+    }
+
+    fn is_newer(&self, theirs: Revision) -> bool {
+        self.knowledge.revision().unwrap_or_default() < theirs
+    }
+
+    async fn exchange(&self, outgoing: &Outgoing) -> Option<Gossip> {
+        let client = self.client(outgoing.to).await?;
+        let mut request = client.exchange_request();
+        let stamp = self.kernel.clock().stamp();
+        gossip::write(&outgoing.gossip, stamp, request.get().init_gossip());
+        let reply = request.send().promise.await.ok()?;
+        let (answer, hlc) = gossip::read(reply.get().ok()?.get_gossip().ok()?).ok()?;
+        self.kernel.clock().observe(hlc);
+        Some(answer)
+    }
+
+    async fn fetch_config(&self, from: SocketAddr) {
+        if let Some(Some(told)) = within(CALL_TIMEOUT, self.handover(from)).await {
+            self.knowledge.adopt(told);
+        }
+    }
+
+    async fn handover(&self, from: SocketAddr) -> Option<Handover> {
+        let client = self.client(from).await?;
+        let reply = client.handover_request().send().promise.await.ok()?;
+        let reply = reply.get().ok()?;
+        if !reply.has_handover() {
+            return None;
+        }
+        handover::read(reply.get_handover().ok()?).ok()
+    }
+
+    async fn client(&self, address: SocketAddr) -> Option<peer_port::Client> {
+        if let Some(client) = self.clients.borrow().get(&address) {
+            return Some(client.clone());
+        }
+        let client: peer_port::Client =
+            rpc::connect(address, &self.kernel.executor()).await.ok()?;
+        self.clients.borrow_mut().insert(address, client.clone());
+        Some(client)
+    }
+}
--- a/crates/onyxshed-control/src/process.rs
+++ b/crates/onyxshed-control/src/process.rs
@@ -7,6 +7,7 @@
 use onyxshed_kernel::{Kernel, RunEnd, RunOptions, Service};
 use onyxshed_platform::PlatformOptions;
 use onyxshed_settings::ControlSettings;
+use onyxshed_state::{ConfigOptions, MemberOptions};
 use onyxshed_telemetry::telemetry::StatusParts;
 use onyxshed_telemetry::{AdminService, Telemetry, TelemetryOptions};
 use serde_json::json;
@@ -16,6 +17,8 @@
 use crate::host_follower::HostFollower;
 use crate::knowledge::{Knowledge, KnowledgeService};
 use crate::names::ENTRY_LINK;
+use crate::peers::{PeerOptions, PeerService};
+use crate::republisher::Republisher;
 
 /// The binary's name.
 const NAME: &str = "onyxshed-control";
@@ -48,7 +51,10 @@
     settings: &ControlSettings,
     telemetry: Rc<Telemetry>,
 ) -> Vec<Box<dyn Service>> {
-    let knowledge = Knowledge::new(kernel);
+    let options = ConfigOptions {
+        retention_ms: settings.platform_retention_ms,
+    };
+    let knowledge = Knowledge::new(kernel, options);
     set_status(kernel, &telemetry, &knowledge);
     let platform = PlatformOptions::default();
     let address = settings.platform_address;
@@ -56,11 +62,28 @@
         Box::new(AdminService::new(telemetry, settings.admin_address)),
         Box::new(KnowledgeService::new(knowledge)),
         Box::new(ConfigFollower::new(address, platform)),
+        Box::new(Republisher::new(address, platform)),
+        Box::new(PeerService::new(peer_options(settings))),
         Box::new(HostFollower::new(address, settings.zone.clone(), platform)),
         Box::new(EntryLinkService::new(settings.entry_control_address)),
     ]
 }
 
+fn peer_options(settings: &ControlSettings) -> PeerOptions {
+    PeerOptions {
+        host: settings.host.clone(),
+        zone: settings.zone.clone(),
+        address: settings.peer_address,
+        seeds: settings.peers.clone(),
+        heartbeat_ms: settings.heartbeat_ms,
+        members: MemberOptions {
+            suspect_ms: settings.suspect_after_ms,
+            gone_ms: settings.gone_after_ms,
+            ..MemberOptions::default()
+        },
+    }
+}
+
 fn telemetry_options(settings: &ControlSettings) -> TelemetryOptions {
     TelemetryOptions {
         process: NAME.into(),
--- /dev/null
+++ b/crates/onyxshed-control/src/republisher.rs
@@ -0,0 +1,84 @@
+//! Publishes the configuration again before its records expire.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use onyxshed_core::{Event, EventKind};
+use onyxshed_kernel::{Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_platform::{PlatformClient, PlatformOptions};
+use onyxshed_state::RepublishStep;
+use onyxshed_wire::platform::CONFIG_STREAM;
+use onyxshed_wire::record::ConfigRecord;
+
+use crate::knowledge::Knowledge;
+use crate::names::{KNOWLEDGE, REPUBLISHER};
+
+/// How often it is decided whether to publish.
+const DECIDE_EVERY: Duration = Duration::from_secs(1);
+
+/// The republisher as a service.
+pub struct Republisher {
+    platform_address: SocketAddr,
+    options: PlatformOptions,
+}
+
+impl Republisher {
+    /// Makes the service.
+    pub fn new(platform_address: SocketAddr, options: PlatformOptions) -> Self {
+        Republisher {
+            platform_address,
+            options,
+        }
+    }
+}
+
+impl Service for Republisher {
+    fn name(&self) -> ServiceName {
+        REPUBLISHER
+    }
+
+    fn needs(&self) -> &[ServiceName] {
+        &[KNOWLEDGE]
+    }
+
+    fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
+        Box::pin(async move {
+            let knowledge: Rc<Knowledge> = kernel.find(KNOWLEDGE)?;
+            let client = PlatformClient::new(self.platform_address, self.options);
+            kernel
+                .spawn(keep_published(kernel.clone(), knowledge, client))
+                .detach();
+            Ok(())
+        })
+    }
+}
+
+async fn keep_published(kernel: Kernel, knowledge: Rc<Knowledge>, mut client: PlatformClient) {
+    let seed = rand::random();
+    loop {
+        Timer::after(DECIDE_EVERY).await;
+        let now = kernel.clock().now().wall;
+        if let RepublishStep::Publish(records) = knowledge.republish(now, seed)
+            && publish(&mut client, &records).await
+        {
+            kernel.emit(Event::new(EventKind::ConfigRepublished).party("platform"));
+        }
+    }
+}
+
+/// Appends the records; whatever fails is decided anew later, and a record that stands twice tells
+/// nothing new.
+async fn publish(client: &mut PlatformClient, records: &[ConfigRecord]) -> bool {
+    for record in records {
+        if client
+            .append(CONFIG_STREAM, record.encode().into_bytes())
+            .await
+            .is_err()
+        {
+            return false;
+        }
+    }
+    true
+}
--- a/crates/onyxshed-core/src/code.rs
+++ b/crates/onyxshed-core/src/code.rs
@@ -65,7 +65,7 @@
     3006 NoUpstream 503 "No upstream of the class is live.";
     3007 ExpiredInQueue 503 "The deadline passed before any task had started.";
     3008 EntryFull 503 "The entry host's memory for jobs is full.";
-    3009 NotReady 503 "The entry host has no configuration yet.";
+    3009 NotReady 503 "The entry host does not know its configuration or its executors yet.";
     3010 RefusedByUpstream 503 "Upstreams refused every task before starting it.";
     3101 BadRequest 400 "The request can't be read.";
     3102 UnknownClass 404 "No class of that name is configured.";
--- a/crates/onyxshed-dispatch/src/dispatch.rs
+++ b/crates/onyxshed-dispatch/src/dispatch.rs
@@ -5,14 +5,15 @@
 mod claim;
 mod pump;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use onyxshed_core::{
     Event, EventKind, ExecutorName, Incarnation, Mono, Now, ResultCode, SubmissionId, TaskId,
 };
 use onyxshed_policy::Policy;
+use onyxshed_policy::note::{Note as PolicyNote, Waste};
 use onyxshed_state::{ClaimBook, ClaimStep, Config, Member};
-use onyxshed_wire::caller::Answer;
+use onyxshed_wire::caller::{Answer, CopyMark};
 use smol_str::SmolStr;
 
 use crate::input::Input;
@@ -36,12 +37,14 @@
     me: Incarnation,
     options: DispatchOptions,
     config: Option<Config>,
+    has_executors: bool,
     book: ClaimBook,
     policy: Policy,
     jobs: JobTable,
     attempts: HashMap<AttemptId, Attempt>,
     last_attempt: u64,
     members: BTreeMap<Incarnation, Member>,
+    gone: BTreeSet<Incarnation>,
     running_bytes: u64,
     is_draining: bool,
     wake_at: Option<Mono>,
@@ -54,12 +57,14 @@
         Dispatch {
             me,
             config: None,
+            has_executors: false,
             book: ClaimBook::new(me, options.claims.clone()),
             policy: Policy::new(options.policy.clone(), seed),
             jobs: JobTable::default(),
             attempts: HashMap::new(),
             last_attempt: 0,
             members: BTreeMap::new(),
+            gone: BTreeSet::new(),
             running_bytes: 0,
             is_draining: false,
             wake_at: None,
@@ -75,6 +80,7 @@
         self.settle_due(now);
         self.take_in(now, input);
         self.pump(now);
+        self.note_policy();
         std::mem::take(&mut self.outputs)
     }
 
@@ -113,6 +119,16 @@
         self.attempts.len()
     }
 
+    /// Gets how many tasks wait for an executor.
+    pub fn queued_tasks(&self) -> usize {
+        self.policy.waiting()
+    }
+
+    /// Gets the messages that served no answer, by kind.
+    pub fn waste(&self) -> Waste {
+        self.policy.waste()
+    }
+
     /// Gets the member of an incarnation.
     pub fn member(&self, incarnation: Incarnation) -> Option<&Member> {
         self.members.get(&incarnation)
@@ -147,12 +163,17 @@
                 answer,
             } => self.forwarded(request, id, answer),
             Input::Configured(config) => self.configure(now, config),
-            Input::Executors(executors) => self.policy.set_executors(now, &executors),
+            Input::Executors(executors) => {
+                self.has_executors = true;
+                self.policy.set_executors(now, &executors);
+            }
             Input::Members {
                 members,
+                gone,
                 sharers,
                 live,
             } => {
+                self.gone = gone.into_iter().collect();
                 self.set_members(now, members, sharers, live);
             }
             Input::LogRead {
@@ -171,6 +192,32 @@
         }
     }
 
+    /// Tells what the policy decided about executors and classes.
+    fn note_policy(&mut self) {
+        for note in self.policy.drain_notes() {
+            let event = match note {
+                PolicyNote::BreakerOpened { executor, reason } => {
+                    Event::new(EventKind::BreakerOpened)
+                        .party(executor.as_str())
+                        .detail(smol_str::format_smolstr!("{reason}"))
+                }
+                PolicyNote::BreakerClosed { executor } => {
+                    Event::new(EventKind::BreakerClosed).party(executor.as_str())
+                }
+                PolicyNote::JobBlamed { submission, class } => Event::new(EventKind::JobBlamed)
+                    .submission(submission)
+                    .class(&class),
+                PolicyNote::ClassBlamed { class } => Event::new(EventKind::JobBlamed)
+                    .class(&class)
+                    .detail("every job of the class"),
+                PolicyNote::ClassCleared { class } => Event::new(EventKind::JobBlamed)
+                    .class(&class)
+                    .detail("no longer"),
+            };
+            self.note(event);
+        }
+    }
+
     fn configure(&mut self, now: Now, config: Config) {
         let is_newer = self
             .config
@@ -254,6 +301,18 @@
         }
     }
 
+    /// Gets the truth about a job of which this host holds no claim yet.
+    fn unclaimed_code(
+        &self,
+        now: Now,
+        id: SubmissionId,
+        code: ResultCode,
+        copy: CopyMark,
+    ) -> ResultCode {
+        let is_readable = self.book.peek(now, id, None) != ClaimStep::Unavailable;
+        caller::unproved(code, copy, is_readable)
+    }
+
     /// Ends a job whose claim was never granted.
     fn end_unclaimed(&mut self, now: Now, id: SubmissionId, code: ResultCode) {
         let Some(Job::Claiming(job)) = self.jobs.take(id) else {
@@ -261,8 +320,7 @@
         };
         self.book.release(now, id);
         self.release_bytes(&job.payloads);
-        let is_readable = self.book.peek(now, id, None) != ClaimStep::Unavailable;
-        let code = caller::unproved(code, job.head.copy, is_readable);
+        let code = self.unclaimed_code(now, id, code, job.head.copy);
         let answer = self.refusal(Some(id), code, "");
         self.note(
             Event::new(EventKind::JobRefused)
@@ -273,6 +331,9 @@
         for request in job.waiters {
             self.answer(request, answer.clone());
         }
+        for request in job.cancels {
+            self.refuse(request, id, ResultCode::EarlierCopyOpen);
+        }
     }
 
     fn withdraw_rest(&mut self, job: &Running) {
--- a/crates/onyxshed-dispatch/src/dispatch/caller.rs
+++ b/crates/onyxshed-dispatch/src/dispatch/caller.rs
@@ -2,9 +2,9 @@
 
 use std::rc::Rc;
 
-use onyxshed_core::{Event, EventKind, Micros, Mono, Now, ResultCode, SubmissionId};
+use onyxshed_core::{Event, EventKind, Incarnation, Micros, Mono, Now, ResultCode, SubmissionId};
 use onyxshed_policy::Admission;
-use onyxshed_state::{ClaimStep, MemberState};
+use onyxshed_state::ClaimStep;
 use onyxshed_wire::ContentHash;
 use onyxshed_wire::caller::{Answer, CopyMark, Submission};
 
@@ -28,8 +28,10 @@
     Claim,
     /// Take it in though the log can't be read, as it may run twice.
     StartUnclaimed,
+    /// Take it in and claim it in place of a holder that is gone, as it may run twice.
+    TakeOver(Incarnation),
     /// Pass it on to its holder.
-    Forward(onyxshed_core::Incarnation),
+    Forward(Incarnation),
     /// Refuse it.
     Refuse(ResultCode),
 }
@@ -72,6 +74,9 @@
         match self.book.peek(now, submission.submission, Some(content)) {
             ClaimStep::Start => Entry::Start,
             ClaimStep::Wait => Entry::Claim,
+            ClaimStep::HeldBy(holder) if self.may_take_over(submission, holder) => {
+                Entry::TakeOver(holder)
+            }
             ClaimStep::HeldBy(holder) => Entry::Forward(holder),
             ClaimStep::OtherContent => Entry::Refuse(ResultCode::OtherContent),
             ClaimStep::AlreadyStarted => Entry::Refuse(ResultCode::AnswerDropped),
@@ -86,6 +91,10 @@
         }
     }
 
+    fn may_take_over(&self, submission: &Submission, holder: Incarnation) -> bool {
+        self.gone.contains(&holder) && self.may_run_twice(submission)
+    }
+
     fn may_run_twice(&self, submission: &Submission) -> bool {
         let target = self
             .config
@@ -173,7 +182,8 @@
             .sum();
         let is_full = self.jobs.len() >= self.options.jobs_max
             || self.running_bytes + bytes > self.options.running_max_bytes.0;
-        match (self.is_draining, self.config.is_none(), is_full) {
+        let is_unready = self.config.is_none() || !self.has_executors;
+        match (self.is_draining, is_unready, is_full) {
             (true, _, _) => Some(ResultCode::Draining),
             (_, true, _) => Some(ResultCode::NotReady),
             (_, _, true) => Some(ResultCode::EntryFull),
@@ -213,6 +223,7 @@
             head,
             payloads,
             waiters: vec![request],
+            cancels: Vec::new(),
         };
         self.hold_bytes(&job.payloads);
         self.put_claiming(id, job, deadline);
@@ -220,7 +231,10 @@
             Entry::Claim => {
                 self.book.consult(now, id, content);
             }
-            Entry::StartUnclaimed => self.start_unclaimed(now, id),
+            Entry::StartUnclaimed => {
+                self.start_unclaimed(now, id, "the log can't be reached");
+            }
+            Entry::TakeOver(gone) => self.take_over(now, id, content, *gone),
             _ => {
                 self.book.consult(now, id, content);
                 self.grant(now, id, true);
@@ -263,12 +277,7 @@
                 let answer = job.answer(id);
                 self.answer(request, answer);
             }
-            Some(Job::Claiming(_)) => {
-                self.note(Event::new(EventKind::JobCancelled).submission(id));
-                self.end_unclaimed(now, id, ResultCode::CancelledUnstarted);
-                // Whoever cancels asks about every copy, and one may run on another host.
-                self.refuse(request, id, ResultCode::EarlierCopyOpen);
-            }
+            Some(Job::Claiming(_)) => self.cancel_claiming(now, request, id),
             Some(Job::Running(job)) => {
                 job.waiters.push(request);
                 self.note(Event::new(EventKind::JobCancelled).submission(id));
@@ -280,6 +289,25 @@
         }
     }
 
+    /// Gives up a job whose claim is under way.
+    ///
+    /// The callers of the job are answered at once. Whoever cancels asks about every copy, and one
+    /// may run on another host: that answer waits until the log tells who holds the submission.
+    fn cancel_claiming(&mut self, now: Now, request: RequestId, id: SubmissionId) {
+        self.note(Event::new(EventKind::JobCancelled).submission(id));
+        let Some(job) = self.claiming_mut(id) else {
+            return;
+        };
+        job.cancels.push(request);
+        let waiters = std::mem::take(&mut job.waiters);
+        let copy = job.head.copy;
+        let code = self.unclaimed_code(now, id, ResultCode::CancelledUnstarted, copy);
+        let answer = self.refusal(Some(id), code, "");
+        for waiter in waiters {
+            self.answer(waiter, answer.clone());
+        }
+    }
+
     /// Passes a question about a job that is not here on to its holder, if there is one.
     fn ask_holder(
         &mut self,
@@ -301,13 +329,14 @@
         &mut self,
         request: RequestId,
         id: SubmissionId,
-        holder: onyxshed_core::Incarnation,
+        holder: Incarnation,
         call: ForwardedCall,
     ) {
-        match self.members.get(&holder).map(|member| member.state) {
-            Some(MemberState::Gone) => self.refuse(request, id, ResultCode::HolderGone),
-            None => self.refuse(request, id, ResultCode::HolderUnreachable),
-            Some(_) => {
+        let is_gone = self.gone.contains(&holder);
+        match self.members.contains_key(&holder) {
+            _ if is_gone => self.refuse(request, id, ResultCode::HolderGone),
+            false => self.refuse(request, id, ResultCode::HolderUnreachable),
+            true => {
                 let party = smol_str::format_smolstr!("{holder}");
                 self.note(
                     Event::new(EventKind::JobForwarded)
--- a/crates/onyxshed-dispatch/src/dispatch/claim.rs
+++ b/crates/onyxshed-dispatch/src/dispatch/claim.rs
@@ -1,10 +1,11 @@
 //! What the log says: claims won, lost or undecided.
 
-use onyxshed_core::{Event, EventKind, Now, Offset, ResultCode, SubmissionId};
+use onyxshed_core::{Event, EventKind, Incarnation, Now, Offset, ResultCode, SubmissionId};
 use onyxshed_policy::Work;
 use onyxshed_state::claim::AppendFailure;
-use onyxshed_state::{Settled, Verdict};
-use onyxshed_wire::caller::{CopyMark, Submission};
+use onyxshed_state::{ClaimStep, Settled, Verdict};
+use onyxshed_wire::ContentHash;
+use onyxshed_wire::caller::{Answer, CopyMark, Submission};
 use onyxshed_wire::platform::Record;
 
 use super::Dispatch;
@@ -79,6 +80,9 @@
             }
             return;
         };
+        if self.is_called_off(now, id, &job) {
+            return;
+        }
         let job = job.granted(is_claimed);
         for task in job.tasks() {
             let work = Work {
@@ -94,27 +98,63 @@
     }
 
     /// Starts a job whose tasks may run twice without a claim.
-    pub(super) fn start_unclaimed(&mut self, now: Now, id: SubmissionId) {
+    pub(super) fn start_unclaimed(&mut self, now: Now, id: SubmissionId, reason: &'static str) {
         self.note(
             Event::new(EventKind::ClaimSkipped)
                 .submission(id)
-                .detail("the log can't be reached"),
+                .detail(reason),
         );
         self.grant(now, id, false);
     }
 
+    /// Claims a job that may run twice in place of a holder that is gone; where the log can't say
+    /// who replaces it, the job starts on the word of its class.
+    pub(super) fn take_over(
+        &mut self,
+        now: Now,
+        id: SubmissionId,
+        content: ContentHash,
+        gone: Incarnation,
+    ) {
+        let party = smol_str::format_smolstr!("{gone}");
+        self.note(
+            Event::new(EventKind::ClaimTakenOver)
+                .submission(id)
+                .party(party),
+        );
+        if self.book.take_over(now, id, content, gone) != ClaimStep::Wait {
+            self.start_unclaimed(now, id, "its holder is gone");
+        }
+    }
+
+    /// Tells whether a job that this host now holds was cancelled and nobody has asked for it since.
+    fn is_called_off(&mut self, now: Now, id: SubmissionId, job: &Claiming) -> bool {
+        let is_called_off = !job.cancels.is_empty() && job.waiters.is_empty();
+        if is_called_off {
+            self.release_bytes(&job.payloads);
+            self.book.release(now, id);
+        }
+        for request in &job.cancels {
+            match is_called_off {
+                true => self.refuse(*request, id, ResultCode::CancelledUnstarted),
+                false => self.answer(*request, Answer::running(id)),
+            }
+        }
+        is_called_off
+    }
+
     fn claim_failed(&mut self, now: Now, id: SubmissionId) {
         let Some(job) = self.claiming_mut(id) else {
             return;
         };
         match job.head.may_run_twice {
-            true => self.start_unclaimed(now, id),
+            true => self.start_unclaimed(now, id, "the log can't be reached"),
             false => self.end_unclaimed(now, id, ResultCode::PlatformUnavailable),
         }
     }
 
     /// Passes every request of a job on to the host that won its claim.
-    fn hand_over(&mut self, id: SubmissionId, holder: onyxshed_core::Incarnation) {
+    fn hand_over(&mut self, id: SubmissionId, holder: Incarnation) {
         let Some(job) = self.take_claiming(id) else {
             return;
         };
@@ -138,6 +178,14 @@
                 call,
             });
         }
+        for request in job.cancels {
+            let call = ForwardedCall::Cancel(id);
+            self.outputs.push(Output::Forward {
+                request,
+                to: holder,
+                call,
+            });
+        }
     }
 
     fn take_claiming(&mut self, id: SubmissionId) -> Option<Claiming> {
--- a/crates/onyxshed-dispatch/src/input.rs
+++ b/crates/onyxshed-dispatch/src/input.rs
@@ -1,6 +1,6 @@
 //! What happens to an entry host.
 
-use onyxshed_core::{Micros, Offset, SubmissionId};
+use onyxshed_core::{Incarnation, Micros, Offset, SubmissionId};
 use onyxshed_policy::{ExecutorInfo, Verdict};
 use onyxshed_state::claim::AppendFailure;
 use onyxshed_state::{Config, Member};
@@ -82,6 +82,8 @@
     Members {
         /// Every member, this host left out.
         members: Vec<Member>,
+        /// Incarnations held to be gone for good.
+        gone: Vec<Incarnation>,
         /// Live entry hosts of this zone, this one included.
         sharers: u32,
         /// Live entry hosts of all zones, this one included.
--- a/crates/onyxshed-dispatch/src/job/claiming.rs
+++ b/crates/onyxshed-dispatch/src/job/claiming.rs
@@ -15,6 +15,8 @@
     pub payloads: Vec<Rc<Vec<u8>>>,
     /// Requests that wait for the answer.
     pub waiters: Vec<RequestId>,
+    /// Requests to cancel, which are answered once the log tells who holds the submission.
+    pub cancels: Vec<RequestId>,
 }
 
 impl Claiming {
--- a/crates/onyxshed-dispatch/tests/search/world.rs
+++ b/crates/onyxshed-dispatch/tests/search/world.rs
@@ -240,6 +240,7 @@
                 index,
                 Input::Members {
                     members,
+                    gone: Vec::new(),
                     sharers: live,
                     live,
                 },
--- a/crates/onyxshed-entry/src/control_port.rs
+++ b/crates/onyxshed-entry/src/control_port.rs
@@ -10,12 +10,13 @@
 
 use async_io::Timer;
 use capnp::capability::Rc as ServerRc;
-use onyxshed_core::{Event, EventKind, HostName, Incarnation, ResultCode};
+use onyxshed_core::{Event, EventKind, HostName, Incarnation, ResultCode, UnixMs};
 use onyxshed_dispatch::{Dispatch, Input};
 use onyxshed_http::Server;
 use onyxshed_kernel::{Descriptor, Error, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_proto::onyxshed_capnp::entry_port;
 use onyxshed_proto::{EntryStatus, Snapshot, rpc, snapshot, status};
+use onyxshed_state::LoadDigest;
 
 use crate::engine::Engine;
 use crate::names::{CONTROL_PORT, ENGINE, UPSTREAMS};
@@ -39,6 +40,7 @@
 pub struct ControlPort {
     kernel: Kernel,
     options: ControlPortOptions,
+    started_at_ms: UnixMs,
     last_snapshot: Cell<Option<Instant>>,
     is_connected: Cell<bool>,
 }
@@ -62,12 +64,13 @@
                 .set_executors(&executors);
             let infos = executors.into_iter().map(|entry| entry.info).collect();
             engine.feed(Input::Executors(infos));
+            self.kernel.readiness().allow(WITHOUT_EXECUTORS);
         }
-        let (members, sharers, live) = (snapshot.members, snapshot.sharers, snapshot.live);
         engine.feed(Input::Members {
-            members,
-            sharers,
-            live,
+            members: snapshot.members,
+            gone: snapshot.gone,
+            sharers: snapshot.sharers,
+            live: snapshot.live,
         });
         if let Some(config) = snapshot.config {
             engine.feed(Input::Configured(config));
@@ -86,7 +89,11 @@
                 .copied()
                 .unwrap_or(self.options.control_address),
             config_revision: engine.look(|machine| machine.config().map(|held| held.revision)),
-            live_jobs: u32::try_from(engine.look(Dispatch::live_jobs)).unwrap_or(u32::MAX),
+            load: LoadDigest {
+                running_tasks: count(engine.look(Dispatch::live_attempts)),
+                queued_tasks: count(engine.look(Dispatch::queued_tasks)),
+            },
+            started_at_ms: self.started_at_ms,
             is_draining: self.kernel.readiness().is_draining(),
             hlc: self.kernel.clock().stamp(),
         }
@@ -107,6 +114,13 @@
 /// Reason for which readiness is held back until a configuration came.
 pub const WITHOUT_CONFIG: &str = "no configuration yet";
 
+fn count(found: usize) -> u32 {
+    u32::try_from(found).unwrap_or(u32::MAX)
+}
+
+/// Reason for which readiness is held back until the platform's list of hosts came.
+pub const WITHOUT_EXECUTORS: &str = "no list of executors yet";
+
 /// The interface that the control process calls.
 struct EntryPort {
     port: Rc<ControlPort>,
@@ -150,9 +164,11 @@
     fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
         Box::pin(async move {
             kernel.readiness().withhold(WITHOUT_CONFIG);
+            kernel.readiness().withhold(WITHOUT_EXECUTORS);
             let port = Rc::new(ControlPort {
                 kernel: kernel.clone(),
                 options: self.options.clone(),
+                started_at_ms: kernel.clock().now().wall,
                 last_snapshot: Cell::new(None),
                 is_connected: Cell::new(false),
             });
--- a/crates/onyxshed-proto/schema/onyxshed.capnp
+++ b/crates/onyxshed-proto/schema/onyxshed.capnp
@@ -16,8 +16,6 @@
 struct Config {
   revision @0 :UInt64;
   classes @1 :List(ClassTarget);
-  # The changes accepted of late, oldest first, by which a lost answer is looked up.
-  recentChanges @2 :List(Text);
 }
 
 struct Executor {
@@ -59,6 +57,8 @@
   live @5 :UInt32;
   # The sender's clock stamp.
   hlc @6 :Text;
+  # Incarnations that are held to be gone for good.
+  gone @7 :List(UInt64);
 }
 
 # What the entry process tells in return.
@@ -68,9 +68,12 @@
   peerAddress @2 :Text;
   configRevision @3 :UInt64;
   hasConfig @4 :Bool;
-  liveJobs @5 :UInt32;
-  isDraining @6 :Bool;
-  hlc @7 :Text;
+  runningTasks @5 :UInt32;
+  queuedTasks @6 :UInt32;
+  isDraining @7 :Bool;
+  # When this life began, on the host's own wall clock.
+  startedAtMs @8 :UInt64;
+  hlc @9 :Text;
 }
 
 # Served by an entry process to the control process of its host.
@@ -78,31 +81,50 @@
   install @0 (snapshot :Snapshot) -> (status :EntryStatus);
 }
 
-# One host as a peer knows it.
-struct PeerEntry {
+# What an entry host tells about itself; peers pass it on unchanged.
+struct Heartbeat {
   host @0 :Text;
   zone @1 :Text;
   incarnation @2 :UInt64;
-  heartbeat @3 :UInt64;
+  # When this life began, on the host's own wall clock.
+  startedAtMs @3 :UInt64;
   # Where the host's control process listens for peers.
   controlAddress @4 :Text;
   # Where its entry process takes requests passed on by peers.
-  entryAddress @5 :Text;
-  configRevision @6 :UInt64;
-  liveJobs @7 :UInt32;
-  isDraining @8 :Bool;
-  state @9 :MemberState;
+  peerAddress @5 :Text;
+  counter @6 :UInt64;
+  runningTasks @7 :UInt32;
+  queuedTasks @8 :UInt32;
+  configRevision @9 :UInt64;
+  isDraining @10 :Bool;
+}
+
+struct Gossip {
+  from @0 :Heartbeat;
+  others @1 :List(Heartbeat);
+  # The receiver's incarnation, if the sender holds it to be gone.
+  gone @2 :UInt64;
+  hasGone @3 :Bool;
+  # The sender's clock stamp.
+  hlc @4 :Text;
 }
 
-struct Digest {
-  from @0 :PeerEntry;
-  entries @1 :List(PeerEntry);
-  hlc @2 :Text;
+# A configuration with its place in the log.
+struct Handover {
+  config @0 :Config;
+  # It is the fold of every record before this offset, if it is complete.
+  foldedTo @1 :UInt64;
+  # Ids of the changes accepted of late, oldest first.
+  recentChanges @2 :List(Text);
+  # When the oldest record was appended that a late reader needs.
+  neededSinceMs @3 :UInt64;
+  hasNeededSince @4 :Bool;
+  isComplete @5 :Bool;
 }
 
 # Served by a control process to its peers.
 interface PeerPort {
-  exchange @0 (digest :Digest) -> (digest :Digest);
+  exchange @0 (gossip :Gossip) -> (gossip :Gossip);
   # The configuration in force at the peer; absent if it knows none.
-  config @1 () -> (config :Config);
+  handover @1 () -> (handover :Handover);
 }
--- a/crates/onyxshed-proto/src/lib.rs
+++ b/crates/onyxshed-proto/src/lib.rs
@@ -6,6 +6,8 @@
 
 pub mod config;
 pub mod error;
+pub mod gossip;
+pub mod handover;
 #[allow(missing_docs, unused_qualifications, clippy::all, clippy::unwrap_used)]
 #[rustfmt::skip]
 pub mod onyxshed_capnp;
--- a/crates/onyxshed-proto/src/onyxshed_capnp.rs
+++ b/crates/onyxshed-proto/src/onyxshed_capnp.rs
@@ -385,19 +385,11 @@
         pub fn has_classes(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
-        #[inline]
-        pub fn get_recent_changes(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_recent_changes(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
-        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -471,22 +463,6 @@
         pub fn has_classes(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
-        #[inline]
-        pub fn get_recent_changes(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_recent_changes(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
-        }
-        #[inline]
-        pub fn init_recent_changes(self, size: u32) -> ::capnp::text_list::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
-        }
-        #[inline]
-        pub fn has_recent_changes(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
-        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -498,45 +474,38 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 72] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(147, 237, 117, 57, 27, 158, 23, 148),
             ::capnp::word(15, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(70, 8, 242, 233, 209, 199, 165, 179),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(111, 110, 121, 120, 115, 104, 101, 100),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 67),
             ::capnp::word(111, 110, 102, 105, 103, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(49, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -558,25 +527,11 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 99, 101, 110, 116, 67, 104),
-            ::capnp::word(97, 110, 103, 101, 115, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::struct_list::Owned<crate::onyxshed_capnp::class_target::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                2 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -590,9 +545,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
         pub(crate) const TYPE_ID: u64 = 0x9417_9e1b_3975_ed93;
     }
 }
@@ -1543,11 +1498,19 @@
         pub fn has_hlc(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_gone(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_gone(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 5 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1685,6 +1648,22 @@
         pub fn has_hlc(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_gone(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_gone(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
+        }
+        #[inline]
+        pub fn init_gone(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
+        }
+        #[inline]
+        pub fn has_gone(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1699,73 +1678,80 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 132] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 151] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(105, 173, 216, 194, 30, 241, 12, 178),
             ::capnp::word(15, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(70, 8, 242, 233, 209, 199, 165, 179),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(111, 110, 121, 120, 115, 104, 101, 100),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 83),
             ::capnp::word(110, 97, 112, 115, 104, 111, 116, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(99, 111, 110, 102, 105, 103, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(147, 237, 117, 57, 27, 158, 23, 148),
@@ -1832,6 +1818,18 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 111, 110, 101, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1842,6 +1840,7 @@
                 4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1855,9 +1854,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2,6,5,3,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,7,2,6,5,3,4];
         pub(crate) const TYPE_ID: u64 = 0xb20c_f11e_c2d8_ad69;
     }
 }
@@ -1952,14 +1951,22 @@
             self.reader.get_bool_field(128)
         }
         #[inline]
-        pub fn get_live_jobs(self) -> u32 {
+        pub fn get_running_tasks(self) -> u32 {
             self.reader.get_data_field::<u32>(5)
         }
         #[inline]
+        pub fn get_queued_tasks(self) -> u32 {
+            self.reader.get_data_field::<u32>(6)
+        }
+        #[inline]
         pub fn get_is_draining(self) -> bool {
             self.reader.get_bool_field(129)
         }
         #[inline]
+        pub fn get_started_at_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
+        #[inline]
         pub fn get_hlc(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
         }
@@ -1971,7 +1978,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2078,14 +2085,22 @@
             self.builder.set_bool_field(128, value);
         }
         #[inline]
-        pub fn get_live_jobs(self) -> u32 {
+        pub fn get_running_tasks(self) -> u32 {
             self.builder.get_data_field::<u32>(5)
         }
         #[inline]
-        pub fn set_live_jobs(&mut self, value: u32)  {
+        pub fn set_running_tasks(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(5, value);
         }
         #[inline]
+        pub fn get_queued_tasks(self) -> u32 {
+            self.builder.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn set_queued_tasks(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(6, value);
+        }
+        #[inline]
         pub fn get_is_draining(self) -> bool {
             self.builder.get_bool_field(129)
         }
@@ -2094,6 +2109,14 @@
             self.builder.set_bool_field(129, value);
         }
         #[inline]
+        pub fn get_started_at_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_started_at_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
+        }
+        #[inline]
         pub fn get_hlc(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
         }
@@ -2120,17 +2143,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 144] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 176] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(254, 30, 187, 142, 126, 33, 64, 202),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(70, 8, 242, 233, 209, 199, 165, 179),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(111, 110, 121, 120, 115, 104, 101, 100),
@@ -2138,63 +2161,77 @@
             ::capnp::word(110, 116, 114, 121, 83, 116, 97, 116),
             ::capnp::word(117, 115, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 129, 0, 0, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 129, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(104, 111, 115, 116, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2239,8 +2276,17 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 105, 118, 101, 74, 111, 98, 115),
+            ::capnp::word(114, 117, 110, 110, 105, 110, 103, 84),
+            ::capnp::word(97, 115, 107, 115, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 117, 101, 117, 101, 100, 84, 97),
+            ::capnp::word(115, 107, 115, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2257,6 +2303,15 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 114, 116, 101, 100, 65),
+            ::capnp::word(116, 77, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(104, 108, 99, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2274,8 +2329,10 @@
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                6 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                7 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2289,9 +2346,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,4,7,0,1,6,5,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,4,9,0,1,7,2,6,5,8];
         pub(crate) const TYPE_ID: u64 = 0xca40_217e_8ebb_1efe;
     }
 }
@@ -2819,7 +2876,7 @@
     }
 }
 
-pub mod peer_entry {
+pub mod heartbeat {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -2901,7 +2958,7 @@
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_heartbeat(self) -> u64 {
+        pub fn get_started_at_ms(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
         #[inline]
@@ -2913,34 +2970,38 @@
             !self.reader.get_pointer_field(2).is_null()
         }
         #[inline]
-        pub fn get_entry_address(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_peer_address(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_entry_address(&self) -> bool {
+        pub fn has_peer_address(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
         #[inline]
-        pub fn get_config_revision(self) -> u64 {
+        pub fn get_counter(self) -> u64 {
             self.reader.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn get_live_jobs(self) -> u32 {
+        pub fn get_running_tasks(self) -> u32 {
             self.reader.get_data_field::<u32>(6)
         }
         #[inline]
-        pub fn get_is_draining(self) -> bool {
-            self.reader.get_bool_field(224)
+        pub fn get_queued_tasks(self) -> u32 {
+            self.reader.get_data_field::<u32>(7)
         }
         #[inline]
-        pub fn get_state(self) -> ::core::result::Result<crate::onyxshed_capnp::MemberState,::capnp::NotInSchema> {
-            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(15))
+        pub fn get_config_revision(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn get_is_draining(self) -> bool {
+            self.reader.get_bool_field(320)
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3031,11 +3092,11 @@
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_heartbeat(self) -> u64 {
+        pub fn get_started_at_ms(self) -> u64 {
             self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn set_heartbeat(&mut self, value: u64)  {
+        pub fn set_started_at_ms(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
@@ -3055,52 +3116,60 @@
             !self.builder.is_pointer_field_null(2)
         }
         #[inline]
-        pub fn get_entry_address(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_peer_address(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_entry_address(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+        pub fn set_peer_address(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false).unwrap()
         }
         #[inline]
-        pub fn init_entry_address(self, size: u32) -> ::capnp::text::Builder<'a> {
+        pub fn init_peer_address(self, size: u32) -> ::capnp::text::Builder<'a> {
             self.builder.get_pointer_field(3).init_text(size)
         }
         #[inline]
-        pub fn has_entry_address(&self) -> bool {
+        pub fn has_peer_address(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
         #[inline]
-        pub fn get_config_revision(self) -> u64 {
+        pub fn get_counter(self) -> u64 {
             self.builder.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn set_config_revision(&mut self, value: u64)  {
+        pub fn set_counter(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(2, value);
         }
         #[inline]
-        pub fn get_live_jobs(self) -> u32 {
+        pub fn get_running_tasks(self) -> u32 {
             self.builder.get_data_field::<u32>(6)
         }
         #[inline]
-        pub fn set_live_jobs(&mut self, value: u32)  {
+        pub fn set_running_tasks(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(6, value);
         }
         #[inline]
-        pub fn get_is_draining(self) -> bool {
-            self.builder.get_bool_field(224)
+        pub fn get_queued_tasks(self) -> u32 {
+            self.builder.get_data_field::<u32>(7)
         }
         #[inline]
-        pub fn set_is_draining(&mut self, value: bool)  {
-            self.builder.set_bool_field(224, value);
+        pub fn set_queued_tasks(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(7, value);
         }
         #[inline]
-        pub fn get_state(self) -> ::core::result::Result<crate::onyxshed_capnp::MemberState,::capnp::NotInSchema> {
-            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(15))
+        pub fn get_config_revision(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
         }
         #[inline]
-        pub fn set_state(&mut self, value: crate::onyxshed_capnp::MemberState)  {
-            self.builder.set_data_field::<u16>(15, value as u16);
+        pub fn set_config_revision(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
+        }
+        #[inline]
+        pub fn get_is_draining(self) -> bool {
+            self.builder.get_bool_field(320)
+        }
+        #[inline]
+        pub fn set_is_draining(&mut self, value: bool)  {
+            self.builder.set_bool_field(320, value);
         }
     }
 
@@ -3113,95 +3182,102 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 175] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 191] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(47, 83, 159, 89, 194, 117, 143, 176),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(181, 104, 210, 132, 63, 120, 10, 252),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(70, 8, 242, 233, 209, 199, 165, 179),
             ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(111, 110, 121, 120, 115, 104, 101, 100),
-            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 80),
-            ::capnp::word(101, 101, 114, 69, 110, 116, 114, 121),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 72),
+            ::capnp::word(101, 97, 114, 116, 98, 101, 97, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 224, 0, 0, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(9, 0, 0, 0, 15, 0, 0, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 64, 1, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(104, 111, 115, 116, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3227,8 +3303,8 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 101, 97, 114, 116, 98, 101, 97),
-            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 114, 116, 101, 100, 65),
+            ::capnp::word(116, 77, 115, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3245,8 +3321,8 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 110, 116, 114, 121, 65, 100, 100),
-            ::capnp::word(114, 101, 115, 115, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 65, 100, 100, 114),
+            ::capnp::word(101, 115, 115, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3254,8 +3330,7 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 111, 110, 102, 105, 103, 82, 101),
-            ::capnp::word(118, 105, 115, 105, 111, 110, 0, 0),
+            ::capnp::word(99, 111, 117, 110, 116, 101, 114, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3263,30 +3338,40 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 105, 118, 101, 74, 111, 98, 115),
+            ::capnp::word(114, 117, 110, 110, 105, 110, 103, 84),
+            ::capnp::word(97, 115, 107, 115, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 117, 101, 117, 101, 100, 84, 97),
+            ::capnp::word(115, 107, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 115, 68, 114, 97, 105, 110, 105),
-            ::capnp::word(110, 103, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 102, 105, 103, 82, 101),
+            ::capnp::word(118, 105, 115, 105, 111, 110, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
-            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(163, 117, 216, 97, 236, 22, 165, 228),
+            ::capnp::word(105, 115, 68, 114, 97, 105, 110, 105),
+            ::capnp::word(110, 103, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
@@ -3300,8 +3385,9 @@
                 5 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                8 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                9 => <crate::onyxshed_capnp::MemberState as ::capnp::introspect::Introspect>::introspect(),
+                8 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                10 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3315,14 +3401,14 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,4,5,3,0,2,8,7,9,1];
-        pub(crate) const TYPE_ID: u64 = 0xb08f_75c2_599f_532f;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,4,6,0,2,10,5,8,7,3,1];
+        pub(crate) const TYPE_ID: u64 = 0xfc0a_783f_84d2_68b5;
     }
 }
 
-pub mod digest {
+pub mod gossip {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -3384,7 +3470,7 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_from(self) -> ::capnp::Result<crate::onyxshed_capnp::peer_entry::Reader<'a>> {
+        pub fn get_from(self) -> ::capnp::Result<crate::onyxshed_capnp::heartbeat::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
@@ -3392,14 +3478,22 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_entries(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::onyxshed_capnp::peer_entry::Owned>> {
+        pub fn get_others(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::onyxshed_capnp::heartbeat::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_entries(&self) -> bool {
+        pub fn has_others(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
+        pub fn get_gone(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_has_gone(self) -> bool {
+            self.reader.get_bool_field(64)
+        }
+        #[inline]
         pub fn get_hlc(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
         }
@@ -3411,7 +3505,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3462,15 +3556,15 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_from(self) -> ::capnp::Result<crate::onyxshed_capnp::peer_entry::Builder<'a>> {
+        pub fn get_from(self) -> ::capnp::Result<crate::onyxshed_capnp::heartbeat::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_from(&mut self, value: crate::onyxshed_capnp::peer_entry::Reader<'_>) -> ::capnp::Result<()> {
+        pub fn set_from(&mut self, value: crate::onyxshed_capnp::heartbeat::Reader<'_>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
         }
         #[inline]
-        pub fn init_from(self, ) -> crate::onyxshed_capnp::peer_entry::Builder<'a> {
+        pub fn init_from(self, ) -> crate::onyxshed_capnp::heartbeat::Builder<'a> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
         }
         #[inline]
@@ -3478,22 +3572,38 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_entries(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::onyxshed_capnp::peer_entry::Owned>> {
+        pub fn get_others(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::onyxshed_capnp::heartbeat::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_entries(&mut self, value: ::capnp::struct_list::Reader<'_,crate::onyxshed_capnp::peer_entry::Owned>) -> ::capnp::Result<()> {
+        pub fn set_others(&mut self, value: ::capnp::struct_list::Reader<'_,crate::onyxshed_capnp::heartbeat::Owned>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
         }
         #[inline]
-        pub fn init_entries(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::onyxshed_capnp::peer_entry::Owned> {
+        pub fn init_others(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::onyxshed_capnp::heartbeat::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
         }
         #[inline]
-        pub fn has_entries(&self) -> bool {
+        pub fn has_others(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
         #[inline]
+        pub fn get_gone(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_gone(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_has_gone(self) -> bool {
+            self.builder.get_bool_field(64)
+        }
+        #[inline]
+        pub fn set_has_gone(&mut self, value: bool)  {
+            self.builder.set_bool_field(64, value);
+        }
+        #[inline]
         pub fn get_hlc(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
         }
@@ -3518,70 +3628,100 @@
         }
     }
     impl Pipeline  {
-        pub fn get_from(&self) -> crate::onyxshed_capnp::peer_entry::Pipeline {
+        pub fn get_from(&self) -> crate::onyxshed_capnp::heartbeat::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 66] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 96] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(156, 234, 124, 98, 165, 43, 229, 135),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(159, 198, 103, 238, 190, 200, 153, 141),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(70, 8, 242, 233, 209, 199, 165, 179),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(111, 110, 121, 120, 115, 104, 101, 100),
-            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 68),
-            ::capnp::word(105, 103, 101, 115, 116, 0, 0, 0),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 71),
+            ::capnp::word(111, 115, 115, 105, 112, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 64, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(47, 83, 159, 89, 194, 117, 143, 176),
+            ::capnp::word(181, 104, 210, 132, 63, 120, 10, 252),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 110, 116, 114, 105, 101, 115, 0),
+            ::capnp::word(111, 116, 104, 101, 114, 115, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(47, 83, 159, 89, 194, 117, 143, 176),
+            ::capnp::word(181, 104, 210, 132, 63, 120, 10, 252),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 111, 110, 101, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 97, 115, 71, 111, 110, 101, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(104, 108, 99, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3593,9 +3733,382 @@
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <crate::onyxshed_capnp::peer_entry::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::struct_list::Owned<crate::onyxshed_capnp::peer_entry::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                0 => <crate::onyxshed_capnp::heartbeat::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::struct_list::Owned<crate::onyxshed_capnp::heartbeat::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,3,4,1];
+        pub(crate) const TYPE_ID: u64 = 0x8d99_c8be_ee67_c69f;
+    }
+}
+
+pub mod handover {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_config(self) -> ::capnp::Result<crate::onyxshed_capnp::config::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_config(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_folded_to(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_recent_changes(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_recent_changes(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_needed_since_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_has_needed_since(self) -> bool {
+            self.reader.get_bool_field(128)
+        }
+        #[inline]
+        pub fn get_is_complete(self) -> bool {
+            self.reader.get_bool_field(129)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_config(self) -> ::capnp::Result<crate::onyxshed_capnp::config::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_config(&mut self, value: crate::onyxshed_capnp::config::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_config(self, ) -> crate::onyxshed_capnp::config::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_config(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_folded_to(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_folded_to(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_recent_changes(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_recent_changes(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_recent_changes(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_recent_changes(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_needed_since_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_needed_since_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_has_needed_since(self) -> bool {
+            self.builder.get_bool_field(128)
+        }
+        #[inline]
+        pub fn set_has_needed_since(&mut self, value: bool)  {
+            self.builder.set_bool_field(128, value);
+        }
+        #[inline]
+        pub fn get_is_complete(self) -> bool {
+            self.builder.get_bool_field(129)
+        }
+        #[inline]
+        pub fn set_is_complete(&mut self, value: bool)  {
+            self.builder.set_bool_field(129, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+        pub fn get_config(&self) -> crate::onyxshed_capnp::config::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 116] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(38, 83, 136, 187, 8, 22, 72, 181),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(70, 8, 242, 233, 209, 199, 165, 179),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 110, 121, 120, 115, 104, 101, 100),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 72),
+            ::capnp::word(97, 110, 100, 111, 118, 101, 114, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 128, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(197, 0, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 129, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(99, 111, 110, 102, 105, 103, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(147, 237, 117, 57, 27, 158, 23, 148),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 111, 108, 100, 101, 100, 84, 111),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 99, 101, 110, 116, 67, 104),
+            ::capnp::word(97, 110, 103, 101, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 101, 100, 101, 100, 83, 105),
+            ::capnp::word(110, 99, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 97, 115, 78, 101, 101, 100, 101),
+            ::capnp::word(100, 83, 105, 110, 99, 101, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 67, 111, 109, 112, 108, 101),
+            ::capnp::word(116, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <crate::onyxshed_capnp::config::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3609,10 +4122,10 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
-        pub(crate) const TYPE_ID: u64 = 0x87e5_2ba5_627c_ea9c;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,4,5,3,2];
+        pub(crate) const TYPE_ID: u64 = 0xb548_1608_bb88_5326;
     }
 }
 
@@ -3621,8 +4134,8 @@
     #![allow(unused_variables)]
     pub type ExchangeParams<> = ::capnp::capability::Params<crate::onyxshed_capnp::peer_port::exchange_params::Owned>;
     pub type ExchangeResults<> = ::capnp::capability::Results<crate::onyxshed_capnp::peer_port::exchange_results::Owned>;
-    pub type ConfigParams<> = ::capnp::capability::Params<crate::onyxshed_capnp::peer_port::config_params::Owned>;
-    pub type ConfigResults<> = ::capnp::capability::Results<crate::onyxshed_capnp::peer_port::config_results::Owned>;
+    pub type HandoverParams<> = ::capnp::capability::Params<crate::onyxshed_capnp::peer_port::handover_params::Owned>;
+    pub type HandoverResults<> = ::capnp::capability::Results<crate::onyxshed_capnp::peer_port::handover_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -3675,13 +4188,13 @@
         pub fn exchange_request(&self) -> ::capnp::capability::Request<crate::onyxshed_capnp::peer_port::exchange_params::Owned,crate::onyxshed_capnp::peer_port::exchange_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
         }
-        pub fn config_request(&self) -> ::capnp::capability::Request<crate::onyxshed_capnp::peer_port::config_params::Owned,crate::onyxshed_capnp::peer_port::config_results::Owned> {
+        pub fn handover_request(&self) -> ::capnp::capability::Request<crate::onyxshed_capnp::peer_port::handover_params::Owned,crate::onyxshed_capnp::peer_port::handover_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
         }
     }
     pub trait Server<> : 'static  {
         fn exchange(self: ::capnp::capability::Rc<Self>, _: ExchangeParams<>, _: ExchangeResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer_port::Server::exchange not implemented".to_string()))) }
-        fn config(self: ::capnp::capability::Rc<Self>, _: ConfigParams<>, _: ConfigResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer_port::Server::config not implemented".to_string()))) }
+        fn handover(self: ::capnp::capability::Rc<Self>, _: HandoverParams<>, _: HandoverResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer_port::Server::handover not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -3712,7 +4225,7 @@
         pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
             match method_id {
                 0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::exchange(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::config(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::handover(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -3783,11 +4296,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_digest(self) -> ::capnp::Result<crate::onyxshed_capnp::digest::Reader<'a>> {
+            pub fn get_gossip(self) -> ::capnp::Result<crate::onyxshed_capnp::gossip::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_digest(&self) -> bool {
+            pub fn has_gossip(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -3845,19 +4358,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_digest(self) -> ::capnp::Result<crate::onyxshed_capnp::digest::Builder<'a>> {
+            pub fn get_gossip(self) -> ::capnp::Result<crate::onyxshed_capnp::gossip::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_digest(&mut self, value: crate::onyxshed_capnp::digest::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_gossip(&mut self, value: crate::onyxshed_capnp::gossip::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_digest(self, ) -> crate::onyxshed_capnp::digest::Builder<'a> {
+            pub fn init_gossip(self, ) -> crate::onyxshed_capnp::gossip::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_digest(&self) -> bool {
+            pub fn has_gossip(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -3869,7 +4382,7 @@
             }
         }
         impl Pipeline  {
-            pub fn get_digest(&self) -> crate::onyxshed_capnp::digest::Pipeline {
+            pub fn get_gossip(&self) -> crate::onyxshed_capnp::gossip::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
         }
@@ -3900,9 +4413,9 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
+                ::capnp::word(103, 111, 115, 115, 105, 112, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(156, 234, 124, 98, 165, 43, 229, 135),
+                ::capnp::word(159, 198, 103, 238, 190, 200, 153, 141),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -3911,7 +4424,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::onyxshed_capnp::digest::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::onyxshed_capnp::gossip::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3994,11 +4507,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_digest(self) -> ::capnp::Result<crate::onyxshed_capnp::digest::Reader<'a>> {
+            pub fn get_gossip(self) -> ::capnp::Result<crate::onyxshed_capnp::gossip::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_digest(&self) -> bool {
+            pub fn has_gossip(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -4056,19 +4569,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_digest(self) -> ::capnp::Result<crate::onyxshed_capnp::digest::Builder<'a>> {
+            pub fn get_gossip(self) -> ::capnp::Result<crate::onyxshed_capnp::gossip::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_digest(&mut self, value: crate::onyxshed_capnp::digest::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_gossip(&mut self, value: crate::onyxshed_capnp::gossip::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_digest(self, ) -> crate::onyxshed_capnp::digest::Builder<'a> {
+            pub fn init_gossip(self, ) -> crate::onyxshed_capnp::gossip::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_digest(&self) -> bool {
+            pub fn has_gossip(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -4080,7 +4593,7 @@
             }
         }
         impl Pipeline  {
-            pub fn get_digest(&self) -> crate::onyxshed_capnp::digest::Pipeline {
+            pub fn get_gossip(&self) -> crate::onyxshed_capnp::gossip::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
         }
@@ -4112,9 +4625,9 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
+                ::capnp::word(103, 111, 115, 115, 105, 112, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(156, 234, 124, 98, 165, 43, 229, 135),
+                ::capnp::word(159, 198, 103, 238, 190, 200, 153, 141),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -4123,7 +4636,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::onyxshed_capnp::digest::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::onyxshed_capnp::gossip::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4144,7 +4657,7 @@
         }
     }
 
-    pub mod config_params {
+    pub mod handover_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -4277,7 +4790,7 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 66, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4286,8 +4799,8 @@
                 ::capnp::word(111, 110, 121, 120, 115, 104, 101, 100),
                 ::capnp::word(46, 99, 97, 112, 110, 112, 58, 80),
                 ::capnp::word(101, 101, 114, 80, 111, 114, 116, 46),
-                ::capnp::word(99, 111, 110, 102, 105, 103, 36, 80),
-                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(104, 97, 110, 100, 111, 118, 101, 114),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_field_index(index)
@@ -4309,7 +4822,7 @@
         }
     }
 
-    pub mod config_results {
+    pub mod handover_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -4371,11 +4884,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_config(self) -> ::capnp::Result<crate::onyxshed_capnp::config::Reader<'a>> {
+            pub fn get_handover(self) -> ::capnp::Result<crate::onyxshed_capnp::handover::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_config(&self) -> bool {
+            pub fn has_handover(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -4433,19 +4946,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_config(self) -> ::capnp::Result<crate::onyxshed_capnp::config::Builder<'a>> {
+            pub fn get_handover(self) -> ::capnp::Result<crate::onyxshed_capnp::handover::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_config(&mut self, value: crate::onyxshed_capnp::config::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_handover(&mut self, value: crate::onyxshed_capnp::handover::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_config(self, ) -> crate::onyxshed_capnp::config::Builder<'a> {
+            pub fn init_handover(self, ) -> crate::onyxshed_capnp::handover::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_config(&self) -> bool {
+            pub fn has_handover(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -4457,40 +4970,42 @@
             }
         }
         impl Pipeline  {
-            pub fn get_config(&self) -> crate::onyxshed_capnp::config::Pipeline {
+            pub fn get_handover(&self) -> crate::onyxshed_capnp::handover::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 35] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(115, 69, 48, 55, 93, 136, 223, 223),
                 ::capnp::word(24, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 74, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(111, 110, 121, 120, 115, 104, 101, 100),
                 ::capnp::word(46, 99, 97, 112, 110, 112, 58, 80),
                 ::capnp::word(101, 101, 114, 80, 111, 114, 116, 46),
-                ::capnp::word(99, 111, 110, 102, 105, 103, 36, 82),
-                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+                ::capnp::word(104, 97, 110, 100, 111, 118, 101, 114),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(104, 97, 110, 100, 111, 118, 101, 114),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(99, 111, 110, 102, 105, 103, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(147, 237, 117, 57, 27, 158, 23, 148),
+                ::capnp::word(38, 83, 136, 187, 8, 22, 72, 181),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -4499,7 +5014,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::onyxshed_capnp::config::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::onyxshed_capnp::handover::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
--- a/crates/onyxshed-proto/src/snapshot.rs
+++ b/crates/onyxshed-proto/src/snapshot.rs
@@ -29,6 +29,8 @@
     pub executors: Option<Vec<ExecutorEntry>>,
     /// Every member, the receiver left out.
     pub members: Vec<Member>,
+    /// Incarnations that are held to be gone for good.
+    pub gone: Vec<Incarnation>,
     /// Live entry hosts of this zone, the receiver included.
     pub sharers: u32,
     /// Live entry hosts of all zones, the receiver included.
@@ -55,6 +57,11 @@
     for (index, entry) in (0..count).zip(&from.members) {
         write_member(entry, list.reborrow().get(index));
     }
+    let count = u32::try_from(from.gone.len()).unwrap_or(u32::MAX);
+    let mut list = builder.reborrow().init_gone(count);
+    for (index, gone) in (0..count).zip(&from.gone) {
+        list.set(index, gone.0);
+    }
     builder.set_sharers(from.sharers);
     builder.set_live(from.live);
     builder.set_hlc(from.hlc.to_string().as_str());
@@ -73,8 +80,12 @@
     let list = reader.get_members()?;
     bounded("members", list.len())?;
     let members = list.iter().map(read_member).collect::<Result<_>>()?;
+    let list = reader.get_gone()?;
+    bounded("gone", list.len())?;
+    let gone = list.iter().map(Incarnation).collect();
     Ok(Snapshot {
         config,
+        gone,
         executors,
         members,
         sharers: reader.get_sharers(),
--- a/crates/onyxshed-proto/src/status.rs
+++ b/crates/onyxshed-proto/src/status.rs
@@ -2,7 +2,8 @@
 
 use std::net::SocketAddr;
 
-use onyxshed_core::{Hlc, HostName, Incarnation, Revision};
+use onyxshed_core::{Hlc, HostName, Incarnation, Revision, UnixMs};
+use onyxshed_state::LoadDigest;
 
 use crate::error::Result;
 use crate::onyxshed_capnp::entry_status;
@@ -19,10 +20,12 @@
     pub peer_address: SocketAddr,
     /// The configuration in force, none until one came.
     pub config_revision: Option<Revision>,
-    /// Jobs that have not ended.
-    pub live_jobs: u32,
+    /// How busy it is.
+    pub load: LoadDigest,
     /// Whether it is on its way out.
     pub is_draining: bool,
+    /// When this life began, on its own wall clock.
+    pub started_at_ms: UnixMs,
     /// Its clock stamp.
     pub hlc: Hlc,
 }
@@ -34,7 +37,9 @@
     builder.set_peer_address(from.peer_address.to_string().as_str());
     builder.set_has_config(from.config_revision.is_some());
     builder.set_config_revision(from.config_revision.unwrap_or_default().0);
-    builder.set_live_jobs(from.live_jobs);
+    builder.set_running_tasks(from.load.running_tasks);
+    builder.set_queued_tasks(from.load.queued_tasks);
+    builder.set_started_at_ms(from.started_at_ms.0);
     builder.set_is_draining(from.is_draining);
     builder.set_hlc(from.hlc.to_string().as_str());
 }
@@ -47,7 +52,11 @@
         incarnation: Incarnation(reader.get_incarnation()),
         peer_address: parse("peerAddress", reader.get_peer_address())?,
         config_revision: reader.get_has_config().then_some(revision),
-        live_jobs: reader.get_live_jobs(),
+        load: LoadDigest {
+            running_tasks: reader.get_running_tasks(),
+            queued_tasks: reader.get_queued_tasks(),
+        },
+        started_at_ms: UnixMs(reader.get_started_at_ms()),
         is_draining: reader.get_is_draining(),
         hlc: parse("hlc", reader.get_hlc())?,
     })
--- a/crates/onyxshed-state/src/member.rs
+++ b/crates/onyxshed-state/src/member.rs
@@ -186,6 +186,11 @@
         self.gone.contains_key(&incarnation)
     }
 
+    /// Gets every incarnation that is held to be gone for good.
+    pub fn gone(&self) -> Vec<Incarnation> {
+        self.gone.keys().copied().collect()
+    }
+
     /// Gets where an incarnation takes requests that peers pass on.
     pub fn peer_address(&self, incarnation: Incarnation) -> Option<SocketAddr> {
         self.heartbeat(incarnation).map(|beat| beat.peer_address)
