Answer for half a second in a drain before looking for its end

Ruled out: replies cut off (the engine never saw the jobs). Now a drain goes on answering for 500 ms while readiness is false.

--- a/crates/onyxshed-entry/src/callers.rs
+++ b/crates/onyxshed-entry/src/callers.rs
@@ -131,10 +131,11 @@
         })
     }
 
-    /// Refuses new jobs from now on and waits until every reply in the making has been written.
+    /// Refuses new jobs from now on, gives notice, and waits until every reply in the making has been written.
     fn drain<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, ()> {
         Box::pin(async move {
             self.engine.feed(Input::Drain);
+            Timer::after(DRAIN_NOTICE).await;
             let Ok(callers) = kernel.find::<Callers>(CALLERS) else {
                 return;
             };
@@ -145,6 +146,13 @@
     }
 }
 
+/// How long a drain goes on answering before it looks for its end.
+///
+/// Failure guarded against: a request whose bytes have arrived but were not read yet when the last
+/// job ended. Symptom: its caller sees a reset, and can't know whether it ran. Readiness has been
+/// false for this long by then, so the balancer sends no more, and each reply closes its connection.
+const DRAIN_NOTICE: std::time::Duration = std::time::Duration::from_millis(500);
+
 /// How often a drain looks whether the last reply has been written.
 const DRAIN_POLL: std::time::Duration = std::time::Duration::from_millis(10);
 
