--- a/crates/onyxshed-cli/src/run.rs
+++ b/crates/onyxshed-cli/src/run.rs
@@ -103,7 +103,7 @@
             change,
         } => async_io::block_on(target::history(platform, class, change, format)).map(Said::from),
         Action::Status(ask) => Ok(async_io::block_on(status::run(&ask, format))),
-        Action::Timeline(args) => Ok(async_io::block_on(timeline::run(&args, format))),
+        Action::Timeline(args) => async_io::block_on(timeline::run(&args, format)),
         Action::Drain {
             process,
             is_waiting,
@@ -126,13 +126,12 @@
     match format {
         Format::Human => eprintln!("{}", error.explain()),
         Format::Json => {
-            let text = match error {
-                Error::Settings { source } => source.explain(),
-                other => other.to_string(),
-            };
+            let explained = error.explain();
+            let head = format!("error {}: ", error.code());
+            let text = explained.strip_prefix(&head).unwrap_or(&explained);
             let body = JsonErrorBody {
                 code: error.code(),
-                text: &text,
+                text,
             };
             eprint!("{}", json(&JsonError { error: body }));
         }
