Borrow slots on a fading report as far as the long-run mean allows

Cause: a host with a sudden job of many tasks started its share of each executor only, since it had no report fresher than a task's time, although the executors were idle.

Change: a fading report is blended with the long-run mean of what others run, with one more slot left free the older it is; an executor that never reported is still not borrowed from.

The model has jobs of several tasks now.

--- a/crates/onyxshed-policy/src/executor/sharing.rs
+++ b/crates/onyxshed-policy/src/executor/sharing.rs
@@ -76,7 +76,8 @@
         if in_flight + 1.0 <= share {
             return free >= 1.0 || !(self.is_full && weight > FRESH_FROM);
         }
-        weight > FRESH_FROM && free >= 2.0
+        let doubt = 1.0 - weight;
+        self.at.is_some() && free - doubt >= 2.0
     }
 
     fn weight(&self, now: Mono, fade: Micros) -> f64 {
--- a/crates/onyxshed-policy/tests/policy/faults.rs
+++ b/crates/onyxshed-policy/tests/policy/faults.rs
@@ -5,7 +5,8 @@
 
 use crate::figures::{HOSTS, SEED, compare, mixed_fleet, two_classes};
 use crate::fixture::target;
-use crate::model::{Exec, Fault, Model, Stream};
+use crate::model::Model;
+use crate::parts::{Exec, Fault, Stream};
 
 /// When faults begin, in milliseconds.
 const FROM_MS: u64 = 4_000;
--- a/crates/onyxshed-policy/tests/policy/figures.rs
+++ b/crates/onyxshed-policy/tests/policy/figures.rs
@@ -6,7 +6,8 @@
 use rstest::rstest;
 
 use crate::fixture::{executor, target};
-use crate::model::{Exec, Model, Stream};
+use crate::model::Model;
+use crate::parts::{Exec, Stream};
 
 /// Entry hosts that share the fleet.
 pub const HOSTS: u32 = 3;
--- a/crates/onyxshed-policy/tests/policy/main.rs
+++ b/crates/onyxshed-policy/tests/policy/main.rs
@@ -8,4 +8,5 @@
 mod model;
 mod orders;
 mod overload;
+mod parts;
 mod random;
--- a/crates/onyxshed-policy/tests/policy/model.rs
+++ b/crates/onyxshed-policy/tests/policy/model.rs
@@ -6,10 +6,9 @@
     reason = "model times and counts are small"
 )]
 
-use std::collections::{BTreeMap, VecDeque};
-use std::fmt;
+use std::collections::BTreeMap;
 
-use onyxshed_core::{ClassTarget, Micros, ResultCode, TaskId};
+use onyxshed_core::{Micros, ResultCode, SubmissionId, TaskId};
 use onyxshed_policy::{
     Admission, AttemptEnd, ExecutorInfo, NextStep, PlacementKind, Policy, PolicyOptions, RetryStep,
     Verdict,
@@ -19,6 +18,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::fixture::{at_us, task, work};
+use crate::parts::{Exec, Fault, Job, Stream, Tally};
 
 /// One way between entry host and executor, in microseconds.
 const NET_US: u64 = 300;
@@ -29,86 +29,6 @@
 /// Time after which the shell calls a silent attempt lost, in microseconds.
 const LOST_AFTER_US: u64 = 3_000_000;
 
-/// What is wrong with an executor.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Fault {
-    None,
-    /// It takes so many times as long.
-    Slow(f64),
-    /// It fails everything at once.
-    FailsAll,
-    /// It takes tasks and never answers.
-    Silent,
-    /// Connections to it are refused.
-    Dead,
-}
-
-/// A stream of jobs of one class.
-#[derive(Debug, Clone)]
-pub struct Stream {
-    pub target: ClassTarget,
-    pub per_s: f64,
-    /// Median service time on an executor of speed 1.
-    pub median_ms: f64,
-    /// Whether its tasks fail wherever they run.
-    pub never_runs: bool,
-    /// When it comes, in milliseconds.
-    pub from_ms: u64,
-    pub until_ms: u64,
-}
-
-impl Stream {
-    pub fn new(target: ClassTarget, per_s: f64, median_ms: f64, until_ms: u64) -> Self {
-        Stream {
-            target,
-            per_s,
-            median_ms,
-            never_runs: false,
-            from_ms: 0,
-            until_ms,
-        }
-    }
-}
-
-/// An executor of the model.
-#[derive(Debug, Clone)]
-pub struct Exec {
-    pub info: ExecutorInfo,
-    pub speed: f64,
-    pub fault: Fault,
-    /// When the fault begins and ends, in milliseconds.
-    pub fault_ms: (u64, u64),
-    running: BTreeMap<(usize, TaskId), u64>,
-    queue: VecDeque<(usize, TaskId)>,
-    starts_us: Vec<u64>,
-}
-
-impl Exec {
-    pub fn new(info: ExecutorInfo, speed: f64) -> Self {
-        Exec {
-            info,
-            speed,
-            fault: Fault::None,
-            fault_ms: (0, u64::MAX),
-            running: BTreeMap::new(),
-            queue: VecDeque::new(),
-            starts_us: Vec::new(),
-        }
-    }
-
-    pub fn faulty(mut self, fault: Fault, from_ms: u64, until_ms: u64) -> Self {
-        self.fault = fault;
-        self.fault_ms = (from_ms, until_ms);
-        self
-    }
-
-    fn fault_at(&self, us: u64) -> Fault {
-        let (from_ms, until_ms) = self.fault_ms;
-        let is_on = (from_ms..until_ms).contains(&(us / 1_000));
-        if is_on { self.fault } else { Fault::None }
-    }
-}
-
 #[derive(Debug)]
 enum Event {
     Arrive(usize),
@@ -119,57 +39,6 @@
     Look(usize),
 }
 
-#[derive(Debug)]
-struct Job {
-    stream: usize,
-    arrived_us: u64,
-    service_us: f64,
-}
-
-/// What became of one class's jobs, one task each.
-#[derive(Default, Clone)]
-pub struct Tally {
-    pub offered: u64,
-    pub refused: u64,
-    pub hits: u64,
-    pub late: u64,
-    pub failed: u64,
-    pub ratios: Vec<f64>,
-}
-
-impl fmt::Debug for Tally {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Tally {
-            offered,
-            refused,
-            hits,
-            late,
-            failed,
-            ..
-        } = self;
-        write!(
-            f,
-            "offered {offered} refused {refused} hits {hits} late {late} failed {failed}"
-        )
-    }
-}
-
-impl Tally {
-    pub fn hit_share(&self) -> f64 {
-        self.hits as f64 / self.offered.max(1) as f64
-    }
-
-    pub fn mean_ratio(&self) -> f64 {
-        self.ratios.iter().sum::<f64>() / self.ratios.len() as f64
-    }
-
-    pub fn ratio(&mut self, q: f64) -> f64 {
-        self.ratios.sort_by(f64::total_cmp);
-        let index = (self.ratios.len() as f64 * q) as usize;
-        self.ratios.get(index).copied().unwrap_or(f64::NAN)
-    }
-}
-
 /// The whole model.
 pub struct Model {
     pub policies: Vec<Policy>,
@@ -177,9 +46,11 @@
     /// Messages of starts and stops sent.
     pub sent: u64,
     pub answered: u64,
+    /// Part of the jobs that all come to the first entry host.
+    pub skew: f64,
     streams: Vec<Stream>,
     execs: Vec<Exec>,
-    jobs: BTreeMap<TaskId, Job>,
+    jobs: BTreeMap<SubmissionId, Job>,
     events: BTreeMap<(u64, u64), Event>,
     looks: Vec<Option<u64>>,
     last: u64,
@@ -217,6 +88,7 @@
             tallies: vec![Tally::default(); streams.len()],
             sent: 0,
             answered: 0,
+            skew: 0.0,
             looks: vec![None; hosts as usize],
             fastest: execs.iter().map(|exec| exec.speed).fold(0.0, f64::max),
             streams,
@@ -289,34 +161,54 @@
         }
         let gap_us = -self.rng.random_range(f64::MIN_POSITIVE..1.0).ln() / stream.per_s * 1e6;
         self.at(us + gap_us as u64 + 1, Event::Arrive(index));
-        // A sum of uniform draws is near enough to a normal one.
-        let normal: f64 = (0..4).map(|_| self.rng.random_range(-0.5..0.5)).sum();
-        let service_us = stream.median_ms * 1_000.0 * (normal * 0.9).exp();
+        let services_us = (0..stream.tasks)
+            .map(|_| self.draw_service_us(&stream))
+            .collect();
+        let host = self.draw_host();
         self.last_job += 1;
-        let id = task(self.last_job, 0);
-        let host = self.rng.random_range(0..self.policies.len());
+        let first = task(self.last_job, 0);
         let now = at_us(us);
         self.tallies[index].offered += 1;
         let deadline = now.mono + stream.target.finish_within_ms;
-        let admission = self.policies[host].admit(now, &stream.target.class, 1, deadline);
-        if admission != Admission::Accept {
+        let (class, count) = (&stream.target.class, usize::from(stream.tasks));
+        if self.policies[host].admit(now, class, count, deadline) != Admission::Accept {
             self.tallies[index].refused += 1;
             return;
         }
         let job = Job {
             stream: index,
+            host,
             arrived_us: us,
-            service_us,
+            services_us,
+            is_done: vec![false; count],
         };
-        self.jobs.insert(id, job);
-        self.policies[host].enqueue(now, work(id, &stream.target, now));
+        self.jobs.insert(first.submission, job);
+        for index in 0..stream.tasks {
+            let id = TaskId { index, ..first };
+            self.policies[host].enqueue(now, work(id, &stream.target, now));
+        }
         self.pump(us, host);
     }
 
+    fn draw_service_us(&mut self, stream: &Stream) -> f64 {
+        // A sum of uniform draws is near enough to a normal one.
+        let normal: f64 = (0..4).map(|_| self.rng.random_range(-0.5..0.5)).sum();
+        stream.median_ms * 1_000.0 * (normal * 0.9).exp()
+    }
+
+    fn draw_host(&mut self) -> usize {
+        let is_skewed = self.skew > 0.0 && self.rng.random_bool(self.skew);
+        if is_skewed {
+            0
+        } else {
+            self.rng.random_range(0..self.policies.len())
+        }
+    }
+
     fn pump(&mut self, us: u64, host: usize) {
         let now = at_us(us);
         for task in self.policies[host].expired(now) {
-            self.give_up(task);
+            self.give_up(us, task);
         }
         loop {
             match self.policies[host].next(now) {
@@ -362,8 +254,9 @@
     fn begin(&mut self, us: u64, exec: usize, host: usize, task: TaskId) {
         let fault = self.execs[exec].fault_at(us);
         self.execs[exec].starts_us.push(us);
-        let job = self.jobs.get(&task);
-        let service_us = job.map_or(0.0, |job| job.service_us) / self.execs[exec].speed;
+        let job = self.jobs.get(&task.submission);
+        let service_us = job.map_or(0.0, |job| job.services_us[usize::from(task.index)]);
+        let service_us = service_us / self.execs[exec].speed;
         let never_runs = job.is_some_and(|job| self.streams[job.stream].never_runs);
         let (service_us, is_ok) = match fault {
             Fault::Slow(factor) => (service_us * factor, !never_runs),
@@ -446,25 +339,40 @@
         } else if let RetryStep::GiveUp(code) = step {
             // That a task failed is an answer too.
             let is_answer = matches!(code, ResultCode::TaskFailed | ResultCode::NeverRuns);
-            self.answered += u64::from(is_answer && self.jobs.contains_key(&end.task));
-            self.give_up(end.task);
+            let is_open = self.jobs.contains_key(&end.task.submission);
+            self.answered += u64::from(is_answer && is_open);
+            self.give_up(us, end.task);
         }
         self.pump(us, host);
     }
 
     fn finish(&mut self, us: u64, host: usize, id: TaskId) {
+        self.stop_copies(us, host, id);
+        let Some(job) = self.jobs.get_mut(&id.submission) else {
+            return;
+        };
+        job.is_done[usize::from(id.index)] = true;
+        if job.is_done.iter().all(|is_done| *is_done)
+            && let Some(job) = self.jobs.remove(&id.submission)
+        {
+            self.complete(us, &job);
+        }
+    }
+
+    fn stop_copies(&mut self, us: u64, host: usize, id: TaskId) {
         for copy in self.policies[host].copies_of(id) {
             let exec = self.exec_of(&copy.to_string());
             self.sent += 1;
             self.at(us + NET_US, Event::Stop(exec, host, id));
         }
-        let Some(job) = self.jobs.remove(&id) else {
-            return;
-        };
-        self.answered += 1;
+    }
+
+    fn complete(&mut self, us: u64, job: &Job) {
+        self.answered += job.services_us.len() as u64;
         let stream = &self.streams[job.stream];
         let response_us = us - job.arrived_us;
-        let ideal_us = job.service_us / self.fastest + 2.0 * NET_US as f64;
+        let longest_us = job.services_us.iter().copied().fold(0.0, f64::max);
+        let ideal_us = longest_us / self.fastest + 2.0 * NET_US as f64;
         let tally = &mut self.tallies[job.stream];
         tally.ratios.push(response_us as f64 / ideal_us);
         if response_us <= Micros::from(stream.target.finish_within_ms).0 {
@@ -474,9 +382,17 @@
         }
     }
 
-    fn give_up(&mut self, id: TaskId) {
-        if let Some(job) = self.jobs.remove(&id) {
-            self.tallies[job.stream].failed += 1;
+    /// Ends a job as failed: its other tasks are withdrawn or stopped.
+    fn give_up(&mut self, us: u64, id: TaskId) {
+        let Some(job) = self.jobs.remove(&id.submission) else {
+            return;
+        };
+        self.tallies[job.stream].failed += 1;
+        for (index, is_done) in (0_u16..).zip(&job.is_done) {
+            let id = TaskId { index, ..id };
+            if !is_done && !self.policies[job.host].withdraw(id) {
+                self.stop_copies(us, job.host, id);
+            }
         }
     }
 }
--- a/crates/onyxshed-policy/tests/policy/overload.rs
+++ b/crates/onyxshed-policy/tests/policy/overload.rs
@@ -3,7 +3,8 @@
 use onyxshed_policy::PlacementKind;
 
 use crate::figures::{HOSTS, SEED, compare, mixed_fleet, two_classes};
-use crate::model::{Model, Stream};
+use crate::model::Model;
+use crate::parts::Stream;
 
 fn model(streams: &[Stream]) -> Model {
     let kind = PlacementKind::LeastFinish;
