--- /dev/null
+++ b/crates/onyxshed-cli/src/target/publish.rs
@@ -0,0 +1,200 @@
+//! Publishes a change: carries out what [`Proposal`] decides, within the command's time.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use onyxshed_core::{ChangeId, Millis, Revision};
+use onyxshed_state::config::proposal::{Ready, Sent};
+use onyxshed_state::config::{Appended, Judged};
+use onyxshed_state::{AppendFailure, Proposal};
+use onyxshed_wire::record::{ChangeBody, ConfigChange};
+use serde::Serialize;
+use smol_str::SmolStr;
+use ulid::Ulid;
+
+use super::log::ConfigLog;
+use super::wait::wait_in_force;
+use crate::args::Publish;
+use crate::error::{Error, Result};
+use crate::output::{Format, json};
+use crate::progress::Progress;
+
+/// How long one read waits for the change to show.
+const READ_WAIT: Millis = Millis(500);
+
+/// How long to wait before another try.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+#[derive(Serialize)]
+struct Published {
+    change_id: ChangeId,
+    revision: Revision,
+    is_in_force_everywhere: Option<bool>,
+}
+
+/// What to do next about a change.
+enum Next {
+    /// Append it (again).
+    Append(Proposal<Ready>),
+    /// It may be on the log: read on.
+    Read(Proposal<Sent>),
+    /// It is accepted.
+    Done(Revision),
+}
+
+/// A change on its way.
+struct Sending<'a> {
+    log: &'a mut ConfigLog,
+    change_id: ChangeId,
+    /// Whether a copy may be on its way or on the log.
+    may_be_sent: bool,
+    progress: &'a Progress,
+}
+
+/// Publishes a change and waits until it is in force, if that is asked for.
+pub async fn publish(publish: Publish, format: Format) -> Result<String> {
+    let progress = Progress::new("the platform's log");
+    let processes = publish.wait_for.len();
+    let published = progress.during(carry_out(publish, &progress)).await?;
+    Ok(match (format, &published) {
+        (Format::Json, published) => json(published),
+        (
+            Format::Human,
+            Published {
+                change_id,
+                revision,
+                ..
+            },
+        ) => {
+            let everywhere = match processes {
+                0 => String::new(),
+                count => format!(", in force in all {count} processes"),
+            };
+            format!("accepted as revision {revision} (change {change_id}){everywhere}\n")
+        }
+    })
+}
+
+async fn carry_out(publish: Publish, progress: &Progress) -> Result<Published> {
+    let mut log = ConfigLog::new(publish.platform);
+    log.read_all().await?;
+    let change = prepare(&log, publish.body, publish.based_on)?;
+    let change_id = change.change().change_id;
+    let revision = send(&mut log, change, progress).await?;
+    let is_waiting = !publish.wait_for.is_empty();
+    if is_waiting {
+        wait_in_force(&publish.wait_for, revision, || log.is_late(), progress).await?;
+    }
+    Ok(Published {
+        change_id,
+        revision,
+        is_in_force_everywhere: is_waiting.then_some(true),
+    })
+}
+
+/// Tries to prepare a change: whatever can be refused is refused here, before anything is sent.
+pub fn prepare(
+    log: &ConfigLog,
+    body: ChangeBody,
+    based_on: Option<Revision>,
+) -> Result<Proposal<Ready>> {
+    let change = ConfigChange {
+        change_id: ChangeId(Ulid::generate()),
+        based_on: based_on.unwrap_or(log.fold().folded().revision),
+        body,
+    };
+    Ok(Proposal::prepare(change, log.fold())?)
+}
+
+/// Sends a change until its fate is known or the time is up; gets the revision that it made.
+pub async fn send(
+    log: &mut ConfigLog,
+    proposal: Proposal<Ready>,
+    progress: &Progress,
+) -> Result<Revision> {
+    let mut sending = Sending {
+        log,
+        change_id: proposal.change().change_id,
+        may_be_sent: false,
+        progress,
+    };
+    let mut next = Next::Append(proposal);
+    loop {
+        next = match next {
+            Next::Append(proposal) => sending.append(proposal).await?,
+            Next::Read(proposal) => sending.read(proposal).await?,
+            Next::Done(revision) => return Ok(revision),
+        };
+    }
+}
+
+impl Sending<'_> {
+    async fn append(&mut self, proposal: Proposal<Ready>) -> Result<Next> {
+        let appended = self.log.append(proposal.record()).await;
+        let result = appended.as_ref().copied().map_err(failure);
+        let step = proposal.appended(result);
+        self.may_be_sent |= matches!(step, Appended::Sent(_));
+        if let Err(error) = appended {
+            self.pause(&error).await?;
+        }
+        Ok(match step {
+            Appended::Retry(proposal) => Next::Append(proposal),
+            Appended::Sent(proposal) => Next::Read(proposal),
+        })
+    }
+
+    async fn read(&mut self, proposal: Proposal<Sent>) -> Result<Next> {
+        let end = match self.log.read_to_end(READ_WAIT).await {
+            Ok(end) => end,
+            Err(error) => {
+                self.pause(&error).await?;
+                return Ok(Next::Read(proposal));
+            }
+        };
+        match proposal.judge(self.log.fold(), end) {
+            Judged::Accepted(revision) => Ok(Next::Done(revision)),
+            Judged::Raced { based_on, found } => Err(Error::ChangeRaced { based_on, found }),
+            Judged::Invalid => Err(Error::ChangeInvalid {
+                reason: SmolStr::new_static("by the time it was read, the change broke a rule"),
+            }),
+            Judged::Repeat(_) | Judged::Undecided(_) if self.log.is_late() => {
+                Err(self.undecided("it was not read back"))
+            }
+            Judged::Repeat(proposal) => Ok(Next::Append(proposal)),
+            Judged::Undecided(proposal) => {
+                // A log that does not wait for records as asked is not asked without a pause.
+                Timer::after(RETRY_PAUSE).await;
+                Ok(Next::Read(proposal))
+            }
+        }
+    }
+
+    /// Waits before another try; an error once the time is up.
+    async fn pause(&mut self, error: &onyxshed_platform::Error) -> Result<()> {
+        if self.log.is_late() {
+            return Err(match self.may_be_sent {
+                true => self.undecided(&error.to_string()),
+                false => Error::Platform {
+                    source: error.clone(),
+                },
+            });
+        }
+        self.progress.set(format!("the platform ({error})"));
+        Timer::after(RETRY_PAUSE).await;
+        Ok(())
+    }
+
+    fn undecided(&self, reason: &str) -> Error {
+        Error::ChangeUndecided {
+            change_id: self.change_id,
+            reason: reason.into(),
+        }
+    }
+}
+
+fn failure(error: &onyxshed_platform::Error) -> AppendFailure {
+    match error.may_have_taken_effect() {
+        true => AppendFailure::AnswerLost,
+        false => AppendFailure::NotAppended,
+    }
+}
