--- a/crates/onyxshed-load/src/slopes.rs
+++ b/crates/onyxshed-load/src/slopes.rs
@@ -6,13 +6,14 @@
 
 pub mod fit;
 
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use http_types::Method;
-use onyxshed_wire::platform::HOSTS_PATH;
+use onyxshed_wire::platform::{CLAIMS_STREAM, HOSTS_PATH};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -146,9 +147,9 @@
     let mut delay = Slope::new("claims-delay", "claims a second", "job p50 ms");
     for callers in [1, 4, 16, 64, 256] {
         let set = LocalSet::start(&LocalOptions::small(binaries.into())).await?;
-        let before = counts(&set).await?.appended;
+        let before = counts(&set).await?.claims();
         let load = loaded(executor, &set, callers, 1, false).await?;
-        let after = counts(&set).await?.appended;
+        let after = counts(&set).await?.claims();
         let span_s = crate::bench::SPAN.as_secs_f64();
         appends.add(load.jobs_per_s, float(after - before) / span_s);
         delay.add(load.jobs_per_s, load.took_ms.p50);
@@ -171,10 +172,19 @@
 /// What the platform's stand-in counted.
 #[derive(Debug, Deserialize)]
 struct Counts {
-    appended: u64,
+    appended: BTreeMap<SmolStr, u64>,
     host_lists: u64,
 }
 
+impl Counts {
+    fn claims(&self) -> u64 {
+        self.appended
+            .get(CLAIMS_STREAM)
+            .copied()
+            .unwrap_or_default()
+    }
+}
+
 async fn counts(set: &LocalSet) -> Result<Counts> {
     let address = set.platform.address;
     let reply = call(address, Method::Get, "/control/counts", Vec::new()).await?;
