Close the admin address when its service stops

A dropped task's future lives on until the executor polls it again, which it does not once the process's life is over, so the listener stayed open and a connect got silence instead of a refusal. Tasks are now cancelled and awaited. The telemetry no longer holds the kernel that holds it.

--- a/crates/onyxshed-telemetry/src/admin.rs
+++ b/crates/onyxshed-telemetry/src/admin.rs
@@ -99,7 +99,11 @@
 
     fn stop<'a>(&'a self, _kernel: &'a Kernel) -> LocalFuture<'a, ()> {
         Box::pin(async {
-            self.tasks.take();
+            // Awaited, because a dropped task's future, and with it the listener, lives on until
+            // the executor gets round to it.
+            for task in self.tasks.take() {
+                task.cancel().await;
+            }
             self.telemetry.log().finish().await;
         })
     }
--- a/crates/onyxshed-telemetry/src/telemetry.rs
+++ b/crates/onyxshed-telemetry/src/telemetry.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use onyxshed_core::{Event, Incarnation, Mono, Revision, UnixMs};
-use onyxshed_kernel::Kernel;
+use onyxshed_kernel::{Clock, Kernel, Readiness};
 use onyxshed_settings::LogSettings;
 use onyxshed_wire::admin::{Status, TimelinePage};
 use smol_str::SmolStr;
@@ -46,7 +46,8 @@
 /// Everything a process tells about itself.
 pub struct Telemetry {
     options: TelemetryOptions,
-    kernel: Kernel,
+    clock: Clock,
+    readiness: Readiness,
     log: Log,
     metrics: Metrics,
     timeline: RefCell<Timeline>,
@@ -67,14 +68,15 @@
         let telemetry = Rc::new(Telemetry {
             timeline: RefCell::new(Timeline::new(options.timeline_events_max)),
             options,
-            kernel: kernel.clone(),
+            clock: kernel.clock().clone(),
+            readiness: kernel.readiness().clone(),
             log,
             metrics: Metrics::install()?,
             status: RefCell::default(),
             timeline_dropped: Cell::new(0),
             started_ms: kernel.clock().now().wall,
         });
-        // Weak, because the bus is part of the kernel, which the telemetry holds.
+        // Weak, because the kernel, which the bus is part of, holds the telemetry as a service.
         let taker = Rc::downgrade(&telemetry);
         let take = move |event: &Event| {
             if let Some(telemetry) = taker.upgrade() {
@@ -105,8 +107,8 @@
     pub fn status(&self) -> Status {
         let source = self.status.borrow();
         let parts = source.as_ref().map(|source| source()).unwrap_or_default();
-        let why_not_ready = self.kernel.readiness().why_not();
-        let uptime = self.kernel.clock().now().mono.since(Mono(0));
+        let why_not_ready = self.readiness.why_not();
+        let uptime = self.clock.now().mono.since(Mono(0));
         Status {
             process: self.options.process.clone(),
             version: self.options.version.clone(),
--- a/crates/onyxshed-telemetry/tests/admin.rs
+++ b/crates/onyxshed-telemetry/tests/admin.rs
@@ -11,7 +11,7 @@
 use onyxshed_http::Reply;
 use onyxshed_http::client::call_once;
 use onyxshed_kernel::{Kernel, Process, RunEnd, RunOptions, Service};
-use onyxshed_settings::LogSettings;
+use onyxshed_settings::{LogLevel, LogSettings};
 use onyxshed_telemetry::{AdminService, StatusParts, Telemetry, TelemetryOptions};
 use onyxshed_wire::admin::{Status, TimelinePage};
 use rstest::rstest;
@@ -23,7 +23,10 @@
         version: "0.0.0".into(),
         host: "host-1".into(),
         boot: Incarnation(7),
-        log: LogSettings::default(),
+        log: LogSettings {
+            level: LogLevel::Error,
+            ..LogSettings::default()
+        },
         timeline_events_max: 100,
     };
     let telemetry = Telemetry::open(kernel, options).expect("log and metrics open");
@@ -174,6 +177,23 @@
     });
 }
 
+#[test]
+fn the_address_is_free_once_the_process_has_stopped() {
+    // A process that ends while its listener lives on looks alive to whoever connects, and gets no
+    // answer. The end is known only by the address being closed.
+    let mut served = None;
+    with_admin(async |kernel, address| {
+        served = Some(address);
+        kernel.request_stop(onyxshed_kernel::StopRequest::Drain);
+    });
+    let address = served.expect("the process served");
+    let refused = std::net::TcpStream::connect(address).map_err(|error| error.kind());
+    assert_eq!(
+        refused.map(drop),
+        Err(std::io::ErrorKind::ConnectionRefused)
+    );
+}
+
 #[test]
 fn an_address_that_is_taken_has_its_own_code() {
     let kernel = Kernel::new();
