--- a/crates/onyxshed-proof/src/scenario/ask.rs
+++ b/crates/onyxshed-proof/src/scenario/ask.rs
@@ -16,7 +16,15 @@
     // The first three are JOBS_WORDS.
     match one_of(
         input,
-        &["job", "jobs", "every", "revision", "entry", "claims"],
+        &[
+            "job",
+            "jobs",
+            "every",
+            "revision",
+            "entry",
+            "claims",
+            "executors",
+        ],
     )? {
         place @ 0..=2 => {
             let jobs = jobs_behind(input, place)?;
@@ -34,6 +42,10 @@
             say(input, "has ended")?;
             Ok(Condition::Ended(host))
         }
+        6 => {
+            say(input, "are known")?;
+            place(input).map(Condition::KnowsExecutors)
+        }
         _ => {
             say(input, "are read")?;
             place(input).map(Condition::ReadsLog)
@@ -51,8 +63,10 @@
             Ok(Condition::Started(count, jobs))
         }
         _ => {
+            say(input, "to")?;
+            let stream = name(input)?;
             say(input, "taken")?;
-            Ok(Condition::Appended(count as u64))
+            Ok(Condition::Appended(count as u64, stream))
         }
     }
 }
@@ -115,7 +129,8 @@
             say(input, "most")?;
             let most = number(input)?;
             one_of(input, &["append", "appends"])?;
-            Ok(Expectation::AppendsAtMost(most))
+            say(input, "to")?;
+            Ok(Expectation::AppendsAtMost(most, name(input)?))
         }
     }
 }
