Ask about silent attempts over another connection; fence by attempt; advertise an address to peers

An attempt silent for twice what its class usually takes is now asked about on a new connection: one that never arrived is fenced off and starts again. The fence names the attempt, so that the retry on the same executor is not refused by it. Ruled out: stopping the task at once, which would kill work that is merely slow.

--- a/crates/onyxshed-control/src/peers.rs
+++ b/crates/onyxshed-control/src/peers.rs
@@ -6,10 +6,11 @@
 mod calls;
 mod port;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use async_io::Timer;
 use onyxshed_core::{Event, EventKind, HostName, Millis, ResultCode, ZoneName};
@@ -25,6 +26,12 @@
 use crate::knowledge::Knowledge;
 use crate::names::{ENTRY_LINK, KNOWLEDGE, PEERS};
 
+/// Rounds in which a new host tells its peers at once that it is there.
+const INTRODUCTORY_ROUNDS: u32 = 20;
+
+/// Time between two of these rounds.
+const INTRODUCTORY_PAUSE: Duration = Duration::from_millis(100);
+
 /// Who this host is among its peers, and how often it tells them.
 #[derive(Debug, Clone)]
 pub struct PeerOptions {
@@ -34,6 +41,8 @@
     pub zone: ZoneName,
     /// Where peers are served.
     pub address: SocketAddr,
+    /// Told to peers in place of the address listened on, if any.
+    pub advertised_address: Option<SocketAddr>,
     /// Some peers' addresses.
     pub seeds: Vec<SocketAddr>,
     /// Time between two rounds.
@@ -50,6 +59,7 @@
     knowledge: Rc<Knowledge>,
     table: RefCell<Option<MemberTable>>,
     clients: RefCell<BTreeMap<SocketAddr, peer_port::Client>>,
+    rounds: Cell<u32>,
 }
 
 impl Peers {
@@ -124,13 +134,26 @@
         }
     }
 
+    /// Gets the time until the next round: short while this host is new to its peers, so that a
+    /// request that comes to another host soon after the start finds its way here.
+    fn pause(&self) -> Duration {
+        let heartbeat = Duration::from(self.options.heartbeat_ms);
+        let is_new = self.rounds.get() < INTRODUCTORY_ROUNDS;
+        if is_new {
+            heartbeat.min(INTRODUCTORY_PAUSE)
+        } else {
+            heartbeat
+        }
+    }
+
     /// Tells peers for as long as the process lives.
     async fn keep_telling(self: Rc<Self>, link: Rc<EntryLink>) {
         loop {
-            Timer::after(self.options.heartbeat_ms.into()).await;
+            Timer::after(self.pause()).await;
             let Some(status) = link.status() else {
                 continue;
             };
+            self.rounds.set(self.rounds.get() + 1);
             for outgoing in self.round(&status) {
                 self.kernel.spawn(self.clone().send(outgoing)).detach();
             }
@@ -188,10 +211,11 @@
         let peers = Rc::new(Peers {
             kernel: kernel.clone(),
             options: self.options.clone(),
-            address,
+            address: self.options.advertised_address.unwrap_or(address),
             knowledge: kernel.find(KNOWLEDGE)?,
             table: RefCell::default(),
             clients: RefCell::default(),
+            rounds: Cell::new(0),
         });
         let client: peer_port::Client = capnp_rpc::new_client(port::Port::new(peers.clone()));
         kernel
--- a/crates/onyxshed-control/src/process.rs
+++ b/crates/onyxshed-control/src/process.rs
@@ -74,6 +74,7 @@
         host: settings.host.clone(),
         zone: settings.zone.clone(),
         address: settings.peer_address,
+        advertised_address: settings.peer_advertised_address,
         seeds: settings.peers.clone(),
         heartbeat_ms: settings.heartbeat_ms,
         members: MemberOptions {
--- a/crates/onyxshed-dispatch/src/dispatch.rs
+++ b/crates/onyxshed-dispatch/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! The machine as a whole: takes an input, lets the parts decide, gives the outputs.
 
+mod ask;
 mod attempt;
 mod caller;
 mod claim;
@@ -8,11 +9,12 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use onyxshed_core::{
-    Event, EventKind, ExecutorName, Incarnation, Mono, Now, ResultCode, SubmissionId, TaskId,
+    Event, EventKind, ExecutorName, Incarnation, Micros, Mono, Now, ResultCode, SubmissionId,
+    TaskId,
 };
 use onyxshed_policy::Policy;
 use onyxshed_policy::note::{Note as PolicyNote, Waste};
-use onyxshed_state::{ClaimBook, ClaimStep, Config, Member};
+use onyxshed_state::{ClaimBook, ClaimStep, Config, Member, MemberState};
 use onyxshed_wire::caller::{Answer, CopyMark};
 use smol_str::SmolStr;
 
@@ -29,6 +31,9 @@
     executor: ExecutorName,
     /// Its connection was lost and a stop was sent to learn what became of it.
     is_resolving: bool,
+    /// When to ask about it, and how long to wait after that.
+    ask_at: Mono,
+    ask_again_us: Micros,
 }
 
 /// One entry host's state machine.
@@ -42,6 +47,7 @@
     policy: Policy,
     jobs: JobTable,
     attempts: HashMap<AttemptId, Attempt>,
+    asks: BTreeSet<(Mono, AttemptId)>,
     last_attempt: u64,
     members: BTreeMap<Incarnation, Member>,
     gone: BTreeSet<Incarnation>,
@@ -62,6 +68,7 @@
             policy: Policy::new(options.policy.clone(), seed),
             jobs: JobTable::default(),
             attempts: HashMap::new(),
+            asks: BTreeSet::new(),
             last_attempt: 0,
             members: BTreeMap::new(),
             gone: BTreeSet::new(),
@@ -129,6 +136,17 @@
         self.policy.waste()
     }
 
+    /// Gets how many peers are live as far as this host knows.
+    pub fn live_members(&self) -> usize {
+        let is_live = |member: &&Member| member.state == MemberState::Live;
+        self.members.values().filter(is_live).count()
+    }
+
+    /// Tells whether the claims stream was read to its end and has not been lost since.
+    pub fn is_log_readable(&self) -> bool {
+        self.book.is_caught_up()
+    }
+
     /// Gets the member of an incarnation.
     pub fn member(&self, incarnation: Incarnation) -> Option<&Member> {
         self.members.get(&incarnation)
@@ -187,6 +205,7 @@
             Input::Appended { batch, result } => self.appended(now, batch, result),
             Input::AttemptEnded { attempt, report } => self.attempt_ended(now, attempt, report),
             Input::StopEnded { attempt, report } => self.stop_ended(now, attempt, report),
+            Input::Sighted { attempt, sighting } => self.sighted(now, attempt, sighting),
             Input::Drain => self.is_draining = true,
             Input::Tick => {}
         }
--- a/crates/onyxshed-dispatch/src/dispatch/attempt.rs
+++ b/crates/onyxshed-dispatch/src/dispatch/attempt.rs
@@ -14,10 +14,12 @@
         let Some(attempt) = self.attempts.get_mut(&id) else {
             return;
         };
-        if report.verdict == Verdict::Lost && !attempt.is_resolving {
-            attempt.is_resolving = true;
-            let attempt = attempt.clone();
-            self.resolve(id, &attempt, &report);
+        if report.verdict == Verdict::Lost {
+            // Once a stop is under way, its answer decides.
+            if !std::mem::replace(&mut attempt.is_resolving, true) {
+                let attempt = attempt.clone();
+                self.resolve(id, &attempt, &report);
+            }
             return;
         }
         self.conclude(now, id, report);
@@ -27,7 +29,7 @@
     ///
     /// The stop is also a fence: an executor that answers "refused" promises that a start still on
     /// its way will not run, which proves the task unstarted.
-    fn resolve(&mut self, id: AttemptId, attempt: &Attempt, report: &AttemptReport) {
+    pub(super) fn resolve(&mut self, id: AttemptId, attempt: &Attempt, report: &AttemptReport) {
         self.note(task_event(EventKind::TaskLost, attempt).detail(report.detail.clone()));
         self.outputs.push(Output::Stop {
             attempt: id,
@@ -63,6 +65,7 @@
         let Some(attempt) = self.attempts.remove(&id) else {
             return;
         };
+        self.asks.remove(&(attempt.ask_at, id));
         let task = attempt.task;
         self.note_end(&attempt, &report);
         let step = self.policy.ended(
--- a/crates/onyxshed-dispatch/src/dispatch/pump.rs
+++ b/crates/onyxshed-dispatch/src/dispatch/pump.rs
@@ -12,10 +12,12 @@
 
 impl Dispatch {
     pub(super) fn pump(&mut self, now: Now) {
+        self.ask_overdue(now);
         let start_again = self.start_tasks(now);
         let append_again = self.append_claims(now);
         self.forget(now);
-        self.wake_at = [start_again, append_again, self.jobs.next_due()]
+        let ask_again = self.asks.first().map(|(at, _)| *at);
+        self.wake_at = [start_again, append_again, ask_again, self.jobs.next_due()]
             .into_iter()
             .flatten()
             .min();
@@ -67,12 +69,13 @@
             return;
         };
         job.attempts.insert(attempt);
+        let class = job.head.class.clone();
         let lease_ms = Micros(job.head.end_by.since(now.mono).0).as_millis();
         let output = Output::Start {
             attempt,
             task,
             executor: executor.clone(),
-            class: job.head.class.clone(),
+            class: class.clone(),
             payload,
             lease_ms: Millis(lease_ms.0 + lease_slack_ms.0),
             needs_proven_connection: !job.head.may_run_twice,
@@ -88,14 +91,18 @@
                 .task(task.index)
                 .party(executor.as_str()),
         );
-        self.attempts.insert(
-            attempt,
-            Attempt {
-                task,
-                executor,
-                is_resolving: false,
-            },
-        );
+        let ask_again_us = self.silence_of(&class);
+        let ask_at = now.mono + ask_again_us;
+        self.asks.insert((ask_at, attempt));
+        let is_resolving = false;
+        let record = Attempt {
+            task,
+            executor,
+            is_resolving,
+            ask_at,
+            ask_again_us,
+        };
+        self.attempts.insert(attempt, record);
         self.outputs.push(output);
     }
 
--- a/crates/onyxshed-dispatch/src/input.rs
+++ b/crates/onyxshed-dispatch/src/input.rs
@@ -6,7 +6,7 @@
 use onyxshed_state::{Config, Member};
 use onyxshed_wire::caller::{Answer, Submission};
 use onyxshed_wire::platform::Record;
-use onyxshed_wire::upstream::{LoadReport, TaskState};
+use onyxshed_wire::upstream::{LoadReport, TaskSighting, TaskState};
 use smol_str::SmolStr;
 
 use crate::output::{AttemptId, RequestId};
@@ -26,6 +26,19 @@
     pub detail: SmolStr,
 }
 
+impl AttemptReport {
+    /// Makes the report of an attempt whose connection is given up.
+    pub fn lost(detail: &'static str) -> Self {
+        AttemptReport {
+            verdict: Verdict::Lost,
+            body: Vec::new(),
+            service_us: None,
+            load: None,
+            detail: SmolStr::new_static(detail),
+        }
+    }
+}
+
 /// What an executor answered to a stop.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StopReport {
@@ -121,6 +134,13 @@
         /// What the executor answered.
         report: Option<StopReport>,
     },
+    /// An executor told what has become of a task; none if it did not answer.
+    Sighted {
+        /// The attempt asked about.
+        attempt: AttemptId,
+        /// What the executor answered.
+        sighting: Option<TaskSighting>,
+    },
     /// The process begins to drain: no new work.
     Drain,
     /// Time has passed.
--- a/crates/onyxshed-dispatch/src/output.rs
+++ b/crates/onyxshed-dispatch/src/output.rs
@@ -79,6 +79,15 @@
         /// Where it went.
         executor: ExecutorName,
     },
+    /// Ask an executor, on another connection, what has become of a task.
+    Ask {
+        /// The attempt to report.
+        attempt: AttemptId,
+        /// The task.
+        task: TaskId,
+        /// Where it went.
+        executor: ExecutorName,
+    },
     /// Tell log, metrics and time line.
     Note(Event),
 }
--- a/crates/onyxshed-entry/src/control_port.rs
+++ b/crates/onyxshed-entry/src/control_port.rs
@@ -34,6 +34,8 @@
     pub incarnation: Incarnation,
     /// Where the control process connects.
     pub control_address: SocketAddr,
+    /// Told to peers in place of the address listened on, if any.
+    pub peer_advertised_address: Option<SocketAddr>,
 }
 
 /// Handle to what came from the control process.
@@ -81,13 +83,14 @@
 
     fn status(&self, engine: &Engine) -> EntryStatus {
         let addresses = self.kernel.addresses();
+        let listened = addresses
+            .get("peer")
+            .copied()
+            .unwrap_or(self.options.control_address);
         EntryStatus {
             host: self.options.host.clone(),
             incarnation: self.options.incarnation,
-            peer_address: addresses
-                .get("peer")
-                .copied()
-                .unwrap_or(self.options.control_address),
+            peer_address: self.options.peer_advertised_address.unwrap_or(listened),
             config_revision: engine.look(|machine| machine.config().map(|held| held.revision)),
             load: LoadDigest {
                 running_tasks: count(engine.look(Dispatch::live_attempts)),
--- a/crates/onyxshed-entry/src/engine.rs
+++ b/crates/onyxshed-entry/src/engine.rs
@@ -94,7 +94,7 @@
                     .map(|member| member.peer_address);
                 self.service::<Peers>(PEERS).forward(request, address, call);
             }
-            output @ (Output::Start { .. } | Output::Stop { .. }) => {
+            output @ (Output::Start { .. } | Output::Stop { .. } | Output::Ask { .. }) => {
                 self.service::<Upstreams>(UPSTREAMS).carry_out(output);
             }
         }
--- a/crates/onyxshed-entry/src/process.rs
+++ b/crates/onyxshed-entry/src/process.rs
@@ -66,6 +66,7 @@
         host: settings.host.clone(),
         incarnation,
         control_address: settings.control_address,
+        peer_advertised_address: settings.peer_advertised_address,
     };
     vec![
         Box::new(AdminService::new(telemetry, settings.admin_address)),
@@ -110,6 +111,8 @@
                 "remembered_jobs": machine.remembered_jobs(),
                 "snapshot_age_ms": age_ms,
                 "executors": executors,
+                "members": machine.live_members(),
+                "is_log_readable": machine.is_log_readable(),
             })
         });
         StatusParts {
--- a/crates/onyxshed-entry/src/upstreams.rs
+++ b/crates/onyxshed-entry/src/upstreams.rs
@@ -113,6 +113,7 @@
                 needs_proven_connection,
             } => {
                 let call = StartCall {
+                    attempt,
                     task,
                     class,
                     payload,
@@ -133,11 +134,23 @@
             } => {
                 let upstreams = self.clone();
                 let run = async move {
-                    let report = upstreams.stop(&executor, StopCall { task }).await;
+                    let report = upstreams.stop(&executor, StopCall { attempt, task }).await;
                     upstreams.report(Input::StopEnded { attempt, report });
                 };
                 self.kernel.spawn(run).detach();
             }
+            Output::Ask {
+                attempt,
+                task,
+                executor,
+            } => {
+                let upstreams = self.clone();
+                let run = async move {
+                    let sighting = upstreams.ask(&executor, task).await;
+                    upstreams.report(Input::Sighted { attempt, sighting });
+                };
+                self.kernel.spawn(run).detach();
+            }
             _ => {}
         }
     }
--- a/crates/onyxshed-entry/src/upstreams/call.rs
+++ b/crates/onyxshed-entry/src/upstreams/call.rs
@@ -5,12 +5,13 @@
 
 use http_types::Method;
 use onyxshed_core::{ClassName, ExecutorName, Micros, Millis, TaskId};
-use onyxshed_dispatch::{AttemptReport, StopReport};
+use onyxshed_dispatch::{AttemptId, AttemptReport, StopReport};
 use onyxshed_http::{CallError, Connection, Reply, Sent};
 use onyxshed_policy::Verdict;
 use onyxshed_wire::upstream::{
-    CLASS_HEADER, DRAINING_HEADER, LEASE_HEADER, LoadReport, QUEUED_HEADER, RUNNING_HEADER,
-    SERVICE_HEADER, STARTER_HEADER, STATE_HEADER, TASK_HEADER, TaskState, task_path,
+    ATTEMPT_HEADER, CLASS_HEADER, DRAINING_HEADER, LEASE_HEADER, LoadReport, QUEUED_HEADER,
+    RUNNING_HEADER, SERVICE_HEADER, STARTER_HEADER, STATE_HEADER, TASK_HEADER, TaskSighting,
+    TaskState, task_path,
 };
 use smol_str::SmolStr;
 
@@ -20,6 +21,8 @@
 /// A start to carry out.
 #[derive(Debug, Clone)]
 pub struct StartCall {
+    /// The attempt.
+    pub attempt: AttemptId,
     /// The task.
     pub task: TaskId,
     /// Its class.
@@ -35,6 +38,8 @@
 /// A stop to carry out.
 #[derive(Debug, Clone, Copy)]
 pub struct StopCall {
+    /// The attempt.
+    pub attempt: AttemptId,
     /// The task.
     pub task: TaskId,
 }
@@ -77,6 +82,10 @@
                 smol_str::format_smolstr!("{}", call.lease_ms.0),
             ),
             (STARTER_HEADER, smol_str::format_smolstr!("{}", self.me)),
+            (
+                ATTEMPT_HEADER,
+                smol_str::format_smolstr!("{}", call.attempt),
+            ),
         ];
         let timeout = Duration::from(call.lease_ms) + self.options.call_slack;
         let payload = call.payload.as_ref().clone();
@@ -95,22 +104,50 @@
     ///
     /// It always takes a new connection: the one that carried the start may have gone silent.
     pub(super) async fn stop(&self, executor: &ExecutorName, call: StopCall) -> Option<StopReport> {
+        let headers = [
+            (STARTER_HEADER, smol_str::format_smolstr!("{}", self.me)),
+            (
+                ATTEMPT_HEADER,
+                smol_str::format_smolstr!("{}", call.attempt),
+            ),
+        ];
+        let reply = self
+            .call_anew(executor, Method::Delete, &headers, call.task)
+            .await?;
+        let state = state_of(call.task, &reply)?;
+        Some(StopReport {
+            state,
+            body: reply.body,
+        })
+    }
+
+    /// Asks what has become of a task; none if the executor did not answer.
+    pub(super) async fn ask(&self, executor: &ExecutorName, task: TaskId) -> Option<TaskSighting> {
+        let reply = self.call_anew(executor, Method::Get, &[], task).await?;
+        is_about(task, &reply)
+            .then(|| reply.get(STATE_HEADER)?.parse().ok())
+            .flatten()
+    }
+
+    /// Calls about a task on a new connection and keeps that for the next start.
+    async fn call_anew(
+        &self,
+        executor: &ExecutorName,
+        method: Method,
+        headers: &[(&str, SmolStr)],
+        task: TaskId,
+    ) -> Option<Reply> {
         let pool = self.pool(executor)?;
         let timeout = self.options.stop_timeout;
         let mut connection = Connection::open(pool.address(), self.options.client)
             .await
             .ok()?;
-        let path = task_path(&call.task);
         let reply = connection
-            .call(Method::Delete, &path, &[], Vec::new(), timeout)
+            .call(method, &task_path(&task), headers, Vec::new(), timeout)
             .await
             .ok()?;
-        let state = state_of(call.task, &reply)?;
         pool.put(connection);
-        Some(StopReport {
-            state,
-            body: reply.body,
-        })
+        Some(reply)
     }
 }
 
@@ -139,11 +176,14 @@
 
 /// Gets the task's state, none if the reply is another task's or tells no state.
 fn state_of(task: TaskId, reply: &Reply) -> Option<TaskState> {
-    let is_ours = reply
-        .get(TASK_HEADER)
-        .is_some_and(|found| found.parse() == Ok(task));
     let state = reply.get(STATE_HEADER)?.parse().ok()?;
-    is_ours.then_some(state)
+    is_about(task, reply).then_some(state)
+}
+
+fn is_about(task: TaskId, reply: &Reply) -> bool {
+    reply
+        .get(TASK_HEADER)
+        .is_some_and(|found| found.parse() == Ok(task))
 }
 
 fn read_report(task: TaskId, reply: Reply) -> AttemptReport {
--- a/crates/onyxshed-policy/src/policy.rs
+++ b/crates/onyxshed-policy/src/policy.rs
@@ -7,7 +7,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use onyxshed_core::{ClassName, ClassTarget, ExecutorName, Mono, Now, TaskId, UpstreamName};
+use onyxshed_core::{
+    ClassName, ClassTarget, ExecutorName, Micros, Mono, Now, TaskId, UpstreamName,
+};
 use onyxshed_wire::upstream::LoadReport;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -168,6 +170,11 @@
         self.waiting
     }
 
+    /// Gets the time that all but few tasks of a class stay within; none until learned.
+    pub fn usual(&self, class: &ClassName) -> Option<Micros> {
+        self.classes.get(class)?.usual(1.0)
+    }
+
     fn set_class(&mut self, name: &ClassName, target: &ClassTarget) {
         let Some(class) = self.classes.get_mut(name) else {
             self.classes
--- a/crates/onyxshed-settings/src/check.rs
+++ b/crates/onyxshed-settings/src/check.rs
@@ -142,6 +142,7 @@
                 });
                 None
             }
+            (Fallback::Absent, _) => Some(Json::Null),
             (Fallback::Number(number), _) => Some(Json::from(number)),
             (Fallback::Word(word), _) => Some(Json::from(word)),
             (Fallback::Empty, Kind::Section(fields)) => {
--- a/crates/onyxshed-settings/src/field.rs
+++ b/crates/onyxshed-settings/src/field.rs
@@ -78,6 +78,8 @@
     Word(&'static str),
     /// An empty list, or a section with all its defaults.
     Empty,
+    /// Nothing: another setting serves instead.
+    Absent,
 }
 
 /// One field of a settings file.
--- a/crates/onyxshed-settings/src/kind/control.rs
+++ b/crates/onyxshed-settings/src/kind/control.rs
@@ -21,6 +21,8 @@
     pub entry_control_address: SocketAddr,
     /// Takes other control processes' messages.
     pub peer_address: SocketAddr,
+    /// Told to peers in place of `peer_address`, if any.
+    pub peer_advertised_address: Option<SocketAddr>,
     /// Serves operators.
     pub admin_address: SocketAddr,
     /// The platform's service.
--- a/crates/onyxshed-settings/src/kind/entry.rs
+++ b/crates/onyxshed-settings/src/kind/entry.rs
@@ -34,6 +34,8 @@
     pub caller_address: SocketAddr,
     /// Takes requests that other entry hosts pass on.
     pub peer_address: SocketAddr,
+    /// Told to peers in place of `peer_address`, if any.
+    pub peer_advertised_address: Option<SocketAddr>,
     /// Takes the connection of the control process.
     pub control_address: SocketAddr,
     /// Serves operators.
--- a/crates/onyxshed-settings/src/page.rs
+++ b/crates/onyxshed-settings/src/page.rs
@@ -85,6 +85,7 @@
         Fallback::Number(number) => number.to_string(),
         Fallback::Word(word) => format!("`{word}`"),
         Fallback::Empty => "empty".to_owned(),
+        Fallback::Absent => "none".to_owned(),
     }
 }
 
--- a/crates/onyxshed-settings/src/tables.rs
+++ b/crates/onyxshed-settings/src/tables.rs
@@ -26,6 +26,14 @@
     }
 }
 
+/// Where peers are told to connect, if that is not where the process listens.
+const PEER_ADVERTISED: Field = Field {
+    name: "peer_advertised_address",
+    kind: Kind::Address(Role::Dial),
+    fallback: Fallback::Absent,
+    text: "Told to peers in place of `peer_address`, where something stands between, such as address translation.",
+};
+
 const fn number(
     name: &'static str,
     unit: Unit,
@@ -135,6 +143,7 @@
         Role::Advertise,
         "Takes requests that other entry hosts pass on, over HTTP.",
     ),
+    PEER_ADVERTISED,
     address(
         "control_address",
         Role::Listen,
@@ -253,6 +262,7 @@
         Role::Advertise,
         "Takes other control processes' messages.",
     ),
+    PEER_ADVERTISED,
     ADMIN,
     PLATFORM,
     Field {
--- a/crates/onyxshed-wire/src/upstream.rs
+++ b/crates/onyxshed-wire/src/upstream.rs
@@ -2,7 +2,8 @@
 //!
 //! `POST /v1/tasks/{task}` starts a task under a lease; body and answer are the opaque payload and
 //! result, everything else is in headers. `DELETE /v1/tasks/{task}` stops it: if it had not been
-//! started, the executor promises that it never will be. `GET /v1/usage` reports load, with a lag.
+//! started, the executor promises that it never will be. `GET /v1/tasks/{task}` tells what has become
+//! of it and changes nothing. `GET /v1/usage` reports load, with a lag.
 
 use std::str::FromStr;
 
@@ -27,6 +28,10 @@
 /// Request header: the entry host's incarnation that starts the task.
 pub const STARTER_HEADER: &str = "onyxshed-starter";
 
+/// Request header of a start and a stop: counts the starts that the starter makes. A stop is a fence
+/// against starts of the task by the same starter with this number or a lower one.
+pub const ATTEMPT_HEADER: &str = "onyxshed-attempt";
+
 /// Request and response header: the task's id; an answer that carries another id is foreign.
 pub const TASK_HEADER: &str = "onyxshed-task";
 
@@ -91,6 +96,40 @@
     }
 }
 
+/// What an executor answers to `GET` on a task, which changes nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum TaskSighting {
+    /// It has not heard of the task.
+    Unseen,
+    /// The task waits or runs.
+    Running,
+    /// The task has ended.
+    Ended(TaskState),
+}
+
+impl TaskSighting {
+    /// Gets the sighting as the header writes it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            TaskSighting::Unseen => "unseen",
+            TaskSighting::Running => "running",
+            TaskSighting::Ended(state) => state.as_str(),
+        }
+    }
+}
+
+impl FromStr for TaskSighting {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        match text {
+            "unseen" => Ok(TaskSighting::Unseen),
+            "running" => Ok(TaskSighting::Running),
+            text => text.parse().map(TaskSighting::Ended),
+        }
+    }
+}
+
 /// What an executor says of its load with every answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
@@ -126,6 +165,8 @@
     pub class: SmolStr,
     /// Who starts it.
     pub starter: Incarnation,
+    /// Which of the starter's starts it is.
+    pub attempt: u64,
 }
 
 /// Gets the path of one task.
