Part the start into turn, place and watch; find a waiting task's upstream by an index

The file that starts tasks held four concerns in 500 lines. A withdrawn task was looked for in every upstream, which a wave of cancellations over many upstreams pays for with each task; an index names its upstream now. Expired tasks are looked for once a millisecond, not with every event. A try of an executor under doubt no longer goes beyond its slots when older tasks are still there. New executors take vacant seats from a list, not by search.

--- a/crates/onyxshed-policy/src/executor.rs
+++ b/crates/onyxshed-policy/src/executor.rs
@@ -68,7 +68,8 @@
 
     /// Tells whether it may get new work as far as its life cycle goes.
     pub fn is_live(&self, now: Mono) -> bool {
-        !self.is_gone && !self.info.is_leaving && self.draining_until <= now
+        let is_kept = !self.is_gone && !self.info.is_leaving;
+        is_kept && self.info.slots > 0 && self.draining_until <= now
     }
 
     /// Tells whether attempts are there and nothing has come back for longer than its patience.
--- a/crates/onyxshed-policy/src/fleet.rs
+++ b/crates/onyxshed-policy/src/fleet.rs
@@ -15,6 +15,7 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     seats: Vec<Option<Executor>>,
+    vacant: Vec<Seat>,
     by_name: BTreeMap<ExecutorName, Seat>,
     last_id: ExecutorId,
 }
@@ -79,8 +80,7 @@
     fn add(&mut self, info: &ExecutorInfo) {
         self.last_id += 1;
         let executor = Some(Executor::new(self.last_id, info.clone()));
-        let vacant = self.seats.iter().position(Option::is_none);
-        let seat = vacant.unwrap_or(self.seats.len());
+        let seat = self.vacant.pop().unwrap_or(self.seats.len());
         if seat == self.seats.len() {
             self.seats.push(executor);
         } else {
@@ -92,6 +92,7 @@
     fn remove(&mut self, seat: Seat) -> Option<ExecutorId> {
         let executor = self.seats.get_mut(seat)?.take()?;
         self.by_name.remove(&executor.info.name);
+        self.vacant.push(seat);
         Some(executor.id)
     }
 }
--- a/crates/onyxshed-policy/src/placement.rs
+++ b/crates/onyxshed-policy/src/placement.rs
@@ -10,7 +10,7 @@
 use std::fmt;
 use std::str::FromStr;
 
-use onyxshed_core::{Error, Mono};
+use onyxshed_core::Error;
 use rand::RngExt;
 use rand::rngs::SmallRng;
 
@@ -94,8 +94,10 @@
 pub enum Choice {
     /// It goes there.
     Take(Candidate),
-    /// A faster executor will be free soon enough; ask again then at the latest.
-    Hold(Mono),
+    /// A faster executor will be free soon enough.
+    Hold,
+    /// Only executors that it must avoid could take it.
+    Avoided,
     /// No executor can take it.
     Full,
 }
--- a/crates/onyxshed-policy/src/policy.rs
+++ b/crates/onyxshed-policy/src/policy.rs
@@ -3,7 +3,10 @@
 mod end;
 mod hedge;
 mod intake;
+mod place;
 mod start;
+mod turn;
+mod watch;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -14,7 +17,6 @@
 
 use crate::blame::JobFaults;
 use crate::class::Class;
-use crate::executor::breaker::BreakerChange;
 use crate::fleet::{Fleet, Seat};
 use crate::note::{Note, Notes, Waste};
 use crate::placement::{Placement, PlacementKind};
@@ -52,10 +54,11 @@
     ready: BTreeSet<UpstreamName>,
     wakes: BTreeSet<(Mono, UpstreamName)>,
     last_served: Option<UpstreamName>,
-    waiting: usize,
+    homes: BTreeMap<TaskId, UpstreamName>,
     running: BTreeMap<TaskId, Running>,
     hedges: BTreeSet<(Mono, TaskId)>,
     hopeless: Vec<Expired>,
+    expire_at: Mono,
     jobs: JobFaults,
     placement: Placement,
     notes: Notes,
@@ -76,10 +79,11 @@
             ready: BTreeSet::new(),
             wakes: BTreeSet::new(),
             last_served: None,
-            waiting: 0,
+            homes: BTreeMap::new(),
             running: BTreeMap::new(),
             hedges: BTreeSet::new(),
             hopeless: Vec::new(),
+            expire_at: Mono::default(),
             jobs: JobFaults::default(),
             notes: Notes::default(),
             waste: Waste::default(),
@@ -165,7 +169,7 @@
 
     /// Gets the number of tasks waiting.
     pub fn waiting(&self) -> usize {
-        self.waiting
+        self.homes.len()
     }
 
     fn set_class(&mut self, name: &ClassName, target: &ClassTarget) {
@@ -179,19 +183,13 @@
         if old == target.upstream {
             return;
         }
-        let moved = self
-            .upstreams
-            .get_mut(&old)
-            .map(|upstream| upstream.queue.take_class(name));
-        let queue = &mut self
-            .upstreams
-            .entry(target.upstream.clone())
-            .or_default()
-            .queue;
-        moved
-            .into_iter()
-            .flatten()
-            .for_each(|ticket| queue.push(ticket, None));
+        let moved = self.upstreams.get_mut(&old);
+        let moved = moved.map(|upstream| upstream.queue.take_class(name));
+        let upstream = self.upstreams.entry(target.upstream.clone()).or_default();
+        for ticket in moved.into_iter().flatten() {
+            self.homes.insert(ticket.work.task, target.upstream.clone());
+            upstream.queue.push(ticket, None);
+        }
         self.ready.insert(target.upstream.clone());
     }
 
@@ -218,25 +216,4 @@
     fn draw(&mut self) -> f64 {
         self.rng.random_range(0.0..1.0)
     }
-
-    fn note_breaker(&mut self, seat: Seat, change: Option<BreakerChange>) {
-        let (Some(change), Some(executor)) = (change, self.fleet.get_mut(seat)) else {
-            return;
-        };
-        let name = executor.info.name.clone();
-        let note = match change {
-            BreakerChange::Opened(reason) => Note::BreakerOpened {
-                executor: name,
-                reason,
-            },
-            BreakerChange::Closed => {
-                executor.limit.ramp();
-                Note::BreakerClosed { executor: name }
-            }
-        };
-        if let Some(upstream) = self.upstreams.get_mut(&executor.info.upstream) {
-            upstream.touch();
-        }
-        self.notes.push(note);
-    }
 }
--- a/crates/onyxshed-policy/src/policy/end.rs
+++ b/crates/onyxshed-policy/src/policy/end.rs
@@ -4,6 +4,8 @@
 
 use super::Policy;
 use crate::blame::{ClassChange, JobFault};
+use crate::class::Class;
+use crate::executor::Executor;
 use crate::executor::breaker::{Breaker, BreakerReason, Sign};
 use crate::fleet::Seat;
 use crate::note::Note;
@@ -92,41 +94,22 @@
     }
 
     fn learn_finished(&mut self, now: Mono, end: &AttemptEnd, attempt: Attempt) -> Sign {
-        let Some(executor) = self.fleet.get_mut(attempt.seat) else {
+        let running = self.running.get(&end.task);
+        let name = running.map(|running| running.ticket.work.class.clone());
+        let class = name.as_ref().and_then(|name| self.classes.get_mut(name));
+        let executor = self.fleet.get_mut(attempt.seat);
+        let (Some(class), Some(executor)) = (class, executor) else {
             return Sign::Good;
         };
-        let Some(running) = self.running.get(&end.task) else {
-            return Sign::Good;
-        };
-        let class_name = running.ticket.work.class.clone();
-        let Some(class) = self.classes.get_mut(&class_name) else {
-            return Sign::Good;
-        };
-        let change = class.faults.finished(executor.id);
-        let ratio = end
-            .service_us
-            .and_then(|service| class.estimate.ratio(service));
-        if let Some(ratio) = ratio {
-            executor.speed.observe(now, ratio);
-        }
-        let upstream = self.upstreams.get_mut(&executor.info.upstream);
-        let slowdown = executor.speed.slowdown(now);
-        if let Some(service) = end.service_us {
-            class.estimate.observe(now, service, slowdown);
+        let ratio = learn_service(now, class, executor, end.service_us);
+        let cleared = class.faults.finished(executor.id);
+        if let Some(upstream) = self.upstreams.get_mut(&executor.info.upstream) {
+            let slowdown = executor.speed.slowdown(now);
+            upstream.finished(end.service_us.map(|service| as_us(service) / slowdown));
         }
-        if let Some(upstream) = upstream {
-            upstream.retries.finished();
-            upstream.hedges.finished();
-            if let Some(service) = end.service_us {
-                upstream.finished(as_us(service) / slowdown);
-            }
-        }
-        let (in_flight, slots) = (executor.in_flight, executor.info.slots);
-        let worsening = executor.speed.worsening();
-        executor.limit.finished(slots, in_flight, worsening);
         let sign = good_or_slow(executor, attempt, ratio);
-        if change == Some(ClassChange::Cleared) {
-            self.notes.push(Note::ClassCleared { class: class_name });
+        if let (Some(ClassChange::Cleared), Some(class)) = (cleared, name) {
+            self.notes.push(Note::ClassCleared { class });
         }
         sign
     }
@@ -299,12 +282,28 @@
     }
 }
 
+/// Takes in a service time; gives back how slow it was relative to the class's median.
+fn learn_service(
+    now: Mono,
+    class: &mut Class,
+    executor: &mut Executor,
+    service: Option<Micros>,
+) -> Option<f64> {
+    let service = service?;
+    let ratio = class.estimate.ratio(service);
+    if let Some(ratio) = ratio {
+        executor.speed.observe(now, ratio);
+    }
+    let slowdown = executor.speed.slowdown(now);
+    class.estimate.observe(now, service, slowdown);
+    let (slots, in_flight) = (executor.info.slots, executor.in_flight);
+    let worsening = executor.speed.worsening();
+    executor.limit.finished(slots, in_flight, worsening);
+    ratio
+}
+
 /// A finished task is a good sign, unless it tried out a slow executor that is slow still.
-fn good_or_slow(
-    executor: &mut crate::executor::Executor,
-    attempt: Attempt,
-    ratio: Option<f64>,
-) -> Sign {
+fn good_or_slow(executor: &mut Executor, attempt: Attempt, ratio: Option<f64>) -> Sign {
     let slow = Sign::Bad {
         weight: STILL_SLOW,
         reason: BreakerReason::Slow,
--- a/crates/onyxshed-policy/src/policy/intake.rs
+++ b/crates/onyxshed-policy/src/policy/intake.rs
@@ -18,6 +18,9 @@
 /// When to come back if no such class is configured, in microseconds: a configuration's way.
 const UNKNOWN_CLASS_COME_BACK: Micros = Micros(5_000_000);
 
+/// Time between two looks for expired tasks: they are asked for with every event.
+const EXPIRE_AGAIN: Millis = Millis(1);
+
 /// A class may queue so many times as much as is left free, so one alone gets two thirds.
 const QUEUE_SHARE: usize = 2;
 
@@ -69,13 +72,10 @@
         self.forget_hedge(task);
         let hopeless_before = self.hopeless.len();
         self.hopeless.retain(|expired| expired.task != task);
-        let mut queues = self
-            .upstreams
-            .values_mut()
-            .map(|upstream| &mut upstream.queue);
-        let was_waiting = queues.any(|queue| queue.take(task).is_some());
-        self.waiting -= usize::from(was_waiting);
-        was_waiting || self.hopeless.len() < hopeless_before
+        let home = self.homes.remove(&task);
+        let upstream = home.and_then(|name| self.upstreams.get_mut(&name));
+        let ticket = upstream.and_then(|upstream| upstream.queue.take(task));
+        ticket.is_some() || self.hopeless.len() < hopeless_before
     }
 
     /// Takes out the waiting tasks whose deadline has passed or can't be made any more.
@@ -89,18 +89,25 @@
     /// Takes them out with what to tell of each.
     pub fn take_expired(&mut self, now: Now) -> Vec<Expired> {
         let mut expired = std::mem::take(&mut self.hopeless);
+        if now.mono < self.expire_at {
+            return expired;
+        }
+        self.expire_at = now.mono + EXPIRE_AGAIN;
         let classes = &self.classes;
         for upstream in self.upstreams.values_mut() {
             let fastest = upstream.capacity.fastest();
             let is_crowded = upstream.is_crowded(now.mono);
             let floor = |name: &ClassName| {
-                classes.get(name).map_or(Micros(0), |class| {
+                let class = classes.get(name);
+                class.map_or(Micros(0), |class| {
                     class.floor(now.mono, fastest, is_crowded)
                 })
             };
             let tickets = upstream.queue.expire(now.mono, floor);
-            self.waiting -= tickets.len();
-            expired.extend(tickets.iter().map(given_up));
+            expired.extend(tickets.iter().map(Ticket::expired));
+        }
+        for gone in &expired {
+            self.homes.remove(&gone.task);
         }
         expired
     }
@@ -108,13 +115,13 @@
     /// Queues a ticket on its class's upstream.
     pub(super) fn put(&mut self, ticket: Ticket, not_before: Option<Mono>) {
         let Some(class) = self.classes.get(&ticket.work.class) else {
-            self.hopeless.push(given_up(&ticket));
+            self.hopeless.push(ticket.expired());
             return;
         };
         let name = class.target.upstream.clone();
         let upstream = self.upstreams.entry(name.clone()).or_default();
+        self.homes.insert(ticket.work.task, name.clone());
         upstream.queue.push(ticket, not_before);
-        self.waiting += 1;
         self.ready.insert(name);
     }
 
@@ -143,7 +150,7 @@
         if is_judged && let Some(come_back) = outlook.come_back(now, deadline) {
             return Some((ResultCode::DeadlineOutOfReach, come_back));
         }
-        let left = self.options.queue_max.saturating_sub(self.waiting);
+        let left = self.options.queue_max.saturating_sub(self.homes.len());
         let of_class = upstream.queue.class_len(name) + tasks;
         let is_full = tasks > left || of_class > left.saturating_mul(QUEUE_SHARE);
         is_full.then(|| {
@@ -156,14 +163,6 @@
 /// Shortest time to come back in if the queue is full, in microseconds.
 const OVERLOADED_MIN_US: f64 = 100_000.0;
 
-/// What to tell of a task that is given up while it waits.
-fn given_up(ticket: &Ticket) -> Expired {
-    Expired {
-        task: ticket.work.task,
-        code: ticket.started_code.unwrap_or(ResultCode::ExpiredInQueue),
-    }
-}
-
 /// When to come back if nothing can be started on the upstream.
 fn no_upstream(now: Mono, upstream: &Upstream) -> Option<Micros> {
     let capacity = &upstream.capacity;
--- a/crates/onyxshed-policy/src/queue.rs
+++ b/crates/onyxshed-policy/src/queue.rs
@@ -11,7 +11,7 @@
 
 use crate::blame::ExecutorId;
 use crate::fleet::Seat;
-use crate::work::Work;
+use crate::work::{Expired, Work};
 
 /// Part of its span after which a class within its even part goes before those beyond theirs.
 const FORWARD_PART: u64 = 4;
@@ -45,6 +45,14 @@
             started_code: None,
         }
     }
+
+    /// Gets what to tell if it is given up while it waits.
+    pub fn expired(&self) -> Expired {
+        Expired {
+            task: self.work.task,
+            code: self.started_code.unwrap_or(ResultCode::ExpiredInQueue),
+        }
+    }
 }
 
 /// Order of a class's queue.
--- a/crates/onyxshed-policy/src/running.rs
+++ b/crates/onyxshed-policy/src/running.rs
@@ -28,6 +28,16 @@
 }
 
 impl Running {
+    /// Makes the state of a task that is about to be sent.
+    pub fn new(ticket: Ticket) -> Self {
+        Running {
+            ticket,
+            attempts: Vec::new(),
+            is_over: false,
+            hedge_at: None,
+        }
+    }
+
     /// Takes out the copy on one executor.
     pub fn remove(&mut self, seat: Seat) -> Option<Attempt> {
         let index = self.attempts.iter().position(|a| a.seat == seat)?;
--- a/crates/onyxshed-policy/src/upstream.rs
+++ b/crates/onyxshed-policy/src/upstream.rs
@@ -51,6 +51,15 @@
     power: f64,
 }
 
+/// Executors faster than some other, taken together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Faster {
+    /// Their slots weighed by speed.
+    pub power: f64,
+    /// Their mean slowdown.
+    pub slowdown: f64,
+}
+
 /// What the usable executors can do for this host.
 #[derive(Debug, Clone, Default)]
 pub struct Capacity {
@@ -86,12 +95,15 @@
         })
     }
 
-    /// Gets power and mean slowdown of the executors clearly faster than `slowdown`.
-    pub fn faster_than(&self, slowdown: f64) -> Option<(f64, f64)> {
+    /// Gets the executors clearly faster than `slowdown`, if there are any.
+    pub fn faster_than(&self, slowdown: f64) -> Option<Faster> {
         let below = slowdown / CLEARLY_FASTER;
         let count = self.tiers.partition_point(|tier| tier.slowdown < below);
         let tier = self.tiers.get(count.checked_sub(1)?)?;
-        Some((tier.power, tier.slots / tier.power.max(f64::MIN_POSITIVE)))
+        Some(Faster {
+            power: tier.power,
+            slowdown: tier.slots / tier.power.max(f64::MIN_POSITIVE),
+        })
     }
 
     fn reckon(now: Mono, executors: &[&Executor], sharers: u32) -> Self {
@@ -199,9 +211,13 @@
         }
     }
 
-    /// Takes in a finished task's service time, with the executor's speed taken out.
-    pub fn finished(&mut self, levelled_us: f64) {
-        self.mean_us += MEAN_ALPHA * (levelled_us - self.mean_us);
+    /// Takes in a finished task and its service time with the executor's speed taken out.
+    pub fn finished(&mut self, levelled_us: Option<f64>) {
+        self.retries.finished();
+        self.hedges.finished();
+        if let Some(levelled_us) = levelled_us {
+            self.mean_us += MEAN_ALPHA * (levelled_us - self.mean_us);
+        }
     }
 
     /// Gets the mean service time on an executor of ordinary speed, in microseconds.
