Recover within two seconds when all executors of an upstream were out at once

An executor that had gone quiet was not tried at all until its lost tasks were reported.

Changes: the first executor that is well again after every breaker was open brings the tries of the others forward to within 200 ms; a quiet executor is tried like any other once its breaker is open; a try that does not end in time lets the next one follow; while most breakers are open, callers are told to come back in two seconds at most and not in up to a minute.

--- a/crates/onyxshed-policy/src/executor.rs
+++ b/crates/onyxshed-policy/src/executor.rs
@@ -78,11 +78,16 @@
     }
 
     /// Gets what it may get now, with everything but its place for one more task counted.
+    ///
+    /// One that has gone quiet gets nothing more at once; when its breaker has opened for that, it
+    /// is tried like any other, as its old tasks may never be heard of again.
     pub fn gate(&self, now: Mono) -> Gate {
-        if !self.is_live(now) || self.is_quiet(now) {
+        let gate = self.breaker.gate(now);
+        let is_doubtful = gate == Gate::Work && self.is_quiet(now);
+        if is_doubtful || !self.is_live(now) {
             return Gate::Shut;
         }
-        self.breaker.gate(now)
+        gate
     }
 
     /// Tells whether it has a place for one more task of ours.
@@ -143,7 +148,7 @@
     }
 
     /// Silence beyond this, while attempts are there, is no long task any more.
-    fn patience(&self) -> Micros {
+    pub fn patience(&self) -> Micros {
         let patience = Micros(self.usual.0.saturating_mul(PATIENCE_FACTOR));
         patience.max(Micros::from(PATIENCE_MIN))
     }
--- a/crates/onyxshed-policy/src/executor/breaker.rs
+++ b/crates/onyxshed-policy/src/executor/breaker.rs
@@ -104,7 +104,7 @@
 enum State {
     Closed,
     Open { until: Mono, reason: BreakerReason },
-    Probing { reason: BreakerReason },
+    Probing { until: Mono, reason: BreakerReason },
 }
 
 /// One executor's breaker.
@@ -134,7 +134,7 @@
     pub fn gate(&self, now: Mono) -> Gate {
         match self.state {
             State::Closed => Gate::Work,
-            State::Open { until, .. } if until <= now => Gate::Probe,
+            State::Open { until, .. } | State::Probing { until, .. } if until <= now => Gate::Probe,
             State::Open { .. } | State::Probing { .. } => Gate::Shut,
         }
     }
@@ -143,22 +143,26 @@
     pub fn reason(&self) -> Option<BreakerReason> {
         match self.state {
             State::Closed => None,
-            State::Open { reason, .. } | State::Probing { reason } => Some(reason),
+            State::Open { reason, .. } | State::Probing { reason, .. } => Some(reason),
         }
     }
 
     /// Gets when the next try may be made, if the breaker is open.
     pub fn probe_at(&self) -> Option<Mono> {
         match self.state {
-            State::Open { until, .. } => Some(until),
-            State::Closed | State::Probing { .. } => None,
+            State::Open { until, .. } | State::Probing { until, .. } => Some(until),
+            State::Closed => None,
         }
     }
 
     /// Takes in that the task that tries the executor was sent.
-    pub fn probing(&mut self) {
+    ///
+    /// A try may go the way of the tasks before it and never end; after `patience` the next one may
+    /// follow.
+    pub fn probing(&mut self, now: Mono, patience: Micros) {
         if let Some(reason) = self.reason() {
-            self.state = State::Probing { reason };
+            let until = now + patience;
+            self.state = State::Probing { until, reason };
         }
     }
 
@@ -176,8 +180,8 @@
                 let reason = self.reason_to_open(sign)?;
                 Some(self.open(now, reason, draw))
             }
-            State::Probing { reason } if is_probe => self.probed(now, sign, reason, draw),
-            State::Open { reason, .. } | State::Probing { reason } => self.heard(sign, reason),
+            State::Probing { reason, .. } if is_probe => self.probed(now, sign, reason, draw),
+            State::Open { reason, .. } | State::Probing { reason, .. } => self.heard(sign, reason),
         }
     }
 
@@ -259,8 +263,9 @@
 
     /// Moves the next try forward to `at`, if it would come later.
     pub fn hurry(&mut self, at: Mono) {
-        if let State::Open { until, .. } = &mut self.state {
-            *until = at.min(*until);
+        match &mut self.state {
+            State::Open { until, .. } | State::Probing { until, .. } => *until = at.min(*until),
+            State::Closed => {}
         }
     }
 
--- a/crates/onyxshed-policy/src/policy/end.rs
+++ b/crates/onyxshed-policy/src/policy/end.rs
@@ -74,7 +74,7 @@
             .get_mut(seat)
             .map(|executor| &mut executor.breaker);
         let change = breaker.and_then(|b| b.ended(now, sign, attempt.is_probe, draw));
-        self.note_breaker(seat, change);
+        self.note_breaker(now, seat, change);
     }
 
     fn count(&mut self, end: &AttemptEnd, attempt: Attempt) {
--- a/crates/onyxshed-policy/src/policy/intake.rs
+++ b/crates/onyxshed-policy/src/policy/intake.rs
@@ -21,6 +21,9 @@
 /// Time between two looks for expired tasks: they are asked for with every event.
 const EXPIRE_AGAIN: Millis = Millis(1);
 
+/// Longest time to come back in while most breakers are open, in microseconds.
+const MOSTLY_OPEN_COME_BACK: Micros = Micros(2_000_000);
+
 /// A class may queue so many times as much as is left free, so one alone gets two thirds.
 const QUEUE_SHARE: usize = 2;
 
@@ -148,6 +151,7 @@
         let is_try = class.needs_try(now) && upstream.queue.class_len(name) == 0;
         let is_judged = self.placement.kind().is_guarded() && !is_try;
         if is_judged && let Some(come_back) = outlook.come_back(now, deadline) {
+            let come_back = come_back.min(longest_come_back(upstream));
             return Some((ResultCode::DeadlineOutOfReach, come_back));
         }
         let left = self.options.queue_max.saturating_sub(self.homes.len());
@@ -163,6 +167,19 @@
 /// Shortest time to come back in if the queue is full, in microseconds.
 const OVERLOADED_MIN_US: f64 = 100_000.0;
 
+/// Gets the longest time to come back in.
+///
+/// While most breakers are open the capacity may be back with the next tries, so what it is now
+/// says little about later.
+fn longest_come_back(upstream: &Upstream) -> Micros {
+    let is_mostly_open = upstream.capacity.usable * 2 < upstream.capacity.live;
+    if is_mostly_open {
+        MOSTLY_OPEN_COME_BACK
+    } else {
+        Micros(u64::MAX)
+    }
+}
+
 /// When to come back if nothing can be started on the upstream.
 fn no_upstream(now: Mono, upstream: &Upstream) -> Option<Micros> {
     let capacity = &upstream.capacity;
--- a/crates/onyxshed-policy/src/policy/start.rs
+++ b/crates/onyxshed-policy/src/policy/start.rs
@@ -141,7 +141,7 @@
         class.in_flight += 1;
         executor.started(now, usual.unwrap_or(USUAL_ASSUMED.into()));
         if is_probe {
-            executor.breaker.probing();
+            executor.breaker.probing(now, executor.patience());
         }
         let name = executor.info.name.clone();
         let running = self.running.entry(task);
--- a/crates/onyxshed-policy/src/policy/watch.rs
+++ b/crates/onyxshed-policy/src/policy/watch.rs
@@ -6,10 +6,14 @@
 use crate::executor::breaker::{BreakerChange, BreakerReason};
 use crate::fleet::Seat;
 use crate::note::Note;
+use crate::span::{as_us, to_micros};
 
 /// Pause between tries while every breaker of an upstream is open, in milliseconds.
 const ALL_OPEN_PAUSE: Millis = Millis(1_000);
 
+/// Time over which the tries of all executors are spread once the first is well, in milliseconds.
+const HURRY_WITHIN: Millis = Millis(200);
+
 impl Policy {
     /// Does what time alone brings about on an upstream.
     pub(super) fn look_after(&mut self, now: Mono, name: &UpstreamName) {
@@ -63,15 +67,16 @@
         let draw = self.draw();
         let executor = self.fleet.get_mut(seat);
         let change = executor.and_then(|executor| executor.breaker.trip(now, reason, draw));
-        self.note_breaker(seat, change);
+        self.note_breaker(now, seat, change);
     }
 
     /// Tells of a breaker's change, and lets an executor that is well again begin slowly.
-    pub(super) fn note_breaker(&mut self, seat: Seat, change: Option<BreakerChange>) {
+    pub(super) fn note_breaker(&mut self, now: Mono, seat: Seat, change: Option<BreakerChange>) {
         let (Some(change), Some(executor)) = (change, self.fleet.get_mut(seat)) else {
             return;
         };
         let name = executor.info.name.clone();
+        let upstream_name = executor.info.upstream.clone();
         let note = match change {
             BreakerChange::Opened(reason) => Note::BreakerOpened {
                 executor: name,
@@ -82,9 +87,29 @@
                 Note::BreakerClosed { executor: name }
             }
         };
-        if let Some(upstream) = self.upstreams.get_mut(&executor.info.upstream) {
+        self.notes.push(note);
+        if change == BreakerChange::Closed {
+            self.hurry_others(now, &upstream_name);
+        }
+        if let Some(upstream) = self.upstreams.get_mut(&upstream_name) {
             upstream.touch();
         }
-        self.notes.push(note);
+    }
+
+    /// Moves the tries of all executors forward when the first one is well again after every
+    /// breaker was open: what was broken for all is likely to be mended for all.
+    fn hurry_others(&mut self, now: Mono, name: &UpstreamName) {
+        let Some(upstream) = self.upstreams.get(name) else {
+            return;
+        };
+        if upstream.capacity.usable > 0 {
+            return;
+        }
+        for seat in upstream.members.clone() {
+            let wait = to_micros(as_us(HURRY_WITHIN.into()) * self.draw());
+            if let Some(executor) = self.fleet.get_mut(seat) {
+                executor.breaker.hurry(now + wait);
+            }
+        }
     }
 }
--- a/crates/onyxshed-policy/tests/policy/faults.rs
+++ b/crates/onyxshed-policy/tests/policy/faults.rs
@@ -121,3 +121,24 @@
     let late = model.starts_on(2, 14_000);
     assert!(late > 0, "no start on the healed executor");
 }
+
+/// No executor can be reached for two seconds, as when this host's own network is down; every breaker
+/// opens. Callers are told "not run" meanwhile. Two seconds after the way is back every deadline must
+/// be met again: one try a second finds it, and its success brings the others' forward.
+#[test]
+fn recovery_after_every_executor_was_out_of_reach() {
+    let mut fleet = mixed_fleet();
+    for exec in &mut fleet {
+        *exec = exec.clone().faulty(Fault::Dead, FROM_MS, 6_000);
+    }
+    let mut streams = two_classes(0.5, 8_000);
+    for mut after in two_classes(0.5, UNTIL_MS) {
+        after.from_ms = 8_000;
+        streams.push(after);
+    }
+    let mut model = model(&streams, fleet);
+    model.run();
+    for tally in &model.tallies[2..] {
+        assert!(tally.hit_share() >= 0.99, "{tally:?}");
+    }
+}
