--- a/crates/onyxshed-policy/src/executor.rs
+++ b/crates/onyxshed-policy/src/executor.rs
@@ -68,7 +68,8 @@
 
     /// Tells whether it may get new work as far as its life cycle goes.
     pub fn is_live(&self, now: Mono) -> bool {
-        !self.is_gone && !self.info.is_leaving && self.draining_until <= now
+        let is_kept = !self.is_gone && !self.info.is_leaving;
+        is_kept && self.info.slots > 0 && self.draining_until <= now
     }
 
     /// Tells whether attempts are there and nothing has come back for longer than its patience.
@@ -77,11 +78,16 @@
     }
 
     /// Gets what it may get now, with everything but its place for one more task counted.
+    ///
+    /// One that has gone quiet gets nothing more at once; when its breaker has opened for that, it
+    /// is tried like any other, as its old tasks may never be heard of again.
     pub fn gate(&self, now: Mono) -> Gate {
-        if !self.is_live(now) || self.is_quiet(now) {
+        let gate = self.breaker.gate(now);
+        let is_doubtful = gate == Gate::Work && self.is_quiet(now);
+        if is_doubtful || !self.is_live(now) {
             return Gate::Shut;
         }
-        self.breaker.gate(now)
+        gate
     }
 
     /// Tells whether it has a place for one more task of ours.
@@ -142,7 +148,7 @@
     }
 
     /// Silence beyond this, while attempts are there, is no long task any more.
-    fn patience(&self) -> Micros {
+    pub fn patience(&self) -> Micros {
         let patience = Micros(self.usual.0.saturating_mul(PATIENCE_FACTOR));
         patience.max(Micros::from(PATIENCE_MIN))
     }
