--- a/crates/onyxshed-state/src/claim.rs
+++ b/crates/onyxshed-state/src/claim.rs
@@ -277,6 +277,13 @@
         self.queue.take_all().into_iter().map(failed).collect()
     }
 
+    /// Gets how far the wall clock lies behind the latest time seen. Beyond the skew, ids that are
+    /// young by the clock are refused as too old; a new incarnation reads its claims from the log
+    /// afresh and is free of it.
+    pub fn clock_behind_ms(&self, now: Now) -> Millis {
+        self.latest_wall.since(now.wall)
+    }
+
     /// Forgets what the horizon has made needless; costs what it forgets.
     pub fn expire(&mut self, now: Now) {
         self.note_clock(now);
--- a/crates/onyxshed-state/src/config.rs
+++ b/crates/onyxshed-state/src/config.rs
@@ -173,6 +173,13 @@
         }
     }
 
+    /// Tells whether the id of any change accepted on top of `based_on` is still remembered. If not,
+    /// a change that is not found may have been accepted long ago.
+    pub fn remembers(&self, based_on: Revision) -> bool {
+        let forgotten = self.config.revision.0.saturating_sub(self.recent.len());
+        based_on.0 >= forgotten
+    }
+
     /// Takes in the record at `offset`, appended at an unknown time. Prefer [`Self::apply_record`],
     /// which knows when the record expires.
     pub fn apply(&mut self, offset: Offset, data: &str) -> FoldStep {
@@ -240,7 +247,9 @@
         if change.based_on != found {
             self.counts.raced += 1;
             let based_on = change.based_on;
-            self.fates.put(id, ChangeFate::Raced { based_on, found });
+            if self.remembers(based_on) {
+                self.fates.put(id, ChangeFate::Raced { based_on, found });
+            }
             return FoldStep::Raced { based_on, found };
         }
         if rules::check(&self.config, &change.body).is_err() {
--- a/crates/onyxshed-state/src/config/fate.rs
+++ b/crates/onyxshed-state/src/config/fate.rs
@@ -47,6 +47,11 @@
         self.0.iter().copied().collect()
     }
 
+    /// Gets how many there are.
+    pub(super) fn len(&self) -> u64 {
+        self.0.len() as u64
+    }
+
     /// Tells whether a change is among them.
     pub(super) fn contains(&self, id: ChangeId) -> bool {
         self.0.contains(&id)
--- a/crates/onyxshed-state/src/config/handover.rs
+++ b/crates/onyxshed-state/src/config/handover.rs
@@ -3,8 +3,8 @@
 use onyxshed_core::{ChangeId, Offset, Revision, UnixMs};
 use serde::{Deserialize, Serialize};
 
-use super::fate::{ChangeFate, RecentChanges};
-use super::{Config, ConfigFold, FoldStep, Late};
+use super::fate::RecentChanges;
+use super::{Config, ConfigFold, FoldStep};
 
 /// A configuration with its place in the log, as one process hands it to another.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -95,6 +95,8 @@
         self.step_since(before)
     }
 
+    /// Makes the fold that follows from `told`. Changes of the backlog that `told` holds already
+    /// are judged again: accepted ones are known by their ids, the others have lost as before.
     fn replay(&self, told: &Handover, at: Option<UnixMs>) -> ConfigFold {
         let mut fold = self.clone();
         fold.config = told.config.clone();
@@ -103,25 +105,11 @@
         fold.anchor = at;
         let partial = fold.partial.take();
         for late in partial.into_iter().flat_map(|partial| partial.backlog) {
-            if late.offset >= told.folded_to {
-                fold.fold_change(late.at, late.change);
-            } else {
-                fold.note_judged(&late, told);
-            }
+            fold.fold_change(late.at, late.change);
         }
         fold
     }
 
-    /// Notes the fate of a change that the fold of another has judged: what it did not accept of
-    /// late has lost.
-    fn note_judged(&mut self, late: &Late, told: &Handover) {
-        let fate = ChangeFate::Raced {
-            based_on: late.change.based_on,
-            found: told.config.revision,
-        };
-        self.fates.put(late.change.change_id, fate);
-    }
-
     pub(super) fn step_since(&self, before: Revision) -> FoldStep {
         let revision = self.config().revision;
         if revision > before {
--- a/crates/onyxshed-state/src/config/parts.rs
+++ b/crates/onyxshed-state/src/config/parts.rs
@@ -100,7 +100,8 @@
 /// Cuts a configuration into the records of a snapshot.
 pub(super) fn cut(handover: &Handover) -> Vec<ConfigRecord> {
     let mut cuts: Vec<Vec<ClassTarget>> = vec![Vec::new()];
-    let mut room = PART_BYTES - CHANGE_ID_BYTES * handover.recent_changes.len();
+    let change_bytes = CHANGE_ID_BYTES * handover.recent_changes.len();
+    let mut room = PART_BYTES.saturating_sub(change_bytes);
     for target in handover.config.classes.values() {
         let bytes = encoded(target).len() + 1;
         if bytes > room {
--- a/crates/onyxshed-state/src/config/proposal.rs
+++ b/crates/onyxshed-state/src/config/proposal.rs
@@ -126,6 +126,7 @@
     }
 
     fn is_missing(&self, fold: &ConfigFold, end: Offset) -> bool {
-        self.state.offset.is_none() && fold.next() >= end
+        let has_been_read = self.state.offset.is_none() && fold.next() >= end;
+        has_been_read && fold.remembers(self.change.based_on)
     }
 }
--- a/crates/onyxshed-state/tests/claim_traps.rs
+++ b/crates/onyxshed-state/tests/claim_traps.rs
@@ -201,6 +201,10 @@
     };
     assert_eq!(a.consult(back, id(0), CONTENT), ClaimStep::TooOld);
     assert!(!a.may_start(back, id(0)));
+    assert_eq!(
+        a.clock_behind_ms(back),
+        Millis(HORIZON_MS + 2 * SKEW_MS - 9)
+    );
 }
 
 /// Ids beyond the horizon, and ids whose time lies further ahead than clocks differ, are refused.
@@ -277,6 +281,31 @@
     assert_eq!(a.consult(at(540), id(0), CONTENT), ClaimStep::HeldBy(B));
 }
 
+/// The append of a release is refused. It goes out again with a later batch, and the submission can
+/// be claimed by others after that.
+#[test]
+fn refused_release_goes_out_again() {
+    let (mut log, mut a, mut b) = hosts();
+    win(&mut log, &mut a, at(0), id(0));
+    a.release(at(10), id(0));
+    let refused = take_batch(&mut a, at(300));
+    a.appended(at(310), refused.batch, Err(AppendFailure::NotAppended));
+    log.send(&mut a, at(900));
+    log.read(&mut b, at(910));
+    win(&mut log, &mut b, at(910), id(0));
+}
+
+/// A reader gets old records again, as after an answer that was out of date. They change nothing,
+/// and reading goes on where it was.
+#[test]
+fn record_read_twice_changes_nothing() {
+    let (mut log, mut a, _) = hosts();
+    win(&mut log, &mut a, at(0), id(0));
+    win(&mut log, &mut a, at(100), id(1));
+    assert!(a.read(at(200), Offset(0), &log.0[0]).is_empty());
+    assert_eq!((a.next(), a.counts().stale_batches), (Offset(2), 0));
+}
+
 /// Only the holder's release counts: a host that lost the race has nothing to give up.
 #[test]
 fn release_of_another_host_counts_for_nothing() {
--- a/crates/onyxshed-state/tests/config_fold.rs
+++ b/crates/onyxshed-state/tests/config_fold.rs
@@ -197,6 +197,56 @@
     assert_eq!(cut_off.config(), other.config());
 }
 
+/// A host that lost records reads a snapshot that ends after the gap and yet knows less than the
+/// host had in force before it. It can't be right; the host keeps what it has.
+#[test]
+fn snapshot_after_a_gap_does_not_go_back() {
+    let mut log = log_of(3);
+    let mut cut_off = reader(&log);
+    let mut liar = reader(&log_of(1));
+    for offset in 1..5 {
+        liar.apply(Offset(offset), "unreadable");
+    }
+    log.append(0, &change(put(10, 3, "unread", 100)));
+    log.append(0, &change(put(11, 4, "unread", 100)));
+    log.oldest = 5;
+    publish(&mut log, &mut liar, RETENTION_MS);
+    read(&log, &mut cut_off, 5_000);
+    assert_eq!((cut_off.is_complete(), revision(&cut_off)), (false, 3));
+    assert_eq!(cut_off.counts().contradictions, 1);
+}
+
+/// The command's change was appended, its answer lost, and the records expired before they were
+/// read. Nothing is said and nothing repeated until a complete fold tells; long after, when the ids
+/// of that time are forgotten, nothing is said for good.
+#[test]
+fn nothing_is_said_about_lost_records() {
+    let mut log = log_of(2);
+    let mut fold = reader(&log);
+    let ready = Proposal::prepare(put(900, 2, "locks", 100), &fold).expect("it is valid");
+    log.append(0, &change(ready.change().clone()));
+    let Appended::Sent(sent) = ready.appended(Err(AppendFailure::AnswerLost)) else {
+        panic!("it may be in the log");
+    };
+    let mut other = fold.clone();
+    read(&log, &mut other, 0);
+    fold.skip_to(log.next(), UnixMs(0));
+    let Judged::Undecided(sent) = sent.judge(&fold, log.next()) else {
+        panic!("judged on a partial fold");
+    };
+    let told = sent.clone().judge(&other, log.next());
+    assert_eq!(told, Judged::Accepted(Revision(3)));
+    for n in 3..300 {
+        log.append(0, &change(put(n, n, "prices", 100)));
+    }
+    log.append(0, &change(sent.change().clone()));
+    read(&log, &mut other, 0);
+    assert!(matches!(
+        sent.judge(&other, log.next()),
+        Judged::Undecided(_)
+    ));
+}
+
 /// A host is born while the platform's log is down. It learns the configuration from peers, moves
 /// only to higher revisions, and goes on from the log when that is back.
 #[test]
--- a/crates/onyxshed-state/tests/member.rs
+++ b/crates/onyxshed-state/tests/member.rs
@@ -63,6 +63,23 @@
     );
 }
 
+/// There are more peers than three messages tell of. Each takes longer to come round, so silence is
+/// suspected later.
+#[rstest]
+#[case::one_message(16, 6_001)]
+#[case::three_messages(40, 18_001)]
+fn suspicion_allows_for_many_peers(#[case] peers: u16, #[case] suspect_ms: u64) {
+    let mut table = table();
+    for n in 1..=peers {
+        table.hear(at(0), &from(beat(n)));
+    }
+    assert_eq!(idle(&mut table, 0, suspect_ms - 1), []);
+    assert_eq!(
+        idle(&mut table, suspect_ms, suspect_ms).len(),
+        usize::from(peers)
+    );
+}
+
 /// A suspected peer is heard again, through another one: its count went on. An old heartbeat that
 /// is passed on late proves nothing.
 #[test]
