--- a/crates/onyxshed-core/src/code.rs
+++ b/crates/onyxshed-core/src/code.rs
@@ -56,6 +56,7 @@
     2004 DeadlinePassed 504 "The deadline passed after a task had started; the rest was stopped.";
     2005 ResultTooLarge 502 "A task's result is larger than the entry host keeps.";
     2006 NeverRuns 502 "The job failed on several healthy workers and is held to be unable to run.";
+    2007 PartlyRefused 502 "A task was refused or ran out of time after others had run; the job failed as a whole.";
     3001 CancelledUnstarted 409 "The caller cancelled before any task had started.";
     3002 DeadlineOutOfReach 503 "No upstream could finish it before its deadline.";
     3003 Overloaded 503 "The class's share of the queue is full.";
@@ -64,7 +65,7 @@
     3006 NoUpstream 503 "No upstream of the class is live.";
     3007 ExpiredInQueue 503 "The deadline passed before any task had started.";
     3008 EntryFull 503 "The entry host's memory for jobs is full.";
-    3009 NotReady 503 "The entry host has no configuration yet.";
+    3009 NotReady 503 "The entry host does not know its configuration or its executors yet.";
     3010 RefusedByUpstream 503 "Upstreams refused every task before starting it.";
     3101 BadRequest 400 "The request can't be read.";
     3102 UnknownClass 404 "No class of that name is configured.";
@@ -82,6 +83,8 @@
     4006 IdFromFuture 409 "The submission id's time lies ahead of this host's clock; this copy was not started.";
     4007 AnswerDropped 410 "The answer was given once and is no longer kept.";
     4008 NotKnownHere 404 "This entry host knows no such submission.";
+    4009 EarlierCopyOpen 504 "Whether an earlier copy of the submission ran can't be told; this copy was not started.";
+    4010 CancelledInDoubt 504 "The caller cancelled while a task may have been running.";
     5001 SettingsUnreadable 0 "The settings file can't be read.";
     5002 SettingsInvalid 0 "The settings hold a wrong value.";
     5003 AddressInUse 0 "An address can't be opened.";
@@ -96,6 +99,7 @@
     5012 BadMessage 0 "A message between processes can't be read.";
     5013 RecordIgnored 0 "A record on the log can't be read and was ignored.";
     5014 Usage 0 "The command line is wrong.";
+    5015 NotInForceYet 0 "What was asked for is under way, but not finished everywhere yet.";
 }
 
 impl ResultCode {
--- /dev/null
+++ b/crates/onyxshed-dispatch/src/dispatch/claim.rs
@@ -0,0 +1,198 @@
+//! What the log says: claims won, lost or undecided.
+
+use onyxshed_core::{Event, EventKind, Incarnation, Now, Offset, ResultCode, SubmissionId};
+use onyxshed_policy::Work;
+use onyxshed_state::claim::AppendFailure;
+use onyxshed_state::{ClaimStep, Settled, Verdict};
+use onyxshed_wire::ContentHash;
+use onyxshed_wire::caller::{Answer, CopyMark, Submission};
+use onyxshed_wire::platform::Record;
+
+use super::Dispatch;
+
+use crate::job::{Claiming, Job};
+use crate::output::{ForwardedCall, Output};
+
+impl Dispatch {
+    pub(super) fn log_read(&mut self, now: Now, oldest: Offset, next: Offset, records: &[Record]) {
+        self.book.skip_to(now, oldest);
+        for record in records {
+            let settled = self.book.read(now, record.offset, &record.data);
+            self.settle_all(now, settled);
+        }
+        self.book.caught_up(next);
+    }
+
+    pub(super) fn log_lost(&mut self, now: Now) {
+        let failed = self.book.lost_log();
+        self.settle_all(now, failed);
+    }
+
+    /// Settles claims that were not read back in time.
+    pub(super) fn settle_overdue_claims(&mut self, now: Now) {
+        let overdue = self.book.tick(now);
+        self.settle_all(now, overdue);
+    }
+
+    fn settle_all(&mut self, now: Now, settled: Vec<Settled>) {
+        for one in settled {
+            self.settle(now, one);
+        }
+    }
+
+    pub(super) fn appended(&mut self, now: Now, batch: u64, result: Result<Offset, AppendFailure>) {
+        if let Err(failure) = result {
+            let detail = smol_str::format_smolstr!("batch {batch}: {failure:?}");
+            self.note(
+                Event::new(EventKind::ClaimFailed)
+                    .party("platform")
+                    .detail(detail),
+            );
+        }
+        let settled = self.book.appended(now, batch, result);
+        self.settle_all(now, settled);
+    }
+
+    fn settle(&mut self, now: Now, settled: Settled) {
+        let id = settled.submission;
+        match settled.verdict {
+            Verdict::Won => {
+                self.note(Event::new(EventKind::ClaimWon).submission(id));
+                self.grant(now, id, true);
+            }
+            Verdict::HeldBy(holder) => {
+                let party = smol_str::format_smolstr!("{holder}");
+                self.note(Event::new(EventKind::ClaimLost).submission(id).party(party));
+                self.hand_over(id, holder);
+            }
+            Verdict::OtherContent => self.end_unclaimed(now, id, ResultCode::OtherContent),
+            Verdict::Failed => self.claim_failed(now, id),
+        }
+    }
+
+    /// Starts the tasks of a job that this host holds.
+    pub(super) fn grant(&mut self, now: Now, id: SubmissionId, is_claimed: bool) {
+        let Some(job) = self.take_claiming(id) else {
+            // Given up while its claim was under way: another host may have it. A job that runs
+            // without a claim keeps the one that turned up late.
+            if self.jobs.get(id).is_none() {
+                self.book.release(now, id);
+            }
+            return;
+        };
+        if self.is_called_off(now, id, &job) {
+            return;
+        }
+        let job = job.granted(is_claimed);
+        for task in job.tasks() {
+            let work = Work {
+                task,
+                class: job.head.class.clone(),
+                deadline: job.head.deadline,
+                may_run_twice: job.head.may_run_twice,
+            };
+            self.policy.enqueue(now, work);
+        }
+        let due = job.head.deadline;
+        self.jobs.put_live(id, Job::Running(job), due);
+    }
+
+    /// Starts a job whose tasks may run twice without a claim.
+    pub(super) fn start_unclaimed(&mut self, now: Now, id: SubmissionId, reason: &'static str) {
+        self.note(
+            Event::new(EventKind::ClaimSkipped)
+                .submission(id)
+                .detail(reason),
+        );
+        self.grant(now, id, false);
+    }
+
+    /// Claims a job that may run twice in place of a holder that is gone; where the log can't say
+    /// who replaces it, the job starts on the word of its class.
+    pub(super) fn take_over(
+        &mut self,
+        now: Now,
+        id: SubmissionId,
+        content: ContentHash,
+        gone: Incarnation,
+    ) {
+        let party = smol_str::format_smolstr!("{gone}");
+        self.note(
+            Event::new(EventKind::ClaimTakenOver)
+                .submission(id)
+                .party(party),
+        );
+        if self.book.take_over(now, id, content, gone) != ClaimStep::Wait {
+            self.start_unclaimed(now, id, "its holder is gone");
+        }
+    }
+
+    /// Tells whether a job that this host now holds was cancelled and nobody has asked for it since.
+    fn is_called_off(&mut self, now: Now, id: SubmissionId, job: &Claiming) -> bool {
+        let is_called_off = !job.cancels.is_empty() && job.waiters.is_empty();
+        if is_called_off {
+            self.release_bytes(&job.payloads);
+            self.book.release(now, id);
+        }
+        for request in &job.cancels {
+            match is_called_off {
+                true => self.refuse(*request, id, ResultCode::CancelledUnstarted),
+                false => self.answer(*request, Answer::running(id)),
+            }
+        }
+        is_called_off
+    }
+
+    fn claim_failed(&mut self, now: Now, id: SubmissionId) {
+        let Some(job) = self.claiming_mut(id) else {
+            return;
+        };
+        match job.head.may_run_twice {
+            true => self.start_unclaimed(now, id, "the log can't be reached"),
+            false => self.end_unclaimed(now, id, ResultCode::PlatformUnavailable),
+        }
+    }
+
+    /// Passes every request of a job on to the host that won its claim.
+    fn hand_over(&mut self, id: SubmissionId, holder: Incarnation) {
+        let Some(job) = self.take_claiming(id) else {
+            return;
+        };
+        self.release_bytes(&job.payloads);
+        let submission = Submission {
+            submission: id,
+            class: job.head.class,
+            deadline_ms: None,
+            copy: CopyMark::Again,
+            tasks: job
+                .payloads
+                .iter()
+                .map(|payload| payload.as_ref().clone())
+                .collect(),
+        };
+        for request in job.waiters {
+            let call = ForwardedCall::Submit(Box::new(submission.clone()));
+            self.outputs.push(Output::Forward {
+                request,
+                to: holder,
+                call,
+            });
+        }
+        for request in job.cancels {
+            let call = ForwardedCall::Cancel(id);
+            self.outputs.push(Output::Forward {
+                request,
+                to: holder,
+                call,
+            });
+        }
+    }
+
+    fn take_claiming(&mut self, id: SubmissionId) -> Option<Claiming> {
+        self.claiming_mut(id)?;
+        match self.jobs.take(id) {
+            Some(Job::Claiming(job)) => Some(job),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-policy/tests/policy/figures.rs
@@ -0,0 +1,81 @@
+//! The three placements side by side; the figures are kept as a snapshot.
+
+use std::fmt::Write;
+
+use onyxshed_policy::PlacementKind;
+use rstest::rstest;
+
+use crate::fixture::{executor, target};
+use crate::model::Model;
+use crate::parts::{Exec, Stream};
+
+/// Entry hosts that share the fleet.
+pub const HOSTS: u32 = 3;
+
+/// Seed of the runs whose figures are kept.
+pub const SEED: u64 = 11;
+
+/// Twelve executors of speeds 1, 2 and 4.
+pub fn mixed_fleet() -> Vec<Exec> {
+    let speeds = [1.0, 2.0, 4.0];
+    let execs = (0..12).map(|index| {
+        let info = executor(&format!("x{index:02}"), "desk", 8);
+        Exec::new(info, speeds[index % 3])
+    });
+    execs.collect()
+}
+
+/// Two classes that use `load` of what the mixed fleet can do; one of them may run twice.
+pub fn two_classes(load: f64, until_ms: u64) -> Vec<Stream> {
+    // Service medians of 400 ms and 200 ms at speed 1; a fleet of 12 has the power of 28 executors
+    // of speed 1, 224 slots. The spread of service times adds 14% to the median.
+    let per_s = load * 224.0 / (0.4 * 1.14 + 0.2 * 1.14);
+    vec![
+        Stream::new(target("sync", "desk", 4_000, false), per_s, 400.0, until_ms),
+        Stream::new(target("lock", "desk", 1_000, true), per_s, 200.0, until_ms),
+    ]
+}
+
+/// Runs one model and writes a line for each stream.
+pub fn line(out: &mut String, kind: PlacementKind, model: &mut Model) {
+    model.run();
+    let wasted = model.wasted_share() * 100.0;
+    for (index, tally) in model.tallies.iter_mut().enumerate() {
+        let share = |count: u64| count as f64 * 100.0 / tally.offered.max(1) as f64;
+        let (hits, refused, failed) =
+            (tally.hit_share(), share(tally.refused), share(tally.failed));
+        writeln!(
+            out,
+            "{kind:<18}{index}: hits {:5.1}% refused {refused:4.1}% failed {failed:4.1}% \
+             ratio mean {:5.2} p50 {:5.2} p99 {:6.2} wasted {wasted:6.2}%",
+            hits * 100.0,
+            tally.mean_ratio(),
+            tally.ratio(0.5),
+            tally.ratio(0.99),
+        )
+        .expect("a string takes text");
+    }
+}
+
+/// Runs the placements on the same arrivals.
+pub fn compare(kinds: &[PlacementKind], streams: &[Stream], execs: &[Exec]) -> String {
+    let mut out = String::new();
+    for kind in kinds {
+        let mut model = Model::new(*kind, HOSTS, SEED, streams.to_vec(), execs.to_vec());
+        line(&mut out, *kind, &mut model);
+    }
+    out
+}
+
+#[rstest]
+#[case("50", 0.5)]
+#[case("80", 0.8)]
+#[case("95", 0.95)]
+fn placements_side_by_side(#[case] name: &str, #[case] load: f64) {
+    let text = compare(
+        &PlacementKind::ALL,
+        &two_classes(load, 12_000),
+        &mixed_fleet(),
+    );
+    insta::assert_snapshot!(format!("placements_at_{name}_percent"), text);
+}
--- a/crates/onyxshed-state/src/claim/consult.rs
+++ b/crates/onyxshed-state/src/claim/consult.rs
@@ -1,6 +1,7 @@
 //! Decides about a submission that arrives.
 
-use onyxshed_core::{Now, UnixMs};
+use onyxshed_core::{Now, SubmissionId, UnixMs};
+use onyxshed_wire::ContentHash;
 use onyxshed_wire::record::Claim;
 
 use super::ClaimBook;
@@ -8,6 +9,47 @@
 use super::table::Standing;
 
 impl ClaimBook {
+    /// Tells what [`ClaimBook::consult`] would decide, and neither queues a claim nor takes the
+    /// submission as started; without a content none is compared.
+    pub fn peek(&self, now: Now, id: SubmissionId, content: Option<ContentHash>) -> ClaimStep {
+        if let Some(refusal) = self.judge_time(now, id.time()) {
+            return refusal;
+        }
+        match id.bound_to {
+            Some(holder) if holder == self.me => self.peek_bound(id, content),
+            Some(holder) => ClaimStep::HeldBy(holder),
+            None => self.peek_unbound(id, content),
+        }
+    }
+
+    fn peek_bound(&self, id: SubmissionId, content: Option<ContentHash>) -> ClaimStep {
+        match self.table.bound(id.ulid) {
+            Some(found) if content.is_some_and(|content| content != found) => {
+                ClaimStep::OtherContent
+            }
+            Some(_) => ClaimStep::AlreadyStarted,
+            None => ClaimStep::Start,
+        }
+    }
+
+    fn peek_unbound(&self, id: SubmissionId, content: Option<ContentHash>) -> ClaimStep {
+        match self.table.get(id.ulid) {
+            Some(held) if content.is_some_and(|content| content != held.content) => {
+                ClaimStep::OtherContent
+            }
+            Some(held) if held.by != self.me => ClaimStep::HeldBy(held.by),
+            Some(held) if held.standing == Standing::Started => ClaimStep::AlreadyStarted,
+            Some(held) if held.standing == Standing::ReleaseQueued => ClaimStep::Start,
+            Some(_) | None if !self.is_caught_up => ClaimStep::Unavailable,
+            Some(_) | None => ClaimStep::Wait,
+        }
+    }
+
+    /// Tells whether an id is young enough for its tasks to be started without a claim.
+    pub fn is_within_horizon(&self, now: Now, id: SubmissionId) -> bool {
+        self.judge_time(now, id.time()).is_none()
+    }
+
     pub(super) fn consult_claim(&mut self, now: Now, claim: Claim) -> ClaimStep {
         self.note_clock(now);
         let id = claim.submission;
