--- a/crates/onyxshed-state/tests/claim_traps.rs
+++ b/crates/onyxshed-state/tests/claim_traps.rs
@@ -172,6 +172,33 @@
     assert_eq!(a.may_start(at(thawed_ms), id(0)), may);
 }
 
+/// A process thaws past the horizon and looks at ids before any event has brought it the new time.
+/// It must judge them by the time it is handed, not by the time it remembers.
+#[test]
+fn thawed_process_judges_by_the_new_time() {
+    let (_, a, _) = hosts();
+    let (before, after) = (at(HORIZON_MS), at(HORIZON_MS + 1));
+    assert_eq!(a.peek(before, id(0), None), ClaimStep::Wait);
+    assert!(a.is_within_horizon(before, id(0)));
+    assert_eq!(a.peek(after, id(0), None), ClaimStep::TooOld);
+    assert!(!a.is_within_horizon(after, id(0)));
+}
+
+/// So many claims wait that there is no room for one more. It is refused at once, and a look ahead
+/// says the same as the consult would: else its caller would wait for a verdict that never comes.
+#[test]
+fn full_queue_refuses_at_once() {
+    let options = ClaimOptions {
+        claims_max: 1,
+        ..ClaimOptions::default()
+    };
+    let mut a = host(1, options);
+    assert_eq!(a.consult(at(0), id(0), CONTENT), ClaimStep::Wait);
+    assert_eq!(a.peek(at(0), id(1), Some(CONTENT)), ClaimStep::Unavailable);
+    assert_eq!(a.consult(at(0), id(1), CONTENT), ClaimStep::Unavailable);
+    assert_eq!(a.peek(at(0), id(0), Some(CONTENT)), ClaimStep::Wait);
+}
+
 /// Clocks differ by up to a skew. When the first host forgets a claim, every other host's clock has
 /// passed the horizon, so nobody still accepts the id.
 #[test]
