--- a/crates/onyxshed-state/src/member/judge.rs
+++ b/crates/onyxshed-state/src/member/judge.rs
@@ -3,7 +3,7 @@
 use onyxshed_core::{HostName, Incarnation, Micros, Millis, Mono, Now};
 use onyxshed_wire::platform::HostState;
 
-use super::{MemberState, MemberTable, Note};
+use super::{Heartbeat, MemberState, MemberTable, Note};
 
 /// What to do about a silent peer.
 enum Judgement {
@@ -29,6 +29,17 @@
         std::mem::take(&mut self.notes)
     }
 
+    /// Goes on for a new life of this host, whose former one is gone. What is known of peers stays;
+    /// in a table made afresh the former life, which still holds claims, would be unknown.
+    pub fn restart(&mut self, now: Now, me: Heartbeat) -> Vec<Note> {
+        let former = std::mem::replace(&mut self.me, me);
+        if former.incarnation != self.me.incarnation {
+            self.gone.insert(former.incarnation, now.mono);
+            self.notes.push(Note::Gone(former.incarnation));
+        }
+        std::mem::take(&mut self.notes)
+    }
+
     /// Notices that this process has not run for a while.
     ///
     /// Without it a process that thaws would hold all its peers to be silent, though it was itself
--- a/crates/onyxshed-state/tests/member.rs
+++ b/crates/onyxshed-state/tests/member.rs
@@ -205,6 +205,22 @@
     assert_eq!(table.hear(at(0), &from(newer)).notes, [Note::HeldGone]);
 }
 
+/// The entry process of this host restarts beside its control process. The table goes on: its peers
+/// stay known, and the former life is gone for good.
+#[test]
+fn own_restart_keeps_what_is_known() {
+    let mut table = table();
+    table.hear(at(0), &from(beat(3)));
+    let former = beat(ME).incarnation;
+    let me = Heartbeat {
+        incarnation: Incarnation(99),
+        ..beat(ME)
+    };
+    assert_eq!(table.restart(at(10), me), [Note::Gone(former)]);
+    assert!(table.is_gone(former) && table.state(PEER) == Some(MemberState::Live));
+    assert_eq!(table.state(Incarnation(99)), Some(MemberState::Live));
+}
+
 /// Shares of slots count the zone's live hosts that take work; shares of the log count everyone who
 /// may append, suspects and hosts that are only listed included.
 #[test]
