--- a/crates/onyxshed-state/tests/claim_traps.rs
+++ b/crates/onyxshed-state/tests/claim_traps.rs
@@ -172,6 +172,33 @@
     assert_eq!(a.may_start(at(thawed_ms), id(0)), may);
 }
 
+/// A process thaws past the horizon and looks at ids before any event has brought it the new time.
+/// It must judge them by the time it is handed, not by the time it remembers.
+#[test]
+fn thawed_process_judges_by_the_new_time() {
+    let (_, a, _) = hosts();
+    let (before, after) = (at(HORIZON_MS), at(HORIZON_MS + 1));
+    assert_eq!(a.peek(before, id(0), None), ClaimStep::Wait);
+    assert!(a.is_within_horizon(before, id(0)));
+    assert_eq!(a.peek(after, id(0), None), ClaimStep::TooOld);
+    assert!(!a.is_within_horizon(after, id(0)));
+}
+
+/// So many claims wait that there is no room for one more. It is refused at once, and a look ahead
+/// says the same as the consult would: else its caller would wait for a verdict that never comes.
+#[test]
+fn full_queue_refuses_at_once() {
+    let options = ClaimOptions {
+        claims_max: 1,
+        ..ClaimOptions::default()
+    };
+    let mut a = host(1, options);
+    assert_eq!(a.consult(at(0), id(0), CONTENT), ClaimStep::Wait);
+    assert_eq!(a.peek(at(0), id(1), Some(CONTENT)), ClaimStep::Unavailable);
+    assert_eq!(a.consult(at(0), id(1), CONTENT), ClaimStep::Unavailable);
+    assert_eq!(a.peek(at(0), id(0), Some(CONTENT)), ClaimStep::Wait);
+}
+
 /// Clocks differ by up to a skew. When the first host forgets a claim, every other host's clock has
 /// passed the horizon, so nobody still accepts the id.
 #[test]
@@ -201,6 +228,10 @@
     };
     assert_eq!(a.consult(back, id(0), CONTENT), ClaimStep::TooOld);
     assert!(!a.may_start(back, id(0)));
+    assert_eq!(
+        a.clock_behind_ms(back),
+        Millis(HORIZON_MS + 2 * SKEW_MS - 9)
+    );
 }
 
 /// Ids beyond the horizon, and ids whose time lies further ahead than clocks differ, are refused.
@@ -277,6 +308,31 @@
     assert_eq!(a.consult(at(540), id(0), CONTENT), ClaimStep::HeldBy(B));
 }
 
+/// The append of a release is refused. It goes out again with a later batch, and the submission can
+/// be claimed by others after that.
+#[test]
+fn refused_release_goes_out_again() {
+    let (mut log, mut a, mut b) = hosts();
+    win(&mut log, &mut a, at(0), id(0));
+    a.release(at(10), id(0));
+    let refused = take_batch(&mut a, at(300));
+    a.appended(at(310), refused.batch, Err(AppendFailure::NotAppended));
+    log.send(&mut a, at(900));
+    log.read(&mut b, at(910));
+    win(&mut log, &mut b, at(910), id(0));
+}
+
+/// A reader gets old records again, as after an answer that was out of date. They change nothing,
+/// and reading goes on where it was.
+#[test]
+fn record_read_twice_changes_nothing() {
+    let (mut log, mut a, _) = hosts();
+    win(&mut log, &mut a, at(0), id(0));
+    win(&mut log, &mut a, at(100), id(1));
+    assert!(a.read(at(200), Offset(0), &log.0[0]).is_empty());
+    assert_eq!((a.next(), a.counts().stale_batches), (Offset(2), 0));
+}
+
 /// Only the holder's release counts: a host that lost the race has nothing to give up.
 #[test]
 fn release_of_another_host_counts_for_nothing() {
