--- a/crates/onyxshed-proof/src/cluster/operator.rs
+++ b/crates/onyxshed-proof/src/cluster/operator.rs
@@ -1,34 +1,54 @@
-//! What operators do: publish targets on the platform's log.
+//! What operators do: publish targets with the command line.
 
-use http_types::Method;
-use onyxshed_core::{ChangeId, ClassTarget, Offset, Revision};
+use std::process::{Child, Command, Stdio};
+use std::time::Instant;
+
+use onyxshed_core::{ClassTarget, Revision};
 use onyxshed_state::ConfigFold;
-use onyxshed_wire::platform::{Appended, CONFIG_STREAM, Page, records_path};
-use onyxshed_wire::record::{ChangeBody, ConfigChange, ConfigRecord};
-use ulid::Ulid;
+use onyxshed_wire::platform::{CONFIG_STREAM, Page, records_path};
+use smol_str::{SmolStr, format_smolstr};
+use snafu::ResultExt;
 
-use crate::error::{Error, Result};
-use crate::remote::{call, get};
+use crate::error::{Error, Result, SystemSnafu};
+use crate::process::beside_test;
+use crate::remote::{WAIT_CEILING, get, pause};
 
 use super::Cluster;
 
+/// How a command of `onyxshed` ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CommandEnd {
+    /// Its exit code, none if a signal ended it.
+    pub code: Option<i32>,
+    /// What it wrote.
+    pub text: SmolStr,
+}
+
 impl Cluster {
-    /// Appends a change, based on the revision given or else on the one in force by the log.
-    pub async fn publish(&self, target: ClassTarget, based_on: Option<Revision>) -> Result<Offset> {
-        let based_on = match based_on {
-            Some(revision) => revision,
-            None => self.log_config().await?.config().revision,
-        };
-        let change = ConfigRecord::ChangeV1(ConfigChange {
-            change_id: ChangeId(Ulid::generate()),
-            based_on,
-            body: ChangeBody::Put(target),
-        });
-        let path = records_path(CONFIG_STREAM);
-        let address = self.platform_address()?;
-        let body = call(address, Method::Post, &path, change.encode().into_bytes()).await?;
-        let appended = Appended::decode(&body).map_err(|error| Error::call("append", error))?;
-        Ok(appended.offset)
+    /// Runs `onyxshed target put` and waits for its end.
+    pub async fn put_target(
+        &self,
+        target: &ClassTarget,
+        based_on: Option<Revision>,
+    ) -> Result<CommandEnd> {
+        let platform = self.platform_address()?;
+        let route = SmolStr::new_static("platform.operator");
+        let platform = self.open_route(route, platform).await?;
+        let mut arguments = vec![
+            "target".to_owned(),
+            "put".to_owned(),
+            target.class.to_string(),
+            format!("--upstream={}", target.upstream),
+            format!("--finish-within={}", target.finish_within_ms),
+            format!("--platform={platform}"),
+        ];
+        if target.may_run_twice {
+            arguments.push("--may-run-twice".to_owned());
+        }
+        if let Some(revision) = based_on {
+            arguments.push(format!("--based-on={revision}"));
+        }
+        run_to_end(&arguments).await
     }
 
     /// Folds the log as an operator with the whole of it would.
@@ -42,3 +62,42 @@
         Ok(fold)
     }
 }
+
+/// Runs `onyxshed` without keeping callers from being served meanwhile.
+async fn run_to_end(arguments: &[String]) -> Result<CommandEnd> {
+    let mut child = Command::new(beside_test("onyxshed")?)
+        .args(arguments)
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .context(SystemSnafu {
+            what: "start onyxshed, which `cargo build --bins` builds",
+        })?;
+    let give_up_at = Instant::now() + WAIT_CEILING;
+    while has_not_ended(&mut child)? {
+        if Instant::now() > give_up_at {
+            let _ = child.kill();
+            let _ = child.wait();
+            return Err(Error::call("onyxshed", "it did not end"));
+        }
+        pause().await;
+    }
+    let output = child.wait_with_output().context(SystemSnafu {
+        what: "read what onyxshed wrote",
+    })?;
+    let text = format_smolstr!(
+        "{}{}",
+        String::from_utf8_lossy(&output.stdout),
+        String::from_utf8_lossy(&output.stderr)
+    );
+    Ok(CommandEnd {
+        code: output.status.code(),
+        text,
+    })
+}
+
+fn has_not_ended(child: &mut Child) -> Result<bool> {
+    let ended = child.try_wait().context(SystemSnafu { what: "wait" })?;
+    Ok(ended.is_none())
+}
--- a/crates/onyxshed-proof/src/scenario/ask.rs
+++ b/crates/onyxshed-proof/src/scenario/ask.rs
@@ -171,13 +171,21 @@
 }
 
 fn hearings(input: &mut &str) -> ModalResult<Vec<Hearing>> {
-    const WORDS: &[&str] = &["complete", "failed", "not_run", "unknown", "lost"];
+    const WORDS: &[&str] = &[
+        "complete",
+        "failed",
+        "not_run",
+        "unknown",
+        "lost",
+        "unreached",
+    ];
     const HEARINGS: &[Hearing] = &[
         Hearing::Outcome(Outcome::Complete),
         Hearing::Outcome(Outcome::Failed),
         Hearing::Outcome(Outcome::NotRun),
         Hearing::Outcome(Outcome::Unknown),
         Hearing::Lost,
+        Hearing::Unreached,
     ];
     let mut hearings = vec![HEARINGS[one_of(input, WORDS)?]];
     while may_say(input, "or") {
--- a/crates/onyxshed-proof/src/scenario/grammar.rs
+++ b/crates/onyxshed-proof/src/scenario/grammar.rs
@@ -10,7 +10,7 @@
 use super::ask::{condition, expectation};
 use super::language::{
     Action, Content, ExecutorFault, Jobs, PlatformFault, Publication, Receivers, Setting, Step,
-    Submit, Target,
+    Submit, Target, Told,
 };
 use super::words::{
     described, expected, may_say, name, names_to_end, names_until, number, one_of, parsed, say,
@@ -138,7 +138,7 @@
     })
 }
 
-/// Takes `class fee within 5 s [may run twice] [from revision 2]`.
+/// Takes `class fee within 5 s [may run twice] [from revision 2] [and lose the race]`.
 fn publication(input: &mut &str) -> ModalResult<Publication> {
     say(input, "class")?;
     publication_of_class(input)
@@ -160,14 +160,28 @@
         }
         false => None,
     };
+    let told = match may_say(input, "and") {
+        true => told(input)?,
+        false => Told::default(),
+    };
     Ok(Publication {
         class,
         within,
         may_run_twice,
         from,
+        told,
     })
 }
 
+/// Takes what an operator is told, where it is not that the change is accepted.
+fn told(input: &mut &str) -> ModalResult<Told> {
+    match one_of(input, &["lose", "reach", "learn"])? {
+        0 => say(input, "the race").map(|()| Told::Raced),
+        1 => say(input, "nobody").map(|()| Told::Unreachable),
+        _ => say(input, "nothing").map(|()| Told::Undecided),
+    }
+}
+
 /// Takes `job J1`, `jobs J1 to J9` or `every job`.
 pub(super) fn jobs(input: &mut &str) -> ModalResult<Jobs> {
     let place = one_of(input, JOBS_WORDS)?;
--- a/crates/onyxshed-proof/src/scenario/language.rs
+++ b/crates/onyxshed-proof/src/scenario/language.rs
@@ -93,6 +93,34 @@
     pub may_run_twice: bool,
     /// The revision that the operator saw; the one in force by the log if not said.
     pub from: Option<Revision>,
+    /// What the operator is told.
+    pub told: Told,
+}
+
+/// What an operator is told of a change.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Told {
+    /// It is accepted.
+    #[default]
+    Accepted,
+    /// It lost a race.
+    Raced,
+    /// The platform can't be reached; nothing was sent.
+    Unreachable,
+    /// Its fate is not known.
+    Undecided,
+}
+
+impl Told {
+    /// Gets the exit code that tells it.
+    pub fn exit_code(self) -> i32 {
+        match self {
+            Told::Accepted => 0,
+            Told::Unreachable => 1,
+            Told::Raced => 3,
+            Told::Undecided => 4,
+        }
+    }
 }
 
 /// Jobs that a statement is about.
@@ -261,6 +289,8 @@
     Outcome(Outcome),
     /// The connection broke without an answer.
     Lost,
+    /// No connection came about, and nothing was sent.
+    Unreached,
 }
 
 /// How often a task may have started.
--- a/crates/onyxshed-proof/src/scenario/steps.rs
+++ b/crates/onyxshed-proof/src/scenario/steps.rs
@@ -83,7 +83,13 @@
     async fn publish(&mut self, publication: &Publication) -> Result<()> {
         let target = target_of(publication)?;
         let class = target.class.clone();
-        self.cluster()?.publish(target, publication.from).await?;
+        let cluster = self.cluster()?;
+        let end = cluster.put_target(&target, publication.from).await?;
+        let wanted = publication.told.exit_code();
+        if end.code != Some(wanted) {
+            let what = format_smolstr!("expected exit code {wanted}, found {end:?}");
+            return Err(Error::unmet(what));
+        }
         let may_run_twice = publication.may_run_twice;
         self.may_run_twice.insert(class, may_run_twice);
         Ok(())
