--- a/crates/onyxshed-dispatch/src/dispatch.rs
+++ b/crates/onyxshed-dispatch/src/dispatch.rs
@@ -94,6 +94,12 @@
         self.config.as_ref()
     }
 
+    /// Gets how many peers are held to be live.
+    pub fn live_peers(&self) -> usize {
+        let is_live = |member: &&Member| member.state == onyxshed_state::MemberState::Live;
+        self.members.values().filter(is_live).count()
+    }
+
     /// Tells whether the claims stream has been read to its end.
     pub fn is_log_read(&self) -> bool {
         self.book.is_caught_up()
--- a/crates/onyxshed-entry/src/process.rs
+++ b/crates/onyxshed-entry/src/process.rs
@@ -110,6 +110,7 @@
                 "remembered_jobs": machine.remembered_jobs(),
                 "snapshot_age_ms": age_ms,
                 "executors": executors,
+                "live_peers": machine.live_peers(),
             })
         });
         StatusParts {
