--- a/crates/onyxshed-proof/src/cluster/topology.rs
+++ b/crates/onyxshed-proof/src/cluster/topology.rs
@@ -37,15 +37,19 @@
     pub control_settings: Map<String, Value>,
 }
 
+/// Heartbeats faster than the default, so that peers know each other soon after a start.
+const HEARTBEAT_MS: u64 = 100;
+
 impl Default for Given {
     fn default() -> Self {
+        let heartbeat = ("heartbeat_ms".to_owned(), HEARTBEAT_MS.into());
         Given {
             slots: 8,
             queue_max: 16,
             retention_ms: Millis(3_600_000),
             host_list_lag_ms: Millis(0),
             entry_settings: Map::new(),
-            control_settings: Map::new(),
+            control_settings: Map::from_iter([heartbeat]),
         }
     }
 }
--- a/crates/onyxshed-proof/src/scenario/ask.rs
+++ b/crates/onyxshed-proof/src/scenario/ask.rs
@@ -24,6 +24,7 @@
             "entry",
             "claims",
             "executors",
+            "peers",
         ],
     )? {
         place @ 0..=2 => {
@@ -46,6 +47,10 @@
             say(input, "are known")?;
             place(input).map(Condition::KnowsExecutors)
         }
+        7 => {
+            say(input, "are known")?;
+            place(input).map(Condition::KnowsPeers)
+        }
         _ => {
             say(input, "are read")?;
             place(input).map(Condition::ReadsLog)
--- a/crates/onyxshed-proof/src/scenario/language.rs
+++ b/crates/onyxshed-proof/src/scenario/language.rs
@@ -191,6 +191,8 @@
     ReadsLog(Where),
     /// The executors of its zone are known to the entry process.
     KnowsExecutors(Where),
+    /// The entry process holds all other hosts whose entry runs to be live.
+    KnowsPeers(Where),
     /// The platform has taken that many appends to a stream, at least.
     Appended(u64, SmolStr),
 }
--- a/crates/onyxshed-proof/src/scenario/verdicts.rs
+++ b/crates/onyxshed-proof/src/scenario/verdicts.rs
@@ -51,6 +51,7 @@
             }
             Condition::ReadsLog(place) => self.look_claims_read(place).await,
             Condition::KnowsExecutors(place) => self.look_executors(place).await,
+            Condition::KnowsPeers(place) => self.look_peers(place).await,
             Condition::Appended(count, stream) => {
                 let found = self.appended(stream).await?;
                 Ok(Look::when(found >= *count, || {
@@ -101,6 +102,18 @@
         Ok(Look::Holds)
     }
 
+    async fn look_peers(&mut self, place: &Where) -> Result<Look> {
+        let hosts = &self.cluster()?.hosts;
+        let running = hosts.values().filter(|unit| unit.entry.is_some()).count() as u64;
+        for (host, status) in self.statuses(place).await? {
+            let found = status.details["live_peers"].as_u64().unwrap_or_default();
+            if found + 1 < running {
+                return Ok(Look::NotYet(format_smolstr!("{host} knows {found}")));
+            }
+        }
+        Ok(Look::Holds)
+    }
+
     /// Judges an expectation; answers are waited for, everything else must hold now.
     pub(super) async fn expect(&mut self, expectation: &Expectation) -> Result<()> {
         match expectation {
