Let one job in as the try when every breaker of an upstream is open

The comment had it that a job coming when a try is due may be that try, but it was judged by the nil capacity all the same. Now the first one is let in unjudged, the others come back in at least 250 ms. Ruled out: learned service times.

--- a/crates/onyxshed-policy/src/policy/intake.rs
+++ b/crates/onyxshed-policy/src/policy/intake.rs
@@ -15,6 +15,10 @@
 /// When to come back if no executor is known, in microseconds: about a host list's lag.
 const NO_UPSTREAM_COME_BACK: Micros = Micros(1_000_000);
 
+/// Soonest time to come back in while one task finds out whether any executor is well, in
+/// microseconds.
+const TRY_UNDER_WAY_COME_BACK: Micros = Micros(250_000);
+
 /// When to come back if no such class is configured, in microseconds: a configuration's way.
 const UNKNOWN_CLASS_COME_BACK: Micros = Micros(5_000_000);
 
@@ -139,7 +143,11 @@
         }
         let outlook = outlook(now, &self.classes, upstream, name, tasks, deadline)?;
         let is_try = class.needs_try(now) && upstream.queue.class_len(name) == 0;
-        let is_judged = self.placement.kind().is_guarded() && !is_try;
+        // Failure guarded against: with every breaker open the capacity is nil, so no job looks able
+        // to make it, and without a job nothing tries an executor. Symptom: everything is refused
+        // long after the executors are well. A job that is let in as the try is not judged.
+        let has_capacity = upstream.capacity.usable > 0;
+        let is_judged = self.placement.kind().is_guarded() && !is_try && has_capacity;
         if is_judged && let Some(come_back) = outlook.come_back(now, deadline) {
             return Some((ResultCode::DeadlineOutOfReach, come_back));
         }
@@ -173,9 +181,13 @@
     if capacity.usable > 0 {
         return None;
     }
-    // Every breaker is open. A job that comes when a try is due may be that try.
-    let wait = capacity.probe_at.map(|at| at.since(now))?;
-    (wait > Micros(0)).then_some(wait)
+    // Every breaker is open. The first job that comes when a try is due is that try.
+    let is_due = capacity.probe_at.is_some_and(|at| at <= now);
+    if is_due && upstream.queue.is_empty() {
+        return None;
+    }
+    let wait = capacity.probe_at.map_or(Micros(0), |at| at.since(now));
+    Some(wait.max(TRY_UNDER_WAY_COME_BACK))
 }
 
 fn outlook(
