--- a/crates/onyxshed-dispatch/src/dispatch.rs
+++ b/crates/onyxshed-dispatch/src/dispatch.rs
@@ -101,6 +101,12 @@
         self.config.as_ref()
     }
 
+    /// Gets how many peers are held to be live.
+    pub fn live_peers(&self) -> usize {
+        let is_live = |member: &&Member| member.state == onyxshed_state::MemberState::Live;
+        self.members.values().filter(is_live).count()
+    }
+
     /// Tells whether the claims stream has been read to its end.
     pub fn is_log_read(&self) -> bool {
         self.book.is_caught_up()
@@ -136,12 +142,6 @@
         self.policy.waste()
     }
 
-    /// Gets how many peers are live as far as this host knows.
-    pub fn live_members(&self) -> usize {
-        let is_live = |member: &&Member| member.state == MemberState::Live;
-        self.members.values().filter(is_live).count()
-    }
-
     /// Tells whether the claims stream was read to its end and has not been lost since.
     pub fn is_log_readable(&self) -> bool {
         self.book.is_caught_up()
--- a/crates/onyxshed-entry/src/process.rs
+++ b/crates/onyxshed-entry/src/process.rs
@@ -111,8 +111,8 @@
                 "remembered_jobs": machine.remembered_jobs(),
                 "snapshot_age_ms": age_ms,
                 "executors": executors,
-                "members": machine.live_members(),
                 "is_log_readable": machine.is_log_readable(),
+                "live_peers": machine.live_peers(),
             })
         });
         StatusParts {
