--- a/crates/onyxshed-load/src/cli.rs
+++ b/crates/onyxshed-load/src/cli.rs
@@ -89,6 +89,7 @@
         class: args::one(args, "class"),
         service_ms: args::required(args, "service-ms"),
         hold: Duration::from_millis(args::required(args, "hold-ms")),
+        awaits_answers: true,
     };
     let report = async_io::block_on(executor.run(idle(executor, Rc::new(options))))?;
     print_json(&report);
--- a/crates/onyxshed-load/src/cli/args.rs
+++ b/crates/onyxshed-load/src/cli/args.rs
@@ -148,7 +148,7 @@
                 .long("only")
                 .value_name("NAME")
                 .value_parser(value_parser!(SmolStr))
-                .help("Only this: in-flight, executors, claims or job-size"),
+                .help("Only this: in-flight, executors, claims, job-size or members"),
         )
         .arg(binaries_arg())
         .arg(out(
--- a/crates/onyxshed-load/src/idle.rs
+++ b/crates/onyxshed-load/src/idle.rs
@@ -33,6 +33,8 @@
     pub service_ms: u32,
     /// How long to hold before reading the use of the machine.
     pub hold: Duration,
+    /// Whether the answers of the jobs are waited for; without it their connections are closed.
+    pub awaits_answers: bool,
 }
 
 /// What holding them cost.
@@ -80,7 +82,7 @@
         complete: 0,
         other: 0,
     };
-    for job in jobs {
+    for job in jobs.into_iter().filter(|_| options.awaits_answers) {
         match job.await {
             true => report.complete += 1,
             false => report.other += 1,
--- a/crates/onyxshed-load/src/local.rs
+++ b/crates/onyxshed-load/src/local.rs
@@ -45,6 +45,8 @@
     pub callers: SocketAddr,
     /// Where operators reach the entry process.
     pub admin: SocketAddr,
+    /// Where other control processes reach this one.
+    pub control_peer: SocketAddr,
     /// The entry process.
     pub entry: Child,
     /// The control process.
@@ -165,6 +167,7 @@
         Ok(LocalEntry {
             callers: ports.callers,
             admin: ports.entry_admin,
+            control_peer: ports.control_peer,
             entry,
             control,
             ready_after: started.elapsed(),
--- a/crates/onyxshed-load/src/slopes.rs
+++ b/crates/onyxshed-load/src/slopes.rs
@@ -5,6 +5,7 @@
 //! that a reader sees where a line does not describe what happens.
 
 pub mod fit;
+mod members;
 
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -40,14 +41,16 @@
     Executors,
     Claims,
     JobSize,
+    Members,
 }
 
 impl Subject {
-    const ALL: [Subject; 4] = [
+    const ALL: [Subject; 5] = [
         Subject::InFlight,
         Subject::Executors,
         Subject::Claims,
         Subject::JobSize,
+        Subject::Members,
     ];
 
     fn name(self) -> &'static str {
@@ -56,6 +59,7 @@
             Subject::Executors => "executors",
             Subject::Claims => "claims",
             Subject::JobSize => "job-size",
+            Subject::Members => "members",
         }
     }
 }
@@ -76,6 +80,7 @@
             Subject::Executors => executors(executor, &options.binaries).await?,
             Subject::Claims => claims(executor, &options.binaries).await?,
             Subject::JobSize => job_size(executor, &options.binaries).await?,
+            Subject::Members => members::members(&options.binaries).await?,
         });
     }
     Ok(all)
@@ -86,7 +91,7 @@
     let mut memory = Slope::new("in-flight-memory", "requests in flight", "entry MiB");
     let mut processor = Slope::new("in-flight-processor", "requests", "entry processor ms");
     for count in [100, 1_000, 2_500, 5_000, 9_000] {
-        let report = held(executor, binaries.into(), count).await?;
+        let report = held(executor, binaries.into(), count, false).await?;
         memory.add(count.into(), mib(report.held.resident_kib));
         let spent_ms = report.held.processor_ms - report.before.processor_ms;
         processor.add(count.into(), float(spent_ms));
--- /dev/null
+++ b/crates/onyxshed-load/src/slopes/members.rs
@@ -0,0 +1,79 @@
+//! What a control process spends on its peers, against the number of entry hosts.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Command;
+use std::time::Duration;
+
+use async_io::Timer;
+
+use super::fit::Slope;
+use super::mib;
+use crate::error::{Error, Result};
+use crate::local::{LocalOptions, LocalSet};
+use crate::tally::float;
+
+/// How long views settle, and how long is measured then.
+const SETTLE: Duration = Duration::from_secs(4);
+const SPAN: Duration = Duration::from_secs(6);
+
+/// Memory, processor time and bytes sent to peers by one control process, on average.
+pub(super) async fn members(binaries: &Path) -> Result<Vec<Slope>> {
+    let mut memory = Slope::new("members-memory", "entry hosts", "control MiB");
+    let mut core = Slope::new("members-core", "entry hosts", "control % of a core");
+    let mut sent = Slope::new("members-bytes", "entry hosts", "bytes/s to peers");
+    for entries in [2, 4, 8, 16, 32, 64] {
+        let options = LocalOptions {
+            entries,
+            executors: 1,
+            ..LocalOptions::small(binaries.into())
+        };
+        let set = LocalSet::start(&options).await?;
+        Timer::after(SETTLE).await;
+        let (spent_before, bytes_before) = (processor_ms(&set)?, peer_bytes(&set)?);
+        Timer::after(SPAN).await;
+        let (spent, bytes) = (processor_ms(&set)?, peer_bytes(&set)?);
+        let (count, span_s) = (entries as f64, SPAN.as_secs_f64());
+        let resident = set.entries[0].control.usage()?.resident_kib;
+        memory.add(count, mib(resident));
+        core.add(count, float(spent - spent_before) / count / span_s / 10.0);
+        sent.add(
+            count,
+            float(bytes.saturating_sub(bytes_before)) / count / span_s,
+        );
+    }
+    Ok(vec![memory, core, sent])
+}
+
+/// Gets the processor time of all control processes together.
+fn processor_ms(set: &LocalSet) -> Result<u64> {
+    let each = set.entries.iter().map(|entry| entry.control.usage());
+    each.map(|usage| usage.map(|usage| usage.processor_ms))
+        .sum()
+}
+
+/// Gets the bytes sent on all open connections between control processes, both ways.
+fn peer_bytes(set: &LocalSet) -> Result<u64> {
+    let listed = Command::new("ss")
+        .args(["-tinHO"])
+        .output()
+        .map_err(Error::start)?;
+    let text = String::from_utf8_lossy(&listed.stdout).into_owned();
+    let ports: Vec<SocketAddr> = set.entries.iter().map(|entry| entry.control_peer).collect();
+    let ours = text.lines().filter(|line| is_between(line, &ports));
+    Ok(ours.filter_map(bytes_sent).sum())
+}
+
+/// Tells whether either end of a connection is a control process's peer address.
+fn is_between(line: &str, ports: &[SocketAddr]) -> bool {
+    let ends = line.split_whitespace().skip(3).take(2);
+    let ends: Vec<SocketAddr> = ends.filter_map(|end| end.parse().ok()).collect();
+    ends.iter().any(|end| ports.contains(end))
+}
+
+fn bytes_sent(line: &str) -> Option<u64> {
+    let field = line
+        .split_whitespace()
+        .find_map(|word| word.strip_prefix("bytes_sent:"))?;
+    field.parse().ok()
+}
