Tell standstills of the process, and what it takes of the machine

Every process now emits E503 when its thread stood still for half a second: frozen, starved, or a task that does not yield. Resident memory, processor time and descriptors are metrics under the field's own names, so that a slope can be read off any process.

--- a/crates/onyxshed-kernel/src/lib.rs
+++ b/crates/onyxshed-kernel/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod service;
 pub mod signal;
 
+mod pause;
+
 pub use bus::Bus;
 pub use clock::Clock;
 pub use error::{Error, Result};
--- a/crates/onyxshed-kernel/src/process.rs
+++ b/crates/onyxshed-kernel/src/process.rs
@@ -9,6 +9,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use async_executor::Task;
 use async_io::Timer;
 use futures_lite::FutureExt;
 use onyxshed_core::{Event, EventKind, Millis};
@@ -18,6 +19,7 @@
 use crate::error::{Error, Result};
 use crate::kernel::Kernel;
 use crate::order::start_order;
+use crate::pause;
 use crate::service::Service;
 use crate::signal::StopRequest;
 
@@ -30,6 +32,8 @@
     pub drain_timeout_ms: Millis,
     /// Whether the ready line is written to standard output. Default true.
     pub has_ready_line: bool,
+    /// Shortest standstill of the whole process that is told, in milliseconds. Default 500 ms.
+    pub pause_least_ms: Millis,
 }
 
 impl RunOptions {
@@ -39,6 +43,7 @@
             name: name.into(),
             drain_timeout_ms: Millis(30_000),
             has_ready_line: true,
+            pause_least_ms: Millis(500),
         }
     }
 }
@@ -86,11 +91,15 @@
 
 /// State while work is taken in.
 #[derive(Debug)]
-pub struct Running;
+pub struct Running {
+    watch: Task<()>,
+}
 
 /// State in which no work is taken in any more.
 #[derive(Debug)]
-pub struct Draining;
+pub struct Draining {
+    _watch: Task<()>,
+}
 
 /// A process in one state of its life.
 pub struct Process<State> {
@@ -135,7 +144,9 @@
         if self.options.has_ready_line {
             self.write_ready_line();
         }
-        Ok(self.become_state(Running))
+        let watch = pause::watch(self.kernel.bus().clone(), self.options.pause_least_ms);
+        let watch = self.kernel.spawn(watch);
+        Ok(self.become_state(|Building| Running { watch }))
     }
 
     async fn start_one(&self, index: usize) -> Result<()> {
@@ -171,7 +182,9 @@
     pub fn begin_drain(self) -> Process<Draining> {
         self.kernel.readiness().set_draining();
         self.emit(EventKind::ProcessDraining);
-        self.become_state(Draining)
+        self.become_state(|running| Draining {
+            _watch: running.watch,
+        })
     }
 
     async fn stop_at_once(self) -> RunEnd {
@@ -222,12 +235,12 @@
         &self.state
     }
 
-    fn become_state<Next>(self, state: Next) -> Process<Next> {
+    fn become_state<Next>(self, next: impl FnOnce(State) -> Next) -> Process<Next> {
         Process {
             kernel: self.kernel,
             services: self.services,
             options: self.options,
-            state,
+            state: next(self.state),
         }
     }
 
--- a/crates/onyxshed-kernel/tests/life.rs
+++ b/crates/onyxshed-kernel/tests/life.rs
@@ -3,7 +3,9 @@
 use std::cell::RefCell;
 use std::future::pending;
 use std::rc::Rc;
+use std::time::Duration;
 
+use async_io::Timer;
 use futures_lite::FutureExt;
 use onyxshed_core::{Millis, ResultCode};
 use onyxshed_kernel::{
@@ -243,3 +245,31 @@
     "
     );
 }
+
+#[test]
+fn a_standstill_of_the_process_is_told() {
+    // One task holds the only thread, as a frozen process does. Afterwards the time line says so,
+    // or nobody could tell why everything was late.
+    let kernel = Kernel::new();
+    let events = events(&kernel);
+    let options = RunOptions {
+        pause_least_ms: Millis(20),
+        ..options(1)
+    };
+    let life = async {
+        let process = Process::new(kernel.clone(), Vec::new(), options);
+        let process = process.start().await.unwrap();
+        let stand_still = Duration::from_millis(150);
+        while !events
+            .borrow()
+            .iter()
+            .any(|event| event.starts_with("E503"))
+        {
+            std::thread::sleep(stand_still);
+            Timer::after(stand_still).await;
+        }
+        process.begin_drain().finish().await
+    };
+    let end = async_io::block_on(kernel.executor().run(life));
+    assert_eq!(end, RunEnd::Drained);
+}
--- a/crates/onyxshed-telemetry/src/lib.rs
+++ b/crates/onyxshed-telemetry/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod telemetry;
 pub mod timeline;
 
+mod usage;
+
 pub use admin::AdminService;
 pub use error::{Error, Result};
 pub use log::Log;
--- a/crates/onyxshed-telemetry/src/telemetry.rs
+++ b/crates/onyxshed-telemetry/src/telemetry.rs
@@ -13,6 +13,7 @@
 use crate::log::Log;
 use crate::metric::{self, Metrics};
 use crate::timeline::{Filter, Timeline};
+use crate::usage;
 
 /// Who the process is and how much it keeps.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -163,6 +164,7 @@
             "Log lines dropped because too many waited or standard error is closed.",
         )
         .absolute(self.log.dropped());
+        usage::update();
         self.metrics.run_upkeep();
     }
 }
--- a/crates/onyxshed-telemetry/tests/admin.rs
+++ b/crates/onyxshed-telemetry/tests/admin.rs
@@ -119,6 +119,11 @@
         let metrics = String::from_utf8(metrics.body).unwrap();
         assert!(metrics.contains("onyxshed_events_total{kind=\"TaskLost\"}"));
         assert!(metrics.contains("# TYPE onyxshed_timeline_bytes gauge"));
+        let resident = metrics
+            .lines()
+            .find_map(|line| line.strip_prefix("process_resident_memory_bytes "));
+        let resident_bytes: f64 = resident.expect("it is told").parse().unwrap();
+        assert!(resident_bytes > 1e6, "{resident_bytes}");
 
         let drained = call(address, Method::Post, "/v1/drain").await;
         assert_eq!(drained.status, 202);
