--- a/crates/onyxshed-cli/src/error.rs
+++ b/crates/onyxshed-cli/src/error.rs
@@ -58,7 +58,13 @@
         "the log has lost records of the configuration and holds no snapshot of it yet; a control process publishes one again, try later"
     ))]
     ConfigIncomplete,
-    /// No such class or change.
+    /// The change is not on the log.
+    #[snafu(display("change {change_id} is not on the log so far: it is not accepted"))]
+    ChangeNotSeen {
+        /// The change.
+        change_id: ChangeId,
+    },
+    /// No such class.
     #[snafu(display("there is no {what}"))]
     NotFound {
         /// What was looked for.
@@ -120,7 +126,9 @@
             Error::Platform { source } => source.code(),
             Error::ChangeInvalid { .. } => ResultCode::ChangeInvalid,
             Error::ChangeRaced { .. } => ResultCode::ChangeRaced,
-            Error::ChangeUndecided { .. } => ResultCode::ChangeUndecided,
+            Error::ChangeUndecided { .. } | Error::ChangeNotSeen { .. } => {
+                ResultCode::ChangeUndecided
+            }
             Error::ConfigIncomplete => ResultCode::NotReady,
             Error::NotFound { .. } => ResultCode::UnknownClass,
             Error::NotInForce { .. } | Error::StillDraining { .. } => ResultCode::NotInForceYet,
--- a/crates/onyxshed-cli/src/target/show.rs
+++ b/crates/onyxshed-cli/src/target/show.rs
@@ -1,6 +1,7 @@
 //! Shows targets, and the changes that made them.
 
-use onyxshed_core::{ChangeId, ClassName, ClassTarget, Offset, Revision, UnixMs};
+use onyxshed_core::{ChangeId, ClassName, ClassTarget, Offset, ResultCode, Revision, UnixMs};
+use onyxshed_state::ChangeFate;
 use onyxshed_wire::record::ChangeBody;
 use serde::Serialize;
 use smol_str::format_smolstr;
@@ -18,6 +19,20 @@
     classes: Vec<&'a ClassTarget>,
 }
 
+#[derive(Serialize)]
+struct History<'a> {
+    changes: Vec<Change<'a>>,
+    /// Records that nobody can read; every reader ignores them alike.
+    unreadable: u64,
+}
+
+#[derive(Serialize)]
+struct Expired {
+    change_id: ChangeId,
+    fate: &'static str,
+    revision: Revision,
+}
+
 #[derive(Serialize)]
 struct Change<'a> {
     offset: Offset,
@@ -95,21 +110,46 @@
     let all = log.changes();
     let changes: Vec<&Logged> = all.iter().filter(is_wanted).collect();
     if let (Some(change), true) = (change, changes.is_empty()) {
-        return Err(Error::NotFound {
-            what: format_smolstr!("change {change} on the log: it was not accepted so far"),
-        });
+        return expired(&log, change, format);
     }
+    let unreadable = log.fold().counts().unreadable;
     Ok(match format {
-        Format::Json => json(
-            &changes
-                .iter()
-                .map(|logged| as_json(logged))
-                .collect::<Vec<_>>(),
-        ),
-        Format::Human => history_table(&changes),
+        Format::Json => json(&History {
+            changes: changes.iter().map(|logged| as_json(logged)).collect(),
+            unreadable,
+        }),
+        Format::Human => history_table(&changes) + &unreadable_line(unreadable),
     })
 }
 
+/// Tells what became of a change whose record is not on the log: a snapshot may still know it.
+fn expired(log: &ConfigLog, change_id: ChangeId, format: Format) -> Result<String> {
+    match log.fold().find_change(change_id) {
+        ChangeFate::Accepted(revision) => Ok(match format {
+            Format::Json => json(&Expired {
+                change_id,
+                fate: "accepted",
+                revision,
+            }),
+            Format::Human => {
+                format!("change {change_id} made revision {revision}; its record has expired\n")
+            }
+        }),
+        _ if !log.fold().is_complete() => Err(Error::ConfigIncomplete),
+        _ => Err(Error::ChangeNotSeen { change_id }),
+    }
+}
+
+fn unreadable_line(count: u64) -> String {
+    match count {
+        0 => String::new(),
+        count => format!(
+            "{count} records can't be read and are ignored by all (error {})\n",
+            ResultCode::RecordIgnored
+        ),
+    }
+}
+
 fn history_table(changes: &[&Logged]) -> String {
     let rows: Vec<Vec<String>> = changes
         .iter()
--- a/crates/onyxshed-cli/tests/publish.rs
+++ b/crates/onyxshed-cli/tests/publish.rs
@@ -3,13 +3,15 @@
 #[path = "support/standin.rs"]
 mod standin;
 
+use std::str::FromStr;
+
 use http_types::Method;
 use onyxshed_cli::args::{PlatformArgs, Publish};
 use onyxshed_cli::output::Format;
 use onyxshed_cli::progress::Progress;
 use onyxshed_cli::target::{self, ConfigLog, prepare, send};
 use onyxshed_cli::{Error, Result};
-use onyxshed_core::{ClassTarget, Millis, Revision, UnixMs};
+use onyxshed_core::{ChangeId, ClassTarget, Millis, Revision, UnixMs};
 use onyxshed_state::RepublishStep;
 use onyxshed_wire::record::ChangeBody;
 use rstest::rstest;
@@ -50,7 +52,8 @@
 
 async fn fates(standin: &Standin) -> Vec<Value> {
     let said = target::history(args(standin, 60_000), None, None, Format::Json).await;
-    let changes: Vec<Value> = serde_json::from_str(&said.expect("a history")).expect("JSON");
+    let history: Value = serde_json::from_str(&said.expect("a history")).expect("JSON");
+    let changes = history["changes"].as_array().expect("a list").clone();
     changes
         .into_iter()
         .map(|change| change["fate"].clone())
@@ -206,13 +209,8 @@
         let error = send(&mut log, change, &Progress::new("the log"))
             .await
             .unwrap_err();
-        assert_eq!(
-            (
-                error.code().number(),
-                standin.counts().await["appended"].clone()
-            ),
-            (5006, json!(0))
-        );
+        assert_eq!(error.code().number(), 5006);
+        assert_eq!(standin.counts().await["appended"], json!({}));
     });
 }
 
@@ -233,6 +231,27 @@
     });
 }
 
+#[test]
+fn garbage_on_the_log_is_ignored_and_counted() {
+    // Something else appended to our stream: no JSON, a kind nobody knows, a change that breaks the
+    // rules. Every reader ignores the same records, so publishing goes on around them.
+    standin::with_platform(async |standin| {
+        let mut log = ConfigLog::new(args(standin, 60_000));
+        for garbage in ["", "{\"change_v9\":{}}", "[[[[", "\u{0}"] {
+            log.append(garbage.to_owned()).await.unwrap();
+        }
+        assert_eq!(revision(publish(standin, put(2_000), 60_000).await), 1);
+        let said = target::history(args(standin, 60_000), None, None, Format::Human).await;
+        let said = said.unwrap();
+        let last = said.lines().last();
+        let counted = "4 records can't be read and are ignored by all (error 5013)";
+        assert_eq!(last, Some(counted), "{said}");
+        let unknown = Some(ChangeId::from_str("01JABCDEFGHJKMNPQRSTVWXYZ0").unwrap());
+        let said = target::history(args(standin, 60_000), None, unknown, Format::Human).await;
+        assert_eq!(said.unwrap_err().code().number(), 5010);
+    });
+}
+
 #[test]
 fn a_snapshot_stands_in_for_records_that_expired() {
     // A control process publishes the configuration again, then the changes that made it expire.
@@ -241,6 +260,7 @@
         assert_eq!(revision(publish(standin, put(2_000), 60_000).await), 1);
         let mut log = ConfigLog::new(args(standin, 60_000));
         log.read_all().await.unwrap();
+        let first = log.changes()[0].change.change_id;
         let RepublishStep::Publish(records) = log.fold().clone().republish(UnixMs(u64::MAX), 1)
         else {
             panic!("the end of time is past any retention");
@@ -250,6 +270,9 @@
         }
         let lost = json!({ "truncate": { "stream": "config", "to": 1 } });
         standin.control("/control/faults", &lost).await;
+        let said = target::history(args(standin, 60_000), None, Some(first), Format::Human);
+        let expected = format!("change {first} made revision 1; its record has expired\n");
+        assert_eq!(said.await, Ok(expected));
         assert_eq!(revision(publish(standin, put(3_000), 60_000).await), 2);
     });
 }
