--- a/crates/onyxshed-cli/src/catalogue.rs
+++ b/crates/onyxshed-cli/src/catalogue.rs
@@ -14,8 +14,8 @@
 # Result codes
 
 Written from `crates/onyxshed-core/src/code.rs`; change that and run
-`cargo run -p onyxshed-cli --example catalogue-page -- codes > docs/RESULT-CODES.md`. A test holds page
-and code together.
+`cargo run -p onyxshed-cli --example catalogue-page -- codes > docs/RESULT-CODES.md`. A test holds
+page and code together.
 
 The first digit tells the outcome: 1 complete, 2 failed, 3 not run, 4 unknown; 5 is for errors of
 processes and commands. Only \"not run\" invites a repeat. The same text comes from
@@ -26,12 +26,12 @@
 # Events
 
 Written from `crates/onyxshed-core/src/event.rs`; change that and run
-`cargo run -p onyxshed-cli --example catalogue-page -- events > docs/EVENTS.md`. A test holds page and
-code together.
+`cargo run -p onyxshed-cli --example catalogue-page -- events > docs/EVENTS.md`. A test holds page
+and code together.
 
-Log, metrics (`onyxshed_events_total{kind=\"…\"}`) and time line use these numbers. The log leaves out
-what is quieter than its level (`log.level` in the settings); the time line keeps every event. The
-same text comes from `onyxshed explain E301`.
+Log, metrics (`onyxshed_events_total{kind=\"…\"}`) and time line use these numbers. The log leaves
+out what is quieter than its level (`log.level` in the settings); the time line keeps every event.
+The same text comes from `onyxshed explain E301`.
 ";
 
 /// Heads of the groups of events, by the number's hundreds.
--- a/crates/onyxshed-cli/src/command.rs
+++ b/crates/onyxshed-cli/src/command.rs
@@ -16,7 +16,7 @@
 const EXAMPLES: &str = "\
 Examples:
   onyxshed check entry.jsonc --kind entry
-  onyxshed target put stock-sync --upstream stock --finish-within 2s --settings operator.jsonc --wait
+  onyxshed target put stock-sync --upstream stock --finish-within 2s -s operator.jsonc --wait
   onyxshed status --settings operator.jsonc
   onyxshed timeline --settings operator.jsonc --submission 01JABCDEFGHJKMNPQRSTVWXYZ0
 
@@ -27,19 +27,19 @@
 const TARGET_LONG: &str = "\
 Reads and publishes targets. A class of work has one target: how soon its jobs must be finished and
 whether its tasks may ever run twice. A target is published as a change on the platform's log, based
-on the revision that the operator saw. The log's order decides races: the change that comes second is
-not accepted, and its operator is told. A change counts as accepted only when it has been read back.";
+on the revision that the operator saw. The log's order decides races: the change that comes second
+is not accepted, and its operator is told. A change counts as accepted only when it was read back.";
 
 const TIMELINE_LONG: &str = "\
-Shows what happened, over all processes in the settings, in the order of their hybrid logical clocks.
-Each process keeps its latest events in memory only: a process that does not answer, one that started
-since, and events that were dropped are shown as gaps.";
+Shows what happened, over all processes in the settings, in the order of their hybrid logical
+clocks. Each process keeps its latest events in memory only: a process that does not answer, one
+that started since, and events that were dropped are shown as gaps.";
 
 const DRAIN_LONG: &str = "\
-Takes a process out of service, as SIGTERM does: its readiness goes false, new work is answered as not
-run, work in flight is finished within the process's drain_timeout_ms, then the process ends. On the
-host itself, `kill -TERM` does the same; a second SIGTERM does not shorten it, SIGQUIT ends the process
-at once and cuts off what is in flight.";
+Takes a process out of service, as SIGTERM does: its readiness goes false, new work is answered as
+not run, work in flight is finished within the process's drain_timeout_ms, then the process ends. On
+the host itself, `kill -TERM` does the same; a second SIGTERM does not shorten it, SIGQUIT ends the
+process at once and cuts off what is in flight.";
 
 /// Makes the whole command line.
 pub fn command() -> Command {
@@ -157,40 +157,7 @@
     on_processes(Command::new("timeline"))
         .about("Shows what happened, over all processes")
         .long_about(TIMELINE_LONG)
-        .arg(
-            Arg::new("submission")
-                .long("submission")
-                .value_name("ID")
-                .value_parser(value_parser!(SubmissionId))
-                .help("Only events of this submission"),
-        )
-        .arg(
-            Arg::new("class")
-                .long("class")
-                .value_name("CLASS")
-                .value_parser(value_parser!(ClassName))
-                .help("Only events of this class"),
-        )
-        .arg(
-            Arg::new("party")
-                .long("party")
-                .value_name("TEXT")
-                .help("Only events whose other party's name holds this: an executor, a peer"),
-        )
-        .arg(
-            Arg::new("upstream")
-                .long("upstream")
-                .value_name("UPSTREAM")
-                .value_parser(value_parser!(UpstreamName))
-                .help("Only events with this upstream's executors, as the platform lists them now"),
-        )
-        .arg(
-            Arg::new("since")
-                .long("since")
-                .value_name("SPAN")
-                .value_parser(span::parse)
-                .help("Only events of the last span, such as 5m"),
-        )
+        .args(timeline_filters())
         .arg(
             Arg::new("lines")
                 .long("lines")
@@ -204,6 +171,29 @@
         .arg(timeout("3s", "How long a process may take to answer"))
 }
 
+fn timeline_filters() -> [Arg; 5] {
+    [
+        filter("submission", "ID")
+            .value_parser(value_parser!(SubmissionId))
+            .help("Only events of this submission"),
+        filter("class", "CLASS")
+            .value_parser(value_parser!(ClassName))
+            .help("Only events of this class"),
+        filter("party", "TEXT")
+            .help("Only events whose other party's name holds this: an executor, a peer"),
+        filter("upstream", "UPSTREAM")
+            .value_parser(value_parser!(UpstreamName))
+            .help("Only events with this upstream's executors, as the platform lists them now"),
+        filter("since", "SPAN")
+            .value_parser(span::parse)
+            .help("Only events of the last span, such as 5m"),
+    ]
+}
+
+fn filter(name: &'static str, value: &'static str) -> Arg {
+    Arg::new(name).long(name).value_name(value)
+}
+
 fn drain() -> Command {
     on_processes(Command::new("drain"))
         .about("Takes a process out of service without cutting off work")
--- a/crates/onyxshed-cli/src/lib.rs
+++ b/crates/onyxshed-cli/src/lib.rs
@@ -1,7 +1,7 @@
 //! `onyxshed`: the operator's command line.
 //!
-//! [`command`] says what may be typed, [`args`] turns it into an [`args::Action`], and one module for
-//! each action carries it out. Answers go to standard output, progress and errors to standard
+//! [`command`] says what may be typed, [`args`] turns it into an [`args::Action`], and one module
+//! for each action carries it out. Answers go to standard output, progress and errors to standard
 //! error, each error with its numbered code.
 
 pub mod args;
--- a/crates/onyxshed-cli/src/target/show.rs
+++ b/crates/onyxshed-cli/src/target/show.rs
@@ -94,13 +94,7 @@
     change: Option<ChangeId>,
     format: Format,
 ) -> Result<String> {
-    let mut log = ConfigLog::new(platform);
-    // Also useful when the log has lost records: what it still holds is shown.
-    let progress = Progress::new("the platform's log");
-    match progress.during(log.read_all()).await {
-        Ok(()) | Err(Error::ConfigIncomplete) => {}
-        Err(error) => return Err(error),
-    }
+    let log = read_what_is_left(platform).await?;
     let is_wanted = |logged: &&Logged| {
         class
             .as_ref()
@@ -122,6 +116,16 @@
     })
 }
 
+/// Reads the log, also if it has lost records: what it still holds is of use.
+async fn read_what_is_left(platform: PlatformArgs) -> Result<ConfigLog> {
+    let mut log = ConfigLog::new(platform);
+    let progress = Progress::new("the platform's log");
+    match progress.during(log.read_all()).await {
+        Ok(()) | Err(Error::ConfigIncomplete) => Ok(log),
+        Err(error) => Err(error),
+    }
+}
+
 /// Tells what became of a change whose record is not on the log: a snapshot may still know it.
 fn expired(log: &ConfigLog, change_id: ChangeId, format: Format) -> Result<String> {
     match log.fold().find_change(change_id) {
--- a/crates/onyxshed-cli/src/target/wait.rs
+++ b/crates/onyxshed-cli/src/target/wait.rs
@@ -26,14 +26,11 @@
 ) -> Result<()> {
     loop {
         let asked = ask_status(processes, ASK_TIMEOUT).await;
-        let lacking: Vec<String> = asked
-            .iter()
-            .filter(|asked| !has_revision(asked, revision))
-            .map(describe)
-            .collect();
+        let lacking = lacking(&asked, revision);
         if lacking.is_empty() {
             return Ok(());
         }
+        let (all, done) = (asked.len(), asked.len() - lacking.len());
         let waiting = lacking.join(", ");
         if is_late() {
             return Err(Error::NotInForce {
@@ -41,8 +38,6 @@
                 waiting: waiting.into(),
             });
         }
-        let done = asked.len() - lacking.len();
-        let all = asked.len();
         progress.set(format!(
             "{done} of {all} processes have revision {revision}; not yet {waiting}"
         ));
@@ -50,6 +45,12 @@
     }
 }
 
+/// Describes every process that lacks the revision.
+fn lacking(asked: &[Asked<Status>], revision: Revision) -> Vec<String> {
+    let lacking = asked.iter().filter(|asked| !has_revision(asked, revision));
+    lacking.map(describe).collect()
+}
+
 fn has_revision(asked: &Asked<Status>, revision: Revision) -> bool {
     let found = asked
         .answer
--- a/crates/onyxshed-settings/src/lib.rs
+++ b/crates/onyxshed-settings/src/lib.rs
@@ -1,7 +1,7 @@
 //! Settings of every process: JSON with comments, checked in full before anything opens.
 //!
-//! One table for each kind of file ([`tables`]) says which fields there are, of which unit, in which
-//! range, with which default. It drives the check and the page docs/SETTINGS.md alike. A file with
+//! One table for each kind of file ([`tables`]) says which fields there are, of which unit, in
+//! which range, with which default. It drives the check and the page docs/SETTINGS.md alike. A file with
 //! faults is refused with all of them, each with its line, column and field, what was found and
 //! what is allowed.
 
--- a/crates/onyxshed-settings/src/page.rs
+++ b/crates/onyxshed-settings/src/page.rs
@@ -12,14 +12,14 @@
 `cargo run -p onyxshed-settings --example settings-page > docs/SETTINGS.md`. A test holds page and
 tables together.
 
-A settings file is one JSON object with comments (`//` and `/* */`) and trailing commas. It is checked
-in full before a process opens anything: `onyxshed check FILE --kind entry`, or `--check` of the
-process itself, does only this and exits with 2 if the file has a fault. Every fault is reported as
-`file:line:column: field: found …; allowed: …`.
+A settings file is one JSON object with comments (`//` and `/* */`) and trailing commas. It is
+checked in full before a process opens anything: `onyxshed check FILE --kind entry`, or `--check` of
+the process itself, does only this and exits with 2 if the file has a fault. Every fault is reported
+as `file:line:column: field: found …; allowed: …`.
 
-Numbers are whole, and their unit is part of the name: `_ms` milliseconds, `_bytes` bytes, `_per_s` a
-second; others are counts. Addresses are IP numbers with a port; no two fields of a file may have the
-same one (a list of peers may hold the process's own).
+Numbers are whole, and their unit is part of the name: `_ms` milliseconds, `_bytes` bytes, `_per_s`
+a second; others are counts. Addresses are IP numbers with a port; no two fields of a file may have
+the same one (a list of peers may hold the process's own).
 ";
 
 /// Writes the whole page.
--- a/crates/onyxshed-telemetry/src/log.rs
+++ b/crates/onyxshed-telemetry/src/log.rs
@@ -74,18 +74,8 @@
             .thread_pool(pool.clone())
             .build_arc()
             .map_err(Error::log)?;
-        let on_full = counts.clone();
-        let logger = Logger::builder()
-            .sink(sink)
-            .level_filter(LevelFilter::All)
-            .error_handler(move |_| {
-                on_full.dropped.fetch_add(1, Ordering::Relaxed);
-                on_full.ended.fetch_add(1, Ordering::Relaxed);
-            })
-            .build()
-            .map_err(Error::log)?;
         Ok(Log {
-            logger,
+            logger: logger(sink, counts.clone())?,
             format: settings.format,
             level: level_of(settings.level),
             counts,
@@ -124,8 +114,8 @@
 }
 
 impl Drop for Log {
-    /// Failure guarded against: the last handle of the pool joins its thread, which hangs for ever if
-    /// nobody reads standard error. Symptom: the process never exits. One handle is left behind
+    /// Failure guarded against: the last handle of the pool joins its thread, which hangs for ever
+    /// if nobody reads standard error. Symptom: the process never exits. One handle is left behind
     /// then; the process's end takes the thread with it.
     fn drop(&mut self) {
         if self.is_writing() {
@@ -134,6 +124,20 @@
     }
 }
 
+/// Makes a logger that counts the lines that find the queue full.
+fn logger(sink: Arc<dyn Sink>, counts: Arc<Counts>) -> Result<Logger> {
+    let count_dropped = move |_| {
+        counts.dropped.fetch_add(1, Ordering::Relaxed);
+        counts.ended.fetch_add(1, Ordering::Relaxed);
+    };
+    Logger::builder()
+        .sink(sink)
+        .level_filter(LevelFilter::All)
+        .error_handler(count_dropped)
+        .build()
+        .map_err(Error::log)
+}
+
 /// Passes lines on and counts those that have been dealt with.
 struct CountingSink {
     inner: Arc<dyn Sink>,
--- a/crates/onyxshed-telemetry/src/metric.rs
+++ b/crates/onyxshed-telemetry/src/metric.rs
@@ -1,7 +1,7 @@
 //! Metrics in Prometheus text.
 //!
-//! Names follow the field's conventions: base units in the name (`_seconds`, `_bytes`), `_total` for
-//! counters. Every histogram of seconds has the same buckets, from a tenth of a millisecond up.
+//! Names follow the field's conventions: base units in the name (`_seconds`, `_bytes`), `_total`
+//! for counters. Every histogram of seconds has the same buckets, from a tenth of a millisecond up.
 
 use std::sync::OnceLock;
 
