Take a full time line of long texts from a process

The client's default of 4 MiB a reply refused 5,000 events with long texts, so that a busy process would have been shown as a gap. The bound is 32 MiB now, and a test holds the largest page under it.

--- a/crates/onyxshed-cli/src/ask.rs
+++ b/crates/onyxshed-cli/src/ask.rs
@@ -4,9 +4,9 @@
 
 use async_executor::LocalExecutor;
 use http_types::Method;
-use onyxshed_http::client::call_once;
+use onyxshed_http::{CallError, ClientOptions, Connection, Reply};
 use onyxshed_settings::ProcessAddress;
-use onyxshed_wire::admin::{STATUS_PATH, Status};
+use onyxshed_wire::admin::{ANSWER_MAX_BYTES, STATUS_PATH, Status};
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::progress::Progress;
@@ -54,20 +54,26 @@
     ask_all(processes, STATUS_PATH, timeout, Status::decode).await
 }
 
+async fn get(process: &ProcessAddress, path: &str, timeout: Duration) -> Result<Reply, CallError> {
+    let options = ClientOptions {
+        connect_timeout: timeout,
+        reply_max_bytes: ANSWER_MAX_BYTES,
+    };
+    let mut connection = Connection::open(process.admin_address, options).await?;
+    connection
+        .call(Method::Get, path, &[], Vec::new(), timeout)
+        .await
+}
+
 async fn ask<T>(
     process: &ProcessAddress,
     path: &str,
     timeout: Duration,
     decode: fn(&[u8]) -> onyxshed_wire::Result<T>,
 ) -> Answered<T> {
-    let call = call_once(
-        process.admin_address,
-        Method::Get,
-        path,
-        Vec::new(),
-        timeout,
-    );
-    let reply = call.await.map_err(|error| error.reason)?;
+    let reply = get(process, path, timeout)
+        .await
+        .map_err(|error| error.reason)?;
     match reply.status {
         200 => decode(&reply.body).map_err(|error| format_smolstr!("{error}")),
         status => Err(format_smolstr!("answered with status {status}")),
--- a/crates/onyxshed-telemetry/tests/admin.rs
+++ b/crates/onyxshed-telemetry/tests/admin.rs
@@ -12,12 +12,17 @@
 use onyxshed_http::client::call_once;
 use onyxshed_kernel::{Kernel, Process, RunEnd, RunOptions, Service};
 use onyxshed_settings::{LogLevel, LogSettings};
-use onyxshed_telemetry::{AdminService, StatusParts, Telemetry, TelemetryOptions};
-use onyxshed_wire::admin::{Status, TimelinePage};
+use onyxshed_telemetry::timeline::LIMIT_MAX;
+use onyxshed_telemetry::{AdminService, Filter, StatusParts, Telemetry, TelemetryOptions};
+use onyxshed_wire::admin::{ANSWER_MAX_BYTES, Status, TimelinePage};
 use rstest::rstest;
 use serde_json::json;
 
 fn telemetry(kernel: &Kernel) -> Rc<Telemetry> {
+    telemetry_of(kernel, 100)
+}
+
+fn telemetry_of(kernel: &Kernel, timeline_events_max: usize) -> Rc<Telemetry> {
     let options = TelemetryOptions {
         process: "onyxshed-test".into(),
         version: "0.0.0".into(),
@@ -27,7 +32,7 @@
             level: LogLevel::Error,
             ..LogSettings::default()
         },
-        timeline_events_max: 100,
+        timeline_events_max,
     };
     let telemetry = Telemetry::open(kernel, options).expect("log and metrics open");
     let parts = || StatusParts {
@@ -182,6 +187,25 @@
     });
 }
 
+#[test]
+fn the_largest_page_of_the_time_line_fits_what_operators_take() {
+    // Control characters take six bytes each in JSON, so these texts are as long as they get.
+    let kernel = Kernel::new();
+    let telemetry = telemetry_of(&kernel, LIMIT_MAX);
+    let text = "\u{1}".repeat(1_000);
+    for _ in 0..LIMIT_MAX {
+        let event = Event::new(EventKind::TaskLost).task(u16::MAX);
+        kernel.emit(event.party(text.as_str()).detail(text.as_str()));
+    }
+    let page = telemetry.timeline(&Filter {
+        limit: usize::MAX,
+        ..Filter::default()
+    });
+    assert_eq!((page.events.len(), page.is_cut), (LIMIT_MAX, false));
+    let bytes = serde_json::to_vec(&page).unwrap().len() as u64;
+    assert!(bytes < ANSWER_MAX_BYTES, "{bytes}");
+}
+
 #[test]
 fn the_address_is_free_once_the_process_has_stopped() {
     // A process that ends while its listener lives on looks alive to whoever connects, and gets no
--- a/crates/onyxshed-wire/src/admin.rs
+++ b/crates/onyxshed-wire/src/admin.rs
@@ -28,6 +28,9 @@
 /// Path that drains the process.
 pub const DRAIN_PATH: &str = "/v1/drain";
 
+/// Largest answer of a process, in bytes; a full page of a time line of long texts is smaller.
+pub const ANSWER_MAX_BYTES: u64 = 32 << 20;
+
 /// Answer to `GET /v1/status`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
