--- a/crates/onyxshed-dispatch/src/dispatch.rs
+++ b/crates/onyxshed-dispatch/src/dispatch.rs
@@ -14,7 +14,7 @@
 };
 use onyxshed_policy::Policy;
 use onyxshed_policy::note::{Note as PolicyNote, Waste};
-use onyxshed_state::{ClaimBook, ClaimStep, Config, Member, MemberState};
+use onyxshed_state::{ClaimBook, ClaimStep, Config, Member};
 use onyxshed_wire::caller::{Answer, CopyMark};
 use smol_str::SmolStr;
 
