Answer requests passed on to a holder that falls silent

The host now answers it as soon as its membership no longer holds the holder to be live; a late answer of the holder is dropped.

--- a/crates/onyxshed-dispatch/src/dispatch.rs
+++ b/crates/onyxshed-dispatch/src/dispatch.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod caller;
 mod claim;
+mod forward;
 mod pump;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -51,6 +52,7 @@
     last_attempt: u64,
     members: BTreeMap<Incarnation, Member>,
     gone: BTreeSet<Incarnation>,
+    passed_on: BTreeMap<RequestId, forward::PassedOn>,
     running_bytes: u64,
     is_draining: bool,
     wake_at: Option<Mono>,
@@ -72,6 +74,7 @@
             last_attempt: 0,
             members: BTreeMap::new(),
             gone: BTreeSet::new(),
+            passed_on: BTreeMap::new(),
             running_bytes: 0,
             is_draining: false,
             wake_at: None,
@@ -258,6 +261,7 @@
             .map(|member| (member.incarnation, member))
             .collect();
         self.policy.set_sharers(now, sharers.max(1));
+        self.give_up_on_silent_holders();
     }
 
     /// Ends what time has made due.
--- a/crates/onyxshed-dispatch/src/dispatch/caller.rs
+++ b/crates/onyxshed-dispatch/src/dispatch/caller.rs
@@ -10,7 +10,7 @@
 
 use super::Dispatch;
 use crate::job::{Claiming, GiveUp, Job, JobHead};
-use crate::output::{ForwardedCall, Output, RequestId};
+use crate::output::{ForwardedCall, RequestId};
 
 /// How many times its target a job that has begun may last before it is given up.
 ///
@@ -343,27 +343,11 @@
                         .submission(id)
                         .party(party),
                 );
-                self.outputs.push(Output::Forward {
-                    request,
-                    to: holder,
-                    call,
-                });
+                self.pass_on(request, id, holder, call);
             }
         }
     }
 
-    pub(super) fn forwarded(
-        &mut self,
-        request: RequestId,
-        id: SubmissionId,
-        answer: Option<Answer>,
-    ) {
-        match answer {
-            Some(answer) => self.answer(request, answer),
-            None => self.refuse(request, id, ResultCode::HolderUnreachable),
-        }
-    }
-
     pub(super) fn refuse(&mut self, request: RequestId, id: SubmissionId, code: ResultCode) {
         self.note_refused(id, code);
         let answer = self.refusal(Some(id), code, "");
--- a/crates/onyxshed-dispatch/src/dispatch/claim.rs
+++ b/crates/onyxshed-dispatch/src/dispatch/claim.rs
@@ -11,7 +11,7 @@
 use super::Dispatch;
 
 use crate::job::{Claiming, Job};
-use crate::output::{ForwardedCall, Output};
+use crate::output::ForwardedCall;
 
 impl Dispatch {
     pub(super) fn log_read(&mut self, now: Now, oldest: Offset, next: Offset, records: &[Record]) {
@@ -172,19 +172,11 @@
         };
         for request in job.waiters {
             let call = ForwardedCall::Submit(Box::new(submission.clone()));
-            self.outputs.push(Output::Forward {
-                request,
-                to: holder,
-                call,
-            });
+            self.pass_on(request, id, holder, call);
         }
         for request in job.cancels {
             let call = ForwardedCall::Cancel(id);
-            self.outputs.push(Output::Forward {
-                request,
-                to: holder,
-                call,
-            });
+            self.pass_on(request, id, holder, call);
         }
     }
 
