--- a/crates/onyxshed-proof/src/cluster/hosts.rs
+++ b/crates/onyxshed-proof/src/cluster/hosts.rs
@@ -44,6 +44,8 @@
     pub entry: Option<Process>,
     /// Its control process, none after a kill.
     pub control: Option<Process>,
+    /// Whether the host list names it.
+    pub is_listed: bool,
     /// Where its control process is reached by peers, through the proxy.
     peer_route: Option<SocketAddr>,
 }
@@ -80,8 +82,9 @@
         self.entry.iter().chain(&self.control)
     }
 
-    /// Gets what the host list says of it.
+    /// Gets what the host list says of it, none if it is left out.
     pub(super) fn listed(&self) -> Option<EntryHost> {
+        self.is_listed.then_some(())?;
         Some(EntryHost {
             name: self.name.parse::<HostName>().ok()?,
             zone: self.zone.parse::<ZoneName>().ok()?,
@@ -109,6 +112,7 @@
                     zone: zone.clone(),
                     entry: None,
                     control: None,
+                    is_listed: true,
                     peer_route: None,
                 };
                 self.hosts.insert(name, unit);
--- a/crates/onyxshed-proof/src/scenario/ask.rs
+++ b/crates/onyxshed-proof/src/scenario/ask.rs
@@ -31,7 +31,7 @@
             let jobs = jobs_behind(input, place)?;
             one_of(input, &["is", "are"])?;
             say(input, "answered")?;
-            Ok(Condition::Answered(jobs))
+            Ok(Condition::Answered(jobs, from_entry(input)?))
         }
         3 => {
             let revision = number(input)?;
--- a/crates/onyxshed-proof/src/scenario/grammar.rs
+++ b/crates/onyxshed-proof/src/scenario/grammar.rs
@@ -44,6 +44,7 @@
     "break",
     "platform",
     "executor",
+    "host",
     "note",
     "expect",
 ];
@@ -79,6 +80,7 @@
         "break" => break_off(input),
         "platform" => platform(input).map(Step::Platform),
         "executor" => Ok(Step::Executor(name(input)?, executor(input)?)),
+        "host" => list_host(input),
         "note" => {
             say(input, "the starts of executor")?;
             name(input).map(Step::Note)
@@ -445,6 +447,16 @@
     Ok(count)
 }
 
+/// Takes `a1 is listed` or `a1 is no longer listed`.
+fn list_host(input: &mut &str) -> ModalResult<Step> {
+    let host = name(input)?;
+    say(input, "is")?;
+    match one_of(input, &["listed", "no"])? {
+        0 => Ok(Step::ListHost(host, true)),
+        _ => say(input, "longer listed").map(|()| Step::ListHost(host, false)),
+    }
+}
+
 fn executor(input: &mut &str) -> ModalResult<ExecutorFault> {
     const VERBS: &[&str] = &[
         "goes", "fails", "refuses", "slows", "answers", "breaks", "recovers", "drains", "is",
--- a/crates/onyxshed-proof/src/scenario/language.rs
+++ b/crates/onyxshed-proof/src/scenario/language.rs
@@ -53,6 +53,8 @@
     Platform(PlatformFault),
     /// `executor …`.
     Executor(SmolStr, ExecutorFault),
+    /// `host … is no longer listed` and `host … is listed`.
+    ListHost(SmolStr, bool),
     /// `note the starts of executor …`.
     Note(SmolStr),
     /// `expect …`.
@@ -181,8 +183,8 @@
 pub enum Condition {
     /// That many tasks of the jobs have started, at least.
     Started(usize, Jobs),
-    /// All copies of the jobs are answered, or their connections have broken.
-    Answered(Jobs),
+    /// All copies of the jobs, of that entry host if named, are answered or lost.
+    Answered(Jobs, Option<SmolStr>),
     /// The revision, or a later one, is in force.
     InForce(Revision, Where),
     /// The entry process has ended.
--- a/crates/onyxshed-proof/src/scenario/steps.rs
+++ b/crates/onyxshed-proof/src/scenario/steps.rs
@@ -53,6 +53,11 @@
                 self.cluster()?.set_platform_faults(&faults).await
             }
             Step::Executor(name, fault) => self.set_executor(name, *fault).await,
+            Step::ListHost(host, is_listed) => {
+                let cluster = self.cluster()?;
+                cluster.host(host)?.is_listed = *is_listed;
+                cluster.publish_hosts().await
+            }
             Step::Note(name) => {
                 let unit = self.cluster()?.executor(name)?;
                 unit.noted_starts = unit.starts().len();
--- a/crates/onyxshed-proof/src/scenario/verdicts.rs
+++ b/crates/onyxshed-proof/src/scenario/verdicts.rs
@@ -42,7 +42,7 @@
                     format_smolstr!("{found} started")
                 }))
             }
-            Condition::Answered(jobs) => self.look_answered(jobs),
+            Condition::Answered(jobs, from) => self.look_answered(jobs, from.as_ref()),
             Condition::InForce(revision, place) => self.look_in_force(*revision, place).await,
             Condition::Ended(host) => {
                 let process = self.cluster()?.host(host)?.part(Part::Entry)?;
@@ -61,9 +61,9 @@
         }
     }
 
-    fn look_answered(&self, jobs: &Jobs) -> Result<Look> {
+    fn look_answered(&self, jobs: &Jobs, from: Option<&SmolStr>) -> Result<Look> {
         for (name, job) in self.jobs(jobs)? {
-            let mut copies = job.copies.iter();
+            let mut copies = job.copies_from(from);
             let open = copies.find(|copy| copy.exchange.borrow().heard.is_none());
             if let Some(copy) = open {
                 return Ok(Look::NotYet(format_smolstr!(
@@ -201,11 +201,11 @@
         jobs: &Jobs,
         from: Option<&SmolStr>,
     ) -> Result<Vec<(SmolStr, Heard)>> {
-        self.wait(&Condition::Answered(jobs.clone())).await?;
+        self.wait(&Condition::Answered(jobs.clone(), from.cloned()))
+            .await?;
         let mut answers = Vec::new();
         for (name, job) in self.jobs(jobs)? {
-            let asked = job.copies.iter();
-            for copy in asked.filter(|copy| from.is_none_or(|host| *host == copy.host)) {
+            for copy in job.copies_from(from) {
                 if let Some(heard_at) = &copy.exchange.borrow().heard {
                     answers.push((name.clone(), heard_at.heard.clone()));
                 }
--- a/crates/onyxshed-proof/src/scenario/world.rs
+++ b/crates/onyxshed-proof/src/scenario/world.rs
@@ -42,6 +42,12 @@
 }
 
 impl Job {
+    /// Gets its copies, or those that were sent to one entry host.
+    pub fn copies_from(&self, host: Option<&SmolStr>) -> impl Iterator<Item = &Copy> {
+        let is_meant = move |copy: &&Copy| host.is_none_or(|host| *host == copy.host);
+        self.copies.iter().filter(is_meant)
+    }
+
     /// Gets what a truthful caller says of the copy it sends next.
     pub fn next_mark(&self) -> CopyMark {
         let is_settled = |copy: &Copy| {
