--- a/crates/onyxshed-proof/src/cluster/hosts.rs
+++ b/crates/onyxshed-proof/src/cluster/hosts.rs
@@ -1,6 +1,6 @@
 //! Entry hosts of a cluster: an entry process and a control process each.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
 use onyxshed_core::{HostName, ZoneName};
 use onyxshed_wire::platform::{EntryHost, HostState};
@@ -143,21 +143,17 @@
     /// Leads the routes of others to a part that has new addresses.
     async fn lead_routes(&mut self, part: Part, host: &SmolStr) -> Result<()> {
         let process = self.host(host)?.part(part)?;
-        let peer = process.address("peer");
-        let peer_route = format_smolstr!("peer.{}.{host}", part.as_str());
-        match part {
-            Part::Entry => {
-                let control = process.address("control")?;
-                self.open_route(format_smolstr!("control.{host}"), control)
-                    .await?;
-                self.open_route(peer_route, peer?).await?;
-            }
-            Part::Control => {
-                if let Ok(peer) = peer {
-                    let address = self.open_route(peer_route, peer).await?;
-                    self.host(host)?.peer_route = Some(address);
-                }
-            }
+        let peer = process.address("peer")?;
+        let control = match part {
+            Part::Entry => Some(process.address("control")?),
+            Part::Control => None,
+        };
+        let peer_route = self.open_route(peer_route(part, host), peer).await?;
+        if let Some(control) = control {
+            let route = format_smolstr!("control.{host}");
+            self.open_route(route, control).await?;
+        } else {
+            self.host(host)?.peer_route = Some(peer_route);
         }
         Ok(())
     }
@@ -178,12 +174,14 @@
         let platform = self.platform_address()?;
         let route = format_smolstr!("platform.{}.{host}", part.as_str());
         let platform = self.open_route(route, platform).await?;
+        let advertised = self.open_route(peer_route(part, host), NOWHERE).await?;
         let unit = self.host(host)?;
         let free = "127.0.0.1:0";
         let mut settings = json!({
             "host": unit.name,
             "zone": unit.zone,
             "peer_address": free,
+            "peer_advertised_address": advertised,
             "admin_address": free,
             "platform_address": platform,
             "log": {"level": "debug"},
@@ -227,6 +225,13 @@
     }
 }
 
+/// Where a route leads until its process has an address.
+const NOWHERE: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1));
+
+fn peer_route(part: Part, host: &str) -> SmolStr {
+    format_smolstr!("peer.{}.{host}", part.as_str())
+}
+
 fn merge(settings: &mut Value, more: &Map<String, Value>) {
     if let Some(fields) = settings.as_object_mut() {
         fields.extend(more.clone());
