--- a/crates/onyxshed-proof/src/process.rs
+++ b/crates/onyxshed-proof/src/process.rs
@@ -19,7 +19,7 @@
 const READY_CEILING: Duration = Duration::from_secs(30);
 
 /// Lines of a process's log that a failed test shows.
-const LOG_TAIL_LINES: usize = 40;
+const LOG_TAIL_LINES: usize = 120;
 
 /// A running process.
 #[derive(Debug)]
