--- a/crates/onyxshed-state/src/claim/step.rs
+++ b/crates/onyxshed-state/src/claim/step.rs
@@ -50,7 +50,8 @@
 /// What to do about the log now.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum BatchStep {
-    /// Append this record and tell [`ClaimBook::appended`](super::ClaimBook::appended) how it went.
+    /// Append this record and tell [`ClaimBook::appended`](super::ClaimBook::appended) how it went,
+    /// whatever happens: no other batch goes out before.
     Append(ClaimBatch),
     /// Ask again at that time, after [`ClaimBook::tick`](super::ClaimBook::tick).
     WaitUntil(Mono),
--- a/crates/onyxshed-state/tests/config_fold.rs
+++ b/crates/onyxshed-state/tests/config_fold.rs
@@ -247,6 +247,24 @@
     ));
 }
 
+/// A host without a basis reads more changes than it keeps, and drops the oldest. A peer's fold that
+/// ends among the dropped ones no longer joins up: what was dropped would be missing for ever.
+#[rstest]
+#[case::ends_among_the_dropped(50, false)]
+#[case::ends_among_the_kept(200, true)]
+fn dropped_changes_count_as_lost(#[case] read_by_peer: u64, #[case] is_joined: bool) {
+    let log = log_of(4_200);
+    let peer = reader(&log_of(read_by_peer));
+    let mut late = ConfigFold::default();
+    late.skip_to(Offset(10), UnixMs(0));
+    for record in &log.records[10..] {
+        late.apply_record(record);
+    }
+    late.adopt_handover(peer.handover());
+    let expected = if is_joined { 4_200 } else { 50 };
+    assert_eq!((late.is_complete(), revision(&late)), (is_joined, expected));
+}
+
 /// A host is born while the platform's log is down. It learns the configuration from peers, moves
 /// only to higher revisions, and goes on from the log when that is back.
 #[test]
--- a/crates/onyxshed-state/tests/member.rs
+++ b/crates/onyxshed-state/tests/member.rs
@@ -95,10 +95,11 @@
         table.hear(at(7_100), &relay(1)).notes,
         [Note::Joined(Incarnation(1))]
     );
-    assert_eq!(
-        table.hear(at(7_200), &relay(2)).notes,
-        [Note::Refuted(PEER)]
-    );
+    let heard = table.hear(at(7_200), &relay(2));
+    assert_eq!(heard.notes, [Note::Refuted(PEER)]);
+    assert_eq!(heard.answer.others, [], "the asker has just told it");
+    let asked = table.hear(at(7_300), &relay(1)).answer.others;
+    assert_eq!(asked[0].counter, 2, "the asker is behind");
 }
 
 /// A host restarts. Its former life is gone for good: heartbeats of it that peers still pass on
@@ -202,6 +203,15 @@
         started_at_ms: UnixMs(9_000),
         ..beat(ME)
     };
+    let relayed = Gossip {
+        others: vec![newer.clone()],
+        ..from(beat(1))
+    };
+    assert_eq!(
+        table.hear(at(0), &relayed).notes,
+        [],
+        "hearsay is not enough"
+    );
     assert_eq!(table.hear(at(0), &from(newer)).notes, [Note::HeldGone]);
 }
 
@@ -221,6 +231,21 @@
     assert_eq!(table.state(Incarnation(99)), Some(MemberState::Live));
 }
 
+/// Someone tells of ever new hosts. The table keeps to its bound, and to those it knows.
+#[test]
+fn table_is_bounded() {
+    let options = MemberOptions {
+        members_max: 3,
+        ..MemberOptions::default()
+    };
+    let mut table = MemberTable::new(beat(ME), options, Vec::new(), 1);
+    for n in 1..10 {
+        table.hear(at(0), &from(beat(n)));
+    }
+    let known: Vec<u64> = table.members().iter().map(|m| m.incarnation.0).collect();
+    assert_eq!(known, [1, 2, 3]);
+}
+
 /// Shares of slots count the zone's live hosts that take work; shares of the log count everyone who
 /// may append, suspects and hosts that are only listed included.
 #[test]
