--- a/crates/onyxshed-load/src/local/settings.rs
+++ b/crates/onyxshed-load/src/local/settings.rs
@@ -31,10 +31,13 @@
 
 impl EntryPorts {
     /// Tries to find six free ports. They are all held until the last is found, so they differ.
+    ///
+    /// Failure guarded against: a port that the system also hands to outgoing connections is taken
+    /// by one before its process listens. Symptom: now and then a process of a large set does not
+    /// start. Ports below the system's own range are never handed out.
     pub(super) fn free() -> Result<Self> {
-        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let listeners: std::io::Result<Vec<_>> = (0..6).map(|_| TcpListener::bind(any)).collect();
-        let listeners = listeners.map_err(Error::start)?;
+        let listeners: Result<Vec<_>> = (0..6).map(|_| listen()).collect();
+        let listeners = listeners?;
         let at = |place: usize| listeners[place].local_addr().map_err(Error::start);
         Ok(EntryPorts {
             callers: at(0)?,
@@ -47,6 +50,18 @@
     }
 }
 
+/// Ports that the system does not hand to outgoing connections.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+const TRIES: usize = 100;
+
+/// Tries to listen on a port drawn at random.
+fn listen() -> Result<TcpListener> {
+    let drawn =
+        (0..TRIES).map(|_| SocketAddr::from((Ipv4Addr::LOCALHOST, rand::random_range(PORTS))));
+    let found = drawn.map(TcpListener::bind).find_map(std::io::Result::ok);
+    found.ok_or_else(|| Error::start("no free port was found"))
+}
+
 /// Tries to write the settings of one entry host.
 pub(super) fn write(
     folder: &Path,
