--- a/crates/onyxshed-standins/src/upstream/service.rs
+++ b/crates/onyxshed-standins/src/upstream/service.rs
@@ -128,6 +128,10 @@
             (Method::Get, "/control/starts") => {
                 Act::Reply(Reply::json(OK, &self.inner.tasks.borrow().starts()))
             }
+            (Method::Get, "/control/load") => {
+                let load = self.inner.tasks.borrow().load(self.inner.is_draining.get());
+                Act::Reply(Reply::json(OK, &load))
+            }
             (Method::Post, "/control/drain") => {
                 self.inner.is_draining.set(true);
                 Act::Reply(Reply::bytes(OK, ""))
--- a/crates/onyxshed-standins/src/upstream/tasks.rs
+++ b/crates/onyxshed-standins/src/upstream/tasks.rs
@@ -138,7 +138,8 @@
 
     /// Stops a task; no start up to this one, if it is still on its way, will run.
     pub fn stop(&mut self, task: TaskId, by: Attempt) -> (TaskState, Vec<u8>) {
-        self.fences.insert((task, by.starter), by.number);
+        let fence = self.fences.entry((task, by.starter)).or_default();
+        *fence = by.number.max(*fence);
         match self.fates.get(&task) {
             Some(Fate::Ended(state, result)) => (*state, result.clone()),
             Some(Fate::Running(stop)) => {
