--- a/crates/onyxshed-load/src/local.rs
+++ b/crates/onyxshed-load/src/local.rs
@@ -87,7 +87,7 @@
         let ports: Result<Vec<_>> = (0..options.entries).map(|_| EntryPorts::free()).collect();
         let ports = ports?;
         set.publish_hosts(options, &ports).await?;
-        set.publish_classes(&options.classes).await?;
+        set.publish_classes(Revision(0), &options.classes).await?;
         for (place, ports) in ports.iter().enumerate() {
             let entry = set.start_entry(options, place, ports).await?;
             set.entries.push(entry);
@@ -131,9 +131,9 @@
         }
     }
 
-    /// Tries to publish classes as changes on top of each other.
-    pub async fn publish_classes(&self, classes: &[ClassTarget]) -> Result<()> {
-        for (revision, target) in (0..).zip(classes) {
+    /// Tries to publish classes as changes on top of each other, the first on top of a revision.
+    pub async fn publish_classes(&self, on: Revision, classes: &[ClassTarget]) -> Result<()> {
+        for (revision, target) in (on.0..).zip(classes) {
             let record = ConfigRecord::ChangeV1(ConfigChange {
                 change_id: ChangeId(Ulid::from_parts(0, rand::random())),
                 based_on: Revision(revision),
--- a/crates/onyxshed-load/src/slopes/members.rs
+++ b/crates/onyxshed-load/src/slopes/members.rs
@@ -3,25 +3,36 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::Command;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
+use http_types::Method;
+use onyxshed_core::{ClassTarget, ResultCode, Revision, SubmissionId};
+use onyxshed_wire::caller::{Answer, CopyMark, JOBS_PATH, Submission};
 
 use super::fit::Slope;
 use super::mib;
 use crate::error::{Error, Result};
-use crate::local::{LocalOptions, LocalSet};
+use crate::local::{LocalOptions, LocalSet, call};
+use crate::run::{class_name, fresh_ulid, payload};
 use crate::tally::float;
 
 /// How long views settle, and how long is measured then.
 const SETTLE: Duration = Duration::from_secs(4);
 const SPAN: Duration = Duration::from_secs(6);
+/// Wait before an entry host is asked again whether it knows a class.
+const POLL: Duration = Duration::from_millis(5);
 
 /// Memory, processor time and bytes sent to peers by one control process, on average.
 pub(super) async fn members(binaries: &Path) -> Result<Vec<Slope>> {
     let mut memory = Slope::new("members-memory", "entry hosts", "control MiB");
     let mut core = Slope::new("members-core", "entry hosts", "control % of a core");
     let mut sent = Slope::new("members-bytes", "entry hosts", "bytes/s to peers");
+    let mut in_force = Slope::new(
+        "members-in-force",
+        "entry hosts",
+        "ms until in force everywhere",
+    );
     for entries in [2, 4, 8, 16, 32, 64] {
         let options = LocalOptions {
             entries,
@@ -77,3 +88,37 @@
         .find_map(|word| word.strip_prefix("bytes_sent:"))?;
     field.parse().ok()
 }
+
+/// Publishes one change and gets how long it takes until every entry host knows the class.
+async fn in_force_ms(set: &LocalSet, options: &LocalOptions) -> Result<f64> {
+    const FRESH_CLASS: &str = "fresh";
+    let fresh = ClassTarget {
+        class: class_name(FRESH_CLASS),
+        ..options.classes[0].clone()
+    };
+    let based_on = options.classes.len() as u64;
+    set.publish_classes(Revision(based_on), &[fresh]).await?;
+    let published = Instant::now();
+    for entry in &set.entries {
+        while !knows(entry.callers, FRESH_CLASS).await? {
+            Timer::after(POLL).await;
+        }
+    }
+    Ok(published.elapsed().as_secs_f64() * 1_000.0)
+}
+
+async fn knows(entry: SocketAddr, class: &str) -> Result<bool> {
+    let job = Submission {
+        submission: SubmissionId::unbound(fresh_ulid(0)),
+        class: class_name(class),
+        deadline_ms: None,
+        copy: CopyMark::First,
+        tasks: vec![payload(0)],
+    };
+    let body = serde_json::to_vec(&job).expect("submissions hold only what JSON can write");
+    let reply = call(entry, Method::Post, JOBS_PATH, body).await?;
+    let code = Answer::decode(&reply.body)
+        .ok()
+        .and_then(|answer| answer.code);
+    Ok(code != Some(ResultCode::UnknownClass))
+}
