--- a/crates/onyxshed-load/src/slopes/members.rs
+++ b/crates/onyxshed-load/src/slopes/members.rs
@@ -52,8 +52,9 @@
             count,
             float(bytes.saturating_sub(bytes_before)) / count / span_s,
         );
+        in_force.add(count, in_force_ms(&set, &options).await?);
     }
-    Ok(vec![memory, core, sent])
+    Ok(vec![memory, core, sent, in_force])
 }
 
 /// Gets the processor time of all control processes together.
