--- a/crates/onyxshed-load/src/bench.rs
+++ b/crates/onyxshed-load/src/bench.rs
@@ -43,7 +43,10 @@
 }
 
 const COLD_STARTS: usize = 5;
-const OVERHEAD_TASKS: u32 = 2_000;
+const BOUND_TASKS: u32 = 2_000;
+const CLAIMED_TASKS: u32 = 200;
+/// One entry host may append 30 times a second; at 20 tasks a second no claim waits for that.
+const CLAIM_PAUSE: Duration = Duration::from_millis(50);
 /// How long each closed loop runs.
 pub(crate) const SPAN: Duration = Duration::from_secs(4);
 const HELD: u32 = 10_000;
@@ -80,11 +83,16 @@
 }
 
 async fn overhead(set: &LocalSet, may_bind: bool) -> Result<DirectReport> {
+    let (count, pause) = match may_bind {
+        true => (BOUND_TASKS, Duration::ZERO),
+        false => (CLAIMED_TASKS, CLAIM_PAUSE),
+    };
     let options = DirectOptions {
         executor: set.executors[0].address,
         entry: Some(set.entries[0].callers),
         class: HELD_CLASS.into(),
-        count: OVERHEAD_TASKS,
+        count,
+        pause,
         service_ms: 0,
         may_bind,
     };
--- a/crates/onyxshed-load/src/cli.rs
+++ b/crates/onyxshed-load/src/cli.rs
@@ -74,6 +74,7 @@
         class: args::required(args, "class"),
         count: args::required(args, "count"),
         service_ms: args::required(args, "service-ms"),
+        pause: Duration::from_millis(args::required(args, "pause-ms")),
         may_bind: args.get_flag("bind"),
     };
     let report = async_io::block_on(executor.run(direct(options)))?;
--- a/crates/onyxshed-load/src/direct.rs
+++ b/crates/onyxshed-load/src/direct.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use async_io::Timer;
 use hdrhistogram::Histogram;
 use http_types::Method;
 use onyxshed_core::{Incarnation, ResultCode, SubmissionId, TaskId};
@@ -33,6 +34,8 @@
     pub count: u32,
     /// How long each task runs, in milliseconds.
     pub service_ms: u32,
+    /// Wait between two tasks, so that claims are not slowed by their budget of appends.
+    pub pause: Duration,
     /// Whether ids are bound to the entry host's incarnation, so that they need no claim.
     pub may_bind: bool,
 }
@@ -94,6 +97,9 @@
         for draw in 0..u64::from(self.options.count) {
             self.time_executor(draw, &mut straight).await?;
             self.time_entry(draw, &mut through).await?;
+            if !self.options.pause.is_zero() {
+                Timer::after(self.options.pause).await;
+            }
         }
         let direct_us = Percentiles::of(&straight, 1.0);
         let entry_us = self.entry.is_some().then(|| Percentiles::of(&through, 1.0));
