--- /dev/null
+++ b/crates/onyxshed-load/src/claims.rs
@@ -0,0 +1,169 @@
+//! `onyxshed-load claims`: what at-most-once costs, and what is served when the log is gone.
+//!
+//! One caller after another submits one short task to the first of three entry hosts, under each
+//! kind of id, in normal times and while the platform refuses every connection.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use hdrhistogram::Histogram;
+use http_types::Method;
+use onyxshed_core::{Incarnation, SubmissionId};
+use onyxshed_http::{ClientOptions, Connection};
+use onyxshed_wire::caller::{Answer, CopyMark, JOBS_PATH, Submission};
+use serde::Serialize;
+
+use crate::error::{Error, Result};
+use crate::local::{HELD_CLASS, LocalOptions, LocalSet, call};
+use crate::report::Percentiles;
+use crate::run::{class_name, fresh_ulid, payload};
+use crate::tally::histogram;
+
+/// How an id is made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum IdKind {
+    /// A plain ULID, claimed in the log.
+    Unbound,
+    /// Bound to the host it is sent to.
+    Bound,
+    /// Bound to another host, which it is passed on to.
+    BoundElsewhere,
+}
+
+/// What one kind of id got.
+#[derive(Debug, Clone, Serialize)]
+pub struct ClaimRun {
+    /// How ids were made.
+    pub ids: IdKind,
+    /// Whether the platform was down.
+    pub is_platform_down: bool,
+    /// Jobs sent.
+    pub sent: u32,
+    /// Answers by code.
+    pub codes: BTreeMap<u16, u32>,
+    /// Response times of complete jobs, in milliseconds.
+    pub complete_ms: Percentiles,
+    /// Response times of other answers, in milliseconds.
+    pub other_ms: Percentiles,
+}
+
+const ENTRIES: usize = 3;
+const JOBS: u32 = 400;
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Time between two jobs: a claim finds the budget of appends free.
+const PAUSE: Duration = Duration::from_millis(40);
+
+/// How long entry hosts take to notice an outage before it is measured.
+const OUTAGE_NOTICED: Duration = Duration::from_secs(3);
+
+/// Tries to run every kind in normal times and in an outage.
+pub async fn claims(folder: PathBuf) -> Result<Vec<ClaimRun>> {
+    let options = LocalOptions {
+        entries: ENTRIES,
+        ..LocalOptions::small(folder)
+    };
+    let set = LocalSet::start(&options).await?;
+    let mut runs = Vec::new();
+    for is_platform_down in [false, true] {
+        if is_platform_down {
+            take_platform_down(&set).await?;
+        }
+        for ids in [IdKind::Unbound, IdKind::Bound, IdKind::BoundElsewhere] {
+            runs.push(run(&set, ids, is_platform_down).await?);
+        }
+    }
+    Ok(runs)
+}
+
+async fn take_platform_down(set: &LocalSet) -> Result<()> {
+    let faults = br#"{"down":"refuse"}"#.to_vec();
+    call(
+        set.platform.address,
+        Method::Post,
+        "/control/faults",
+        faults,
+    )
+    .await?;
+    Timer::after(OUTAGE_NOTICED).await;
+    Ok(())
+}
+
+async fn run(set: &LocalSet, ids: IdKind, is_platform_down: bool) -> Result<ClaimRun> {
+    let bound_to = bound_to(set, ids).await?;
+    let mut codes = BTreeMap::new();
+    let (mut complete_us, mut other_us) = (histogram(), histogram());
+    let address = set.entries[0].callers;
+    let mut connection = open(set, 0).await?;
+    for _ in 0..JOBS {
+        Timer::after(PAUSE).await;
+        let began = Instant::now();
+        let answer = submit(&mut connection, address, bound_to).await?;
+        let code = answer.code.map_or(0, |code| code.number());
+        *codes.entry(code).or_default() += 1;
+        let times = if answer.results.is_some() {
+            &mut complete_us
+        } else {
+            &mut other_us
+        };
+        note(times, began.elapsed());
+    }
+    Ok(ClaimRun {
+        ids,
+        is_platform_down,
+        sent: JOBS,
+        codes,
+        complete_ms: Percentiles::of(&complete_us, 1_000.0),
+        other_ms: Percentiles::of(&other_us, 1_000.0),
+    })
+}
+
+fn note(times: &mut Histogram<u64>, took: Duration) {
+    let took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+    times.saturating_record(took_us);
+}
+
+/// Gets the incarnation to bind ids to, from an answer of the host that has it.
+async fn bound_to(set: &LocalSet, ids: IdKind) -> Result<Option<Incarnation>> {
+    let host = match ids {
+        IdKind::Unbound => return Ok(None),
+        IdKind::Bound => 0,
+        IdKind::BoundElsewhere => 1,
+    };
+    let address = set.entries[host].callers;
+    let answer = submit(&mut open(set, host).await?, address, None).await?;
+    Ok(answer.bind_to)
+}
+
+async fn open(set: &LocalSet, host: usize) -> Result<Connection> {
+    let address = set.entries[host].callers;
+    let opened = Connection::open(address, ClientOptions::default()).await;
+    opened.map_err(|error| Error::unreachable(address, error))
+}
+
+async fn submit(
+    connection: &mut Connection,
+    address: SocketAddr,
+    bound_to: Option<Incarnation>,
+) -> Result<Answer> {
+    let job = Submission {
+        submission: SubmissionId {
+            ulid: fresh_ulid(rand::random()),
+            bound_to,
+        },
+        class: class_name(HELD_CLASS),
+        deadline_ms: None,
+        copy: CopyMark::First,
+        tasks: vec![payload(0)],
+    };
+    let body = serde_json::to_vec(&job).expect("submissions hold only what JSON can write");
+    let reply = connection
+        .call(Method::Post, JOBS_PATH, &[], body, TIMEOUT)
+        .await;
+    let reply = reply.map_err(|error| Error::unreachable(address, error))?;
+    Answer::decode(&reply.body).map_err(|error| Error::unreachable(address, error))
+}
--- a/crates/onyxshed-load/src/cli.rs
+++ b/crates/onyxshed-load/src/cli.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use crate::bench::{bars, mix as run_mix};
+use crate::claims;
 use crate::direct::{DirectOptions, direct};
 use crate::error::Result;
 use crate::idle::{IdleOptions, idle};
@@ -51,6 +52,7 @@
         Some(("simulate", args)) => simulate_command(args),
         Some(("bench", args)) => bench_command(&executor, args),
         Some(("slopes", args)) => slopes_command(&executor, args),
+        Some(("claims", args)) => claims_command(&executor, args),
         _ => Ok(()),
     }
 }
@@ -133,6 +135,12 @@
     }
 }
 
+fn claims_command(executor: &LocalExecutor<'static>, args: &ArgMatches) -> Result<()> {
+    let runs = async_io::block_on(executor.run(claims::claims(args::binaries(args))))?;
+    print_json(&runs);
+    write_out(args, &runs)
+}
+
 fn simulate_command(args: &ArgMatches) -> Result<()> {
     let summary = simulate(&args::sim_options(args));
     println!("{summary}");
--- a/crates/onyxshed-load/src/cli/args.rs
+++ b/crates/onyxshed-load/src/cli/args.rs
@@ -30,6 +30,7 @@
         .subcommand(simulate_args())
         .subcommand(bench_args())
         .subcommand(slopes_args())
+        .subcommand(claims_args())
 }
 
 fn run_args() -> Command {
@@ -156,6 +157,16 @@
         ))
 }
 
+fn claims_args() -> Command {
+    Command::new("claims")
+        .about("What at-most-once costs, and what is served while the platform is down")
+        .after_help(
+            "Three entry hosts, one caller, each kind of id in normal times and in an outage.",
+        )
+        .arg(binaries_arg())
+        .arg(out("File for the report in JSON"))
+}
+
 fn binaries_arg() -> Arg {
     Arg::new("binaries")
         .long("binaries")
--- a/crates/onyxshed-load/src/lib.rs
+++ b/crates/onyxshed-load/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod bench;
 pub mod caller;
+pub mod claims;
 pub mod cli;
 pub mod direct;
 pub mod error;
