Bound what a bad HTTP peer can do to a process

Ruled out: a reader of our own for heads and chunks, as the library stays the one place that parses. Its panics over trailers are caught where nothing but the connection is touched.

Conclusion: heads are watched on their way to the library, a request that is turned away is answered on one path that lingers until the peer has read it, and the longest idle connection makes room when the address is full.

--- a/crates/onyxshed-http/src/bounded.rs
+++ b/crates/onyxshed-http/src/bounded.rs
@@ -15,6 +15,8 @@
 use async_net::TcpStream;
 use futures_lite::{AsyncRead, AsyncWrite, Future};
 
+use crate::head::HeadScan;
+
 /// What the two ends are doing, which decides what is awaited and for how long.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -37,6 +39,7 @@
     deadline: Option<Instant>,
     timer: Option<Timer>,
     after_first_byte: Option<Duration>,
+    head: HeadScan,
 }
 
 /// A cloneable TCP stream with one shared set of bounds.
@@ -57,6 +60,7 @@
             deadline: None,
             timer: None,
             after_first_byte: None,
+            head: HeadScan::default(),
         };
         BoundedStream {
             inner,
@@ -68,6 +72,7 @@
     pub fn begin_idle(&self, idle: Duration, head: Duration, head_max_bytes: u64) {
         let mut bounds = self.lock();
         bounds.begin(Phase::Idle, Some(idle), head_max_bytes);
+        bounds.head = HeadScan::default();
         bounds.after_first_byte = Some(head);
     }
 
@@ -86,6 +91,16 @@
         self.lock().begin(Phase::Replying, Some(time), u64::MAX);
     }
 
+    /// Begins reading the next message, whose head is watched.
+    pub fn begin_message(&self) {
+        self.lock().head = HeadScan::default();
+    }
+
+    /// Gets how many bytes came behind the message's head.
+    pub fn beyond_head_bytes(&self) -> u64 {
+        self.lock().head.beyond_bytes()
+    }
+
     /// Gets what the two ends are doing.
     pub fn phase(&self) -> Phase {
         self.lock().phase
@@ -136,7 +151,8 @@
         }
     }
 
-    fn count_read(&mut self, count: usize) -> io::Result<usize> {
+    fn count_read(&mut self, bytes: &mut [u8]) -> io::Result<usize> {
+        let count = bytes.len();
         let count_bytes = count as u64;
         self.read_total_bytes += count_bytes;
         if self.read_left_bytes < count_bytes {
@@ -150,6 +166,7 @@
             self.phase = Phase::Head;
             self.set_deadline(Some(head));
         }
+        self.head.pass(bytes)?;
         Ok(count)
     }
 }
@@ -164,7 +181,7 @@
         let mut bounds = self.lock();
         match polled {
             Poll::Ready(Ok(0)) => Poll::Ready(Ok(0)),
-            Poll::Ready(Ok(count)) => Poll::Ready(bounds.count_read(count)),
+            Poll::Ready(Ok(count)) => Poll::Ready(bounds.count_read(&mut buf[..count])),
             Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
             Poll::Pending => bounds.poll_deadline(cx),
         }
--- a/crates/onyxshed-http/src/client.rs
+++ b/crates/onyxshed-http/src/client.rs
@@ -2,13 +2,14 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use async_net::TcpStream;
 use futures_lite::{AsyncReadExt, FutureExt, future};
-use http_types::headers::CONTENT_LENGTH;
-use http_types::{Method, Request, Response, Url};
+use http_types::headers::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http_types::{Method, Request, Response, StatusCode, Url};
 use smol_str::SmolStr;
 
 use crate::bounded::BoundedStream;
@@ -114,10 +115,19 @@
     }
 
     async fn exchange(&self, request: Request) -> Result<Reply, Broken> {
-        let response = async_h1::connect(self.stream.clone(), request)
-            .await
-            .map_err(|error| Broken::Stream(error.to_string().into()))?;
-        read_reply(response, self.options.reply_max_bytes).await
+        self.stream.begin_message();
+        let read = async {
+            let response = async_h1::connect(self.stream.clone(), request)
+                .await
+                .map_err(|error| Broken::Stream(error.to_string().into()))?;
+            read_reply(response, self.options.reply_max_bytes).await
+        };
+        // The library panics over a trailer that is not ASCII. Uncaught, one bad upstream would end
+        // the process; nothing but this connection, which is given up, is touched by the panic.
+        let caught = AssertUnwindSafe(read).catch_unwind().await;
+        caught.unwrap_or(Err(Broken::Stream(SmolStr::new_static(
+            "the reply can't be read",
+        ))))
     }
 }
 
@@ -137,6 +147,14 @@
     let announced: Option<u64> = response
         .header(CONTENT_LENGTH)
         .and_then(|values| values.last().as_str().parse().ok());
+    // The library takes a body that only the connection's end delimits for none at all: a task's
+    // result would be lost and the job called complete.
+    let has_length = announced.is_some() || response.header(TRANSFER_ENCODING).is_some();
+    if !has_length && !has_no_body(response.status()) {
+        return Err(Broken::Stream(SmolStr::new_static(
+            "the reply tells no length",
+        )));
+    }
     let mut body = Vec::new();
     let mut reader = response.take_body().take(max_bytes + 1);
     reader
@@ -166,6 +184,11 @@
     })
 }
 
+/// Tells whether replies of this status never have a body.
+fn has_no_body(status: StatusCode) -> bool {
+    status.is_informational() || matches!(status, StatusCode::NoContent | StatusCode::NotModified)
+}
+
 /// Opens a connection, makes one call and closes it.
 pub async fn call_once(
     address: SocketAddr,
--- a/crates/onyxshed-http/src/lib.rs
+++ b/crates/onyxshed-http/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod bounded;
 pub mod client;
 pub mod error;
+pub mod head;
+mod idle;
 pub mod message;
 pub mod server;
 
--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,13 +10,16 @@
 use async_executor::LocalExecutor;
 use async_h1::server::{ConnectionStatus, Encoder, Server as H1Server};
 use async_net::{TcpListener, TcpStream};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, Future, io};
-use http_types::{Method, Request, Response};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, Future, FutureExt, future, io};
+use http_types::{Body, Method, Request, Response};
 use onyxshed_core::ResultCode;
-use snafu::ResultExt;
+use snafu::{ResultExt, Snafu};
 
 use crate::bounded::{BoundedStream, Phase};
+use crate::client::within;
 use crate::error::{ListenSnafu, Result};
+use crate::head::EXPECT_HEADER;
+use crate::idle::{IdlePlace, IdleStreams};
 use crate::message::{Call, Reply};
 
 /// Limits of a served address.
@@ -78,6 +82,14 @@
     handler: Handler,
     reject: RejectReply,
     stats: Rc<ServerStats>,
+    idle: Rc<IdleStreams>,
+}
+
+/// Why the server itself turns a request away.
+#[derive(Debug, Snafu)]
+#[snafu(display("turned away with code {code}"))]
+struct TurnedAway {
+    code: ResultCode,
 }
 
 /// Room for what a transfer encoding adds around a body.
@@ -91,6 +103,7 @@
             handler,
             reject,
             stats: Rc::default(),
+            idle: Rc::default(),
         }
     }
 
@@ -113,31 +126,43 @@
                 Ok((stream, _)) => self.take_in(stream, &executor),
                 Err(_) => breathe().await,
             }
+            // Many arrivals at once must not keep those that are here from being served.
+            future::yield_now().await;
         }
     }
 
     fn take_in(&self, stream: TcpStream, executor: &Rc<LocalExecutor<'static>>) {
         let server = self.clone();
         let open = Counted::new(&self.stats, |stats| &stats.connections);
-        let is_over = self.stats.connections.get() > self.options.connections_max;
+        let over = self
+            .stats
+            .connections
+            .get()
+            .saturating_sub(self.options.connections_max);
+        let has_place = over == 0 || self.idle.close_oldest();
+        if !has_place && over > TURNED_AWAY_MAX {
+            self.stats.rejected.set(self.stats.rejected.get() + 1);
+            return;
+        }
+        let stream = BoundedStream::new(stream);
+        let place = self.idle.add(&stream);
         executor
             .spawn(async move {
                 let _open = open;
-                let stream = BoundedStream::new(stream);
-                match is_over {
-                    true => {
+                match has_place {
+                    true => server.serve(stream, place).await,
+                    false => {
                         server
                             .turn_away(&stream, ResultCode::TooManyConnections)
-                            .await
+                            .await;
                     }
-                    false => server.serve(stream).await,
                 }
             })
             .detach();
     }
 
     /// Serves one connection to its end.
-    async fn serve(self, stream: BoundedStream) {
+    async fn serve(self, stream: BoundedStream, mut place: IdlePlace) {
         if stream.inner().set_nodelay(true).is_err() {
             return;
         }
@@ -158,12 +183,17 @@
             let accepted = h1.accept_one().await;
             busy.replace(None);
             match accepted {
-                Ok(ConnectionStatus::KeepAlive) => {}
+                Ok(ConnectionStatus::KeepAlive) => place = place.renew(&stream),
+                Ok(ConnectionStatus::Close) if stream.phase() == Phase::Head => {
+                    // The peer closed its side within a head.
+                    return self.turn_away(&stream, ResultCode::BadRequest).await;
+                }
                 Ok(ConnectionStatus::Close) => return,
                 Err(error) => {
                     let is_request = stream.read_bytes() > read_before;
                     if is_request && stream.phase() != Phase::Replying {
-                        self.turn_away(&stream, code_of(&error)).await;
+                        self.turn_away(&stream, code_of(&error, stream.phase()))
+                            .await;
                     }
                     return;
                 }
@@ -178,47 +208,93 @@
     ) -> http_types::Result<Response> {
         let max_bytes = self.options.body_max_bytes;
         stream.begin_body(self.options.body_timeout, max_bytes + FRAMING_SLACK_BYTES);
-        let mut body = Vec::new();
-        let announced = request.len();
-        let mut reader = request.take_body().take(max_bytes + 1);
-        if announced.is_some_and(|len| len as u64 > max_bytes) {
-            return Ok(self.rejected(ResultCode::BodyTooLarge));
+        let announced = request.len().map(|len| len as u64);
+        if announced.is_some_and(|len| len > max_bytes) {
+            return Err(turned_away(ResultCode::BodyTooLarge));
         }
-        reader.read_to_end(&mut body).await?;
-        if body.len() as u64 > max_bytes {
-            return Ok(self.rejected(ResultCode::BodyTooLarge));
+        if request.header(EXPECT_HEADER).is_some() {
+            stream.clone().write_all(CONTINUE).await?;
         }
+        let body = self.read_body(request.take_body()).await?;
+        if announced.is_some_and(|len| len != body.len() as u64) {
+            return Err(turned_away(ResultCode::BadRequest));
+        }
+        // The library may have read bytes behind the body, and forgets them with the request: what
+        // they asked would never be answered. Behind a body without length it can't be told.
+        let is_last = announced != Some(stream.beyond_head_bytes());
         stream.begin_handling();
-        let reply = (self.handler)(Call {
+        let call = Call {
             head: request,
             body,
-        })
-        .await;
+        };
+        let reply = (self.handler)(call).await;
         stream.begin_reply(self.options.reply_timeout);
+        let reply = if is_last { reply.last() } else { reply };
         Ok(reply.into_response())
     }
 
+    /// Reads a body in full.
+    ///
+    /// Failures guarded against, both the library's with chunked bodies: a trailer that comes in
+    /// pieces leaves it asleep for ever, and one that is not ASCII makes it panic. The time bounds
+    /// the first; the second is caught, and touches nothing but this connection.
+    async fn read_body(&self, body: Body) -> http_types::Result<Vec<u8>> {
+        let max_bytes = self.options.body_max_bytes;
+        let mut found = Vec::new();
+        let mut reader = body.take(max_bytes + 1);
+        let read = AssertUnwindSafe(reader.read_to_end(&mut found)).catch_unwind();
+        match within(self.options.body_timeout, read).await {
+            None => Err(turned_away(ResultCode::TooSlow)),
+            Some(Err(_)) => Err(turned_away(ResultCode::BadRequest)),
+            Some(Ok(Err(error))) => Err(error.into()),
+            Some(Ok(Ok(_))) if found.len() as u64 > max_bytes => {
+                Err(turned_away(ResultCode::BodyTooLarge))
+            }
+            Some(Ok(Ok(_))) => Ok(found),
+        }
+    }
+
     fn rejected(&self, code: ResultCode) -> Response {
         self.stats.rejected.set(self.stats.rejected.get() + 1);
         (self.reject)(code).last().into_response()
     }
 
     /// Tells a peer why it is turned away, as far as it still listens.
+    ///
+    /// Failure guarded against: bytes of the peer's that nobody has read make the system reset the
+    /// connection at its close, and the peer loses the answer. So what still comes is read and
+    /// thrown away for a moment.
     async fn turn_away(&self, stream: &BoundedStream, code: ResultCode) {
-        stream.begin_reply(self.options.reply_timeout);
+        stream.begin_reply(LINGER);
         let mut reply = Encoder::new(self.rejected(code), Method::Get);
         let mut stream = stream.clone();
-        if io::copy(&mut reply, &mut stream).await.is_ok() {
-            let _ = stream.close().await;
+        if io::copy(&mut reply, &mut stream).await.is_ok() && stream.close().await.is_ok() {
+            let _ = within(LINGER, io::copy(&mut stream, &mut io::sink())).await;
         }
     }
 }
 
+/// Connections beyond the most that are still told so; the rest are closed without a word.
+const TURNED_AWAY_MAX: usize = 256;
+
+/// How long a peer that is turned away may take to read why.
+const LINGER: Duration = Duration::from_secs(2);
+
+/// Invites the body of a request that asked whether to send it.
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+fn turned_away(code: ResultCode) -> http_types::Error {
+    http_types::Error::new(http_types::StatusCode::BadRequest, TurnedAway { code })
+}
+
 /// Finds the code for a request that could not be read.
-fn code_of(error: &http_types::Error) -> ResultCode {
+fn code_of(error: &http_types::Error, phase: Phase) -> ResultCode {
+    if let Some(found) = error.downcast_ref::<TurnedAway>() {
+        return found.code;
+    }
     match error.downcast_ref::<io::Error>().map(io::Error::kind) {
         Some(io::ErrorKind::TimedOut) => ResultCode::TooSlow,
-        Some(io::ErrorKind::FileTooLarge) => ResultCode::BodyTooLarge,
+        Some(io::ErrorKind::FileTooLarge) if phase == Phase::Body => ResultCode::BodyTooLarge,
         _ => ResultCode::BadRequest,
     }
 }
