--- a/crates/onyxshed-core/src/id/submission.rs
+++ b/crates/onyxshed-core/src/id/submission.rs
@@ -67,8 +67,10 @@
             None => (text, None),
             Some((ulid, tag)) => (ulid, Some(tag.parse().map_err(|_| bad())?)),
         };
-        let ulid = ulid.parse().map_err(|_| bad())?;
-        Ok(Self { ulid, bound_to })
+        Ok(Self {
+            ulid: parse_ulid(ulid).ok_or_else(bad)?,
+            bound_to,
+        })
     }
 }
 
@@ -130,8 +132,15 @@
     type Err = Error;
 
     fn from_str(text: &str) -> Result<Self> {
-        text.parse()
+        parse_ulid(text)
             .map(Self)
-            .map_err(|_| Error::id("change id", text, "a ULID"))
+            .ok_or_else(|| Error::id("change id", text, "a ULID"))
     }
 }
+
+/// Reads a ULID. The library drops bits beyond 128, by which two texts would name one submission.
+fn parse_ulid(text: &str) -> Option<Ulid> {
+    const FIRST_MAX: u8 = b'7';
+    let is_in_range = text.bytes().next().is_some_and(|first| first <= FIRST_MAX);
+    text.parse().ok().filter(|_| is_in_range)
+}
