--- a/crates/onyxshed-control/src/peers.rs
+++ b/crates/onyxshed-control/src/peers.rs
@@ -188,6 +188,14 @@
     }
 }
 
+/// Tells of connections that were dropped.
+fn teller(kernel: &Kernel) -> rpc::Dropped {
+    let kernel = kernel.clone();
+    Rc::new(move |reason| {
+        kernel.emit(Event::new(EventKind::RequestRejected).detail(reason));
+    })
+}
+
 /// The peers as a service.
 pub struct PeerService {
     options: PeerOptions,
@@ -219,7 +227,12 @@
         });
         let client: peer_port::Client = capnp_rpc::new_client(port::Port::new(peers.clone()));
         kernel
-            .spawn(rpc::serve(listener, client.client, kernel.executor()))
+            .spawn(rpc::serve(
+                listener,
+                client.client,
+                kernel.executor(),
+                teller(kernel),
+            ))
             .detach();
         kernel
             .spawn(peers.clone().keep_telling(kernel.find(ENTRY_LINK)?))
--- a/crates/onyxshed-entry/src/control_port.rs
+++ b/crates/onyxshed-entry/src/control_port.rs
@@ -143,6 +143,14 @@
     }
 }
 
+/// Tells of connections that were dropped.
+fn teller(kernel: &Kernel) -> rpc::Dropped {
+    let kernel = kernel.clone();
+    Rc::new(move |reason| {
+        kernel.emit(Event::new(EventKind::RequestRejected).detail(reason));
+    })
+}
+
 /// The control process's door as a service.
 pub struct ControlPortService {
     options: ControlPortOptions,
@@ -188,7 +196,12 @@
             let client: entry_port::Client =
                 capnp_rpc::new_client(EntryPort { port: port.clone() });
             kernel
-                .spawn(rpc::serve(listener, client.client, kernel.executor()))
+                .spawn(rpc::serve(
+                    listener,
+                    client.client,
+                    kernel.executor(),
+                    teller(kernel),
+                ))
                 .detach();
             kernel.spawn(port.clone().watch()).detach();
             let descriptor = Descriptor {
--- a/crates/onyxshed-proto/src/rpc.rs
+++ b/crates/onyxshed-proto/src/rpc.rs
@@ -6,14 +6,18 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use async_executor::LocalExecutor;
+use async_io::Timer;
 use async_net::{TcpListener, TcpStream};
+use capnp::ErrorKind;
 use capnp::capability::{Client, FromClientHook};
 use capnp::message::ReaderOptions;
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::twoparty::VatNetwork;
+use smol_str::SmolStr;
 
 /// Largest message between processes, in 8-byte words (8 MiB).
 const MESSAGE_MAX_WORDS: usize = 1 << 20;
@@ -37,23 +41,44 @@
     Box::new(VatNetwork::new(stream, writer, side, reader_options()))
 }
 
+/// Pause after a failed accept, so that a shortage of file descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Told, in words, why a connection was dropped.
+pub type Dropped = Rc<dyn Fn(SmolStr)>;
+
 /// Serves `bootstrap` to every connection until dropped.
-pub async fn serve(listener: TcpListener, bootstrap: Client, executor: Rc<LocalExecutor<'static>>) {
+pub async fn serve(
+    listener: TcpListener,
+    bootstrap: Client,
+    executor: Rc<LocalExecutor<'static>>,
+    dropped: Dropped,
+) {
     let open = Rc::new(Cell::new(0_usize));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            futures_lite::future::yield_now().await;
+            Timer::after(ACCEPT_PAUSE).await;
             continue;
         };
-        if open.get() >= CONNECTIONS_MAX || stream.set_nodelay(true).is_err() {
+        if stream.set_nodelay(true).is_err() {
+            continue;
+        }
+        if open.get() >= CONNECTIONS_MAX {
+            dropped(SmolStr::new_static("too many connections"));
             continue;
         }
         open.set(open.get() + 1);
         let system = RpcSystem::new(network(stream, Side::Server), Some(bootstrap.clone()));
-        let open = open.clone();
+        let (open, dropped) = (open.clone(), dropped.clone());
         executor
             .spawn(async move {
-                let _ = system.await;
+                if let Err(error) = system.await
+                    && error.kind != ErrorKind::Disconnected
+                {
+                    dropped(smol_str::format_smolstr!(
+                        "a message can't be read: {error}"
+                    ));
+                }
                 open.set(open.get() - 1);
             })
             .detach();
