--- a/crates/onyxshed-dispatch/src/dispatch.rs
+++ b/crates/onyxshed-dispatch/src/dispatch.rs
@@ -147,6 +147,11 @@
         self.book.is_caught_up()
     }
 
+    /// Gets how many records of the claims stream could not be read and were ignored.
+    pub fn unreadable_records(&self) -> u64 {
+        self.book.counts().unreadable
+    }
+
     /// Gets the member of an incarnation.
     pub fn member(&self, incarnation: Incarnation) -> Option<&Member> {
         self.members.get(&incarnation)
--- a/crates/onyxshed-entry/src/callers.rs
+++ b/crates/onyxshed-entry/src/callers.rs
@@ -5,7 +5,7 @@
 
 use async_io::Timer;
 use http_types::Method;
-use onyxshed_core::{Event, EventKind, ResultCode, SubmissionId};
+use onyxshed_core::{Event, EventKind, Millis, ResultCode, SubmissionId};
 use onyxshed_dispatch::Input;
 use onyxshed_http::{Call, Handler, Reply, Server, ServerOptions, ServerStats};
 use onyxshed_kernel::{Descriptor, Error, Kernel, LocalFuture, Result, Service, ServiceName};
@@ -87,7 +87,7 @@
         let reject = Rc::new(move |code: ResultCode| {
             let detail = smol_str::format_smolstr!("{code}");
             reporter.emit(Event::new(EventKind::RequestRejected).detail(detail));
-            reply_of(&Answer::ended(None, code, ""))
+            reply_of(&turned_away(code))
         });
         let server = Server::new(self.options.server, handler, reject);
         let stats = server.stats();
@@ -217,6 +217,18 @@
     }
 }
 
+/// How long a caller waits before it repeats a request that was turned away at the door.
+const REPEAT_AFTER: Millis = Millis(1_000);
+
+/// Makes the answer to a request that was turned away at the door.
+fn turned_away(code: ResultCode) -> Answer {
+    let answer = Answer::ended(None, code, "");
+    match code {
+        ResultCode::TooSlow | ResultCode::TooManyConnections => answer.retry_after(REPEAT_AFTER),
+        _ => answer,
+    }
+}
+
 fn reply_of(answer: &Answer) -> Reply {
     let reply = Reply::json(answer.http_status(), answer);
     match answer.retry_after_ms {
--- a/crates/onyxshed-entry/src/process.rs
+++ b/crates/onyxshed-entry/src/process.rs
@@ -113,6 +113,7 @@
                 "executors": executors,
                 "is_log_readable": machine.is_log_readable(),
                 "live_peers": machine.live_peers(),
+                "unreadable_records": machine.unreadable_records(),
             })
         });
         StatusParts {
