--- /dev/null
+++ b/crates/onyxshed-proof/tests/support/cases.rs
@@ -0,0 +1,192 @@
+//! Bytes that no client should send, each with a name.
+
+use serde_json::{Value, json};
+
+use crate::house;
+use crate::raw::After;
+use crate::raw::After::{Close, Wait};
+
+/// What is sent, and what the sender does behind it.
+pub type Case = (&'static str, Vec<u8>, After);
+
+fn post(headers: &str, body: &[u8]) -> Vec<u8> {
+    let head = format!("POST /v1/jobs HTTP/1.1\r\nHost: x\r\n{headers}\r\n");
+    [head.as_bytes(), body].concat()
+}
+
+/// Makes a submission of this body.
+pub fn sized(body: &[u8]) -> Vec<u8> {
+    post(&format!("Content-Length: {}\r\n", body.len()), body)
+}
+
+fn good_body() -> Vec<u8> {
+    serde_json::to_vec(&house::job(house::TWICE, b"x")).expect("the test's own steps work")
+}
+
+/// Makes a good body but for one field.
+fn body_with(field: &str, value: Value) -> Vec<u8> {
+    let mut body: Value = serde_json::from_slice(&good_body()).expect("the test's own steps work");
+    body[field] = value;
+    body.to_string().into_bytes()
+}
+
+/// Makes a question.
+pub fn get(path: &str, headers: &str) -> Vec<u8> {
+    format!("GET {path} HTTP/1.1\r\nHost: x\r\n{headers}\r\n").into_bytes()
+}
+
+/// Bodies that don't hold together with what the head says of them.
+pub fn wrong_lengths() -> Vec<Case> {
+    let good = good_body();
+    let len = good.len();
+    let short = format!("Content-Length: {}\r\n", len - 5);
+    let long = format!("Content-Length: {}\r\n", len + 5);
+    let two = format!("Content-Length: {len}\r\nContent-Length: {}\r\n", len + 1);
+    let both = format!("Content-Length: {len}\r\nTransfer-Encoding: chunked\r\n");
+    vec![
+        ("body too large", sized(&[b' '; 300_000]), Wait),
+        (
+            "body announced too large",
+            post("Content-Length: 99999999999\r\n", b""),
+            Wait,
+        ),
+        ("body cut short", post(&long, &good), Close),
+        ("body late", post(&long, &good), Wait),
+        ("body longer than told", post(&short, &good), Wait),
+        (
+            "length no number",
+            post("Content-Length: ten\r\n", &good),
+            Wait,
+        ),
+        ("two lengths", post(&two, &good), Close),
+        ("length and chunks", post(&both, &good), Wait),
+        ("no length", post("", &good), Wait),
+    ]
+}
+
+/// Bodies in chunks and with questions asked first.
+pub fn transfers() -> Vec<Case> {
+    let chunked = |rest: &str| {
+        let good = good_body();
+        let size = format!("{:x}\r\n", good.len());
+        let body = [size.as_bytes(), &good, b"\r\n", rest.as_bytes()].concat();
+        post("Transfer-Encoding: chunked\r\n", &body)
+    };
+    let good = good_body();
+    let expect = format!("Expect: 100-continue\r\nContent-Length: {}\r\n", good.len());
+    let two = [sized(&good), sized(&good_body())].concat();
+    vec![
+        ("chunks", chunked("0\r\n\r\n"), Wait),
+        ("chunks without end", chunked(""), Wait),
+        ("chunks cut short", chunked("5\r\nab"), Close),
+        (
+            "chunk size too large",
+            chunked("fffffffffffffffff\r\n"),
+            Wait,
+        ),
+        (
+            "chunk trailer not ASCII",
+            chunked("0\r\nx: \u{e9}\r\n\r\n"),
+            Wait,
+        ),
+        ("chunk trailer in pieces", chunked("0\r\nx: y"), Wait),
+        ("body only if wanted", post(&expect, &good), Close),
+        ("two requests at once", two, Wait),
+    ]
+}
+
+/// Bodies of the right length that can't be read.
+pub fn bad_bodies() -> Vec<Case> {
+    let deep = |open: &str| sized(open.repeat(12_000).as_bytes());
+    let many: Vec<&str> = vec![""; 551];
+    let cases: [(&'static str, Vec<u8>); 12] = [
+        ("no JSON", sized(b"submit my job, please")),
+        ("JSON cut short", sized(&good_body()[..40])),
+        ("deep list", deep("[")),
+        ("deep object", deep("{\"a\":")),
+        ("not UTF-8", sized(&[0xff, 0xfe, b'{', b'}'])),
+        ("not UTF-8 in a text", sized(b"{\"class\":\"\xc3\x28\"}")),
+        ("unknown field", sized(&body_with("weight", json!(3)))),
+        ("id no id", sized(&body_with("submission", json!("1234")))),
+        (
+            "payload no base64",
+            sized(&body_with("tasks", json!(["%"]))),
+        ),
+        (
+            "deadline below zero",
+            sized(&body_with("deadline_ms", json!(-1))),
+        ),
+        ("no task", sized(&body_with("tasks", json!([])))),
+        ("551 tasks", sized(&body_with("tasks", json!(many)))),
+    ];
+    cases
+        .into_iter()
+        .map(|(name, bytes)| (name, bytes, Close))
+        .collect()
+}
+
+/// Heads that can't be read, the same at every HTTP door.
+pub fn bad_heads() -> Vec<Case> {
+    let endless_line = [b"GET / HTTP/1.1\r\nx: ".as_slice(), &[b'a'; 200_000]].concat();
+    let endless_lines = format!("GET / HTTP/1.1\r\n{}", "x: y\r\n".repeat(40_000));
+    vec![
+        (
+            "no HTTP",
+            b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n".to_vec(),
+            Wait,
+        ),
+        ("nothing", Vec::new(), Close),
+        ("head cut short", b"GET / HTTP/1.1\r\nHos".to_vec(), Close),
+        ("head late", b"GET / HTTP/1.1\r\nHost".to_vec(), Wait),
+        ("head line without end", endless_line, Wait),
+        ("head lines without end", endless_lines.into_bytes(), Wait),
+        (
+            "header not UTF-8",
+            get("/", "x: \u{1}\r\n")
+                .iter()
+                .map(|byte| match byte {
+                    1 => 0xff,
+                    byte => *byte,
+                })
+                .collect(),
+            Wait,
+        ),
+        ("header not ASCII", get("/", "x: \u{e9}\r\n"), Wait),
+        ("path not ASCII", get("/\u{e9}", ""), Wait),
+        ("no host", b"GET / HTTP/1.1\r\n\r\n".to_vec(), Wait),
+        (
+            "bad host",
+            b"GET / HTTP/1.1\r\nHost: [::\r\n\r\n".to_vec(),
+            Wait,
+        ),
+        (
+            "old HTTP",
+            b"GET / HTTP/1.0\r\nHost: x\r\n\r\n".to_vec(),
+            Wait,
+        ),
+        (
+            "unknown method",
+            b"BREW / HTTP/1.1\r\nHost: x\r\n\r\n".to_vec(),
+            Wait,
+        ),
+        ("unknown path", get("/v2/jobs", ""), Close),
+        (
+            "upgrade",
+            get("/v1/jobs", "Connection: upgrade\r\nUpgrade: h2c\r\n"),
+            Close,
+        ),
+    ]
+}
+
+/// Ids that are none.
+pub fn bad_ids() -> Vec<Case> {
+    vec![
+        ("id of nothing", get("/v1/jobs/", ""), Close),
+        (
+            "id out of range",
+            get("/v1/jobs/8ZZZZZZZZZZZZZZZZZZZZZZZZZ", ""),
+            Close,
+        ),
+        ("id with escapes", get("/v1/jobs/%ff%00", ""), Close),
+    ]
+}
--- /dev/null
+++ b/crates/onyxshed-proof/tests/support/house.rs
@@ -0,0 +1,103 @@
+//! One zone of real processes with a class in force.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use onyxshed_core::{ClassTarget, Millis, Outcome, SubmissionId};
+use onyxshed_proof::caller::{Heard, Patience, submit};
+use onyxshed_proof::cluster::topology::UPSTREAM;
+use onyxshed_proof::cluster::{Cluster, Given, Part, Topology};
+use onyxshed_proof::remote::{WAIT_CEILING, get, pause};
+use onyxshed_wire::admin::{TIMELINE_PATH, TimelinePage};
+use onyxshed_wire::caller::{CopyMark, Submission};
+use ulid::Ulid;
+
+/// Class whose tasks run at most once.
+pub const ONCE: &str = "fee";
+
+/// Class whose tasks may run twice.
+pub const TWICE: &str = "draw";
+
+/// Starts a zone `a` and publishes both classes.
+pub async fn start(entry_hosts: u32, given: Given) -> Cluster {
+    let topology = Topology {
+        zones: vec!["a".into()],
+        entry_hosts,
+        executors: 1,
+    };
+    let cluster = Cluster::start(&topology, given)
+        .await
+        .expect("the test's own steps work");
+    publish(&cluster, ONCE, false).await;
+    publish(&cluster, TWICE, true).await;
+    cluster
+}
+
+/// Publishes a class's target.
+pub async fn publish(cluster: &Cluster, class: &str, may_run_twice: bool) {
+    let target = ClassTarget {
+        class: class.parse().expect("the test's own steps work"),
+        upstream: UPSTREAM.parse().expect("the test's own steps work"),
+        finish_within_ms: Millis(5_000),
+        may_run_twice,
+    };
+    let end = cluster
+        .put_target(&target, None)
+        .await
+        .expect("the test's own steps work");
+    assert_eq!(end.code, Some(0), "{}", end.text);
+}
+
+/// Gets where callers reach an entry host.
+pub fn callers(cluster: &mut Cluster, host: &str) -> SocketAddr {
+    cluster
+        .host(host)
+        .expect("the test's own steps work")
+        .caller_address()
+        .expect("the test's own steps work")
+}
+
+/// Makes a job of one task that echoes `payload`.
+pub fn job(class: &str, payload: &[u8]) -> Submission {
+    Submission {
+        submission: SubmissionId::unbound(Ulid::generate()),
+        class: class.parse().expect("the test's own steps work"),
+        deadline_ms: None,
+        copy: CopyMark::First,
+        tasks: vec![payload.to_vec()],
+    }
+}
+
+/// Submits a good job and checks that it gets its whole answer.
+pub async fn serve_one(address: SocketAddr, class: &str) {
+    let payload = Ulid::generate().to_string().into_bytes();
+    let heard = submit(address, job(class, &payload), Patience::UntilRun).await;
+    match heard.heard {
+        Heard::Answer(200, answer) => {
+            assert_eq!(answer.outcome, Some(Outcome::Complete));
+            assert_eq!(answer.results, Some(vec![payload]));
+        }
+        other => panic!("a good caller heard {other}"),
+    }
+}
+
+/// Waits until something holds.
+pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let give_up_at = Instant::now() + WAIT_CEILING;
+    while !holds().await {
+        assert!(Instant::now() < give_up_at, "waited in vain until {what}");
+        pause().await;
+    }
+}
+
+/// Gets the time line of one of an entry host's processes.
+pub async fn timeline(cluster: &mut Cluster, host: &str, part: Part) -> TimelinePage {
+    let address = cluster
+        .host(host)
+        .expect("the test's own steps work")
+        .admin_address(part)
+        .expect("the test's own steps work");
+    get(address, TIMELINE_PATH)
+        .await
+        .expect("the test's own steps work")
+}
--- /dev/null
+++ b/crates/onyxshed-proof/tests/support/raw.rs
@@ -0,0 +1,81 @@
+//! Bytes sent as they are, and what came back.
+
+use std::fmt::Write as _;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// How long the other end may take to close; far beyond every limit that a test sets.
+const CEILING: Duration = Duration::from_secs(60);
+
+/// What the sender does behind its bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum After {
+    /// Closes its side, and reads on.
+    Close,
+    /// Waits for the other end.
+    Wait,
+}
+
+/// Sends bytes and gets everything that came until the other end closed.
+pub fn exchange(address: SocketAddr, bytes: &[u8], after: After) -> Vec<u8> {
+    let mut stream = TcpStream::connect(address).expect("the test's own steps work");
+    stream
+        .set_read_timeout(Some(CEILING))
+        .expect("the test's own steps work");
+    // The other end may have had enough before it has read all.
+    let _ = stream.write_all(bytes);
+    if after == After::Close {
+        let _ = stream.shutdown(Shutdown::Write);
+    }
+    read_all(&mut stream)
+}
+
+/// Reads until the other end closes; a reset ends what came like a close.
+pub fn read_all(stream: &mut TcpStream) -> Vec<u8> {
+    let mut found = Vec::new();
+    match stream.read_to_end(&mut found) {
+        Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {
+            panic!("the other end neither answered nor closed")
+        }
+        _ => found,
+    }
+}
+
+/// Gets the replies in short: status and, if the body names one, result code.
+pub fn replies(bytes: &[u8]) -> String {
+    let mut text = String::new();
+    let mut left = bytes;
+    while let Some(end) = find(left, b"\r\n\r\n") {
+        let head = String::from_utf8_lossy(&left[..end]).to_ascii_lowercase();
+        let status = head.split(' ').nth(1).unwrap_or("?").to_owned();
+        let length = header(&head, "content-length: ").and_then(|value| value.parse().ok());
+        let body = &left[end + 4..][..length.unwrap_or(0)];
+        let answer: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
+        let _ = match &answer["code"] {
+            serde_json::Value::Null => write!(text, "{status} "),
+            code => write!(text, "{status}/{code} "),
+        };
+        if let Some(wait) = header(&head, "retry-after: ") {
+            let _ = write!(text, "retry-after {wait} ");
+        }
+        left = &left[end + 4 + body.len()..];
+    }
+    if !left.is_empty() {
+        let _ = write!(text, "and {} bytes ", left.len());
+    }
+    match text.is_empty() {
+        true => "closed".to_owned(),
+        false => text.trim_end().to_owned(),
+    }
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines().find_map(|line| line.strip_prefix(name))
+}
+
+fn find(bytes: &[u8], wanted: &[u8]) -> Option<usize> {
+    bytes
+        .windows(wanted.len())
+        .position(|found| found == wanted)
+}
