Call a claim that is not decided in time open; put the claim settings into force

Cause: settings for patience, appends, retention and placement reached nothing. With the patience in force (500 ms) a copy without a mark, whose claim hung, was told "not run" though an earlier copy's claim may stand unseen in the log (scenario once-platform-down-hanging). Now only the first copy, or one whose content was claimed as another, is told so while its claim is undecided; a cancel waits for the log with it. Ruled out: a stale view of the log (it was read to its end).

--- a/crates/onyxshed-dispatch/src/dispatch.rs
+++ b/crates/onyxshed-dispatch/src/dispatch.rs
@@ -15,8 +15,8 @@
 };
 use onyxshed_policy::Policy;
 use onyxshed_policy::note::{Note as PolicyNote, Waste};
-use onyxshed_state::{ClaimBook, ClaimStep, Config, Member};
-use onyxshed_wire::caller::{Answer, CopyMark};
+use onyxshed_state::{ClaimBook, Config, Member};
+use onyxshed_wire::caller::Answer;
 use smol_str::SmolStr;
 
 use crate::input::Input;
@@ -329,26 +329,18 @@
         }
     }
 
-    /// Gets the truth about a job of which this host holds no claim yet.
-    fn unclaimed_code(
-        &self,
-        now: Now,
-        id: SubmissionId,
-        code: ResultCode,
-        copy: CopyMark,
-    ) -> ResultCode {
-        let is_readable = self.book.peek(now, id, None) != ClaimStep::Unavailable;
-        caller::unproved(code, copy, is_readable)
-    }
-
-    /// Ends a job whose claim was never granted.
+    /// Ends a job whose claim was not decided in time: the log may hold another host's.
     fn end_unclaimed(&mut self, now: Now, id: SubmissionId, code: ResultCode) {
         let Some(Job::Claiming(job)) = self.jobs.take(id) else {
             return;
         };
         self.book.release(now, id);
         self.release_bytes(&job.payloads);
-        let code = self.unclaimed_code(now, id, code, job.head.copy);
+        let code = match code {
+            // The content that was claimed is another: this one has not run anywhere.
+            ResultCode::OtherContent => code,
+            code => caller::unproved(code, job.head.copy, false),
+        };
         let answer = self.refusal(Some(id), code, "");
         self.note(
             Event::new(EventKind::JobRefused)
--- a/crates/onyxshed-dispatch/src/dispatch/caller.rs
+++ b/crates/onyxshed-dispatch/src/dispatch/caller.rs
@@ -277,7 +277,7 @@
                 let answer = job.answer(id);
                 self.answer(request, answer);
             }
-            Some(Job::Claiming(_)) => self.cancel_claiming(now, request, id),
+            Some(Job::Claiming(_)) => self.cancel_claiming(request, id),
             Some(Job::Running(job)) => {
                 job.waiters.push(request);
                 self.note(Event::new(EventKind::JobCancelled).submission(id));
@@ -291,18 +291,20 @@
 
     /// Gives up a job whose claim is under way.
     ///
-    /// The callers of the job are answered at once. Whoever cancels asks about every copy, and one
+    /// Whoever sent the only copy is answered at once. Everyone else asks about every copy, and one
     /// may run on another host: that answer waits until the log tells who holds the submission.
-    fn cancel_claiming(&mut self, now: Now, request: RequestId, id: SubmissionId) {
+    fn cancel_claiming(&mut self, request: RequestId, id: SubmissionId) {
         self.note(Event::new(EventKind::JobCancelled).submission(id));
         let Some(job) = self.claiming_mut(id) else {
             return;
         };
         job.cancels.push(request);
         let waiters = std::mem::take(&mut job.waiters);
-        let copy = job.head.copy;
-        let code = self.unclaimed_code(now, id, ResultCode::CancelledUnstarted, copy);
-        let answer = self.refusal(Some(id), code, "");
+        if job.head.copy != CopyMark::First {
+            job.cancels.extend(waiters);
+            return;
+        }
+        let answer = self.refusal(Some(id), ResultCode::CancelledUnstarted, "");
         for waiter in waiters {
             self.answer(waiter, answer.clone());
         }
--- a/crates/onyxshed-entry/src/process.rs
+++ b/crates/onyxshed-entry/src/process.rs
@@ -9,7 +9,8 @@
 use onyxshed_kernel::{Kernel, RunEnd, RunOptions, Service};
 use onyxshed_platform::PlatformOptions;
 use onyxshed_policy::PolicyOptions;
-use onyxshed_settings::EntrySettings;
+use onyxshed_policy::placement::PlacementKind;
+use onyxshed_settings::{EntrySettings, Placement};
 use onyxshed_state::ClaimOptions;
 use onyxshed_telemetry::telemetry::StatusParts;
 use onyxshed_telemetry::{AdminService, Telemetry, TelemetryOptions};
@@ -132,13 +133,27 @@
         claims: ClaimOptions {
             horizon_ms: settings.horizon_ms,
             skew_ms: settings.skew_ms,
+            retention_ms: settings.platform_retention_ms,
+            log_appends_per_s: settings.log_appends_per_s,
+            patience_ms: settings.claim_patience_ms,
             ..ClaimOptions::default()
         },
-        policy: PolicyOptions::default(),
+        policy: PolicyOptions {
+            placement: placement_of(settings.placement),
+            ..PolicyOptions::default()
+        },
         ..DispatchOptions::default()
     }
 }
 
+fn placement_of(placement: Placement) -> PlacementKind {
+    match placement {
+        Placement::LeastExpectedFinish => PlacementKind::LeastFinish,
+        Placement::RoundRobin => PlacementKind::RoundRobin,
+        Placement::LeastOutstanding => PlacementKind::LeastOutstanding,
+    }
+}
+
 fn upstream_options(settings: &EntrySettings) -> UpstreamOptions {
     let client = ClientOptions {
         reply_max_bytes: settings.result_max_bytes.0,
--- a/crates/onyxshed-settings/src/tables.rs
+++ b/crates/onyxshed-settings/src/tables.rs
@@ -176,7 +176,7 @@
     span(
         "claim_patience_ms",
         (1, 60_000),
-        500,
+        2_000,
         "How long a submission waits for its claim to be read back before it is given up.",
     ),
     span(
