Under overload, start a job only if it will be whole, and admit with room for error

Admission took the class's queue at face value, spread the job's own work over all of the upstream and let the last task start as late as the first.

Changes: while more work arrives than can be done (or the wait is longer than a task), admission adds the job's own work at its class's part and the time of its last task, and counts waits twice, as more urgent work comes in between; a job of which nothing has started is judged once more when its turn comes and given up unstarted if it would hardly be whole in time; no hedges meanwhile; callers come back after a quarter of a second at least.

--- a/crates/onyxshed-policy/src/admission.rs
+++ b/crates/onyxshed-policy/src/admission.rs
@@ -9,7 +9,7 @@
 use crate::span::{as_us, to_micros};
 
 /// Shortest time to come back in, in microseconds.
-const COME_BACK_MIN_US: f64 = 50_000.0;
+const COME_BACK_MIN_US: f64 = 250_000.0;
 
 /// Longest time to come back in, in microseconds.
 const COME_BACK_MAX_US: f64 = 60e6;
@@ -17,6 +17,9 @@
 /// Largest quantile that the histograms can tell.
 const QUANTILE_MAX: f64 = 0.99;
 
+/// Factor on waits under overload: others that are more urgent will come in between.
+const MARGIN: f64 = 2.0;
+
 /// What the estimate is made from; work is in microseconds on one slot of ordinary speed.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Outlook {
@@ -28,11 +31,9 @@
     pub longest_us: f64,
     /// Time that its longest task all but surely stays within, wherever it runs.
     pub sure_us: f64,
-    /// Slots weighed by speed.
-    pub power: f64,
     /// Whether more work arrives than the upstream can do.
     pub is_crowded: bool,
-    /// Of these, what the job's own class gets while it queues.
+    /// Slots, weighed by speed, that the job's own class gets while it queues.
     pub part: f64,
 }
 
@@ -43,14 +44,14 @@
     /// would serve another, so it goes only to a job that surely makes it: the queue is then always
     /// as long as admission lets it be, and half of the jobs at an even chance would be late.
     pub fn finish_us(&self) -> f64 {
-        let wait_us = self.ahead_us / self.part.max(f64::MIN_POSITIVE);
-        let spread_us = self.job_us / self.power.max(f64::MIN_POSITIVE);
-        let longest_us = if self.is_crowded || wait_us > self.longest_us {
-            self.sure_us
+        let part = self.part.max(f64::MIN_POSITIVE);
+        let wait_us = self.ahead_us / part;
+        let spread_us = self.job_us / part;
+        if self.is_crowded || wait_us > self.longest_us {
+            (wait_us + spread_us) * MARGIN + self.sure_us
         } else {
-            self.longest_us
-        };
-        wait_us + spread_us.max(longest_us)
+            wait_us + spread_us.max(self.longest_us)
+        }
     }
 
     /// Gets how long until the job could be served in time, none if it can be now.
--- a/crates/onyxshed-policy/src/policy.rs
+++ b/crates/onyxshed-policy/src/policy.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use onyxshed_core::{
-    ClassName, ClassTarget, ExecutorName, Micros, Mono, Now, TaskId, UpstreamName,
+    ClassName, ClassTarget, ExecutorName, Micros, Mono, Now, SubmissionId, TaskId, UpstreamName,
 };
 use onyxshed_wire::upstream::LoadReport;
 use rand::rngs::SmallRng;
@@ -57,6 +57,7 @@
     wakes: BTreeSet<(Mono, UpstreamName)>,
     last_served: Option<UpstreamName>,
     homes: BTreeMap<TaskId, UpstreamName>,
+    begun: BTreeSet<SubmissionId>,
     running: BTreeMap<TaskId, Running>,
     hedges: BTreeSet<(Mono, TaskId)>,
     hopeless: Vec<Expired>,
@@ -82,6 +83,7 @@
             wakes: BTreeSet::new(),
             last_served: None,
             homes: BTreeMap::new(),
+            begun: BTreeSet::new(),
             running: BTreeMap::new(),
             hedges: BTreeSet::new(),
             hopeless: Vec::new(),
--- a/crates/onyxshed-policy/src/policy/hedge.rs
+++ b/crates/onyxshed-policy/src/policy/hedge.rs
@@ -79,7 +79,9 @@
             .target
             .upstream
             .clone();
-        if running.is_over || !self.upstreams.get(&name)?.hedges.has_token() {
+        let upstream = self.upstreams.get(&name)?;
+        // Under overload a copy takes the place of another task.
+        if running.is_over || !upstream.hedges.has_token() || upstream.is_crowded(now) {
             return None;
         }
         let Some(candidate) = self.find_for_hedge(now, &ticket, seat) else {
--- a/crates/onyxshed-policy/src/policy/intake.rs
+++ b/crates/onyxshed-policy/src/policy/intake.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use onyxshed_core::{ClassName, Micros, Millis, Mono, Now, ResultCode, TaskId};
+use onyxshed_core::{
+    ClassName, Micros, Millis, Mono, Now, ResultCode, SubmissionId, TaskId, UpstreamName,
+};
 
 use super::Policy;
 use crate::admission::{Outlook, longest_q, part, sure_q};
@@ -79,7 +81,7 @@
         self.forget_hedge(task);
         let hopeless_before = self.hopeless.len();
         self.hopeless.retain(|expired| expired.task != task);
-        let home = self.homes.remove(&task);
+        let home = self.leave_queue(task);
         let upstream = home.and_then(|name| self.upstreams.get_mut(&name));
         let ticket = upstream.and_then(|upstream| upstream.queue.take(task));
         ticket.is_some() || self.hopeless.len() < hopeless_before
@@ -114,7 +116,7 @@
             expired.extend(tickets.iter().map(Ticket::expired));
         }
         for gone in &expired {
-            self.homes.remove(&gone.task);
+            self.leave_queue(gone.task);
         }
         expired
     }
@@ -132,6 +134,22 @@
         self.ready.insert(name);
     }
 
+    /// Books that a task waits no more; gives back the upstream it waited for.
+    pub(super) fn leave_queue(&mut self, task: TaskId) -> Option<UpstreamName> {
+        let home = self.homes.remove(&task)?;
+        if self.siblings(task.submission).next().is_none() {
+            self.begun.remove(&task.submission);
+        }
+        Some(home)
+    }
+
+    /// Gets the waiting tasks of a job.
+    pub(super) fn siblings(&self, submission: SubmissionId) -> impl Iterator<Item = &TaskId> {
+        let at = |index| TaskId { submission, index };
+        let range = self.homes.range(at(0)..=at(u16::MAX));
+        range.map(|(task, _)| task)
+    }
+
     fn refusal(
         &mut self,
         now: Mono,
@@ -206,7 +224,7 @@
     Some(wait.max(TRY_UNDER_WAY_COME_BACK))
 }
 
-fn outlook(
+pub(super) fn outlook(
     now: Mono,
     classes: &BTreeMap<ClassName, Class>,
     upstream: &Upstream,
@@ -230,7 +248,6 @@
         job_us: mean_us * tasks as f64,
         longest_us: longest_us * upstream.capacity.fastest(),
         sure_us: estimate.seen_quantile_us(sure_q(tasks)).unwrap_or(0.0),
-        power,
         is_crowded: upstream.is_crowded(now),
         part: part(power, &others),
     })
--- a/crates/onyxshed-policy/src/policy/start.rs
+++ b/crates/onyxshed-policy/src/policy/start.rs
@@ -146,6 +146,9 @@
             executor.breaker.probing(now, executor.patience());
         }
         let name = executor.info.name.clone();
+        if self.siblings(task.submission).next().is_some() {
+            self.begun.insert(task.submission);
+        }
         let running = self.running.entry(task);
         let running = running.or_insert_with(|| Running::new(ticket));
         running.attempts.push(Attempt { seat, is_probe });
--- a/crates/onyxshed-policy/src/policy/turn.rs
+++ b/crates/onyxshed-policy/src/policy/turn.rs
@@ -3,8 +3,11 @@
 use onyxshed_core::{ClassName, Millis, Mono, UpstreamName};
 
 use super::Policy;
+use super::intake::outlook;
+use crate::admission::Outlook;
 use crate::class::Class;
 use crate::queue::{Standing, Ticket};
+use crate::upstream::Upstream;
 
 /// When a task that no executor but those it must avoid could take is looked at again.
 const AVOIDED_AGAIN: Millis = Millis(5);
@@ -36,8 +39,37 @@
         let (Some(upstream), Some(class)) = (self.upstreams.get(name), class) else {
             return false;
         };
-        let floor = class.floor(now, upstream.capacity.fastest(), upstream.is_crowded(now));
-        ticket.work.deadline <= now + floor
+        let is_crowded = upstream.is_crowded(now);
+        let floor = class.floor(now, upstream.capacity.fastest(), is_crowded);
+        let is_late = ticket.work.deadline <= now + floor;
+        is_late || (is_crowded && self.would_fail(now, upstream, ticket))
+    }
+
+    /// Tells whether a job of which nothing has started would hardly be whole in time.
+    ///
+    /// A job is complete or failed, so what runs of one that fails is wasted. Under overload its
+    /// places go to a job that makes it.
+    fn would_fail(&self, now: Mono, upstream: &Upstream, ticket: &Ticket) -> bool {
+        let job = ticket.work.task.submission;
+        let is_first_start = ticket.bounces == 0 && ticket.failed_on.is_empty();
+        if !is_first_start || self.begun.contains(&job) || !self.placement.kind().is_guarded() {
+            return false;
+        }
+        let tasks = self.siblings(job).count();
+        let deadline = ticket.work.deadline;
+        let outlook = outlook(
+            now,
+            &self.classes,
+            upstream,
+            &ticket.work.class,
+            tasks,
+            deadline,
+        );
+        let at_its_turn = outlook.map(|outlook| Outlook {
+            ahead_us: 0.0,
+            ..outlook
+        });
+        at_its_turn.is_some_and(|outlook| outlook.come_back(now, deadline).is_some())
     }
 
     /// Takes a class's first task out to be told as expired.
@@ -50,7 +82,7 @@
     /// Takes a class's first task out.
     pub(super) fn pop(&mut self, name: &UpstreamName, class: &ClassName) -> Option<Ticket> {
         let ticket = self.upstreams.get_mut(name)?.queue.pop(class)?;
-        self.homes.remove(&ticket.work.task);
+        self.leave_queue(ticket.work.task);
         Some(ticket)
     }
 
