Bring histories of the configuration together after records were lost by many

Ruled out: replaying the records between a salvage and its publisher's fold, which late readers can't; and losing completeness by time, which would stop all changes after an outage of the whole log. Now a fold that goes back to memory is tentative and gives way: the higher revision wins, and at equal ones the history that nobody had to remember.

--- a/crates/onyxshed-state/src/config.rs
+++ b/crates/onyxshed-state/src/config.rs
@@ -9,6 +9,9 @@
 //! outlasts the log's retention. A partial fold keeps what it holds in force, judges no change,
 //! and becomes complete again from a snapshot or a peer whose fold ends within what it has read.
 //!
+//! If every process lost records, they go on from what the best of them remembers: such a fold is
+//! *tentative*, and gives way to one that is not.
+//!
 //! What a peer tells may be ahead of the log as read here. It takes force beside the fold, which
 //! goes on by itself and takes over again once it has reached that revision.
 
@@ -19,6 +22,7 @@
 mod fate;
 mod parts;
 mod rules;
+mod snapshot;
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -122,7 +126,11 @@
     fates: Fates,
     parts: Parts,
     partial: Option<Partial>,
+    /// Whether the fold goes back to what some process remembered after it had lost records.
+    is_tentative: bool,
     next: Offset,
+    /// The offset after the last change read, whatever became of it.
+    changed_to: Offset,
     /// When the oldest record was appended that a late reader needs.
     anchor: Option<UnixMs>,
     counts: ConfigCounts,
@@ -155,7 +163,8 @@
         self.next
     }
 
-    /// Tells whether [`Self::folded`] is the fold of every record before [`Self::next`].
+    /// Tells whether [`Self::folded`] is the fold of every record before [`Self::next`], or of what a
+    /// process remembered and every record since.
     pub fn is_complete(&self) -> bool {
         self.partial.is_none()
     }
@@ -199,11 +208,7 @@
         self.next = oldest;
         self.counts.gaps += 1;
         self.parts.clear();
-        self.partial = Some(Partial {
-            from: oldest,
-            since: at,
-            backlog: VecDeque::new(),
-        });
+        self.partial = Some(Partial::new(oldest, at));
     }
 
     fn apply_at(&mut self, offset: Offset, at: UnixMs, data: &str) -> FoldStep {
@@ -213,7 +218,10 @@
         self.skip_to(offset, at);
         self.next = offset.next();
         match ConfigRecord::decode(data) {
-            Ok(ConfigRecord::ChangeV1(change)) => self.take_change(offset, at, change),
+            Ok(ConfigRecord::ChangeV1(change)) => {
+                self.changed_to = self.next;
+                self.take_change(offset, at, change)
+            }
             Ok(ConfigRecord::SnapshotV1(part)) => match self.parts.add(at, part) {
                 Some(whole) => self.take_snapshot(offset, &whole),
                 None => FoldStep::Nothing,
@@ -264,60 +272,14 @@
         self.drop_adopted();
         FoldStep::Accepted(self.config.revision)
     }
+}
 
-    /// Takes in a whole snapshot. A complete fold needs none: it only learns that the records
-    /// before the snapshot are no longer needed, or counts that the snapshot is wrong.
-    fn take_snapshot(&mut self, offset: Offset, whole: &parts::Whole) -> FoldStep {
-        if whole.handover.folded_to > offset {
-            return self.contradict();
-        }
-        if whole.is_salvage {
-            return self.take_salvage(whole);
-        }
-        if !self.is_complete() {
-            return self.rebase(&whole.handover, Some(whole.at));
-        }
-        let told = &whole.handover.config;
-        if told.revision < self.config.revision {
-            return FoldStep::Nothing;
-        }
-        if *told != self.config {
-            return self.contradict();
-        }
-        self.anchor = Some(whole.at);
-        FoldStep::Nothing
-    }
-
-    /// Takes in what a partial fold published because nobody had a complete one. Complete folds
-    /// move to it too if its revision is higher: then they stand on an earlier salvage, of a
-    /// process that knew less. All move at the same offset, so all go on alike.
-    fn take_salvage(&mut self, whole: &parts::Whole) -> FoldStep {
-        let before = self.config().revision;
-        let told = &whole.handover;
-        let is_wanted = if self.is_complete() {
-            told.config.revision > self.config.revision
-        } else {
-            told.config.revision >= self.config.revision
-        };
-        if !is_wanted {
-            return FoldStep::Nothing;
+impl Partial {
+    fn new(from: Offset, since: UnixMs) -> Self {
+        Partial {
+            from,
+            since,
+            backlog: VecDeque::new(),
         }
-        self.partial = None;
-        self.config = told.config.clone();
-        self.recent = RecentChanges::from_list(&told.recent_changes);
-        self.anchor = Some(whole.at);
-        self.drop_adopted();
-        self.step_since(before)
-    }
-
-    fn contradict(&mut self) -> FoldStep {
-        self.counts.contradictions += 1;
-        FoldStep::Ignored
-    }
-
-    /// Drops what a peer told once the fold has got there.
-    fn drop_adopted(&mut self) {
-        self.adopted
-            .take_if(|told| told.config.revision <= self.config.revision);
     }
 }
--- a/crates/onyxshed-state/src/config/handover.rs
+++ b/crates/onyxshed-state/src/config/handover.rs
@@ -18,16 +18,16 @@
     pub recent_changes: Vec<ChangeId>,
     /// When the oldest record was appended that a late reader needs, if known.
     pub needed_since: Option<UnixMs>,
-    /// Whether no record before `folded_to` was lost on the way.
+    /// Whether it follows from all records, none lost on the way.
     pub is_complete: bool,
 }
 
 impl ConfigFold {
     /// Gets what a peer needs to go on from here.
     pub fn handover(&self) -> Handover {
-        let is_complete = self.is_complete();
+        let is_complete = self.is_complete() && !self.is_tentative;
         match &self.adopted {
-            Some(told) if !is_complete => Handover {
+            Some(told) if !self.is_complete() => Handover {
                 folded_to: self.read_from(),
                 is_complete,
                 ..told.clone()
@@ -59,8 +59,8 @@
     /// A complete fold goes on from the log alone, so a peer that is wrong can't lead it astray.
     pub fn adopt_handover(&mut self, told: Handover) -> FoldStep {
         let before = self.config().revision;
-        if !self.is_complete() && told.is_complete {
-            self.rebase(&told, told.needed_since);
+        if told.is_complete {
+            self.heal(&told);
         }
         let in_force = self.config().revision;
         if told.config.revision > in_force {
@@ -69,6 +69,16 @@
         self.step_since(before)
     }
 
+    /// Goes on from a peer's complete fold if this one is partial or tentative.
+    fn heal(&mut self, told: &Handover) {
+        let order = told.config.revision.cmp(&self.config.revision);
+        if !self.is_complete() {
+            self.rebase(told, told.needed_since);
+        } else if self.yields_to(told, order) && self.changed_to <= told.folded_to {
+            self.switch_to(told, told.needed_since);
+        }
+    }
+
     /// Starts a partial fold again from `told` and folds the changes read after it.
     ///
     /// If records between the two are lost, nothing is done: a change among them may have been
@@ -78,7 +88,8 @@
             return self.adopt_unjoined(told);
         }
         let before = self.config().revision;
-        let fold = self.replay(told, at);
+        let mut fold = self.replay(told, at);
+        fold.is_tentative = !told.is_complete;
         if fold.config.revision < self.config.revision {
             return self.contradict();
         }
@@ -87,7 +98,7 @@
         self.step_since(before)
     }
 
-    fn adopt_unjoined(&mut self, told: &Handover) -> FoldStep {
+    pub(super) fn adopt_unjoined(&mut self, told: &Handover) -> FoldStep {
         let before = self.config().revision;
         if told.config.revision > before {
             self.adopted = Some(told.clone());
@@ -97,7 +108,7 @@
 
     /// Makes the fold that follows from `told`. Changes of the backlog that `told` holds already
     /// are judged again: accepted ones are known by their ids, the others have lost as before.
-    fn replay(&self, told: &Handover, at: Option<UnixMs>) -> ConfigFold {
+    pub(super) fn replay(&self, told: &Handover, at: Option<UnixMs>) -> ConfigFold {
         let mut fold = self.clone();
         fold.config = told.config.clone();
         fold.recent = RecentChanges::from_list(&told.recent_changes);
--- a/crates/onyxshed-state/src/config/parts.rs
+++ b/crates/onyxshed-state/src/config/parts.rs
@@ -28,8 +28,6 @@
     pub(super) handover: Handover,
     /// When its oldest part was appended.
     pub(super) at: UnixMs,
-    /// Whether its publisher had lost records.
-    pub(super) is_salvage: bool,
 }
 
 /// Parts of the snapshot that is being read.
@@ -88,13 +86,9 @@
         folded_to,
         recent_changes,
         needed_since: Some(at),
-        is_complete: true,
+        is_complete: !is_salvage,
     };
-    (fingerprint_of(&handover) == fingerprint).then_some(Whole {
-        handover,
-        at,
-        is_salvage,
-    })
+    (fingerprint_of(&handover) == fingerprint).then_some(Whole { handover, at })
 }
 
 /// Cuts a configuration into the records of a snapshot.
@@ -132,7 +126,7 @@
 }
 
 /// Computes a fingerprint over the classes and the recent changes.
-fn fingerprint_of(handover: &Handover) -> ContentHash {
+pub(super) fn fingerprint_of(handover: &Handover) -> ContentHash {
     let mut hash = Xxh3::new();
     for target in handover.config.classes.values() {
         hash.update(encoded(target).as_bytes());
--- a/crates/onyxshed-state/src/config/republish.rs
+++ b/crates/onyxshed-state/src/config/republish.rs
@@ -38,7 +38,8 @@
     ///
     /// A partial fold publishes what it holds only after nobody has told a complete one for three
     /// quarters of the retention: any process that had one and could reach the log would have
-    /// published it by then, so what memory holds is the best there is.
+    /// published it by then, so what memory holds is the best there is. Should one turn up later
+    /// nevertheless, the tentative fold gives way.
     pub fn republish(&mut self, now: UnixMs, seed: u64) -> RepublishStep {
         let Some(since) = self.needed_since() else {
             return RepublishStep::Nothing;
@@ -48,13 +49,17 @@
             return RepublishStep::WaitUntil(due);
         }
         self.republished_at = Some(now);
+        if !self.is_complete() {
+            self.go_on_from_memory(now);
+        }
         RepublishStep::Publish(parts::cut(&self.handover()))
     }
 
     fn needed_since(&self) -> Option<UnixMs> {
         match &self.partial {
-            Some(partial) if self.config().revision.0 > 0 => Some(partial.since),
-            Some(_) => None,
+            // Even with nothing in memory: else, with every record lost, no process could ever
+            // judge a change again.
+            Some(partial) => Some(partial.since),
             None => self.anchor,
         }
     }
--- a/crates/onyxshed-state/tests/config_fold.rs
+++ b/crates/onyxshed-state/tests/config_fold.rs
@@ -356,6 +356,59 @@
     }
 }
 
+/// One process has read everything, holds more than the others, and stops for so long that the others
+/// go on from what they remember. When it runs again its history counts for more: the others give
+/// theirs up, even one that has as many changes, and all agree again.
+#[rstest]
+#[case::others_are_behind(0)]
+#[case::others_caught_up(2)]
+fn memory_gives_way_to_what_was_never_lost(#[case] changes_since: u64) {
+    let mut log = log_of(4);
+    let mut sleeper = reader(&log);
+    let mut other = reader(&log_of(2));
+    log.oldest = 4;
+    read(&log, &mut other, 10_000);
+    publish(&mut log, &mut other, 10_000 + RETENTION_MS);
+    read(&log, &mut other, 0);
+    assert_eq!(
+        (other.is_complete(), other.handover().is_complete),
+        (true, false)
+    );
+    for n in 0..changes_since {
+        log.append(0, &change(put(50 + n, 2 + n, "tentative", 100)));
+    }
+    read(&log, &mut other, 0);
+    assert_eq!(revision(&other), 2 + changes_since);
+    read(&log, &mut sleeper, 0);
+    let mut by_peer = other.clone();
+    by_peer.adopt_handover(sleeper.handover());
+    publish(&mut log, &mut sleeper, RETENTION_MS * 3);
+    read(&log, &mut other, 0);
+    for fold in [&other, &by_peer] {
+        assert_eq!(
+            (fold.config(), fold.is_complete()),
+            (sleeper.config(), true)
+        );
+    }
+}
+
+/// Every process was replaced while the log had lost every record: nobody remembers anything. After
+/// a long wait the fleet starts anew, rather than refuse changes for ever.
+#[test]
+fn fleet_that_lost_everything_starts_anew() {
+    let mut log = log_of(4);
+    log.oldest = 4;
+    let mut born = reader(&log);
+    assert_eq!(
+        Proposal::prepare(put(9, 0, "locks", 100), &born),
+        Err(Error::Incomplete)
+    );
+    publish(&mut log, &mut born, RETENTION_MS);
+    log.append(0, &change(put(9, 0, "locks", 100)));
+    read(&log, &mut born, 0);
+    assert_eq!((revision(&born), revision(&reader(&log))), (1, 1));
+}
+
 /// The configuration is larger than a record. It goes out in parts, which two publishers interleave
 /// and a late reader joins; a part from another revision does not fit.
 #[test]
--- a/crates/onyxshed-wire/src/record.rs
+++ b/crates/onyxshed-wire/src/record.rs
@@ -59,8 +59,7 @@
     /// How many parts there are.
     #[serde(default = "one")]
     pub parts: u16,
-    /// Whether its publisher had lost records and tells what its memory holds. It then stands for
-    /// the configuration at its own offset.
+    /// Whether it goes back to what some process remembered after it had lost records.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub is_salvage: bool,
     /// Fingerprint of the whole, which keeps parts apart that don't belong together.
