--- a/crates/onyxshed-state/tests/config_fold.rs
+++ b/crates/onyxshed-state/tests/config_fold.rs
@@ -353,6 +353,7 @@
     for fold in [&a, &b, &late] {
         assert_eq!((fold.is_complete(), revision(fold)), (true, 4));
         assert_eq!(fold.config(), late.config());
+        assert!(!fold.handover().is_complete, "it goes back to memory");
     }
 }
 
@@ -392,6 +393,91 @@
     }
 }
 
+/// As before, but the others' history went further than that of the process that stopped, by a
+/// change that is valid in theirs alone. Then it gives way, so that no revision goes down.
+#[test]
+fn what_was_never_lost_gives_way_to_a_higher_revision() {
+    let mut log = log_of(4);
+    let mut sleeper = reader(&log);
+    let mut other = reader(&log_of(2));
+    log.oldest = 4;
+    read(&log, &mut other, 10_000);
+    publish(&mut log, &mut other, 10_000 + RETENTION_MS);
+    for n in 2..4 {
+        log.append(0, &change(put(50 + n, n, "tentative", 100)));
+    }
+    let body = ChangeBody::Remove("tentative".parse().expect("a name"));
+    log.append(
+        0,
+        &change(ConfigChange {
+            body,
+            ..put(60, 4, "tentative", 100)
+        }),
+    );
+    read(&log, &mut other, 0);
+    publish(&mut log, &mut other, RETENTION_MS * 4);
+    read(&log, &mut sleeper, 0);
+    assert_eq!((revision(&sleeper), sleeper.config()), (5, other.config()));
+}
+
+/// Two processes remember different configurations of one revision, after two losses in a row. Both
+/// publish, and all come to hold the same one, whichever they remembered or read first.
+#[test]
+fn memories_of_one_revision_come_together() {
+    let mut log = log_of(4);
+    let mut folds = [100, 200].map(|span_ms| {
+        let mut own = Log::default();
+        own.append(0, &change(put(1, 0, "locks", span_ms)));
+        reader(&own)
+    });
+    log.oldest = 4;
+    folds.iter_mut().for_each(|fold| read(&log, fold, 0));
+    for fold in &mut folds {
+        publish(&mut log, fold, RETENTION_MS);
+    }
+    folds.iter_mut().for_each(|fold| read(&log, fold, 0));
+    assert_eq!(folds[0].config(), folds[1].config());
+    assert_eq!(reader(&log).config(), folds[0].config());
+}
+
+/// A history that gives way has judged a change that came before the winner's snapshot and after
+/// the winner's fold. What the winner made of it is not known here: the fold is partial until told.
+#[test]
+fn change_between_two_histories_is_not_judged() {
+    let mut log = log_of(3);
+    let mut winner = reader(&log);
+    let mut other = reader(&log_of(1));
+    log.oldest = 3;
+    read(&log, &mut other, 0);
+    publish(&mut log, &mut other, RETENTION_MS);
+    read(&log, &mut winner, 0);
+    log.append(0, &change(put(50, 3, "between", 100)));
+    publish(&mut log, &mut winner, RETENTION_MS * 3);
+    read(&log, &mut other, 0);
+    assert_eq!((other.is_complete(), revision(&other)), (false, 3));
+    read(&log, &mut winner, 0);
+    other.adopt_handover(winner.handover());
+    assert_eq!(
+        (other.is_complete(), other.config()),
+        (true, winner.config())
+    );
+}
+
+/// A snapshot claims to hold records that come after it. A fold that believed it would skip them.
+#[test]
+fn snapshot_of_the_future_is_ignored() {
+    let mut told = log_of(2);
+    let mut teller = reader(&told);
+    publish(&mut told, &mut teller, RETENTION_MS);
+    let data = told.records[2]
+        .data
+        .replace(r#""folded_to":2"#, r#""folded_to":9"#);
+    let mut late = ConfigFold::default();
+    late.skip_to(Offset(2), UnixMs(0));
+    late.apply(Offset(2), &data);
+    assert_eq!((late.is_complete(), late.next()), (false, Offset(3)));
+}
+
 /// Every process was replaced while the log had lost every record: nobody remembers anything. After
 /// a long wait the fleet starts anew, rather than refuse changes for ever.
 #[test]
