--- a/crates/onyxshed-state/src/claim/options.rs
+++ b/crates/onyxshed-state/src/claim/options.rs
@@ -20,7 +20,8 @@
     pub appends_per_s: RatePerS,
     /// Most claims in one batch; the log's largest record bounds it too. Default 500.
     pub batch_max: usize,
-    /// Most claims remembered. Past it the oldest ids are forgotten, and refused. Default 1,000,000.
+    /// Most claims remembered, at about 81 bytes each. Past it the oldest ids are forgotten, and
+    /// refused. Default 1,000,000.
     pub claims_max: usize,
     /// How long a consult waits for its claim to be read back. Default 2 s.
     pub patience_ms: Millis,
