--- a/crates/onyxshed-dispatch/src/dispatch.rs
+++ b/crates/onyxshed-dispatch/src/dispatch.rs
@@ -1,14 +1,17 @@
 //! The machine as a whole: takes an input, lets the parts decide, gives the outputs.
 
+mod ask;
 mod attempt;
 mod caller;
 mod claim;
+mod forward;
 mod pump;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use onyxshed_core::{
-    Event, EventKind, ExecutorName, Incarnation, Mono, Now, ResultCode, SubmissionId, TaskId,
+    Event, EventKind, ExecutorName, Incarnation, Micros, Mono, Now, ResultCode, SubmissionId,
+    TaskId,
 };
 use onyxshed_policy::Policy;
 use onyxshed_policy::note::{Note as PolicyNote, Waste};
@@ -29,6 +32,9 @@
     executor: ExecutorName,
     /// Its connection was lost and a stop was sent to learn what became of it.
     is_resolving: bool,
+    /// When to ask about it, and how long to wait after that.
+    ask_at: Mono,
+    ask_again_us: Micros,
 }
 
 /// One entry host's state machine.
@@ -42,9 +48,11 @@
     policy: Policy,
     jobs: JobTable,
     attempts: HashMap<AttemptId, Attempt>,
+    asks: BTreeSet<(Mono, AttemptId)>,
     last_attempt: u64,
     members: BTreeMap<Incarnation, Member>,
     gone: BTreeSet<Incarnation>,
+    passed_on: BTreeMap<RequestId, forward::PassedOn>,
     running_bytes: u64,
     is_draining: bool,
     wake_at: Option<Mono>,
@@ -62,9 +70,11 @@
             policy: Policy::new(options.policy.clone(), seed),
             jobs: JobTable::default(),
             attempts: HashMap::new(),
+            asks: BTreeSet::new(),
             last_attempt: 0,
             members: BTreeMap::new(),
             gone: BTreeSet::new(),
+            passed_on: BTreeMap::new(),
             running_bytes: 0,
             is_draining: false,
             wake_at: None,
@@ -94,6 +104,12 @@
         self.config.as_ref()
     }
 
+    /// Gets how many peers are held to be live.
+    pub fn live_peers(&self) -> usize {
+        let is_live = |member: &&Member| member.state == onyxshed_state::MemberState::Live;
+        self.members.values().filter(is_live).count()
+    }
+
     /// Tells whether the claims stream has been read to its end.
     pub fn is_log_read(&self) -> bool {
         self.book.is_caught_up()
@@ -129,6 +145,16 @@
         self.policy.waste()
     }
 
+    /// Tells whether the claims stream was read to its end and has not been lost since.
+    pub fn is_log_readable(&self) -> bool {
+        self.book.is_caught_up()
+    }
+
+    /// Gets how many records of the claims stream could not be read and were ignored.
+    pub fn unreadable_records(&self) -> u64 {
+        self.book.counts().unreadable
+    }
+
     /// Gets the member of an incarnation.
     pub fn member(&self, incarnation: Incarnation) -> Option<&Member> {
         self.members.get(&incarnation)
@@ -187,6 +213,7 @@
             Input::Appended { batch, result } => self.appended(now, batch, result),
             Input::AttemptEnded { attempt, report } => self.attempt_ended(now, attempt, report),
             Input::StopEnded { attempt, report } => self.stop_ended(now, attempt, report),
+            Input::Sighted { attempt, sighting } => self.sighted(now, attempt, sighting),
             Input::Drain => self.is_draining = true,
             Input::Tick => {}
         }
@@ -239,6 +266,7 @@
             .map(|member| (member.incarnation, member))
             .collect();
         self.policy.set_sharers(now, sharers.max(1));
+        self.give_up_on_silent_holders();
     }
 
     /// Ends what time has made due.
--- a/crates/onyxshed-load/src/bench.rs
+++ b/crates/onyxshed-load/src/bench.rs
@@ -43,7 +43,10 @@
 }
 
 const COLD_STARTS: usize = 5;
-const OVERHEAD_TASKS: u32 = 2_000;
+const BOUND_TASKS: u32 = 2_000;
+const CLAIMED_TASKS: u32 = 200;
+/// One entry host may append 30 times a second; at 20 tasks a second no claim waits for that.
+const CLAIM_PAUSE: Duration = Duration::from_millis(50);
 /// How long each closed loop runs.
 pub(crate) const SPAN: Duration = Duration::from_secs(4);
 const HELD: u32 = 10_000;
@@ -75,16 +78,21 @@
         overhead_bound,
         overhead_claimed,
         throughput: all,
-        held: held(executor, folder, HELD).await?,
+        held: held(executor, folder, HELD, true).await?,
     })
 }
 
 async fn overhead(set: &LocalSet, may_bind: bool) -> Result<DirectReport> {
+    let (count, pause) = match may_bind {
+        true => (BOUND_TASKS, Duration::ZERO),
+        false => (CLAIMED_TASKS, CLAIM_PAUSE),
+    };
     let options = DirectOptions {
         executor: set.executors[0].address,
         entry: Some(set.entries[0].callers),
         class: HELD_CLASS.into(),
-        count: OVERHEAD_TASKS,
+        count,
+        pause,
         service_ms: 0,
         may_bind,
     };
@@ -116,6 +124,7 @@
     executor: &LocalExecutor<'static>,
     folder: PathBuf,
     count: u32,
+    awaits_answers: bool,
 ) -> Result<IdleReport> {
     const PROCESSES: usize = 8;
     const LISTED_EACH: u32 = 20;
@@ -133,7 +142,8 @@
         count,
         class: Some(HELD_CLASS.into()),
         service_ms: 12_000,
-        hold: Duration::from_secs(8),
+        hold: Duration::from_secs(6),
+        awaits_answers,
     };
     idle(executor, Rc::new(options)).await
 }
--- a/crates/onyxshed-proof/src/cluster/hosts.rs
+++ b/crates/onyxshed-proof/src/cluster/hosts.rs
@@ -1,6 +1,6 @@
 //! Entry hosts of a cluster: an entry process and a control process each.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
 use onyxshed_core::{HostName, ZoneName};
 use onyxshed_wire::platform::{EntryHost, HostState};
@@ -44,6 +44,8 @@
     pub entry: Option<Process>,
     /// Its control process, none after a kill.
     pub control: Option<Process>,
+    /// Whether the host list names it.
+    pub is_listed: bool,
     /// Where its control process is reached by peers, through the proxy.
     peer_route: Option<SocketAddr>,
 }
@@ -80,8 +82,9 @@
         self.entry.iter().chain(&self.control)
     }
 
-    /// Gets what the host list says of it.
+    /// Gets what the host list says of it, none if it is left out.
     pub(super) fn listed(&self) -> Option<EntryHost> {
+        self.is_listed.then_some(())?;
         Some(EntryHost {
             name: self.name.parse::<HostName>().ok()?,
             zone: self.zone.parse::<ZoneName>().ok()?,
@@ -109,6 +112,7 @@
                     zone: zone.clone(),
                     entry: None,
                     control: None,
+                    is_listed: true,
                     peer_route: None,
                 };
                 self.hosts.insert(name, unit);
@@ -139,21 +143,17 @@
     /// Leads the routes of others to a part that has new addresses.
     async fn lead_routes(&mut self, part: Part, host: &SmolStr) -> Result<()> {
         let process = self.host(host)?.part(part)?;
-        let peer = process.address("peer");
-        let peer_route = format_smolstr!("peer.{}.{host}", part.as_str());
-        match part {
-            Part::Entry => {
-                let control = process.address("control")?;
-                self.open_route(format_smolstr!("control.{host}"), control)
-                    .await?;
-                self.open_route(peer_route, peer?).await?;
-            }
-            Part::Control => {
-                if let Ok(peer) = peer {
-                    let address = self.open_route(peer_route, peer).await?;
-                    self.host(host)?.peer_route = Some(address);
-                }
-            }
+        let peer = process.address("peer")?;
+        let control = match part {
+            Part::Entry => Some(process.address("control")?),
+            Part::Control => None,
+        };
+        let peer_route = self.open_route(peer_route(part, host), peer).await?;
+        if let Some(control) = control {
+            let route = format_smolstr!("control.{host}");
+            self.open_route(route, control).await?;
+        } else {
+            self.host(host)?.peer_route = Some(peer_route);
         }
         Ok(())
     }
@@ -174,12 +174,14 @@
         let platform = self.platform_address()?;
         let route = format_smolstr!("platform.{}.{host}", part.as_str());
         let platform = self.open_route(route, platform).await?;
+        let advertised = self.open_route(peer_route(part, host), NOWHERE).await?;
         let unit = self.host(host)?;
         let free = "127.0.0.1:0";
         let mut settings = json!({
             "host": unit.name,
             "zone": unit.zone,
             "peer_address": free,
+            "peer_advertised_address": advertised,
             "admin_address": free,
             "platform_address": platform,
             "log": {"level": "debug"},
@@ -223,6 +225,13 @@
     }
 }
 
+/// Where a route leads until its process has an address.
+const NOWHERE: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1));
+
+fn peer_route(part: Part, host: &str) -> SmolStr {
+    format_smolstr!("peer.{}.{host}", part.as_str())
+}
+
 fn merge(settings: &mut Value, more: &Map<String, Value>) {
     if let Some(fields) = settings.as_object_mut() {
         fields.extend(more.clone());
--- a/crates/onyxshed-proof/src/process.rs
+++ b/crates/onyxshed-proof/src/process.rs
@@ -19,7 +19,7 @@
 const READY_CEILING: Duration = Duration::from_secs(30);
 
 /// Lines of a process's log that a failed test shows.
-const LOG_TAIL_LINES: usize = 40;
+const LOG_TAIL_LINES: usize = 120;
 
 /// A running process.
 #[derive(Debug)]
@@ -161,7 +161,7 @@
 }
 
 /// Finds a binary in the folder above the test executable's.
-fn beside_test(binary: &str) -> Result<PathBuf> {
+pub(crate) fn beside_test(binary: &str) -> Result<PathBuf> {
     let test = std::env::current_exe().context(SystemSnafu {
         what: "find the test executable",
     })?;
--- a/crates/onyxshed-proof/src/scenario/language.rs
+++ b/crates/onyxshed-proof/src/scenario/language.rs
@@ -53,6 +53,8 @@
     Platform(PlatformFault),
     /// `executor …`.
     Executor(SmolStr, ExecutorFault),
+    /// `host … is no longer listed` and `host … is listed`.
+    ListHost(SmolStr, bool),
     /// `note the starts of executor …`.
     Note(SmolStr),
     /// `expect …`.
@@ -93,6 +95,34 @@
     pub may_run_twice: bool,
     /// The revision that the operator saw; the one in force by the log if not said.
     pub from: Option<Revision>,
+    /// What the operator is told.
+    pub told: Told,
+}
+
+/// What an operator is told of a change.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Told {
+    /// It is accepted.
+    #[default]
+    Accepted,
+    /// It lost a race.
+    Raced,
+    /// The platform can't be reached; nothing was sent.
+    Unreachable,
+    /// Its fate is not known.
+    Undecided,
+}
+
+impl Told {
+    /// Gets the exit code that tells it.
+    pub fn exit_code(self) -> i32 {
+        match self {
+            Told::Accepted => 0,
+            Told::Unreachable => 1,
+            Told::Raced => 3,
+            Told::Undecided => 4,
+        }
+    }
 }
 
 /// Jobs that a statement is about.
@@ -153,8 +183,8 @@
 pub enum Condition {
     /// That many tasks of the jobs have started, at least.
     Started(usize, Jobs),
-    /// All copies of the jobs are answered, or their connections have broken.
-    Answered(Jobs),
+    /// All copies of the jobs, of that entry host if named, are answered or lost.
+    Answered(Jobs, Option<SmolStr>),
     /// The revision, or a later one, is in force.
     InForce(Revision, Where),
     /// The entry process has ended.
@@ -163,6 +193,8 @@
     ReadsLog(Where),
     /// The executors of its zone are known to the entry process.
     KnowsExecutors(Where),
+    /// The entry process holds all other hosts whose entry runs to be live.
+    KnowsPeers(Where),
     /// The platform has taken that many appends to a stream, at least.
     Appended(u64, SmolStr),
 }
@@ -261,6 +293,8 @@
     Outcome(Outcome),
     /// The connection broke without an answer.
     Lost,
+    /// No connection came about, and nothing was sent.
+    Unreached,
 }
 
 /// How often a task may have started.
--- a/crates/onyxshed-proof/src/scenario/verdicts.rs
+++ b/crates/onyxshed-proof/src/scenario/verdicts.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use onyxshed_core::Revision;
+use onyxshed_http::Sent;
 use onyxshed_standins::platform::Counts;
 use onyxshed_wire::admin::{STATUS_PATH, Status};
 use smol_str::{SmolStr, format_smolstr};
@@ -41,7 +42,7 @@
                     format_smolstr!("{found} started")
                 }))
             }
-            Condition::Answered(jobs) => self.look_answered(jobs),
+            Condition::Answered(jobs, from) => self.look_answered(jobs, from.as_ref()),
             Condition::InForce(revision, place) => self.look_in_force(*revision, place).await,
             Condition::Ended(host) => {
                 let process = self.cluster()?.host(host)?.part(Part::Entry)?;
@@ -50,6 +51,7 @@
             }
             Condition::ReadsLog(place) => self.look_claims_read(place).await,
             Condition::KnowsExecutors(place) => self.look_executors(place).await,
+            Condition::KnowsPeers(place) => self.look_peers(place).await,
             Condition::Appended(count, stream) => {
                 let found = self.appended(stream).await?;
                 Ok(Look::when(found >= *count, || {
@@ -59,9 +61,9 @@
         }
     }
 
-    fn look_answered(&self, jobs: &Jobs) -> Result<Look> {
+    fn look_answered(&self, jobs: &Jobs, from: Option<&SmolStr>) -> Result<Look> {
         for (name, job) in self.jobs(jobs)? {
-            let mut copies = job.copies.iter();
+            let mut copies = job.copies_from(from);
             let open = copies.find(|copy| copy.exchange.borrow().heard.is_none());
             if let Some(copy) = open {
                 return Ok(Look::NotYet(format_smolstr!(
@@ -100,6 +102,18 @@
         Ok(Look::Holds)
     }
 
+    async fn look_peers(&mut self, place: &Where) -> Result<Look> {
+        let hosts = &self.cluster()?.hosts;
+        let running = hosts.values().filter(|unit| unit.entry.is_some()).count() as u64;
+        for (host, status) in self.statuses(place).await? {
+            let found = status.details["live_peers"].as_u64().unwrap_or_default();
+            if found + 1 < running {
+                return Ok(Look::NotYet(format_smolstr!("{host} knows {found}")));
+            }
+        }
+        Ok(Look::Holds)
+    }
+
     /// Judges an expectation; answers are waited for, everything else must hold now.
     pub(super) async fn expect(&mut self, expectation: &Expectation) -> Result<()> {
         match expectation {
@@ -187,11 +201,11 @@
         jobs: &Jobs,
         from: Option<&SmolStr>,
     ) -> Result<Vec<(SmolStr, Heard)>> {
-        self.wait(&Condition::Answered(jobs.clone())).await?;
+        self.wait(&Condition::Answered(jobs.clone(), from.cloned()))
+            .await?;
         let mut answers = Vec::new();
         for (name, job) in self.jobs(jobs)? {
-            let asked = job.copies.iter();
-            for copy in asked.filter(|copy| from.is_none_or(|host| *host == copy.host)) {
+            for copy in job.copies_from(from) {
                 if let Some(heard_at) = &copy.exchange.borrow().heard {
                     answers.push((name.clone(), heard_at.heard.clone()));
                 }
@@ -286,6 +300,9 @@
     allowed.iter().any(|hearing| match hearing {
         Hearing::Outcome(outcome) => heard.outcome() == Some(*outcome),
         Hearing::Lost => matches!(heard, Heard::Lost(_)),
+        Hearing::Unreached => {
+            matches!(heard, Heard::Lost(error) if error.sent == Sent::Nothing)
+        }
     })
 }
 
