Number the attempts of direct calls, as executors now ask

Executors refuse a start without an attempt's number; the comparison then showed zeros for the direct calls. A comparison without one direct call is now an error.

--- a/crates/onyxshed-load/src/direct.rs
+++ b/crates/onyxshed-load/src/direct.rs
@@ -11,7 +11,7 @@
 use onyxshed_http::{CallError, ClientOptions, Connection};
 use onyxshed_wire::caller::{Answer, CopyMark, JOBS_PATH, Submission};
 use onyxshed_wire::upstream::{
-    CLASS_HEADER, LEASE_HEADER, STARTER_HEADER, STATE_HEADER, TaskState, task_path,
+    ATTEMPT_HEADER, CLASS_HEADER, LEASE_HEADER, STARTER_HEADER, STATE_HEADER, TaskState, task_path,
 };
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -101,6 +101,10 @@
                 Timer::after(self.options.pause).await;
             }
         }
+        if straight.is_empty() {
+            let reason = "it finished none of the tasks";
+            return Err(Error::unreachable(self.options.executor, reason));
+        }
         let direct_us = Percentiles::of(&straight, 1.0);
         let entry_us = self.entry.is_some().then(|| Percentiles::of(&through, 1.0));
         Ok(DirectReport {
@@ -120,6 +124,7 @@
             (LEASE_HEADER, SmolStr::new_static(LEASE_MS)),
             (CLASS_HEADER, self.options.class.clone()),
             (STARTER_HEADER, SmolStr::new_static("0000000000000001")),
+            (ATTEMPT_HEADER, SmolStr::new_static("1")),
         ];
         let body = payload(self.options.service_ms);
         let started = Instant::now();
