--- a/crates/onyxshed-load/src/local/settings.rs
+++ b/crates/onyxshed-load/src/local/settings.rs
@@ -1,5 +1,6 @@
 //! Addresses and settings files of an entry host's two processes.
 
+use std::cell::Cell;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 
@@ -52,13 +53,25 @@
 
 /// Ports that the system does not hand to outgoing connections.
 const PORTS: std::ops::Range<u16> = 12_000..32_000;
-const TRIES: usize = 100;
+const TRIES: usize = 1_000;
 
-/// Tries to listen on a port drawn at random.
+/// Tries to listen on the next free port. Ports are tried in turn from one drawn at random, so that
+/// no two processes of a set get the same, nor as a rule those of two sets.
 fn listen() -> Result<TcpListener> {
-    let drawn =
-        (0..TRIES).map(|_| SocketAddr::from((Ipv4Addr::LOCALHOST, rand::random_range(PORTS))));
-    let found = drawn.map(TcpListener::bind).find_map(std::io::Result::ok);
+    thread_local! {
+        static NEXT: Cell<u16> = Cell::new(rand::random_range(PORTS));
+    }
+    let next = || {
+        let port = NEXT.get();
+        NEXT.set(if port + 1 < PORTS.end {
+            port + 1
+        } else {
+            PORTS.start
+        });
+        SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+    };
+    let mut tries = (0..TRIES).map(|_| TcpListener::bind(next()));
+    let found = tries.find_map(std::io::Result::ok);
     found.ok_or_else(|| Error::start("no free port was found"))
 }
 
--- a/crates/onyxshed-load/src/slopes/members.rs
+++ b/crates/onyxshed-load/src/slopes/members.rs
@@ -39,7 +39,13 @@
             executors: 1,
             ..LocalOptions::small(binaries.into())
         };
-        let set = LocalSet::start(&options).await?;
+        let set = match LocalSet::start(&options).await {
+            Ok(set) => set,
+            Err(error) => {
+                eprintln!("{entries} entry hosts did not start, sizes end here: {error}");
+                break;
+            }
+        };
         Timer::after(SETTLE).await;
         let (spent_before, bytes_before) = (processor_ms(&set)?, peer_bytes(&set)?);
         Timer::after(SPAN).await;
