--- a/crates/onyxshed-http/src/head.rs
+++ b/crates/onyxshed-http/src/head.rs
@@ -55,7 +55,10 @@
 
     fn pass_one(&mut self, byte: &mut u8) -> io::Result<()> {
         self.head_bytes += 1;
-        if self.head_bytes > HEAD_MAX_BYTES || !byte.is_ascii() {
+        if self.head_bytes > HEAD_MAX_BYTES {
+            return Err(io::ErrorKind::FileTooLarge.into());
+        }
+        if !byte.is_ascii() {
             return Err(io::ErrorKind::InvalidData.into());
         }
         match *byte {
--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -192,8 +192,7 @@
                 Err(error) => {
                     let is_request = stream.read_bytes() > read_before;
                     if is_request && stream.phase() != Phase::Replying {
-                        self.turn_away(&stream, code_of(&error, stream.phase()))
-                            .await;
+                        self.turn_away(&stream, code_of(&error)).await;
                     }
                     return;
                 }
@@ -288,13 +287,13 @@
 }
 
 /// Finds the code for a request that could not be read.
-fn code_of(error: &http_types::Error, phase: Phase) -> ResultCode {
+fn code_of(error: &http_types::Error) -> ResultCode {
     if let Some(found) = error.downcast_ref::<TurnedAway>() {
         return found.code;
     }
     match error.downcast_ref::<io::Error>().map(io::Error::kind) {
         Some(io::ErrorKind::TimedOut) => ResultCode::TooSlow,
-        Some(io::ErrorKind::FileTooLarge) if phase == Phase::Body => ResultCode::BodyTooLarge,
+        Some(io::ErrorKind::FileTooLarge) => ResultCode::BodyTooLarge,
         _ => ResultCode::BadRequest,
     }
 }
