Name the class in every event of a job, and test the time line of a resubmission

The time line filtered by class found no event of a task or a claim. An event takes the class from its job, a start keeps it for when the job is gone.

--- a/crates/onyxshed-dispatch/src/dispatch.rs
+++ b/crates/onyxshed-dispatch/src/dispatch.rs
@@ -9,8 +9,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use onyxshed_core::{
-    Event, EventKind, ExecutorName, Incarnation, Micros, Mono, Now, ResultCode, SubmissionId,
-    TaskId,
+    ClassName, Event, EventKind, ExecutorName, Incarnation, Micros, Mono, Now, ResultCode,
+    SubmissionId, TaskId,
 };
 use onyxshed_policy::Policy;
 use onyxshed_policy::note::{Note as PolicyNote, Waste};
@@ -28,6 +28,7 @@
 #[derive(Debug, Clone)]
 struct Attempt {
     task: TaskId,
+    class: ClassName,
     executor: ExecutorName,
     /// Its connection was lost and a stop was sent to learn what became of it.
     is_resolving: bool,
@@ -380,12 +381,8 @@
             return;
         }
         let (task, executor) = (found.task, found.executor.clone());
-        self.note(
-            Event::new(EventKind::TaskStopped)
-                .submission(task.submission)
-                .task(task.index)
-                .party(executor.as_str()),
-        );
+        let event = attempt::task_event(EventKind::TaskStopped, found);
+        self.note(event);
         self.outputs.push(Output::Stop {
             attempt,
             task,
@@ -422,7 +419,10 @@
         self.outputs.push(Output::Answer { request, answer });
     }
 
-    fn note(&mut self, event: Event) {
+    /// Puts an event out, with its job's class where the job is here and the event names none.
+    fn note(&mut self, mut event: Event) {
+        let job = event.submission.and_then(|id| self.jobs.get(id));
+        event.class = event.class.or_else(|| Some(job?.class().clone()));
         self.outputs.push(Output::Note(event));
     }
 
--- a/crates/onyxshed-dispatch/src/dispatch/attempt.rs
+++ b/crates/onyxshed-dispatch/src/dispatch/attempt.rs
@@ -172,10 +172,12 @@
     }
 }
 
-fn task_event(kind: EventKind, attempt: &Attempt) -> Event {
+/// Makes an event about one start.
+pub(super) fn task_event(kind: EventKind, attempt: &Attempt) -> Event {
     Event::new(kind)
         .submission(attempt.task.submission)
         .task(attempt.task.index)
+        .class(&attempt.class)
         .party(attempt.executor.as_str())
 }
 
--- a/crates/onyxshed-dispatch/src/dispatch/caller.rs
+++ b/crates/onyxshed-dispatch/src/dispatch/caller.rs
@@ -2,7 +2,9 @@
 
 use std::rc::Rc;
 
-use onyxshed_core::{Event, EventKind, Incarnation, Micros, Mono, Now, ResultCode, SubmissionId};
+use onyxshed_core::{
+    ClassName, Event, EventKind, Incarnation, Micros, Mono, Now, ResultCode, SubmissionId,
+};
 use onyxshed_policy::Admission;
 use onyxshed_state::ClaimStep;
 use onyxshed_wire::ContentHash;
@@ -61,8 +63,10 @@
                     ForwardedCall::Submit(Box::new(submission)),
                 );
             }
-            Entry::Forward(_) => self.refuse(request, id, ResultCode::HolderUnreachable),
-            Entry::Refuse(code) => self.refuse(request, id, code),
+            Entry::Forward(_) => {
+                self.refuse_of(request, &submission, ResultCode::HolderUnreachable);
+            }
+            Entry::Refuse(code) => self.refuse_of(request, &submission, code),
             entry => self.admit(now, request, submission, content, &entry),
         }
     }
@@ -152,10 +156,10 @@
             entry => unproved(code, submission.copy, matches!(entry, Entry::Claim)),
         };
         if let Some(code) = self.closed_for(&submission) {
-            return self.refuse(request, id, told(code));
+            return self.refuse_of(request, &submission, told(code));
         }
         let Some(head) = self.head_of(now, &submission, content) else {
-            return self.refuse(request, id, told(ResultCode::UnknownClass));
+            return self.refuse_of(request, &submission, told(ResultCode::UnknownClass));
         };
 
         let count = submission.tasks.len();
@@ -165,7 +169,7 @@
                 retry_after_ms,
             } => {
                 let code = told(code);
-                self.note_refused(id, code);
+                self.note_refused(id, Some(&submission.class), code);
                 let answer = Answer::ended(Some(id), code, "").retry_after(retry_after_ms);
                 self.answer(request, answer);
             }
@@ -338,11 +342,9 @@
             false => self.refuse(request, id, ResultCode::HolderUnreachable),
             true => {
                 let party = smol_str::format_smolstr!("{holder}");
-                self.note(
-                    Event::new(EventKind::JobForwarded)
-                        .submission(id)
-                        .party(party),
-                );
+                let mut event = Event::new(EventKind::JobForwarded).submission(id);
+                event.class = call.class().cloned();
+                self.note(event.party(party));
                 self.outputs.push(Output::Forward {
                     request,
                     to: holder,
@@ -365,18 +367,23 @@
     }
 
     pub(super) fn refuse(&mut self, request: RequestId, id: SubmissionId, code: ResultCode) {
-        self.note_refused(id, code);
+        self.note_refused(id, None, code);
         let answer = self.refusal(Some(id), code, "");
         self.answer(request, answer);
     }
 
-    fn note_refused(&mut self, id: SubmissionId, code: ResultCode) {
-        let detail = smol_str::format_smolstr!("{code}");
-        self.note(
-            Event::new(EventKind::JobRefused)
-                .submission(id)
-                .detail(detail),
-        );
+    /// Refuses a submission, whose class is known.
+    fn refuse_of(&mut self, request: RequestId, submission: &Submission, code: ResultCode) {
+        let id = submission.submission;
+        self.note_refused(id, Some(&submission.class), code);
+        let answer = self.refusal(Some(id), code, "");
+        self.answer(request, answer);
+    }
+
+    fn note_refused(&mut self, id: SubmissionId, class: Option<&ClassName>, code: ResultCode) {
+        let mut event = Event::new(EventKind::JobRefused).submission(id);
+        event.class = class.cloned();
+        self.note(event.detail(smol_str::format_smolstr!("{code}")));
     }
 }
 
--- a/crates/onyxshed-dispatch/src/dispatch/pump.rs
+++ b/crates/onyxshed-dispatch/src/dispatch/pump.rs
@@ -89,6 +89,7 @@
             Event::new(kind)
                 .submission(task.submission)
                 .task(task.index)
+                .class(&class)
                 .party(executor.as_str()),
         );
         let ask_again_us = self.silence_of(&class);
@@ -97,6 +98,7 @@
         let is_resolving = false;
         let record = Attempt {
             task,
+            class,
             executor,
             is_resolving,
             ask_at,
--- a/crates/onyxshed-dispatch/src/job.rs
+++ b/crates/onyxshed-dispatch/src/job.rs
@@ -46,6 +46,15 @@
 }
 
 impl Job {
+    /// Gets the class.
+    pub fn class(&self) -> &ClassName {
+        match self {
+            Job::Claiming(job) => &job.head.class,
+            Job::Running(job) => &job.head.class,
+            Job::Ended(job) => &job.class,
+        }
+    }
+
     /// Gets the content that the id stands for.
     pub fn content(&self) -> ContentHash {
         match self {
--- a/crates/onyxshed-dispatch/src/job/ended.rs
+++ b/crates/onyxshed-dispatch/src/job/ended.rs
@@ -1,6 +1,6 @@
 //! A job that has its final answer, remembered until the horizon so that no copy starts it again.
 
-use onyxshed_core::{ResultCode, SubmissionId};
+use onyxshed_core::{ClassName, ResultCode, SubmissionId};
 use onyxshed_wire::ContentHash;
 use onyxshed_wire::caller::Answer;
 use smol_str::SmolStr;
@@ -10,6 +10,8 @@
 pub struct Ended {
     /// The content that the id stands for.
     pub content: ContentHash,
+    /// Its class.
+    pub class: ClassName,
     /// How it ended.
     pub code: ResultCode,
     /// Particulars.
--- a/crates/onyxshed-dispatch/src/job/running.rs
+++ b/crates/onyxshed-dispatch/src/job/running.rs
@@ -114,6 +114,7 @@
         let results = is_complete.then(|| self.results.into_iter().flatten().collect());
         let ended = Ended {
             content: self.head.content,
+            class: self.head.class,
             code,
             detail,
             results,
--- a/crates/onyxshed-dispatch/src/output.rs
+++ b/crates/onyxshed-dispatch/src/output.rs
@@ -32,6 +32,16 @@
     Cancel(SubmissionId),
 }
 
+impl ForwardedCall {
+    /// Gets the class, if it is known.
+    pub fn class(&self) -> Option<&ClassName> {
+        match self {
+            ForwardedCall::Submit(submission) => Some(&submission.class),
+            ForwardedCall::Fetch(_) | ForwardedCall::Cancel(_) => None,
+        }
+    }
+}
+
 /// One thing to do.
 #[derive(Debug, Clone)]
 pub enum Output {
--- a/crates/onyxshed-proof/src/process.rs
+++ b/crates/onyxshed-proof/src/process.rs
@@ -161,7 +161,7 @@
 }
 
 /// Finds a binary in the folder above the test executable's.
-pub(crate) fn beside_test(binary: &str) -> Result<PathBuf> {
+pub fn beside_test(binary: &str) -> Result<PathBuf> {
     let test = std::env::current_exe().context(SystemSnafu {
         what: "find the test executable",
     })?;
--- /dev/null
+++ b/crates/onyxshed-proof/tests/timeline.rs
@@ -0,0 +1,135 @@
+//! `onyxshed timeline` over the processes of two entry hosts.
+
+#[path = "support/house.rs"]
+mod house;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Command;
+
+use async_io::block_on;
+use onyxshed_core::SubmissionId;
+use onyxshed_proof::caller::{HeardAt, Patience, submit};
+use onyxshed_proof::cluster::{Cluster, Given, Part};
+use onyxshed_proof::process::beside_test;
+use onyxshed_proof::remote::get;
+use onyxshed_wire::admin::{STATUS_PATH, Status};
+use onyxshed_wire::caller::{CopyMark, Submission};
+use serde_json::json;
+use tempfile::TempDir;
+
+const PROCESSES: [(&str, Part); 4] = [
+    ("a1", Part::Entry),
+    ("a1", Part::Control),
+    ("a2", Part::Entry),
+    ("a2", Part::Control),
+];
+
+fn admin(cluster: &mut Cluster, host: &str, part: Part) -> SocketAddr {
+    let unit = cluster.host(host).expect("the host runs");
+    unit.admin_address(part).expect("it serves operators")
+}
+
+/// Writes the operator's settings.
+fn settings(cluster: &mut Cluster, folder: &TempDir) -> PathBuf {
+    let processes = PROCESSES.map(|(host, part)| {
+        json!({
+            "name": format!("{host}-{}", part.as_str()),
+            "admin_address": admin(cluster, host, part),
+        })
+    });
+    let platform = cluster.platform_address().expect("the platform runs");
+    let settings = json!({"platform_address": platform, "processes": processes});
+    let file = folder.path().join("operator.jsonc");
+    std::fs::write(&file, settings.to_string()).expect("the settings are written");
+    file
+}
+
+fn timeline(settings: &PathBuf, words: &[&str]) -> String {
+    let output = Command::new(beside_test("onyxshed").expect("the binaries are built"))
+        .arg("timeline")
+        .args(words)
+        .arg("--settings")
+        .arg(settings)
+        .output()
+        .expect("the binary runs");
+    assert!(output.status.success(), "{output:?}");
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+/// Leaves out what differs from run to run, and puts each process's lines together: events of
+/// different processes within a millisecond may come in any order.
+fn by_process(text: &str) -> String {
+    let mut lines: BTreeMap<&str, Vec<String>> = BTreeMap::new();
+    for line in text.lines().skip(1) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let from = words
+            .iter()
+            .position(|word| word.starts_with('a'))
+            .expect("a process");
+        let is_plain =
+            |word: &&&str| word.len() != 16 || !word.bytes().all(|b| b.is_ascii_hexdigit());
+        let kept: Vec<&str> = words[from..].iter().filter(is_plain).copied().collect();
+        lines.entry(words[from]).or_default().push(kept.join(" "));
+    }
+    lines.into_values().flatten().collect::<Vec<_>>().join("\n")
+}
+
+/// Submits a job to one host and, once its tasks run, again to another.
+async fn submit_twice(cluster: &mut Cluster, job: &Submission) -> (HeardAt, HeardAt) {
+    let (first, second) = (house::callers(cluster, "a1"), house::callers(cluster, "a2"));
+    let again = Submission {
+        copy: CopyMark::Again,
+        ..job.clone()
+    };
+    let has_started = async || {
+        let starts = cluster.starts();
+        let ours = starts
+            .iter()
+            .filter(|start| start.task.submission == job.submission);
+        ours.count() == job.tasks.len()
+    };
+    let resubmitted = async {
+        house::until("all tasks run", has_started).await;
+        submit(second, again, Patience::Once).await
+    };
+    futures_lite::future::zip(submit(first, job.clone(), Patience::Once), resubmitted).await
+}
+
+#[test]
+fn one_submission_is_told_from_caller_to_upstream_and_back() {
+    // A caller submits three tasks to one entry host, thinks them lost, and submits again to another.
+    // The time line shows both copies, who holds the submission, each task's way to the executor and
+    // back, and one answer; the class alone finds the same events.
+    let mut cluster = block_on(house::start(2, Given::default()));
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = settings(&mut cluster, &folder);
+    let mut job = house::job(house::ONCE, br#"{"service_ms":1500,"echo":"a"}"#);
+    job.tasks = vec![job.tasks[0].clone(); 3];
+    block_on(async {
+        for host in ["a1", "a2"] {
+            house::serve_one(house::callers(&mut cluster, host), house::TWICE).await;
+            let knows_peer = async || {
+                let address = admin(&mut cluster, host, Part::Entry);
+                let status: Status = get(address, STATUS_PATH).await.expect("it answers");
+                status.details["live_peers"] == 1
+            };
+            house::until("peers know each other", knows_peer).await;
+        }
+        let (first, second) = submit_twice(&mut cluster, &job).await;
+        assert_eq!(first.heard, second.heard);
+    });
+    let id: SubmissionId = job.submission;
+    let of_submission = timeline(&file, &["--submission", &id.to_string()]);
+    insta::assert_snapshot!(by_process(&of_submission));
+    let of_class = timeline(&file, &["--class", house::ONCE]);
+    let ours = of_class
+        .lines()
+        .filter(|line| line.contains(&id.ulid.to_string()));
+    assert_eq!(
+        ours.count(),
+        of_submission.lines().count() - 1,
+        "{of_class}"
+    );
+}
