--- a/crates/onyxshed-load/src/cli.rs
+++ b/crates/onyxshed-load/src/cli.rs
@@ -21,6 +21,7 @@
 use crate::run::run;
 use crate::sim::simulate;
 use crate::slopes::{self, SlopeOptions};
+use crate::whole_path::whole_path;
 
 /// Exit status after an error.
 const FAILED: u8 = 1;
@@ -45,6 +46,10 @@
 fn dispatch(matches: &ArgMatches) -> Result<()> {
     let executor = LocalExecutor::new();
     match matches.subcommand() {
+        Some(("local", args)) => {
+            let options = args::whole_path_options(args);
+            async_io::block_on(executor.run(whole_path(&executor, &options)))
+        }
         Some(("run", args)) => run_command(&executor, args),
         Some(("direct", args)) => direct_command(&executor, args),
         Some(("idle", args)) => idle_command(&executor, args),
--- a/crates/onyxshed-load/src/cli/args.rs
+++ b/crates/onyxshed-load/src/cli/args.rs
@@ -15,6 +15,7 @@
 use crate::sim::SimOptions;
 use crate::sim::scenario::Scenario;
 use crate::sim::world::WorldOptions;
+use crate::whole_path::WholePathOptions;
 
 /// Makes the whole command.
 pub fn command() -> Command {
@@ -24,6 +25,7 @@
         .after_help("Exit status: 0 done, 1 an error (its result code is printed), 2 wrong usage.")
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(local_args())
         .subcommand(run_args())
         .subcommand(direct_args())
         .subcommand(idle_args())
@@ -32,6 +34,36 @@
         .subcommand(slopes_args())
 }
 
+fn local_args() -> Command {
+    Command::new("local")
+        .about("Runs the whole path on this machine with stand-ins, and shows each step")
+        .after_help(
+            "Starts the platform's and the executors' stand-ins and the entry hosts, publishes a \
+             class, submits a job twice, shows its time line, sends a sample load, and ends \
+             everything that it started.",
+        )
+        .arg(
+            number("entries", "3", "Entry hosts, each with its control process")
+                .value_parser(value_parser!(u16).range(1..=32)),
+        )
+        .arg(number("executors", "4", "Executors").value_parser(value_parser!(u16).range(1..=64)))
+        .arg(
+            number(
+                "span-s",
+                "5",
+                "How long the sample load arrives; 0 sends none",
+            )
+            .value_parser(value_parser!(f64)),
+        )
+        .arg(
+            Arg::new("stay")
+                .long("stay")
+                .action(ArgAction::SetTrue)
+                .help("Let everything go on until standard input ends"),
+        )
+        .arg(binaries_arg())
+}
+
 fn run_args() -> Command {
     Command::new("run")
         .about("Open-loop load over HTTP; response times count from the planned arrival")
@@ -280,6 +312,17 @@
     })
 }
 
+/// Reads the options of `local`.
+pub fn whole_path_options(args: &ArgMatches) -> WholePathOptions {
+    WholePathOptions {
+        binaries: binaries(args),
+        entries: required::<u16>(args, "entries").into(),
+        executors: required::<u16>(args, "executors").into(),
+        span_s: required(args, "span-s"),
+        stays: args.get_flag("stay"),
+    }
+}
+
 /// Reads the options of `bench --mix`.
 pub fn mix_options(args: &ArgMatches, folder: PathBuf, mix: Mix) -> MixOptions {
     MixOptions {
--- a/crates/onyxshed-load/src/lib.rs
+++ b/crates/onyxshed-load/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod slopes;
 pub mod tally;
 pub mod throughput;
+pub mod whole_path;
 
 pub use error::{Error, Result};
--- a/crates/onyxshed-load/src/local.rs
+++ b/crates/onyxshed-load/src/local.rs
@@ -7,6 +7,7 @@
 mod settings;
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::{Duration, Instant};
 
 use http_types::Method;
@@ -45,6 +46,8 @@
     pub callers: SocketAddr,
     /// Where operators reach the entry process.
     pub admin: SocketAddr,
+    /// Where operators reach the control process.
+    pub control_admin: SocketAddr,
     /// Where other control processes reach this one.
     pub control_peer: SocketAddr,
     /// The entry process.
@@ -95,6 +98,11 @@
         Ok(set)
     }
 
+    /// Gets the folder of the processes' settings, which goes with the set.
+    pub fn folder(&self) -> &Path {
+        self._folder.path()
+    }
+
     /// Gets where callers reach each entry host.
     pub fn callers(&self) -> Vec<SocketAddr> {
         self.entries.iter().map(|entry| entry.callers).collect()
@@ -167,6 +175,7 @@
         Ok(LocalEntry {
             callers: ports.callers,
             admin: ports.entry_admin,
+            control_admin: ports.control_admin,
             control_peer: ports.control_peer,
             entry,
             control,
--- /dev/null
+++ b/crates/onyxshed-load/src/whole_path.rs
@@ -0,0 +1,216 @@
+//! `onyxshed-load local`: the whole path on this machine, shown step by step.
+//!
+//! Starts the platform's and the executors' stand-ins and several entry hosts, publishes a class with
+//! the operator's command line, submits a job to one entry host and again to another, shows its time
+//! line, sends a sample load, and ends every process that it started.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+
+use async_executor::LocalExecutor;
+use http_types::Method;
+use onyxshed_core::SubmissionId;
+use onyxshed_wire::caller::{CopyMark, JOBS_PATH, Submission};
+use serde_json::json;
+use ulid::Ulid;
+
+use crate::caller::CallerOptions;
+use crate::error::{Error, Result};
+use crate::local::{LocalOptions, LocalSet, call};
+use crate::mix::Mix;
+use crate::plan::PlanOptions;
+use crate::report::write_json;
+use crate::run::{RunOptions, class_name, run};
+
+/// What to show.
+#[derive(Debug, Clone)]
+pub struct WholePathOptions {
+    /// Folder of the other binaries.
+    pub binaries: PathBuf,
+    /// Entry hosts.
+    pub entries: usize,
+    /// Executors.
+    pub executors: usize,
+    /// How long the sample load arrives, in seconds; none is sent for 0.
+    pub span_s: f64,
+    /// Whether everything goes on until standard input ends.
+    pub stays: bool,
+}
+
+/// Class that the sample job belongs to.
+const CLASS: &str = "fee-charge";
+
+/// Jobs a second of the sample load, a quarter of what the executors can take.
+const JOBS_PER_S: f64 = 4.0;
+
+/// Least network time of a job on one machine, in microseconds.
+const NETWORK_US: u64 = 100;
+
+/// Tries to show the whole path.
+pub async fn whole_path(
+    executor: &LocalExecutor<'static>,
+    options: &WholePathOptions,
+) -> Result<()> {
+    let zone = LocalOptions::zone(
+        options.binaries.clone(),
+        Mix::Inzira,
+        options.entries,
+        options.executors,
+    );
+    let set = LocalSet::start(&zone).await?;
+    let operator = Operator::new(&options.binaries, &set)?;
+    tell_addresses(&set, &operator);
+    operator.run(&publish_words())?;
+    operator.run(&["status"])?;
+    show_job(&set, &operator).await?;
+    if options.span_s > 0.0 {
+        println!(
+            "\n# A sample load of {} s on every entry host",
+            options.span_s
+        );
+        let report = run(executor, &load_options(&set, options.span_s)).await;
+        println!("{report}");
+    }
+    if options.stays {
+        println!("\n# Everything goes on until standard input ends (Ctrl-D)");
+        let _ = std::io::stdin().read_to_end(&mut Vec::new());
+    }
+    println!("\n# Ending the processes");
+    Ok(())
+}
+
+/// Words that publish the sample job's class and wait until it is in force.
+fn publish_words() -> [&'static str; 8] {
+    [
+        "target",
+        "put",
+        CLASS,
+        "--upstream",
+        Mix::Inzira.upstream(),
+        "--finish-within",
+        "2s",
+        "--wait",
+    ]
+}
+
+/// The operator's command line with its settings.
+struct Operator {
+    binary: PathBuf,
+    settings: PathBuf,
+}
+
+impl Operator {
+    /// Writes the operator's settings beside the processes'.
+    fn new(binaries: &Path, set: &LocalSet) -> Result<Self> {
+        let settings = set.folder().join("operator.json");
+        let processes: Vec<_> = set.entries.iter().zip(0..).flat_map(|(entry, place)| {
+            [
+                json!({"name": format!("entry-{place}"), "admin_address": entry.admin}),
+                json!({"name": format!("control-{place}"), "admin_address": entry.control_admin}),
+            ]
+        }).collect();
+        let document = json!({
+            "platform_address": set.platform.address,
+            "processes": processes,
+        });
+        write_json(&settings, &document)?;
+        Ok(Operator {
+            binary: binaries.join("onyxshed"),
+            settings,
+        })
+    }
+
+    /// Shows a command and what it says.
+    fn run(&self, words: &[&str]) -> Result<()> {
+        println!("\n$ onyxshed {} --settings operator.json", words.join(" "));
+        let status = Command::new(&self.binary)
+            .args(words)
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .status()
+            .map_err(Error::start)?;
+        match status.success() {
+            true => Ok(()),
+            false => Err(Error::start(format!("onyxshed ended with {status}"))),
+        }
+    }
+}
+
+fn tell_addresses(set: &LocalSet, operator: &Operator) {
+    println!("# Started");
+    println!(
+        "platform       {}  process {}",
+        set.platform.address,
+        set.platform.id()
+    );
+    for (place, executor) in set.executors.iter().enumerate() {
+        println!(
+            "executor x{place:05} {}  process {}",
+            executor.address,
+            executor.id()
+        );
+    }
+    for (place, entry) in set.entries.iter().enumerate() {
+        let (callers, admin) = (entry.callers, entry.admin);
+        println!(
+            "entry host e{place}  callers {callers}  admin {admin}  process {}",
+            entry.entry.id()
+        );
+    }
+    println!("operator's settings: {}", operator.settings.display());
+}
+
+/// Submits a job to one entry host and, under the same id, to another, and shows what happened.
+async fn show_job(set: &LocalSet, operator: &Operator) -> Result<()> {
+    let (first, last) = match set.callers()[..] {
+        [first, .., last] => (first, last),
+        [only] => (only, only),
+        [] => return Ok(()),
+    };
+    let id = SubmissionId::unbound(Ulid::generate());
+    println!("\n# A job of three tasks, to the first entry host");
+    post(first, &job(id, CopyMark::First)).await?;
+    println!("\n# The same again, to the last entry host: its answer, and no task runs twice");
+    post(last, &job(id, CopyMark::Again)).await?;
+    operator.run(&["timeline", "--submission", &id.to_string()])
+}
+
+fn job(id: SubmissionId, copy: CopyMark) -> Submission {
+    let task = |number: u32| json!({"service_ms": 100, "echo": format!("fee {number}")});
+    Submission {
+        submission: id,
+        class: class_name(CLASS),
+        deadline_ms: None,
+        copy,
+        tasks: (1..=3)
+            .map(|number| task(number).to_string().into_bytes())
+            .collect(),
+    }
+}
+
+async fn post(address: SocketAddr, job: &Submission) -> Result<()> {
+    let body = serde_json::to_string(job).expect("a job is plain JSON");
+    println!("POST http://{address}{JOBS_PATH}\n{body}");
+    let reply = call(address, Method::Post, JOBS_PATH, body.into_bytes()).await?;
+    println!("{} {}", reply.status, String::from_utf8_lossy(&reply.body));
+    Ok(())
+}
+
+fn load_options(set: &LocalSet, span_s: f64) -> RunOptions {
+    RunOptions {
+        entries: set.callers(),
+        plan: PlanOptions {
+            mix: Mix::Inzira,
+            jobs_per_s: JOBS_PER_S,
+            span_s,
+            bursts: Vec::new(),
+            time_scale: 1.0,
+            seed: 1,
+        },
+        caller: CallerOptions::default(),
+        network_us: NETWORK_US,
+    }
+}
--- a/crates/onyxshed-proto/tests/decoders.rs
+++ b/crates/onyxshed-proto/tests/decoders.rs
@@ -14,9 +14,9 @@
 use proptest::prelude::*;
 use ulid::Ulid;
 
-fn name<T: std::str::FromStr>() -> impl Strategy<Value = T>
+fn name<T>() -> impl Strategy<Value = T>
 where
-    T: std::fmt::Debug,
+    T: std::str::FromStr + std::fmt::Debug,
     T::Err: std::fmt::Debug,
 {
     "[a-z0-9][a-z0-9._-]{0,20}".prop_map(|text| text.parse().expect("it keeps the rules"))
