--- a/crates/onyxshed-load/src/lib.rs
+++ b/crates/onyxshed-load/src/lib.rs
@@ -24,5 +24,6 @@
 pub mod slopes;
 pub mod tally;
 pub mod throughput;
+pub mod whole_path;
 
 pub use error::{Error, Result};
