--- a/crates/onyxshed-dispatch/src/dispatch.rs
+++ b/crates/onyxshed-dispatch/src/dispatch.rs
@@ -409,7 +409,9 @@
             | ResultCode::BadRequest
             | ResultCode::UnknownClass
             | ResultCode::TaskCount
-            | ResultCode::OtherContent => answer,
+            | ResultCode::OtherContent
+            | ResultCode::IdTooOld
+            | ResultCode::AnswerDropped => answer,
             _ => answer.retry_after(self.options.retry_after_ms),
         }
     }
--- a/crates/onyxshed-proof/tests/support/house.rs
+++ b/crates/onyxshed-proof/src/zone.rs
@@ -1,17 +1,19 @@
-//! One zone of real processes with a class in force.
+//! One zone of real processes with two classes, for tests that are no scenario: a step that fails is
+//! a panic.
 
 use std::net::SocketAddr;
 use std::time::Instant;
 
 use onyxshed_core::{ClassTarget, Millis, Outcome, SubmissionId};
-use onyxshed_proof::caller::{Heard, Patience, submit};
-use onyxshed_proof::cluster::topology::UPSTREAM;
-use onyxshed_proof::cluster::{Cluster, Given, Part, Topology};
-use onyxshed_proof::remote::{WAIT_CEILING, get, pause};
 use onyxshed_wire::admin::{TIMELINE_PATH, TimelinePage};
 use onyxshed_wire::caller::{CopyMark, Submission};
 use ulid::Ulid;
 
+use crate::caller::{Heard, Patience, submit};
+use crate::cluster::topology::UPSTREAM;
+use crate::cluster::{Cluster, Given, Part, Topology};
+use crate::remote::{WAIT_CEILING, get, pause};
+
 /// Class whose tasks run at most once.
 pub const ONCE: &str = "fee";
 
--- /dev/null
+++ b/crates/onyxshed-proof/tests/callers_page.rs
@@ -0,0 +1,164 @@
+//! The examples of docs/CALLERS.md, sent to a real entry host.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::thread::{self, JoinHandle};
+
+use async_io::block_on;
+use http_types::Method;
+use onyxshed_core::{Event, EventKind};
+use onyxshed_http::Reply;
+use onyxshed_http::client::call_once;
+use onyxshed_proof::cluster::{Cluster, Given, Part};
+use onyxshed_proof::remote::WAIT_CEILING;
+use onyxshed_proof::zone;
+use serde_json::Value;
+use ulid::Ulid;
+
+/// What the page's ids of the day begin with; each is replaced by a fresh one.
+const TODAY: &str = "01JZ";
+
+/// The page's incarnation, replaced by the entry host's own.
+const INCARNATION: &str = "3f1c0a52d9e4b768";
+
+/// One block of the page.
+#[derive(Debug, PartialEq, Eq)]
+struct Block {
+    is_request: bool,
+    /// Ties an answer that comes later to its request.
+    tag: String,
+    text: String,
+}
+
+fn blocks(page: &str) -> Vec<Block> {
+    let fenced = page.split("```http ").skip(1);
+    let texts = fenced.map(|rest| rest.split("```").next().unwrap_or_default());
+    texts
+        .map(|text| {
+            let (info, text) = text.split_once('\n').unwrap_or_default();
+            let mut words = info.split(' ');
+            Block {
+                is_request: words.next() == Some("request"),
+                tag: words.next().unwrap_or_default().to_owned(),
+                text: text.trim_end().to_owned(),
+            }
+        })
+        .collect()
+}
+
+/// What the page says and what stands for it in this run.
+struct Stand {
+    of_page: BTreeMap<String, String>,
+}
+
+impl Stand {
+    fn new(page: &str, incarnation: String) -> Self {
+        let mut of_page = BTreeMap::from([(INCARNATION.to_owned(), incarnation)]);
+        for (at, _) in page.match_indices(TODAY) {
+            let id = page[at..][..Ulid::nil().to_string().len()].to_owned();
+            of_page
+                .entry(id)
+                .or_insert_with(|| Ulid::generate().to_string());
+        }
+        Stand { of_page }
+    }
+
+    fn to_run(&self, text: &str) -> String {
+        let swap = |text: String, (page, run): (&String, &String)| text.replace(page, run);
+        self.of_page.iter().fold(text.to_owned(), swap)
+    }
+
+    fn to_page(&self, text: &str) -> String {
+        let swap = |text: String, (page, run): (&String, &String)| text.replace(run, page);
+        self.of_page.iter().fold(text.to_owned(), swap)
+    }
+}
+
+fn send(address: SocketAddr, text: String) -> JoinHandle<Reply> {
+    thread::spawn(move || {
+        let (line, body) = text.split_once("\n\n").unwrap_or((&text, ""));
+        let (method, path) = line.split_once(' ').expect("a method and a path");
+        let method: Method = method.parse().expect("a method");
+        let body = body.as_bytes().to_vec();
+        block_on(call_once(address, method, path, body, WAIT_CEILING)).expect("an answer")
+    })
+}
+
+/// Leaves out how long to wait, which follows from the load; that there is a wait stays.
+fn without_wait(mut answer: Value) -> Value {
+    if let Some(wait) = answer.get_mut("retry_after_ms") {
+        *wait = "some".into();
+    }
+    answer
+}
+
+fn check(expected: &str, reply: &Reply, stand: &Stand) {
+    let (head, body) = expected.split_once("\n\n").expect("a head and a body");
+    assert!(
+        head.starts_with(&reply.status.to_string()),
+        "{expected}\n{reply:?}"
+    );
+    let has_wait = reply.get("retry-after").is_some();
+    assert_eq!(head.contains("Retry-After"), has_wait, "{expected}");
+    let found = stand.to_page(&String::from_utf8_lossy(&reply.body));
+    let found: Value = serde_json::from_str(&found).expect("JSON");
+    let expected: Value = serde_json::from_str(body).expect("JSON on the page");
+    assert_eq!(without_wait(found), without_wait(expected));
+}
+
+/// Waits until the entry host has heard of a task of a request that stays open.
+fn wait_first_result(cluster: &mut Cluster, request: &str) {
+    let is_ours = |event: &Event| {
+        let id = event.submission.map(|id| id.ulid.to_string());
+        event.kind == EventKind::TaskFinished && id.is_some_and(|id| request.contains(&id))
+    };
+    let has_result = async || {
+        let page = zone::timeline(cluster, "a1", Part::Entry).await;
+        page.events.iter().any(is_ours)
+    };
+    block_on(zone::until("a task has run", has_result));
+}
+
+fn incarnation(address: SocketAddr) -> String {
+    let path = format!("/v1/jobs/{}", Ulid::generate());
+    let reply = send(address, format!("GET {path}"))
+        .join()
+        .expect("no panic");
+    let answer: Value = serde_json::from_slice(&reply.body).expect("JSON");
+    answer["bind_to"]
+        .as_str()
+        .expect("an incarnation")
+        .to_owned()
+}
+
+#[test]
+fn every_example_of_the_page_is_true() {
+    let page = include_str!("../../../docs/CALLERS.md");
+    let mut cluster = block_on(zone::start(1, Given::default()));
+    let address = zone::callers(&mut cluster, "a1");
+    block_on(zone::serve_one(address, zone::ONCE));
+    let stand = Stand::new(page, incarnation(address));
+    let mut open: BTreeMap<String, JoinHandle<Reply>> = BTreeMap::new();
+    let mut answered = 0;
+    for block in blocks(page) {
+        if block.is_request {
+            let request = stand.to_run(&block.text);
+            let sent = send(address, request.clone());
+            if !block.tag.is_empty() {
+                wait_first_result(&mut cluster, &request);
+            }
+            assert!(
+                open.insert(block.tag, sent).is_none(),
+                "a request without answer"
+            );
+        } else {
+            let sent = open
+                .remove(&block.tag)
+                .expect("a request before the answer");
+            check(&block.text, &sent.join().expect("no panic"), &stand);
+            answered += 1;
+        }
+    }
+    assert!(open.is_empty());
+    assert!(answered > 10, "{answered} examples");
+}
--- a/crates/onyxshed-proof/tests/doors.rs
+++ b/crates/onyxshed-proof/tests/doors.rs
@@ -4,8 +4,6 @@
 
 #[path = "support/cases.rs"]
 mod cases;
-#[path = "support/house.rs"]
-mod house;
 #[path = "support/raw.rs"]
 mod raw;
 
@@ -17,6 +15,7 @@
 use cases::{Case, bad_bodies, bad_heads, bad_ids, get, sized, transfers, wrong_lengths};
 use onyxshed_core::EventKind;
 use onyxshed_proof::cluster::{Cluster, Given, Part};
+use onyxshed_proof::zone;
 use raw::After::{Close, Wait};
 use raw::{exchange, read_all, replies};
 use serde_json::json;
@@ -55,14 +54,14 @@
     for (name, bytes, after) in cases {
         let answered = replies(&exchange(door, &bytes, after));
         writeln!(text, "{name}: {answered}").expect("the test's own steps work");
-        block_on(house::serve_one(good, house::TWICE));
+        block_on(zone::serve_one(good, zone::TWICE));
     }
     text
 }
 
 /// Gets how many requests and connections a process has turned away.
 async fn turned_away(cluster: &mut Cluster, part: Part) -> usize {
-    let page = house::timeline(cluster, "a1", part).await;
+    let page = zone::timeline(cluster, "a1", part).await;
     let events = page.events.iter();
     events
         .filter(|event| event.kind == EventKind::RequestRejected)
@@ -72,8 +71,8 @@
 #[test]
 fn callers_and_peers_are_told_what_is_wrong() {
     // Whatever a caller or another entry host sends, it is told a number and the process lives on.
-    let mut cluster = block_on(house::start(1, given()));
-    let good = house::callers(&mut cluster, "a1");
+    let mut cluster = block_on(zone::start(1, given()));
+    let good = zone::callers(&mut cluster, "a1");
     let peer = address(&mut cluster, "a1", Part::Entry, "peer");
     let all = || {
         let parts = [
@@ -94,8 +93,8 @@
 
 #[test]
 fn operators_are_told_what_is_wrong() {
-    let mut cluster = block_on(house::start(1, given()));
-    let good = house::callers(&mut cluster, "a1");
+    let mut cluster = block_on(zone::start(1, given()));
+    let good = zone::callers(&mut cluster, "a1");
     let cases = || {
         let mut cases = bad_heads();
         cases.extend([
@@ -130,16 +129,16 @@
     // Connections that never ask anything come by the thousand. A caller that comes behind them is
     // served: the address keeps to its limit, and the longest idle make room.
     const IDLE: usize = 2_000;
-    let mut cluster = block_on(house::start(1, given()));
-    let good = house::callers(&mut cluster, "a1");
+    let mut cluster = block_on(zone::start(1, given()));
+    let good = zone::callers(&mut cluster, "a1");
     let mut idle = Vec::new();
     for number in 0..IDLE {
         idle.push(TcpStream::connect(good).expect("the test's own steps work"));
         if number % 500 == 0 {
-            block_on(house::serve_one(good, house::TWICE));
+            block_on(zone::serve_one(good, zone::TWICE));
         }
     }
-    block_on(house::serve_one(good, house::ONCE));
+    block_on(zone::serve_one(good, zone::ONCE));
     assert_eq!(replies(&read_all(&mut idle[0])), "closed");
 }
 
@@ -147,13 +146,13 @@
 fn a_caller_is_told_when_every_connection_is_busy() {
     // Every place is taken by a request in flight. The next caller is told at once that nothing was
     // run, and when to come back; the ones before it get their answers.
-    let mut cluster = block_on(house::start(1, given()));
-    let good = house::callers(&mut cluster, "a1");
-    block_on(house::serve_one(good, house::TWICE));
+    let mut cluster = block_on(zone::start(1, given()));
+    let good = zone::callers(&mut cluster, "a1");
+    block_on(zone::serve_one(good, zone::TWICE));
     let hold = json!({"service_ms": 2_000}).to_string();
     let mut busy: Vec<TcpStream> = Vec::new();
     for _ in 0..64 {
-        let body = serde_json::to_vec(&house::job(house::TWICE, hold.as_bytes()))
+        let body = serde_json::to_vec(&zone::job(zone::TWICE, hold.as_bytes()))
             .expect("the test's own steps work");
         let mut stream = TcpStream::connect(good).expect("the test's own steps work");
         stream
@@ -163,7 +162,7 @@
     }
     let ask = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n";
     let told = async || replies(&exchange(good, ask, Close)) == "503/3108 retry-after 1";
-    block_on(house::until("a caller is turned away", told));
+    block_on(zone::until("a caller is turned away", told));
     for stream in &mut busy {
         stream
             .shutdown(std::net::Shutdown::Write)
@@ -171,7 +170,7 @@
         let answered = replies(&read_all(stream));
         assert!(answered.contains('/'), "{answered}");
     }
-    block_on(house::serve_one(good, house::TWICE));
+    block_on(zone::serve_one(good, zone::TWICE));
 }
 
 #[test]
@@ -187,16 +186,16 @@
         words(&[0, 0x0fff_ffff]),
         words(&[0, 4, 0, 0x0003_0000, 7, 7, 7, 7, 7, 7]),
     ];
-    let mut cluster = block_on(house::start(1, given()));
-    let good = house::callers(&mut cluster, "a1");
+    let mut cluster = block_on(zone::start(1, given()));
+    let good = zone::callers(&mut cluster, "a1");
     for (part, purpose) in [(Part::Entry, "control"), (Part::Control, "peer")] {
         let door = address(&mut cluster, "a1", part, purpose);
         let before = block_on(turned_away(&mut cluster, part));
         for bytes in &garbage {
             exchange(door, bytes, Close);
-            block_on(house::serve_one(good, house::ONCE));
+            block_on(zone::serve_one(good, zone::ONCE));
         }
         let counted = async || turned_away(&mut cluster, part).await == before + garbage.len();
-        block_on(house::until("all garbage is counted", counted));
+        block_on(zone::until("all garbage is counted", counted));
     }
 }
--- a/crates/onyxshed-proof/tests/doors_outward.rs
+++ b/crates/onyxshed-proof/tests/doors_outward.rs
@@ -2,8 +2,6 @@
 
 #[path = "support/fake.rs"]
 mod fake;
-#[path = "support/house.rs"]
-mod house;
 
 use std::fmt::Write as _;
 use std::net::SocketAddr;
@@ -15,6 +13,7 @@
 use onyxshed_proof::caller::{Heard, Patience, submit};
 use onyxshed_proof::cluster::{Cluster, Given, Part};
 use onyxshed_proof::remote::{call, get};
+use onyxshed_proof::zone;
 use onyxshed_wire::admin::{STATUS_PATH, Status};
 use onyxshed_wire::platform::{CLAIMS_STREAM, CONFIG_STREAM, records_path};
 use serde_json::json;
@@ -107,7 +106,7 @@
 /// Submits a good job once; tells whether it got its whole answer.
 async fn is_served(address: SocketAddr, class: &str) -> bool {
     let payload = Ulid::generate().to_string().into_bytes();
-    let heard = submit(address, house::job(class, &payload), Patience::Once).await;
+    let heard = submit(address, zone::job(class, &payload), Patience::Once).await;
     match heard.heard {
         Heard::Answer(200, answer) => answer.results == Some(vec![payload]),
         _ => false,
@@ -124,10 +123,10 @@
         .publish_hosts()
         .await
         .expect("the test's own steps work");
-    let address = house::callers(cluster, "a1");
+    let address = zone::callers(cluster, "a1");
     let mut found = None;
-    house::until("the executor is asked", async || {
-        let mut job = house::job(house::ONCE, b"x");
+    zone::until("the executor is asked", async || {
+        let mut job = zone::job(zone::ONCE, b"x");
         job.deadline_ms = Some(Millis(500));
         found = Some(submit(address, job, Patience::Once).await.heard);
         fake.asked() > 0
@@ -146,9 +145,9 @@
 fn a_bad_reply_of_an_executor_is_no_result() {
     // An executor's reply is no HTTP, is cut short, or belongs to another task. The task was sent, so
     // its job is never called complete, and never "not run"; the next executor's jobs are complete.
-    let mut cluster = block_on(house::start(1, Given::default()));
-    let good = house::callers(&mut cluster, "a1");
-    block_on(house::serve_one(good, house::ONCE));
+    let mut cluster = block_on(zone::start(1, Given::default()));
+    let good = zone::callers(&mut cluster, "a1");
+    block_on(zone::serve_one(good, zone::ONCE));
     let real = cluster
         .executor("xa1")
         .expect("the test's own steps work")
@@ -169,8 +168,8 @@
         .expect("the test's own steps work")
         .host = real;
     block_on(cluster.publish_hosts()).expect("the test's own steps work");
-    let served = async || is_served(good, house::ONCE).await;
-    block_on(house::until("the real executor serves", served));
+    let served = async || is_served(good, zone::ONCE).await;
+    block_on(zone::until("the real executor serves", served));
 }
 
 /// Replies of the platform with bodies that can't be read.
@@ -218,19 +217,19 @@
     given
         .control_settings
         .insert("platform_address".into(), address(&fakes[1]));
-    let mut cluster = block_on(house::start(1, given));
+    let mut cluster = block_on(zone::start(1, given));
     block_on(async {
         let is_through = async || fakes.iter().all(|fake| fake.asked() >= rounds);
-        house::until("all replies were tried twice", is_through).await;
+        zone::until("all replies were tried twice", is_through).await;
         let heard = submit(
-            house::callers(&mut cluster, "a1"),
-            house::job(house::ONCE, b"x"),
+            zone::callers(&mut cluster, "a1"),
+            zone::job(zone::ONCE, b"x"),
             Patience::Once,
         );
         let heard = heard.await.heard;
         assert!(matches!(heard, Heard::Answer(503 | 404, _)), "{heard}");
         for part in [Part::Entry, Part::Control] {
-            let events = house::timeline(&mut cluster, "a1", part).await.events;
+            let events = zone::timeline(&mut cluster, "a1", part).await.events;
             let is_lost = events
                 .iter()
                 .any(|event| event.kind == EventKind::PlatformLost);
@@ -240,8 +239,8 @@
             .platform_address()
             .expect("the test's own steps work");
         fakes.iter().for_each(|fake| fake.lead_to(real));
-        let good = house::callers(&mut cluster, "a1");
-        house::serve_one(good, house::ONCE).await;
+        let good = zone::callers(&mut cluster, "a1");
+        zone::serve_one(good, zone::ONCE).await;
     });
 }
 
@@ -263,10 +262,10 @@
         r#"{"claims_v2":{}}"#,
         r#"{"claims_v1":{"by":"zz","batch":1,"claims":[]}}"#,
     ];
-    let mut cluster = block_on(house::start(1, Given::default()));
-    let good = house::callers(&mut cluster, "a1");
+    let mut cluster = block_on(zone::start(1, Given::default()));
+    let good = zone::callers(&mut cluster, "a1");
     block_on(async {
-        house::serve_one(good, house::ONCE).await;
+        zone::serve_one(good, zone::ONCE).await;
         let platform = cluster
             .platform_address()
             .expect("the test's own steps work");
@@ -278,9 +277,9 @@
                     .expect("the test's own steps work");
             }
         }
-        house::publish(&cluster, "late", false).await;
-        house::serve_one(good, "late").await;
-        let events = house::timeline(&mut cluster, "a1", Part::Control)
+        zone::publish(&cluster, "late", false).await;
+        zone::serve_one(good, "late").await;
+        let events = zone::timeline(&mut cluster, "a1", Part::Control)
             .await
             .events;
         let ignored = events
--- a/crates/onyxshed-proof/tests/support/cases.rs
+++ b/crates/onyxshed-proof/tests/support/cases.rs
@@ -2,9 +2,9 @@
 
 use serde_json::{Value, json};
 
-use crate::house;
 use crate::raw::After;
 use crate::raw::After::{Close, Wait};
+use onyxshed_proof::zone;
 
 /// What is sent, and what the sender does behind it.
 pub type Case = (&'static str, Vec<u8>, After);
@@ -20,7 +20,7 @@
 }
 
 fn good_body() -> Vec<u8> {
-    serde_json::to_vec(&house::job(house::TWICE, b"x")).expect("the test's own steps work")
+    serde_json::to_vec(&zone::job(zone::TWICE, b"x")).expect("the test's own steps work")
 }
 
 /// Makes a good body but for one field.
--- a/crates/onyxshed-proof/tests/timeline.rs
+++ b/crates/onyxshed-proof/tests/timeline.rs
@@ -1,8 +1,5 @@
 //! `onyxshed timeline` over the processes of two entry hosts.
 
-#[path = "support/house.rs"]
-mod house;
-
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -14,6 +11,7 @@
 use onyxshed_proof::cluster::{Cluster, Given, Part};
 use onyxshed_proof::process::beside_test;
 use onyxshed_proof::remote::get;
+use onyxshed_proof::zone;
 use onyxshed_wire::admin::{STATUS_PATH, Status};
 use onyxshed_wire::caller::{CopyMark, Submission};
 use serde_json::json;
@@ -78,7 +76,7 @@
 
 /// Submits a job to one host and, once its tasks run, again to another.
 async fn submit_twice(cluster: &mut Cluster, job: &Submission) -> (HeardAt, HeardAt) {
-    let (first, second) = (house::callers(cluster, "a1"), house::callers(cluster, "a2"));
+    let (first, second) = (zone::callers(cluster, "a1"), zone::callers(cluster, "a2"));
     let again = Submission {
         copy: CopyMark::Again,
         ..job.clone()
@@ -91,7 +89,7 @@
         ours.count() == job.tasks.len()
     };
     let resubmitted = async {
-        house::until("all tasks run", has_started).await;
+        zone::until("all tasks run", has_started).await;
         submit(second, again, Patience::Once).await
     };
     futures_lite::future::zip(submit(first, job.clone(), Patience::Once), resubmitted).await
@@ -102,20 +100,20 @@
     // A caller submits three tasks to one entry host, thinks them lost, and submits again to another.
     // The time line shows both copies, who holds the submission, each task's way to the executor and
     // back, and one answer; the class alone finds the same events.
-    let mut cluster = block_on(house::start(2, Given::default()));
+    let mut cluster = block_on(zone::start(2, Given::default()));
     let folder = tempfile::tempdir().expect("a folder");
     let file = settings(&mut cluster, &folder);
-    let mut job = house::job(house::ONCE, br#"{"service_ms":1500,"echo":"a"}"#);
+    let mut job = zone::job(zone::ONCE, br#"{"service_ms":1500,"echo":"a"}"#);
     job.tasks = vec![job.tasks[0].clone(); 3];
     block_on(async {
         for host in ["a1", "a2"] {
-            house::serve_one(house::callers(&mut cluster, host), house::TWICE).await;
+            zone::serve_one(zone::callers(&mut cluster, host), zone::TWICE).await;
             let knows_peer = async || {
                 let address = admin(&mut cluster, host, Part::Entry);
                 let status: Status = get(address, STATUS_PATH).await.expect("it answers");
                 status.details["live_peers"] == 1
             };
-            house::until("peers know each other", knows_peer).await;
+            zone::until("peers know each other", knows_peer).await;
         }
         let (first, second) = submit_twice(&mut cluster, &job).await;
         assert_eq!(first.heard, second.heard);
@@ -123,7 +121,7 @@
     let id: SubmissionId = job.submission;
     let of_submission = timeline(&file, &["--submission", &id.to_string()]);
     insta::assert_snapshot!(by_process(&of_submission));
-    let of_class = timeline(&file, &["--class", house::ONCE]);
+    let of_class = timeline(&file, &["--class", zone::ONCE]);
     let ours = of_class
         .lines()
         .filter(|line| line.contains(&id.ulid.to_string()));
