--- a/crates/onyxshed-proof/src/process.rs
+++ b/crates/onyxshed-proof/src/process.rs
@@ -107,6 +107,11 @@
         self.signal(Signal::TERM)
     }
 
+    /// Asks the process to stop at once, whatever is in flight.
+    pub fn ask_to_quit(&self) -> Result<()> {
+        self.signal(Signal::QUIT)
+    }
+
     /// Gets how the process ended, none while it runs.
     pub fn ended(&mut self) -> Result<Option<ExitStatus>> {
         self.child.try_wait().context(SystemSnafu { what: "wait" })
--- a/crates/onyxshed-proof/src/zone.rs
+++ b/crates/onyxshed-proof/src/zone.rs
@@ -35,12 +35,17 @@
     cluster
 }
 
-/// Publishes a class's target.
+/// Publishes a class whose jobs must be finished within 5 s.
 pub async fn publish(cluster: &Cluster, class: &str, may_run_twice: bool) {
+    publish_within(cluster, class, Millis(5_000), may_run_twice).await;
+}
+
+/// Publishes a class's target.
+pub async fn publish_within(cluster: &Cluster, class: &str, within: Millis, may_run_twice: bool) {
     let target = ClassTarget {
         class: class.parse().expect("the test's own steps work"),
         upstream: UPSTREAM.parse().expect("the test's own steps work"),
-        finish_within_ms: Millis(5_000),
+        finish_within_ms: within,
         may_run_twice,
     };
     let end = cluster
