--- a/crates/onyxshed-dispatch/src/dispatch.rs
+++ b/crates/onyxshed-dispatch/src/dispatch.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod caller;
 mod claim;
+mod forward;
 mod pump;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -14,8 +15,8 @@
 };
 use onyxshed_policy::Policy;
 use onyxshed_policy::note::{Note as PolicyNote, Waste};
-use onyxshed_state::{ClaimBook, ClaimStep, Config, Member};
-use onyxshed_wire::caller::{Answer, CopyMark};
+use onyxshed_state::{ClaimBook, Config, Member};
+use onyxshed_wire::caller::Answer;
 use smol_str::SmolStr;
 
 use crate::input::Input;
@@ -52,6 +53,7 @@
     last_attempt: u64,
     members: BTreeMap<Incarnation, Member>,
     gone: BTreeSet<Incarnation>,
+    passed_on: BTreeMap<RequestId, forward::PassedOn>,
     running_bytes: u64,
     is_draining: bool,
     wake_at: Option<Mono>,
@@ -73,6 +75,7 @@
             last_attempt: 0,
             members: BTreeMap::new(),
             gone: BTreeSet::new(),
+            passed_on: BTreeMap::new(),
             running_bytes: 0,
             is_draining: false,
             wake_at: None,
@@ -264,6 +267,7 @@
             .map(|member| (member.incarnation, member))
             .collect();
         self.policy.set_sharers(now, sharers.max(1));
+        self.give_up_on_silent_holders();
     }
 
     /// Ends what time has made due.
@@ -326,26 +330,18 @@
         }
     }
 
-    /// Gets the truth about a job of which this host holds no claim yet.
-    fn unclaimed_code(
-        &self,
-        now: Now,
-        id: SubmissionId,
-        code: ResultCode,
-        copy: CopyMark,
-    ) -> ResultCode {
-        let is_readable = self.book.peek(now, id, None) != ClaimStep::Unavailable;
-        caller::unproved(code, copy, is_readable)
-    }
-
-    /// Ends a job whose claim was never granted.
+    /// Ends a job whose claim was not decided in time: the log may hold another host's.
     fn end_unclaimed(&mut self, now: Now, id: SubmissionId, code: ResultCode) {
         let Some(Job::Claiming(job)) = self.jobs.take(id) else {
             return;
         };
         self.book.release(now, id);
         self.release_bytes(&job.payloads);
-        let code = self.unclaimed_code(now, id, code, job.head.copy);
+        let code = match code {
+            // The content that was claimed is another: this one has not run anywhere.
+            ResultCode::OtherContent => code,
+            code => caller::unproved(code, job.head.copy, false),
+        };
         let answer = self.refusal(Some(id), code, "");
         self.note(
             Event::new(EventKind::JobRefused)
--- a/crates/onyxshed-dispatch/src/dispatch/caller.rs
+++ b/crates/onyxshed-dispatch/src/dispatch/caller.rs
@@ -12,7 +12,7 @@
 
 use super::Dispatch;
 use crate::job::{Claiming, GiveUp, Job, JobHead};
-use crate::output::{ForwardedCall, Output, RequestId};
+use crate::output::{ForwardedCall, RequestId};
 
 /// How many times its target a job that has begun may last before it is given up.
 ///
@@ -281,7 +281,7 @@
                 let answer = job.answer(id);
                 self.answer(request, answer);
             }
-            Some(Job::Claiming(_)) => self.cancel_claiming(now, request, id),
+            Some(Job::Claiming(_)) => self.cancel_claiming(request, id),
             Some(Job::Running(job)) => {
                 job.waiters.push(request);
                 self.note(Event::new(EventKind::JobCancelled).submission(id));
@@ -295,18 +295,20 @@
 
     /// Gives up a job whose claim is under way.
     ///
-    /// The callers of the job are answered at once. Whoever cancels asks about every copy, and one
+    /// Whoever sent the only copy is answered at once. Everyone else asks about every copy, and one
     /// may run on another host: that answer waits until the log tells who holds the submission.
-    fn cancel_claiming(&mut self, now: Now, request: RequestId, id: SubmissionId) {
+    fn cancel_claiming(&mut self, request: RequestId, id: SubmissionId) {
         self.note(Event::new(EventKind::JobCancelled).submission(id));
         let Some(job) = self.claiming_mut(id) else {
             return;
         };
         job.cancels.push(request);
         let waiters = std::mem::take(&mut job.waiters);
-        let copy = job.head.copy;
-        let code = self.unclaimed_code(now, id, ResultCode::CancelledUnstarted, copy);
-        let answer = self.refusal(Some(id), code, "");
+        if job.head.copy != CopyMark::First {
+            job.cancels.extend(waiters);
+            return;
+        }
+        let answer = self.refusal(Some(id), ResultCode::CancelledUnstarted, "");
         for waiter in waiters {
             self.answer(waiter, answer.clone());
         }
@@ -345,27 +347,11 @@
                 let mut event = Event::new(EventKind::JobForwarded).submission(id);
                 event.class = call.class().cloned();
                 self.note(event.party(party));
-                self.outputs.push(Output::Forward {
-                    request,
-                    to: holder,
-                    call,
-                });
+                self.pass_on(request, id, holder, call);
             }
         }
     }
 
-    pub(super) fn forwarded(
-        &mut self,
-        request: RequestId,
-        id: SubmissionId,
-        answer: Option<Answer>,
-    ) {
-        match answer {
-            Some(answer) => self.answer(request, answer),
-            None => self.refuse(request, id, ResultCode::HolderUnreachable),
-        }
-    }
-
     pub(super) fn refuse(&mut self, request: RequestId, id: SubmissionId, code: ResultCode) {
         self.note_refused(id, None, code);
         let answer = self.refusal(Some(id), code, "");
