--- a/crates/onyxshed-load/src/cli.rs
+++ b/crates/onyxshed-load/src/cli.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use crate::bench::{bars, mix as run_mix};
+use crate::claims;
 use crate::direct::{DirectOptions, direct};
 use crate::error::Result;
 use crate::idle::{IdleOptions, idle};
@@ -21,6 +22,7 @@
 use crate::run::run;
 use crate::sim::simulate;
 use crate::slopes::{self, SlopeOptions};
+use crate::whole_path::whole_path;
 
 /// Exit status after an error.
 const FAILED: u8 = 1;
@@ -45,12 +47,17 @@
 fn dispatch(matches: &ArgMatches) -> Result<()> {
     let executor = LocalExecutor::new();
     match matches.subcommand() {
+        Some(("local", args)) => {
+            let options = args::whole_path_options(args);
+            async_io::block_on(executor.run(whole_path(&executor, &options)))
+        }
         Some(("run", args)) => run_command(&executor, args),
         Some(("direct", args)) => direct_command(&executor, args),
         Some(("idle", args)) => idle_command(&executor, args),
         Some(("simulate", args)) => simulate_command(args),
         Some(("bench", args)) => bench_command(&executor, args),
         Some(("slopes", args)) => slopes_command(&executor, args),
+        Some(("claims", args)) => claims_command(&executor, args),
         _ => Ok(()),
     }
 }
@@ -74,6 +81,7 @@
         class: args::required(args, "class"),
         count: args::required(args, "count"),
         service_ms: args::required(args, "service-ms"),
+        pause: Duration::from_millis(args::required(args, "pause-ms")),
         may_bind: args.get_flag("bind"),
     };
     let report = async_io::block_on(executor.run(direct(options)))?;
@@ -132,6 +140,12 @@
     }
 }
 
+fn claims_command(executor: &LocalExecutor<'static>, args: &ArgMatches) -> Result<()> {
+    let runs = async_io::block_on(executor.run(claims::claims(args::binaries(args))))?;
+    print_json(&runs);
+    write_out(args, &runs)
+}
+
 fn simulate_command(args: &ArgMatches) -> Result<()> {
     let summary = simulate(&args::sim_options(args));
     println!("{summary}");
--- a/crates/onyxshed-load/src/lib.rs
+++ b/crates/onyxshed-load/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod bench;
 pub mod caller;
+pub mod claims;
 pub mod cli;
 pub mod direct;
 pub mod error;
@@ -23,5 +24,6 @@
 pub mod slopes;
 pub mod tally;
 pub mod throughput;
+pub mod whole_path;
 
 pub use error::{Error, Result};
