--- a/crates/onyxshed-proof/src/scenario/grammar.rs
+++ b/crates/onyxshed-proof/src/scenario/grammar.rs
@@ -4,6 +4,7 @@
 use onyxshed_standins::faults::Mode;
 use smol_str::{SmolStr, format_smolstr};
 use winnow::prelude::*;
+use winnow::stream::Stream;
 
 use crate::cluster::{Edge, Part, Topology};
 
@@ -203,10 +204,12 @@
 }
 
 fn job_range(input: &mut &str) -> ModalResult<Vec<SmolStr>> {
+    let here = input.checkpoint();
     let (_, letters, first) = job(input)?;
     say(input, "to")?;
     let (_, other_letters, last) = job(input)?;
     if letters != other_letters || last < first {
+        input.reset(&here);
         return described(input, "a range such as J1 to J9");
     }
     let range = first..=last;
@@ -218,6 +221,7 @@
 /// Takes a job's name: letters, the first a capital, and a number.
 fn job(input: &mut &str) -> ModalResult<(SmolStr, SmolStr, u32)> {
     const ALLOWED: &str = "a job's name such as J1";
+    let here = input.checkpoint();
     let found: SmolStr = parsed(input, ALLOWED)?;
     let digits = found.trim_start_matches(|c: char| c.is_ascii_alphabetic());
     let letters = &found[..found.len() - digits.len()];
@@ -226,7 +230,10 @@
         digits.parse(),
     ) {
         (true, Ok(number)) => Ok((found.clone(), letters.into(), number)),
-        _ => described(input, ALLOWED),
+        _ => {
+            input.reset(&here);
+            described(input, ALLOWED)
+        }
     }
 }
 
--- a/crates/onyxshed-proof/tests/truth.rs
+++ b/crates/onyxshed-proof/tests/truth.rs
@@ -12,7 +12,7 @@
 const SENT: UnixMs = UnixMs(1_000);
 
 fn id() -> SubmissionId {
-    ID.parse().unwrap()
+    ID.parse().expect("a submission id")
 }
 
 /// Starts of tasks of the job, by index and time.
--- a/crates/onyxshed-standins/tests/standins.rs
+++ b/crates/onyxshed-standins/tests/standins.rs
@@ -33,7 +33,9 @@
 }
 
 async fn open(rig: &Rig, handler: Handler) -> SocketAddr {
-    let listener = listen(([127, 0, 0, 1], 0).into()).await.unwrap();
+    let listener = listen(([127, 0, 0, 1], 0).into())
+        .await
+        .expect("a free port");
     let address = local_address(&listener);
     rig.spawn(serve(listener, rig.clone(), handler)).detach();
     address
@@ -45,8 +47,8 @@
 
 async fn executor(rig: &Rig) -> SocketAddr {
     let options = UpstreamOptions {
-        name: "x1".parse().unwrap(),
-        upstream: "desk".parse().unwrap(),
+        name: "x1".parse().expect("a name"),
+        upstream: "desk".parse().expect("a name"),
         slots: 1,
         queue_max: 1,
         speed: 1.0,
@@ -62,7 +64,7 @@
 }
 
 async fn text(at: SocketAddr, method: Method, path: &str, body: &str) -> String {
-    let reply = call(at, method, path, body).await.unwrap();
+    let reply = call(at, method, path, body).await.expect("an answer");
     String::from_utf8_lossy(&reply.body).into_owned()
 }
 
@@ -80,7 +82,7 @@
     let (task, attempt) = task.split_once('#').unwrap_or((task, "1"));
     let mut connection = Connection::open(at, ClientOptions::default())
         .await
-        .unwrap();
+        .expect("a connection");
     let headers = [
         (LEASE_HEADER, smol_str::format_smolstr!("{lease_ms}")),
         (CLASS_HEADER, "fee".into()),
@@ -92,7 +94,7 @@
         .call(method, &path, &headers, body, CEILING)
         .await;
     reply
-        .unwrap()
+        .expect("an answer")
         .get(STATE_HEADER)
         .unwrap_or_default()
         .to_owned()
@@ -204,7 +206,10 @@
         name: "r".into(),
         to,
     };
-    let through = proxy.open(([127, 0, 0, 1], 0).into(), new).await.unwrap();
+    let through = proxy
+        .open(([127, 0, 0, 1], 0).into(), new)
+        .await
+        .expect("a free port");
     (through, open(rig, proxy.handler()).await)
 }
 
