--- a/crates/onyxshed-control/src/lib.rs
+++ b/crates/onyxshed-control/src/lib.rs
@@ -5,7 +5,6 @@
 //! [`entry_link`] hands the sum, a snapshot, to the entry process. [`knowledge`] is what they share.
 //! This process may die, hang or restart without one request noticing.
 
-pub mod command;
 pub mod config_follower;
 pub mod entry_link;
 pub mod host_follower;
--- a/crates/onyxshed-control/src/main.rs
+++ b/crates/onyxshed-control/src/main.rs
@@ -2,8 +2,9 @@
 
 use std::process::ExitCode;
 
-use onyxshed_control::{command, process};
+use onyxshed_control::process::ControlProcess;
+use onyxshed_process::command;
 
 fn main() -> ExitCode {
-    command::run(process::run)
+    command::main::<ControlProcess>()
 }
--- a/crates/onyxshed-control/src/peers.rs
+++ b/crates/onyxshed-control/src/peers.rs
@@ -13,11 +13,11 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use onyxshed_core::{Event, EventKind, HostName, Millis, ResultCode, ZoneName};
-use onyxshed_http::Server;
-use onyxshed_kernel::{Descriptor, Error, Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_core::{Event, EventKind, HostName, Millis, ZoneName};
+use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_process::{listen, serve_rpc};
+use onyxshed_proto::EntryStatus;
 use onyxshed_proto::onyxshed_capnp::peer_port;
-use onyxshed_proto::{EntryStatus, rpc};
 use onyxshed_state::member::{Gossip, Outgoing};
 use onyxshed_state::{Heartbeat, MemberOptions, MemberTable, Note};
 use onyxshed_wire::platform::HostList;
@@ -188,14 +188,6 @@
     }
 }
 
-/// Tells of connections that were dropped.
-fn teller(kernel: &Kernel) -> rpc::Dropped {
-    let kernel = kernel.clone();
-    Rc::new(move |reason| {
-        kernel.emit(Event::new(EventKind::RequestRejected).detail(reason));
-    })
-}
-
 /// The peers as a service.
 pub struct PeerService {
     options: PeerOptions,
@@ -208,14 +200,7 @@
     }
 
     async fn open(&self, kernel: &Kernel) -> Result<()> {
-        let failed = |error: String| Error::start(PEERS, ResultCode::AddressInUse, error);
-        let listener = Server::listen(self.options.address)
-            .await
-            .map_err(|error| failed(error.to_string()))?;
-        let address = listener
-            .local_addr()
-            .map_err(|error| failed(error.to_string()))?;
-        kernel.announce("peer", address);
+        let (listener, address) = listen(kernel, PEERS, "peer", self.options.address).await?;
         let peers = Rc::new(Peers {
             kernel: kernel.clone(),
             options: self.options.clone(),
@@ -226,14 +211,7 @@
             rounds: Cell::new(0),
         });
         let client: peer_port::Client = capnp_rpc::new_client(port::Port::new(peers.clone()));
-        kernel
-            .spawn(rpc::serve(
-                listener,
-                client.client,
-                kernel.executor(),
-                teller(kernel),
-            ))
-            .detach();
+        serve_rpc(kernel, listener, client.client);
         kernel
             .spawn(peers.clone().keep_telling(kernel.find(ENTRY_LINK)?))
             .detach();
--- a/crates/onyxshed-control/src/process.rs
+++ b/crates/onyxshed-control/src/process.rs
@@ -1,15 +1,14 @@
 //! The control process put together from its settings.
 
-use std::process::ExitCode;
 use std::rc::Rc;
 
-use onyxshed_core::Incarnation;
-use onyxshed_kernel::{Kernel, RunEnd, RunOptions, Service};
+use onyxshed_kernel::{Kernel, Service};
 use onyxshed_platform::PlatformOptions;
+use onyxshed_process::{Common, Parts, Process};
 use onyxshed_settings::ControlSettings;
 use onyxshed_state::{ConfigOptions, MemberOptions};
 use onyxshed_telemetry::telemetry::StatusParts;
-use onyxshed_telemetry::{AdminService, Telemetry, TelemetryOptions};
+use onyxshed_telemetry::{AdminService, Telemetry};
 use serde_json::json;
 
 use crate::config_follower::ConfigFollower;
@@ -20,37 +19,37 @@
 use crate::peers::{PeerOptions, PeerService};
 use crate::republisher::Republisher;
 
-/// The binary's name.
-const NAME: &str = "onyxshed-control";
+/// The control process.
+pub struct ControlProcess;
 
-/// Runs the process from start to end.
-pub fn run(settings: ControlSettings) -> ExitCode {
-    let kernel = Kernel::new();
-    let telemetry = match Telemetry::open(&kernel, telemetry_options(&settings)) {
-        Ok(telemetry) => telemetry,
-        Err(error) => {
-            eprintln!("{NAME}: {error}");
-            return ExitCode::FAILURE;
+impl Process for ControlProcess {
+    type Settings = ControlSettings;
+
+    const NAME: &'static str = "onyxshed-control";
+
+    const ABOUT: &'static str = "Keeps the entry process of one entry host informed";
+
+    const SIGNALS: &'static str = "It may die, hang or restart without one request noticing: the entry process goes on with the last \
+                           state it was handed.\nSignals: SIGTERM or SIGINT stop it in order; SIGQUIT ends it at once.";
+
+    fn common(settings: &ControlSettings) -> Common {
+        Common {
+            host: settings.host.clone(),
+            log: settings.log,
+            timeline_events_max: settings.timeline_events_max,
+            drain_timeout_ms: settings.drain_timeout_ms,
         }
-    };
-    let options = RunOptions {
-        drain_timeout_ms: settings.drain_timeout_ms,
-        ..RunOptions::new(NAME)
-    };
-    let services = services(&kernel, &settings, telemetry);
-    let end = kernel.run(services, options);
-    if let RunEnd::Failed(error) = &end {
-        eprintln!("{NAME}: error {}: {error}", error.code());
     }
-    end.into()
+
+    fn services(settings: &ControlSettings, parts: Parts) -> Vec<Box<dyn Service>> {
+        services(&parts, settings)
+    }
 }
 
 /// Makes every service of the process.
-fn services(
-    kernel: &Kernel,
-    settings: &ControlSettings,
-    telemetry: Rc<Telemetry>,
-) -> Vec<Box<dyn Service>> {
+fn services(parts: &Parts, settings: &ControlSettings) -> Vec<Box<dyn Service>> {
+    let kernel = &parts.kernel;
+    let telemetry = parts.telemetry.clone();
     let options = ConfigOptions {
         retention_ms: settings.platform_retention_ms,
     };
@@ -85,17 +84,6 @@
     }
 }
 
-fn telemetry_options(settings: &ControlSettings) -> TelemetryOptions {
-    TelemetryOptions {
-        process: NAME.into(),
-        version: env!("CARGO_PKG_VERSION").into(),
-        host: settings.host.as_str().into(),
-        boot: Incarnation(rand::random()),
-        log: settings.log,
-        timeline_events_max: settings.timeline_events_max,
-    }
-}
-
 /// Tells operators what the process knows.
 fn set_status(kernel: &Kernel, telemetry: &Telemetry, knowledge: &Rc<Knowledge>) {
     let (kernel, knowledge) = (kernel.clone(), knowledge.clone());
--- a/crates/onyxshed-entry/src/callers.rs
+++ b/crates/onyxshed-entry/src/callers.rs
@@ -8,7 +8,8 @@
 use onyxshed_core::{Event, EventKind, Millis, ResultCode, SubmissionId};
 use onyxshed_dispatch::Input;
 use onyxshed_http::{Call, Handler, Reply, Server, ServerOptions, ServerStats};
-use onyxshed_kernel::{Descriptor, Error, Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_process::listen;
 use onyxshed_wire::caller::{Answer, FORWARDED_HEADER, JOBS_PATH, Submission};
 
 use crate::engine::Engine;
@@ -91,13 +92,7 @@
         });
         let server = Server::new(self.options.server, handler, reject);
         let stats = server.stats();
-        let listener = Server::listen(address)
-            .await
-            .map_err(|error| Error::start(CALLERS, error.code(), error))?;
-        let bound = listener
-            .local_addr()
-            .map_err(|error| Error::start(CALLERS, ResultCode::AddressInUse, error))?;
-        kernel.announce(name, bound);
+        let (listener, _) = listen(kernel, CALLERS, name, address).await?;
         kernel
             .spawn(server.run(listener, kernel.executor()))
             .detach();
--- a/crates/onyxshed-entry/src/control_port.rs
+++ b/crates/onyxshed-entry/src/control_port.rs
@@ -10,12 +10,12 @@
 
 use async_io::Timer;
 use capnp::capability::Rc as ServerRc;
-use onyxshed_core::{Event, EventKind, HostName, Incarnation, ResultCode, UnixMs};
+use onyxshed_core::{Event, EventKind, HostName, Incarnation, UnixMs};
 use onyxshed_dispatch::{Dispatch, Input};
-use onyxshed_http::Server;
-use onyxshed_kernel::{Descriptor, Error, Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_process::{listen, serve_rpc};
 use onyxshed_proto::onyxshed_capnp::entry_port;
-use onyxshed_proto::{EntryStatus, Snapshot, rpc, snapshot, status};
+use onyxshed_proto::{EntryStatus, Snapshot, snapshot, status};
 use onyxshed_state::LoadDigest;
 
 use crate::engine::Engine;
@@ -143,14 +143,6 @@
     }
 }
 
-/// Tells of connections that were dropped.
-fn teller(kernel: &Kernel) -> rpc::Dropped {
-    let kernel = kernel.clone();
-    Rc::new(move |reason| {
-        kernel.emit(Event::new(EventKind::RequestRejected).detail(reason));
-    })
-}
-
 /// The control process's door as a service.
 pub struct ControlPortService {
     options: ControlPortOptions,
@@ -183,26 +175,11 @@
                 last_snapshot: Cell::new(None),
                 is_connected: Cell::new(false),
             });
-            let failed = |error: &dyn ToString| {
-                Error::start(CONTROL_PORT, ResultCode::AddressInUse, error.to_string())
-            };
-            let listener = Server::listen(self.options.control_address)
-                .await
-                .map_err(|error| failed(&error))?;
-            kernel.announce(
-                "control",
-                listener.local_addr().map_err(|error| failed(&error))?,
-            );
+            let address = self.options.control_address;
+            let (listener, _) = listen(kernel, CONTROL_PORT, "control", address).await?;
             let client: entry_port::Client =
                 capnp_rpc::new_client(EntryPort { port: port.clone() });
-            kernel
-                .spawn(rpc::serve(
-                    listener,
-                    client.client,
-                    kernel.executor(),
-                    teller(kernel),
-                ))
-                .detach();
+            serve_rpc(kernel, listener, client.client);
             kernel.spawn(port.clone().watch()).detach();
             let descriptor = Descriptor {
                 name: CONTROL_PORT,
--- a/crates/onyxshed-entry/src/lib.rs
+++ b/crates/onyxshed-entry/src/lib.rs
@@ -7,7 +7,6 @@
 
 pub mod callers;
 pub mod claim_log;
-pub mod command;
 pub mod control_port;
 pub mod engine;
 pub mod names;
--- a/crates/onyxshed-entry/src/main.rs
+++ b/crates/onyxshed-entry/src/main.rs
@@ -2,8 +2,9 @@
 
 use std::process::ExitCode;
 
-use onyxshed_entry::{command, process};
+use onyxshed_entry::process::EntryProcess;
+use onyxshed_process::command;
 
 fn main() -> ExitCode {
-    command::run(process::run)
+    command::main::<EntryProcess>()
 }
--- a/crates/onyxshed-entry/src/process.rs
+++ b/crates/onyxshed-entry/src/process.rs
@@ -1,19 +1,18 @@
 //! The entry process put together from its settings.
 
-use std::process::ExitCode;
 use std::rc::Rc;
 
-use onyxshed_core::Incarnation;
 use onyxshed_dispatch::{Dispatch, DispatchOptions};
 use onyxshed_http::{ClientOptions, ServerOptions};
-use onyxshed_kernel::{Kernel, RunEnd, RunOptions, Service};
+use onyxshed_kernel::{Kernel, Service};
 use onyxshed_platform::PlatformOptions;
 use onyxshed_policy::PolicyOptions;
 use onyxshed_policy::placement::PlacementKind;
+use onyxshed_process::{Common, Parts, Process};
 use onyxshed_settings::{EntrySettings, Placement};
 use onyxshed_state::ClaimOptions;
 use onyxshed_telemetry::telemetry::StatusParts;
-use onyxshed_telemetry::{AdminService, Telemetry, TelemetryOptions};
+use onyxshed_telemetry::{AdminService, Telemetry};
 use serde_json::json;
 
 use crate::callers::{CallerOptions, CallerService};
@@ -24,39 +23,39 @@
 use crate::peers::{PeerService, Peers};
 use crate::upstreams::{UpstreamOptions, UpstreamService, Upstreams};
 
-/// The binary's name.
-const NAME: &str = "onyxshed-entry";
-
-/// Runs the process from start to end.
-pub fn run(settings: EntrySettings) -> ExitCode {
-    let incarnation = Incarnation(rand::random());
-    let kernel = Kernel::new();
-    let telemetry = match Telemetry::open(&kernel, telemetry_options(&settings, incarnation)) {
-        Ok(telemetry) => telemetry,
-        Err(error) => {
-            eprintln!("{NAME}: {error}");
-            return ExitCode::FAILURE;
+/// The entry process.
+pub struct EntryProcess;
+
+impl Process for EntryProcess {
+    type Settings = EntrySettings;
+
+    const NAME: &'static str = "onyxshed-entry";
+
+    const ABOUT: &'static str = "Faces callers and upstreams on one entry host";
+
+    const SIGNALS: &'static str = "Signals: SIGTERM or SIGINT drain it (readiness goes false, work in flight finishes, new jobs are \
+                           answered \"not run\"); SIGQUIT ends it at once.";
+
+    fn common(settings: &EntrySettings) -> Common {
+        Common {
+            host: settings.host.clone(),
+            log: settings.log,
+            timeline_events_max: settings.timeline_events_max,
+            drain_timeout_ms: settings.drain_timeout_ms,
         }
-    };
-    let options = RunOptions {
-        drain_timeout_ms: settings.drain_timeout_ms,
-        ..RunOptions::new(NAME)
-    };
-    let services = services(&kernel, &settings, incarnation, telemetry);
-    let end = kernel.run(services, options);
-    if let RunEnd::Failed(error) = &end {
-        eprintln!("{NAME}: error {}: {error}", error.code());
     }
-    end.into()
+
+    fn services(settings: &EntrySettings, parts: Parts) -> Vec<Box<dyn Service>> {
+        services(&parts, settings)
+    }
 }
 
 /// Makes every service of the process.
-fn services(
-    kernel: &Kernel,
-    settings: &EntrySettings,
-    incarnation: Incarnation,
-    telemetry: Rc<Telemetry>,
-) -> Vec<Box<dyn Service>> {
+fn services(parts: &Parts, settings: &EntrySettings) -> Vec<Box<dyn Service>> {
+    let kernel = &parts.kernel;
+    let telemetry = parts.telemetry.clone();
+    // The entry host's incarnation is this run of its entry process.
+    let incarnation = parts.boot;
     let dispatch = Dispatch::new(incarnation, dispatch_options(settings), rand::random());
     let engine = Engine::new(kernel, dispatch);
     set_status(kernel, &telemetry, &engine);
@@ -80,17 +79,6 @@
     ]
 }
 
-fn telemetry_options(settings: &EntrySettings, boot: Incarnation) -> TelemetryOptions {
-    TelemetryOptions {
-        process: NAME.into(),
-        version: env!("CARGO_PKG_VERSION").into(),
-        host: settings.host.as_str().into(),
-        boot,
-        log: settings.log,
-        timeline_events_max: settings.timeline_events_max,
-    }
-}
-
 /// Tells operators the state of the machine and how old what it rests on is.
 fn set_status(kernel: &Kernel, telemetry: &Telemetry, engine: &Rc<Engine>) {
     let (kernel, engine) = (kernel.clone(), engine.clone());
--- /dev/null
+++ b/crates/onyxshed-process/src/lib.rs
@@ -0,0 +1,12 @@
+//! What every onyxshed process does at start, so that all behave alike.
+//!
+//! [`command`] reads the command line and checks the settings; [`run`] opens telemetry, puts the
+//! kernel and its services together and runs them; [`listen`] opens the addresses that services
+//! serve.
+
+pub mod command;
+pub mod listen;
+pub mod run;
+
+pub use listen::{listen, serve_rpc};
+pub use run::{Common, Parts, Process};
