--- a/crates/onyxshed-state/tests/claim_search.rs
+++ b/crates/onyxshed-state/tests/claim_search.rs
@@ -19,7 +19,7 @@
 use ulid::Ulid;
 
 const HOSTS: usize = 3;
-const IDS: usize = 4;
+const IDS: usize = 2;
 const SKEW_MS: u64 = 40;
 const START_MS: u64 = 1_000_000;
 const CASES: u32 = 20_000;
@@ -89,31 +89,36 @@
         let (host, id) = (usize::from(a) % HOSTS, usize::from(b) % IDS);
         let place = usize::from(b);
         match kind % 64 {
-            0..=12 => Op::Submit {
+            0..=9 => Op::Submit {
                 host,
                 id,
                 is_bound: c % 16 == 0,
             },
-            13..=15 => Op::TakeOver { host, id },
-            16..=27 => Op::Send {
+            10..=14 => Op::TakeOver { host, id },
+            15..=25 => Op::Send {
                 host,
                 fate: Fate::decode(c),
             },
-            28..=31 => Op::Land { place: place % 4 },
-            32..=45 => Op::Read {
+            26..=30 => Op::Land { place: place % 4 },
+            31..=38 => Op::Read {
                 host,
                 back: u64::from(b % 3),
-                count: u64::from(1 + c % 5),
+                count: u64::from(1 + c % 3),
             },
-            46..=53 => Op::StartTask { host, id },
-            54..=55 => Op::GiveUp { host, id },
-            56 => Op::Crash { host },
-            57 => Op::LoseLog { host },
-            58 => Op::StepClock {
+            39..=45 => Op::Read {
+                host,
+                back: 0,
+                count: u64::MAX,
+            },
+            46..=51 => Op::StartTask { host, id },
+            52..=56 => Op::GiveUp { host, id },
+            57 => Op::Crash { host },
+            58 => Op::LoseLog { host },
+            59 => Op::StepClock {
                 host,
                 skew_ms: u64::from(c) % (SKEW_MS + 1),
             },
-            59 => Op::Advance {
+            60 => Op::Advance {
                 ms: u64::from(c) * 3,
             },
             _ => Op::Advance {
@@ -365,7 +370,7 @@
         self.hosts[host].book.skip_to(now, Offset(oldest));
         let next = self.hosts[host].book.next().0;
         let from = next.saturating_sub(back).max(oldest);
-        let end = (next + count).min(self.log.len() as u64);
+        let end = next.saturating_add(count).min(self.log.len() as u64);
         for offset in from..end {
             let (_, data) = &self.log[usize::try_from(offset).expect("small")];
             let settled = self.hosts[host].book.read(now, Offset(offset), data);
