--- a/crates/onyxshed-load/src/cli.rs
+++ b/crates/onyxshed-load/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 mod args;
+mod values;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -48,7 +49,7 @@
     let executor = LocalExecutor::new();
     match matches.subcommand() {
         Some(("local", args)) => {
-            let options = args::whole_path_options(args);
+            let options = values::whole_path_options(args);
             async_io::block_on(executor.run(whole_path(&executor, &options)))
         }
         Some(("run", args)) => run_command(&executor, args),
@@ -63,7 +64,7 @@
 }
 
 fn run_command(executor: &LocalExecutor<'static>, args: &ArgMatches) -> Result<()> {
-    let options = args::run_options(args);
+    let options = values::run_options(args);
     let report = async_io::block_on(executor.run(run(executor, &options)));
     println!("{report}");
     if let Some(folder) = args.get_one::<PathBuf>("out") {
@@ -76,12 +77,12 @@
 
 fn direct_command(executor: &LocalExecutor<'static>, args: &ArgMatches) -> Result<()> {
     let options = DirectOptions {
-        executor: args::required(args, "executor"),
-        entry: args::one(args, "entry"),
-        class: args::required(args, "class"),
-        count: args::required(args, "count"),
-        service_ms: args::required(args, "service-ms"),
-        pause: Duration::from_millis(args::required(args, "pause-ms")),
+        executor: values::required(args, "executor"),
+        entry: values::one(args, "entry"),
+        class: values::required(args, "class"),
+        count: values::required(args, "count"),
+        service_ms: values::required(args, "service-ms"),
+        pause: Duration::from_millis(values::required(args, "pause-ms")),
         may_bind: args.get_flag("bind"),
     };
     let report = async_io::block_on(executor.run(direct(options)))?;
@@ -91,12 +92,12 @@
 
 fn idle_command(executor: &LocalExecutor<'static>, args: &ArgMatches) -> Result<()> {
     let options = IdleOptions {
-        address: args::required(args, "address"),
-        pid: args::one(args, "pid"),
-        count: args::required(args, "count"),
-        class: args::one(args, "class"),
-        service_ms: args::required(args, "service-ms"),
-        hold: Duration::from_millis(args::required(args, "hold-ms")),
+        address: values::required(args, "address"),
+        pid: values::one(args, "pid"),
+        count: values::required(args, "count"),
+        class: values::one(args, "class"),
+        service_ms: values::required(args, "service-ms"),
+        hold: Duration::from_millis(values::required(args, "hold-ms")),
         awaits_answers: true,
     };
     let report = async_io::block_on(executor.run(idle(executor, Rc::new(options))))?;
@@ -105,15 +106,15 @@
 }
 
 fn bench_command(executor: &LocalExecutor<'static>, args: &ArgMatches) -> Result<()> {
-    let folder = args::binaries(args);
-    match args::one::<Mix>(args, "mix") {
+    let folder = values::binaries(args);
+    match values::one::<Mix>(args, "mix") {
         None => {
             let bars = async_io::block_on(executor.run(bars(executor, folder)))?;
             print_json(&bars);
             write_out(args, &bars)
         }
         Some(mix) => {
-            let options = args::mix_options(args, folder, mix);
+            let options = values::mix_options(args, folder, mix);
             let done = async_io::block_on(executor.run(run_mix(executor, &options)))?;
             println!(
                 "load {:.0}% of capacity, {}",
@@ -127,8 +128,8 @@
 
 fn slopes_command(executor: &LocalExecutor<'static>, args: &ArgMatches) -> Result<()> {
     let options = SlopeOptions {
-        binaries: args::binaries(args),
-        only: args::one(args, "only"),
+        binaries: values::binaries(args),
+        only: values::one(args, "only"),
     };
     let slopes = async_io::block_on(executor.run(slopes::slopes(executor, &options)))?;
     for slope in &slopes {
@@ -141,13 +142,13 @@
 }
 
 fn claims_command(executor: &LocalExecutor<'static>, args: &ArgMatches) -> Result<()> {
-    let runs = async_io::block_on(executor.run(claims::claims(args::binaries(args))))?;
+    let runs = async_io::block_on(executor.run(claims::claims(values::binaries(args))))?;
     print_json(&runs);
     write_out(args, &runs)
 }
 
 fn simulate_command(args: &ArgMatches) -> Result<()> {
-    let summary = simulate(&args::sim_options(args));
+    let summary = simulate(&values::sim_options(args));
     println!("{summary}");
     match args.get_one::<PathBuf>("out") {
         Some(folder) => summary.write(folder),
--- a/crates/onyxshed-load/src/cli/args.rs
+++ b/crates/onyxshed-load/src/cli/args.rs
@@ -1,21 +1,13 @@
-//! Options of each command, and their values.
+//! Options of each command.
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::time::Duration;
 
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, Command, value_parser};
 use smol_str::SmolStr;
 
-use crate::bench::MixOptions;
-use crate::caller::CallerOptions;
 use crate::mix::Mix;
-use crate::plan::{Burst, PlanOptions};
-use crate::run::RunOptions;
-use crate::sim::SimOptions;
-use crate::sim::scenario::Scenario;
-use crate::sim::world::WorldOptions;
-use crate::whole_path::WholePathOptions;
+use crate::plan::Burst;
 
 /// Makes the whole command.
 pub fn command() -> Command {
@@ -282,85 +274,6 @@
         .help(help)
 }
 
-/// Gets an option that is required or has a default.
-pub fn required<T: Clone + Send + Sync + 'static>(args: &ArgMatches, name: &str) -> T {
-    one(args, name).expect("the option is required or has a default")
-}
-
-/// Gets an option's value, none if it was not given.
-pub fn one<T: Clone + Send + Sync + 'static>(args: &ArgMatches, name: &str) -> Option<T> {
-    args.get_one::<T>(name).cloned()
-}
-
-/// Reads the options of `run`.
-pub fn run_options(args: &ArgMatches) -> RunOptions {
-    let entries = args.get_many("entry").into_iter().flatten();
-    let bursts = args.get_many("burst").into_iter().flatten();
-    RunOptions {
-        entries: entries.copied().collect(),
-        plan: PlanOptions {
-            mix: required(args, "mix"),
-            jobs_per_s: required(args, "jobs-per-s"),
-            span_s: required(args, "span-s"),
-            bursts: bursts.copied().collect(),
-            time_scale: required(args, "time-scale"),
-            seed: required(args, "seed"),
-        },
-        caller: CallerOptions {
-            repeats_max: required(args, "repeats"),
-            may_bind: args.get_flag("bind"),
-            patience: Duration::from_secs(5),
-        },
-        network_us: required(args, "network-us"),
-    }
-}
-
-/// Gets the folder of the other binaries.
-pub fn binaries(args: &ArgMatches) -> PathBuf {
-    one(args, "binaries").unwrap_or_else(|| {
-        let own = std::env::current_exe().unwrap_or_default();
-        own.parent().map(PathBuf::from).unwrap_or_default()
-    })
-}
-
-/// Reads the options of `local`.
-pub fn whole_path_options(args: &ArgMatches) -> WholePathOptions {
-    WholePathOptions {
-        binaries: binaries(args),
-        entries: required::<u16>(args, "entries").into(),
-        executors: required::<u16>(args, "executors").into(),
-        span_s: required(args, "span-s"),
-        stays: args.get_flag("stay"),
-    }
-}
-
-/// Reads the options of `bench --mix`.
-pub fn mix_options(args: &ArgMatches, folder: PathBuf, mix: Mix) -> MixOptions {
-    MixOptions {
-        folder,
-        mix,
-        load: required(args, "load"),
-        span_s: required(args, "span-s"),
-        seed: required(args, "seed"),
-        may_bind: args.get_flag("bind"),
-    }
-}
-
-/// Reads the options of `simulate`.
-pub fn sim_options(args: &ArgMatches) -> SimOptions {
-    let wanted: Vec<&String> = args.get_many("scenario").into_iter().flatten().collect();
-    let is_wanted = |scenario: &Scenario| {
-        wanted.is_empty() || wanted.iter().any(|part| scenario.name().contains(*part))
-    };
-    SimOptions {
-        mix: required(args, "mix"),
-        seeds: (1..=required(args, "seeds")).collect(),
-        scenarios: Scenario::ALL.into_iter().filter(is_wanted).collect(),
-        span_s: required(args, "span-s"),
-        world: WorldOptions::default(),
-    }
-}
-
 fn parse_burst(text: &str) -> Result<Burst, String> {
     let numbers: Vec<f64> = text
         .split(':')
--- a/crates/onyxshed-load/src/local.rs
+++ b/crates/onyxshed-load/src/local.rs
@@ -37,7 +37,7 @@
     pub executors: Vec<Child>,
     /// The platform.
     pub platform: Child,
-    _folder: tempfile::TempDir,
+    folder: tempfile::TempDir,
 }
 
 /// One entry host's processes.
@@ -85,7 +85,7 @@
             platform,
             executors: executors?,
             entries: Vec::new(),
-            _folder: folder,
+            folder,
         };
         let ports: Result<Vec<_>> = (0..options.entries).map(|_| EntryPorts::free()).collect();
         let ports = ports?;
@@ -100,7 +100,7 @@
 
     /// Gets the folder of the processes' settings, which goes with the set.
     pub fn folder(&self) -> &Path {
-        self._folder.path()
+        self.folder.path()
     }
 
     /// Gets where callers reach each entry host.
@@ -166,7 +166,7 @@
         place: usize,
         ports: &EntryPorts,
     ) -> Result<LocalEntry> {
-        let folder = self._folder.path();
+        let folder = self.folder.path();
         let files = settings::write(folder, place, ports, self.platform.address, options)?;
         let control = Child::spawn(&options.folder.join("onyxshed-control"), &files.control)?;
         let started = Instant::now();
--- a/crates/onyxshed-load/src/plot.rs
+++ b/crates/onyxshed-load/src/plot.rs
@@ -3,6 +3,8 @@
 use std::path::Path;
 
 use plotters::coord::Shift;
+use plotters::coord::combinators::LogCoord;
+use plotters::coord::types::RangedCoordf64;
 use plotters::prelude::*;
 use smol_str::{SmolStr, format_smolstr};
 
@@ -64,6 +66,8 @@
 ];
 
 type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
+type BarChart<'a, 'b> =
+    ChartContext<'a, SVGBackend<'b>, Cartesian2d<RangedCoordf64, LogCoord<f64>>>;
 type DrawResult = std::result::Result<(), DrawingAreaErrorKind<std::io::Error>>;
 
 impl Bars {
@@ -92,21 +96,8 @@
             .x_label_formatter(&label)
             .y_desc(self.unit)
             .draw()?;
-        let part = 0.8 / self.series.len().max(1) as f64;
-        for (place, series) in self.series.iter().enumerate() {
-            let colour = COLOURS[place % COLOURS.len()];
-            let offset = 0.1 + part * place as f64;
-            let bars = series.values.iter().enumerate().map(|(group, value)| {
-                let left = group as f64 + offset;
-                let corner = (left + part, value.max(self.floor));
-                Rectangle::new([(left, self.floor), corner], colour.filled())
-            });
-            chart
-                .draw_series(bars)?
-                .label(series.name.as_str())
-                .legend(move |(x, y)| {
-                    Rectangle::new([(x, y - 4), (x + 10, y + 4)], colour.filled())
-                });
+        for place in 0..self.series.len() {
+            self.paint_series(&mut chart, place)?;
         }
         chart
             .configure_series_labels()
@@ -117,6 +108,25 @@
         area.present()
     }
 
+    /// Draws one series' bars beside those of the others.
+    fn paint_series(&self, chart: &mut BarChart<'_, '_>, place: usize) -> DrawResult {
+        let series = &self.series[place];
+        let part = 0.8 / self.series.len() as f64;
+        let colour = COLOURS[place % COLOURS.len()];
+        let offset = 0.1 + part * place as f64;
+        let bars = series.values.iter().enumerate().map(|(group, value)| {
+            let left = group as f64 + offset;
+            let corner = (left + part, value.max(self.floor));
+            Rectangle::new([(left, self.floor), corner], colour.filled())
+        });
+        let swatch = move |(x, y)| Rectangle::new([(x, y - 4), (x + 10, y + 4)], colour.filled());
+        chart
+            .draw_series(bars)?
+            .label(series.name.as_str())
+            .legend(swatch);
+        Ok(())
+    }
+
     fn top(&self) -> f64 {
         let values = self.series.iter().flat_map(|series| &series.values);
         2.0 * values.copied().fold(self.floor, f64::max)
--- a/crates/onyxshed-load/src/sim/world.rs
+++ b/crates/onyxshed-load/src/sim/world.rs
@@ -2,19 +2,18 @@
 
 mod fault;
 mod host;
+mod parts;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
-use onyxshed_core::{
-    ExecutorName, Micros, Mono, Now, ResultCode, SubmissionId, TaskId, UnixMs, UpstreamName,
-};
+use onyxshed_core::{ExecutorName, Mono, Now, ResultCode, UnixMs, UpstreamName};
 use onyxshed_policy::{ExecutorInfo, Verdict};
-use smol_str::format_smolstr;
-use ulid::Ulid;
+
+use parts::{Attempt, Event, Host, Job, executor_info};
 
 use super::SimOptions;
-use super::chooser::{Chooser, Rival};
+use super::chooser::Rival;
 use super::executor::{Health, ModelExecutor, Reached};
 use super::scenario::Scenario;
 use crate::mix::Mix;
@@ -67,52 +66,6 @@
     pub by_second: BTreeMap<u64, (u64, u64)>,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
-    Arrive { job: usize },
-    Reach { attempt: usize },
-    Leave { attempt: usize },
-    Answer { attempt: usize },
-    Stop { attempt: usize },
-    Deadline { job: usize },
-    Wake { host: usize },
-    FaultOn,
-    FaultOff,
-    FaultKnown,
-    CancelWave,
-}
-
-#[derive(Debug)]
-struct Attempt {
-    host: usize,
-    job: usize,
-    task: TaskId,
-    executor: usize,
-    is_open: bool,
-    verdict: Verdict,
-    service_us: u64,
-}
-
-#[derive(Debug)]
-struct Job {
-    planned: PlannedJob,
-    host: usize,
-    tries: u32,
-    left: usize,
-    has_started: bool,
-    is_running: bool,
-    is_over: bool,
-    done: Vec<bool>,
-    deadline: Mono,
-    attempts: Vec<usize>,
-}
-
-struct Host {
-    chooser: Chooser,
-    is_alive: bool,
-    wakes_at: Option<Mono>,
-}
-
 /// One run.
 pub struct World {
     options: WorldOptions,
@@ -349,47 +302,6 @@
 /// How soon a task that can never run fails.
 const POISON_US: u64 = 5_000;
 
-impl Job {
-    fn new(planned: PlannedJob) -> Self {
-        Job {
-            host: 0,
-            tries: 0,
-            left: planned.service_ms.len(),
-            has_started: false,
-            is_running: false,
-            is_over: false,
-            done: vec![false; planned.service_ms.len()],
-            deadline: Mono(0),
-            attempts: Vec::new(),
-            planned,
-        }
-    }
-}
-
-fn executor_info(place: usize, slots: usize, upstream: &UpstreamName) -> ExecutorInfo {
-    ExecutorInfo {
-        name: format!("x{place:03}").parse().expect("a valid name"),
-        upstream: upstream.clone(),
-        zone: "zone-a".parse().expect("a valid name"),
-        rack: format_smolstr!("rack-{}", place / RACK),
-        slots: u32::try_from(slots).unwrap_or(u32::MAX),
-        is_leaving: false,
-    }
-}
-
-/// Gets the id of a job's task; the ULID's random part holds the job's place.
-fn task_id(job: usize, at_us: u64, index: usize) -> TaskId {
-    let time_ms = WALL_START.0 + at_us / 1_000;
-    TaskId {
-        submission: SubmissionId::unbound(Ulid::from_parts(time_ms, job as u128)),
-        index: u16::try_from(index).unwrap_or(u16::MAX),
-    }
-}
-
-fn job_of(task: &TaskId) -> usize {
-    usize::try_from(task.submission.ulid.random()).unwrap_or(usize::MAX)
-}
-
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
@@ -398,9 +310,3 @@
 fn micros(span_s: f64) -> u64 {
     (span_s * 1e6) as u64
 }
-
-/// Turns what an attempt took into the policy's unit.
-fn service_of(attempt: &Attempt) -> Option<Micros> {
-    let did_run = matches!(attempt.verdict, Verdict::Finished | Verdict::Failed);
-    did_run.then_some(Micros(attempt.service_us))
-}
--- a/crates/onyxshed-load/src/sim/world/fault.rs
+++ b/crates/onyxshed-load/src/sim/world/fault.rs
@@ -3,7 +3,8 @@
 use onyxshed_core::ResultCode;
 use onyxshed_policy::Verdict;
 
-use super::{Event, RACK, World};
+use super::parts::Event;
+use super::{RACK, World};
 use crate::sim::executor::Health;
 use crate::sim::scenario::Scenario;
 
--- a/crates/onyxshed-load/src/sim/world/host.rs
+++ b/crates/onyxshed-load/src/sim/world/host.rs
@@ -1,11 +1,13 @@
 //! The entry hosts: what the thin shell around the policy does with its steps.
 
+use std::collections::BTreeMap;
+
 use onyxshed_core::{ClassTarget, Millis, Mono, Now, ResultCode, UpstreamName};
 use onyxshed_policy::{Admission, AttemptEnd, NextStep, RetryStep, Verdict, Work};
 use onyxshed_wire::upstream::LoadReport;
-use std::collections::BTreeMap;
 
-use super::{Attempt, Event, Host, World, job_of, service_of, task_id};
+use super::World;
+use super::parts::{Attempt, Event, Host, job_of, service_of, task_id};
 use crate::run::class_name;
 use crate::sim::chooser::{Chooser, Rival};
 
@@ -160,13 +162,9 @@
         let now = self.now();
         let step = self.hosts[host].chooser.ended(now, &end);
         let is_current = self.jobs[job].host == host && !self.jobs[job].is_over;
+        self.count_end(verdict);
         match (verdict, step) {
             (Verdict::Finished, _) if is_current => self.task_done(attempt),
-            (Verdict::Finished | Verdict::Stopped, _) => {}
-            (Verdict::Refused, _) => self.wasted().executor_refusals += 1,
-            _ => self.wasted().lost_starts += 1,
-        }
-        match (verdict, step) {
             (Verdict::Finished, _) => {}
             // A job that has ended meanwhile gets no further start.
             (_, RetryStep::Queued) if !is_current => {
@@ -180,6 +178,15 @@
         self.pump(host);
     }
 
+    /// Counts an attempt that served no answer.
+    fn count_end(&mut self, verdict: Verdict) {
+        match verdict {
+            Verdict::Finished | Verdict::Stopped => {}
+            Verdict::Refused => self.wasted().executor_refusals += 1,
+            _ => self.wasted().lost_starts += 1,
+        }
+    }
+
     fn attempt_end(&self, attempt: usize) -> AttemptEnd {
         let ended = &self.attempts[attempt];
         let executor = &self.executors[ended.executor];
--- /dev/null
+++ b/crates/onyxshed-load/src/sim/world/parts.rs
@@ -0,0 +1,103 @@
+//! What the event loop keeps of attempts, jobs and entry hosts.
+
+use onyxshed_core::{Micros, Mono, SubmissionId, TaskId, UpstreamName};
+use onyxshed_policy::{ExecutorInfo, Verdict};
+use smol_str::format_smolstr;
+use ulid::Ulid;
+
+use super::{RACK, WALL_START};
+use crate::plan::PlannedJob;
+use crate::sim::chooser::Chooser;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Event {
+    Arrive { job: usize },
+    Reach { attempt: usize },
+    Leave { attempt: usize },
+    Answer { attempt: usize },
+    Stop { attempt: usize },
+    Deadline { job: usize },
+    Wake { host: usize },
+    FaultOn,
+    FaultOff,
+    FaultKnown,
+    CancelWave,
+}
+
+#[derive(Debug)]
+pub(super) struct Attempt {
+    pub(super) host: usize,
+    pub(super) job: usize,
+    pub(super) task: TaskId,
+    pub(super) executor: usize,
+    pub(super) is_open: bool,
+    pub(super) verdict: Verdict,
+    pub(super) service_us: u64,
+}
+
+#[derive(Debug)]
+pub(super) struct Job {
+    pub(super) planned: PlannedJob,
+    pub(super) host: usize,
+    pub(super) tries: u32,
+    pub(super) left: usize,
+    pub(super) has_started: bool,
+    pub(super) is_running: bool,
+    pub(super) is_over: bool,
+    pub(super) done: Vec<bool>,
+    pub(super) deadline: Mono,
+    pub(super) attempts: Vec<usize>,
+}
+
+pub(super) struct Host {
+    pub(super) chooser: Chooser,
+    pub(super) is_alive: bool,
+    pub(super) wakes_at: Option<Mono>,
+}
+
+impl Job {
+    pub(super) fn new(planned: PlannedJob) -> Self {
+        Job {
+            host: 0,
+            tries: 0,
+            left: planned.service_ms.len(),
+            has_started: false,
+            is_running: false,
+            is_over: false,
+            done: vec![false; planned.service_ms.len()],
+            deadline: Mono(0),
+            attempts: Vec::new(),
+            planned,
+        }
+    }
+}
+
+pub(super) fn executor_info(place: usize, slots: usize, upstream: &UpstreamName) -> ExecutorInfo {
+    ExecutorInfo {
+        name: format!("x{place:03}").parse().expect("a valid name"),
+        upstream: upstream.clone(),
+        zone: "zone-a".parse().expect("a valid name"),
+        rack: format_smolstr!("rack-{}", place / RACK),
+        slots: u32::try_from(slots).unwrap_or(u32::MAX),
+        is_leaving: false,
+    }
+}
+
+/// Gets the id of a job's task; the ULID's random part holds the job's place.
+pub(super) fn task_id(job: usize, at_us: u64, index: usize) -> TaskId {
+    let time_ms = WALL_START.0 + at_us / 1_000;
+    TaskId {
+        submission: SubmissionId::unbound(Ulid::from_parts(time_ms, job as u128)),
+        index: u16::try_from(index).unwrap_or(u16::MAX),
+    }
+}
+
+pub(super) fn job_of(task: &TaskId) -> usize {
+    usize::try_from(task.submission.ulid.random()).unwrap_or(usize::MAX)
+}
+
+/// Turns what an attempt took into the policy's unit.
+pub(super) fn service_of(attempt: &Attempt) -> Option<Micros> {
+    let did_run = matches!(attempt.verdict, Verdict::Finished | Verdict::Failed);
+    did_run.then_some(Micros(attempt.service_us))
+}
