--- a/crates/onyxshed-proof/src/cluster/operator.rs
+++ b/crates/onyxshed-proof/src/cluster/operator.rs
@@ -3,15 +3,18 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Instant;
 
-use onyxshed_core::{ClassTarget, Revision};
+use http_types::Method;
+use onyxshed_core::{ChangeId, ClassTarget, Revision};
 use onyxshed_state::ConfigFold;
 use onyxshed_wire::platform::{CONFIG_STREAM, Page, records_path};
+use onyxshed_wire::record::{ChangeBody, ConfigChange, ConfigRecord};
 use smol_str::{SmolStr, format_smolstr};
 use snafu::ResultExt;
+use ulid::Ulid;
 
 use crate::error::{Error, Result, SystemSnafu};
 use crate::process::beside_test;
-use crate::remote::{WAIT_CEILING, get, pause};
+use crate::remote::{WAIT_CEILING, call, get, pause};
 
 use super::Cluster;
 
@@ -51,6 +54,20 @@
         run_to_end(&arguments).await
     }
 
+    /// Appends a change past the command, which would have refused one that has lost already: as
+    /// when two operators read the same revision and send at the same moment.
+    pub async fn append_change(&self, target: ClassTarget, based_on: Revision) -> Result<()> {
+        let change = ConfigRecord::ChangeV1(ConfigChange {
+            change_id: ChangeId(Ulid::generate()),
+            based_on,
+            body: ChangeBody::Put(target),
+        });
+        let path = records_path(CONFIG_STREAM);
+        let body = change.encode().into_bytes();
+        call(self.platform_address()?, Method::Post, &path, body).await?;
+        Ok(())
+    }
+
     /// Folds the log as an operator with the whole of it would.
     pub async fn log_config(&self) -> Result<ConfigFold> {
         let path = records_path(CONFIG_STREAM);
--- a/crates/onyxshed-proof/src/scenario/language.rs
+++ b/crates/onyxshed-proof/src/scenario/language.rs
@@ -33,6 +33,8 @@
     Start(Topology),
     /// `publish …`: an operator's change.
     Publish(Publication),
+    /// `append …`: a change that an operator's command would not have sent.
+    Append(Publication),
     /// `bind …`: makes a job's id one that only that entry host may start.
     Bind(Jobs, SmolStr),
     /// `submit …` and `resubmit …`.
--- a/crates/onyxshed-proof/src/scenario/steps.rs
+++ b/crates/onyxshed-proof/src/scenario/steps.rs
@@ -32,6 +32,11 @@
             }
             Step::Start(topology) => self.start(topology).await,
             Step::Publish(publication) => self.publish(publication).await,
+            Step::Append(publication) => {
+                let target = target_of(publication)?;
+                let based_on = publication.from.unwrap_or_default();
+                self.cluster()?.append_change(target, based_on).await
+            }
             Step::Bind(jobs, host) => {
                 for name in self.names(jobs) {
                     self.bind(name, host).await?;
