Answer for another task with its result too

Falsified: with the check of an answer's task id switched off no scenario failed, because the stand-in's foreign answer still carried the right result.

--- a/crates/onyxshed-standins/src/upstream/options.rs
+++ b/crates/onyxshed-standins/src/upstream/options.rs
@@ -56,7 +56,7 @@
     pub refuse_all: bool,
     /// Whether answers to tasks are cut off in the body.
     pub close_mid_body: bool,
-    /// Whether answers to tasks carry another task's id.
+    /// Whether answers to tasks carry another task's id and result.
     pub wrong_task_id: bool,
     /// Added to every answer after the task has ended, in milliseconds.
     pub late_ms: u64,
--- a/crates/onyxshed-standins/src/upstream/service.rs
+++ b/crates/onyxshed-standins/src/upstream/service.rs
@@ -179,13 +179,16 @@
         let Some(start) = read_start(task, &call) else {
             return Act::Reply(Reply::bytes(BAD_REQUEST, "a header is missing or wrong"));
         };
-        let end = self.run(&start, call.body).await;
+        let mut end = self.run(&start, call.body).await;
         let faults = self.inner.faults.borrow().clone();
         if faults.late_ms > 0 {
             Timer::after(Duration::from_millis(faults.late_ms)).await;
         }
         let mut named = task;
-        named.index ^= u16::from(faults.wrong_task_id);
+        if faults.wrong_task_id {
+            named.index ^= 1;
+            end.body = b"another task's result".to_vec();
+        }
         let status = status_of(end.state);
         let reply = self.report(named, status, end);
         match faults.close_mid_body {
