--- a/crates/onyxshed-policy/src/fleet.rs
+++ b/crates/onyxshed-policy/src/fleet.rs
@@ -1,6 +1,6 @@
 //! The executors known, under numbers that stay the same while attempts are there.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use onyxshed_core::ExecutorName;
 
@@ -23,7 +23,12 @@
 impl Fleet {
     /// Replaces the list of executors; gives back the ids of those that are forgotten.
     pub fn set(&mut self, infos: &[ExecutorInfo]) -> Vec<ExecutorId> {
-        self.iter_mut().for_each(|executor| executor.is_gone = true);
+        // Only those left out are gone: one that is named again has not come back, and what it said
+        // of its leaving still holds.
+        let named: BTreeSet<&ExecutorName> = infos.iter().map(|info| &info.name).collect();
+        self.iter_mut()
+            .filter(|executor| !named.contains(&executor.info.name))
+            .for_each(|executor| executor.is_gone = true);
         for info in infos {
             match self.by_name.get(&info.name).copied() {
                 Some(seat) => {
