Allocate by mimalloc in the entry process

Cause: a profile of the entry at 64 callers gave about 20% of its samples to the system's allocator (docs/MEASUREMENTS.md), spread over the HTTP library's buffers for each message.

--- a/crates/onyxshed-entry/src/main.rs
+++ b/crates/onyxshed-entry/src/main.rs
@@ -2,9 +2,15 @@
 
 use std::process::ExitCode;
 
+use mimalloc::MiMalloc;
 use onyxshed_entry::process::EntryProcess;
 use onyxshed_process::command;
 
+/// The HTTP library allocates buffers for each message; the system's allocator took a fifth of the
+/// processor time (docs/MEASUREMENTS.md).
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
 fn main() -> ExitCode {
     command::main::<EntryProcess>()
 }
