--- a/crates/onyxshed-load/src/local.rs
+++ b/crates/onyxshed-load/src/local.rs
@@ -7,6 +7,7 @@
 mod settings;
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::{Duration, Instant};
 
 use http_types::Method;
@@ -36,7 +37,7 @@
     pub executors: Vec<Child>,
     /// The platform.
     pub platform: Child,
-    _folder: tempfile::TempDir,
+    folder: tempfile::TempDir,
 }
 
 /// One entry host's processes.
@@ -45,6 +46,8 @@
     pub callers: SocketAddr,
     /// Where operators reach the entry process.
     pub admin: SocketAddr,
+    /// Where operators reach the control process.
+    pub control_admin: SocketAddr,
     /// Where other control processes reach this one.
     pub control_peer: SocketAddr,
     /// The entry process.
@@ -82,7 +85,7 @@
             platform,
             executors: executors?,
             entries: Vec::new(),
-            _folder: folder,
+            folder,
         };
         let ports: Result<Vec<_>> = (0..options.entries).map(|_| EntryPorts::free()).collect();
         let ports = ports?;
@@ -95,6 +98,11 @@
         Ok(set)
     }
 
+    /// Gets the folder of the processes' settings, which goes with the set.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
     /// Gets where callers reach each entry host.
     pub fn callers(&self) -> Vec<SocketAddr> {
         self.entries.iter().map(|entry| entry.callers).collect()
@@ -158,7 +166,7 @@
         place: usize,
         ports: &EntryPorts,
     ) -> Result<LocalEntry> {
-        let folder = self._folder.path();
+        let folder = self.folder.path();
         let files = settings::write(folder, place, ports, self.platform.address, options)?;
         let control = Child::spawn(&options.folder.join("onyxshed-control"), &files.control)?;
         let started = Instant::now();
@@ -167,6 +175,7 @@
         Ok(LocalEntry {
             callers: ports.callers,
             admin: ports.entry_admin,
+            control_admin: ports.control_admin,
             control_peer: ports.control_peer,
             entry,
             control,
