Bound the memory of all bodies that are being read together

Each body was bounded and each address's connections were, but their product was 32 GiB with the default settings. Small bodies always pass. A body is also given back once it is decoded, not only with the answer.

--- a/crates/onyxshed-entry/src/callers.rs
+++ b/crates/onyxshed-entry/src/callers.rs
@@ -156,10 +156,10 @@
 /// How often a drain looks whether the last reply has been written.
 const DRAIN_POLL: std::time::Duration = std::time::Duration::from_millis(10);
 
-async fn handle(engine: &Engine, door: Door, call: Call) -> Reply {
+async fn handle(engine: &Engine, door: Door, mut call: Call) -> Reply {
     let is_forwarded = door == Door::Peer && call.header(FORWARDED_HEADER).is_some();
     let answer = match route(&call) {
-        Route::Submit => submit(engine, &call.body, is_forwarded).await,
+        Route::Submit => submit(engine, std::mem::take(&mut call.body), is_forwarded).await,
         Route::Fetch(id) => {
             engine
                 .ask(|request| Input::Fetch {
@@ -183,8 +183,11 @@
     reply_of(&answer)
 }
 
-async fn submit(engine: &Engine, body: &[u8], is_forwarded: bool) -> Answer {
-    match Submission::decode(body) {
+async fn submit(engine: &Engine, body: Vec<u8>, is_forwarded: bool) -> Answer {
+    let decoded = Submission::decode(&body);
+    // The job keeps its payloads; the body would take as much again until the answer.
+    drop(body);
+    match decoded {
         Ok(submission) => {
             engine
                 .ask(|request| Input::Submit {
@@ -224,7 +227,9 @@
 fn turned_away(code: ResultCode) -> Answer {
     let answer = Answer::ended(None, code, "");
     match code {
-        ResultCode::TooSlow | ResultCode::TooManyConnections => answer.retry_after(REPEAT_AFTER),
+        ResultCode::TooSlow | ResultCode::TooManyConnections | ResultCode::EntryFull => {
+            answer.retry_after(REPEAT_AFTER)
+        }
         _ => answer,
     }
 }
--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -31,6 +31,9 @@
     pub head_max_bytes: u64,
     /// Largest body in bytes; default 8 MiB.
     pub body_max_bytes: u64,
+    /// Memory for the bodies that are being read, those of at most [`SMALL_BODY_BYTES`] left out;
+    /// default 256 MiB.
+    pub bodies_max_bytes: u64,
     /// How long a connection may idle between requests; default 60 s.
     pub idle_timeout: Duration,
     /// How long a head may take from its first byte; default 5 s.
@@ -47,6 +50,7 @@
             connections_max: 4_096,
             head_max_bytes: 16 << 10,
             body_max_bytes: 8 << 20,
+            bodies_max_bytes: 256 << 20,
             idle_timeout: Duration::from_secs(60),
             head_timeout: Duration::from_secs(5),
             body_timeout: Duration::from_secs(10),
@@ -71,6 +75,8 @@
     pub connections: Cell<usize>,
     /// Requests being answered.
     pub busy: Cell<usize>,
+    /// Memory that the larger bodies being read take, in bytes.
+    pub body_bytes: Cell<u64>,
     /// Requests and connections turned away at the door.
     pub rejected: Cell<u64>,
 }
@@ -238,18 +244,42 @@
     /// pieces leaves it asleep for ever, and one that is not ASCII makes it panic. The time bounds
     /// the first; the second is caught, and touches nothing but this connection.
     async fn read_body(&self, body: Body) -> http_types::Result<Vec<u8>> {
-        let max_bytes = self.options.body_max_bytes;
-        let mut found = Vec::new();
-        let mut reader = body.take(max_bytes + 1);
-        let read = AssertUnwindSafe(reader.read_to_end(&mut found)).catch_unwind();
+        let read = AssertUnwindSafe(self.collect(body)).catch_unwind();
         match within(self.options.body_timeout, read).await {
             None => Err(turned_away(ResultCode::TooSlow)),
             Some(Err(_)) => Err(turned_away(ResultCode::BadRequest)),
-            Some(Ok(Err(error))) => Err(error.into()),
-            Some(Ok(Ok(_))) if found.len() as u64 > max_bytes => {
-                Err(turned_away(ResultCode::BodyTooLarge))
+            Some(Ok(collected)) => collected,
+        }
+    }
+
+    /// Collects a body within the memory for bodies.
+    ///
+    /// Failure guarded against: many peers send large bodies slowly at the same time. Symptom: the
+    /// process runs out of memory though each body is within its limit. A body's memory is counted as
+    /// it comes, and whoever comes on top is told to come back; small bodies, which most are, are
+    /// always taken, so that large ones can't keep them out.
+    async fn collect(&self, mut body: Body) -> http_types::Result<Vec<u8>> {
+        let mut found = Vec::new();
+        let mut held = HeldBytes::new(&self.stats);
+        let piece_bytes = body
+            .len()
+            .map_or(PIECE_BYTES, |len| len.clamp(1, PIECE_BYTES));
+        let mut piece = vec![0; piece_bytes];
+        loop {
+            let count = body.read(&mut piece).await?;
+            if count == 0 {
+                return Ok(found);
+            }
+            found.extend_from_slice(&piece[..count]);
+            let found_bytes = found.len() as u64;
+            if found_bytes > self.options.body_max_bytes {
+                return Err(turned_away(ResultCode::BodyTooLarge));
+            }
+            if found_bytes > SMALL_BODY_BYTES
+                && !held.grow(found_bytes, self.options.bodies_max_bytes)
+            {
+                return Err(turned_away(ResultCode::EntryFull));
             }
-            Some(Ok(Ok(_))) => Ok(found),
         }
     }
 
@@ -304,6 +334,46 @@
     async_io::Timer::after(ACCEPT_PAUSE).await;
 }
 
+/// Bodies up to this size are always taken.
+pub const SMALL_BODY_BYTES: u64 = 64 << 10;
+
+/// Most bytes of a body read at a time.
+const PIECE_BYTES: usize = 16 << 10;
+
+/// One body's part of the memory for bodies, given back when dropped.
+struct HeldBytes {
+    stats: Rc<ServerStats>,
+    held: u64,
+}
+
+impl HeldBytes {
+    fn new(stats: &Rc<ServerStats>) -> Self {
+        HeldBytes {
+            stats: stats.clone(),
+            held: 0,
+        }
+    }
+
+    /// Grows to `wanted` bytes; false if all bodies together would then take more than `max`.
+    fn grow(&mut self, wanted: u64, max: u64) -> bool {
+        let others = self.stats.body_bytes.get() - self.held;
+        if others + wanted > max {
+            return false;
+        }
+        self.stats.body_bytes.set(others + wanted);
+        self.held = wanted;
+        true
+    }
+}
+
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        self.stats
+            .body_bytes
+            .set(self.stats.body_bytes.get() - self.held);
+    }
+}
+
 /// Counts something for as long as it lives.
 struct Counted {
     stats: Rc<ServerStats>,
--- /dev/null
+++ b/crates/onyxshed-http/tests/bodies.rs
@@ -0,0 +1,100 @@
+//! The memory that bodies take while they are read.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use async_net::TcpStream;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use onyxshed_core::ResultCode;
+use onyxshed_http::server::ServerStats;
+use onyxshed_http::{Reply, Server, ServerOptions};
+
+const MIB: usize = 1 << 20;
+
+/// Sends the head of a body of `len` bytes and as much of it as `sent`.
+async fn begin(address: SocketAddr, len: usize, sent: usize) -> TcpStream {
+    let mut stream = TcpStream::connect(address)
+        .await
+        .expect("the test's own steps work");
+    let head = format!("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: {len}\r\n\r\n");
+    stream
+        .write_all(head.as_bytes())
+        .await
+        .expect("the test's own steps work");
+    // The server may have turned it away before it has come in full.
+    let _ = stream.write_all(&vec![b'x'; sent]).await;
+    stream
+}
+
+/// Gets the first line of the reply.
+async fn status(stream: &mut TcpStream) -> String {
+    let mut found = vec![0; 64];
+    stream
+        .read_exact(&mut found)
+        .await
+        .expect("the test's own steps work");
+    let text = String::from_utf8(found).expect("the test's own steps work");
+    text.lines().next().unwrap_or_default().to_owned()
+}
+
+async fn wait_held(stats: &ServerStats, bytes: usize) {
+    while stats.body_bytes.get() != bytes as u64 {
+        Timer::after(Duration::from_millis(1)).await;
+    }
+}
+
+#[test]
+fn large_bodies_share_their_memory_and_small_ones_always_pass() {
+    // Three peers send most of a large body and stall; the memory for bodies is nearly used up. A
+    // fourth large body is turned away at once, a small one is served, and so are the stalled ones
+    // when they go on.
+    let options = ServerOptions {
+        body_max_bytes: MIB as u64,
+        bodies_max_bytes: 3 * MIB as u64,
+        ..ServerOptions::default()
+    };
+    let handler = Rc::new(
+        |call: onyxshed_http::Call| -> onyxshed_http::server::PendingReply {
+            Box::pin(async move { Reply::bytes(200, call.body.len().to_string()) })
+        },
+    );
+    let reject =
+        Rc::new(|code: ResultCode| Reply::bytes(code.http_status(), "turned away, as told"));
+    let executor = Rc::new(LocalExecutor::new());
+    async_io::block_on(executor.clone().run(async {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listener = Server::listen(any)
+            .await
+            .expect("the test's own steps work");
+        let address = listener.local_addr().expect("the test's own steps work");
+        let server = Server::new(options, handler, reject);
+        let stats = server.stats();
+        executor
+            .spawn(server.run(listener, executor.clone()))
+            .detach();
+        let most = MIB - 1_000;
+        let mut stalled = Vec::new();
+        for number in 1..=3 {
+            stalled.push(begin(address, MIB, most).await);
+            wait_held(&stats, number * most).await;
+        }
+        let mut fourth = begin(address, MIB, MIB).await;
+        assert_eq!(
+            status(&mut fourth).await,
+            "HTTP/1.1 503 Service Unavailable"
+        );
+        let mut small = begin(address, 60_000, 60_000).await;
+        assert_eq!(status(&mut small).await, "HTTP/1.1 200 OK");
+        for stream in &mut stalled {
+            stream
+                .write_all(&[b'x'; 1_000])
+                .await
+                .expect("the test's own steps work");
+            assert_eq!(status(stream).await, "HTTP/1.1 200 OK");
+        }
+        wait_held(&stats, 0).await;
+    }));
+}
--- a/crates/onyxshed-telemetry/src/admin.rs
+++ b/crates/onyxshed-telemetry/src/admin.rs
@@ -32,6 +32,7 @@
     connections_max: 64,
     head_max_bytes: 8 << 10,
     body_max_bytes: 4 << 10,
+    bodies_max_bytes: 1 << 20,
     idle_timeout: Duration::from_secs(30),
     head_timeout: Duration::from_secs(5),
     body_timeout: Duration::from_secs(5),
