--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -1,8 +1,11 @@
 //! An address that serves requests, within bounds.
 
+mod body;
+mod counted;
+mod turned_away;
+
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,17 +13,22 @@
 use async_executor::LocalExecutor;
 use async_h1::server::{ConnectionStatus, Encoder, Server as H1Server};
 use async_net::{TcpListener, TcpStream};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, Future, FutureExt, future, io};
-use http_types::{Body, Method, Request, Response};
+use futures_lite::{AsyncWriteExt, Future, future, io};
+use http_types::{Method, Request, Response};
 use onyxshed_core::ResultCode;
-use snafu::{ResultExt, Snafu};
+use snafu::ResultExt;
 
 use crate::bounded::{BoundedStream, Phase};
 use crate::client::within;
 use crate::error::{ListenSnafu, Result};
 use crate::head::EXPECT_HEADER;
 use crate::idle::{IdlePlace, IdleStreams};
+
+pub use body::SMALL_BODY_BYTES;
+
 use crate::message::{Call, Reply};
+use counted::Counted;
+use turned_away::{code_of, turned_away};
 
 /// Limits of a served address.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -91,13 +99,6 @@
     idle: Rc<IdleStreams>,
 }
 
-/// Why the server itself turns a request away.
-#[derive(Debug, Snafu)]
-#[snafu(display("turned away with code {code}"))]
-struct TurnedAway {
-    code: ResultCode,
-}
-
 /// Room for what a transfer encoding adds around a body.
 const FRAMING_SLACK_BYTES: u64 = 64 << 10;
 
@@ -238,51 +239,6 @@
         Ok(reply.into_response())
     }
 
-    /// Reads a body in full.
-    ///
-    /// Failures guarded against, both the library's with chunked bodies: a trailer that comes in
-    /// pieces leaves it asleep for ever, and one that is not ASCII makes it panic. The time bounds
-    /// the first; the second is caught, and touches nothing but this connection.
-    async fn read_body(&self, body: Body) -> http_types::Result<Vec<u8>> {
-        let read = AssertUnwindSafe(self.collect(body)).catch_unwind();
-        match within(self.options.body_timeout, read).await {
-            None => Err(turned_away(ResultCode::TooSlow)),
-            Some(Err(_)) => Err(turned_away(ResultCode::BadRequest)),
-            Some(Ok(collected)) => collected,
-        }
-    }
-
-    /// Collects a body within the memory for bodies.
-    ///
-    /// Failure guarded against: many peers send large bodies slowly at the same time. Symptom: the
-    /// process runs out of memory though each body is within its limit. A body's memory is counted as
-    /// it comes, and whoever comes on top is told to come back; small bodies, which most are, are
-    /// always taken, so that large ones can't keep them out.
-    async fn collect(&self, mut body: Body) -> http_types::Result<Vec<u8>> {
-        let mut found = Vec::new();
-        let mut held = HeldBytes::new(&self.stats);
-        let piece_bytes = body
-            .len()
-            .map_or(PIECE_BYTES, |len| len.clamp(1, PIECE_BYTES));
-        let mut piece = vec![0; piece_bytes];
-        loop {
-            let count = body.read(&mut piece).await?;
-            if count == 0 {
-                return Ok(found);
-            }
-            found.extend_from_slice(&piece[..count]);
-            let found_bytes = found.len() as u64;
-            if found_bytes > self.options.body_max_bytes {
-                return Err(turned_away(ResultCode::BodyTooLarge));
-            }
-            if found_bytes > SMALL_BODY_BYTES
-                && !held.grow(found_bytes, self.options.bodies_max_bytes)
-            {
-                return Err(turned_away(ResultCode::EntryFull));
-            }
-        }
-    }
-
     fn rejected(&self, code: ResultCode) -> Response {
         self.stats.rejected.set(self.stats.rejected.get() + 1);
         (self.reject)(code).last().into_response()
@@ -312,87 +268,8 @@
 /// Invites the body of a request that asked whether to send it.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
-fn turned_away(code: ResultCode) -> http_types::Error {
-    http_types::Error::new(http_types::StatusCode::BadRequest, TurnedAway { code })
-}
-
-/// Finds the code for a request that could not be read.
-fn code_of(error: &http_types::Error) -> ResultCode {
-    if let Some(found) = error.downcast_ref::<TurnedAway>() {
-        return found.code;
-    }
-    match error.downcast_ref::<io::Error>().map(io::Error::kind) {
-        Some(io::ErrorKind::TimedOut) => ResultCode::TooSlow,
-        Some(io::ErrorKind::FileTooLarge) => ResultCode::BodyTooLarge,
-        _ => ResultCode::BadRequest,
-    }
-}
-
 /// Waits a little after a failed accept, so that a shortage of file descriptors does not spin.
 async fn breathe() {
     const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
     async_io::Timer::after(ACCEPT_PAUSE).await;
 }
-
-/// Bodies up to this size are always taken.
-pub const SMALL_BODY_BYTES: u64 = 64 << 10;
-
-/// Most bytes of a body read at a time.
-const PIECE_BYTES: usize = 16 << 10;
-
-/// One body's part of the memory for bodies, given back when dropped.
-struct HeldBytes {
-    stats: Rc<ServerStats>,
-    held: u64,
-}
-
-impl HeldBytes {
-    fn new(stats: &Rc<ServerStats>) -> Self {
-        HeldBytes {
-            stats: stats.clone(),
-            held: 0,
-        }
-    }
-
-    /// Grows to `wanted` bytes; false if all bodies together would then take more than `max`.
-    fn grow(&mut self, wanted: u64, max: u64) -> bool {
-        let others = self.stats.body_bytes.get() - self.held;
-        if others + wanted > max {
-            return false;
-        }
-        self.stats.body_bytes.set(others + wanted);
-        self.held = wanted;
-        true
-    }
-}
-
-impl Drop for HeldBytes {
-    fn drop(&mut self) {
-        self.stats
-            .body_bytes
-            .set(self.stats.body_bytes.get() - self.held);
-    }
-}
-
-/// Counts something for as long as it lives.
-struct Counted {
-    stats: Rc<ServerStats>,
-    cell: fn(&ServerStats) -> &Cell<usize>,
-}
-
-impl Counted {
-    fn new(stats: &Rc<ServerStats>, cell: fn(&ServerStats) -> &Cell<usize>) -> Self {
-        cell(stats).set(cell(stats).get() + 1);
-        Counted {
-            stats: stats.clone(),
-            cell,
-        }
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        let cell = (self.cell)(&self.stats);
-        cell.set(cell.get() - 1);
-    }
-}
