Try a dead rack with one task, blame a class sooner, let no nil capacity judge the try

Each dead executor was tried by itself, and all that were due at once; a class that had run well before was blamed only once its failure rate on every executor had risen, after hundreds of failures.

Changes: while a whole rack is dead, one try speaks for all of it, the pauses grow together, and the first that goes well brings the others forward; once three of a rack are dead, one unanswered start is enough for the next; a class is blamed when five jobs in a row failed, on three executors.

Found on the way: since jobs are judged at their turn, the nil capacity of an upstream with every breaker open gave up the very job that was to be the try, so that nothing was ever tried again (a model run with all executors dead for 4 s never recovered). And a task that had come back unsent avoided the only executor that was due.

--- a/crates/onyxshed-policy/src/blame.rs
+++ b/crates/onyxshed-policy/src/blame.rs
@@ -2,8 +2,8 @@
 //!
 //! Each class keeps its failure rate on each executor. A failure counts against an executor only
 //! as far as the class does better elsewhere: if it fails everywhere, it says nothing about the
-//! executor. A job that fails on several sound executors is held to be unable to run, and so is a
-//! class of which several jobs do.
+//! executor. A job that fails on several executors is held to be unable to run, and so is a class of
+//! which several jobs in a row do.
 
 use std::collections::BTreeMap;
 
@@ -15,8 +15,11 @@
 /// Jobs with failures that are remembered.
 const JOBS_MAX: usize = 4_096;
 
-/// Distinct executors, and distinct jobs, that it takes to blame.
-const DISTINCT: usize = 3;
+/// Distinct executors that it takes to blame.
+const EXECUTORS_TO_BLAME: usize = 3;
+
+/// Distinct jobs of a class that must fail, none finishing meanwhile, before the class is blamed.
+const JOBS_TO_BLAME: usize = 5;
 
 /// Weight of the newest end in a failure rate.
 const ALPHA: f64 = 0.3;
@@ -27,9 +30,6 @@
 /// Failure rate assumed of a class before anything is known, and its weight in executors.
 const PRIOR_RATE: f64 = 0.5;
 
-/// Failure rate over all executors from which on a class is held to be unable to run.
-const NEVER_FROM: f64 = 0.95;
-
 /// Names an executor over its whole life here.
 pub type ExecutorId = u64;
 
@@ -38,7 +38,9 @@
 pub struct ClassFaults {
     rates: BTreeMap<ExecutorId, f64>,
     sum: f64,
+    /// Jobs, and executors they failed on, since a task last finished.
     failed_jobs: Vec<SubmissionId>,
+    failed_on: Vec<ExecutorId>,
     is_blamed: bool,
 }
 
@@ -70,18 +72,17 @@
     pub fn finished(&mut self, executor: ExecutorId) -> Option<ClassChange> {
         self.record(executor, 0.0);
         self.failed_jobs.clear();
+        self.failed_on.clear();
         std::mem::take(&mut self.is_blamed).then_some(ClassChange::Cleared)
     }
 
     /// Takes in a failed task.
     pub fn failed(&mut self, executor: ExecutorId, job: SubmissionId) -> Option<ClassChange> {
         self.record(executor, 1.0);
-        if self.failed_jobs.len() < DISTINCT && !self.failed_jobs.contains(&job) {
-            self.failed_jobs.push(job);
-        }
-        let mean = self.sum / self.rates.len() as f64;
-        let fails_everywhere = self.rates.len() >= DISTINCT && mean > NEVER_FROM;
-        let is_blamed = fails_everywhere && self.failed_jobs.len() >= DISTINCT;
+        note_distinct(&mut self.failed_jobs, job, JOBS_TO_BLAME);
+        note_distinct(&mut self.failed_on, executor, EXECUTORS_TO_BLAME);
+        let is_blamed =
+            self.failed_jobs.len() >= JOBS_TO_BLAME && self.failed_on.len() >= EXECUTORS_TO_BLAME;
         let is_new = is_blamed && !self.is_blamed;
         self.is_blamed |= is_blamed;
         is_new.then_some(ClassChange::Blamed)
@@ -113,6 +114,13 @@
     }
 }
 
+/// Adds a value that is not there yet, as long as fewer than `most` are.
+fn note_distinct<T: PartialEq>(seen: &mut Vec<T>, value: T, most: usize) {
+    if seen.len() < most && !seen.contains(&value) {
+        seen.push(value);
+    }
+}
+
 /// Failures by job, over distinct sound executors.
 #[derive(Debug, Default)]
 pub struct JobFaults {
@@ -142,7 +150,7 @@
         }
         executors.push(executor);
         match executors.len() {
-            DISTINCT => JobFault::Blamed,
+            EXECUTORS_TO_BLAME => JobFault::Blamed,
             _ => JobFault::New,
         }
     }
@@ -156,6 +164,6 @@
     pub fn is_blamed(&self, job: SubmissionId) -> bool {
         self.failed_on
             .get(&job)
-            .is_some_and(|executors| executors.len() >= DISTINCT)
+            .is_some_and(|executors| executors.len() >= EXECUTORS_TO_BLAME)
     }
 }
--- a/crates/onyxshed-policy/src/executor/breaker.rs
+++ b/crates/onyxshed-policy/src/executor/breaker.rs
@@ -155,6 +155,11 @@
         }
     }
 
+    /// Tells whether a task that tries the executor is under way.
+    pub fn is_probing(&self) -> bool {
+        matches!(self.state, State::Probing { .. })
+    }
+
     /// Takes in that the task that tries the executor was sent.
     ///
     /// A try may go the way of the tasks before it and never end; after `patience` the next one may
@@ -269,6 +274,15 @@
         }
     }
 
+    /// Goes along with another breaker whose try has failed: the next try comes no sooner than
+    /// that one's, and pauses grow as if the try had been here.
+    pub fn follow(&mut self, other: &Breaker) {
+        if let (State::Open { until, .. }, Some(at)) = (&mut self.state, other.probe_at()) {
+            *until = at.max(*until);
+            self.openings = self.openings.max(other.openings);
+        }
+    }
+
     fn open(&mut self, now: Mono, reason: BreakerReason, draw: f64) -> BreakerChange {
         self.state = State::Open {
             until: now + self.pause(reason, draw),
--- a/crates/onyxshed-policy/src/policy/end.rs
+++ b/crates/onyxshed-policy/src/policy/end.rs
@@ -75,6 +75,9 @@
             .map(|executor| &mut executor.breaker);
         let change = breaker.and_then(|b| b.ended(now, sign, attempt.is_probe, draw));
         self.note_breaker(now, seat, change);
+        if sign == Sign::Unanswered {
+            self.distrust_rack(now, seat);
+        }
     }
 
     fn count(&mut self, end: &AttemptEnd, attempt: Attempt) {
--- a/crates/onyxshed-policy/src/policy/place.rs
+++ b/crates/onyxshed-policy/src/policy/place.rs
@@ -57,7 +57,7 @@
         let class = self.classes.get(&running.work.class)?;
         let name = class.target.upstream.clone();
         let mut ticket = running.clone();
-        ticket.bounced_at = Some(at);
+        ticket.failed_on.push(self.fleet.get(at)?.id);
         let scan = std::mem::replace(&mut self.upstreams.get_mut(&name)?.scan, Scan::All);
         let found = self.find(now, &name, &ticket);
         self.upstreams.get_mut(&name)?.scan = scan;
@@ -129,7 +129,14 @@
         if gate == Gate::Shut || (is_probe && !self.may_probe(now, name, ticket, executor)) {
             return Fit::No;
         }
-        if ticket.bounced_at == Some(seat) || ticket.failed_on.contains(&executor.id) {
+        // Where hardly any other is usable, waiting for another would keep the task from the try
+        // that finds out whether this one is well again.
+        let has_others = self
+            .upstreams
+            .get(name)
+            .is_some_and(|u| u.capacity.usable > 1);
+        let has_bounced = ticket.bounced_at == Some(seat) && has_others;
+        if has_bounced || ticket.failed_on.contains(&executor.id) {
             return Fit::Avoided;
         }
         Fit::Yes(Candidate {
--- a/crates/onyxshed-policy/src/policy/start.rs
+++ b/crates/onyxshed-policy/src/policy/start.rs
@@ -152,6 +152,9 @@
         let running = self.running.entry(task);
         let running = running.or_insert_with(|| Running::new(ticket));
         running.attempts.push(Attempt { seat, is_probe });
+        if is_probe {
+            self.follow_in_rack(seat);
+        }
         if !is_hedge {
             self.plan_hedge(now, task);
         }
--- a/crates/onyxshed-policy/src/upstream.rs
+++ b/crates/onyxshed-policy/src/upstream.rs
@@ -226,8 +226,11 @@
     }
 
     /// Tells whether more work arrives than the upstream can do.
+    ///
+    /// Not while no executor is usable: judged by no capacity every job would be given up, the one
+    /// that is to try an executor too, and nothing would ever find out that they are well again.
     pub fn is_crowded(&self, now: Mono) -> bool {
-        self.demand.slots(now) > self.capacity.power()
+        self.capacity.usable > 0 && self.demand.slots(now) > self.capacity.power()
     }
 
     /// Gets how long a load report says something: about one task's time.
--- a/crates/onyxshed-policy/tests/policy/guards.rs
+++ b/crates/onyxshed-policy/tests/policy/guards.rs
@@ -2,7 +2,8 @@
 
 use onyxshed_core::{Micros, ResultCode, TaskId};
 use onyxshed_policy::{
-    BreakerReason, NextStep, Note, PlacementKind, Policy, PolicyOptions, RetryStep, Verdict,
+    Admission, BreakerReason, NextStep, Note, PlacementKind, Policy, PolicyOptions, RetryStep,
+    Verdict,
 };
 use rstest::rstest;
 
@@ -238,3 +239,88 @@
     policy.enqueue(at_ms(10), work(task(2, 0), &once, at_ms(10)));
     assert_eq!(starts(&mut policy, at_ms(2_000)), []);
 }
+
+/// Every executor is dead and every breaker open, so the capacity is nil; by it, any job looks too
+/// late. One must be taken in and started all the same when a try is due, or nothing would ever find
+/// out that the executors are well again.
+#[test]
+fn nil_capacity_judges_no_job() {
+    let class = target("lock", "desk", 2_000, false);
+    let executors = ["x1", "x2", "x3"].map(|name| executor(name, "desk", 4));
+    let mut policy = policy(
+        PolicyOptions::default(),
+        std::slice::from_ref(&class),
+        &executors,
+    );
+    warm_up(&mut policy, &class, 40, 100);
+    for ms in 100..2_000 {
+        let now = at_ms(ms);
+        policy.enqueue(now, work(task(ms, 0), &class, now));
+        for (id, name) in starts(&mut policy, now) {
+            policy.ended(now, &end(id, &name, Verdict::Unsent));
+        }
+        policy.expired(now);
+    }
+    let waiting: Vec<TaskId> = (100..2_000).map(|job| task(job, 0)).collect();
+    for id in waiting {
+        policy.withdraw(id);
+    }
+    let started = (2_000..3_000).find_map(|ms| {
+        let now = at_ms(ms);
+        let deadline = now.mono + class.finish_within_ms;
+        if policy.admit(now, &class.class, 1, deadline) == Admission::Accept {
+            policy.enqueue(now, work(task(ms, 0), &class, now));
+        }
+        starts(&mut policy, now).pop()
+    });
+    assert!(started.is_some(), "no try within a second");
+}
+
+/// A rack of eight dies and nobody says so. Its executors share their fate, so one try a pause speaks
+/// for all of them; the first that goes well brings the others back at once.
+#[test]
+fn a_dead_rack_is_tried_with_one_task() {
+    let class = target("lock", "desk", 2_000, true);
+    let names: Vec<String> = (0..16).map(|index| format!("x{index:02}")).collect();
+    let executors = names.iter().map(|name| {
+        let mut info = executor(name, "desk", 8);
+        info.rack = if name.as_str() < "x08" {
+            "dead"
+        } else {
+            "well"
+        }
+        .into();
+        info
+    });
+    let executors: Vec<_> = executors.collect();
+    let mut policy = policy(
+        PolicyOptions::default(),
+        std::slice::from_ref(&class),
+        &executors,
+    );
+    warm_up(&mut policy, &class, 40, 100);
+    let mut wasted = 0;
+    let run = |policy: &mut Policy, ms: u64, is_dead: bool| {
+        let now = at_ms(ms);
+        policy.enqueue(now, work(task(ms, 0), &class, now));
+        let on_rack = starts(policy, now).into_iter().map(|(id, name)| {
+            let is_lost = is_dead && name.as_str() < "x08";
+            let verdict = if is_lost {
+                Verdict::Unsent
+            } else {
+                Verdict::Finished
+            };
+            policy.ended(now, &end(id, &name, verdict));
+            usize::from(name.as_str() < "x08")
+        });
+        on_rack.sum::<usize>()
+    };
+    for ms in 100..30_100 {
+        wasted += run(&mut policy, ms, true);
+    }
+    assert!(wasted <= 30, "{wasted} starts on a dead rack in 30 s");
+    let healed = (30_100..40_000)
+        .map(|ms| run(&mut policy, ms, false))
+        .sum::<usize>();
+    assert!(healed > 100, "{healed} starts on the healed rack in 10 s");
+}
