--- a/crates/onyxshed-dispatch/src/dispatch.rs
+++ b/crates/onyxshed-dispatch/src/dispatch.rs
@@ -4,18 +4,19 @@
 mod attempt;
 mod caller;
 mod claim;
+mod forward;
 mod pump;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use onyxshed_core::{
-    Event, EventKind, ExecutorName, Incarnation, Micros, Mono, Now, ResultCode, SubmissionId,
-    TaskId,
+    ClassName, Event, EventKind, ExecutorName, Incarnation, Micros, Mono, Now, ResultCode,
+    SubmissionId, TaskId,
 };
 use onyxshed_policy::Policy;
 use onyxshed_policy::note::{Note as PolicyNote, Waste};
-use onyxshed_state::{ClaimBook, ClaimStep, Config, Member};
-use onyxshed_wire::caller::{Answer, CopyMark};
+use onyxshed_state::{ClaimBook, Config, Member};
+use onyxshed_wire::caller::Answer;
 use smol_str::SmolStr;
 
 use crate::input::Input;
@@ -28,6 +29,7 @@
 #[derive(Debug, Clone)]
 struct Attempt {
     task: TaskId,
+    class: ClassName,
     executor: ExecutorName,
     /// Its connection was lost and a stop was sent to learn what became of it.
     is_resolving: bool,
@@ -51,6 +53,7 @@
     last_attempt: u64,
     members: BTreeMap<Incarnation, Member>,
     gone: BTreeSet<Incarnation>,
+    passed_on: BTreeMap<RequestId, forward::PassedOn>,
     running_bytes: u64,
     is_draining: bool,
     wake_at: Option<Mono>,
@@ -72,6 +75,7 @@
             last_attempt: 0,
             members: BTreeMap::new(),
             gone: BTreeSet::new(),
+            passed_on: BTreeMap::new(),
             running_bytes: 0,
             is_draining: false,
             wake_at: None,
@@ -147,6 +151,11 @@
         self.book.is_caught_up()
     }
 
+    /// Gets how many records of the claims stream could not be read and were ignored.
+    pub fn unreadable_records(&self) -> u64 {
+        self.book.counts().unreadable
+    }
+
     /// Gets the member of an incarnation.
     pub fn member(&self, incarnation: Incarnation) -> Option<&Member> {
         self.members.get(&incarnation)
@@ -258,6 +267,7 @@
             .map(|member| (member.incarnation, member))
             .collect();
         self.policy.set_sharers(now, sharers.max(1));
+        self.give_up_on_silent_holders();
     }
 
     /// Ends what time has made due.
@@ -320,26 +330,18 @@
         }
     }
 
-    /// Gets the truth about a job of which this host holds no claim yet.
-    fn unclaimed_code(
-        &self,
-        now: Now,
-        id: SubmissionId,
-        code: ResultCode,
-        copy: CopyMark,
-    ) -> ResultCode {
-        let is_readable = self.book.peek(now, id, None) != ClaimStep::Unavailable;
-        caller::unproved(code, copy, is_readable)
-    }
-
-    /// Ends a job whose claim was never granted.
+    /// Ends a job whose claim was not decided in time: the log may hold another host's.
     fn end_unclaimed(&mut self, now: Now, id: SubmissionId, code: ResultCode) {
         let Some(Job::Claiming(job)) = self.jobs.take(id) else {
             return;
         };
         self.book.release(now, id);
         self.release_bytes(&job.payloads);
-        let code = self.unclaimed_code(now, id, code, job.head.copy);
+        let code = match code {
+            // The content that was claimed is another: this one has not run anywhere.
+            ResultCode::OtherContent => code,
+            code => caller::unproved(code, job.head.copy, false),
+        };
         let answer = self.refusal(Some(id), code, "");
         self.note(
             Event::new(EventKind::JobRefused)
@@ -375,12 +377,8 @@
             return;
         }
         let (task, executor) = (found.task, found.executor.clone());
-        self.note(
-            Event::new(EventKind::TaskStopped)
-                .submission(task.submission)
-                .task(task.index)
-                .party(executor.as_str()),
-        );
+        let event = attempt::task_event(EventKind::TaskStopped, found);
+        self.note(event);
         self.outputs.push(Output::Stop {
             attempt,
             task,
@@ -407,7 +405,9 @@
             | ResultCode::BadRequest
             | ResultCode::UnknownClass
             | ResultCode::TaskCount
-            | ResultCode::OtherContent => answer,
+            | ResultCode::OtherContent
+            | ResultCode::IdTooOld
+            | ResultCode::AnswerDropped => answer,
             _ => answer.retry_after(self.options.retry_after_ms),
         }
     }
@@ -417,7 +417,10 @@
         self.outputs.push(Output::Answer { request, answer });
     }
 
-    fn note(&mut self, event: Event) {
+    /// Puts an event out, with its job's class where the job is here and the event names none.
+    fn note(&mut self, mut event: Event) {
+        let job = event.submission.and_then(|id| self.jobs.get(id));
+        event.class = event.class.or_else(|| Some(job?.class().clone()));
         self.outputs.push(Output::Note(event));
     }
 
--- a/crates/onyxshed-dispatch/src/dispatch/caller.rs
+++ b/crates/onyxshed-dispatch/src/dispatch/caller.rs
@@ -2,7 +2,9 @@
 
 use std::rc::Rc;
 
-use onyxshed_core::{Event, EventKind, Incarnation, Micros, Mono, Now, ResultCode, SubmissionId};
+use onyxshed_core::{
+    ClassName, Event, EventKind, Incarnation, Micros, Mono, Now, ResultCode, SubmissionId,
+};
 use onyxshed_policy::Admission;
 use onyxshed_state::ClaimStep;
 use onyxshed_wire::ContentHash;
@@ -10,7 +12,7 @@
 
 use super::Dispatch;
 use crate::job::{Claiming, GiveUp, Job, JobHead};
-use crate::output::{ForwardedCall, Output, RequestId};
+use crate::output::{ForwardedCall, RequestId};
 
 /// How many times its target a job that has begun may last before it is given up.
 ///
@@ -61,8 +63,10 @@
                     ForwardedCall::Submit(Box::new(submission)),
                 );
             }
-            Entry::Forward(_) => self.refuse(request, id, ResultCode::HolderUnreachable),
-            Entry::Refuse(code) => self.refuse(request, id, code),
+            Entry::Forward(_) => {
+                self.refuse_of(request, &submission, ResultCode::HolderUnreachable);
+            }
+            Entry::Refuse(code) => self.refuse_of(request, &submission, code),
             entry => self.admit(now, request, submission, content, &entry),
         }
     }
@@ -152,10 +156,10 @@
             entry => unproved(code, submission.copy, matches!(entry, Entry::Claim)),
         };
         if let Some(code) = self.closed_for(&submission) {
-            return self.refuse(request, id, told(code));
+            return self.refuse_of(request, &submission, told(code));
         }
         let Some(head) = self.head_of(now, &submission, content) else {
-            return self.refuse(request, id, told(ResultCode::UnknownClass));
+            return self.refuse_of(request, &submission, told(ResultCode::UnknownClass));
         };
 
         let count = submission.tasks.len();
@@ -165,7 +169,7 @@
                 retry_after_ms,
             } => {
                 let code = told(code);
-                self.note_refused(id, code);
+                self.note_refused(id, Some(&submission.class), code);
                 let answer = Answer::ended(Some(id), code, "").retry_after(retry_after_ms);
                 self.answer(request, answer);
             }
@@ -277,7 +281,7 @@
                 let answer = job.answer(id);
                 self.answer(request, answer);
             }
-            Some(Job::Claiming(_)) => self.cancel_claiming(now, request, id),
+            Some(Job::Claiming(_)) => self.cancel_claiming(request, id),
             Some(Job::Running(job)) => {
                 job.waiters.push(request);
                 self.note(Event::new(EventKind::JobCancelled).submission(id));
@@ -291,18 +295,20 @@
 
     /// Gives up a job whose claim is under way.
     ///
-    /// The callers of the job are answered at once. Whoever cancels asks about every copy, and one
+    /// Whoever sent the only copy is answered at once. Everyone else asks about every copy, and one
     /// may run on another host: that answer waits until the log tells who holds the submission.
-    fn cancel_claiming(&mut self, now: Now, request: RequestId, id: SubmissionId) {
+    fn cancel_claiming(&mut self, request: RequestId, id: SubmissionId) {
         self.note(Event::new(EventKind::JobCancelled).submission(id));
         let Some(job) = self.claiming_mut(id) else {
             return;
         };
         job.cancels.push(request);
         let waiters = std::mem::take(&mut job.waiters);
-        let copy = job.head.copy;
-        let code = self.unclaimed_code(now, id, ResultCode::CancelledUnstarted, copy);
-        let answer = self.refusal(Some(id), code, "");
+        if job.head.copy != CopyMark::First {
+            job.cancels.extend(waiters);
+            return;
+        }
+        let answer = self.refusal(Some(id), ResultCode::CancelledUnstarted, "");
         for waiter in waiters {
             self.answer(waiter, answer.clone());
         }
@@ -338,45 +344,32 @@
             false => self.refuse(request, id, ResultCode::HolderUnreachable),
             true => {
                 let party = smol_str::format_smolstr!("{holder}");
-                self.note(
-                    Event::new(EventKind::JobForwarded)
-                        .submission(id)
-                        .party(party),
-                );
-                self.outputs.push(Output::Forward {
-                    request,
-                    to: holder,
-                    call,
-                });
+                let mut event = Event::new(EventKind::JobForwarded).submission(id);
+                event.class = call.class().cloned();
+                self.note(event.party(party));
+                self.pass_on(request, id, holder, call);
             }
         }
     }
 
-    pub(super) fn forwarded(
-        &mut self,
-        request: RequestId,
-        id: SubmissionId,
-        answer: Option<Answer>,
-    ) {
-        match answer {
-            Some(answer) => self.answer(request, answer),
-            None => self.refuse(request, id, ResultCode::HolderUnreachable),
-        }
+    pub(super) fn refuse(&mut self, request: RequestId, id: SubmissionId, code: ResultCode) {
+        self.note_refused(id, None, code);
+        let answer = self.refusal(Some(id), code, "");
+        self.answer(request, answer);
     }
 
-    pub(super) fn refuse(&mut self, request: RequestId, id: SubmissionId, code: ResultCode) {
-        self.note_refused(id, code);
+    /// Refuses a submission, whose class is known.
+    fn refuse_of(&mut self, request: RequestId, submission: &Submission, code: ResultCode) {
+        let id = submission.submission;
+        self.note_refused(id, Some(&submission.class), code);
         let answer = self.refusal(Some(id), code, "");
         self.answer(request, answer);
     }
 
-    fn note_refused(&mut self, id: SubmissionId, code: ResultCode) {
-        let detail = smol_str::format_smolstr!("{code}");
-        self.note(
-            Event::new(EventKind::JobRefused)
-                .submission(id)
-                .detail(detail),
-        );
+    fn note_refused(&mut self, id: SubmissionId, class: Option<&ClassName>, code: ResultCode) {
+        let mut event = Event::new(EventKind::JobRefused).submission(id);
+        event.class = class.cloned();
+        self.note(event.detail(smol_str::format_smolstr!("{code}")));
     }
 }
 
--- a/crates/onyxshed-entry/src/callers.rs
+++ b/crates/onyxshed-entry/src/callers.rs
@@ -5,10 +5,11 @@
 
 use async_io::Timer;
 use http_types::Method;
-use onyxshed_core::{Event, EventKind, ResultCode, SubmissionId};
+use onyxshed_core::{Event, EventKind, Millis, ResultCode, SubmissionId};
 use onyxshed_dispatch::Input;
 use onyxshed_http::{Call, Handler, Reply, Server, ServerOptions, ServerStats};
-use onyxshed_kernel::{Descriptor, Error, Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_process::listen;
 use onyxshed_wire::caller::{Answer, FORWARDED_HEADER, JOBS_PATH, Submission};
 
 use crate::engine::Engine;
@@ -87,17 +88,11 @@
         let reject = Rc::new(move |code: ResultCode| {
             let detail = smol_str::format_smolstr!("{code}");
             reporter.emit(Event::new(EventKind::RequestRejected).detail(detail));
-            reply_of(&Answer::ended(None, code, ""))
+            reply_of(&turned_away(code))
         });
         let server = Server::new(self.options.server, handler, reject);
         let stats = server.stats();
-        let listener = Server::listen(address)
-            .await
-            .map_err(|error| Error::start(CALLERS, error.code(), error))?;
-        let bound = listener
-            .local_addr()
-            .map_err(|error| Error::start(CALLERS, ResultCode::AddressInUse, error))?;
-        kernel.announce(name, bound);
+        let (listener, _) = listen(kernel, CALLERS, name, address).await?;
         kernel
             .spawn(server.run(listener, kernel.executor()))
             .detach();
@@ -217,6 +212,18 @@
     }
 }
 
+/// How long a caller waits before it repeats a request that was turned away at the door.
+const REPEAT_AFTER: Millis = Millis(1_000);
+
+/// Makes the answer to a request that was turned away at the door.
+fn turned_away(code: ResultCode) -> Answer {
+    let answer = Answer::ended(None, code, "");
+    match code {
+        ResultCode::TooSlow | ResultCode::TooManyConnections => answer.retry_after(REPEAT_AFTER),
+        _ => answer,
+    }
+}
+
 fn reply_of(answer: &Answer) -> Reply {
     let reply = Reply::json(answer.http_status(), answer);
     match answer.retry_after_ms {
--- a/crates/onyxshed-load/src/cli/args.rs
+++ b/crates/onyxshed-load/src/cli/args.rs
@@ -1,20 +1,13 @@
-//! Options of each command, and their values.
+//! Options of each command.
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::time::Duration;
 
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, Command, value_parser};
 use smol_str::SmolStr;
 
-use crate::bench::MixOptions;
-use crate::caller::CallerOptions;
 use crate::mix::Mix;
-use crate::plan::{Burst, PlanOptions};
-use crate::run::RunOptions;
-use crate::sim::SimOptions;
-use crate::sim::scenario::Scenario;
-use crate::sim::world::WorldOptions;
+use crate::plan::Burst;
 
 /// Makes the whole command.
 pub fn command() -> Command {
@@ -24,12 +17,44 @@
         .after_help("Exit status: 0 done, 1 an error (its result code is printed), 2 wrong usage.")
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(local_args())
         .subcommand(run_args())
         .subcommand(direct_args())
         .subcommand(idle_args())
         .subcommand(simulate_args())
         .subcommand(bench_args())
         .subcommand(slopes_args())
+        .subcommand(claims_args())
+}
+
+fn local_args() -> Command {
+    Command::new("local")
+        .about("Runs the whole path on this machine with stand-ins, and shows each step")
+        .after_help(
+            "Starts the platform's and the executors' stand-ins and the entry hosts, publishes a \
+             class, submits a job twice, shows its time line, sends a sample load, and ends \
+             everything that it started.",
+        )
+        .arg(
+            number("entries", "3", "Entry hosts, each with its control process")
+                .value_parser(value_parser!(u16).range(1..=32)),
+        )
+        .arg(number("executors", "4", "Executors").value_parser(value_parser!(u16).range(1..=64)))
+        .arg(
+            number(
+                "span-s",
+                "5",
+                "How long the sample load arrives; 0 sends none",
+            )
+            .value_parser(value_parser!(f64)),
+        )
+        .arg(
+            Arg::new("stay")
+                .long("stay")
+                .action(ArgAction::SetTrue)
+                .help("Let everything go on until standard input ends"),
+        )
+        .arg(binaries_arg())
 }
 
 fn run_args() -> Command {
@@ -156,6 +181,16 @@
         ))
 }
 
+fn claims_args() -> Command {
+    Command::new("claims")
+        .about("What at-most-once costs, and what is served while the platform is down")
+        .after_help(
+            "Three entry hosts, one caller, each kind of id in normal times and in an outage.",
+        )
+        .arg(binaries_arg())
+        .arg(out("File for the report in JSON"))
+}
+
 fn binaries_arg() -> Arg {
     Arg::new("binaries")
         .long("binaries")
@@ -239,74 +274,6 @@
         .help(help)
 }
 
-/// Gets an option that is required or has a default.
-pub fn required<T: Clone + Send + Sync + 'static>(args: &ArgMatches, name: &str) -> T {
-    one(args, name).expect("the option is required or has a default")
-}
-
-/// Gets an option's value, none if it was not given.
-pub fn one<T: Clone + Send + Sync + 'static>(args: &ArgMatches, name: &str) -> Option<T> {
-    args.get_one::<T>(name).cloned()
-}
-
-/// Reads the options of `run`.
-pub fn run_options(args: &ArgMatches) -> RunOptions {
-    let entries = args.get_many("entry").into_iter().flatten();
-    let bursts = args.get_many("burst").into_iter().flatten();
-    RunOptions {
-        entries: entries.copied().collect(),
-        plan: PlanOptions {
-            mix: required(args, "mix"),
-            jobs_per_s: required(args, "jobs-per-s"),
-            span_s: required(args, "span-s"),
-            bursts: bursts.copied().collect(),
-            time_scale: required(args, "time-scale"),
-            seed: required(args, "seed"),
-        },
-        caller: CallerOptions {
-            repeats_max: required(args, "repeats"),
-            may_bind: args.get_flag("bind"),
-            patience: Duration::from_secs(5),
-        },
-        network_us: required(args, "network-us"),
-    }
-}
-
-/// Gets the folder of the other binaries.
-pub fn binaries(args: &ArgMatches) -> PathBuf {
-    one(args, "binaries").unwrap_or_else(|| {
-        let own = std::env::current_exe().unwrap_or_default();
-        own.parent().map(PathBuf::from).unwrap_or_default()
-    })
-}
-
-/// Reads the options of `bench --mix`.
-pub fn mix_options(args: &ArgMatches, folder: PathBuf, mix: Mix) -> MixOptions {
-    MixOptions {
-        folder,
-        mix,
-        load: required(args, "load"),
-        span_s: required(args, "span-s"),
-        seed: required(args, "seed"),
-        may_bind: args.get_flag("bind"),
-    }
-}
-
-/// Reads the options of `simulate`.
-pub fn sim_options(args: &ArgMatches) -> SimOptions {
-    let wanted: Vec<&String> = args.get_many("scenario").into_iter().flatten().collect();
-    let is_wanted = |scenario: &Scenario| {
-        wanted.is_empty() || wanted.iter().any(|part| scenario.name().contains(*part))
-    };
-    SimOptions {
-        mix: required(args, "mix"),
-        seeds: (1..=required(args, "seeds")).collect(),
-        scenarios: Scenario::ALL.into_iter().filter(is_wanted).collect(),
-        span_s: required(args, "span-s"),
-        world: WorldOptions::default(),
-    }
-}
-
 fn parse_burst(text: &str) -> Result<Burst, String> {
     let numbers: Vec<f64> = text
         .split(':')
--- a/crates/onyxshed-load/src/direct.rs
+++ b/crates/onyxshed-load/src/direct.rs
@@ -4,13 +4,14 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use async_io::Timer;
 use hdrhistogram::Histogram;
 use http_types::Method;
 use onyxshed_core::{Incarnation, ResultCode, SubmissionId, TaskId};
 use onyxshed_http::{CallError, ClientOptions, Connection};
 use onyxshed_wire::caller::{Answer, CopyMark, JOBS_PATH, Submission};
 use onyxshed_wire::upstream::{
-    CLASS_HEADER, LEASE_HEADER, STARTER_HEADER, STATE_HEADER, TaskState, task_path,
+    ATTEMPT_HEADER, CLASS_HEADER, LEASE_HEADER, STARTER_HEADER, STATE_HEADER, TaskState, task_path,
 };
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -33,6 +34,8 @@
     pub count: u32,
     /// How long each task runs, in milliseconds.
     pub service_ms: u32,
+    /// Wait between two tasks, so that claims are not slowed by their budget of appends.
+    pub pause: Duration,
     /// Whether ids are bound to the entry host's incarnation, so that they need no claim.
     pub may_bind: bool,
 }
@@ -94,6 +97,13 @@
         for draw in 0..u64::from(self.options.count) {
             self.time_executor(draw, &mut straight).await?;
             self.time_entry(draw, &mut through).await?;
+            if !self.options.pause.is_zero() {
+                Timer::after(self.options.pause).await;
+            }
+        }
+        if straight.is_empty() {
+            let reason = "it finished none of the tasks";
+            return Err(Error::unreachable(self.options.executor, reason));
         }
         let direct_us = Percentiles::of(&straight, 1.0);
         let entry_us = self.entry.is_some().then(|| Percentiles::of(&through, 1.0));
@@ -114,6 +124,7 @@
             (LEASE_HEADER, SmolStr::new_static(LEASE_MS)),
             (CLASS_HEADER, self.options.class.clone()),
             (STARTER_HEADER, SmolStr::new_static("0000000000000001")),
+            (ATTEMPT_HEADER, SmolStr::new_static("1")),
         ];
         let body = payload(self.options.service_ms);
         let started = Instant::now();
--- a/crates/onyxshed-load/src/local.rs
+++ b/crates/onyxshed-load/src/local.rs
@@ -7,6 +7,7 @@
 mod settings;
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::{Duration, Instant};
 
 use http_types::Method;
@@ -36,7 +37,7 @@
     pub executors: Vec<Child>,
     /// The platform.
     pub platform: Child,
-    _folder: tempfile::TempDir,
+    folder: tempfile::TempDir,
 }
 
 /// One entry host's processes.
@@ -45,6 +46,8 @@
     pub callers: SocketAddr,
     /// Where operators reach the entry process.
     pub admin: SocketAddr,
+    /// Where operators reach the control process.
+    pub control_admin: SocketAddr,
     /// Where other control processes reach this one.
     pub control_peer: SocketAddr,
     /// The entry process.
@@ -82,12 +85,12 @@
             platform,
             executors: executors?,
             entries: Vec::new(),
-            _folder: folder,
+            folder,
         };
         let ports: Result<Vec<_>> = (0..options.entries).map(|_| EntryPorts::free()).collect();
         let ports = ports?;
         set.publish_hosts(options, &ports).await?;
-        set.publish_classes(&options.classes).await?;
+        set.publish_classes(Revision(0), &options.classes).await?;
         for (place, ports) in ports.iter().enumerate() {
             let entry = set.start_entry(options, place, ports).await?;
             set.entries.push(entry);
@@ -95,6 +98,11 @@
         Ok(set)
     }
 
+    /// Gets the folder of the processes' settings, which goes with the set.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
     /// Gets where callers reach each entry host.
     pub fn callers(&self) -> Vec<SocketAddr> {
         self.entries.iter().map(|entry| entry.callers).collect()
@@ -131,9 +139,9 @@
         }
     }
 
-    /// Tries to publish classes as changes on top of each other.
-    pub async fn publish_classes(&self, classes: &[ClassTarget]) -> Result<()> {
-        for (revision, target) in (0..).zip(classes) {
+    /// Tries to publish classes as changes on top of each other, the first on top of a revision.
+    pub async fn publish_classes(&self, on: Revision, classes: &[ClassTarget]) -> Result<()> {
+        for (revision, target) in (on.0..).zip(classes) {
             let record = ConfigRecord::ChangeV1(ConfigChange {
                 change_id: ChangeId(Ulid::from_parts(0, rand::random())),
                 based_on: Revision(revision),
@@ -158,7 +166,7 @@
         place: usize,
         ports: &EntryPorts,
     ) -> Result<LocalEntry> {
-        let folder = self._folder.path();
+        let folder = self.folder.path();
         let files = settings::write(folder, place, ports, self.platform.address, options)?;
         let control = Child::spawn(&options.folder.join("onyxshed-control"), &files.control)?;
         let started = Instant::now();
@@ -167,6 +175,7 @@
         Ok(LocalEntry {
             callers: ports.callers,
             admin: ports.entry_admin,
+            control_admin: ports.control_admin,
             control_peer: ports.control_peer,
             entry,
             control,
--- a/crates/onyxshed-load/src/local/settings.rs
+++ b/crates/onyxshed-load/src/local/settings.rs
@@ -1,5 +1,6 @@
 //! Addresses and settings files of an entry host's two processes.
 
+use std::cell::Cell;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 
@@ -31,10 +32,13 @@
 
 impl EntryPorts {
     /// Tries to find six free ports. They are all held until the last is found, so they differ.
+    ///
+    /// Failure guarded against: a port that the system also hands to outgoing connections is taken
+    /// by one before its process listens. Symptom: now and then a process of a large set does not
+    /// start. Ports below the system's own range are never handed out.
     pub(super) fn free() -> Result<Self> {
-        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let listeners: std::io::Result<Vec<_>> = (0..6).map(|_| TcpListener::bind(any)).collect();
-        let listeners = listeners.map_err(Error::start)?;
+        let listeners: Result<Vec<_>> = (0..6).map(|_| listen()).collect();
+        let listeners = listeners?;
         let at = |place: usize| listeners[place].local_addr().map_err(Error::start);
         Ok(EntryPorts {
             callers: at(0)?,
@@ -47,6 +51,30 @@
     }
 }
 
+/// Ports that the system does not hand to outgoing connections.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+const TRIES: usize = 1_000;
+
+/// Tries to listen on the next free port. Ports are tried in turn from one drawn at random, so that
+/// no two processes of a set get the same, nor as a rule those of two sets.
+fn listen() -> Result<TcpListener> {
+    thread_local! {
+        static NEXT: Cell<u16> = Cell::new(rand::random_range(PORTS));
+    }
+    let next = || {
+        let port = NEXT.get();
+        NEXT.set(if port + 1 < PORTS.end {
+            port + 1
+        } else {
+            PORTS.start
+        });
+        SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+    };
+    let mut tries = (0..TRIES).map(|_| TcpListener::bind(next()));
+    let found = tries.find_map(std::io::Result::ok);
+    found.ok_or_else(|| Error::start("no free port was found"))
+}
+
 /// Tries to write the settings of one entry host.
 pub(super) fn write(
     folder: &Path,
