Give back the place of a start that is not sent; end a task that its last deadline gave up

Two faults at the seam of policy and dispatch, found by reading. A start that the dispatch does not send (the id is past the horizon, or the job is over) stayed booked in the policy: the executor was short of a slot for good and looked silent after a while. It is now ended as stopped. And a waiting task of a job that has begun, given up by the policy as unable to make the job's last deadline, was queued again with that same deadline, to be given up again a millisecond later until the deadline had passed; the caller waited all that time. The deadline by which a task was judged now comes with it, and the job ends at once.

--- a/crates/onyxshed-dispatch/src/dispatch/pump.rs
+++ b/crates/onyxshed-dispatch/src/dispatch/pump.rs
@@ -3,7 +3,7 @@
 use onyxshed_core::{
     Event, EventKind, ExecutorName, Micros, Millis, Mono, Now, SubmissionId, TaskId, UnixMs,
 };
-use onyxshed_policy::{NextStep, Work};
+use onyxshed_policy::{AttemptEnd, Expired, NextStep, Verdict, Work};
 use onyxshed_state::BatchStep;
 
 use super::{Attempt, Dispatch};
@@ -32,7 +32,9 @@
                     executor,
                     is_hedge,
                 } => {
-                    self.start(now, task, executor, is_hedge);
+                    if !self.start(now, task, executor.clone(), is_hedge) {
+                        self.never_sent(now, task, executor);
+                    }
                 }
                 NextStep::WaitUntil(then) => return Some(then),
                 NextStep::Idle => return None,
@@ -47,7 +49,23 @@
         }
     }
 
-    fn start(&mut self, now: Now, task: TaskId, executor: ExecutorName, is_hedge: bool) {
+    /// Gives back the place of a start that was not sent.
+    ///
+    /// The policy has booked it. Left booked, the executor would be short of a slot for good, and
+    /// look silent.
+    fn never_sent(&mut self, now: Now, task: TaskId, executor: ExecutorName) {
+        let end = AttemptEnd {
+            task,
+            executor,
+            verdict: Verdict::Stopped,
+            service_us: None,
+            load: None,
+        };
+        self.policy.ended(now, &end);
+    }
+
+    /// Sends a start; false if it must not be sent any more.
+    fn start(&mut self, now: Now, task: TaskId, executor: ExecutorName, is_hedge: bool) -> bool {
         // A host that was frozen past the horizon must not start: other hosts have forgotten its
         // claim by now. The id's own age tells, whatever happened in between.
         if !self.may_start(now, task.submission) {
@@ -57,16 +75,16 @@
                 GiveUp::OUT_OF_TIME,
                 "the id is past the horizon",
             );
-            return;
+            return false;
         }
         self.last_attempt += 1;
         let attempt = AttemptId(self.last_attempt);
         let lease_slack_ms = self.options.lease_slack_ms;
         let Some(job) = self.running_mut(task.submission) else {
-            return;
+            return false;
         };
         let Some(payload) = job.payloads.get(usize::from(task.index)).cloned() else {
-            return;
+            return false;
         };
         job.attempts.insert(attempt);
         let class = job.head.class.clone();
@@ -106,6 +124,7 @@
         };
         self.attempts.insert(attempt, record);
         self.outputs.push(output);
+        true
     }
 
     /// Appends the claims that are due, and gets when to ask again.
@@ -130,9 +149,10 @@
     /// Deals with waiting tasks whose deadline has passed: a job that has begun goes on until it is
     /// given up, one that has not is over.
     pub(super) fn settle_expired_tasks(&mut self, now: Now) {
-        for task in self.policy.expired(now) {
+        for Expired { task, deadline, .. } in self.policy.take_expired(now) {
             match self.jobs.get(task.submission) {
-                Some(Job::Running(job)) if !job.is_unstarted() && job.head.end_by > now.mono => {
+                // Given up by its last deadline too, it would only come back until that has passed.
+                Some(Job::Running(job)) if !job.is_unstarted() && deadline < job.head.end_by => {
                     let work = Work {
                         task,
                         class: job.head.class.clone(),
--- a/crates/onyxshed-policy/src/queue.rs
+++ b/crates/onyxshed-policy/src/queue.rs
@@ -50,6 +50,7 @@
     pub fn expired(&self) -> Expired {
         Expired {
             task: self.work.task,
+            deadline: self.work.deadline,
             code: self.started_code.unwrap_or(ResultCode::ExpiredInQueue),
         }
     }
--- a/crates/onyxshed-policy/src/work.rs
+++ b/crates/onyxshed-policy/src/work.rs
@@ -118,6 +118,8 @@
 pub struct Expired {
     /// The task.
     pub task: TaskId,
+    /// The deadline by which it was judged.
+    pub deadline: Mono,
     /// What to tell: "not run", unless an earlier attempt may have started.
     pub code: ResultCode,
 }
