Take the hosts that share an executor from its reports when told to be alone

Cause: hosts that are cut off from one another hold themselves to be alone and each filled all slots; 89% of the starts (model, 3 hosts, 80% load) then waited at executors, out of the order of deadlines.

Change: a host that is told it is alone takes as many even shares as leave others what the executors' reports say they hold. A host that knows its peers goes by their number as before, so that others who borrowed can't push it out of its share.

--- a/crates/onyxshed-policy/src/executor/sharing.rs
+++ b/crates/onyxshed-policy/src/executor/sharing.rs
@@ -82,10 +82,11 @@
         if in_flight + 1.0 > room.limit {
             return false;
         }
-        if room.terms.sharers <= 1 {
+        let sharers = self.sharers(room);
+        if sharers <= 1.0 {
             return true;
         }
-        let share = room.limit / f64::from(room.terms.sharers);
+        let share = room.limit / sharers;
         let weight = self.weight(now, room.terms.fade);
         let free = room.limit - self.others(now, room.terms.fade) - in_flight;
         if in_flight + 1.0 <= self.rounded(share) {
@@ -95,6 +96,20 @@
         self.at.is_some() && free - doubt >= self.spare(in_flight, share, room.terms.has_time)
     }
 
+    /// Gets how many hosts share the executor.
+    ///
+    /// A host that is cut off from its peers holds itself to be alone, and would fill every slot
+    /// while the others do the same: their tasks show in the reports all the same. As many even
+    /// shares as leave others what they hold are taken then.
+    fn sharers(&self, room: Room) -> f64 {
+        let told = f64::from(room.terms.sharers);
+        if told > 1.0 {
+            return told;
+        }
+        let left = (room.limit - self.others_mean).max(1.0);
+        (room.limit / left).round().max(1.0)
+    }
+
     /// Gets how many slots must be believed idle for a start beyond the share.
     ///
     /// Where a start that finds no slot is refused, a task with time to wait leaves one more idle:
--- a/crates/onyxshed-policy/tests/policy/figures.rs
+++ b/crates/onyxshed-policy/tests/policy/figures.rs
@@ -5,7 +5,7 @@
 use onyxshed_policy::PlacementKind;
 use rstest::rstest;
 
-use crate::fixture::{executor, target};
+use crate::fixture::{at_ms, executor, target};
 use crate::model::Model;
 use crate::parts::{Exec, Stream};
 
@@ -94,3 +94,26 @@
     let text = compare(&PlacementKind::ALL, &streams, &fleet);
     insta::assert_snapshot!("executors_that_refuse", text);
 }
+
+/// Three hosts lose sight of one another and each is told that it is alone. They must still see each
+/// other's tasks in the executors' reports, or most starts would wait behind them unplaced by deadline.
+#[test]
+fn hosts_that_hold_themselves_alone() {
+    let streams = two_classes(0.8, 12_000);
+    let mut model = Model::new(
+        PlacementKind::LeastFinish,
+        HOSTS,
+        SEED,
+        streams,
+        mixed_fleet(),
+    );
+    for policy in &mut model.policies {
+        policy.set_sharers(at_ms(0), 1);
+    }
+    model.run();
+    let waited = model.queued_there as f64 / model.sent as f64;
+    assert!(
+        waited < 0.25,
+        "{waited} of the starts waited at their executor"
+    );
+}
