--- a/crates/onyxshed-policy/src/policy/intake.rs
+++ b/crates/onyxshed-policy/src/policy/intake.rs
@@ -10,7 +10,7 @@
 use crate::admission::{Outlook, longest_q, part, sure_q};
 use crate::class::Class;
 use crate::queue::{Depth, Ticket};
-use crate::span::as_us;
+use crate::span::{as_us, to_micros};
 use crate::upstream::Upstream;
 use crate::work::{Admission, Expired, Work};
 
@@ -49,7 +49,7 @@
             None => Admission::Accept,
             Some((code, come_back)) => {
                 let factor = 1.0 + COME_BACK_SPREAD * self.draw();
-                let come_back = crate::span::to_micros(as_us(come_back) * factor);
+                let come_back = to_micros(as_us(come_back) * factor);
                 Admission::Refuse {
                     code,
                     retry_after_ms: come_back.as_millis().max(Millis(1)),
@@ -160,34 +160,46 @@
         let Some(class) = self.classes.get(name).filter(|class| class.is_configured) else {
             return Some((ResultCode::UnknownClass, UNKNOWN_CLASS_COME_BACK));
         };
-        let upstream_name = class.target.upstream.clone();
-        self.refresh(now, &upstream_name);
-        let class = self.classes.get(name)?;
-        let Some(upstream) = self.upstreams.get(&upstream_name) else {
+        let upstream = class.target.upstream.clone();
+        self.refresh(now, &upstream);
+        let Some(upstream) = self.upstreams.get(&upstream) else {
             return Some((ResultCode::NoUpstream, NO_UPSTREAM_COME_BACK));
         };
         if let Some(come_back) = no_upstream(now, upstream) {
             return Some((ResultCode::NoUpstream, come_back));
         }
         let outlook = outlook(now, &self.classes, upstream, name, tasks, deadline)?;
-        let is_try = class.needs_try(now) && upstream.queue.class_len(name) == 0;
-        // Failure guarded against: with every breaker open the capacity is nil, so no job looks able
-        // to make it, and without a job nothing tries an executor. Symptom: everything is refused
-        // long after the executors are well. A job that is let in as the try is not judged.
-        let has_capacity = upstream.capacity.usable > 0;
-        let is_judged = self.placement.kind().is_guarded() && !is_try && has_capacity;
-        if is_judged && let Some(come_back) = outlook.come_back(now, deadline) {
+        if self.is_judged(now, upstream, name)
+            && let Some(come_back) = outlook.come_back(now, deadline)
+        {
             let come_back = come_back.min(longest_come_back(upstream));
             return Some((ResultCode::DeadlineOutOfReach, come_back));
         }
-        let left = self.options.queue_max.saturating_sub(self.homes.len());
-        let of_class = upstream.queue.class_len(name) + tasks;
-        let is_full = tasks > left || of_class > left.saturating_mul(QUEUE_SHARE);
-        is_full.then(|| {
-            let come_back = crate::span::to_micros(outlook.finish_us().max(OVERLOADED_MIN_US));
+        self.is_full(upstream, name, tasks).then(|| {
+            let come_back = to_micros(outlook.finish_us().max(OVERLOADED_MIN_US));
             (ResultCode::Overloaded, come_back)
         })
     }
+
+    /// Tells whether a job is judged by the estimate of its finish.
+    ///
+    /// Failure guarded against: with every breaker open the capacity is nil, so no job looks able to
+    /// make it, and without a job nothing tries an executor. Symptom: everything is refused long
+    /// after the executors are well. A job that is let in as the try is not judged, nor is one that
+    /// puts a stale estimate to the test.
+    fn is_judged(&self, now: Mono, upstream: &Upstream, name: &ClassName) -> bool {
+        let class = self.classes.get(name);
+        let needs_try = class.is_some_and(|class| class.needs_try(now));
+        let is_try = needs_try && upstream.queue.class_len(name) == 0;
+        self.placement.kind().is_guarded() && !is_try && upstream.capacity.usable > 0
+    }
+
+    /// Tells whether the queue has no room for a job of that class.
+    fn is_full(&self, upstream: &Upstream, name: &ClassName, tasks: usize) -> bool {
+        let left = self.options.queue_max.saturating_sub(self.homes.len());
+        let of_class = upstream.queue.class_len(name) + tasks;
+        tasks > left || of_class > left.saturating_mul(QUEUE_SHARE)
+    }
 }
 
 /// Shortest time to come back in if the queue is full, in microseconds.
