--- /dev/null
+++ b/crates/onyxshed-dispatch/tests/machine.rs
@@ -0,0 +1,149 @@
+//! The machine by itself, where a single event decides.
+
+use std::net::SocketAddr;
+
+use onyxshed_core::{ClassTarget, Incarnation, Millis, Mono, Now, Offset, ResultCode, Revision};
+use onyxshed_core::{SubmissionId, UnixMs};
+use onyxshed_dispatch::output::ForwardedCall;
+use onyxshed_dispatch::{Dispatch, DispatchOptions, Input, Output, RequestId};
+use onyxshed_state::{Config, Member, MemberState};
+use onyxshed_wire::caller::{Answer, CopyMark, Submission};
+use rstest::rstest;
+use ulid::Ulid;
+
+const ME: Incarnation = Incarnation(1);
+const OTHER: Incarnation = Incarnation(2);
+const NOW: Now = Now {
+    mono: Mono(1_000_000),
+    wall: UnixMs(1_000_000_000),
+};
+
+fn config(revision: u64, may_run_twice: bool) -> Config {
+    let target = ClassTarget {
+        class: "stock-sync".parse().expect("a name"),
+        upstream: "tablets".parse().expect("a name"),
+        finish_within_ms: Millis(500),
+        may_run_twice,
+    };
+    let classes = [(target.class.clone(), target)].into();
+    Config {
+        revision: Revision(revision),
+        classes,
+    }
+}
+
+/// Makes a machine that has read the log to its end and knows its class and no executor yet.
+fn machine(may_run_twice: bool) -> Dispatch {
+    let mut machine = Dispatch::new(ME, DispatchOptions::default(), 7);
+    machine.handle(NOW, Input::Configured(config(1, may_run_twice)));
+    machine.handle(NOW, Input::Executors(Vec::new()));
+    let (oldest, next, records) = (Offset(0), Offset(0), Vec::new());
+    machine.handle(
+        NOW,
+        Input::LogRead {
+            oldest,
+            next,
+            records,
+        },
+    );
+    machine
+}
+
+fn submission(bound_to: Option<Incarnation>) -> Submission {
+    Submission {
+        submission: SubmissionId {
+            ulid: Ulid::from_parts(NOW.wall.0, 1),
+            bound_to,
+        },
+        class: "stock-sync".parse().expect("a name"),
+        deadline_ms: None,
+        copy: CopyMark::Again,
+        tasks: vec![b"a".to_vec()],
+    }
+}
+
+fn submit(machine: &mut Dispatch, bound_to: Option<Incarnation>) -> Vec<Output> {
+    let submission = submission(bound_to);
+    let request = RequestId(1);
+    machine.handle(
+        NOW,
+        Input::Submit {
+            request,
+            submission,
+            is_forwarded: false,
+        },
+    )
+}
+
+fn answer_of(outputs: &[Output]) -> Option<&Answer> {
+    outputs.iter().find_map(|output| match output {
+        Output::Answer { answer, .. } => Some(answer),
+        _ => None,
+    })
+}
+
+fn is_forwarded(outputs: &[Output]) -> bool {
+    let is_submit = |output: &Output| {
+        matches!(
+            output,
+            Output::Forward {
+                to: OTHER,
+                call: ForwardedCall::Submit(_),
+                ..
+            }
+        )
+    };
+    outputs.iter().any(is_submit)
+}
+
+fn know_other(machine: &mut Dispatch, gone: Vec<Incarnation>) {
+    let member = Member {
+        host: "other".parse().expect("a name"),
+        zone: "a".parse().expect("a name"),
+        incarnation: OTHER,
+        peer_address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        state: MemberState::Suspect,
+    };
+    let members = vec![member];
+    machine.handle(
+        NOW,
+        Input::Members {
+            members,
+            gone,
+            sharers: 1,
+            live: 2,
+        },
+    );
+}
+
+// A control process that restarts, or lags behind, hands over an older configuration than the entry
+// holds. Callers must not see a class come back that was removed: the entry keeps what it has.
+#[test]
+fn an_older_configuration_is_not_taken() {
+    let mut machine = machine(false);
+    machine.handle(NOW, Input::Configured(config(5, false)));
+    machine.handle(NOW, Input::Configured(config(4, true)));
+    let held = machine.config().unwrap();
+    assert_eq!((held.revision, held), (Revision(5), &config(5, false)));
+}
+
+// A copy comes to another host than the one its id is bound to. While that host is merely suspected
+// it may be running the job: the copy is passed on, even of a class that may run twice. Only once it
+// is held to be gone is such a class taken over; any other is told that the outcome is unknown.
+#[rstest]
+#[case::suspected_and_may_run_twice(true, false)]
+#[case::suspected_and_may_not(false, false)]
+#[case::gone_and_may_run_twice(true, true)]
+#[case::gone_and_may_not(false, true)]
+fn only_a_gone_holder_is_taken_over(#[case] may_run_twice: bool, #[case] is_gone: bool) {
+    let mut machine = machine(may_run_twice);
+    know_other(&mut machine, if is_gone { vec![OTHER] } else { Vec::new() });
+    let outputs = submit(&mut machine, Some(OTHER));
+    let code = answer_of(&outputs).and_then(|answer| answer.code);
+    match (may_run_twice, is_gone) {
+        (_, false) => assert!(is_forwarded(&outputs)),
+        // Taken over: nothing stands in its way but that no executor is there.
+        (true, true) => assert_eq!(code, Some(ResultCode::EarlierCopyOpen)),
+        (false, true) => assert_eq!(code, Some(ResultCode::HolderGone)),
+    }
+}
--- a/crates/onyxshed-settings/src/tables.rs
+++ b/crates/onyxshed-settings/src/tables.rs
@@ -124,7 +124,7 @@
 );
 const RETENTION: Field = span(
     "platform_retention_ms",
-    (60_000, 720 * HOUR_MS),
+    (1_000, 720 * HOUR_MS),
     HOUR_MS,
     "How long the platform's log keeps records; must be the platform's own figure.",
 );
