--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -1,8 +1,11 @@
 //! An address that serves requests, within bounds.
 
+mod body;
+mod counted;
+mod turned_away;
+
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,17 +13,22 @@
 use async_executor::LocalExecutor;
 use async_h1::server::{ConnectionStatus, Encoder, Server as H1Server};
 use async_net::{TcpListener, TcpStream};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, Future, FutureExt, future, io};
-use http_types::{Body, Method, Request, Response};
+use futures_lite::{AsyncWriteExt, Future, future, io};
+use http_types::{Method, Request, Response};
 use onyxshed_core::ResultCode;
-use snafu::{ResultExt, Snafu};
+use snafu::ResultExt;
 
 use crate::bounded::{BoundedStream, Phase};
 use crate::client::within;
 use crate::error::{ListenSnafu, Result};
 use crate::head::EXPECT_HEADER;
 use crate::idle::{IdlePlace, IdleStreams};
+
+pub use body::SMALL_BODY_BYTES;
+
 use crate::message::{Call, Reply};
+use counted::Counted;
+use turned_away::{code_of, turned_away};
 
 /// Limits of a served address.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,6 +39,9 @@
     pub head_max_bytes: u64,
     /// Largest body in bytes; default 8 MiB.
     pub body_max_bytes: u64,
+    /// Memory for the bodies that are being read, those of at most [`SMALL_BODY_BYTES`] left out;
+    /// default 256 MiB.
+    pub bodies_max_bytes: u64,
     /// How long a connection may idle between requests; default 60 s.
     pub idle_timeout: Duration,
     /// How long a head may take from its first byte; default 5 s.
@@ -47,6 +58,7 @@
             connections_max: 4_096,
             head_max_bytes: 16 << 10,
             body_max_bytes: 8 << 20,
+            bodies_max_bytes: 256 << 20,
             idle_timeout: Duration::from_secs(60),
             head_timeout: Duration::from_secs(5),
             body_timeout: Duration::from_secs(10),
@@ -71,6 +83,8 @@
     pub connections: Cell<usize>,
     /// Requests being answered.
     pub busy: Cell<usize>,
+    /// Memory that the larger bodies being read take, in bytes.
+    pub body_bytes: Cell<u64>,
     /// Requests and connections turned away at the door.
     pub rejected: Cell<u64>,
 }
@@ -85,13 +99,6 @@
     idle: Rc<IdleStreams>,
 }
 
-/// Why the server itself turns a request away.
-#[derive(Debug, Snafu)]
-#[snafu(display("turned away with code {code}"))]
-struct TurnedAway {
-    code: ResultCode,
-}
-
 /// Room for what a transfer encoding adds around a body.
 const FRAMING_SLACK_BYTES: u64 = 64 << 10;
 
@@ -232,27 +239,6 @@
         Ok(reply.into_response())
     }
 
-    /// Reads a body in full.
-    ///
-    /// Failures guarded against, both the library's with chunked bodies: a trailer that comes in
-    /// pieces leaves it asleep for ever, and one that is not ASCII makes it panic. The time bounds
-    /// the first; the second is caught, and touches nothing but this connection.
-    async fn read_body(&self, body: Body) -> http_types::Result<Vec<u8>> {
-        let max_bytes = self.options.body_max_bytes;
-        let mut found = Vec::new();
-        let mut reader = body.take(max_bytes + 1);
-        let read = AssertUnwindSafe(reader.read_to_end(&mut found)).catch_unwind();
-        match within(self.options.body_timeout, read).await {
-            None => Err(turned_away(ResultCode::TooSlow)),
-            Some(Err(_)) => Err(turned_away(ResultCode::BadRequest)),
-            Some(Ok(Err(error))) => Err(error.into()),
-            Some(Ok(Ok(_))) if found.len() as u64 > max_bytes => {
-                Err(turned_away(ResultCode::BodyTooLarge))
-            }
-            Some(Ok(Ok(_))) => Ok(found),
-        }
-    }
-
     fn rejected(&self, code: ResultCode) -> Response {
         self.stats.rejected.set(self.stats.rejected.get() + 1);
         (self.reject)(code).last().into_response()
@@ -282,47 +268,8 @@
 /// Invites the body of a request that asked whether to send it.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
-fn turned_away(code: ResultCode) -> http_types::Error {
-    http_types::Error::new(http_types::StatusCode::BadRequest, TurnedAway { code })
-}
-
-/// Finds the code for a request that could not be read.
-fn code_of(error: &http_types::Error) -> ResultCode {
-    if let Some(found) = error.downcast_ref::<TurnedAway>() {
-        return found.code;
-    }
-    match error.downcast_ref::<io::Error>().map(io::Error::kind) {
-        Some(io::ErrorKind::TimedOut) => ResultCode::TooSlow,
-        Some(io::ErrorKind::FileTooLarge) => ResultCode::BodyTooLarge,
-        _ => ResultCode::BadRequest,
-    }
-}
-
 /// Waits a little after a failed accept, so that a shortage of file descriptors does not spin.
 async fn breathe() {
     const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
     async_io::Timer::after(ACCEPT_PAUSE).await;
 }
-
-/// Counts something for as long as it lives.
-struct Counted {
-    stats: Rc<ServerStats>,
-    cell: fn(&ServerStats) -> &Cell<usize>,
-}
-
-impl Counted {
-    fn new(stats: &Rc<ServerStats>, cell: fn(&ServerStats) -> &Cell<usize>) -> Self {
-        cell(stats).set(cell(stats).get() + 1);
-        Counted {
-            stats: stats.clone(),
-            cell,
-        }
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        let cell = (self.cell)(&self.stats);
-        cell.set(cell.get() - 1);
-    }
-}
