Read the host list once a second; keep what is known of peers over an entry's restart

Cause: control's bytes stood at 19 KB/s at today's size against 17 allowed, most of them the host list read twice a second (docs/CAPACITY.md); measured again: not yet. A restarted entry made the control process forget its peers and former lives. A fold that is not complete now asks peers as well. The connection to the entry is tried again after 50 ms, which was most of a cold start of 205 ms. Code 4004 says that the time ran out, which is its commonest cause.

--- a/crates/onyxshed-control/src/entry_link.rs
+++ b/crates/onyxshed-control/src/entry_link.rs
@@ -21,8 +21,8 @@
 /// How long the entry may take to take one in.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// How long to wait before connecting again.
-const CONNECT_PAUSE: Duration = Duration::from_millis(200);
+/// How long to wait before connecting again; both processes may start at the same moment.
+const CONNECT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Handle to what the entry process told last.
 pub struct EntryLink {
--- a/crates/onyxshed-control/src/host_follower.rs
+++ b/crates/onyxshed-control/src/host_follower.rs
@@ -15,8 +15,9 @@
 use crate::names::{HOST_FOLLOWER, KNOWLEDGE, PEERS};
 use crate::peers::Peers;
 
-/// How often the list is read; an executor that is leaving must be known within 2 s.
-const READ_EVERY: Duration = Duration::from_millis(500);
+/// How often the list is read: an executor that is leaving must be known within 2 s, and the reading
+/// takes 122 bytes an executor each time (docs/CAPACITY.md).
+const READ_EVERY: Duration = Duration::from_secs(1);
 
 /// The follower as a service.
 pub struct HostFollower {
--- a/crates/onyxshed-control/src/knowledge.rs
+++ b/crates/onyxshed-control/src/knowledge.rs
@@ -97,6 +97,11 @@
             .emit(Event::new(EventKind::ConfigGap).detail(detail));
     }
 
+    /// Tells whether the configuration is the fold of every record so far; else a peer may know more.
+    pub fn is_complete(&self) -> bool {
+        self.facts.borrow().fold.is_complete()
+    }
+
     /// Takes in what a peer handed over.
     pub fn adopt(&self, told: Handover) {
         let step = self.facts.borrow_mut().fold.adopt_handover(told);
--- a/crates/onyxshed-control/src/peers.rs
+++ b/crates/onyxshed-control/src/peers.rs
@@ -83,13 +83,19 @@
     fn round(&self, status: &EntryStatus) -> Vec<Outgoing> {
         let now = self.kernel.clock().now();
         let mut held = self.table.borrow_mut();
-        let table = match held.take().filter(|table| is_of(table, status)) {
-            Some(table) => held.insert(table),
+        let mut notes = Vec::new();
+        let table = match held.take() {
             None => held.insert(self.new_table(status)),
+            Some(mut table) => {
+                if !is_of(&table, status) {
+                    notes = table.restart(now, self.first_heartbeat(status));
+                }
+                held.insert(table)
+            }
         };
         let revision = status.config_revision.unwrap_or_default();
         table.set_own(status.load, revision, status.is_draining);
-        let notes = table.tick(now);
+        notes.extend(table.tick(now));
         let outgoing = table.round(now);
         drop(held);
         self.tell(notes);
@@ -98,7 +104,14 @@
     }
 
     fn new_table(&self, status: &EntryStatus) -> MemberTable {
-        let me = Heartbeat {
+        let me = self.first_heartbeat(status);
+        let seeds = self.options.seeds.clone();
+        MemberTable::new(me, self.options.members.clone(), seeds, rand::random())
+    }
+
+    /// Makes the first heartbeat of the entry whose status is given.
+    fn first_heartbeat(&self, status: &EntryStatus) -> Heartbeat {
+        Heartbeat {
             host: self.options.host.clone(),
             zone: self.options.zone.clone(),
             incarnation: status.incarnation,
@@ -111,9 +124,7 @@
             load: status.load,
             config_revision: status.config_revision.unwrap_or_default(),
             is_draining: status.is_draining,
-        };
-        let seeds = self.options.seeds.clone();
-        MemberTable::new(me, self.options.members.clone(), seeds, rand::random())
+        }
     }
 
     /// Hands what is known of the members on to the entry.
--- a/crates/onyxshed-control/src/peers/calls.rs
+++ b/crates/onyxshed-control/src/peers/calls.rs
@@ -29,7 +29,7 @@
         };
         let theirs = answer.from.config_revision;
         self.hear(&answer);
-        if self.is_newer(theirs) {
+        if self.is_newer(theirs) || !self.knowledge.is_complete() {
             self.fetch_config(outgoing.to).await;
         }
     }
--- a/crates/onyxshed-core/src/code.rs
+++ b/crates/onyxshed-core/src/code.rs
@@ -78,7 +78,7 @@
     4001 HolderUnreachable 504 "Another entry host holds the submission and can't be reached.";
     4002 HolderGone 504 "The entry host that held the submission is gone.";
     4003 ConnectionLost 504 "The connection to an upstream broke after a task may have started.";
-    4004 UpstreamSilent 504 "An upstream stopped answering after a task may have started.";
+    4004 UpstreamSilent 504 "The time ran out, or an upstream stopped answering, after a task may have started.";
     4005 IdTooOld 410 "The submission id is past the horizon: whether an earlier copy ran is no longer known; this copy was not started.";
     4006 IdFromFuture 409 "The submission id's time lies ahead of this host's clock; this copy was not started.";
     4007 AnswerDropped 410 "The answer was given once and is no longer kept.";
--- a/crates/onyxshed-settings/src/tables.rs
+++ b/crates/onyxshed-settings/src/tables.rs
@@ -242,7 +242,7 @@
     ),
     span(
         "idle_timeout_ms",
-        (10, HOUR_MS),
+        (10, 60_000),
         60_000,
         "How long a caller's connection may idle.",
     ),
