--- /dev/null
+++ b/crates/onyxshed-dispatch/src/dispatch/ending.rs
@@ -0,0 +1,158 @@
+//! How jobs end: for a reason, with the code that tells the truth, at once.
+
+use onyxshed_core::{Event, EventKind, Now, Outcome, ResultCode, SubmissionId};
+use onyxshed_wire::caller::Answer;
+use smol_str::SmolStr;
+
+use super::{Dispatch, admit, attempt};
+use crate::job::{Ended, GiveUp, Job, Running};
+use crate::output::{AttemptId, Output, RequestId};
+
+impl Dispatch {
+    /// Ends what time has made due.
+    pub(super) fn settle_due(&mut self, now: Now) {
+        self.settle_overdue_claims(now);
+        self.settle_expired_tasks(now);
+        while let Some(id) = self.jobs.due(now.mono) {
+            self.settle_due_job(now, id);
+        }
+    }
+
+    pub(super) fn settle_due_job(&mut self, now: Now, id: SubmissionId) {
+        match self.jobs.get(id) {
+            Some(Job::Claiming(_)) => self.end_unclaimed(now, id, ResultCode::ExpiredInQueue),
+            Some(Job::Running(job)) if job.is_unstarted() || job.head.end_by <= now.mono => {
+                self.give_up(now, id, GiveUp::OUT_OF_TIME, "");
+            }
+            Some(Job::Running(job)) => {
+                let end_by = job.head.end_by;
+                self.jobs.set_due(id, Some(end_by));
+            }
+            Some(Job::Ended(_)) | None => self.jobs.set_due(id, None),
+        }
+    }
+
+    /// Ends a running job for a reason, with the code that tells the truth.
+    pub(super) fn give_up(&mut self, now: Now, id: SubmissionId, reason: GiveUp, detail: &str) {
+        let Some(Job::Running(job)) = self.jobs.get(id) else {
+            return;
+        };
+        let code = job.truthful(reason);
+        self.end(now, id, code, detail.into());
+    }
+
+    /// Ends a running job: waiting tasks are withdrawn, running ones stopped, the caller answered.
+    pub(super) fn end(&mut self, now: Now, id: SubmissionId, code: ResultCode, detail: SmolStr) {
+        let Some(Job::Running(job)) = self.jobs.take(id) else {
+            return;
+        };
+        self.withdraw_rest(&job);
+        self.stop_rest(&job);
+        self.release_bytes(&job.payloads);
+        let is_unstarted = job.is_unstarted();
+        let class = job.head.class.clone();
+        let (ended, waiters) = job.end(code, detail);
+        self.answer_all(&waiters, id, &ended);
+        self.note(
+            Event::new(EventKind::JobAnswered)
+                .submission(id)
+                .class(&class)
+                .detail(smol_str::format_smolstr!("{code}")),
+        );
+        // A job of which nothing has started is forgotten and its claim released, so that a copy that
+        // comes again may start it, here or on another host.
+        if is_unstarted {
+            self.book.release(now, id);
+        } else {
+            self.jobs
+                .put_ended(id, ended, self.options.answers_max_bytes);
+        }
+    }
+
+    /// Ends a job whose claim was not decided in time: the log may hold another host's.
+    pub(super) fn end_unclaimed(&mut self, now: Now, id: SubmissionId, code: ResultCode) {
+        let Some(Job::Claiming(job)) = self.jobs.take(id) else {
+            return;
+        };
+        self.book.release(now, id);
+        self.release_bytes(&job.payloads);
+        let code = match code {
+            // The content that was claimed is another: this one has not run anywhere.
+            ResultCode::OtherContent => code,
+            code => admit::unproved(code, job.head.copy, false),
+        };
+        let answer = self.refusal(Some(id), code, "");
+        self.note(
+            Event::new(EventKind::JobRefused)
+                .submission(id)
+                .class(&job.head.class)
+                .detail(smol_str::format_smolstr!("{code}")),
+        );
+        for request in job.waiters {
+            self.answer(request, answer.clone());
+        }
+        for request in job.cancels {
+            self.refuse(request, id, ResultCode::EarlierCopyOpen);
+        }
+    }
+
+    pub(super) fn withdraw_rest(&mut self, job: &Running) {
+        for task in job.tasks().filter(|task| !job.has_result(task.index)) {
+            self.policy.withdraw(task);
+        }
+    }
+
+    pub(super) fn stop_rest(&mut self, job: &Running) {
+        for attempt in &job.attempts {
+            self.stop(*attempt);
+        }
+    }
+
+    pub(super) fn stop(&mut self, attempt: AttemptId) {
+        let Some(found) = self.attempts.get(&attempt) else {
+            return;
+        };
+        if found.is_resolving {
+            return;
+        }
+        let (task, executor) = (found.task, found.executor.clone());
+        let event = attempt::task_event(EventKind::TaskStopped, found);
+        self.note(event);
+        self.outputs.push(Output::Stop {
+            attempt,
+            task,
+            executor,
+        });
+    }
+
+    pub(super) fn answer_all(&mut self, waiters: &[RequestId], id: SubmissionId, ended: &Ended) {
+        let is_refusal = ended.code.outcome() == Some(Outcome::NotRun);
+        let answer = match is_refusal {
+            true => self.refusal(Some(id), ended.code, &ended.detail),
+            false => ended.answer(id),
+        };
+        for request in waiters {
+            self.answer(*request, answer.clone());
+        }
+    }
+
+    /// Makes an answer that invites a repeat where that can help.
+    pub(super) fn refusal(
+        &self,
+        id: Option<SubmissionId>,
+        code: ResultCode,
+        detail: &str,
+    ) -> Answer {
+        let answer = Answer::ended(id, code, detail);
+        match code {
+            ResultCode::CancelledUnstarted
+            | ResultCode::BadRequest
+            | ResultCode::UnknownClass
+            | ResultCode::TaskCount
+            | ResultCode::OtherContent
+            | ResultCode::IdTooOld
+            | ResultCode::AnswerDropped => answer,
+            _ => answer.retry_after(self.options.retry_after_ms),
+        }
+    }
+}
--- a/crates/onyxshed-entry/src/process.rs
+++ b/crates/onyxshed-entry/src/process.rs
@@ -100,7 +100,6 @@
                 "remembered_jobs": machine.remembered_jobs(),
                 "snapshot_age_ms": age_ms,
                 "executors": executors,
-                "is_log_readable": machine.is_log_readable(),
                 "live_peers": machine.live_peers(),
                 "unreadable_records": machine.unreadable_records(),
             })
