--- a/crates/onyxshed-entry/src/upstreams.rs
+++ b/crates/onyxshed-entry/src/upstreams.rs
@@ -100,8 +100,15 @@
         Rc::new(Pool::new(entry.address, self.options.client, idle_max))
     }
 
-    /// Carries out a start or a stop and reports its end to the engine.
+    /// Carries out a start, a stop or a question, and reports its end to the engine.
     pub fn carry_out(self: &Rc<Self>, output: Output) {
+        let upstreams = self.clone();
+        self.kernel
+            .spawn(async move { upstreams.call_and_report(output).await })
+            .detach();
+    }
+
+    async fn call_and_report(&self, output: Output) {
         match output {
             Output::Start {
                 attempt,
@@ -120,36 +127,24 @@
                     lease_ms,
                     needs_proven_connection,
                 };
-                let upstreams = self.clone();
-                let run = async move {
-                    let report = upstreams.start(&executor, call).await;
-                    upstreams.report(Input::AttemptEnded { attempt, report });
-                };
-                self.kernel.spawn(run).detach();
+                let report = self.start(&executor, call).await;
+                self.report(Input::AttemptEnded { attempt, report });
             }
             Output::Stop {
                 attempt,
                 task,
                 executor,
             } => {
-                let upstreams = self.clone();
-                let run = async move {
-                    let report = upstreams.stop(&executor, StopCall { attempt, task }).await;
-                    upstreams.report(Input::StopEnded { attempt, report });
-                };
-                self.kernel.spawn(run).detach();
+                let report = self.stop(&executor, StopCall { attempt, task }).await;
+                self.report(Input::StopEnded { attempt, report });
             }
             Output::Ask {
                 attempt,
                 task,
                 executor,
             } => {
-                let upstreams = self.clone();
-                let run = async move {
-                    let sighting = upstreams.ask(&executor, task).await;
-                    upstreams.report(Input::Sighted { attempt, sighting });
-                };
-                self.kernel.spawn(run).detach();
+                let sighting = self.ask(&executor, task).await;
+                self.report(Input::Sighted { attempt, sighting });
             }
             _ => {}
         }
--- a/crates/onyxshed-proto/src/rpc.rs
+++ b/crates/onyxshed-proto/src/rpc.rs
@@ -3,12 +3,12 @@
 //! A message is bounded before it is read: one that claims more than its limit ends the connection,
 //! so a garbled or hostile peer costs a connection and no memory.
 
-use std::cell::Cell;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_executor::LocalExecutor;
+use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use async_net::{TcpListener, TcpStream};
 use capnp::ErrorKind;
@@ -48,13 +48,17 @@
 pub type Dropped = Rc<dyn Fn(SmolStr)>;
 
 /// Serves `bootstrap` to every connection until dropped.
+///
+/// Failure guarded against: a flood of connections that say nothing takes every place. Symptom: the
+/// control process, or a peer, can't get through. The oldest connection makes room for a new one: a
+/// process that is really there connects again within a heartbeat and so keeps its place.
 pub async fn serve(
     listener: TcpListener,
     bootstrap: Client,
     executor: Rc<LocalExecutor<'static>>,
     dropped: Dropped,
 ) {
-    let open = Rc::new(Cell::new(0_usize));
+    let mut open: VecDeque<Task<()>> = VecDeque::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             Timer::after(ACCEPT_PAUSE).await;
@@ -63,25 +67,24 @@
         if stream.set_nodelay(true).is_err() {
             continue;
         }
-        if open.get() >= CONNECTIONS_MAX {
-            dropped(SmolStr::new_static("too many connections"));
-            continue;
+        open.retain(|connection| !connection.is_finished());
+        if open.len() >= CONNECTIONS_MAX {
+            dropped(SmolStr::new_static("the oldest of too many connections"));
+            open.pop_front();
         }
-        open.set(open.get() + 1);
         let system = RpcSystem::new(network(stream, Side::Server), Some(bootstrap.clone()));
-        let (open, dropped) = (open.clone(), dropped.clone());
-        executor
-            .spawn(async move {
-                if let Err(error) = system.await
-                    && error.kind != ErrorKind::Disconnected
-                {
-                    dropped(smol_str::format_smolstr!(
-                        "a message can't be read: {error}"
-                    ));
-                }
-                open.set(open.get() - 1);
-            })
-            .detach();
+        open.push_back(executor.spawn(converse(system, dropped.clone())));
+    }
+}
+
+/// Serves one connection to its end.
+async fn converse(system: RpcSystem<Side>, dropped: Dropped) {
+    if let Err(error) = system.await
+        && error.kind != ErrorKind::Disconnected
+    {
+        dropped(smol_str::format_smolstr!(
+            "a message can't be read: {error}"
+        ));
     }
 }
 
