--- a/crates/onyxshed-proof/tests/doors.rs
+++ b/crates/onyxshed-proof/tests/doors.rs
@@ -199,3 +199,35 @@
         block_on(zone::until("all garbage is counted", counted));
     }
 }
+
+#[test]
+fn a_flood_of_silent_connections_shuts_out_no_control_process() {
+    // While the control process is gone, more connections than the entry's control port takes are opened
+    // and say nothing. The oldest make room for the new control process, so a target that is published
+    // then still comes into force.
+    const FLOOD: usize = 300;
+    let mut cluster = block_on(zone::start(1, given()));
+    let good = zone::callers(&mut cluster, "a1");
+    let door = address(&mut cluster, "a1", Part::Entry, "control");
+    let killed = cluster.kill_part(Part::Control, "a1");
+    killed.expect("the test's own steps work");
+    let mut flood = Vec::new();
+    // The second wave takes the place that the dead control process leaves.
+    for wave in 1..=2 {
+        flood.extend((0..FLOOD).filter_map(|_| TcpStream::connect(door).ok()));
+        assert_eq!(flood.len(), wave * FLOOD);
+        let told = async || turned_away(&mut cluster, Part::Entry).await > (wave - 1) * FLOOD;
+        block_on(zone::until("the port is full", told));
+    }
+    let hosts = ["a1".into()];
+    let restarted = cluster.restart(Part::Control, &hosts);
+    block_on(restarted).expect("the test's own steps work");
+    block_on(zone::publish(&cluster, "late", false));
+    let in_force = async || {
+        let page = zone::timeline(&mut cluster, "a1", Part::Entry).await;
+        let mut events = page.events.iter();
+        events.any(|event| event.kind == EventKind::ConfigInForce && event.detail == "revision 3")
+    };
+    block_on(zone::until("the target is in force", in_force));
+    block_on(zone::serve_one(good, "late"));
+}
