Count answers and response times by class, and show what is under way

Cause: /metrics had the events and the process's own figures, and nothing by which someone on call sees a class grow late. Jobs of classes that are not configured share one label.

--- a/crates/onyxshed-entry/src/callers.rs
+++ b/crates/onyxshed-entry/src/callers.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Instant;
 
 use async_io::Timer;
 use http_types::Method;
@@ -13,6 +14,7 @@
 use onyxshed_wire::caller::{Answer, FORWARDED_HEADER, JOBS_PATH, Submission};
 
 use crate::engine::Engine;
+use crate::measures;
 use crate::names::{CALLERS, CLAIM_LOG, CONTROL_PORT, ENGINE, PEERS, UPSTREAMS};
 
 /// Which door a request came through.
@@ -184,13 +186,15 @@
     drop(body);
     match decoded {
         Ok(submission) => {
-            engine
-                .ask(|request| Input::Submit {
-                    request,
-                    submission,
-                    is_forwarded,
-                })
-                .await
+            let (class, arrived) = (submission.class.clone(), Instant::now());
+            let make = |request| Input::Submit {
+                request,
+                submission,
+                is_forwarded,
+            };
+            let answer = engine.ask(make).await;
+            measures::answered(&class, &answer, arrived.elapsed());
+            answer
         }
         Err(error) => Answer::ended(None, error.code(), &error.to_string()),
     }
--- a/crates/onyxshed-entry/src/engine.rs
+++ b/crates/onyxshed-entry/src/engine.rs
@@ -14,6 +14,7 @@
 use onyxshed_wire::caller::Answer;
 
 use crate::claim_log::ClaimLog;
+use crate::measures;
 use crate::names::{CLAIM_LOG, ENGINE, PEERS, UPSTREAMS};
 use crate::peers::Peers;
 use crate::upstreams::Upstreams;
@@ -21,6 +22,9 @@
 /// Longest time between two ticks of the machine.
 const TICK_MAX: Duration = Duration::from_millis(100);
 
+/// How often metrics are brought up to date.
+const MEASURE_EVERY: Duration = Duration::from_secs(1);
+
 /// How often a drain looks whether the last job has ended.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
 
@@ -127,6 +131,14 @@
         }
     }
 
+    /// Brings the metrics up to date for as long as the process lives.
+    async fn measure(self: Rc<Self>) {
+        loop {
+            self.look(measures::refresh);
+            Timer::after(MEASURE_EVERY).await;
+        }
+    }
+
     /// Ticks the machine whenever it wants to be woken.
     async fn tick(self: Rc<Self>) {
         loop {
@@ -175,6 +187,7 @@
             };
             kernel.register(descriptor, self.engine.clone())?;
             kernel.spawn(self.engine.clone().tick()).detach();
+            kernel.spawn(self.engine.clone().measure()).detach();
             Ok(())
         })
     }
--- a/crates/onyxshed-entry/src/lib.rs
+++ b/crates/onyxshed-entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod claim_log;
 pub mod control_port;
 pub mod engine;
+pub mod measures;
 pub mod names;
 pub mod peers;
 pub mod pool;
--- /dev/null
+++ b/crates/onyxshed-entry/src/measures.rs
@@ -0,0 +1,93 @@
+//! Metrics of an entry process: what callers were answered and how soon, and what is under way.
+//!
+//! Names follow Prometheus: counters end in `_total`, spans in `_seconds`. Jobs of a class that is not
+//! configured are counted under one label, so that callers can't make labels without end.
+
+use std::time::Duration;
+
+use onyxshed_core::{ClassName, ResultCode};
+use onyxshed_dispatch::Dispatch;
+use onyxshed_telemetry::metric;
+use onyxshed_wire::caller::Answer;
+
+/// Counts answers to submissions by class and code.
+pub const JOB_ANSWERS_TOTAL: &str = "onyxshed_job_answers_total";
+
+/// Time from a submission's arrival to its answer, by class.
+pub const JOB_RESPONSE_SECONDS: &str = "onyxshed_job_response_seconds";
+
+/// Counts messages that served no answer, by kind.
+pub const WASTED_MESSAGES_TOTAL: &str = "onyxshed_wasted_messages_total";
+
+/// Label of classes that are not configured.
+const NO_CLASS: &str = "none";
+
+/// Counts an answer to a submission and how long it took.
+pub fn answered(class: &ClassName, answer: &Answer, took: Duration) {
+    let is_known = !matches!(
+        answer.code,
+        Some(ResultCode::UnknownClass | ResultCode::NotReady)
+    );
+    let class = if is_known { class.as_str() } else { NO_CLASS };
+    let code = answer.code.map_or(0, ResultCode::number);
+    let labels = [("class", class.to_owned()), ("code", code.to_string())];
+    metrics::counter!(JOB_ANSWERS_TOTAL, &labels).increment(1);
+    let text = "Time from a submission's arrival to its answer.";
+    metric::labelled_seconds_histogram(JOB_RESPONSE_SECONDS, text, "class", class.to_owned())
+        .record(took.as_secs_f64());
+}
+
+/// Brings the gauges up to date.
+pub fn refresh(machine: &Dispatch) {
+    metrics::describe_counter!(JOB_ANSWERS_TOTAL, "Answers to submissions.");
+    let gauges = [
+        (
+            "onyxshed_live_jobs",
+            "Jobs that have not ended.",
+            machine.live_jobs(),
+        ),
+        (
+            "onyxshed_remembered_jobs",
+            "Submissions remembered.",
+            machine.remembered_jobs(),
+        ),
+        (
+            "onyxshed_queued_tasks",
+            "Tasks that wait for an executor.",
+            machine.queued_tasks(),
+        ),
+        (
+            "onyxshed_live_attempts",
+            "Starts that have not ended.",
+            machine.live_attempts(),
+        ),
+        (
+            "onyxshed_live_peers",
+            "Peers that are live as far as is known.",
+            machine.live_peers(),
+        ),
+    ];
+    for (name, text, value) in gauges {
+        // Exact up to 2^53.
+        metric::gauge(name, text).set(value as f64);
+    }
+    let revision = machine.config().map_or(0, |held| held.revision.0);
+    metric::gauge("onyxshed_config_revision", "The configuration in force.").set(revision as f64);
+    refresh_waste(machine);
+}
+
+fn refresh_waste(machine: &Dispatch) {
+    let waste = machine.waste();
+    let kinds = [
+        ("refusal", waste.refusals),
+        ("unsent", waste.unsent),
+        ("retry", waste.retries),
+        ("hedge", waste.hedges),
+        ("failed_probe", waste.failed_probes),
+        ("stop", waste.stopped),
+    ];
+    for (kind, count) in kinds {
+        let text = "Messages to executors that served no answer.";
+        metric::labelled_counter(WASTED_MESSAGES_TOTAL, text, "kind", kind).absolute(count);
+    }
+}
