--- a/crates/onyxshed-core/src/event.rs
+++ b/crates/onyxshed-core/src/event.rs
@@ -114,6 +114,29 @@
     700 PlatformLost Warn "The platform's log can't be reached.";
     701 PlatformBack Info "The platform's log answers again.";
     702 HostListStale Warn "The platform's host list is old.";
+    800 PoolJobAnswered Info "A caller was given the answer to its job, with what decided it.";
+    801 PoolJobRefused Warn "A job was refused before any of it ran, with what decided it.";
+    802 PoolJobLost Warn "A job's fate is not known; its caller may send it again.";
+    803 PoolRunOrdered Debug "A run of a task was ordered from an executor.";
+    804 PoolRunEnded Info "A run ended otherwise than done.";
+    805 PoolStrayStopped Info "A run that this owner did not order was found at work and is stopped.";
+    810 PoolOwned Info "This host owns a pool from now on.";
+    811 PoolGivenUp Warn "This host no longer owns a pool.";
+    812 PoolOwnerChanged Info "Another host is held to own a pool.";
+    820 PoolExecutorTaken Info "An executor is used from now on.";
+    821 PoolExecutorSilent Warn "An executor does not answer; its runs end with their leases.";
+    822 PoolExecutorBack Info "An executor answers again.";
+    823 PoolExecutorAvoided Info "An executor gets no work for a while because runs failed or stuck on it.";
+    824 PoolExecutorDraining Info "An executor is leaving.";
+    825 PoolExecutorGone Info "An executor is no longer known.";
+    830 PoolPeerSilent Warn "An entry host fell silent; its jobs are given up.";
+    831 PoolLinkUp Info "The owner of a pool answers.";
+    832 PoolLinkDown Warn "The owner of a pool does not answer.";
+    840 ManifestInForce Info "A version of the operators' manifest took force.";
+    841 StoreLost Warn "The platform's store does not answer.";
+    842 StoreBack Info "The platform's store answers again.";
+    843 SettingsReloaded Info "The settings file was read again.";
+    844 SettingsRejected Warn "The settings file can't be read; the settings held stay.";
 }
 
 impl EventKind {
@@ -145,6 +168,12 @@
     /// The submission it concerns.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub submission: Option<SubmissionId>,
+    /// The caller's own id of the request.
+    #[serde(default, skip_serializing_if = "SmolStr::is_empty")]
+    pub request: SmolStr,
+    /// The job that a pool runs.
+    #[serde(default, skip_serializing_if = "SmolStr::is_empty")]
+    pub job: SmolStr,
     /// The task's place in the submission.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub task_index: Option<u16>,
@@ -166,6 +195,8 @@
             hlc: Hlc::default(),
             kind,
             submission: None,
+            request: SmolStr::default(),
+            job: SmolStr::default(),
             task_index: None,
             class: None,
             party: SmolStr::default(),
@@ -179,6 +210,18 @@
         self
     }
 
+    /// Sets the caller's own id of the request.
+    pub fn request(mut self, request: impl Into<SmolStr>) -> Self {
+        self.request = request.into();
+        self
+    }
+
+    /// Sets the job that a pool runs.
+    pub fn job(mut self, job: impl Into<SmolStr>) -> Self {
+        self.job = job.into();
+        self
+    }
+
     /// Sets the task.
     pub fn task(mut self, index: u16) -> Self {
         self.task_index = Some(index);
--- a/crates/onyxshed-entry/src/lib.rs
+++ b/crates/onyxshed-entry/src/lib.rs
@@ -12,6 +12,5 @@
 pub mod measures;
 pub mod names;
 pub mod peers;
-pub mod pool;
 pub mod process;
 pub mod upstreams;
--- a/crates/onyxshed-entry/src/peers.rs
+++ b/crates/onyxshed-entry/src/peers.rs
@@ -17,7 +17,7 @@
 
 use crate::engine::Engine;
 use crate::names::{ENGINE, PEERS};
-use crate::pool::{Health, Pool};
+use onyxshed_http::connections::{ConnectionPool, Health};
 
 /// How long a peer may take to answer before the caller is told that it can't be reached.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
@@ -34,7 +34,7 @@
 /// Handle to the connections to peers.
 pub struct Peers {
     kernel: Kernel,
-    pools: RefCell<BTreeMap<SocketAddr, Rc<Pool>>>,
+    pools: RefCell<BTreeMap<SocketAddr, Rc<ConnectionPool>>>,
 }
 
 impl Peers {
@@ -86,7 +86,7 @@
         Some(answer)
     }
 
-    fn pool(&self, address: SocketAddr) -> Rc<Pool> {
+    fn pool(&self, address: SocketAddr) -> Rc<ConnectionPool> {
         let options = ClientOptions {
             connect_timeout: CONNECT_TIMEOUT,
             ..Default::default()
@@ -94,7 +94,7 @@
         let mut pools = self.pools.borrow_mut();
         let pool = pools
             .entry(address)
-            .or_insert_with(|| Rc::new(Pool::new(address, options, IDLE_MAX)));
+            .or_insert_with(|| Rc::new(ConnectionPool::new(address, options, IDLE_MAX)));
         pool.clone()
     }
 }
--- a/crates/onyxshed-entry/src/upstreams.rs
+++ b/crates/onyxshed-entry/src/upstreams.rs
@@ -15,7 +15,7 @@
 
 use crate::engine::Engine;
 use crate::names::{ENGINE, UPSTREAMS};
-use crate::pool::Pool;
+use onyxshed_http::connections::ConnectionPool;
 
 pub use call::{StartCall, StopCall};
 
@@ -52,7 +52,7 @@
     kernel: Kernel,
     me: Incarnation,
     options: UpstreamOptions,
-    pools: RefCell<BTreeMap<ExecutorName, Rc<Pool>>>,
+    pools: RefCell<BTreeMap<ExecutorName, Rc<ConnectionPool>>>,
 }
 
 impl Upstreams {
@@ -95,9 +95,13 @@
         }
     }
 
-    fn new_pool(&self, entry: &ExecutorEntry) -> Rc<Pool> {
+    fn new_pool(&self, entry: &ExecutorEntry) -> Rc<ConnectionPool> {
         let idle_max = self.options.connections_per_executor;
-        Rc::new(Pool::new(entry.address, self.options.client, idle_max))
+        Rc::new(ConnectionPool::new(
+            entry.address,
+            self.options.client,
+            idle_max,
+        ))
     }
 
     /// Carries out a start, a stop or a question, and reports its end to the engine.
@@ -156,7 +160,7 @@
         }
     }
 
-    fn pool(&self, executor: &ExecutorName) -> Option<Rc<Pool>> {
+    fn pool(&self, executor: &ExecutorName) -> Option<Rc<ConnectionPool>> {
         self.pools.borrow().get(executor).cloned()
     }
 }
--- a/crates/onyxshed-entry/src/upstreams/call.rs
+++ b/crates/onyxshed-entry/src/upstreams/call.rs
@@ -16,7 +16,7 @@
 use smol_str::SmolStr;
 
 use super::Upstreams;
-use crate::pool::{Health, Pool};
+use onyxshed_http::connections::{ConnectionPool, Health};
 
 /// A start to carry out.
 #[derive(Debug, Clone)]
@@ -162,7 +162,7 @@
 }
 
 /// Judges a call that brought no reply: only one of which no byte left us did not start the task.
-fn broken(pool: &Pool, error: &CallError) -> AttemptReport {
+fn broken(pool: &ConnectionPool, error: &CallError) -> AttemptReport {
     // A connection that went silent was forgotten by something on the way, and its idle
     // neighbours most likely with it.
     if error.is_timeout {
--- /dev/null
+++ b/crates/onyxshed-host/src/callers.rs
@@ -0,0 +1,336 @@
+//! Requests of callers.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use http_types::Method;
+use onyxshed_adapter::job::{self, DEADLINE_HEADER, REQUEST_HEADER, SimpleJob, Submission};
+use onyxshed_adapter::{Manifest, Route};
+use onyxshed_core::{Event, EventKind, Millis, Mono, ResultCode};
+use onyxshed_http::client::within;
+use onyxshed_http::{Call, Handler, Reply, Server, ServerOptions, ServerStats};
+use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_pool::{JobEnd, JobId, JobRequest, NotRunReason, UnknownReason};
+use onyxshed_process::listen;
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::boot_clock;
+use crate::links::Links;
+use crate::manifest::ManifestHolder;
+use crate::names::{CALLERS, LINKS, MANIFEST};
+
+/// How long a stopping host goes on serving before it looks for its end: the balancer asks for
+/// readiness once a second and needs two misses.
+const DRAIN_NOTICE: Duration = Duration::from_millis(2_200);
+
+/// How often a stopping host looks whether the last reply has been written.
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+
+/// What a request without a deadline gets.
+const DEADLINE_DEFAULT: Millis = Millis(5_000);
+
+/// Kept free before the caller's deadline, so that the answer reaches it: the way there and back
+/// and a standstill of a host at its processor limit.
+const DEADLINE_MARGIN: Millis = Millis(60);
+
+/// When a caller is asked back while no owner of a pool is known; a new one takes about that long.
+const NO_POOL_RETRY: Millis = Millis(2_000);
+
+/// When a caller is asked back whose kind of job is not built: it won't be soon.
+const UNSUPPORTED_RETRY: Millis = Millis(60_000);
+
+/// Where callers are served, and within which limits.
+#[derive(Debug, Clone, Copy)]
+pub struct CallerOptions {
+    /// Where callers connect.
+    pub address: SocketAddr,
+    /// Limits of the address.
+    pub server: ServerOptions,
+}
+
+/// Handle to the callers' requests.
+pub struct Callers {
+    kernel: Kernel,
+    manifest: Rc<ManifestHolder>,
+    links: Rc<Links>,
+    under_way: Cell<usize>,
+    stats: Rc<ServerStats>,
+}
+
+/// A submission as it was understood.
+struct Asked {
+    request: SmolStr,
+    route: SmolStr,
+    version: u64,
+    job: JobId,
+    arrived: Mono,
+}
+
+impl Callers {
+    async fn handle(&self, call: Call) -> Reply {
+        let Some(manifest) = self.manifest.get() else {
+            return refuse(503, "no manifest is known yet", Some(NO_POOL_RETRY));
+        };
+        let host = call.header("host").unwrap_or_default();
+        let Some(route) = manifest.route(host, call.path()) else {
+            return refuse(404, "no such route", None);
+        };
+        let rest = &call.path()[route.path_prefix.len()..];
+        match (call.method(), rest.is_empty()) {
+            (Method::Post, false) => self.submit(&call, &manifest, route).await,
+            (Method::Get, true) => Reply::json(200, &job::pending_body(0)),
+            // Jobs that need not be stored are known to nobody but the caller that waits.
+            (Method::Get | Method::Delete, false) => refuse(410, "no such job", None),
+            _ => refuse(404, "no such method here", None),
+        }
+    }
+
+    async fn submit(&self, call: &Call, manifest: &Manifest, route: &Route) -> Reply {
+        let arrived = boot_clock::now();
+        let request = SmolStr::new(call.header(REQUEST_HEADER).unwrap_or_default());
+        let job = match job::job_id(call.path(), &route.path_prefix) {
+            Ok(job) => job,
+            Err(error) => return refuse(400, &format_smolstr!("{error}"), None),
+        };
+        let asked = Asked {
+            request,
+            route: route.name.clone(),
+            version: manifest.version,
+            job,
+            arrived,
+        };
+        let simple = match job::parse(&call.body) {
+            Ok(Submission::Simple(simple)) if !route.needs_advice => simple,
+            Ok(Submission::Simple(_)) => return self.unsupported(&asked, "advice"),
+            Ok(Submission::Unsupported(what)) => return self.unsupported(&asked, what),
+            Err(error) => return refuse(400, &format_smolstr!("{error}"), None),
+        };
+        let deadline = deadline_of(call).min(route.timeout_ms.max(LEAST_TIMEOUT));
+        let job = self.request_of(route, &asked, simple, deadline);
+        let give_up = Duration::from(job.time_left);
+        let end = within(give_up, self.dispatch(&job)).await;
+        let (end, pool) = end.unwrap_or((
+            JobEnd::Unknown(UnknownReason::TimeOut),
+            SmolStr::new_static("?"),
+        ));
+        self.tell(&asked, &job, &end, &pool);
+        answer(&end)
+    }
+
+    fn unsupported(&self, asked: &Asked, what: &'static str) -> Reply {
+        let event = Event::new(EventKind::PoolJobRefused)
+            .request(asked.request.clone())
+            .job(format_smolstr!("{}", asked.job))
+            .party(asked.route.clone())
+            .detail(format_smolstr!("not built: {what}"));
+        self.kernel.emit(event);
+        refuse(503, what, Some(UNSUPPORTED_RETRY))
+    }
+
+    fn request_of(
+        &self,
+        route: &Route,
+        asked: &Asked,
+        simple: SimpleJob,
+        deadline: Millis,
+    ) -> JobRequest {
+        JobRequest {
+            peer: self.links.own(),
+            submission: self.links.next_submission(),
+            job: asked.job,
+            upstream: route.upstream.clone(),
+            spec: simple.spec,
+            tasks: simple.tasks,
+            demand: simple.demand,
+            estimate: simple.estimate_ms,
+            attempts_max: route.attempts_max,
+            stretch_millis: route.stretch_millis,
+            objective: route.objective_ms,
+            time_left: Millis(deadline.0.saturating_sub(DEADLINE_MARGIN.0)),
+            label: simple.label,
+            data_rack: simple.data_rack,
+            per_executor_max: simple.per_executor_max,
+        }
+    }
+
+    /// Hands a job to the pool that serves it best; to the next one while it is not run.
+    async fn dispatch(&self, job: &JobRequest) -> (JobEnd, SmolStr) {
+        let mut last = (
+            JobEnd::NotRun(NotRunReason::NotOwner, NO_POOL_RETRY),
+            SmolStr::new_static("none"),
+        );
+        let begun = boot_clock::now();
+        for pool in self.links.order(job) {
+            let mut job = job.clone();
+            job.submission = self.links.next_submission();
+            let spent = boot_clock::now().since(begun).as_millis();
+            job.time_left = Millis(job.time_left.0.saturating_sub(spent.0));
+            let end = self.links.run(&pool, job).await;
+            last = (end, pool);
+            if !matches!(end, JobEnd::NotRun(..)) {
+                break;
+            }
+        }
+        last
+    }
+
+    fn tell(&self, asked: &Asked, job: &JobRequest, end: &JobEnd, pool: &SmolStr) {
+        let kind = match end {
+            JobEnd::Completed | JobEnd::Failed => EventKind::PoolJobAnswered,
+            JobEnd::NotRun(..) => EventKind::PoolJobRefused,
+            JobEnd::Unknown(_) => EventKind::PoolJobLost,
+        };
+        let took = boot_clock::now().since(asked.arrived).as_millis();
+        let event = Event::new(kind)
+            .request(asked.request.clone())
+            .job(format_smolstr!("{}", asked.job))
+            .party(asked.route.clone())
+            .detail(format_smolstr!(
+                "{end:?} after {took}, target {}, {} tasks of {} and {}, pool {pool}, manifest {}",
+                job.target().as_millis(),
+                job.tasks,
+                job.estimate,
+                job.demand,
+                asked.version,
+            ));
+        self.kernel.emit(event);
+    }
+}
+
+/// Least time that a route's timeout leaves a job.
+const LEAST_TIMEOUT: Millis = Millis(100);
+
+fn deadline_of(call: &Call) -> Millis {
+    let told = call.header(DEADLINE_HEADER);
+    told.and_then(|text| text.parse().ok())
+        .map_or(DEADLINE_DEFAULT, Millis)
+}
+
+fn refuse(status: u16, reason: &str, retry_after: Option<Millis>) -> Reply {
+    let reply = Reply::json(status, &job::reason_body(reason));
+    match retry_after {
+        Some(wait) => reply.retry_after_ms(wait.0),
+        None => reply,
+    }
+}
+
+fn answer(end: &JobEnd) -> Reply {
+    match end {
+        JobEnd::Completed => Reply::json(200, &job::state_body("completed")),
+        JobEnd::Failed => Reply::json(200, &job::state_body("failed")),
+        JobEnd::NotRun(reason, retry_after) => {
+            let wait = Millis(retry_after.0.max(1));
+            refuse(503, not_run_words(*reason), Some(wait))
+        }
+        JobEnd::Unknown(reason) => refuse(504, unknown_words(*reason), None),
+    }
+}
+
+fn not_run_words(reason: NotRunReason) -> &'static str {
+    match reason {
+        NotRunReason::NoTime => "not run: it could not end in time",
+        NotRunReason::NoExecutor => "not run: no executor can run it",
+        NotRunReason::NotOwner | NotRunReason::OldSession => "not run: no pool can be reached",
+    }
+}
+
+fn unknown_words(reason: UnknownReason) -> &'static str {
+    match reason {
+        UnknownReason::OwnerChanged => "unknown: the pool's owner was lost",
+        UnknownReason::OwnerPaused => "unknown: the pool's owner stood still",
+        UnknownReason::PeerSilent => "unknown: the pool's owner did not hear this host",
+        UnknownReason::TimeOut => "unknown: the time was over",
+        UnknownReason::Cancelled => "unknown: the caller gave it up",
+        UnknownReason::Superseded => "unknown: the caller sent it again",
+    }
+}
+
+/// The callers' address as a service.
+pub struct CallerService {
+    options: CallerOptions,
+}
+
+impl CallerService {
+    /// Makes the service.
+    pub fn new(options: CallerOptions) -> Self {
+        CallerService { options }
+    }
+
+    async fn open(&self, kernel: &Kernel) -> Result<()> {
+        let holder: Rc<std::cell::OnceCell<Rc<Callers>>> = Rc::default();
+        let found = holder.clone();
+        let draining = kernel.readiness().clone();
+        let handler: Handler = Rc::new(move |call| {
+            let callers = found.get().cloned();
+            let draining = draining.clone();
+            Box::pin(async move {
+                let Some(callers) = callers else {
+                    return refuse(503, "the host is starting", Some(NO_POOL_RETRY));
+                };
+                callers.under_way.set(callers.under_way.get() + 1);
+                let reply = callers.handle(call).await;
+                callers.under_way.set(callers.under_way.get() - 1);
+                if draining.is_draining() {
+                    reply.last()
+                } else {
+                    reply
+                }
+            })
+        });
+        let reporter = kernel.clone();
+        let reject = Rc::new(move |code: ResultCode| {
+            let detail = format_smolstr!("{code}");
+            reporter.emit(Event::new(EventKind::RequestRejected).detail(detail));
+            refuse(code.http_status(), &format_smolstr!("{code}"), None)
+        });
+        let server = Server::new(self.options.server, handler, reject);
+        let callers = Rc::new(Callers {
+            kernel: kernel.clone(),
+            manifest: kernel.find(MANIFEST)?,
+            links: kernel.find(LINKS)?,
+            under_way: Cell::new(0),
+            stats: server.stats(),
+        });
+        // The cell is empty until here.
+        let _ = holder.set(callers.clone());
+        let (listener, _) = listen(kernel, CALLERS, "caller", self.options.address).await?;
+        kernel
+            .spawn(server.run(listener, kernel.executor()))
+            .detach();
+        let descriptor = Descriptor {
+            name: CALLERS,
+            summary: "requests of callers",
+        };
+        kernel.register(descriptor, callers)
+    }
+}
+
+impl Service for CallerService {
+    fn name(&self) -> ServiceName {
+        CALLERS
+    }
+
+    fn needs(&self) -> &[ServiceName] {
+        &[MANIFEST, LINKS]
+    }
+
+    fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
+        Box::pin(self.open(kernel))
+    }
+
+    /// Serves on until the balancer has noticed, then waits for the last reply.
+    fn drain<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, ()> {
+        Box::pin(async move {
+            Timer::after(DRAIN_NOTICE).await;
+            let Ok(callers) = kernel.find::<Callers>(CALLERS) else {
+                return;
+            };
+            while callers.stats.busy.get() > 0 {
+                Timer::after(DRAIN_POLL).await;
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-host/src/engine.rs
@@ -0,0 +1,293 @@
+//! Runs the decisions of the pool that this host owns.
+//!
+//! Each call to an executor is a task of its own; what comes of it goes back into the decisions,
+//! whose actions become the next calls. Calls made under an earlier token are ignored when they
+//! come back.
+
+mod calls;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use onyxshed_core::{Event, EventKind};
+use onyxshed_http::ClientOptions;
+use onyxshed_http::connections::ConnectionPool;
+use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_pool::{
+    Action, ExecutorFacts, ExecutorId, FencingToken, JobEnd, JobId, JobRequest, NotRunReason, Note,
+    PeerLife, Pool, PoolDigest, PoolOptions, Session, SubmissionNumber, UnknownReason,
+};
+use smol_str::format_smolstr;
+
+use crate::boot_clock;
+use crate::names::ENGINE;
+use crate::notes;
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Longest time to open a connection to an executor; a fresh one takes up to 20 ms across zones.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Idle connections kept for each executor: one that holds, and one for each of the starts and
+/// stops that usually come together.
+const IDLE_CONNECTIONS: usize = 4;
+
+/// How long a stopping owner waits for the jobs of its pool.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(3_000);
+
+/// How often a stopping owner looks whether its jobs have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+
+type Waiting = BTreeMap<(PeerLife, SubmissionNumber), Sender<JobEnd>>;
+
+/// Handle to the pool that this host owns.
+pub struct Engine {
+    kernel: Kernel,
+    own: PeerLife,
+    options: PoolOptions,
+    pool: RefCell<Option<Pool>>,
+    waiting: RefCell<Waiting>,
+    connections: RefCell<BTreeMap<ExecutorId, Rc<ConnectionPool>>>,
+    was_fenced: Cell<bool>,
+}
+
+impl Engine {
+    /// Makes the handle of a host that owns nothing yet.
+    pub fn new(kernel: &Kernel, own: PeerLife) -> Rc<Self> {
+        Rc::new(Engine {
+            kernel: kernel.clone(),
+            own,
+            options: PoolOptions::default(),
+            pool: RefCell::default(),
+            waiting: RefCell::default(),
+            connections: RefCell::default(),
+            was_fenced: Cell::new(false),
+        })
+    }
+
+    /// Gets this run of this host.
+    pub fn own(&self) -> PeerLife {
+        self.own
+    }
+
+    /// Gets the token of the pool owned, none if this host owns none.
+    pub fn token(&self) -> Option<FencingToken> {
+        self.pool.borrow().as_ref().map(Pool::token)
+    }
+
+    /// Gets how many executors and jobs the pool has.
+    pub fn counts(&self) -> (usize, usize) {
+        let pool = self.pool.borrow();
+        pool.as_ref()
+            .map_or((0, 0), |pool| (pool.executors(), pool.live_jobs()))
+    }
+
+    /// Tells, once, whether an executor refused this host's token.
+    pub fn take_fenced(&self) -> bool {
+        self.was_fenced.take()
+    }
+
+    /// Begins to own the pool.
+    pub fn own_pool(&self, token: FencingToken) {
+        let pool = Pool::new(boot_clock::now(), token, self.own, self.options.clone());
+        *self.pool.borrow_mut() = Some(pool);
+        let detail = format_smolstr!("token {token}");
+        self.kernel
+            .emit(Event::new(EventKind::PoolOwned).detail(detail));
+    }
+
+    /// Gives the pool up; the fate of its jobs is unknown.
+    pub fn give_up(self: &Rc<Self>, why: &'static str) {
+        let Some(mut pool) = self.pool.borrow_mut().take() else {
+            return;
+        };
+        let jobs = pool.live_jobs();
+        let token = pool.token();
+        let actions = pool.step_down();
+        self.carry_out(token, actions);
+        self.connections.borrow_mut().clear();
+        let detail = format_smolstr!("{why}, token {token}, {jobs} jobs");
+        self.kernel
+            .emit(Event::new(EventKind::PoolGivenUp).detail(detail));
+    }
+
+    /// Feeds the decisions and carries out what they say; nothing if no pool is owned.
+    fn feed(self: &Rc<Self>, feed: impl FnOnce(&mut Pool) -> Vec<Action>) {
+        let fed = {
+            let mut pool = self.pool.borrow_mut();
+            pool.as_mut().map(|pool| (pool.token(), feed(pool)))
+        };
+        if let Some((token, actions)) = fed {
+            self.carry_out(token, actions);
+        }
+    }
+
+    /// Feeds what came of a call that was made under a token.
+    fn feed_under(
+        self: &Rc<Self>,
+        token: FencingToken,
+        feed: impl FnOnce(&mut Pool) -> Vec<Action>,
+    ) {
+        if self.token() == Some(token) {
+            self.feed(feed);
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, token: FencingToken, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Start(id, order) => self.spawn_start(token, id, order),
+                Action::Stop(id, order) => self.spawn_stop(token, id, order),
+                Action::Hold(id, order, pause) => self.spawn_hold(token, id, order, pause),
+                Action::End {
+                    peer,
+                    submission,
+                    end,
+                    ..
+                } => self.deliver(peer, submission, end),
+                Action::StepDown => {
+                    self.was_fenced.set(true);
+                    self.give_up("another host owns it");
+                }
+                Action::Note(note) => self.write_down(token, &note),
+            }
+        }
+    }
+
+    fn write_down(&self, token: FencingToken, note: &Note) {
+        if let Note::ExecutorGone(id) = note {
+            self.connections.borrow_mut().remove(id);
+        }
+        self.kernel.emit(notes::event_of(note, token));
+    }
+
+    fn deliver(&self, peer: PeerLife, submission: SubmissionNumber, end: JobEnd) {
+        if let Some(sender) = self.waiting.borrow_mut().remove(&(peer, submission)) {
+            // The receiver is gone when its caller has left; nobody wants the answer then.
+            let _ = sender.try_send(end);
+        }
+    }
+
+    /// Takes in a job and gets what its end will come through.
+    pub fn submit(self: &Rc<Self>, session: Session, request: JobRequest) -> Receiver<JobEnd> {
+        let (sender, receiver) = async_channel::bounded(1);
+        if self.pool.borrow().is_none() {
+            let end = JobEnd::NotRun(NotRunReason::NotOwner, onyxshed_core::Millis(0));
+            // The channel has room for the one answer.
+            let _ = sender.try_send(end);
+            return receiver;
+        }
+        let key = (request.peer, request.submission);
+        self.waiting.borrow_mut().insert(key, sender);
+        self.feed(|pool| pool.submit(boot_clock::now(), session, request));
+        receiver
+    }
+
+    /// Gives up a job for its entry host.
+    pub fn cancel(
+        self: &Rc<Self>,
+        peer: PeerLife,
+        submission: SubmissionNumber,
+        job: JobId,
+        reason: UnknownReason,
+    ) {
+        self.feed(|pool| pool.cancel(boot_clock::now(), peer, submission, job, reason));
+        self.waiting.borrow_mut().remove(&(peer, submission));
+    }
+
+    /// Notes that an entry host was heard; its session, none if no pool is owned.
+    pub fn peer_heard(&self, life: PeerLife) -> Option<Session> {
+        let mut pool = self.pool.borrow_mut();
+        pool.as_mut()
+            .map(|pool| pool.peer_heard(boot_clock::now(), life))
+    }
+
+    /// Sums up the pool, none if no pool is owned.
+    pub fn digest(&self) -> Option<PoolDigest> {
+        let pool = self.pool.borrow();
+        pool.as_ref().map(|pool| pool.digest(boot_clock::now()))
+    }
+
+    /// Takes in an executor as the platform lists it.
+    pub fn executor_listed(self: &Rc<Self>, id: ExecutorId, facts: ExecutorFacts) {
+        self.keep_connections(&id, &facts);
+        self.feed(|pool| pool.executor_listed(boot_clock::now(), id, facts));
+    }
+
+    /// Takes in that an executor is no longer listed.
+    pub fn executor_unlisted(self: &Rc<Self>, id: &ExecutorId) {
+        self.feed(|pool| pool.executor_unlisted(boot_clock::now(), id));
+    }
+
+    fn keep_connections(&self, id: &ExecutorId, facts: &ExecutorFacts) {
+        let mut held = self.connections.borrow_mut();
+        if held
+            .get(id)
+            .is_some_and(|pool| pool.address() == facts.address)
+        {
+            return;
+        }
+        let options = ClientOptions {
+            connect_timeout: CONNECT_TIMEOUT,
+            ..ClientOptions::default()
+        };
+        let pool = ConnectionPool::new(facts.address, options, IDLE_CONNECTIONS);
+        held.insert(id.clone(), Rc::new(pool));
+    }
+
+    async fn tick(self: Rc<Self>) {
+        loop {
+            Timer::after(TICK).await;
+            if self.kernel.readiness().is_draining()
+                && let Some(pool) = self.pool.borrow_mut().as_mut()
+            {
+                pool.close();
+            }
+            self.feed(|pool| pool.tick(boot_clock::now()));
+        }
+    }
+}
+
+/// The owned pool as a service.
+pub struct EngineService {
+    engine: Rc<Engine>,
+}
+
+impl EngineService {
+    /// Makes the service.
+    pub fn new(engine: Rc<Engine>) -> Self {
+        EngineService { engine }
+    }
+}
+
+impl Service for EngineService {
+    fn name(&self) -> ServiceName {
+        ENGINE
+    }
+
+    fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
+        Box::pin(async move {
+            kernel.spawn(self.engine.clone().tick()).detach();
+            let descriptor = Descriptor {
+                name: ENGINE,
+                summary: "the pool that this host owns",
+            };
+            kernel.register(descriptor, self.engine.clone())
+        })
+    }
+
+    /// Waits for the jobs of the pool, which takes no new ones.
+    fn drain<'a>(&'a self, _kernel: &'a Kernel) -> LocalFuture<'a, ()> {
+        Box::pin(async move {
+            let deadline = std::time::Instant::now() + DRAIN_TIMEOUT;
+            while self.engine.counts().1 > 0 && std::time::Instant::now() < deadline {
+                Timer::after(DRAIN_POLL).await;
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-host/src/engine/calls.rs
@@ -0,0 +1,152 @@
+//! Orders to executors, each as a task of its own.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use onyxshed_adapter::{Error, orders};
+use onyxshed_core::Millis;
+use onyxshed_http::connections::{ConnectionPool, Health};
+use onyxshed_http::{Connection, Sent};
+use onyxshed_pool::{
+    ExecutorId, FencingToken, HoldAnswer, HoldOrder, StartAnswer, StartOrder, StopAnswer, StopOrder,
+};
+
+use super::Engine;
+use crate::boot_clock;
+
+/// How long the answer to a start or a stop may take. An executor answers within 10 ms; a host at
+/// its processor limit stands still for up to 75 ms.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// How long a report may take beyond the time that the executor waits for an end.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(120);
+
+/// Time without an answer after which a connection is replaced rather than trusted. Connections
+/// may go silent for good while new ones work; a start on one loses the order's timeout.
+const PROVEN_WITHIN: Duration = Duration::from_secs(8);
+
+impl Engine {
+    pub(super) fn spawn_start(
+        self: &Rc<Self>,
+        token: FencingToken,
+        id: ExecutorId,
+        order: StartOrder,
+    ) {
+        let engine = self.clone();
+        let call = async move {
+            let answer = engine.start(&id, &order).await;
+            engine.feed_under(token, |pool| {
+                pool.start_answered(boot_clock::now(), &id, order.task, order.run, &answer)
+            });
+        };
+        self.kernel.spawn(call).detach();
+    }
+
+    async fn start(&self, id: &ExecutorId, order: &StartOrder) -> StartAnswer {
+        let Some((pool, mut connection)) = self.connection(id).await else {
+            return StartAnswer::NotSent;
+        };
+        match orders::start(&mut connection, &id.0, order, ORDER_TIMEOUT).await {
+            Ok(answer) => {
+                pool.put(connection);
+                answer
+            }
+            Err(error) => {
+                put_back(&pool, connection, &error);
+                match error {
+                    Error::NoReply { source } if source.sent == Sent::Nothing => {
+                        StartAnswer::NotSent
+                    }
+                    _ => StartAnswer::Unknown,
+                }
+            }
+        }
+    }
+
+    pub(super) fn spawn_stop(
+        self: &Rc<Self>,
+        token: FencingToken,
+        id: ExecutorId,
+        order: StopOrder,
+    ) {
+        let engine = self.clone();
+        let call = async move {
+            let answer = engine.stop(&id, &order).await;
+            engine.feed_under(token, |pool| {
+                pool.stop_answered(boot_clock::now(), &id, order.task, order.run, answer)
+            });
+        };
+        self.kernel.spawn(call).detach();
+    }
+
+    async fn stop(&self, id: &ExecutorId, order: &StopOrder) -> StopAnswer {
+        let Some((pool, mut connection)) = self.connection(id).await else {
+            return StopAnswer::Unknown;
+        };
+        match orders::stop(&mut connection, &id.0, order, ORDER_TIMEOUT).await {
+            Ok(answer) => {
+                pool.put(connection);
+                answer
+            }
+            Err(error) => {
+                put_back(&pool, connection, &error);
+                StopAnswer::Unknown
+            }
+        }
+    }
+
+    pub(super) fn spawn_hold(
+        self: &Rc<Self>,
+        token: FencingToken,
+        id: ExecutorId,
+        order: HoldOrder,
+        pause: Millis,
+    ) {
+        let engine = self.clone();
+        let call = async move {
+            if pause.0 > 0 {
+                Timer::after(pause.into()).await;
+            }
+            let sent_at = boot_clock::now();
+            let answer = engine.hold(&id, &order).await;
+            engine.feed_under(token, |pool| {
+                pool.hold_answered(boot_clock::now(), &id, sent_at, answer)
+            });
+        };
+        self.kernel.spawn(call).detach();
+    }
+
+    async fn hold(&self, id: &ExecutorId, order: &HoldOrder) -> HoldAnswer {
+        let Some((pool, mut connection)) = self.connection(id).await else {
+            return HoldAnswer::Unknown;
+        };
+        let timeout = Duration::from(order.wait) + REPORT_TIMEOUT;
+        match orders::hold(&mut connection, &id.0, order, timeout).await {
+            Ok(report) => {
+                pool.put(connection);
+                HoldAnswer::Report(report)
+            }
+            Err(error) => {
+                put_back(&pool, connection, &error);
+                HoldAnswer::Unknown
+            }
+        }
+    }
+
+    async fn connection(&self, id: &ExecutorId) -> Option<(Rc<ConnectionPool>, Connection)> {
+        let pool = self.connections.borrow().get(id).cloned()?;
+        let connection = pool.get(Health::Proven(PROVEN_WITHIN)).await.ok()?;
+        Some((pool, connection))
+    }
+}
+
+/// Keeps a connection on which a call failed, if it is still of use; otherwise the idle ones go
+/// too, since what made one silent may have made all of them silent.
+fn put_back(pool: &ConnectionPool, connection: Connection, error: &Error) {
+    if error.keeps_connection() {
+        pool.put(connection);
+    } else {
+        pool.clear();
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-host/src/lib.rs
@@ -0,0 +1,23 @@
+//! `onyxshed-host`: one host of the system on the users' platform.
+//!
+//! Every host takes callers' jobs ([`callers`]) and hands each one whole to the owner of a pool of
+//! executors, over a link ([`links`]) or within the process. Each availability zone has a pool; its
+//! owner is the host that holds the zone's partition of a group in the platform's store
+//! ([`ownership`]). The owner runs the decisions of `onyxshed-pool` ([`engine`]).
+//!
+//! Nothing here decides about tasks: these services turn sockets and timers into events of the
+//! decisions, and their actions into calls.
+
+pub mod boot_clock;
+pub mod callers;
+pub mod engine;
+pub mod executors;
+pub mod links;
+pub mod manifest;
+pub mod names;
+pub mod notes;
+pub mod ownership;
+pub mod process;
+pub mod ready;
+pub mod reload;
+pub mod store_watch;
--- /dev/null
+++ b/crates/onyxshed-host/src/links.rs
@@ -0,0 +1,207 @@
+//! Links to the owners of pools, over `capnp-rpc`.
+//!
+//! A link's heartbeats tell the owner that this host lives, and bring back its session and the sum
+//! of its pool. A link that is not answered in time is given up with every job handed over on it:
+//! their fate is unknown, and their callers are told so at once.
+
+mod port;
+mod remote;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use onyxshed_core::{Event, EventKind};
+use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_pool::{
+    Chooser, JobEnd, JobRequest, PeerLife, PoolDigest, SubmissionNumber, UnknownReason,
+};
+use onyxshed_process::{listen, serve_rpc};
+use onyxshed_proto::pool_capnp::pool_port;
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::engine::Engine;
+use crate::names::{ENGINE, LINKS};
+use remote::RemoteLink;
+
+/// Who this host is to others.
+#[derive(Debug, Clone)]
+pub struct LinkOptions {
+    /// Where owners are asked.
+    pub address: SocketAddr,
+    /// The zone, which names the pool that this host may own.
+    pub zone: SmolStr,
+}
+
+/// Handle to the links.
+pub struct Links {
+    kernel: Kernel,
+    engine: Rc<Engine>,
+    options: LinkOptions,
+    chooser: RefCell<Chooser>,
+    remote: RefCell<BTreeMap<SmolStr, Rc<RemoteLink>>>,
+    last_submission: Cell<u64>,
+}
+
+impl Links {
+    /// Makes the handle.
+    pub fn new(kernel: &Kernel, engine: Rc<Engine>, options: LinkOptions) -> Rc<Self> {
+        Rc::new(Links {
+            kernel: kernel.clone(),
+            engine,
+            options,
+            chooser: RefCell::default(),
+            remote: RefCell::default(),
+            last_submission: Cell::new(0),
+        })
+    }
+
+    /// Gets this run of this host.
+    pub fn own(&self) -> PeerLife {
+        self.engine.own()
+    }
+
+    /// Numbers a hand-over.
+    pub fn next_submission(&self) -> SubmissionNumber {
+        self.last_submission.set(self.last_submission.get() + 1);
+        SubmissionNumber(self.last_submission.get())
+    }
+
+    /// Gets the pools in the order in which a job should be handed to them.
+    pub fn order(&self, job: &JobRequest) -> Vec<SmolStr> {
+        if let Some(digest) = self.engine.digest() {
+            self.chooser.borrow_mut().told(&self.options.zone, digest);
+        }
+        let chooser = self.chooser.borrow();
+        chooser.order(&self.options.zone, job.demand, job.tasks)
+    }
+
+    /// Tells whether any pool's owner answers.
+    pub fn reaches_a_pool(&self) -> bool {
+        let remote = self.remote.borrow();
+        self.engine.token().is_some() || remote.values().any(|link| link.is_up())
+    }
+
+    /// Takes in who owns a pool; none if nobody does, or this host itself.
+    pub fn set_owner(self: &Rc<Self>, pool: &SmolStr, owner: Option<SocketAddr>) {
+        let held = self.remote.borrow().get(pool).map(|link| link.address());
+        if held == owner {
+            return;
+        }
+        if let Some(link) = self.remote.borrow_mut().remove(pool) {
+            link.close();
+        }
+        self.chooser.borrow_mut().lost(pool);
+        let party = match owner {
+            Some(address) => {
+                let link = RemoteLink::open(self.clone(), pool.clone(), address);
+                self.remote.borrow_mut().insert(pool.clone(), link);
+                format_smolstr!("{address}")
+            }
+            None => SmolStr::default(),
+        };
+        let event = Event::new(EventKind::PoolOwnerChanged).party(party);
+        self.kernel
+            .emit(event.detail(format_smolstr!("pool {pool}")));
+    }
+
+    /// Tells whether the owner of a pool is known and answers.
+    pub fn is_up(&self, pool: &SmolStr) -> bool {
+        let remote = self.remote.borrow();
+        remote.get(pool).is_some_and(|link| link.is_up())
+    }
+
+    /// Takes in what an owner tells of its pool.
+    fn told(&self, pool: &SmolStr, digest: PoolDigest) {
+        self.chooser.borrow_mut().told(pool, digest);
+    }
+
+    /// Hands a job to a pool and waits for its end. Dropping the future gives the job up.
+    pub async fn run(self: &Rc<Self>, pool: &SmolStr, job: JobRequest) -> JobEnd {
+        self.chooser
+            .borrow_mut()
+            .handed(pool, job.demand, job.tasks, job.estimate);
+        if *pool == self.options.zone && self.engine.token().is_some() {
+            return self.run_here(job).await;
+        }
+        let link = self.remote.borrow().get(pool).cloned();
+        match link {
+            Some(link) => link.run(job).await,
+            None => JobEnd::NotRun(
+                onyxshed_pool::NotRunReason::NotOwner,
+                onyxshed_core::Millis(0),
+            ),
+        }
+    }
+
+    async fn run_here(&self, job: JobRequest) -> JobEnd {
+        let guard = LocalGuard {
+            engine: self.engine.clone(),
+            job: Some((job.submission, job.job)),
+        };
+        let receiver = self.engine.submit(onyxshed_pool::Session(0), job);
+        let end = receiver.recv().await;
+        guard.settle();
+        end.unwrap_or(JobEnd::Unknown(UnknownReason::OwnerChanged))
+    }
+}
+
+/// Gives a job up at the engine of this host if its caller leaves.
+struct LocalGuard {
+    engine: Rc<Engine>,
+    job: Option<(SubmissionNumber, onyxshed_pool::JobId)>,
+}
+
+impl LocalGuard {
+    fn settle(mut self) {
+        self.job = None;
+    }
+}
+
+impl Drop for LocalGuard {
+    fn drop(&mut self) {
+        if let Some((submission, job)) = self.job {
+            let own = self.engine.own();
+            self.engine
+                .cancel(own, submission, job, UnknownReason::Cancelled);
+        }
+    }
+}
+
+/// The links as a service.
+pub struct LinkService {
+    links: Rc<Links>,
+}
+
+impl LinkService {
+    /// Makes the service.
+    pub fn new(links: Rc<Links>) -> Self {
+        LinkService { links }
+    }
+}
+
+impl Service for LinkService {
+    fn name(&self) -> ServiceName {
+        LINKS
+    }
+
+    fn needs(&self) -> &[ServiceName] {
+        &[ENGINE]
+    }
+
+    fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
+        Box::pin(async move {
+            let links = &self.links;
+            let (listener, _) = listen(kernel, LINKS, "peer", links.options.address).await?;
+            let port = port::Port::new(links.engine.clone(), links.options.zone.clone());
+            let client: pool_port::Client = capnp_rpc::new_client(port);
+            serve_rpc(kernel, listener, client.client);
+            let descriptor = Descriptor {
+                name: LINKS,
+                summary: "links to the owners of pools",
+            };
+            kernel.register(descriptor, links.clone())
+        })
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-host/src/links/port.rs
@@ -0,0 +1,115 @@
+//! The interface that entry hosts call at the owner of a pool.
+
+use std::rc::Rc;
+
+use capnp::capability::Rc as ServerRc;
+use onyxshed_core::Millis;
+use onyxshed_pool::{
+    JobEnd, JobId, NotRunReason, PeerLife, Session, SubmissionNumber, UnknownReason,
+};
+use onyxshed_proto::pool;
+use onyxshed_proto::pool_capnp::pool_port;
+use smol_str::SmolStr;
+
+use crate::engine::Engine;
+
+/// Serves entry hosts.
+pub struct Port {
+    engine: Rc<Engine>,
+    zone: SmolStr,
+}
+
+impl Port {
+    /// Makes the interface for the pool of a zone.
+    pub fn new(engine: Rc<Engine>, zone: SmolStr) -> Self {
+        Port { engine, zone }
+    }
+
+    fn is_mine(&self, pool: &str) -> bool {
+        pool == self.zone
+    }
+}
+
+/// Gives a job up if its entry host's connection closes before its end.
+struct Guard {
+    engine: Rc<Engine>,
+    job: Option<(PeerLife, SubmissionNumber, JobId)>,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if let Some((peer, submission, job)) = self.job {
+            self.engine
+                .cancel(peer, submission, job, UnknownReason::PeerSilent);
+        }
+    }
+}
+
+impl pool_port::Server for Port {
+    async fn heartbeat(
+        self: ServerRc<Self>,
+        params: pool_port::HeartbeatParams,
+        mut results: pool_port::HeartbeatResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        if !self.is_mine(params.get_pool()?.to_str()?) {
+            return Ok(());
+        }
+        let session = self.engine.peer_heard(PeerLife(params.get_life()));
+        let mut results = results.get();
+        if let (Some(session), Some(digest)) = (session, self.engine.digest()) {
+            results.set_is_owner(true);
+            results.set_session(session.0);
+            pool::write_digest(&digest, results.init_digest());
+        }
+        Ok(())
+    }
+
+    async fn run(
+        self: ServerRc<Self>,
+        params: pool_port::RunParams,
+        mut results: pool_port::RunResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let peer = PeerLife(params.get_life());
+        let job = pool::read_job(peer, params.get_job()?)?;
+        let end = if self.is_mine(params.get_pool()?.to_str()?) {
+            let mut guard = Guard {
+                engine: self.engine.clone(),
+                job: Some((peer, job.submission, job.job)),
+            };
+            let session = Session(params.get_session());
+            let receiver = self.engine.submit(session, job);
+            let end = receiver.recv().await;
+            guard.job = None;
+            end.unwrap_or(JobEnd::Unknown(UnknownReason::OwnerChanged))
+        } else {
+            JobEnd::NotRun(NotRunReason::NotOwner, Millis(0))
+        };
+        let mut results = results.get();
+        pool::write_end(&end, results.reborrow().init_end());
+        if let Some(digest) = self.engine.digest() {
+            pool::write_digest(&digest, results.init_digest());
+        }
+        Ok(())
+    }
+
+    async fn cancel(
+        self: ServerRc<Self>,
+        params: pool_port::CancelParams,
+        _results: pool_port::CancelResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let reason = match params.get_is_time_out() {
+            true => UnknownReason::TimeOut,
+            false => UnknownReason::Cancelled,
+        };
+        self.engine.cancel(
+            PeerLife(params.get_life()),
+            SubmissionNumber(params.get_submission()),
+            JobId(params.get_job()),
+            reason,
+        );
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-host/src/links/remote.rs
@@ -0,0 +1,247 @@
+//! A link to an owner on another host.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use futures_lite::FutureExt;
+use onyxshed_core::{Event, EventKind, Millis};
+use onyxshed_http::client::within;
+use onyxshed_pool::{
+    JobEnd, JobId, JobRequest, NotRunReason, Session, SubmissionNumber, UnknownReason,
+};
+use onyxshed_proto::pool_capnp::pool_port;
+use onyxshed_proto::{pool, rpc};
+use smol_str::{SmolStr, format_smolstr};
+
+use super::Links;
+
+/// Time between two heartbeats: a quarter of the silence after which owners give a host up.
+const HEARTBEAT: Duration = Duration::from_millis(150);
+
+/// How long an owner may take to answer before the link is given up: less than the silence after
+/// which it gives this host up, so that a job is stopped there no later than its caller sends it
+/// again.
+const SILENCE: Duration = Duration::from_millis(450);
+
+/// Longest time to open a connection to an owner.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Pause before a link that was given up is opened again.
+const REOPEN_PAUSE: Duration = Duration::from_millis(100);
+
+/// A connection on which the owner has answered.
+struct Open {
+    client: pool_port::Client,
+    session: Session,
+    /// Closed when the link is given up, which ends every job that waits on it.
+    lost: Receiver<()>,
+}
+
+/// A link.
+pub struct RemoteLink {
+    links: Rc<Links>,
+    pool: SmolStr,
+    address: SocketAddr,
+    open: RefCell<Option<Rc<Open>>>,
+    is_closed: Cell<bool>,
+}
+
+impl RemoteLink {
+    /// Opens a link that keeps itself up until it is closed.
+    pub fn open(links: Rc<Links>, pool: SmolStr, address: SocketAddr) -> Rc<Self> {
+        let link = Rc::new(RemoteLink {
+            links,
+            pool,
+            address,
+            open: RefCell::default(),
+            is_closed: Cell::new(false),
+        });
+        link.links.kernel.spawn(link.clone().keep_up()).detach();
+        link
+    }
+
+    /// Gets the owner's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Tells whether the owner answers.
+    pub fn is_up(&self) -> bool {
+        self.open.borrow().is_some()
+    }
+
+    /// Closes the link for good. Jobs handed over go on and bring their answers as long as the
+    /// owner answers them.
+    pub fn close(&self) {
+        self.is_closed.set(true);
+    }
+
+    async fn keep_up(self: Rc<Self>) {
+        while !self.is_closed.get() {
+            if let Some(why) = self.one_connection().await {
+                self.gave_up(why);
+            }
+            Timer::after(REOPEN_PAUSE).await;
+        }
+    }
+
+    /// Keeps one connection until it fails; tells why it was given up, if it was up.
+    async fn one_connection(self: &Rc<Self>) -> Option<&'static str> {
+        let executor = self.links.kernel.executor();
+        let connect = rpc::connect::<pool_port::Client>(self.address, &executor);
+        let client = within(CONNECT_TIMEOUT, connect).await?.ok()?;
+        // Held as long as the connection is good; dropping it ends the jobs that wait.
+        let (_alive, lost): (Sender<()>, _) = async_channel::bounded(1);
+        loop {
+            match within(SILENCE, self.heartbeat(&client)).await {
+                None => return Some("no answer in time"),
+                Some(Err(_)) => return Some("the connection broke"),
+                Some(Ok(None)) => return Some("the host owns the pool no longer"),
+                Some(Ok(Some(session))) => self.heard(&client, session, &lost),
+            }
+            if self.is_closed.get() {
+                return Some("another host owns the pool");
+            }
+            Timer::after(HEARTBEAT).await;
+        }
+    }
+
+    fn heard(&self, client: &pool_port::Client, session: Session, lost: &Receiver<()>) {
+        let was_up = self.is_up();
+        let is_same = self
+            .open
+            .borrow()
+            .as_ref()
+            .is_some_and(|open| open.session == session);
+        if !is_same {
+            *self.open.borrow_mut() = Some(Rc::new(Open {
+                client: client.clone(),
+                session,
+                lost: lost.clone(),
+            }));
+        }
+        if !was_up {
+            self.tell(EventKind::PoolLinkUp, "");
+        }
+    }
+
+    async fn heartbeat(&self, client: &pool_port::Client) -> capnp::Result<Option<Session>> {
+        let mut request = client.heartbeat_request();
+        let mut params = request.get();
+        params.set_life(self.links.engine.own().0);
+        params.set_pool(self.pool.as_str());
+        let reply = request.send().promise.await?;
+        let reply = reply.get()?;
+        if !reply.get_is_owner() {
+            return Ok(None);
+        }
+        self.links
+            .told(&self.pool, pool::read_digest(reply.get_digest()?));
+        Ok(Some(Session(reply.get_session())))
+    }
+
+    fn gave_up(&self, why: &'static str) {
+        if self.open.borrow_mut().take().is_some() {
+            self.links.chooser.borrow_mut().lost(&self.pool);
+            self.tell(EventKind::PoolLinkDown, why);
+        }
+    }
+
+    fn tell(&self, kind: EventKind, why: &str) {
+        let event = Event::new(kind).party(format_smolstr!("{}", self.address));
+        let detail = format_smolstr!("pool {} {why}", self.pool);
+        self.links.kernel.emit(event.detail(detail));
+    }
+
+    /// Hands a job over and waits for its end. Dropping the future gives the job up.
+    pub async fn run(self: Rc<Self>, job: JobRequest) -> JobEnd {
+        let Some(open) = self.open.borrow().clone() else {
+            return JobEnd::NotRun(NotRunReason::NotOwner, Millis(0));
+        };
+        let guard = RemoteGuard {
+            link: self.clone(),
+            client: open.client.clone(),
+            job: Some((job.submission, job.job)),
+        };
+        let lost = async {
+            // Ends when the link is given up, which closes the channel.
+            let _ = open.lost.recv().await;
+            None
+        };
+        let end = async { Some(self.call(&open, &job).await) }.or(lost).await;
+        match end {
+            Some(Ok(end)) => {
+                guard.settle();
+                end
+            }
+            // The order may have reached the owner: the job may run.
+            Some(Err(_)) | None => JobEnd::Unknown(UnknownReason::OwnerChanged),
+        }
+    }
+
+    async fn call(&self, open: &Open, job: &JobRequest) -> capnp::Result<JobEnd> {
+        let mut request = open.client.run_request();
+        let mut params = request.get();
+        params.set_life(self.links.engine.own().0);
+        params.set_pool(self.pool.as_str());
+        params.set_session(open.session.0);
+        pool::write_job(job, params.init_job());
+        let reply = request.send().promise.await?;
+        let reply = reply.get()?;
+        if reply.has_digest() {
+            self.links
+                .told(&self.pool, pool::read_digest(reply.get_digest()?));
+        }
+        pool::read_end(reply.get_end()?)
+    }
+
+    async fn cancel(
+        &self,
+        client: &pool_port::Client,
+        submission: SubmissionNumber,
+        job: JobId,
+    ) -> capnp::Result<()> {
+        let mut request = client.cancel_request();
+        let mut params = request.get();
+        params.set_life(self.links.engine.own().0);
+        params.set_pool(self.pool.as_str());
+        params.set_job(job.0);
+        params.set_submission(submission.0);
+        request.send().promise.await?;
+        Ok(())
+    }
+}
+
+/// Gives a job up at its owner if its caller leaves or its fate becomes unknown.
+struct RemoteGuard {
+    link: Rc<RemoteLink>,
+    client: pool_port::Client,
+    job: Option<(SubmissionNumber, JobId)>,
+}
+
+impl RemoteGuard {
+    fn settle(mut self) {
+        self.job = None;
+    }
+}
+
+impl Drop for RemoteGuard {
+    fn drop(&mut self) {
+        let Some((submission, job)) = self.job else {
+            return;
+        };
+        let link = self.link.clone();
+        // A link that is open anew reaches the owner where the old connection may not.
+        let fresh = link.open.borrow().as_ref().map(|open| open.client.clone());
+        let client = fresh.unwrap_or_else(|| self.client.clone());
+        let cancel = async move {
+            // Where this fails the owner learns it from this host's silence.
+            let _ = within(SILENCE, link.cancel(&client, submission, job)).await;
+        };
+        self.link.links.kernel.spawn(cancel).detach();
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-host/src/manifest.rs
@@ -0,0 +1,138 @@
+//! Follows the operators' manifest in the platform's store.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use onyxshed_adapter::manifest::{MANIFEST_KEY, Manifest};
+use onyxshed_adapter::store::{KeyedRecord, OPERATORS_TOPIC};
+use onyxshed_adapter::{Error, Store};
+use onyxshed_core::{Event, EventKind, Millis};
+use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
+use smol_str::format_smolstr;
+
+use crate::names::MANIFEST;
+use crate::store_watch::StoreWatch;
+
+/// How long a read waits at the store for a change; bounds how long a connection that has gone
+/// silent is waited for.
+const WAIT: Millis = Millis(1_000);
+
+/// How long an answer may take beyond that; the store's slowest answers take about 300 ms.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// The newest manifest this host knows.
+pub struct ManifestHolder {
+    kernel: Kernel,
+    held: RefCell<Option<Rc<Manifest>>>,
+}
+
+impl ManifestHolder {
+    /// Gets the manifest in force; none before the first one is known.
+    pub fn get(&self) -> Option<Rc<Manifest>> {
+        self.held.borrow().clone()
+    }
+
+    /// Takes in a record. A version that is not higher changes nothing: the store may show an
+    /// older state for a while, and what is in force never goes back.
+    fn take(&self, record: &KeyedRecord) {
+        if record.key != MANIFEST_KEY {
+            return;
+        }
+        let Some(value) = &record.value else {
+            return;
+        };
+        match Manifest::parse(value) {
+            Ok(manifest) => self.install(manifest),
+            Err(error) => {
+                let event = Event::new(EventKind::ConfigRecordIgnored);
+                self.kernel.emit(event.detail(format_smolstr!("{error}")));
+            }
+        }
+    }
+
+    fn install(&self, manifest: Manifest) {
+        let held = self.held.borrow().as_ref().map(|held| held.version);
+        if held.is_some_and(|version| version >= manifest.version) {
+            return;
+        }
+        let detail = format_smolstr!(
+            "version {}, {} routes",
+            manifest.version,
+            manifest.routes.len()
+        );
+        *self.held.borrow_mut() = Some(Rc::new(manifest));
+        self.kernel
+            .emit(Event::new(EventKind::ManifestInForce).detail(detail));
+    }
+}
+
+/// Follows the manifest as a service.
+pub struct ManifestService {
+    store: SocketAddr,
+}
+
+impl ManifestService {
+    /// Makes the service for a store's address.
+    pub fn new(store: SocketAddr) -> Self {
+        ManifestService { store }
+    }
+}
+
+impl Service for ManifestService {
+    fn name(&self) -> ServiceName {
+        MANIFEST
+    }
+
+    fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
+        Box::pin(async move {
+            let holder = Rc::new(ManifestHolder {
+                kernel: kernel.clone(),
+                held: RefCell::default(),
+            });
+            kernel.spawn(follow(holder.clone(), self.store)).detach();
+            let descriptor = Descriptor {
+                name: MANIFEST,
+                summary: "the operators' manifest",
+            };
+            kernel.register(descriptor, holder)
+        })
+    }
+}
+
+async fn follow(holder: Rc<ManifestHolder>, address: SocketAddr) {
+    let watch = StoreWatch::new(&holder.kernel, "manifest");
+    let mut store = Store::new(address);
+    loop {
+        let Err(error) = follow_once(&holder, &mut store, &watch).await;
+        if !matches!(error, Error::Trimmed { .. }) {
+            watch.failed(&error);
+            Timer::after(RETRY_PAUSE).await;
+        }
+    }
+}
+
+/// Reads the newest state and every change from there on, until a call fails.
+async fn follow_once(
+    holder: &ManifestHolder,
+    store: &mut Store,
+    watch: &StoreWatch,
+) -> onyxshed_adapter::Result<std::convert::Infallible> {
+    let newest = store.newest(OPERATORS_TOPIC, ANSWER_TIMEOUT).await?;
+    let mut next = newest.next;
+    newest.records.iter().for_each(|record| holder.take(record));
+    let timeout = ANSWER_TIMEOUT + Duration::from(WAIT);
+    loop {
+        watch.answered();
+        let read = store
+            .read_keyed(OPERATORS_TOPIC, next, WAIT, timeout)
+            .await?;
+        next = read.next;
+        read.records.iter().for_each(|record| holder.take(record));
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-host/src/ready.rs
@@ -0,0 +1,68 @@
+//! Tells the balancer whether new callers should come here.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use onyxshed_core::ResultCode;
+use onyxshed_http::{Call, Handler, Reply, Server, ServerOptions};
+use onyxshed_kernel::{Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_process::listen;
+
+use crate::links::Links;
+use crate::manifest::ManifestHolder;
+use crate::names::{LINKS, MANIFEST, READY};
+
+/// Status of a host that takes callers.
+const TAKES_CALLERS: u16 = 200;
+
+/// Status of a host that does not.
+const TAKES_NONE: u16 = 503;
+
+/// Readiness as a service.
+pub struct ReadyService {
+    address: SocketAddr,
+}
+
+impl ReadyService {
+    /// Makes the service for an address.
+    pub fn new(address: SocketAddr) -> Self {
+        ReadyService { address }
+    }
+
+    async fn open(&self, kernel: &Kernel) -> Result<()> {
+        let readiness = kernel.readiness().clone();
+        let manifest: Rc<ManifestHolder> = kernel.find(MANIFEST)?;
+        let links: Rc<Links> = kernel.find(LINKS)?;
+        let handler: Handler = Rc::new(move |_call: Call| {
+            let is_ready =
+                readiness.is_ready() && manifest.get().is_some() && links.reaches_a_pool();
+            let status = if is_ready { TAKES_CALLERS } else { TAKES_NONE };
+            Box::pin(async move { Reply::bytes(status, Vec::new()) })
+        });
+        let reject = Rc::new(|_code: ResultCode| Reply::bytes(TAKES_NONE, Vec::new()));
+        let options = ServerOptions {
+            connections_max: 32,
+            ..ServerOptions::default()
+        };
+        let server = Server::new(options, handler, reject);
+        let (listener, _) = listen(kernel, READY, "ready", self.address).await?;
+        kernel
+            .spawn(server.run(listener, kernel.executor()))
+            .detach();
+        Ok(())
+    }
+}
+
+impl Service for ReadyService {
+    fn name(&self) -> ServiceName {
+        READY
+    }
+
+    fn needs(&self) -> &[ServiceName] {
+        &[MANIFEST, LINKS]
+    }
+
+    fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
+        Box::pin(self.open(kernel))
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-host/src/store_watch.rs
@@ -0,0 +1,49 @@
+//! Whether the platform's store answers one of this host's followers, for the log.
+
+use std::cell::Cell;
+
+use onyxshed_adapter::Error;
+use onyxshed_core::{Event, EventKind, Mono};
+use onyxshed_kernel::Kernel;
+use smol_str::format_smolstr;
+
+use crate::boot_clock;
+
+/// Tells once when the store stops answering, and once when it answers again.
+pub struct StoreWatch {
+    kernel: Kernel,
+    what: &'static str,
+    lost_at: Cell<Option<Mono>>,
+}
+
+impl StoreWatch {
+    /// Makes a watch for one follower, named for the log.
+    pub fn new(kernel: &Kernel, what: &'static str) -> Self {
+        StoreWatch {
+            kernel: kernel.clone(),
+            what,
+            lost_at: Cell::new(None),
+        }
+    }
+
+    /// Notes an answer.
+    pub fn answered(&self) {
+        let Some(since) = self.lost_at.take() else {
+            return;
+        };
+        let away = boot_clock::now().since(since).as_millis();
+        let detail = format_smolstr!("after {away}");
+        let event = Event::new(EventKind::StoreBack).party(self.what);
+        self.kernel.emit(event.detail(detail));
+    }
+
+    /// Notes a call that failed.
+    pub fn failed(&self, error: &Error) {
+        if self.lost_at.get().is_some() {
+            return;
+        }
+        self.lost_at.set(Some(boot_clock::now()));
+        let event = Event::new(EventKind::StoreLost).party(self.what);
+        self.kernel.emit(event.detail(format_smolstr!("{error}")));
+    }
+}
--- a/crates/onyxshed-entry/src/pool.rs
+++ b/crates/onyxshed-http/src/connections.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use onyxshed_http::{CallError, ClientOptions, Connection};
+use crate::client::{ClientOptions, Connection};
+use crate::error::CallError;
 
 /// What a call asks of the connection it goes onto.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,7 +23,7 @@
 
 /// Connections to one address.
 #[derive(Debug)]
-pub struct Pool {
+pub struct ConnectionPool {
     address: SocketAddr,
     options: ClientOptions,
     idle_max: usize,
@@ -30,10 +31,10 @@
     replaced: Cell<u64>,
 }
 
-impl Pool {
+impl ConnectionPool {
     /// Makes a pool that keeps at most `idle_max` connections.
     pub fn new(address: SocketAddr, options: ClientOptions, idle_max: usize) -> Self {
-        Pool {
+        ConnectionPool {
             address,
             options,
             idle_max,
--- a/crates/onyxshed-http/src/lib.rs
+++ b/crates/onyxshed-http/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod bounded;
 pub mod client;
+pub mod connections;
 pub mod error;
 pub mod head;
 mod idle;
--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -13,7 +13,7 @@
 use async_executor::LocalExecutor;
 use async_h1::server::{ConnectionStatus, Encoder, Server as H1Server};
 use async_net::{TcpListener, TcpStream};
-use futures_lite::{AsyncWriteExt, Future, future, io};
+use futures_lite::{AsyncWriteExt, Future, FutureExt, future, io};
 use http_types::{Method, Request, Response};
 use onyxshed_core::ResultCode;
 use snafu::ResultExt;
@@ -50,6 +50,9 @@
     pub body_timeout: Duration,
     /// How long the peer may take to read a reply; default 10 s.
     pub reply_timeout: Duration,
+    /// Whether a request whose peer closes the connection is given up; default false. A peer that
+    /// closes only its sending side counts as gone too.
+    pub gives_up_with_peer: bool,
 }
 
 impl Default for ServerOptions {
@@ -63,6 +66,7 @@
             head_timeout: Duration::from_secs(5),
             body_timeout: Duration::from_secs(10),
             reply_timeout: Duration::from_secs(10),
+            gives_up_with_peer: false,
         }
     }
 }
@@ -233,7 +237,10 @@
             head: request,
             body,
         };
-        let reply = (self.handler)(call).await;
+        let reply = match self.options.gives_up_with_peer {
+            true => (self.handler)(call).or(peer_gone(&stream)).await,
+            false => (self.handler)(call).await,
+        };
         stream.begin_reply(self.options.reply_timeout);
         let reply = if is_last { reply.last() } else { reply };
         Ok(reply.into_response())
@@ -259,6 +266,18 @@
     }
 }
 
+/// Waits until the peer has closed the connection, and makes the reply that nobody will read.
+async fn peer_gone(stream: &BoundedStream) -> Reply {
+    /// The status by which logs know a request that its caller gave up.
+    const CLIENT_CLOSED_REQUEST: u16 = 499;
+    let mut byte = [0];
+    match stream.inner().peek(&mut byte).await {
+        Ok(0) | Err(_) => Reply::bytes(CLIENT_CLOSED_REQUEST, Vec::new()).last(),
+        // The peer has sent its next request ahead of the reply, so it is still there.
+        Ok(_) => future::pending().await,
+    }
+}
+
 /// Connections beyond the most that are still told so; the rest are closed without a word.
 const TURNED_AWAY_MAX: usize = 256;
 
--- /dev/null
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -0,0 +1,263 @@
+//! The state machine of a pool's owner.
+//!
+//! [`intake`] takes jobs in and refuses those that can't end in time, [`place`] starts runs,
+//! [`orders`] takes in what came of orders, [`reports`] what executors say, [`watch`] what time
+//! brings.
+
+mod intake;
+mod orders;
+mod place;
+mod reports;
+mod watch;
+
+use std::collections::BTreeMap;
+
+use onyxshed_core::{Millis, Mono, UnixMs};
+
+use crate::chooser::PoolDigest;
+use crate::executor::{Executor, ExecutorFacts, Executors, Phase, RunState};
+use crate::id::{ExecutorId, FencingToken, JobId, PeerLife, Session, TaskId};
+use crate::job::{Job, JobEnd, UnknownReason};
+use crate::message::{Action, HoldOrder, Note, StopOrder};
+use crate::options::PoolOptions;
+use crate::peers::PeerSessions;
+
+/// A pool and its owner's beliefs.
+pub struct Pool {
+    options: PoolOptions,
+    token: FencingToken,
+    /// The entry host of this very process, which is always heard.
+    own: PeerLife,
+    executors: Executors,
+    jobs: BTreeMap<JobId, Job>,
+    peers: PeerSessions,
+    ticked_at: Mono,
+    is_closing: bool,
+    is_over: bool,
+    actions: Vec<Action>,
+}
+
+impl Pool {
+    /// Begins to own a pool.
+    pub fn new(now: Mono, token: FencingToken, own: PeerLife, options: PoolOptions) -> Self {
+        Pool {
+            options,
+            token,
+            own,
+            executors: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            peers: PeerSessions::default(),
+            ticked_at: now,
+            is_closing: false,
+            is_over: false,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Gets the token.
+    pub fn token(&self) -> FencingToken {
+        self.token
+    }
+
+    /// Gets how many jobs are under way.
+    pub fn live_jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Gets how many executors are known.
+    pub fn executors(&self) -> usize {
+        self.executors.len()
+    }
+
+    /// Takes no new job from now on.
+    pub fn close(&mut self) {
+        self.is_closing = true;
+    }
+
+    /// Notes that an entry host was heard, and gets its session.
+    pub fn peer_heard(&mut self, now: Mono, life: PeerLife) -> Session {
+        self.peers.heard(now, life)
+    }
+
+    /// Sums up the pool for entry hosts.
+    pub fn digest(&self, now: Mono) -> PoolDigest {
+        let usable = self
+            .executors
+            .values()
+            .filter(|executor| executor.takes_work(now, &self.options));
+        let (mut capacity, mut free) = (0, 0);
+        for executor in usable {
+            capacity += u64::from(executor.facts.capacity.cpu_millis);
+            free += u64::from(executor.free.cpu_millis);
+        }
+        PoolDigest {
+            capacity_cpu_millis: capacity,
+            free_cpu_millis: free,
+            waiting_work: self.jobs.values().map(Job::waiting_work).sum(),
+            is_closing: self.is_closing,
+        }
+    }
+
+    /// Takes in an executor as the platform lists it.
+    pub fn executor_listed(
+        &mut self,
+        now: Mono,
+        id: ExecutorId,
+        facts: ExecutorFacts,
+    ) -> Vec<Action> {
+        match self.executors.get_mut(&id) {
+            Some(executor) => {
+                if facts.is_draining && !executor.facts.is_draining {
+                    self.actions
+                        .push(Action::Note(Note::ExecutorDraining(id.clone())));
+                }
+                let is_reborn = match (facts.born, executor.born) {
+                    (Some(told), Some(known)) => told > known,
+                    _ => facts.address != executor.facts.address,
+                };
+                let born = facts.born;
+                executor.list(facts);
+                if is_reborn {
+                    self.executor_reborn(now, &id, born);
+                }
+            }
+            None => {
+                self.executors.insert(id.clone(), Executor::new(now, facts));
+                self.send_hold(now, &id, Millis(0));
+            }
+        }
+        self.place(now);
+        self.take_actions()
+    }
+
+    /// Takes in that an executor is no longer listed.
+    pub fn executor_unlisted(&mut self, now: Mono, id: &ExecutorId) -> Vec<Action> {
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor.unlisted_at.get_or_insert(now);
+        }
+        self.take_actions()
+    }
+
+    /// Gives up the pool: every job's fate is unknown, and no order is sent any more.
+    pub fn step_down(&mut self) -> Vec<Action> {
+        self.is_over = true;
+        let jobs: Vec<JobId> = self.jobs.keys().copied().collect();
+        for job in jobs {
+            self.end_job(job, JobEnd::Unknown(UnknownReason::OwnerChanged));
+        }
+        self.actions
+            .retain(|action| matches!(action, Action::End { .. } | Action::Note(_)));
+        self.take_actions()
+    }
+
+    /// Takes in that an executor's new life knows nothing of what ran before.
+    fn executor_reborn(&mut self, now: Mono, id: &ExecutorId, born: Option<UnixMs>) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let runs = executor.reborn(born);
+        for (task, run) in runs {
+            self.run_lost(task, run.number, id, "the executor started anew");
+        }
+        self.place(now);
+    }
+
+    /// Lets a task wait again whose run is known not to be at work any more.
+    fn run_lost(
+        &mut self,
+        task: TaskId,
+        number: crate::id::RunNumber,
+        id: &ExecutorId,
+        why: &'static str,
+    ) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        if job.awaits(task.index, number, id) {
+            job.wait_again(task.index);
+            self.actions.push(Action::Note(Note::RunEnded {
+                task,
+                run: number,
+                executor: id.clone(),
+                why,
+            }));
+        }
+    }
+
+    /// Ends a job, tells its entry host and stops what still runs of it.
+    fn end_job(&mut self, id: JobId, end: JobEnd) {
+        let Some(job) = self.jobs.remove(&id) else {
+            return;
+        };
+        self.actions.push(Action::End {
+            peer: job.request.peer,
+            submission: job.request.submission,
+            job: id,
+            end,
+        });
+        self.stop_runs_of(id);
+    }
+
+    fn stop_runs_of(&mut self, job: JobId) {
+        let mut stops = Vec::new();
+        for (id, executor) in &mut self.executors {
+            for (task, run) in &mut executor.runs {
+                if task.job == job && !matches!(run.state, RunState::Stopping { .. }) {
+                    run.state = RunState::Stopping { taken: None };
+                    stops.push((id.clone(), *task, run.number));
+                }
+            }
+        }
+        for (id, task, run) in stops {
+            self.send_stop(&id, task, run);
+        }
+    }
+
+    fn send_stop(&mut self, id: &ExecutorId, task: TaskId, run: crate::id::RunNumber) {
+        self.actions.push(Action::Stop(
+            id.clone(),
+            StopOrder {
+                task,
+                run,
+                token: self.token,
+            },
+        ));
+    }
+
+    /// Asks an executor for its next report.
+    fn send_hold(&mut self, now: Mono, id: &ExecutorId, pause: Millis) {
+        let token = self.token;
+        let options = &self.options;
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        // One that does not answer gets no renewal: its leases have to end for its tasks to run
+        // elsewhere.
+        let is_renewed = executor.phase == Phase::Held && !executor.is_silent;
+        let (expires, wait) = match is_renewed {
+            true => (
+                executor.lease_end(now, options.lease_ms),
+                options.hold_wait_ms,
+            ),
+            false => (None, Millis(0)),
+        };
+        if expires.is_some() && !executor.runs.is_empty() {
+            executor.lease_sent(now, options);
+        }
+        let order = HoldOrder {
+            expires,
+            token,
+            last_seen: executor.last_seen,
+            wait,
+        };
+        self.actions.push(Action::Hold(id.clone(), order, pause));
+    }
+
+    fn note(&mut self, note: Note) {
+        self.actions.push(Action::Note(note));
+    }
+
+    fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-pool/src/pool/intake.rs
@@ -0,0 +1,171 @@
+//! Jobs that come and jobs that are given up.
+//!
+//! Answers overload: a job that can't end before it is of no use to its caller is refused when that
+//! is known, at its arrival or while it waits; holding it would only keep its caller from trying
+//! elsewhere.
+
+use onyxshed_core::{Micros, Millis, Mono};
+
+use super::Pool;
+use crate::executor::Executor;
+use crate::id::{JobId, PeerLife, Session, SubmissionNumber};
+use crate::job::{Job, JobEnd, JobRequest, NotRunReason, UnknownReason};
+use crate::message::Action;
+use crate::room::Room;
+
+/// Shortest time after which a refused caller is asked back; a task of ordinary length.
+const RETRY_LEAST: Millis = Millis(100);
+
+/// Longest time after which a refused caller is asked back: a burst is over by then.
+const RETRY_MOST: Millis = Millis(5_000);
+
+impl Pool {
+    /// Takes in a job, or refuses it.
+    pub fn submit(&mut self, now: Mono, session: Session, request: JobRequest) -> Vec<Action> {
+        self.notice_pause(now);
+        if let Some(refusal) = self.refusal(now, session, &request) {
+            self.actions.push(Action::End {
+                peer: request.peer,
+                submission: request.submission,
+                job: request.job,
+                end: refusal,
+            });
+            return self.take_actions();
+        }
+        match self.jobs.get_mut(&request.job) {
+            // The caller lost its answer and sent the job again while it runs: the runs go on, and
+            // whoever asked last gets the answer.
+            Some(job) => {
+                let (peer, submission) = (job.request.peer, job.request.submission);
+                job.request.peer = request.peer;
+                job.request.submission = request.submission;
+                self.actions.push(Action::End {
+                    peer,
+                    submission,
+                    job: request.job,
+                    end: JobEnd::Unknown(UnknownReason::Superseded),
+                });
+            }
+            None => {
+                self.jobs.insert(request.job, Job::new(now, request));
+                self.place(now);
+            }
+        }
+        self.take_actions()
+    }
+
+    /// Gives up a job for its entry host.
+    pub fn cancel(
+        &mut self,
+        now: Mono,
+        peer: PeerLife,
+        submission: SubmissionNumber,
+        job: JobId,
+        reason: UnknownReason,
+    ) -> Vec<Action> {
+        self.notice_pause(now);
+        let is_theirs = self
+            .jobs
+            .get(&job)
+            .is_some_and(|held| held.request.peer == peer && held.request.submission == submission);
+        if is_theirs {
+            self.end_job(job, JobEnd::Unknown(reason));
+            self.place(now);
+        }
+        self.take_actions()
+    }
+
+    fn refusal(&self, now: Mono, session: Session, request: &JobRequest) -> Option<JobEnd> {
+        let not_run = |reason| Some(JobEnd::NotRun(reason, self.retry_after(now)));
+        if self.is_over || self.is_closing {
+            return not_run(NotRunReason::NotOwner);
+        }
+        let silence = self.options.peer_silence_ms;
+        if request.peer != self.own && !self.peers.is_current(now, request.peer, session, silence) {
+            return not_run(NotRunReason::OldSession);
+        }
+        if self.jobs.contains_key(&request.job) || self.runs_of(request.job) {
+            return None;
+        }
+        let mut executors = self.executors.values();
+        if !executors.any(|executor| self.could_run(now, executor, request)) {
+            return not_run(NotRunReason::NoExecutor);
+        }
+        let wait = self.expected_wait(now, request);
+        let run = Micros::from(request.estimate);
+        if wait.0 + run.0 > self.useful_time(request).0 {
+            return not_run(NotRunReason::NoTime);
+        }
+        None
+    }
+
+    fn runs_of(&self, job: JobId) -> bool {
+        self.executors
+            .values()
+            .any(|executor| executor.tasks_of(job) > 0)
+    }
+
+    fn could_run(&self, now: Mono, executor: &Executor, request: &JobRequest) -> bool {
+        executor.counts(now, &self.options)
+            && executor.facts.upstream == request.upstream
+            && executor.facts.capacity.holds(request.demand)
+            && executor.has_label(request.label.as_ref())
+    }
+
+    /// Gets the time within which an answer is still of use to the caller.
+    pub(super) fn useful_time(&self, request: &JobRequest) -> Micros {
+        let late = Micros(request.target().0 * self.options.late_factor);
+        late.min(request.time_left.into())
+    }
+
+    /// Gets how long a job would wait behind those that go before it.
+    ///
+    /// Less work goes first, so only jobs of less work count; they are worked off by the whole pool.
+    fn expected_wait(&self, now: Mono, request: &JobRequest) -> Micros {
+        let work = request.work();
+        let ahead: u64 = self
+            .jobs
+            .values()
+            .filter(|job| job.waiting > 0 && (job.has_started || job.waiting_work() <= work))
+            .map(Job::waiting_work)
+            .sum();
+        let capacity = self.working_room(now).cpu_millis;
+        Micros(ahead * 1_000 / u64::from(capacity.max(1)))
+    }
+
+    fn working_room(&self, now: Mono) -> Room {
+        let mut room = Room::default();
+        for executor in self.executors.values() {
+            if executor.counts(now, &self.options) {
+                room += executor.facts.capacity;
+            }
+        }
+        room
+    }
+
+    /// Gets when a refused caller may find room: when what waits now is worked off.
+    pub(super) fn retry_after(&self, now: Mono) -> Millis {
+        let waiting: u64 = self.jobs.values().map(Job::waiting_work).sum();
+        let capacity = u64::from(self.working_room(now).cpu_millis.max(1));
+        Millis((waiting / capacity).clamp(RETRY_LEAST.0, RETRY_MOST.0))
+    }
+
+    /// Refuses the jobs that waited in vain, and gives up those whose callers have left.
+    pub(super) fn give_up_late(&mut self, now: Mono) {
+        let mut ends = Vec::new();
+        for (id, job) in &self.jobs {
+            if now >= job.gives_up_at() {
+                ends.push((*id, JobEnd::Unknown(UnknownReason::TimeOut)));
+                continue;
+            }
+            let useful_until = job.arrived + self.useful_time(&job.request);
+            if !job.has_started && now + job.estimate() > useful_until {
+                let retry = self.retry_after(now);
+                ends.push((*id, JobEnd::NotRun(NotRunReason::NoTime, retry)));
+            }
+        }
+        for (id, end) in ends {
+            self.end_job(id, end);
+        }
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-pool/src/pool/orders.rs
@@ -0,0 +1,225 @@
+//! What came of orders to start and to stop.
+
+use onyxshed_core::{Millis, Mono};
+
+use super::Pool;
+use crate::executor::RunState;
+use crate::id::{ExecutorId, RunNumber, TaskId};
+use crate::message::{Action, Note, RefuseReason, StartAnswer, StartOrder, StopAnswer};
+
+/// How long an executor that refused for want of room gets no further task: its next end is due
+/// within about that time when it is full.
+const FULL_PAUSE: Millis = Millis(15);
+
+/// What is to be done about a run after an answer.
+enum Next {
+    /// Nothing: it is at work, or the matter is settled.
+    Nothing,
+    /// It is not at work and never will be: the task waits again.
+    NotRunning(&'static str),
+    /// Nobody knows; the same order is sent again, which changes nothing if the run is there.
+    Again,
+    /// Nobody knows, and it is stopped.
+    Stop,
+    /// The executor's word counts as a failure of the task there.
+    Failed,
+}
+
+impl Pool {
+    /// Takes in what came of an order to start.
+    pub fn start_answered(
+        &mut self,
+        now: Mono,
+        id: &ExecutorId,
+        task: TaskId,
+        number: RunNumber,
+        answer: &StartAnswer,
+    ) -> Vec<Action> {
+        self.notice_pause(now);
+        if *answer == StartAnswer::Refused(RefuseReason::Fenced) {
+            return self.fenced();
+        }
+        if *answer == StartAnswer::OtherLife {
+            self.executor_reborn(now, id, None);
+            return self.take_actions();
+        }
+        match self.after_start(now, id, task, number, answer) {
+            Next::Nothing => {}
+            Next::NotRunning(why) => self.forget_run(id, task, number, why),
+            Next::Again => self.start_again(now, id, task, number),
+            Next::Stop => self.stop_run(id, task),
+            Next::Failed => self.run_failed(now, id, task, number),
+        }
+        self.place(now);
+        self.take_actions()
+    }
+
+    fn after_start(
+        &mut self,
+        now: Mono,
+        id: &ExecutorId,
+        task: TaskId,
+        number: RunNumber,
+        answer: &StartAnswer,
+    ) -> Next {
+        let tries_max = self.options.start_tries_max;
+        let Some(executor) = self.executors.get_mut(id) else {
+            return Next::Nothing;
+        };
+        if let StartAnswer::Started { clock: Some(clock) } = answer {
+            executor.observe_clock(now, *clock);
+        }
+        let is_silent = executor.is_silent;
+        let Some(run) = executor.runs.get_mut(&task) else {
+            return Next::Nothing;
+        };
+        let RunState::Ordered { tries } = run.state else {
+            return Next::Nothing;
+        };
+        if run.number != number {
+            return Next::Nothing;
+        }
+        match answer {
+            StartAnswer::Started { .. } => {
+                run.state = RunState::AtWork { since: now };
+                Next::Nothing
+            }
+            // It ran and ended already; the end is in the next report.
+            StartAnswer::Refused(RefuseReason::Ended) => {
+                run.state = RunState::AtWork { since: now };
+                Next::Nothing
+            }
+            StartAnswer::Refused(reason) if tries > 1 => match reason {
+                // An earlier order of this run may have been carried out, or may yet be.
+                RefuseReason::Other => Next::Failed,
+                _ => Next::Stop,
+            },
+            StartAnswer::Refused(RefuseReason::NoRoom) => {
+                executor.full_until = now + FULL_PAUSE;
+                Next::NotRunning("no room")
+            }
+            StartAnswer::Refused(RefuseReason::Unhealthy) => {
+                executor.health.strike(now, &self.options);
+                Next::NotRunning("the executor is unwell")
+            }
+            StartAnswer::Refused(RefuseReason::Expired) => Next::NotRunning("the order came late"),
+            StartAnswer::Refused(_) => Next::Failed,
+            StartAnswer::NotSent if tries == 1 => {
+                executor.full_until = now + FULL_PAUSE;
+                Next::NotRunning("the executor can't be reached")
+            }
+            StartAnswer::NotSent | StartAnswer::Unknown if tries < tries_max && !is_silent => {
+                Next::Again
+            }
+            StartAnswer::NotSent | StartAnswer::Unknown => Next::Stop,
+            StartAnswer::OtherLife => Next::Nothing,
+        }
+    }
+
+    /// Sends the order of a run again; an executor that has the run already changes nothing.
+    fn start_again(&mut self, now: Mono, id: &ExecutorId, task: TaskId, number: RunNumber) {
+        let lease = self.options.lease_ms;
+        let Some(job) = self.jobs.get(&task.job) else {
+            return self.stop_run(id, task);
+        };
+        let spec = job.request.spec.clone();
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let expires = executor.lease_end(now, lease);
+        executor.lease_sent(now, &self.options);
+        let Some(run) = executor.runs.get_mut(&task) else {
+            return;
+        };
+        if let RunState::Ordered { tries } = &mut run.state {
+            *tries += 1;
+        }
+        let Some(expires) = expires else {
+            return self.stop_run(id, task);
+        };
+        let order = StartOrder {
+            task,
+            run: number,
+            spec,
+            expires,
+            token: self.token,
+        };
+        self.actions.push(Action::Start(id.clone(), order));
+    }
+
+    /// Begins to stop a run.
+    pub(super) fn stop_run(&mut self, id: &ExecutorId, task: TaskId) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let Some(run) = executor.runs.get_mut(&task) else {
+            return;
+        };
+        run.state = RunState::Stopping { taken: None };
+        let number = run.number;
+        self.send_stop(id, task, number);
+    }
+
+    /// Takes in what came of an order to stop.
+    pub fn stop_answered(
+        &mut self,
+        now: Mono,
+        id: &ExecutorId,
+        task: TaskId,
+        number: RunNumber,
+        answer: StopAnswer,
+    ) -> Vec<Action> {
+        self.notice_pause(now);
+        match answer {
+            StopAnswer::Fenced => return self.fenced(),
+            StopAnswer::OtherLife => self.executor_reborn(now, id, None),
+            StopAnswer::Taken => self.stop_taken(now, id, task, number),
+            // Sent again with the next report of the executor.
+            StopAnswer::Unknown => {}
+        }
+        self.take_actions()
+    }
+
+    fn stop_taken(&mut self, now: Mono, id: &ExecutorId, task: TaskId, number: RunNumber) {
+        let executor = self.executors.get_mut(id);
+        let run = executor.and_then(|executor| executor.runs.get_mut(&task));
+        if let Some(run) = run
+            && run.number == number
+            && let RunState::Stopping { taken } = &mut run.state
+        {
+            taken.get_or_insert(now);
+        }
+    }
+
+    /// Forgets a run that is not at work and never will be.
+    pub(super) fn forget_run(
+        &mut self,
+        id: &ExecutorId,
+        task: TaskId,
+        number: RunNumber,
+        why: &'static str,
+    ) {
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor.remove_run(task);
+        }
+        self.run_lost(task, number, id, why);
+    }
+
+    /// Takes in that another host owns the pool.
+    pub(super) fn fenced(&mut self) -> Vec<Action> {
+        if self.is_over {
+            return self.take_actions();
+        }
+        let mut actions = self.step_down();
+        actions.push(Action::StepDown);
+        actions
+    }
+
+    pub(super) fn strike(&mut self, now: Mono, id: &ExecutorId) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let span = executor.health.strike(now, &self.options);
+        self.note(Note::ExecutorAvoided(id.clone(), span));
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-pool/src/pool/place.rs
@@ -0,0 +1,193 @@
+//! Which task runs next, and where.
+//!
+//! Order: first what has begun, since a job counts only when whole; then jobs that can still meet
+//! their target before those that can't; then least work first, which past the pool's capacity
+//! serves the most callers. A job whose target would be missed by more waiting goes before smaller
+//! ones that have time.
+//!
+//! Place: a job is as late as its last task. An executor is good enough for a task if the job would
+//! still meet its target there; among those the slowest is taken, so that the fast ones stay free
+//! for tasks that need them. If none is good enough, the fastest is taken.
+
+use onyxshed_core::{Micros, Mono};
+
+use super::Pool;
+use crate::executor::{Executor, Run, RunState};
+use crate::id::{ExecutorId, JobId};
+use crate::job::Job;
+use crate::message::{Action, Note, StartOrder};
+use crate::room::Room;
+use crate::speed::scaled;
+
+/// Slack, as a part of a task's expected time, under which a job is urgent: one quarter.
+const URGENT_DIVISOR: u64 = 4;
+
+/// How much longer a task takes where its data is not in its rack. The platform's sheets say 2.
+const REMOTE_FACTOR: f64 = 2.0;
+
+/// Slack that a slow executor must leave a job to be good enough: a wait for one report.
+const GOOD_ENOUGH_SLACK: Micros = Micros(20_000);
+
+/// How well an executor suits a task; less is better: whether it is too slow, then its time (the
+/// longest of those that are fast enough, the shortest of the others), then the room left over.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Fit(u8, u64, u32);
+
+/// What a job's place in the queue depends on; less goes first.
+type Rank = (u8, u64, Mono, JobId);
+
+impl Pool {
+    /// Starts whatever can start.
+    pub(super) fn place(&mut self, now: Mono) {
+        if self.is_over {
+            return;
+        }
+        let mut queue: Vec<(Rank, JobId)> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.waiting > 0)
+            .map(|(id, job)| (self.rank(now, *id, job), *id))
+            .collect();
+        if queue.is_empty() || !self.has_room(now) {
+            return;
+        }
+        queue.sort_unstable();
+        for (_, id) in queue {
+            while self.place_next(now, id) {}
+        }
+    }
+
+    fn has_room(&self, now: Mono) -> bool {
+        let mut executors = self.executors.values();
+        executors
+            .any(|executor| executor.free.cpu_millis > 0 && executor.takes_work(now, &self.options))
+    }
+
+    fn rank(&self, now: Mono, id: JobId, job: &Job) -> Rank {
+        let estimate = job.estimate();
+        let end_at = now + estimate + Micros::from(self.options.overhead_ms);
+        let slack = job.target_at().since(end_at);
+        let is_hopeless = end_at > job.target_at();
+        let is_urgent = slack.0 < estimate.0 / URGENT_DIVISOR;
+        let band = match (job.has_started, is_hopeless, is_urgent) {
+            (true, _, _) => 0,
+            (false, false, true) => 1,
+            (false, false, false) => 2,
+            (false, true, _) => 3,
+        };
+        (band, job.waiting_work(), job.arrived, id)
+    }
+
+    /// Starts a job's next task, if an executor has room for it.
+    fn place_next(&mut self, now: Mono, id: JobId) -> bool {
+        let Some(job) = self.jobs.get(&id) else {
+            return false;
+        };
+        let Some(index) = job.next_waiting() else {
+            return false;
+        };
+        let Some((executor, expected)) = self.choose(now, job, index) else {
+            return false;
+        };
+        self.start(now, id, index, &executor, expected);
+        true
+    }
+
+    /// Chooses an executor for a task, with the time that the task is expected to take there.
+    fn choose(&self, now: Mono, job: &Job, index: u16) -> Option<(ExecutorId, Micros)> {
+        let estimate = job.estimate();
+        let overhead = Micros::from(self.options.overhead_ms);
+        let left = job.target_at().since(now + overhead);
+        let failed_on = &job.tasks[usize::from(index)].failed_on;
+        let mut best: Option<(Fit, &ExecutorId, Micros)> = None;
+        for (id, executor) in &self.executors {
+            if !self.may_run(now, executor, job) || failed_on.contains(id) {
+                continue;
+            }
+            let expected = scaled(estimate, self.factor(now, executor, job));
+            let is_good = expected.0 + GOOD_ENOUGH_SLACK.0 <= left.0;
+            let room_left = executor.free.without(job.request.demand).cpu_millis;
+            let rank = match is_good {
+                true => Fit(0, u64::MAX - expected.0, room_left),
+                false => Fit(1, expected.0, room_left),
+            };
+            if best.as_ref().is_none_or(|(least, ..)| rank < *least) {
+                best = Some((rank, id, expected));
+            }
+        }
+        best.map(|(_, id, expected)| (id.clone(), expected))
+    }
+
+    fn may_run(&self, now: Mono, executor: &Executor, job: &Job) -> bool {
+        let request = &job.request;
+        let has_place = match request.per_executor_max {
+            Some(most) => executor.tasks_of(request.job) < usize::from(most),
+            None => true,
+        };
+        executor.takes_work(now, &self.options)
+            && executor.facts.upstream == request.upstream
+            && executor.free.holds(request.demand)
+            && executor.has_label(request.label.as_ref())
+            && has_place
+    }
+
+    /// Gets how slow an executor is for a job's tasks.
+    fn factor(&self, now: Mono, executor: &Executor, job: &Job) -> f64 {
+        let wanted = job.request.data_rack.as_ref();
+        let is_remote = wanted.is_some() && wanted != executor.facts.rack.as_ref();
+        let slowdown = executor.slowdown.factor(now);
+        if is_remote {
+            slowdown * REMOTE_FACTOR
+        } else {
+            slowdown
+        }
+    }
+
+    fn start(&mut self, now: Mono, id: JobId, index: u16, place: &ExecutorId, expected: Micros) {
+        let (Some(job), Some(executor)) = (self.jobs.get_mut(&id), self.executors.get_mut(place))
+        else {
+            return;
+        };
+        let Some(expires) = executor.lease_end(now, self.options.lease_ms) else {
+            return;
+        };
+        let number = job.run_ordered(index, place);
+        let task = job.task_id(index);
+        let run = Run {
+            number,
+            demand: job.request.demand,
+            state: RunState::Ordered { tries: 1 },
+            ordered_at: now,
+            expected,
+            estimate: job.estimate(),
+        };
+        executor.add_run(task, run);
+        executor.lease_sent(now, &self.options);
+        let order = StartOrder {
+            task,
+            run: number,
+            spec: job.request.spec.clone(),
+            expires,
+            token: self.token,
+        };
+        let waited = now.since(job.arrived);
+        self.actions.push(Action::Start(place.clone(), order));
+        self.note(Note::RunOrdered {
+            task,
+            run: number,
+            executor: place.clone(),
+            expected,
+            waited,
+        });
+    }
+
+    /// Gets the largest free room of a usable executor.
+    pub fn largest_free(&self, now: Mono) -> Room {
+        self.executors
+            .values()
+            .filter(|executor| executor.takes_work(now, &self.options))
+            .map(|executor| executor.free)
+            .max_by_key(|room| room.cpu_millis)
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-pool/src/pool/reports.rs
@@ -0,0 +1,250 @@
+//! What executors report.
+
+use onyxshed_core::{Millis, Mono, UnixMs};
+
+use super::Pool;
+use crate::executor::{Phase, RunState};
+use crate::id::{ExecutorId, RunNumber, TaskId};
+use crate::job::{JobEnd, TaskState};
+use crate::message::{Action, ExecutorReport, FinishedRun, HoldAnswer, Note, RunEnd, RunningRun};
+
+/// Pause before an executor that did not answer is asked again.
+const SILENT_PAUSE: Millis = Millis(50);
+
+/// Pause between two looks at an executor on which runs of an earlier owner are at work.
+const TAKING_PAUSE: Millis = Millis(20);
+
+impl Pool {
+    /// Takes in what came of a hold that was sent at `sent_at`.
+    pub fn hold_answered(
+        &mut self,
+        now: Mono,
+        id: &ExecutorId,
+        sent_at: Mono,
+        answer: HoldAnswer,
+    ) -> Vec<Action> {
+        self.notice_pause(now);
+        if self.is_over || !self.executors.contains_key(id) {
+            return self.take_actions();
+        }
+        let pause = match answer {
+            HoldAnswer::Report(ExecutorReport::Fenced) => return self.fenced(),
+            HoldAnswer::Report(ExecutorReport::OtherLife) => {
+                self.executor_reborn(now, id, None);
+                SILENT_PAUSE
+            }
+            HoldAnswer::Report(ExecutorReport::Lists {
+                clock,
+                born,
+                running,
+                finished,
+            }) => self.report(now, id, sent_at, (clock, born), &running, &finished),
+            HoldAnswer::Unknown => {
+                self.fell_silent(now, id);
+                SILENT_PAUSE
+            }
+        };
+        self.place(now);
+        self.send_hold(now, id, pause);
+        self.take_actions()
+    }
+
+    fn report(
+        &mut self,
+        now: Mono,
+        id: &ExecutorId,
+        sent_at: Mono,
+        (clock, born): (UnixMs, Option<UnixMs>),
+        running: &[RunningRun],
+        finished: &[FinishedRun],
+    ) -> Millis {
+        let is_other_life = match (self.executors[id].born, born) {
+            (Some(known), Some(told)) => known != told,
+            _ => false,
+        };
+        if is_other_life {
+            self.executor_reborn(now, id, born);
+        }
+        let Some(executor) = self.executors.get_mut(id) else {
+            return Millis(0);
+        };
+        executor.born = born.or(executor.born);
+        executor.observe_clock(now, clock);
+        executor.heard_at = now;
+        let was_silent = std::mem::take(&mut executor.is_silent);
+        if was_silent {
+            self.note(Note::ExecutorBack(id.clone()));
+        }
+        for end in finished {
+            self.take_end(now, id, *end);
+        }
+        self.reconcile(now, id, sent_at, running);
+        self.stop_strays(id, running);
+        let Some(executor) = self.executors.get_mut(id) else {
+            return Millis(0);
+        };
+        if executor.phase == Phase::Held {
+            return Millis(0);
+        }
+        if !running.is_empty() {
+            return TAKING_PAUSE;
+        }
+        executor.phase = Phase::Held;
+        self.note(Note::ExecutorTaken(id.clone()));
+        Millis(0)
+    }
+
+    /// Takes in one end.
+    fn take_end(&mut self, now: Mono, id: &ExecutorId, end: FinishedRun) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        executor.last_seen = executor.last_seen.max(end.number);
+        let is_ours = executor
+            .runs
+            .get(&end.task)
+            .is_some_and(|run| run.number == end.run);
+        if !is_ours {
+            return;
+        }
+        match end.end {
+            RunEnd::Done => self.run_done(now, id, end.task, end.run),
+            RunEnd::Failed => self.run_failed(now, id, end.task, end.run),
+            RunEnd::Stopped => self.forget_run(id, end.task, end.run, "stopped or lapsed"),
+        }
+    }
+
+    fn run_done(&mut self, now: Mono, id: &ExecutorId, task: TaskId, number: RunNumber) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let Some(run) = executor.remove_run(task) else {
+            return;
+        };
+        let took = now.since(run.ordered_at);
+        let is_remote_start = matches!(run.state, RunState::Stopping { .. });
+        if !is_remote_start {
+            executor.slowdown.observe(now, took, run.estimate);
+        }
+        executor.health = Default::default();
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        if !job.awaits(task.index, number, id) {
+            return;
+        }
+        job.observe(took, run.expected);
+        job.tasks[usize::from(task.index)].state = TaskState::Done;
+        job.done += 1;
+        if job.done == job.request.tasks {
+            self.end_job(task.job, JobEnd::Completed);
+        }
+    }
+
+    pub(super) fn run_failed(
+        &mut self,
+        now: Mono,
+        id: &ExecutorId,
+        task: TaskId,
+        number: RunNumber,
+    ) {
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor.remove_run(task);
+        }
+        self.strike(now, id);
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        if !job.awaits(task.index, number, id) {
+            return;
+        }
+        let held = &mut job.tasks[usize::from(task.index)];
+        held.failed_on.push(id.clone());
+        let failed_on = held.failed_on.clone();
+        let failures = u32::try_from(failed_on.len()).unwrap_or(u32::MAX);
+        let is_over = failures >= job.request.attempts_max;
+        self.run_lost(task, number, id, "failed");
+        // A task that fails on one executor after another is to blame itself: the executors it
+        // failed on are as good as before.
+        if failures > 1 {
+            self.exonerate(now, &failed_on);
+        }
+        if is_over {
+            self.end_job(task.job, JobEnd::Failed);
+        }
+    }
+
+    fn exonerate(&mut self, now: Mono, executors: &[ExecutorId]) {
+        for id in executors {
+            if let Some(executor) = self.executors.get_mut(id) {
+                executor.health.exonerate(now);
+            }
+        }
+    }
+
+    /// Compares what the executor says is at work with what was ordered.
+    fn reconcile(&mut self, now: Mono, id: &ExecutorId, sent_at: Mono, running: &[RunningRun]) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let mut gone = Vec::new();
+        let mut stops = Vec::new();
+        for (task, run) in &mut executor.runs {
+            let is_running = running
+                .iter()
+                .any(|row| row.task == *task && row.run == run.number);
+            match run.state {
+                RunState::Ordered { .. } if is_running => {
+                    run.state = RunState::AtWork { since: now };
+                }
+                // It was at work before the report was asked for and is in neither list.
+                RunState::AtWork { since } if !is_running && since < sent_at => {
+                    gone.push((*task, run.number));
+                }
+                RunState::Stopping { taken: Some(at) } if !is_running && at < sent_at => {
+                    gone.push((*task, run.number));
+                }
+                RunState::Stopping { taken: None } => stops.push((*task, run.number)),
+                _ => {}
+            }
+        }
+        for (task, number) in gone {
+            self.forget_run(id, task, number, "no longer at work");
+        }
+        for (task, number) in stops {
+            self.send_stop(id, task, number);
+        }
+    }
+
+    /// Stops what this owner did not order, or has given up.
+    fn stop_strays(&mut self, id: &ExecutorId, running: &[RunningRun]) {
+        let Some(executor) = self.executors.get(id) else {
+            return;
+        };
+        let strays: Vec<RunningRun> = running
+            .iter()
+            .filter(|row| {
+                let ours = executor.runs.get(&row.task);
+                ours.is_none_or(|run| run.number != row.run)
+            })
+            .copied()
+            .collect();
+        for stray in strays {
+            self.send_stop(id, stray.task, stray.run);
+            self.note(Note::StrayStopped {
+                task: stray.task,
+                run: stray.run,
+                executor: id.clone(),
+            });
+        }
+    }
+
+    fn fell_silent(&mut self, _now: Mono, id: &ExecutorId) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        if !std::mem::replace(&mut executor.is_silent, true) {
+            self.note(Note::ExecutorSilent(id.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-pool/src/pool/watch.rs
@@ -0,0 +1,143 @@
+//! What the passing of time brings.
+
+use onyxshed_core::{Micros, Millis, Mono};
+
+use super::Pool;
+use crate::executor::{Executor, Run, RunState};
+use crate::id::{ExecutorId, JobId, TaskId};
+use crate::job::{JobEnd, UnknownReason};
+use crate::message::{Action, Note};
+
+/// Silence after which an executor that is no longer listed is forgotten.
+const FORGET_AFTER: Millis = Millis(10_000);
+
+impl Pool {
+    /// Looks at everything that is due; called every few hundredths of a second.
+    pub fn tick(&mut self, now: Mono) -> Vec<Action> {
+        self.notice_pause(now);
+        self.ticked_at = now;
+        self.drop_silent_peers(now);
+        self.give_up_late(now);
+        self.give_up_silent_runs(now);
+        self.stop_stuck(now);
+        self.forget_gone(now);
+        self.place(now);
+        self.take_actions()
+    }
+
+    /// Finds out, before anything else is done, whether this process stood still.
+    pub(super) fn notice_pause(&mut self, now: Mono) {
+        let stood_still = now.since(self.ticked_at);
+        if stood_still >= self.options.pause_ms.into() {
+            self.ticked_at = now;
+            self.give_up_after_pause(stood_still);
+        }
+    }
+
+    /// Gives up every job of another host after a standstill of this process.
+    ///
+    /// Failure guarded against: the host freezes, its entry hosts answer their callers, the jobs
+    /// are sent again and run elsewhere; then it thaws. Symptom: it starts the rest of those jobs'
+    /// tasks while the copies are at work. Whoever stood still for longer than its peers wait
+    /// starts nothing of theirs that it held before. Jobs of this host's own callers end when their
+    /// callers' time is up, which counts the standstill too.
+    fn give_up_after_pause(&mut self, stood_still: Micros) {
+        let jobs: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.request.peer != self.own)
+            .map(|(id, _)| *id)
+            .collect();
+        self.note(Note::Paused(stood_still, jobs.len()));
+        for job in jobs {
+            self.end_job(job, JobEnd::Unknown(UnknownReason::OwnerPaused));
+        }
+        self.peers.end_all();
+    }
+
+    fn drop_silent_peers(&mut self, now: Mono) {
+        for peer in self.peers.fall_silent(now, self.options.peer_silence_ms) {
+            let jobs: Vec<JobId> = self
+                .jobs
+                .iter()
+                .filter(|(_, job)| job.request.peer == peer)
+                .map(|(id, _)| *id)
+                .collect();
+            self.note(Note::PeerSilent(peer, jobs.len()));
+            for job in jobs {
+                self.end_job(job, JobEnd::Unknown(UnknownReason::PeerSilent));
+            }
+        }
+    }
+
+    /// Lets tasks of silent executors wait again once their leases have ended.
+    fn give_up_silent_runs(&mut self, now: Mono) {
+        let mut lapsed = Vec::new();
+        for (id, executor) in &mut self.executors {
+            if executor.is_silent && now >= executor.lapses_at && !executor.runs.is_empty() {
+                let tasks: Vec<TaskId> = executor.runs.keys().copied().collect();
+                for task in tasks {
+                    if let Some(run) = executor.remove_run(task) {
+                        lapsed.push((id.clone(), task, run.number));
+                    }
+                }
+            }
+        }
+        for (id, task, number) in lapsed {
+            self.run_lost(task, number, &id, "its lease ended in silence");
+        }
+    }
+
+    /// Stops runs that take far longer than they should, so that they run elsewhere.
+    fn stop_stuck(&mut self, now: Mono) {
+        let mut stuck = Vec::new();
+        for (id, executor) in &self.executors {
+            for (task, run) in &executor.runs {
+                if self.is_stuck(now, executor, *task, run) {
+                    stuck.push((id.clone(), *task));
+                }
+            }
+        }
+        for (id, task) in stuck {
+            self.strike(now, &id);
+            self.stop_run(&id, task);
+        }
+    }
+
+    fn is_stuck(&self, now: Mono, executor: &Executor, task: TaskId, run: &Run) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        if executor.is_silent || !matches!(run.state, RunState::AtWork { .. }) {
+            return false;
+        }
+        let (ratio, siblings) = job.ratio;
+        let (most, expected) = match siblings {
+            0 => (self.options.stuck_millis, run.expected),
+            _ => (
+                self.options.stuck_known_millis,
+                crate::speed::scaled(run.expected, ratio.exp()),
+            ),
+        };
+        let limit = expected.0 * most / 1_000 + Micros::from(self.options.stuck_slack_ms).0;
+        now.since(run.ordered_at).0 > limit
+    }
+
+    fn forget_gone(&mut self, now: Mono) {
+        let gone: Vec<ExecutorId> = self
+            .executors
+            .iter()
+            .filter(|(_, executor)| {
+                executor.unlisted_at.is_some()
+                    && executor.is_silent
+                    && executor.runs.is_empty()
+                    && now.since(executor.heard_at) > FORGET_AFTER.into()
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in gone {
+            self.executors.remove(&id);
+            self.note(Note::ExecutorGone(id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-pool/src/room.rs
@@ -0,0 +1,59 @@
+//! What tasks need and executors have.
+
+use std::fmt;
+use std::ops::{AddAssign, SubAssign};
+
+use serde::{Deserialize, Serialize};
+
+/// Processor, memory and accelerators.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Room {
+    /// Thousandths of a core.
+    pub cpu_millis: u32,
+    /// Megabytes.
+    pub memory_mb: u32,
+    /// Accelerators.
+    pub accelerators: u32,
+}
+
+impl Room {
+    /// Tells whether a demand fits in.
+    pub fn holds(self, demand: Room) -> bool {
+        self.cpu_millis >= demand.cpu_millis
+            && self.memory_mb >= demand.memory_mb
+            && self.accelerators >= demand.accelerators
+    }
+
+    /// Gets what is left beside a demand, none below zero.
+    pub fn without(self, demand: Room) -> Room {
+        Room {
+            cpu_millis: self.cpu_millis.saturating_sub(demand.cpu_millis),
+            memory_mb: self.memory_mb.saturating_sub(demand.memory_mb),
+            accelerators: self.accelerators.saturating_sub(demand.accelerators),
+        }
+    }
+}
+
+impl AddAssign for Room {
+    fn add_assign(&mut self, other: Room) {
+        self.cpu_millis = self.cpu_millis.saturating_add(other.cpu_millis);
+        self.memory_mb = self.memory_mb.saturating_add(other.memory_mb);
+        self.accelerators = self.accelerators.saturating_add(other.accelerators);
+    }
+}
+
+impl SubAssign for Room {
+    fn sub_assign(&mut self, other: Room) {
+        *self = self.without(other);
+    }
+}
+
+impl fmt::Display for Room {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}mcpu {}MB {}acc",
+            self.cpu_millis, self.memory_mb, self.accelerators
+        )
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-proto/schema/pool.capnp
@@ -0,0 +1,56 @@
+# What hosts say to the owner of a pool of executors.
+#
+# An entry host hands a job whole to a pool's owner and waits for its end. Heartbeats carry the
+# owner's sum of its pool back, and open the sessions in which jobs are taken.
+
+@0xc2f0a4d6b8e1973d;
+
+struct PoolDigest {
+  capacityCpuMillis @0 :UInt64;
+  freeCpuMillis @1 :UInt64;
+  # Thousandths of a core times milliseconds.
+  waitingWork @2 :UInt64;
+  isClosing @3 :Bool;
+}
+
+struct PoolJob {
+  job @0 :UInt64;
+  submission @1 :UInt64;
+  upstream @2 :Text;
+  spec @3 :Text;
+  tasks @4 :UInt16;
+  cpuMillis @5 :UInt32;
+  memoryMb @6 :UInt32;
+  accelerators @7 :UInt32;
+  estimateMs @8 :UInt64;
+  attemptsMax @9 :UInt32;
+  stretchMillis @10 :UInt32;
+  objectiveMs @11 :UInt64;
+  timeLeftMs @12 :UInt64;
+  # Empty where it does not matter.
+  label @13 :Text;
+  dataRack @14 :Text;
+  # 0 where it is not bounded.
+  perExecutorMax @15 :UInt16;
+}
+
+enum PoolEndKind {
+  completed @0;
+  failed @1;
+  notRun @2;
+  unknown @3;
+}
+
+struct PoolEnd {
+  kind @0 :PoolEndKind;
+  # Number of the reason within its kind.
+  reason @1 :UInt8;
+  retryAfterMs @2 :UInt64;
+}
+
+# Served by every host; one that owns no pool answers so.
+interface PoolPort {
+  heartbeat @0 (life :UInt64, pool :Text) -> (isOwner :Bool, session :UInt64, digest :PoolDigest);
+  run @1 (life :UInt64, pool :Text, session :UInt64, job :PoolJob) -> (end :PoolEnd, digest :PoolDigest);
+  cancel @2 (life :UInt64, pool :Text, job :UInt64, submission :UInt64, isTimeOut :Bool) -> ();
+}
--- a/crates/onyxshed-proto/src/lib.rs
+++ b/crates/onyxshed-proto/src/lib.rs
@@ -1,7 +1,7 @@
 //! What onyxshed's own processes say to each other, over `capnp-rpc`.
 //!
-//! The schema is `schema/onyxshed.capnp`; `onyxshed_capnp` is generated from it and committed, so a
-//! build needs no generator. The other modules turn messages into the types that decisions use, and
+//! The schemas are `schema/onyxshed.capnp` and `schema/pool.capnp`; `onyxshed_capnp` and `pool_capnp`
+//! are generated from them and committed, so a build needs no generator. The other modules turn messages into the types that decisions use, and
 //! check every text on the way in; [`rpc`] carries the interfaces over TCP.
 
 pub mod config;
@@ -11,6 +11,10 @@
 #[allow(missing_docs, unused_qualifications, clippy::all, clippy::unwrap_used)]
 #[rustfmt::skip]
 pub mod onyxshed_capnp;
+pub mod pool;
+#[allow(missing_docs, unused_qualifications, clippy::all, clippy::unwrap_used)]
+#[rustfmt::skip]
+pub mod pool_capnp;
 pub mod rpc;
 pub mod snapshot;
 pub mod status;
--- /dev/null
+++ b/crates/onyxshed-proto/src/pool.rs
@@ -0,0 +1,140 @@
+//! Messages between entry hosts and owners of pools, to and from the types that decisions use.
+
+use onyxshed_core::Millis;
+use onyxshed_pool::{
+    JobEnd, JobId, JobRequest, NotRunReason, PeerLife, PoolDigest, Room, SubmissionNumber,
+    UnknownReason,
+};
+use smol_str::SmolStr;
+
+use crate::pool_capnp::{PoolEndKind, pool_digest, pool_end, pool_job};
+
+/// Writes an owner's sum of its pool.
+pub fn write_digest(digest: &PoolDigest, mut to: pool_digest::Builder<'_>) {
+    to.set_capacity_cpu_millis(digest.capacity_cpu_millis);
+    to.set_free_cpu_millis(digest.free_cpu_millis);
+    to.set_waiting_work(digest.waiting_work);
+    to.set_is_closing(digest.is_closing);
+}
+
+/// Reads an owner's sum of its pool.
+pub fn read_digest(from: pool_digest::Reader<'_>) -> PoolDigest {
+    PoolDigest {
+        capacity_cpu_millis: from.get_capacity_cpu_millis(),
+        free_cpu_millis: from.get_free_cpu_millis(),
+        waiting_work: from.get_waiting_work(),
+        is_closing: from.get_is_closing(),
+    }
+}
+
+/// Writes a job.
+pub fn write_job(job: &JobRequest, mut to: pool_job::Builder<'_>) {
+    to.set_job(job.job.0);
+    to.set_submission(job.submission.0);
+    to.set_upstream(job.upstream.as_str());
+    to.set_spec(job.spec.as_str());
+    to.set_tasks(job.tasks);
+    to.set_cpu_millis(job.demand.cpu_millis);
+    to.set_memory_mb(job.demand.memory_mb);
+    to.set_accelerators(job.demand.accelerators);
+    to.set_estimate_ms(job.estimate.0);
+    to.set_attempts_max(job.attempts_max);
+    to.set_stretch_millis(job.stretch_millis);
+    to.set_objective_ms(job.objective.0);
+    to.set_time_left_ms(job.time_left.0);
+    to.set_label(job.label.as_deref().unwrap_or_default());
+    to.set_data_rack(job.data_rack.as_deref().unwrap_or_default());
+    to.set_per_executor_max(job.per_executor_max.unwrap_or_default());
+}
+
+/// Tries to read a job of an entry host.
+pub fn read_job(peer: PeerLife, from: pool_job::Reader<'_>) -> capnp::Result<JobRequest> {
+    let per_executor_max = from.get_per_executor_max();
+    Ok(JobRequest {
+        peer,
+        submission: SubmissionNumber(from.get_submission()),
+        job: JobId(from.get_job()),
+        upstream: text(from.get_upstream()?)?,
+        spec: text(from.get_spec()?)?,
+        tasks: from.get_tasks(),
+        demand: Room {
+            cpu_millis: from.get_cpu_millis(),
+            memory_mb: from.get_memory_mb(),
+            accelerators: from.get_accelerators(),
+        },
+        estimate: Millis(from.get_estimate_ms()),
+        attempts_max: from.get_attempts_max(),
+        stretch_millis: from.get_stretch_millis(),
+        objective: Millis(from.get_objective_ms()),
+        time_left: Millis(from.get_time_left_ms()),
+        label: given(text(from.get_label()?)?),
+        data_rack: given(text(from.get_data_rack()?)?),
+        per_executor_max: (per_executor_max > 0).then_some(per_executor_max),
+    })
+}
+
+fn text(from: capnp::text::Reader<'_>) -> capnp::Result<SmolStr> {
+    Ok(from.to_str()?.into())
+}
+
+fn given(text: SmolStr) -> Option<SmolStr> {
+    (!text.is_empty()).then_some(text)
+}
+
+const NOT_RUN_REASONS: [NotRunReason; 4] = [
+    NotRunReason::NoTime,
+    NotRunReason::NoExecutor,
+    NotRunReason::NotOwner,
+    NotRunReason::OldSession,
+];
+
+const UNKNOWN_REASONS: [UnknownReason; 6] = [
+    UnknownReason::OwnerChanged,
+    UnknownReason::OwnerPaused,
+    UnknownReason::PeerSilent,
+    UnknownReason::TimeOut,
+    UnknownReason::Cancelled,
+    UnknownReason::Superseded,
+];
+
+fn number_of<T: PartialEq>(reasons: &[T], reason: &T) -> u8 {
+    let found = reasons.iter().position(|known| known == reason);
+    found
+        .and_then(|index| u8::try_from(index).ok())
+        .unwrap_or_default()
+}
+
+/// Writes how a job ended.
+pub fn write_end(end: &JobEnd, mut to: pool_end::Builder<'_>) {
+    match end {
+        JobEnd::Completed => to.set_kind(PoolEndKind::Completed),
+        JobEnd::Failed => to.set_kind(PoolEndKind::Failed),
+        JobEnd::NotRun(reason, retry_after) => {
+            to.set_kind(PoolEndKind::NotRun);
+            to.set_reason(number_of(&NOT_RUN_REASONS, reason));
+            to.set_retry_after_ms(retry_after.0);
+        }
+        JobEnd::Unknown(reason) => {
+            to.set_kind(PoolEndKind::Unknown);
+            to.set_reason(number_of(&UNKNOWN_REASONS, reason));
+        }
+    }
+}
+
+/// Tries to read how a job ended.
+pub fn read_end(from: pool_end::Reader<'_>) -> capnp::Result<JobEnd> {
+    let reason = usize::from(from.get_reason());
+    let unreadable = || capnp::Error::failed("a reason is not known".to_owned());
+    Ok(match from.get_kind()? {
+        PoolEndKind::Completed => JobEnd::Completed,
+        PoolEndKind::Failed => JobEnd::Failed,
+        PoolEndKind::NotRun => {
+            let reason = NOT_RUN_REASONS.get(reason).ok_or_else(unreadable)?;
+            JobEnd::NotRun(*reason, Millis(from.get_retry_after_ms()))
+        }
+        PoolEndKind::Unknown => {
+            let reason = UNKNOWN_REASONS.get(reason).ok_or_else(unreadable)?;
+            JobEnd::Unknown(*reason)
+        }
+    })
+}
--- a/crates/onyxshed-telemetry/src/line.rs
+++ b/crates/onyxshed-telemetry/src/line.rs
@@ -37,6 +37,12 @@
     if let Some(submission) = &event.submission {
         let _ = write!(line, " submission={submission}");
     }
+    if !event.request.is_empty() {
+        let _ = write!(line, " request={}", on_one_line(&event.request));
+    }
+    if !event.job.is_empty() {
+        let _ = write!(line, " job={}", on_one_line(&event.job));
+    }
     if let Some(index) = event.task_index {
         let _ = write!(line, " task={index}");
     }
--- a/crates/onyxshed-telemetry/src/log.rs
+++ b/crates/onyxshed-telemetry/src/log.rs
@@ -1,4 +1,4 @@
-//! The log: numbered events on standard error.
+//! The log: numbered events on standard error or standard output.
 
 use std::num::NonZeroUsize;
 use std::sync::Arc;
@@ -49,7 +49,16 @@
 impl Log {
     /// Tries to open the log on standard error.
     pub fn open(settings: LogSettings) -> Result<Self> {
-        let builder = StdStreamSink::builder().std_stream(StdStream::Stderr);
+        Log::open_on(settings, StdStream::Stderr)
+    }
+
+    /// Tries to open the log on standard output, for a process that says nothing else there.
+    pub fn open_on_stdout(settings: LogSettings) -> Result<Self> {
+        Log::open_on(settings, StdStream::Stdout)
+    }
+
+    fn open_on(settings: LogSettings, stream: StdStream) -> Result<Self> {
+        let builder = StdStreamSink::builder().std_stream(stream);
         let sink = match settings.format {
             LogFormat::Human => builder.formatter(PatternFormatter::new(pattern!(
                 "{date} {time}.{millisecond} {^{level}} {payload}{eol}"
