Blame an executor for a long run only where it ended nothing since

Cause: callers' estimates are off by more than the limit for stuck runs; long tasks were stopped eleven times in a row until their caller's deadline (3 answers 504 of 140 lock-wipe jobs).

--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -108,7 +108,7 @@
             Ok(Submission::Unsupported(what)) => return self.unsupported(&asked, what),
             Err(error) => return refuse(400, &format_smolstr!("{error}"), None),
         };
-        let deadline = deadline_of(call).min(route.timeout_ms.max(LEAST_TIMEOUT));
+        let deadline = deadline_of(call);
         let job = self.request_of(route, &asked, simple, deadline);
         let give_up = Duration::from(job.time_left);
         let end = within(give_up, self.dispatch(&job)).await;
@@ -200,9 +200,6 @@
     }
 }
 
-/// Least time that a route's timeout leaves a job.
-const LEAST_TIMEOUT: Millis = Millis(100);
-
 fn deadline_of(call: &Call) -> Millis {
     let told = call.header(DEADLINE_HEADER);
     told.and_then(|text| text.parse().ok())
--- a/crates/onyxshed-host/src/ownership.rs
+++ b/crates/onyxshed-host/src/ownership.rs
@@ -189,29 +189,38 @@
 
     async fn look(&mut self) -> Next {
         Timer::after(HOME_PERIOD).await;
+        if self.is_vacant().await != Some(true) || self.is_stopping() {
+            return Next::Look;
+        }
+        // Two hosts that join at once move the pool twice. Each waits a random time and looks
+        // again, so that all but one find it owned.
+        let spread = rand::random_range(0..=JOIN_SPREAD_MS);
+        Timer::after(Duration::from_millis(spread)).await;
+        match self.is_vacant().await {
+            Some(true) => Next::Join,
+            _ => Next::Look,
+        }
+    }
+
+    /// Asks who owns the pool and tells whether this host may join for it; none without an answer.
+    async fn is_vacant(&mut self) -> Option<bool> {
         let owners = match self.store.owners(&self.group, ANSWER_TIMEOUT).await {
             Ok(owners) => owners,
             // The group does not exist before its first member has joined.
             Err(onyxshed_adapter::Error::Status { status: 404 }) => Vec::new(),
             Err(error) => {
                 self.watch.failed(&error);
-                return Next::Look;
+                return None;
             }
         };
         self.watch.answered();
         match holder(&owners) {
-            Some(owner) if owner.member == self.member => Next::Join,
-            Some(owner) => {
+            Some(owner) if owner.member != self.member => {
                 self.links
                     .set_owner(&self.options.zone, address_of(&owner.member));
-                Next::Look
-            }
-            None if self.is_stopping() => Next::Look,
-            None => {
-                let spread = rand::random_range(0..=JOIN_SPREAD_MS);
-                Timer::after(Duration::from_millis(spread)).await;
-                Next::Join
+                Some(false)
             }
+            _ => Some(true),
         }
     }
 
--- a/crates/onyxshed-pool/src/executor.rs
+++ b/crates/onyxshed-pool/src/executor.rs
@@ -112,6 +112,8 @@
     pub last_seen: u64,
     /// When the last report was asked for that came.
     pub heard_at: Mono,
+    /// When a run was last done there.
+    pub done_at: Mono,
     pub is_silent: bool,
     /// When everything that may run there has lapsed, unless a lease is renewed.
     pub lapses_at: Mono,
@@ -134,6 +136,7 @@
             clock_offset: None,
             last_seen: 0,
             heard_at: now,
+            done_at: Mono(0),
             is_silent: false,
             lapses_at: now,
             slowdown: Slowdown::default(),
--- a/crates/onyxshed-pool/src/job.rs
+++ b/crates/onyxshed-pool/src/job.rs
@@ -117,6 +117,8 @@
     pub runs: u32,
     /// Runs that ended failed, by executor.
     pub failed_on: Vec<ExecutorId>,
+    /// Runs stopped because they took too long.
+    pub stuck: u32,
 }
 
 /// A job under way.
@@ -139,6 +141,7 @@
             state: TaskState::Waiting,
             runs: 0,
             failed_on: Vec::new(),
+            stuck: 0,
         };
         Job {
             arrived: now,
--- a/crates/onyxshed-pool/src/pool/reports.rs
+++ b/crates/onyxshed-pool/src/pool/reports.rs
@@ -127,6 +127,7 @@
             executor.slowdown.observe(now, took, run.estimate);
         }
         executor.health = Default::default();
+        executor.done_at = now;
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
--- a/crates/onyxshed-pool/src/pool/watch.rs
+++ b/crates/onyxshed-pool/src/pool/watch.rs
@@ -11,6 +11,9 @@
 /// Silence after which an executor that is no longer listed is forgotten.
 const FORGET_AFTER: Millis = Millis(10_000);
 
+/// Most times that the limit for a stuck run doubles; by then it is past any caller's deadline.
+const STUCK_DOUBLINGS_MAX: u32 = 6;
+
 impl Pool {
     /// Looks at everything that is due; called every few hundredths of a second.
     pub fn tick(&mut self, now: Mono) -> Vec<Action> {
@@ -99,11 +102,21 @@
             }
         }
         for (id, task) in stuck {
+            if let Some(job) = self.jobs.get_mut(&task.job) {
+                job.tasks[usize::from(task.index)].stuck += 1;
+            }
             self.strike(now, &id);
             self.stop_run(&id, task);
         }
     }
 
+    /// Tells whether a run takes so long that its executor is to blame.
+    ///
+    /// Failure guarded against: an executor accepts tasks and never ends them. Symptom: each of
+    /// its jobs waits for its caller's deadline. Callers' estimates are far off as well, so time
+    /// alone is no proof: the executor must also have ended nothing since the run began, and the
+    /// limit doubles with each run of the task that was stopped, lest a long task never ends.
+
     fn is_stuck(&self, now: Mono, executor: &Executor, task: TaskId, run: &Run) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
             return false;
@@ -119,8 +132,14 @@
                 crate::speed::scaled(run.expected, ratio.exp()),
             ),
         };
-        let limit = expected.0 * most / 1_000 + Micros::from(self.options.stuck_slack_ms).0;
-        now.since(run.ordered_at).0 > limit
+        if executor.done_at > run.ordered_at {
+            return false;
+        }
+        let doublings = job.tasks[usize::from(task.index)]
+            .stuck
+            .min(STUCK_DOUBLINGS_MAX);
+        let limit = (expected.0 * most / 1_000) << doublings;
+        now.since(run.ordered_at).0 > limit + Micros::from(self.options.stuck_slack_ms).0
     }
 
     fn forget_gone(&mut self, now: Mono) {
