--- a/crates/onyxshed-host/src/engine.rs
+++ b/crates/onyxshed-host/src/engine.rs
@@ -93,9 +93,10 @@
     }
 
     /// Begins to own the pool.
-    pub fn own_pool(&self, token: FencingToken) {
+    pub fn own_pool(self: &Rc<Self>, token: FencingToken) {
         let pool = Pool::new(boot_clock::now(), token, self.own, self.options.clone());
         *self.pool.borrow_mut() = Some(pool);
+        self.kernel.spawn(self.clone().tick(token)).detach();
         let detail = format_smolstr!("token {token}");
         self.kernel
             .emit(Event::new(EventKind::PoolOwned).detail(detail));
@@ -240,8 +241,8 @@
         held.insert(id.clone(), Rc::new(pool));
     }
 
-    async fn tick(self: Rc<Self>) {
-        loop {
+    async fn tick(self: Rc<Self>, token: FencingToken) {
+        while self.token() == Some(token) {
             Timer::after(TICK).await;
             if self.kernel.readiness().is_draining()
                 && let Some(pool) = self.pool.borrow_mut().as_mut()
@@ -272,7 +273,6 @@
 
     fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
         Box::pin(async move {
-            kernel.spawn(self.engine.clone().tick()).detach();
             let descriptor = Descriptor {
                 name: ENGINE,
                 summary: "the pool that this host owns",
--- a/crates/onyxshed-host/src/ownership.rs
+++ b/crates/onyxshed-host/src/ownership.rs
@@ -49,6 +49,13 @@
 /// Longest random wait before a host joins for a pool that nobody owns, so that seldom two do.
 const JOIN_SPREAD_MS: u64 = 120;
 
+/// Processor share that makes a good owner, in thousandths of a core: twice what the owner of 120
+/// executors uses on a calm day.
+const OWNER_CPU_MILLIS: u32 = 400;
+
+/// How long a host waits for each time that its processor share fits into a good owner's.
+const SMALL_HOST_PAUSE_MS: u64 = 200;
+
 /// Who this host is in the groups.
 #[derive(Debug, Clone)]
 pub struct OwnershipOptions {
@@ -62,6 +69,8 @@
     pub store: SocketAddr,
     /// Shortest time to live that the store grants.
     pub ttl_min_ms: Millis,
+    /// This host's share of a core, in thousandths.
+    pub cpu_millis: u32,
 }
 
 /// Ownership as a service.
@@ -194,14 +203,22 @@
         }
         // Two hosts that join at once move the pool twice. Each waits a random time and looks
         // again, so that all but one find it owned.
-        let spread = rand::random_range(0..=JOIN_SPREAD_MS);
-        Timer::after(Duration::from_millis(spread)).await;
+        Timer::after(self.join_pause()).await;
         match self.is_vacant().await {
             Some(true) => Next::Join,
             _ => Next::Look,
         }
     }
 
+    /// Gets how long this host leaves a vacant pool to others: an owner's work grows with its pool,
+    /// so hosts with more processor go first.
+    fn join_pause(&self) -> Duration {
+        let spread_ms = rand::random_range(0..=JOIN_SPREAD_MS);
+        let cpu_millis = self.options.cpu_millis.clamp(1, OWNER_CPU_MILLIS);
+        let shortage = OWNER_CPU_MILLIS / cpu_millis - 1;
+        Duration::from_millis(spread_ms + SMALL_HOST_PAUSE_MS * u64::from(shortage))
+    }
+
     /// Asks who owns the pool and tells whether this host may join for it; none without an answer.
     async fn is_vacant(&mut self) -> Option<bool> {
         let owners = match self.store.owners(&self.group, ANSWER_TIMEOUT).await {
--- a/crates/onyxshed-host/src/process.rs
+++ b/crates/onyxshed-host/src/process.rs
@@ -165,6 +165,7 @@
         address: peer_address,
         store: settings.store_address,
         ttl_min_ms: settings.member_ttl_min_ms,
+        cpu_millis: settings.cpu_millis,
     };
     let callers = CallerOptions {
         address: settings.caller_address,
--- a/crates/onyxshed-pool/src/options.rs
+++ b/crates/onyxshed-pool/src/options.rs
@@ -11,6 +11,9 @@
     pub lease_ms: Millis,
     /// How long a hold waits at the executor for an end; default 150 ms. A quarter of the lease.
     pub hold_wait_ms: Millis,
+    /// The same where nothing runs; default 400 ms. A task that starts meanwhile has a lease of its
+    /// own, which outlasts the wait.
+    pub idle_wait_ms: Millis,
     /// Most that an executor's clock is slow, in thousandths; default 30. The platform promises 20.
     pub clock_drift_millis: u64,
     /// What is added to a lease for the way there; default 30 ms.
@@ -49,6 +52,7 @@
         PoolOptions {
             lease_ms: Millis(600),
             hold_wait_ms: Millis(150),
+            idle_wait_ms: Millis(400),
             clock_drift_millis: 30,
             lease_margin_ms: Millis(30),
             start_tries_max: 3,
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -237,14 +237,17 @@
         // One that does not answer gets no renewal: its leases have to end for its tasks to run
         // elsewhere.
         let is_renewed = executor.phase == Phase::Held && !executor.is_silent;
-        let (expires, wait) = match is_renewed {
-            true => (
-                executor.lease_end(now, options.lease_ms),
-                options.hold_wait_ms,
-            ),
-            false => (None, Millis(0)),
+        let is_idle = executor.runs.is_empty();
+        let expires = match is_renewed && !is_idle {
+            true => executor.lease_end(now, options.lease_ms),
+            false => None,
         };
-        if expires.is_some() && !executor.runs.is_empty() {
+        let wait = match (is_renewed, is_idle) {
+            (true, true) => options.idle_wait_ms,
+            (true, false) => options.hold_wait_ms,
+            (false, _) => Millis(0),
+        };
+        if expires.is_some() {
             executor.lease_sent(now, options);
         }
         let order = HoldOrder {
--- a/crates/onyxshed-pool/tests/pool/search.rs
+++ b/crates/onyxshed-pool/tests/pool/search.rs
@@ -24,7 +24,9 @@
 fn seeds_a_block() -> u64 {
     const SEEDS: u64 = 40;
     let told = std::env::var("POOL_SEARCH_SEEDS");
-    told.ok().and_then(|text| text.parse().ok()).unwrap_or(SEEDS)
+    told.ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(SEEDS)
 }
 
 fn executors(rng: &mut SmallRng) -> Vec<ModelExecutor> {
