--- a/crates/onyxshed-pool/src/pool/place.rs
+++ b/crates/onyxshed-pool/src/pool/place.rs
@@ -9,6 +9,9 @@
 //! still meet its target there; among those the slowest is taken, so that the fast ones stay free
 //! for tasks that need them. If none is good enough, the fastest is taken.
 
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
 use onyxshed_core::{Micros, Mono};
 
 use super::Pool;
@@ -16,7 +19,6 @@
 use crate::id::{ExecutorId, JobId};
 use crate::job::Job;
 use crate::message::{Action, Note, StartOrder};
-use crate::room::Room;
 use crate::speed::scaled;
 
 /// Slack, as a part of a task's expected time, under which a job is urgent: one quarter.
@@ -33,34 +35,73 @@
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 struct Fit(u8, u64, u32);
 
+/// An executor with room, and how slow it is.
+struct Place {
+    id: ExecutorId,
+    slowdown: f64,
+}
+
 /// What a job's place in the queue depends on; less goes first.
 type Rank = (u8, u64, Mono, JobId);
 
 impl Pool {
     /// Starts whatever can start.
+    ///
+    /// It is called with every event. A full pool with hundreds of jobs waiting must cost little
+    /// then: nothing is ranked unless an executor has room for the smallest task that waits, and
+    /// only executors with room are looked at.
     pub(super) fn place(&mut self, now: Mono) {
         if self.is_over {
             return;
         }
-        let mut queue: Vec<(Rank, JobId)> = self
+        let waiting = self.jobs.values().filter(|job| job.waiting > 0);
+        let Some(least) = waiting.map(|job| job.request.demand.cpu_millis).min() else {
+            return;
+        };
+        let mut places = self.places(now, least);
+        if places.is_empty() {
+            return;
+        }
+        let mut queue: BinaryHeap<Reverse<(Rank, JobId)>> = self
             .jobs
             .iter()
             .filter(|(_, job)| job.waiting > 0)
-            .map(|(id, job)| (self.rank(now, *id, job), *id))
+            .map(|(id, job)| Reverse((self.rank(now, *id, job), *id)))
             .collect();
-        if queue.is_empty() || !self.has_room(now) {
-            return;
-        }
-        queue.sort_unstable();
-        for (_, id) in queue {
-            while self.place_next(now, id) {}
+        while let Some(Reverse((_, id))) = queue.pop() {
+            while let Some(taken) = self.place_next(now, id, &places) {
+                self.renew_place(now, &mut places, taken, least);
+            }
+            if places.is_empty() {
+                return;
+            }
         }
     }
 
-    fn has_room(&self, now: Mono) -> bool {
-        let mut executors = self.executors.values();
-        executors
-            .any(|executor| executor.free.cpu_millis > 0 && executor.takes_work(now, &self.options))
+    /// Gets the executors that have room for a task of a size, with how slow they are.
+    fn places(&self, now: Mono, least_cpu_millis: u32) -> Vec<Place> {
+        self.executors
+            .iter()
+            .filter(|(_, executor)| executor.free.cpu_millis >= least_cpu_millis)
+            .filter(|(_, executor)| executor.takes_work(now, &self.options))
+            .map(|(id, executor)| Place {
+                id: id.clone(),
+                slowdown: executor.slowdown.factor(now),
+            })
+            .collect()
+    }
+
+    /// Drops a place that has no room left.
+    fn renew_place(&self, now: Mono, places: &mut Vec<Place>, taken: usize, least: u32) {
+        let still = self
+            .executors
+            .get(&places[taken].id)
+            .is_some_and(|executor| {
+                executor.free.cpu_millis >= least && executor.takes_work(now, &self.options)
+            });
+        if !still {
+            places.swap_remove(taken);
+        }
     }
 
     fn rank(&self, now: Mono, id: JobId, job: &Job) -> Rank {
@@ -78,33 +119,35 @@
         (band, job.waiting_work(), job.arrived, id)
     }
 
-    /// Starts a job's next task, if an executor has room for it.
-    fn place_next(&mut self, now: Mono, id: JobId) -> bool {
-        let Some(job) = self.jobs.get(&id) else {
-            return false;
-        };
-        let Some(index) = job.next_waiting() else {
-            return false;
-        };
-        let Some((executor, expected)) = self.choose(now, job, index) else {
-            return false;
-        };
+    /// Starts a job's next task, if an executor has room for it; tells which place it took.
+    fn place_next(&mut self, now: Mono, id: JobId, places: &[Place]) -> Option<usize> {
+        let job = self.jobs.get(&id)?;
+        let index = job.next_waiting()?;
+        let (taken, expected) = self.choose(now, job, index, places)?;
+        let executor = places[taken].id.clone();
         self.start(now, id, index, &executor, expected);
-        true
+        Some(taken)
     }
 
-    /// Chooses an executor for a task, with the time that the task is expected to take there.
-    fn choose(&self, now: Mono, job: &Job, index: u16) -> Option<(ExecutorId, Micros)> {
+    /// Chooses a place for a task, with the time that the task is expected to take there.
+    fn choose(
+        &self,
+        now: Mono,
+        job: &Job,
+        index: u16,
+        places: &[Place],
+    ) -> Option<(usize, Micros)> {
         let estimate = job.estimate();
         let overhead = Micros::from(self.options.overhead_ms);
         let left = job.target_at().since(now + overhead);
         let failed_on = &job.tasks[usize::from(index)].failed_on;
-        let mut best: Option<(Fit, &ExecutorId, Micros)> = None;
-        for (id, executor) in &self.executors {
-            if !self.may_run(now, executor, job) || failed_on.contains(id) {
+        let mut best: Option<(Fit, usize, Micros)> = None;
+        for (number, place) in places.iter().enumerate() {
+            let executor = &self.executors[&place.id];
+            if !self.may_run(now, executor, job) || failed_on.contains(&place.id) {
                 continue;
             }
-            let expected = scaled(estimate, self.factor(now, executor, job));
+            let expected = scaled(estimate, place.slowdown * remoteness(executor, job));
             let is_good = expected.0 + GOOD_ENOUGH_SLACK.0 <= left.0;
             let room_left = executor.free.without(job.request.demand).cpu_millis;
             let rank = match is_good {
@@ -112,10 +155,10 @@
                 false => Fit(1, expected.0, room_left),
             };
             if best.as_ref().is_none_or(|(least, ..)| rank < *least) {
-                best = Some((rank, id, expected));
+                best = Some((rank, number, expected));
             }
         }
-        best.map(|(_, id, expected)| (id.clone(), expected))
+        best.map(|(_, number, expected)| (number, expected))
     }
 
     fn may_run(&self, now: Mono, executor: &Executor, job: &Job) -> bool {
@@ -131,18 +174,6 @@
             && has_place
     }
 
-    /// Gets how slow an executor is for a job's tasks.
-    fn factor(&self, now: Mono, executor: &Executor, job: &Job) -> f64 {
-        let wanted = job.request.data_rack.as_ref();
-        let is_remote = wanted.is_some() && wanted != executor.facts.rack.as_ref();
-        let slowdown = executor.slowdown.factor(now);
-        if is_remote {
-            slowdown * REMOTE_FACTOR
-        } else {
-            slowdown
-        }
-    }
-
     fn start(&mut self, now: Mono, id: JobId, index: u16, place: &ExecutorId, expected: Micros) {
         let (Some(job), Some(executor)) = (self.jobs.get_mut(&id), self.executors.get_mut(place))
         else {
@@ -180,14 +211,11 @@
             waited,
         });
     }
+}
 
-    /// Gets the largest free room of a usable executor.
-    pub fn largest_free(&self, now: Mono) -> Room {
-        self.executors
-            .values()
-            .filter(|executor| executor.takes_work(now, &self.options))
-            .map(|executor| executor.free)
-            .max_by_key(|room| room.cpu_millis)
-            .unwrap_or_default()
-    }
+/// Gets how much longer a job's tasks take because their data is elsewhere.
+fn remoteness(executor: &Executor, job: &Job) -> f64 {
+    let wanted = job.request.data_rack.as_ref();
+    let is_remote = wanted.is_some() && wanted != executor.facts.rack.as_ref();
+    if is_remote { REMOTE_FACTOR } else { 1.0 }
 }
--- a/crates/onyxshed-pool/src/pool/watch.rs
+++ b/crates/onyxshed-pool/src/pool/watch.rs
@@ -116,7 +116,6 @@
     /// its jobs waits for its caller's deadline. Callers' estimates are far off as well, so time
     /// alone is no proof: the executor must also have ended nothing since the run began, and the
     /// limit doubles with each run of the task that was stopped, lest a long task never ends.
-
     fn is_stuck(&self, now: Mono, executor: &Executor, task: TaskId, run: &Run) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
             return false;
