--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -1,11 +1,12 @@
 //! Requests of callers.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use async_channel::{Receiver, Sender};
 use async_io::Timer;
+use futures_lite::FutureExt;
 use http_types::Method;
 use onyxshed_adapter::job::{self, DEADLINE_HEADER, REQUEST_HEADER, SimpleJob, Submission};
 use onyxshed_adapter::{Manifest, Route};
@@ -49,6 +50,8 @@
     pub address: SocketAddr,
     /// Limits of the address.
     pub server: ServerOptions,
+    /// How long a stopping host waits for the jobs under way.
+    pub last_call: Duration,
 }
 
 /// Handle to the callers' requests.
@@ -56,8 +59,10 @@
     kernel: Kernel,
     manifest: Rc<ManifestHolder>,
     links: Rc<Links>,
-    under_way: Cell<usize>,
     stats: Rc<ServerStats>,
+    /// Closed when this host can wait no longer for the jobs under way.
+    last_call: Receiver<()>,
+    last_call_sender: Sender<()>,
 }
 
 /// A submission as it was understood.
@@ -111,15 +116,32 @@
         let deadline = deadline_of(call);
         let job = self.request_of(route, &asked, simple, deadline);
         let give_up = Duration::from(job.time_left);
-        let end = within(give_up, self.dispatch(&job)).await;
-        let (end, pool) = end.unwrap_or((
-            JobEnd::Unknown(UnknownReason::TimeOut),
-            SmolStr::new_static("?"),
-        ));
+        let served = within(give_up, self.dispatch(&job));
+        let (end, pool) = match served.or(self.cut_off()).await {
+            Some(served) => served,
+            None => (
+                JobEnd::Unknown(UnknownReason::TimeOut),
+                SmolStr::new_static("?"),
+            ),
+        };
         self.tell(&asked, &job, &end, &pool);
         answer(&end)
     }
 
+    /// Waits until this host can wait no longer.
+    ///
+    /// Failure guarded against: the platform kills a host that is still at work when its grace is
+    /// over. Symptom: callers' connections break without an answer. Told that the fate of their
+    /// jobs is unknown, they send them again.
+    async fn cut_off(&self) -> Option<(JobEnd, SmolStr)> {
+        // Ends when the channel is closed; nothing is ever sent.
+        let _ = self.last_call.recv().await;
+        Some((
+            JobEnd::Unknown(UnknownReason::EntryStopped),
+            SmolStr::new_static("?"),
+        ))
+    }
+
     fn unsupported(&self, asked: &Asked, what: &'static str) -> Reply {
         let event = Event::new(EventKind::PoolJobRefused)
             .request(asked.request.clone())
@@ -241,6 +263,7 @@
         UnknownReason::PeerSilent => "unknown: the pool's owner did not hear this host",
         UnknownReason::TimeOut => "unknown: the time was over",
         UnknownReason::Cancelled => "unknown: the caller gave it up",
+        UnknownReason::EntryStopped => "unknown: this host is stopping",
         UnknownReason::Superseded => "unknown: the caller sent it again",
     }
 }
@@ -267,9 +290,7 @@
                 let Some(callers) = callers else {
                     return refuse(503, "the host is starting", Some(NO_POOL_RETRY));
                 };
-                callers.under_way.set(callers.under_way.get() + 1);
                 let reply = callers.handle(call).await;
-                callers.under_way.set(callers.under_way.get() - 1);
                 if draining.is_draining() {
                     reply.last()
                 } else {
@@ -284,12 +305,14 @@
             refuse(code.http_status(), &format_smolstr!("{code}"), None)
         });
         let server = Server::new(self.options.server, handler, reject);
+        let (last_call_sender, last_call) = async_channel::bounded(1);
         let callers = Rc::new(Callers {
             kernel: kernel.clone(),
             manifest: kernel.find(MANIFEST)?,
             links: kernel.find(LINKS)?,
-            under_way: Cell::new(0),
             stats: server.stats(),
+            last_call,
+            last_call_sender,
         });
         // The cell is empty until here.
         let _ = holder.set(callers.clone());
@@ -325,7 +348,11 @@
             let Ok(callers) = kernel.find::<Callers>(CALLERS) else {
                 return;
             };
+            let last_call_at = Instant::now() + self.options.last_call.saturating_sub(DRAIN_NOTICE);
             while callers.stats.busy.get() > 0 {
+                if Instant::now() >= last_call_at {
+                    callers.last_call_sender.close();
+                }
                 Timer::after(DRAIN_POLL).await;
             }
         })
--- a/crates/onyxshed-host/src/process.rs
+++ b/crates/onyxshed-host/src/process.rs
@@ -37,6 +37,10 @@
 /// Left between the longest drain and the platform's kill, for the last lines of the log.
 const DRAIN_MARGIN: Millis = Millis(500);
 
+/// Left between the last answers of a stopping host and the platform's kill: a host at its processor
+/// limit takes a few hundred milliseconds to write a hundred answers.
+const LAST_CALL_MARGIN: Millis = Millis(1_000);
+
 /// Most callers' connections at a time, well below the descriptors that a host has.
 const CONNECTIONS_MAX: usize = 1_500;
 
@@ -175,6 +179,7 @@
             gives_up_with_peer: true,
             ..ServerOptions::default()
         },
+        last_call: Millis(settings.grace_ms.0.saturating_sub(LAST_CALL_MARGIN.0)).into(),
     };
     vec![
         Box::new(AdminService::new(
--- a/crates/onyxshed-pool/src/job.rs
+++ b/crates/onyxshed-pool/src/job.rs
@@ -83,6 +83,8 @@
     Cancelled,
     /// Another hand-over of the job took its place.
     Superseded,
+    /// The entry host stopped before the job ended.
+    EntryStopped,
 }
 
 /// How a job ended.
--- a/crates/onyxshed-proto/src/pool.rs
+++ b/crates/onyxshed-proto/src/pool.rs
@@ -88,13 +88,14 @@
     NotRunReason::OldSession,
 ];
 
-const UNKNOWN_REASONS: [UnknownReason; 6] = [
+const UNKNOWN_REASONS: [UnknownReason; 7] = [
     UnknownReason::OwnerChanged,
     UnknownReason::OwnerPaused,
     UnknownReason::PeerSilent,
     UnknownReason::TimeOut,
     UnknownReason::Cancelled,
     UnknownReason::Superseded,
+    UnknownReason::EntryStopped,
 ];
 
 fn number_of<T: PartialEq>(reasons: &[T], reason: &T) -> u8 {
