--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -1,5 +1,6 @@
 //! Requests of callers.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -63,6 +64,8 @@
     /// Closed when this host can wait no longer for the jobs under way.
     last_call: Receiver<()>,
     last_call_sender: Sender<()>,
+    /// When that will be, once the host is stopping.
+    last_call_at: Cell<Option<Instant>>,
 }
 
 /// A submission as it was understood.
@@ -113,7 +116,7 @@
             Ok(Submission::Unsupported(what)) => return self.unsupported(&asked, what),
             Err(error) => return refuse(400, &format_smolstr!("{error}"), None),
         };
-        let deadline = deadline_of(call);
+        let deadline = self.before_last_call(deadline_of(call));
         let job = self.request_of(route, &asked, simple, deadline);
         let give_up = Duration::from(job.time_left);
         let served = within(give_up, self.dispatch(&job));
@@ -128,6 +131,16 @@
         answer(&end)
     }
 
+    /// Shortens a caller's deadline to what a stopping host can still wait, so that a job which
+    /// can't end by then is refused and not cut off.
+    fn before_last_call(&self, deadline: Millis) -> Millis {
+        let Some(at) = self.last_call_at.get() else {
+            return deadline;
+        };
+        let left = at.saturating_duration_since(Instant::now()).as_millis();
+        deadline.min(Millis(u64::try_from(left).unwrap_or(u64::MAX)))
+    }
+
     /// Waits until this host can wait no longer.
     ///
     /// Failure guarded against: the platform kills a host that is still at work when its grace is
@@ -313,6 +326,7 @@
             stats: server.stats(),
             last_call,
             last_call_sender,
+            last_call_at: Cell::new(None),
         });
         // The cell is empty until here.
         let _ = holder.set(callers.clone());
@@ -344,11 +358,12 @@
     /// Serves on until the balancer has noticed, then waits for the last reply.
     fn drain<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, ()> {
         Box::pin(async move {
-            Timer::after(DRAIN_NOTICE).await;
             let Ok(callers) = kernel.find::<Callers>(CALLERS) else {
                 return;
             };
-            let last_call_at = Instant::now() + self.options.last_call.saturating_sub(DRAIN_NOTICE);
+            let last_call_at = Instant::now() + self.options.last_call;
+            callers.last_call_at.set(Some(last_call_at));
+            Timer::after(DRAIN_NOTICE).await;
             while callers.stats.busy.get() > 0 {
                 if Instant::now() >= last_call_at {
                     callers.last_call_sender.close();
--- a/crates/onyxshed-host/src/process.rs
+++ b/crates/onyxshed-host/src/process.rs
@@ -1,7 +1,7 @@
 //! The host process from its settings to its end.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 
@@ -74,6 +74,13 @@
                 .default_value("9464")
                 .help("Port of metrics, status and time line"),
         )
+        .arg(
+            Arg::new("advertise")
+                .long("advertise")
+                .value_name("ADDRESS")
+                .value_parser(clap::value_parser!(SocketAddr))
+                .help("Where other hosts reach this one, if not on its own address"),
+        )
         .arg(
             Arg::new("check")
                 .long("check")
@@ -106,11 +113,25 @@
         _ => LogLevel::Info,
     };
     let admin_port = matches.get_one("admin-port").copied();
-    let admin_port = admin_port.unwrap_or(ADMIN_PORT_DEFAULT);
-    run(path, &settings, level, admin_port)
+    let options = HostOptions {
+        settings_path: path.clone(),
+        level,
+        admin_port: admin_port.unwrap_or(ADMIN_PORT_DEFAULT),
+        advertised: matches.get_one("advertise").copied(),
+    };
+    run(&options, &settings)
+}
+
+/// What the command line says.
+struct HostOptions {
+    settings_path: PathBuf,
+    level: LogLevel,
+    admin_port: u16,
+    advertised: Option<SocketAddr>,
 }
 
-fn run(path: &Path, settings: &HostSettings, level: LogLevel, admin_port: u16) -> ExitCode {
+fn run(options: &HostOptions, settings: &HostSettings) -> ExitCode {
+    let level = options.level;
     let kernel = Kernel::new();
     let boot = Incarnation(rand::random());
     let log = LogSettings {
@@ -135,13 +156,13 @@
             return ExitCode::FAILURE;
         }
     };
-    let services = services(&kernel, path, settings, telemetry, admin_port);
-    let options = RunOptions {
+    let services = services(&kernel, options, settings, telemetry);
+    let run_options = RunOptions {
         drain_timeout_ms: Millis(settings.grace_ms.0.saturating_sub(DRAIN_MARGIN.0)),
         has_ready_line: false,
         ..RunOptions::new(NAME)
     };
-    let end = kernel.run(services, options);
+    let end = kernel.run(services, run_options);
     if let RunEnd::Failed(error) = &end {
         eprintln!("{NAME}: error {}: {error}", error.code());
     }
@@ -150,10 +171,9 @@
 
 fn services(
     kernel: &Kernel,
-    path: &Path,
+    options: &HostOptions,
     settings: &HostSettings,
     telemetry: Rc<Telemetry>,
-    admin_port: u16,
 ) -> Vec<Box<dyn Service>> {
     let own = PeerLife(rand::random());
     let peer_address = SocketAddr::new(settings.ip, settings.first_own_port);
@@ -166,7 +186,7 @@
     let ownership = OwnershipOptions {
         zone: settings.zone.clone(),
         zones: settings.zones.clone(),
-        address: peer_address,
+        address: options.advertised.unwrap_or(peer_address),
         store: settings.store_address,
         ttl_min_ms: settings.member_ttl_min_ms,
         cpu_millis: settings.cpu_millis,
@@ -184,9 +204,12 @@
     vec![
         Box::new(AdminService::new(
             telemetry,
-            SocketAddr::new(settings.ip, admin_port),
+            SocketAddr::new(settings.ip, options.admin_port),
+        )),
+        Box::new(ReloadService::new(
+            options.settings_path.clone(),
+            settings.clone(),
         )),
-        Box::new(ReloadService::new(path.to_owned(), settings.clone())),
         Box::new(ManifestService::new(settings.store_address)),
         Box::new(EngineService::new(engine.clone())),
         Box::new(LinkService::new(links.clone())),
--- a/crates/onyxshed-pool/tests/pool/main.rs
+++ b/crates/onyxshed-pool/tests/pool/main.rs
@@ -4,7 +4,6 @@
 mod fixture;
 mod hosts;
 mod load;
-mod model;
 mod parts;
 mod search;
 mod world;
--- a/crates/onyxshed-pool/tests/pool/search.rs
+++ b/crates/onyxshed-pool/tests/pool/search.rs
@@ -2,12 +2,12 @@
 
 use onyxshed_core::{Millis, Mono};
 use onyxshed_pool::{ExecutorId, JobEnd, JobId, JobRequest, Room};
+use onyxshed_standins::fleet::RunBook;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
 
 use crate::fixture::{job, room};
-use crate::model::ModelExecutor;
 use crate::world::{Fault, Trouble, World};
 
 const EXECUTORS: usize = 6;
@@ -29,7 +29,7 @@
         .unwrap_or(SEEDS)
 }
 
-fn executors(rng: &mut SmallRng) -> Vec<ModelExecutor> {
+fn executors(rng: &mut SmallRng) -> Vec<RunBook> {
     (0..EXECUTORS)
         .map(|_| {
             let capacity = Room {
@@ -38,7 +38,7 @@
             };
             let speed = [0.6, 1.0, 1.6][rng.random_range(0..3)];
             let (ahead_ms, slow_millis) = (rng.random_range(0..9_000), rng.random_range(0..20));
-            ModelExecutor::new(capacity, speed, ahead_ms, slow_millis)
+            RunBook::new(capacity, speed, ahead_ms, slow_millis)
         })
         .collect()
 }
--- a/crates/onyxshed-pool/tests/pool/world.rs
+++ b/crates/onyxshed-pool/tests/pool/world.rs
@@ -13,11 +13,10 @@
     JobRequest, Note, PeerLife, Pool, PoolOptions, RunEnd, RunNumber, Session, StartAnswer,
     StartOrder, StopAnswer, StopOrder, SubmissionNumber, TaskId, UnknownReason,
 };
+use onyxshed_standins::fleet::RunBook;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::model::ModelExecutor;
-
 /// Time until a caller sends a job again whose answer did not come.
 const RESEND: Millis = Millis(1_300);
 
@@ -132,7 +131,7 @@
 pub struct World {
     pub now: Mono,
     pub calls: BTreeMap<JobId, Call>,
-    pub executors: BTreeMap<ExecutorId, ModelExecutor>,
+    pub executors: BTreeMap<ExecutorId, RunBook>,
     pub trouble: Trouble,
     pub thrown_away: Micros,
     queue: BinaryHeap<Reverse<(Mono, u64)>>,
@@ -154,7 +153,7 @@
 }
 
 impl World {
-    pub fn new(seed: u64, executors: Vec<ModelExecutor>, entries: usize) -> Self {
+    pub fn new(seed: u64, executors: Vec<RunBook>, entries: usize) -> Self {
         let named = executors
             .into_iter()
             .enumerate()
@@ -780,7 +779,7 @@
     Micros(us.max(1))
 }
 
-fn facts_of(executor: &ModelExecutor) -> ExecutorFacts {
+fn facts_of(executor: &RunBook) -> ExecutorFacts {
     ExecutorFacts {
         address: "10.0.0.1:80".parse().expect("an address"),
         upstream: "desk".into(),
--- a/crates/onyxshed-proof/src/process.rs
+++ b/crates/onyxshed-proof/src/process.rs
@@ -59,6 +59,42 @@
         })
     }
 
+    /// Tries to start a binary that writes its log to standard output; it prints no ready line.
+    pub fn start_logging(
+        binary: &str,
+        name: &str,
+        arguments: &[String],
+        folder: &Path,
+    ) -> Result<Self> {
+        let log = folder.join(format!("{name}.log"));
+        let open = || {
+            let mut options = File::options();
+            let file = options.create(true).append(true).open(&log);
+            file.context(SystemSnafu { what: "open a log" })
+        };
+        let child = Command::new(beside_test(binary)?)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(open()?)
+            .stderr(open()?)
+            .spawn()
+            .with_context(|_| SystemSnafu {
+                what: format_smolstr!("start {binary}, which `cargo build --bins` builds"),
+            })?;
+        Ok(Process {
+            name: name.into(),
+            child,
+            log,
+            ready: channel().1,
+            addresses: None,
+        })
+    }
+
+    /// Tells the process that its settings changed.
+    pub fn hang_up(&self) -> Result<()> {
+        self.signal(Signal::HUP)
+    }
+
     /// Waits for the ready line.
     pub fn wait_ready(&mut self) -> Result<()> {
         let line = self
@@ -165,11 +201,13 @@
     receiver
 }
 
-/// Finds a binary in the folder above the test executable's.
+/// Finds a binary in the folder of this executable, or above it, where tests lie.
 pub fn beside_test(binary: &str) -> Result<PathBuf> {
     let test = std::env::current_exe().context(SystemSnafu {
         what: "find the test executable",
     })?;
-    let folder = test.ancestors().nth(2).unwrap_or(Path::new("."));
-    Ok(folder.join(binary))
+    let folders: Vec<&Path> = test.ancestors().skip(1).take(2).collect();
+    let found = folders.iter().map(|folder| folder.join(binary));
+    let mut there = found.filter(|path| path.is_file());
+    Ok(there.next().unwrap_or_else(|| binary.into()))
 }
--- /dev/null
+++ b/crates/onyxshed-soak/src/fleet.rs
@@ -0,0 +1,420 @@
+//! The processes of one soak.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::time::Duration;
+
+use async_io::Timer;
+use http_types::Method;
+use onyxshed_http::client::call_once;
+use onyxshed_proof::process::Process;
+use onyxshed_proof::{Error, Result};
+use onyxshed_standins::faults::{Mode, NewRoute, SetMode};
+use onyxshed_standins::fleet::executor::RunRecord;
+use onyxshed_standins::fleet::store::StoreFaults;
+use serde::Serialize;
+use serde_json::json;
+use smol_str::{SmolStr, format_smolstr};
+use tempfile::TempDir;
+
+/// How long a call to a stand-in may take, on a machine that is busy.
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How long everything may take to come up.
+const READY_CEILING: Duration = Duration::from_secs(60);
+
+/// How long the platform waits before it kills a host that was asked to stop.
+pub const GRACE: Duration = Duration::from_secs(6);
+
+/// The host header of the one route.
+pub const ROUTE_HOST: &str = "desk.example";
+
+/// The path prefix of the one route.
+pub const ROUTE_PREFIX: &str = "/jobs/";
+
+/// What runs.
+#[derive(Debug, Clone)]
+pub struct FleetOptions {
+    /// Zones.
+    pub zones: usize,
+    /// Hosts in each zone.
+    pub hosts: usize,
+    /// Executors in each zone.
+    pub executors: usize,
+}
+
+impl Default for FleetOptions {
+    fn default() -> Self {
+        FleetOptions {
+            zones: 2,
+            hosts: 2,
+            executors: 3,
+        }
+    }
+}
+
+/// One host: its process, and what is needed to start it again.
+struct Host {
+    process: Option<Process>,
+    arguments: Vec<String>,
+    callers: SocketAddr,
+    ready: SocketAddr,
+}
+
+/// One executor.
+struct Executor {
+    process: Option<Process>,
+    arguments: Vec<String>,
+    address: Option<SocketAddr>,
+}
+
+/// Everything that one soak runs.
+pub struct Fleet {
+    store: Process,
+    proxy: Process,
+    hosts: BTreeMap<SmolStr, Host>,
+    executors: BTreeMap<SmolStr, Executor>,
+    /// What executors recorded that were killed since.
+    past: Vec<(SmolStr, RunRecord)>,
+    folder: TempDir,
+}
+
+impl Fleet {
+    /// Tries to start all processes and waits until every host is ready.
+    pub async fn start(options: &FleetOptions) -> Result<Self> {
+        let folder = tempfile::tempdir().map_err(|error| unmet("a folder", &error.to_string()))?;
+        let path = folder.path();
+        let mut store = Process::start("standin-fleet-store", "store", &[], path)?;
+        let mut proxy = Process::start("standin-faults", "faults", &[], path)?;
+        store.wait_ready()?;
+        proxy.wait_ready()?;
+        let mut fleet = Fleet {
+            store,
+            proxy,
+            hosts: BTreeMap::new(),
+            executors: BTreeMap::new(),
+            past: Vec::new(),
+            folder,
+        };
+        fleet.put_manifest(1, 60).await?;
+        // Addresses of this run alone on the loopback network, so that runs side by side share no
+        // port.
+        let network = [
+            127,
+            rand::random_range(16..=250),
+            rand::random_range(1..=250),
+        ];
+        for zone in 0..options.zones {
+            for index in 0..options.executors {
+                fleet.add_executor(zone, index).await?;
+            }
+        }
+        let mut number = 0;
+        for zone in 0..options.zones {
+            for index in 0..options.hosts {
+                number += 1;
+                let ip = Ipv4Addr::new(network[0], network[1], network[2], number);
+                fleet.add_host(zone, index, ip, options.zones).await?;
+            }
+        }
+        fleet.wait_ready().await?;
+        Ok(fleet)
+    }
+
+    async fn put<T: Serialize>(&self, topic: &str, key: &str, value: &T) -> Result<()> {
+        let path = format!("control/put?topic={topic}&key={key}");
+        let body = serde_json::to_vec(value).expect("plain JSON");
+        self.tell(self.store.address("store")?, &path, body).await
+    }
+
+    async fn tell(&self, address: SocketAddr, path: &str, body: Vec<u8>) -> Result<()> {
+        let reply = call_once(address, Method::Post, path, body, CALL_TIMEOUT).await;
+        match reply {
+            Ok(reply) if reply.status == 200 => Ok(()),
+            Ok(reply) => Err(unmet(path, &format!("status {}", reply.status))),
+            Err(error) => Err(unmet(path, &error.to_string())),
+        }
+    }
+
+    /// Publishes a version of the manifest.
+    pub async fn put_manifest(&self, version: u64, objective_ms: u64) -> Result<()> {
+        let manifest = json!({
+            "version": version,
+            "routes": [{"name": "desk", "host": ROUTE_HOST, "path_prefix": ROUTE_PREFIX,
+                "type": "non_idempotent", "timeout_ms": 1500, "slo_ms": objective_ms,
+                "priority": 0, "service": "desk", "attempts": 2, "stretch": 1.6}],
+            "services": [], "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144},
+        });
+        self.put("keyed.op", "config", &manifest).await
+    }
+
+    async fn route(&self, name: &str, to: SocketAddr) -> Result<SocketAddr> {
+        let new = NewRoute {
+            name: name.into(),
+            to,
+        };
+        let body = serde_json::to_vec(&new).expect("plain JSON");
+        let control = self.proxy.address("http")?;
+        let path = "control/routes";
+        let reply = call_once(control, Method::Post, path, body, CALL_TIMEOUT).await;
+        let reply = reply.map_err(|error| unmet(path, &error.to_string()))?;
+        serde_json::from_slice(&reply.body).map_err(|error| unmet(path, &error.to_string()))
+    }
+
+    /// Sets what happens on the routes named; a name that ends in '*' stands for all that begin so.
+    pub async fn set_mode(&self, routes: &str, mode: Mode) -> Result<()> {
+        let command = SetMode {
+            routes: vec![routes.into()],
+            mode,
+        };
+        let body = serde_json::to_vec(&command).expect("plain JSON");
+        let control = self.proxy.address("http")?;
+        self.tell(control, "control/mode", body).await
+    }
+
+    /// Sets what the store does wrong.
+    pub async fn set_store_faults(&self, faults: &StoreFaults) -> Result<()> {
+        let body = serde_json::to_vec(faults).expect("plain JSON");
+        let store = self.store.address("store")?;
+        self.tell(store, "control/faults", body).await
+    }
+
+    /// Lets the store forget its history, or take every partition away.
+    pub async fn command_store(&self, what: &str) -> Result<()> {
+        let store = self.store.address("store")?;
+        self.tell(store, &format!("control/{what}"), Vec::new())
+            .await
+    }
+
+    async fn add_executor(&mut self, zone: usize, index: usize) -> Result<()> {
+        let id = format_smolstr!("x-{zone}-{index}");
+        // Opened with no target yet; the executor is told where it will be reached.
+        let nowhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 9));
+        let advertised = self.route(&format!("executor-{id}"), nowhere).await?;
+        let store = self.store.address("store")?;
+        let speed = [0.7, 1.0, 1.6][index % 3];
+        let arguments: Vec<String> = [
+            format!("--store={store}"),
+            format!("--advertised={advertised}"),
+            format!("--id={id}"),
+            format!("--zone=z{zone}"),
+            format!("--speed={speed}"),
+        ]
+        .into();
+        let executor = Executor {
+            process: None,
+            arguments,
+            address: None,
+        };
+        self.executors.insert(id.clone(), executor);
+        self.start_executor(&id).await
+    }
+
+    /// Starts an executor that does not run.
+    pub async fn start_executor(&mut self, id: &SmolStr) -> Result<()> {
+        let folder = self.folder.path().to_owned();
+        let Some(executor) = self.executors.get_mut(id) else {
+            return Ok(());
+        };
+        let mut process =
+            Process::start("standin-fleet-executor", id, &executor.arguments, &folder)?;
+        process.wait_ready()?;
+        let address = process.address("executor")?;
+        executor.address = Some(address);
+        executor.process = Some(process);
+        self.route(&format!("executor-{id}"), address).await?;
+        Ok(())
+    }
+
+    /// Kills an executor, after its records were read.
+    pub async fn kill_executor(&mut self, id: &SmolStr) -> Result<()> {
+        self.read_records(id).await;
+        if let Some(executor) = self.executors.get_mut(id)
+            && let Some(mut process) = executor.process.take()
+        {
+            process.kill()?;
+            executor.address = None;
+        }
+        Ok(())
+    }
+
+    /// Freezes an executor, or lets it go on.
+    pub fn freeze_executor(&self, id: &SmolStr, is_frozen: bool) -> Result<()> {
+        let executor = self.executors.get(id);
+        match executor.and_then(|executor| executor.process.as_ref()) {
+            Some(process) if is_frozen => process.freeze(),
+            Some(process) => process.thaw(),
+            None => Ok(()),
+        }
+    }
+
+    async fn read_records(&mut self, id: &SmolStr) {
+        let Some(address) = self.executors.get(id).and_then(|found| found.address) else {
+            return;
+        };
+        let path = "control/runs";
+        let reply = call_once(address, Method::Get, path, Vec::new(), CALL_TIMEOUT).await;
+        let records: Vec<RunRecord> = reply
+            .ok()
+            .and_then(|reply| serde_json::from_slice(&reply.body).ok())
+            .unwrap_or_default();
+        self.past
+            .extend(records.into_iter().map(|record| (id.clone(), record)));
+    }
+
+    /// Reads the records of every executor, those killed since included.
+    pub async fn all_records(&mut self) -> Vec<(SmolStr, RunRecord)> {
+        let ids: Vec<SmolStr> = self.executors.keys().cloned().collect();
+        for id in ids {
+            self.read_records(&id).await;
+        }
+        std::mem::take(&mut self.past)
+    }
+
+    async fn add_host(
+        &mut self,
+        zone: usize,
+        index: usize,
+        ip: Ipv4Addr,
+        zones: usize,
+    ) -> Result<()> {
+        let name = format_smolstr!("h-{zone}-{index}");
+        let at = |port| SocketAddr::new(IpAddr::V4(ip), port);
+        let store = self.store.address("store")?;
+        let store = self.route(&format!("store-{name}"), store).await?;
+        let advertised = self.route(&format!("peer-{name}"), at(7_720)).await?;
+        let callers = self.route(&format!("callers-{name}"), at(8_161)).await?;
+        let zones: BTreeMap<String, &str> =
+            (0..zones).map(|zone| (format!("z{zone}"), "r")).collect();
+        let settings = json!({
+            "node_name": name, "ip": ip, "zone": format!("z{zone}"), "zones": zones,
+            "listen_addrs": {"front": at(8_161), "ready": at(8_167)},
+            "port_range": [7_720, 7_735],
+            "limits": {"cpu_share": 0.25, "cpu_cores": 1, "memory_mb": 260},
+            "heartbeat_ms": 500,
+            "bounds": {"hold_max_ms": 1000, "grace_s": GRACE.as_secs(), "resend_ms": 1300},
+            "platform": {"address": store, "ttl_min_ms": 1000},
+        });
+        let path = self.folder.path().join(format!("{name}.json"));
+        std::fs::write(&path, settings.to_string())
+            .map_err(|error| unmet("settings", &error.to_string()))?;
+        let host = Host {
+            process: None,
+            arguments: vec![
+                format!("--settings={}", path.display()),
+                format!("--advertise={advertised}"),
+            ],
+            callers,
+            ready: at(8_167),
+        };
+        self.hosts.insert(name.clone(), host);
+        self.start_host(&name)
+    }
+
+    /// Starts a host that does not run.
+    pub fn start_host(&mut self, name: &SmolStr) -> Result<()> {
+        let folder = self.folder.path().to_owned();
+        let Some(host) = self.hosts.get_mut(name) else {
+            return Ok(());
+        };
+        if let Some(process) = &mut host.process
+            && process.ended()?.is_none()
+        {
+            return Ok(());
+        }
+        let process = Process::start_logging("onyxshed-host", name, &host.arguments, &folder)?;
+        host.process = Some(process);
+        Ok(())
+    }
+
+    /// Does something to a host's process, if it runs.
+    pub fn signal_host(
+        &mut self,
+        name: &SmolStr,
+        act: impl FnOnce(&mut Process) -> Result<()>,
+    ) -> Result<()> {
+        let host = self.hosts.get_mut(name);
+        let Some(process) = host.and_then(|host| host.process.as_mut()) else {
+            return Ok(());
+        };
+        if process.ended()?.is_some() {
+            return Ok(());
+        }
+        act(process)
+    }
+
+    /// Gets the hosts' names.
+    pub fn host_names(&self) -> Vec<SmolStr> {
+        self.hosts.keys().cloned().collect()
+    }
+
+    /// Gets the executors' ids.
+    pub fn executor_ids(&self) -> Vec<SmolStr> {
+        self.executors.keys().cloned().collect()
+    }
+
+    /// Gets where callers reach each host.
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
+        self.hosts.values().map(|host| host.callers).collect()
+    }
+
+    /// Asks a host's readiness; its status, none without an answer.
+    pub async fn readiness(&self, name: &SmolStr) -> Option<u16> {
+        let ready = self.hosts.get(name)?.ready;
+        let asked = call_once(ready, Method::Get, "readyz", Vec::new(), CALL_TIMEOUT);
+        asked.await.ok().map(|reply| reply.status)
+    }
+
+    /// Waits until every host is ready.
+    pub async fn wait_ready(&self) -> Result<()> {
+        let begun = std::time::Instant::now();
+        for name in self.host_names() {
+            while self.readiness(&name).await != Some(200) {
+                if begun.elapsed() > READY_CEILING {
+                    return Err(unmet("every host is ready", &self.log_of(&name)));
+                }
+                Timer::after(Duration::from_millis(50)).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Gets the end of a process's log.
+    pub fn log_of(&self, name: &SmolStr) -> String {
+        let process = self.hosts.get(name).and_then(|host| host.process.as_ref());
+        process.map(Process::log_tail).unwrap_or_default()
+    }
+
+    /// Gets the lines of all hosts' logs that name a job.
+    pub fn lines_about(&self, word: &str) -> Vec<String> {
+        let logs = self.hosts.iter().filter_map(|(name, host)| {
+            let log = host.process.as_ref()?.log();
+            let lines = log.lines().filter(|line| line.contains(word));
+            Some(
+                lines
+                    .map(|line| format!("{name} {line}"))
+                    .collect::<Vec<_>>(),
+            )
+        });
+        logs.flatten().collect()
+    }
+
+    /// Gets the folder of settings and logs.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// Keeps the folder after the end, for a failure to be looked into; gets where it is.
+    pub fn keep_folder(&mut self) -> String {
+        self.folder.disable_cleanup(true);
+        self.folder.path().display().to_string()
+    }
+}
+
+/// Makes the error of an expectation that does not hold.
+pub fn unmet(what: &str, found: &str) -> Error {
+    Error::Unmet {
+        what: format_smolstr!("{what}: {found}"),
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-soak/src/main.rs
@@ -0,0 +1,77 @@
+//! `onyxshed-soak`: soaks seed after seed and tells what did not hold.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use onyxshed_soak::{SoakOptions, soak};
+
+fn command() -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .default_value(default)
+            .value_parser(value_parser!(u64))
+            .help(help)
+    };
+    Command::new("onyxshed-soak")
+        .version(clap::crate_version!())
+        .about("Runs the real programs under random faults and checks their promises")
+        .arg(number("seed", "1", "The first seed"))
+        .arg(number("seeds", "1", "How many seeds"))
+        .arg(number("seconds", "8", "How long faults strike, each seed"))
+        .arg(number("zones", "2", "Zones"))
+        .arg(number("hosts", "2", "Hosts in each zone"))
+        .arg(number("executors", "3", "Executors in each zone"))
+        .arg(number("callers", "8", "Callers at a time"))
+}
+
+fn options(matches: &ArgMatches, seed: u64) -> SoakOptions {
+    let number = |name: &str| *matches.get_one::<u64>(name).expect("it has a default");
+    let count = |name: &str| usize::try_from(number(name)).unwrap_or(usize::MAX);
+    let mut options = SoakOptions::of_seed(seed);
+    options.fleet.zones = count("zones");
+    options.fleet.hosts = count("hosts");
+    options.fleet.executors = count("executors");
+    options.callers = count("callers");
+    options.length = Duration::from_secs(number("seconds"));
+    options
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let first = *matches.get_one::<u64>("seed").expect("it has a default");
+    let count = *matches.get_one::<u64>("seeds").expect("it has a default");
+    let mut failed = 0;
+    for seed in first..first + count {
+        match soak(&options(&matches, seed)) {
+            Ok(report) => {
+                println!(
+                    "seed {seed}: {} jobs, {} completed, {} runs, {} faults, {} broken",
+                    report.jobs,
+                    report.completed,
+                    report.runs,
+                    report.faults.len(),
+                    report.broken.len()
+                );
+                for line in &report.broken {
+                    println!("  {line}");
+                }
+                if !report.broken.is_empty() {
+                    failed += 1;
+                    println!("  logs in {:?}; faults {:#?}", report.logs, report.faults);
+                }
+            }
+            Err(error) => {
+                failed += 1;
+                println!("seed {seed}: {error}");
+            }
+        }
+    }
+    println!("{count} seeds, {failed} with a broken promise");
+    if failed == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-standins/src/bin/standin-fleet-executor.rs
@@ -0,0 +1,80 @@
+//! One executor of the users' platform, as a process.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use onyxshed_standins::fleet::{FleetExecutor, FleetExecutorOptions};
+use onyxshed_standins::ready::ReadyLine;
+use onyxshed_standins::serve;
+use smol_str::SmolStr;
+
+const NAME: &str = "standin-fleet-executor";
+
+fn command() -> Command {
+    let option = |name: &'static str, help: &'static str| Arg::new(name).long(name).help(help);
+    Command::new(NAME)
+        .version(clap::crate_version!())
+        .about("Stands in for one executor of the users' platform in tests")
+        .arg(
+            option("address", "Where to listen; port 0 takes a free one")
+                .default_value("127.0.0.1:0")
+                .value_parser(value_parser!(SocketAddr)),
+        )
+        .arg(
+            option("store", "The store that it enters itself in")
+                .required(true)
+                .value_parser(value_parser!(SocketAddr)),
+        )
+        .arg(
+            option("advertised", "Where hosts reach it, if elsewhere")
+                .value_parser(value_parser!(SocketAddr)),
+        )
+        .arg(option("id", "Its id").default_value("x1"))
+        .arg(option("upstream", "The upstream it belongs to").default_value("desk"))
+        .arg(option("zone", "Its zone").default_value("a"))
+        .arg(
+            option("cpu-millis", "Thousandths of a core; two tasks fit")
+                .default_value("2000")
+                .value_parser(value_parser!(u32)),
+        )
+        .arg(
+            option("speed", "How many times faster than ordinary it is")
+                .default_value("1")
+                .value_parser(value_parser!(f64)),
+        )
+}
+
+fn options(matches: &ArgMatches) -> FleetExecutorOptions {
+    let text = |name: &str| -> SmolStr {
+        let found = matches.get_one::<String>(name);
+        found.map(SmolStr::new).unwrap_or_default()
+    };
+    FleetExecutorOptions {
+        id: text("id"),
+        upstream: text("upstream"),
+        zone: text("zone"),
+        cpu_millis: *matches.get_one("cpu-millis").expect("it has a default"),
+        speed: *matches.get_one("speed").expect("it has a default"),
+        store: *matches.get_one("store").expect("it is required"),
+        advertised: matches.get_one("advertised").copied(),
+    }
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let address = *matches
+        .get_one::<SocketAddr>("address")
+        .expect("it has a default");
+    let options = options(&matches);
+    serve::main(NAME, |executor| async move {
+        let stand_in = FleetExecutor::new(options, executor.clone());
+        let listener = serve::listen(address).await?;
+        let bound = serve::local_address(&listener);
+        executor.spawn(stand_in.clone().register(bound)).detach();
+        executor.spawn(stand_in.clone().watch_leases()).detach();
+        ReadyLine::single(NAME, "executor", bound).print()?;
+        serve::serve(listener, executor, stand_in.handler()).await;
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/onyxshed-standins/src/fleet/executor.rs
@@ -0,0 +1,398 @@
+//! One executor: enters itself in the store, takes orders, and runs tasks by the clock.
+//!
+//! A task's spec is a text of the form `MS` or `MS fail`: how long an ordinary executor takes, and
+//! whether it fails. Every start is recorded, and may be read by a test.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use futures_lite::FutureExt;
+use http_types::Method;
+use onyxshed_core::{Mono, UnixMs};
+use onyxshed_http::client::call_once;
+use onyxshed_http::{Call, Reply};
+use onyxshed_pool::{
+    ExecutorReport, FencingToken, FinishedRun, HoldOrder, RefuseReason, Room, RunEnd, RunNumber,
+    StartAnswer, StartOrder, StopAnswer, StopOrder, TaskId,
+};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use smol_str::{SmolStr, format_smolstr};
+
+use super::run_book::RunBook;
+use crate::platform::service::now_ms;
+use crate::serve::{Act, Handler, no_such_path, read_json};
+use crate::signal::Signal;
+
+const OK: u16 = 200;
+const REFUSED: u16 = 409;
+const OTHER_LIFE: u16 = 421;
+
+/// Time between two entries in the store.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+
+/// How long the store may take for one.
+const PUT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// How often leases are looked at.
+const LEASE_TICK: Duration = Duration::from_millis(10);
+
+/// Who the executor is.
+#[derive(Debug, Clone)]
+pub struct FleetExecutorOptions {
+    /// Its id in the store.
+    pub id: SmolStr,
+    /// The upstream that it belongs to.
+    pub upstream: SmolStr,
+    /// Its zone.
+    pub zone: SmolStr,
+    /// Thousandths of a core.
+    pub cpu_millis: u32,
+    /// How many times faster than an ordinary executor it is.
+    pub speed: f64,
+    /// The store.
+    pub store: SocketAddr,
+    /// Where hosts reach it, if not where it listens.
+    pub advertised: Option<SocketAddr>,
+}
+
+/// A start or an end, as a test reads it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RunRecord {
+    /// The task's name.
+    pub task: SmolStr,
+    /// Which run.
+    pub run: u32,
+    /// When, by the executor's time of day, in milliseconds.
+    pub at_ms: u64,
+    /// Whether it began or how it ended.
+    pub what: SmolStr,
+}
+
+#[derive(Deserialize)]
+struct Start {
+    task_id: SmolStr,
+    run_id: u32,
+    spec: SmolStr,
+    expires_ms: u64,
+    #[serde(default)]
+    fencing_token: u64,
+}
+
+#[derive(Deserialize)]
+struct Stop {
+    task_id: SmolStr,
+    run_id: u32,
+    #[serde(default)]
+    fencing_token: u64,
+}
+
+#[derive(Deserialize)]
+struct Hold {
+    #[serde(default)]
+    expires_ms: Option<u64>,
+    #[serde(default)]
+    fencing_token: u64,
+    #[serde(default)]
+    last_seen: u64,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+/// The executor.
+#[derive(Clone)]
+pub struct FleetExecutor {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    options: FleetExecutorOptions,
+    executor: Rc<LocalExecutor<'static>>,
+    born: Instant,
+    book: RefCell<RunBook>,
+    records: RefCell<Vec<RunRecord>>,
+    ended: Signal,
+}
+
+/// What each task takes: half of the smallest executor, so that two fit.
+fn demand(capacity_cpu_millis: u32) -> Room {
+    Room {
+        cpu_millis: capacity_cpu_millis / 2,
+        memory_mb: 1,
+        accelerators: 0,
+    }
+}
+
+impl FleetExecutor {
+    /// Makes an idle executor.
+    pub fn new(options: FleetExecutorOptions, executor: Rc<LocalExecutor<'static>>) -> Self {
+        let capacity = Room {
+            cpu_millis: options.cpu_millis,
+            memory_mb: 1_000_000,
+            accelerators: 0,
+        };
+        let mut book = RunBook::new(capacity, options.speed, 0, 0);
+        book.born = now_ms().0;
+        FleetExecutor {
+            inner: Rc::new(Inner {
+                options,
+                executor,
+                born: Instant::now(),
+                book: RefCell::new(book),
+                records: RefCell::default(),
+                ended: Signal::default(),
+            }),
+        }
+    }
+
+    /// Gets what answers requests.
+    pub fn handler(&self) -> Handler {
+        let executor = self.clone();
+        Rc::new(move |call| {
+            let executor = executor.clone();
+            Box::pin(async move { executor.answer(call).await })
+        })
+    }
+
+    fn now(&self) -> Mono {
+        let us = self.inner.born.elapsed().as_micros();
+        Mono(u64::try_from(us).unwrap_or(u64::MAX))
+    }
+
+    /// Enters itself in the store until dropped.
+    pub async fn register(self, address: SocketAddr) {
+        let options = &self.inner.options;
+        let address = options.advertised.unwrap_or(address);
+        let path = format_smolstr!("control/put?topic=keyed.servers&key={}", options.id);
+        let mut seq = 0;
+        loop {
+            seq += 1;
+            let entry = json!({
+                "service": options.upstream, "address": address, "zone": options.zone,
+                "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
+                "capacity": {"cpu": options.cpu_millis, "mem_mb": 1_000_000, "gpus": 0},
+                "labels": ["a", "r1-1"], "seq": seq, "born": self.inner.book.borrow().born,
+            });
+            let body = entry.to_string().into_bytes();
+            // A heartbeat that is lost is made up for by the next one.
+            let _ = call_once(options.store, Method::Post, &path, body, PUT_TIMEOUT).await;
+            Timer::after(HEARTBEAT).await;
+        }
+    }
+
+    /// Ends runs whose lease is over, until dropped.
+    pub async fn watch_leases(self) {
+        loop {
+            Timer::after(LEASE_TICK).await;
+            let now = self.now();
+            let lapsed: Vec<TaskId> = {
+                let book = self.inner.book.borrow();
+                match book.is_lapsed(now) {
+                    true => book.runs.keys().copied().collect(),
+                    false => Vec::new(),
+                }
+            };
+            for task in lapsed {
+                self.end(task, RunEnd::Stopped, "lapsed");
+            }
+        }
+    }
+
+    async fn answer(&self, call: Call) -> Act {
+        if call.path() == "/control/runs" {
+            return Act::Reply(Reply::json(OK, &*self.inner.records.borrow()));
+        }
+        let target = call.header("x-onyxshed-target-instance");
+        if target.is_some_and(|target| target != self.inner.options.id) {
+            return Act::Reply(Reply::json(OTHER_LIFE, &json!({})));
+        }
+        match (call.method(), call.path()) {
+            (Method::Post, "/run-start") => self.start(&call),
+            (Method::Post, "/run-stop") => self.stop(&call),
+            (Method::Post, "/hold") => self.hold(&call).await,
+            _ => no_such_path(),
+        }
+    }
+
+    fn record(&self, task: TaskId, run: RunNumber, what: &str) {
+        self.inner.records.borrow_mut().push(RunRecord {
+            task: format_smolstr!("{task}"),
+            run: run.0,
+            at_ms: now_ms().0,
+            what: what.into(),
+        });
+    }
+
+    fn clock_ms(&self) -> u64 {
+        self.inner.book.borrow().clock_ms(self.now())
+    }
+
+    fn refuse(&self, reason: &str) -> Act {
+        let told = json!({ "clock_ms": self.clock_ms(), "reason": reason });
+        Act::Reply(Reply::json(REFUSED, &told))
+    }
+
+    fn done(&self) -> Act {
+        Act::Reply(Reply::json(OK, &json!({ "clock_ms": self.clock_ms() })))
+    }
+
+    fn start(&self, call: &Call) -> Act {
+        let order: Start = match read_json(&call.body) {
+            Ok(order) => order,
+            Err(act) => return act,
+        };
+        let Some(task) = read_task(&order.task_id) else {
+            return Act::Reply(Reply::bytes(400, "no such task"));
+        };
+        let start = StartOrder {
+            task,
+            run: RunNumber(order.run_id),
+            spec: order.spec.clone(),
+            expires: UnixMs(order.expires_ms),
+            token: FencingToken(order.fencing_token),
+        };
+        let now = self.now();
+        let demand = demand(self.inner.options.cpu_millis);
+        let (answer, is_new) = self.inner.book.borrow_mut().start(now, &start, demand);
+        if is_new {
+            self.record(task, start.run, "start");
+            let work = self.clone().work(task, start.run, order.spec);
+            self.inner.executor.spawn(work).detach();
+        }
+        match answer {
+            StartAnswer::Started { .. } => self.done(),
+            StartAnswer::Refused(RefuseReason::Fenced) => self.refuse("fence"),
+            StartAnswer::Refused(RefuseReason::Ended) => self.refuse("old"),
+            StartAnswer::Refused(RefuseReason::Expired) => self.refuse("late"),
+            _ => self.refuse("room"),
+        }
+    }
+
+    async fn work(self, task: TaskId, run: RunNumber, spec: SmolStr) {
+        let mut words = spec.split(' ');
+        let ms: u64 = words.next().and_then(|text| text.parse().ok()).unwrap_or(1);
+        let fails = words.next() == Some("fail");
+        let took = Duration::from_millis(ms).div_f64(self.inner.options.speed);
+        Timer::after(took).await;
+        let is_there = {
+            let book = self.inner.book.borrow();
+            book.runs.get(&task).is_some_and(|held| held.number == run)
+        };
+        if is_there {
+            match fails {
+                true => self.end(task, RunEnd::Failed, "failed"),
+                false => self.end(task, RunEnd::Done, "done"),
+            }
+        }
+    }
+
+    fn end(&self, task: TaskId, end: RunEnd, what: &str) {
+        let mut book = self.inner.book.borrow_mut();
+        let number = book.runs.get(&task).map(|run| run.number);
+        book.end(task, end);
+        drop(book);
+        if let Some(number) = number {
+            self.record(task, number, what);
+        }
+        self.inner.ended.notify();
+    }
+
+    fn stop(&self, call: &Call) -> Act {
+        let order: Stop = match read_json(&call.body) {
+            Ok(order) => order,
+            Err(act) => return act,
+        };
+        let Some(task) = read_task(&order.task_id) else {
+            return Act::Reply(Reply::bytes(400, "no such task"));
+        };
+        let stop = StopOrder {
+            task,
+            run: RunNumber(order.run_id),
+            token: FencingToken(order.fencing_token),
+        };
+        let was_there = self.inner.book.borrow().runs.contains_key(&task);
+        match self.inner.book.borrow_mut().stop(&stop) {
+            StopAnswer::Fenced => return self.refuse("fence"),
+            StopAnswer::Taken | StopAnswer::OtherLife | StopAnswer::Unknown => {}
+        }
+        if was_there && !self.inner.book.borrow().runs.contains_key(&task) {
+            self.record(task, stop.run, "stopped");
+            self.inner.ended.notify();
+        }
+        self.done()
+    }
+
+    async fn hold(&self, call: &Call) -> Act {
+        let order: Hold = match read_json(&call.body) {
+            Ok(order) => order,
+            Err(act) => return act,
+        };
+        let hold = HoldOrder {
+            expires: order.expires_ms.map(UnixMs),
+            token: FencingToken(order.fencing_token),
+            last_seen: order.last_seen,
+            wait: onyxshed_core::Millis(order.wait_ms),
+        };
+        let now = self.now();
+        let taken = self.inner.book.borrow_mut().hold(now, &hold);
+        if taken.is_err() {
+            return self.refuse("fence");
+        }
+        let deadline = Instant::now() + Duration::from_millis(order.wait_ms);
+        while !self.inner.book.borrow().has_ends() && Instant::now() < deadline {
+            let waiting = self.inner.ended.waiting();
+            let over = async {
+                Timer::at(deadline).await;
+            };
+            waiting.wait().or(over).await;
+        }
+        self.report()
+    }
+
+    fn report(&self) -> Act {
+        let report = self.inner.book.borrow().report(self.now());
+        let ExecutorReport::Lists {
+            clock,
+            born,
+            running,
+            finished,
+        } = report
+        else {
+            return no_such_path();
+        };
+        let running: Vec<Value> = running
+            .iter()
+            .map(|row| json!([task_name(row.task), row.run.0, "", 100, 1]))
+            .collect();
+        let finished: Vec<Value> = finished.iter().map(end_row).collect();
+        let told = json!({
+            "clock_ms": clock.0, "born": born.map(|at| at.0),
+            "running": running, "finished": finished,
+        });
+        Act::Reply(Reply::json(OK, &told))
+    }
+}
+
+fn end_row(end: &FinishedRun) -> Value {
+    let how = match end.end {
+        RunEnd::Done => "done",
+        RunEnd::Failed => "failed",
+        RunEnd::Stopped => "stopped",
+    };
+    json!([end.number, task_name(end.task), end.run.0, how, ""])
+}
+
+fn task_name(task: TaskId) -> SmolStr {
+    format_smolstr!("{}.0.0.{}", task.job, task.index)
+}
+
+fn read_task(name: &str) -> Option<TaskId> {
+    let mut parts = name.split('.');
+    let job = parts.next()?.parse().ok()?;
+    let index = parts.nth(2)?.parse().ok()?;
+    Some(TaskId { job, index })
+}
--- a/crates/onyxshed-pool/tests/pool/model.rs
+++ b/crates/onyxshed-standins/src/fleet/run_book.rs
@@ -1,4 +1,6 @@
-//! An executor as the platform describes it, in virtual time.
+//! What runs on an executor of the users' platform: leases, fences, runs and ends.
+//!
+//! Time is handed in, so the same book serves a process on real time and a search on virtual time.
 
 use std::collections::BTreeMap;
 
@@ -13,24 +15,34 @@
 
 /// One run at work.
 #[derive(Debug, Clone, Copy)]
-pub struct ModelRun {
+pub struct BookedRun {
+    /// Which run of its task.
     pub number: RunNumber,
+    /// What it takes.
     pub demand: Room,
 }
 
 /// The executor.
 #[derive(Debug)]
-pub struct ModelExecutor {
+pub struct RunBook {
+    /// Room when nothing runs.
     pub capacity: Room,
+    /// How many times faster than an ordinary executor it is.
     pub speed: f64,
+    /// When this life of it began, as it says.
     pub born: u64,
-    /// How far its clock is ahead, and by how many thousandths it is slow.
+    /// How far its clock is ahead, in milliseconds.
     pub ahead_ms: u64,
+    /// By how many thousandths its clock is slow.
     pub slow_millis: u64,
+    /// Whether it can be reached.
     pub is_up: bool,
+    /// Whether all that it runs fails.
     pub fails_all: bool,
+    /// Whether nothing that it starts ever ends.
     pub is_stuck: bool,
-    pub runs: BTreeMap<TaskId, ModelRun>,
+    /// Runs at work.
+    pub runs: BTreeMap<TaskId, BookedRun>,
     token: u64,
     lease_end_ms: u64,
     barred: BTreeMap<TaskId, u32>,
@@ -38,9 +50,10 @@
     last_end: u64,
 }
 
-impl ModelExecutor {
+impl RunBook {
+    /// Makes an idle executor.
     pub fn new(capacity: Room, speed: f64, ahead_ms: u64, slow_millis: u64) -> Self {
-        ModelExecutor {
+        RunBook {
             capacity,
             speed,
             born: 1,
@@ -70,6 +83,7 @@
         Mono((ms * 1_000 / (1_000 - self.slow_millis) + 1) * 1_000)
     }
 
+    /// Tells whether the lease has ended.
     pub fn is_lapsed(&self, now: Mono) -> bool {
         self.clock_ms(now) >= self.lease_end_ms
     }
@@ -82,9 +96,9 @@
     /// Crashes and starts anew.
     pub fn restart(&mut self) {
         let born = self.born + 1;
-        *self = ModelExecutor {
+        *self = RunBook {
             born,
-            ..ModelExecutor::new(self.capacity, self.speed, self.ahead_ms, self.slow_millis)
+            ..RunBook::new(self.capacity, self.speed, self.ahead_ms, self.slow_millis)
         };
     }
 
@@ -96,6 +110,7 @@
         free
     }
 
+    /// Takes an order to start; tells whether a run began by it.
     pub fn start(&mut self, now: Mono, order: &StartOrder, demand: Room) -> (StartAnswer, bool) {
         let refused = |reason| (StartAnswer::Refused(reason), false);
         if order.token.0 < self.token {
@@ -119,7 +134,7 @@
         if !self.free().holds(demand) {
             return refused(RefuseReason::NoRoom);
         }
-        let run = ModelRun {
+        let run = BookedRun {
             number: order.run,
             demand,
         };
@@ -128,6 +143,7 @@
         (StartAnswer::Started { clock }, true)
     }
 
+    /// Takes an order to stop.
     pub fn stop(&mut self, order: &StopOrder) -> StopAnswer {
         if order.token.0 < self.token {
             return StopAnswer::Fenced;
@@ -169,7 +185,7 @@
         }
     }
 
-    /// Takes a hold; none while there is nothing to tell and it may wait.
+    /// Takes a hold; an error holds the refusal.
     pub fn hold(&mut self, now: Mono, order: &HoldOrder) -> Result<(), ExecutorReport> {
         if order.token.0 < self.token {
             return Err(ExecutorReport::Fenced);
@@ -182,10 +198,12 @@
         Ok(())
     }
 
+    /// Tells whether an end is listed.
     pub fn has_ends(&self) -> bool {
         !self.ends.is_empty()
     }
 
+    /// Makes the report.
     pub fn report(&self, now: Mono) -> ExecutorReport {
         let running = self.runs.iter().map(|(task, run)| RunningRun {
             task: *task,
--- /dev/null
+++ b/crates/onyxshed-standins/src/fleet/store.rs
@@ -0,0 +1,296 @@
+//! The store: keyed topics and groups, in memory.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use futures_lite::FutureExt;
+use http_types::Method;
+use onyxshed_http::{Call, Reply};
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use smol_str::SmolStr;
+
+use super::groups::Group;
+use crate::serve::{Act, Handler, no_such_path, read_json};
+use crate::signal::Signal;
+
+const OK: u16 = 200;
+const GONE: u16 = 410;
+const UNAVAILABLE: u16 = 503;
+
+/// What the store does wrong.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct StoreFaults {
+    /// Answers 503 to everything.
+    pub is_busy: bool,
+    /// Lets each answer wait, in milliseconds.
+    pub delay_ms: u64,
+    /// Share of the calls that are carried out and not answered.
+    pub lost_answers: f64,
+}
+
+#[derive(Debug, Default)]
+struct Topic {
+    first: u64,
+    records: Vec<(SmolStr, Option<Vec<u8>>)>,
+    newest: BTreeMap<SmolStr, Vec<u8>>,
+}
+
+impl Topic {
+    fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    fn put(&mut self, key: SmolStr, value: Option<Vec<u8>>) {
+        match &value {
+            Some(bytes) => self.newest.insert(key.clone(), bytes.clone()),
+            None => self.newest.remove(&key),
+        };
+        self.records.push((key, value));
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct Join {
+    group: SmolStr,
+    member: SmolStr,
+    ttl_ms: u64,
+    generation: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Leave {
+    group: SmolStr,
+    member: SmolStr,
+}
+
+/// The store.
+#[derive(Clone, Default)]
+pub struct FleetStore {
+    inner: Rc<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    topics: RefCell<BTreeMap<SmolStr, Topic>>,
+    groups: RefCell<BTreeMap<SmolStr, Group>>,
+    faults: RefCell<StoreFaults>,
+    changed: Signal,
+}
+
+impl FleetStore {
+    /// Makes an empty store.
+    pub fn new() -> Self {
+        FleetStore::default()
+    }
+
+    /// Gets what answers requests.
+    pub fn handler(&self) -> Handler {
+        let store = self.clone();
+        Rc::new(move |call| {
+            let store = store.clone();
+            Box::pin(async move { store.answer(call).await })
+        })
+    }
+
+    async fn answer(&self, call: Call) -> Act {
+        if let Some(rest) = call.path().strip_prefix("/control/") {
+            return self.control(rest, &call);
+        }
+        let faults = *self.inner.faults.borrow();
+        if faults.is_busy {
+            return Act::Reply(Reply::bytes(UNAVAILABLE, Vec::new()));
+        }
+        if faults.delay_ms > 0 {
+            Timer::after(Duration::from_millis(faults.delay_ms)).await;
+        }
+        let act = match (call.method(), call.path()) {
+            (Method::Get, "/log-newest") => self.newest(&call),
+            (Method::Get, "/log-read") => self.read(&call).await,
+            (Method::Get, "/log-owners") => self.owners(&call),
+            (Method::Post, "/log-join") => self.join(&call),
+            (Method::Post, "/log-leave") => self.leave(&call),
+            _ => no_such_path(),
+        };
+        let is_lost = rand::rng().random_bool(faults.lost_answers.clamp(0.0, 1.0));
+        if is_lost { Act::Close } else { act }
+    }
+
+    fn control(&self, what: &str, call: &Call) -> Act {
+        match what {
+            "put" => self.put(call),
+            "faults" => match read_json(&call.body) {
+                Ok(faults) => {
+                    self.inner.faults.replace(faults);
+                    done()
+                }
+                Err(act) => act,
+            },
+            "forget" => {
+                for topic in self.inner.topics.borrow_mut().values_mut() {
+                    topic.first = topic.end();
+                    topic.records.clear();
+                }
+                done()
+            }
+            "revoke" => {
+                let mut groups = self.inner.groups.borrow_mut();
+                groups.values_mut().for_each(Group::revoke);
+                done()
+            }
+            _ => no_such_path(),
+        }
+    }
+
+    /// Writes a record, as operators and executors do; an empty body drops the key.
+    fn put(&self, call: &Call) -> Act {
+        let (Some(topic), Some(key)) = (call.query("topic"), call.query("key")) else {
+            return no_such_path();
+        };
+        let value = (!call.body.is_empty()).then(|| call.body.clone());
+        let mut topics = self.inner.topics.borrow_mut();
+        topics.entry(topic).or_default().put(key, value);
+        drop(topics);
+        self.inner.changed.notify();
+        done()
+    }
+
+    fn newest(&self, call: &Call) -> Act {
+        let mut topics = self.inner.topics.borrow_mut();
+        let topic = topics
+            .entry(call.query("topic").unwrap_or_default())
+            .or_default();
+        let items: Vec<NewestItem> = topic
+            .newest
+            .iter()
+            .map(|(key, value)| NewestItem {
+                key: key.clone(),
+                value: value.clone(),
+                offset: 0,
+            })
+            .collect();
+        let page = NewestPage {
+            items,
+            truncated: false,
+            end: topic.end(),
+        };
+        Act::Reply(Reply::json(OK, &page))
+    }
+
+    async fn read(&self, call: &Call) -> Act {
+        let topic = call.query("topic").unwrap_or_default();
+        let number = |name| -> u64 {
+            let text = call.query(name).unwrap_or_default();
+            text.parse().unwrap_or_default()
+        };
+        let (from, wait) = (number("from"), Duration::from_millis(number("wait_ms")));
+        let deadline = Instant::now() + wait;
+        loop {
+            let waiting = self.inner.changed.waiting();
+            if let Some(act) = self.read_now(&topic, from, Instant::now() >= deadline) {
+                return act;
+            }
+            let over = async {
+                Timer::at(deadline).await;
+            };
+            waiting.wait().or(over).await;
+        }
+    }
+
+    fn read_now(&self, topic: &SmolStr, from: u64, is_last: bool) -> Option<Act> {
+        let mut topics = self.inner.topics.borrow_mut();
+        let topic = topics.entry(topic.clone()).or_default();
+        if from < topic.first {
+            let first = json!({ "first": topic.first });
+            return Some(Act::Reply(Reply::json(GONE, &first)));
+        }
+        let skip = usize::try_from(from - topic.first).unwrap_or(usize::MAX);
+        let records = topic.records.get(skip..).unwrap_or_default();
+        if records.is_empty() && !is_last {
+            return None;
+        }
+        let mut body = Vec::new();
+        body.extend_from_slice(&topic.end().to_be_bytes());
+        body.extend_from_slice(&topic.first.to_be_bytes());
+        for (key, value) in records {
+            write_record(&mut body, key, value.as_deref().unwrap_or_default());
+        }
+        Some(Act::Reply(Reply::bytes(OK, body)))
+    }
+
+    fn join(&self, call: &Call) -> Act {
+        let join: Join = match read_json(&call.body) {
+            Ok(join) => join,
+            Err(act) => return act,
+        };
+        let mut groups = self.inner.groups.borrow_mut();
+        let group = groups.entry(join.group.clone()).or_default();
+        let ttl = Duration::from_millis(join.ttl_ms);
+        let (generation, parts) = group.join(Instant::now(), &join.member, ttl, join.generation);
+        let rows: Vec<_> = parts
+            .iter()
+            .map(|part| json!([join.group, part, 0]))
+            .collect();
+        let told = json!({ "generation": generation, "ttl_ms": join.ttl_ms, "parts": rows });
+        Act::Reply(Reply::json(OK, &told))
+    }
+
+    fn leave(&self, call: &Call) -> Act {
+        let leave: Leave = match read_json(&call.body) {
+            Ok(leave) => leave,
+            Err(act) => return act,
+        };
+        let mut groups = self.inner.groups.borrow_mut();
+        if let Some(group) = groups.get_mut(&leave.group) {
+            group.leave(Instant::now(), &leave.member);
+        }
+        done()
+    }
+
+    fn owners(&self, call: &Call) -> Act {
+        let name = call.query("group").unwrap_or_default();
+        let mut groups = self.inner.groups.borrow_mut();
+        let owners = groups
+            .get_mut(&name)
+            .map(|group| group.owners(Instant::now()));
+        let rows: Vec<_> = owners
+            .unwrap_or_default()
+            .into_iter()
+            .map(|(part, member)| json!([name, part, member, 0]))
+            .collect();
+        Act::Reply(Reply::json(OK, &json!({ "parts": rows })))
+    }
+}
+
+#[derive(Serialize)]
+struct NewestPage {
+    items: Vec<NewestItem>,
+    truncated: bool,
+    end: u64,
+}
+
+#[serde_with::serde_as]
+#[derive(Serialize)]
+struct NewestItem {
+    key: SmolStr,
+    #[serde_as(as = "serde_with::base64::Base64")]
+    value: Vec<u8>,
+    offset: u64,
+}
+
+fn done() -> Act {
+    Act::Reply(Reply::json(OK, &json!({})))
+}
+
+fn write_record(body: &mut Vec<u8>, key: &str, value: &[u8]) {
+    let length = u32::try_from(1 + key.len() + value.len()).expect("records are small");
+    body.extend_from_slice(&length.to_be_bytes());
+    body.push(u8::try_from(key.len()).expect("keys are short"));
+    body.extend_from_slice(key.as_bytes());
+    body.extend_from_slice(value);
+}
