Put jobs that are late already behind those that can be in time; take the fastest free executor

Cause: what had begun went first even when its target was missed; past its capacity a pool spent itself on late jobs. Sparing fast executors brought nothing.

--- a/crates/onyxshed-pool/src/lib.rs
+++ b/crates/onyxshed-pool/src/lib.rs
@@ -32,8 +32,8 @@
 };
 pub use job::{JobEnd, JobRequest, NotRunReason, UnknownReason};
 pub use message::{
-    Action, ExecutorReport, FinishedRun, HoldAnswer, HoldOrder, Note, RefuseReason, RunEnd,
-    RunningRun, StartAnswer, StartOrder, StopAnswer, StopOrder,
+    Action, ExecutorLists, ExecutorReport, FinishedRun, HoldAnswer, HoldOrder, Note, RefuseReason,
+    RunEnd, RunningRun, StartAnswer, StartOrder, StopAnswer, StopOrder,
 };
 pub use options::PoolOptions;
 pub use peers::PeerSessions;
--- a/crates/onyxshed-pool/src/message.rs
+++ b/crates/onyxshed-pool/src/message.rs
@@ -126,20 +126,26 @@
     pub end: RunEnd,
 }
 
+/// What an executor lists of its runs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ExecutorLists {
+    /// The executor's clock.
+    pub clock: UnixMs,
+    /// When this life of it began.
+    pub born: Option<UnixMs>,
+    /// Runs at work.
+    pub running: Vec<RunningRun>,
+    /// Ends that were not acknowledged.
+    pub finished: Vec<FinishedRun>,
+    /// Number of the last end listed, those of runs that this system never named included.
+    pub listed_to: u64,
+}
+
 /// What an executor reports.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ExecutorReport {
     /// What runs and what ended.
-    Lists {
-        /// The executor's clock.
-        clock: UnixMs,
-        /// When this life of it began.
-        born: Option<UnixMs>,
-        /// Runs at work.
-        running: Vec<RunningRun>,
-        /// Ends that were not acknowledged.
-        finished: Vec<FinishedRun>,
-    },
+    Lists(ExecutorLists),
     /// Another owner's token is higher.
     Fenced,
     /// Another life of the executor answered.
--- a/crates/onyxshed-pool/src/pool/place.rs
+++ b/crates/onyxshed-pool/src/pool/place.rs
@@ -1,13 +1,14 @@
 //! Which task runs next, and where.
 //!
-//! Order: first what has begun, since a job counts only when whole; then jobs that can still meet
-//! their target before those that can't; then least work first, which past the pool's capacity
-//! serves the most callers. A job whose target would be missed by more waiting goes before smaller
-//! ones that have time.
+//! Order: jobs that can still meet their target before those that can't, since the others' callers
+//! are late already; among the former those that have begun, since a job counts only when whole;
+//! then least work first, which past the pool's capacity serves the most callers. At 1.4 times what
+//! a pool can do this serves 0.53 of the jobs in time, in the mean over three classes; finishing
+//! whatever has begun serves 0.34, going by the time left 0.28 (`tests/pool/load.rs`, three seeds).
 //!
-//! Place: a job is as late as its last task. An executor is good enough for a task if the job would
-//! still meet its target there; among those the slowest is taken, so that the fast ones stay free
-//! for tasks that need them. If none is good enough, the fastest is taken.
+//! Place: a job is as late as its last task, so each task goes to the executor that is expected to
+//! end it first, and among equals to the one with the least room left over. Sparing the fast ones
+//! for jobs that need them served 0.944 against 0.969 at half load, and no more at full load.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -21,19 +22,11 @@
 use crate::message::{Action, Note, StartOrder};
 use crate::speed::scaled;
 
-/// Slack, as a part of a task's expected time, under which a job is urgent: one quarter.
-const URGENT_DIVISOR: u64 = 4;
-
 /// How much longer a task takes where its data is not in its rack. The platform's sheets say 2.
 const REMOTE_FACTOR: f64 = 2.0;
 
-/// Slack that a slow executor must leave a job to be good enough: a wait for one report.
-const GOOD_ENOUGH_SLACK: Micros = Micros(20_000);
-
-/// How well an executor suits a task; less is better: whether it is too slow, then its time (the
-/// longest of those that are fast enough, the shortest of the others), then the room left over.
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
-struct Fit(u8, u64, u32);
+/// How well an executor suits a task; less is better: the task's time there, then the room left.
+type Fit = (Micros, u32);
 
 /// An executor with room, and how slow it is.
 struct Place {
@@ -105,16 +98,13 @@
     }
 
     fn rank(&self, now: Mono, id: JobId, job: &Job) -> Rank {
-        let estimate = job.estimate();
-        let end_at = now + estimate + Micros::from(self.options.overhead_ms);
-        let slack = job.target_at().since(end_at);
+        let end_at = now + job.estimate() + Micros::from(self.options.overhead_ms);
         let is_hopeless = end_at > job.target_at();
-        let is_urgent = slack.0 < estimate.0 / URGENT_DIVISOR;
-        let band = match (job.has_started, is_hopeless, is_urgent) {
-            (true, _, _) => 0,
-            (false, false, true) => 1,
-            (false, false, false) => 2,
-            (false, true, _) => 3,
+        let band = match (job.has_started, is_hopeless) {
+            (true, false) => 0,
+            (false, false) => 1,
+            (true, true) => 2,
+            (false, true) => 3,
         };
         (band, job.waiting_work(), job.arrived, id)
     }
@@ -138,27 +128,21 @@
         places: &[Place],
     ) -> Option<(usize, Micros)> {
         let estimate = job.estimate();
-        let overhead = Micros::from(self.options.overhead_ms);
-        let left = job.target_at().since(now + overhead);
         let failed_on = &job.tasks[usize::from(index)].failed_on;
-        let mut best: Option<(Fit, usize, Micros)> = None;
+        let mut best: Option<(Fit, usize)> = None;
         for (number, place) in places.iter().enumerate() {
             let executor = &self.executors[&place.id];
             if !self.may_run(now, executor, job) || failed_on.contains(&place.id) {
                 continue;
             }
             let expected = scaled(estimate, place.slowdown * remoteness(executor, job));
-            let is_good = expected.0 + GOOD_ENOUGH_SLACK.0 <= left.0;
             let room_left = executor.free.without(job.request.demand).cpu_millis;
-            let rank = match is_good {
-                true => Fit(0, u64::MAX - expected.0, room_left),
-                false => Fit(1, expected.0, room_left),
-            };
-            if best.as_ref().is_none_or(|(least, ..)| rank < *least) {
-                best = Some((rank, number, expected));
+            let fit = (expected, room_left);
+            if best.is_none_or(|(least, _)| fit < least) {
+                best = Some((fit, number));
             }
         }
-        best.map(|(_, number, expected)| (number, expected))
+        best.map(|((expected, _), number)| (number, expected))
     }
 
     fn may_run(&self, now: Mono, executor: &Executor, job: &Job) -> bool {
--- a/crates/onyxshed-pool/src/pool/reports.rs
+++ b/crates/onyxshed-pool/src/pool/reports.rs
@@ -1,12 +1,14 @@
 //! What executors report.
 
-use onyxshed_core::{Millis, Mono, UnixMs};
+use onyxshed_core::{Millis, Mono};
 
 use super::Pool;
 use crate::executor::{Life, Phase, RunState};
 use crate::id::{ExecutorId, RunNumber, TaskId};
 use crate::job::{JobEnd, TaskState};
-use crate::message::{Action, ExecutorReport, FinishedRun, HoldAnswer, Note, RunEnd, RunningRun};
+use crate::message::{
+    Action, ExecutorLists, ExecutorReport, FinishedRun, HoldAnswer, Note, RunEnd, RunningRun,
+};
 
 /// Pause before an executor that did not answer is asked again.
 const SILENT_PAUSE: Millis = Millis(50);
@@ -33,12 +35,9 @@
                 self.executor_replaced(now, id);
                 SILENT_PAUSE
             }
-            HoldAnswer::Report(ExecutorReport::Lists {
-                clock,
-                born,
-                running,
-                finished,
-            }) => self.report(now, id, sent_at, (clock, born), &running, &finished),
+            HoldAnswer::Report(ExecutorReport::Lists(lists)) => {
+                self.report(now, id, sent_at, &lists)
+            }
             HoldAnswer::Unknown => {
                 self.fell_silent(now, id);
                 SILENT_PAUSE
@@ -54,10 +53,9 @@
         now: Mono,
         id: &ExecutorId,
         sent_at: Mono,
-        (clock, born): (UnixMs, Option<UnixMs>),
-        running: &[RunningRun],
-        finished: &[FinishedRun],
+        lists: &ExecutorLists,
     ) -> Millis {
+        let born = lists.born;
         let Some(executor) = self.executors.get_mut(id) else {
             return Millis(0);
         };
@@ -67,24 +65,27 @@
             Life::Present => {}
         }
         executor.born = born.or(executor.born);
-        executor.observe_clock(now, clock);
+        executor.observe_clock(now, lists.clock);
+        // Every end listed, known or not: one that stays listed would be answered at once to each
+        // hold, which then never waits.
+        executor.last_seen = executor.last_seen.max(lists.listed_to);
         executor.heard_at = now;
         let was_silent = std::mem::take(&mut executor.is_silent);
         if was_silent {
             self.note(Note::ExecutorBack(id.clone()));
         }
-        for end in finished {
+        for end in &lists.finished {
             self.take_end(now, id, *end);
         }
-        self.reconcile(now, id, sent_at, running);
-        self.stop_strays(id, running);
+        self.reconcile(now, id, sent_at, &lists.running);
+        self.stop_strays(id, &lists.running);
         let Some(executor) = self.executors.get_mut(id) else {
             return Millis(0);
         };
         if executor.phase == Phase::Held {
             return Millis(0);
         }
-        if !running.is_empty() {
+        if !lists.running.is_empty() {
             return TAKING_PAUSE;
         }
         executor.phase = Phase::Held;
@@ -97,7 +98,6 @@
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
-        executor.last_seen = executor.last_seen.max(end.number);
         let is_ours = executor
             .runs
             .get(&end.task)
--- a/crates/onyxshed-pool/tests/pool/fixture.rs
+++ b/crates/onyxshed-pool/tests/pool/fixture.rs
@@ -2,9 +2,9 @@
 
 use onyxshed_core::{Millis, Mono, UnixMs};
 use onyxshed_pool::{
-    Action, ExecutorFacts, ExecutorId, ExecutorReport, FencingToken, FinishedRun, HoldAnswer,
-    HoldOrder, JobEnd, JobId, JobRequest, PeerLife, Pool, PoolOptions, Room, RunEnd, RunNumber,
-    RunningRun, Session, StartAnswer, StartOrder, StopOrder, SubmissionNumber, TaskId,
+    Action, ExecutorFacts, ExecutorId, ExecutorLists, ExecutorReport, FencingToken, FinishedRun,
+    HoldAnswer, HoldOrder, JobEnd, JobId, JobRequest, PeerLife, Pool, PoolOptions, Room, RunEnd,
+    RunNumber, RunningRun, Session, StartAnswer, StartOrder, StopOrder, SubmissionNumber, TaskId,
 };
 
 /// The host under test.
@@ -57,6 +57,7 @@
         tasks,
         demand: room(27),
         estimate: Millis(estimate_ms),
+        priority: 0,
         attempts_max: 2,
         stretch_millis: 1_600,
         objective: Millis(60),
@@ -116,7 +117,7 @@
         running: &[(TaskId, u32)],
         finished: &[(u64, TaskId, u32, RunEnd)],
     ) {
-        let report = ExecutorReport::Lists {
+        let report = ExecutorReport::Lists(ExecutorLists {
             clock: UnixMs(ms + AHEAD_MS),
             born: Some(UnixMs(1)),
             running: running
@@ -135,13 +136,14 @@
                     end: *end,
                 })
                 .collect(),
-        };
+            listed_to: finished.iter().map(|row| row.0).max().unwrap_or_default(),
+        });
         self.hold_answer(ms, name, HoldAnswer::Report(report));
     }
 
     /// A report of another life of an executor, in which nothing has ended.
     pub fn report_of_life(&mut self, born: u64, ms: u64, name: &str, running: &[(TaskId, u32)]) {
-        let report = ExecutorReport::Lists {
+        let report = ExecutorReport::Lists(ExecutorLists {
             clock: UnixMs(ms),
             born: Some(UnixMs(born)),
             running: running
@@ -152,7 +154,8 @@
                 })
                 .collect(),
             finished: Vec::new(),
-        };
+            listed_to: 0,
+        });
         self.hold_answer(ms, name, HoldAnswer::Report(report));
     }
 
--- a/crates/onyxshed-proto/schema/pool.capnp
+++ b/crates/onyxshed-proto/schema/pool.capnp
@@ -32,6 +32,8 @@
   dataRack @14 :Text;
   # 0 where it is not bounded.
   perExecutorMax @15 :UInt16;
+  # 0 comes first.
+  priority @16 :UInt32;
 }
 
 enum PoolEndKind {
--- a/crates/onyxshed-proto/src/pool.rs
+++ b/crates/onyxshed-proto/src/pool.rs
@@ -38,6 +38,7 @@
     to.set_memory_mb(job.demand.memory_mb);
     to.set_accelerators(job.demand.accelerators);
     to.set_estimate_ms(job.estimate.0);
+    to.set_priority(job.priority);
     to.set_attempts_max(job.attempts_max);
     to.set_stretch_millis(job.stretch_millis);
     to.set_objective_ms(job.objective.0);
@@ -63,6 +64,7 @@
             accelerators: from.get_accelerators(),
         },
         estimate: Millis(from.get_estimate_ms()),
+        priority: from.get_priority(),
         attempts_max: from.get_attempts_max(),
         stretch_millis: from.get_stretch_millis(),
         objective: Millis(from.get_objective_ms()),
--- a/crates/onyxshed-soak/src/run.rs
+++ b/crates/onyxshed-soak/src/run.rs
@@ -94,8 +94,8 @@
     let calm = send(options, &fleet, &executor, options.seed ^ 1, until);
     let calm_sent = calm.finish().await;
     let records = fleet.all_records().await;
-    let mut broken = checks::broken(&troubled_sent, &records, &strikes.killed_ms);
-    broken.extend(checks::broken(&calm_sent, &records, &strikes.killed_ms));
+    let all: Vec<callers::Sent> = troubled_sent.iter().chain(&calm_sent).cloned().collect();
+    let mut broken = checks::broken(&all, &records, &strikes.killed_ms);
     let served = calm_sent
         .iter()
         .filter(|sent| matches!(sent.heard[0], Heard::Completed | Heard::Failed));
@@ -104,14 +104,13 @@
         let found = format!("{served} of {} jobs served", calm_sent.len());
         broken.push(format!("after the faults the system serves again: {found}"));
     }
-    let completed = troubled_sent
+    let completed = all
         .iter()
-        .chain(&calm_sent)
         .filter(|sent| sent.heard.last() == Some(&Heard::Completed));
     let logs = (!broken.is_empty()).then(|| fleet.keep_folder());
     Ok(Report {
         seed: options.seed,
-        jobs: troubled_sent.len() + calm_sent.len(),
+        jobs: all.len(),
         completed: completed.count(),
         runs: records
             .iter()
--- a/crates/onyxshed-standins/src/fleet/executor.rs
+++ b/crates/onyxshed-standins/src/fleet/executor.rs
@@ -188,17 +188,24 @@
     pub async fn watch_leases(self) {
         loop {
             Timer::after(LEASE_TICK).await;
-            let now = self.now();
-            let lapsed: Vec<TaskId> = {
-                let book = self.inner.book.borrow();
-                match book.is_lapsed(now) {
-                    true => book.runs.keys().copied().collect(),
-                    false => Vec::new(),
-                }
-            };
-            for task in lapsed {
-                self.end(task, RunEnd::Stopped, "lapsed");
+            self.end_lapsed();
+        }
+    }
+
+    /// Ends runs whose lease is over, as of the lease's end: a process that stood still did no
+    /// work since, and notices only now.
+    fn end_lapsed(&self) {
+        let now = self.now();
+        let (lapsed, late): (Vec<TaskId>, u64) = {
+            let book = self.inner.book.borrow();
+            if !book.is_lapsed(now) {
+                return;
             }
+            let late = now.since(book.lapses_at()).as_millis();
+            (book.runs.keys().copied().collect(), late.0)
+        };
+        for task in lapsed {
+            self.end_at(task, RunEnd::Stopped, "lapsed", now_ms().0 - late);
         }
     }
 
@@ -219,10 +226,14 @@
     }
 
     fn record(&self, task: TaskId, run: RunNumber, what: &str) {
+        self.record_at(task, run, what, now_ms().0);
+    }
+
+    fn record_at(&self, task: TaskId, run: RunNumber, what: &str, at_ms: u64) {
         self.inner.records.borrow_mut().push(RunRecord {
             task: format_smolstr!("{task}"),
             run: run.0,
-            at_ms: now_ms().0,
+            at_ms,
             what: what.into(),
         });
     }
@@ -248,6 +259,7 @@
         let Some(task) = read_task(&order.task_id) else {
             return Act::Reply(Reply::bytes(400, "no such task"));
         };
+        self.end_lapsed();
         let start = StartOrder {
             task,
             run: RunNumber(order.run_id),
@@ -278,6 +290,7 @@
         let fails = words.next() == Some("fail");
         let took = Duration::from_millis(ms).div_f64(self.inner.options.speed);
         Timer::after(took).await;
+        self.end_lapsed();
         let is_there = {
             let book = self.inner.book.borrow();
             book.runs.get(&task).is_some_and(|held| held.number == run)
@@ -291,12 +304,16 @@
     }
 
     fn end(&self, task: TaskId, end: RunEnd, what: &str) {
+        self.end_at(task, end, what, now_ms().0);
+    }
+
+    fn end_at(&self, task: TaskId, end: RunEnd, what: &str, at_ms: u64) {
         let mut book = self.inner.book.borrow_mut();
         let number = book.runs.get(&task).map(|run| run.number);
         book.end(task, end);
         drop(book);
         if let Some(number) = number {
-            self.record(task, number, what);
+            self.record_at(task, number, what, at_ms);
         }
         self.inner.ended.notify();
     }
@@ -337,6 +354,7 @@
             last_seen: order.last_seen,
             wait: onyxshed_core::Millis(order.wait_ms),
         };
+        self.end_lapsed();
         let now = self.now();
         let taken = self.inner.book.borrow_mut().hold(now, &hold);
         if taken.is_err() {
@@ -355,22 +373,17 @@
 
     fn report(&self) -> Act {
         let report = self.inner.book.borrow().report(self.now());
-        let ExecutorReport::Lists {
-            clock,
-            born,
-            running,
-            finished,
-        } = report
-        else {
+        let ExecutorReport::Lists(lists) = report else {
             return no_such_path();
         };
-        let running: Vec<Value> = running
+        let running: Vec<Value> = lists
+            .running
             .iter()
             .map(|row| json!([task_name(row.task), row.run.0, "", 100, 1]))
             .collect();
-        let finished: Vec<Value> = finished.iter().map(end_row).collect();
+        let finished: Vec<Value> = lists.finished.iter().map(end_row).collect();
         let told = json!({
-            "clock_ms": clock.0, "born": born.map(|at| at.0),
+            "clock_ms": lists.clock.0, "born": lists.born.map(|at| at.0),
             "running": running, "finished": finished,
         });
         Act::Reply(Reply::json(OK, &told))
--- a/crates/onyxshed-standins/src/fleet/run_book.rs
+++ b/crates/onyxshed-standins/src/fleet/run_book.rs
@@ -6,8 +6,8 @@
 
 use onyxshed_core::{Mono, UnixMs};
 use onyxshed_pool::{
-    ExecutorReport, FinishedRun, HoldOrder, RefuseReason, Room, RunEnd, RunNumber, RunningRun,
-    StartAnswer, StartOrder, StopAnswer, StopOrder, TaskId,
+    ExecutorLists, ExecutorReport, FinishedRun, HoldOrder, RefuseReason, Room, RunEnd, RunNumber,
+    RunningRun, StartAnswer, StartOrder, StopAnswer, StopOrder, TaskId,
 };
 
 /// Longest lease that an executor grants.
@@ -209,11 +209,12 @@
             task: *task,
             run: run.number,
         });
-        ExecutorReport::Lists {
+        ExecutorReport::Lists(ExecutorLists {
             clock: UnixMs(self.clock_ms(now)),
             born: Some(UnixMs(self.born)),
             running: running.collect(),
             finished: self.ends.clone(),
-        }
+            listed_to: self.last_end,
+        })
     }
 }
