--- a/crates/onyxshed-soak/tests/seeds.rs
+++ b/crates/onyxshed-soak/tests/seeds.rs
@@ -6,6 +6,15 @@
 use onyxshed_soak::{SoakOptions, soak};
 use rstest::rstest;
 
+/// An executor stands still past its leases and finds orders in its sockets when it goes on. The
+/// stand-in ended its runs as of that moment, not of their leases' end, and so seemed to run tasks
+/// that were at work elsewhere.
+#[test]
+fn seed_116_executor_thaws_after_its_leases() {
+    let report = soak(&SoakOptions::of_seed(116)).expect("it runs");
+    must_hold(&report).expect("every promise holds");
+}
+
 /// A short run of fixed seeds; `onyxshed-soak --seeds N` runs more by hand.
 #[rstest]
 #[case(11)]
--- a/crates/onyxshed-standins/src/fleet/executor.rs
+++ b/crates/onyxshed-standins/src/fleet/executor.rs
@@ -331,6 +331,7 @@
             run: RunNumber(order.run_id),
             token: FencingToken(order.fencing_token),
         };
+        self.end_lapsed();
         let was_there = self.inner.book.borrow().runs.contains_key(&task);
         match self.inner.book.borrow_mut().stop(&stop) {
             StopAnswer::Fenced => return self.refuse("fence"),
