--- a/crates/onyxshed-control/src/peers.rs
+++ b/crates/onyxshed-control/src/peers.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use onyxshed_core::{Event, EventKind, HostName, Millis, ZoneName};
+use onyxshed_core::{Event, EventKind, HostName, Millis, Now, ZoneName};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_process::{listen, serve_rpc};
 use onyxshed_proto::EntryStatus;
@@ -58,6 +58,7 @@
     address: SocketAddr,
     knowledge: Rc<Knowledge>,
     table: RefCell<Option<MemberTable>>,
+    last_list: RefCell<Option<HostList>>,
     clients: RefCell<BTreeMap<SocketAddr, peer_port::Client>>,
     rounds: Cell<u32>,
 }
@@ -68,6 +69,9 @@
         if let Some(table) = self.table.borrow_mut().as_mut() {
             table.listed(self.kernel.clock().now(), list);
         }
+        self.last_list.replace(Some(list.clone()));
+        // The entry counts on the number of hosts that comes with the list.
+        self.share();
     }
 
     /// Takes in a peer's message and gets the answer; none while this host has no entry.
@@ -85,7 +89,7 @@
         let mut held = self.table.borrow_mut();
         let mut notes = Vec::new();
         let table = match held.take() {
-            None => held.insert(self.new_table(status)),
+            None => held.insert(self.new_table(now, status)),
             Some(mut table) => {
                 if !is_of(&table, status) {
                     notes = table.restart(now, self.first_heartbeat(status));
@@ -103,10 +107,15 @@
         outgoing
     }
 
-    fn new_table(&self, status: &EntryStatus) -> MemberTable {
+    /// Makes the table; the list of hosts may have come before the entry's first word.
+    fn new_table(&self, now: Now, status: &EntryStatus) -> MemberTable {
         let me = self.first_heartbeat(status);
         let seeds = self.options.seeds.clone();
-        MemberTable::new(me, self.options.members.clone(), seeds, rand::random())
+        let mut table = MemberTable::new(me, self.options.members.clone(), seeds, rand::random());
+        if let Some(list) = self.last_list.borrow().as_ref() {
+            table.listed(now, list);
+        }
+        table
     }
 
     /// Makes the first heartbeat of the entry whose status is given.
@@ -218,6 +227,7 @@
             address: self.options.advertised_address.unwrap_or(address),
             knowledge: kernel.find(KNOWLEDGE)?,
             table: RefCell::default(),
+            last_list: RefCell::default(),
             clients: RefCell::default(),
             rounds: Cell::new(0),
         });
--- a/crates/onyxshed-entry/src/control_port.rs
+++ b/crates/onyxshed-entry/src/control_port.rs
@@ -10,13 +10,13 @@
 
 use async_io::Timer;
 use capnp::capability::Rc as ServerRc;
-use onyxshed_core::{Event, EventKind, HostName, Incarnation, UnixMs};
+use onyxshed_core::{Event, EventKind, HostName, Incarnation, Millis, Mono, UnixMs};
 use onyxshed_dispatch::{Dispatch, Input};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_process::{listen, serve_rpc};
 use onyxshed_proto::onyxshed_capnp::entry_port;
 use onyxshed_proto::{EntryStatus, Snapshot, snapshot, status};
-use onyxshed_state::LoadDigest;
+use onyxshed_state::{LoadDigest, MemberState};
 
 use crate::engine::Engine;
 use crate::names::{CONTROL_PORT, ENGINE, UPSTREAMS};
@@ -44,6 +44,7 @@
     options: ControlPortOptions,
     started_at_ms: UnixMs,
     last_snapshot: Cell<Option<Instant>>,
+    first_snapshot: Cell<Option<Mono>>,
     is_connected: Cell<bool>,
 }
 
@@ -67,6 +68,13 @@
             let infos = executors.into_iter().map(|entry| entry.info).collect();
             engine.feed(Input::Executors(infos));
             self.kernel.readiness().allow(WITHOUT_EXECUTORS);
+            let live_members = snapshot
+                .members
+                .iter()
+                .filter(|member| member.state == MemberState::Live);
+            if self.has_met_peers(live_members.count(), snapshot.live) {
+                self.kernel.readiness().allow(WITHOUT_PEERS);
+            }
         }
         engine.feed(Input::Members {
             members: snapshot.members,
@@ -81,6 +89,25 @@
         Ok(self.status(&engine))
     }
 
+    /// Tells whether every listed host was heard, or was waited for long enough.
+    ///
+    /// Failure guarded against: a new host is sent the copy of a job that another one holds, and
+    /// has not heard of that host yet. Symptom: the caller is told that the holder can't be reached
+    /// though it is up. Hosts that are listed and down must not keep a new one out of service, so
+    /// the wait is bounded.
+    fn has_met_peers(&self, heard: usize, live: u32) -> bool {
+        let listed = usize::try_from(live).unwrap_or(usize::MAX);
+        let since = self.first_snapshot.get();
+        let since = since.unwrap_or_else(|| {
+            let now = self.kernel.clock().now().mono;
+            self.first_snapshot.set(Some(now));
+            now
+        });
+        let waited = self.kernel.clock().now().mono.since(since);
+        let has_heard_all = live > 0 && heard + 1 >= listed;
+        has_heard_all || waited >= PEERS_PATIENCE.into()
+    }
+
     fn status(&self, engine: &Engine) -> EntryStatus {
         let addresses = self.kernel.addresses();
         let listened = addresses
@@ -124,6 +151,13 @@
 /// Reason for which readiness is held back until the platform's list of hosts came.
 pub const WITHOUT_EXECUTORS: &str = "no list of executors yet";
 
+/// Reason for which readiness is held back until the other hosts were heard.
+pub const WITHOUT_PEERS: &str = "other hosts are not heard yet";
+
+/// Longest time for which it is held back, from the first list of hosts on: five times what hosts
+/// that start together take to hear each other (190 ms).
+const PEERS_PATIENCE: Millis = Millis(1_000);
+
 /// The interface that the control process calls.
 struct EntryPort {
     port: Rc<ControlPort>,
@@ -168,11 +202,13 @@
         Box::pin(async move {
             kernel.readiness().withhold(WITHOUT_CONFIG);
             kernel.readiness().withhold(WITHOUT_EXECUTORS);
+            kernel.readiness().withhold(WITHOUT_PEERS);
             let port = Rc::new(ControlPort {
                 kernel: kernel.clone(),
                 options: self.options.clone(),
                 started_at_ms: kernel.clock().now().wall,
                 last_snapshot: Cell::new(None),
+                first_snapshot: Cell::new(None),
                 is_connected: Cell::new(false),
             });
             let address = self.options.control_address;
--- a/crates/onyxshed-load/src/local.rs
+++ b/crates/onyxshed-load/src/local.rs
@@ -54,6 +54,7 @@
     pub entry: Child,
     /// The control process.
     pub control: Child,
+    started: Instant,
     /// From the entry process's start to its first ready answer.
     pub ready_after: Duration,
 }
@@ -95,6 +96,11 @@
             let entry = set.start_entry(options, place, ports).await?;
             set.entries.push(entry);
         }
+        // Each is ready once it has heard the others, so all are started before one is waited for.
+        for entry in &mut set.entries {
+            wait_ready(entry.admin, entry.started).await?;
+            entry.ready_after = entry.started.elapsed();
+        }
         Ok(set)
     }
 
@@ -171,7 +177,6 @@
         let control = Child::spawn(&options.folder.join("onyxshed-control"), &files.control)?;
         let started = Instant::now();
         let entry = Child::spawn(&options.folder.join("onyxshed-entry"), &files.entry)?;
-        wait_ready(ports.entry_admin, started).await?;
         Ok(LocalEntry {
             callers: ports.callers,
             admin: ports.entry_admin,
@@ -179,7 +184,8 @@
             control_peer: ports.control_peer,
             entry,
             control,
-            ready_after: started.elapsed(),
+            started,
+            ready_after: Duration::ZERO,
         })
     }
 }
--- a/crates/onyxshed-proof/tests/local.rs
+++ b/crates/onyxshed-proof/tests/local.rs
@@ -39,7 +39,8 @@
         1,
         "{text}"
     );
-    assert!(text.contains(r#""outcome":"complete""#), "{text}");
+    // The first submission and the same again, to the other entry host.
+    assert_eq!(text.matches(r#""outcome":"complete""#).count(), 2, "{text}");
     let ids = process_ids(&text);
     assert_eq!(ids.len(), 5, "{text}");
     for id in ids {
