--- a/crates/onyxshed-core/src/event.rs
+++ b/crates/onyxshed-core/src/event.rs
@@ -111,6 +111,7 @@
     604 ServiceStarted Debug "A service of the process started.";
     605 ControlConnected Info "The control process connected.";
     606 ControlLost Warn "The control process is gone; the last state stays in force.";
+    607 LogLinesLeftOut Warn "Lines were left out of the log to keep its volume bounded.";
     700 PlatformLost Warn "The platform's log can't be reached.";
     701 PlatformBack Info "The platform's log answers again.";
     702 HostListStale Warn "The platform's host list is old.";
--- a/crates/onyxshed-entry/src/measures.rs
+++ b/crates/onyxshed-entry/src/measures.rs
@@ -32,14 +32,18 @@
     let code = answer.code.map_or(0, ResultCode::number);
     let labels = [("class", class.to_owned()), ("code", code.to_string())];
     metrics::counter!(JOB_ANSWERS_TOTAL, &labels).increment(1);
-    let text = "Time from a submission's arrival to its answer.";
-    metric::labelled_seconds_histogram(JOB_RESPONSE_SECONDS, text, "class", class.to_owned())
+    metrics::histogram!(JOB_RESPONSE_SECONDS, "class" => class.to_owned())
         .record(took.as_secs_f64());
 }
 
 /// Brings the gauges up to date.
 pub fn refresh(machine: &Dispatch) {
     metrics::describe_counter!(JOB_ANSWERS_TOTAL, "Answers to submissions.");
+    metrics::describe_histogram!(
+        JOB_RESPONSE_SECONDS,
+        metrics::Unit::Seconds,
+        "Time from a submission's arrival to its answer."
+    );
     let gauges = [
         (
             "onyxshed_live_jobs",
--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -22,6 +22,7 @@
 use crate::boot_clock;
 use crate::links::Links;
 use crate::manifest::ManifestHolder;
+use crate::measures::Measures;
 use crate::names::{CALLERS, LINKS, MANIFEST};
 
 /// How long a stopping host goes on serving before it looks for its end: the balancer asks for
@@ -61,6 +62,7 @@
     manifest: Rc<ManifestHolder>,
     links: Rc<Links>,
     stats: Rc<ServerStats>,
+    measures: Measures,
     /// Closed when this host can wait no longer for the jobs under way.
     last_call: Receiver<()>,
     last_call_sender: Sender<()>,
@@ -219,7 +221,9 @@
             JobEnd::NotRun(..) => EventKind::PoolJobRefused,
             JobEnd::Unknown(_) => EventKind::PoolJobLost,
         };
-        let took = boot_clock::now().since(asked.arrived).as_millis();
+        let took = boot_clock::now().since(asked.arrived);
+        self.measures.answered(end, took);
+        let took = took.as_millis();
         let event = Event::new(kind)
             .request(asked.request.clone())
             .job(format_smolstr!("{}", asked.job))
@@ -325,6 +329,7 @@
             manifest: kernel.find(MANIFEST)?,
             links: kernel.find(LINKS)?,
             stats: server.stats(),
+            measures: Measures::new(),
             last_call,
             last_call_sender,
             last_call_at: Cell::new(None),
--- a/crates/onyxshed-host/src/engine.rs
+++ b/crates/onyxshed-host/src/engine.rs
@@ -24,6 +24,7 @@
 use smol_str::format_smolstr;
 
 use crate::boot_clock;
+use crate::measures::Measures;
 use crate::names::ENGINE;
 use crate::notes;
 
@@ -54,6 +55,7 @@
     waiting: RefCell<Waiting>,
     connections: RefCell<BTreeMap<ExecutorId, Rc<ConnectionPool>>>,
     was_fenced: Cell<bool>,
+    measures: Measures,
 }
 
 impl Engine {
@@ -67,6 +69,7 @@
             waiting: RefCell::default(),
             connections: RefCell::default(),
             was_fenced: Cell::new(false),
+            measures: Measures::new(),
         })
     }
 
--- a/crates/onyxshed-host/src/engine/calls.rs
+++ b/crates/onyxshed-host/src/engine/calls.rs
@@ -14,6 +14,7 @@
 
 use super::Engine;
 use crate::boot_clock;
+use crate::measures::OrderKind;
 
 /// How long the answer to a start or a stop may take. An executor answers within 10 ms; a host at
 /// its processor limit stands still for up to 75 ms.
@@ -35,7 +36,10 @@
     ) {
         let engine = self.clone();
         let call = async move {
+            let sent_at = boot_clock::now();
             let answer = engine.start(&id, &order).await;
+            let took = boot_clock::now().since(sent_at);
+            engine.measures.ordered(OrderKind::Start, took);
             engine.feed_under(token, |pool| {
                 pool.start_answered(boot_clock::now(), &id, order.task, order.run, &answer)
             });
@@ -72,7 +76,10 @@
     ) {
         let engine = self.clone();
         let call = async move {
+            let sent_at = boot_clock::now();
             let answer = engine.stop(&id, &order).await;
+            let took = boot_clock::now().since(sent_at);
+            engine.measures.ordered(OrderKind::Stop, took);
             engine.feed_under(token, |pool| {
                 pool.stop_answered(boot_clock::now(), &id, order.task, order.run, answer)
             });
--- a/crates/onyxshed-host/src/lib.rs
+++ b/crates/onyxshed-host/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod executors;
 pub mod links;
 pub mod manifest;
+pub mod measures;
 pub mod names;
 pub mod notes;
 pub mod ownership;
--- /dev/null
+++ b/crates/onyxshed-host/src/measures.rs
@@ -0,0 +1,79 @@
+//! Counters and latency histograms of a host.
+
+use metrics::Histogram;
+use onyxshed_core::Micros;
+use onyxshed_pool::JobEnd;
+use onyxshed_telemetry::metric::{labelled_seconds_histogram, seconds};
+
+/// Histogram of the time from a job's arrival to its answer.
+pub const JOB_SECONDS: &str = "onyxshed_pool_job_seconds";
+
+/// Histogram of the time an executor takes to answer an order.
+pub const ORDER_SECONDS: &str = "onyxshed_pool_order_seconds";
+
+/// Kinds of orders to executors.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderKind {
+    /// To start a run.
+    Start,
+    /// To stop one.
+    Stop,
+}
+
+/// Histograms, described once at start.
+pub struct Measures {
+    completed: Histogram,
+    failed: Histogram,
+    not_run: Histogram,
+    unknown: Histogram,
+    start: Histogram,
+    stop: Histogram,
+}
+
+impl Measures {
+    /// Registers every histogram.
+    pub fn new() -> Self {
+        let job = |end: &str| {
+            let text = "Time from a job's arrival to its answer, by how it ended.";
+            labelled_seconds_histogram(JOB_SECONDS, text, "end", end.to_owned())
+        };
+        let order = |kind: &str| {
+            let text = "Time that an executor takes to answer an order, by kind.";
+            labelled_seconds_histogram(ORDER_SECONDS, text, "order", kind.to_owned())
+        };
+        Measures {
+            completed: job("completed"),
+            failed: job("failed"),
+            not_run: job("not_run"),
+            unknown: job("unknown"),
+            start: order("start"),
+            stop: order("stop"),
+        }
+    }
+
+    /// Notes the answer to a job.
+    pub fn answered(&self, end: &JobEnd, took: Micros) {
+        let histogram = match end {
+            JobEnd::Completed => &self.completed,
+            JobEnd::Failed => &self.failed,
+            JobEnd::NotRun(..) => &self.not_run,
+            JobEnd::Unknown(_) => &self.unknown,
+        };
+        histogram.record(seconds(took));
+    }
+
+    /// Notes the answer to an order.
+    pub fn ordered(&self, kind: OrderKind, took: Micros) {
+        let histogram = match kind {
+            OrderKind::Start => &self.start,
+            OrderKind::Stop => &self.stop,
+        };
+        histogram.record(seconds(took));
+    }
+}
+
+impl Default for Measures {
+    fn default() -> Self {
+        Measures::new()
+    }
+}
--- a/crates/onyxshed-telemetry/src/lib.rs
+++ b/crates/onyxshed-telemetry/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`AdminService`] serves them to operators.
 
 pub mod admin;
+pub mod budget;
 pub mod error;
 pub mod line;
 pub mod log;
--- a/crates/onyxshed-telemetry/src/log.rs
+++ b/crates/onyxshed-telemetry/src/log.rs
@@ -1,18 +1,20 @@
 //! The log: numbered events on standard error or standard output.
 
+use std::cell::RefCell;
 use std::num::NonZeroUsize;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
-use onyxshed_core::Event;
 use onyxshed_core::event::Level;
+use onyxshed_core::{Event, EventKind};
 use onyxshed_settings::{LogFormat, LogLevel, LogSettings};
 use spdlog::formatter::{PatternFormatter, pattern};
 use spdlog::sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStream, StdStreamSink};
 use spdlog::{LevelFilter, Logger, ThreadPool};
 
+use crate::budget::{Budget, Verdict};
 use crate::error::{Error, Result};
 use crate::line;
 
@@ -36,6 +38,8 @@
     level: Level,
     counts: Arc<Counts>,
     pool: Arc<ThreadPool>,
+    opened: Instant,
+    budget: Option<RefCell<Budget>>,
 }
 
 /// Lines by what became of them.
@@ -66,10 +70,16 @@
             LogFormat::Json => builder.formatter(PatternFormatter::new(pattern!("{payload}{eol}"))),
         };
         let sink = sink.build_arc().map_err(Error::log)?;
-        Log::with_sink(settings, sink)
+        Log::with_sink(settings, sink).map(Log::bounded)
     }
 
-    /// Tries to open the log on any sink of the library.
+    /// Bounds the lines a second.
+    pub fn bounded(mut self) -> Self {
+        self.budget = Some(RefCell::default());
+        self
+    }
+
+    /// Tries to open the log on any sink of the library, without a bound on lines a second.
     pub fn with_sink(settings: LogSettings, sink: Arc<dyn Sink>) -> Result<Self> {
         let counts = Arc::new(Counts::default());
         let capacity = NonZeroUsize::new(LINES_MAX).expect("the bound is not zero");
@@ -89,6 +99,8 @@
             level: level_of(settings.level),
             counts,
             pool,
+            opened: Instant::now(),
+            budget: None,
         })
     }
 
@@ -98,9 +110,27 @@
         if level < self.level {
             return;
         }
+        let second = self.opened.elapsed().as_secs();
+        let budget = self.budget.as_ref();
+        let verdict = budget.map(|budget| budget.borrow_mut().decide(second, level));
+        match verdict.unwrap_or(Verdict::Write) {
+            Verdict::LeaveOut => {
+                self.counts.dropped.fetch_add(1, Ordering::Relaxed);
+            }
+            Verdict::Write => self.write_line(event),
+            Verdict::WriteAfter(count) => {
+                let detail = smol_str::format_smolstr!("{count} lines");
+                self.write_line(&Event::new(EventKind::LogLinesLeftOut).detail(detail));
+                self.write_line(event);
+            }
+        }
+    }
+
+    fn write_line(&self, event: &Event) {
         self.counts.queued.fetch_add(1, Ordering::Relaxed);
         let line = line::format(event, self.format);
-        spdlog::log!(logger: self.logger, library_level(level), "{line}");
+        let level = library_level(event.kind.level());
+        spdlog::log!(logger: self.logger, level, "{line}");
     }
 
     /// Gets how many lines were dropped because too many waited.
