--- a/crates/onyxshed-cli/src/catalogue.rs
+++ b/crates/onyxshed-cli/src/catalogue.rs
@@ -43,6 +43,7 @@
     (5, "Peers"),
     (6, "Processes"),
     (7, "Platform"),
+    (8, "Pools on the users' platform"),
 ];
 
 /// Heads of the groups of codes, by the number's thousands.
--- a/crates/onyxshed-host/src/ownership.rs
+++ b/crates/onyxshed-host/src/ownership.rs
@@ -19,8 +19,10 @@
 use onyxshed_adapter::store::PartOwner;
 use onyxshed_core::Millis;
 use onyxshed_kernel::{Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_pool::{Candidate, CandidateStep};
 use smol_str::{SmolStr, format_smolstr};
 
+use crate::boot_clock;
 use crate::engine::Engine;
 use crate::executors;
 use crate::links::Links;
@@ -49,16 +51,6 @@
 /// How long an answer of the store may take; its slowest ones take about 300 ms.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Longest random wait before a host joins for a pool that nobody owns, so that seldom two do.
-const JOIN_SPREAD_MS: u64 = 120;
-
-/// Processor share that makes a good owner, in thousandths of a core: twice what the owner of 120
-/// executors uses on a calm day.
-const OWNER_CPU_MILLIS: u32 = 400;
-
-/// How long a host waits for each time that its processor share fits into a good owner's.
-const SMALL_HOST_PAUSE_MS: u64 = 200;
-
 /// Who this host is in the groups.
 #[derive(Debug, Clone)]
 pub struct OwnershipOptions {
@@ -105,8 +97,8 @@
 
     fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
         Box::pin(async move {
-            let candidate = Candidate::new(kernel, self);
-            kernel.spawn(candidate.live()).detach();
+            let contender = Contender::new(kernel, self);
+            kernel.spawn(contender.live()).detach();
             for zone in &self.options.zones {
                 if *zone != self.options.zone {
                     let watch = Away::new(kernel, self, zone.clone());
@@ -139,7 +131,7 @@
 }
 
 /// This host as a candidate for, or owner of, its zone's pool.
-struct Candidate {
+struct Contender {
     kernel: Kernel,
     engine: Rc<Engine>,
     links: Rc<Links>,
@@ -149,9 +141,10 @@
     store: Store,
     watch: StoreWatch,
     generation: u64,
+    candidate: Candidate,
 }
 
-/// What a candidate does next.
+/// What a contender does next.
 enum Next {
     /// Looks again who owns the pool.
     Look,
@@ -163,10 +156,10 @@
     Leave,
 }
 
-impl Candidate {
+impl Contender {
     fn new(kernel: &Kernel, service: &OwnershipService) -> Self {
         let options = service.options.clone();
-        Candidate {
+        Contender {
             kernel: kernel.clone(),
             engine: service.engine.clone(),
             links: service.links.clone(),
@@ -175,6 +168,7 @@
             store: Store::new(options.store),
             watch: StoreWatch::new(kernel, "ownership"),
             generation: 0,
+            candidate: Candidate::new(options.cpu_millis),
             options,
         }
     }
@@ -208,26 +202,26 @@
         })
         .await;
         if self.is_vacant().await != Some(true) || self.is_stopping() {
+            self.candidate.owned();
             return Next::Look;
         }
-        // Two hosts that join at once move the pool twice. Each waits a random time and looks
-        // again, so that all but one find it owned.
-        Timer::after(self.join_pause()).await;
+        let owner_answers = self.links.is_up(&self.options.zone);
+        let draw = rand::random();
+        let step = self
+            .candidate
+            .vacant(boot_clock::now(), owner_answers, draw);
+        let CandidateStep::JoinAfter(pause) = step else {
+            return Next::Look;
+        };
+        // Two hosts that join at once move the pool twice. Each looks again after its pause, so
+        // that all but one find it owned.
+        Timer::after(pause.into()).await;
         match self.is_vacant().await {
             Some(true) => Next::Join,
             _ => Next::Look,
         }
     }
 
-    /// Gets how long this host leaves a vacant pool to others: an owner's work grows with its pool,
-    /// so hosts with more processor go first.
-    fn join_pause(&self) -> Duration {
-        let spread_ms = rand::random_range(0..=JOIN_SPREAD_MS);
-        let cpu_millis = self.options.cpu_millis.clamp(1, OWNER_CPU_MILLIS);
-        let shortage = OWNER_CPU_MILLIS / cpu_millis - 1;
-        Duration::from_millis(spread_ms + SMALL_HOST_PAUSE_MS * u64::from(shortage))
-    }
-
     /// Asks who owns the pool and tells whether this host may join for it; none without an answer.
     async fn is_vacant(&mut self) -> Option<bool> {
         let owners = match self.store.owners(&self.group, ANSWER_TIMEOUT).await {
--- a/crates/onyxshed-pool/src/lib.rs
+++ b/crates/onyxshed-pool/src/lib.rs
@@ -12,6 +12,7 @@
 //! - the runs of an entry host that is no longer heard are stopped well before its callers send
 //!   their jobs again.
 
+pub mod candidate;
 pub mod chooser;
 pub mod error;
 pub mod executor;
@@ -24,6 +25,7 @@
 pub mod room;
 pub mod speed;
 
+pub use candidate::{Candidate, CandidateStep};
 pub use chooser::{Chooser, PoolDigest};
 pub use error::{Error, Result};
 pub use executor::ExecutorFacts;
--- /dev/null
+++ b/crates/onyxshed-pool/tests/pool/candidate.rs
@@ -0,0 +1,49 @@
+//! When a host takes over a pool.
+
+use onyxshed_core::Millis;
+use onyxshed_pool::candidate::{Candidate, CandidateStep};
+
+use crate::fixture::at_ms;
+
+/// The store drops the owner's membership while the owner serves on: a host that hears it must not
+/// take over, or every job of the pool would be lost. An owner that can't join again for ten
+/// seconds is replaced.
+#[test]
+fn an_owner_that_answers_is_left_alone_for_a_while() {
+    let mut candidate = Candidate::new(400);
+    assert_eq!(candidate.vacant(at_ms(0), true, 0.0), CandidateStep::Leave);
+    assert_eq!(
+        candidate.vacant(at_ms(9_900), true, 0.0),
+        CandidateStep::Leave
+    );
+    let taken = CandidateStep::JoinAfter(Millis(0));
+    assert_eq!(candidate.vacant(at_ms(10_000), true, 0.0), taken);
+}
+
+/// The owner dies: nothing is gained by waiting.
+#[test]
+fn a_dead_owner_is_replaced_at_once() {
+    let mut candidate = Candidate::new(400);
+    let taken = CandidateStep::JoinAfter(Millis(0));
+    assert_eq!(candidate.vacant(at_ms(0), false, 0.0), taken);
+}
+
+#[test]
+fn the_wait_begins_anew_with_each_vacancy() {
+    let mut candidate = Candidate::new(400);
+    candidate.vacant(at_ms(0), true, 0.0);
+    candidate.owned();
+    assert_eq!(
+        candidate.vacant(at_ms(10_000), true, 0.0),
+        CandidateStep::Leave
+    );
+}
+
+/// Owning a large pool takes several times the processor of the smallest hosts: they go last.
+#[test]
+fn hosts_with_more_processor_go_first() {
+    let pause = |cpu_millis, draw| Candidate::new(cpu_millis).vacant(at_ms(0), false, draw);
+    assert_eq!(pause(500, 1.0), CandidateStep::JoinAfter(Millis(120)));
+    assert_eq!(pause(250, 0.0), CandidateStep::JoinAfter(Millis(0)));
+    assert_eq!(pause(90, 0.0), CandidateStep::JoinAfter(Millis(600)));
+}
--- a/crates/onyxshed-pool/tests/pool/main.rs
+++ b/crates/onyxshed-pool/tests/pool/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a pool's decisions.
 
 mod calls;
+mod candidate;
 mod fixture;
 mod hosts;
 mod load;
