--- /dev/null
+++ b/crates/onyxshed-soak/tests/hosts.rs
@@ -0,0 +1,204 @@
+//! Hosts on the platform's stand-ins, one promise at a time.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use async_io::{Timer, block_on};
+use http_types::Method;
+use onyxshed_http::client::{ClientOptions, Connection};
+use onyxshed_http::{CallError, Reply};
+use onyxshed_soak::fleet::{Fleet, FleetOptions, ROUTE_HOST, ROUTE_PREFIX};
+use serde_json::{Value, json};
+use smol_str::SmolStr;
+
+/// Nothing here depends on how long it takes; only a hang ends at this.
+const CEILING: Duration = Duration::from_secs(30);
+
+fn one_zone() -> FleetOptions {
+    FleetOptions {
+        zones: 1,
+        hosts: 2,
+        executors: 2,
+    }
+}
+
+async fn open(host: SocketAddr) -> Connection {
+    Connection::open(host, ClientOptions::default())
+        .await
+        .expect("it listens")
+}
+
+async fn ask(
+    connection: &mut Connection,
+    method: Method,
+    path: &str,
+    body: &Value,
+) -> Result<Reply, CallError> {
+    let headers = [
+        ("host", SmolStr::new_static(ROUTE_HOST)),
+        ("x-onyxshed-deadline-ms", SmolStr::new_static("20000")),
+    ];
+    let path = format!("{ROUTE_PREFIX}{path}");
+    let body = body.to_string().into_bytes();
+    connection
+        .call(method, &path, &headers, body, CEILING)
+        .await
+}
+
+fn job(ms: u64, tasks: u64) -> Value {
+    json!({"spec": ms.to_string(), "best_effort": true,
+        "phases": [{"count": tasks, "cpu": 1_000, "mem_mb": 1, "est_runtime_ms": ms}]})
+}
+
+async fn until<T>(what: &str, mut look: impl AsyncFnMut() -> Option<T>) -> T {
+    let begun = Instant::now();
+    loop {
+        if let Some(found) = look().await {
+            return found;
+        }
+        assert!(begun.elapsed() < CEILING, "waited in vain until {what}");
+        Timer::after(Duration::from_millis(20)).await;
+    }
+}
+
+/// A job that must be kept can't be yet: its caller hears so at once, with a time to come back, and
+/// nothing of it ever starts.
+#[test]
+fn a_job_that_must_be_stored_is_refused_and_never_runs() {
+    block_on(async {
+        let mut fleet = Fleet::start(&one_zone()).await.expect("it starts");
+        let mut connection = open(fleet.caller_addresses()[0]).await;
+        let mut stored = job(10, 2);
+        stored["best_effort"] = json!(false);
+        let reply = ask(&mut connection, Method::Post, "00000000000000aa", &stored).await;
+        let reply = reply.expect("an answer");
+        assert_eq!(reply.status, 503);
+        assert!(reply.get("retry-after").is_some());
+        assert!(fleet.all_records().await.is_empty());
+    });
+}
+
+/// A route that no manifest names is unknown; a job's state is known to nobody but its caller.
+#[test]
+fn unknown_routes_and_jobs_are_said_to_be_unknown() {
+    block_on(async {
+        let fleet = Fleet::start(&one_zone()).await.expect("it starts");
+        let mut connection = open(fleet.caller_addresses()[0]).await;
+        let nothing = json!({});
+        let gone = ask(&mut connection, Method::Get, "00000000000000aa", &nothing).await;
+        assert_eq!(gone.expect("an answer").status, 410);
+        let pending = ask(&mut connection, Method::Get, "", &nothing).await;
+        assert_eq!(pending.expect("an answer").body, br#"{"pending":0}"#);
+        let headers = [("host", SmolStr::new_static("elsewhere.example"))];
+        let elsewhere = connection
+            .call(
+                Method::Post,
+                "/jobs/00000000000000aa",
+                &headers,
+                b"{}".into(),
+                CEILING,
+            )
+            .await;
+        assert_eq!(elsewhere.expect("an answer").status, 404);
+    });
+}
+
+/// Every host is asked to stop while each has a job under way on an open connection. Each caller
+/// gets its whole answer, and no host ends before it has given it.
+#[test]
+fn a_planned_stop_cuts_off_no_job() {
+    block_on(async {
+        let mut fleet = Fleet::start(&one_zone()).await.expect("it starts");
+        let mut connections = Vec::new();
+        for address in fleet.caller_addresses() {
+            connections.push(open(address).await);
+        }
+        let (mut first, mut second) = (connections.remove(0), connections.remove(0));
+        let body = job(700, 1);
+        let under_way = futures_lite::future::zip(
+            ask(&mut first, Method::Post, "00000000000000aa", &body),
+            ask(&mut second, Method::Post, "00000000000000bb", &body),
+        );
+        let stop = async {
+            Timer::after(Duration::from_millis(200)).await;
+            for name in fleet.host_names() {
+                fleet
+                    .signal_host(&name, |process| process.ask_to_stop())
+                    .expect("a signal");
+            }
+        };
+        let ((one, other), ()) = futures_lite::future::zip(under_way, stop).await;
+        for reply in [one, other] {
+            let reply = reply.expect("a whole answer");
+            assert_eq!(reply.body, br#"{"state":"completed"}"#);
+        }
+        for name in fleet.host_names() {
+            until("it has ended", async || {
+                let mut is_running = false;
+                let looked = fleet.signal_host(&name, |_| {
+                    is_running = true;
+                    Ok(())
+                });
+                looked.expect("a look");
+                (!is_running).then_some(())
+            })
+            .await;
+        }
+    });
+}
+
+/// A caller leaves while its job of five seconds runs. The run is stopped, so that its room serves
+/// others; nobody waits for it any more.
+#[test]
+fn a_job_whose_caller_leaves_is_stopped() {
+    block_on(async {
+        let mut fleet = Fleet::start(&one_zone()).await.expect("it starts");
+        let address = fleet.caller_addresses()[0];
+        let mut connection = open(address).await;
+        let body = job(5_000, 1);
+        let asked = ask(&mut connection, Method::Post, "00000000000000aa", &body);
+        let leave = async {
+            Timer::after(Duration::from_millis(400)).await;
+            Err(CallError::unsent("the caller leaves"))
+        };
+        let left = futures_lite::FutureExt::or(asked, leave).await;
+        assert!(left.is_err());
+        drop(connection);
+        let mut seen = Vec::new();
+        until("the run is stopped", async || {
+            seen.extend(fleet.all_records().await);
+            seen.iter()
+                .any(|(_, record)| record.what == "stopped")
+                .then_some(())
+        })
+        .await;
+    });
+}
+
+/// SIGHUP is no reason to end, and a new manifest is in force without one.
+#[test]
+fn a_host_takes_up_changes_while_it_serves() {
+    block_on(async {
+        let mut fleet = Fleet::start(&one_zone()).await.expect("it starts");
+        fleet.put_manifest(9, 70).await.expect("it is published");
+        for name in fleet.host_names() {
+            fleet
+                .signal_host(&name, |process| process.hang_up())
+                .expect("a signal");
+            until("both are in its log", async || {
+                let log = fleet.log_of(&name);
+                (log.contains("version 9") && log.contains("told: true")).then_some(())
+            })
+            .await;
+        }
+        let mut connection = open(fleet.caller_addresses()[0]).await;
+        let reply = ask(
+            &mut connection,
+            Method::Post,
+            "00000000000000aa",
+            &job(10, 3),
+        )
+        .await;
+        assert_eq!(reply.expect("an answer").body, br#"{"state":"completed"}"#);
+    });
+}
