Divide a large zone into several pools

Cause: one owner started every run of a zone; with 1,000 executors its processor was full and its links fell silent.

--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -207,7 +207,7 @@
             let spent = boot_clock::now().since(begun).as_millis();
             job.time_left = Millis(job.time_left.0.saturating_sub(spent.0));
             let end = self.links.run(&pool, job).await;
-            last = (end, pool);
+            last = (end, format_smolstr!("{pool}"));
             if !matches!(end, JobEnd::NotRun(..)) {
                 break;
             }
--- /dev/null
+++ b/crates/onyxshed-host/src/directory.rs
@@ -0,0 +1,190 @@
+//! Who owns which pool, as the store's groups tell it.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use onyxshed_adapter::store::PartOwner;
+use onyxshed_adapter::{Error, Store};
+use onyxshed_core::{Millis, Mono};
+use onyxshed_pool::{PeerLife, PoolId};
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::boot_clock;
+use crate::divisions::Divisions;
+use crate::engine::Engine;
+use crate::links::Links;
+use crate::store_watch::StoreWatch;
+
+/// The partition of a group whose holder owns the pool.
+pub const POOL_PART: u32 = 0;
+
+/// Time between two looks at a pool of this host's zone whose owner answers.
+const HOME_PERIOD: Millis = Millis(300);
+
+/// Time between two looks at another zone's pool whose owner answers.
+const AWAY_PERIOD: Millis = Millis(2_000);
+
+/// Time between two looks at a pool whose owner does not answer: the sooner a new one is found, the
+/// fewer callers are refused.
+const SEEKING_PERIOD: Millis = Millis(100);
+
+/// Pools that a host looks at so often; with more of them each look comes later, so that all hosts
+/// together stay far below the calls that the store takes.
+const POOLS_AT_FULL_RATE: usize = 4;
+
+/// Pause between two rounds.
+const ROUND_PAUSE: Duration = Duration::from_millis(20);
+
+/// Pause after the store turned a call away because there are too many.
+const CROWDED_PAUSE: Duration = Duration::from_millis(500);
+
+/// How long an answer of the store may take; its slowest ones take about 300 ms.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Status of a store that takes no more calls.
+const CROWDED: u16 = 429;
+
+/// Gets the name of a pool's group and topic.
+pub fn group_of(pool: &PoolId) -> SmolStr {
+    format_smolstr!("pool.{}.{}", pool.zone, pool.index)
+}
+
+/// Writes a member's name: its address, and the run of its process.
+pub fn member_name(address: SocketAddr, life: PeerLife) -> SmolStr {
+    format_smolstr!("{address}/{life}")
+}
+
+/// Reads the address out of a member's name.
+fn address_of(member: &str) -> Option<SocketAddr> {
+    member.split_once('/')?.0.parse().ok()
+}
+
+/// Finds who holds the partition that stands for the pool.
+fn holder(owners: Vec<PartOwner>) -> Option<SmolStr> {
+    let mut owners = owners.into_iter();
+    owners
+        .find(|owner| owner.part == POOL_PART)
+        .map(|owner| owner.member)
+}
+
+/// Asks the store who owns a pool; none where nobody does.
+pub async fn ask_owner(
+    store: &mut Store,
+    pool: &PoolId,
+) -> onyxshed_adapter::Result<Option<SmolStr>> {
+    match store.owners(&group_of(pool), ANSWER_TIMEOUT).await {
+        Ok(owners) => Ok(holder(owners)),
+        // The group does not exist before its first member has joined.
+        Err(Error::Status { status: 404 }) => Ok(None),
+        Err(error) => Err(error),
+    }
+}
+
+/// Follows the owners of all pools that this host does not own itself.
+pub struct Directory {
+    zone: SmolStr,
+    member: SmolStr,
+    divisions: Rc<Divisions>,
+    engine: Rc<Engine>,
+    links: Rc<Links>,
+    looked_at: RefCell<BTreeMap<PoolId, Mono>>,
+    vacant: RefCell<BTreeSet<PoolId>>,
+}
+
+impl Directory {
+    /// Makes the directory of a host in a zone that joins groups under a name.
+    pub fn new(
+        zone: SmolStr,
+        member: SmolStr,
+        divisions: Rc<Divisions>,
+        engine: Rc<Engine>,
+        links: Rc<Links>,
+    ) -> Rc<Self> {
+        Rc::new(Directory {
+            zone,
+            member,
+            divisions,
+            engine,
+            links,
+            looked_at: RefCell::default(),
+            vacant: RefCell::default(),
+        })
+    }
+
+    /// Gets the pools of this host's zone that nobody owned when they were last looked at.
+    pub fn vacant_at_home(&self) -> Vec<PoolId> {
+        let vacant = self.vacant.borrow();
+        let home = vacant.iter().filter(|pool| pool.zone == self.zone);
+        home.cloned().collect()
+    }
+
+    /// Notes that a pool was taken, or has to be looked at again before it may be.
+    pub fn taken(&self, pool: &PoolId) {
+        self.vacant.borrow_mut().remove(pool);
+    }
+
+    /// Follows the owners for as long as the process lives.
+    pub async fn follow(self: Rc<Self>, address: SocketAddr, watch: StoreWatch) {
+        let mut store = Store::new(address);
+        loop {
+            let pools = self.divisions.pools();
+            self.links.keep_only(&pools);
+            for pool in &pools {
+                if !self.is_due(pool, pools.len()) {
+                    continue;
+                }
+                match ask_owner(&mut store, pool).await {
+                    Ok(owner) => {
+                        watch.answered();
+                        self.found(pool, owner);
+                    }
+                    Err(Error::Status { status: CROWDED }) => {
+                        Timer::after(CROWDED_PAUSE).await;
+                    }
+                    Err(error) => watch.failed(&error),
+                }
+            }
+            Timer::after(ROUND_PAUSE).await;
+        }
+    }
+
+    /// Tells whether a pool is to be looked at now, and notes that it is.
+    fn is_due(&self, pool: &PoolId, pools: usize) -> bool {
+        if self.engine.owned().as_ref() == Some(pool) {
+            return false;
+        }
+        let crowd = u64::try_from(pools.div_ceil(POOLS_AT_FULL_RATE)).unwrap_or(1);
+        let period = match (self.links.is_up(pool), pool.zone == self.zone) {
+            (false, _) => SEEKING_PERIOD,
+            (true, true) => HOME_PERIOD,
+            (true, false) => AWAY_PERIOD,
+        };
+        let period = Millis(period.0 * crowd);
+        let now = boot_clock::now();
+        let mut looked_at = self.looked_at.borrow_mut();
+        let last = looked_at.get(pool).copied();
+        let is_due = last.is_none_or(|last| now.since(last) >= period.into());
+        if is_due {
+            looked_at.insert(pool.clone(), now);
+        }
+        is_due
+    }
+
+    fn found(&self, pool: &PoolId, owner: Option<SmolStr>) {
+        let owner = owner.filter(|member| *member != self.member);
+        match owner {
+            Some(member) => {
+                self.vacant.borrow_mut().remove(pool);
+                self.links.set_owner(pool, address_of(&member));
+            }
+            // The last owner may serve on until a new one takes over: its link stays.
+            None => {
+                self.vacant.borrow_mut().insert(pool.clone());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-host/src/divisions.rs
@@ -0,0 +1,142 @@
+//! How many pools each zone has, as its owners have written it into the store.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use onyxshed_adapter::{Error, Store};
+use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_pool::{Division, PoolId};
+use smol_str::SmolStr;
+
+use crate::names::DIVISIONS;
+use crate::store_watch::StoreWatch;
+
+/// Topic of this system's own records.
+const TOPIC: &str = "keyed.onyxshed.pools";
+
+/// Time between two reads; divisions change with the size of a deployment, seldom.
+const READ_PERIOD: Duration = Duration::from_millis(3_000);
+
+/// How long an answer of the store may take; its slowest ones take about 300 ms.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Handle to the divisions known.
+pub struct Divisions {
+    zones: Vec<SmolStr>,
+    known: RefCell<BTreeMap<SmolStr, Division>>,
+}
+
+impl Divisions {
+    /// Makes a handle for a deployment's zones, none of which is known to be divided.
+    pub fn new(zones: Vec<SmolStr>) -> Rc<Self> {
+        Rc::new(Divisions {
+            zones,
+            known: RefCell::default(),
+        })
+    }
+
+    /// Gets a zone's division.
+    pub fn of(&self, zone: &str) -> Division {
+        self.known.borrow().get(zone).copied().unwrap_or_default()
+    }
+
+    /// Gets every pool of every zone.
+    pub fn pools(&self) -> Vec<PoolId> {
+        let zones = self.zones.iter();
+        let pools = zones.flat_map(|zone| {
+            (0..self.of(zone).pools).map(|index| PoolId {
+                zone: zone.clone(),
+                index,
+            })
+        });
+        pools.collect()
+    }
+
+    /// Takes in a zone's division; an older one than is known changes nothing.
+    pub fn learn(&self, zone: &SmolStr, division: Division) {
+        let mut known = self.known.borrow_mut();
+        let held = known.entry(zone.clone()).or_default();
+        if division.version > held.version {
+            *held = division;
+        }
+    }
+
+    /// Tries to write a zone's division into the store.
+    pub async fn publish(
+        &self,
+        store: &mut Store,
+        zone: &SmolStr,
+        division: Division,
+    ) -> onyxshed_adapter::Result<()> {
+        let text = division.to_text();
+        store
+            .append_keyed(TOPIC, zone, text.as_bytes(), ANSWER_TIMEOUT)
+            .await?;
+        self.learn(zone, division);
+        Ok(())
+    }
+
+    /// Reads the store's records once.
+    pub async fn refresh(&self, store: &mut Store) -> onyxshed_adapter::Result<()> {
+        let newest = match store.newest(TOPIC, ANSWER_TIMEOUT).await {
+            Ok(newest) => newest,
+            // Nothing was ever written: no zone is divided.
+            Err(Error::Status { status: 404 }) => return Ok(()),
+            Err(error) => return Err(error),
+        };
+        for record in newest.records {
+            let text = record.value.and_then(|value| String::from_utf8(value).ok());
+            if let Some(division) = text.as_deref().and_then(Division::from_text) {
+                self.learn(&record.key, division);
+            }
+        }
+        Ok(())
+    }
+}
+
+/// The divisions as a service.
+pub struct DivisionService {
+    divisions: Rc<Divisions>,
+    store: SocketAddr,
+}
+
+impl DivisionService {
+    /// Makes the service.
+    pub fn new(divisions: Rc<Divisions>, store: SocketAddr) -> Self {
+        DivisionService { divisions, store }
+    }
+}
+
+impl Service for DivisionService {
+    fn name(&self) -> ServiceName {
+        DIVISIONS
+    }
+
+    fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
+        Box::pin(async move {
+            let watch = StoreWatch::new(kernel, "divisions");
+            let follow = follow(self.divisions.clone(), self.store, watch);
+            kernel.spawn(follow).detach();
+            let descriptor = Descriptor {
+                name: DIVISIONS,
+                summary: "how many pools each zone has",
+            };
+            kernel.register(descriptor, self.divisions.clone())
+        })
+    }
+}
+
+async fn follow(divisions: Rc<Divisions>, address: SocketAddr, watch: StoreWatch) {
+    let mut store = Store::new(address);
+    loop {
+        match divisions.refresh(&mut store).await {
+            Ok(()) => watch.answered(),
+            Err(error) => watch.failed(&error),
+        }
+        Timer::after(READ_PERIOD).await;
+    }
+}
--- a/crates/onyxshed-host/src/engine.rs
+++ b/crates/onyxshed-host/src/engine.rs
@@ -19,7 +19,7 @@
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_pool::{
     Action, ExecutorFacts, ExecutorId, FencingToken, JobEnd, JobId, JobRequest, NotRunReason, Note,
-    PeerLife, Pool, PoolDigest, PoolOptions, Session, SubmissionNumber, UnknownReason,
+    PeerLife, Pool, PoolDigest, PoolId, PoolOptions, Session, SubmissionNumber, UnknownReason,
 };
 use smol_str::format_smolstr;
 
@@ -52,6 +52,7 @@
     own: PeerLife,
     options: PoolOptions,
     pool: RefCell<Option<Pool>>,
+    owned: RefCell<Option<PoolId>>,
     waiting: RefCell<Waiting>,
     connections: RefCell<BTreeMap<ExecutorId, Rc<ConnectionPool>>>,
     was_fenced: Cell<bool>,
@@ -66,6 +67,7 @@
             own,
             options: PoolOptions::default(),
             pool: RefCell::default(),
+            owned: RefCell::default(),
             waiting: RefCell::default(),
             connections: RefCell::default(),
             was_fenced: Cell::new(false),
@@ -78,6 +80,11 @@
         self.own
     }
 
+    /// Gets the pool owned, none if this host owns none.
+    pub fn owned(&self) -> Option<PoolId> {
+        self.owned.borrow().clone()
+    }
+
     /// Gets the token of the pool owned, none if this host owns none.
     pub fn token(&self) -> Option<FencingToken> {
         self.pool.borrow().as_ref().map(Pool::token)
@@ -96,11 +103,12 @@
     }
 
     /// Begins to own the pool.
-    pub fn own_pool(self: &Rc<Self>, token: FencingToken) {
+    pub fn own_pool(self: &Rc<Self>, token: FencingToken, id: PoolId) {
+        let detail = format_smolstr!("pool {id}, token {token}");
+        *self.owned.borrow_mut() = Some(id);
         let pool = Pool::new(boot_clock::now(), token, self.own, self.options.clone());
         *self.pool.borrow_mut() = Some(pool);
         self.kernel.spawn(self.clone().tick(token)).detach();
-        let detail = format_smolstr!("token {token}");
         self.kernel
             .emit(Event::new(EventKind::PoolOwned).detail(detail));
     }
@@ -110,6 +118,7 @@
         let Some(mut pool) = self.pool.borrow_mut().take() else {
             return;
         };
+        self.owned.take();
         let jobs = pool.live_jobs();
         let token = pool.token();
         let actions = pool.step_down();
--- a/crates/onyxshed-host/src/executors.rs
+++ b/crates/onyxshed-host/src/executors.rs
@@ -10,9 +10,10 @@
 use onyxshed_adapter::{Error, ExecutorEntry, Store};
 use onyxshed_core::Millis;
 use onyxshed_kernel::Kernel;
-use onyxshed_pool::{ExecutorFacts, ExecutorId, FencingToken};
+use onyxshed_pool::{Division, ExecutorFacts, ExecutorId, FencingToken, PoolId};
 use smol_str::SmolStr;
 
+use crate::divisions::Divisions;
 use crate::engine::Engine;
 use crate::store_watch::StoreWatch;
 
@@ -26,21 +27,24 @@
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
-/// Follows the entries for the pool of one zone until it has another owner.
+/// Follows the entries for one pool until it has another owner.
 pub async fn follow(
     kernel: Kernel,
     engine: Rc<Engine>,
-    token: FencingToken,
-    zone: SmolStr,
+    divisions: Rc<Divisions>,
+    (token, pool, division): (FencingToken, PoolId, Division),
     address: SocketAddr,
 ) {
     let watch = StoreWatch::new(&kernel, "executors");
     let mut store = Store::new(address);
     let mut follower = Follower {
         engine,
+        divisions,
         token,
-        zone,
+        pool,
+        division,
         listed: BTreeSet::new(),
+        of_zone: BTreeSet::new(),
     };
     while follower.is_needed() {
         let Err(error) = follower.follow_once(&mut store, &watch).await else {
@@ -55,9 +59,14 @@
 
 struct Follower {
     engine: Rc<Engine>,
+    divisions: Rc<Divisions>,
     token: FencingToken,
-    zone: SmolStr,
+    pool: PoolId,
+    division: Division,
+    /// Executors of the pool.
     listed: BTreeSet<SmolStr>,
+    /// Executors of the whole zone, by which it is divided.
+    of_zone: BTreeSet<SmolStr>,
 }
 
 impl Follower {
@@ -76,6 +85,9 @@
         self.take_newest(&newest.records);
         let mut next = newest.next;
         while self.is_needed() {
+            if self.divide_anew(store).await? {
+                return Ok(());
+            }
             watch.answered();
             Timer::after(READ_PERIOD).await;
             let read = store
@@ -87,6 +99,23 @@
         Ok(())
     }
 
+    /// Gives the pool up if its zone has another division by now; the owner of the zone's first
+    /// pool makes one when the number of executors asks for it.
+    async fn divide_anew(&self, store: &mut Store) -> onyxshed_adapter::Result<bool> {
+        if self.pool.index == 0
+            && let Some(renewed) = self.division.renewed(self.of_zone.len())
+        {
+            self.divisions
+                .publish(store, &self.pool.zone, renewed)
+                .await?;
+        }
+        let is_new = self.divisions.of(&self.pool.zone) != self.division;
+        if is_new {
+            self.engine.give_up("the zone is divided anew");
+        }
+        Ok(is_new)
+    }
+
     /// Takes in the whole list: whoever is not on it is no longer listed.
     fn take_newest(&mut self, records: &[KeyedRecord]) {
         let present: BTreeSet<&SmolStr> = records.iter().map(|record| &record.key).collect();
@@ -96,6 +125,7 @@
             .filter(|id| !present.contains(id))
             .cloned()
             .collect();
+        self.of_zone.retain(|id| present.contains(id));
         for id in gone {
             self.unlist(&id);
         }
@@ -111,15 +141,20 @@
         let Ok(entry) = ExecutorEntry::parse(value) else {
             return;
         };
-        if entry.zone != self.zone {
+        if entry.zone != self.pool.zone {
+            return;
+        }
+        self.of_zone.insert(record.key.clone());
+        let id = ExecutorId(record.key.clone());
+        if self.division.index_of(&id) != self.pool.index {
             return;
         }
         self.listed.insert(record.key.clone());
-        self.engine
-            .executor_listed(ExecutorId(record.key.clone()), facts_of(entry));
+        self.engine.executor_listed(id, facts_of(entry));
     }
 
     fn unlist(&mut self, id: &SmolStr) {
+        self.of_zone.remove(id);
         if self.listed.remove(id) {
             self.engine.executor_unlisted(&ExecutorId(id.clone()));
         }
--- a/crates/onyxshed-host/src/lib.rs
+++ b/crates/onyxshed-host/src/lib.rs
@@ -1,15 +1,17 @@
 //! `onyxshed-host`: one host of the system on the users' platform.
 //!
 //! Every host takes callers' jobs ([`callers`]) and hands each one whole to the owner of a pool of
-//! executors, over a link ([`links`]) or within the process. Each availability zone has a pool; its
-//! owner is the host that holds the zone's partition of a group in the platform's store
-//! ([`ownership`]). The owner runs the decisions of `onyxshed-pool` ([`engine`]).
+//! executors, over a link ([`links`]) or within the process. Each availability zone has a pool, or
+//! several where it is large ([`divisions`]); a pool's owner is the host that holds its partition of
+//! a group in the platform's store ([`directory`], [`ownership`]). The owner runs the decisions of `onyxshed-pool` ([`engine`]).
 //!
 //! Nothing here decides about tasks: these services turn sockets and timers into events of the
 //! decisions, and their actions into calls.
 
 pub mod boot_clock;
 pub mod callers;
+pub mod directory;
+pub mod divisions;
 pub mod engine;
 pub mod executors;
 pub mod links;
--- a/crates/onyxshed-host/src/links.rs
+++ b/crates/onyxshed-host/src/links.rs
@@ -15,39 +15,55 @@
 use onyxshed_core::{Event, EventKind};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_pool::{
-    Chooser, JobEnd, JobRequest, PeerLife, PoolDigest, SubmissionNumber, UnknownReason,
+    Chooser, JobEnd, JobRequest, PeerLife, PoolDigest, PoolId, SubmissionNumber, UnknownReason,
 };
 use onyxshed_process::{listen, serve_rpc};
 use onyxshed_proto::pool_capnp::pool_port;
 use smol_str::{SmolStr, format_smolstr};
 
+use crate::divisions::Divisions;
 use crate::engine::Engine;
 use crate::names::{ENGINE, LINKS};
 use remote::RemoteLink;
 
+/// Pools whose owners every host may hear at the full rate.
+const POOLS_AT_FULL_RATE: u32 = 4;
+
+/// Longest time between two heartbeats on a link that no job waits on.
+const IDLE_HEARTBEAT_MAX: std::time::Duration = std::time::Duration::from_millis(1_000);
+
 /// Who this host is to others.
 #[derive(Debug, Clone)]
 pub struct LinkOptions {
     /// Where owners are asked.
     pub address: SocketAddr,
-    /// The zone, which names the pool that this host may own.
+    /// This host's zone.
     pub zone: SmolStr,
+    /// This host's name.
+    pub host: SmolStr,
 }
 
 /// Handle to the links.
 pub struct Links {
     kernel: Kernel,
     engine: Rc<Engine>,
+    divisions: Rc<Divisions>,
     options: LinkOptions,
     chooser: RefCell<Chooser>,
-    remote: RefCell<BTreeMap<SmolStr, Rc<RemoteLink>>>,
+    remote: RefCell<BTreeMap<PoolId, Rc<RemoteLink>>>,
     last_submission: Cell<u64>,
 }
 
 impl Links {
     /// Makes the handle.
-    pub fn new(kernel: &Kernel, engine: Rc<Engine>, options: LinkOptions) -> Rc<Self> {
+    pub fn new(
+        kernel: &Kernel,
+        engine: Rc<Engine>,
+        divisions: Rc<Divisions>,
+        options: LinkOptions,
+    ) -> Rc<Self> {
         Rc::new(Links {
+            divisions,
             kernel: kernel.clone(),
             engine,
             options,
@@ -68,13 +84,42 @@
         SubmissionNumber(self.last_submission.get())
     }
 
+    /// Gets the pool that this host hands its jobs to first.
+    pub fn preferred(&self) -> PoolId {
+        let zone = &self.options.zone;
+        PoolId {
+            zone: zone.clone(),
+            index: self.divisions.of(zone).preferred(&self.options.host),
+        }
+    }
+
+    /// Gets the time between two heartbeats on a link that no job waits on: with many pools, all
+    /// hosts' heartbeats together would take an owner's processor.
+    fn idle_heartbeat(&self) -> std::time::Duration {
+        let pools = u32::try_from(self.remote.borrow().len()).unwrap_or(u32::MAX);
+        let crowd = pools.div_ceil(POOLS_AT_FULL_RATE).max(1);
+        (remote::HEARTBEAT * crowd).min(IDLE_HEARTBEAT_MAX)
+    }
+
+    /// Closes the links to pools that are no more.
+    pub fn keep_only(self: &Rc<Self>, pools: &[PoolId]) {
+        let gone: Vec<PoolId> = {
+            let remote = self.remote.borrow();
+            let gone = remote.keys().filter(|pool| !pools.contains(pool));
+            gone.cloned().collect()
+        };
+        for pool in gone {
+            self.set_owner(&pool, None);
+        }
+    }
+
     /// Gets the pools in the order in which a job should be handed to them.
-    pub fn order(&self, job: &JobRequest) -> Vec<SmolStr> {
-        if let Some(digest) = self.engine.digest() {
-            self.chooser.borrow_mut().told(&self.options.zone, digest);
+    pub fn order(&self, job: &JobRequest) -> Vec<PoolId> {
+        if let (Some(digest), Some(owned)) = (self.engine.digest(), self.engine.owned()) {
+            self.chooser.borrow_mut().told(&owned, digest);
         }
         let chooser = self.chooser.borrow();
-        chooser.order(&self.options.zone, job.demand, job.tasks)
+        chooser.order(&self.preferred(), job.demand, job.tasks)
     }
 
     /// Tells whether any pool's owner answers.
@@ -84,7 +129,7 @@
     }
 
     /// Takes in who owns a pool; none if nobody does, or this host itself.
-    pub fn set_owner(self: &Rc<Self>, pool: &SmolStr, owner: Option<SocketAddr>) {
+    pub fn set_owner(self: &Rc<Self>, pool: &PoolId, owner: Option<SocketAddr>) {
         let held = self.remote.borrow().get(pool).map(|link| link.address());
         if held == owner {
             return;
@@ -107,22 +152,22 @@
     }
 
     /// Tells whether the owner of a pool is known and answers.
-    pub fn is_up(&self, pool: &SmolStr) -> bool {
+    pub fn is_up(&self, pool: &PoolId) -> bool {
         let remote = self.remote.borrow();
         remote.get(pool).is_some_and(|link| link.is_up())
     }
 
     /// Takes in what an owner tells of its pool.
-    fn told(&self, pool: &SmolStr, digest: PoolDigest) {
+    fn told(&self, pool: &PoolId, digest: PoolDigest) {
         self.chooser.borrow_mut().told(pool, digest);
     }
 
     /// Hands a job to a pool and waits for its end. Dropping the future gives the job up.
-    pub async fn run(self: &Rc<Self>, pool: &SmolStr, job: JobRequest) -> JobEnd {
+    pub async fn run(self: &Rc<Self>, pool: &PoolId, job: JobRequest) -> JobEnd {
         self.chooser
             .borrow_mut()
             .handed(pool, job.demand, job.tasks, job.estimate);
-        if *pool == self.options.zone && self.engine.token().is_some() {
+        if self.engine.owned().as_ref() == Some(pool) {
             return self.run_here(job).await;
         }
         let link = self.remote.borrow().get(pool).cloned();
@@ -194,7 +239,7 @@
         Box::pin(async move {
             let links = &self.links;
             let (listener, _) = listen(kernel, LINKS, "peer", links.options.address).await?;
-            let port = port::Port::new(links.engine.clone(), links.options.zone.clone());
+            let port = port::Port::new(links.engine.clone());
             let client: pool_port::Client = capnp_rpc::new_client(port);
             serve_rpc(kernel, listener, client.client);
             let descriptor = Descriptor {
--- a/crates/onyxshed-host/src/links/port.rs
+++ b/crates/onyxshed-host/src/links/port.rs
@@ -5,28 +5,27 @@
 use capnp::capability::Rc as ServerRc;
 use onyxshed_core::Millis;
 use onyxshed_pool::{
-    JobEnd, JobId, NotRunReason, PeerLife, Session, SubmissionNumber, UnknownReason,
+    JobEnd, JobId, NotRunReason, PeerLife, PoolId, Session, SubmissionNumber, UnknownReason,
 };
 use onyxshed_proto::pool;
 use onyxshed_proto::pool_capnp::pool_port;
-use smol_str::SmolStr;
 
 use crate::engine::Engine;
 
 /// Serves entry hosts.
 pub struct Port {
     engine: Rc<Engine>,
-    zone: SmolStr,
 }
 
 impl Port {
-    /// Makes the interface for the pool of a zone.
-    pub fn new(engine: Rc<Engine>, zone: SmolStr) -> Self {
-        Port { engine, zone }
+    /// Makes the interface.
+    pub fn new(engine: Rc<Engine>) -> Self {
+        Port { engine }
     }
 
     fn is_mine(&self, pool: &str) -> bool {
-        pool == self.zone
+        let asked: Option<PoolId> = pool.parse().ok();
+        asked.is_some() && asked == self.engine.owned()
     }
 }
 
--- a/crates/onyxshed-host/src/links/remote.rs
+++ b/crates/onyxshed-host/src/links/remote.rs
@@ -8,19 +8,27 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::FutureExt;
-use onyxshed_core::{Event, EventKind, Millis};
+use onyxshed_core::{Event, EventKind, Millis, Mono};
 use onyxshed_http::client::within;
 use onyxshed_pool::{
-    JobEnd, JobId, JobRequest, NotRunReason, Session, SubmissionNumber, UnknownReason,
+    JobEnd, JobId, JobRequest, NotRunReason, PoolId, Session, SubmissionNumber, UnknownReason,
 };
 use onyxshed_proto::pool_capnp::pool_port;
 use onyxshed_proto::{pool, rpc};
-use smol_str::{SmolStr, format_smolstr};
+use smol_str::format_smolstr;
 
 use super::Links;
+use crate::boot_clock;
 
 /// Time between two heartbeats: a quarter of the silence after which owners give a host up.
-const HEARTBEAT: Duration = Duration::from_millis(150);
+pub const HEARTBEAT: Duration = Duration::from_millis(150);
+
+/// Time since its last job for which a link is heard at the full rate.
+const USED_WITHIN: Millis = Millis(2_000);
+
+/// Time since its last answer for which a link's session is trusted: half of the silence after
+/// which an owner ends it.
+const FRESH_WITHIN: Millis = Millis(300);
 
 /// How long an owner may take to answer before the link is given up: less than the silence after
 /// which it gives this host up, so that a job is stopped there no later than its caller sends it
@@ -44,21 +52,28 @@
 /// A link.
 pub struct RemoteLink {
     links: Rc<Links>,
-    pool: SmolStr,
+    pool: PoolId,
     address: SocketAddr,
     open: RefCell<Option<Rc<Open>>>,
     is_closed: Cell<bool>,
+    /// Jobs that wait on the link, and when the last one was handed over.
+    waiting: Cell<usize>,
+    used_at: Cell<Mono>,
+    heard_at: Cell<Mono>,
 }
 
 impl RemoteLink {
     /// Opens a link that keeps itself up until it is closed.
-    pub fn open(links: Rc<Links>, pool: SmolStr, address: SocketAddr) -> Rc<Self> {
+    pub fn open(links: Rc<Links>, pool: PoolId, address: SocketAddr) -> Rc<Self> {
         let link = Rc::new(RemoteLink {
             links,
             pool,
             address,
             open: RefCell::default(),
             is_closed: Cell::new(false),
+            waiting: Cell::new(0),
+            used_at: Cell::new(Mono(0)),
+            heard_at: Cell::new(Mono(0)),
         });
         link.links.kernel.spawn(link.clone().keep_up()).detach();
         link
@@ -106,12 +121,38 @@
             if self.is_closed.get() {
                 return Some("another host owns the pool");
             }
-            Timer::after(HEARTBEAT).await;
+            Timer::after(self.heartbeat_pause()).await;
+        }
+    }
+
+    /// Gets the time until the next heartbeat: seldom on a link that is not used.
+    fn heartbeat_pause(&self) -> Duration {
+        let unused = boot_clock::now().since(self.used_at.get());
+        if self.waiting.get() > 0 || unused < USED_WITHIN.into() {
+            HEARTBEAT
+        } else {
+            self.links.idle_heartbeat()
+        }
+    }
+
+    /// Renews the session of a link that was heard seldom, before a job is handed over on it.
+    async fn renew(&self, open: &Open) -> bool {
+        let quiet = boot_clock::now().since(self.heard_at.get());
+        if quiet < FRESH_WITHIN.into() {
+            return true;
+        }
+        match within(SILENCE, self.heartbeat(&open.client)).await {
+            Some(Ok(Some(session))) => {
+                self.heard(&open.client, session, &open.lost);
+                true
+            }
+            _ => false,
         }
     }
 
     fn heard(&self, client: &pool_port::Client, session: Session, lost: &Receiver<()>) {
         let was_up = self.is_up();
+        self.heard_at.set(boot_clock::now());
         let is_same = self
             .open
             .borrow()
@@ -133,7 +174,7 @@
         let mut request = client.heartbeat_request();
         let mut params = request.get();
         params.set_life(self.links.engine.own().0);
-        params.set_pool(self.pool.as_str());
+        params.set_pool(format_smolstr!("{}", self.pool).as_str());
         let reply = request.send().promise.await?;
         let reply = reply.get()?;
         if !reply.get_is_owner() {
@@ -159,9 +200,18 @@
 
     /// Hands a job over and waits for its end. Dropping the future gives the job up.
     pub async fn run(self: Rc<Self>, job: JobRequest) -> JobEnd {
+        let not_owner = JobEnd::NotRun(NotRunReason::NotOwner, Millis(0));
+        let Some(known) = self.open.borrow().clone() else {
+            return not_owner;
+        };
+        self.used_at.set(boot_clock::now());
+        if !self.renew(&known).await {
+            return not_owner;
+        }
         let Some(open) = self.open.borrow().clone() else {
-            return JobEnd::NotRun(NotRunReason::NotOwner, Millis(0));
+            return not_owner;
         };
+        let _waiting = Waiting::on(self.clone());
         let guard = RemoteGuard {
             link: self.clone(),
             client: open.client.clone(),
@@ -187,7 +237,7 @@
         let mut request = open.client.run_request();
         let mut params = request.get();
         params.set_life(self.links.engine.own().0);
-        params.set_pool(self.pool.as_str());
+        params.set_pool(format_smolstr!("{}", self.pool).as_str());
         params.set_session(open.session.0);
         pool::write_job(job, params.init_job());
         let reply = request.send().promise.await?;
@@ -208,7 +258,7 @@
         let mut request = client.cancel_request();
         let mut params = request.get();
         params.set_life(self.links.engine.own().0);
-        params.set_pool(self.pool.as_str());
+        params.set_pool(format_smolstr!("{}", self.pool).as_str());
         params.set_job(job.0);
         params.set_submission(submission.0);
         request.send().promise.await?;
@@ -216,6 +266,22 @@
     }
 }
 
+/// Counts a job that waits on a link.
+struct Waiting(Rc<RemoteLink>);
+
+impl Waiting {
+    fn on(link: Rc<RemoteLink>) -> Self {
+        link.waiting.set(link.waiting.get() + 1);
+        Waiting(link)
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.0.waiting.set(self.0.waiting.get() - 1);
+    }
+}
+
 /// Gives a job up at its owner if its caller leaves or its fate becomes unknown.
 struct RemoteGuard {
     link: Rc<RemoteLink>,
--- a/crates/onyxshed-host/src/names.rs
+++ b/crates/onyxshed-host/src/names.rs
@@ -11,6 +11,9 @@
 /// Executors as the platform lists them.
 pub const EXECUTORS: ServiceName = ServiceName::new("executors");
 
+/// How many pools each zone has.
+pub const DIVISIONS: ServiceName = ServiceName::new("divisions");
+
 /// Links to the owners of pools.
 pub const LINKS: ServiceName = ServiceName::new("links");
 
--- a/crates/onyxshed-host/src/process.rs
+++ b/crates/onyxshed-host/src/process.rs
@@ -18,6 +18,7 @@
 use onyxshed_telemetry::{Telemetry, TelemetryOptions};
 
 use crate::callers::{CallerOptions, CallerService};
+use crate::divisions::{DivisionService, Divisions};
 use crate::engine::{Engine, EngineService};
 use crate::links::{LinkOptions, LinkService, Links};
 use crate::manifest::ManifestService;
@@ -181,11 +182,12 @@
     let link_options = LinkOptions {
         address: peer_address,
         zone: settings.zone.clone(),
+        host: settings.host.clone(),
     };
-    let links = Links::new(kernel, engine.clone(), link_options);
+    let divisions = Divisions::new(settings.zones.clone());
+    let links = Links::new(kernel, engine.clone(), divisions.clone(), link_options);
     let ownership = OwnershipOptions {
         zone: settings.zone.clone(),
-        zones: settings.zones.clone(),
         address: options.advertised.unwrap_or(peer_address),
         store: settings.store_address,
         ttl_min_ms: settings.member_ttl_min_ms,
@@ -212,8 +214,12 @@
         )),
         Box::new(ManifestService::new(settings.store_address)),
         Box::new(EngineService::new(engine.clone())),
+        Box::new(DivisionService::new(
+            divisions.clone(),
+            settings.store_address,
+        )),
         Box::new(LinkService::new(links.clone())),
-        Box::new(OwnershipService::new(ownership, engine, links)),
+        Box::new(OwnershipService::new(ownership, divisions, engine, links)),
         Box::new(ReadyService::new(settings.ready_address)),
         Box::new(CallerService::new(callers)),
     ]
--- a/crates/onyxshed-pool/src/chooser.rs
+++ b/crates/onyxshed-pool/src/chooser.rs
@@ -5,10 +5,9 @@
 
 use std::collections::BTreeMap;
 
-use onyxshed_core::Millis;
-use smol_str::SmolStr;
-
+use crate::division::PoolId;
 use crate::room::Room;
+use onyxshed_core::Millis;
 
 /// What an owner tells about its pool.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -27,25 +26,29 @@
 /// back, so that small differences between reports half a heartbeat old move nothing.
 const AWAY_MARGIN: Millis = Millis(20);
 
+/// The same for another pool of the host's own zone, whose owner it hears seldom while it hands it
+/// no jobs.
+const NEIGHBOUR_MARGIN: Millis = Millis(10);
+
 /// Loads of the pools as the entry host believes them.
 #[derive(Debug, Default)]
 pub struct Chooser {
-    digests: BTreeMap<SmolStr, PoolDigest>,
+    digests: BTreeMap<PoolId, PoolDigest>,
 }
 
 impl Chooser {
     /// Takes in what an owner tells of its pool.
-    pub fn told(&mut self, pool: &SmolStr, digest: PoolDigest) {
+    pub fn told(&mut self, pool: &PoolId, digest: PoolDigest) {
         self.digests.insert(pool.clone(), digest);
     }
 
     /// Forgets a pool whose owner is lost.
-    pub fn lost(&mut self, pool: &SmolStr) {
+    pub fn lost(&mut self, pool: &PoolId) {
         self.digests.remove(pool);
     }
 
     /// Notes that a job was handed to a pool, ahead of the owner's next word.
-    pub fn handed(&mut self, pool: &SmolStr, demand: Room, tasks: u16, estimate: Millis) {
+    pub fn handed(&mut self, pool: &PoolId, demand: Room, tasks: u16, estimate: Millis) {
         let Some(digest) = self.digests.get_mut(pool) else {
             return;
         };
@@ -56,15 +59,14 @@
     }
 
     /// Gets the pools in the order in which they should be asked.
-    pub fn order(&self, home: &SmolStr, demand: Room, tasks: u16) -> Vec<SmolStr> {
-        let mut pools: Vec<(u64, bool, &SmolStr)> = self
+    pub fn order(&self, home: &PoolId, demand: Room, tasks: u16) -> Vec<PoolId> {
+        let mut pools: Vec<(u64, u64, &PoolId)> = self
             .digests
             .iter()
             .filter(|(_, digest)| !digest.is_closing && digest.capacity_cpu_millis > 0)
             .map(|(pool, digest)| {
-                let is_away = pool != home;
-                let margin_ms = if is_away { AWAY_MARGIN.0 } else { 0 };
-                (wait_ms(digest, demand, tasks) + margin_ms, is_away, pool)
+                let margin = margin(home, pool).0;
+                (wait_ms(digest, demand, tasks) + margin, margin, pool)
             })
             .collect();
         pools.sort();
@@ -72,6 +74,15 @@
     }
 }
 
+/// Gets the advantage in waiting time that makes a pool worth while.
+fn margin(home: &PoolId, pool: &PoolId) -> Millis {
+    match (pool == home, pool.zone == home.zone) {
+        (true, _) => Millis(0),
+        (false, true) => NEIGHBOUR_MARGIN,
+        (false, false) => AWAY_MARGIN,
+    }
+}
+
 /// Gets how long the last task of a job would wait, in milliseconds.
 ///
 /// What waits is worked off by the whole pool; of the job itself, what does not fit into the free
--- a/crates/onyxshed-pool/src/lib.rs
+++ b/crates/onyxshed-pool/src/lib.rs
@@ -14,6 +14,7 @@
 
 pub mod candidate;
 pub mod chooser;
+pub mod division;
 pub mod error;
 pub mod executor;
 pub mod id;
@@ -27,6 +28,7 @@
 
 pub use candidate::{Candidate, CandidateStep};
 pub use chooser::{Chooser, PoolDigest};
+pub use division::{Division, PoolId};
 pub use error::{Error, Result};
 pub use executor::ExecutorFacts;
 pub use id::{
--- a/crates/onyxshed-pool/src/pool/watch.rs
+++ b/crates/onyxshed-pool/src/pool/watch.rs
@@ -66,7 +66,10 @@
                 .filter(|(_, job)| job.request.peer == peer)
                 .map(|(id, _)| *id)
                 .collect();
-            self.note(Note::PeerSilent(peer, jobs.len()));
+            // One that has handed nothing over and is heard seldom is no news.
+            if !jobs.is_empty() {
+                self.note(Note::PeerSilent(peer, jobs.len()));
+            }
             for job in jobs {
                 self.end_job(job, JobEnd::Unknown(UnknownReason::PeerSilent));
             }
--- /dev/null
+++ b/crates/onyxshed-pool/tests/pool/division.rs
@@ -0,0 +1,80 @@
+//! How a zone's executors are divided into pools.
+
+use onyxshed_pool::{Division, ExecutorId, PoolId};
+use rstest::rstest;
+
+#[rstest]
+#[case(0, 1)]
+#[case(16, 1)]
+#[case(117, 1)]
+#[case(180, 1)]
+#[case(333, 3)]
+#[case(1_000, 8)]
+#[case(100_000, 16)]
+fn a_zone_has_as_many_pools_as_its_executors_need(#[case] executors: usize, #[case] pools: u32) {
+    let division = Division::default();
+    let found = division.renewed(executors).unwrap_or(division);
+    assert_eq!(found.pools, pools);
+}
+
+/// A change gives up every job of the zone: executors that come and go must not cause one.
+#[test]
+fn a_division_stays_while_it_does() {
+    let three = Division {
+        version: 4,
+        pools: 3,
+    };
+    for executors in [140, 333, 500] {
+        assert_eq!(three.renewed(executors), None, "{executors}");
+    }
+    assert_eq!(three.renewed(100).map(|found| found.pools), Some(1));
+    assert_eq!(three.renewed(600).map(|found| found.pools), Some(5));
+}
+
+/// An executor comes into another pool, whose group is at a lower generation. Its new owner's token
+/// must be higher all the same, or the executor would refuse it for good.
+#[test]
+fn tokens_rise_with_each_division() {
+    let old = Division {
+        version: 1,
+        pools: 1,
+    };
+    let new = old.renewed(1_000).expect("a division");
+    assert!(new.token(1) > old.token(4_000_000));
+}
+
+#[test]
+fn every_pool_gets_its_share() {
+    let division = Division {
+        version: 1,
+        pools: 8,
+    };
+    let mut counts = [0; 8];
+    for number in 0..1_000 {
+        let id = ExecutorId(format!("i-{number:010x}").into());
+        counts[usize::try_from(division.index_of(&id)).unwrap()] += 1;
+    }
+    assert!(
+        counts.iter().all(|count| (90..165).contains(count)),
+        "{counts:?}"
+    );
+}
+
+#[rstest]
+#[case("kigali-a/0")]
+#[case("z/with/slash/12")]
+fn pools_are_read_as_written(#[case] text: &str) {
+    let id: PoolId = text.parse().expect("an id");
+    assert_eq!(id.to_string(), text);
+}
+
+#[test]
+fn a_division_is_read_as_written() {
+    let division = Division {
+        version: 7,
+        pools: 3,
+    };
+    assert_eq!(Division::from_text(&division.to_text()), Some(division));
+    assert_eq!(Division::from_text("7 0"), None);
+    assert_eq!(Division::from_text(""), None);
+}
--- a/crates/onyxshed-pool/tests/pool/main.rs
+++ b/crates/onyxshed-pool/tests/pool/main.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod candidate;
+mod division;
 mod fixture;
 mod hosts;
 mod load;
--- a/crates/onyxshed-pool/tests/pool/parts.rs
+++ b/crates/onyxshed-pool/tests/pool/parts.rs
@@ -2,7 +2,7 @@
 
 use onyxshed_core::{Micros, Millis, Mono};
 use onyxshed_pool::speed::Slowdown;
-use onyxshed_pool::{Chooser, JobId, PoolDigest, Room};
+use onyxshed_pool::{Chooser, JobId, PoolDigest, PoolId, Room};
 use rstest::rstest;
 
 #[rstest]
@@ -48,6 +48,13 @@
     assert!((1.3..1.8).contains(&faded), "{faded}");
 }
 
+fn pool(zone: &str) -> PoolId {
+    PoolId {
+        zone: zone.into(),
+        index: 0,
+    }
+}
+
 fn digest(free_cores: u64, waiting_core_ms: u64) -> PoolDigest {
     PoolDigest {
         capacity_cpu_millis: 1_000_000,
@@ -59,15 +66,15 @@
 
 fn order(home: &PoolDigest, away: &PoolDigest, tasks: u16) -> Vec<String> {
     let mut chooser = Chooser::default();
-    chooser.told(&"home".into(), home.clone());
-    chooser.told(&"away".into(), away.clone());
+    chooser.told(&pool("home"), home.clone());
+    chooser.told(&pool("away"), away.clone());
     let demand = Room {
         cpu_millis: 27_000,
         memory_mb: 64,
         accelerators: 0,
     };
-    let pools = chooser.order(&"home".into(), demand, tasks);
-    pools.iter().map(ToString::to_string).collect()
+    let pools = chooser.order(&pool("home"), demand, tasks);
+    pools.iter().map(|pool| pool.zone.to_string()).collect()
 }
 
 #[test]
@@ -96,14 +103,14 @@
 #[test]
 fn jobs_handed_over_count_before_the_owner_says_so() {
     let mut chooser = Chooser::default();
-    chooser.told(&"home".into(), digest(270, 0));
-    chooser.told(&"away".into(), digest(270, 0));
+    chooser.told(&pool("home"), digest(270, 0));
+    chooser.told(&pool("away"), digest(270, 0));
     let demand = Room {
         cpu_millis: 27_000,
         memory_mb: 64,
         accelerators: 0,
     };
-    chooser.handed(&"home".into(), demand, 32, Millis(1_000));
-    let pools = chooser.order(&"home".into(), demand, 1);
-    assert_eq!(pools[0], "away");
+    chooser.handed(&pool("home"), demand, 32, Millis(1_000));
+    let pools = chooser.order(&pool("home"), demand, 1);
+    assert_eq!(pools[0], pool("away"));
 }
--- a/crates/onyxshed-standins/src/fleet/store.rs
+++ b/crates/onyxshed-standins/src/fleet/store.rs
@@ -113,6 +113,7 @@
             (Method::Get, "/log-newest") => self.newest(&call),
             (Method::Get, "/log-read") => self.read(&call).await,
             (Method::Get, "/log-owners") => self.owners(&call),
+            (Method::Post, "/log-append") => self.append(&call),
             (Method::Post, "/log-join") => self.join(&call),
             (Method::Post, "/log-leave") => self.leave(&call),
             _ => no_such_path(),
@@ -160,6 +161,27 @@
         done()
     }
 
+    /// Takes one record of a keyed topic in the store's framing.
+    fn append(&self, call: &Call) -> Act {
+        const LENGTH_BYTES: usize = 4;
+        let record = call.body.get(LENGTH_BYTES..).unwrap_or_default();
+        let Some((length, rest)) = record.split_first() else {
+            return no_such_path();
+        };
+        let Some((key, value)) = rest.split_at_checked(usize::from(*length)) else {
+            return no_such_path();
+        };
+        let key = SmolStr::new(String::from_utf8_lossy(key));
+        let topic = call.query("topic").unwrap_or_default();
+        let mut topics = self.inner.topics.borrow_mut();
+        let topic = topics.entry(topic).or_default();
+        topic.put(key, Some(value.to_vec()));
+        let told = json!({ "offset": topic.end() - 1, "end": topic.end() });
+        drop(topics);
+        self.inner.changed.notify();
+        Act::Reply(Reply::json(OK, &told))
+    }
+
     fn newest(&self, call: &Call) -> Act {
         let mut topics = self.inner.topics.borrow_mut();
         let topic = topics
