--- a/crates/onyxshed-host/src/divisions.rs
+++ b/crates/onyxshed-host/src/divisions.rs
@@ -65,27 +65,38 @@
         }
     }
 
-    /// Tries to write a zone's division into the store.
+    /// Tries to write a zone's division into the store, in place of the one before it.
+    ///
+    /// Failure guarded against: two owners of a zone's first pool, one after the other, divide the
+    /// zone under the same version but into different numbers of pools. Symptom: two owners hold
+    /// one executor and stop each other's runs. The record is written only where nothing has been
+    /// written since the version before it was read.
     pub async fn publish(
         &self,
         store: &mut Store,
         zone: &SmolStr,
         division: Division,
     ) -> onyxshed_adapter::Result<()> {
+        let end = self.refresh(store).await?;
+        if self.of(zone).version + 1 != division.version {
+            return Ok(());
+        }
         let text = division.to_text();
-        store
-            .append_keyed(TOPIC, zone, text.as_bytes(), ANSWER_TIMEOUT)
+        let is_written = store
+            .append_keyed_at(TOPIC, end, zone, text.as_bytes(), ANSWER_TIMEOUT)
             .await?;
-        self.learn(zone, division);
+        if is_written {
+            self.learn(zone, division);
+        }
         Ok(())
     }
 
-    /// Reads the store's records once.
-    pub async fn refresh(&self, store: &mut Store) -> onyxshed_adapter::Result<()> {
+    /// Reads the store's records once, and gets where they end.
+    pub async fn refresh(&self, store: &mut Store) -> onyxshed_adapter::Result<u64> {
         let newest = match store.newest(TOPIC, ANSWER_TIMEOUT).await {
             Ok(newest) => newest,
             // Nothing was ever written: no zone is divided.
-            Err(Error::Status { status: 404 }) => return Ok(()),
+            Err(Error::Status { status: 404 }) => return Ok(0),
             Err(error) => return Err(error),
         };
         for record in newest.records {
@@ -94,7 +105,7 @@
                 self.learn(&record.key, division);
             }
         }
-        Ok(())
+        Ok(newest.next)
     }
 }
 
@@ -134,7 +145,7 @@
     let mut store = Store::new(address);
     loop {
         match divisions.refresh(&mut store).await {
-            Ok(()) => watch.answered(),
+            Ok(_) => watch.answered(),
             Err(error) => watch.failed(&error),
         }
         Timer::after(READ_PERIOD).await;
--- a/crates/onyxshed-host/src/ownership.rs
+++ b/crates/onyxshed-host/src/ownership.rs
@@ -233,10 +233,7 @@
 
     async fn join(&mut self, pool: PoolId) -> Next {
         match self.send_join(&pool).await {
-            Some(true) => {
-                self.begin(&pool);
-                Next::Renew(pool)
-            }
+            Some(true) => self.begin(pool).await,
             Some(false) => Next::Leave(pool),
             None => Next::Contend,
         }
@@ -268,11 +265,19 @@
         }
     }
 
-    fn begin(&self, pool: &PoolId) {
+    /// Begins to own a pool, if the zone's division still has it.
+    async fn begin(&mut self, pool: PoolId) -> Next {
+        // Without an answer the division known is taken; executors refuse a token of an old one.
+        if let Err(error) = self.divisions.refresh(&mut self.store).await {
+            self.watch.failed(&error);
+        }
         let division = self.divisions.of(&pool.zone);
-        let token = division.token(self.generation);
-        self.directory.taken(pool);
-        self.links.set_owner(pool, None);
+        if pool.index >= division.pools {
+            return Next::Leave(pool);
+        }
+        let token = division.token(&pool, self.generation);
+        self.directory.taken(&pool);
+        self.links.set_owner(&pool, None);
         self.engine.take_fenced();
         self.engine.own_pool(token, pool.clone());
         let follow = executors::follow(
@@ -283,6 +288,7 @@
             self.options.store,
         );
         self.kernel.spawn(follow).detach();
+        Next::Renew(pool)
     }
 
     async fn renew(&mut self, pool: PoolId) -> Next {
--- a/crates/onyxshed-pool/src/division.rs
+++ b/crates/onyxshed-pool/src/division.rs
@@ -22,7 +22,10 @@
 /// Most pools of a zone; the store takes 100 topics in all, one a pool.
 const POOLS_MAX: usize = 16;
 
-/// Bits of a token that hold the group's generation; above them stands the division's version.
+/// Bits of a token that hold the pool's index, below the group's generation.
+const INDEX_BITS: u32 = 4;
+
+/// Bits of a token that hold generation and index; above them stands the division's version.
 const GENERATION_BITS: u32 = 32;
 
 /// One pool.
@@ -112,9 +115,13 @@
     /// Makes the token of an owner from the generation of its group.
     ///
     /// Generations of two pools' groups can't be compared. An executor that comes into another
-    /// pool does so by a new division, whose version makes every token higher than before.
-    pub fn token(self, generation: u64) -> FencingToken {
-        FencingToken((u64::from(self.version) << GENERATION_BITS) | generation)
+    /// pool does so by a new division, whose version makes every token higher than before. No two
+    /// pools have a token in common, so that of two owners which both hold an executor one is
+    /// refused.
+    pub fn token(self, pool: &PoolId, generation: u64) -> FencingToken {
+        let index = u64::from(pool.index) & ((1 << INDEX_BITS) - 1);
+        let low = (generation << INDEX_BITS) | index;
+        FencingToken((u64::from(self.version) << GENERATION_BITS) | low)
     }
 
     /// Writes the division as the store holds it.
--- a/crates/onyxshed-pool/tests/pool/division.rs
+++ b/crates/onyxshed-pool/tests/pool/division.rs
@@ -1,5 +1,7 @@
 //! How a zone's executors are divided into pools.
 
+use std::collections::BTreeSet;
+
 use onyxshed_pool::{Division, ExecutorId, PoolId};
 use rstest::rstest;
 
@@ -40,7 +42,29 @@
         pools: 1,
     };
     let new = old.renewed(1_000).expect("a division");
-    assert!(new.token(1) > old.token(4_000_000));
+    assert!(new.token(&pool(7), 1) > old.token(&pool(0), 4_000_000));
+}
+
+/// Two owners that both take an executor for theirs: one must be refused there, or they would stop
+/// each other's runs for good.
+#[test]
+fn no_two_pools_have_a_token_in_common() {
+    let division = Division {
+        version: 1,
+        pools: 16,
+    };
+    let tokens: BTreeSet<_> = (0..16)
+        .flat_map(|index| (1..50).map(move |generation| (index, generation)))
+        .map(|(index, generation)| division.token(&pool(index), generation))
+        .collect();
+    assert_eq!(tokens.len(), 16 * 49);
+}
+
+fn pool(index: u32) -> PoolId {
+    PoolId {
+        zone: "z".into(),
+        index,
+    }
 }
 
 #[test]
--- a/crates/onyxshed-standins/src/fleet/store.rs
+++ b/crates/onyxshed-standins/src/fleet/store.rs
@@ -20,6 +20,7 @@
 
 const OK: u16 = 200;
 const GONE: u16 = 410;
+const MOVED_ON: u16 = 412;
 const UNAVAILABLE: u16 = 503;
 
 /// What the store does wrong.
@@ -175,6 +176,11 @@
         let topic = call.query("topic").unwrap_or_default();
         let mut topics = self.inner.topics.borrow_mut();
         let topic = topics.entry(topic).or_default();
+        let wanted: Option<u64> = call.query("at").and_then(|text| text.parse().ok());
+        if wanted.is_some_and(|wanted| wanted != topic.end()) {
+            let told = json!({ "end": topic.end() });
+            return Act::Reply(Reply::json(MOVED_ON, &told));
+        }
         topic.put(key, Some(value.to_vec()));
         let told = json!({ "offset": topic.end() - 1, "end": topic.end() });
         drop(topics);
