--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -79,6 +79,42 @@
     arrived: Mono,
 }
 
+/// Writes the line of a submission whose caller left before its answer: the request's future is
+/// dropped then, and nothing after it runs.
+struct CallerLeft {
+    kernel: Kernel,
+    event: Option<Event>,
+    arrived: Mono,
+}
+
+impl CallerLeft {
+    fn watch(kernel: &Kernel, asked: &Asked) -> Self {
+        let event = Event::new(EventKind::PoolJobLost)
+            .request(asked.request.clone())
+            .job(format_smolstr!("{}", asked.job))
+            .party(asked.route.clone());
+        CallerLeft {
+            kernel: kernel.clone(),
+            event: Some(event),
+            arrived: asked.arrived,
+        }
+    }
+
+    fn stayed(mut self) {
+        self.event = None;
+    }
+}
+
+impl Drop for CallerLeft {
+    fn drop(&mut self) {
+        if let Some(event) = self.event.take() {
+            let took = boot_clock::now().since(self.arrived).as_millis();
+            let detail = format_smolstr!("the caller left after {took}");
+            self.kernel.emit(event.detail(detail));
+        }
+    }
+}
+
 impl Callers {
     async fn handle(&self, call: Call) -> Reply {
         let Some(manifest) = self.manifest.get() else {
@@ -120,6 +156,7 @@
         };
         let deadline = self.before_last_call(deadline_of(call));
         let job = self.request_of(route, &asked, simple, deadline);
+        let leaving = CallerLeft::watch(&self.kernel, &asked);
         let give_up = Duration::from(job.time_left);
         let served = within(give_up, self.dispatch(&job));
         let (end, pool) = match served.or(self.cut_off()).await {
@@ -129,6 +166,7 @@
                 SmolStr::new_static("?"),
             ),
         };
+        leaving.stayed();
         self.tell(&asked, &job, &end, &pool);
         answer(&end)
     }
--- a/crates/onyxshed-soak/tests/hosts.rs
+++ b/crates/onyxshed-soak/tests/hosts.rs
@@ -172,6 +172,9 @@
                 .then_some(())
         })
         .await;
+        let lines = fleet.lines_about("00000000000000aa");
+        let told = lines.iter().any(|line| line.contains("the caller left"));
+        assert!(told, "{lines:?}");
     });
 }
 
