--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -79,6 +79,16 @@
     arrived: Mono,
 }
 
+impl Asked {
+    /// Makes an event about the submission.
+    fn event(&self, kind: EventKind) -> Event {
+        Event::new(kind)
+            .request(self.request.clone())
+            .job(format_smolstr!("{}", self.job))
+            .party(self.route.clone())
+    }
+}
+
 /// Writes the line of a submission whose caller left before its answer: the request's future is
 /// dropped then, and nothing after it runs.
 struct CallerLeft {
@@ -89,10 +99,7 @@
 
 impl CallerLeft {
     fn watch(kernel: &Kernel, asked: &Asked) -> Self {
-        let event = Event::new(EventKind::PoolJobLost)
-            .request(asked.request.clone())
-            .job(format_smolstr!("{}", asked.job))
-            .party(asked.route.clone());
+        let event = asked.event(EventKind::PoolJobLost);
         CallerLeft {
             kernel: kernel.clone(),
             event: Some(event),
@@ -196,10 +203,8 @@
     }
 
     fn unsupported(&self, asked: &Asked, what: &'static str) -> Reply {
-        let event = Event::new(EventKind::PoolJobRefused)
-            .request(asked.request.clone())
-            .job(format_smolstr!("{}", asked.job))
-            .party(asked.route.clone())
+        let event = asked
+            .event(EventKind::PoolJobRefused)
             .detail(format_smolstr!("not built: {what}"));
         self.kernel.emit(event);
         refuse(503, what, Some(UNSUPPORTED_RETRY))
@@ -262,18 +267,14 @@
         let took = boot_clock::now().since(asked.arrived);
         self.measures.answered(end, took);
         let took = took.as_millis();
-        let event = Event::new(kind)
-            .request(asked.request.clone())
-            .job(format_smolstr!("{}", asked.job))
-            .party(asked.route.clone())
-            .detail(format_smolstr!(
-                "{end:?} after {took}, target {}, {} tasks of {} and {}, pool {pool}, manifest {}",
-                job.target().as_millis(),
-                job.tasks,
-                job.estimate,
-                job.demand,
-                asked.version,
-            ));
+        let event = asked.event(kind).detail(format_smolstr!(
+            "{end:?} after {took}, target {}, {} tasks of {} and {}, pool {pool}, manifest {}",
+            job.target().as_millis(),
+            job.tasks,
+            job.estimate,
+            job.demand,
+            asked.version,
+        ));
         self.kernel.emit(event);
     }
 }
--- a/crates/onyxshed-host/src/directory.rs
+++ b/crates/onyxshed-host/src/directory.rs
@@ -17,7 +17,7 @@
 use crate::divisions::Divisions;
 use crate::engine::Engine;
 use crate::links::Links;
-use crate::store_watch::StoreWatch;
+use crate::store_watch::{ANSWER_TIMEOUT, StoreWatch};
 
 /// The partition of a group whose holder owns the pool.
 pub const POOL_PART: u32 = 0;
@@ -42,9 +42,6 @@
 /// Pause after the store turned a call away because there are too many.
 const CROWDED_PAUSE: Duration = Duration::from_millis(500);
 
-/// How long an answer of the store may take; its slowest ones take about 300 ms.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// Status of a store that takes no more calls.
 const CROWDED: u16 = 429;
 
--- a/crates/onyxshed-host/src/divisions.rs
+++ b/crates/onyxshed-host/src/divisions.rs
@@ -13,7 +13,7 @@
 use smol_str::SmolStr;
 
 use crate::names::DIVISIONS;
-use crate::store_watch::StoreWatch;
+use crate::store_watch::{ANSWER_TIMEOUT, StoreWatch};
 
 /// Topic of this system's own records.
 const TOPIC: &str = "keyed.onyxshed.pools";
@@ -21,9 +21,6 @@
 /// Time between two reads; divisions change with the size of a deployment, seldom.
 const READ_PERIOD: Duration = Duration::from_millis(3_000);
 
-/// How long an answer of the store may take; its slowest ones take about 300 ms.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// Handle to the divisions known.
 pub struct Divisions {
     zones: Vec<SmolStr>,
--- a/crates/onyxshed-host/src/executors.rs
+++ b/crates/onyxshed-host/src/executors.rs
@@ -15,15 +15,12 @@
 
 use crate::divisions::Divisions;
 use crate::engine::Engine;
-use crate::store_watch::StoreWatch;
+use crate::store_watch::{ANSWER_TIMEOUT, StoreWatch};
 
 /// Time between two reads. A heartbeat of each executor comes every 1.5 s; a draining executor
 /// must get no new task after 2 s.
 const READ_PERIOD: Duration = Duration::from_millis(300);
 
-/// How long an answer of the store may take; its slowest ones take about 300 ms.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
--- a/crates/onyxshed-host/src/manifest.rs
+++ b/crates/onyxshed-host/src/manifest.rs
@@ -14,15 +14,12 @@
 use smol_str::format_smolstr;
 
 use crate::names::MANIFEST;
-use crate::store_watch::StoreWatch;
+use crate::store_watch::{ANSWER_TIMEOUT, StoreWatch};
 
 /// How long a read waits at the store for a change; bounds how long a connection that has gone
 /// silent is waited for.
 const WAIT: Millis = Millis(1_000);
 
-/// How long an answer may take beyond that; the store's slowest answers take about 300 ms.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
--- a/crates/onyxshed-host/src/ownership.rs
+++ b/crates/onyxshed-host/src/ownership.rs
@@ -28,7 +28,7 @@
 use crate::executors;
 use crate::links::Links;
 use crate::names::{DIVISIONS, ENGINE, LINKS, OWNERSHIP};
-use crate::store_watch::StoreWatch;
+use crate::store_watch::{ANSWER_TIMEOUT, StoreWatch};
 
 /// Time between two looks for a pool that nobody owns.
 const CONTEND_PERIOD: Duration = Duration::from_millis(50);
@@ -40,9 +40,6 @@
 /// store, short enough that a dead owner is replaced within two seconds.
 const MEMBER_TTL: Millis = Millis(1_400);
 
-/// How long an answer of the store may take; its slowest ones take about 300 ms.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// Who this host is in the groups.
 #[derive(Debug, Clone)]
 pub struct OwnershipOptions {
--- a/crates/onyxshed-host/src/store_watch.rs
+++ b/crates/onyxshed-host/src/store_watch.rs
@@ -1,6 +1,7 @@
 //! Whether the platform's store answers one of this host's followers, for the log.
 
 use std::cell::Cell;
+use std::time::Duration;
 
 use onyxshed_adapter::Error;
 use onyxshed_core::{Event, EventKind, Mono};
@@ -9,6 +10,10 @@
 
 use crate::boot_clock;
 
+/// How long an answer of the store may take, beyond what it was asked to wait; its slowest ones take
+/// about 300 ms.
+pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Tells once when the store stops answering, and once when it answers again.
 pub struct StoreWatch {
     kernel: Kernel,
--- a/crates/onyxshed-pool/src/executor.rs
+++ b/crates/onyxshed-pool/src/executor.rs
@@ -187,18 +187,12 @@
 
     /// Tells whether new runs may be started there.
     pub fn takes_work(&self, now: Mono, options: &PoolOptions) -> bool {
-        let is_known = match self.unlisted_at {
-            Some(since) => now.since(since) < options.unlisted_grace_ms.into(),
-            None => true,
-        };
         let is_avoided = now < self.health.avoided_until;
         // One that has just been avoided is tried with one task before it gets more.
         let is_on_trial = self.health.strikes > 0 && !self.runs.is_empty();
-        self.phase == Phase::Held
+        self.counts(now, options)
+            && self.phase == Phase::Held
             && self.clock_offset.is_some()
-            && !self.facts.is_draining
-            && !self.is_silent
-            && is_known
             && !is_avoided
             && !is_on_trial
             && now >= self.full_until
