Hold a burst of new connections in a longer queue

The standard library listens with 128 places; the test connects 500 times at a go, the queue was full before the process accepted, and the system dropped the next caller's opening packet, which is sent again after 1 s: just when the caller's own time to connect was over. Ruled out: the call's patience (60 s; the whole test took 12 s), making room among idle connections (a caller turned away hears 503). The same queue stood before callers, peers and the admin address of every process.

--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -125,9 +125,14 @@
 
     /// Tries to listen on an address; port 0 takes a free one.
     pub async fn listen(address: SocketAddr) -> Result<TcpListener> {
-        TcpListener::bind(address)
+        let listener = TcpListener::bind(address)
             .await
-            .context(ListenSnafu { address })
+            .context(ListenSnafu { address })?;
+        // The standard library asks for 128 places; asking again only changes their number.
+        rustix::net::listen(&listener, LISTEN_BACKLOG)
+            .map_err(std::io::Error::from)
+            .context(ListenSnafu { address })?;
+        Ok(listener)
     }
 
     /// Serves until dropped.
@@ -278,6 +283,14 @@
     }
 }
 
+/// Connections that the system holds until the process accepts them.
+///
+/// Failure guarded against: a burst fills the queue of new connections while the process is busy.
+/// Symptom: the system drops the next caller's opening packet without a word and the caller sends
+/// it again a second later, when its objective is gone; with 128 places the 130th of a burst waited
+/// 900 ms in vain on loopback. Half of a second's burst on a host of ordinary size fits into these.
+const LISTEN_BACKLOG: i32 = 1_024;
+
 /// Connections beyond the most that are still told so; the rest are closed without a word.
 const TURNED_AWAY_MAX: usize = 256;
 
