Explain a request from the logs of all hosts

onyxshed explain ID LOG... gathers the lines about a request or a job, what was believed of the pool and of the executors meanwhile, and names the cause and where to look next. The line of a job's end is a type now, written and read in one place (JobSummary).

--- a/crates/onyxshed-cli/src/args.rs
+++ b/crates/onyxshed-cli/src/args.rs
@@ -56,6 +56,13 @@
     },
     /// Explain a number.
     Explain(SmolStr),
+    /// Tell from log files what became of a request or a job.
+    Story {
+        /// Its id.
+        id: SmolStr,
+        /// The log files of all hosts.
+        logs: Vec<PathBuf>,
+    },
 }
 
 /// A change to publish.
@@ -116,7 +123,7 @@
         Some(("status", args)) => Ok(Action::Status(processes(args)?)),
         Some(("timeline", args)) => timeline(args),
         Some(("drain", args)) => drain(args),
-        Some(("explain", args)) => Ok(Action::Explain(required::<String>(args, "number").into())),
+        Some(("explain", args)) => Ok(explain(args)),
         _ => Err(Error::usage("no command is given")),
     }
 }
@@ -130,6 +137,16 @@
     matches!(deepest.try_get_one::<bool>("json"), Ok(Some(true)))
 }
 
+fn explain(args: &ArgMatches) -> Action {
+    let what = SmolStr::from(required::<String>(args, "what"));
+    let logs = args.get_many::<PathBuf>("logs").unwrap_or_default();
+    let logs: Vec<PathBuf> = logs.cloned().collect();
+    match logs.is_empty() {
+        true => Action::Explain(what),
+        false => Action::Story { id: what, logs },
+    }
+}
+
 fn check(args: &ArgMatches) -> Result<Action> {
     let kind: String = required(args, "kind");
     Ok(Action::Check {
--- a/crates/onyxshed-cli/src/command.rs
+++ b/crates/onyxshed-cli/src/command.rs
@@ -215,12 +215,21 @@
 
 fn explain() -> Command {
     Command::new("explain")
-        .about("Explains a numbered result code (3004) or event (E301)")
+        .about("Explains a result code (3004), an event (E301), or from logs a request or a job")
         .arg(
-            Arg::new("number")
-                .value_name("NUMBER")
+            Arg::new("what")
+                .value_name("WHAT")
                 .required(true)
-                .help("A result code such as 3004, or an event such as E301"),
+                .help("A result code such as 3004, an event such as E301, or with logs an id"),
+        )
+        .arg(
+            Arg::new("logs")
+                .value_name("LOG")
+                .num_args(0..)
+                .value_parser(value_parser!(PathBuf))
+                .help(
+                    "Log files of all hosts, one a host or merged; the file's name names the host",
+                ),
         )
         .arg(json())
 }
--- a/crates/onyxshed-cli/src/error.rs
+++ b/crates/onyxshed-cli/src/error.rs
@@ -64,6 +64,14 @@
         /// The change.
         change_id: ChangeId,
     },
+    /// A log file can't be read.
+    #[snafu(display("{file} can't be read: {reason}"))]
+    Log {
+        /// The file.
+        file: SmolStr,
+        /// What happened.
+        reason: SmolStr,
+    },
     /// No such class.
     #[snafu(display("there is no {what}"))]
     NotFound {
@@ -121,7 +129,7 @@
     /// Gets the numbered code.
     pub fn code(&self) -> ResultCode {
         match self {
-            Error::Usage { .. } => ResultCode::Usage,
+            Error::Usage { .. } | Error::Log { .. } => ResultCode::Usage,
             Error::Settings { source } => source.code(),
             Error::Platform { source } => source.code(),
             Error::ChangeInvalid { .. } => ResultCode::ChangeInvalid,
--- a/crates/onyxshed-cli/src/lib.rs
+++ b/crates/onyxshed-cli/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod run;
 pub mod span;
 pub mod status;
+pub mod story;
 pub mod target;
 pub mod timeline;
 
--- a/crates/onyxshed-cli/src/run.rs
+++ b/crates/onyxshed-cli/src/run.rs
@@ -12,7 +12,7 @@
 use crate::error::{Error, Result};
 use crate::exit::exit_number;
 use crate::output::{Format, json};
-use crate::{catalogue, check, command, drain, status, target, timeline};
+use crate::{catalogue, check, command, drain, status, story, target, timeline};
 
 /// What a command has to say, and the code that goes with it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -91,6 +91,7 @@
     match action {
         Action::Check { file, kind } => check::run(&file, kind, format).map(Said::from),
         Action::Explain(number) => catalogue::explain(&number, format).map(Said::from),
+        Action::Story { id, logs } => story::run(&id, &logs, format).map(Said::from),
         Action::Publish(publish) => {
             async_io::block_on(target::publish(publish, format)).map(Said::from)
         }
--- /dev/null
+++ b/crates/onyxshed-cli/src/story/cause.rs
@@ -0,0 +1,235 @@
+//! Why a request was answered as it was.
+
+use std::fmt;
+
+use onyxshed_core::EventKind;
+use onyxshed_pool::{JobEnd, JobSummary, NotRunReason, UnknownReason};
+use smol_str::SmolStr;
+
+use super::read::Logged;
+use super::select::Story;
+
+/// How much later than its target a job may end and still be in time, in thousandths: the log knows
+/// the caller's estimate only, which is off by a few hundredths at best.
+const IN_TIME_MILLIS: u64 = 1_050;
+
+/// The cause of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Cause {
+    /// Nothing was wrong.
+    InTime,
+    /// It ended late because runs were lost or stopped; how many, and how the last of them ended.
+    RunsLost(usize, SmolStr),
+    /// It ended late because it waited for room.
+    WaitedForRoom,
+    /// A task failed as often as it may, on these executors.
+    TaskFailed(Vec<SmolStr>),
+    /// The host knew no owner of any pool; what it believed of the pools last.
+    NoOwnerKnown(SmolStr),
+    /// The owner asked was giving its pool up.
+    OwnerStopping,
+    /// Other work would have taken all the time there was.
+    NoTime,
+    /// No executor of the pool could run such a task.
+    NoExecutor,
+    /// The owner had not heard the host.
+    OldSession,
+    /// The kind of job is not built.
+    NotBuilt(SmolStr),
+    /// The owner or the link to it was lost; what was seen of that.
+    OwnerLost(SmolStr),
+    /// The owner stood still.
+    OwnerPaused(SmolStr),
+    /// The owner did not hear the host.
+    HostNotHeard,
+    /// The caller's time ran out; whether runs of it were lost.
+    OutOfTime(usize),
+    /// The caller gave it up or left.
+    CallerLeft,
+    /// The caller sent it again meanwhile.
+    SentAgain,
+    /// The host was stopped.
+    HostStopped,
+}
+
+/// Names the cause of the last answer; none if the logs hold no answer.
+pub fn cause_of(story: &Story<'_>) -> Option<Cause> {
+    let (line, summary) = story.answers.last()?;
+    let Some(summary) = summary else {
+        return Some(without_summary(line));
+    };
+    Some(match summary.end {
+        JobEnd::Completed => completed(story, summary),
+        JobEnd::Failed => Cause::TaskFailed(failed_on(story)),
+        JobEnd::NotRun(reason, _) => not_run(story, summary, reason),
+        JobEnd::Unknown(reason) => unknown(story, reason),
+    })
+}
+
+/// Reads the answers that are told in words of their own.
+fn without_summary(line: &Logged) -> Cause {
+    match line.event.kind {
+        EventKind::PoolJobRefused => Cause::NotBuilt(line.event.detail.clone()),
+        _ => Cause::CallerLeft,
+    }
+}
+
+fn completed(story: &Story<'_>, summary: &JobSummary) -> Cause {
+    if summary.took.0 * 1_000 <= summary.target.0 * IN_TIME_MILLIS {
+        return Cause::InTime;
+    }
+    let lost = runs_lost(story);
+    match lost.last() {
+        Some(line) => Cause::RunsLost(lost.len(), words_of(line)),
+        None => Cause::WaitedForRoom,
+    }
+}
+
+fn not_run(story: &Story<'_>, summary: &JobSummary, reason: NotRunReason) -> Cause {
+    match reason {
+        NotRunReason::NoTime => Cause::NoTime,
+        NotRunReason::NoExecutor => Cause::NoExecutor,
+        NotRunReason::OldSession => Cause::OldSession,
+        NotRunReason::NotOwner if summary.pool == "none" => {
+            let seen = last_of(
+                story,
+                &[
+                    EventKind::PoolGivenUp,
+                    EventKind::PoolLinkDown,
+                    EventKind::StoreLost,
+                    EventKind::ProcessStarted,
+                ],
+            );
+            Cause::NoOwnerKnown(seen)
+        }
+        NotRunReason::NotOwner => Cause::OwnerStopping,
+    }
+}
+
+fn unknown(story: &Story<'_>, reason: UnknownReason) -> Cause {
+    match reason {
+        UnknownReason::OwnerChanged => Cause::OwnerLost(last_of(
+            story,
+            &[EventKind::PoolGivenUp, EventKind::PoolLinkDown],
+        )),
+        UnknownReason::OwnerPaused => {
+            Cause::OwnerPaused(last_of(story, &[EventKind::PauseDetected]))
+        }
+        UnknownReason::PeerSilent => Cause::HostNotHeard,
+        UnknownReason::TimeOut => Cause::OutOfTime(runs_lost(story).len()),
+        UnknownReason::Cancelled => Cause::CallerLeft,
+        UnknownReason::Superseded => Cause::SentAgain,
+        UnknownReason::EntryStopped => Cause::HostStopped,
+    }
+}
+
+fn runs_lost<'a>(story: &Story<'a>) -> Vec<&'a Logged> {
+    let lines = story.lines.iter().copied();
+    lines
+        .filter(|line| line.event.kind == EventKind::PoolRunEnded)
+        .collect()
+}
+
+fn failed_on(story: &Story<'_>) -> Vec<SmolStr> {
+    let lost = runs_lost(story);
+    let failed = lost
+        .iter()
+        .filter(|line| line.event.detail.contains("failed"));
+    failed.map(|line| line.event.party.clone()).collect()
+}
+
+/// Gets what the newest line of some kinds says, by the answer's time.
+fn last_of(story: &Story<'_>, kinds: &[EventKind]) -> SmolStr {
+    let mut lines = story.lines.iter().rev();
+    let found = lines.find(|line| kinds.contains(&line.event.kind));
+    found.map_or_else(
+        || SmolStr::new_static("nothing in these logs"),
+        |line| words_of(line),
+    )
+}
+
+fn words_of(line: &Logged) -> SmolStr {
+    let event = &line.event;
+    let parts = [
+        line.host.as_str(),
+        event.kind.name(),
+        event.party.as_str(),
+        event.detail.as_str(),
+    ];
+    let parts: Vec<&str> = parts.into_iter().filter(|part| !part.is_empty()).collect();
+    parts.join(" ").into()
+}
+
+impl Cause {
+    /// Tells where an engineer looks next.
+    pub fn look_next(&self) -> &'static str {
+        match self {
+            Cause::InTime | Cause::SentAgain => "nothing; the id may be of another request",
+            Cause::RunsLost(..) => "E821 and E823 of the executors named",
+            Cause::WaitedForRoom | Cause::NoTime => {
+                "the load: onyxshed_pool_job_seconds, and E821, E823 for executors out of use"
+            }
+            Cause::TaskFailed(_) => "the task itself, since it failed on several executors",
+            Cause::NoOwnerKnown(_) => "E810 and E811 of the zone's hosts, E841 of the store",
+            Cause::OwnerStopping => "E602 and E813 at the owner",
+            Cause::NoExecutor => "E820, E824, E825, and the manifest's upstream for the route",
+            Cause::OldSession | Cause::HostNotHeard => "E503 at this host, E830 at the owner",
+            Cause::NotBuilt(_) => "docs/PLATFORM-DESIGN.md, for what is not built",
+            Cause::OwnerLost(_) => "the old owner's log: killed, cut off, or refused its token",
+            Cause::OwnerPaused(_) => "the owner's processor: frozen, or at its limit",
+            Cause::OutOfTime(0) => "the caller's time limit against the tasks' run time",
+            Cause::OutOfTime(_) => "E821 and E823 of the executors on which its runs ended",
+            Cause::CallerLeft => "the caller",
+            Cause::HostStopped => "who stopped the host, and how long its callers' jobs take",
+        }
+    }
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Cause::InTime => f.write_str("it was answered in time"),
+            Cause::RunsLost(count, last) => {
+                write!(
+                    f,
+                    "late: {count} runs were lost or stopped, the last: {last}"
+                )
+            }
+            Cause::WaitedForRoom => f.write_str("late: no run was lost, so it waited for room"),
+            Cause::TaskFailed(executors) if executors.is_empty() => {
+                f.write_str("a task failed as often as it may; the owner's log is not here")
+            }
+            Cause::TaskFailed(executors) => write!(
+                f,
+                "a task failed as often as it may, on {}",
+                executors.join(", ")
+            ),
+            Cause::NoOwnerKnown(seen) => {
+                write!(
+                    f,
+                    "not run: the host knew no owner of a pool; last seen: {seen}"
+                )
+            }
+            Cause::OwnerStopping => f.write_str("not run: the owner asked was giving its pool up"),
+            Cause::NoTime => f.write_str("not run: other work left it no time"),
+            Cause::NoExecutor => f.write_str("not run: no executor could run such a task"),
+            Cause::OldSession => {
+                f.write_str("not run: the owner had not heard the host for too long")
+            }
+            Cause::NotBuilt(what) => write!(f, "not run: {what}"),
+            Cause::OwnerLost(seen) => write!(f, "unknown: the owner was lost; {seen}"),
+            Cause::OwnerPaused(seen) => write!(f, "unknown: the owner stood still; {seen}"),
+            Cause::HostNotHeard => f.write_str("unknown: the owner no longer heard the host"),
+            Cause::OutOfTime(0) => f.write_str("unknown: its caller's time ran out"),
+            Cause::OutOfTime(lost) => {
+                write!(
+                    f,
+                    "unknown: its caller's time ran out; {lost} runs were lost or stopped"
+                )
+            }
+            Cause::CallerLeft => f.write_str("its caller left"),
+            Cause::SentAgain => f.write_str("its caller sent it again while it ran"),
+            Cause::HostStopped => f.write_str("unknown: the host was stopped before it ended"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-cli/src/story/select.rs
@@ -0,0 +1,152 @@
+//! The lines that concern one request.
+
+use std::collections::BTreeSet;
+
+use onyxshed_core::{EventKind, Millis, UnixMs};
+use onyxshed_pool::JobSummary;
+use smol_str::SmolStr;
+
+use super::read::Logged;
+
+/// How long before the request's first line beliefs matter: a host is replaced, or an executor given
+/// up, within two seconds.
+const BEFORE: Millis = Millis(3_000);
+
+/// How long after its last line they do: the reason may be written a moment later elsewhere.
+const AFTER: Millis = Millis(500);
+
+/// Most lines on beliefs that are shown, the newest.
+const BELIEFS_MAX: usize = 40;
+
+/// What the logs hold of a request.
+#[derive(Debug, Default)]
+pub struct Story<'a> {
+    /// Its lines and those on beliefs, in the order of cause.
+    pub lines: Vec<&'a Logged>,
+    /// Lines on beliefs that are not among them.
+    pub left_out: usize,
+    /// The answers that callers were given, the latest last; none of the summary where the caller
+    /// left.
+    pub answers: Vec<(&'a Logged, Option<JobSummary>)>,
+}
+
+/// Finds the lines about a request, or a job, by its id.
+pub fn select<'a>(id: &str, lines: &'a [Logged]) -> Story<'a> {
+    let jobs = jobs_of(id, lines);
+    let own: Vec<&Logged> = lines
+        .iter()
+        .filter(|line| line.event.request == id || jobs.contains(&line.event.job))
+        .collect();
+    let (Some(first), Some(last)) = (own.first(), own.last()) else {
+        return Story::default();
+    };
+    let answers: Vec<_> = own
+        .iter()
+        .filter(|line| is_answer(line.event.kind))
+        .map(|line| (*line, line.event.detail.parse().ok()))
+        .collect();
+    let around = Around {
+        from: began_at(first, &answers) - BEFORE,
+        to: last.event.hlc.wall + AFTER,
+        hosts: own.iter().map(|line| &line.host).collect(),
+        parties: own.iter().map(|line| &line.event.party).collect(),
+        pools: pools_of(&answers),
+    };
+    let mut beliefs: Vec<&Logged> = lines.iter().filter(|line| around.matters(line)).collect();
+    let left_out = beliefs.len().saturating_sub(BELIEFS_MAX);
+    beliefs.drain(..left_out);
+    let mut lines = own;
+    lines.extend(beliefs);
+    lines.sort_by_key(|line| line.event.hlc);
+    Story {
+        lines,
+        left_out,
+        answers,
+    }
+}
+
+/// Gets when the request arrived: its answer tells how long it took.
+fn began_at(first: &Logged, answers: &[(&Logged, Option<JobSummary>)]) -> UnixMs {
+    let told = answers.first().and_then(|(line, summary)| {
+        let took = summary.as_ref()?.took;
+        Some(line.event.hlc.wall - took)
+    });
+    told.map_or(first.event.hlc.wall, |at| at.min(first.event.hlc.wall))
+}
+
+fn jobs_of<'a>(id: &'a str, lines: &'a [Logged]) -> BTreeSet<&'a SmolStr> {
+    lines
+        .iter()
+        .filter(|line| line.event.request == id || line.event.job == id)
+        .map(|line| &line.event.job)
+        .filter(|job| !job.is_empty())
+        .collect()
+}
+
+fn pools_of(answers: &[(&Logged, Option<JobSummary>)]) -> BTreeSet<SmolStr> {
+    let summaries = answers.iter().filter_map(|(_, summary)| summary.as_ref());
+    summaries.map(|summary| summary.pool.clone()).collect()
+}
+
+/// Tells whether an event is the answer to a caller.
+fn is_answer(kind: EventKind) -> bool {
+    matches!(
+        kind,
+        EventKind::PoolJobAnswered | EventKind::PoolJobRefused | EventKind::PoolJobLost
+    )
+}
+
+/// When and where beliefs matter to a request.
+struct Around<'a> {
+    from: UnixMs,
+    to: UnixMs,
+    hosts: BTreeSet<&'a SmolStr>,
+    parties: BTreeSet<&'a SmolStr>,
+    pools: BTreeSet<SmolStr>,
+}
+
+impl Around<'_> {
+    fn matters(&self, line: &Logged) -> bool {
+        let event = &line.event;
+        if event.hlc.wall < self.from || event.hlc.wall > self.to {
+            return false;
+        }
+        match event.kind {
+            // Who owns a pool matters on every host.
+            EventKind::PoolOwned
+            | EventKind::PoolGivenUp
+            | EventKind::PoolHandoverBegun
+            | EventKind::PoolHandoverEnded => true,
+            EventKind::PoolExecutorSilent
+            | EventKind::PoolExecutorBack
+            | EventKind::PoolExecutorAvoided
+            | EventKind::PoolExecutorDraining
+            | EventKind::PoolExecutorGone => self.parties.contains(&event.party),
+            EventKind::PoolLinkUp | EventKind::PoolLinkDown | EventKind::PoolOwnerChanged => {
+                self.hosts.contains(&line.host) && self.names_a_pool(&event.detail)
+            }
+            EventKind::ProcessStarted
+            | EventKind::ProcessReady
+            | EventKind::ProcessDraining
+            | EventKind::ProcessStopped
+            | EventKind::PauseDetected
+            | EventKind::PoolPeerSilent
+            | EventKind::StoreLost
+            | EventKind::StoreBack
+            | EventKind::ManifestInForce => self.hosts.contains(&line.host),
+            _ => false,
+        }
+    }
+
+    /// Tells whether a text is about a pool that the request was handed to; where it was handed to
+    /// none, every pool matters.
+    fn names_a_pool(&self, detail: &str) -> bool {
+        let is_named = |pool: &SmolStr| detail.contains(pool.as_str());
+        let known: Vec<&SmolStr> = self
+            .pools
+            .iter()
+            .filter(|pool| pool.contains('/'))
+            .collect();
+        known.is_empty() || known.into_iter().any(is_named)
+    }
+}
--- a/crates/onyxshed-cli/src/timeline/render.rs
+++ b/crates/onyxshed-cli/src/timeline/render.rs
@@ -129,7 +129,8 @@
     }
 }
 
-fn time_of_day(at: UnixMs) -> String {
+/// Writes the time of day.
+pub fn time_of_day(at: UnixMs) -> String {
     let of_day_ms = at.0 % 86_400_000;
     let (seconds, millis) = (of_day_ms / 1_000, of_day_ms % 1_000);
     let (minutes, second) = (seconds / 60, seconds % 60);
--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -15,7 +15,7 @@
 use onyxshed_http::client::within;
 use onyxshed_http::{Call, Handler, Reply, Server, ServerOptions, ServerStats};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
-use onyxshed_pool::{JobEnd, JobId, JobRequest, NotRunReason, UnknownReason};
+use onyxshed_pool::{JobEnd, JobId, JobRequest, JobSummary, NotRunReason, UnknownReason};
 use onyxshed_process::listen;
 use smol_str::{SmolStr, format_smolstr};
 
@@ -265,15 +265,17 @@
         };
         let took = boot_clock::now().since(asked.arrived);
         self.measures.answered(end, took);
-        let took = took.as_millis();
-        let event = asked.event(kind).detail(format_smolstr!(
-            "{end:?} after {took}, target {}, {} tasks of {} and {}, pool {pool}, manifest {}",
-            job.target().as_millis(),
-            job.tasks,
-            job.estimate,
-            job.demand,
-            asked.version,
-        ));
+        let summary = JobSummary {
+            end: *end,
+            took: took.as_millis(),
+            target: job.target().as_millis(),
+            tasks: job.tasks,
+            estimate: job.estimate,
+            demand: job.demand,
+            pool: pool.clone(),
+            manifest: asked.version,
+        };
+        let event = asked.event(kind).detail(format_smolstr!("{summary}"));
         self.kernel.emit(event);
     }
 }
--- a/crates/onyxshed-pool/src/job.rs
+++ b/crates/onyxshed-pool/src/job.rs
@@ -68,6 +68,16 @@
     OldSession,
 }
 
+impl NotRunReason {
+    /// Every reason; on the wire each is its place here.
+    pub const ALL: [NotRunReason; 4] = [
+        NotRunReason::NoTime,
+        NotRunReason::NoExecutor,
+        NotRunReason::NotOwner,
+        NotRunReason::OldSession,
+    ];
+}
+
 /// Why a job's fate is not known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UnknownReason {
@@ -87,6 +97,19 @@
     EntryStopped,
 }
 
+impl UnknownReason {
+    /// Every reason; on the wire each is its place here.
+    pub const ALL: [UnknownReason; 7] = [
+        UnknownReason::OwnerChanged,
+        UnknownReason::OwnerPaused,
+        UnknownReason::PeerSilent,
+        UnknownReason::TimeOut,
+        UnknownReason::Cancelled,
+        UnknownReason::Superseded,
+        UnknownReason::EntryStopped,
+    ];
+}
+
 /// How a job ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum JobEnd {
--- a/crates/onyxshed-pool/src/lib.rs
+++ b/crates/onyxshed-pool/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod pool;
 pub mod room;
 pub mod speed;
+pub mod summary;
 
 pub use candidate::{Candidate, CandidateStep};
 pub use chooser::{Chooser, PoolDigest};
@@ -43,3 +44,4 @@
 pub use peers::PeerSessions;
 pub use pool::Pool;
 pub use room::Room;
+pub use summary::JobSummary;
--- /dev/null
+++ b/crates/onyxshed-pool/src/summary.rs
@@ -0,0 +1,129 @@
+//! How a job ended, in one line of the log that is read back when somebody asks why.
+
+use std::fmt;
+use std::str::FromStr;
+
+use onyxshed_core::Millis;
+use smol_str::SmolStr;
+
+use crate::error::{Error, Result};
+use crate::job::{JobEnd, NotRunReason, UnknownReason};
+use crate::room::Room;
+
+/// What an entry host writes down when it answers a caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JobSummary {
+    /// How the job ended.
+    pub end: JobEnd,
+    /// Time from its arrival to its answer.
+    pub took: Millis,
+    /// Time within which it should have ended, by its caller's estimate.
+    pub target: Millis,
+    /// How many tasks it had.
+    pub tasks: u16,
+    /// The caller's estimate of a task's run time.
+    pub estimate: Millis,
+    /// What each task needed.
+    pub demand: Room,
+    /// The pool that was asked last.
+    pub pool: SmolStr,
+    /// Version of the manifest.
+    pub manifest: u64,
+}
+
+impl fmt::Display for JobSummary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} after {}, target {}, {} tasks of {} and {}, pool {}, manifest {}",
+            self.end,
+            self.took,
+            self.target,
+            self.tasks,
+            self.estimate,
+            self.demand,
+            self.pool,
+            self.manifest
+        )
+    }
+}
+
+impl FromStr for JobSummary {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        read_summary(text).ok_or_else(|| Error::Id {
+            kind: "job's summary",
+            text: text.into(),
+            allowed: "what an entry host writes when it answers",
+        })
+    }
+}
+
+fn read_summary(text: &str) -> Option<JobSummary> {
+    let (end, rest) = text.split_once(" after ")?;
+    let (took, rest) = rest.split_once(", target ")?;
+    let (target, rest) = rest.split_once(", ")?;
+    let (tasks, rest) = rest.split_once(" tasks of ")?;
+    let (estimate, rest) = rest.split_once(" and ")?;
+    let (demand, rest) = rest.split_once(", pool ")?;
+    let (pool, manifest) = rest.split_once(", manifest ")?;
+    Some(JobSummary {
+        end: read_end(end)?,
+        took: read_millis(took)?,
+        target: read_millis(target)?,
+        tasks: tasks.parse().ok()?,
+        estimate: read_millis(estimate)?,
+        demand: read_room(demand)?,
+        pool: pool.into(),
+        manifest: manifest.parse().ok()?,
+    })
+}
+
+fn read_millis(text: &str) -> Option<Millis> {
+    text.strip_suffix("ms")?.parse().ok().map(Millis)
+}
+
+fn read_room(text: &str) -> Option<Room> {
+    let mut parts = text.split(' ');
+    let mut next = |unit| -> Option<u32> { parts.next()?.strip_suffix(unit)?.parse().ok() };
+    Some(Room {
+        cpu_millis: next("mcpu")?,
+        memory_mb: next("MB")?,
+        accelerators: next("acc")?,
+    })
+}
+
+impl fmt::Display for JobEnd {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            JobEnd::Completed => f.write_str("Completed"),
+            JobEnd::Failed => f.write_str("Failed"),
+            JobEnd::NotRun(reason, retry_after) => write!(f, "NotRun({reason:?}, {retry_after})"),
+            JobEnd::Unknown(reason) => write!(f, "Unknown({reason:?})"),
+        }
+    }
+}
+
+fn read_end(text: &str) -> Option<JobEnd> {
+    match text {
+        "Completed" => return Some(JobEnd::Completed),
+        "Failed" => return Some(JobEnd::Failed),
+        _ => {}
+    }
+    let (kind, inner) = text.strip_suffix(')')?.split_once('(')?;
+    match kind {
+        "NotRun" => {
+            let (reason, retry_after) = inner.split_once(", ")?;
+            let mut reasons = NotRunReason::ALL.into_iter();
+            let reason = reasons.find(|known| format!("{known:?}") == reason)?;
+            Some(JobEnd::NotRun(reason, read_millis(retry_after)?))
+        }
+        "Unknown" => {
+            let mut reasons = UnknownReason::ALL.into_iter();
+            let reason = reasons.find(|known| format!("{known:?}") == inner)?;
+            Some(JobEnd::Unknown(reason))
+        }
+        _ => None,
+    }
+}
--- a/crates/onyxshed-pool/tests/pool/main.rs
+++ b/crates/onyxshed-pool/tests/pool/main.rs
@@ -9,4 +9,5 @@
 mod load;
 mod parts;
 mod search;
+mod summary;
 mod world;
--- a/crates/onyxshed-proto/src/pool.rs
+++ b/crates/onyxshed-proto/src/pool.rs
@@ -107,23 +107,6 @@
     (!text.is_empty()).then_some(text)
 }
 
-const NOT_RUN_REASONS: [NotRunReason; 4] = [
-    NotRunReason::NoTime,
-    NotRunReason::NoExecutor,
-    NotRunReason::NotOwner,
-    NotRunReason::OldSession,
-];
-
-const UNKNOWN_REASONS: [UnknownReason; 7] = [
-    UnknownReason::OwnerChanged,
-    UnknownReason::OwnerPaused,
-    UnknownReason::PeerSilent,
-    UnknownReason::TimeOut,
-    UnknownReason::Cancelled,
-    UnknownReason::Superseded,
-    UnknownReason::EntryStopped,
-];
-
 fn number_of<T: PartialEq>(reasons: &[T], reason: &T) -> u8 {
     let found = reasons.iter().position(|known| known == reason);
     found
@@ -138,12 +121,12 @@
         JobEnd::Failed => to.set_kind(PoolEndKind::Failed),
         JobEnd::NotRun(reason, retry_after) => {
             to.set_kind(PoolEndKind::NotRun);
-            to.set_reason(number_of(&NOT_RUN_REASONS, reason));
+            to.set_reason(number_of(&NotRunReason::ALL, reason));
             to.set_retry_after_ms(retry_after.0);
         }
         JobEnd::Unknown(reason) => {
             to.set_kind(PoolEndKind::Unknown);
-            to.set_reason(number_of(&UNKNOWN_REASONS, reason));
+            to.set_reason(number_of(&UnknownReason::ALL, reason));
         }
     }
 }
@@ -156,11 +139,11 @@
         PoolEndKind::Completed => JobEnd::Completed,
         PoolEndKind::Failed => JobEnd::Failed,
         PoolEndKind::NotRun => {
-            let reason = NOT_RUN_REASONS.get(reason).ok_or_else(unreadable)?;
+            let reason = NotRunReason::ALL.get(reason).ok_or_else(unreadable)?;
             JobEnd::NotRun(*reason, Millis(from.get_retry_after_ms()))
         }
         PoolEndKind::Unknown => {
-            let reason = UNKNOWN_REASONS.get(reason).ok_or_else(unreadable)?;
+            let reason = UnknownReason::ALL.get(reason).ok_or_else(unreadable)?;
             JobEnd::Unknown(*reason)
         }
     })
