--- a/crates/onyxshed-host/src/links/remote.rs
+++ b/crates/onyxshed-host/src/links/remote.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
@@ -43,6 +43,13 @@
 /// Pause before a link that was given up is opened again.
 const REOPEN_PAUSE: Duration = Duration::from_millis(100);
 
+/// Pause before an owner that the store names, and that does not know it yet, is asked again; it has
+/// joined the pool's group and begins within a call of the store (4 ms).
+const BEGIN_PAUSE: Duration = Duration::from_millis(20);
+
+/// How long an owner may take to begin before its link is opened anew.
+const BEGIN_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// A connection on which the owner has answered.
 struct Open {
     client: pool_port::Client,
@@ -113,10 +120,15 @@
         let client = within(CONNECT_TIMEOUT, connect).await?.ok()?;
         // Held as long as the connection is good; dropping it ends the jobs that wait.
         let (_alive, lost): (Sender<()>, _) = async_channel::bounded(1);
+        let begin_by = Instant::now() + BEGIN_TIMEOUT;
         loop {
             match within(SILENCE, self.heartbeat(&client)).await {
                 None => return Some("no answer in time"),
                 Some(Err(_)) => return Some("the connection broke"),
+                Some(Ok(None)) if !self.is_up() && Instant::now() < begin_by => {
+                    Timer::after(BEGIN_PAUSE).await;
+                    continue;
+                }
                 Some(Ok(None)) => return Some("the host owns the pool no longer"),
                 Some(Ok(Some(session))) => self.heard(&client, session, &lost),
             }
