--- a/crates/onyxshed-core/src/event.rs
+++ b/crates/onyxshed-core/src/event.rs
@@ -132,6 +132,7 @@
     823 PoolExecutorAvoided Info "An executor gets no work for a while because runs failed or stuck on it.";
     824 PoolExecutorDraining Info "An executor is leaving.";
     825 PoolExecutorGone Info "An executor is no longer known.";
+    826 PoolExecutorUnreadable Warn "An executor's entry in the store can't be read; what is known of it stays.";
     830 PoolPeerSilent Warn "An entry host fell silent; its jobs are given up.";
     831 PoolLinkUp Info "The owner of a pool answers.";
     832 PoolLinkDown Warn "The owner of a pool does not answer.";
--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -15,7 +15,9 @@
 use onyxshed_http::client::within;
 use onyxshed_http::{Call, Handler, Reply, Server, ServerOptions, ServerStats};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
-use onyxshed_pool::{JobEnd, JobId, JobRequest, JobSummary, NotRunReason, UnknownReason};
+use onyxshed_pool::{
+    JobEnd, JobId, JobRequest, JobSummary, NotRunReason, SubmissionNumber, UnknownReason,
+};
 use onyxshed_process::listen;
 use smol_str::{SmolStr, format_smolstr};
 
@@ -143,6 +145,9 @@
 
     async fn submit(&self, call: &Call, manifest: &Manifest, route: &Route) -> Reply {
         let arrived = boot_clock::now();
+        if call.body.len() as u64 > manifest.body_max_bytes {
+            return refuse(413, "the body is larger than the manifest allows", None);
+        }
         let request = SmolStr::new(call.header(REQUEST_HEADER).unwrap_or_default());
         let job = match job::job_id(call.path(), &route.path_prefix) {
             Ok(job) => job,
@@ -219,7 +224,8 @@
     ) -> JobRequest {
         JobRequest {
             peer: self.links.own(),
-            submission: self.links.next_submission(),
+            // Each hand-over has a number of its own.
+            submission: SubmissionNumber(0),
             job: asked.job,
             upstream: route.upstream.clone(),
             spec: simple.spec,
--- a/crates/onyxshed-host/src/engine.rs
+++ b/crates/onyxshed-host/src/engine.rs
@@ -61,11 +61,11 @@
 
 impl Engine {
     /// Makes the handle of a host that owns nothing yet.
-    pub fn new(kernel: &Kernel, own: PeerLife) -> Rc<Self> {
+    pub fn new(kernel: &Kernel, own: PeerLife, options: PoolOptions) -> Rc<Self> {
         Rc::new(Engine {
             kernel: kernel.clone(),
             own,
-            options: PoolOptions::default(),
+            options,
             pool: RefCell::default(),
             owned: RefCell::default(),
             waiting: RefCell::default(),
--- a/crates/onyxshed-host/src/executors.rs
+++ b/crates/onyxshed-host/src/executors.rs
@@ -8,10 +8,10 @@
 use async_io::Timer;
 use onyxshed_adapter::store::{EXECUTORS_TOPIC, KeyedRecord};
 use onyxshed_adapter::{Error, ExecutorEntry, Store};
-use onyxshed_core::Millis;
+use onyxshed_core::{Event, EventKind, Millis};
 use onyxshed_kernel::Kernel;
 use onyxshed_pool::{Division, ExecutorFacts, ExecutorId, FencingToken, PoolId};
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 
 use crate::divisions::Divisions;
 use crate::engine::Engine;
@@ -24,6 +24,9 @@
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
+/// Most unreadable entries that are remembered, and told of.
+const UNREADABLE_MAX: usize = 64;
+
 /// Follows the entries for one pool until it has another owner.
 pub async fn follow(
     kernel: Kernel,
@@ -35,6 +38,7 @@
     let watch = StoreWatch::new(&kernel, "executors");
     let mut store = Store::new(address);
     let mut follower = Follower {
+        kernel,
         engine,
         divisions,
         token,
@@ -42,6 +46,7 @@
         division,
         listed: BTreeSet::new(),
         of_zone: BTreeSet::new(),
+        unreadable: BTreeSet::new(),
     };
     while follower.is_needed() {
         let Err(error) = follower.follow_once(&mut store, &watch).await else {
@@ -55,6 +60,7 @@
 }
 
 struct Follower {
+    kernel: Kernel,
     engine: Rc<Engine>,
     divisions: Rc<Divisions>,
     token: FencingToken,
@@ -64,6 +70,8 @@
     listed: BTreeSet<SmolStr>,
     /// Executors of the whole zone, by which it is divided.
     of_zone: BTreeSet<SmolStr>,
+    /// Ids whose newest entry can't be read.
+    unreadable: BTreeSet<SmolStr>,
 }
 
 impl Follower {
@@ -135,9 +143,11 @@
         };
         // An entry that can't be read comes from a foreign writer and names no executor; what is
         // known of an executor of that id stays.
-        let Ok(entry) = ExecutorEntry::parse(value) else {
-            return;
+        let entry = match ExecutorEntry::parse(value) {
+            Ok(entry) => entry,
+            Err(error) => return self.tell_unreadable(&record.key, &error),
         };
+        self.unreadable.remove(&record.key);
         if entry.zone != self.pool.zone {
             return;
         }
@@ -150,6 +160,14 @@
         self.engine.executor_listed(id, facts_of(entry));
     }
 
+    /// Writes one line for an entry that can't be read, until it can.
+    fn tell_unreadable(&mut self, id: &SmolStr, error: &Error) {
+        if self.unreadable.len() < UNREADABLE_MAX && self.unreadable.insert(id.clone()) {
+            let event = Event::new(EventKind::PoolExecutorUnreadable).party(id.clone());
+            self.kernel.emit(event.detail(format_smolstr!("{error}")));
+        }
+    }
+
     fn unlist(&mut self, id: &SmolStr) {
         self.of_zone.remove(id);
         if self.listed.remove(id) {
--- a/crates/onyxshed-host/src/process.rs
+++ b/crates/onyxshed-host/src/process.rs
@@ -11,7 +11,7 @@
 use onyxshed_core::{Incarnation, Millis};
 use onyxshed_http::ServerOptions;
 use onyxshed_kernel::{Kernel, RunEnd, RunOptions, Service};
-use onyxshed_pool::PeerLife;
+use onyxshed_pool::{PeerLife, PoolOptions};
 use onyxshed_settings::{LogFormat, LogLevel, LogSettings};
 use onyxshed_telemetry::admin::AdminService;
 use onyxshed_telemetry::log::Log;
@@ -170,6 +170,16 @@
     end.into()
 }
 
+/// Gets the pool's options; executors shorten a lease that is longer than they grant, and a run that
+/// its owner takes to be leased would end.
+fn pool_options(settings: &HostSettings) -> PoolOptions {
+    let options = PoolOptions::default();
+    PoolOptions {
+        lease_ms: options.lease_ms.min(settings.lease_max_ms),
+        ..options
+    }
+}
+
 fn services(
     kernel: &Kernel,
     options: &HostOptions,
@@ -178,7 +188,7 @@
 ) -> Vec<Box<dyn Service>> {
     let own = PeerLife(rand::random());
     let peer_address = SocketAddr::new(settings.ip, settings.first_own_port);
-    let engine = Engine::new(kernel, own);
+    let engine = Engine::new(kernel, own, pool_options(settings));
     let link_options = LinkOptions {
         address: peer_address,
         zone: settings.zone.clone(),
--- a/crates/onyxshed-soak/tests/hosts.rs
+++ b/crates/onyxshed-soak/tests/hosts.rs
@@ -79,6 +79,20 @@
     });
 }
 
+/// A caller sends more than the manifest allows: it hears so, and nothing of its job starts.
+#[test]
+fn a_body_beyond_the_manifests_limit_is_refused() {
+    block_on(async {
+        let mut fleet = Fleet::start(&one_zone()).await.expect("it starts");
+        let mut connection = open(fleet.caller_addresses()[0]).await;
+        let mut large = job(10, 1);
+        large["spec"] = json!("x".repeat(300 << 10));
+        let reply = ask(&mut connection, Method::Post, "00000000000000aa", &large).await;
+        assert_eq!(reply.expect("an answer").status, 413);
+        assert!(fleet.all_records().await.is_empty());
+    });
+}
+
 /// A route that no manifest names is unknown; a job's state is known to nobody but its caller.
 #[test]
 fn unknown_routes_and_jobs_are_said_to_be_unknown() {
