Places for the links of every host of a large deployment

Jobs handed over on a link that closes are lost. every_host_of_a_large_deployment_keeps_its_link: 256 of 302 before, 302 after.

--- a/crates/onyxshed-control/src/peers.rs
+++ b/crates/onyxshed-control/src/peers.rs
@@ -16,8 +16,8 @@
 use onyxshed_core::{Event, EventKind, HostName, Millis, Now, ZoneName};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_process::{listen, serve_rpc};
-use onyxshed_proto::EntryStatus;
 use onyxshed_proto::onyxshed_capnp::peer_port;
+use onyxshed_proto::{EntryStatus, rpc};
 use onyxshed_state::member::{Gossip, Outgoing};
 use onyxshed_state::{Heartbeat, MemberOptions, MemberTable, Note};
 use onyxshed_wire::platform::HostList;
@@ -232,7 +232,7 @@
             rounds: Cell::new(0),
         });
         let client: peer_port::Client = capnp_rpc::new_client(port::Port::new(peers.clone()));
-        serve_rpc(kernel, listener, client.client);
+        serve_rpc(kernel, listener, client.client, rpc::CONNECTIONS_MAX);
         kernel
             .spawn(peers.clone().keep_telling(kernel.find(ENTRY_LINK)?))
             .detach();
--- a/crates/onyxshed-entry/src/control_port.rs
+++ b/crates/onyxshed-entry/src/control_port.rs
@@ -15,7 +15,7 @@
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_process::{listen, serve_rpc};
 use onyxshed_proto::onyxshed_capnp::entry_port;
-use onyxshed_proto::{EntryStatus, Snapshot, snapshot, status};
+use onyxshed_proto::{EntryStatus, Snapshot, rpc, snapshot, status};
 use onyxshed_state::{LoadDigest, MemberState};
 
 use crate::engine::Engine;
@@ -215,7 +215,7 @@
             let (listener, _) = listen(kernel, CONTROL_PORT, "control", address).await?;
             let client: entry_port::Client =
                 capnp_rpc::new_client(EntryPort { port: port.clone() });
-            serve_rpc(kernel, listener, client.client);
+            serve_rpc(kernel, listener, client.client, rpc::CONNECTIONS_MAX);
             kernel.spawn(port.clone().watch()).detach();
             let descriptor = Descriptor {
                 name: CONTROL_PORT,
--- /dev/null
+++ b/crates/onyxshed-host/tests/peers.rs
@@ -0,0 +1,63 @@
+//! Many hosts at one owner.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use async_executor::LocalExecutor;
+use async_net::TcpListener;
+use capnp::capability::Rc as ServerRc;
+use futures_lite::future::block_on;
+use onyxshed_host::links::PEERS_MAX;
+use onyxshed_proto::pool_capnp::pool_port;
+use onyxshed_proto::rpc;
+
+/// Hosts of the largest deployment measured.
+const HOSTS: usize = 302;
+
+/// An owner that answers every heartbeat.
+struct Owner;
+
+impl pool_port::Server for Owner {
+    async fn heartbeat(
+        self: ServerRc<Self>,
+        _params: pool_port::HeartbeatParams,
+        mut results: pool_port::HeartbeatResults,
+    ) -> capnp::Result<()> {
+        results.get().set_is_owner(true);
+        Ok(())
+    }
+}
+
+async fn is_answered(client: &pool_port::Client) -> bool {
+    let reply = client.heartbeat_request().send().promise.await;
+    reply.is_ok_and(|reply| reply.get().is_ok_and(|reply| reply.get_is_owner()))
+}
+
+/// Every host of a large deployment has a link to one owner. The owner had places for 256: each
+/// further link closed the oldest one, whose host opened it again, and so on; jobs handed over on
+/// a link that closed were lost. All links stay.
+#[test]
+fn every_host_of_a_large_deployment_keeps_its_link() {
+    let executor: Rc<LocalExecutor<'static>> = Rc::new(LocalExecutor::new());
+    let serving = executor.clone();
+    block_on(executor.run(async move {
+        let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+        let listener = TcpListener::bind(any).await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let owner: pool_port::Client = capnp_rpc::new_client(Owner);
+        let dropped: rpc::Dropped = Rc::new(|_| {});
+        let serve = rpc::serve(listener, owner.client, serving.clone(), PEERS_MAX, dropped);
+        serving.spawn(serve).detach();
+        let mut links = Vec::new();
+        for _ in 0..HOSTS {
+            let link: pool_port::Client = rpc::connect(address, &serving).await.expect("a link");
+            assert!(is_answered(&link).await);
+            links.push(link);
+        }
+        let mut kept = 0;
+        for link in &links {
+            kept += usize::from(is_answered(link).await);
+        }
+        assert_eq!(kept, HOSTS);
+    }));
+}
--- a/crates/onyxshed-process/src/listen.rs
+++ b/crates/onyxshed-process/src/listen.rs
@@ -28,13 +28,24 @@
     Ok((listener, bound))
 }
 
-/// Serves an interface for as long as the process lives, and tells of connections that it drops.
-pub fn serve_rpc(kernel: &Kernel, listener: TcpListener, bootstrap: Client) {
+/// Serves an interface for as long as the process lives, to so many connections at a time, and tells
+/// of those that it drops.
+pub fn serve_rpc(
+    kernel: &Kernel,
+    listener: TcpListener,
+    bootstrap: Client,
+    connections_max: usize,
+) {
     let teller = kernel.clone();
     let dropped: rpc::Dropped = Rc::new(move |reason: SmolStr| {
         teller.emit(Event::new(EventKind::RequestRejected).detail(reason));
     });
-    kernel
-        .spawn(rpc::serve(listener, bootstrap, kernel.executor(), dropped))
-        .detach();
+    let serving = rpc::serve(
+        listener,
+        bootstrap,
+        kernel.executor(),
+        connections_max,
+        dropped,
+    );
+    kernel.spawn(serving).detach();
 }
--- a/crates/onyxshed-proto/src/rpc.rs
+++ b/crates/onyxshed-proto/src/rpc.rs
@@ -25,8 +25,9 @@
 /// Deepest nesting in a message.
 const NESTING_MAX: i32 = 16;
 
-/// Most connections that one interface serves at a time.
-const CONNECTIONS_MAX: usize = 256;
+/// Most connections that one interface serves at a time, where nothing else is said: some four times
+/// the peers of the largest deployment measured with the product's own processes (64 hosts).
+pub const CONNECTIONS_MAX: usize = 256;
 
 fn reader_options() -> ReaderOptions {
     let mut options = ReaderOptions::new();
@@ -47,7 +48,7 @@
 /// Told, in words, why a connection was dropped.
 pub type Dropped = Rc<dyn Fn(SmolStr)>;
 
-/// Serves `bootstrap` to every connection until dropped.
+/// Serves `bootstrap` to every connection, `connections_max` at a time, until dropped.
 ///
 /// Failure guarded against: a flood of connections that say nothing takes every place. Symptom: the
 /// control process, or a peer, can't get through. The oldest connection makes room for a new one: a
@@ -56,6 +57,7 @@
     listener: TcpListener,
     bootstrap: Client,
     executor: Rc<LocalExecutor<'static>>,
+    connections_max: usize,
     dropped: Dropped,
 ) {
     let mut open: VecDeque<Task<()>> = VecDeque::new();
@@ -68,7 +70,7 @@
             continue;
         }
         open.retain(|connection| !connection.is_finished());
-        if open.len() >= CONNECTIONS_MAX {
+        if open.len() >= connections_max {
             dropped(SmolStr::new_static("the oldest of too many connections"));
             open.pop_front();
         }
