--- a/crates/onyxshed-soak/src/callers.rs
+++ b/crates/onyxshed-soak/src/callers.rs
@@ -50,6 +50,8 @@
     pub tasks: u16,
     /// What its caller heard, hand-over by hand-over.
     pub heard: Vec<Heard>,
+    /// How many of its requests ended with their connection, without an answer.
+    pub cut_off: u32,
     /// How long it took from its first sending.
     pub took: Duration,
 }
@@ -64,6 +66,7 @@
         hosts,
         connection: None,
         used: 0,
+        cut_off: 0,
     };
     while Instant::now() < until {
         let pause = Duration::from_millis(rng.random_range(5..80));
@@ -77,6 +80,8 @@
     hosts: Vec<SocketAddr>,
     connection: Option<Connection>,
     used: u32,
+    /// Requests that ended with their connection.
+    cut_off: u32,
 }
 
 impl Caller {
@@ -96,6 +101,7 @@
         });
         let body = body.to_string();
         let begun = Instant::now();
+        let cut_off_before = self.cut_off;
         let mut heard = Vec::new();
         for _ in 0..SENDS_MAX {
             let last = self.send(&job, &body, rng).await;
@@ -109,6 +115,7 @@
             job,
             tasks,
             heard,
+            cut_off: self.cut_off - cut_off_before,
             took: begun.elapsed(),
         }
     }
@@ -139,8 +146,13 @@
         let reply = connection
             .call(Method::Post, &path, &headers, body.into(), PATIENCE)
             .await;
-        let Ok(reply) = reply else {
-            return Heard::Unknown;
+        let reply = match reply {
+            Ok(reply) => reply,
+            Err(error) => {
+                let is_cut_off = error.sent == onyxshed_http::Sent::Maybe && !error.is_timeout;
+                self.cut_off += u32::from(is_cut_off);
+                return Heard::Unknown;
+            }
         };
         if reply.get("connection") != Some("close") {
             self.connection = Some(connection);
--- a/crates/onyxshed-soak/src/checks.rs
+++ b/crates/onyxshed-soak/src/checks.rs
@@ -37,6 +37,13 @@
     found
 }
 
+/// Finds requests that planned work alone has cut off.
+pub fn cut_off(sent: &[Sent]) -> Vec<String> {
+    let cut = sent.iter().filter(|sent| sent.cut_off > 0);
+    cut.map(|sent| format!("planned work cut off a request for {}", sent.job))
+        .collect()
+}
+
 fn job_of(task: &str) -> Option<&str> {
     task.split('.').next()
 }
--- a/crates/onyxshed-soak/src/faults.rs
+++ b/crates/onyxshed-soak/src/faults.rs
@@ -42,9 +42,19 @@
     pub fault: Fault,
 }
 
+/// Which faults a soak draws.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FaultMix {
+    /// All kinds.
+    All,
+    /// Planned work alone: stops, reloads and new manifests.
+    Planned,
+}
+
 /// Draws a plan: faults in series, and overlapping.
 pub fn plan(
     rng: &mut SmallRng,
+    mix: FaultMix,
     length: Duration,
     hosts: &[SmolStr],
     executors: &[SmolStr],
@@ -54,7 +64,10 @@
     let mut plan: Vec<Planned> = (0..count)
         .map(|_| Planned {
             at: Duration::from_millis(rng.random_range(0..length_ms)),
-            fault: draw(rng, hosts, executors),
+            fault: match mix {
+                FaultMix::All => draw(rng, hosts, executors),
+                FaultMix::Planned => draw_planned(rng, hosts),
+            },
         })
         .collect();
     plan.sort_by_key(|planned| planned.at);
@@ -69,6 +82,14 @@
     Duration::from_millis(rng.random_range(100..3_500))
 }
 
+fn draw_planned(rng: &mut SmallRng, hosts: &[SmolStr]) -> Fault {
+    match rng.random_range(0..4) {
+        0 => Fault::HangUp(one_of(rng, hosts)),
+        1 => Fault::Manifest,
+        _ => Fault::StopHost(one_of(rng, hosts)),
+    }
+}
+
 fn draw(rng: &mut SmallRng, hosts: &[SmolStr], executors: &[SmolStr]) -> Fault {
     match rng.random_range(0..14) {
         0 => Fault::KillHost(one_of(rng, hosts), span(rng)),
--- a/crates/onyxshed-soak/src/fleet.rs
+++ b/crates/onyxshed-soak/src/fleet.rs
@@ -42,6 +42,28 @@
     pub hosts: usize,
     /// Executors in each zone.
     pub executors: usize,
+    /// What the executors' clocks show.
+    pub clocks: ExecutorClocks,
+}
+
+/// What the executors' clocks show.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ExecutorClocks {
+    /// The time since their start.
+    True,
+    /// Up to 90 s more, and up to 2% slow, which is the most that the platform allows.
+    Off,
+}
+
+impl ExecutorClocks {
+    /// Gets how far an executor's clock is ahead, in milliseconds, and by how many thousandths it is
+    /// slow.
+    fn of(self, index: usize) -> (u64, u64) {
+        match self {
+            ExecutorClocks::True => (0, 0),
+            ExecutorClocks::Off => [(90_000, 20), (0, 11), (4_000, 0)][index % 3],
+        }
+    }
 }
 
 impl Default for FleetOptions {
@@ -50,6 +72,7 @@
             zones: 2,
             hosts: 2,
             executors: 3,
+            clocks: ExecutorClocks::True,
         }
     }
 }
@@ -107,7 +130,7 @@
         ];
         for zone in 0..options.zones {
             for index in 0..options.executors {
-                fleet.add_executor(zone, index).await?;
+                fleet.add_executor(zone, index, options.clocks).await?;
             }
         }
         let mut number = 0;
@@ -187,19 +210,27 @@
             .await
     }
 
-    async fn add_executor(&mut self, zone: usize, index: usize) -> Result<()> {
+    async fn add_executor(
+        &mut self,
+        zone: usize,
+        index: usize,
+        clocks: ExecutorClocks,
+    ) -> Result<()> {
         let id = format_smolstr!("x-{zone}-{index}");
         // Opened with no target yet; the executor is told where it will be reached.
         let nowhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 9));
         let advertised = self.route(&format!("executor-{id}"), nowhere).await?;
         let store = self.store.address("store")?;
         let speed = [0.7, 1.0, 1.6][index % 3];
+        let (ahead_ms, slow_millis) = clocks.of(index);
         let arguments: Vec<String> = [
             format!("--store={store}"),
             format!("--advertised={advertised}"),
             format!("--id={id}"),
             format!("--zone=z{zone}"),
             format!("--speed={speed}"),
+            format!("--clock-ahead-ms={ahead_ms}"),
+            format!("--clock-slow-millis={slow_millis}"),
         ]
         .into();
         let executor = Executor {
--- a/crates/onyxshed-soak/src/main.rs
+++ b/crates/onyxshed-soak/src/main.rs
@@ -3,7 +3,9 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use onyxshed_soak::faults::FaultMix;
+use onyxshed_soak::fleet::ExecutorClocks;
 use onyxshed_soak::{SoakOptions, soak};
 
 fn command() -> Command {
@@ -14,6 +16,12 @@
             .value_parser(value_parser!(u64))
             .help(help)
     };
+    let flag = |name: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .action(ArgAction::SetTrue)
+            .help(help)
+    };
     Command::new("onyxshed-soak")
         .version(clap::crate_version!())
         .about("Runs the real programs under random faults and checks their promises")
@@ -24,6 +32,11 @@
         .arg(number("hosts", "2", "Hosts in each zone"))
         .arg(number("executors", "3", "Executors in each zone"))
         .arg(number("callers", "8", "Callers at a time"))
+        .arg(flag("planned", "Only stops, reloads and new manifests"))
+        .arg(flag(
+            "true-clocks",
+            "Executors' clocks are neither ahead nor slow",
+        ))
 }
 
 fn options(matches: &ArgMatches, seed: u64) -> SoakOptions {
@@ -34,6 +47,13 @@
     options.fleet.hosts = count("hosts");
     options.fleet.executors = count("executors");
     options.callers = count("callers");
+    options.fleet.clocks = match matches.get_flag("true-clocks") {
+        true => ExecutorClocks::True,
+        false => ExecutorClocks::Off,
+    };
+    if matches.get_flag("planned") {
+        options.mix = FaultMix::Planned;
+    }
     options.length = Duration::from_secs(number("seconds"));
     options
 }
--- a/crates/onyxshed-soak/src/run.rs
+++ b/crates/onyxshed-soak/src/run.rs
@@ -15,7 +15,7 @@
 
 use crate::callers::{self, Book, Heard};
 use crate::checks;
-use crate::faults::{Fault, Planned, plan};
+use crate::faults::{Fault, FaultMix, Planned, plan};
 use crate::fleet::{Fleet, FleetOptions, GRACE, unmet};
 
 /// Time for everything to settle after the last fault, before the calm jobs are sent.
@@ -35,6 +35,8 @@
     pub callers: usize,
     /// How long faults strike.
     pub length: Duration,
+    /// Which faults strike.
+    pub mix: FaultMix,
 }
 
 impl SoakOptions {
@@ -45,6 +47,7 @@
             fleet: FleetOptions::default(),
             callers: 8,
             length: Duration::from_secs(8),
+            mix: FaultMix::All,
         }
     }
 }
@@ -79,6 +82,7 @@
     let mut rng = SmallRng::seed_from_u64(options.seed);
     let faults = plan(
         &mut rng,
+        options.mix,
         options.length,
         &fleet.host_names(),
         &fleet.executor_ids(),
@@ -96,6 +100,9 @@
     let records = fleet.all_records().await;
     let all: Vec<callers::Sent> = troubled_sent.iter().chain(&calm_sent).cloned().collect();
     let mut broken = checks::broken(&all, &records, &strikes.killed_ms);
+    if options.mix == FaultMix::Planned {
+        broken.extend(checks::cut_off(&troubled_sent));
+    }
     let served = calm_sent
         .iter()
         .filter(|sent| matches!(sent.heard[0], Heard::Completed | Heard::Failed));
--- a/crates/onyxshed-soak/tests/hosts.rs
+++ b/crates/onyxshed-soak/tests/hosts.rs
@@ -7,7 +7,7 @@
 use http_types::Method;
 use onyxshed_http::client::{ClientOptions, Connection};
 use onyxshed_http::{CallError, Reply};
-use onyxshed_soak::fleet::{Fleet, FleetOptions, ROUTE_HOST, ROUTE_PREFIX};
+use onyxshed_soak::fleet::{ExecutorClocks, Fleet, FleetOptions, ROUTE_HOST, ROUTE_PREFIX};
 use onyxshed_standins::fleet::store::StoreFaults;
 use serde_json::{Value, json};
 use smol_str::SmolStr;
@@ -20,6 +20,7 @@
         zones: 1,
         hosts: 2,
         executors: 2,
+        clocks: ExecutorClocks::True,
     }
 }
 
--- a/crates/onyxshed-soak/tests/seeds.rs
+++ b/crates/onyxshed-soak/tests/seeds.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use onyxshed_soak::faults::FaultMix;
+use onyxshed_soak::fleet::ExecutorClocks;
 use onyxshed_soak::run::must_hold;
 use onyxshed_soak::{SoakOptions, soak};
 use rstest::rstest;
@@ -15,6 +17,32 @@
     must_hold(&report).expect("every promise holds");
 }
 
+/// Hosts are stopped, told to reload and given new manifests, in series and overlapping, with
+/// nothing else wrong. A caller whose request was taken and whose connection ends without an answer
+/// was cut off by a host that ended before it had answered.
+#[test]
+fn planned_work_alone_cuts_off_no_request() {
+    let options = SoakOptions {
+        mix: FaultMix::Planned,
+        ..SoakOptions::of_seed(21)
+    };
+    let report = soak(&options).expect("it runs");
+    must_hold(&report).expect("every promise holds");
+    assert!(report.completed > 0, "nothing was served");
+}
+
+/// Executors' clocks are ahead and slow, as far as the platform allows: leases that are reckoned on
+/// the wrong clock would end too early, and tasks would run twice.
+#[test]
+fn executors_clocks_that_are_off_break_no_promise() {
+    let mut options = SoakOptions::of_seed(13);
+    options.fleet.clocks = ExecutorClocks::Off;
+    options.length = Duration::from_secs(5);
+    let report = soak(&options).expect("it runs");
+    must_hold(&report).expect("every promise holds");
+    assert!(report.completed > 0, "nothing was served");
+}
+
 /// A short run of fixed seeds; `onyxshed-soak --seeds N` runs more by hand.
 #[rstest]
 #[case(11)]
--- a/crates/onyxshed-standins/src/bin/standin-fleet-executor.rs
+++ b/crates/onyxshed-standins/src/bin/standin-fleet-executor.rs
@@ -43,6 +43,19 @@
                 .default_value("1")
                 .value_parser(value_parser!(f64)),
         )
+        .arg(
+            option("clock-ahead-ms", "How far its clock is ahead")
+                .default_value("0")
+                .value_parser(value_parser!(u64)),
+        )
+        .arg(
+            option(
+                "clock-slow-millis",
+                "By how many thousandths its clock is slow",
+            )
+            .default_value("0")
+            .value_parser(value_parser!(u64).range(0..500)),
+        )
 }
 
 fn options(matches: &ArgMatches) -> FleetExecutorOptions {
@@ -56,6 +69,10 @@
         zone: text("zone"),
         cpu_millis: *matches.get_one("cpu-millis").expect("it has a default"),
         speed: *matches.get_one("speed").expect("it has a default"),
+        clock_ahead_ms: *matches.get_one("clock-ahead-ms").expect("it has a default"),
+        clock_slow_millis: *matches
+            .get_one("clock-slow-millis")
+            .expect("it has a default"),
         store: *matches.get_one("store").expect("it is required"),
         advertised: matches.get_one("advertised").copied(),
     }
--- a/crates/onyxshed-standins/src/fleet/executor.rs
+++ b/crates/onyxshed-standins/src/fleet/executor.rs
@@ -54,6 +54,10 @@
     pub cpu_millis: u32,
     /// How many times faster than an ordinary executor it is.
     pub speed: f64,
+    /// How far its clock is ahead, in milliseconds.
+    pub clock_ahead_ms: u64,
+    /// By how many thousandths its clock is slow.
+    pub clock_slow_millis: u64,
     /// The store.
     pub store: SocketAddr,
     /// Where hosts reach it, if not where it listens.
@@ -135,7 +139,12 @@
             memory_mb: 1_000_000,
             accelerators: 0,
         };
-        let mut book = RunBook::new(capacity, options.speed, 0, 0);
+        let mut book = RunBook::new(
+            capacity,
+            options.speed,
+            options.clock_ahead_ms,
+            options.clock_slow_millis,
+        );
         book.born = now_ms().0;
         FleetExecutor {
             inner: Rc::new(Inner {
