A stopping owner that nobody takes over from serves on

Cause: where the store can't be reached no host can take over from an owner that is stopped, and its zone's callers were refused from 2.2 s after the signal.

--- a/crates/onyxshed-host/src/engine.rs
+++ b/crates/onyxshed-host/src/engine.rs
@@ -9,7 +9,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
@@ -41,6 +41,11 @@
 /// How long a stopping owner waits for the jobs of its pool.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(3_000);
 
+/// How long a stopping owner that nobody takes over from serves on after its own callers are gone:
+/// with the balancer's notice some 3,700 ms of the platform's grace of 6,000, whose rest its last jobs
+/// get. A zone that is cut off from the store has no next owner until the cut heals.
+const SERVE_ON: Duration = Duration::from_millis(1_500);
+
 /// How often a stopping owner looks whether its jobs have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
 
@@ -340,15 +345,19 @@
         })
     }
 
-    /// Waits for the jobs of the pool, which takes no new ones by now: either another host owns it,
-    /// or none could take it over while this one's callers were served.
+    /// Serves on for a while if no other host takes the pool over, then waits for its last jobs.
     fn drain<'a>(&'a self, _kernel: &'a Kernel) -> LocalFuture<'a, ()> {
         Box::pin(async move {
+            let close_at = Instant::now() + SERVE_ON;
+            let owns = || self.engine.owned().is_some() && !self.engine.is_releasing();
+            while owns() && Instant::now() < close_at {
+                Timer::after(DRAIN_POLL).await;
+            }
             if let Some(pool) = self.engine.pool.borrow_mut().as_mut() {
                 pool.close();
             }
-            let deadline = std::time::Instant::now() + DRAIN_TIMEOUT;
-            while self.engine.counts().1 > 0 && std::time::Instant::now() < deadline {
+            let deadline = Instant::now() + DRAIN_TIMEOUT;
+            while self.engine.counts().1 > 0 && Instant::now() < deadline {
                 Timer::after(DRAIN_POLL).await;
             }
         })
