--- a/crates/onyxshed-host/src/ownership.rs
+++ b/crates/onyxshed-host/src/ownership.rs
@@ -337,6 +337,26 @@
         }
     }
 
+    /// Gets the link to the owner before this one, if it answers.
+    ///
+    /// Failure guarded against: a pool changes hands twice in a second, and this host has heard only
+    /// of the owner before the last. Symptom: it finds that one done with the pool, gives orders at
+    /// once, and its token ends the say of the owner in between, whose jobs are lost (21 at once).
+    /// Whoever wrote itself down last is the one to ask.
+    async fn predecessor(&mut self, pool: &PoolId) -> Option<Rc<RemoteLink>> {
+        match last_owner::read(&mut self.store, pool).await {
+            Ok(member) => {
+                let address = member.and_then(|member| address_of(&member));
+                let address = address.filter(|address| *address != self.options.address);
+                self.links.set_owner(pool, address);
+                self.links.answers(pool, PROBE_TIMEOUT).await;
+            }
+            // The owner that is known by other ways is asked.
+            Err(error) => self.watch.failed(&error),
+        }
+        self.links.link_to(pool)
+    }
+
     /// Begins to own a pool, if the zone's division still has it.
     async fn begin(&mut self, pool: PoolId) -> Next {
         // Without an answer the division known is taken; executors refuse a token of an old one.
@@ -348,7 +368,7 @@
             return Next::Leave(pool);
         }
         let token = division.token(&pool, self.generation);
-        let last_owner = self.links.link_to(&pool);
+        let last_owner = self.predecessor(&pool).await;
         self.directory.taken(&pool);
         self.links.heard_owner(&pool);
         self.engine.take_fenced();
--- a/crates/onyxshed-pool/src/chooser.rs
+++ b/crates/onyxshed-pool/src/chooser.rs
@@ -49,10 +49,10 @@
         self.digests.remove(pool);
     }
 
-    /// Tells whether the owner of a pool answers and wants to be replaced.
+    /// Tells whether the owner of a pool answers and wants to be replaced, or is being replaced.
     pub fn is_leaving(&self, pool: &PoolId) -> bool {
         let digest = self.digests.get(pool);
-        digest.is_some_and(|digest| digest.is_leaving)
+        digest.is_some_and(|digest| digest.is_leaving || digest.is_closing)
     }
 
     /// Notes that a job was handed to a pool, ahead of the owner's next word.
