--- a/crates/onyxshed-pool/tests/pool/calls.rs
+++ b/crates/onyxshed-pool/tests/pool/calls.rs
@@ -1,6 +1,6 @@
 //! What the owner makes of executors' answers, one failure at a time.
 
-use onyxshed_core::UnixMs;
+use onyxshed_core::{Millis, UnixMs};
 use onyxshed_pool::{
     Action, ExecutorReport, HoldAnswer, JobEnd, JobId, NotRunReason, RefuseReason, RunEnd,
     StartAnswer, StopAnswer, TaskId, UnknownReason,
@@ -75,6 +75,25 @@
     assert_eq!((next.task, next.run.0), (order.task, 2));
 }
 
+/// One report gets no answer. The executor takes no work until it is heard again, so it is asked
+/// again at once; one that stays silent is asked every 50 ms.
+#[test]
+fn a_report_without_an_answer_is_asked_for_again_at_once() {
+    let mut desk = Desk::with_executors(&[("x1", 64)]);
+    let pause = |desk: &mut Desk| {
+        let asked = std::mem::take(&mut desk.asked);
+        let mut pauses = asked.iter().filter_map(|action| match action {
+            Action::Hold(_, _, pause) => Some(*pause),
+            _ => None,
+        });
+        pauses.next().expect("a question")
+    };
+    desk.hold_answer(100, "x1", HoldAnswer::Unknown);
+    assert_eq!(pause(&mut desk), Millis(5));
+    desk.hold_answer(150, "x1", HoldAnswer::Unknown);
+    assert_eq!(pause(&mut desk), Millis(50));
+}
+
 /// An executor goes silent with a run at work. Its lease of 600 ms may last up to 648 ms on a slow
 /// clock; until then the task must not run elsewhere, and no hold may renew the lease.
 #[test]
--- a/crates/onyxshed-pool/tests/pool/load.rs
+++ b/crates/onyxshed-pool/tests/pool/load.rs
@@ -11,7 +11,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::fixture::{job, room};
-use crate::world::World;
+use crate::world::{Patience, Trouble, World};
 
 /// Jobs begin here, when every executor has been taken over.
 const BEGIN_MS: u64 = 2_000;
@@ -88,9 +88,11 @@
 }
 
 /// Shares of each class's jobs that ended within their objective.
-fn shares_in_time(jobs_per_s: u64, seed: u64) -> [f64; 3] {
+fn shares_in_time(jobs_per_s: u64, seed: u64, trouble: Trouble, patience: Patience) -> [f64; 3] {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut world = World::new(seed, executors(), 2);
+    world.trouble = trouble;
+    world.patience = patience;
     for number in 0..jobs_per_s * LENGTH_MS / 1_000 {
         let at_ms = BEGIN_MS + rng.random_range(0..LENGTH_MS);
         let (class, request, true_ms) = some_job(&mut rng, number);
@@ -113,14 +115,18 @@
     counts.map(|(asked, in_time)| f64::from(in_time) / f64::from(asked.max(1)))
 }
 
-/// Shares of each class in the mean of three seeds.
+/// Shares of each class in the mean of three seeds, with nothing wrong.
 fn mean_shares(jobs_per_s: u64) -> [f64; 3] {
-    const SEEDS: u64 = 3;
+    mean_shares_in(jobs_per_s, 3, Trouble::default(), Patience::LONG)
+}
+
+/// Shares of each class in the mean of some seeds.
+fn mean_shares_in(jobs_per_s: u64, seeds: u32, trouble: Trouble, patience: Patience) -> [f64; 3] {
     let mut sum = [0.0; 3];
-    for seed in 0..SEEDS {
-        let shares = shares_in_time(jobs_per_s, seed);
+    for seed in 0..seeds {
+        let shares = shares_in_time(jobs_per_s, seed.into(), trouble, patience);
         for (class, share) in shares.iter().enumerate() {
-            sum[class] += share / 3.0;
+            sum[class] += share / f64::from(seeds);
         }
     }
     println!("{jobs_per_s} jobs/s: {sum:.3?}");
@@ -149,3 +155,20 @@
     let [short, long, pairs] = mean_shares(76);
     assert!(short > 0.40 && long > 0.22 && pairs > 0.72);
 }
+
+/// Three orders in a hundred get no answer and are carried out seconds later. Callers of short jobs
+/// hear too late, because each of eight tasks may wait for its order to be sent again: sent again
+/// after 100 ms, and reports after 120, served 0.60, 0.93 and 0.95 of the classes in time, after 40
+/// and 50 ms it is 0.73, 0.92 and 0.97 (mean of ten seeds).
+#[test]
+fn orders_without_answers_are_sent_again_in_time() {
+    let trouble = Trouble {
+        applied_late: 0.03,
+        until: Mono(60_000_000),
+        ..Trouble::default()
+    };
+    let [short_before, ..] = mean_shares_in(25, 10, trouble, Patience::LONG);
+    let [short, long, pairs] = mean_shares_in(25, 10, trouble, Patience::OF_HOSTS);
+    assert!(short > short_before + 0.08);
+    assert!(short > 0.68 && long > 0.87 && pairs > 0.94);
+}
--- a/crates/onyxshed-pool/tests/pool/search.rs
+++ b/crates/onyxshed-pool/tests/pool/search.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 
 use crate::fixture::{job, room};
-use crate::world::{Fault, Trouble, World};
+use crate::world::{Fault, Patience, Trouble, World};
 
 const EXECUTORS: usize = 6;
 const ENTRIES: usize = 3;
@@ -102,9 +102,10 @@
 
 /// Plays a world of its own seeds in which pools change hands between owners that both live, beside
 /// the other faults.
-fn play_handovers(seed: u64) -> World {
+fn play_handovers(seed: u64, patience: Patience) -> World {
     let mut rng = SmallRng::seed_from_u64(seed ^ 0x4a4d);
     let mut world = World::new(seed, executors(&mut rng), ENTRIES);
+    world.patience = patience;
     if rng.random_bool(0.5) {
         world.trouble = Trouble {
             applied_late: 0.06,
@@ -174,11 +175,14 @@
 /// they do. An executor that changed hands too early would let the next owner start a task that the
 /// last one still runs; one whose orders the last owner still renews would run it twice.
 #[rstest]
-fn no_task_runs_twice_while_a_pool_changes_hands(#[values(0, 1, 2, 3, 4)] block: u64) {
+fn no_task_runs_twice_while_a_pool_changes_hands(
+    #[values(0, 1, 2, 3, 4)] block: u64,
+    #[values(Patience::LONG, Patience::OF_HOSTS)] patience: Patience,
+) {
     let seeds = seeds_a_block();
     let mut served = 0;
     for seed in block * seeds..(block + 1) * seeds {
-        served += completed(&play_handovers(seed));
+        served += completed(&play_handovers(seed, patience));
     }
     let jobs = usize::try_from(JOBS * seeds).expect("a count");
     // The same worlds without a change of hands serve 0.48 to 0.51 of their jobs.
--- a/crates/onyxshed-pool/tests/pool/world.rs
+++ b/crates/onyxshed-pool/tests/pool/world.rs
@@ -23,8 +23,29 @@
 /// Times that a caller sends a job.
 const SENDS_MAX: u32 = 4;
 
-const ORDER_TIMEOUT: Millis = Millis(100);
-const REPORT_TIMEOUT: Millis = Millis(120);
+/// How long answers may take.
+#[derive(Debug, Clone, Copy)]
+pub struct Patience {
+    /// To starts and stops.
+    pub order: Millis,
+    /// To reports, beyond the wait that was asked for.
+    pub report: Millis,
+}
+
+impl Patience {
+    /// What hosts grant.
+    pub const OF_HOSTS: Patience = Patience {
+        order: Millis(40),
+        report: Millis(50),
+    };
+
+    /// What the first searches played with, whose seeds stay as they are.
+    pub const LONG: Patience = Patience {
+        order: Millis(100),
+        report: Millis(120),
+    };
+}
+
 const HEARTBEAT: Millis = Millis(150);
 const LINK_SILENCE: Millis = Millis(450);
 const TICK: Millis = Millis(20);
@@ -143,6 +164,7 @@
     pub calls: BTreeMap<JobId, Call>,
     pub executors: BTreeMap<ExecutorId, RunBook>,
     pub trouble: Trouble,
+    pub patience: Patience,
     pub thrown_away: Micros,
     queue: BinaryHeap<Reverse<(Mono, u64)>>,
     events: BTreeMap<u64, Event>,
@@ -173,6 +195,7 @@
             calls: BTreeMap::new(),
             executors: named.collect(),
             trouble: Trouble::default(),
+            patience: Patience::LONG,
             thrown_away: Micros(0),
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
@@ -345,8 +368,8 @@
         self.last_order += 1;
         let number = self.last_order;
         let timeout = match &order {
-            Order::Hold(hold) => Millis(pause.0 + hold.wait.0 + REPORT_TIMEOUT.0),
-            _ => ORDER_TIMEOUT,
+            Order::Hold(hold) => Millis(pause.0 + hold.wait.0 + self.patience.report.0),
+            _ => self.patience.order,
         };
         let sent_at = self.now + pause;
         match &order {
