--- /dev/null
+++ b/crates/onyxshed-host/src/ownership/contender.rs
@@ -0,0 +1,380 @@
+//! The steps by which a host comes to own a pool, keeps it and lets go of it.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::FutureExt;
+use onyxshed_adapter::Store;
+use onyxshed_core::Millis;
+use onyxshed_kernel::Kernel;
+use onyxshed_pool::{Candidate, CandidateStep, LastOwner, PoolId};
+use smol_str::SmolStr;
+
+use super::handover::{HANDOVER_POLL, follow_release};
+use super::{OwnershipOptions, OwnershipService};
+use crate::boot_clock;
+use crate::directory::{Directory, POOL_PART, address_of, ask_owner, group_of, member_name};
+use crate::divisions::Divisions;
+use crate::engine::Engine;
+use crate::executors;
+use crate::last_owner;
+use crate::links::{Links, RemoteLink};
+use crate::store_watch::{ANSWER_TIMEOUT, StoreWatch};
+
+/// Longest time between two looks for a pool that nobody owns; one that is found is told at once.
+const CONTEND_PERIOD: Duration = Duration::from_millis(500);
+
+/// Time between two renewals of an owner: a quarter of the time to live.
+const RENEW_PERIOD: Duration = Duration::from_millis(350);
+
+/// How long a member lives in the group without renewal: long enough for one lost call and a slow
+/// store, short enough that a dead owner is replaced within two seconds.
+const MEMBER_TTL: Millis = Millis(1_400);
+
+/// How long the last owner of a vacant pool may take to answer a host that has just started: a new
+/// connection and a call, over zones, on a host at its processor limit (75 ms).
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// How long an owner that the store has replaced serves on for the next one to ask; the next one
+/// has joined before, and asks within a call or two.
+const HANDOVER_WAIT: Millis = Millis(1_000);
+
+/// This host as a contender for, or owner of, a pool of its zone.
+pub(super) struct Contender {
+    kernel: Kernel,
+    engine: Rc<Engine>,
+    links: Rc<Links>,
+    divisions: Rc<Divisions>,
+    directory: Rc<Directory>,
+    options: OwnershipOptions,
+    member: SmolStr,
+    store: Store,
+    watch: StoreWatch,
+    generation: u64,
+    candidates: BTreeMap<PoolId, Candidate>,
+}
+
+/// What a contender does next.
+enum Next {
+    /// Looks for a pool that nobody owns.
+    Contend,
+    /// Joins a pool's group, since nobody owns the pool.
+    Join(PoolId),
+    /// Renews its ownership.
+    Renew(PoolId),
+    /// Leaves the group.
+    Leave(PoolId),
+}
+
+impl Contender {
+    /// Makes a contender that owns nothing yet.
+    pub fn new(kernel: &Kernel, service: &OwnershipService, directory: Rc<Directory>) -> Self {
+        let options = service.options.clone();
+        Contender {
+            kernel: kernel.clone(),
+            engine: service.engine.clone(),
+            links: service.links.clone(),
+            divisions: service.divisions.clone(),
+            directory,
+            member: member_name(options.address, service.engine.own()),
+            store: Store::new(options.store),
+            watch: StoreWatch::new(kernel, "ownership"),
+            generation: 0,
+            candidates: BTreeMap::new(),
+            options,
+        }
+    }
+
+    /// Contends for a pool and owns it in turns, for as long as the process lives.
+    pub async fn live(mut self) {
+        let mut next = Next::Contend;
+        loop {
+            next = match next {
+                Next::Contend => self.contend().await,
+                Next::Join(pool) => self.join(pool).await,
+                Next::Renew(pool) => self.renew(pool).await,
+                Next::Leave(pool) => self.leave(pool).await,
+            };
+        }
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.kernel.readiness().is_draining()
+    }
+
+    fn ttl(&self) -> Millis {
+        MEMBER_TTL.max(self.options.ttl_min_ms)
+    }
+
+    async fn contend(&mut self) -> Next {
+        let news = self.directory.news().waiting();
+        let period = async {
+            Timer::after(CONTEND_PERIOD).await;
+        };
+        news.wait().or(period).await;
+        let vacant = self.directory.vacant_at_home();
+        self.candidates.retain(|pool, _| vacant.contains(pool));
+        if self.is_stopping() {
+            return Next::Contend;
+        }
+        if let Some((pool, member)) = self.directory.take_orphaned() {
+            return self.inherit(pool, member).await;
+        }
+        // Hosts begin at different pools, so that they do not all want the same one.
+        let preferred = self.links.preferred();
+        let count = vacant.len();
+        let first = vacant.iter().position(|pool| *pool >= preferred);
+        for step in 0..count {
+            let pool = &vacant[(first.unwrap_or(0) + step) % count];
+            if let Some(pause) = self.takes_over(pool).await {
+                return self.look_again(pool.clone(), pause).await;
+            }
+        }
+        Next::Contend
+    }
+
+    /// Tells after which pause this host joins for a vacant pool; none if it leaves it alone.
+    async fn takes_over(&mut self, pool: &PoolId) -> Option<Millis> {
+        let last_owner = self.last_owner(pool).await;
+        let cpu_millis = self.options.cpu_millis;
+        let candidate = self
+            .candidates
+            .entry(pool.clone())
+            .or_insert_with(|| Candidate::new(cpu_millis));
+        let back_at = self.directory.store_back_at();
+        match candidate.vacant(boot_clock::now(), last_owner, back_at, rand::random()) {
+            CandidateStep::Leave => None,
+            CandidateStep::JoinAfter(pause) => Some(pause),
+        }
+    }
+
+    /// Gets what is known of a vacant pool's last owner; asks it, if this host never has.
+    async fn last_owner(&mut self, pool: &PoolId) -> LastOwner {
+        if self.links.is_settled(pool) {
+            return LastOwner::Stays;
+        }
+        // Before the first start of all there was no owner.
+        if self.links.has_heard(pool) || self.options.is_first_start {
+            return LastOwner::Gone;
+        }
+        let address = match last_owner::read(&mut self.store, pool).await {
+            Ok(member) => member.and_then(|member| address_of(&member)),
+            Err(error) => {
+                self.watch.failed(&error);
+                return LastOwner::NeverHeard;
+            }
+        };
+        self.links.heard_owner(pool);
+        let Some(address) = address.filter(|address| *address != self.options.address) else {
+            return LastOwner::Gone;
+        };
+        self.links.set_owner(pool, Some(address));
+        match self.links.answers(pool, PROBE_TIMEOUT).await {
+            true => LastOwner::Stays,
+            false => LastOwner::Gone,
+        }
+    }
+
+    /// Takes over from an earlier process of this host.
+    ///
+    /// Failure guarded against: an owner is killed and started anew within its membership's time to
+    /// live. Symptom: callers of the zone are refused until the membership lapses, for up to 1.4 s
+    /// (0.8 to 1.0 s after a restart of all hosts). The address is this process's own, so whoever
+    /// joined under it before is gone: its membership can be ended at once.
+    async fn inherit(&mut self, pool: PoolId, member: SmolStr) -> Next {
+        let group = group_of(&pool);
+        match self.store.leave(&group, &member, ANSWER_TIMEOUT).await {
+            Ok(()) => {
+                self.watch.answered();
+                Next::Join(pool)
+            }
+            Err(error) => {
+                self.watch.failed(&error);
+                Next::Contend
+            }
+        }
+    }
+
+    /// Waits and looks again: two hosts that join at once move the pool twice, and after their
+    /// pauses all but one find it owned.
+    async fn look_again(&mut self, pool: PoolId, pause: Millis) -> Next {
+        Timer::after(pause.into()).await;
+        match ask_owner(&mut self.store, &pool).await {
+            Ok(None) => Next::Join(pool),
+            Ok(Some(owner)) if owner == self.member => Next::Join(pool),
+            Ok(Some(_)) => {
+                self.watch.answered();
+                self.directory.taken(&pool);
+                Next::Contend
+            }
+            Err(error) => {
+                self.watch.failed(&error);
+                Next::Contend
+            }
+        }
+    }
+
+    async fn join(&mut self, pool: PoolId) -> Next {
+        match self.send_join(&pool).await {
+            Some(true) => self.begin(pool).await,
+            Some(false) => Next::Leave(pool),
+            None => Next::Contend,
+        }
+    }
+
+    /// Joins or renews; tells whether this host holds the pool, none without an answer.
+    async fn send_join(&mut self, pool: &PoolId) -> Option<bool> {
+        let ttl = self.ttl();
+        let joined = self
+            .store
+            .join(
+                &group_of(pool),
+                &self.member,
+                ttl,
+                self.generation,
+                ANSWER_TIMEOUT,
+            )
+            .await;
+        match joined {
+            Ok(membership) => {
+                self.watch.answered();
+                self.generation = membership.generation;
+                Some(membership.parts.contains(&POOL_PART))
+            }
+            Err(error) => {
+                self.watch.failed(&error);
+                None
+            }
+        }
+    }
+
+    /// Gets the link to the owner before this one, if it answers.
+    ///
+    /// Failure guarded against: a pool changes hands twice in a second, and this host has heard only
+    /// of the owner before the last. Symptom: it finds that one done with the pool, gives orders at
+    /// once, and its token ends the say of the owner in between, whose jobs are lost (21 at once).
+    /// Whoever wrote itself down last is the one to ask.
+    async fn predecessor(&mut self, pool: &PoolId) -> Option<Rc<RemoteLink>> {
+        match last_owner::read(&mut self.store, pool).await {
+            Ok(member) => {
+                let address = member.and_then(|member| address_of(&member));
+                let address = address.filter(|address| *address != self.options.address);
+                self.links.set_owner(pool, address);
+                self.links.answers(pool, PROBE_TIMEOUT).await;
+            }
+            // The owner that is known by other ways is asked.
+            Err(error) => self.watch.failed(&error),
+        }
+        self.links.link_to(pool)
+    }
+
+    /// Begins to own a pool, if the zone's division still has it.
+    async fn begin(&mut self, pool: PoolId) -> Next {
+        // Without an answer the division known is taken; executors refuse a token of an old one.
+        if let Err(error) = self.divisions.refresh(&mut self.store).await {
+            self.watch.failed(&error);
+        }
+        let division = self.divisions.of(&pool.zone);
+        if pool.index >= division.pools {
+            return Next::Leave(pool);
+        }
+        let token = division.token(&pool, self.generation);
+        let last_owner = self.predecessor(&pool).await;
+        self.directory.taken(&pool);
+        self.links.heard_owner(&pool);
+        self.engine.take_fenced();
+        self.engine
+            .own_pool(token, pool.clone(), last_owner.is_some());
+        if let Some(link) = last_owner {
+            let open = link.keep_open();
+            let handover = follow_release(self.engine.clone(), link, open, token);
+            self.kernel.spawn(handover).detach();
+        }
+        self.links.set_owner(&pool, None);
+        // Hosts that start later find this owner by it while the store's books show none.
+        if let Err(error) = last_owner::write(&mut self.store, &pool, &self.member).await {
+            self.watch.failed(&error);
+        }
+        let follow = executors::follow(
+            self.kernel.clone(),
+            self.engine.clone(),
+            self.divisions.clone(),
+            (token, pool.clone(), division),
+            self.options.store,
+        );
+        self.kernel.spawn(follow).detach();
+        Next::Renew(pool)
+    }
+
+    async fn renew(&mut self, pool: PoolId) -> Next {
+        Timer::after(RENEW_PERIOD).await;
+        if self.engine.take_fenced() || self.engine.owned().is_none() {
+            return Next::Leave(pool);
+        }
+        if self.is_stopping() {
+            return self.retire(pool).await;
+        }
+        match self.send_join(&pool).await {
+            // Without an answer the owner goes on: whoever replaces it has a higher token.
+            Some(true) | None => Next::Renew(pool),
+            Some(false) => self.retire(pool).await,
+        }
+    }
+
+    /// Serves on while another host takes the pool over, until the last job here has ended.
+    async fn retire(&mut self, pool: PoolId) -> Next {
+        self.engine.leave();
+        let mut has_left = false;
+        let given_up_at = boot_clock::now() + HANDOVER_WAIT;
+        let mut was_releasing = false;
+        loop {
+            if !has_left {
+                has_left = self.leave_group(&pool).await;
+            }
+            if self.engine.is_releasing() && !std::mem::replace(&mut was_releasing, true) {
+                self.directory.wake();
+            }
+            if self.engine.owned().is_none() {
+                return Next::Leave(pool);
+            }
+            let is_idle = self.engine.counts().1 == 0;
+            if self.engine.is_releasing() && is_idle {
+                self.engine.give_up("handed over");
+            } else if self.engine.is_closed() && is_idle {
+                self.engine.give_up("this host is stopping");
+            } else if !self.is_stopping()
+                && !self.engine.is_releasing()
+                && boot_clock::now() > given_up_at
+            {
+                self.engine.give_up("the store gave it to another host");
+            }
+            Timer::after(HANDOVER_POLL).await;
+        }
+    }
+
+    /// Leaves a pool's group; tells whether the store has answered.
+    async fn leave_group(&mut self, pool: &PoolId) -> bool {
+        let group = group_of(pool);
+        match self.store.leave(&group, &self.member, ANSWER_TIMEOUT).await {
+            Ok(()) => true,
+            Err(error) => {
+                self.watch.failed(&error);
+                false
+            }
+        }
+    }
+
+    async fn leave(&mut self, pool: PoolId) -> Next {
+        self.directory.wake();
+        // Without an answer the membership lapses by itself after its time to live.
+        self.leave_group(&pool).await;
+        // A division that this host has not read yet may be why its token was refused.
+        if let Err(error) = self.divisions.refresh(&mut self.store).await {
+            self.watch.failed(&error);
+        }
+        self.generation = 0;
+        Next::Contend
+    }
+}
