--- /dev/null
+++ b/crates/onyxshed-telemetry/examples/line-cost.rs
@@ -0,0 +1,54 @@
+//! Measures the processor time and the size of a written line about an answered job, the writing
+//! thread's share included. The lines go to standard output, the figures to standard error.
+
+use std::time::Duration;
+
+use async_io::block_on;
+use onyxshed_core::{Event, EventKind};
+use onyxshed_settings::{LogFormat, LogLevel, LogSettings};
+use onyxshed_telemetry::{line, log::Log};
+use rustix::time::{ClockId, clock_gettime};
+
+/// Lines of one batch, in a second of its own: fewer than the log writes in a second (600).
+const BATCH: u32 = 500;
+
+/// Batches.
+const BATCHES: u32 = 8;
+
+fn processor_time() -> Duration {
+    let spent = clock_gettime(ClockId::ProcessCPUTime);
+    let seconds = u64::try_from(spent.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(spent.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanos)
+}
+
+fn main() {
+    let settings = LogSettings {
+        format: LogFormat::Json,
+        level: LogLevel::Info,
+    };
+    let log = Log::open_on_stdout(settings).expect("the log opens");
+    let event = Event::new(EventKind::PoolJobAnswered)
+        .request("c6dac14d911944c5")
+        .job("06a5bd5c32a4c5eb")
+        .party("r-azg3tm7")
+        .detail(
+            "Completed after 174ms, target 288ms, 3 tasks of 142ms and 21600mcpu 64MB 0acc, \
+             pool kigali-a/0, manifest 7",
+        );
+    let bytes = line::format(&event, LogFormat::Json).len() + 1;
+    let mut spent = Duration::ZERO;
+    for _ in 0..BATCHES {
+        let before = processor_time();
+        for _ in 0..BATCH {
+            log.write(&event);
+        }
+        block_on(log.finish());
+        spent += processor_time() - before;
+        std::thread::sleep(Duration::from_millis(1_050));
+    }
+    let lines = BATCH * BATCHES;
+    let us = spent.as_secs_f64() * 1e6 / f64::from(lines);
+    let dropped = log.dropped();
+    eprintln!("{lines} lines, {dropped} not written: {us:.2} us each, {bytes} bytes a line");
+}
