Scenarios: a stop has happened when the process has taken notice of it

The entry's log has JobReceived and ProcessDraining in the same millisecond, in that order: the signal was still on its way when the request came, which the scenario does not mean. The step 'stop' now waits until the process has written that it drains, or has ended; what the scenarios expect stays.

--- a/crates/onyxshed-proof/src/process.rs
+++ b/crates/onyxshed-proof/src/process.rs
@@ -8,6 +8,7 @@
 use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
 
+use onyxshed_core::EventKind;
 use onyxshed_standins::ready::ReadyLine;
 use rustix::process::{Pid, Signal, kill_process};
 use smol_str::{SmolStr, format_smolstr};
@@ -153,6 +154,11 @@
         self.child.try_wait().context(SystemSnafu { what: "wait" })
     }
 
+    /// Tells whether the process has taken notice that it is to stop, or has ended.
+    pub fn has_heard_stop(&mut self) -> Result<bool> {
+        Ok(self.ended()?.is_some() || self.log().contains(EventKind::ProcessDraining.name()))
+    }
+
     /// Gets the process's log.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
--- a/crates/onyxshed-proof/src/scenario/steps.rs
+++ b/crates/onyxshed-proof/src/scenario/steps.rs
@@ -1,7 +1,7 @@
 //! Carries statements out.
 
 use std::future::Future;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use onyxshed_core::ClassTarget;
@@ -15,6 +15,7 @@
 use crate::cluster::topology::UPSTREAM;
 use crate::cluster::{Cluster, Part};
 use crate::error::{Error, Result};
+use crate::remote::WAIT_CEILING;
 
 use super::language::{
     Action, Content, ExecutorFault, PlatformFault, Publication, Receivers, Setting, Step, Submit,
@@ -22,6 +23,9 @@
 };
 use super::world::World;
 
+/// Time between two looks whether a process has taken notice of a signal.
+const HEARD_PAUSE: Duration = Duration::from_millis(5);
+
 impl World {
     /// Carries out one statement.
     pub async fn play(&mut self, step: &Step) -> Result<()> {
@@ -201,6 +205,26 @@
             }
         }
     }
+    if action == Action::Stop {
+        wait_until_heard(cluster, parts, hosts).await?;
+    }
+    Ok(())
+}
+
+/// Waits until processes have taken notice that they are to stop: a signal is on its way for a while
+/// on a busy machine, and what comes before it is taken is served as if there were none.
+async fn wait_until_heard(cluster: &mut Cluster, parts: &[Part], hosts: &[SmolStr]) -> Result<()> {
+    let give_up_at = Instant::now() + WAIT_CEILING;
+    for host in hosts {
+        for part in parts {
+            while !cluster.host(host)?.part(*part)?.has_heard_stop()? {
+                if Instant::now() >= give_up_at {
+                    return Err(Error::unmet("a process that was told to stop goes on"));
+                }
+                Timer::after(HEARD_PAUSE).await;
+            }
+        }
+    }
     Ok(())
 }
 
