--- a/crates/onyxshed-soak/src/callers.rs
+++ b/crates/onyxshed-soak/src/callers.rs
@@ -149,8 +149,11 @@
         let reply = match reply {
             Ok(reply) => reply,
             Err(error) => {
-                let is_cut_off = error.sent == onyxshed_http::Sent::Maybe && !error.is_timeout;
-                self.cut_off += u32::from(is_cut_off);
+                // The proxy takes connections for a host that has ended and not started again, and
+                // closes them: only one that a host has answered on tells of a host.
+                let is_a_hosts = self.used > 1;
+                let is_broken = error.sent == onyxshed_http::Sent::Maybe && !error.is_timeout;
+                self.cut_off += u32::from(is_a_hosts && is_broken);
                 return Heard::Unknown;
             }
         };
