Tests of pools: divide the world, draw both searches' worlds in one place

Both searches drew jobs and trouble with the same lines, reports were written out twice, and two tests of hosts waited for a completed job with the same loop (and used 'until' to sleep). Every assertion stays, and the random draws keep their order: the loads play the same figures as before.

--- a/crates/onyxshed-pool/tests/pool/fixture.rs
+++ b/crates/onyxshed-pool/tests/pool/fixture.rs
@@ -67,6 +67,36 @@
     }
 }
 
+/// What an executor lists, by its own clock, in the life that began at a time.
+fn lists(
+    clock_ms: u64,
+    born: u64,
+    running: &[(TaskId, u32)],
+    finished: &[(u64, TaskId, u32, RunEnd)],
+) -> ExecutorReport {
+    ExecutorReport::Lists(ExecutorLists {
+        clock: UnixMs(clock_ms),
+        born: Some(UnixMs(born)),
+        running: running
+            .iter()
+            .map(|(task, run)| RunningRun {
+                task: *task,
+                run: RunNumber(*run),
+            })
+            .collect(),
+        finished: finished
+            .iter()
+            .map(|(number, task, run, end)| FinishedRun {
+                number: *number,
+                task: *task,
+                run: RunNumber(*run),
+                end: *end,
+            })
+            .collect(),
+        listed_to: finished.iter().map(|row| row.0).max().unwrap_or_default(),
+    })
+}
+
 /// A pool under test with what it asked for last.
 pub struct Desk {
     pub pool: Pool,
@@ -116,45 +146,13 @@
         running: &[(TaskId, u32)],
         finished: &[(u64, TaskId, u32, RunEnd)],
     ) {
-        let report = ExecutorReport::Lists(ExecutorLists {
-            clock: UnixMs(ms + AHEAD_MS),
-            born: Some(UnixMs(1)),
-            running: running
-                .iter()
-                .map(|(task, run)| RunningRun {
-                    task: *task,
-                    run: RunNumber(*run),
-                })
-                .collect(),
-            finished: finished
-                .iter()
-                .map(|(number, task, run, end)| FinishedRun {
-                    number: *number,
-                    task: *task,
-                    run: RunNumber(*run),
-                    end: *end,
-                })
-                .collect(),
-            listed_to: finished.iter().map(|row| row.0).max().unwrap_or_default(),
-        });
+        let report = lists(ms + AHEAD_MS, 1, running, finished);
         self.hold_answer(ms, name, HoldAnswer::Report(report));
     }
 
     /// A report of another life of an executor, in which nothing has ended.
     pub fn report_of_life(&mut self, born: u64, ms: u64, name: &str, running: &[(TaskId, u32)]) {
-        let report = ExecutorReport::Lists(ExecutorLists {
-            clock: UnixMs(ms),
-            born: Some(UnixMs(born)),
-            running: running
-                .iter()
-                .map(|(task, run)| RunningRun {
-                    task: *task,
-                    run: RunNumber(*run),
-                })
-                .collect(),
-            finished: Vec::new(),
-            listed_to: 0,
-        });
+        let report = lists(ms, born, running, &[]);
         self.hold_answer(ms, name, HoldAnswer::Report(report));
     }
 
--- a/crates/onyxshed-pool/tests/pool/search.rs
+++ b/crates/onyxshed-pool/tests/pool/search.rs
@@ -76,9 +76,9 @@
     (request, true_ms)
 }
 
-fn play(seed: u64) -> World {
-    let mut rng = SmallRng::seed_from_u64(seed);
-    let mut world = World::new(seed, executors(&mut rng), ENTRIES);
+/// Makes a world in which jobs come, and in half of the seeds answers are lost and orders late.
+fn some_world(seed: u64, rng: &mut SmallRng) -> World {
+    let mut world = World::new(seed, executors(rng), ENTRIES);
     if rng.random_bool(0.5) {
         world.trouble = Trouble {
             applied_late: 0.06,
@@ -88,36 +88,35 @@
     }
     for number in 0..JOBS {
         let at = Mono(1_500_000 + rng.random_range(0..14_000_000));
-        let (request, true_ms) = some_job(&mut rng, number);
+        let (request, true_ms) = some_job(rng, number);
         world.plan_call(at, 0, request, true_ms);
     }
+    world
+}
+
+/// Plays a world to its end and checks its answers.
+fn play_out(mut world: World) -> World {
+    world.play(END);
+    world.check_answers();
+    world
+}
+
+fn play(seed: u64) -> World {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut world = some_world(seed, &mut rng);
     for _ in 0..rng.random_range(2..14) {
         let at = Mono(rng.random_range(2_000_000..FAULTS_END.0));
         world.plan(at, some_fault(&mut rng));
     }
-    world.play(END);
-    world.check_answers();
-    world
+    play_out(world)
 }
 
 /// Plays a world of its own seeds in which pools change hands between owners that both live, beside
 /// the other faults.
 fn play_handovers(seed: u64, patience: Patience) -> World {
     let mut rng = SmallRng::seed_from_u64(seed ^ 0x4a4d);
-    let mut world = World::new(seed, executors(&mut rng), ENTRIES);
+    let mut world = some_world(seed, &mut rng);
     world.patience = patience;
-    if rng.random_bool(0.5) {
-        world.trouble = Trouble {
-            applied_late: 0.06,
-            answer_lost: 0.06,
-            until: FAULTS_END,
-        };
-    }
-    for number in 0..JOBS {
-        let at = Mono(1_500_000 + rng.random_range(0..14_000_000));
-        let (request, true_ms) = some_job(&mut rng, number);
-        world.plan_call(at, 0, request, true_ms);
-    }
     for _ in 0..rng.random_range(1..8) {
         let at = Mono(rng.random_range(2_000_000..FAULTS_END.0));
         world.plan(at, Fault::HandOver);
@@ -127,9 +126,7 @@
             world.plan(at, some_fault(&mut rng));
         }
     }
-    world.play(END);
-    world.check_answers();
-    world
+    play_out(world)
 }
 
 fn completed(world: &World) -> usize {
--- /dev/null
+++ b/crates/onyxshed-pool/tests/pool/world/callers.rs
@@ -0,0 +1,138 @@
+//! Entry hosts and their callers.
+
+use onyxshed_core::{Millis, Mono};
+use onyxshed_pool::{
+    JobEnd, JobId, JobRequest, NotRunReason, SubmissionNumber, TaskId, UnknownReason,
+};
+use rand::RngExt;
+
+use super::{Event, HEARTBEAT, LINK_SILENCE, OwnerIndex, RESEND, SENDS_MAX, World};
+
+impl World {
+    pub(super) fn heartbeat(&mut self, index: usize) {
+        let until = self.entries[index].frozen_until;
+        if self.now < until {
+            return self.at(until, Event::Heartbeat(index));
+        }
+        for owner in 0..self.owners.len() {
+            self.hear(index, owner);
+        }
+        self.after(HEARTBEAT, Event::Heartbeat(index));
+    }
+
+    /// An entry host hears the present owner, and those that still end its jobs while another
+    /// takes over.
+    pub(super) fn hear(&mut self, index: usize, owner: OwnerIndex) {
+        let is_current = owner == self.current();
+        let held = &self.owners[owner];
+        if !is_current && !held.pool.is_releasing() {
+            return;
+        }
+        let life = self.entries[index].life;
+        let is_away = held.is_dead || self.now < held.frozen_until;
+        let heard = self.entries[index].heard.get(&owner);
+        let last = heard.copied().unwrap_or(Mono(1_000_000));
+        if !is_away {
+            let session = self.owners[owner].pool.peer_heard(self.now, life);
+            self.entries[index].heard.insert(owner, self.now);
+            if is_current {
+                self.entries[index].session = session;
+            }
+        } else if self.now.since(last) > LINK_SILENCE.into() {
+            self.lose_link(index, owner);
+        }
+    }
+
+    /// The entry host gives up its link to an owner: its callers hear that their jobs' fate is
+    /// unknown.
+    pub(super) fn lose_link(&mut self, entry: usize, owner: OwnerIndex) {
+        let lost = JobEnd::Unknown(UnknownReason::OwnerChanged);
+        let open: Vec<(JobId, SubmissionNumber)> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| call.is_open && call.entry == entry && call.owner == owner)
+            .map(|(job, call)| (*job, call.submission))
+            .collect();
+        for (job, submission) in open {
+            self.ended(entry, submission, job, lost);
+        }
+    }
+
+    pub(super) fn sent(&mut self, job: JobId) {
+        let owner = self.current();
+        let entry = self.rng.random_range(0..self.entries.len());
+        self.last_submission += 1;
+        let submission = SubmissionNumber(self.last_submission);
+        let (life, session) = (self.entries[entry].life, self.entries[entry].session);
+        let call = self.calls.get_mut(&job).expect("a caller's job");
+        if call.ended.is_some() {
+            return;
+        }
+        call.sends += 1;
+        call.entry = entry;
+        call.owner = owner;
+        call.submission = submission;
+        call.is_open = true;
+        let request = JobRequest {
+            peer: life,
+            submission,
+            ..call.request.clone()
+        };
+        let patience = request.time_left;
+        let owner_is_dead = self.owners[owner].is_dead;
+        if self.now < self.entries[entry].frozen_until || owner_is_dead {
+            let end = JobEnd::Unknown(UnknownReason::TimeOut);
+            return self.at(
+                self.now + patience,
+                Event::Ended(entry, submission, job, end),
+            );
+        }
+        // An owner that stands still reads it when it goes on, or never.
+        if self.now >= self.owners[owner].frozen_until {
+            let actions = self.owners[owner].pool.submit(self.now, session, request);
+            self.act(owner, actions);
+        }
+        let over = JobEnd::Unknown(UnknownReason::TimeOut);
+        let late = Millis(patience.0 + 20);
+        self.after(late, Event::Ended(entry, submission, job, over));
+    }
+
+    pub(super) fn ended(
+        &mut self,
+        entry: usize,
+        submission: SubmissionNumber,
+        job: JobId,
+        end: JobEnd,
+    ) {
+        let now = self.now;
+        let until = self.entries[entry].frozen_until;
+        let call = self.calls.get_mut(&job).expect("a caller's job");
+        if !call.is_open || call.submission != submission {
+            return;
+        }
+        if now < until {
+            return self.at(until, Event::Ended(entry, submission, job, end));
+        }
+        call.is_open = false;
+        let tasks = call.request.tasks;
+        for index in 0..tasks {
+            let task = TaskId { job, index };
+            self.trace
+                .push((now, task, format!("its caller hears {end:?}")));
+        }
+        let call = self.calls.get_mut(&job).expect("a caller's job");
+        let is_handed_back = matches!(end, JobEnd::NotRun(NotRunReason::NotOwner, _));
+        if is_handed_back && call.owner + 1 < self.owners.len() {
+            // The entry host hands it to the next owner.
+            call.sends -= 1;
+            return self.after(Millis(1), Event::Sent(job));
+        }
+        if matches!(end, JobEnd::Unknown(_)) {
+            call.all_not_run = false;
+            if call.sends < SENDS_MAX {
+                return self.after(RESEND, Event::Sent(job));
+            }
+        }
+        call.ended = Some((now, end));
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-pool/tests/pool/world/executors.rs
@@ -0,0 +1,188 @@
+//! Executors: what they do on orders, and whether a task is at work twice.
+
+use onyxshed_core::{Micros, Mono};
+use onyxshed_pool::{
+    ExecutorId, HoldAnswer, HoldOrder, RunEnd, RunNumber, StartAnswer, StartOrder, TaskId,
+};
+
+use super::{Answer, Event, Order, OwnerIndex, World};
+
+impl World {
+    pub(super) fn is_cut(&self, id: &ExecutorId) -> bool {
+        let until = self.cut_until.get(id).copied().unwrap_or(Mono(0));
+        self.now < until || !self.executors[id].is_up
+    }
+
+    pub(super) fn arrives(&mut self, owner: OwnerIndex, id: ExecutorId, order: Order, number: u64) {
+        if self.is_cut(&id) {
+            return;
+        }
+        self.lapse(&id);
+        match order {
+            Order::Start(order) => {
+                let answer = self.start(&id, &order);
+                self.answer(owner, id, number, Answer::Start(answer));
+            }
+            Order::Stop(order) => {
+                self.throw_away(&id, order.task);
+                let executor = self.executors.get_mut(&id).expect("an executor");
+                let answer = executor.stop(&order);
+                self.answer(owner, id.clone(), number, Answer::Stop(answer));
+                self.wake(&id);
+            }
+            Order::Hold(order) => self.hold(owner, id, &order, number),
+        }
+    }
+
+    pub(super) fn start(&mut self, id: &ExecutorId, order: &StartOrder) -> StartAnswer {
+        let now = self.now;
+        let call = self.calls.get_mut(&order.task.job).expect("a caller's job");
+        let demand = call.request.demand;
+        let true_ms = call.true_ms[usize::from(order.task.index)];
+        let executor = self.executors.get_mut(id).expect("an executor");
+        let (answer, is_new) = executor.start(now, order, demand);
+        if !is_new {
+            return answer;
+        }
+        let call = self.calls.get_mut(&order.task.job).expect("a caller's job");
+        call.started = true;
+        self.note(order.task, format!("run {} starts on {id}", order.run));
+        self.check_alone(id, order.task);
+        let executor = &self.executors[id];
+        let born = executor.born;
+        self.started_at.insert(order.task, now);
+        if !executor.is_stuck {
+            let took = micros(true_ms, executor.speed);
+            let over = Event::RunOver(id.clone(), order.task, order.run, born);
+            self.at(now + took, over);
+        }
+        let lapses_at = self.executors[id].lapses_at();
+        self.at(lapses_at, Event::Lapse(id.clone()));
+        answer
+    }
+
+    /// Checks that a task which starts is at work nowhere else.
+    pub(super) fn check_alone(&self, here: &ExecutorId, task: TaskId) {
+        for (id, executor) in &self.executors {
+            if id != here && executor.is_up && executor.runs.contains_key(&task) {
+                let lapsed = executor.is_lapsed(self.now);
+                let told: Vec<_> = self.trace.iter().filter(|row| row.1 == task).collect();
+                assert!(
+                    lapsed,
+                    "{task} starts on {here} at {:?} while at work on {id}: {told:#?}",
+                    self.now
+                );
+            }
+        }
+    }
+
+    pub(super) fn hold(
+        &mut self,
+        owner: OwnerIndex,
+        id: ExecutorId,
+        order: &HoldOrder,
+        number: u64,
+    ) {
+        let now = self.now;
+        let executor = self.executors.get_mut(&id).expect("an executor");
+        if let Err(report) = executor.hold(now, order) {
+            let answer = Answer::Hold(HoldAnswer::Report(report));
+            return self.answer(owner, id, number, answer);
+        }
+        let lapses_at = executor.lapses_at();
+        let has_ends = executor.has_ends();
+        self.at(lapses_at, Event::Lapse(id.clone()));
+        if has_ends || order.wait.0 == 0 {
+            self.report(owner, id, number);
+        } else if number != 0 {
+            self.holding.insert((id.clone(), number), owner);
+            self.after(order.wait, Event::WaitOver(owner, id, number));
+        }
+    }
+
+    pub(super) fn report(&mut self, owner: OwnerIndex, id: ExecutorId, number: u64) {
+        if self.is_cut(&id) {
+            return;
+        }
+        let report = self.executors[&id].report(self.now);
+        self.answer(owner, id, number, Answer::Hold(HoldAnswer::Report(report)));
+    }
+
+    /// Answers the holds that wait at an executor.
+    pub(super) fn wake(&mut self, id: &ExecutorId) {
+        if !self.executors[id].has_ends() {
+            return;
+        }
+        let waiting: Vec<(u64, OwnerIndex)> = self
+            .holding
+            .iter()
+            .filter(|((at, _), _)| at == id)
+            .map(|((_, number), owner)| (*number, *owner))
+            .collect();
+        for (number, owner) in waiting {
+            self.holding.remove(&(id.clone(), number));
+            self.report(owner, id.clone(), number);
+        }
+    }
+
+    pub(super) fn answer(
+        &mut self,
+        owner: OwnerIndex,
+        id: ExecutorId,
+        number: u64,
+        answer: Answer,
+    ) {
+        if number != 0 && !self.is_cut(&id) {
+            let way = self.travel();
+            self.at(self.now + way, Event::Answered(owner, id, number, answer));
+        }
+    }
+
+    pub(super) fn run_over(&mut self, id: &ExecutorId, task: TaskId, number: RunNumber, born: u64) {
+        self.lapse(id);
+        let executor = self.executors.get_mut(id).expect("an executor");
+        let run = executor.runs.get(&task);
+        if executor.born != born || run.is_none_or(|run| run.number != number) {
+            return;
+        }
+        let end = match executor.fails_all {
+            true => RunEnd::Failed,
+            false => RunEnd::Done,
+        };
+        executor.end(task, end);
+        self.wake(id);
+    }
+
+    pub(super) fn lapse(&mut self, id: &ExecutorId) {
+        let now = self.now;
+        let executor = &self.executors[id];
+        if executor.runs.is_empty() || !executor.is_lapsed(now) {
+            return;
+        }
+        let tasks: Vec<TaskId> = executor.runs.keys().copied().collect();
+        for task in tasks {
+            self.throw_away(id, task);
+        }
+        let executor = self.executors.get_mut(id).expect("an executor");
+        executor.lapse();
+        self.wake(id);
+    }
+
+    pub(super) fn throw_away(&mut self, id: &ExecutorId, task: TaskId) {
+        if self.executors[id].runs.contains_key(&task)
+            && let Some(since) = self.started_at.get(&task)
+        {
+            self.thrown_away.0 += self.now.since(*since).0;
+        }
+    }
+}
+
+fn micros(true_ms: u64, speed: f64) -> Micros {
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss
+    )]
+    let us = (true_ms as f64 * 1_000.0 / speed) as u64;
+    Micros(us.max(1))
+}
--- /dev/null
+++ b/crates/onyxshed-pool/tests/pool/world/faults.rs
@@ -0,0 +1,101 @@
+//! What goes wrong.
+
+use onyxshed_core::Millis;
+use onyxshed_pool::{ExecutorId, Session, TaskId};
+
+use super::{Event, World};
+
+/// What goes wrong.
+#[derive(Debug, Clone)]
+pub enum Fault {
+    /// The owner is killed; another takes over after the store has noticed.
+    KillOwner,
+    /// The owner stands still; another takes over meanwhile.
+    FreezeOwner(Millis),
+    /// The store gives the pool to another host while the owner lives and can't be asked.
+    ReplaceOwner,
+    /// Another host takes the pool over from an owner that answers it.
+    HandOver,
+    /// An entry host stands still.
+    FreezeEntry(usize, Millis),
+    /// An entry host is killed and starts anew.
+    KillEntry(usize),
+    /// An executor is not reached for a while, and runs on.
+    CutExecutor(ExecutorId, Millis),
+    /// An executor crashes and starts anew.
+    Crash(ExecutorId),
+    /// An executor fails all that it starts, for a while.
+    FailAll(ExecutorId, Millis),
+    /// Tasks on an executor stand still, for a while.
+    Stick(ExecutorId, Millis),
+    /// The end of one of the above.
+    Heal(ExecutorId),
+}
+
+impl World {
+    pub(super) fn fault(&mut self, fault: Fault) {
+        let owner = self.current();
+        let open: Vec<TaskId> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| call.is_open)
+            .flat_map(|(job, call)| (0..call.request.tasks).map(|index| (*job, index)))
+            .map(|(job, index)| TaskId { job, index })
+            .collect();
+        for task in open {
+            self.note(task, format!("{fault:?}"));
+        }
+        match fault {
+            Fault::KillOwner => {
+                self.owners[owner].is_dead = true;
+                // Connections break at once: every entry host knows.
+                for entry in 0..self.entries.len() {
+                    self.lose_link(entry, owner);
+                }
+                self.after(Millis(1_500), Event::Fault(Fault::ReplaceOwner));
+            }
+            Fault::FreezeOwner(span) => {
+                self.owners[owner].frozen_until = self.now + span;
+                self.after(Millis(1_700), Event::Fault(Fault::ReplaceOwner));
+            }
+            Fault::ReplaceOwner => self.new_owner(),
+            Fault::HandOver => {
+                let held = &self.owners[owner];
+                let answers = !held.is_dead && self.now >= held.frozen_until;
+                self.begin_owner(answers.then_some(owner));
+            }
+            Fault::FreezeEntry(entry, span) => {
+                let entry = entry % self.entries.len();
+                self.entries[entry].frozen_until = self.now + span;
+            }
+            Fault::KillEntry(entry) => {
+                let entry = entry % self.entries.len();
+                for owner in 0..self.owners.len() {
+                    self.lose_link(entry, owner);
+                }
+                self.entries[entry].life = self.new_life();
+                self.entries[entry].session = Session(0);
+            }
+            Fault::CutExecutor(id, span) => {
+                self.cut_until.insert(id, self.now + span);
+            }
+            Fault::Crash(id) => {
+                self.executors.get_mut(&id).expect("an executor").restart();
+                self.holding.retain(|(at, _), _| *at != id);
+            }
+            Fault::FailAll(id, span) => {
+                self.executors.get_mut(&id).expect("an executor").fails_all = true;
+                self.after(span, Event::Fault(Fault::Heal(id)));
+            }
+            Fault::Stick(id, span) => {
+                self.executors.get_mut(&id).expect("an executor").is_stuck = true;
+                self.after(span, Event::Fault(Fault::Heal(id)));
+            }
+            Fault::Heal(id) => {
+                let executor = self.executors.get_mut(&id).expect("an executor");
+                executor.fails_all = false;
+                executor.is_stuck = false;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/onyxshed-pool/tests/pool/world/owners.rs
@@ -0,0 +1,246 @@
+//! Owners: what they decide, and what comes of their orders.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use onyxshed_core::{Millis, Mono};
+use onyxshed_pool::{
+    Action, ExecutorFacts, ExecutorId, FencingToken, HoldAnswer, Note, Pool, StartAnswer,
+    StopAnswer,
+};
+use onyxshed_standins::fleet::RunBook;
+use rand::RngExt;
+
+use super::{Answer, Event, HANDOVER_MAX, LINK_SILENCE, Order, Owner, OwnerIndex, TICK, World};
+
+impl World {
+    pub(super) fn new_owner(&mut self) {
+        self.begin_owner(None);
+    }
+
+    /// Begins a new owner, which takes over from another if that one answers.
+    pub(super) fn begin_owner(&mut self, last: Option<OwnerIndex>) {
+        self.token += 1;
+        let token = FencingToken(self.token);
+        let life = self.new_life();
+        self.owners.push(Owner {
+            pool: Pool::new(self.now, token, life, self.options.clone()),
+            frozen_until: Mono(0),
+            is_dead: false,
+            awaited: BTreeMap::new(),
+        });
+        let owner = self.current();
+        if let Some(last) = last {
+            self.owners[owner].pool.follow_predecessor();
+            let over_at = self.now + HANDOVER_MAX;
+            self.after(Millis(1), Event::Release(last, owner, over_at));
+            // An entry host hands jobs over on a link that the owner has answered.
+            for entry in 0..self.entries.len() {
+                if self.now >= self.entries[entry].frozen_until {
+                    self.hear(entry, owner);
+                }
+            }
+        }
+        let listed: Vec<(ExecutorId, ExecutorFacts)> = self
+            .executors
+            .iter()
+            .map(|(id, executor)| (id.clone(), facts_of(executor)))
+            .collect();
+        for (id, facts) in listed {
+            let actions = self.owners[owner].pool.executor_listed(self.now, id, facts);
+            self.act(owner, actions);
+        }
+        self.after(TICK, Event::Tick(owner));
+    }
+
+    pub(super) fn act(&mut self, owner: OwnerIndex, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Start(id, order) => self.send(owner, id, Order::Start(order), Millis(0)),
+                Action::Stop(id, order) => self.send(owner, id, Order::Stop(order), Millis(0)),
+                Action::Hold(id, order, pause) => self.send(owner, id, Order::Hold(order), pause),
+                Action::End {
+                    peer,
+                    submission,
+                    job,
+                    end,
+                } => {
+                    let entry = self.entries.iter().position(|entry| entry.life == peer);
+                    if let Some(entry) = entry {
+                        let way = self.travel();
+                        self.at(self.now + way, Event::Ended(entry, submission, job, end));
+                    }
+                }
+                Action::StepDown => self.owners[owner].is_dead = true,
+                Action::Note(Note::RunEnded {
+                    task,
+                    run,
+                    executor,
+                    why,
+                }) => self.note(task, format!("{owner} has run {run} on {executor}: {why}")),
+                Action::Note(_) => {}
+            }
+        }
+    }
+
+    pub(super) fn send(&mut self, owner: OwnerIndex, id: ExecutorId, order: Order, pause: Millis) {
+        self.last_order += 1;
+        let number = self.last_order;
+        let timeout = match &order {
+            Order::Hold(hold) => Millis(pause.0 + hold.wait.0 + self.patience.report.0),
+            _ => self.patience.order,
+        };
+        let sent_at = self.now + pause;
+        match &order {
+            Order::Start(order) => self.note(
+                order.task,
+                format!("{owner} orders run {} of {id}", order.run),
+            ),
+            Order::Stop(order) => self.note(
+                order.task,
+                format!("{owner} stops run {} on {id}", order.run),
+            ),
+            Order::Hold(_) => {}
+        }
+        self.owners[owner]
+            .awaited
+            .insert(number, (id.clone(), order.clone(), sent_at));
+        self.after(timeout, Event::TimedOut(owner, id.clone(), number));
+        let way = self.travel();
+        let is_troubled = self.now < self.trouble.until;
+        if is_troubled && self.rng.random_bool(self.trouble.applied_late) {
+            let late = Millis(self.rng.random_range(2_000..12_000));
+            self.at(self.now + late, Event::Arrives(owner, id, order, 0));
+            return;
+        }
+        let answered = !(is_troubled && self.rng.random_bool(self.trouble.answer_lost));
+        let number = if answered { number } else { 0 };
+        self.at(sent_at + way, Event::Arrives(owner, id, order, number));
+    }
+
+    pub(super) fn release(&mut self, last: OwnerIndex, next: OwnerIndex, over_at: Mono) {
+        if self.owner_is_away(next, Event::Release(last, next, over_at)) {
+            return;
+        }
+        if self.owners[last].is_dead || self.now >= over_at {
+            return self.held(last, next, over_at, BTreeSet::new());
+        }
+        if self.now < self.owners[last].frozen_until {
+            let gone = Event::Held(last, next, over_at, BTreeSet::new());
+            return self.after(LINK_SILENCE, gone);
+        }
+        let (actions, held) = self.owners[last].pool.release(self.now);
+        self.act(last, actions);
+        let way = self.travel();
+        let held = held.into_iter().collect();
+        self.at(self.now + way, Event::Held(last, next, over_at, held));
+        if self.owners[last].pool.live_jobs() == 0 {
+            self.owners[last].is_dead = true;
+        }
+    }
+
+    pub(super) fn held(
+        &mut self,
+        last: OwnerIndex,
+        next: OwnerIndex,
+        over_at: Mono,
+        held: BTreeSet<ExecutorId>,
+    ) {
+        if self.owner_is_away(next, Event::Held(last, next, over_at, held.clone())) {
+            return;
+        }
+        if !held.is_empty() {
+            self.after(TICK, Event::Release(last, next, over_at));
+        }
+        let actions = self.owners[next].pool.predecessor_holds(self.now, held);
+        self.act(next, actions);
+    }
+
+    /// Puts an event off that reaches an owner which stands still; drops it if the owner is dead.
+    pub(super) fn owner_is_away(&mut self, owner: OwnerIndex, event: Event) -> bool {
+        if self.owners[owner].is_dead {
+            return true;
+        }
+        let until = self.owners[owner].frozen_until;
+        if self.now < until {
+            self.at(until, event);
+            return true;
+        }
+        false
+    }
+
+    pub(super) fn tick(&mut self, owner: OwnerIndex) {
+        if self.owner_is_away(owner, Event::Tick(owner)) {
+            return;
+        }
+        let actions = self.owners[owner].pool.tick(self.now);
+        self.act(owner, actions);
+        self.after(TICK, Event::Tick(owner));
+    }
+
+    pub(super) fn answered(
+        &mut self,
+        owner: OwnerIndex,
+        id: ExecutorId,
+        number: u64,
+        answer: Answer,
+    ) {
+        let event = Event::Answered(owner, id.clone(), number, answer.clone());
+        if self.owner_is_away(owner, event) {
+            return;
+        }
+        let Some((_, order, sent_at)) = self.owners[owner].awaited.remove(&number) else {
+            return;
+        };
+        self.feed(owner, &id, &order, sent_at, answer);
+    }
+
+    pub(super) fn timed_out(&mut self, owner: OwnerIndex, id: ExecutorId, number: u64) {
+        if self.owner_is_away(owner, Event::TimedOut(owner, id.clone(), number)) {
+            return;
+        }
+        let Some((_, order, sent_at)) = self.owners[owner].awaited.remove(&number) else {
+            return;
+        };
+        let answer = match &order {
+            Order::Start(_) => Answer::Start(StartAnswer::Unknown),
+            Order::Stop(_) => Answer::Stop(StopAnswer::Unknown),
+            Order::Hold(_) => Answer::Hold(HoldAnswer::Unknown),
+        };
+        self.feed(owner, &id, &order, sent_at, answer);
+    }
+
+    pub(super) fn feed(
+        &mut self,
+        owner: OwnerIndex,
+        id: &ExecutorId,
+        order: &Order,
+        sent_at: Mono,
+        answer: Answer,
+    ) {
+        let now = self.now;
+        let pool = &mut self.owners[owner].pool;
+        let actions = match (order, answer) {
+            (Order::Start(order), Answer::Start(answer)) => {
+                pool.start_answered(now, id, order.task, order.run, &answer)
+            }
+            (Order::Stop(order), Answer::Stop(answer)) => {
+                pool.stop_answered(now, id, order.task, order.run, answer)
+            }
+            (Order::Hold(_), Answer::Hold(answer)) => pool.hold_answered(now, id, sent_at, answer),
+            (order, answer) => panic!("{answer:?} answers {order:?}"),
+        };
+        self.act(owner, actions);
+    }
+}
+
+fn facts_of(executor: &RunBook) -> ExecutorFacts {
+    ExecutorFacts {
+        address: "10.0.0.1:80".parse().expect("an address"),
+        upstream: "desk".into(),
+        capacity: executor.capacity,
+        labels: Vec::new(),
+        rack: None,
+        is_draining: false,
+        born: Some(onyxshed_core::UnixMs(executor.born)),
+    }
+}
--- a/crates/onyxshed-soak/tests/hosts.rs
+++ b/crates/onyxshed-soak/tests/hosts.rs
@@ -64,6 +64,19 @@
     }
 }
 
+/// Sends a job of one task again and again, as its caller does, until it is completed.
+async fn until_a_job_is_completed(host: SocketAddr) {
+    let completed = until("a job is completed", async || {
+        let opened = Connection::open(host, ClientOptions::default()).await;
+        let mut connection = opened.ok()?;
+        let body = job(10, 1);
+        let reply = ask(&mut connection, Method::Post, "00000000000000aa", &body).await;
+        reply.ok().filter(|reply| reply.status == 200)
+    })
+    .await;
+    assert_eq!(completed.body, br#"{"state":"completed"}"#);
+}
+
 /// A job that must be kept can't be yet: its caller hears so at once, with a time to come back, and
 /// nothing of it ever starts.
 #[test]
@@ -221,26 +234,14 @@
             .await
             .expect("a fault");
         let name = fleet.host_names().remove(0);
-        until("its membership is renewed for long", async || {
-            Timer::after(Duration::from_millis(700)).await;
-            Some(())
-        })
-        .await;
+        // Its membership is renewed each 350 ms: from now on for long.
+        Timer::after(Duration::from_millis(700)).await;
         fleet
             .signal_host(&name, |process| process.kill())
             .expect("a kill");
         fleet.start_host(&name).expect("a start");
         let address = fleet.caller_addresses()[0];
-        let completed = until("a job is completed", async || {
-            let mut connection = Connection::open(address, ClientOptions::default())
-                .await
-                .ok()?;
-            let body = job(10, 1);
-            let reply = ask(&mut connection, Method::Post, "00000000000000aa", &body).await;
-            reply.ok().filter(|reply| reply.status == 200)
-        })
-        .await;
-        assert_eq!(completed.body, br#"{"state":"completed"}"#);
+        until_a_job_is_completed(address).await;
     });
 }
 
@@ -268,23 +269,12 @@
         fleet
             .signal_host(other, |process| process.kill())
             .expect("a kill");
-        until("the membership has lapsed", async || {
-            Timer::after(Duration::from_millis(2_500)).await;
-            Some(())
-        })
-        .await;
+        // The owner's membership lapses after 1,400 ms.
+        Timer::after(Duration::from_millis(2_500)).await;
         let before = fleet.log_of(other).len();
         fleet.start_host(other).expect("a start");
         let address = fleet.caller_addresses()[1 - owner];
-        until("a job is completed", async || {
-            let mut connection = Connection::open(address, ClientOptions::default())
-                .await
-                .ok()?;
-            let body = job(10, 1);
-            let reply = ask(&mut connection, Method::Post, "00000000000000aa", &body).await;
-            reply.ok().filter(|reply| reply.status == 200)
-        })
-        .await;
+        until_a_job_is_completed(address).await;
         let log = fleet.log_of(other);
         let since = log.get(before..).unwrap_or(&log);
         assert!(!since.contains("PoolOwned"), "{since}");
