Pool: one stage for how far an owner has let go

Three flags that only go on in order (leaving, closing, releasing) were set side by side, and whoever read a pool's sum had to know that a closing owner is a leaving one as well. The pool says so itself now. No test or bound changes.

--- a/crates/onyxshed-host/src/links.rs
+++ b/crates/onyxshed-host/src/links.rs
@@ -212,7 +212,7 @@
 
     /// Takes in what an owner tells of its pool.
     fn told(&self, pool: &PoolId, digest: PoolDigest) {
-        if (digest.is_leaving || digest.is_closing) && self.is_settled(pool) {
+        if digest.is_leaving && self.is_settled(pool) {
             self.changed.notify();
         }
         self.chooser.borrow_mut().told(pool, digest);
--- a/crates/onyxshed-pool/src/chooser.rs
+++ b/crates/onyxshed-pool/src/chooser.rs
@@ -18,9 +18,9 @@
     pub free_cpu_millis: u64,
     /// Work of the tasks that wait, in thousandths of a core times milliseconds.
     pub waiting_work: u64,
-    /// The owner is stopping and serves on until another host takes over.
+    /// The owner wants to be replaced, or is being replaced.
     pub is_leaving: bool,
-    /// The pool takes no new jobs, because its owner gives it up.
+    /// It takes no new jobs any more.
     pub is_closing: bool,
 }
 
@@ -52,7 +52,7 @@
     /// Tells whether the owner of a pool answers and wants to be replaced, or is being replaced.
     pub fn is_leaving(&self, pool: &PoolId) -> bool {
         let digest = self.digests.get(pool);
-        digest.is_some_and(|digest| digest.is_leaving || digest.is_closing)
+        digest.is_some_and(|digest| digest.is_leaving)
     }
 
     /// Notes that a job was handed to a pool, ahead of the owner's next word.
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -22,7 +22,7 @@
 use crate::message::{Action, HoldOrder, Note, StopOrder};
 use crate::options::PoolOptions;
 use crate::peers::PeerSessions;
-use handover::Predecessor;
+use handover::{Predecessor, Stage};
 
 /// A pool and its owner's beliefs.
 pub struct Pool {
@@ -34,11 +34,8 @@
     jobs: BTreeMap<JobId, Job>,
     peers: PeerSessions,
     ticked_at: Mono,
-    /// The owner is stopping and wants to be replaced, but still takes jobs.
-    is_leaving: bool,
-    is_closing: bool,
-    /// The next owner is taking the executors over as they fall idle.
-    is_releasing: bool,
+    stage: Stage,
+    /// No order is sent any more.
     is_over: bool,
     predecessor: Predecessor,
     actions: Vec<Action>,
@@ -55,9 +52,7 @@
             jobs: BTreeMap::new(),
             peers: PeerSessions::default(),
             ticked_at: now,
-            is_leaving: false,
-            is_closing: false,
-            is_releasing: false,
+            stage: Stage::Serving,
             is_over: false,
             predecessor: Predecessor::None,
             actions: Vec::new(),
@@ -81,12 +76,12 @@
 
     /// Takes no new job from now on.
     pub fn close(&mut self) {
-        self.is_closing = true;
+        self.stage = self.stage.max(Stage::Closing);
     }
 
     /// Tells whether the pool takes no new job.
     pub fn is_closing(&self) -> bool {
-        self.is_closing
+        self.stage >= Stage::Closing
     }
 
     /// Notes that an entry host was heard, and gets its session.
@@ -109,8 +104,8 @@
             capacity_cpu_millis: capacity,
             free_cpu_millis: free,
             waiting_work: self.jobs.values().map(Job::waiting_work).sum(),
-            is_leaving: self.is_leaving,
-            is_closing: self.is_closing,
+            is_leaving: self.stage >= Stage::Leaving,
+            is_closing: self.is_closing(),
         }
     }
 
@@ -139,7 +134,7 @@
                 }
             }
             // It is the next owner's by now.
-            None if self.is_releasing => {}
+            None if self.stage == Stage::Releasing => {}
             None => self.take_in(now, id, facts),
         }
         self.place(now);
--- a/crates/onyxshed-pool/src/pool/handover.rs
+++ b/crates/onyxshed-pool/src/pool/handover.rs
@@ -16,6 +16,19 @@
 use crate::job::{JobEnd, NotRunReason};
 use crate::message::{Action, Note};
 
+/// How far an owner has let go of its pool; it only goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Stage {
+    /// It means to stay.
+    Serving,
+    /// It wants to be replaced, and still takes jobs.
+    Leaving,
+    /// It takes no new jobs.
+    Closing,
+    /// The next owner is taking the executors over as they fall idle.
+    Releasing,
+}
+
 /// The owner before this one, as far as it matters.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub(super) enum Predecessor {
@@ -42,12 +55,12 @@
 impl Pool {
     /// Notes that this owner is stopping; it serves on until another host takes over.
     pub fn leave(&mut self) {
-        self.is_leaving = true;
+        self.stage = self.stage.max(Stage::Leaving);
     }
 
     /// Tells whether the next owner is taking over.
     pub fn is_releasing(&self) -> bool {
-        self.is_releasing
+        self.stage == Stage::Releasing
     }
 
     /// Lets go of what the next owner may take, and gets the executors that it may not take yet.
@@ -58,9 +71,8 @@
     /// are handed back as not run, and idle executors serve the next owner at once.
     pub fn release(&mut self, now: Mono) -> (Vec<Action>, Vec<ExecutorId>) {
         self.notice_pause(now);
-        if !self.is_releasing {
-            self.is_releasing = true;
-            self.is_closing = true;
+        if !self.is_releasing() {
+            self.stage = Stage::Releasing;
             self.hand_back_waiting();
         }
         self.place(now);
--- a/crates/onyxshed-pool/src/pool/intake.rs
+++ b/crates/onyxshed-pool/src/pool/intake.rs
@@ -77,7 +77,7 @@
 
     fn refusal(&self, now: Mono, session: Session, request: &JobRequest) -> Option<JobEnd> {
         let not_run = |reason| Some(JobEnd::NotRun(reason, self.retry_after(now)));
-        if self.is_over || self.is_closing {
+        if self.is_over || self.is_closing() {
             return not_run(NotRunReason::NotOwner);
         }
         let silence = self.options.peer_silence_ms;
--- a/crates/onyxshed-pool/src/pool/orders.rs
+++ b/crates/onyxshed-pool/src/pool/orders.rs
@@ -192,7 +192,7 @@
     /// next owner's token refuses it. Symptom: this owner gives up every job that it still runs
     /// elsewhere. Nothing of its own runs there any more, so the answer says nothing new.
     fn has_released(&self, id: &ExecutorId) -> bool {
-        self.is_releasing && !self.executors.contains_key(id)
+        self.is_releasing() && !self.executors.contains_key(id)
     }
 
     fn stop_taken(&mut self, now: Mono, id: &ExecutorId, task: TaskId, number: RunNumber) {
