--- a/crates/onyxshed-host/src/engine/calls.rs
+++ b/crates/onyxshed-host/src/engine/calls.rs
@@ -6,7 +6,7 @@
 use async_io::Timer;
 use onyxshed_adapter::{Error, orders};
 use onyxshed_core::Millis;
-use onyxshed_http::connections::{ConnectionPool, Health};
+use onyxshed_http::connections::Health;
 use onyxshed_http::{Connection, Sent};
 use onyxshed_pool::{
     ExecutorId, FencingToken, HoldAnswer, HoldOrder, StartAnswer, StartOrder, StopAnswer, StopOrder,
@@ -51,23 +51,16 @@
     }
 
     async fn start(&self, id: &ExecutorId, order: &StartOrder) -> StartAnswer {
-        let Some((pool, mut connection)) = self.connection(id).await else {
-            return StartAnswer::NotSent;
+        let call = async |connection: &mut Connection| {
+            orders::start(connection, &id.0, order, ORDER_TIMEOUT).await
         };
-        match orders::start(&mut connection, &id.0, order, ORDER_TIMEOUT).await {
-            Ok(answer) => {
-                pool.put(connection);
-                answer
-            }
-            Err(error) => {
-                put_back(&pool, connection, &error);
-                match error {
-                    Error::NoReply { source } if source.sent == Sent::Nothing => {
-                        StartAnswer::NotSent
-                    }
-                    _ => StartAnswer::Unknown,
-                }
+        match self.on_connection(id, call).await {
+            None => StartAnswer::NotSent,
+            Some(Ok(answer)) => answer,
+            Some(Err(Error::NoReply { source })) if source.sent == Sent::Nothing => {
+                StartAnswer::NotSent
             }
+            Some(Err(_)) => StartAnswer::Unknown,
         }
     }
 
@@ -91,18 +84,12 @@
     }
 
     async fn stop(&self, id: &ExecutorId, order: &StopOrder) -> StopAnswer {
-        let Some((pool, mut connection)) = self.connection(id).await else {
-            return StopAnswer::Unknown;
+        let call = async |connection: &mut Connection| {
+            orders::stop(connection, &id.0, order, ORDER_TIMEOUT).await
         };
-        match orders::stop(&mut connection, &id.0, order, ORDER_TIMEOUT).await {
-            Ok(answer) => {
-                pool.put(connection);
-                answer
-            }
-            Err(error) => {
-                put_back(&pool, connection, &error);
-                StopAnswer::Unknown
-            }
+        match self.on_connection(id, call).await {
+            Some(Ok(answer)) => answer,
+            Some(Err(_)) | None => StopAnswer::Unknown,
         }
     }
 
@@ -128,35 +115,33 @@
     }
 
     async fn hold(&self, id: &ExecutorId, order: &HoldOrder) -> HoldAnswer {
-        let Some((pool, mut connection)) = self.connection(id).await else {
-            return HoldAnswer::Unknown;
-        };
         let timeout = Duration::from(order.wait) + REPORT_TIMEOUT;
-        match orders::hold(&mut connection, &id.0, order, timeout).await {
-            Ok(report) => {
-                pool.put(connection);
-                HoldAnswer::Report(report)
-            }
-            Err(error) => {
-                put_back(&pool, connection, &error);
-                HoldAnswer::Unknown
-            }
+        let call = async |connection: &mut Connection| {
+            orders::hold(connection, &id.0, order, timeout).await
+        };
+        match self.on_connection(id, call).await {
+            Some(Ok(report)) => HoldAnswer::Report(report),
+            Some(Err(_)) | None => HoldAnswer::Unknown,
         }
     }
 
-    async fn connection(&self, id: &ExecutorId) -> Option<(Rc<ConnectionPool>, Connection)> {
+    /// Makes a call on a connection to an executor; none where no connection can be had.
+    ///
+    /// The connection is kept if it is still of use; otherwise the idle ones go too, since what
+    /// made one silent may have made all of them silent.
+    async fn on_connection<T>(
+        &self,
+        id: &ExecutorId,
+        call: impl AsyncFnOnce(&mut Connection) -> Result<T, Error>,
+    ) -> Option<Result<T, Error>> {
         let pool = self.connections.borrow().get(id).cloned()?;
-        let connection = pool.get(Health::Proven(PROVEN_WITHIN)).await.ok()?;
-        Some((pool, connection))
-    }
-}
-
-/// Keeps a connection on which a call failed, if it is still of use; otherwise the idle ones go
-/// too, since what made one silent may have made all of them silent.
-fn put_back(pool: &ConnectionPool, connection: Connection, error: &Error) {
-    if error.keeps_connection() {
-        pool.put(connection);
-    } else {
-        pool.clear();
+        let mut connection = pool.get(Health::Proven(PROVEN_WITHIN)).await.ok()?;
+        let answer = call(&mut connection).await;
+        let is_of_use = answer.as_ref().err().is_none_or(Error::keeps_connection);
+        match is_of_use {
+            true => pool.put(connection),
+            false => pool.clear(),
+        }
+        Some(answer)
     }
 }
