Serve callers of both kinds of host by one function

The entry process and the platform's hosts wrote the same handler around their own: the last reply on a connection while stopping, a line for what the server turns away, the address opened and served. The host also kept its handle in a cell that was filled after the address's counts were known, and answered 'the host is starting' in a gap that no request can meet; only the counts wait now.

--- a/crates/onyxshed-entry/src/callers.rs
+++ b/crates/onyxshed-entry/src/callers.rs
@@ -6,11 +6,11 @@
 
 use async_io::Timer;
 use http_types::Method;
-use onyxshed_core::{Event, EventKind, Millis, ResultCode, SubmissionId};
+use onyxshed_core::{Millis, ResultCode, SubmissionId};
 use onyxshed_dispatch::Input;
-use onyxshed_http::{Call, Handler, Reply, Server, ServerOptions, ServerStats};
+use onyxshed_http::{Call, Reply, ServerOptions, ServerStats};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
-use onyxshed_process::listen;
+use onyxshed_process::serve_requests;
 use onyxshed_wire::caller::{Answer, FORWARDED_HEADER, JOBS_PATH, Submission};
 
 use crate::engine::Engine;
@@ -74,31 +74,13 @@
         door: Door,
     ) -> Result<Rc<ServerStats>> {
         let engine = self.engine.clone();
-        let draining = kernel.readiness().clone();
-        let handler: Handler = Rc::new(move |call| {
-            let (engine, draining) = (engine.clone(), draining.clone());
-            Box::pin(async move {
-                let reply = handle(&engine, door, call).await;
-                if draining.is_draining() {
-                    reply.last()
-                } else {
-                    reply
-                }
-            })
-        });
-        let reporter = kernel.clone();
-        let reject = Rc::new(move |code: ResultCode| {
-            let detail = smol_str::format_smolstr!("{code}");
-            reporter.emit(Event::new(EventKind::RequestRejected).detail(detail));
-            reply_of(&turned_away(code))
-        });
-        let server = Server::new(self.options.server, handler, reject);
-        let stats = server.stats();
-        let (listener, _) = listen(kernel, CALLERS, name, address).await?;
-        kernel
-            .spawn(server.run(listener, kernel.executor()))
-            .detach();
-        Ok(stats)
+        let handle = move |call| {
+            let engine = engine.clone();
+            async move { handle(&engine, door, call).await }
+        };
+        let reject = |code| reply_of(&turned_away(code));
+        let options = self.options.server;
+        serve_requests(kernel, CALLERS, name, address, options, handle, reject).await
     }
 }
 
--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -1,6 +1,6 @@
 //! Requests of callers.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -13,12 +13,12 @@
 use onyxshed_adapter::{Manifest, Route};
 use onyxshed_core::{Event, EventKind, Millis, Mono, ResultCode};
 use onyxshed_http::client::within;
-use onyxshed_http::{Call, Handler, Reply, Server, ServerOptions, ServerStats};
+use onyxshed_http::{Call, Reply, ServerOptions, ServerStats};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_pool::{
     JobEnd, JobId, JobRequest, JobSummary, NotRunReason, SubmissionNumber, UnknownReason,
 };
-use onyxshed_process::listen;
+use onyxshed_process::serve_requests;
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::boot_clock;
@@ -63,7 +63,8 @@
     kernel: Kernel,
     manifest: Rc<ManifestHolder>,
     links: Rc<Links>,
-    stats: Rc<ServerStats>,
+    /// Counts of the address, from when it is served on.
+    stats: OnceCell<Rc<ServerStats>>,
     measures: Measures,
     /// Closed when this host can wait no longer for the jobs under way.
     last_call: Receiver<()>,
@@ -263,6 +264,12 @@
         last
     }
 
+    /// Tells whether a request is being answered.
+    fn is_busy(&self) -> bool {
+        let stats = self.stats.get();
+        stats.is_some_and(|stats| stats.busy.get() > 0)
+    }
+
     fn tell(&self, asked: &Asked, job: &JobRequest, end: &JobEnd, pool: &SmolStr) {
         let kind = match end {
             JobEnd::Completed | JobEnd::Failed => EventKind::PoolJobAnswered,
@@ -344,48 +351,31 @@
     }
 
     async fn open(&self, kernel: &Kernel) -> Result<()> {
-        let holder: Rc<std::cell::OnceCell<Rc<Callers>>> = Rc::default();
-        let found = holder.clone();
-        let draining = kernel.readiness().clone();
-        let handler: Handler = Rc::new(move |call| {
-            let callers = found.get().cloned();
-            let draining = draining.clone();
-            Box::pin(async move {
-                let Some(callers) = callers else {
-                    return refuse(503, "the host is starting", Some(NO_POOL_RETRY));
-                };
-                let reply = callers.handle(call).await;
-                if draining.is_draining() {
-                    reply.last()
-                } else {
-                    reply
-                }
-            })
-        });
-        let reporter = kernel.clone();
-        let reject = Rc::new(move |code: ResultCode| {
-            let detail = format_smolstr!("{code}");
-            reporter.emit(Event::new(EventKind::RequestRejected).detail(detail));
-            refuse(code.http_status(), &format_smolstr!("{code}"), None)
-        });
-        let server = Server::new(self.options.server, handler, reject);
         let (last_call_sender, last_call) = async_channel::bounded(1);
         let callers = Rc::new(Callers {
             kernel: kernel.clone(),
             manifest: kernel.find(MANIFEST)?,
             links: kernel.find(LINKS)?,
-            stats: server.stats(),
+            stats: OnceCell::new(),
             measures: Measures::new(),
             last_call,
             last_call_sender,
             last_call_at: Cell::new(None),
         });
+        let served = callers.clone();
+        let handle = move |call| {
+            let callers = served.clone();
+            async move { callers.handle(call).await }
+        };
+        let reject =
+            |code: ResultCode| refuse(code.http_status(), &format_smolstr!("{code}"), None);
+        let CallerOptions {
+            address, server, ..
+        } = self.options;
+        let stats =
+            serve_requests(kernel, CALLERS, "caller", address, server, handle, reject).await?;
         // The cell is empty until here.
-        let _ = holder.set(callers.clone());
-        let (listener, _) = listen(kernel, CALLERS, "caller", self.options.address).await?;
-        kernel
-            .spawn(server.run(listener, kernel.executor()))
-            .detach();
+        let _ = callers.stats.set(stats);
         let descriptor = Descriptor {
             name: CALLERS,
             summary: "requests of callers",
@@ -416,7 +406,7 @@
             let last_call_at = Instant::now() + self.options.last_call;
             callers.last_call_at.set(Some(last_call_at));
             Timer::after(DRAIN_NOTICE).await;
-            while callers.stats.busy.get() > 0 {
+            while callers.is_busy() {
                 if Instant::now() >= last_call_at {
                     callers.last_call_sender.close();
                 }
