Ownership: end memberships, read topics and name the reasons to give up once each

The look whether the store has a topic at all stood twice, as did the call that ends a membership (the store's return is now told by it at once, where it was by the next call); a link marked in two places that it was tried; an orphaned pool was checked for a zone that it cannot but have; the reasons why a retiring owner gives its pool up are a function of their own.

--- a/crates/onyxshed-host/src/directory.rs
+++ b/crates/onyxshed-host/src/directory.rs
@@ -243,12 +243,10 @@
         &self.news
     }
 
-    /// Takes a pool of this host's zone that the store still holds for an earlier process of this
-    /// host, with that process's name in the pool's group.
+    /// Takes a pool that the store still holds for an earlier process of this host, with that
+    /// process's name in the pool's group.
     pub fn take_orphaned(&self) -> Option<(PoolId, SmolStr)> {
-        let mut orphaned = self.orphaned.borrow_mut();
-        let (pool, member) = orphaned.pop_first()?;
-        (pool.zone == self.zone).then_some((pool, member))
+        self.orphaned.borrow_mut().pop_first()
     }
 
     fn found(&self, pool: &PoolId, owner: Option<SmolStr>) {
--- a/crates/onyxshed-host/src/divisions.rs
+++ b/crates/onyxshed-host/src/divisions.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use onyxshed_adapter::{Error, Store};
+use onyxshed_adapter::Store;
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_pool::{Division, PoolId};
 use smol_str::SmolStr;
@@ -90,11 +90,9 @@
 
     /// Reads the store's records once, and gets where they end.
     pub async fn refresh(&self, store: &mut Store) -> onyxshed_adapter::Result<u64> {
-        let newest = match store.newest(TOPIC, ANSWER_TIMEOUT).await {
-            Ok(newest) => newest,
-            // Nothing was ever written: no zone is divided.
-            Err(Error::Status { status: 404 }) => return Ok(0),
-            Err(error) => return Err(error),
+        // Before anything was written no zone is divided.
+        let Some(newest) = store.newest_if_any(TOPIC, ANSWER_TIMEOUT).await? else {
+            return Ok(0);
         };
         for record in newest.records {
             let text = record.value.and_then(|value| String::from_utf8(value).ok());
--- a/crates/onyxshed-host/src/last_owner.rs
+++ b/crates/onyxshed-host/src/last_owner.rs
@@ -4,7 +4,7 @@
 //! may serve on all the same: its membership lapsed while the store was away. A host that has just
 //! started has never heard it, and finds it here.
 
-use onyxshed_adapter::{Error, Store};
+use onyxshed_adapter::Store;
 use onyxshed_pool::PoolId;
 use smol_str::{SmolStr, format_smolstr};
 
@@ -25,11 +25,8 @@
 
 /// Tries to read who wrote itself down last; none if nobody ever did.
 pub async fn read(store: &mut Store, pool: &PoolId) -> onyxshed_adapter::Result<Option<SmolStr>> {
-    let newest = match store.newest(TOPIC, ANSWER_TIMEOUT).await {
-        Ok(newest) => newest,
-        // Nothing was ever written.
-        Err(Error::Status { status: 404 }) => return Ok(None),
-        Err(error) => return Err(error),
+    let Some(newest) = store.newest_if_any(TOPIC, ANSWER_TIMEOUT).await? else {
+        return Ok(None);
     };
     let key = format_smolstr!("{pool}");
     let mut records = newest.records.into_iter();
--- a/crates/onyxshed-host/src/links/remote.rs
+++ b/crates/onyxshed-host/src/links/remote.rs
@@ -130,18 +130,18 @@
         let (_alive, lost): (Sender<()>, _) = async_channel::bounded(1);
         let begin_by = Instant::now() + BEGIN_TIMEOUT;
         loop {
-            match within(SILENCE, self.heartbeat(&client)).await {
+            let answer = within(SILENCE, self.heartbeat(&client)).await;
+            self.set_tried();
+            match answer {
                 None => return Some("no answer in time"),
                 Some(Err(_)) => return Some("the connection broke"),
                 Some(Ok(None)) if !self.is_up() && Instant::now() < begin_by => {
-                    self.set_tried();
                     Timer::after(BEGIN_PAUSE).await;
                     continue;
                 }
                 Some(Ok(None)) => return Some("the host owns the pool no longer"),
                 Some(Ok(Some(session))) => self.heard(&client, session, &lost),
             }
-            self.set_tried();
             if self.is_closed.get() && self.waiting.get() == 0 {
                 return Some("another host owns the pool");
             }
--- a/crates/onyxshed-host/src/ownership/contender.rs
+++ b/crates/onyxshed-host/src/ownership/contender.rs
@@ -7,7 +7,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use onyxshed_adapter::Store;
-use onyxshed_core::Millis;
+use onyxshed_core::{Millis, Mono};
 use onyxshed_kernel::Kernel;
 use onyxshed_pool::{Candidate, CandidateStep, LastOwner, PoolId};
 use smol_str::SmolStr;
@@ -184,16 +184,9 @@
     /// (0.8 to 1.0 s after a restart of all hosts). The address is this process's own, so whoever
     /// joined under it before is gone: its membership can be ended at once.
     async fn inherit(&mut self, pool: PoolId, member: SmolStr) -> Next {
-        let group = group_of(&pool);
-        match self.store.leave(&group, &member, ANSWER_TIMEOUT).await {
-            Ok(()) => {
-                self.watch.answered();
-                Next::Join(pool)
-            }
-            Err(error) => {
-                self.watch.failed(&error);
-                Next::Contend
-            }
+        match self.end_membership(&pool, &member).await {
+            true => Next::Join(pool),
+            false => Next::Contend,
         }
     }
 
@@ -339,26 +332,41 @@
             if self.engine.owned().is_none() {
                 return Next::Leave(pool);
             }
-            let is_idle = self.engine.counts().1 == 0;
-            if self.engine.is_releasing() && is_idle {
-                self.engine.give_up("handed over");
-            } else if self.engine.is_closed() && is_idle {
-                self.engine.give_up("this host is stopping");
-            } else if !self.is_stopping()
-                && !self.engine.is_releasing()
-                && boot_clock::now() > given_up_at
-            {
-                self.engine.give_up("the store gave it to another host");
+            if let Some(why) = self.why_give_up(given_up_at) {
+                self.engine.give_up(why);
             }
             Timer::after(HANDOVER_POLL).await;
         }
     }
 
+    /// Gets why an owner that is being replaced has nothing left to do; none while it has. One that
+    /// the store replaced waits until `given_up_at` for the next owner to ask.
+    fn why_give_up(&self, given_up_at: Mono) -> Option<&'static str> {
+        let is_idle = self.engine.counts().1 == 0;
+        if self.engine.is_releasing() {
+            return is_idle.then_some("handed over");
+        }
+        if self.engine.is_closed() && is_idle {
+            return Some("this host is stopping");
+        }
+        let is_forgotten = !self.is_stopping() && boot_clock::now() > given_up_at;
+        is_forgotten.then_some("the store gave it to another host")
+    }
+
     /// Leaves a pool's group; tells whether the store has answered.
     async fn leave_group(&mut self, pool: &PoolId) -> bool {
+        let member = self.member.clone();
+        self.end_membership(pool, &member).await
+    }
+
+    /// Ends a membership in a pool's group; tells whether the store has answered.
+    async fn end_membership(&mut self, pool: &PoolId, member: &str) -> bool {
         let group = group_of(pool);
-        match self.store.leave(&group, &self.member, ANSWER_TIMEOUT).await {
-            Ok(()) => true,
+        match self.store.leave(&group, member, ANSWER_TIMEOUT).await {
+            Ok(()) => {
+                self.watch.answered();
+                true
+            }
             Err(error) => {
                 self.watch.failed(&error);
                 false
