Followers of the store's topics begin anew by one rule

The manifest's and the executors' followers each had the same pause and the same exception for history that is gone.

--- a/crates/onyxshed-host/src/executors.rs
+++ b/crates/onyxshed-host/src/executors.rs
@@ -21,9 +21,6 @@
 /// must get no new task after 2 s.
 const READ_PERIOD: Duration = Duration::from_millis(300);
 
-/// Pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
-
 /// Most unreadable entries that are remembered, and told of.
 const UNREADABLE_MAX: usize = 64;
 
@@ -52,10 +49,7 @@
         let Err(error) = follower.follow_once(&mut store, &watch).await else {
             return;
         };
-        if !matches!(error, Error::Trimmed { .. }) {
-            watch.failed(&error);
-            Timer::after(RETRY_PAUSE).await;
-        }
+        watch.before_reading_anew(&error).await;
     }
 }
 
--- a/crates/onyxshed-host/src/manifest.rs
+++ b/crates/onyxshed-host/src/manifest.rs
@@ -5,10 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_io::Timer;
+use onyxshed_adapter::Store;
 use onyxshed_adapter::manifest::{MANIFEST_KEY, Manifest};
 use onyxshed_adapter::store::{KeyedRecord, OPERATORS_TOPIC};
-use onyxshed_adapter::{Error, Store};
 use onyxshed_core::{Event, EventKind, Millis};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use smol_str::format_smolstr;
@@ -20,9 +19,6 @@
 /// answer's timeout it bounds how long a connection that has gone silent is waited for (2,200 ms).
 const WAIT: Millis = Millis(1_500);
 
-/// Pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
-
 /// The newest manifest this host knows.
 pub struct ManifestHolder {
     kernel: Kernel,
@@ -107,10 +103,7 @@
     let mut store = Store::new(address);
     loop {
         let Err(error) = follow_once(&holder, &mut store, &watch).await;
-        if !matches!(error, Error::Trimmed { .. }) {
-            watch.failed(&error);
-            Timer::after(RETRY_PAUSE).await;
-        }
+        watch.before_reading_anew(&error).await;
     }
 }
 
--- a/crates/onyxshed-host/src/store_watch.rs
+++ b/crates/onyxshed-host/src/store_watch.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::time::Duration;
 
+use async_io::Timer;
 use onyxshed_adapter::Error;
 use onyxshed_core::{Event, EventKind, Mono};
 use onyxshed_kernel::Kernel;
@@ -14,6 +15,9 @@
 /// about 300 ms.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Pause after a failed call before a topic is read anew.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
 /// Tells once when the store stops answering, and once when it answers again.
 pub struct StoreWatch {
     kernel: Kernel,
@@ -46,6 +50,15 @@
         self.kernel.emit(event.detail(detail));
     }
 
+    /// Takes in why a follower of a topic reads it anew, and pauses before it does; not where only
+    /// the history that it was about to read is gone.
+    pub async fn before_reading_anew(&self, error: &Error) {
+        if !matches!(error, Error::Trimmed { .. }) {
+            self.failed(error);
+            Timer::after(RETRY_PAUSE).await;
+        }
+    }
+
     /// Gets when the store answered again after it was lost; none if it never was.
     pub fn back_at(&self) -> Option<Mono> {
         self.back_at.get()
