--- a/crates/onyxshed-host/src/engine/calls.rs
+++ b/crates/onyxshed-host/src/engine/calls.rs
@@ -18,8 +18,8 @@
 
 /// How long the answer to a start or a stop may take before the order is sent again, which changes
 /// nothing if it was carried out. An executor answers within 10 ms; an answer that came while this
-/// host stood still counts, however late it is read. A job of eight short tasks has 60 ms to spare:
-/// sent again after 100 ms, one order in twenty without an answer made four such jobs in ten late.
+/// host stood still counts, however late it is read. A job of many short tasks has little time to
+/// spare, and is late as soon as one of its orders waits for long.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(40);
 
 /// How long a report may take beyond the time that the executor waits for an end. Ends that fall
--- a/crates/onyxshed-host/src/main.rs
+++ b/crates/onyxshed-host/src/main.rs
@@ -2,8 +2,7 @@
 
 use std::process::ExitCode;
 
-// The system's allocator stays: a host peaks at 4.6 MB with it and at 13 MB with mimalloc, for the
-// same processor time (calm day, eight hosts, one run each).
+// The system's allocator stays: mimalloc takes three times the memory here and no less processor time.
 fn main() -> ExitCode {
     onyxshed_host::process::main()
 }
--- a/crates/onyxshed-host/src/ownership/contender.rs
+++ b/crates/onyxshed-host/src/ownership/contender.rs
@@ -195,8 +195,7 @@
     /// Takes over from an earlier process of this host.
     ///
     /// Failure guarded against: an owner is killed and started anew within its membership's time to
-    /// live. Symptom: callers of the zone are refused until the membership lapses, for up to 1.4 s
-    /// (0.8 to 1.0 s after a restart of all hosts). The address is this process's own, so whoever
+    /// live. Symptom: callers of the zone are refused until the membership lapses. The address is this process's own, so whoever
     /// joined under it before is gone: its membership can be ended at once.
     async fn inherit(&mut self, pool: PoolId, member: SmolStr) -> Next {
         match self.end_membership(&pool, &member).await {
--- a/crates/onyxshed-host/src/peer_state.rs
+++ b/crates/onyxshed-host/src/peer_state.rs
@@ -26,7 +26,7 @@
 use crate::names::{DIVISIONS, LINKS, MANIFEST, PEER_STATE};
 
 /// How long the store may take to tell the manifest before others are asked: a first read takes two
-/// calls of 4 ms, and 100 ms on a host at its processor limit.
+/// calls, and a host at its processor limit is late to read the answers.
 const STORE_PATIENCE: Duration = Duration::from_millis(250);
 
 /// Time between two rounds of questions, while neither the store nor another host has told the manifest.
--- a/crates/onyxshed-pool/src/candidate.rs
+++ b/crates/onyxshed-pool/src/candidate.rs
@@ -18,8 +18,8 @@
 /// Longest random wait before a host joins for a vacant pool, so that seldom two do.
 const JOIN_SPREAD: Millis = Millis(120);
 
-/// Processor share that makes a good owner, in thousandths of a core: twice what the owner of 120
-/// executors uses on a calm day.
+/// Processor share that makes a good owner, in thousandths of a core: an owner of a hundred executors
+/// needs half of it.
 pub(crate) const OWNER_CPU_MILLIS: u32 = 400;
 
 /// How long a host waits for each time that its processor share fits into a good owner's.
@@ -66,14 +66,12 @@
     ///
     /// Failure guarded against: the store takes a membership away, or lets it lapse while the
     /// owner is cut off from the store; the owner serves on. Symptom: whoever sees the store first
-    /// takes over, and every job of the pool is lost (17 of 299 jobs in the two seconds of such a
-    /// fault, 6 since). An owner that answers is left alone until it has joined again; one that
+    /// takes over, and every job of the pool is lost. An owner that answers is left alone until it has joined again; one that
     /// can't for long is replaced, since it no longer sees which executors come and leave.
     ///
     /// A host that started a moment ago, or while its zone was cut off, knows no owner to ask. When
     /// the store answers again, at `store_back_at`, the memberships of living owners have lapsed,
-    /// and they need a moment to join again: 14 of some 60 jobs were lost where such a host was
-    /// faster, and 90 of 800 in a larger zone.
+    /// and they need a moment to join again; a host that is faster costs them their jobs.
     pub fn vacant(
         &mut self,
         now: Mono,
--- a/crates/onyxshed-pool/src/division.rs
+++ b/crates/onyxshed-pool/src/division.rs
@@ -1,7 +1,7 @@
 //! How the executors of a zone are divided into pools.
 //!
 //! Answers size: the owner of a pool starts every run of it, and one host's processor bears a pool
-//! of a few hundred executors at most (0.14 cores for 117 of them on a calm day; 1,000 stood still).
+//! of a few hundred executors at most.
 //! A zone has one pool as long as that suffices, since a larger pool waits less.
 
 use std::fmt;
--- a/crates/onyxshed-pool/src/speed.rs
+++ b/crates/onyxshed-pool/src/speed.rs
@@ -5,8 +5,8 @@
 
 use onyxshed_core::{Micros, Mono};
 
-/// Weight of the newest ratio; over ten runs the error of the callers' estimates falls below 20%,
-/// and an executor that turns six times slower is told apart after three.
+/// Weight of the newest ratio: a few runs show an executor that turns slow, and the callers' wrong
+/// estimates even out.
 const ALPHA: f64 = 0.2;
 
 /// Time in which half of what was learned is forgotten, in seconds. An executor that was slow gets
--- a/crates/onyxshed-pool/src/successor.rs
+++ b/crates/onyxshed-pool/src/successor.rs
@@ -1,8 +1,7 @@
 //! Whom a stopping owner makes its successor when the store can't.
 //!
 //! Failure guarded against: an owner is stopped while its hosts can't reach the store. Symptom: nobody
-//! can join the pool's group, and the zone's callers are refused until the store answers again (1,650
-//! of 38,000 on a day of a 41-host deployment on which a zone was cut off during a rolling stop). The
+//! can join the pool's group, and the zone's callers are refused until the store answers again. The
 //! owner knows hosts that could serve, since their heartbeats say so, and names one of them in the
 //! answer to its next heartbeat.
 //!
