--- a/crates/onyxshed-pool/tests/pool/world/executors.rs
+++ b/crates/onyxshed-pool/tests/pool/world/executors.rs
@@ -40,7 +40,8 @@
         let demand = call.request.demand;
         let true_ms = call.true_ms[usize::from(order.task.index)];
         let executor = self.executors.get_mut(id).expect("an executor");
-        let (answer, is_new) = executor.start(now, order, demand);
+        let work = Micros(true_ms * 1_000);
+        let (answer, is_new) = executor.start(now, order, demand, work);
         if !is_new {
             return answer;
         }
@@ -48,19 +49,22 @@
         call.started = true;
         self.note(order.task, format!("run {} starts on {id}", order.run));
         self.check_alone(id, order.task);
-        let executor = &self.executors[id];
-        let born = executor.born;
         self.started_at.insert(order.task, now);
-        if !executor.is_stuck {
-            let took = micros(true_ms, executor.speed);
-            let over = Event::RunOver(id.clone(), order.task, order.run, born);
-            self.at(now + took, over);
-        }
+        self.plan_end(id, order.task, order.run);
         let lapses_at = self.executors[id].lapses_at();
         self.at(lapses_at, Event::Lapse(id.clone()));
         answer
     }
 
+    /// Plans the end of a run, at the executor's present speed.
+    pub(super) fn plan_end(&mut self, id: &ExecutorId, task: TaskId, run: RunNumber) {
+        let executor = &self.executors[id];
+        let over = Event::RunOver(id.clone(), task, run, executor.born);
+        if let Some(ends_at) = executor.ends_at(task) {
+            self.at(ends_at.max(self.now + Micros(1)), over);
+        }
+    }
+
     /// Checks that a task which starts is at work nowhere else.
     pub(super) fn check_alone(&self, here: &ExecutorId, task: TaskId) {
         for (id, executor) in &self.executors {
@@ -145,6 +149,10 @@
         if executor.born != born || run.is_none_or(|run| run.number != number) {
             return;
         }
+        // Its executor turned slow meanwhile.
+        if executor.ends_at(task).is_none_or(|at| at > self.now) {
+            return;
+        }
         let end = match executor.fails_all {
             true => RunEnd::Failed,
             false => RunEnd::Done,
@@ -176,13 +184,3 @@
         }
     }
 }
-
-fn micros(true_ms: u64, speed: f64) -> Micros {
-    #[allow(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        clippy::cast_precision_loss
-    )]
-    let us = (true_ms as f64 * 1_000.0 / speed) as u64;
-    Micros(us.max(1))
-}
--- a/crates/onyxshed-standins/src/fleet/executor.rs
+++ b/crates/onyxshed-standins/src/fleet/executor.rs
@@ -12,7 +12,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use http_types::Method;
-use onyxshed_core::{Mono, UnixMs};
+use onyxshed_core::{Micros, Mono, UnixMs};
 use onyxshed_http::client::call_once;
 use onyxshed_http::{Call, Reply};
 use onyxshed_kernel::Change;
@@ -41,6 +41,27 @@
 /// How often leases are looked at.
 const LEASE_TICK: Duration = Duration::from_millis(10);
 
+/// How often a run looks whether its executor's speed has changed.
+const SPEED_TICK: Duration = Duration::from_millis(100);
+
+/// What a task's spec says.
+#[derive(Debug, Clone, Copy)]
+struct TaskSpec {
+    work: Micros,
+    fails: bool,
+}
+
+impl TaskSpec {
+    fn read(spec: &str) -> Self {
+        let mut words = spec.split(' ');
+        let ms: u64 = words.next().and_then(|text| text.parse().ok()).unwrap_or(1);
+        TaskSpec {
+            work: Micros(ms * 1_000),
+            fails: words.next() == Some("fail"),
+        }
+    }
+}
+
 /// Who the executor is.
 #[derive(Debug, Clone)]
 pub struct FleetExecutorOptions {
@@ -230,6 +251,7 @@
             (Method::Post, "/run-start") => self.start(&call),
             (Method::Post, "/run-stop") => self.stop(&call),
             (Method::Post, "/hold") => self.hold(&call).await,
+            (Method::Post, "/control/speed") => self.set_speed(&call),
             _ => no_such_path(),
         }
     }
@@ -278,10 +300,15 @@
         };
         let now = self.now();
         let demand = demand(self.inner.options.cpu_millis);
-        let (answer, is_new) = self.inner.book.borrow_mut().start(now, &start, demand);
+        let spec = TaskSpec::read(&order.spec);
+        let (answer, is_new) = self
+            .inner
+            .book
+            .borrow_mut()
+            .start(now, &start, demand, spec.work);
         if is_new {
             self.record(task, start.run, "start");
-            let work = self.clone().work(task, start.run, order.spec);
+            let work = self.clone().work(task, start.run, spec);
             self.inner.executor.spawn(work).detach();
         }
         match answer {
@@ -293,25 +320,43 @@
         }
     }
 
-    async fn work(self, task: TaskId, run: RunNumber, spec: SmolStr) {
-        let mut words = spec.split(' ');
-        let ms: u64 = words.next().and_then(|text| text.parse().ok()).unwrap_or(1);
-        let fails = words.next() == Some("fail");
-        let took = Duration::from_millis(ms).div_f64(self.inner.options.speed);
-        Timer::after(took).await;
+    async fn work(self, task: TaskId, run: RunNumber, spec: TaskSpec) {
+        while let Some(left) = self.left_of(task, run) {
+            Timer::after(left.min(SPEED_TICK)).await;
+        }
         self.end_lapsed();
         let is_there = {
             let book = self.inner.book.borrow();
             book.runs.get(&task).is_some_and(|held| held.number == run)
         };
         if is_there {
-            match fails {
+            match spec.fails {
                 true => self.end(task, RunEnd::Failed, "failed"),
                 false => self.end(task, RunEnd::Done, "done"),
             }
         }
     }
 
+    /// Gets how long a run still takes at the present speed; none if it is over or gone.
+    fn left_of(&self, task: TaskId, run: RunNumber) -> Option<Duration> {
+        let book = self.inner.book.borrow();
+        let is_there = book.runs.get(&task).is_some_and(|held| held.number == run);
+        let left = book.ends_at(task)?.since(self.now());
+        (is_there && left.0 > 0).then(|| Duration::from_micros(left.0))
+    }
+
+    /// Takes a new speed, also for what runs.
+    fn set_speed(&self, call: &Call) -> Act {
+        match read_json::<f64>(&call.body) {
+            Ok(speed) if speed > 0.0 => {
+                self.inner.book.borrow_mut().set_speed(self.now(), speed);
+                self.done()
+            }
+            Ok(_) => Act::Reply(Reply::bytes(400, "a speed is above zero")),
+            Err(act) => act,
+        }
+    }
+
     fn end(&self, task: TaskId, end: RunEnd, what: &str) {
         self.end_at(task, end, what, now_ms().0);
     }
--- a/crates/onyxshed-standins/src/fleet/run_book.rs
+++ b/crates/onyxshed-standins/src/fleet/run_book.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 
-use onyxshed_core::{Mono, UnixMs};
+use onyxshed_core::{Micros, Mono, UnixMs};
 use onyxshed_pool::{
     ExecutorLists, ExecutorReport, FinishedRun, HoldOrder, RefuseReason, Room, RunEnd, RunNumber,
     RunningRun, StartAnswer, StartOrder, StopAnswer, StopOrder, TaskId,
@@ -20,6 +20,32 @@
     pub number: RunNumber,
     /// What it takes.
     pub demand: Room,
+    /// How long it takes on an ordinary executor.
+    work: Micros,
+    /// How much of that was done at `counted_at`.
+    done: Micros,
+    /// When the work done was counted last.
+    counted_at: Mono,
+    /// Whether it stands still for ever.
+    is_stuck: bool,
+}
+
+impl BookedRun {
+    /// Gets the work done by a time, at a speed since it was counted last.
+    fn done_at(&self, now: Mono, speed: f64) -> Micros {
+        let since = scaled(now.since(self.counted_at), speed);
+        Micros(self.done.0.saturating_add(since.0).min(self.work.0))
+    }
+}
+
+/// Stretches a span by a factor.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::cast_precision_loss
+)]
+fn scaled(span: Micros, factor: f64) -> Micros {
+    Micros((span.0 as f64 * factor) as u64)
 }
 
 /// The executor.
@@ -110,8 +136,31 @@
         free
     }
 
-    /// Takes an order to start; tells whether a run began by it.
-    pub fn start(&mut self, now: Mono, order: &StartOrder, demand: Room) -> (StartAnswer, bool) {
+    /// Sets how fast it is from now on, also for what runs.
+    pub fn set_speed(&mut self, now: Mono, speed: f64) {
+        for run in self.runs.values_mut() {
+            run.done = run.done_at(now, self.speed);
+            run.counted_at = now;
+        }
+        self.speed = speed;
+    }
+
+    /// Gets when a run will have ended at the present speed; none where nothing ever ends.
+    pub fn ends_at(&self, task: TaskId) -> Option<Mono> {
+        let run = self.runs.get(&task)?;
+        let left = Micros(run.work.0 - run.done.0);
+        (!run.is_stuck).then(|| run.counted_at + scaled(left, 1.0 / self.speed))
+    }
+
+    /// Takes an order to start a task that takes some time on an ordinary executor; tells whether a run
+    /// began by it.
+    pub fn start(
+        &mut self,
+        now: Mono,
+        order: &StartOrder,
+        demand: Room,
+        work: Micros,
+    ) -> (StartAnswer, bool) {
         let refused = |reason| (StartAnswer::Refused(reason), false);
         if order.token.0 < self.token {
             return refused(RefuseReason::Fenced);
@@ -137,6 +186,10 @@
         let run = BookedRun {
             number: order.run,
             demand,
+            work,
+            done: Micros(0),
+            counted_at: now,
+            is_stuck: self.is_stuck,
         };
         self.runs.insert(order.task, run);
         let clock = Some(UnixMs(self.clock_ms(now)));
