--- a/crates/onyxshed-soak/src/faults.rs
+++ b/crates/onyxshed-soak/src/faults.rs
@@ -23,6 +23,8 @@
     KillExecutor(SmolStr, Duration),
     /// An executor stands still for the span.
     FreezeExecutor(SmolStr, Duration),
+    /// An executor takes so many times as long for the span, also for what runs there.
+    SlowExecutor(SmolStr, f64, Duration),
     /// Connections of the routes named misbehave for the span.
     Route(SmolStr, Mode, Duration),
     /// The store misbehaves for the span.
@@ -45,8 +47,10 @@
 /// Which faults a soak draws.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FaultMix {
-    /// All kinds.
+    /// All kinds but slow executors.
     All,
+    /// Slow executors, and now and then any other kind.
+    Slow,
     /// Planned work alone: stops, reloads and new manifests.
     Planned,
 }
@@ -66,6 +70,7 @@
             at: Duration::from_millis(rng.random_range(0..length_ms)),
             fault: match mix {
                 FaultMix::All => draw(rng, hosts, executors),
+                FaultMix::Slow => draw_slow(rng, hosts, executors),
                 FaultMix::Planned => draw_planned(rng, hosts),
             },
         })
@@ -90,6 +95,16 @@
     }
 }
 
+fn draw_slow(rng: &mut SmallRng, hosts: &[SmolStr], executors: &[SmolStr]) -> Fault {
+    match rng.random_range(0..3) {
+        0 => draw(rng, hosts, executors),
+        _ => {
+            let times = rng.random_range(2.0..10.0);
+            Fault::SlowExecutor(one_of(rng, executors), times, span(rng))
+        }
+    }
+}
+
 fn draw(rng: &mut SmallRng, hosts: &[SmolStr], executors: &[SmolStr]) -> Fault {
     match rng.random_range(0..14) {
         0 => Fault::KillHost(one_of(rng, hosts), span(rng)),
--- a/crates/onyxshed-soak/src/fleet.rs
+++ b/crates/onyxshed-soak/src/fleet.rs
@@ -21,6 +21,9 @@
 /// How long a call to a stand-in may take, on a machine that is busy.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How long an executor may take to take a new speed; one that stands still does not answer.
+const SPEED_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// How long everything may take to come up.
 const READY_CEILING: Duration = Duration::from_secs(60);
 
@@ -241,6 +244,18 @@
             .await
     }
 
+    /// Sets how many times faster than an ordinary one an executor works; nothing if it does not run.
+    pub async fn set_executor_speed(&self, id: &SmolStr, speed: f64) -> Result<()> {
+        let Some(address) = self.executors.get(id).and_then(|found| found.address) else {
+            return Ok(());
+        };
+        let body = serde_json::to_vec(&speed).expect("a number");
+        let path = "control/speed";
+        // One that stands still or was killed meanwhile takes no new speed, and needs none.
+        let _ = call_once(address, Method::Post, path, body, SPEED_TIMEOUT).await;
+        Ok(())
+    }
+
     async fn add_executor(
         &mut self,
         zone: usize,
--- a/crates/onyxshed-soak/src/main.rs
+++ b/crates/onyxshed-soak/src/main.rs
@@ -33,6 +33,7 @@
         .arg(number("executors", "3", "Executors in each zone"))
         .arg(number("callers", "8", "Callers at a time"))
         .arg(flag("planned", "Only stops, reloads and new manifests"))
+        .arg(flag("slow", "Mostly executors that turn slow"))
         .arg(flag(
             "true-clocks",
             "Executors' clocks are neither ahead nor slow",
@@ -54,6 +55,9 @@
     if matches.get_flag("planned") {
         options.mix = FaultMix::Planned;
     }
+    if matches.get_flag("slow") {
+        options.mix = FaultMix::Slow;
+    }
     options.length = Duration::from_secs(number("seconds"));
     options
 }
--- a/crates/onyxshed-soak/src/run.rs
+++ b/crates/onyxshed-soak/src/run.rs
@@ -176,6 +176,7 @@
     RestartStopped(SmolStr, u32, Instant),
     StartExecutor(SmolStr),
     ThawExecutor(SmolStr),
+    SpeedOf(SmolStr),
     Route(SmolStr),
     Store,
 }
@@ -250,6 +251,10 @@
                 fleet.freeze_executor(id, true)?;
                 self.later(*span, Repair::ThawExecutor(id.clone()));
             }
+            Fault::SlowExecutor(id, times, span) => {
+                fleet.set_executor_speed(id, 1.0 / times).await?;
+                self.later(*span, Repair::SpeedOf(id.clone()));
+            }
             Fault::Route(route, mode, span) => {
                 fleet.set_mode(route, *mode).await?;
                 self.later(*span, Repair::Route(route.clone()));
@@ -273,6 +278,7 @@
             }
             Repair::StartExecutor(id) => fleet.start_executor(&id).await,
             Repair::ThawExecutor(id) => fleet.freeze_executor(&id, false),
+            Repair::SpeedOf(id) => fleet.set_executor_speed(&id, 1.0).await,
             Repair::Route(route) => fleet.set_mode(&route, Mode::Pass).await,
             Repair::Store => fleet.set_store_faults(&StoreFaults::default()).await,
         }
--- a/crates/onyxshed-soak/tests/seeds.rs
+++ b/crates/onyxshed-soak/tests/seeds.rs
@@ -56,6 +56,19 @@
     assert!(report.completed > 0, "nothing was served");
 }
 
+/// Executors take up to ten times as long for a while, under the runs that they have. Jobs are refused or
+/// given up by what is believed of their speed; what is said of them has to be true all the same.
+#[test]
+fn slow_executors_make_no_answer_untrue() {
+    let options = SoakOptions {
+        mix: FaultMix::Slow,
+        ..SoakOptions::of_seed(31)
+    };
+    let report = soak(&options).expect("it runs");
+    must_hold(&report).expect("every promise holds");
+    assert!(report.completed > 0, "nothing was served");
+}
+
 /// Executors' clocks are ahead and slow, as far as the platform allows: leases that are reckoned on
 /// the wrong clock would end too early, and tasks would run twice.
 #[test]
