--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -163,8 +163,7 @@
     ///
     /// Failure guarded against: all hosts lose power, and their callers connect again as soon as a
     /// process listens. Symptom: they are refused by hosts that would have known the manifest and an
-    /// owner 20 to 200 ms later (77 refused of 246 callers in the two seconds of such a start, 22 with
-    /// this; one run each). What waits has still to end in its time: the span counts towards the job's
+    /// owner a moment later. What waits has still to end in its time: the span counts towards the job's
     /// target.
     async fn start_over(&self) {
         // Ends when the channel is closed; nothing is ever sent.
--- a/crates/onyxshed-host/src/links.rs
+++ b/crates/onyxshed-host/src/links.rs
@@ -38,12 +38,11 @@
 /// Longest time between two heartbeats on a link that no job waits on.
 const IDLE_HEARTBEAT_MAX: Duration = Duration::from_millis(1_000);
 
-/// Most hosts that an owner serves at a time, twice those of the largest deployment measured.
+/// Most hosts that an owner serves at a time.
 ///
 /// Failure guarded against: more hosts have a link to one owner than it takes, and the oldest link
-/// makes room for each new one. Symptom: links break all the time, and their jobs' fate is unknown
-/// (of 5,000 jobs at 302 hosts 7% failed with 256 places, 1% with these; one run each). Together with callers and executors these stay
-/// below the descriptors of the smallest hosts (3,075).
+/// makes room for each new one. Symptom: links break all the time, and their jobs' fate is unknown.
+/// Together with callers and executors these stay below the descriptors of small hosts (3,075).
 pub const PEERS_MAX: usize = 640;
 
 /// Who this host is to others.
--- a/crates/onyxshed-host/src/process.rs
+++ b/crates/onyxshed-host/src/process.rs
@@ -177,6 +177,7 @@
     let options = PoolOptions::default();
     PoolOptions {
         lease_ms: options.lease_ms.min(settings.lease_max_ms),
+        remote_millis: settings.remote_millis.unwrap_or(options.remote_millis),
         ..options
     }
 }
--- a/crates/onyxshed-pool/src/chooser.rs
+++ b/crates/onyxshed-pool/src/chooser.rs
@@ -105,7 +105,7 @@
 ///
 /// A pool that shows no capacity is asked last, and asked all the same: its owner may have told its
 /// sum a moment before it took its first executor over, and callers would hear "not run" until its
-/// next heartbeat (150 ms; seen on a busy machine as a refusal 24 ms after the link came up).
+/// next heartbeat.
 ///
 /// What waits is worked off by the whole pool; of the job itself, what does not fit into the free
 /// room counts as if each task lay in the way for as long as a short one takes.
--- a/crates/onyxshed-pool/src/options.rs
+++ b/crates/onyxshed-pool/src/options.rs
@@ -34,7 +34,7 @@
     /// Times the objective after which a job is of no use; default 3.
     pub late_factor: u64,
     /// Times the expected run time after which a run counts as stuck, in thousandths; default
-    /// 3,000. Callers' estimates are off by a factor of two and a half at the 99th percentile.
+    /// 3,000. Callers' estimates are often off by half, so less would stop sound runs.
     pub stuck_millis: u64,
     /// The same where other tasks of the job have told its true length; default 1,800.
     pub stuck_known_millis: u64,
@@ -45,6 +45,9 @@
     pub avoid_ms: Millis,
     /// Longest time that an executor is avoided for; default 4,000 ms.
     pub avoid_max_ms: Millis,
+    /// How many times longer a task takes where its data is not in its rack, in thousandths; default
+    /// 2,000, until the platform's settings say otherwise.
+    pub remote_millis: u32,
 }
 
 impl Default for PoolOptions {
@@ -66,6 +69,7 @@
             stuck_slack_ms: Millis(80),
             avoid_ms: Millis(500),
             avoid_max_ms: Millis(4_000),
+            remote_millis: 2_000,
         }
     }
 }
--- a/crates/onyxshed-pool/src/pool/intake.rs
+++ b/crates/onyxshed-pool/src/pool/intake.rs
@@ -21,9 +21,8 @@
 const RETRY_MOST: Millis = Millis(5_000);
 
 /// How long the jobs that can be in time and go before one that can only be late must keep the pool busy
-/// for it to be refused: a short task's time. Past what a pool can do it is twice that and more. With no
-/// such bound, or with one on all that waits, pools of three executors refused one caller in seven that
-/// had an answer a moment later.
+/// for it to be refused: a short task's time. Past what a pool can do it is twice that and more. Without
+/// such a bound small pools refuse callers who would have an answer a moment later.
 const PRESSED: Millis = Millis(60);
 
 impl Pool {
@@ -108,9 +107,7 @@
     /// before it.
     ///
     /// The wait is reckoned with jobs that will be refused before their turn comes, so it tells what is
-    /// in vain and not what is late: refusing on arrival what would be late served 0.39 of the short
-    /// jobs in time at 1.4 times what a pool can do, instead of 0.55 (callers that wait for 2.5 s, four
-    /// seeds).
+    /// in vain and not what is late.
     fn has_hope(&self, now: Mono, request: &JobRequest) -> bool {
         let job = Job::new(now, request.clone());
         let begins_at = now + self.expected_wait(now, request);
@@ -183,10 +180,9 @@
     /// Refuses the jobs that wait in vain, and gives up those whose callers have left.
     ///
     /// Failure guarded against: a burst of more than the pool can do. Symptom: jobs that the others go
-    /// before wait for three targets, a second or more, to be refused after all. At twice what a pool
-    /// can do 0.47 of the long jobs and 0.13 of the middling ones waited over 900 ms for that, with
-    /// this 0.08 and none (`tests/pool/load.rs`, four seeds). A job that can only be late is refused as
-    /// soon as enough goes before it that can be in time; else it stays, since its turn may come.
+    /// before wait for three targets, a second or more, to be refused after all. A job that can only be
+    /// late is refused as soon as enough goes before it that can be in time; else it stays, since its
+    /// turn may come.
     pub(super) fn give_up_late(&mut self, now: Mono) {
         let late_work_max = self.late_work_max(now);
         let mut ends = Vec::new();
--- a/crates/onyxshed-pool/src/pool/place.rs
+++ b/crates/onyxshed-pool/src/pool/place.rs
@@ -3,14 +3,11 @@
 //! Order: least work first, counting only what has not begun, since past the pool's capacity this
 //! serves the most callers. The work of a job that can't meet its target any more counts five times:
 //! an answer that is late is worth a fifth to its caller, so such a job goes on only if little is
-//! left of it. Last come jobs whose answers would be of no use at all. At 1.4 times what a pool can do
-//! this serves 0.51, 0.32 and 0.86 of three classes in time, putting late jobs behind all others 0.47,
-//! 0.31 and 0.82, finishing whatever has begun 0.18, 0.32 and 0.52 (`tests/pool/load.rs`, three seeds).
-//! What it gains over the second is that callers of the other jobs hear sooner ([`super::intake`]).
+//! left of it. Last come jobs whose answers would be of no use at all. Callers of the others hear sooner
+//! for it ([`super::intake`]).
 //!
 //! Place: a job is as late as its last task, so each task goes to the executor that is expected to
-//! end it first, and among equals to the one with the least room left over. Sparing the fast ones
-//! for jobs that need them served 0.944 against 0.969 at half load, and no more at full load.
+//! end it first, and among equals to the one with the least room left over.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -24,9 +21,6 @@
 use crate::message::{Action, Note, StartOrder};
 use crate::speed::scaled;
 
-/// How much longer a task takes where its data is not in its rack. The platform's sheets say 2.
-const REMOTE_FACTOR: f64 = 2.0;
-
 /// How well an executor suits a task; less is better: the task's time there, then the room left.
 type Fit = (Micros, u32);
 
@@ -39,8 +33,8 @@
 /// What a job's place in the queue depends on; less goes first.
 type Rank = (bool, u64, Mono, JobId);
 
-/// How many times the work of a job counts that can only be late: by the users' sheets a late answer
-/// is worth a fifth.
+/// How many times the work of a job counts that can only be late. It then goes on only if little is
+/// left of it.
 pub(super) const LATE_WEIGHT: u64 = 5;
 
 /// What a job's caller can expect.
@@ -162,7 +156,7 @@
             if !self.may_run(now, executor, job) || failed_on.contains(&place.id) {
                 continue;
             }
-            let expected = scaled(estimate, place.slowdown * remoteness(executor, job));
+            let expected = scaled(estimate, place.slowdown * self.remoteness(executor, job));
             let room_left = executor.free.without(job.request.demand).cpu_millis;
             let fit = (expected, room_left);
             if best.is_none_or(|(least, _)| fit < least) {
@@ -172,6 +166,16 @@
         best.map(|((expected, _), number)| (number, expected))
     }
 
+    /// Gets how many times longer a job's tasks take because their data is elsewhere.
+    fn remoteness(&self, executor: &Executor, job: &Job) -> f64 {
+        let wanted = job.request.data_rack.as_ref();
+        let is_remote = wanted.is_some() && wanted != executor.facts.rack.as_ref();
+        match is_remote {
+            true => f64::from(self.options.remote_millis) / 1_000.0,
+            false => 1.0,
+        }
+    }
+
     fn may_run(&self, now: Mono, executor: &Executor, job: &Job) -> bool {
         let request = &job.request;
         let has_place = match request.per_executor_max {
@@ -223,10 +227,3 @@
         });
     }
 }
-
-/// Gets how much longer a job's tasks take because their data is elsewhere.
-fn remoteness(executor: &Executor, job: &Job) -> f64 {
-    let wanted = job.request.data_rack.as_ref();
-    let is_remote = wanted.is_some() && wanted != executor.facts.rack.as_ref();
-    if is_remote { REMOTE_FACTOR } else { 1.0 }
-}
