--- a/crates/onyxshed-host/src/ownership/contender.rs
+++ b/crates/onyxshed-host/src/ownership/contender.rs
@@ -195,8 +195,8 @@
     /// Takes over from an earlier process of this host.
     ///
     /// Failure guarded against: an owner is killed and started anew within its membership's time to
-    /// live. Symptom: callers of the zone are refused until the membership lapses. The address is this process's own, so whoever
-    /// joined under it before is gone: its membership can be ended at once.
+    /// live. Symptom: callers of the zone are refused until the membership lapses. The address is this
+    /// process's own, so whoever joined under it before is gone: its membership can be ended at once.
     async fn inherit(&mut self, pool: PoolId, member: SmolStr) -> Next {
         match self.end_membership(&pool, &member).await {
             true => Next::Join(pool),
--- a/crates/onyxshed-soak/src/fleet.rs
+++ b/crates/onyxshed-soak/src/fleet.rs
@@ -251,7 +251,8 @@
         };
         let body = serde_json::to_vec(&speed).expect("a number");
         let path = "control/speed";
-        // One that stands still or was killed meanwhile takes no new speed, and needs none.
+        // One that stands still finds it in its socket when it goes on; one that is killed starts again at
+        // its ordinary speed.
         let _ = call_once(address, Method::Post, path, body, SPEED_TIMEOUT).await;
         Ok(())
     }
--- a/crates/onyxshed-standins/src/fleet/executor.rs
+++ b/crates/onyxshed-standins/src/fleet/executor.rs
@@ -47,7 +47,9 @@
 /// What a task's spec says.
 #[derive(Debug, Clone, Copy)]
 struct TaskSpec {
+    /// How long it takes on an ordinary executor.
     work: Micros,
+    /// Whether it ends failed.
     fails: bool,
 }
 
