Count executors that are being taken over in a new owner's forecasts

Cause: after a loss of power a new owner opens connections to all its executors at once.

Change: an executor that is being taken over counts for 1,000 ms without an answer.

Test: jobs_wait_for_executors_that_are_being_taken_over fails before, passes after.

--- a/crates/onyxshed-pool/src/executor.rs
+++ b/crates/onyxshed-pool/src/executor.rs
@@ -227,7 +227,15 @@
             Some(since) => now.since(since) < options.unlisted_grace_ms.into(),
             None => true,
         };
-        !self.facts.is_draining && !self.is_silent && is_known
+        !self.facts.is_draining && !self.is_lost(now, options) && is_known
+    }
+
+    /// Tells whether the executor does not answer. While it is being taken over, answers may be late or
+    /// lost for as long as its new owner opens connections to all of them.
+    fn is_lost(&self, now: Mono, options: &PoolOptions) -> bool {
+        let is_awaited = self.phase == Phase::Taking
+            && now.since(self.heard_at) < options.taking_patience_ms.into();
+        self.is_silent && !is_awaited
     }
 
     /// Adds a run.
--- a/crates/onyxshed-pool/src/options.rs
+++ b/crates/onyxshed-pool/src/options.rs
@@ -9,6 +9,8 @@
     /// repetition (150 + 150 + 150 ms), short enough that a task of a silent executor runs
     /// elsewhere within the objective of a task of a second.
     pub lease_ms: Millis,
+    /// How long an executor that is being taken over counts without an answer; default 1,000 ms.
+    pub taking_patience_ms: Millis,
     /// How long a hold waits at the executor for an end; default 150 ms. A quarter of the lease.
     pub hold_wait_ms: Millis,
     /// The same where nothing runs; default 400 ms. A task that starts meanwhile has a lease of its
@@ -54,6 +56,7 @@
     fn default() -> Self {
         PoolOptions {
             lease_ms: Millis(600),
+            taking_patience_ms: Millis(1_000),
             hold_wait_ms: Millis(150),
             idle_wait_ms: Millis(400),
             clock_drift_millis: 30,
--- a/crates/onyxshed-pool/tests/pool/main.rs
+++ b/crates/onyxshed-pool/tests/pool/main.rs
@@ -12,4 +12,5 @@
 mod search;
 mod successor;
 mod summary;
+mod taking;
 mod world;
--- /dev/null
+++ b/crates/onyxshed-pool/tests/pool/taking.rs
@@ -0,0 +1,50 @@
+//! A new owner that takes executors over while callers' jobs arrive.
+
+use onyxshed_pool::{HoldAnswer, JobEnd};
+
+use crate::fixture::{Desk, at_ms, facts, id, job};
+
+const EXECUTORS: [&str; 8] = ["x0", "x1", "x2", "x3", "x4", "x5", "x6", "x7"];
+
+/// Makes an owner that has listed its executors and taken the first `taken` of them at 0 ms; the others'
+/// first reports have no answer.
+fn desk_that_takes(taken: usize) -> Desk {
+    let mut desk = Desk::with_executors(&[]);
+    for name in EXECUTORS {
+        let listed = desk.pool.executor_listed(at_ms(0), id(name), facts(64));
+        desk.asked.extend(listed);
+    }
+    for (index, name) in EXECUTORS.into_iter().enumerate() {
+        match index < taken {
+            true => desk.report(0, name, &[], &[]),
+            false => desk.hold_answer(50, name, HoldAnswer::Unknown),
+        }
+    }
+    desk
+}
+
+/// Failure guarded against: callers are refused for want of time while executors that would serve them
+/// are being taken over.
+#[test]
+fn jobs_wait_for_executors_that_are_being_taken_over() {
+    let mut desk = desk_that_takes(1);
+    for number in 0..12 {
+        desk.submit(60, job(number, 2, 60));
+    }
+    desk.pass(60, 260);
+    assert_eq!(desk.ends(), []);
+    let begun = desk.starts().len();
+    for name in EXECUTORS.into_iter().skip(1) {
+        desk.report(260, name, &[], &[]);
+    }
+    assert_eq!(begun + desk.starts().len(), 16, "every executor is full");
+}
+
+/// Failure guarded against: executors that are gone for good keep callers waiting.
+#[test]
+fn executors_that_never_answer_count_for_a_while_only() {
+    let mut desk = desk_that_takes(0);
+    desk.submit(1_200, job(1, 1, 60));
+    let ends = desk.ends();
+    assert!(matches!(ends[..], [(_, JobEnd::NotRun(..))]), "{ends:?}");
+}
