Shed late jobs by a forecast from the offered load

Cause: a late job was refused as soon as the jobs that can be on target and go before it kept the pool busy for 60 ms.

Change: a late job goes on if the jobs before it are worked off, by what the load offered over the last second leaves of the pool, while its answer is still of use. A pool that is offered more than it can do leaves nothing and sheds as before.

--- a/crates/onyxshed-pool/src/lib.rs
+++ b/crates/onyxshed-pool/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod id;
 pub mod job;
 pub mod message;
+pub mod offered_load;
 pub mod options;
 pub mod peers;
 pub mod pool;
@@ -41,6 +42,7 @@
     Action, ExecutorLists, ExecutorReport, FinishedRun, HoldAnswer, HoldOrder, Note, RefuseReason,
     RunEnd, RunningRun, StartAnswer, StartOrder, StopAnswer, StopOrder,
 };
+pub use offered_load::OfferedLoad;
 pub use options::PoolOptions;
 pub use peers::PeerSessions;
 pub use pool::Pool;
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -20,6 +20,7 @@
 use crate::id::{ExecutorId, FencingToken, JobId, PeerLife, Session, TaskId};
 use crate::job::{Job, JobEnd, UnknownReason};
 use crate::message::{Action, HoldOrder, Note, StopOrder};
+use crate::offered_load::OfferedLoad;
 use crate::options::PoolOptions;
 use crate::peers::PeerSessions;
 use crate::successor::{SuccessorChoice, SuccessorOffer};
@@ -33,6 +34,7 @@
     own: PeerLife,
     executors: Executors,
     jobs: BTreeMap<JobId, Job>,
+    offered: OfferedLoad,
     peers: PeerSessions,
     ticked_at: Mono,
     stage: Stage,
@@ -54,6 +56,7 @@
             own,
             executors: BTreeMap::new(),
             jobs: BTreeMap::new(),
+            offered: OfferedLoad::default(),
             peers: PeerSessions::default(),
             ticked_at: now,
             stage: Stage::Serving,
--- a/crates/onyxshed-pool/src/pool/intake.rs
+++ b/crates/onyxshed-pool/src/pool/intake.rs
@@ -20,10 +20,9 @@
 /// Longest time after which a refused caller is asked back: a burst is over by then.
 const RETRY_MOST: Millis = Millis(5_000);
 
-/// How long the jobs that can be in time and go before one that can only be late must keep the pool busy
-/// for it to be refused: a short task's time. Past what a pool can do it is twice that and more. Without
-/// such a bound small pools refuse callers who would have an answer a moment later.
-const PRESSED: Millis = Millis(60);
+/// Backlog, as the time for which it keeps the pool busy, up to which no late job is shed: a short
+/// task's time. Small pools would refuse callers who would have an answer a moment later.
+const SHED_BACKLOG: Millis = Millis(60);
 
 impl Pool {
     /// Takes in a job, or refuses it.
@@ -53,6 +52,7 @@
                 });
             }
             None => {
+                self.offered.record(now, request.work());
                 self.jobs.insert(request.job, Job::new(now, request));
                 self.place(now);
             }
@@ -114,22 +114,31 @@
         self.outlook(begins_at, &job) != Outlook::InVain
     }
 
-    /// Gets the most waiting work with which a job that can only be late is still kept: with more, the
-    /// jobs that can be in time and go before it keep the pool busy for too long.
-    fn late_work_max(&self, now: Mono) -> u64 {
+    /// Gets the waiting work of each job that can be on target, the least first.
+    fn on_target_backlog(&self, now: Mono) -> Vec<u64> {
         let waiting = self.jobs.values().filter(|job| job.waiting > 0);
-        let in_time = waiting.filter(|job| self.outlook(now, job) == Outlook::InTime);
-        let mut works: Vec<u64> = in_time.map(Job::waiting_work).collect();
+        let on_target = waiting.filter(|job| self.outlook(now, job) == Outlook::InTime);
+        let mut works: Vec<u64> = on_target.map(Job::waiting_work).collect();
         works.sort_unstable();
-        let bound = PRESSED.0 * u64::from(self.working_room(now).cpu_millis);
-        let mut ahead = 0;
-        for work in works {
-            ahead += work;
-            if ahead > bound {
-                return work / LATE_WEIGHT;
-            }
-        }
-        u64::MAX
+        works
+    }
+
+    /// Tells whether a job that can only be late is refused: its turn will not come while it is of use.
+    ///
+    /// The jobs that go before it are worked off by what the offered load leaves of the pool. A pool that
+    /// is offered more than it can do never gets to late jobs; one that was held up for a moment does.
+    fn is_shed(&self, now: Mono, job: &Job, on_target: &[u64]) -> bool {
+        let weighted = job.waiting_work().saturating_mul(LATE_WEIGHT);
+        let ahead: u64 = on_target.iter().take_while(|work| **work <= weighted).sum();
+        let capacity = u64::from(self.working_room(now).cpu_millis);
+        let spare = capacity.saturating_sub(self.offered.cpu_millis(now));
+        let start_by = Mono(
+            job.useful_until(self.options.late_factor)
+                .0
+                .saturating_sub(job.estimate().0),
+        );
+        let in_time_left = spare * start_by.since(now).as_millis().0;
+        ahead > in_time_left.max(SHED_BACKLOG.0 * capacity)
     }
 
     fn runs_of(&self, job: JobId) -> bool {
@@ -184,7 +193,7 @@
     /// late is refused as soon as enough goes before it that can be in time; else it stays, since its
     /// turn may come.
     pub(super) fn give_up_late(&mut self, now: Mono) {
-        let late_work_max = self.late_work_max(now);
+        let on_target = self.on_target_backlog(now);
         let mut ends = Vec::new();
         for (id, job) in &self.jobs {
             if now >= job.gives_up_at {
@@ -193,7 +202,7 @@
             }
             let has_hope = match self.outlook(now, job) {
                 Outlook::InTime => true,
-                Outlook::Late => job.waiting_work() <= late_work_max,
+                Outlook::Late => !self.is_shed(now, job, &on_target),
                 Outlook::InVain => false,
             };
             if !job.has_started && !has_hope {
--- a/crates/onyxshed-pool/tests/pool/taking.rs
+++ b/crates/onyxshed-pool/tests/pool/taking.rs
@@ -62,3 +62,33 @@
     let next = desk.holds().pop().expect("the next report is asked for").1;
     assert!(first.answer_within >= Millis(4 * next.answer_within.0));
 }
+
+/// Failure guarded against: a pool that was held up for a moment, and has room for all that waits, refuses
+/// callers whose answers would be late.
+#[test]
+fn late_jobs_are_kept_while_the_backlog_can_be_worked_off() {
+    let mut desk = desk_that_takes(0);
+    for number in 0..4 {
+        desk.submit(60, job(number, 2, 60));
+    }
+    for number in 10..18 {
+        desk.submit(100, job(number, 2, 200));
+    }
+    desk.pass(100, 200);
+    assert_eq!(desk.ends(), []);
+}
+
+/// Failure guarded against: in overload late jobs wait in vain until they are of no use.
+#[test]
+fn late_jobs_are_shed_while_more_comes_than_the_pool_can_do() {
+    let mut desk = desk_that_takes(0);
+    for number in 0..4 {
+        desk.submit(60, job(number, 2, 60));
+    }
+    for number in 10..50 {
+        desk.submit(100, job(number, 2, 200));
+    }
+    desk.pass(100, 200);
+    let refused = desk.ends().into_iter().map(|(job, _)| job.0);
+    assert_eq!(refused.collect::<Vec<_>>(), [0, 1, 2, 3]);
+}
