Fewer calls to the store: owners and divisions by long reads, far pools looked at seldom

Change: owners write themselves down already; every host now reads those records with a wait of 10 s and so hears of a new owner at once. Looks at settled pools of other zones come ten times, at unsettled ones five times as seldom (directory/lookup.rs, which counts per pool and has no input). Divisions are read with a wait of 10 s.

--- a/crates/onyxshed-host/src/directory.rs
+++ b/crates/onyxshed-host/src/directory.rs
@@ -1,5 +1,7 @@
 //! Who owns which pool, as the store's groups tell it.
 
+mod lookup;
+
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -21,28 +23,16 @@
 use crate::links::Links;
 use crate::store_watch::{ANSWER_TIMEOUT, StoreWatch};
 
+pub use lookup::{LOOKUP_INTERVAL_MAX, OwnerStatus};
+
 /// The partition of a group whose holder owns the pool.
 pub const POOL_PART: u32 = 0;
 
-/// Time between two looks at a pool whose owner answers and means to stay. An owner that is stopping,
-/// replaced or gone tells so by its link; only that a living one is out of the store's books is
-/// found by such a look, and it is left ten seconds for that. Looks each 300 ms were 147 of the 270
-/// calls a second that 44 hosts made on a calm day.
-const SETTLED_PERIOD: Millis = Millis(2_000);
-
-/// Time between two looks at a pool whose owner does not answer or is stopping: the sooner a new one is found, the
-/// fewer callers are refused.
-const SEEKING_PERIOD: Millis = Millis(100);
-
 /// How long a successor takes to be written into the store's books once the store answers again: a try each
 /// 100 ms and four calls, where the store had refused calls; half of a call's timeout more in the mean
 /// where it had been silent.
 const SUCCESSOR_REGISTERS_WITHIN: Millis = Millis(500);
 
-/// Pools that a host looks at so often; with more of them each look comes later, so that all hosts
-/// together stay far below the calls that the store takes.
-const POOLS_AT_FULL_RATE: usize = 4;
-
 /// Shortest pause between two rounds.
 const ROUND_PAUSE: Duration = Duration::from_millis(20);
 
@@ -217,16 +207,21 @@
 
     /// Gets when a pool is to be looked at; none while it is owned here.
     fn due_at(&self, pool: &PoolId, pools: usize) -> Option<Mono> {
+        let period = self.status_of(pool).lookup_interval(pools)?;
+        let last = self.looked_at.borrow().get(pool).copied();
+        Some(last.map_or(Mono(0), |last| last + period))
+    }
+
+    fn status_of(&self, pool: &PoolId) -> OwnerStatus {
         if self.engine.serves(pool) {
-            return None;
+            return OwnerStatus::Owned;
+        }
+        match (self.links.is_settled(pool), pool.zone == self.zone) {
+            (false, true) => OwnerStatus::UnsettledLocal,
+            (false, false) => OwnerStatus::UnsettledRemote,
+            (true, true) => OwnerStatus::SettledLocal,
+            (true, false) => OwnerStatus::SettledRemote,
         }
-        let crowd = u64::try_from(pools.div_ceil(POOLS_AT_FULL_RATE)).unwrap_or(1);
-        let period = match self.links.is_settled(pool) {
-            true => SETTLED_PERIOD,
-            false => SEEKING_PERIOD,
-        };
-        let last = self.looked_at.borrow().get(pool).copied();
-        Some(last.map_or(Mono(0), |last| last + Millis(period.0 * crowd)))
     }
 
     /// Gets how long no pool is to be looked at, unless something changes.
@@ -234,7 +229,7 @@
         let due = pools
             .iter()
             .filter_map(|pool| self.due_at(pool, pools.len()));
-        let next = due.min().unwrap_or(boot_clock::now() + SETTLED_PERIOD);
+        let next = due.min().unwrap_or(boot_clock::now() + LOOKUP_INTERVAL_MAX);
         next.since(boot_clock::now()).into()
     }
 
@@ -264,6 +259,17 @@
         self.orphaned.borrow_mut().pop_first()
     }
 
+    /// Takes in that an owner has written itself down, by its member's name in the pool's group.
+    pub fn owner_written(&self, pool: &PoolId, member: SmolStr) {
+        let is_other = matches!(
+            Owner::of(Some(member.clone()), &self.member),
+            Owner::Other(Some(_))
+        );
+        if is_other && !self.engine.serves(pool) {
+            self.found(pool, Some(member));
+        }
+    }
+
     fn found(&self, pool: &PoolId, owner: Option<SmolStr>) {
         match Owner::of(owner, &self.member) {
             // The store is behind: it has not heard of the successor yet.
--- a/crates/onyxshed-host/src/divisions.rs
+++ b/crates/onyxshed-host/src/divisions.rs
@@ -8,6 +8,8 @@
 
 use async_io::Timer;
 use onyxshed_adapter::Store;
+use onyxshed_adapter::store::KeyedRecord;
+use onyxshed_core::Millis;
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_pool::{Division, PoolId};
 use smol_str::SmolStr;
@@ -18,8 +20,12 @@
 /// Topic of this system's own records.
 const TOPIC: &str = "keyed.onyxshed.pools";
 
-/// Time between two reads; divisions change with the size of a deployment, seldom.
-const READ_PERIOD: Duration = Duration::from_millis(3_000);
+/// Time between two looks whether any zone was ever divided.
+const UNDIVIDED_PERIOD: Duration = Duration::from_millis(3_000);
+
+/// How long a read waits at the store for a change; divisions change with the size of a deployment,
+/// seldom.
+const WAIT: Millis = Millis(10_000);
 
 /// Handle to the divisions known.
 pub struct Divisions {
@@ -103,14 +109,19 @@
         let Some(newest) = store.newest_if_any(TOPIC, ANSWER_TIMEOUT).await? else {
             return Ok(0);
         };
-        for record in newest.records {
-            let text = record.value.and_then(|value| String::from_utf8(value).ok());
-            if let Some(division) = text.as_deref().and_then(Division::from_text) {
-                self.learn(&record.key, division);
-            }
-        }
+        newest
+            .records
+            .into_iter()
+            .for_each(|record| self.take(record));
         Ok(newest.next)
     }
+
+    fn take(&self, record: KeyedRecord) {
+        let text = record.value.and_then(|value| String::from_utf8(value).ok());
+        if let Some(division) = text.as_deref().and_then(Division::from_text) {
+            self.learn(&record.key, division);
+        }
+    }
 }
 
 /// The divisions as a service.
@@ -148,10 +159,31 @@
 async fn follow(divisions: Rc<Divisions>, address: SocketAddr, watch: StoreWatch) {
     let mut store = Store::new(address);
     loop {
-        match divisions.refresh(&mut store).await {
-            Ok(_) => watch.answered(),
-            Err(error) => watch.failed(&error),
+        if let Err(error) = follow_once(&divisions, &mut store, &watch).await {
+            watch.before_reading_anew(&error).await;
         }
-        Timer::after(READ_PERIOD).await;
+    }
+}
+
+/// Reads the newest state and every change from there on, until a call fails.
+async fn follow_once(
+    divisions: &Divisions,
+    store: &mut Store,
+    watch: &StoreWatch,
+) -> onyxshed_adapter::Result<()> {
+    let mut next = divisions.refresh(store).await?;
+    if next == 0 {
+        watch.answered();
+        Timer::after(UNDIVIDED_PERIOD).await;
+        return Ok(());
+    }
+    let timeout = ANSWER_TIMEOUT + Duration::from(WAIT);
+    loop {
+        watch.answered();
+        let read = store.read_keyed(TOPIC, next, WAIT, timeout).await?;
+        next = read.next;
+        read.records
+            .into_iter()
+            .for_each(|record| divisions.take(record));
     }
 }
--- a/crates/onyxshed-host/src/manifest.rs
+++ b/crates/onyxshed-host/src/manifest.rs
@@ -15,9 +15,19 @@
 use crate::names::MANIFEST;
 use crate::store_watch::{ANSWER_TIMEOUT, StoreWatch};
 
-/// How long a read waits at the store for a change: two calls in three seconds for each host. With the
-/// answer's timeout it bounds how long a connection that has gone silent is waited for (2,200 ms).
-const WAIT: Millis = Millis(1_500);
+/// Shortest time that a read waits at the store for a change: two calls in three seconds for each host.
+const WAIT_MIN: Millis = Millis(1_500);
+
+/// Kept free of the time within which a manifest has to be in force: the answer's timeout, a new
+/// connection and the read that finds the change.
+const WAIT_MARGIN: Millis = Millis(1_200);
+
+/// Gets how long a read waits at the store for a change, given the time within which a manifest has to
+/// be in force. The wait bounds for how long a connection that has gone silent is trusted.
+pub fn read_wait(manifest_within: Option<Millis>) -> Millis {
+    let wait_ms = manifest_within.map_or(0, |within| within.0.saturating_sub(WAIT_MARGIN.0));
+    WAIT_MIN.max(Millis(wait_ms))
+}
 
 /// The newest manifest this host knows.
 pub struct ManifestHolder {
@@ -81,12 +91,13 @@
 /// Follows the manifest as a service.
 pub struct ManifestService {
     store: SocketAddr,
+    read_wait: Millis,
 }
 
 impl ManifestService {
-    /// Makes the service for a store's address.
-    pub fn new(store: SocketAddr) -> Self {
-        ManifestService { store }
+    /// Makes the service for a store's address, whose reads wait so long for a change.
+    pub fn new(store: SocketAddr, read_wait: Millis) -> Self {
+        ManifestService { store, read_wait }
     }
 }
 
@@ -102,7 +113,8 @@
                 held: RefCell::default(),
                 text: RefCell::default(),
             });
-            kernel.spawn(follow(holder.clone(), self.store)).detach();
+            let follow = follow(holder.clone(), self.store, self.read_wait);
+            kernel.spawn(follow).detach();
             let descriptor = Descriptor {
                 name: MANIFEST,
                 summary: "the operators' manifest",
@@ -112,11 +124,11 @@
     }
 }
 
-async fn follow(holder: Rc<ManifestHolder>, address: SocketAddr) {
+async fn follow(holder: Rc<ManifestHolder>, address: SocketAddr, wait: Millis) {
     let watch = StoreWatch::new(&holder.kernel, "manifest");
     let mut store = Store::new(address);
     loop {
-        let Err(error) = follow_once(&holder, &mut store, &watch).await;
+        let Err(error) = follow_once(&holder, &mut store, &watch, wait).await;
         watch.before_reading_anew(&error).await;
     }
 }
@@ -126,15 +138,16 @@
     holder: &ManifestHolder,
     store: &mut Store,
     watch: &StoreWatch,
+    wait: Millis,
 ) -> onyxshed_adapter::Result<std::convert::Infallible> {
     let newest = store.newest(OPERATORS_TOPIC, ANSWER_TIMEOUT).await?;
     let mut next = newest.next;
     newest.records.iter().for_each(|record| holder.take(record));
-    let timeout = ANSWER_TIMEOUT + Duration::from(WAIT);
+    let timeout = ANSWER_TIMEOUT + Duration::from(wait);
     loop {
         watch.answered();
         let read = store
-            .read_keyed(OPERATORS_TOPIC, next, WAIT, timeout)
+            .read_keyed(OPERATORS_TOPIC, next, wait, timeout)
             .await?;
         next = read.next;
         read.records.iter().for_each(|record| holder.take(record));
--- a/crates/onyxshed-host/src/ownership.rs
+++ b/crates/onyxshed-host/src/ownership.rs
@@ -23,6 +23,7 @@
 use crate::directory::{Directory, member_name};
 use crate::divisions::Divisions;
 use crate::engine::Engine;
+use crate::last_owner;
 use crate::links::Links;
 use crate::names::{DIVISIONS, ENGINE, LINKS, OWNERSHIP};
 use crate::store_watch::StoreWatch;
@@ -93,6 +94,9 @@
             kernel
                 .spawn(directory.clone().follow(options.store))
                 .detach();
+            let written = StoreWatch::new(kernel, "owners written down");
+            let follow = last_owner::follow(directory.clone(), options.store, written);
+            kernel.spawn(follow).detach();
             let contender = Contender::new(kernel, self, directory);
             kernel.spawn(contender.live()).detach();
             Ok(())
--- a/crates/onyxshed-host/src/process.rs
+++ b/crates/onyxshed-host/src/process.rs
@@ -21,7 +21,7 @@
 use crate::divisions::{DivisionService, Divisions};
 use crate::engine::{Engine, EngineService};
 use crate::links::{LinkOptions, LinkService, Links};
-use crate::manifest::ManifestService;
+use crate::manifest::{ManifestService, read_wait};
 use crate::ownership::{OwnershipOptions, OwnershipService};
 use crate::peer_state::PeerStateService;
 use crate::ready::ReadyService;
@@ -229,7 +229,10 @@
             options.settings_path.clone(),
             settings.clone(),
         )),
-        Box::new(ManifestService::new(settings.store_address)),
+        Box::new(ManifestService::new(
+            settings.store_address,
+            read_wait(settings.manifest_within_ms),
+        )),
         Box::new(EngineService::new(engine.clone())),
         Box::new(DivisionService::new(
             divisions.clone(),
