A pool stays with its owner when another host joins its group and leaves

Cause: two hosts join a vacant pool's group within milliseconds. The second gets no partition and leaves at once, but the store has moved half of the partitions meanwhile: the owner's next join lets go of them, and its join after that, in the newest generation, gets them back. The owner took the first answer for its end and left; a host that had waited its turn found nobody in the store's books and joined without asking whether the owner answers.

Change: an owner whose partition is gone joins once more before it retires; a host that finds nobody after its pause decides anew, so that an owner that answers is left alone.

The stand-in of the store's groups moves partitions the same way now.

--- a/crates/onyxshed-host/src/ownership/contender.rs
+++ b/crates/onyxshed-host/src/ownership/contender.rs
@@ -214,6 +214,8 @@
         self.executors = Some(self.kernel.spawn(executors::read_all(address)));
         Timer::after(pause.into()).await;
         match self.ask_holder(&pool).await {
+            // The partition is on its way back to an owner that answers.
+            Some(None) if self.takes_over(&pool).await.is_none() => Next::Contend,
             Some(None) => Next::Join(pool),
             Some(Some(owner)) if owner == self.member => Next::Join(pool),
             Some(Some(_)) => {
@@ -373,13 +375,24 @@
         if !is_registered {
             return self.register(pool, &past_members).await;
         }
-        match self.send_join(&pool).await {
+        match self.still_holds(&pool).await {
             // Without an answer the owner goes on: whoever replaces it has a higher token.
             Some(true) | None => Next::Renew(pool),
             Some(false) => self.retire(pool).await,
         }
     }
 
+    /// Renews the membership; tells whether this host still holds the pool, none without an answer.
+    ///
+    /// A host that joins beside the owner and leaves again moves the partition away and back: the
+    /// owner's next join lets go of it, and the one after that, in the newest generation, gets it back.
+    async fn still_holds(&mut self, pool: &PoolId) -> Option<bool> {
+        match self.send_join(pool).await {
+            Some(false) => self.send_join(pool).await,
+            holds => holds,
+        }
+    }
+
     /// Serves on while another host takes the pool over, until the last job here has ended.
     pub(super) async fn retire(&mut self, pool: PoolId) -> Next {
         self.engine.leave();
--- /dev/null
+++ b/crates/onyxshed-pool/tests/pool/slow.rs
@@ -0,0 +1,84 @@
+//! Plays loads on a pool of which some executors turn slow while the others have room.
+
+use onyxshed_core::{Millis, Mono};
+use onyxshed_pool::JobEnd;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::load::{executors, some_job};
+use crate::world::{Fault, Patience, World};
+
+/// How many times larger the pool is than that of the plain loads.
+const POOL_FACTOR: usize = 3;
+
+const BEGIN_MS: u64 = 2_000;
+const LENGTH_MS: u64 = 10_000;
+const SLOW_FROM_MS: u64 = 4_000;
+const SLOW_FOR_MS: u64 = 8_000;
+const SLOW_FACTOR: f64 = 8.0;
+const SEEDS: u64 = 3;
+
+/// What callers of one class got whose jobs came while executors were slow.
+#[derive(Debug, Clone, Copy, Default)]
+struct Served {
+    asked: u32,
+    in_time: u32,
+}
+
+impl Served {
+    fn share(self) -> f64 {
+        f64::from(self.in_time) / f64::from(self.asked.max(1))
+    }
+}
+
+/// Plays a load while every `one_in`th executor is slow; what each class's callers got.
+fn served(jobs_per_s: u64, one_in: usize) -> [Served; 3] {
+    let mut classes = [Served::default(); 3];
+    for seed in 0..SEEDS {
+        let world = played(jobs_per_s, one_in, seed);
+        for call in world.calls.values() {
+            if call.sent_first < Mono(SLOW_FROM_MS * 1_000) {
+                continue;
+            }
+            let longest_ms = call.true_ms.iter().max().copied().unwrap_or_default();
+            let objective = Millis(longest_ms * 16 / 10 + 60);
+            let served = &mut classes[call.class];
+            served.asked += 1;
+            if let Some((at, JobEnd::Completed)) = call.ended
+                && at.since(call.sent_first) <= objective.into()
+            {
+                served.in_time += 1;
+            }
+        }
+    }
+    println!("{:.3?}", classes.map(Served::share));
+    classes
+}
+
+fn played(jobs_per_s: u64, one_in: usize, seed: u64) -> World {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let executors = (0..POOL_FACTOR).flat_map(|_| executors()).collect();
+    let mut world = World::new(seed, executors, 2);
+    world.patience = Patience::OF_HOSTS;
+    let ids: Vec<_> = world.executors.keys().cloned().collect();
+    for id in ids.into_iter().step_by(one_in) {
+        let slow = Fault::Slow(id, SLOW_FACTOR, Millis(SLOW_FOR_MS));
+        world.plan(Mono(SLOW_FROM_MS * 1_000), slow);
+    }
+    for number in 0..jobs_per_s * LENGTH_MS / 1_000 {
+        let at_ms = BEGIN_MS + rng.random_range(0..LENGTH_MS);
+        let (class, mut request, true_ms) = some_job(&mut rng, number);
+        request.time_left = Millis(2_500);
+        world.plan_call(Mono(at_ms * 1_000), class, request, true_ms);
+    }
+    world.play(Mono((BEGIN_MS + LENGTH_MS + 20_000) * 1_000));
+    world.check_answers();
+    world
+}
+
+/// Failure guarded against: slow executors keep drawing tasks while sound ones have room.
+#[test]
+fn slow_executors_get_no_work_while_sound_ones_have_room() {
+    let [short, long, pairs] = served(20, 3);
+    assert!(short.share() > 0.90 && long.share() > 0.80 && pairs.share() > 0.95);
+}
--- a/crates/onyxshed-soak/src/fleet.rs
+++ b/crates/onyxshed-soak/src/fleet.rs
@@ -244,6 +244,26 @@
             .await
     }
 
+    /// Gets how often members have joined a group of the store, or stayed in it.
+    pub async fn joins(&self) -> Result<u64> {
+        let store = self.store.address("store")?;
+        let path = "control/joins";
+        let reply = call_once(store, Method::Post, path, Vec::new(), CALL_TIMEOUT).await;
+        let reply = reply.map_err(|error| unmet(path, &error.to_string()))?;
+        serde_json::from_slice(&reply.body).map_err(|error| unmet(path, &error.to_string()))
+    }
+
+    /// Lets a member that is no host join a pool's group and leave it again.
+    pub async fn pass_through_group(&self, pool: &str) -> Result<()> {
+        let store = self.store.address("store")?;
+        let joined = json!({ "group": pool, "member": "0", "ttl_ms": 1_000, "generation": 0 });
+        let left = json!({ "group": pool, "member": "0" });
+        self.tell(store, "log-join", joined.to_string().into_bytes())
+            .await?;
+        self.tell(store, "log-leave", left.to_string().into_bytes())
+            .await
+    }
+
     /// Sets how many times faster than an ordinary one an executor works; nothing if it does not run.
     pub async fn set_executor_speed(&self, id: &SmolStr, speed: f64) -> Result<()> {
         let Some(address) = self.executors.get(id).and_then(|found| found.address) else {
--- a/crates/onyxshed-soak/tests/hosts.rs
+++ b/crates/onyxshed-soak/tests/hosts.rs
@@ -465,3 +465,32 @@
         assert_eq!(reply.expect("an answer").body, br#"{"state":"completed"}"#);
     });
 }
+
+/// Failure guarded against: two hosts join a pool's group at once, one leaves again, and the owner takes
+/// the partition that was moved for lost: the pool goes from host to host, and ends at the smallest.
+#[test]
+fn a_pool_stays_where_it_is_when_another_host_joins_and_leaves() {
+    block_on(async {
+        let options = FleetOptions {
+            hosts: 4,
+            ..one_zone()
+        };
+        let fleet = Fleet::start(&options).await.expect("it starts");
+        until_a_job_is_completed(&fleet, 0).await;
+        for _ in 0..3 {
+            let before = fleet.joins().await.expect("the store answers");
+            let passed = fleet.pass_through_group("pool.z0.0").await;
+            passed.expect("the store answers");
+            until("the owner has renewed its membership", async || {
+                let joins = fleet.joins().await.expect("the store answers");
+                (joins >= before + 4).then_some(())
+            })
+            .await;
+        }
+        let names = fleet.host_names();
+        let owned = names
+            .iter()
+            .map(|name| fleet.log_of(name).matches("\"PoolOwned\"").count());
+        assert_eq!(owned.sum::<usize>(), 1, "one host has owned the pool");
+    });
+}
--- a/crates/onyxshed-standins/src/fleet/groups.rs
+++ b/crates/onyxshed-standins/src/fleet/groups.rs
@@ -12,8 +12,6 @@
 struct Member {
     joined_at: Instant,
     ttl: Duration,
-    /// The newest generation that the member has named.
-    named: u64,
 }
 
 /// One group.
@@ -22,10 +20,15 @@
     generation: u64,
     members: BTreeMap<SmolStr, Member>,
     holders: [Option<SmolStr>; PARTS],
+    /// Partitions that belong to another member than their holder, or did since its last join.
+    is_moving: [bool; PARTS],
 }
 
 impl Group {
-    /// Joins, or stays; gets the generation and the partitions that belong to the member.
+    /// Joins, or stays; gets the generation and the partitions that the member holds.
+    ///
+    /// A member lets go of a partition that is moving with its next join, even if the partition belongs
+    /// to it again by then, and gets one that nobody holds with a join that names the newest generation.
     pub fn join(
         &mut self,
         now: Instant,
@@ -38,16 +41,25 @@
         let member = Member {
             joined_at: now,
             ttl,
-            named: if is_new { 0 } else { named },
         };
         self.members.insert(name.clone(), member);
         if is_new {
-            self.generation += 1;
+            self.advance();
         }
-        self.deal();
-        let mine = (0..PARTS).filter(|part| {
-            self.holders[*part].as_ref() == Some(name) && self.target(*part) == Some(name)
-        });
+        let is_up_to_date = is_new || named == self.generation;
+        for part in 0..PARTS {
+            let is_held = self.holders[part].as_ref() == Some(name);
+            if is_held && self.is_moving[part] {
+                self.holders[part] = None;
+                self.is_moving[part] = false;
+            } else if is_up_to_date
+                && self.holders[part].is_none()
+                && self.target(part) == Some(name)
+            {
+                self.holders[part] = Some(name.clone());
+            }
+        }
+        let mine = (0..PARTS).filter(|part| self.holders[*part].as_ref() == Some(name));
         (self.generation, mine.collect())
     }
 
@@ -55,22 +67,19 @@
     pub fn leave(&mut self, now: Instant, name: &SmolStr) {
         self.expire(now);
         if self.members.remove(name).is_some() {
-            self.generation += 1;
+            self.advance();
         }
-        self.deal();
     }
 
     /// Takes every partition away from its holder, and drops all members without a word.
     pub fn revoke(&mut self) {
         self.members.clear();
-        self.generation += 1;
-        self.deal();
+        self.advance();
     }
 
     /// Gets who holds each partition.
     pub fn owners(&mut self, now: Instant) -> Vec<(usize, SmolStr)> {
         self.expire(now);
-        self.deal();
         let holders = self.holders.iter().enumerate();
         holders
             .filter_map(|(part, holder)| Some((part, holder.clone()?)))
@@ -82,7 +91,7 @@
         self.members
             .retain(|_, member| now.duration_since(member.joined_at) < member.ttl);
         if self.members.len() < before {
-            self.generation += 1;
+            self.advance();
         }
     }
 
@@ -91,17 +100,18 @@
         self.members.keys().nth(part % count.max(1))
     }
 
-    /// Moves partitions to whom they belong: at once from those who are gone, from members once
-    /// they have named the present generation.
-    fn deal(&mut self) {
+    /// Begins a generation: frees what members that are gone held, and notes what has to move.
+    fn advance(&mut self) {
+        self.generation += 1;
         for part in 0..PARTS {
-            let target = self.target(part).cloned();
-            let keeps = self.holders[part].as_ref().is_some_and(|holder| {
-                let member = self.members.get(holder);
-                member.is_some_and(|member| member.named < self.generation)
-            });
-            if !keeps {
-                self.holders[part] = target;
+            let holder = self.holders[part].as_ref();
+            let is_there = holder.is_some_and(|holder| self.members.contains_key(holder));
+            let belongs = holder == self.target(part);
+            if !is_there {
+                self.holders[part] = None;
+                self.is_moving[part] = false;
+            } else if !belongs {
+                self.is_moving[part] = true;
             }
         }
     }
--- a/crates/onyxshed-standins/src/fleet/store.rs
+++ b/crates/onyxshed-standins/src/fleet/store.rs
@@ -1,6 +1,6 @@
 //! The store: keyed topics and groups, in memory.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -83,6 +83,8 @@
     topics: RefCell<BTreeMap<SmolStr, Topic>>,
     groups: RefCell<BTreeMap<SmolStr, Group>>,
     faults: RefCell<StoreFaults>,
+    /// Joins of groups taken so far.
+    joins: Cell<u64>,
     changed: Change,
 }
 
@@ -142,6 +144,7 @@
                 }
                 done()
             }
+            "joins" => Act::Reply(Reply::json(OK, &self.inner.joins.get())),
             "revoke" => {
                 let mut groups = self.inner.groups.borrow_mut();
                 groups.values_mut().for_each(Group::revoke);
@@ -258,6 +261,7 @@
             Ok(join) => join,
             Err(act) => return act,
         };
+        self.inner.joins.set(self.inner.joins.get() + 1);
         let mut groups = self.inner.groups.borrow_mut();
         let group = groups.entry(join.group.clone()).or_default();
         /// Long enough to outlast every test.
