Learn from running tasks that an executor has become slow

Cause: an executor that turned slow was known by ended runs alone. Each report tells how much of every run is done; the adapter dropped it.

Change: a run of which so little is done that it takes five times what its executor was held to take shows the executor to be slow; a run that ends as if it were not shows that it has recovered. Smaller differences are averaged as before, since callers' estimates are off by as much.

--- a/crates/onyxshed-pool/src/id.rs
+++ b/crates/onyxshed-pool/src/id.rs
@@ -57,6 +57,47 @@
     }
 }
 
+/// Share of a run's work that is done, in whole percent, rounded down.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Percent(u8);
+
+impl Percent {
+    /// Everything.
+    pub const ALL: Percent = Percent(100);
+
+    /// Makes a share; more than everything counts as everything.
+    pub fn new(value: u64) -> Self {
+        Percent(u8::try_from(value).unwrap_or(u8::MAX).min(Percent::ALL.0))
+    }
+
+    /// Gets the number of percent.
+    pub fn get(self) -> u8 {
+        self.0
+    }
+}
+
+impl fmt::Display for Percent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}%", self.0)
+    }
+}
+
+impl FromStr for Percent {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let digits = text.strip_suffix('%').and_then(|text| text.parse().ok());
+        digits
+            .filter(|value| *value <= Percent::ALL.0)
+            .map(Percent)
+            .ok_or_else(|| Error::Id {
+                kind: "share",
+                text: text.into(),
+                allowed: "0% to 100%",
+            })
+    }
+}
+
 /// Start of a task, counted from 1.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RunNumber(pub u32);
--- a/crates/onyxshed-pool/src/lib.rs
+++ b/crates/onyxshed-pool/src/lib.rs
@@ -35,7 +35,8 @@
 pub use error::{Error, Result};
 pub use executor::ExecutorFacts;
 pub use id::{
-    ExecutorId, FencingToken, JobId, PeerLife, RunNumber, Session, SubmissionNumber, TaskId,
+    ExecutorId, FencingToken, JobId, PeerLife, Percent, RunNumber, Session, SubmissionNumber,
+    TaskId,
 };
 pub use job::{JobEnd, JobRequest, NotRunReason, UnknownReason};
 pub use message::{
--- a/crates/onyxshed-pool/src/message.rs
+++ b/crates/onyxshed-pool/src/message.rs
@@ -5,7 +5,9 @@
 use onyxshed_core::{Micros, Millis, UnixMs};
 use smol_str::SmolStr;
 
-use crate::id::{ExecutorId, FencingToken, JobId, PeerLife, RunNumber, SubmissionNumber, TaskId};
+use crate::id::{
+    ExecutorId, FencingToken, JobId, PeerLife, Percent, RunNumber, SubmissionNumber, TaskId,
+};
 use crate::job::JobEnd;
 
 /// Order to start a run.
@@ -115,6 +117,8 @@
     pub task: TaskId,
     /// Which run of it.
     pub run: RunNumber,
+    /// How much of it is done, if the executor tells.
+    pub done: Option<Percent>,
 }
 
 /// A run that has ended.
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -1,13 +1,14 @@
 //! The state machine of a pool's owner.
 //!
 //! [`intake`] takes jobs in and refuses those that can't end in time, [`place`] starts runs,
-//! [`orders`] takes in what came of orders, [`reports`] what executors say, [`watch`] what time
-//! brings, [`handover`] passes the pool on to its next owner.
+//! [`orders`] takes in what came of orders, [`reports`] what executors say, [`progress`] how far
+//! their runs are, [`watch`] what time brings, [`handover`] passes the pool on to its next owner.
 
 mod handover;
 mod intake;
 mod orders;
 mod place;
+mod progress;
 mod reports;
 mod watch;
 
--- a/crates/onyxshed-pool/src/pool/reports.rs
+++ b/crates/onyxshed-pool/src/pool/reports.rs
@@ -82,6 +82,7 @@
             self.take_end(now, id, *end);
         }
         self.reconcile(now, id, sent_at, &lists.running);
+        self.observe_progress(now, id, &lists.running);
         self.stop_strays(id, &lists.running);
         let Some(executor) = self.executors.get_mut(id) else {
             return Millis(0);
--- a/crates/onyxshed-pool/tests/pool/fixture.rs
+++ b/crates/onyxshed-pool/tests/pool/fixture.rs
@@ -83,6 +83,7 @@
             .map(|(task, run)| RunningRun {
                 task: *task,
                 run: RunNumber(*run),
+                done: None,
             })
             .collect(),
         finished: finished
--- a/crates/onyxshed-pool/tests/pool/main.rs
+++ b/crates/onyxshed-pool/tests/pool/main.rs
@@ -10,6 +10,7 @@
 mod order;
 mod parts;
 mod search;
+mod slow;
 mod successor;
 mod summary;
 mod taking;
--- a/crates/onyxshed-pool/tests/pool/world/faults.rs
+++ b/crates/onyxshed-pool/tests/pool/world/faults.rs
@@ -1,7 +1,7 @@
 //! What goes wrong.
 
 use onyxshed_core::Millis;
-use onyxshed_pool::{ExecutorId, Session, TaskId};
+use onyxshed_pool::{ExecutorId, RunNumber, Session, TaskId};
 
 use super::{Event, World};
 
@@ -28,7 +28,11 @@
     FailAll(ExecutorId, Millis),
     /// Tasks on an executor stand still, for a while.
     Stick(ExecutorId, Millis),
-    /// The end of one of the above.
+    /// An executor takes so many times longer for a while, also for what runs there.
+    Slow(ExecutorId, f64, Millis),
+    /// The end of a slow spell.
+    Recover(ExecutorId, f64),
+    /// The end of one of the others.
     Heal(ExecutorId),
 }
 
@@ -91,6 +95,11 @@
                 self.executors.get_mut(&id).expect("an executor").is_stuck = true;
                 self.after(span, Event::Fault(Fault::Heal(id)));
             }
+            Fault::Slow(id, factor, span) => {
+                self.change_speed(&id, 1.0 / factor);
+                self.after(span, Event::Fault(Fault::Recover(id, factor)));
+            }
+            Fault::Recover(id, factor) => self.change_speed(&id, factor),
             Fault::Heal(id) => {
                 let executor = self.executors.get_mut(&id).expect("an executor");
                 executor.fails_all = false;
@@ -98,4 +107,19 @@
             }
         }
     }
+
+    /// Multiplies an executor's speed, and plans the ends of its runs anew.
+    fn change_speed(&mut self, id: &ExecutorId, factor: f64) {
+        let now = self.now;
+        let executor = self.executors.get_mut(id).expect("an executor");
+        executor.set_speed(now, executor.speed * factor);
+        let runs: Vec<(TaskId, RunNumber)> = executor
+            .runs
+            .iter()
+            .map(|(task, run)| (*task, run.number))
+            .collect();
+        for (task, run) in runs {
+            self.plan_end(id, task, run);
+        }
+    }
 }
--- a/crates/onyxshed-standins/src/fleet/run_book.rs
+++ b/crates/onyxshed-standins/src/fleet/run_book.rs
@@ -6,8 +6,8 @@
 
 use onyxshed_core::{Micros, Mono, UnixMs};
 use onyxshed_pool::{
-    ExecutorLists, ExecutorReport, FinishedRun, HoldOrder, RefuseReason, Room, RunEnd, RunNumber,
-    RunningRun, StartAnswer, StartOrder, StopAnswer, StopOrder, TaskId,
+    ExecutorLists, ExecutorReport, FinishedRun, HoldOrder, Percent, RefuseReason, Room, RunEnd,
+    RunNumber, RunningRun, StartAnswer, StartOrder, StopAnswer, StopOrder, TaskId,
 };
 
 /// Longest lease that an executor grants.
@@ -36,6 +36,14 @@
         let since = scaled(now.since(self.counted_at), speed);
         Micros(self.done.0.saturating_add(since.0).min(self.work.0))
     }
+
+    /// Gets the share of the work done by a time.
+    fn percent_at(&self, now: Mono, speed: f64) -> Percent {
+        match self.is_stuck {
+            true => Percent::new(0),
+            false => Percent::new(self.done_at(now, speed).0 * 100 / self.work.0.max(1)),
+        }
+    }
 }
 
 /// Stretches a span by a factor.
@@ -261,6 +269,7 @@
         let running = self.runs.iter().map(|(task, run)| RunningRun {
             task: *task,
             run: run.number,
+            done: Some(run.percent_at(now, self.speed)),
         });
         ExecutorReport::Lists(ExecutorLists {
             clock: UnixMs(self.clock_ms(now)),
