Short tasks wait for a sound executor while sound ones can do what is offered

Cause: a task goes to the executor with room that ends it first, and a slow one has room when the sound ones are full for a moment: the job is late by one of its eight tasks, where a slot of a sound executor falls free within milliseconds.

Change: while the load offered over the last second is below what the executors that are not slow can do, a slow one gets a task only if the job is on target there, or of use if it is late already. Beyond that load a task goes anywhere, as before.

Test: a_short_task_waits_for_a_sound_executor (fails before).

--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -24,6 +24,7 @@
 use crate::offered_load::OfferedLoad;
 use crate::options::PoolOptions;
 use crate::peers::PeerSessions;
+use crate::room::Room;
 use crate::successor::{SuccessorChoice, SuccessorOffer};
 use handover::{Predecessor, Stage};
 
@@ -40,6 +41,8 @@
     ticked_at: Mono,
     stage: Stage,
     successor_choice: SuccessorChoice,
+    /// Room in all of the executors that are not slow, as last worked out.
+    sound_room: Room,
     /// Whether it is known which executors there are.
     has_executors_read: bool,
     /// No order is sent any more.
@@ -62,6 +65,7 @@
             ticked_at: now,
             stage: Stage::Serving,
             successor_choice: SuccessorChoice::default(),
+            sound_room: Room::default(),
             has_executors_read: false,
             is_over: false,
             predecessor: Predecessor::None,
--- a/crates/onyxshed-pool/src/pool/place.rs
+++ b/crates/onyxshed-pool/src/pool/place.rs
@@ -19,15 +19,17 @@
 use crate::id::{ExecutorId, JobId};
 use crate::job::Job;
 use crate::message::{Action, Note, StartOrder};
+use crate::room::Room;
 use crate::speed::scaled;
 
 /// How well an executor suits a task; less is better: the task's time there, then the room left.
 type Fit = (Micros, u32);
 
 /// An executor with room, and how slow it is.
-struct Place {
+pub(super) struct Place {
     id: ExecutorId,
     slowdown: f64,
+    pub is_slow: bool,
 }
 
 /// What a job's place in the queue depends on; less goes first.
@@ -83,7 +85,7 @@
     }
 
     /// Gets the executors that have room for a task of a size, with how slow they are.
-    fn places(&self, now: Mono, least_cpu_millis: u32) -> Vec<Place> {
+    pub(super) fn places(&self, now: Mono, least_cpu_millis: u32) -> Vec<Place> {
         self.executors
             .iter()
             .filter(|(_, executor)| executor.free.cpu_millis >= least_cpu_millis)
@@ -91,6 +93,7 @@
             .map(|(id, executor)| Place {
                 id: id.clone(),
                 slowdown: executor.slowdown.factor(now),
+                is_slow: executor.slowdown.is_slow(now),
             })
             .collect()
     }
@@ -149,6 +152,7 @@
         places: &[Place],
     ) -> Option<(usize, Micros)> {
         let estimate = job.estimate();
+        let sound_by = self.sound_by(now, job);
         let failed_on = &job.tasks[usize::from(index)].failed_on;
         let mut best: Option<(Fit, usize)> = None;
         for (number, place) in places.iter().enumerate() {
@@ -157,6 +161,9 @@
                 continue;
             }
             let expected = scaled(estimate, place.slowdown * self.remoteness(executor, job));
+            if place.is_slow && sound_by.is_some_and(|limit| now + expected > limit) {
+                continue;
+            }
             let room_left = executor.free.without(job.request.demand).cpu_millis;
             let fit = (expected, room_left);
             if best.is_none_or(|(least, _)| fit < least) {
@@ -166,6 +173,30 @@
         best.map(|((expected, _), number)| (number, expected))
     }
 
+    /// Gets by when a task has to end on a slow executor for the job not to wait for a sound one; none
+    /// where it may go anywhere, since more is offered than sound executors can do.
+    fn sound_by(&self, now: Mono, job: &Job) -> Option<Mono> {
+        if self.offered.cpu_millis(now) >= u64::from(self.sound_room.cpu_millis) {
+            return None;
+        }
+        match self.outlook(now, job) {
+            Outlook::InTime => Some(job.target_at()),
+            Outlook::Late => Some(job.useful_until(self.options.late_factor)),
+            Outlook::InVain => None,
+        }
+    }
+
+    /// Works out anew how much room the executors have in all that are not slow.
+    pub(super) fn update_sound_room(&mut self, now: Mono) {
+        let mut room = Room::default();
+        for executor in self.executors.values() {
+            if executor.counts(now, &self.options) && !executor.slowdown.is_slow(now) {
+                room += executor.facts.capacity;
+            }
+        }
+        self.sound_room = room;
+    }
+
     /// Gets how many times longer a job's tasks take because their data is elsewhere.
     fn remoteness(&self, executor: &Executor, job: &Job) -> f64 {
         let wanted = job.request.data_rack.as_ref();
--- a/crates/onyxshed-pool/src/pool/watch.rs
+++ b/crates/onyxshed-pool/src/pool/watch.rs
@@ -19,6 +19,7 @@
     pub fn tick(&mut self, now: Mono) -> Vec<Action> {
         self.notice_pause(now);
         self.ticked_at = now;
+        self.update_sound_room(now);
         self.drop_silent_peers(now);
         self.give_up_late(now);
         self.give_up_silent_runs(now);
--- a/crates/onyxshed-pool/tests/pool/fixture.rs
+++ b/crates/onyxshed-pool/tests/pool/fixture.rs
@@ -3,8 +3,9 @@
 use onyxshed_core::{Millis, Mono, UnixMs};
 use onyxshed_pool::{
     Action, ExecutorFacts, ExecutorId, ExecutorLists, ExecutorReport, FencingToken, FinishedRun,
-    HoldAnswer, HoldOrder, JobEnd, JobId, JobRequest, PeerLife, Pool, PoolOptions, Room, RunEnd,
-    RunNumber, RunningRun, Session, StartAnswer, StartOrder, StopOrder, SubmissionNumber, TaskId,
+    HoldAnswer, HoldOrder, JobEnd, JobId, JobRequest, PeerLife, Percent, Pool, PoolOptions, Room,
+    RunEnd, RunNumber, RunningRun, Session, StartAnswer, StartOrder, StopOrder, SubmissionNumber,
+    TaskId,
 };
 
 /// The host under test.
@@ -152,6 +153,18 @@
         self.hold_answer(ms, name, HoldAnswer::Report(report));
     }
 
+    /// A report of runs at work with the percent that is done of each.
+    pub fn report_progress(&mut self, ms: u64, name: &str, running: &[(TaskId, u32, u64)]) {
+        let rows: Vec<(TaskId, u32)> = running.iter().map(|row| (row.0, row.1)).collect();
+        let mut report = lists(ms + AHEAD_MS, 1, &rows, &[]);
+        if let ExecutorReport::Lists(lists) = &mut report {
+            for (row, told) in lists.running.iter_mut().zip(running) {
+                row.done = Some(Percent::new(told.2));
+            }
+        }
+        self.hold_answer(ms, name, HoldAnswer::Report(report));
+    }
+
     /// A report of another life of an executor, in which nothing has ended.
     pub fn report_of_life(&mut self, born: u64, ms: u64, name: &str, running: &[(TaskId, u32)]) {
         let report = lists(ms, born, running, &[]);
--- a/crates/onyxshed-pool/tests/pool/slow.rs
+++ b/crates/onyxshed-pool/tests/pool/slow.rs
@@ -1,10 +1,11 @@
 //! Plays loads on a pool of which some executors turn slow while the others have room.
 
 use onyxshed_core::{Millis, Mono};
-use onyxshed_pool::JobEnd;
+use onyxshed_pool::{JobEnd, RunEnd, TaskId};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::fixture::{Desk, job};
 use crate::load::{executors, some_job};
 use crate::world::{Fault, Patience, World};
 
@@ -87,3 +88,28 @@
         assert!(with_slow.share() > 0.85 * without.share());
     }
 }
+
+/// Makes a pool of two executors, of which `x1` is known to be slow by a run that has just begun.
+fn desk_with_a_slow_executor() -> (Desk, TaskId) {
+    let mut desk = Desk::with_executors(&[("x1", 30), ("x2", 30)]);
+    let (name, order) = desk.run_one(0, job(1, 1, 900));
+    assert_eq!(name, "x1");
+    desk.report_progress(200, "x1", &[(order.task, 1, 2)]);
+    desk.tick(200);
+    (desk, order.task)
+}
+
+/// Failure guarded against: a short task goes to a slow executor that has room, and its job is late, where
+/// a sound executor has room a moment later.
+#[test]
+fn a_short_task_waits_for_a_sound_executor() {
+    let (mut desk, _) = desk_with_a_slow_executor();
+    desk.starts();
+    let (_, long) = desk.run_one(201, job(2, 1, 100));
+    desk.submit(202, job(3, 1, 60));
+    desk.report(203, "x1", &[], &[]);
+    assert!(desk.starts().is_empty(), "x1 is slow, x2 is full");
+    desk.report(210, "x2", &[], &[(1, long.task, 1, RunEnd::Done)]);
+    let places: Vec<String> = desk.starts().into_iter().map(|start| start.0).collect();
+    assert_eq!(places, ["x2"]);
+}
