Move runs off an executor that turned slow where that serves their callers

Cause: a task that an executor has become too slow for stayed there until three times its expected time, after its caller's target.

Change: a run on a slow executor is stopped when by its progress it ends after its job's target, or after its answer is of any use, and a fresh run on a sound executor with room would not. The task waits again once the executor lists the run as ended, so no two runs are at work; it is moved twice at most. Event E806 tells of it.

--- a/crates/onyxshed-core/src/event.rs
+++ b/crates/onyxshed-core/src/event.rs
@@ -121,6 +121,7 @@
     803 PoolRunOrdered Debug "A run of a task was ordered from an executor.";
     804 PoolRunEnded Info "A run ended otherwise than done.";
     805 PoolStrayStopped Info "A run that this owner did not order was found at work and is stopped.";
+    806 PoolRunMoved Info "A run on an executor that turned slow is stopped, to begin anew elsewhere.";
     810 PoolOwned Info "This host owns a pool from now on.";
     811 PoolGivenUp Warn "This host no longer owns a pool.";
     812 PoolOwnerChanged Info "Another host is held to own a pool.";
--- a/crates/onyxshed-host/src/notes.rs
+++ b/crates/onyxshed-host/src/notes.rs
@@ -41,6 +41,19 @@
             .task(task.index)
             .party(executor.0.clone())
             .detail(format_smolstr!("run {run}, token {token}")),
+        Note::RunMoved {
+            task,
+            run,
+            executor,
+            left,
+        } => Event::new(EventKind::PoolRunMoved)
+            .job(format_smolstr!("{}", task.job))
+            .task(task.index)
+            .party(executor.0.clone())
+            .detail(format_smolstr!(
+                "run {run}, {} left there, token {token}",
+                left.as_millis()
+            )),
         Note::ExecutorTaken(id) => about(EventKind::PoolExecutorTaken, id.0.clone()),
         Note::ExecutorSilent(id) => about(EventKind::PoolExecutorSilent, id.0.clone()),
         Note::ExecutorBack(id) => about(EventKind::PoolExecutorBack, id.0.clone()),
--- a/crates/onyxshed-pool/src/message.rs
+++ b/crates/onyxshed-pool/src/message.rs
@@ -231,6 +231,17 @@
         /// The executor.
         executor: ExecutorId,
     },
+    /// A run on an executor that turned slow is stopped, to begin anew elsewhere.
+    RunMoved {
+        /// The task.
+        task: TaskId,
+        /// Which run.
+        run: RunNumber,
+        /// The executor.
+        executor: ExecutorId,
+        /// How long the run would have taken from now on.
+        left: Micros,
+    },
     /// An executor is used from now on.
     ExecutorTaken(ExecutorId),
     /// An executor did not answer; its runs are given up when their lease has ended.
--- a/crates/onyxshed-pool/tests/pool/slow.rs
+++ b/crates/onyxshed-pool/tests/pool/slow.rs
@@ -113,3 +113,16 @@
     let places: Vec<String> = desk.starts().into_iter().map(|start| start.0).collect();
     assert_eq!(places, ["x2"]);
 }
+
+/// Failure guarded against: a long task that an executor has become too slow for is left there, and its
+/// caller hears after several targets.
+#[test]
+fn a_long_task_begins_anew_where_it_ends_on_target() {
+    let (mut desk, task) = desk_with_a_slow_executor();
+    let stops = desk.stops();
+    assert_eq!(stops.len(), 1, "the run on x1 is stopped");
+    assert!(desk.starts().is_empty(), "it may still be at work on x1");
+    desk.report(210, "x1", &[], &[(1, task, 1, RunEnd::Stopped)]);
+    let places: Vec<String> = desk.starts().into_iter().map(|start| start.0).collect();
+    assert_eq!(places, ["x2"]);
+}
