--- a/crates/onyxshed-host/src/directory.rs
+++ b/crates/onyxshed-host/src/directory.rs
@@ -259,8 +259,8 @@
         self.orphaned.borrow_mut().pop_first()
     }
 
-    /// Takes in that an owner has written itself down, by its member's name in the pool's group.
-    pub fn owner_written(&self, pool: &PoolId, member: SmolStr) {
+    /// Takes in a record of a new owner, named as a member of the pool's group.
+    pub fn observe_owner_record(&self, pool: &PoolId, member: SmolStr) {
         let is_other = matches!(
             Owner::of(Some(member.clone()), &self.member),
             Owner::Other(Some(_))
--- a/crates/onyxshed-host/src/divisions.rs
+++ b/crates/onyxshed-host/src/divisions.rs
@@ -20,7 +20,7 @@
 /// Topic of this system's own records.
 const TOPIC: &str = "keyed.onyxshed.pools";
 
-/// Time between two looks whether any zone was ever divided.
+/// Time between two reads while no zone was ever divided.
 const UNDIVIDED_PERIOD: Duration = Duration::from_millis(3_000);
 
 /// How long a read waits at the store for a change; divisions change with the size of a deployment,
--- a/crates/onyxshed-host/src/executors.rs
+++ b/crates/onyxshed-host/src/executors.rs
@@ -28,14 +28,14 @@
 /// The list of all executors, as it is being read.
 pub type ExecutorsRead = Task<onyxshed_adapter::Result<Records>>;
 
-/// What a new owner knows of its executors when it begins.
-pub enum Known {
-    /// Nothing.
-    Nothing,
+/// Executors that a new owner knows when it begins.
+pub enum KnownExecutors {
+    /// None.
+    None,
     /// The list, as it is being read.
-    List(ExecutorsRead),
-    /// What the last owner has told of them.
-    Told(Vec<(ExecutorId, ExecutorFacts)>),
+    Reading(ExecutorsRead),
+    /// Those of its predecessor.
+    Predecessors(Vec<(ExecutorId, ExecutorFacts)>),
 }
 
 /// Tries to read the list of all executors.
@@ -51,7 +51,7 @@
     engine: Rc<Engine>,
     divisions: Rc<Divisions>,
     (token, pool, division): (FencingToken, PoolId, Division),
-    known: Known,
+    known: KnownExecutors,
     address: SocketAddr,
 ) {
     let watch = StoreWatch::new(&kernel, "executors");
@@ -68,10 +68,10 @@
         unreadable: BTreeSet::new(),
     };
     let mut list = match known {
-        Known::Nothing => None,
-        Known::List(list) => Some(list),
-        Known::Told(told) => {
-            follower.take_told(told);
+        KnownExecutors::None => None,
+        KnownExecutors::Reading(list) => Some(list),
+        KnownExecutors::Predecessors(known) => {
+            follower.take_predecessors(known);
             None
         }
     };
@@ -151,7 +151,7 @@
     }
 
     /// Takes in what the last owner has told; the store's list corrects it when it can be read.
-    fn take_told(&mut self, known: Vec<(ExecutorId, ExecutorFacts)>) {
+    fn take_predecessors(&mut self, known: Vec<(ExecutorId, ExecutorFacts)>) {
         if known.is_empty() {
             return;
         }
--- a/crates/onyxshed-host/src/last_owner.rs
+++ b/crates/onyxshed-host/src/last_owner.rs
@@ -21,10 +21,10 @@
 /// Topic of this system's own records, by pool.
 const TOPIC: &str = "keyed.onyxshed.owners";
 
-/// How long a read waits at the store for an owner that writes itself down.
+/// How long a read waits at the store for the record of a new owner.
 const WAIT: Millis = Millis(10_000);
 
-/// Time between two looks whether any owner has written itself down.
+/// Time between two reads while there is no record at all.
 const EMPTY_PERIOD: Duration = Duration::from_millis(1_000);
 
 /// Tries to write down who owns a pool from now on, by its member's name in the pool's group.
@@ -54,7 +54,7 @@
     String::from_utf8(bytes).ok().map(SmolStr::from)
 }
 
-/// Tells the directory of owners that write themselves down, for as long as the process lives.
+/// Passes the records of new owners to the directory, for as long as the process lives.
 pub async fn follow(directory: Rc<Directory>, address: SocketAddr, watch: StoreWatch) {
     let mut store = Store::new(address);
     loop {
@@ -64,8 +64,7 @@
     }
 }
 
-/// Reads what is written from now on, until a call fails. What was written before may name owners that
-/// are gone.
+/// Reads records from now on, until a call fails. Earlier ones may name owners that are gone.
 async fn follow_once(
     directory: &Directory,
     store: &mut Store,
@@ -85,7 +84,7 @@
         for record in read.records {
             let pool: Option<PoolId> = record.key.parse().ok();
             if let (Some(pool), Some(member)) = (pool, member_of(record)) {
-                directory.owner_written(&pool, member);
+                directory.observe_owner_record(&pool, member);
             }
         }
     }
--- a/crates/onyxshed-host/src/manifest.rs
+++ b/crates/onyxshed-host/src/manifest.rs
@@ -15,11 +15,11 @@
 use crate::names::MANIFEST;
 use crate::store_watch::{ANSWER_TIMEOUT, StoreWatch};
 
-/// Shortest time that a read waits at the store for a change: two calls in three seconds for each host.
+/// Shortest time that a read waits at the store for a change.
 const WAIT_MIN: Millis = Millis(1_500);
 
-/// Kept free of the time within which a manifest has to be in force: the answer's timeout, a new
-/// connection and the read that finds the change.
+/// Part of the time within which a manifest has to be in force that is kept for the answer's timeout, a
+/// new connection and the read that finds the change.
 const WAIT_MARGIN: Millis = Millis(1_200);
 
 /// Gets how long a read waits at the store for a change, given the time within which a manifest has to
@@ -95,7 +95,7 @@
 }
 
 impl ManifestService {
-    /// Makes the service for a store's address, whose reads wait so long for a change.
+    /// Makes the service for a store's address; reads wait up to `read_wait` for a change.
     pub fn new(store: SocketAddr, read_wait: Millis) -> Self {
         ManifestService { store, read_wait }
     }
--- a/crates/onyxshed-host/src/ownership/contender.rs
+++ b/crates/onyxshed-host/src/ownership/contender.rs
@@ -21,7 +21,7 @@
 use crate::directory::{Directory, POOL_PART, address_of, ask_owner, group_of, member_name};
 use crate::divisions::Divisions;
 use crate::engine::Engine;
-use crate::executors::{self, ExecutorsRead, Known};
+use crate::executors::{self, ExecutorsRead, KnownExecutors};
 use crate::last_owner;
 use crate::links::{Links, RemoteLink};
 use crate::store_watch::{ANSWER_TIMEOUT, StoreWatch};
@@ -61,8 +61,7 @@
     watch: StoreWatch,
     generation: u64,
     candidates: BTreeMap<PoolId, Candidate>,
-    /// The executors' list, read while this host waits to join: the reading takes a third of the time
-    /// until a new owner's first run.
+    /// Executor list, fetched while this host waits to join, so that a new owner can use it at once.
     executors: Option<ExecutorsRead>,
 }
 
@@ -214,7 +213,7 @@
         self.executors = Some(self.kernel.spawn(executors::read_all(address)));
         Timer::after(pause.into()).await;
         match self.ask_holder(&pool).await {
-            // The partition is on its way back to an owner that answers.
+            // The store is moving the partition back to an owner that answers.
             Some(None) if self.takes_over(&pool).await.is_none() => Next::Contend,
             Some(None) => Next::Join(pool),
             Some(Some(owner)) if owner == self.member => Next::Join(pool),
@@ -293,7 +292,10 @@
         let token = division.token(&pool, self.generation);
         let last_owner = self.predecessor(&pool).await;
         self.own(token, &pool, last_owner);
-        let known = self.executors.take().map_or(Known::Nothing, Known::List);
+        let known = self
+            .executors
+            .take()
+            .map_or(KnownExecutors::None, KnownExecutors::Reading);
         self.follow_executors(token, &pool, division, known);
         self.write_down(&pool).await;
         Next::Renew(pool)
@@ -331,7 +333,7 @@
         token: FencingToken,
         pool: &PoolId,
         division: Division,
-        known: Known,
+        known: KnownExecutors,
     ) {
         let follow = executors::follow(
             self.kernel.clone(),
@@ -384,8 +386,8 @@
 
     /// Renews the membership; tells whether this host still holds the pool, none without an answer.
     ///
-    /// A host that joins beside the owner and leaves again moves the partition away and back: the
-    /// owner's next join lets go of it, and the one after that, in the newest generation, gets it back.
+    /// Another host that joins the group and leaves again makes the store rebalance twice. The owner's
+    /// next join then releases the partition, and a second one, in the newest generation, gets it back.
     async fn still_holds(&mut self, pool: &PoolId) -> Option<bool> {
         match self.send_join(pool).await {
             Some(false) => self.send_join(pool).await,
--- a/crates/onyxshed-host/src/ownership/successor.rs
+++ b/crates/onyxshed-host/src/ownership/successor.rs
@@ -9,7 +9,7 @@
 use smol_str::SmolStr;
 
 use super::contender::{Contender, Next};
-use crate::executors::Known;
+use crate::executors::KnownExecutors;
 
 /// Time between two tries of a successor to be written into the store's books: soon after the store
 /// answers, others find the pool vacant there.
@@ -22,7 +22,7 @@
         let last_owner = self.links.link_to(&pool);
         self.own(token, &pool, last_owner);
         let division = self.divisions.of(&pool.zone);
-        let known = Known::Told(transfer.executors);
+        let known = KnownExecutors::Predecessors(transfer.executors);
         self.follow_executors(token, &pool, division, known);
         self.engine.set_past_members(transfer.past_members);
         Next::Renew(pool)
--- a/crates/onyxshed-host/tests/lookup.rs
+++ b/crates/onyxshed-host/tests/lookup.rs
@@ -4,35 +4,35 @@
 use onyxshed_host::directory::OwnerStatus;
 use onyxshed_host::manifest::read_wait;
 
-/// Gets the looks a minute of a host that owns no pool while every owner answers.
+/// Gets the lookups per minute of a host that owns no pool while every owner answers.
 fn lookups_per_minute(zones: usize, pools_a_zone: usize) -> u64 {
     let pools = zones * pools_a_zone;
-    let looks = |status: OwnerStatus, count: usize| {
-        let period = status.lookup_interval(pools).expect("a period");
-        60_000 * u64::try_from(count).expect("few pools") / period.0
+    let lookups = |status: OwnerStatus, count: usize| {
+        let interval = status.lookup_interval(pools).expect("an interval");
+        60_000 * u64::try_from(count).expect("few pools") / interval.0
     };
-    looks(OwnerStatus::SettledLocal, pools_a_zone)
-        + looks(OwnerStatus::SettledRemote, pools - pools_a_zone)
+    lookups(OwnerStatus::SettledLocal, pools_a_zone)
+        + lookups(OwnerStatus::SettledRemote, pools - pools_a_zone)
 }
 
 /// Failure guarded against: calls to the store grow with hosts times pools, until it turns calls away.
 #[test]
-fn looks_of_a_host_do_not_grow_with_the_pools() {
+fn lookups_of_a_host_do_not_grow_with_the_pools() {
     let small = lookups_per_minute(3, 1);
     for (zones, pools_a_zone) in [(3, 2), (5, 2), (6, 4), (15, 8), (15, 16)] {
         assert!(lookups_per_minute(zones, pools_a_zone) <= small);
     }
 }
 
-/// Failure guarded against: a host of another zone looks as often as those that may come to own the pool.
+/// Failure guarded against: a host of another zone looks up as often as those that may come to own the pool.
 #[test]
-fn settled_pools_of_other_zones_are_seldom_looked_at() {
+fn settled_pools_of_other_zones_are_seldom_looked_up() {
     let local = OwnerStatus::SettledLocal
         .lookup_interval(10)
-        .expect("a period");
+        .expect("an interval");
     let remote = OwnerStatus::SettledRemote
         .lookup_interval(10)
-        .expect("a period");
+        .expect("an interval");
     assert!(remote.0 >= 5 * local.0);
 }
 
--- a/crates/onyxshed-pool/src/executor.rs
+++ b/crates/onyxshed-pool/src/executor.rs
@@ -230,8 +230,8 @@
         !self.facts.is_draining && !self.is_lost(now, options) && is_known
     }
 
-    /// Tells whether the executor does not answer. While it is being taken over, answers may be late or
-    /// lost for as long as its new owner opens connections to all of them.
+    /// Tells whether the executor is unresponsive. One that is being taken over has more time: its new
+    /// owner opens connections to all executors at once.
     fn is_lost(&self, now: Mono, options: &PoolOptions) -> bool {
         let is_awaited = self.phase == Phase::Taking
             && now.since(self.heard_at) < options.taking_patience_ms.into();
--- a/crates/onyxshed-pool/src/offered_load.rs
+++ b/crates/onyxshed-pool/src/offered_load.rs
@@ -5,12 +5,12 @@
 /// Time that one bucket covers.
 const BUCKET_US: u64 = 100_000;
 
-/// Buckets kept; together they cover one second, several times the time that a short job may wait.
+/// Buckets kept; together they cover one second.
 const BUCKETS: usize = 10;
 
 /// Work that has come within the last second, in thousandths of a core times milliseconds.
 ///
-/// A pool that is younger than that is taken to have been offered nothing before.
+/// For a younger pool the time before it counts as idle.
 #[derive(Debug, Default)]
 pub struct OfferedLoad {
     buckets: [u64; BUCKETS],
--- a/crates/onyxshed-pool/src/options.rs
+++ b/crates/onyxshed-pool/src/options.rs
@@ -13,8 +13,7 @@
     /// Ends that fall into a report without an answer are known only with the next one.
     pub report_timeout_ms: Millis,
     /// The same for the first report of an executor that is being taken over; default 300 ms. A new
-    /// owner opens a connection to every executor at once, and reads their answers as its processor
-    /// share allows.
+    /// owner opens connections to all executors at once, and may be short of processor time.
     pub first_report_timeout_ms: Millis,
     /// How long an executor that is being taken over counts without an answer; default 1,000 ms.
     pub taking_patience_ms: Millis,
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -41,7 +41,7 @@
     ticked_at: Mono,
     stage: Stage,
     successor_choice: SuccessorChoice,
-    /// Room in all of the executors that are not slow, as last worked out.
+    /// Total room of the executors that are not slow, as of the last tick.
     sound_room: Room,
     /// Whether it is known which executors there are.
     has_executors_read: bool,
@@ -211,13 +211,13 @@
         executor.phase = Phase::Taking;
         let runs = executor.take_runs();
         for (task, run) in runs {
-            self.run_lost(task, run.number, id, "another executor is there");
+            self.requeue_run(task, run.number, id, "another executor is there");
         }
         self.place(now);
     }
 
     /// Lets a task wait again whose run is known not to be at work any more.
-    fn run_lost(
+    fn requeue_run(
         &mut self,
         task: TaskId,
         number: crate::id::RunNumber,
--- a/crates/onyxshed-pool/src/pool/intake.rs
+++ b/crates/onyxshed-pool/src/pool/intake.rs
@@ -7,7 +7,7 @@
 use onyxshed_core::{Micros, Millis, Mono};
 
 use super::Pool;
-use super::place::{LATE_WEIGHT, Outlook};
+use super::place::{Feasibility, LATE_WEIGHT};
 use crate::executor::Executor;
 use crate::id::{JobId, PeerLife, Session, SubmissionNumber};
 use crate::job::{Job, JobEnd, JobRequest, NotRunReason, UnknownReason};
@@ -20,10 +20,27 @@
 /// Longest time after which a refused caller is asked back: a burst is over by then.
 const RETRY_MOST: Millis = Millis(5_000);
 
-/// Backlog, as the time for which it keeps the pool busy, up to which no late job is shed: a short
-/// task's time. Small pools would refuse callers who would have an answer a moment later.
+/// Backlog, as the time that the pool needs for it, up to which no late job is shed. Small pools would
+/// refuse callers who would have an answer a moment later.
 const SHED_BACKLOG: Millis = Millis(60);
 
+/// Waiting jobs that can be on target, and what drains them.
+struct Backlog {
+    /// Their waiting work, the least first, in thousandths of a core times milliseconds.
+    works: Vec<u64>,
+    /// Processor room of the pool, in thousandths of a core.
+    capacity: u64,
+    /// What the offered load leaves of it.
+    spare: u64,
+}
+
+impl Backlog {
+    /// Gets the work that goes before a job of so much work.
+    fn ahead_of(&self, work: u64) -> u64 {
+        self.works.iter().take_while(|held| **held <= work).sum()
+    }
+}
+
 impl Pool {
     /// Takes in a job, or refuses it.
     pub fn submit(&mut self, now: Mono, session: Session, request: JobRequest) -> Vec<Action> {
@@ -97,7 +114,7 @@
         if !executors.any(|executor| self.could_run(now, executor, request)) {
             return not_run(NotRunReason::NoExecutor);
         }
-        if !self.has_hope(now, request) {
+        if !self.is_feasible(now, request) {
             return not_run(NotRunReason::NoTime);
         }
         None
@@ -106,39 +123,38 @@
     /// Tells whether a job that comes now can end while it is of use to its caller, given what goes
     /// before it.
     ///
-    /// The wait is reckoned with jobs that will be refused before their turn comes, so it tells what is
-    /// in vain and not what is late.
-    fn has_hope(&self, now: Mono, request: &JobRequest) -> bool {
+    /// The wait includes jobs that will be refused before their turn comes, so it tells which job expires
+    /// and not which is late.
+    fn is_feasible(&self, now: Mono, request: &JobRequest) -> bool {
         let job = Job::new(now, request.clone());
         let begins_at = now + self.expected_wait(now, request);
-        self.outlook(begins_at, &job) != Outlook::InVain
+        self.feasibility(begins_at, &job) != Feasibility::Expired
     }
 
-    /// Gets the waiting work of each job that can be on target, the least first.
-    fn on_target_backlog(&self, now: Mono) -> Vec<u64> {
+    /// Gets what waits ahead of late jobs.
+    fn on_target_backlog(&self, now: Mono) -> Backlog {
         let waiting = self.jobs.values().filter(|job| job.waiting > 0);
-        let on_target = waiting.filter(|job| self.outlook(now, job) == Outlook::InTime);
+        let on_target = waiting.filter(|job| self.feasibility(now, job) == Feasibility::OnTarget);
         let mut works: Vec<u64> = on_target.map(Job::waiting_work).collect();
         works.sort_unstable();
-        works
+        let capacity = u64::from(self.working_room(now).cpu_millis);
+        Backlog {
+            works,
+            capacity,
+            spare: capacity.saturating_sub(self.offered.cpu_millis(now)),
+        }
     }
 
-    /// Tells whether a job that can only be late is refused: its turn will not come while it is of use.
+    /// Tells whether a late job is refused because it can't start while its answer is of use.
     ///
-    /// The jobs that go before it are worked off by what the offered load leaves of the pool. A pool that
-    /// is offered more than it can do never gets to late jobs; one that was held up for a moment does.
-    fn is_shed(&self, now: Mono, job: &Job, on_target: &[u64]) -> bool {
-        let weighted = job.waiting_work().saturating_mul(LATE_WEIGHT);
-        let ahead: u64 = on_target.iter().take_while(|work| **work <= weighted).sum();
-        let capacity = u64::from(self.working_room(now).cpu_millis);
-        let spare = capacity.saturating_sub(self.offered.cpu_millis(now));
-        let start_by = Mono(
-            job.useful_until(self.options.late_factor)
-                .0
-                .saturating_sub(job.estimate().0),
-        );
-        let in_time_left = spare * start_by.since(now).as_millis().0;
-        ahead > in_time_left.max(SHED_BACKLOG.0 * capacity)
+    /// The backlog ahead of it drains at the rate that the offered load leaves free. An overloaded pool
+    /// never gets to late jobs; one that only stood still for a moment does.
+    fn is_shed(&self, now: Mono, job: &Job, backlog: &Backlog) -> bool {
+        let useful_until = job.useful_until(self.options.late_factor);
+        let start_by = Mono(useful_until.0.saturating_sub(job.estimate().0));
+        let drained = backlog.spare * start_by.since(now).as_millis().0;
+        let ahead = backlog.ahead_of(job.waiting_work().saturating_mul(LATE_WEIGHT));
+        ahead > drained.max(SHED_BACKLOG.0 * backlog.capacity)
     }
 
     fn runs_of(&self, job: JobId) -> bool {
@@ -186,26 +202,22 @@
         Millis((waiting / capacity).clamp(RETRY_LEAST.0, RETRY_MOST.0))
     }
 
-    /// Refuses the jobs that wait in vain, and gives up those whose callers have left.
-    ///
-    /// Failure guarded against: a burst of more than the pool can do. Symptom: jobs that the others go
-    /// before wait for three targets, a second or more, to be refused after all. A job that can only be
-    /// late is refused as soon as enough goes before it that can be in time; else it stays, since its
-    /// turn may come.
-    pub(super) fn give_up_late(&mut self, now: Mono) {
-        let on_target = self.on_target_backlog(now);
+    /// Refuses the waiting jobs that can't be served while that is of use, and ends those whose callers
+    /// have left: held until they expire, their callers would wait for three targets to hear the same.
+    pub(super) fn shed_late_jobs(&mut self, now: Mono) {
+        let backlog = self.on_target_backlog(now);
         let mut ends = Vec::new();
         for (id, job) in &self.jobs {
             if now >= job.gives_up_at {
                 ends.push((*id, JobEnd::Unknown(UnknownReason::TimeOut)));
                 continue;
             }
-            let has_hope = match self.outlook(now, job) {
-                Outlook::InTime => true,
-                Outlook::Late => !self.is_shed(now, job, &on_target),
-                Outlook::InVain => false,
+            let is_feasible = match self.feasibility(now, job) {
+                Feasibility::OnTarget => true,
+                Feasibility::Late => !self.is_shed(now, job, &backlog),
+                Feasibility::Expired => false,
             };
-            if !job.has_started && !has_hope {
+            if !job.has_started && !is_feasible {
                 let retry = self.retry_after(now);
                 ends.push((*id, JobEnd::NotRun(NotRunReason::NoTime, retry)));
             }
--- a/crates/onyxshed-pool/src/pool/orders.rs
+++ b/crates/onyxshed-pool/src/pool/orders.rs
@@ -48,7 +48,7 @@
         }
         match self.after_start(now, id, task, number, answer) {
             Next::Nothing => {}
-            Next::NotRunning(why) => self.forget_run(id, task, number, why),
+            Next::NotRunning(why) => self.discard_run(id, task, number, why),
             Next::Again => self.start_again(now, id, task, number),
             Next::Stop => self.stop_run(id, task),
             Next::Failed => self.run_failed(now, id, task, number),
@@ -215,7 +215,7 @@
     }
 
     /// Forgets a run that is not at work and never will be.
-    pub(super) fn forget_run(
+    pub(super) fn discard_run(
         &mut self,
         id: &ExecutorId,
         task: TaskId,
@@ -225,7 +225,7 @@
         if let Some(executor) = self.executors.get_mut(id) {
             executor.remove_run(task);
         }
-        self.run_lost(task, number, id, why);
+        self.requeue_run(task, number, id, why);
     }
 
     /// Takes in that another host owns the pool.
--- a/crates/onyxshed-pool/src/pool/place.rs
+++ b/crates/onyxshed-pool/src/pool/place.rs
@@ -41,13 +41,13 @@
 
 /// What a job's caller can expect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Outlook {
+pub(super) enum Feasibility {
     /// An answer within the target.
-    InTime,
+    OnTarget,
     /// A later one that is still of use.
     Late,
     /// None that is of use.
-    InVain,
+    Expired,
 }
 
 impl Pool {
@@ -112,24 +112,24 @@
     }
 
     fn rank(&self, now: Mono, id: JobId, job: &Job) -> Rank {
-        let (is_in_vain, weight) = match self.outlook(now, job) {
-            Outlook::InTime => (false, 1),
-            Outlook::Late => (false, LATE_WEIGHT),
-            Outlook::InVain => (true, LATE_WEIGHT),
+        let (is_in_vain, weight) = match self.feasibility(now, job) {
+            Feasibility::OnTarget => (false, 1),
+            Feasibility::Late => (false, LATE_WEIGHT),
+            Feasibility::Expired => (true, LATE_WEIGHT),
         };
         (is_in_vain, job.waiting_work() * weight, job.arrived, id)
     }
 
     /// Gets what a job's caller can expect if its waiting tasks start now.
-    pub(super) fn outlook(&self, now: Mono, job: &Job) -> Outlook {
+    pub(super) fn feasibility(&self, now: Mono, job: &Job) -> Feasibility {
         let end_at = now + job.estimate() + Micros::from(self.options.overhead_ms);
         // A caller may stop waiting before its target.
         if end_at > job.useful_until(self.options.late_factor) {
-            Outlook::InVain
+            Feasibility::Expired
         } else if end_at > job.target_at() {
-            Outlook::Late
+            Feasibility::Late
         } else {
-            Outlook::InTime
+            Feasibility::OnTarget
         }
     }
 
@@ -152,7 +152,7 @@
         places: &[Place],
     ) -> Option<(usize, Micros)> {
         let estimate = job.estimate();
-        let sound_by = self.sound_by(now, job);
+        let slow_deadline = self.slow_deadline(now, job);
         let failed_on = &job.tasks[usize::from(index)].failed_on;
         let mut best: Option<(Fit, usize)> = None;
         for (number, place) in places.iter().enumerate() {
@@ -161,7 +161,7 @@
                 continue;
             }
             let expected = scaled(estimate, place.slowdown * self.remoteness(executor, job));
-            if place.is_slow && sound_by.is_some_and(|limit| now + expected > limit) {
+            if place.is_slow && slow_deadline.is_some_and(|limit| now + expected > limit) {
                 continue;
             }
             let room_left = executor.free.without(job.request.demand).cpu_millis;
@@ -173,20 +173,20 @@
         best.map(|((expected, _), number)| (number, expected))
     }
 
-    /// Gets by when a task has to end on a slow executor for the job not to wait for a sound one; none
-    /// where it may go anywhere, since more is offered than sound executors can do.
-    fn sound_by(&self, now: Mono, job: &Job) -> Option<Mono> {
+    /// Gets by when a task has to end on a slow executor to be placed there; none if it may be placed
+    /// anywhere, since the offered load exceeds what the other executors can do.
+    fn slow_deadline(&self, now: Mono, job: &Job) -> Option<Mono> {
         if self.offered.cpu_millis(now) >= u64::from(self.sound_room.cpu_millis) {
             return None;
         }
-        match self.outlook(now, job) {
-            Outlook::InTime => Some(job.target_at()),
-            Outlook::Late => Some(job.useful_until(self.options.late_factor)),
-            Outlook::InVain => None,
+        match self.feasibility(now, job) {
+            Feasibility::OnTarget => Some(job.target_at()),
+            Feasibility::Late => Some(job.useful_until(self.options.late_factor)),
+            Feasibility::Expired => None,
         }
     }
 
-    /// Works out anew how much room the executors have in all that are not slow.
+    /// Updates the total room of the executors that are not slow.
     pub(super) fn update_sound_room(&mut self, now: Mono) {
         let mut room = Room::default();
         for executor in self.executors.values() {
--- a/crates/onyxshed-pool/src/pool/progress.rs
+++ b/crates/onyxshed-pool/src/pool/progress.rs
@@ -2,8 +2,8 @@
 //!
 //! Answers executors that turn slow: the end of a run tells of it only when its job is late. An
 //! executor's report tells how much of each run is done, so that the executor is known to be slow
-//! while the run is at work. A run there is stopped, and its task begins anew elsewhere once the
-//! executor lists the run as ended, where that serves the caller better.
+//! while the run is at work. Such a run is stopped if a fresh run elsewhere serves the caller better;
+//! its task waits again once the executor lists the run as ended.
 
 use onyxshed_core::{Micros, Millis, Mono};
 
@@ -15,7 +15,7 @@
 /// Shortest time at work after which a run's progress says anything: executors round it down.
 const PROGRESS_AFTER: Micros = Micros(40_000);
 
-/// Times that a task begins anew elsewhere because its run goes slow.
+/// Times that a task may be moved off a slow executor.
 const MOVES_MAX: u32 = 2;
 
 /// Time until a run that is stopped is known to have ended.
--- a/crates/onyxshed-pool/src/pool/reports.rs
+++ b/crates/onyxshed-pool/src/pool/reports.rs
@@ -42,7 +42,7 @@
             HoldAnswer::Report(ExecutorReport::Lists(lists)) => {
                 self.report(now, id, sent_at, &lists)
             }
-            HoldAnswer::Unknown => match self.fell_silent(id) {
+            HoldAnswer::Unknown => match self.mark_unresponsive(id) {
                 true => FIRST_SILENT_PAUSE,
                 false => SILENT_PAUSE,
             },
@@ -79,11 +79,11 @@
             self.note(Note::ExecutorBack(id.clone()));
         }
         for end in &lists.finished {
-            self.take_end(now, id, *end);
+            self.apply_finished(now, id, *end);
         }
         self.reconcile(now, id, sent_at, &lists.running);
         self.observe_progress(now, id, &lists.running);
-        self.stop_strays(id, &lists.running);
+        self.stop_orphans(id, &lists.running);
         let Some(executor) = self.executors.get_mut(id) else {
             return Millis(0);
         };
@@ -99,7 +99,7 @@
     }
 
     /// Takes in one end.
-    fn take_end(&mut self, now: Mono, id: &ExecutorId, end: FinishedRun) {
+    fn apply_finished(&mut self, now: Mono, id: &ExecutorId, end: FinishedRun) {
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
@@ -113,7 +113,7 @@
         match end.end {
             RunEnd::Done => self.run_done(now, id, end.task, end.run),
             RunEnd::Failed => self.run_failed(now, id, end.task, end.run),
-            RunEnd::Stopped => self.forget_run(id, end.task, end.run, "stopped or lapsed"),
+            RunEnd::Stopped => self.discard_run(id, end.task, end.run, "stopped or lapsed"),
         }
     }
 
@@ -167,7 +167,7 @@
         let failed_on = held.failed_on.clone();
         let failures = u32::try_from(failed_on.len()).unwrap_or(u32::MAX);
         let is_over = failures >= job.request.attempts_max;
-        self.run_lost(task, number, id, "failed");
+        self.requeue_run(task, number, id, "failed");
         // A task that fails on one executor after another is to blame itself: the executors it
         // failed on are as good as before.
         if failures > 1 {
@@ -213,7 +213,7 @@
             }
         }
         for (task, number) in gone {
-            self.forget_run(id, task, number, "no longer at work");
+            self.discard_run(id, task, number, "no longer at work");
         }
         for (task, number) in stops {
             self.send_stop(id, task, number);
@@ -221,7 +221,7 @@
     }
 
     /// Stops what this owner did not order, or has given up.
-    fn stop_strays(&mut self, id: &ExecutorId, running: &[RunningRun]) {
+    fn stop_orphans(&mut self, id: &ExecutorId, running: &[RunningRun]) {
         let Some(executor) = self.executors.get(id) else {
             return;
         };
@@ -244,7 +244,7 @@
     }
 
     /// Takes in that an executor did not answer; tells whether it had until now.
-    fn fell_silent(&mut self, id: &ExecutorId) -> bool {
+    fn mark_unresponsive(&mut self, id: &ExecutorId) -> bool {
         let Some(executor) = self.executors.get_mut(id) else {
             return false;
         };
--- a/crates/onyxshed-pool/src/pool/watch.rs
+++ b/crates/onyxshed-pool/src/pool/watch.rs
@@ -21,7 +21,7 @@
         self.ticked_at = now;
         self.update_sound_room(now);
         self.drop_silent_peers(now);
-        self.give_up_late(now);
+        self.shed_late_jobs(now);
         self.give_up_silent_runs(now);
         self.stop_stuck(now);
         self.forget_gone(now);
@@ -93,7 +93,7 @@
             }
         }
         for (id, task, number) in lapsed {
-            self.run_lost(task, number, &id, "its lease ended in silence");
+            self.requeue_run(task, number, &id, "its lease ended in silence");
         }
     }
 
--- a/crates/onyxshed-pool/tests/pool/parts.rs
+++ b/crates/onyxshed-pool/tests/pool/parts.rs
@@ -2,7 +2,7 @@
 
 use onyxshed_core::{Micros, Millis, Mono};
 use onyxshed_pool::speed::Slowdown;
-use onyxshed_pool::{Chooser, JobId, PoolDigest, PoolId, Room};
+use onyxshed_pool::{Chooser, JobId, Percent, PoolDigest, PoolId, Room};
 use rstest::rstest;
 
 #[rstest]
@@ -128,3 +128,11 @@
     let pools = chooser.order(&pool("home"), demand, 1);
     assert_eq!(pools[0], pool("away"));
 }
+
+#[test]
+fn a_share_of_work_is_read_as_written() {
+    let share = Percent::new(41);
+    assert_eq!(share.to_string().parse::<Percent>(), Ok(share));
+    assert_eq!(Percent::new(250), Percent::ALL);
+    assert!("101%".parse::<Percent>().is_err());
+}
