Drop the executors' list when a host does not join

Found on reading the change: the list fetched while a host waits to join a pool was kept when another host took the pool. It lay in the memory of every host that had waited, and a later take-over from an earlier process of the host, which fetches none, would have begun with it, up to a read period behind. Contending drops it; the take-over reads the list anew. No test of its own: the case needs two vacancies in one process's life. onyxshed-host's tests and the 13 of onyxshed-soak/tests/hosts.rs pass. Not measured on the deployments.

--- a/crates/onyxshed-host/src/ownership/contender.rs
+++ b/crates/onyxshed-host/src/ownership/contender.rs
@@ -122,6 +122,8 @@
     }
 
     async fn contend(&mut self) -> Next {
+        // A list that was fetched for a pool that another host took would be stale for the next one.
+        self.executors = None;
         let news = self.directory.news().waiting();
         let transferred = self.links.transfers().waiting();
         let period = async {
