A host that reaches no zone in service sends its callers to other hosts

Change: readiness asks for a pool in service, and a refusal that another host might not have to give ends the connection, since the balancer moves new connections only. While every zone is evacuated hosts stay ready and refuse.

What is left is the 2 s that the balancer takes to notice.

Test: a_host_that_reaches_no_zone_in_service_sends_its_callers_away.

--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -216,7 +216,17 @@
         };
         leaving.stayed();
         self.tell(&asked, &job, &end, &pool);
-        answer(&end)
+        self.answer(&end)
+    }
+
+    /// Makes the answer to a job. A refusal ends the connection if another host may serve the caller: the
+    /// balancer moves new connections only.
+    fn answer(&self, end: &JobEnd) -> Reply {
+        let reply = answer(end);
+        match end {
+            JobEnd::NotRun(..) if self.links.should_send_callers_away() => reply.last(),
+            _ => reply,
+        }
     }
 
     /// Ends the start, by dropping its sender, when this host knows what it needs to serve.
--- a/crates/onyxshed-host/src/links.rs
+++ b/crates/onyxshed-host/src/links.rs
@@ -169,10 +169,24 @@
         }
     }
 
-    /// Tells whether any pool's owner answers.
+    /// Tells whether a pool that is not evacuated is owned here, or its owner answers.
     pub fn reaches_a_pool(&self) -> bool {
         let remote = self.remote.borrow();
-        self.engine.token().is_some() || remote.values().any(|link| link.is_up())
+        let answering = remote.iter().filter(|(_, link)| link.is_up());
+        let mut pools = answering.map(|(pool, _)| pool);
+        let owned = self.engine.owned();
+        owned.is_some_and(|pool| self.is_in_service(&pool))
+            || pools.any(|pool| self.is_in_service(pool))
+    }
+
+    /// Tells whether another host may serve callers whom this one can't: not while every zone is
+    /// evacuated, since every host refuses them then.
+    pub fn should_send_callers_away(&self) -> bool {
+        !self.reaches_a_pool() && !self.evacuations.covers_deployment()
+    }
+
+    fn is_in_service(&self, pool: &PoolId) -> bool {
+        !self.evacuations.contains(&pool.zone)
     }
 
     /// Tells whether any pool is known to have executors that take work.
--- a/crates/onyxshed-host/src/ready.rs
+++ b/crates/onyxshed-host/src/ready.rs
@@ -34,8 +34,9 @@
         let manifest: Rc<ManifestHolder> = kernel.find(MANIFEST)?;
         let links: Rc<Links> = kernel.find(LINKS)?;
         let handler: Handler = Rc::new(move |_call: Call| {
-            let is_ready =
-                readiness.is_ready() && manifest.get().is_some() && links.reaches_a_pool();
+            let is_ready = readiness.is_ready()
+                && manifest.get().is_some()
+                && !links.should_send_callers_away();
             let status = if is_ready { TAKES_CALLERS } else { TAKES_NONE };
             Box::pin(async move { Reply::bytes(status, Vec::new()) })
         });
--- a/crates/onyxshed-soak/tests/evacuation.rs
+++ b/crates/onyxshed-soak/tests/evacuation.rs
@@ -5,6 +5,7 @@
 
 use async_io::{Timer, block_on};
 use http_types::Method;
+use onyxshed_http::Reply;
 use onyxshed_http::client::{ClientOptions, Connection};
 use onyxshed_soak::fleet::{ExecutorClocks, Fleet, FleetOptions, ROUTE_HOST, ROUTE_PREFIX};
 use onyxshed_standins::faults::Mode;
@@ -28,6 +29,11 @@
 
 /// Sends a job to a host and gets the status of its answer; none if the connection broke.
 async fn send(host: SocketAddr, job: u64) -> Option<u16> {
+    ask(host, job).await.map(|reply| reply.status)
+}
+
+/// Sends a job to a host and gets its answer; none if the connection broke.
+async fn ask(host: SocketAddr, job: u64) -> Option<Reply> {
     let options = ClientOptions::default();
     let mut connection = Connection::open(host, options).await.ok()?;
     let body = json!({"spec": "10", "best_effort": true,
@@ -39,7 +45,7 @@
     let path = format!("{ROUTE_PREFIX}{job:016x}");
     let body = body.to_string().into_bytes();
     let reply = connection.call(Method::Post, &path, &headers, body, CEILING);
-    reply.await.ok().map(|reply| reply.status)
+    reply.await.ok()
 }
 
 /// Waits until the log of every host holds any of some words so many times in all.
@@ -170,3 +176,36 @@
         assert!(begun[0] + begun[1] > 0);
     });
 }
+
+/// Guards against callers who stay with a host that can't serve them: their zone is evacuated, and cut off
+/// from the others.
+#[test]
+fn a_host_that_reaches_no_zone_in_service_sends_its_callers_away() {
+    block_on(async {
+        let mut fleet = Fleet::start(&two_zones()).await.expect("it starts");
+        let hosts = fleet.host_names();
+        until_logged(&fleet, &hosts, &["PoolLinkUp", "PoolOwned"], 2).await;
+        fleet.set_evacuated("z0", true).await.expect("a record");
+        until_logged(&fleet, &hosts, &["ZoneEvacuated"], 1).await;
+        for name in &hosts[2..] {
+            let route = format!("peer-{name}");
+            fleet.set_mode(&route, Mode::Cut).await.expect("a cut");
+        }
+        let begun = Instant::now();
+        while fleet.readiness(&hosts[0]).await == Some(200) {
+            assert!(begun.elapsed() < CEILING, "it calls itself ready");
+            Timer::after(Duration::from_millis(20)).await;
+        }
+        let host = fleet.caller_addresses()[0];
+        let refused = ask(host, 0x100).await.expect("an answer");
+        assert_eq!(refused.status, 503);
+        assert_eq!(refused.get("connection"), Some("close"));
+        fleet.set_evacuated("z0", false).await.expect("a record");
+        until_logged(&fleet, &hosts[..2], &["ZoneRestored"], 1).await;
+        while fleet.readiness(&hosts[0]).await != Some(200) {
+            assert!(begun.elapsed() < CEILING, "it does not become ready");
+            Timer::after(Duration::from_millis(20)).await;
+        }
+        assert!(starts_by_zone(&mut fleet, host, 0x200).await[0] > 0);
+    });
+}
