Place after an event only what the event has made possible

Cause: each event about one executor or one job ranked every waiting job against every executor with room, also the answer to a start, which makes no room. perf of 4,000 events in a full pool: 25% in place, 15% collecting executors, 20% building and emptying the queue, 11% looking executors up by id.

Change: a report fills its executor from the queue, a new job looks for places for itself, a task that lost its run for its job; the whole queue is ranked with each tick and after a handover step. Places carry the room that is free.

--- /dev/null
+++ b/crates/onyxshed-pool/examples/decision-cost.rs
@@ -0,0 +1,195 @@
+//! Processor time of a pool's decisions: what an event costs while jobs wait.
+//!
+//! Plays a full pool by hand: each event is a job that comes, or a report of a run that has ended, and a
+//! load report as it goes with each answer. Prints microseconds an event by the number of executors and of
+//! jobs under way.
+
+use std::collections::VecDeque;
+use std::time::Instant;
+
+use onyxshed_core::{Millis, Mono, UnixMs};
+use onyxshed_pool::{
+    Action, ExecutorFacts, ExecutorId, ExecutorLists, ExecutorReport, FencingToken, FinishedRun,
+    HoldAnswer, JobId, JobRequest, PeerLife, Pool, PoolOptions, Room, RunEnd, RunningRun, Session,
+    StartAnswer, StartOrder, SubmissionNumber,
+};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+const OWN: PeerLife = PeerLife(1);
+
+/// Events measured at each size.
+const EVENTS: u32 = 4_000;
+
+/// Time between two events, in microseconds.
+const STEP_US: u64 = 20;
+
+/// Time between two ticks, in microseconds.
+const TICK_US: u64 = 20_000;
+
+/// A pool with the runs that are at work.
+struct Desk {
+    pool: Pool,
+    rng: SmallRng,
+    now: Mono,
+    next_job: u64,
+    at_work: VecDeque<(ExecutorId, StartOrder)>,
+    ends: u64,
+}
+
+impl Desk {
+    fn new(executors: u64) -> Self {
+        let now = Mono(1_000_000);
+        let pool = Pool::new(now, FencingToken(16), OWN, PoolOptions::default());
+        let mut desk = Desk {
+            pool,
+            rng: SmallRng::seed_from_u64(executors),
+            now,
+            next_job: 0,
+            at_work: VecDeque::new(),
+            ends: 0,
+        };
+        for number in 0..executors {
+            let id = ExecutorId(format!("i-{number:010x}").into());
+            desk.pool.executor_listed(now, id.clone(), facts(number));
+            desk.report(&id, Vec::new(), Vec::new());
+        }
+        desk
+    }
+
+    fn submit(&mut self) {
+        let (tasks, estimate_ms) = [(8, 60), (4, 900), (2, 200)][self.rng.random_range(0..3)];
+        let cpu_millis = self.rng.random_range(20_000..45_000);
+        self.next_job += 1;
+        let request = job(self.next_job, tasks, cpu_millis, Millis(estimate_ms));
+        let actions = self.pool.submit(self.now, Session(0), request);
+        self.take(actions);
+    }
+
+    /// Ends the run that has been at work longest.
+    fn end_one(&mut self) {
+        let Some((id, order)) = self.at_work.pop_front() else {
+            return;
+        };
+        self.ends += 1;
+        let finished = FinishedRun {
+            number: self.ends,
+            task: order.task,
+            run: order.run,
+            end: RunEnd::Done,
+        };
+        let same = self.at_work.iter().filter(|(other, _)| *other == id);
+        let running = same.map(|(_, order)| RunningRun {
+            task: order.task,
+            run: order.run,
+            done: None,
+        });
+        let running = running.collect();
+        self.report(&id, running, vec![finished]);
+    }
+
+    fn report(&mut self, id: &ExecutorId, running: Vec<RunningRun>, finished: Vec<FinishedRun>) {
+        let lists = ExecutorLists {
+            clock: UnixMs(self.now.0 / 1_000),
+            born: Some(UnixMs(1)),
+            listed_to: self.ends,
+            running,
+            finished,
+        };
+        let answer = HoldAnswer::Report(ExecutorReport::Lists(lists));
+        let actions = self.pool.hold_answered(self.now, id, self.now, answer);
+        self.take(actions);
+    }
+
+    fn take(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            if let Action::Start(id, order) = action {
+                let answer = StartAnswer::Started { clock: None };
+                let (task, run) = (order.task, order.run);
+                let next = self.pool.start_answered(self.now, &id, task, run, &answer);
+                self.at_work.push_back((id, order));
+                self.take(next);
+            }
+        }
+    }
+
+    fn pass(&mut self) {
+        self.now = Mono(self.now.0 + STEP_US);
+        if self.now.0.is_multiple_of(TICK_US) {
+            let actions = self.pool.tick(self.now);
+            self.take(actions);
+        }
+    }
+}
+
+fn job(number: u64, tasks: u16, cpu_millis: u32, estimate: Millis) -> JobRequest {
+    /// Long enough that no job is late or refused.
+    const LONG: Millis = Millis(60_000);
+    JobRequest {
+        peer: OWN,
+        submission: SubmissionNumber(number),
+        job: JobId(number),
+        upstream: "desk".into(),
+        spec: "spec".into(),
+        tasks,
+        demand: Room {
+            cpu_millis,
+            memory_mb: 64,
+            accelerators: 0,
+        },
+        estimate,
+        attempts_max: 3,
+        stretch_millis: 1_600,
+        objective: LONG,
+        spent: Millis(0),
+        time_left: LONG,
+        label: None,
+        data_rack: None,
+        per_executor_max: None,
+    }
+}
+
+fn facts(number: u64) -> ExecutorFacts {
+    let cores = if number % 3 == 2 { 96 } else { 64 };
+    ExecutorFacts {
+        address: "10.0.0.1:80".parse().expect("an address"),
+        upstream: "desk".into(),
+        capacity: Room {
+            cpu_millis: cores * 1_000,
+            memory_mb: 262_144,
+            accelerators: 0,
+        },
+        labels: vec!["a".into()],
+        rack: None,
+        is_draining: false,
+        born: Some(UnixMs(1)),
+    }
+}
+
+/// Measures the mean time of an event, in microseconds, with so many jobs under way.
+fn measure(executors: u64, jobs: usize) -> f64 {
+    let mut desk = Desk::new(executors);
+    while desk.pool.live_jobs() < jobs {
+        desk.submit();
+    }
+    let begun = Instant::now();
+    for _ in 0..EVENTS {
+        match desk.pool.live_jobs() < jobs {
+            true => desk.submit(),
+            false => desk.end_one(),
+        }
+        desk.pool.digest(desk.now);
+        desk.pass();
+    }
+    begun.elapsed().as_secs_f64() * 1e6 / f64::from(EVENTS)
+}
+
+fn main() {
+    println!("executors  jobs  us an event");
+    for executors in [16, 117, 350] {
+        for jobs in [100, 400, 1_600] {
+            let cost = measure(executors, jobs);
+            println!("{executors:>9}  {jobs:>4}  {cost:>11.1}");
+        }
+    }
+}
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -52,6 +52,8 @@
     /// No order is sent any more.
     is_over: bool,
     predecessor: Predecessor,
+    /// Jobs with tasks that lost their runs since the last look for places.
+    requeued: Vec<JobId>,
     actions: Vec<Action>,
 }
 
@@ -74,6 +76,7 @@
             has_executors_read: false,
             is_over: false,
             predecessor: Predecessor::None,
+            requeued: Vec::new(),
             actions: Vec::new(),
         }
     }
@@ -171,9 +174,9 @@
             }
             // It is the next owner's by now.
             None if self.stage == Stage::Releasing => {}
-            None => self.take_in(now, id, facts),
+            None => self.take_in(now, id.clone(), facts),
         }
-        self.place(now);
+        self.place_after_report(now, &id);
         self.take_actions()
     }
 
@@ -219,7 +222,7 @@
         for (task, run) in runs {
             self.requeue_run(task, run.number, id, "another executor is there");
         }
-        self.place(now);
+        self.place_after_report(now, id);
     }
 
     /// Lets a task wait again whose run is known not to be at work any more.
@@ -235,6 +238,7 @@
         };
         if job.awaits(task.index, number, id) {
             job.wait_again(task.index);
+            self.requeued.push(task.job);
             self.actions.push(Action::Note(Note::RunEnded {
                 task,
                 run: number,
--- a/crates/onyxshed-pool/src/pool/intake.rs
+++ b/crates/onyxshed-pool/src/pool/intake.rs
@@ -71,8 +71,9 @@
             }
             None => {
                 self.offered.record(now, request.work());
-                self.jobs.insert(request.job, Job::new(now, request));
-                self.place(now);
+                let id = request.job;
+                self.jobs.insert(id, Job::new(now, request));
+                self.place_job(now, id);
             }
         }
         self.take_actions()
@@ -94,7 +95,6 @@
             .is_some_and(|held| held.request.peer == peer && held.request.submission == submission);
         if is_theirs {
             self.end_job(job, JobEnd::Unknown(reason));
-            self.place(now);
         }
         self.take_actions()
     }
--- a/crates/onyxshed-pool/src/pool/orders.rs
+++ b/crates/onyxshed-pool/src/pool/orders.rs
@@ -53,7 +53,9 @@
             Next::Stop => self.stop_run(id, task),
             Next::Failed => self.run_failed(now, id, task, number),
         }
-        self.place(now);
+        if !self.requeued.is_empty() {
+            self.place_after_report(now, id);
+        }
         self.take_actions()
     }
 
--- a/crates/onyxshed-pool/src/pool/place.rs
+++ b/crates/onyxshed-pool/src/pool/place.rs
@@ -29,10 +29,27 @@
 /// An executor with room, and how slow it is.
 pub(super) struct Place {
     id: ExecutorId,
+    free: Room,
     slowdown: f64,
     pub is_slow: bool,
 }
 
+impl Place {
+    fn of(now: Mono, id: &ExecutorId, executor: &Executor) -> Place {
+        Place {
+            id: id.clone(),
+            free: executor.free,
+            slowdown: executor.slowdown.factor(now),
+            is_slow: executor.slowdown.is_slow(now),
+        }
+    }
+}
+
+/// Gets the most processor room at one place, in thousandths of a core; none without places.
+fn roomiest(places: &[Place]) -> Option<u32> {
+    places.iter().map(|place| place.free.cpu_millis).max()
+}
+
 /// What a job's place in the queue depends on; less goes first.
 type Rank = (bool, u64, Mono, JobId);
 
@@ -54,11 +71,11 @@
 impl Pool {
     /// Starts whatever can start.
     ///
-    /// It is called with every event. A full pool with hundreds of jobs waiting must cost little
-    /// then: nothing is ranked unless an executor has room for the smallest task that waits, and
-    /// only executors with room are looked at.
+    /// Ranks every job that may fit somewhere. Events about one executor or one job have cheaper ways:
+    /// [`Pool::place_after_report`] and [`Pool::place_job`].
     pub(super) fn place(&mut self, now: Mono) {
-        if self.is_over || self.zone_status == ZoneStatus::Evacuated {
+        self.requeued.clear();
+        if !self.may_place() {
             return;
         }
         let waiting = self.jobs.values().filter(|job| job.waiting > 0);
@@ -66,22 +83,80 @@
             return;
         };
         let mut places = self.places(now, least);
-        if places.is_empty() {
+        let Some(mut roomiest) = roomiest(&places) else {
             return;
-        }
+        };
         let mut queue: BinaryHeap<Reverse<(Rank, JobId)>> = self
             .jobs
             .iter()
-            .filter(|(_, job)| job.waiting > 0)
+            .filter(|(_, job)| job.waiting > 0 && job.request.demand.cpu_millis <= roomiest)
             .map(|(id, job)| Reverse((self.rank(now, *id, job), *id)))
             .collect();
         while let Some(Reverse((_, id))) = queue.pop() {
-            while let Some(taken) = self.place_next(now, id, &places) {
-                self.renew_place(now, &mut places, taken, least);
+            if self.jobs[&id].request.demand.cpu_millis > roomiest {
+                continue;
             }
-            if places.is_empty() {
-                return;
+            self.place_tasks_of(now, id, &mut places, least);
+            match self::roomiest(&places) {
+                Some(left) => roomiest = left,
+                None => return,
+            }
+        }
+    }
+
+    /// Starts what a report of an executor has made possible: tasks on the executor, and the tasks that
+    /// lost their runs.
+    pub(super) fn place_after_report(&mut self, now: Mono, id: &ExecutorId) {
+        let requeued = std::mem::take(&mut self.requeued);
+        self.place_on(now, id);
+        for job in requeued {
+            self.place_job(now, job);
+        }
+    }
+
+    /// Starts the tasks of a job that can start.
+    pub(super) fn place_job(&mut self, now: Mono, id: JobId) {
+        let job = self.jobs.get(&id).filter(|job| job.waiting > 0);
+        let Some(demand) = job.map(|job| job.request.demand.cpu_millis) else {
+            return;
+        };
+        if self.may_place() {
+            let mut places = self.places(now, demand);
+            self.place_tasks_of(now, id, &mut places, demand);
+        }
+    }
+
+    /// Starts the tasks that can start on one executor.
+    fn place_on(&mut self, now: Mono, id: &ExecutorId) {
+        while self.may_place()
+            && let Some(place) = self.place_of(now, id)
+            && let Some((job, index, expected)) = self.first_for(now, &place)
+        {
+            self.start(now, job, index, id, expected);
+        }
+    }
+
+    /// Gets the first task in the queue's order that may start at a place, with the time expected there.
+    fn first_for(&self, now: Mono, place: &Place) -> Option<(JobId, u16, Micros)> {
+        let candidates = self.jobs.iter().filter_map(|(id, job)| {
+            if job.waiting == 0 || !place.free.holds(job.request.demand) {
+                return None;
             }
+            let index = job.next_waiting()?;
+            let (expected, _) = self.fit(now, job, index, place)?;
+            Some((self.rank(now, *id, job), *id, index, expected))
+        });
+        let first = candidates.min_by_key(|(rank, ..)| *rank);
+        first.map(|(_, id, index, expected)| (id, index, expected))
+    }
+
+    fn may_place(&self) -> bool {
+        !self.is_over && self.zone_status != ZoneStatus::Evacuated
+    }
+
+    fn place_tasks_of(&mut self, now: Mono, id: JobId, places: &mut Vec<Place>, least: u32) {
+        while let Some(taken) = self.place_next(now, id, places) {
+            self.renew_place(now, places, taken, least);
         }
     }
 
@@ -91,24 +166,24 @@
             .iter()
             .filter(|(_, executor)| executor.free.cpu_millis >= least_cpu_millis)
             .filter(|(_, executor)| executor.takes_work(now, &self.options))
-            .map(|(id, executor)| Place {
-                id: id.clone(),
-                slowdown: executor.slowdown.factor(now),
-                is_slow: executor.slowdown.is_slow(now),
-            })
+            .map(|(id, executor)| Place::of(now, id, executor))
             .collect()
     }
 
-    /// Drops a place that has no room left.
+    /// Gets an executor as a place; none if it takes no work.
+    fn place_of(&self, now: Mono, id: &ExecutorId) -> Option<Place> {
+        let executor = self.executors.get(id)?;
+        let takes_work = executor.takes_work(now, &self.options);
+        takes_work.then(|| Place::of(now, id, executor))
+    }
+
+    /// Takes in that a task was started at a place, and drops the place if it has no room left.
     fn renew_place(&self, now: Mono, places: &mut Vec<Place>, taken: usize, least: u32) {
-        let still = self
-            .executors
-            .get(&places[taken].id)
-            .is_some_and(|executor| {
-                executor.free.cpu_millis >= least && executor.takes_work(now, &self.options)
-            });
-        if !still {
-            places.swap_remove(taken);
+        match self.place_of(now, &places[taken].id) {
+            Some(place) if place.free.cpu_millis >= least => places[taken] = place,
+            _ => {
+                places.swap_remove(taken);
+            }
         }
     }
 
@@ -152,21 +227,14 @@
         index: u16,
         places: &[Place],
     ) -> Option<(usize, Micros)> {
-        let estimate = job.estimate();
-        let slow_deadline = self.slow_deadline(now, job);
-        let failed_on = &job.tasks[usize::from(index)].failed_on;
         let mut best: Option<(Fit, usize)> = None;
         for (number, place) in places.iter().enumerate() {
-            let executor = &self.executors[&place.id];
-            if !self.may_run(now, executor, job) || failed_on.contains(&place.id) {
+            if !place.free.holds(job.request.demand) {
                 continue;
             }
-            let expected = scaled(estimate, place.slowdown * self.remoteness(executor, job));
-            if place.is_slow && slow_deadline.is_some_and(|limit| now + expected > limit) {
+            let Some(fit) = self.fit(now, job, index, place) else {
                 continue;
-            }
-            let room_left = executor.free.without(job.request.demand).cpu_millis;
-            let fit = (expected, room_left);
+            };
             if best.is_none_or(|(least, _)| fit < least) {
                 best = Some((fit, number));
             }
@@ -174,6 +242,28 @@
         best.map(|((expected, _), number)| (number, expected))
     }
 
+    /// Gets how well a place suits a task; none if the task must not start there.
+    fn fit(&self, now: Mono, job: &Job, index: u16, place: &Place) -> Option<Fit> {
+        let executor = self.executors.get(&place.id)?;
+        let failed_on = &job.tasks[usize::from(index)].failed_on;
+        if !self.may_run(now, executor, job) || failed_on.contains(&place.id) {
+            return None;
+        }
+        let expected = scaled(
+            job.estimate(),
+            place.slowdown * self.remoteness(executor, job),
+        );
+        let ends_too_late = || {
+            let deadline = self.slow_deadline(now, job);
+            deadline.is_some_and(|limit| now + expected > limit)
+        };
+        if place.is_slow && ends_too_late() {
+            return None;
+        }
+        let room_left = executor.free.without(job.request.demand).cpu_millis;
+        Some((expected, room_left))
+    }
+
     /// Gets by when a task has to end on a slow executor to be placed there; none if it may be placed
     /// anywhere, since the offered load exceeds what the other executors can do.
     fn slow_deadline(&self, now: Mono, job: &Job) -> Option<Mono> {
--- a/crates/onyxshed-pool/src/pool/reports.rs
+++ b/crates/onyxshed-pool/src/pool/reports.rs
@@ -48,7 +48,7 @@
                 false => SILENT_PAUSE,
             },
         };
-        self.place(now);
+        self.place_after_report(now, id);
         if self.is_parkable(id, has_news) {
             self.park(id);
         } else {
