End jobs at once that no executor in use could run

Change: a job that for 100 ms no executor in use could run ends: as not run if nothing of it was started, so that its entry host hands it to another pool; as unknown if it waits or has a run on an unresponsive executor. Its copy comes 1,300 ms later, when the lease of what may still run has lapsed. Jobs at work on executors that drain go on.

Tests: onyxshed-pool/tests/pool/lost.rs.

--- a/crates/onyxshed-cli/src/story/cause.rs
+++ b/crates/onyxshed-cli/src/story/cause.rs
@@ -54,6 +54,8 @@
     HostStopped,
     /// Operators have evacuated the zone, or all zones.
     ZoneEvacuated,
+    /// No executor answered that could run the rest of it.
+    ExecutorsLost,
 }
 
 /// Names the cause of the last answer; none if the logs hold no answer.
@@ -129,6 +131,7 @@
         UnknownReason::Superseded => Cause::SentAgain,
         UnknownReason::EntryStopped => Cause::HostStopped,
         UnknownReason::ZoneEvacuated => Cause::ZoneEvacuated,
+        UnknownReason::ExecutorsLost => Cause::ExecutorsLost,
     }
 }
 
@@ -193,6 +196,7 @@
             Cause::OutOfTime(_) => "E821 and E823 of the executors on which its runs ended",
             Cause::CallerLeft => "the caller",
             Cause::HostStopped => "who stopped the host, and how long its callers' jobs take",
+            Cause::ExecutorsLost => "E821, E824 and E825: which executors the pool lost",
             Cause::ZoneEvacuated => "E846 and E847: which zones are evacuated, and since when",
         }
     }
@@ -243,6 +247,9 @@
             Cause::CallerLeft => f.write_str("its caller left"),
             Cause::SentAgain => f.write_str("its caller sent it again while it ran"),
             Cause::HostStopped => f.write_str("unknown: the host was stopped before it ended"),
+            Cause::ExecutorsLost => {
+                f.write_str("unknown: no executor answered that could run the rest of it")
+            }
             Cause::ZoneEvacuated => f.write_str("its zone, or every zone, is evacuated"),
         }
     }
--- a/crates/onyxshed-host/src/callers/replies.rs
+++ b/crates/onyxshed-host/src/callers/replies.rs
@@ -46,5 +46,6 @@
         UnknownReason::EntryStopped => "unknown: this host is stopping",
         UnknownReason::Superseded => "unknown: the caller sent it again",
         UnknownReason::ZoneEvacuated => "unknown: the zone is evacuated",
+        UnknownReason::ExecutorsLost => "unknown: its executors were lost",
     }
 }
--- a/crates/onyxshed-pool/src/job.rs
+++ b/crates/onyxshed-pool/src/job.rs
@@ -107,11 +107,13 @@
     EntryStopped,
     /// Operators evacuated the zone before all tasks had started.
     ZoneEvacuated,
+    /// No executor answers that could run the rest of its tasks.
+    ExecutorsLost,
 }
 
 impl UnknownReason {
     /// Every reason; on the wire each is its place here.
-    pub const ALL: [UnknownReason; 8] = [
+    pub const ALL: [UnknownReason; 9] = [
         UnknownReason::OwnerChanged,
         UnknownReason::OwnerPaused,
         UnknownReason::PeerSilent,
@@ -120,6 +122,7 @@
         UnknownReason::Superseded,
         UnknownReason::EntryStopped,
         UnknownReason::ZoneEvacuated,
+        UnknownReason::ExecutorsLost,
     ];
 }
 
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -54,6 +54,8 @@
     predecessor: Predecessor,
     /// Jobs with tasks that lost their runs since the last look for places.
     requeued: Vec<JobId>,
+    /// Since when no executor in use could run a waiting job.
+    unplaceable_since: BTreeMap<JobId, Mono>,
     actions: Vec<Action>,
 }
 
@@ -77,6 +79,7 @@
             is_over: false,
             predecessor: Predecessor::None,
             requeued: Vec::new(),
+            unplaceable_since: BTreeMap::new(),
             actions: Vec::new(),
         }
     }
--- a/crates/onyxshed-pool/tests/pool/main.rs
+++ b/crates/onyxshed-pool/tests/pool/main.rs
@@ -8,6 +8,7 @@
 mod handover;
 mod hosts;
 mod load;
+mod lost;
 mod order;
 mod parts;
 mod search;
