--- a/crates/onyxshed-host/src/notes.rs
+++ b/crates/onyxshed-host/src/decisions.rs
@@ -1,13 +1,13 @@
 //! Decisions of a pool as events of the log.
 
 use onyxshed_core::{Event, EventKind};
-use onyxshed_pool::{FencingToken, Note};
+use onyxshed_pool::{Decision, FencingToken};
 use smol_str::{SmolStr, format_smolstr};
 
 /// Makes an event of a decision, with the token under which it was made.
-pub fn event_of(note: &Note, token: FencingToken) -> Event {
-    match note {
-        Note::RunOrdered {
+pub fn event_of(decision: &Decision, token: FencingToken) -> Event {
+    match decision {
+        Decision::RunOrdered {
             task,
             run,
             executor,
@@ -22,7 +22,7 @@
                 expected.as_millis(),
                 waited.as_millis()
             )),
-        Note::RunEnded {
+        Decision::RunEnded {
             task,
             run,
             executor,
@@ -32,7 +32,7 @@
             .task(task.index)
             .party(executor.0.clone())
             .detail(format_smolstr!("run {run}: {why}, token {token}")),
-        Note::StrayStopped {
+        Decision::StrayStopped {
             task,
             run,
             executor,
@@ -41,7 +41,7 @@
             .task(task.index)
             .party(executor.0.clone())
             .detail(format_smolstr!("run {run}, token {token}")),
-        Note::RunMoved {
+        Decision::RunMoved {
             task,
             run,
             executor,
@@ -54,37 +54,39 @@
                 "run {run}, {} left there, token {token}",
                 left.as_millis()
             )),
-        Note::ExecutorTaken(id) => about(EventKind::PoolExecutorTaken, id.0.clone()),
-        Note::ExecutorSilent(id) => about(EventKind::PoolExecutorSilent, id.0.clone()),
-        Note::ExecutorBack(id) => about(EventKind::PoolExecutorBack, id.0.clone()),
-        Note::ExecutorAvoided(id, span) => about(EventKind::PoolExecutorAvoided, id.0.clone())
+        Decision::ExecutorTaken(id) => about(EventKind::PoolExecutorTaken, id.0.clone()),
+        Decision::ExecutorSilent(id) => about(EventKind::PoolExecutorSilent, id.0.clone()),
+        Decision::ExecutorBack(id) => about(EventKind::PoolExecutorBack, id.0.clone()),
+        Decision::ExecutorAvoided(id, span) => about(EventKind::PoolExecutorAvoided, id.0.clone())
             .detail(format_smolstr!("for {span}")),
-        Note::ExecutorDraining(id) => about(EventKind::PoolExecutorDraining, id.0.clone()),
-        Note::ExecutorGone(id) => about(EventKind::PoolExecutorGone, id.0.clone()),
-        Note::PeerSilent(life, jobs) => about(EventKind::PoolPeerSilent, format_smolstr!("{life}"))
-            .detail(format_smolstr!("{jobs} jobs given up")),
-        Note::HandoverBegun { handed_back, kept } => Event::new(EventKind::PoolHandoverBegun)
+        Decision::ExecutorDraining(id) => about(EventKind::PoolExecutorDraining, id.0.clone()),
+        Decision::ExecutorGone(id) => about(EventKind::PoolExecutorGone, id.0.clone()),
+        Decision::PeerSilent(life, jobs) => {
+            about(EventKind::PoolPeerSilent, format_smolstr!("{life}"))
+                .detail(format_smolstr!("{jobs} jobs given up"))
+        }
+        Decision::HandoverBegun { handed_back, kept } => Event::new(EventKind::PoolHandoverBegun)
             .detail(format_smolstr!(
                 "token {token}, {handed_back} jobs handed back, {kept} end here"
             )),
-        Note::HandoverEnded => {
+        Decision::HandoverEnded => {
             Event::new(EventKind::PoolHandoverEnded).detail(format_smolstr!("token {token}"))
         }
-        Note::EvacuationBegun { handed_back, kept } => Event::new(EventKind::PoolEvacuationBegun)
-            .detail(format_smolstr!(
+        Decision::EvacuationBegun { handed_back, kept } => {
+            Event::new(EventKind::PoolEvacuationBegun).detail(format_smolstr!(
                 "token {token}, {handed_back} jobs handed back, {kept} end here"
-            )),
-        Note::EvacuationEnded => {
+            ))
+        }
+        Decision::EvacuationEnded => {
             Event::new(EventKind::PoolEvacuationEnded).detail(format_smolstr!("token {token}"))
         }
-        Note::Transferred(successor) => {
+        Decision::Transferred(successor) => {
             about(EventKind::PoolTransferred, format_smolstr!("{successor}"))
                 .detail(format_smolstr!("token {token}"))
         }
-        Note::Paused(span, jobs) => Event::new(EventKind::PauseDetected).detail(format_smolstr!(
-            "{}, {jobs} jobs given up",
-            span.as_millis()
-        )),
+        Decision::Paused(span, jobs) => Event::new(EventKind::PauseDetected).detail(
+            format_smolstr!("{}, {jobs} jobs given up", span.as_millis()),
+        ),
     }
 }
 
--- a/crates/onyxshed-host/src/engine.rs
+++ b/crates/onyxshed-host/src/engine.rs
@@ -18,17 +18,17 @@
 use onyxshed_http::connections::ConnectionPool;
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_pool::{
-    Action, ExecutorFacts, ExecutorId, FencingToken, JobEnd, JobId, JobRequest, NotRunReason, Note,
-    OwnershipTransfer, PeerLife, Pool, PoolDigest, PoolId, PoolOptions, Session, SubmissionNumber,
-    SuccessorOffer, UnknownReason,
+    Action, Decision, ExecutorFacts, ExecutorId, FencingToken, JobEnd, JobId, JobRequest,
+    NotRunReason, OwnershipTransfer, PeerLife, Pool, PoolId, PoolLoad, PoolOptions, Session,
+    SubmissionNumber, SuccessorOffer, UnknownReason,
 };
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::boot_clock;
+use crate::decisions;
 use crate::evacuations::ZoneEvacuations;
 use crate::measures::Measures;
 use crate::names::ENGINE;
-use crate::notes;
 
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(20);
@@ -147,7 +147,7 @@
         let jobs = pool.live_jobs();
         let token = pool.token();
         let actions = pool.step_down();
-        self.carry_out(token, actions);
+        self.execute(token, actions);
         self.connections.borrow_mut().clear();
         let detail = format_smolstr!("{why}, token {token}, {jobs} jobs");
         self.kernel
@@ -185,7 +185,7 @@
             return None;
         }
         let mut held = Vec::new();
-        self.feed(|pool| {
+        self.dispatch_event(|pool| {
             let (actions, still_held) = pool.release(boot_clock::now(), next);
             held = still_held;
             actions
@@ -195,34 +195,34 @@
 
     /// Takes in which executors the last owner still uses.
     pub fn predecessor_holds(self: &Rc<Self>, token: FencingToken, held: BTreeSet<ExecutorId>) {
-        self.feed_under(token, |pool| {
+        self.dispatch_event_under(token, |pool| {
             pool.predecessor_holds(boot_clock::now(), held)
         });
     }
 
     /// Feeds the decisions and carries out what they say; nothing if no pool is owned.
-    fn feed(self: &Rc<Self>, feed: impl FnOnce(&mut Pool) -> Vec<Action>) {
+    fn dispatch_event(self: &Rc<Self>, event: impl FnOnce(&mut Pool) -> Vec<Action>) {
         let fed = {
             let mut pool = self.pool.borrow_mut();
-            pool.as_mut().map(|pool| (pool.token(), feed(pool)))
+            pool.as_mut().map(|pool| (pool.token(), event(pool)))
         };
         if let Some((token, actions)) = fed {
-            self.carry_out(token, actions);
+            self.execute(token, actions);
         }
     }
 
     /// Feeds what came of a call that was made under a token.
-    fn feed_under(
+    fn dispatch_event_under(
         self: &Rc<Self>,
         token: FencingToken,
-        feed: impl FnOnce(&mut Pool) -> Vec<Action>,
+        event: impl FnOnce(&mut Pool) -> Vec<Action>,
     ) {
         if self.token() == Some(token) {
-            self.feed(feed);
+            self.dispatch_event(event);
         }
     }
 
-    fn carry_out(self: &Rc<Self>, token: FencingToken, actions: Vec<Action>) {
+    fn execute(self: &Rc<Self>, token: FencingToken, actions: Vec<Action>) {
         for action in actions {
             match action {
                 Action::Start(id, order) => self.spawn_start(token, id, order),
@@ -238,16 +238,16 @@
                     self.was_fenced.set(true);
                     self.give_up("another host owns it");
                 }
-                Action::Note(note) => self.write_down(token, &note),
+                Action::Log(decision) => self.log_decision(token, &decision),
             }
         }
     }
 
-    fn write_down(&self, token: FencingToken, note: &Note) {
-        if let Note::ExecutorGone(id) = note {
+    fn log_decision(&self, token: FencingToken, decision: &Decision) {
+        if let Decision::ExecutorGone(id) = decision {
             self.connections.borrow_mut().remove(id);
         }
-        self.kernel.emit(notes::event_of(note, token));
+        self.kernel.emit(decisions::event_of(decision, token));
     }
 
     fn deliver(&self, peer: PeerLife, submission: SubmissionNumber, end: JobEnd) {
@@ -268,7 +268,7 @@
         }
         let key = (request.peer, request.submission);
         self.waiting.borrow_mut().insert(key, sender);
-        self.feed(|pool| pool.submit(boot_clock::now(), session, request));
+        self.dispatch_event(|pool| pool.submit(boot_clock::now(), session, request));
         receiver
     }
 
@@ -280,7 +280,7 @@
         job: JobId,
         reason: UnknownReason,
     ) {
-        self.feed(|pool| pool.cancel(boot_clock::now(), peer, submission, job, reason));
+        self.dispatch_event(|pool| pool.cancel(boot_clock::now(), peer, submission, job, reason));
         self.waiting.borrow_mut().remove(&(peer, submission));
     }
 
@@ -327,20 +327,20 @@
     }
 
     /// Sums up the pool, none if no pool is owned.
-    pub fn digest(&self) -> Option<PoolDigest> {
+    pub fn load(&self) -> Option<PoolLoad> {
         let pool = self.pool.borrow();
-        pool.as_ref().map(|pool| pool.digest(boot_clock::now()))
+        pool.as_ref().map(|pool| pool.load(boot_clock::now()))
     }
 
     /// Takes in an executor as the platform lists it.
     pub fn executor_listed(self: &Rc<Self>, id: ExecutorId, facts: ExecutorFacts) {
         self.keep_connections(&id, &facts);
-        self.feed(|pool| pool.executor_listed(boot_clock::now(), id, facts));
+        self.dispatch_event(|pool| pool.executor_listed(boot_clock::now(), id, facts));
     }
 
     /// Takes in that an executor is no longer listed.
     pub fn executor_unlisted(self: &Rc<Self>, id: &ExecutorId) {
-        self.feed(|pool| pool.executor_unlisted(boot_clock::now(), id));
+        self.dispatch_event(|pool| pool.executor_unlisted(boot_clock::now(), id));
     }
 
     fn keep_connections(&self, id: &ExecutorId, facts: &ExecutorFacts) {
@@ -363,14 +363,14 @@
     fn update_evacuation(self: &Rc<Self>) {
         let owned = self.owned();
         let is_evacuated = owned.is_some_and(|pool| self.evacuations.contains(&pool.zone));
-        self.feed(|pool| pool.set_evacuated(boot_clock::now(), is_evacuated));
+        self.dispatch_event(|pool| pool.set_evacuated(boot_clock::now(), is_evacuated));
     }
 
     async fn tick(self: Rc<Self>, token: FencingToken) {
         while self.token() == Some(token) {
             Timer::after(TICK).await;
             self.update_evacuation();
-            self.feed(|pool| pool.tick(boot_clock::now()));
+            self.dispatch_event(|pool| pool.tick(boot_clock::now()));
         }
     }
 }
--- a/crates/onyxshed-host/src/engine/calls.rs
+++ b/crates/onyxshed-host/src/engine/calls.rs
@@ -39,7 +39,7 @@
             let answer = engine.start(&id, &order).await;
             let took = boot_clock::now().since(sent_at);
             engine.measures.ordered(OrderKind::Start, took);
-            engine.feed_under(token, |pool| {
+            engine.dispatch_event_under(token, |pool| {
                 pool.start_answered(boot_clock::now(), &id, order.task, order.run, &answer)
             });
         };
@@ -72,7 +72,7 @@
             let answer = engine.stop(&id, &order).await;
             let took = boot_clock::now().since(sent_at);
             engine.measures.ordered(OrderKind::Stop, took);
-            engine.feed_under(token, |pool| {
+            engine.dispatch_event_under(token, |pool| {
                 pool.stop_answered(boot_clock::now(), &id, order.task, order.run, answer)
             });
         };
@@ -103,7 +103,7 @@
             }
             let sent_at = boot_clock::now();
             let answer = engine.hold(&id, &order).await;
-            engine.feed_under(token, |pool| {
+            engine.dispatch_event_under(token, |pool| {
                 pool.hold_answered(boot_clock::now(), &id, sent_at, answer)
             });
         };
--- a/crates/onyxshed-host/src/lib.rs
+++ b/crates/onyxshed-host/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod boot_clock;
 pub mod callers;
+pub mod decisions;
 pub mod directory;
 pub mod divisions;
 pub mod engine;
@@ -21,7 +22,6 @@
 pub mod manifest;
 pub mod measures;
 pub mod names;
-pub mod notes;
 pub mod ownership;
 pub mod peer_state;
 pub mod process;
--- a/crates/onyxshed-host/src/links.rs
+++ b/crates/onyxshed-host/src/links.rs
@@ -18,7 +18,7 @@
 use onyxshed_http::client::within;
 use onyxshed_kernel::{Change, Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_pool::{
-    Chooser, JobEnd, JobRequest, NotRunReason, OwnershipTransfer, PeerLife, PoolDigest, PoolId,
+    Chooser, JobEnd, JobRequest, NotRunReason, OwnershipTransfer, PeerLife, PoolId, PoolLoad,
     SubmissionNumber, UnknownReason,
 };
 use onyxshed_process::{listen, serve_rpc};
@@ -148,10 +148,10 @@
 
     /// Gets the pools in the order in which a job should be handed to them.
     pub fn order(self: &Rc<Self>, job: &JobRequest) -> Vec<PoolId> {
-        if let (Some(digest), Some(owned)) = (self.engine.digest(), self.engine.owned()) {
+        if let (Some(load), Some(owned)) = (self.engine.load(), self.engine.owned()) {
             if self.engine.serves(&owned) {
-                self.chooser.borrow_mut().told(&owned, digest);
-            } else if let Some(successor) = digest.successor {
+                self.chooser.borrow_mut().update_load(&owned, load);
+            } else if let Some(successor) = load.successor {
                 self.follow_successor(&owned, successor);
             }
         }
@@ -190,9 +190,8 @@
 
     /// Tells whether any pool is known to have executors that take work.
     pub fn reaches_an_executor(&self) -> bool {
-        let own = self.engine.digest();
-        own.is_some_and(|digest| digest.capacity_cpu_millis > 0)
-            || self.chooser.borrow().has_capacity()
+        let own = self.engine.load();
+        own.is_some_and(|load| load.capacity_cpu_millis > 0) || self.chooser.borrow().has_capacity()
     }
 
     /// Takes in who owns a pool; none if nobody does, or this host itself.
@@ -236,7 +235,7 @@
     }
 
     /// Notes that an owner of a pool is known: this host itself, or one that has answered.
-    pub fn heard_owner(&self, pool: &PoolId) {
+    pub fn record_owner(&self, pool: &PoolId) {
         self.heard.borrow_mut().insert(pool.clone());
     }
 
@@ -269,7 +268,7 @@
     }
 
     /// Takes in who owns a pool by another host's word, unless this host knows an owner that answers.
-    pub fn hear_of_owner(self: &Rc<Self>, pool: &PoolId, owner: SocketAddr) {
+    pub fn learn_owner(self: &Rc<Self>, pool: &PoolId, owner: SocketAddr) {
         let is_known = self.is_up(pool) || self.engine.owned().as_ref() == Some(pool);
         if !is_known && owner != self.options.advertised {
             self.set_owner(pool, Some(owner));
@@ -282,12 +281,12 @@
     }
 
     /// Takes in what an owner tells of its pool.
-    fn told(self: &Rc<Self>, pool: &PoolId, digest: PoolDigest) {
-        if digest.is_leaving && self.is_settled(pool) {
+    fn update_load(self: &Rc<Self>, pool: &PoolId, load: PoolLoad) {
+        if load.is_leaving && self.is_settled(pool) {
             self.changed.notify();
         }
-        let successor = digest.successor;
-        self.chooser.borrow_mut().told(pool, digest);
+        let successor = load.successor;
+        self.chooser.borrow_mut().update_load(pool, load);
         if let Some(successor) = successor {
             self.follow_successor(pool, successor);
         }
@@ -297,7 +296,7 @@
     pub async fn run(self: &Rc<Self>, pool: &PoolId, job: JobRequest) -> JobEnd {
         self.chooser
             .borrow_mut()
-            .handed(pool, job.demand, job.tasks, job.estimate);
+            .record_dispatch(pool, job.demand, job.tasks, job.estimate);
         if self.engine.serves(pool) {
             return self.run_here(job).await;
         }
--- a/crates/onyxshed-host/src/links/port.rs
+++ b/crates/onyxshed-host/src/links/port.rs
@@ -105,10 +105,10 @@
             let list = results.reborrow().init_evacuations(pool::length(&records)?);
             pool::write_evacuations(&records, list);
         }
-        if let (Some(session), Some(digest)) = (session, self.engine.digest()) {
+        if let (Some(session), Some(load)) = (session, self.engine.load()) {
             results.set_is_owner(true);
             results.set_session(session.0);
-            pool::write_digest(&digest, results.reborrow().init_digest());
+            pool::write_load(&load, results.reborrow().init_load());
         }
         if let Some(transfer) = self.engine.transfer(life, &self.member) {
             pool::write_transfer(&transfer, results.init_transfer())?;
@@ -139,8 +139,8 @@
         };
         let mut results = results.get();
         pool::write_end(&end, results.reborrow().init_end());
-        if let Some(digest) = self.engine.digest() {
-            pool::write_digest(&digest, results.init_digest());
+        if let Some(load) = self.engine.load() {
+            pool::write_load(&load, results.init_load());
         }
         Ok(())
     }
--- a/crates/onyxshed-host/src/links/remote.rs
+++ b/crates/onyxshed-host/src/links/remote.rs
@@ -16,7 +16,7 @@
     ExecutorId, FencingToken, JobEnd, JobId, JobRequest, NotRunReason, PoolId, Session,
     SubmissionNumber, UnknownReason,
 };
-use onyxshed_proto::pool_capnp::{pool_digest, pool_port};
+use onyxshed_proto::pool_capnp::{pool_load, pool_port};
 use onyxshed_proto::{pool, rpc};
 use smol_str::format_smolstr;
 
@@ -204,7 +204,7 @@
             }));
         }
         if !was_up {
-            self.links.heard_owner(&self.pool);
+            self.links.record_owner(&self.pool);
             self.tell(EventKind::PoolLinkUp, "");
         }
     }
@@ -230,7 +230,7 @@
         for record in pool::read_evacuations(reply.get_evacuations()?)? {
             self.links.evacuations.learn(record, "an owner");
         }
-        self.told(reply.get_digest()?)?;
+        self.update_load(reply.get_load()?)?;
         if reply.has_transfer() && !self.is_closed.get() {
             let transfer = pool::read_transfer(reply.get_transfer()?)?;
             self.links.transferred(self.pool.clone(), transfer);
@@ -239,10 +239,10 @@
     }
 
     /// Takes in the sum of the pool, unless the pool is another owner's by now.
-    fn told(&self, digest: pool_digest::Reader<'_>) -> capnp::Result<()> {
-        let digest = pool::read_digest(digest)?;
+    fn update_load(&self, load: pool_load::Reader<'_>) -> capnp::Result<()> {
+        let load = pool::read_load(load)?;
         if !self.is_closed.get() {
-            self.links.told(&self.pool, digest);
+            self.links.update_load(&self.pool, load);
         }
         Ok(())
     }
@@ -331,8 +331,8 @@
         pool::write_job(job, params.init_job());
         let reply = request.send().promise.await?;
         let reply = reply.get()?;
-        if reply.has_digest() {
-            self.told(reply.get_digest()?)?;
+        if reply.has_load() {
+            self.update_load(reply.get_load()?)?;
         }
         pool::read_end(reply.get_end()?)
     }
--- a/crates/onyxshed-host/src/ownership/contender.rs
+++ b/crates/onyxshed-host/src/ownership/contender.rs
@@ -185,7 +185,7 @@
                 return LastOwner::NeverHeard;
             }
         };
-        self.links.heard_owner(pool);
+        self.links.record_owner(pool);
         let Some(address) = address.filter(|address| *address != self.options.address) else {
             return LastOwner::Gone;
         };
@@ -296,7 +296,7 @@
             .take()
             .map_or(KnownExecutors::None, KnownExecutors::Reading);
         self.follow_executors(token, &pool, division, known);
-        self.write_down(&pool).await;
+        self.log_decision(&pool).await;
         Next::Renew(pool)
     }
 
@@ -308,7 +308,7 @@
         last_owner: Option<Rc<RemoteLink>>,
     ) {
         self.directory.taken(pool);
-        self.links.heard_owner(pool);
+        self.links.record_owner(pool);
         self.engine.take_fenced();
         self.engine
             .own_pool(token, pool.clone(), last_owner.is_some());
@@ -321,7 +321,7 @@
     }
 
     /// Writes this owner down: hosts that start later find it while the store's books show none.
-    pub(super) async fn write_down(&mut self, pool: &PoolId) {
+    pub(super) async fn log_decision(&mut self, pool: &PoolId) {
         if let Err(error) = last_owner::write(&mut self.store, pool, &self.member).await {
             self.watch.failed(&error);
         }
--- a/crates/onyxshed-host/src/ownership/successor.rs
+++ b/crates/onyxshed-host/src/ownership/successor.rs
@@ -34,7 +34,7 @@
         let Some(holder) = self.ask_holder(&pool).await else {
             return Next::Renew(pool);
         };
-        self.write_down(&pool).await;
+        self.log_decision(&pool).await;
         if let Some(holder) = holder.filter(|holder| past_members.contains(holder)) {
             self.end_membership(&pool, &holder).await;
         }
--- a/crates/onyxshed-host/src/peer_state.rs
+++ b/crates/onyxshed-host/src/peer_state.rs
@@ -126,7 +126,7 @@
             self.divisions.learn(zone, *division);
         }
         for (pool, owner) in &known.owners {
-            self.links.hear_of_owner(pool, *owner);
+            self.links.learn_owner(pool, *owner);
         }
         for record in &known.evacuations {
             self.evacuations.learn(record.clone(), "another host");
--- a/crates/onyxshed-pool/examples/decision-cost.rs
+++ b/crates/onyxshed-pool/examples/decision-cost.rs
@@ -178,7 +178,7 @@
             true => desk.submit(),
             false => desk.end_one(),
         }
-        desk.pool.digest(desk.now);
+        desk.pool.load(desk.now);
         desk.pass();
     }
     begun.elapsed().as_secs_f64() * 1e6 / f64::from(EVENTS)
--- a/crates/onyxshed-pool/src/chooser.rs
+++ b/crates/onyxshed-pool/src/chooser.rs
@@ -14,7 +14,7 @@
 
 /// What an owner tells about its pool.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct PoolDigest {
+pub struct PoolLoad {
     /// Processor room of all usable executors, in thousandths of a core.
     pub capacity_cpu_millis: u64,
     /// What of it is free.
@@ -40,41 +40,41 @@
 /// Loads of the pools as the entry host believes them.
 #[derive(Debug, Default)]
 pub struct Chooser {
-    digests: BTreeMap<PoolId, PoolDigest>,
+    loads: BTreeMap<PoolId, PoolLoad>,
 }
 
 impl Chooser {
     /// Takes in what an owner tells of its pool.
-    pub fn told(&mut self, pool: &PoolId, digest: PoolDigest) {
-        self.digests.insert(pool.clone(), digest);
+    pub fn update_load(&mut self, pool: &PoolId, load: PoolLoad) {
+        self.loads.insert(pool.clone(), load);
     }
 
     /// Forgets a pool whose owner is lost.
     pub fn lost(&mut self, pool: &PoolId) {
-        self.digests.remove(pool);
+        self.loads.remove(pool);
     }
 
     /// Tells whether any pool has executors that take work.
     pub fn has_capacity(&self) -> bool {
-        let mut digests = self.digests.values();
-        digests.any(|digest| digest.capacity_cpu_millis > 0)
+        let mut loads = self.loads.values();
+        loads.any(|load| load.capacity_cpu_millis > 0)
     }
 
     /// Tells whether the owner of a pool answers and wants to be replaced, or is being replaced.
     pub fn is_leaving(&self, pool: &PoolId) -> bool {
-        let digest = self.digests.get(pool);
-        digest.is_some_and(|digest| digest.is_leaving)
+        let load = self.loads.get(pool);
+        load.is_some_and(|load| load.is_leaving)
     }
 
     /// Notes that a job was handed to a pool, ahead of the owner's next word.
-    pub fn handed(&mut self, pool: &PoolId, demand: Room, tasks: u16, estimate: Millis) {
-        let Some(digest) = self.digests.get_mut(pool) else {
+    pub fn record_dispatch(&mut self, pool: &PoolId, demand: Room, tasks: u16, estimate: Millis) {
+        let Some(load) = self.loads.get_mut(pool) else {
             return;
         };
         let one = u64::from(demand.cpu_millis.max(1));
-        let fits = (digest.free_cpu_millis / one).min(u64::from(tasks));
-        digest.free_cpu_millis -= fits * one;
-        digest.waiting_work += (u64::from(tasks) - fits) * one * estimate.0;
+        let fits = (load.free_cpu_millis / one).min(u64::from(tasks));
+        load.free_cpu_millis -= fits * one;
+        load.waiting_work += (u64::from(tasks) - fits) * one * estimate.0;
     }
 
     /// Gets the pools in the order in which they should be asked. Among pools with the same wait the one
@@ -87,14 +87,14 @@
         evacuations: &Evacuations,
     ) -> Vec<PoolId> {
         let mut pools: Vec<(u64, u64, Reverse<u64>, &PoolId)> = self
-            .digests
+            .loads
             .iter()
-            .filter(|(_, digest)| !digest.is_closing)
+            .filter(|(_, load)| !load.is_closing)
             .filter(|(pool, _)| !evacuations.contains(&pool.zone))
-            .map(|(pool, digest)| {
+            .map(|(pool, load)| {
                 let margin = margin(home, pool).0;
-                let wait_ms = wait_ms(digest, demand, tasks).saturating_add(margin);
-                (wait_ms, margin, Reverse(digest.free_cpu_millis), pool)
+                let wait_ms = wait_ms(load, demand, tasks).saturating_add(margin);
+                (wait_ms, margin, Reverse(load.free_cpu_millis), pool)
             })
             .collect();
         pools.sort();
@@ -119,13 +119,13 @@
 ///
 /// What waits is worked off by the whole pool; of the job itself, what does not fit into the free
 /// room counts as if each task lay in the way for as long as a short one takes.
-fn wait_ms(digest: &PoolDigest, demand: Room, tasks: u16) -> u64 {
+fn wait_ms(load: &PoolLoad, demand: Room, tasks: u16) -> u64 {
     const SHORT_TASK_MS: u64 = 60;
-    if digest.capacity_cpu_millis == 0 {
+    if load.capacity_cpu_millis == 0 {
         return u64::MAX;
     }
     let one = u64::from(demand.cpu_millis.max(1));
-    let fits = (digest.free_cpu_millis / one).min(u64::from(tasks));
+    let fits = (load.free_cpu_millis / one).min(u64::from(tasks));
     let unplaced = (u64::from(tasks) - fits) * one * SHORT_TASK_MS;
-    (digest.waiting_work + unplaced) / digest.capacity_cpu_millis
+    (load.waiting_work + unplaced) / load.capacity_cpu_millis
 }
--- a/crates/onyxshed-pool/src/lib.rs
+++ b/crates/onyxshed-pool/src/lib.rs
@@ -31,7 +31,7 @@
 pub mod summary;
 
 pub use candidate::{Candidate, CandidateStep, LastOwner};
-pub use chooser::{Chooser, PoolDigest};
+pub use chooser::{Chooser, PoolLoad};
 pub use division::{Division, PoolId};
 pub use error::{Error, Result};
 pub use evacuation::{EvacuationChange, EvacuationRecord, Evacuations, LogPosition};
@@ -42,8 +42,8 @@
 };
 pub use job::{JobEnd, JobRequest, NotRunReason, UnknownReason};
 pub use message::{
-    Action, ExecutorLists, ExecutorReport, FinishedRun, HoldAnswer, HoldOrder, Note, RefuseReason,
-    RunEnd, RunningRun, StartAnswer, StartOrder, StopAnswer, StopOrder,
+    Action, Decision, ExecutorLists, ExecutorReport, FinishedRun, HoldAnswer, HoldOrder,
+    RefuseReason, RunEnd, RunningRun, StartAnswer, StartOrder, StopAnswer, StopOrder,
 };
 pub use offered_load::OfferedLoad;
 pub use options::PoolOptions;
--- a/crates/onyxshed-pool/src/message.rs
+++ b/crates/onyxshed-pool/src/message.rs
@@ -192,12 +192,12 @@
     /// Give up the pool: another host owns it.
     StepDown,
     /// Write down what was decided.
-    Note(Note),
+    Log(Decision),
 }
 
 /// A decision or a change of belief, for the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Note {
+pub enum Decision {
     /// A run was ordered.
     RunOrdered {
         /// The task.
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -18,11 +18,11 @@
 
 use onyxshed_core::{Millis, Mono};
 
-use crate::chooser::PoolDigest;
+use crate::chooser::PoolLoad;
 use crate::executor::{Executor, ExecutorFacts, Executors, Life, Phase, RunState};
 use crate::id::{ExecutorId, FencingToken, JobId, PeerLife, Session, TaskId};
 use crate::job::{Job, JobEnd, UnknownReason};
-use crate::message::{Action, HoldOrder, Note, StopOrder};
+use crate::message::{Action, Decision, HoldOrder, StopOrder};
 use crate::offered_load::OfferedLoad;
 use crate::options::PoolOptions;
 use crate::peers::PeerSessions;
@@ -129,7 +129,7 @@
     ///
     /// An owner that was cut off from the store before it read the executors' list asks to be replaced: it
     /// answers, so other hosts would leave it alone, and it can serve nobody.
-    pub fn digest(&self, now: Mono) -> PoolDigest {
+    pub fn load(&self, now: Mono) -> PoolLoad {
         let is_in_service = self.zone_status == ZoneStatus::InService;
         let usable = self
             .executors
@@ -140,7 +140,7 @@
             capacity += u64::from(executor.facts.capacity.cpu_millis);
             free += u64::from(executor.free.cpu_millis);
         }
-        PoolDigest {
+        PoolLoad {
             capacity_cpu_millis: capacity,
             free_cpu_millis: free,
             waiting_work: self.jobs.values().map(Job::waiting_work).sum(),
@@ -171,7 +171,7 @@
                     executor.reborn(born);
                 }
                 if drains {
-                    self.note(Note::ExecutorDraining(id.clone()));
+                    self.log(Decision::ExecutorDraining(id.clone()));
                 }
             }
             // It is the next owner's by now.
@@ -209,7 +209,7 @@
             self.end_job(job, JobEnd::Unknown(UnknownReason::OwnerChanged));
         }
         self.actions
-            .retain(|action| matches!(action, Action::End { .. } | Action::Note(_)));
+            .retain(|action| matches!(action, Action::End { .. } | Action::Log(_)));
         self.take_actions()
     }
 
@@ -241,7 +241,7 @@
         if job.awaits(task.index, number, id) {
             job.wait_again(task.index);
             self.requeued.push(task.job);
-            self.actions.push(Action::Note(Note::RunEnded {
+            self.actions.push(Action::Log(Decision::RunEnded {
                 task,
                 run: number,
                 executor: id.clone(),
@@ -332,8 +332,8 @@
         waiting.map(|(id, _)| *id).collect()
     }
 
-    fn note(&mut self, note: Note) {
-        self.actions.push(Action::Note(note));
+    fn log(&mut self, decision: Decision) {
+        self.actions.push(Action::Log(decision));
     }
 
     fn take_actions(&mut self) -> Vec<Action> {
--- a/crates/onyxshed-pool/src/pool/evacuation.rs
+++ b/crates/onyxshed-pool/src/pool/evacuation.rs
@@ -11,7 +11,7 @@
 use crate::executor::Phase;
 use crate::id::{ExecutorId, JobId};
 use crate::job::{JobEnd, NotRunReason, UnknownReason};
-use crate::message::{Action, Note};
+use crate::message::{Action, Decision};
 
 /// Whether the pool's zone may get tasks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,7 +38,7 @@
     fn begin_evacuation(&mut self, now: Mono) {
         self.zone_status = ZoneStatus::Emptying(now + self.options.evacuation_grace_ms);
         let waiting = self.unstarted_jobs();
-        self.note(Note::EvacuationBegun {
+        self.log(Decision::EvacuationBegun {
             handed_back: waiting.len(),
             kept: self.jobs.len() - waiting.len(),
         });
@@ -50,7 +50,7 @@
 
     fn end_evacuation(&mut self, now: Mono) {
         self.zone_status = ZoneStatus::InService;
-        self.note(Note::EvacuationEnded);
+        self.log(Decision::EvacuationEnded);
         let mut parked = Vec::new();
         for (id, executor) in &mut self.executors {
             if std::mem::take(&mut executor.is_parked) {
--- a/crates/onyxshed-pool/src/pool/handover.rs
+++ b/crates/onyxshed-pool/src/pool/handover.rs
@@ -15,7 +15,7 @@
 use crate::executor::Phase;
 use crate::id::{ExecutorId, FencingToken, PeerLife};
 use crate::job::{JobEnd, NotRunReason};
-use crate::message::{Action, Note};
+use crate::message::{Action, Decision};
 use crate::successor::OwnershipTransfer;
 
 /// How far an owner has let go of its pool; it only goes on.
@@ -75,7 +75,7 @@
     ) -> Option<OwnershipTransfer> {
         let token = self.token.of_successor()?;
         if let Some(successor) = self.successor_choice.name(now, life) {
-            self.note(Note::Transferred(successor));
+            self.log(Decision::Transferred(successor));
         }
         if self.is_over || !self.successor_choice.is_successor(life) {
             return None;
@@ -123,7 +123,7 @@
     /// Ends the jobs of which nothing was started.
     fn hand_back_waiting(&mut self) {
         let waiting = self.unstarted_jobs();
-        self.note(Note::HandoverBegun {
+        self.log(Decision::HandoverBegun {
             handed_back: waiting.len(),
             kept: self.jobs.len() - waiting.len(),
         });
@@ -161,7 +161,7 @@
         }
         if is_done {
             self.predecessor = Predecessor::None;
-            self.note(Note::HandoverEnded);
+            self.log(Decision::HandoverEnded);
         }
         self.take_actions()
     }
--- a/crates/onyxshed-pool/src/pool/orders.rs
+++ b/crates/onyxshed-pool/src/pool/orders.rs
@@ -5,7 +5,7 @@
 use super::Pool;
 use crate::executor::RunState;
 use crate::id::{ExecutorId, JobId, RunNumber, TaskId};
-use crate::message::{Action, Note, RefuseReason, StartAnswer, StartOrder, StopAnswer};
+use crate::message::{Action, Decision, RefuseReason, StartAnswer, StartOrder, StopAnswer};
 
 /// How long an executor that refused for want of room gets no further task: its next end is due
 /// within about that time when it is full.
@@ -242,7 +242,7 @@
             return;
         };
         if let Some(span) = executor.health.run_failed(now, job, &self.options) {
-            self.note(Note::ExecutorAvoided(id.clone(), span));
+            self.log(Decision::ExecutorAvoided(id.clone(), span));
         }
     }
 
@@ -252,6 +252,6 @@
             return;
         };
         let span = executor.health.strike(now, &self.options);
-        self.note(Note::ExecutorAvoided(id.clone(), span));
+        self.log(Decision::ExecutorAvoided(id.clone(), span));
     }
 }
--- a/crates/onyxshed-pool/src/pool/place.rs
+++ b/crates/onyxshed-pool/src/pool/place.rs
@@ -19,7 +19,7 @@
 use crate::executor::{Executor, Run, RunState};
 use crate::id::{ExecutorId, JobId};
 use crate::job::Job;
-use crate::message::{Action, Note, StartOrder};
+use crate::message::{Action, Decision, StartOrder};
 use crate::room::Room;
 use crate::speed::scaled;
 
@@ -340,7 +340,7 @@
         };
         let waited = now.since(job.arrived);
         self.actions.push(Action::Start(place.clone(), order));
-        self.note(Note::RunOrdered {
+        self.log(Decision::RunOrdered {
             task,
             run: number,
             executor: place.clone(),
--- a/crates/onyxshed-pool/src/pool/progress.rs
+++ b/crates/onyxshed-pool/src/pool/progress.rs
@@ -10,7 +10,7 @@
 use super::Pool;
 use crate::executor::{Run, RunState};
 use crate::id::{ExecutorId, Percent, RunNumber, TaskId};
-use crate::message::{Note, RunningRun};
+use crate::message::{Decision, RunningRun};
 
 /// Shortest time at work after which a run's progress says anything: executors round it down.
 const PROGRESS_AFTER: Micros = Micros(40_000);
@@ -88,7 +88,7 @@
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.tasks[usize::from(task.index)].stuck += 1;
         }
-        self.note(Note::RunMoved {
+        self.log(Decision::RunMoved {
             task,
             run: forecast.run,
             executor: id.clone(),
--- a/crates/onyxshed-pool/src/pool/reports.rs
+++ b/crates/onyxshed-pool/src/pool/reports.rs
@@ -7,7 +7,7 @@
 use crate::id::{ExecutorId, RunNumber, TaskId};
 use crate::job::{JobEnd, TaskState};
 use crate::message::{
-    Action, ExecutorLists, ExecutorReport, FinishedRun, HoldAnswer, Note, RunEnd, RunningRun,
+    Action, Decision, ExecutorLists, ExecutorReport, FinishedRun, HoldAnswer, RunEnd, RunningRun,
 };
 
 /// Pause before an executor that did not answer is asked again.
@@ -87,7 +87,7 @@
         executor.heard_at = now;
         let was_silent = std::mem::take(&mut executor.is_silent);
         if was_silent {
-            self.note(Note::ExecutorBack(id.clone()));
+            self.log(Decision::ExecutorBack(id.clone()));
         }
         for end in &lists.finished {
             self.apply_finished(now, id, *end);
@@ -105,7 +105,7 @@
             return TAKING_PAUSE;
         }
         executor.phase = Phase::Held;
-        self.note(Note::ExecutorTaken(id.clone()));
+        self.log(Decision::ExecutorTaken(id.clone()));
         Millis(0)
     }
 
@@ -246,7 +246,7 @@
             .collect();
         for stray in strays {
             self.send_stop(id, stray.task, stray.run);
-            self.note(Note::StrayStopped {
+            self.log(Decision::StrayStopped {
                 task: stray.task,
                 run: stray.run,
                 executor: id.clone(),
@@ -261,7 +261,7 @@
         };
         let is_news = !std::mem::replace(&mut executor.is_silent, true);
         if is_news {
-            self.note(Note::ExecutorSilent(id.clone()));
+            self.log(Decision::ExecutorSilent(id.clone()));
         }
         is_news
     }
--- a/crates/onyxshed-pool/src/pool/watch.rs
+++ b/crates/onyxshed-pool/src/pool/watch.rs
@@ -6,7 +6,7 @@
 use crate::executor::{Executor, Run, RunState};
 use crate::id::{ExecutorId, JobId, TaskId};
 use crate::job::{JobEnd, UnknownReason};
-use crate::message::{Action, Note};
+use crate::message::{Action, Decision};
 
 /// Silence after which an executor that is no longer listed is forgotten.
 const FORGET_AFTER: Millis = Millis(10_000);
@@ -52,7 +52,7 @@
             .filter(|(_, job)| job.request.peer != self.own)
             .map(|(id, _)| *id)
             .collect();
-        self.note(Note::Paused(stood_still, jobs.len()));
+        self.log(Decision::Paused(stood_still, jobs.len()));
         for job in jobs {
             self.end_job(job, JobEnd::Unknown(UnknownReason::OwnerPaused));
         }
@@ -71,7 +71,7 @@
                 .collect();
             // One that has handed nothing over and is heard seldom is no news.
             if !jobs.is_empty() {
-                self.note(Note::PeerSilent(peer, jobs.len()));
+                self.log(Decision::PeerSilent(peer, jobs.len()));
             }
             for job in jobs {
                 self.end_job(job, JobEnd::Unknown(UnknownReason::PeerSilent));
@@ -159,7 +159,7 @@
             .collect();
         for id in gone {
             self.executors.remove(&id);
-            self.note(Note::ExecutorGone(id));
+            self.log(Decision::ExecutorGone(id));
         }
     }
 }
--- a/crates/onyxshed-pool/tests/pool/evacuation.rs
+++ b/crates/onyxshed-pool/tests/pool/evacuation.rs
@@ -3,7 +3,7 @@
 use onyxshed_core::Millis;
 use onyxshed_pool::{
     Chooser, EvacuationChange, EvacuationRecord, Evacuations, JobEnd, JobId, LogPosition,
-    NotRunReason, PoolDigest, PoolId, RunEnd, StartAnswer, UnknownReason,
+    NotRunReason, PoolId, PoolLoad, RunEnd, StartAnswer, UnknownReason,
 };
 use rstest::rstest;
 
@@ -152,21 +152,21 @@
         zone: zone.into(),
         index: 0,
     };
-    let load = |free_cpu_millis| PoolDigest {
+    let load = |free_cpu_millis| PoolLoad {
         capacity_cpu_millis: 1_000_000,
         free_cpu_millis,
-        ..PoolDigest::default()
+        ..PoolLoad::default()
     };
     let mut chooser = Chooser::default();
-    chooser.told(&pool("a"), load(500_000));
-    chooser.told(&pool("b"), load(900_000));
-    chooser.told(&pool("home"), load(1_000_000));
+    chooser.update_load(&pool("a"), load(500_000));
+    chooser.update_load(&pool("b"), load(900_000));
+    chooser.update_load(&pool("home"), load(1_000_000));
     let mut evacuations = Evacuations::default();
     evacuations.apply(record("home", 1, true));
     let mut first = Vec::new();
     for _ in 0..6 {
         let order = chooser.order(&pool("home"), room(100), 1, &evacuations);
-        chooser.handed(&order[0], room(100), 1, Millis(100));
+        chooser.record_dispatch(&order[0], room(100), 1, Millis(100));
         first.push(order[0].zone.to_string());
     }
     assert_eq!(first, ["b", "b", "b", "b", "a", "b"]);
--- a/crates/onyxshed-pool/tests/pool/parts.rs
+++ b/crates/onyxshed-pool/tests/pool/parts.rs
@@ -2,7 +2,7 @@
 
 use onyxshed_core::{Micros, Millis, Mono};
 use onyxshed_pool::speed::Slowdown;
-use onyxshed_pool::{Chooser, Evacuations, JobId, Percent, PoolDigest, PoolId, Room};
+use onyxshed_pool::{Chooser, Evacuations, JobId, Percent, PoolId, PoolLoad, Room};
 use rstest::rstest;
 
 #[rstest]
@@ -55,8 +55,8 @@
     }
 }
 
-fn digest(free_cores: u64, waiting_core_ms: u64) -> PoolDigest {
-    PoolDigest {
+fn load(free_cores: u64, waiting_core_ms: u64) -> PoolLoad {
+    PoolLoad {
         capacity_cpu_millis: 1_000_000,
         free_cpu_millis: free_cores * 1_000,
         waiting_work: waiting_core_ms * 1_000,
@@ -66,10 +66,10 @@
     }
 }
 
-fn order(home: &PoolDigest, away: &PoolDigest, tasks: u16) -> Vec<String> {
+fn order(home: &PoolLoad, away: &PoolLoad, tasks: u16) -> Vec<String> {
     let mut chooser = Chooser::default();
-    chooser.told(&pool("home"), home.clone());
-    chooser.told(&pool("away"), away.clone());
+    chooser.update_load(&pool("home"), home.clone());
+    chooser.update_load(&pool("away"), away.clone());
     let demand = Room {
         cpu_millis: 27_000,
         memory_mb: 64,
@@ -81,25 +81,22 @@
 
 #[test]
 fn a_job_stays_in_its_zone_while_there_is_room() {
-    assert_eq!(
-        order(&digest(300, 0), &digest(1_000, 0), 8),
-        ["home", "away"]
-    );
+    assert_eq!(order(&load(300, 0), &load(1_000, 0), 8), ["home", "away"]);
 }
 
 #[test]
 fn a_job_goes_to_another_zone_past_a_queue() {
-    let waiting = digest(0, 60_000);
-    assert_eq!(order(&waiting, &digest(600, 0), 4), ["away", "home"]);
+    let waiting = load(0, 60_000);
+    assert_eq!(order(&waiting, &load(600, 0), 4), ["away", "home"]);
 }
 
 #[test]
 fn a_closing_pool_is_not_asked() {
-    let closing = PoolDigest {
+    let closing = PoolLoad {
         is_closing: true,
-        ..digest(1_000, 0)
+        ..load(1_000, 0)
     };
-    assert_eq!(order(&closing, &digest(0, 60_000), 4), ["away"]);
+    assert_eq!(order(&closing, &load(0, 60_000), 4), ["away"]);
 }
 
 /// A caller hears "not run" from a host whose pool has just got a new owner. The owner's sum was told
@@ -107,24 +104,24 @@
 /// heartbeat. It is asked, behind those that show room.
 #[test]
 fn a_pool_that_shows_no_capacity_yet_is_asked_last() {
-    let taking_over = PoolDigest {
+    let taking_over = PoolLoad {
         capacity_cpu_millis: 0,
-        ..digest(0, 0)
+        ..load(0, 0)
     };
-    assert_eq!(order(&taking_over, &digest(0, 60_000), 4), ["away", "home"]);
+    assert_eq!(order(&taking_over, &load(0, 60_000), 4), ["away", "home"]);
 }
 
 #[test]
 fn jobs_handed_over_count_before_the_owner_says_so() {
     let mut chooser = Chooser::default();
-    chooser.told(&pool("home"), digest(270, 0));
-    chooser.told(&pool("away"), digest(270, 0));
+    chooser.update_load(&pool("home"), load(270, 0));
+    chooser.update_load(&pool("away"), load(270, 0));
     let demand = Room {
         cpu_millis: 27_000,
         memory_mb: 64,
         accelerators: 0,
     };
-    chooser.handed(&pool("home"), demand, 32, Millis(1_000));
+    chooser.record_dispatch(&pool("home"), demand, 32, Millis(1_000));
     let pools = chooser.order(&pool("home"), demand, 1, &Evacuations::default());
     assert_eq!(pools[0], pool("away"));
 }
--- a/crates/onyxshed-pool/tests/pool/successor.rs
+++ b/crates/onyxshed-pool/tests/pool/successor.rs
@@ -112,9 +112,9 @@
     let mut desk = stopping();
     let told = heartbeat(&mut desk, 20, OTHER, Some(offer(3, 500)));
     let token = told.expect("a transfer").token;
-    assert_eq!(desk.pool.digest(at_ms(30)).successor, None);
+    assert_eq!(desk.pool.load(at_ms(30)).successor, None);
     desk.pool.release(at_ms(40), token);
-    assert_eq!(desk.pool.digest(at_ms(50)).successor, Some(address(3)));
+    assert_eq!(desk.pool.load(at_ms(50)).successor, Some(address(3)));
 }
 
 /// The store gave the pool to a third host meanwhile. Its token is higher than the successor's, so callers
@@ -124,7 +124,7 @@
     let mut desk = stopping();
     assert!(heartbeat(&mut desk, 20, OTHER, Some(offer(3, 500))).is_some());
     desk.pool.release(at_ms(40), FencingToken(32));
-    assert_eq!(desk.pool.digest(at_ms(50)).successor, None);
+    assert_eq!(desk.pool.load(at_ms(50)).successor, None);
 }
 
 /// Successors follow one another while the store is away, each of which an executor must obey after the
@@ -152,7 +152,7 @@
 #[test]
 fn an_owner_without_a_list_of_executors_wants_to_be_replaced() {
     let mut desk = Desk::with_executors(&[]);
-    assert!(desk.pool.digest(at_ms(1)).is_leaving);
+    assert!(desk.pool.load(at_ms(1)).is_leaving);
     desk.pool.executors_read();
-    assert!(!desk.pool.digest(at_ms(2)).is_leaving);
+    assert!(!desk.pool.load(at_ms(2)).is_leaving);
 }
--- a/crates/onyxshed-pool/tests/pool/world.rs
+++ b/crates/onyxshed-pool/tests/pool/world.rs
@@ -211,7 +211,7 @@
         PeerLife(self.last_life)
     }
 
-    fn note(&mut self, task: TaskId, words: String) {
+    fn log(&mut self, task: TaskId, words: String) {
         self.trace.push((self.now, task, words));
     }
 
--- a/crates/onyxshed-pool/tests/pool/world/executors.rs
+++ b/crates/onyxshed-pool/tests/pool/world/executors.rs
@@ -47,7 +47,7 @@
         }
         let call = self.calls.get_mut(&order.task.job).expect("a caller's job");
         call.started = true;
-        self.note(order.task, format!("run {} starts on {id}", order.run));
+        self.log(order.task, format!("run {} starts on {id}", order.run));
         self.check_alone(id, order.task);
         self.started_at.insert(order.task, now);
         self.plan_end(id, order.task, order.run);
--- a/crates/onyxshed-pool/tests/pool/world/faults.rs
+++ b/crates/onyxshed-pool/tests/pool/world/faults.rs
@@ -47,7 +47,7 @@
             .map(|(job, index)| TaskId { job, index })
             .collect();
         for task in open {
-            self.note(task, format!("{fault:?}"));
+            self.log(task, format!("{fault:?}"));
         }
         match fault {
             Fault::KillOwner => {
--- a/crates/onyxshed-pool/tests/pool/world/owners.rs
+++ b/crates/onyxshed-pool/tests/pool/world/owners.rs
@@ -4,7 +4,7 @@
 
 use onyxshed_core::{Millis, Mono};
 use onyxshed_pool::{
-    Action, ExecutorFacts, ExecutorId, FencingToken, HoldAnswer, Note, Pool, StartAnswer,
+    Action, Decision, ExecutorFacts, ExecutorId, FencingToken, HoldAnswer, Pool, StartAnswer,
     StopAnswer,
 };
 use onyxshed_standins::fleet::RunBook;
@@ -71,13 +71,13 @@
                     }
                 }
                 Action::StepDown => self.owners[owner].is_dead = true,
-                Action::Note(Note::RunEnded {
+                Action::Log(Decision::RunEnded {
                     task,
                     run,
                     executor,
                     why,
-                }) => self.note(task, format!("{owner} has run {run} on {executor}: {why}")),
-                Action::Note(_) => {}
+                }) => self.log(task, format!("{owner} has run {run} on {executor}: {why}")),
+                Action::Log(_) => {}
             }
         }
     }
@@ -91,11 +91,11 @@
         };
         let sent_at = self.now + pause;
         match &order {
-            Order::Start(order) => self.note(
+            Order::Start(order) => self.log(
                 order.task,
                 format!("{owner} orders run {} of {id}", order.run),
             ),
-            Order::Stop(order) => self.note(
+            Order::Stop(order) => self.log(
                 order.task,
                 format!("{owner} stops run {} on {id}", order.run),
             ),
@@ -192,7 +192,7 @@
         let Some((_, order, sent_at)) = self.owners[owner].awaited.remove(&number) else {
             return;
         };
-        self.feed(owner, &id, &order, sent_at, answer);
+        self.dispatch_event(owner, &id, &order, sent_at, answer);
     }
 
     pub(super) fn timed_out(&mut self, owner: OwnerIndex, id: ExecutorId, number: u64) {
@@ -207,10 +207,10 @@
             Order::Stop(_) => Answer::Stop(StopAnswer::Unknown),
             Order::Hold(_) => Answer::Hold(HoldAnswer::Unknown),
         };
-        self.feed(owner, &id, &order, sent_at, answer);
+        self.dispatch_event(owner, &id, &order, sent_at, answer);
     }
 
-    pub(super) fn feed(
+    pub(super) fn dispatch_event(
         &mut self,
         owner: OwnerIndex,
         id: &ExecutorId,
--- a/crates/onyxshed-proto/schema/pool.capnp
+++ b/crates/onyxshed-proto/schema/pool.capnp
@@ -5,7 +5,7 @@
 
 @0xc2f0a4d6b8e1973d;
 
-struct PoolDigest {
+struct PoolLoad {
   capacityCpuMillis @0 :UInt64;
   freeCpuMillis @1 :UInt64;
   # Thousandths of a core times milliseconds.
@@ -115,8 +115,8 @@
 interface PoolPort {
   # The offer is left out by hosts that can't own the pool, the transfer for all but the successor, the
   # evacuations where there have been none.
-  heartbeat @0 (life :UInt64, pool :Text, offer :SuccessorOffer, evacuations :List(ZoneEvacuation)) -> (isOwner :Bool, session :UInt64, digest :PoolDigest, transfer :OwnershipTransfer, evacuations :List(ZoneEvacuation));
-  run @1 (life :UInt64, pool :Text, session :UInt64, job :PoolJob) -> (end :PoolEnd, digest :PoolDigest);
+  heartbeat @0 (life :UInt64, pool :Text, offer :SuccessorOffer, evacuations :List(ZoneEvacuation)) -> (isOwner :Bool, session :UInt64, load :PoolLoad, transfer :OwnershipTransfer, evacuations :List(ZoneEvacuation));
+  run @1 (life :UInt64, pool :Text, session :UInt64, job :PoolJob) -> (end :PoolEnd, load :PoolLoad);
   cancel @2 (life :UInt64, pool :Text, job :UInt64, submission :UInt64) -> ();
   # Asked by the pool's next owner until nothing is held any more; the token is the next owner's.
   release @3 (pool :Text, token :UInt64) -> (isOwner :Bool, held :List(Text));
--- a/crates/onyxshed-proto/src/pool.rs
+++ b/crates/onyxshed-proto/src/pool.rs
@@ -9,33 +9,33 @@
 
 use onyxshed_core::Millis;
 use onyxshed_pool::{
-    ExecutorId, JobEnd, JobId, JobRequest, NotRunReason, PeerLife, PoolDigest, Room,
+    ExecutorId, JobEnd, JobId, JobRequest, NotRunReason, PeerLife, PoolLoad, Room,
     SubmissionNumber, UnknownReason,
 };
 use smol_str::{SmolStr, format_smolstr};
 
-use crate::pool_capnp::{PoolEndKind, pool_digest, pool_end, pool_job, pool_port};
+use crate::pool_capnp::{PoolEndKind, pool_end, pool_job, pool_load, pool_port};
 
 pub use evacuation::{read_evacuations, write_evacuations};
 pub use peer_state::{PeerState, read_peer_state, write_peer_state};
 pub use transfer::{read_offer, read_transfer, write_offer, write_transfer};
 
 /// Writes an owner's sum of its pool.
-pub fn write_digest(digest: &PoolDigest, mut to: pool_digest::Builder<'_>) {
-    to.set_capacity_cpu_millis(digest.capacity_cpu_millis);
-    to.set_free_cpu_millis(digest.free_cpu_millis);
-    to.set_waiting_work(digest.waiting_work);
-    to.set_is_leaving(digest.is_leaving);
-    to.set_is_closing(digest.is_closing);
-    if let Some(successor) = digest.successor {
+pub fn write_load(load: &PoolLoad, mut to: pool_load::Builder<'_>) {
+    to.set_capacity_cpu_millis(load.capacity_cpu_millis);
+    to.set_free_cpu_millis(load.free_cpu_millis);
+    to.set_waiting_work(load.waiting_work);
+    to.set_is_leaving(load.is_leaving);
+    to.set_is_closing(load.is_closing);
+    if let Some(successor) = load.successor {
         to.set_successor(format_smolstr!("{successor}").as_str());
     }
 }
 
 /// Tries to read an owner's sum of its pool.
-pub fn read_digest(from: pool_digest::Reader<'_>) -> capnp::Result<PoolDigest> {
+pub fn read_load(from: pool_load::Reader<'_>) -> capnp::Result<PoolLoad> {
     let successor = given(text(from.get_successor()?)?);
-    Ok(PoolDigest {
+    Ok(PoolLoad {
         capacity_cpu_millis: from.get_capacity_cpu_millis(),
         free_cpu_millis: from.get_free_cpu_millis(),
         waiting_work: from.get_waiting_work(),
--- a/crates/onyxshed-proto/src/pool_capnp.rs
+++ b/crates/onyxshed-proto/src/pool_capnp.rs
@@ -5,7 +5,7 @@
 // capnpc crate version: 0.27.0
 
 
-pub mod pool_digest {
+pub mod pool_load {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -217,20 +217,20 @@
     mod _private {
         pub(crate) static ENCODED_NODE: [::capnp::Word; 114] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(145, 130, 96, 139, 95, 216, 139, 213),
+            ::capnp::word(62, 180, 29, 157, 27, 204, 88, 177),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(61, 151, 225, 184, 214, 164, 240, 194),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 80, 111, 111, 108, 68),
-            ::capnp::word(105, 103, 101, 115, 116, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 80, 111, 111, 108, 76),
+            ::capnp::word(111, 97, 100, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -355,7 +355,7 @@
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,3,4,5,2];
-        pub(crate) const TYPE_ID: u64 = 0xd58b_d85f_8b60_8291;
+        pub(crate) const TYPE_ID: u64 = 0xb158_cc1b_9d1d_b43e;
     }
 }
 
@@ -4054,11 +4054,11 @@
                 self.reader.get_data_field::<u64>(1)
             }
             #[inline]
-            pub fn get_digest(self) -> ::capnp::Result<crate::pool_capnp::pool_digest::Reader<'a>> {
+            pub fn get_load(self) -> ::capnp::Result<crate::pool_capnp::pool_load::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_digest(&self) -> bool {
+            pub fn has_load(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
@@ -4148,19 +4148,19 @@
                 self.builder.set_data_field::<u64>(1, value);
             }
             #[inline]
-            pub fn get_digest(self) -> ::capnp::Result<crate::pool_capnp::pool_digest::Builder<'a>> {
+            pub fn get_load(self) -> ::capnp::Result<crate::pool_capnp::pool_load::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_digest(&mut self, value: crate::pool_capnp::pool_digest::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_load(&mut self, value: crate::pool_capnp::pool_load::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_digest(self, ) -> crate::pool_capnp::pool_digest::Builder<'a> {
+            pub fn init_load(self, ) -> crate::pool_capnp::pool_load::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_digest(&self) -> bool {
+            pub fn has_load(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
             #[inline]
@@ -4204,7 +4204,7 @@
             }
         }
         impl Pipeline  {
-            pub fn get_digest(&self) -> crate::pool_capnp::pool_digest::Pipeline {
+            pub fn get_load(&self) -> crate::pool_capnp::pool_load::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
             pub fn get_transfer(&self) -> crate::pool_capnp::ownership_transfer::Pipeline {
@@ -4248,7 +4248,7 @@
                 ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(133, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
@@ -4282,9 +4282,9 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
+                ::capnp::word(108, 111, 97, 100, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(145, 130, 96, 139, 95, 216, 139, 213),
+                ::capnp::word(62, 180, 29, 157, 27, 204, 88, 177),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -4317,7 +4317,7 @@
                 match index {
                     0 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <crate::pool_capnp::pool_digest::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <crate::pool_capnp::pool_load::Owned as ::capnp::introspect::Introspect>::introspect(),
                     3 => <crate::pool_capnp::ownership_transfer::Owned as ::capnp::introspect::Introspect>::introspect(),
                     4 => <::capnp::struct_list::Owned<crate::pool_capnp::zone_evacuation::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
@@ -4335,7 +4335,7 @@
             );
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,4,0,1,3];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,0,2,1,3];
             pub(crate) const TYPE_ID: u64 = 0xd7b7_973a_83e4_906a;
         }
     }
@@ -4716,11 +4716,11 @@
                 !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_digest(self) -> ::capnp::Result<crate::pool_capnp::pool_digest::Reader<'a>> {
+            pub fn get_load(self) -> ::capnp::Result<crate::pool_capnp::pool_load::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_digest(&self) -> bool {
+            pub fn has_load(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
         }
@@ -4794,19 +4794,19 @@
                 !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_digest(self) -> ::capnp::Result<crate::pool_capnp::pool_digest::Builder<'a>> {
+            pub fn get_load(self) -> ::capnp::Result<crate::pool_capnp::pool_load::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_digest(&mut self, value: crate::pool_capnp::pool_digest::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_load(&mut self, value: crate::pool_capnp::pool_load::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
             }
             #[inline]
-            pub fn init_digest(self, ) -> crate::pool_capnp::pool_digest::Builder<'a> {
+            pub fn init_load(self, ) -> crate::pool_capnp::pool_load::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
             }
             #[inline]
-            pub fn has_digest(&self) -> bool {
+            pub fn has_load(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
         }
@@ -4821,7 +4821,7 @@
             pub fn get_end(&self) -> crate::pool_capnp::pool_end::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
-            pub fn get_digest(&self) -> crate::pool_capnp::pool_digest::Pipeline {
+            pub fn get_load(&self) -> crate::pool_capnp::pool_load::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
             }
         }
@@ -4854,7 +4854,7 @@
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
@@ -4866,9 +4866,9 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
+                ::capnp::word(108, 111, 97, 100, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(145, 130, 96, 139, 95, 216, 139, 213),
+                ::capnp::word(62, 180, 29, 157, 27, 204, 88, 177),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -4878,7 +4878,7 @@
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::pool_capnp::pool_end::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <crate::pool_capnp::pool_digest::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <crate::pool_capnp::pool_load::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4894,7 +4894,7 @@
             );
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
             pub(crate) const TYPE_ID: u64 = 0x9b0f_e087_57a3_76d3;
         }
     }
