--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -3,7 +3,7 @@
 //! [`intake`] takes jobs in and refuses those that can't end in time, [`place`] starts runs,
 //! [`orders`] takes in what came of orders, [`reports`] what executors say, [`progress`] how far
 //! their runs are, [`watch`] what time brings, [`handover`] passes the pool on to its next owner,
-//! [`evacuation`] empties it for operators.
+//! [`evacuation`] empties it for operators, [`stalled`] ends jobs that lost their executors.
 
 mod evacuation;
 mod handover;
@@ -12,6 +12,7 @@
 mod place;
 mod progress;
 mod reports;
+mod stalled;
 mod watch;
 
 use std::collections::BTreeMap;
@@ -54,8 +55,8 @@
     predecessor: Predecessor,
     /// Jobs with tasks that lost their runs since the last look for places.
     requeued: Vec<JobId>,
-    /// Since when no executor in use could run a waiting job.
-    unplaceable_since: BTreeMap<JobId, Mono>,
+    /// Since when no executor in use could run a job.
+    stalled_since: BTreeMap<JobId, Mono>,
     actions: Vec<Action>,
 }
 
@@ -79,7 +80,7 @@
             is_over: false,
             predecessor: Predecessor::None,
             requeued: Vec::new(),
-            unplaceable_since: BTreeMap::new(),
+            stalled_since: BTreeMap::new(),
             actions: Vec::new(),
         }
     }
--- a/crates/onyxshed-pool/src/pool/intake.rs
+++ b/crates/onyxshed-pool/src/pool/intake.rs
@@ -11,7 +11,7 @@
 use super::place::{Feasibility, LATE_WEIGHT};
 use crate::executor::Executor;
 use crate::id::{JobId, PeerLife, Session, SubmissionNumber};
-use crate::job::{Job, JobEnd, JobRequest, NotRunReason, TaskState, UnknownReason};
+use crate::job::{Job, JobEnd, JobRequest, NotRunReason, UnknownReason};
 use crate::message::Action;
 use crate::room::Room;
 
@@ -19,16 +19,12 @@
 const RETRY_LEAST: Millis = Millis(100);
 
 /// Longest time after which a refused caller is asked back: a burst is over by then.
-const RETRY_MOST: Millis = Millis(5_000);
+pub(super) const RETRY_MOST: Millis = Millis(5_000);
 
 /// Backlog, as the time that the pool needs for it, up to which no late job is shed. Small pools would
 /// refuse callers who would have an answer a moment later.
 const SHED_BACKLOG: Millis = Millis(60);
 
-/// How long no executor may be in use that could run a waiting job before the job ends. A report that is
-/// late makes its executor unresponsive for a moment.
-const UNPLACEABLE_PATIENCE: Millis = Millis(100);
-
 /// Waiting jobs that can be on target, and what drains them.
 struct Backlog {
     /// Their waiting work, the least first, in thousandths of a core times milliseconds.
@@ -221,46 +217,8 @@
         Millis((waiting / capacity).clamp(RETRY_LEAST.0, RETRY_MOST.0))
     }
 
-    /// Ends the jobs that no executor in use could run and that wait, or have runs on unresponsive
-    /// executors: another pool may serve those that have not begun, and the callers of the others need not
-    /// wait for their deadlines to send them again. What may still run has lapsed before they do.
-    pub(super) fn end_unplaceable_jobs(&mut self, now: Mono) {
-        let unplaceable: Vec<JobId> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| !self.is_placeable(now, &job.request) && self.is_stalled(job))
-            .map(|(id, _)| *id)
-            .collect();
-        self.unplaceable_since
-            .retain(|id, _| unplaceable.contains(id));
-        for id in unplaceable {
-            let since = *self.unplaceable_since.entry(id).or_insert(now);
-            if now.since(since) < UNPLACEABLE_PATIENCE.into() {
-                continue;
-            }
-            let end = match self.jobs[&id].has_started {
-                true => JobEnd::Unknown(UnknownReason::ExecutorsLost),
-                false => JobEnd::NotRun(NotRunReason::NoExecutor, RETRY_MOST),
-            };
-            self.unplaceable_since.remove(&id);
-            self.end_job(id, end);
-        }
-    }
-
-    /// Tells whether a job waits for an executor, be it to start a task or to hear of one.
-    fn is_stalled(&self, job: &Job) -> bool {
-        let is_silent = |id| {
-            let executor = self.executors.get(id);
-            executor.is_none_or(|executor| executor.is_silent)
-        };
-        job.waiting > 0
-            || job.tasks.iter().any(|task| match &task.state {
-                TaskState::Running(id) => is_silent(id),
-                TaskState::Waiting | TaskState::Done => false,
-            })
-    }
-
-    fn is_placeable(&self, now: Mono, request: &JobRequest) -> bool {
+    /// Tells whether an executor in use could run a job's tasks, now or when it has room.
+    pub(super) fn is_placeable(&self, now: Mono, request: &JobRequest) -> bool {
         let mut executors = self.executors.values();
         executors.any(|executor| self.could_run(now, executor, request))
     }
--- a/crates/onyxshed-pool/src/pool/place.rs
+++ b/crates/onyxshed-pool/src/pool/place.rs
@@ -3,8 +3,8 @@
 //! Order: least work first, counting only what has not begun, since past the pool's capacity this
 //! serves the most callers. The work of a job that can't meet its target any more counts five times:
 //! an answer that is late is worth a fifth to its caller, so such a job goes on only if little is
-//! left of it. Last come jobs whose answers would be of no use at all. Callers of the others hear sooner
-//! for it ([`super::intake`]).
+//! left of it. Last come jobs whose answers would be of no use at all; [`super::intake`] refuses those
+//! that have not begun.
 //!
 //! Place: a job is as late as its last task, so each task goes to the executor that is expected to
 //! end it first, and among equals to the one with the least room left over.
--- a/crates/onyxshed-pool/src/pool/watch.rs
+++ b/crates/onyxshed-pool/src/pool/watch.rs
@@ -22,7 +22,7 @@
         self.update_sound_room(now);
         self.drop_silent_peers(now);
         self.expire_evacuation_grace(now);
-        self.end_unplaceable_jobs(now);
+        self.end_stalled_jobs(now);
         self.shed_late_jobs(now);
         self.give_up_silent_runs(now);
         self.stop_stuck(now);
