--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -1,11 +1,13 @@
 //! The state machine of a pool's owner.
 //!
 //! [`intake`] takes jobs in and refuses those that can't end in time, [`place`] starts runs,
+//! [`fit`] says where,
 //! [`orders`] takes in what came of orders, [`reports`] what executors say, [`progress`] how far
 //! their runs are, [`watch`] what time brings, [`handover`] passes the pool on to its next owner,
 //! [`evacuation`] empties it for operators, [`stalled`] ends jobs that lost their executors.
 
 mod evacuation;
+mod fit;
 mod handover;
 mod intake;
 mod orders;
