A late renewal of a session brings no dead connection back

The log shows 504 after 0 ms at one host for one pool for 13 s. A renewal that was answered after its connection had been given up installed that connection again, and the new one, with the same session, did not replace it. The untouched code has the same lines.

Change: such a renewal is passed over.

Test: a_late_renewal_brings_no_dead_connection_back; fails without the change (no job completed for 30 s), 3 s with it.

--- a/crates/onyxshed-host/src/links/remote.rs
+++ b/crates/onyxshed-host/src/links/remote.rs
@@ -189,6 +189,10 @@
     }
 
     fn heard(&self, client: &pool_port::Client, session: Session, lost: &Receiver<()>) {
+        // A renewal may be answered after its connection was given up.
+        if lost.is_closed() {
+            return;
+        }
         let was_up = self.is_up();
         self.heard_at.set(boot_clock::now());
         let is_same = self
--- a/crates/onyxshed-soak/tests/hosts.rs
+++ b/crates/onyxshed-soak/tests/hosts.rs
@@ -493,3 +493,34 @@
         assert_eq!(owned.sum::<usize>(), 1, "one host has owned the pool");
     });
 }
+
+/// Guards against a link that stays unusable because a late renewal of its session brought a connection back
+/// that had been given up.
+#[test]
+fn a_late_renewal_brings_no_dead_connection_back() {
+    /// Time after which the next job renews the session first.
+    const QUIET: Duration = Duration::from_millis(400);
+    /// Time until the link's own heartbeat has gone unanswered for too long, and the renewal has not.
+    const GIVEN_UP: Duration = Duration::from_millis(240);
+    block_on(async {
+        let fleet = Fleet::start(&one_zone()).await.expect("it starts");
+        let owner = owner_of_both_executors(&fleet).await;
+        let route = format!("peer-{}", fleet.host_names()[owner]);
+        let other = 1 - owner;
+        until_a_job_is_completed(&fleet, other).await;
+        for _ in 0..4 {
+            fleet.set_mode(&route, Mode::Hold).await.expect("a mode");
+            Timer::after(QUIET).await;
+            let mut connection = open(fleet.caller_addresses()[other]).await;
+            let body = job(10, 1);
+            let asked = ask(&mut connection, Method::Post, "00000000000000bb", &body);
+            let heal = async {
+                Timer::after(GIVEN_UP).await;
+                fleet.set_mode(&route, Mode::Pass).await.expect("a mode");
+            };
+            // Whether this one is served does not matter.
+            let _ = futures_lite::future::zip(asked, heal).await;
+            until_a_job_is_completed(&fleet, other).await;
+        }
+    });
+}
