One follower of the store's keyed topics; records of evacuations learned and written in one way

The loop that reads the newest records, follows with long reads and begins anew after an error stood three times (manifest, divisions, owners' records); it is topic::follow with a reader each. Evacuations are learned by one call, written without a special case for none, and no longer copied for each job.

--- a/crates/onyxshed-host/src/divisions.rs
+++ b/crates/onyxshed-host/src/divisions.rs
@@ -6,9 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_io::Timer;
 use onyxshed_adapter::Store;
-use onyxshed_adapter::store::KeyedRecord;
+use onyxshed_adapter::store::{KeyedRecord, Records};
 use onyxshed_core::Millis;
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_pool::{Division, PoolId};
@@ -16,6 +15,7 @@
 
 use crate::names::DIVISIONS;
 use crate::store_watch::{ANSWER_TIMEOUT, StoreWatch};
+use crate::topic::{self, TopicOptions, TopicReader};
 
 /// Topic of this system's own records.
 const TOPIC: &str = "keyed.onyxshed.pools";
@@ -107,11 +107,17 @@
         let Some(newest) = store.newest_if_any(TOPIC, ANSWER_TIMEOUT).await? else {
             return Ok(0);
         };
-        newest
-            .records
-            .into_iter()
-            .for_each(|record| self.take(record));
-        Ok(newest.next)
+        let next = newest.next;
+        self.take_newest(newest);
+        Ok(next)
+    }
+}
+
+impl TopicReader for Divisions {
+    fn take_newest(&self, newest: Records) {
+        for record in newest.records {
+            self.take(record);
+        }
     }
 
     fn take(&self, record: KeyedRecord) {
@@ -143,7 +149,12 @@
     fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
         Box::pin(async move {
             let watch = StoreWatch::new(kernel, "divisions");
-            let follow = follow(self.divisions.clone(), self.store, watch);
+            let topic = TopicOptions {
+                name: TOPIC,
+                wait: WAIT,
+                absent_pause: Some(UNDIVIDED_PERIOD),
+            };
+            let follow = topic::follow(topic, self.store, watch, self.divisions.clone());
             kernel.spawn(follow).detach();
             let descriptor = Descriptor {
                 name: DIVISIONS,
@@ -153,35 +164,3 @@
         })
     }
 }
-
-async fn follow(divisions: Rc<Divisions>, address: SocketAddr, watch: StoreWatch) {
-    let mut store = Store::new(address);
-    loop {
-        if let Err(error) = follow_once(&divisions, &mut store, &watch).await {
-            watch.before_reading_anew(&error).await;
-        }
-    }
-}
-
-/// Reads the newest state and every change from there on, until a call fails.
-async fn follow_once(
-    divisions: &Divisions,
-    store: &mut Store,
-    watch: &StoreWatch,
-) -> onyxshed_adapter::Result<()> {
-    let mut next = divisions.refresh(store).await?;
-    if next == 0 {
-        watch.answered();
-        Timer::after(UNDIVIDED_PERIOD).await;
-        return Ok(());
-    }
-    let timeout = ANSWER_TIMEOUT + Duration::from(WAIT);
-    loop {
-        watch.answered();
-        let read = store.read_keyed(TOPIC, next, WAIT, timeout).await?;
-        next = read.next;
-        read.records
-            .into_iter()
-            .for_each(|record| divisions.take(record));
-    }
-}
--- a/crates/onyxshed-host/src/evacuations.rs
+++ b/crates/onyxshed-host/src/evacuations.rs
@@ -3,7 +3,7 @@
 //! The store tells them, and other hosts do: one that loses the store learns of an evacuation from the
 //! owners and entry hosts that it talks to.
 
-use std::cell::RefCell;
+use std::cell::{Ref, RefCell};
 use std::rc::Rc;
 
 use metrics::Gauge;
@@ -49,8 +49,8 @@
     }
 
     /// Gets everything known.
-    pub fn known(&self) -> Evacuations {
-        self.known.borrow().clone()
+    pub fn known(&self) -> Ref<'_, Evacuations> {
+        self.known.borrow()
     }
 
     /// Gets the records that other hosts are told.
@@ -58,10 +58,12 @@
         self.known.borrow().records()
     }
 
-    /// Takes in a record, and who told it.
-    pub fn learn(&self, record: EvacuationRecord, from: &str) {
-        let change = self.known.borrow_mut().apply(record);
-        self.publish(change, from);
+    /// Takes in records, and who told them.
+    pub fn learn(&self, records: impl IntoIterator<Item = EvacuationRecord>, from: &str) {
+        for record in records {
+            let change = self.known.borrow_mut().apply(record);
+            self.publish(change, from);
+        }
     }
 
     /// Takes in everything that the store lists.
--- a/crates/onyxshed-host/src/last_owner.rs
+++ b/crates/onyxshed-host/src/last_owner.rs
@@ -4,19 +4,17 @@
 //! may serve on all the same: its membership lapsed while the store was away. A host that has just
 //! started has never heard it, and finds it here.
 
-use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
-use async_io::Timer;
 use onyxshed_adapter::Store;
-use onyxshed_adapter::store::KeyedRecord;
+use onyxshed_adapter::store::{KeyedRecord, Records};
 use onyxshed_core::Millis;
 use onyxshed_pool::PoolId;
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::directory::Directory;
-use crate::store_watch::{ANSWER_TIMEOUT, StoreWatch};
+use crate::store_watch::ANSWER_TIMEOUT;
+use crate::topic::{TopicOptions, TopicReader};
 
 /// Topic of this system's own records, by pool.
 const TOPIC: &str = "keyed.onyxshed.owners";
@@ -54,38 +52,21 @@
     String::from_utf8(bytes).ok().map(SmolStr::from)
 }
 
-/// Passes the records of new owners to the directory, for as long as the process lives.
-pub async fn follow(directory: Rc<Directory>, address: SocketAddr, watch: StoreWatch) {
-    let mut store = Store::new(address);
-    loop {
-        if let Err(error) = follow_once(&directory, &mut store, &watch).await {
-            watch.before_reading_anew(&error).await;
-        }
-    }
-}
+/// How the records of new owners are followed.
+pub const FOLLOWED: TopicOptions = TopicOptions {
+    name: TOPIC,
+    wait: WAIT,
+    absent_pause: Some(EMPTY_PERIOD),
+};
 
-/// Reads records from now on, until a call fails. Earlier ones may name owners that are gone.
-async fn follow_once(
-    directory: &Directory,
-    store: &mut Store,
-    watch: &StoreWatch,
-) -> onyxshed_adapter::Result<()> {
-    let Some(newest) = store.newest_if_any(TOPIC, ANSWER_TIMEOUT).await? else {
-        watch.answered();
-        Timer::after(EMPTY_PERIOD).await;
-        return Ok(());
-    };
-    let mut next = newest.next;
-    let timeout = ANSWER_TIMEOUT + Duration::from(WAIT);
-    loop {
-        watch.answered();
-        let read = store.read_keyed(TOPIC, next, WAIT, timeout).await?;
-        next = read.next;
-        for record in read.records {
-            let pool: Option<PoolId> = record.key.parse().ok();
-            if let (Some(pool), Some(member)) = (pool, member_of(record)) {
-                directory.observe_owner_record(&pool, member);
-            }
+/// Passes the records of new owners to the directory. Earlier ones may name owners that are gone.
+impl TopicReader for Directory {
+    fn take_newest(&self, _newest: Records) {}
+
+    fn take(&self, record: KeyedRecord) {
+        let pool: Option<PoolId> = record.key.parse().ok();
+        if let (Some(pool), Some(member)) = (pool, member_of(record)) {
+            self.observe_owner_record(&pool, member);
         }
     }
 }
--- a/crates/onyxshed-host/src/lib.rs
+++ b/crates/onyxshed-host/src/lib.rs
@@ -28,3 +28,4 @@
 pub mod ready;
 pub mod reload;
 pub mod store_watch;
+pub mod topic;
--- a/crates/onyxshed-host/src/links/port.rs
+++ b/crates/onyxshed-host/src/links/port.rs
@@ -95,16 +95,13 @@
             true => Some(pool::read_offer(params.get_offer()?)?),
             false => None,
         };
-        for record in pool::read_evacuations(params.get_evacuations()?)? {
-            self.known.evacuations.learn(record, "an entry host");
-        }
+        let told = pool::read_evacuations(params.get_evacuations()?)?;
+        self.known.evacuations.learn(told, "an entry host");
         let session = self.engine.peer_heard(life, offer);
         let mut results = results.get();
         let records = self.known.evacuations.records();
-        if !records.is_empty() {
-            let list = results.reborrow().init_evacuations(pool::length(&records)?);
-            pool::write_evacuations(&records, list);
-        }
+        let list = results.reborrow().init_evacuations(pool::length(&records)?);
+        pool::write_evacuations(&records, list);
         if let (Some(session), Some(load)) = (session, self.engine.load()) {
             results.set_is_owner(true);
             results.set_session(session.0);
--- a/crates/onyxshed-host/src/links/remote.rs
+++ b/crates/onyxshed-host/src/links/remote.rs
@@ -219,10 +219,8 @@
         params.set_life(self.links.engine.own().0);
         params.set_pool(format_smolstr!("{}", self.pool).as_str());
         let records = self.links.evacuations.records();
-        if !records.is_empty() {
-            let list = params.reborrow().init_evacuations(pool::length(&records)?);
-            pool::write_evacuations(&records, list);
-        }
+        let list = params.reborrow().init_evacuations(pool::length(&records)?);
+        pool::write_evacuations(&records, list);
         if let Some(offer) = self.links.offer_for(&self.pool) {
             pool::write_offer(offer, params.init_offer());
         }
@@ -231,9 +229,8 @@
         if !reply.get_is_owner() {
             return Ok(None);
         }
-        for record in pool::read_evacuations(reply.get_evacuations()?)? {
-            self.links.evacuations.learn(record, "an owner");
-        }
+        let told = pool::read_evacuations(reply.get_evacuations()?)?;
+        self.links.evacuations.learn(told, "an owner");
         self.update_load(reply.get_load()?)?;
         if reply.has_transfer() && !self.is_closed.get() {
             let transfer = pool::read_transfer(reply.get_transfer()?)?;
--- a/crates/onyxshed-host/src/manifest.rs
+++ b/crates/onyxshed-host/src/manifest.rs
@@ -3,18 +3,18 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
+use onyxshed_adapter::evacuation;
 use onyxshed_adapter::manifest::{MANIFEST_KEY, Manifest};
-use onyxshed_adapter::store::{KeyedRecord, OPERATORS_TOPIC};
-use onyxshed_adapter::{Store, evacuation};
+use onyxshed_adapter::store::{KeyedRecord, OPERATORS_TOPIC, Records};
 use onyxshed_core::{Event, EventKind, Millis};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use smol_str::format_smolstr;
 
 use crate::evacuations::ZoneEvacuations;
 use crate::names::MANIFEST;
-use crate::store_watch::{ANSWER_TIMEOUT, StoreWatch};
+use crate::store_watch::StoreWatch;
+use crate::topic::{self, TopicOptions, TopicReader};
 
 /// Shortest time that a read waits at the store for a change.
 const WAIT_MIN: Millis = Millis(1_500);
@@ -120,13 +120,18 @@
                 held: RefCell::default(),
                 text: RefCell::default(),
             });
-            let follower = Follower {
+            let reader = OperatorRecords {
                 manifest: holder.clone(),
                 evacuations: self.evacuations.clone(),
-                watch: StoreWatch::new(kernel, "manifest"),
+            };
+            let topic = TopicOptions {
+                name: OPERATORS_TOPIC,
                 wait: self.read_wait,
+                absent_pause: None,
             };
-            kernel.spawn(follower.follow(self.store)).detach();
+            let watch = StoreWatch::new(kernel, "manifest");
+            let follow = topic::follow(topic, self.store, watch, Rc::new(reader));
+            kernel.spawn(follow).detach();
             let descriptor = Descriptor {
                 name: MANIFEST,
                 summary: "the operators' manifest",
@@ -136,51 +141,24 @@
     }
 }
 
-/// Reads the operators' topic.
-struct Follower {
+/// Passes the operators' records on to what they are about.
+struct OperatorRecords {
     manifest: Rc<ManifestHolder>,
     evacuations: Rc<ZoneEvacuations>,
-    watch: StoreWatch,
-    /// How long a read waits at the store for a change.
-    wait: Millis,
 }
 
-impl Follower {
-    async fn follow(self, address: SocketAddr) {
-        let mut store = Store::new(address);
-        loop {
-            let Err(error) = self.follow_once(&mut store).await;
-            self.watch.before_reading_anew(&error).await;
-        }
-    }
-
-    /// Reads the newest state and every change from there on, until a call fails.
-    async fn follow_once(
-        &self,
-        store: &mut Store,
-    ) -> onyxshed_adapter::Result<std::convert::Infallible> {
-        let newest = store.newest(OPERATORS_TOPIC, ANSWER_TIMEOUT).await?;
+impl TopicReader for OperatorRecords {
+    fn take_newest(&self, newest: Records) {
         for record in &newest.records {
             self.manifest.take(record);
         }
         self.evacuations
             .learn_snapshot(evacuation::snapshot(&newest));
-        let mut next = newest.next;
-        let timeout = ANSWER_TIMEOUT + Duration::from(self.wait);
-        loop {
-            self.watch.answered();
-            let read = store
-                .read_keyed(OPERATORS_TOPIC, next, self.wait, timeout)
-                .await?;
-            next = read.next;
-            read.records.iter().for_each(|record| self.take(record));
-        }
     }
 
-    fn take(&self, record: &KeyedRecord) {
-        self.manifest.take(record);
-        if let Some(evacuation) = evacuation::read(record) {
-            self.evacuations.learn(evacuation, "the store");
-        }
+    fn take(&self, record: KeyedRecord) {
+        self.manifest.take(&record);
+        let evacuation = evacuation::read(&record);
+        self.evacuations.learn(evacuation, "the store");
     }
 }
--- a/crates/onyxshed-host/src/ownership.rs
+++ b/crates/onyxshed-host/src/ownership.rs
@@ -27,6 +27,7 @@
 use crate::links::Links;
 use crate::names::{DIVISIONS, ENGINE, LINKS, OWNERSHIP};
 use crate::store_watch::StoreWatch;
+use crate::topic;
 use contender::Contender;
 
 /// Who this host is in the groups.
@@ -95,7 +96,8 @@
                 .spawn(directory.clone().follow(options.store))
                 .detach();
             let written = StoreWatch::new(kernel, "owners written down");
-            let follow = last_owner::follow(directory.clone(), options.store, written);
+            let followed = last_owner::FOLLOWED;
+            let follow = topic::follow(followed, options.store, written, directory.clone());
             kernel.spawn(follow).detach();
             let contender = Contender::new(kernel, self, directory);
             kernel.spawn(contender.live()).detach();
--- a/crates/onyxshed-host/src/peer_state.rs
+++ b/crates/onyxshed-host/src/peer_state.rs
@@ -128,9 +128,8 @@
         for (pool, owner) in &known.owners {
             self.links.learn_owner(pool, *owner);
         }
-        for record in &known.evacuations {
-            self.evacuations.learn(record.clone(), "another host");
-        }
+        self.evacuations
+            .learn(known.evacuations.iter().cloned(), "another host");
         if !known.manifest.is_empty() {
             self.manifest.learn(&known.manifest, "another host");
         }
--- a/crates/onyxshed-proto/schema/pool.capnp
+++ b/crates/onyxshed-proto/schema/pool.capnp
@@ -113,8 +113,7 @@
 
 # Served by every host; one that owns no pool answers so.
 interface PoolPort {
-  # The offer is left out by hosts that can't own the pool, the transfer for all but the successor, the
-  # evacuations where there have been none.
+  # The offer is left out by hosts that can't own the pool, the transfer for all but the successor.
   heartbeat @0 (life :UInt64, pool :Text, offer :SuccessorOffer, evacuations :List(ZoneEvacuation)) -> (isOwner :Bool, session :UInt64, load :PoolLoad, transfer :OwnershipTransfer, evacuations :List(ZoneEvacuation));
   run @1 (life :UInt64, pool :Text, session :UInt64, job :PoolJob) -> (end :PoolEnd, load :PoolLoad);
   cancel @2 (life :UInt64, pool :Text, job :UInt64, submission :UInt64) -> ();
