Pool: one way to hand back, checks of a place made once, a job made once

Handover and evacuation hand back unstarted jobs by one function; a place's room and readiness are not looked up again for each job; parking is in one place; stalled jobs' times are derived anew each tick; a job that comes is made once and not cloned for its forecast; events of runs share their parts.

--- a/crates/onyxshed-host/src/decisions.rs
+++ b/crates/onyxshed-host/src/decisions.rs
@@ -1,7 +1,7 @@
 //! Decisions of a pool as events of the log.
 
 use onyxshed_core::{Event, EventKind};
-use onyxshed_pool::{Decision, FencingToken};
+use onyxshed_pool::{Decision, ExecutorId, FencingToken, TaskId};
 use smol_str::{SmolStr, format_smolstr};
 
 /// Makes an event of a decision, with the token under which it was made.
@@ -13,47 +13,33 @@
             executor,
             expected,
             waited,
-        } => Event::new(EventKind::PoolRunOrdered)
-            .job(format_smolstr!("{}", task.job))
-            .task(task.index)
-            .party(executor.0.clone())
-            .detail(format_smolstr!(
-                "run {run}, expected {}, waited {}, token {token}",
-                expected.as_millis(),
-                waited.as_millis()
-            )),
+        } => about_run(EventKind::PoolRunOrdered, *task, executor).detail(format_smolstr!(
+            "run {run}, expected {}, waited {}, token {token}",
+            expected.as_millis(),
+            waited.as_millis()
+        )),
         Decision::RunEnded {
             task,
             run,
             executor,
             why,
-        } => Event::new(EventKind::PoolRunEnded)
-            .job(format_smolstr!("{}", task.job))
-            .task(task.index)
-            .party(executor.0.clone())
+        } => about_run(EventKind::PoolRunEnded, *task, executor)
             .detail(format_smolstr!("run {run}: {why}, token {token}")),
         Decision::StrayStopped {
             task,
             run,
             executor,
-        } => Event::new(EventKind::PoolStrayStopped)
-            .job(format_smolstr!("{}", task.job))
-            .task(task.index)
-            .party(executor.0.clone())
+        } => about_run(EventKind::PoolStrayStopped, *task, executor)
             .detail(format_smolstr!("run {run}, token {token}")),
         Decision::RunMoved {
             task,
             run,
             executor,
             left,
-        } => Event::new(EventKind::PoolRunMoved)
-            .job(format_smolstr!("{}", task.job))
-            .task(task.index)
-            .party(executor.0.clone())
-            .detail(format_smolstr!(
-                "run {run}, {} left there, token {token}",
-                left.as_millis()
-            )),
+        } => about_run(EventKind::PoolRunMoved, *task, executor).detail(format_smolstr!(
+            "run {run}, {} left there, token {token}",
+            left.as_millis()
+        )),
         Decision::ExecutorTaken(id) => about(EventKind::PoolExecutorTaken, id.0.clone()),
         Decision::ExecutorSilent(id) => about(EventKind::PoolExecutorSilent, id.0.clone()),
         Decision::ExecutorBack(id) => about(EventKind::PoolExecutorBack, id.0.clone()),
@@ -65,17 +51,14 @@
             about(EventKind::PoolPeerSilent, format_smolstr!("{life}"))
                 .detail(format_smolstr!("{jobs} jobs given up"))
         }
-        Decision::HandoverBegun { handed_back, kept } => Event::new(EventKind::PoolHandoverBegun)
-            .detail(format_smolstr!(
-                "token {token}, {handed_back} jobs handed back, {kept} end here"
-            )),
+        Decision::HandoverBegun { handed_back, kept } => {
+            emptying(EventKind::PoolHandoverBegun, token, *handed_back, *kept)
+        }
         Decision::HandoverEnded => {
             Event::new(EventKind::PoolHandoverEnded).detail(format_smolstr!("token {token}"))
         }
         Decision::EvacuationBegun { handed_back, kept } => {
-            Event::new(EventKind::PoolEvacuationBegun).detail(format_smolstr!(
-                "token {token}, {handed_back} jobs handed back, {kept} end here"
-            ))
+            emptying(EventKind::PoolEvacuationBegun, token, *handed_back, *kept)
         }
         Decision::EvacuationEnded => {
             Event::new(EventKind::PoolEvacuationEnded).detail(format_smolstr!("token {token}"))
@@ -93,3 +76,16 @@
 fn about(kind: EventKind, party: SmolStr) -> Event {
     Event::new(kind).party(party)
 }
+
+fn about_run(kind: EventKind, task: TaskId, executor: &ExecutorId) -> Event {
+    about(kind, executor.0.clone())
+        .job(format_smolstr!("{}", task.job))
+        .task(task.index)
+}
+
+/// Makes an event of a pool that takes no new jobs from now on.
+fn emptying(kind: EventKind, token: FencingToken, handed_back: usize, kept: usize) -> Event {
+    Event::new(kind).detail(format_smolstr!(
+        "token {token}, {handed_back} jobs handed back, {kept} end here"
+    ))
+}
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -24,7 +24,7 @@
 use crate::chooser::PoolLoad;
 use crate::executor::{Executor, ExecutorFacts, Executors, Life, Phase, RunState};
 use crate::id::{ExecutorId, FencingToken, JobId, PeerLife, Session, TaskId};
-use crate::job::{Job, JobEnd, UnknownReason};
+use crate::job::{Job, JobEnd, NotRunReason, UnknownReason};
 use crate::message::{Action, Decision, HoldOrder, StopOrder};
 use crate::offered_load::OfferedLoad;
 use crate::options::PoolOptions;
@@ -329,10 +329,14 @@
         self.actions.push(Action::Hold(id.clone(), order, pause));
     }
 
-    /// Gets the jobs of which no task was started.
-    fn unstarted_jobs(&self) -> Vec<JobId> {
-        let waiting = self.jobs.iter().filter(|(_, job)| !job.has_started);
-        waiting.map(|(id, _)| *id).collect()
+    /// Ends the jobs of which no task was started as not run, and gets how many these are.
+    fn hand_back_unstarted(&mut self, reason: NotRunReason) -> usize {
+        let unstarted = self.jobs.iter().filter(|(_, job)| !job.has_started);
+        let unstarted: Vec<JobId> = unstarted.map(|(id, _)| *id).collect();
+        for job in &unstarted {
+            self.end_job(*job, JobEnd::NotRun(reason, Millis(0)));
+        }
+        unstarted.len()
     }
 
     fn log(&mut self, decision: Decision) {
--- a/crates/onyxshed-pool/src/pool/evacuation.rs
+++ b/crates/onyxshed-pool/src/pool/evacuation.rs
@@ -37,15 +37,9 @@
 
     fn begin_evacuation(&mut self, now: Mono) {
         self.zone_status = ZoneStatus::Emptying(now + self.options.evacuation_grace_ms);
-        let waiting = self.unstarted_jobs();
-        self.log(Decision::EvacuationBegun {
-            handed_back: waiting.len(),
-            kept: self.jobs.len() - waiting.len(),
-        });
-        for job in waiting {
-            let end = JobEnd::NotRun(NotRunReason::ZoneEvacuated, Millis(0));
-            self.end_job(job, end);
-        }
+        let handed_back = self.hand_back_unstarted(NotRunReason::ZoneEvacuated);
+        let kept = self.jobs.len();
+        self.log(Decision::EvacuationBegun { handed_back, kept });
     }
 
     fn end_evacuation(&mut self, now: Mono) {
@@ -80,10 +74,17 @@
         }
     }
 
-    /// Tells whether an executor is to be left alone after what it reported last.
-    pub(super) fn is_parkable(&self, id: &ExecutorId, has_news: bool) -> bool {
-        let executor = self.executors.get(id);
-        let is_empty = executor.is_some_and(|executor| executor.runs.is_empty());
-        self.zone_status == ZoneStatus::Evacuated && is_empty && !has_news
+    /// Leaves an executor alone if the zone is evacuated and it is empty, and tells whether it does;
+    /// `has_news` says that its last report has to be answered.
+    pub(super) fn park_if_empty(&mut self, id: &ExecutorId, has_news: bool) -> bool {
+        if self.zone_status != ZoneStatus::Evacuated || has_news {
+            return false;
+        }
+        let executor = self.executors.get_mut(id);
+        let Some(executor) = executor.filter(|executor| executor.runs.is_empty()) else {
+            return false;
+        };
+        executor.is_parked = true;
+        true
     }
 }
--- a/crates/onyxshed-pool/src/pool/fit.rs
+++ b/crates/onyxshed-pool/src/pool/fit.rs
@@ -17,7 +17,7 @@
 /// How well an executor suits a task; less is better: the task's time there, then the room left.
 pub(super) type Fit = (Micros, u32);
 
-/// An executor with room, and how slow it is.
+/// An executor that takes work, its free room, and how slow it is.
 pub(super) struct Place {
     pub id: ExecutorId,
     pub free: Room,
@@ -79,9 +79,6 @@
     ) -> Option<(usize, Micros)> {
         let mut best: Option<(Fit, usize)> = None;
         for (number, place) in places.iter().enumerate() {
-            if !place.free.holds(job.request.demand) {
-                continue;
-            }
             let Some(fit) = self.fit(now, job, index, place) else {
                 continue;
             };
@@ -94,9 +91,12 @@
 
     /// Gets how well a place suits a task; none if the task must not start there.
     pub(super) fn fit(&self, now: Mono, job: &Job, index: u16, place: &Place) -> Option<Fit> {
+        if !place.free.holds(job.request.demand) {
+            return None;
+        }
         let executor = self.executors.get(&place.id)?;
         let failed_on = &job.tasks[usize::from(index)].failed_on;
-        if !self.may_run(now, executor, job) || failed_on.contains(&place.id) {
+        if !may_run(executor, job) || failed_on.contains(&place.id) {
             return None;
         }
         let expected = scaled(
@@ -110,7 +110,7 @@
         if place.is_slow && ends_too_late() {
             return None;
         }
-        let room_left = executor.free.without(job.request.demand).cpu_millis;
+        let room_left = place.free.without(job.request.demand).cpu_millis;
         Some((expected, room_left))
     }
 
@@ -147,17 +147,16 @@
             false => 1.0,
         }
     }
+}
 
-    fn may_run(&self, now: Mono, executor: &Executor, job: &Job) -> bool {
-        let request = &job.request;
-        let has_place = match request.per_executor_max {
-            Some(most) => executor.tasks_of(request.job) < usize::from(most),
-            None => true,
-        };
-        executor.takes_work(now, &self.options)
-            && executor.facts.upstream == request.upstream
-            && executor.free.holds(request.demand)
-            && executor.has_label(request.label.as_ref())
-            && has_place
-    }
+/// Tells whether an executor that takes work and has room may run a task of a job.
+fn may_run(executor: &Executor, job: &Job) -> bool {
+    let request = &job.request;
+    let has_place = match request.per_executor_max {
+        Some(most) => executor.tasks_of(request.job) < usize::from(most),
+        None => true,
+    };
+    executor.facts.upstream == request.upstream
+        && executor.has_label(request.label.as_ref())
+        && has_place
 }
--- a/crates/onyxshed-pool/src/pool/handover.rs
+++ b/crates/onyxshed-pool/src/pool/handover.rs
@@ -14,7 +14,7 @@
 use super::Pool;
 use crate::executor::Phase;
 use crate::id::{ExecutorId, FencingToken, PeerLife};
-use crate::job::{JobEnd, NotRunReason};
+use crate::job::NotRunReason;
 use crate::message::{Action, Decision};
 use crate::successor::OwnershipTransfer;
 
@@ -108,7 +108,9 @@
         }
         if !self.is_releasing() {
             self.stage = Stage::Releasing;
-            self.hand_back_waiting();
+            let handed_back = self.hand_back_unstarted(NotRunReason::NotOwner);
+            let kept = self.jobs.len();
+            self.log(Decision::HandoverBegun { handed_back, kept });
         }
         self.place(now);
         // What waits of the jobs that have begun takes the first room there is.
@@ -120,18 +122,6 @@
         (self.take_actions(), held)
     }
 
-    /// Ends the jobs of which nothing was started.
-    fn hand_back_waiting(&mut self) {
-        let waiting = self.unstarted_jobs();
-        self.log(Decision::HandoverBegun {
-            handed_back: waiting.len(),
-            kept: self.jobs.len() - waiting.len(),
-        });
-        for job in waiting {
-            self.end_job(job, JobEnd::NotRun(NotRunReason::NotOwner, Millis(0)));
-        }
-    }
-
     /// Begins as the next owner of a pool whose last one answers: no executor gets an order before
     /// that owner has told what it holds.
     pub fn follow_predecessor(&mut self) {
--- a/crates/onyxshed-pool/src/pool/intake.rs
+++ b/crates/onyxshed-pool/src/pool/intake.rs
@@ -46,33 +46,34 @@
     /// Takes in a job, or refuses it.
     pub fn submit(&mut self, now: Mono, session: Session, request: JobRequest) -> Vec<Action> {
         self.notice_pause(now);
-        if let Some(refusal) = self.refusal(now, session, &request) {
+        let id = request.job;
+        let new = Job::new(now, request);
+        if let Some(refusal) = self.refusal(now, session, &new) {
             self.actions.push(Action::End {
-                peer: request.peer,
-                submission: request.submission,
-                job: request.job,
+                peer: new.request.peer,
+                submission: new.request.submission,
+                job: id,
                 end: refusal,
             });
             return self.take_actions();
         }
-        match self.jobs.get_mut(&request.job) {
+        match self.jobs.get_mut(&id) {
             // The caller lost its answer and sent the job again while it runs: the runs go on, and
             // whoever asked last gets the answer.
             Some(job) => {
                 let (peer, submission) = (job.request.peer, job.request.submission);
-                job.request.peer = request.peer;
-                job.request.submission = request.submission;
+                job.request.peer = new.request.peer;
+                job.request.submission = new.request.submission;
                 self.actions.push(Action::End {
                     peer,
                     submission,
-                    job: request.job,
+                    job: id,
                     end: JobEnd::Unknown(UnknownReason::Superseded),
                 });
             }
             None => {
-                self.offered.record(now, request.work());
-                let id = request.job;
-                self.jobs.insert(id, Job::new(now, request));
+                self.offered.record(now, new.request.work());
+                self.jobs.insert(id, new);
                 self.place_job(now, id);
             }
         }
@@ -99,7 +100,8 @@
         self.take_actions()
     }
 
-    fn refusal(&self, now: Mono, session: Session, request: &JobRequest) -> Option<JobEnd> {
+    fn refusal(&self, now: Mono, session: Session, job: &Job) -> Option<JobEnd> {
+        let request = &job.request;
         let not_run = |reason| Some(JobEnd::NotRun(reason, self.retry_after(now)));
         if self.is_over || self.is_closing() {
             return not_run(NotRunReason::NotOwner);
@@ -120,7 +122,7 @@
         if !self.is_placeable(now, request) {
             return not_run(NotRunReason::NoExecutor);
         }
-        if !self.is_feasible(now, request) {
+        if !self.is_feasible(now, job) {
             return not_run(NotRunReason::NoTime);
         }
         None
@@ -140,10 +142,9 @@
     ///
     /// The wait includes jobs that will be refused before their turn comes, so it tells which job expires
     /// and not which is late.
-    fn is_feasible(&self, now: Mono, request: &JobRequest) -> bool {
-        let job = Job::new(now, request.clone());
-        let begins_at = now + self.expected_wait(now, request);
-        self.feasibility(begins_at, &job) != Feasibility::Expired
+    fn is_feasible(&self, now: Mono, job: &Job) -> bool {
+        let begins_at = now + self.expected_wait(now, &job.request);
+        self.feasibility(begins_at, job) != Feasibility::Expired
     }
 
     /// Gets what waits ahead of late jobs.
--- a/crates/onyxshed-pool/src/pool/reports.rs
+++ b/crates/onyxshed-pool/src/pool/reports.rs
@@ -49,20 +49,12 @@
             },
         };
         self.place_after_report(now, id);
-        if self.is_parkable(id, has_news) {
-            self.park(id);
-        } else {
+        if !self.park_if_empty(id, has_news) {
             self.send_hold(now, id, pause);
         }
         self.take_actions()
     }
 
-    fn park(&mut self, id: &ExecutorId) {
-        if let Some(executor) = self.executors.get_mut(id) {
-            executor.is_parked = true;
-        }
-    }
-
     fn report(
         &mut self,
         now: Mono,
--- a/crates/onyxshed-pool/src/pool/stalled.rs
+++ b/crates/onyxshed-pool/src/pool/stalled.rs
@@ -4,6 +4,8 @@
 //! jobs that have not begun, and the callers of the others need not wait for their deadlines to send them
 //! again.
 
+use std::collections::BTreeMap;
+
 use onyxshed_core::{Millis, Mono};
 
 use super::Pool;
@@ -18,19 +20,17 @@
 impl Pool {
     /// Ends the jobs that have been stalled for too long.
     pub(super) fn end_stalled_jobs(&mut self, now: Mono) {
-        let stalled: Vec<JobId> = self
+        let before = std::mem::take(&mut self.stalled_since);
+        let stalled = self
             .jobs
             .iter()
             .filter(|(_, job)| !self.is_placeable(now, &job.request) && self.awaits_executor(job))
-            .map(|(id, _)| *id)
-            .collect();
-        self.stalled_since.retain(|id, _| stalled.contains(id));
-        for id in stalled {
-            let since = *self.stalled_since.entry(id).or_insert(now);
-            if now.since(since) >= STALLED_PATIENCE.into() {
-                self.stalled_since.remove(&id);
-                self.end_stalled_job(id);
-            }
+            .map(|(id, _)| (*id, before.get(id).copied().unwrap_or(now)));
+        let (ended, kept): (BTreeMap<JobId, Mono>, _) =
+            stalled.partition(|(_, since)| now.since(*since) >= STALLED_PATIENCE.into());
+        self.stalled_since = kept;
+        for id in ended.into_keys() {
+            self.end_stalled_job(id);
         }
     }
 
