--- a/crates/onyxshed-soak/tests/evacuation.rs
+++ b/crates/onyxshed-soak/tests/hosts/evacuation.rs
@@ -1,4 +1,4 @@
-//! Zones that operators evacuate, on real hosts and the platform's stand-ins.
+//! Zones that operators evacuate.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -7,13 +7,11 @@
 use http_types::Method;
 use onyxshed_http::Reply;
 use onyxshed_http::client::{ClientOptions, Connection};
-use onyxshed_soak::fleet::{ExecutorClocks, Fleet, FleetOptions, ROUTE_HOST, ROUTE_PREFIX};
+use onyxshed_soak::fleet::{Fleet, FleetOptions};
 use onyxshed_standins::faults::Mode;
-use serde_json::json;
 use smol_str::SmolStr;
 
-/// Nothing here depends on how long it takes; only a hang ends at this.
-const CEILING: Duration = Duration::from_secs(30);
+use crate::support::{CEILING, ask, job, one_zone};
 
 /// Jobs sent to find out which zone's executors run them.
 const JOBS: u64 = 20;
@@ -21,31 +19,38 @@
 fn two_zones() -> FleetOptions {
     FleetOptions {
         zones: 2,
-        hosts: 2,
-        executors: 2,
-        clocks: ExecutorClocks::True,
+        ..one_zone()
     }
 }
 
-/// Sends a job to a host and gets the status of its answer; none if the connection broke.
-async fn send(host: SocketAddr, job: u64) -> Option<u16> {
-    ask(host, job).await.map(|reply| reply.status)
-}
-
 /// Sends a job to a host and gets its answer; none if the connection broke.
-async fn ask(host: SocketAddr, job: u64) -> Option<Reply> {
+async fn send(host: SocketAddr, id: u64) -> Option<Reply> {
     let options = ClientOptions::default();
     let mut connection = Connection::open(host, options).await.ok()?;
-    let body = json!({"spec": "10", "best_effort": true,
-        "phases": [{"count": 2, "cpu": 1_000, "mem_mb": 1, "est_runtime_ms": 10}]});
-    let headers = [
-        ("host", SmolStr::new_static(ROUTE_HOST)),
-        ("x-onyxshed-deadline-ms", SmolStr::new_static("20000")),
-    ];
-    let path = format!("{ROUTE_PREFIX}{job:016x}");
-    let body = body.to_string().into_bytes();
-    let reply = connection.call(Method::Post, &path, &headers, body, CEILING);
-    reply.await.ok()
+    let path = format!("{id:016x}");
+    let body = job(10, 2);
+    ask(&mut connection, Method::Post, &path, &body).await.ok()
+}
+
+async fn status_of(host: SocketAddr, id: u64) -> Option<u16> {
+    send(host, id).await.map(|reply| reply.status)
+}
+
+/// Starts two zones, evacuates the first, and waits until every host knows.
+async fn with_an_evacuated_zone() -> Fleet {
+    let fleet = Fleet::start(&two_zones()).await.expect("it starts");
+    evacuate_first_zone(&fleet).await;
+    fleet
+}
+
+async fn evacuate_first_zone(fleet: &Fleet) {
+    fleet.set_evacuated("z0", true).await.expect("a record");
+    until_logged(fleet, &fleet.host_names(), &["ZoneEvacuated"], 1).await;
+}
+
+/// Waits until every host has found the owners of both zones.
+async fn until_linked(fleet: &Fleet) {
+    until_logged(fleet, &fleet.host_names(), &["PoolLinkUp", "PoolOwned"], 2).await;
 }
 
 /// Waits until the log of every host holds any of some words so many times in all.
@@ -67,7 +72,7 @@
 async fn starts_by_zone(fleet: &mut Fleet, host: SocketAddr, first_job: u64) -> [usize; 2] {
     let begun = Instant::now();
     for job in first_job..first_job + JOBS {
-        while send(host, job).await != Some(200) {
+        while status_of(host, job).await != Some(200) {
             assert!(begun.elapsed() < CEILING, "job {job} is not completed");
         }
     }
@@ -89,11 +94,9 @@
 #[test]
 fn an_evacuated_zones_callers_are_served_elsewhere_until_it_is_restored() {
     block_on(async {
-        let mut fleet = Fleet::start(&two_zones()).await.expect("it starts");
+        let mut fleet = with_an_evacuated_zone().await;
         let host = fleet.caller_addresses()[0];
         let hosts = fleet.host_names();
-        fleet.set_evacuated("z0", true).await.expect("a record");
-        until_logged(&fleet, &hosts, &["ZoneEvacuated"], 1).await;
         let begun = starts_by_zone(&mut fleet, host, 0x100).await;
         assert_eq!(begun[0], 0, "starts in the evacuated zone");
         fleet.set_evacuated("z0", false).await.expect("a record");
@@ -113,13 +116,12 @@
     block_on(async {
         let mut fleet = Fleet::start(&two_zones()).await.expect("it starts");
         let hosts = fleet.host_names();
-        until_logged(&fleet, &hosts, &["PoolLinkUp", "PoolOwned"], 2).await;
+        until_linked(&fleet).await;
         for name in &hosts[..2] {
             let route = format!("store-{name}");
             fleet.set_mode(&route, Mode::Cut).await.expect("a cut");
         }
-        fleet.set_evacuated("z0", true).await.expect("a record");
-        until_logged(&fleet, &hosts, &["ZoneEvacuated"], 1).await;
+        evacuate_first_zone(&fleet).await;
         let host = fleet.caller_addresses()[0];
         let begun = starts_by_zone(&mut fleet, host, 0x100).await;
         assert_eq!(begun[0], 0, "starts in the evacuated zone");
@@ -130,10 +132,8 @@
 #[test]
 fn a_new_owner_starts_nothing_in_an_evacuated_zone() {
     block_on(async {
-        let mut fleet = Fleet::start(&two_zones()).await.expect("it starts");
+        let mut fleet = with_an_evacuated_zone().await;
         let hosts = fleet.host_names();
-        fleet.set_evacuated("z0", true).await.expect("a record");
-        until_logged(&fleet, &hosts, &["ZoneEvacuated"], 1).await;
         for name in &hosts[..2] {
             let killed = fleet.signal_host(name, |process| process.kill());
             killed.expect("a kill");
@@ -157,7 +157,7 @@
         }
         until_logged(&fleet, &hosts, &["ZoneEvacuated"], 2).await;
         for address in fleet.caller_addresses() {
-            assert_eq!(send(address, 0x100).await, Some(503));
+            assert_eq!(status_of(address, 0x100).await, Some(503));
         }
         assert!(fleet.all_records().await.is_empty());
     });
@@ -184,9 +184,8 @@
     block_on(async {
         let mut fleet = Fleet::start(&two_zones()).await.expect("it starts");
         let hosts = fleet.host_names();
-        until_logged(&fleet, &hosts, &["PoolLinkUp", "PoolOwned"], 2).await;
-        fleet.set_evacuated("z0", true).await.expect("a record");
-        until_logged(&fleet, &hosts, &["ZoneEvacuated"], 1).await;
+        until_linked(&fleet).await;
+        evacuate_first_zone(&fleet).await;
         for name in &hosts[2..] {
             let route = format!("peer-{name}");
             fleet.set_mode(&route, Mode::Cut).await.expect("a cut");
@@ -197,7 +196,7 @@
             Timer::after(Duration::from_millis(20)).await;
         }
         let host = fleet.caller_addresses()[0];
-        let refused = ask(host, 0x100).await.expect("an answer");
+        let refused = send(host, 0x100).await.expect("an answer");
         assert_eq!(refused.status, 503);
         assert_eq!(refused.get("connection"), Some("close"));
         fleet.set_evacuated("z0", false).await.expect("a record");
