--- a/crates/onyxshed-soak/src/checks.rs
+++ b/crates/onyxshed-soak/src/checks.rs
@@ -6,6 +6,7 @@
 use smol_str::SmolStr;
 
 use crate::callers::{Heard, Sent};
+use crate::fleet::zone_of;
 
 /// How far two processes' readings of the one clock may differ by rounding, in milliseconds.
 const ROUNDING_MS: u64 = 2;
@@ -92,8 +93,7 @@
 pub fn evacuated(records: &[(SmolStr, RunRecord)], evacuations: &EvacuationSpans) -> Vec<String> {
     let starts = records.iter().filter(|(_, record)| record.what == "start");
     let forbidden = starts.filter(|(executor, record)| {
-        let zone = executor.split('-').nth(1).unwrap_or_default();
-        evacuations.forbids(&format!("z{zone}"), record.at_ms)
+        zone_of(executor).is_some_and(|zone| evacuations.forbids(&zone, record.at_ms))
     });
     forbidden
         .map(|(executor, record)| {
--- a/crates/onyxshed-soak/src/faults.rs
+++ b/crates/onyxshed-soak/src/faults.rs
@@ -8,6 +8,8 @@
 use rand::rngs::SmallRng;
 use smol_str::{SmolStr, format_smolstr};
 
+use crate::fleet::zone_of;
+
 /// One thing that goes wrong, or is put right.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Fault {
@@ -107,21 +109,14 @@
         1 => Fault::KillExecutor(one_of(rng, executors), span(rng)),
         2 => draw_planned(rng, hosts),
         _ => {
-            let zones = zones_of(hosts);
+            let mut zones: Vec<SmolStr> = hosts.iter().filter_map(|host| zone_of(host)).collect();
+            zones.dedup();
             let zone = one_of(rng, &zones);
             Fault::Evacuate(zone, Duration::from_millis(rng.random_range(500..6_000)))
         }
     }
 }
 
-/// Gets the zones of hosts by their names.
-fn zones_of(hosts: &[SmolStr]) -> Vec<SmolStr> {
-    let numbers = hosts.iter().filter_map(|host| host.split('-').nth(1));
-    let mut zones: Vec<SmolStr> = numbers.map(|number| format_smolstr!("z{number}")).collect();
-    zones.dedup();
-    zones
-}
-
 fn draw_slow(rng: &mut SmallRng, hosts: &[SmolStr], executors: &[SmolStr]) -> Fault {
     match rng.random_range(0..3) {
         0 => draw(rng, hosts, executors),
--- a/crates/onyxshed-soak/src/fleet.rs
+++ b/crates/onyxshed-soak/src/fleet.rs
@@ -1,5 +1,8 @@
 //! The processes of one soak.
 
+mod commands;
+mod executors;
+
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
@@ -10,10 +13,7 @@
 use onyxshed_http::client::call_once;
 use onyxshed_proof::process::Process;
 use onyxshed_proof::{Error, Result};
-use onyxshed_standins::faults::{Mode, NewRoute, SetMode};
 use onyxshed_standins::fleet::executor::RunRecord;
-use onyxshed_standins::fleet::store::StoreFaults;
-use serde::Serialize;
 use serde_json::json;
 use smol_str::{SmolStr, format_smolstr};
 use tempfile::TempDir;
@@ -21,9 +21,6 @@
 /// How long a call to a stand-in may take, on a machine that is busy.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// How long an executor may take to take a new speed; one that stands still does not answer.
-const SPEED_TIMEOUT: Duration = Duration::from_millis(200);
-
 /// How long everything may take to come up.
 const READY_CEILING: Duration = Duration::from_secs(60);
 
@@ -179,207 +176,6 @@
         Ok(fleet)
     }
 
-    async fn put<T: Serialize>(&self, topic: &str, key: &str, value: &T) -> Result<()> {
-        let path = format!("control/put?topic={topic}&key={key}");
-        let body = serde_json::to_vec(value).expect("plain JSON");
-        self.tell(self.store.address("store")?, &path, body).await
-    }
-
-    async fn tell(&self, address: SocketAddr, path: &str, body: Vec<u8>) -> Result<()> {
-        let reply = call_once(address, Method::Post, path, body, CALL_TIMEOUT).await;
-        match reply {
-            Ok(reply) if reply.status == 200 => Ok(()),
-            Ok(reply) => Err(unmet(path, &format!("status {}", reply.status))),
-            Err(error) => Err(unmet(path, &error.to_string())),
-        }
-    }
-
-    /// Publishes a version of the manifest.
-    pub async fn put_manifest(&self, version: u64, objective_ms: u64) -> Result<()> {
-        let manifest = json!({
-            "version": version,
-            "routes": [{"name": "desk", "host": ROUTE_HOST, "path_prefix": ROUTE_PREFIX,
-                "type": "non_idempotent", "timeout_ms": 1500, "slo_ms": objective_ms,
-                "priority": 0, "service": "desk", "attempts": 2, "stretch": 1.6}],
-            "services": [], "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144},
-        });
-        self.put("keyed.op", "config", &manifest).await
-    }
-
-    /// Evacuates a zone, or restores it.
-    pub async fn set_evacuated(&self, zone: &str, is_evacuated: bool) -> Result<()> {
-        let path = format!("control/put?topic=keyed.op&key=evacuate/{zone}");
-        let body = match is_evacuated {
-            true => b"{}".to_vec(),
-            false => Vec::new(),
-        };
-        self.tell(self.store.address("store")?, &path, body).await
-    }
-
-    async fn route(&self, name: &str, to: SocketAddr) -> Result<SocketAddr> {
-        let new = NewRoute {
-            name: name.into(),
-            to,
-        };
-        let body = serde_json::to_vec(&new).expect("plain JSON");
-        let control = self.proxy.address("http")?;
-        let path = "control/routes";
-        let reply = call_once(control, Method::Post, path, body, CALL_TIMEOUT).await;
-        let reply = reply.map_err(|error| unmet(path, &error.to_string()))?;
-        serde_json::from_slice(&reply.body).map_err(|error| unmet(path, &error.to_string()))
-    }
-
-    /// Sets what happens on the routes named; a name that ends in '*' stands for all that begin so.
-    pub async fn set_mode(&self, routes: &str, mode: Mode) -> Result<()> {
-        let command = SetMode {
-            routes: vec![routes.into()],
-            mode,
-        };
-        let body = serde_json::to_vec(&command).expect("plain JSON");
-        let control = self.proxy.address("http")?;
-        self.tell(control, "control/mode", body).await
-    }
-
-    /// Sets what the store does wrong.
-    pub async fn set_store_faults(&self, faults: &StoreFaults) -> Result<()> {
-        let body = serde_json::to_vec(faults).expect("plain JSON");
-        let store = self.store.address("store")?;
-        self.tell(store, "control/faults", body).await
-    }
-
-    /// Lets the store forget its history, or take every partition away.
-    pub async fn command_store(&self, what: &str) -> Result<()> {
-        let store = self.store.address("store")?;
-        self.tell(store, &format!("control/{what}"), Vec::new())
-            .await
-    }
-
-    /// Gets how often members have joined a group of the store, or stayed in it.
-    pub async fn joins(&self) -> Result<u64> {
-        let store = self.store.address("store")?;
-        let path = "control/joins";
-        let reply = call_once(store, Method::Post, path, Vec::new(), CALL_TIMEOUT).await;
-        let reply = reply.map_err(|error| unmet(path, &error.to_string()))?;
-        serde_json::from_slice(&reply.body).map_err(|error| unmet(path, &error.to_string()))
-    }
-
-    /// Lets a member that is no host join a pool's group and leave it again.
-    pub async fn pass_through_group(&self, pool: &str) -> Result<()> {
-        let store = self.store.address("store")?;
-        let joined = json!({ "group": pool, "member": "0", "ttl_ms": 1_000, "generation": 0 });
-        let left = json!({ "group": pool, "member": "0" });
-        self.tell(store, "log-join", joined.to_string().into_bytes())
-            .await?;
-        self.tell(store, "log-leave", left.to_string().into_bytes())
-            .await
-    }
-
-    /// Sets how many times faster than an ordinary one an executor works; nothing if it does not run.
-    pub async fn set_executor_speed(&self, id: &SmolStr, speed: f64) -> Result<()> {
-        let Some(address) = self.executors.get(id).and_then(|found| found.address) else {
-            return Ok(());
-        };
-        let body = serde_json::to_vec(&speed).expect("a number");
-        let path = "control/speed";
-        // One that stands still finds it in its socket when it goes on; one that is killed starts again at
-        // its ordinary speed.
-        let _ = call_once(address, Method::Post, path, body, SPEED_TIMEOUT).await;
-        Ok(())
-    }
-
-    async fn add_executor(
-        &mut self,
-        zone: usize,
-        index: usize,
-        clocks: ExecutorClocks,
-    ) -> Result<()> {
-        let id = format_smolstr!("x-{zone}-{index}");
-        // Opened with no target yet; the executor is told where it will be reached.
-        let nowhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 9));
-        let advertised = self.route(&format!("executor-{id}"), nowhere).await?;
-        let store = self.store.address("store")?;
-        let speed = [0.7, 1.0, 1.6][index % 3];
-        let (ahead_ms, slow_millis) = clocks.of(index);
-        let arguments: Vec<String> = [
-            format!("--store={store}"),
-            format!("--advertised={advertised}"),
-            format!("--id={id}"),
-            format!("--zone=z{zone}"),
-            format!("--speed={speed}"),
-            format!("--clock-ahead-ms={ahead_ms}"),
-            format!("--clock-slow-millis={slow_millis}"),
-        ]
-        .into();
-        let executor = Executor {
-            process: None,
-            arguments,
-            address: None,
-        };
-        self.executors.insert(id.clone(), executor);
-        self.start_executor(&id).await
-    }
-
-    /// Starts an executor that does not run.
-    pub async fn start_executor(&mut self, id: &SmolStr) -> Result<()> {
-        let folder = self.folder.path().to_owned();
-        let Some(executor) = self.executors.get_mut(id) else {
-            return Ok(());
-        };
-        let mut process =
-            Process::start("standin-fleet-executor", id, &executor.arguments, &folder)?;
-        process.wait_ready()?;
-        let address = process.address("executor")?;
-        executor.address = Some(address);
-        executor.process = Some(process);
-        self.route(&format!("executor-{id}"), address).await?;
-        Ok(())
-    }
-
-    /// Kills an executor, after its records were read.
-    pub async fn kill_executor(&mut self, id: &SmolStr) -> Result<()> {
-        self.read_records(id).await;
-        if let Some(executor) = self.executors.get_mut(id)
-            && let Some(mut process) = executor.process.take()
-        {
-            process.kill()?;
-            executor.address = None;
-        }
-        Ok(())
-    }
-
-    /// Freezes an executor, or lets it go on.
-    pub fn freeze_executor(&self, id: &SmolStr, is_frozen: bool) -> Result<()> {
-        let executor = self.executors.get(id);
-        match executor.and_then(|executor| executor.process.as_ref()) {
-            Some(process) if is_frozen => process.freeze(),
-            Some(process) => process.thaw(),
-            None => Ok(()),
-        }
-    }
-
-    async fn read_records(&mut self, id: &SmolStr) {
-        let Some(address) = self.executors.get(id).and_then(|found| found.address) else {
-            return;
-        };
-        let path = "control/runs";
-        let reply = call_once(address, Method::Get, path, Vec::new(), CALL_TIMEOUT).await;
-        let records: Vec<RunRecord> = reply
-            .ok()
-            .and_then(|reply| serde_json::from_slice(&reply.body).ok())
-            .unwrap_or_default();
-        self.past
-            .extend(records.into_iter().map(|record| (id.clone(), record)));
-    }
-
-    /// Reads the records of every executor, those killed since included.
-    pub async fn all_records(&mut self) -> Vec<(SmolStr, RunRecord)> {
-        let ids: Vec<SmolStr> = self.executors.keys().cloned().collect();
-        for id in ids {
-            self.read_records(&id).await;
-        }
-        std::mem::take(&mut self.past)
-    }
-
     async fn add_host(&mut self, host: NewHost, zones: usize, seeds: &[SocketAddr]) -> Result<()> {
         let NewHost {
             name,
@@ -524,3 +320,9 @@
         what: format_smolstr!("{what}: {found}"),
     }
 }
+
+/// Gets the zone of a host or an executor by its name.
+pub fn zone_of(name: &str) -> Option<SmolStr> {
+    let number = name.split('-').nth(1)?;
+    Some(format_smolstr!("z{number}"))
+}
--- a/crates/onyxshed-soak/tests/seeds.rs
+++ b/crates/onyxshed-soak/tests/seeds.rs
@@ -8,6 +8,13 @@
 use onyxshed_soak::{SoakOptions, soak};
 use rstest::rstest;
 
+/// Plays a soak in which every promise has to hold and something has to be served.
+fn holds_and_serves(options: &SoakOptions) {
+    let report = soak(options).expect("it runs");
+    must_hold(&report).expect("every promise holds");
+    assert!(report.completed > 0, "nothing was served");
+}
+
 /// An executor stands still past its leases and finds orders in its sockets when it goes on. The
 /// stand-in ended its runs as of that moment, not of their leases' end, and so seemed to run tasks
 /// that were at work elsewhere.
@@ -51,9 +58,7 @@
         mix: FaultMix::Planned,
         ..SoakOptions::of_seed(21)
     };
-    let report = soak(&options).expect("it runs");
-    must_hold(&report).expect("every promise holds");
-    assert!(report.completed > 0, "nothing was served");
+    holds_and_serves(&options);
 }
 
 /// Executors take up to ten times as long for a while, under the runs that they have. Jobs are refused or
@@ -64,9 +69,7 @@
         mix: FaultMix::Slow,
         ..SoakOptions::of_seed(31)
     };
-    let report = soak(&options).expect("it runs");
-    must_hold(&report).expect("every promise holds");
-    assert!(report.completed > 0, "nothing was served");
+    holds_and_serves(&options);
 }
 
 /// Guards against tasks that start in an evacuated zone while owners and executors are killed, and against
@@ -79,9 +82,7 @@
         mix: FaultMix::Evacuations,
         ..SoakOptions::of_seed(seed)
     };
-    let report = soak(&options).expect("it runs");
-    must_hold(&report).expect("every promise holds");
-    assert!(report.completed > 0, "nothing was served");
+    holds_and_serves(&options);
 }
 
 /// Executors' clocks are ahead and slow, as far as the platform allows: leases that are reckoned on
@@ -91,9 +92,7 @@
     let mut options = SoakOptions::of_seed(13);
     options.fleet.clocks = ExecutorClocks::Off;
     options.length = Duration::from_secs(5);
-    let report = soak(&options).expect("it runs");
-    must_hold(&report).expect("every promise holds");
-    assert!(report.completed > 0, "nothing was served");
+    holds_and_serves(&options);
 }
 
 /// A short run of fixed seeds; `onyxshed-soak --seeds N` runs more by hand.
@@ -105,7 +104,5 @@
         length: Duration::from_secs(5),
         ..SoakOptions::of_seed(seed)
     };
-    let report = soak(&options).expect("it runs");
-    must_hold(&report).expect("every promise holds");
-    assert!(report.completed > 0, "nothing was served");
+    holds_and_serves(&options);
 }
