Log what a stopping process leaves open on its HTTP addresses

Cause: E603 says "drained" whatever is open. Change: serve_requests returns the address's server, which emits E608 with the connections and requests that are open when its drain ends, and E609, an error, if the process ends with requests in flight. Used by onyxshed-host and, for callers and peers, by onyxshed-entry. No decision is changed. Measured: formatter and linter pass; tests of core, process, http, telemetry, proof's stop, pages, timeline and metrics, and planned_stop_cuts_off_no_job pass.

--- a/crates/onyxshed-core/src/event.rs
+++ b/crates/onyxshed-core/src/event.rs
@@ -113,6 +113,8 @@
     605 ControlConnected Info "The control process connected.";
     606 ControlLost Warn "The control process is unreachable; its last state stays in force.";
     607 LogLinesLeftOut Warn "Lines were omitted from the log to limit its volume.";
+    608 RequestsDrained Info "A stopping process has finished the requests on one of its addresses; the detail counts what is still open.";
+    609 RequestsCutOff Error "The process ended before requests on one of its addresses were answered.";
     700 PlatformLost Warn "The platform's log can't be reached.";
     701 PlatformBack Info "The platform's log can be reached again.";
     702 HostListStale Warn "The platform's host list is stale.";
--- a/crates/onyxshed-entry/src/callers.rs
+++ b/crates/onyxshed-entry/src/callers.rs
@@ -8,9 +8,9 @@
 use http_types::Method;
 use onyxshed_core::{Millis, ResultCode, SubmissionId};
 use onyxshed_dispatch::Input;
-use onyxshed_http::{Call, Reply, ServerOptions, ServerStats};
+use onyxshed_http::{Call, Reply, ServerOptions};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
-use onyxshed_process::serve_requests;
+use onyxshed_process::{RequestServer, serve_requests};
 use onyxshed_wire::caller::{Answer, FORWARDED_HEADER, JOBS_PATH, Submission};
 
 use crate::engine::Engine;
@@ -46,12 +46,10 @@
     pub server: ServerOptions,
 }
 
-/// Counters of both listeners, such as the requests in flight for which a drain waits.
-pub struct Callers {
-    /// Counts of the listener for callers.
-    pub caller: Rc<ServerStats>,
-    /// Counts of the listener for peers.
-    pub peer: Rc<ServerStats>,
+/// The HTTP servers of both listeners.
+struct Callers {
+    caller: RequestServer,
+    peer: RequestServer,
 }
 
 /// The service that accepts requests of callers and of peers, each on a listener of its own.
@@ -73,7 +71,7 @@
         name: &'static str,
         address: SocketAddr,
         listener: ListenerKind,
-    ) -> Result<Rc<ServerStats>> {
+    ) -> Result<RequestServer> {
         let engine = self.engine.clone();
         let handle = move |call| {
             let engine = engine.clone();
@@ -125,9 +123,20 @@
             let Ok(callers) = kernel.find::<Callers>(CALLERS) else {
                 return;
             };
-            while callers.caller.in_flight.get() + callers.peer.in_flight.get() > 0 {
+            while callers.caller.in_flight() + callers.peer.in_flight() > 0 {
                 Timer::after(DRAIN_POLL_INTERVAL).await;
             }
+            callers.caller.record_drained();
+            callers.peer.record_drained();
+        })
+    }
+
+    fn stop<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, ()> {
+        Box::pin(async move {
+            if let Ok(callers) = kernel.find::<Callers>(CALLERS) {
+                callers.caller.record_cut_off();
+                callers.peer.record_cut_off();
+            }
         })
     }
 }
--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -16,10 +16,10 @@
 use onyxshed_adapter::{Manifest, Route};
 use onyxshed_core::{Event, EventKind, Millis, Mono, ResultCode};
 use onyxshed_http::client::with_timeout;
-use onyxshed_http::{Call, Reply, ServerOptions, ServerStats};
+use onyxshed_http::{Call, Reply, ServerOptions};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_pool::{JobEnd, JobId, JobRequest, JobSummary, SubmissionNumber, UnknownReason};
-use onyxshed_process::serve_requests;
+use onyxshed_process::{RequestServer, serve_requests};
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::boot_clock;
@@ -74,8 +74,8 @@
     kernel: Kernel,
     manifest: Rc<ManifestHolder>,
     links: Rc<Links>,
-    /// Counters of the HTTP server; empty until it listens.
-    stats: OnceCell<Rc<ServerStats>>,
+    /// The HTTP server; empty until it listens.
+    server: OnceCell<RequestServer>,
     metrics: HostMetrics,
     /// Closed when this host can serve requests or [`STARTUP_WAIT_MAX`] has elapsed.
     startup_over: Receiver<()>,
@@ -340,8 +340,8 @@
 
     /// Returns whether the HTTP server is handling a request of a caller.
     fn is_busy(&self) -> bool {
-        let stats = self.stats.get();
-        stats.is_some_and(|stats| stats.in_flight.get() > 0)
+        let server = self.server.get();
+        server.is_some_and(|server| server.in_flight() > 0)
     }
 
     fn record_end(
@@ -398,7 +398,7 @@
             kernel: kernel.clone(),
             manifest: kernel.find(MANIFEST)?,
             links: kernel.find(LINKS)?,
-            stats: OnceCell::new(),
+            server: OnceCell::new(),
             metrics: HostMetrics::new(),
             startup_over,
             drain_expired,
@@ -419,10 +419,10 @@
         let CallerOptions {
             address, server, ..
         } = self.options;
-        let stats =
+        let server =
             serve_requests(kernel, CALLERS, "caller", address, server, handle, reject).await?;
         // Cannot fail: the cell is set only here.
-        let _ = callers.stats.set(stats);
+        let _ = callers.server.set(server);
         let descriptor = Descriptor {
             name: CALLERS,
             summary: "requests of callers",
@@ -460,6 +460,18 @@
                 }
                 Timer::after(DRAIN_POLL).await;
             }
+            if let Some(server) = callers.server.get() {
+                server.record_drained();
+            }
+        })
+    }
+
+    fn stop<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, ()> {
+        Box::pin(async move {
+            let callers = kernel.find::<Callers>(CALLERS).ok();
+            if let Some(server) = callers.as_ref().and_then(|callers| callers.server.get()) {
+                server.record_cut_off();
+            }
         })
     }
 }
--- a/crates/onyxshed-process/src/requests.rs
+++ b/crates/onyxshed-process/src/requests.rs
@@ -11,7 +11,42 @@
 
 use crate::listen::listen;
 
-/// Serves HTTP requests on an address until the process exits. Returns the counters of the address.
+/// The HTTP server of one address of a process.
+pub struct RequestServer {
+    kernel: Kernel,
+    name: &'static str,
+    stats: Rc<ServerStats>,
+}
+
+impl RequestServer {
+    /// Returns the number of requests whose reply has not been written yet.
+    pub fn in_flight(&self) -> usize {
+        self.stats.in_flight.get()
+    }
+
+    /// Logs that the address has drained, with the connections and requests that are still open.
+    pub fn record_drained(&self) {
+        self.emit(EventKind::RequestsDrained);
+    }
+
+    /// Logs the requests that the end of the process leaves without a reply, if there are any.
+    pub fn record_cut_off(&self) {
+        if self.in_flight() > 0 {
+            self.emit(EventKind::RequestsCutOff);
+        }
+    }
+
+    fn emit(&self, kind: EventKind) {
+        let connections = self.stats.connections.get();
+        let requests = self.in_flight();
+        let detail =
+            format_smolstr!("{connections} connections open, {requests} requests in flight");
+        let event = Event::new(kind).party(self.name);
+        self.kernel.emit(event.detail(detail));
+    }
+}
+
+/// Serves HTTP requests on an address until the process exits.
 ///
 /// While the process drains, each reply closes its connection, so that the peer reconnects to
 /// another host. Requests that the server itself rejects are answered by `reject` and reported by
@@ -24,7 +59,7 @@
     options: ServerOptions,
     handle: impl Fn(Call) -> Pending + 'static,
     reject: impl Fn(ResultCode) -> Reply + 'static,
-) -> Result<Rc<ServerStats>>
+) -> Result<RequestServer>
 where
     Pending: Future<Output = Reply> + 'static,
 {
@@ -52,5 +87,9 @@
     kernel
         .spawn(server.run(listener, kernel.executor()))
         .detach();
-    Ok(stats)
+    Ok(RequestServer {
+        kernel: kernel.clone(),
+        name,
+        stats,
+    })
 }
