Tests of requests that a stopping host takes and cuts off; they fail

What callers see: a request sent 2.6 s after a host's SIGTERM is taken, and the connection ends without an answer.

Tests with real processes, which connect to the hosts directly, since the proxy accepts connections for hosts that have ended: an owner that a job of another host keeps running gets a request 2.6 s after SIGTERM, on an idle and on a new connection; a host without a pool gets requests on 40 connections until it has ended. A refusal counts as an answer if the job has not run. onyxshed_soak::direct tells a connection that was refused or closed before the request from one that ended without the answer.

--- a/crates/onyxshed-soak/src/fleet.rs
+++ b/crates/onyxshed-soak/src/fleet.rs
@@ -82,7 +82,9 @@
 struct Host {
     process: Option<Process>,
     arguments: Vec<String>,
+    /// The address of the proxy's route to the address for callers.
     caller_address: SocketAddr,
+    direct_caller_address: SocketAddr,
     ready_address: SocketAddr,
 }
 
@@ -225,6 +227,7 @@
                 format!("--advertise={advertised}"),
             ],
             caller_address,
+            direct_caller_address: address_at(8_161),
             ready_address: address_at(8_167),
         };
         self.hosts.insert(name.clone(), host);
@@ -273,7 +276,8 @@
         self.executors.keys().cloned().collect()
     }
 
-    /// Returns the address for callers of each host, in the order of the hosts' names.
+    /// Returns the address for callers of each host, in the order of the hosts' names. It belongs to the proxy,
+    /// which accepts connections for hosts that have ended as well.
     pub fn caller_addresses(&self) -> Vec<SocketAddr> {
         self.hosts
             .values()
@@ -281,6 +285,15 @@
             .collect()
     }
 
+    /// Returns each host's own address for callers, in the order of the hosts' names. Connections to it do not pass
+    /// through the proxy, and are refused while the host does not listen.
+    pub fn direct_caller_addresses(&self) -> Vec<SocketAddr> {
+        self.hosts
+            .values()
+            .map(|host| host.direct_caller_address)
+            .collect()
+    }
+
     /// Returns the status of a host's readiness check; `None` if the host is unknown or does not answer.
     pub async fn readiness_status(&self, name: &SmolStr) -> Option<u16> {
         let ready_address = self.hosts.get(name)?.ready_address;
--- a/crates/onyxshed-soak/src/lib.rs
+++ b/crates/onyxshed-soak/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod callers;
 pub mod checks;
+pub mod direct;
 pub mod faults;
 pub mod fleet;
 pub mod run;
--- a/crates/onyxshed-soak/tests/hosts/main.rs
+++ b/crates/onyxshed-soak/tests/hosts/main.rs
@@ -3,4 +3,5 @@
 mod callers;
 mod evacuation;
 mod owners;
+mod stops;
 mod support;
