A stop ends the intake of requests before it goes on

What callers saw: a request that a stopping host took some 2.4 s after its SIGTERM got no answer; its connection closed when the process ended.

Cause: the drain of the callers' address returned in the first moment in which no request was in flight. Its listener and its open connections, 20 to 40 of them, stayed in service while the services below drained and until the process exited, so what came in that time was dispatched and cut off. onyxshed-entry drained its two addresses in the same way.

Change: onyxshed-http's server can be shut down. The listener is closed once the connections that the operating system has established are accepted; a connection without a request gets a last reply and is closed, so a request that crosses the close is refused as not run and never read; requests in progress are answered, with "connection: close"; a request that has not arrived whole when the drain's time is over is refused. The shutdown is over when no connection is left, and from then on no request can arrive, however long the rest of the stop takes. Host and entry use it for callers; the entry's address for peers goes on until the last job has ended, since peers ask about jobs, and its last reply (4009) does not deny a job that runs.

Why this is enough: the condition for going on (no listener, no connection) can't become false again; the former one (no request in flight) could.

--- a/crates/onyxshed-entry/src/callers.rs
+++ b/crates/onyxshed-entry/src/callers.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use http_types::Method;
@@ -44,6 +44,9 @@
     pub peer_address: SocketAddr,
     /// Limits that apply to each listener separately.
     pub server: ServerOptions,
+    /// How long a stopping process waits for requests that are being received, from the start of its
+    /// drain.
+    pub drain_timeout: Duration,
 }
 
 /// The HTTP servers of both listeners.
@@ -114,20 +117,19 @@
         })
     }
 
-    /// Rejects new jobs from now on, waits for `DRAIN_GRACE`, and then until every pending reply has been
-    /// written.
+    /// Rejects new jobs from now on, and after `DRAIN_GRACE` takes no more requests of callers. Requests
+    /// of peers are taken until the last job has ended, since they may concern it.
     fn drain<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, ()> {
         Box::pin(async move {
+            let drain_deadline = Instant::now() + self.options.drain_timeout;
             self.engine.handle_input(Input::Drain);
             Timer::after(DRAIN_GRACE).await;
             let Ok(callers) = kernel.find::<Callers>(CALLERS) else {
                 return;
             };
-            while callers.caller.in_flight() + callers.peer.in_flight() > 0 {
-                Timer::after(DRAIN_POLL_INTERVAL).await;
-            }
-            callers.caller.record_drained();
-            callers.peer.record_drained();
+            callers.caller.shut_down(drain_deadline).await;
+            self.engine.wait_for_jobs().await;
+            callers.peer.shut_down(drain_deadline).await;
         })
     }
 
@@ -141,16 +143,9 @@
     }
 }
 
-/// How long a drain keeps answering new requests before it waits for the last reply.
-///
-/// Without this time, a request whose bytes have arrived but were not read when the last job ended gets
-/// a connection reset, and its caller can't know whether the job ran. By the end of this time readiness
-/// has been false for as long, so the load balancer sends no more requests, and each reply closes its
-/// connection.
-const DRAIN_GRACE: std::time::Duration = std::time::Duration::from_millis(500);
-
-/// How often a drain checks whether the last reply has been written.
-const DRAIN_POLL_INTERVAL: std::time::Duration = std::time::Duration::from_millis(10);
+/// How long a drain takes requests of callers in order to reject them. With less, load balancers that
+/// have not noticed yet that readiness is false meet a closed address.
+const DRAIN_GRACE: Duration = Duration::from_millis(500);
 
 async fn handle(engine: &Engine, listener: ListenerKind, mut call: Call) -> Reply {
     let is_forwarded = listener == ListenerKind::Peer && call.header(FORWARDED_HEADER).is_some();
@@ -223,12 +218,20 @@
 const RETRY_AFTER: Millis = Millis(1_000);
 
 /// Creates the answer to a request that was rejected before it was read whole.
+///
+/// A request that a stopping process has not read may concern a job that runs, so it is not answered
+/// with a code that denies this.
 fn rejection(code: ResultCode) -> Answer {
+    let code = match code {
+        ResultCode::Draining => ResultCode::EarlierCopyOpen,
+        code => code,
+    };
     let answer = Answer::ended(None, code, "");
     match code {
-        ResultCode::TooSlow | ResultCode::TooManyConnections | ResultCode::EntryFull => {
-            answer.retry_after(RETRY_AFTER)
-        }
+        ResultCode::EarlierCopyOpen
+        | ResultCode::TooSlow
+        | ResultCode::TooManyConnections
+        | ResultCode::EntryFull => answer.retry_after(RETRY_AFTER),
         _ => answer,
     }
 }
--- a/crates/onyxshed-entry/src/engine.rs
+++ b/crates/onyxshed-entry/src/engine.rs
@@ -140,6 +140,13 @@
         }
     }
 
+    /// Waits until no job is live.
+    pub async fn wait_for_jobs(&self) {
+        while self.inspect(Dispatch::live_jobs) > 0 {
+            Timer::after(DRAIN_POLL_INTERVAL).await;
+        }
+    }
+
     /// Ticks the state machine at each wake time that it requests, and at least every
     /// [`TICK_INTERVAL_MAX`].
     async fn tick(self: Rc<Self>) {
@@ -197,9 +204,7 @@
 
     fn drain<'a>(&'a self, _kernel: &'a Kernel) -> LocalFuture<'a, ()> {
         Box::pin(async move {
-            while self.engine.inspect(Dispatch::live_jobs) > 0 {
-                Timer::after(DRAIN_POLL_INTERVAL).await;
-            }
+            self.engine.wait_for_jobs().await;
         })
     }
 }
--- a/crates/onyxshed-entry/src/process.rs
+++ b/crates/onyxshed-entry/src/process.rs
@@ -169,5 +169,6 @@
             idle_timeout: settings.idle_timeout_ms.into(),
             ..ServerOptions::default()
         },
+        drain_timeout: settings.drain_timeout_ms.into(),
     }
 }
--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -10,7 +10,7 @@
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
-use futures_lite::FutureExt;
+use futures_lite::{FutureExt, future};
 use http_types::Method;
 use onyxshed_adapter::job::{self, DEADLINE_HEADER, REQUEST_HEADER, SimpleJob, Submission};
 use onyxshed_adapter::{Manifest, Route};
@@ -29,13 +29,10 @@
 use crate::names::{CALLERS, LINKS, MANIFEST};
 use replies::{job_reply, rejection_reply};
 
-/// How long a stopping host continues to serve before it waits for the last reply: the balancer
-/// polls readiness once a second and stops sending callers after two failed polls.
+/// How long a stopping host continues to take requests: the balancer polls readiness once a second
+/// and stops sending callers after two failed polls.
 const BALANCER_NOTICE_TIME: Duration = Duration::from_millis(2_200);
 
-/// Interval at which a stopping host checks whether the last reply has been written.
-const DRAIN_POLL: Duration = Duration::from_millis(10);
-
 /// Time limit of a request whose deadline header is missing or is not a number.
 const TIME_LIMIT_DEFAULT: Millis = Millis(5_000);
 
@@ -54,6 +51,9 @@
 /// until a new owner takes over.
 const NO_POOL_RETRY_AFTER: Millis = Millis(2_000);
 
+/// Retry-after time while this host is stopping: other hosts accept the request at once.
+const STOPPING_RETRY_AFTER: Millis = Millis(0);
+
 /// Retry-after time for a kind of job that is not supported; a sooner retry would be rejected as
 /// well.
 const UNSUPPORTED_RETRY_AFTER: Millis = Millis(60_000);
@@ -338,10 +338,11 @@
         last
     }
 
-    /// Returns whether the HTTP server is handling a request of a caller.
-    fn is_busy(&self) -> bool {
-        let server = self.server.get();
-        server.is_some_and(|server| server.in_flight() > 0)
+    /// Ends the jobs that are unfinished at `drain_deadline`.
+    async fn expire_drain(&self, drain_deadline: Instant) {
+        Timer::at(drain_deadline).await;
+        self.drain_expired_sender.close();
+        future::pending().await
     }
 
     fn record_end(
@@ -414,7 +415,8 @@
             async move { callers.handle(call).await }
         };
         let reject = |code: ResultCode| {
-            rejection_reply(code.http_status(), &format_smolstr!("{code}"), None)
+            let retry_after = (code == ResultCode::Draining).then_some(STOPPING_RETRY_AFTER);
+            rejection_reply(code.http_status(), &format_smolstr!("{code}"), retry_after)
         };
         let CallerOptions {
             address, server, ..
@@ -444,8 +446,8 @@
         Box::pin(self.open(kernel))
     }
 
-    /// Continues to serve until the balancer has noticed that this host is not ready, then waits
-    /// for the last reply.
+    /// Continues to serve until the balancer has noticed that this host is not ready, then takes no
+    /// more requests and waits for the last reply.
     fn drain<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, ()> {
         Box::pin(async move {
             let Ok(callers) = kernel.find::<Callers>(CALLERS) else {
@@ -454,15 +456,11 @@
             let drain_deadline = Instant::now() + self.options.drain_timeout;
             callers.drain_deadline.set(Some(drain_deadline));
             Timer::after(BALANCER_NOTICE_TIME).await;
-            while callers.is_busy() {
-                if Instant::now() >= drain_deadline {
-                    callers.drain_expired_sender.close();
-                }
-                Timer::after(DRAIN_POLL).await;
-            }
-            if let Some(server) = callers.server.get() {
-                server.record_drained();
-            }
+            let Some(server) = callers.server.get() else {
+                return;
+            };
+            let shut_down = server.shut_down(drain_deadline);
+            shut_down.or(callers.expire_drain(drain_deadline)).await;
         })
     }
 
--- a/crates/onyxshed-http/src/idle.rs
+++ b/crates/onyxshed-http/src/idle.rs
@@ -54,7 +54,7 @@
 
 /// Returns whether no byte of a request has arrived, read or unread, so that closing the connection
 /// cuts off no caller.
-fn is_idle(stream: &BoundedStream) -> bool {
+pub(crate) fn is_idle(stream: &BoundedStream) -> bool {
     let inner: Arc<Async<TcpStream>> = stream.inner().clone().into();
     let has_unread = matches!(inner.get_ref().peek(&mut [0]), Ok(1));
     stream.phase() == Phase::Idle && !has_unread
--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -3,6 +3,7 @@
 mod body;
 mod gauge;
 mod rejection;
+mod shutdown;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -29,6 +30,7 @@
 use crate::message::{Call, Reply};
 use gauge::GaugeGuard;
 use rejection::{code_of, rejection_error};
+use shutdown::Shutdown;
 
 /// Limits on connections, sizes and durations, and the reaction to a disconnect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -84,6 +86,8 @@
 /// Current load of a server, and its total number of rejections.
 #[derive(Debug, Default)]
 pub struct ServerStats {
+    /// Listeners on which connections are accepted.
+    pub listeners: Cell<usize>,
     /// Open connections, including those above the limit while they get a rejection reply.
     pub connections: Cell<usize>,
     /// Requests whose reply has not been written yet.
@@ -102,6 +106,8 @@
     reject: RejectReply,
     stats: Rc<ServerStats>,
     idle: Rc<IdleStreams>,
+    shutdown: Rc<Shutdown>,
+    idle_refusal: Option<Reply>,
 }
 
 /// Number of bytes that a transfer encoding may add to a body, beyond the limit on the body's size.
@@ -116,6 +122,8 @@
             reject,
             stats: Rc::default(),
             idle: Rc::default(),
+            shutdown: Rc::default(),
+            idle_refusal: None,
         }
     }
 
@@ -137,12 +145,19 @@
         Ok(listener)
     }
 
-    /// Accepts and serves connections until the returned future is dropped. Connections that are
-    /// open by then continue to be served.
+    /// Accepts and serves connections until a shutdown begins or the returned future is dropped.
+    /// Connections that are open by then continue to be served.
     pub async fn run(self, listener: TcpListener, executor: Rc<LocalExecutor<'static>>) {
+        let _listening = GaugeGuard::new(&self.stats, |stats| &stats.listeners);
+        self.accept_until_shutdown(&listener, &executor).await;
+        self.accept_queued(&listener, &executor).await;
+        drop(listener);
+    }
+
+    async fn accept_all(&self, listener: &TcpListener, executor: &Rc<LocalExecutor<'static>>) {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => self.admit(stream, &executor),
+                Ok((stream, _)) => self.admit(stream, executor),
                 Err(_) => pause_after_failed_accept().await,
             }
             // A burst of new connections must not starve those already open.
@@ -200,8 +215,14 @@
                 self.options.head_timeout,
                 self.options.head_max_bytes,
             );
-            let accepted = h1.accept_one().await;
+            let accepted = async { Ok(h1.accept_one().await) };
+            let interrupted = async { Err(self.shutdown.interruption(&stream).await) };
+            let accepted = accepted.or(interrupted).await;
             in_flight.replace(None);
+            let accepted = match accepted {
+                Ok(accepted) => accepted,
+                Err(cause) => return self.close_interrupted(&stream, cause).await,
+            };
             match accepted {
                 Ok(ConnectionStatus::KeepAlive) => idle_entry = idle_entry.move_to_back(&stream),
                 Ok(ConnectionStatus::Close) if stream.phase() == Phase::Head => {
@@ -252,7 +273,7 @@
             false => (self.handler)(call).await,
         };
         stream.begin_reply(self.options.reply_timeout);
-        let reply = if closes_connection {
+        let reply = if closes_connection || self.shutdown.has_begun() {
             reply.connection_close()
         } else {
             reply
@@ -266,13 +287,18 @@
     }
 
     /// Replies to a peer with the reason for the rejection, if the peer still reads.
+    async fn send_rejection(&self, stream: &BoundedStream, code: ResultCode) {
+        self.send_final(stream, self.rejection_response(code)).await;
+    }
+
+    /// Sends the last response on a connection.
     ///
     /// If bytes from the peer are unread when the connection is closed, the operating system resets
     /// the connection and the peer loses the reply. So further bytes are read and discarded for up
     /// to [`LINGER_TIMEOUT`].
-    async fn send_rejection(&self, stream: &BoundedStream, code: ResultCode) {
+    async fn send_final(&self, stream: &BoundedStream, response: Response) {
         stream.begin_reply(LINGER_TIMEOUT);
-        let mut reply = Encoder::new(self.rejection_response(code), Method::Get);
+        let mut reply = Encoder::new(response, Method::Get);
         let mut stream = stream.clone();
         if io::copy(&mut reply, &mut stream).await.is_ok() && stream.close().await.is_ok() {
             let _ = with_timeout(LINGER_TIMEOUT, io::copy(&mut stream, &mut io::sink())).await;
--- /dev/null
+++ b/crates/onyxshed-http/tests/shutdown.rs
@@ -0,0 +1,219 @@
+//! Requests that meet the shutdown of a server.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use async_net::TcpStream;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use onyxshed_core::ResultCode;
+use onyxshed_http::server::PendingReply;
+use onyxshed_http::{Call, Reply, Server, ServerOptions};
+
+const REQUEST: &[u8] = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nok";
+
+/// The first bytes of a request, without the end of its head or body.
+const HALF_REQUESTS: [&[u8]; 2] = [
+    b"POST / HTTP/1.1\r\nHo",
+    b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\no",
+];
+
+/// How long the handler takes for a request.
+const HANDLING_TIME: Duration = Duration::from_millis(100);
+
+/// A deadline that no test reaches.
+fn never() -> Instant {
+    Instant::now() + Duration::from_secs(60)
+}
+
+/// A server whose handler counts its requests.
+struct Fixture {
+    address: SocketAddr,
+    server: Server,
+    handled: Rc<Cell<usize>>,
+}
+
+impl Fixture {
+    async fn start(executor: &Rc<LocalExecutor<'static>>) -> Self {
+        let handled = Rc::new(Cell::new(0));
+        let counter = handled.clone();
+        let handler = Rc::new(move |_: Call| -> PendingReply {
+            counter.set(counter.get() + 1);
+            Box::pin(async {
+                Timer::after(HANDLING_TIME).await;
+                Reply::bytes(200, "handled")
+            })
+        });
+        let reject = Rc::new(|code: ResultCode| Reply::bytes(code.http_status(), "rejected"));
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listener = Server::listen(any).await.expect("test setup succeeds");
+        let address = listener.local_addr().expect("test setup succeeds");
+        let server = Server::new(ServerOptions::default(), handler, reject)
+            .refuse_idle_with(Reply::bytes(503, "stopping"));
+        executor
+            .spawn(server.clone().run(listener, executor.clone()))
+            .detach();
+        Fixture {
+            address,
+            server,
+            handled,
+        }
+    }
+
+    async fn connect(&self) -> TcpStream {
+        let connections = self.server.stats().connections.get();
+        let stream = TcpStream::connect(self.address)
+            .await
+            .expect("test setup succeeds");
+        while self.server.stats().connections.get() == connections {
+            future::yield_now().await;
+        }
+        stream
+    }
+
+    /// Returns a connection on which a request has been answered.
+    async fn used_connection(&self) -> TcpStream {
+        let mut stream = self.connect().await;
+        send(&mut stream, REQUEST).await;
+        let mut reply = [0; 256];
+        let count = stream.read(&mut reply).await.expect("a reply arrives");
+        assert!(reply[..count].starts_with(b"HTTP/1.1 200"));
+        stream
+    }
+}
+
+async fn send(stream: &mut TcpStream, bytes: &[u8]) {
+    stream.write_all(bytes).await.expect("the peer reads");
+}
+
+/// Reads until the server closes the connection.
+async fn read_all(stream: &mut TcpStream) -> String {
+    let mut text = String::new();
+    stream
+        .read_to_string(&mut text)
+        .await
+        .expect("the connection is closed, not reset");
+    text
+}
+
+fn run<Test: Future<Output = ()>>(test: impl FnOnce(Rc<LocalExecutor<'static>>) -> Test) {
+    let executor = Rc::new(LocalExecutor::new());
+    async_io::block_on(executor.run(test(executor.clone())));
+}
+
+/// Guards against requests that are cut off because no request was in flight when the stop looked.
+#[test]
+fn request_that_crosses_the_close_of_its_idle_connection_is_refused() {
+    run(|executor| async move {
+        let fixture = Fixture::start(&executor).await;
+        let mut stream = fixture.used_connection().await;
+        let shut_down = fixture.server.shut_down(never());
+        let caller = async {
+            while !has_unread(&stream).await {
+                future::yield_now().await;
+            }
+            send(&mut stream, REQUEST).await;
+            read_all(&mut stream).await
+        };
+        let (reply, ()) = future::zip(caller, shut_down).await;
+        assert!(reply.starts_with("HTTP/1.1 503"), "{reply}");
+        assert!(reply.contains("connection: close"), "{reply}");
+        assert_eq!(fixture.handled.get(), 1);
+    });
+}
+
+async fn has_unread(stream: &TcpStream) -> bool {
+    future::poll_once(stream.peek(&mut [0])).await.is_some()
+}
+
+/// Guards against resets of connections that were established but not accepted yet.
+#[test]
+fn connections_in_the_accept_queue_are_answered() {
+    run(|executor| async move {
+        let fixture = Fixture::start(&executor).await;
+        future::yield_now().await;
+        let mut streams = Vec::new();
+        for _ in 0..100 {
+            let stream = std::net::TcpStream::connect(fixture.address);
+            streams.push(stream.expect("the queue has room"));
+        }
+        for stream in &mut streams {
+            std::io::Write::write_all(stream, REQUEST).expect("the bytes are queued");
+        }
+        fixture.server.shut_down(never()).await;
+        for mut stream in streams {
+            let mut reply = String::new();
+            let read = std::io::Read::read_to_string(&mut stream, &mut reply);
+            read.expect("the connection is closed, not reset");
+            assert!(reply.starts_with("HTTP/1.1 "), "no answer");
+        }
+    });
+}
+
+#[test]
+fn request_in_progress_is_answered_and_its_connection_closed() {
+    run(|executor| async move {
+        let fixture = Fixture::start(&executor).await;
+        let mut stream = fixture.connect().await;
+        send(&mut stream, REQUEST).await;
+        while fixture.handled.get() == 0 {
+            future::yield_now().await;
+        }
+        let shut_down = fixture.server.shut_down(never());
+        let (reply, ()) = future::zip(read_all(&mut stream), shut_down).await;
+        assert!(reply.starts_with("HTTP/1.1 200"), "{reply}");
+        assert!(reply.contains("connection: close"), "{reply}");
+    });
+}
+
+#[test]
+fn request_that_is_half_received_is_answered_when_the_rest_arrives() {
+    run(|executor| async move {
+        for half in HALF_REQUESTS {
+            let fixture = Fixture::start(&executor).await;
+            let mut stream = fixture.connect().await;
+            send(&mut stream, half).await;
+            Timer::after(Duration::from_millis(20)).await;
+            let caller = async {
+                Timer::after(Duration::from_millis(50)).await;
+                send(&mut stream, &REQUEST[half.len()..]).await;
+                read_all(&mut stream).await
+            };
+            let (reply, ()) = future::zip(caller, fixture.server.shut_down(never())).await;
+            assert!(reply.starts_with("HTTP/1.1 200"), "{reply}");
+        }
+    });
+}
+
+/// Guards against a stop that waits for a request that never arrives whole.
+#[test]
+fn request_that_is_half_received_at_the_deadline_is_rejected() {
+    run(|executor| async move {
+        for half in HALF_REQUESTS {
+            let fixture = Fixture::start(&executor).await;
+            let mut stream = fixture.connect().await;
+            send(&mut stream, half).await;
+            Timer::after(Duration::from_millis(20)).await;
+            let deadline = Instant::now() + Duration::from_millis(50);
+            let shut_down = fixture.server.shut_down(deadline);
+            let (reply, ()) = future::zip(read_all(&mut stream), shut_down).await;
+            assert!(reply.starts_with("HTTP/1.1 503"), "{reply}");
+            assert_eq!(fixture.handled.get(), 0);
+        }
+    });
+}
+
+#[test]
+fn connections_are_refused_after_the_shutdown() {
+    run(|executor| async move {
+        let fixture = Fixture::start(&executor).await;
+        drop(fixture.used_connection().await);
+        fixture.server.shut_down(never()).await;
+        let refused = TcpStream::connect(fixture.address).await;
+        let kind = refused.expect_err("nobody listens").kind();
+        assert_eq!(kind, std::io::ErrorKind::ConnectionRefused);
+    });
+}
--- a/crates/onyxshed-process/src/requests.rs
+++ b/crates/onyxshed-process/src/requests.rs
@@ -3,9 +3,10 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Instant;
 
 use onyxshed_core::{Event, EventKind, ResultCode};
-use onyxshed_http::{Call, Handler, Reply, Server, ServerOptions, ServerStats};
+use onyxshed_http::{Call, Handler, Reply, Server, ServerOptions};
 use onyxshed_kernel::{Kernel, Result, ServiceName};
 use smol_str::format_smolstr;
 
@@ -15,30 +16,27 @@
 pub struct RequestServer {
     kernel: Kernel,
     name: &'static str,
-    stats: Rc<ServerStats>,
+    server: Server,
 }
 
 impl RequestServer {
-    /// Returns the number of requests whose reply has not been written yet.
-    pub fn in_flight(&self) -> usize {
-        self.stats.in_flight.get()
-    }
-
-    /// Logs that the address has drained, with the connections and requests that are still open.
-    pub fn record_drained(&self) {
+    /// Shuts the address down; see [`Server::shut_down`]. Logs what is still open afterwards.
+    pub async fn shut_down(&self, receive_deadline: Instant) {
+        self.server.shut_down(receive_deadline).await;
         self.emit(EventKind::RequestsDrained);
     }
 
     /// Logs the requests that the end of the process leaves without a reply, if there are any.
     pub fn record_cut_off(&self) {
-        if self.in_flight() > 0 {
+        if self.server.stats().in_flight.get() > 0 {
             self.emit(EventKind::RequestsCutOff);
         }
     }
 
     fn emit(&self, kind: EventKind) {
-        let connections = self.stats.connections.get();
-        let requests = self.in_flight();
+        let stats = self.server.stats();
+        let connections = stats.connections.get();
+        let requests = stats.in_flight.get();
         let detail =
             format_smolstr!("{connections} connections open, {requests} requests in flight");
         let event = Event::new(kind).party(self.name);
@@ -75,21 +73,21 @@
             }
         })
     });
+    let idle_refusal = reject(ResultCode::Draining);
     let reporter = kernel.clone();
     let reject = Rc::new(move |code: ResultCode| {
         let event = Event::new(EventKind::RequestRejected);
         reporter.emit(event.detail(format_smolstr!("{code}")));
         reject(code)
     });
-    let server = Server::new(options, handler, reject);
-    let stats = server.stats();
+    let server = Server::new(options, handler, reject).refuse_idle_with(idle_refusal);
     let (listener, _) = listen(kernel, service, name, address).await?;
     kernel
-        .spawn(server.run(listener, kernel.executor()))
+        .spawn(server.clone().run(listener, kernel.executor()))
         .detach();
     Ok(RequestServer {
         kernel: kernel.clone(),
         name,
-        stats,
+        server,
     })
 }
