A queued copy of a job whose first runs are being stopped ends as unknown

Cause: submit admits a copy while runs of the earlier copy are being stopped. has_started is false for the new copy, and return_unstarted_jobs, shed_late_jobs and end_stalled_job looked at nothing else. After "not run" the entry host submits the job to the next pool at once, which can start the same tasks while the first runs still execute.

Change: is_unstarted (neither started nor runs of an earlier copy) is the one predicate for "not run" of a job that a pool gives up; end_of_dropped_job uses it in these three places and in place of evacuation_rejection, which had the guard already.

--- a/crates/onyxshed-pool/src/job.rs
+++ b/crates/onyxshed-pool/src/job.rs
@@ -183,7 +183,7 @@
     pub tasks: Vec<Task>,
     pub waiting: u16,
     pub done: u16,
-    /// Whether a run of any task was ordered; if not, the job can end as not run.
+    /// Whether a run of any task was ordered since this copy of the job was admitted.
     pub has_started: bool,
     /// Mean over the completed tasks of ln(actual / expected run time), and the number of these tasks.
     pub log_ratio: (f64, u32),
--- a/crates/onyxshed-pool/src/message.rs
+++ b/crates/onyxshed-pool/src/message.rs
@@ -277,7 +277,8 @@
     Paused(Micros, usize),
     /// The next owner requested the executors of this owner for the first time.
     HandoverBegun {
-        /// Number of jobs without a started task, which ended as not run.
+        /// Number of jobs without a started task, which ended as not run, or as unknown while runs
+        /// of an earlier copy were being stopped.
         returned_jobs: usize,
         /// Number of started jobs, which this owner completes.
         remaining_jobs: usize,
@@ -286,7 +287,8 @@
     HandoverEnded,
     /// Operators have evacuated the zone.
     EvacuationBegun {
-        /// Number of jobs without a started task, which ended as not run.
+        /// Number of jobs without a started task, which ended as not run, or as unknown while runs
+        /// of an earlier copy were being stopped.
         returned_jobs: usize,
         /// Number of started jobs, which continue in this pool.
         remaining_jobs: usize,
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -350,13 +350,14 @@
         self.actions.push(Action::Hold(id.clone(), order, pause));
     }
 
-    /// Ends every job of which no run was ordered with the outcome "not run", and returns the
-    /// number of ended jobs.
-    fn return_unstarted_jobs(&mut self, reason: NotRunReason) -> usize {
+    /// Ends every job of which no run was ordered, and returns the number of ended jobs. They end as not run,
+    /// or as unknown while runs of an earlier copy are being stopped.
+    fn return_unstarted_jobs(&mut self, reason: NotRunReason, unknown: UnknownReason) -> usize {
         let unstarted = self.jobs.iter().filter(|(_, job)| !job.has_started);
         let unstarted: Vec<JobId> = unstarted.map(|(id, _)| *id).collect();
         for job in &unstarted {
-            self.end_job(*job, JobEnd::NotRun(reason, Millis(0)));
+            let end = self.end_of_dropped_job(*job, (reason, Millis(0)), unknown);
+            self.end_job(*job, end);
         }
         unstarted.len()
     }
--- a/crates/onyxshed-pool/src/pool/admission.rs
+++ b/crates/onyxshed-pool/src/pool/admission.rs
@@ -123,7 +123,9 @@
             return None;
         }
         if self.zone_status != ZoneStatus::InService {
-            return Some(self.evacuation_rejection(now, request.job));
+            let not_run = (NotRunReason::ZoneEvacuated, self.retry_after(now));
+            let unknown = UnknownReason::ZoneEvacuated;
+            return Some(self.end_of_dropped_job(request.job, not_run, unknown));
         }
         if self.has_runs_of(request.job) {
             return None;
@@ -137,16 +139,30 @@
         None
     }
 
-    /// Returns the answer to a job that arrives while the zone is evacuated.
-    fn evacuation_rejection(&self, now: Mono, job: JobId) -> JobEnd {
-        // Runs of an earlier submission are still being stopped here. After "not run", another pool
-        // could start the same tasks while these runs still execute.
-        match self.has_runs_of(job) {
-            true => JobEnd::Unknown(UnknownReason::ZoneEvacuated),
-            false => JobEnd::NotRun(NotRunReason::ZoneEvacuated, self.retry_after(now)),
+    /// Returns the end of a job that this pool rejects or gives up: not run for the reason and with the retry
+    /// delay in `not_run` if [`Pool::is_unstarted`], otherwise unknown.
+    pub(super) fn end_of_dropped_job(
+        &self,
+        job: JobId,
+        not_run: (NotRunReason, Millis),
+        unknown: UnknownReason,
+    ) -> JobEnd {
+        let (reason, retry_after) = not_run;
+        match self.is_unstarted(job) {
+            true => JobEnd::NotRun(reason, retry_after),
+            false => JobEnd::Unknown(unknown),
         }
     }
 
+    /// Returns whether a job has neither started nor runs of an earlier copy that are still being
+    /// stopped.
+    ///
+    /// After "not run", another pool could start the same tasks while such runs still execute.
+    fn is_unstarted(&self, job: JobId) -> bool {
+        let has_started = self.jobs.get(&job).is_some_and(|job| job.has_started);
+        !has_started && !self.has_runs_of(job)
+    }
+
     /// Returns whether a job that arrives now can end while its answer is useful, given the jobs
     /// that go before it.
     ///
@@ -257,8 +273,9 @@
                 Feasibility::Expired => false,
             };
             if !job.has_started && !is_feasible {
-                let retry_after = self.retry_after(now);
-                ends.push((*id, JobEnd::NotRun(NotRunReason::NoTime, retry_after)));
+                let not_run = (NotRunReason::NoTime, self.retry_after(now));
+                let end = self.end_of_dropped_job(*id, not_run, UnknownReason::TimeOut);
+                ends.push((*id, end));
             }
         }
         for (id, end) in ends {
--- a/crates/onyxshed-pool/src/pool/evacuation.rs
+++ b/crates/onyxshed-pool/src/pool/evacuation.rs
@@ -38,7 +38,8 @@
 
     fn begin_evacuation(&mut self, now: Mono) {
         self.zone_status = ZoneStatus::Draining(now + self.options.evacuation_grace_ms);
-        let returned_jobs = self.return_unstarted_jobs(NotRunReason::ZoneEvacuated);
+        let returned_jobs =
+            self.return_unstarted_jobs(NotRunReason::ZoneEvacuated, UnknownReason::ZoneEvacuated);
         let remaining_jobs = self.jobs.len();
         self.log(Decision::EvacuationBegun {
             returned_jobs,
--- a/crates/onyxshed-pool/src/pool/handover.rs
+++ b/crates/onyxshed-pool/src/pool/handover.rs
@@ -14,7 +14,7 @@
 use super::Pool;
 use crate::executor::Phase;
 use crate::id::{ExecutorId, FencingToken, PeerIncarnation};
-use crate::job::NotRunReason;
+use crate::job::{NotRunReason, UnknownReason};
 use crate::message::{Action, Decision};
 use crate::successor::OwnershipTransfer;
 
@@ -114,7 +114,8 @@
         }
         if !self.is_releasing() {
             self.stage = HandoverStage::Releasing;
-            let returned_jobs = self.return_unstarted_jobs(NotRunReason::NotOwner);
+            let returned_jobs =
+                self.return_unstarted_jobs(NotRunReason::NotOwner, UnknownReason::OwnerChanged);
             let remaining_jobs = self.jobs.len();
             self.log(Decision::HandoverBegun {
                 returned_jobs,
--- a/crates/onyxshed-pool/src/pool/stalled.rs
+++ b/crates/onyxshed-pool/src/pool/stalled.rs
@@ -11,7 +11,7 @@
 use super::Pool;
 use super::admission::RETRY_AFTER_MAX;
 use crate::id::{ExecutorId, JobId};
-use crate::job::{Job, JobEnd, NotRunReason, TaskState, UnknownReason};
+use crate::job::{Job, NotRunReason, TaskState, UnknownReason};
 
 /// How long a job may be stalled before it ends. A shorter time would end jobs because of a single
 /// late report, which marks its executor as unresponsive until the next report.
@@ -39,10 +39,8 @@
     /// Ends a job as not run if none of its tasks has started, otherwise as unknown. The leases of runs that
     /// may still execute expire before a caller resubmits a job with an unknown outcome.
     fn end_stalled_job(&mut self, id: JobId) {
-        let end = match self.jobs[&id].has_started {
-            true => JobEnd::Unknown(UnknownReason::ExecutorsLost),
-            false => JobEnd::NotRun(NotRunReason::NoExecutor, RETRY_AFTER_MAX),
-        };
+        let not_run = (NotRunReason::NoExecutor, RETRY_AFTER_MAX);
+        let end = self.end_of_dropped_job(id, not_run, UnknownReason::ExecutorsLost);
         self.end_job(id, end);
     }
 
--- a/crates/onyxshed-pool/tests/pool/main.rs
+++ b/crates/onyxshed-pool/tests/pool/main.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod candidate;
+mod copies;
 mod evacuation;
 mod fixture;
 mod handover;
