A closing owner hands back the jobs that have not started

Cause: Pool::close set a stage only; return_unstarted_jobs was called by release and by an evacuation. A stopping owner without a successor kept its queued jobs. Those that no executor became free for within the drain (3 s) ended with the process, and their callers heard 504 although nothing had run.

Change: close returns actions. It ends the jobs that have not started as not run (NotOwner, as at a handover; unknown for a copy whose first runs are being stopped), so that their entry hosts try other pools. Started jobs continue.

onyxshed-host, minimal: EngineService::drain passes close through dispatch_event, which executes the actions. Since closing can now leave no job behind, the drain would return without once yielding, and nothing waits between it and the end of the process; so it waits one DRAIN_POLL (10 ms) more, in which the ends are sent to their entry hosts. A job that ended between two polls had less than that before.

Not run: a process that stops with queued jobs and without a successor; that the ends reach the entry hosts before the exit is not shown by a test.

--- a/crates/onyxshed-host/src/engine.rs
+++ b/crates/onyxshed-host/src/engine.rs
@@ -449,7 +449,8 @@
     }
 
     /// Continues to serve for up to `SUCCESSOR_WAIT_MAX` until another host takes over the pool,
-    /// then rejects new jobs and waits for the remaining jobs to end.
+    /// then rejects new jobs, returns those that have not started, and waits for the remaining jobs
+    /// to end.
     fn drain<'a>(&'a self, _kernel: &'a Kernel) -> LocalFuture<'a, ()> {
         Box::pin(async move {
             let drain_at = Instant::now() + SUCCESSOR_WAIT_MAX;
@@ -457,13 +458,13 @@
             while owns() && Instant::now() < drain_at {
                 Timer::after(DRAIN_POLL).await;
             }
-            if let Some(pool) = self.engine.pool.borrow_mut().as_mut() {
-                pool.close();
-            }
+            self.engine.dispatch_event(Pool::close);
             let deadline = Instant::now() + DRAIN_TIMEOUT;
             while self.engine.counts().1 > 0 && Instant::now() < deadline {
                 Timer::after(DRAIN_POLL).await;
             }
+            // The ends of the last jobs are sent to their entry hosts meanwhile.
+            Timer::after(DRAIN_POLL).await;
         })
     }
 }
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -112,8 +112,13 @@
     }
 
     /// Stops admitting jobs; each later submission ends as not run.
-    pub fn close(&mut self) {
+    ///
+    /// Jobs that have not started are returned as well, so that their entry hosts submit them to other
+    /// pools. This owner completes the others.
+    pub fn close(&mut self) -> Vec<Action> {
         self.stage = self.stage.max(HandoverStage::Closed);
+        self.return_unstarted_jobs(NotRunReason::NotOwner, UnknownReason::OwnerChanged);
+        self.take_actions()
     }
 
     /// Returns whether the pool has stopped admitting jobs.
--- a/crates/onyxshed-pool/tests/pool/handover.rs
+++ b/crates/onyxshed-pool/tests/pool/handover.rs
@@ -46,6 +46,28 @@
     assert_eq!(harness.take_ends(), vec![(JobId(2), not_run)]);
 }
 
+/// An owner stops without a successor: queued jobs must end as not run at once, not with its process. Started
+/// jobs continue.
+#[test]
+fn closing_returns_unstarted_jobs_at_once() {
+    let mut harness = Harness::with_executors(&[("a", 32)]);
+    let (_, first) = harness.submit_and_start(0, job(1, 2, 100));
+    harness.submit(1, job(2, 1, 900));
+    let actions = harness.pool.close();
+    harness.actions.extend(actions);
+    let not_run = JobEnd::NotRun(NotRunReason::NotOwner, Millis(0));
+    assert_eq!(harness.take_ends(), vec![(JobId(2), not_run)]);
+    harness.report(100, "a", &[], &[(1, first.task, 1, RunEnd::Done)]);
+    let (_, second) = harness
+        .take_starts()
+        .pop()
+        .expect("a start order for the second task");
+    harness.answer_start(101, "a", &second, &StartAnswer::Started { clock: None });
+    harness.report(200, "a", &[], &[(2, second.task, 1, RunEnd::Done)]);
+    assert_eq!(harness.take_ends(), vec![(JobId(1), JobEnd::Completed)]);
+    assert_eq!(harness.pool.job_count(), 0);
+}
+
 /// At the handover, a job has more tasks than fit on the executors. The executors must stay until its last
 /// task has started, or the job would wait forever.
 #[test]
