SIGHUP no longer ends a process

What callers saw: a SIGHUP to the entry process, for instance from a closing terminal or from an operator who expects a reload, closed every connection without an answer. The control process ended the same way.

Cause: the kernel installs handlers for SIGTERM, SIGINT and SIGQUIT only, so SIGHUP keeps its default action. Only the host's reload service handles it, from its own start on.

Change: the kernel installs SIGHUP with the others and requests no stop on it. A service may listen for it as well: both listeners get it, and the kernel's is installed before the first service starts.

--- a/crates/onyxshed-kernel/src/kernel.rs
+++ b/crates/onyxshed-kernel/src/kernel.rs
@@ -128,7 +128,7 @@
 
     /// Runs a process from start to exit on this thread.
     ///
-    /// SIGTERM and SIGINT start a drain, SIGQUIT stops the process immediately.
+    /// SIGTERM and SIGINT start a drain, SIGQUIT stops the process immediately, SIGHUP has no effect.
     pub fn run(&self, services: Vec<Box<dyn Service>>, options: RunOptions) -> RunEnd {
         let executor = self.executor();
         let process = executor.run(self.run_process(services, options));
--- a/crates/onyxshed-kernel/src/signal.rs
+++ b/crates/onyxshed-kernel/src/signal.rs
@@ -16,9 +16,12 @@
     AtOnce,
 }
 
-/// Installs handlers for SIGTERM, SIGINT and SIGQUIT and returns the stream of received signals.
+/// Signals whose default action would end the process without a drain.
+const HANDLED: [Signal; 4] = [Signal::Term, Signal::Int, Signal::Quit, Signal::Hup];
+
+/// Installs handlers for [`HANDLED`] and returns the stream of received signals.
 pub(crate) fn listen() -> Result<Signals> {
-    Signals::new([Signal::Term, Signal::Int, Signal::Quit]).map_err(|error| Error::SignalHandlers {
+    Signals::new(HANDLED).map_err(|error| Error::SignalHandlers {
         reason: error.to_string().into(),
     })
 }
@@ -26,12 +29,21 @@
 /// Forwards signals as stop requests until the receiver is dropped.
 pub(crate) async fn forward(mut signals: Signals, requests: Sender<StopRequest>) {
     while let Some(Ok(signal)) = signals.next().await {
-        let request = match signal {
-            Signal::Quit => StopRequest::AtOnce,
-            _ => StopRequest::Drain,
+        let Some(request) = stop_request(signal) else {
+            continue;
         };
         if requests.send(request).await.is_err() {
             return;
         }
     }
 }
+
+/// Returns the stop that a signal requests. SIGHUP requests none; a service that reloads its
+/// settings listens for it separately.
+fn stop_request(signal: Signal) -> Option<StopRequest> {
+    match signal {
+        Signal::Quit => Some(StopRequest::AtOnce),
+        Signal::Term | Signal::Int => Some(StopRequest::Drain),
+        _ => None,
+    }
+}
--- a/crates/onyxshed-proof/src/process.rs
+++ b/crates/onyxshed-proof/src/process.rs
@@ -98,7 +98,7 @@
         })
     }
 
-    /// Sends SIGHUP, on which the process reloads its settings.
+    /// Sends SIGHUP, on which a host reloads its settings and any other process does nothing.
     pub fn request_reload(&self) -> Result<()> {
         self.signal(Signal::HUP)
     }
--- a/crates/onyxshed-proof/tests/stop.rs
+++ b/crates/onyxshed-proof/tests/stop.rs
@@ -5,13 +5,14 @@
 use async_io::block_on;
 use futures_lite::future::zip;
 use http_types::Method;
-use onyxshed_core::{Millis, ResultCode, SubmissionId};
+use onyxshed_core::{Millis, Outcome, ResultCode, SubmissionId};
 use onyxshed_http::client::call_once;
 use onyxshed_proof::caller::{CallResult, ResubmitPolicy, submit};
 use onyxshed_proof::cluster::{Cluster, ClusterOptions, ProcessKind};
 use onyxshed_proof::process::Process;
 use onyxshed_proof::zone;
 use onyxshed_wire::admin::READY_PATH;
+use onyxshed_wire::caller::Submission;
 use serde_json::json;
 
 /// Exit code of a process that was stopped by SIGQUIT.
@@ -76,6 +77,57 @@
     });
 }
 
+/// Returns whether an executor has started a task of the job.
+fn has_started(cluster: &Cluster, id: SubmissionId) -> bool {
+    let starts = cluster.starts();
+    starts.iter().any(|start| start.task.submission == id)
+}
+
+/// Creates a job whose task takes `service_ms`.
+fn slow_job(service_ms: u64) -> Submission {
+    let payload = json!({"service_ms": service_ms}).to_string();
+    zone::job("wipe", payload.as_bytes())
+}
+
+/// Sends SIGHUP to both processes of the host once the job's task runs.
+async fn hang_up_while_task_runs(cluster: &mut Cluster, id: SubmissionId) {
+    zone::wait_until("the task runs", async || has_started(cluster, id)).await;
+    let host = cluster.host("a1").expect("the host runs");
+    for kind in [ProcessKind::Entry, ProcessKind::Control] {
+        let process = host.process(kind).expect("the process was started");
+        process.request_reload().expect("the signal is sent");
+    }
+}
+
+// SIGHUP, sent when a terminal closes or to reload settings, ends a process without a drain.
+#[test]
+fn sighup_cuts_off_no_request() {
+    let mut cluster = block_on(zone::start(1, ClusterOptions::default()));
+    let address = zone::caller_address(&mut cluster, "a1");
+    block_on(zone::publish_within(
+        &cluster,
+        "wipe",
+        Millis(60_000),
+        false,
+    ));
+    let job = slow_job(2_000);
+    let id = job.submission;
+    let submitted = submit(address, job, ResubmitPolicy::UntilRun);
+    let (answer, ()) = block_on(zip(submitted, hang_up_while_task_runs(&mut cluster, id)));
+    assert_eq!(
+        answer.result.outcome(),
+        Some(Outcome::Complete),
+        "{}",
+        answer.result
+    );
+    let host = cluster.host("a1").expect("the host was started");
+    for kind in [ProcessKind::Entry, ProcessKind::Control] {
+        let process = host.process(kind).expect("the process was started");
+        let status = process.exit_status().expect("the exit status can be read");
+        assert_eq!(status, None, "{kind:?} has ended");
+    }
+}
+
 #[test]
 fn only_sigquit_aborts_work_in_flight() {
     // A task of 25 s is in flight when an operator sends SIGTERM twice. The host reports that it is
