A connection is not reused after "Connection: close"

What callers saw: a draining host answers a forwarded request with "Connection: close". The forwarding host put the connection back into its pool and could send the next forward on it before the end of the stream arrived. That request got no answer, and its caller got 4001.

Cause: received replies never tell that the connection closes, and ConnectionPool::put keeps every connection.

Change: the client reads the options of all Connection headers. A reply tells whether its connection closes, Connection::is_closing says it of the last reply, is_open is false from then on and put drops such a connection. All users of the pool (forwards to peers, entry and host calls to executors) go through put; the platform's client asks is_open. None of them had to change.

--- a/crates/onyxshed-http/src/client.rs
+++ b/crates/onyxshed-http/src/client.rs
@@ -8,7 +8,7 @@
 use async_io::Timer;
 use async_net::TcpStream;
 use futures_lite::{AsyncReadExt, FutureExt, future};
-use http_types::headers::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http_types::headers::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use http_types::{Method, Request, Response, StatusCode, Url};
 use smol_str::SmolStr;
 
@@ -41,6 +41,8 @@
     base: Url,
     options: ClientOptions,
     last_reply_at: Instant,
+    /// Whether the peer announced that it closes the connection after its last reply.
+    is_closing: bool,
 }
 
 impl Connection {
@@ -60,6 +62,7 @@
             base,
             options,
             last_reply_at: Instant::now(),
+            is_closing: false,
         })
     }
 
@@ -68,9 +71,18 @@
         self.last_reply_at.elapsed()
     }
 
+    /// Returns whether the peer closes the connection after the reply that it sent last. A further
+    /// request would get no answer.
+    pub fn is_closing(&self) -> bool {
+        self.is_closing
+    }
+
     /// Returns whether the idle connection can still be written to: the peer has neither closed it
-    /// nor sent unsolicited bytes.
+    /// or announced that it will, nor sent unsolicited bytes.
     pub async fn is_open(&self) -> bool {
+        if self.is_closing {
+            return false;
+        }
         let mut byte = [0];
         let peek = async {
             let _ = self.stream.inner().peek(&mut byte).await;
@@ -108,6 +120,7 @@
         match outcome {
             Ok(reply) => {
                 self.last_reply_at = Instant::now();
+                self.is_closing = reply.closes_connection;
                 Ok(reply)
             }
             Err(ExchangeError::Timeout) => Err(CallError::timeout(sent)),
@@ -182,10 +195,17 @@
         status: response.status().into(),
         headers,
         body,
-        closes_connection: false,
+        closes_connection: closes_connection(&response),
     })
 }
 
+/// Returns whether one of the options in the reply's `Connection` headers is `close`.
+fn closes_connection(response: &Response) -> bool {
+    let values = response.header(CONNECTION).into_iter().flatten();
+    let mut options = values.flat_map(|value| value.as_str().split(','));
+    options.any(|option| option.trim().eq_ignore_ascii_case("close"))
+}
+
 /// Returns whether replies with this status never have a body.
 fn has_no_body(status: StatusCode) -> bool {
     status.is_informational() || matches!(status, StatusCode::NoContent | StatusCode::NotModified)
--- a/crates/onyxshed-http/src/connections.rs
+++ b/crates/onyxshed-http/src/connections.rs
@@ -65,10 +65,11 @@
         Connection::open(self.address, self.options).await
     }
 
-    /// Puts a connection back after a call that succeeded; closes it if the pool is full.
+    /// Puts a connection back after a call that succeeded; closes it if the pool is full or the peer
+    /// is about to close it.
     pub fn put(&self, connection: Connection) {
         let mut idle = self.idle.borrow_mut();
-        if idle.len() < self.idle_max {
+        if idle.len() < self.idle_max && !connection.is_closing() {
             idle.push(connection);
         }
     }
--- a/crates/onyxshed-http/src/message.rs
+++ b/crates/onyxshed-http/src/message.rs
@@ -52,7 +52,8 @@
     pub headers: Vec<(SmolStr, SmolStr)>,
     /// The reply's body.
     pub body: Vec<u8>,
-    /// Whether the connection is closed after the reply; always false in a received reply.
+    /// Whether the connection is closed after the reply. In a received reply, whether the peer
+    /// announced it.
     pub closes_connection: bool,
 }
 
