A drain that times out answers every open request

What callers saw: a job or a forward that outlasted drain_timeout_ms got no answer. Its connection was closed when the process exited.

Cause: at the timeout the kernel drops the drain and stops the services. Nothing tells the dispatch machine, which holds the requests.

Change: Engine::begin_drain starts a timer that ends 500 ms before the timeout, or a quarter of it before if that is shorter, and gives the machine Input::DrainExpired. The machine ends every job: "not run" (3005) if no task was started, 4009 if an earlier copy may have run elsewhere, and otherwise the new 4011 StoppedInDoubt with stops of its tasks. Forwards get 4011, and no request is forwarded any more. None of the older codes is true here: 4004 blames an upstream, and 4001 and 4002 say that the holder can't be reached or is gone. A job of which a task is known to have run gets 4011 too, as the process exits before it knows whether the rest was stopped. A drain that was cut short lasts until the timeout, so that stops and answers leave the process and the exit code stays 4.

--- a/crates/onyxshed-core/src/code.rs
+++ b/crates/onyxshed-core/src/code.rs
@@ -86,6 +86,7 @@
     4008 NotKnownHere 404 "This entry host knows no such submission.";
     4009 EarlierCopyOpen 504 "Whether an earlier copy of the submission ran can't be told; this copy was not started.";
     4010 CancelledInDoubt 504 "The caller cancelled while a task may have been running.";
+    4011 StoppedInDoubt 504 "The entry host stopped before the outcome was known; a task may have run.";
     5001 SettingsUnreadable 0 "The settings file can't be read.";
     5002 SettingsInvalid 0 "The settings hold a wrong value.";
     5003 AddressInUse 0 "An address can't be opened.";
--- a/crates/onyxshed-dispatch/src/dispatch.rs
+++ b/crates/onyxshed-dispatch/src/dispatch.rs
@@ -6,6 +6,7 @@
 mod caller;
 mod claim;
 mod completion;
+mod drain;
 mod forward;
 mod pump;
 mod query;
@@ -65,7 +66,7 @@
     forwarded_requests: BTreeMap<RequestId, forward::ForwardedRequest>,
     /// Total size of the payloads of jobs that have not ended, in bytes.
     running_bytes: u64,
-    is_draining: bool,
+    drain_state: drain::DrainState,
     /// Time by which an [`Input::Tick`] is needed.
     wake_at: Option<Mono>,
     /// Outputs of the input being processed.
@@ -89,7 +90,7 @@
             gone: BTreeSet::new(),
             forwarded_requests: BTreeMap::new(),
             running_bytes: 0,
-            is_draining: false,
+            drain_state: drain::DrainState::NotDraining,
             wake_at: None,
             outputs: Vec::new(),
             options,
@@ -161,7 +162,8 @@
             Input::AttemptEnded { attempt, report } => self.apply_attempt_end(now, attempt, report),
             Input::StopEnded { attempt, report } => self.apply_stop_end(now, attempt, report),
             Input::QueryEnded { attempt, status } => self.apply_task_status(now, attempt, status),
-            Input::Drain => self.is_draining = true,
+            Input::Drain => self.begin_drain(),
+            Input::DrainExpired => self.expire_drain(now),
             Input::Tick => {}
         }
     }
--- a/crates/onyxshed-dispatch/src/dispatch/admit.rs
+++ b/crates/onyxshed-dispatch/src/dispatch/admit.rs
@@ -93,7 +93,7 @@
         let has_no_room = self.jobs.len() >= self.options.jobs_max
             || self.running_bytes + bytes > self.options.running_max_bytes.0;
         let is_not_ready = self.config.is_none() || !self.has_executors;
-        match (self.is_draining, is_not_ready, has_no_room) {
+        match (self.is_draining(), is_not_ready, has_no_room) {
             (true, _, _) => Some(ResultCode::Draining),
             (_, true, _) => Some(ResultCode::NotReady),
             (_, _, true) => Some(ResultCode::EntryFull),
--- a/crates/onyxshed-dispatch/src/dispatch/forward.rs
+++ b/crates/onyxshed-dispatch/src/dispatch/forward.rs
@@ -15,7 +15,8 @@
 }
 
 impl Dispatch {
-    /// Forwards a request to a peer and records that it waits for the peer's answer.
+    /// Forwards a request to a peer and records that it waits for the peer's answer. Refuses it if
+    /// the drain has no time left for that answer.
     pub(super) fn forward_request(
         &mut self,
         request: RequestId,
@@ -23,6 +24,9 @@
         to: Incarnation,
         call: ForwardedCall,
     ) {
+        if self.is_drain_expired() {
+            return self.refuse(request, id, ResultCode::StoppedInDoubt);
+        }
         self.forwarded_requests
             .insert(request, ForwardedRequest { to, id });
         self.outputs.push(Output::Forward { request, to, call });
@@ -45,6 +49,13 @@
         }
     }
 
+    /// Refuses every forwarded request. A later answer of a holder is dropped.
+    pub(super) fn refuse_all_forwards(&mut self, code: ResultCode) {
+        for (request, forwarded) in std::mem::take(&mut self.forwarded_requests) {
+            self.refuse(request, forwarded.id, code);
+        }
+    }
+
     /// Refuses the forwarded requests whose holder is not live.
     ///
     /// If the holder freezes or is cut off after it has received the request, the caller would
--- a/crates/onyxshed-dispatch/src/input.rs
+++ b/crates/onyxshed-dispatch/src/input.rs
@@ -146,6 +146,9 @@
     },
     /// The process started to drain: new submissions are refused.
     Drain,
+    /// The drain has no time left: every request is answered at once, those that wait and those
+    /// that still arrive.
+    DrainExpired,
     /// No other input arrived by the time that [`Dispatch::wake_at`](crate::Dispatch::wake_at)
     /// returned.
     Tick,
--- a/crates/onyxshed-dispatch/src/job/running.rs
+++ b/crates/onyxshed-dispatch/src/job/running.rs
@@ -153,6 +153,14 @@
         in_doubt: ResultCode::UpstreamSilent,
     };
 
+    /// Codes for a job that is aborted because the host stops. A started job is not reported as
+    /// failed, because the host exits before it knows whether the remaining tasks were stopped.
+    pub const HOST_STOPPED: AbortCodes = AbortCodes {
+        unstarted: ResultCode::Draining,
+        started: ResultCode::StoppedInDoubt,
+        in_doubt: ResultCode::StoppedInDoubt,
+    };
+
     /// Returns the codes for a job that is aborted because one of its tasks ended with `code` and
     /// is not retried.
     pub fn for_task_end(code: ResultCode) -> AbortCodes {
--- a/crates/onyxshed-dispatch/src/table.rs
+++ b/crates/onyxshed-dispatch/src/table.rs
@@ -44,6 +44,11 @@
         self.due_at.len()
     }
 
+    /// Returns the ids of the jobs that have not ended.
+    pub fn live_ids(&self) -> Vec<SubmissionId> {
+        self.due_at.keys().copied().collect()
+    }
+
     /// Returns a job, or `None` if it is not in the table.
     pub fn get(&self, id: SubmissionId) -> Option<&Job> {
         self.jobs.get(&id)
--- a/crates/onyxshed-dispatch/tests/machine.rs
+++ b/crates/onyxshed-dispatch/tests/machine.rs
@@ -6,6 +6,7 @@
 use onyxshed_core::{SubmissionId, UnixMs};
 use onyxshed_dispatch::output::ForwardedCall;
 use onyxshed_dispatch::{Dispatch, DispatchOptions, Input, Output, RequestId};
+use onyxshed_policy::ExecutorInfo;
 use onyxshed_state::{Config, Member, MemberState};
 use onyxshed_wire::caller::{Answer, CopyMark, Submission};
 use rstest::rstest;
@@ -151,3 +152,117 @@
         (false, true) => assert_eq!(code, Some(ResultCode::HolderGone)),
     }
 }
+
+/// Creates a state machine with one executor, which has one slot, and one live peer.
+fn machine_with_executor() -> Dispatch {
+    let mut machine = machine(false);
+    let executor = ExecutorInfo {
+        name: "e0".parse().expect("the name is valid"),
+        upstream: "tablets".parse().expect("the name is valid"),
+        zone: "a".parse().expect("the name is valid"),
+        rack: "".into(),
+        slots: 1,
+        is_draining: false,
+    };
+    machine.handle(NOW, Input::Executors(vec![executor]));
+    add_suspected_member(&mut machine, Vec::new());
+    machine
+}
+
+/// Submits a job as the request of this number.
+fn submit_as(
+    machine: &mut Dispatch,
+    number: u64,
+    bound_to: Option<Incarnation>,
+    copy: CopyMark,
+) -> Vec<Output> {
+    let submission = Submission {
+        submission: SubmissionId {
+            ulid: Ulid::from_parts(NOW.wall.0, number.into()),
+            bound_to,
+        },
+        copy,
+        ..submission(bound_to)
+    };
+    machine.handle(
+        NOW,
+        Input::Submit {
+            request: RequestId(number),
+            submission,
+            is_forwarded: false,
+        },
+    )
+}
+
+/// Returns the requests that are answered and the codes of their answers.
+fn answers_of(outputs: &[Output]) -> Vec<(u64, Option<ResultCode>)> {
+    let answers = outputs.iter().filter_map(|output| match output {
+        Output::Answer { request, answer } => Some((request.0, answer.code)),
+        _ => None,
+    });
+    let mut answers: Vec<_> = answers.collect();
+    answers.sort_unstable();
+    answers
+}
+
+// A request that is still open when the process exits gets no answer, and its caller can't tell
+// whether the job ran.
+#[test]
+fn expired_drain_answers_every_open_request() {
+    let mut machine = machine_with_executor();
+    let started = submit_as(&mut machine, 1, Some(ME), CopyMark::First);
+    assert!(
+        started
+            .iter()
+            .any(|output| matches!(output, Output::Start { .. }))
+    );
+    let queued = submit_as(&mut machine, 2, Some(ME), CopyMark::First);
+    let claiming_first = submit_as(&mut machine, 3, None, CopyMark::First);
+    let claiming_again = submit_as(&mut machine, 4, None, CopyMark::Again);
+    let forwarded = submit_as(&mut machine, 5, Some(OTHER), CopyMark::First);
+    assert!(is_forwarded(&forwarded));
+    for outputs in [
+        &started,
+        &queued,
+        &claiming_first,
+        &claiming_again,
+        &forwarded,
+    ] {
+        assert_eq!(answers_of(outputs), []);
+    }
+    machine.handle(NOW, Input::Drain);
+
+    let outputs = machine.handle(NOW, Input::DrainExpired);
+
+    let expected = [
+        (1, Some(ResultCode::StoppedInDoubt)),
+        (2, Some(ResultCode::Draining)),
+        (3, Some(ResultCode::Draining)),
+        (4, Some(ResultCode::EarlierCopyOpen)),
+        (5, Some(ResultCode::StoppedInDoubt)),
+    ];
+    assert_eq!(answers_of(&outputs), expected);
+    let is_stop = |output: &Output| matches!(output, Output::Stop { .. });
+    assert!(outputs.iter().any(is_stop), "the task is not stopped");
+    assert_eq!(machine.live_jobs(), 0);
+}
+
+// A request that waits for a peer after the drain has expired is cut off by the exit.
+#[test]
+fn expired_drain_forwards_no_request() {
+    let mut machine = machine_with_executor();
+    submit_as(&mut machine, 1, Some(OTHER), CopyMark::First);
+    machine.handle(NOW, Input::DrainExpired);
+    let late_answer = Input::ForwardEnded {
+        request: RequestId(1),
+        id: submission(Some(OTHER)).submission,
+        answer: None,
+    };
+    assert_eq!(answers_of(&machine.handle(NOW, late_answer)), []);
+
+    let outputs = submit_as(&mut machine, 2, Some(OTHER), CopyMark::Again);
+
+    assert!(!is_forwarded(&outputs));
+    let expected = [(2, Some(ResultCode::StoppedInDoubt))];
+    assert_eq!(answers_of(&outputs), expected);
+}
--- a/crates/onyxshed-dispatch/tests/search.rs
+++ b/crates/onyxshed-dispatch/tests/search.rs
@@ -69,3 +69,13 @@
         ..SimulationOptions::default()
     });
 }
+
+// As above, while drains expire with jobs and forwards in progress: every request is answered by
+// then, and "not run" is answered only if no task has started.
+#[test]
+fn expired_drains_answer_every_request_truthfully() {
+    search(&SimulationOptions {
+        do_drains_expire: true,
+        ..SimulationOptions::default()
+    });
+}
--- a/crates/onyxshed-dispatch/tests/search/simulation.rs
+++ b/crates/onyxshed-dispatch/tests/search/simulation.rs
@@ -38,6 +38,8 @@
     pub has_faults: bool,
     /// Whether ids are bound to the host that they are first sent to.
     pub are_ids_bound_to_host: bool,
+    /// Whether drains of hosts expire, after which the hosts restart.
+    pub do_drains_expire: bool,
 }
 
 impl Default for SimulationOptions {
@@ -45,6 +47,7 @@
         SimulationOptions {
             has_faults: true,
             are_ids_bound_to_host: false,
+            do_drains_expire: false,
         }
     }
 }
@@ -186,6 +189,7 @@
             35..38 if self.options.has_faults => self.crash(),
             38..42 if self.options.has_faults => self.freeze(),
             42..45 if self.options.has_faults => self.is_log_down = !self.is_log_down,
+            45..48 if self.options.do_drains_expire => self.expire_drain(),
             _ => self.deliver_one(),
         }
         self.apply_queued_inputs();
--- a/crates/onyxshed-dispatch/tests/search/simulation/callers.rs
+++ b/crates/onyxshed-dispatch/tests/search/simulation/callers.rs
@@ -124,6 +124,32 @@
         self.configure_all();
     }
 
+    /// Lets the drain of a host expire and checks that it answers every request. The host stops
+    /// later, with the next crash.
+    pub(super) fn expire_drain(&mut self) {
+        // Requests that arrived during a freeze come before the end of the drain.
+        self.apply_queued_inputs();
+        let index = self.rng.random_range(0..HOSTS);
+        let host = &self.hosts[index];
+        if host.frozen_until_ms > self.now_ms {
+            return;
+        }
+        let incarnation = host.incarnation;
+        self.trace.push(format!("drain of {incarnation} expires"));
+        self.deliver_input(index, Input::DrainExpired);
+        let open = self
+            .requesters
+            .keys()
+            .filter(|(holder, _)| *holder == incarnation)
+            .count();
+        assert_eq!(
+            open,
+            0,
+            "{}: requests open after the drain",
+            self.failure_context()
+        );
+    }
+
     /// Drops the requests that a gone host has not answered; peers see their connections close.
     pub(super) fn drop_requests(&mut self, gone: Incarnation) {
         let lost: Vec<Requester> = self
--- a/crates/onyxshed-entry/src/callers.rs
+++ b/crates/onyxshed-entry/src/callers.rs
@@ -44,9 +44,6 @@
     pub peer_address: SocketAddr,
     /// Limits that apply to each listener separately.
     pub server: ServerOptions,
-    /// How long a stopping process waits for requests that are being received, from the start of its
-    /// drain.
-    pub drain_timeout: Duration,
 }
 
 /// The HTTP servers of both listeners.
@@ -121,15 +118,14 @@
     /// of peers are taken until the last job has ended, since they may concern it.
     fn drain<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, ()> {
         Box::pin(async move {
-            let drain_deadline = Instant::now() + self.options.drain_timeout;
-            self.engine.handle_input(Input::Drain);
+            let answer_deadline = self.engine.begin_drain();
             Timer::after(DRAIN_GRACE).await;
             let Ok(callers) = kernel.find::<Callers>(CALLERS) else {
                 return;
             };
-            callers.caller.shut_down(drain_deadline).await;
+            callers.caller.shut_down(answer_deadline).await;
             self.engine.wait_for_jobs().await;
-            callers.peer.shut_down(drain_deadline).await;
+            callers.peer.shut_down(answer_deadline).await;
         })
     }
 
--- a/crates/onyxshed-entry/src/engine.rs
+++ b/crates/onyxshed-entry/src/engine.rs
@@ -3,12 +3,12 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::FutureExt;
-use onyxshed_core::Mono;
+use onyxshed_core::{Millis, Mono};
 use onyxshed_dispatch::{Dispatch, Input, Output, RequestId};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_wire::caller::Answer;
@@ -28,9 +28,19 @@
 /// How often a drain checks whether the last job has ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Longest time before the end of a drain at which every open request is answered, so that the
+/// answers and the stops of tasks still leave the process.
+const ANSWER_MARGIN_MAX: Duration = Duration::from_millis(500);
+
+/// Part of the drain timeout that the margin for the last answers takes at most.
+const ANSWER_MARGIN_DIVISOR: u32 = 4;
+
 /// Handle to the dispatch state machine, by which the other services pass inputs to it.
 pub struct Engine {
     kernel: Kernel,
+    drain_timeout: Duration,
+    /// Whether the drain ran out of time with requests or jobs open.
+    is_cut_short: Cell<bool>,
     dispatch: RefCell<Dispatch>,
     pending: RefCell<HashMap<RequestId, Sender<Answer>>>,
     last_request: Cell<u64>,
@@ -39,10 +49,12 @@
 }
 
 impl Engine {
-    /// Creates an engine that owns `dispatch`.
-    pub fn new(kernel: &Kernel, dispatch: Dispatch) -> Rc<Self> {
+    /// Creates an engine that owns `dispatch`; `drain_timeout_ms` is that of the process.
+    pub fn new(kernel: &Kernel, dispatch: Dispatch, drain_timeout_ms: Millis) -> Rc<Self> {
         Rc::new(Engine {
             kernel: kernel.clone(),
+            drain_timeout: drain_timeout_ms.into(),
+            is_cut_short: Cell::new(false),
             dispatch: RefCell::new(dispatch),
             pending: RefCell::default(),
             last_request: Cell::new(0),
@@ -61,6 +73,24 @@
         self.arm_timer();
     }
 
+    /// Starts the drain: new jobs are refused, and every open request is answered shortly before the
+    /// process's drain times out. Returns the time of these answers.
+    pub fn begin_drain(self: &Rc<Self>) -> Instant {
+        let answer_at = Instant::now() + time_until_expiry(self.drain_timeout);
+        self.handle_input(Input::Drain);
+        self.kernel
+            .spawn(self.clone().expire_drain(answer_at))
+            .detach();
+        answer_at
+    }
+
+    async fn expire_drain(self: Rc<Self>, answer_at: Instant) {
+        Timer::at(answer_at).await;
+        let has_open_work = self.pending_requests() > 0 || self.inspect(Dispatch::live_jobs) > 0;
+        self.is_cut_short.set(has_open_work);
+        self.handle_input(Input::DrainExpired);
+    }
+
     /// Passes a request to the state machine and waits for its answer.
     pub async fn request(&self, make_input: impl FnOnce(RequestId) -> Input) -> Answer {
         let request = RequestId(self.last_request.get() + 1);
@@ -171,6 +201,12 @@
     }
 }
 
+/// Returns how long a drain of at most `drain_timeout` waits before it answers the open requests.
+fn time_until_expiry(drain_timeout: Duration) -> Duration {
+    let margin = ANSWER_MARGIN_MAX.min(drain_timeout / ANSWER_MARGIN_DIVISOR);
+    drain_timeout - margin
+}
+
 /// The service that registers an [`Engine`] with the kernel, ticks its state machine and refreshes
 /// the metrics.
 pub struct EngineService {
@@ -202,9 +238,14 @@
         })
     }
 
+    /// Waits until the last job has ended. A drain that was cut short doesn't return: its process
+    /// ends when the drain times out, and the stops of its tasks have the time until then.
     fn drain<'a>(&'a self, _kernel: &'a Kernel) -> LocalFuture<'a, ()> {
         Box::pin(async move {
             self.engine.wait_for_jobs().await;
+            if self.engine.is_cut_short.get() {
+                std::future::pending::<()>().await;
+            }
         })
     }
 }
--- a/crates/onyxshed-entry/src/process.rs
+++ b/crates/onyxshed-entry/src/process.rs
@@ -58,7 +58,7 @@
     // The incarnation of the entry host identifies this run of its entry process.
     let incarnation = context.boot;
     let dispatch = Dispatch::new(incarnation, dispatch_options(settings), rand::random());
-    let engine = Engine::new(kernel, dispatch);
+    let engine = Engine::new(kernel, dispatch, settings.drain_timeout_ms);
     register_status_source(kernel, &telemetry, &engine);
     let upstreams = Upstreams::new(kernel, incarnation, upstream_options(settings));
     let platform = PlatformOptions::default();
@@ -169,6 +169,5 @@
             idle_timeout: settings.idle_timeout_ms.into(),
             ..ServerOptions::default()
         },
-        drain_timeout: settings.drain_timeout_ms.into(),
     }
 }
