An owner ends after its peers know that it is none

What callers saw: 504 for jobs of which nothing had run. They were submitted by other hosts to an owner without a next owner in the moment in which its process ended.

The owner's drain ended when its pool had no job, with the peers' interface in service. A job on its way then met a closed connection, and so did replies that had not been written; for the entry host both leave the outcome open. Besides, a link whose owner says that it owns the pool no longer gave up the replies that were on their way.

Change: the drained owner gives up its pool and goes on to reply (not run, to whatever comes) until no peer is connected, for at most the longest interval of heartbeats, by which every peer that answers has been told. A link that is told so takes no more jobs and closes once the replies that it waits for have arrived.

--- a/crates/onyxshed-host/src/engine.rs
+++ b/crates/onyxshed-host/src/engine.rs
@@ -6,7 +6,7 @@
 
 mod calls;
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -22,6 +22,7 @@
     NotRunReason, OwnershipTransfer, PeerIncarnation, Pool, PoolId, PoolLoad, PoolOptions, Session,
     SubmissionNumber, SuccessorOffer, UnknownReason,
 };
+use onyxshed_proto::rpc::ConnectionCount;
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::boot_clock;
@@ -55,6 +56,10 @@
 /// Interval at which a stopping owner checks whether its jobs have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
 
+/// Time in which every peer learns by a heartbeat that this host is no longer an owner: the longest
+/// interval between two heartbeats of an idle link, and its answer.
+const PEER_NOTICE_TIME: Duration = Duration::from_millis(1_450);
+
 type PendingReplies = BTreeMap<(PeerIncarnation, SubmissionNumber), Sender<JobEnd>>;
 
 /// Handle to the pool that this host owns, if it owns one.
@@ -72,6 +77,8 @@
     past_members: RefCell<Vec<SmolStr>>,
     evacuations: Rc<ZoneEvacuations>,
     metrics: HostMetrics,
+    /// Number of connections of peers; empty until peers can connect.
+    peer_connections: OnceCell<ConnectionCount>,
 }
 
 impl Engine {
@@ -94,6 +101,7 @@
             past_members: RefCell::default(),
             evacuations,
             metrics: HostMetrics::new(),
+            peer_connections: OnceCell::new(),
         })
     }
 
@@ -191,6 +199,24 @@
         pool.as_ref().is_some_and(Pool::is_closed)
     }
 
+    /// Sets the number of connections of peers, which the peers' interface counts.
+    pub fn set_peer_connections(&self, connections: ConnectionCount) {
+        // Cannot fail: the interface is opened once.
+        let _ = self.peer_connections.set(connections);
+    }
+
+    /// Waits until no peer is connected, for at most `PEER_NOTICE_TIME`. Replies to jobs have
+    /// arrived by then, and no peer submits further ones to this host.
+    async fn wait_for_peers(&self) {
+        let Some(connections) = self.peer_connections.get() else {
+            return;
+        };
+        let deadline = Instant::now() + PEER_NOTICE_TIME;
+        while connections.get() > 0 && Instant::now() < deadline {
+            Timer::after(DRAIN_POLL).await;
+        }
+    }
+
     /// Returns whether this host owns `pool` and has not begun to release it to the next owner.
     pub fn serves(&self, pool: &PoolId) -> bool {
         self.owned_pool.borrow().as_ref() == Some(pool) && !self.is_releasing()
@@ -463,8 +489,8 @@
             while self.engine.counts().1 > 0 && Instant::now() < deadline {
                 Timer::after(DRAIN_POLL).await;
             }
-            // The ends of the last jobs are sent to their entry hosts meanwhile.
-            Timer::after(DRAIN_POLL).await;
+            self.engine.step_down("this host is stopping");
+            self.engine.wait_for_peers().await;
         })
     }
 }
--- a/crates/onyxshed-host/src/links.rs
+++ b/crates/onyxshed-host/src/links.rs
@@ -396,7 +396,8 @@
             };
             let port = port::Port::new(links.engine.clone(), member, deployment);
             let client: pool_port::Client = capnp_rpc::new_client(port);
-            serve_rpc(kernel, listener, client.client, PEERS_MAX);
+            let connections = serve_rpc(kernel, listener, client.client, PEERS_MAX);
+            links.engine.set_peer_connections(connections);
             let descriptor = Descriptor {
                 name: LINKS,
                 summary: "links to the owners of pools",
--- a/crates/onyxshed-host/src/links/remote.rs
+++ b/crates/onyxshed-host/src/links/remote.rs
@@ -42,6 +42,9 @@
 /// Timeout for opening a connection to an owner.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Interval at which a link whose host no longer owns the pool checks for outstanding replies.
+const REPLY_POLL: Duration = Duration::from_millis(5);
+
 /// Pause before a link that went down is opened again.
 const REOPEN_PAUSE: Duration = Duration::from_millis(100);
 
@@ -144,7 +147,11 @@
                     Timer::after(OWNER_START_PAUSE).await;
                     continue;
                 }
-                Some(Ok(None)) => return Some("the host no longer owns the pool"),
+                Some(Ok(None)) => {
+                    self.mark_down("the host no longer owns the pool");
+                    self.wait_for_replies().await;
+                    return None;
+                }
                 Some(Ok(Some(session))) => self.apply_session(&client, session, &lost),
             }
             if self.is_closed.get() && self.waiters.get() == 0 {
@@ -154,6 +161,15 @@
         }
     }
 
+    /// Waits until the owner has replied to the jobs that it has received, for at most
+    /// [`ANSWER_TIMEOUT`].
+    async fn wait_for_replies(&self) {
+        let deadline = Instant::now() + ANSWER_TIMEOUT;
+        while self.waiters.get() > 0 && Instant::now() < deadline {
+            Timer::after(REPLY_POLL).await;
+        }
+    }
+
     fn mark_first_attempt_done(&self) {
         if !self.is_first_attempt_done.replace(true) {
             self.first_attempt_done.notify();
--- a/crates/onyxshed-host/tests/peers.rs
+++ b/crates/onyxshed-host/tests/peers.rs
@@ -48,7 +48,14 @@
         let address = listener.local_addr().expect("the listener has an address");
         let owner: pool_port::Client = capnp_rpc::new_client(Owner);
         let dropped: rpc::DropReporter = Rc::new(|_| {});
-        let serve = rpc::serve(listener, owner.client, serving.clone(), PEERS_MAX, dropped);
+        let serve = rpc::serve(
+            listener,
+            owner.client,
+            serving.clone(),
+            PEERS_MAX,
+            rpc::ConnectionCount::default(),
+            dropped,
+        );
         serving.spawn(serve).detach();
         let mut links = Vec::new();
         for _ in 0..HOSTS {
--- a/crates/onyxshed-process/src/listen.rs
+++ b/crates/onyxshed-process/src/listen.rs
@@ -8,7 +8,7 @@
 use onyxshed_core::{Event, EventKind, ResultCode};
 use onyxshed_http::Server;
 use onyxshed_kernel::{Error, Kernel, Result, ServiceName};
-use onyxshed_proto::rpc;
+use onyxshed_proto::rpc::{self, ConnectionCount};
 use smol_str::SmolStr;
 
 /// Listens on an address and adds it to the ready line under `name`. Returns the listener and the
@@ -30,23 +30,26 @@
 }
 
 /// Serves an RPC interface until the process exits, to at most `connections_max` connections at a
-/// time. Emits an event for each connection that it drops.
+/// time, and returns their number. Emits an event for each connection that it drops.
 pub fn serve_rpc(
     kernel: &Kernel,
     listener: TcpListener,
     bootstrap: Client,
     connections_max: usize,
-) {
+) -> ConnectionCount {
     let reporter = kernel.clone();
     let on_dropped: rpc::DropReporter = Rc::new(move |reason: SmolStr| {
         reporter.emit(Event::new(EventKind::RequestRejected).detail(reason));
     });
+    let connections = ConnectionCount::default();
     let serving = rpc::serve(
         listener,
         bootstrap,
         kernel.executor(),
         connections_max,
+        connections.clone(),
         on_dropped,
     );
     kernel.spawn(serving).detach();
+    connections
 }
--- a/crates/onyxshed-proto/src/rpc.rs
+++ b/crates/onyxshed-proto/src/rpc.rs
@@ -3,6 +3,7 @@
 //! The size of a message is checked before it is read. A message that states a size above the limit ends
 //! the connection, so that a faulty or hostile peer costs a connection but no memory.
 
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -48,6 +49,32 @@
 /// Callback that receives a description of the reason why a connection was dropped.
 pub type DropReporter = Rc<dyn Fn(SmolStr)>;
 
+/// Number of connections that an interface has open. Clones share the number.
+#[derive(Debug, Clone, Default)]
+pub struct ConnectionCount(Rc<Cell<usize>>);
+
+impl ConnectionCount {
+    /// Returns the number.
+    pub fn get(&self) -> usize {
+        self.0.get()
+    }
+
+    fn enter(&self) -> CountGuard {
+        self.0.set(self.0.get() + 1);
+        CountGuard(self.clone())
+    }
+}
+
+/// Counts one connection until dropped.
+struct CountGuard(ConnectionCount);
+
+impl Drop for CountGuard {
+    fn drop(&mut self) {
+        let count = &self.0.0;
+        count.set(count.get() - 1);
+    }
+}
+
 /// Serves `bootstrap` to every connection, up to `connections_max` at a time, until the future is
 /// dropped.
 ///
@@ -59,6 +86,7 @@
     bootstrap: Client,
     executor: Rc<LocalExecutor<'static>>,
     connections_max: usize,
+    connections: ConnectionCount,
     report_drop: DropReporter,
 ) {
     let mut open: VecDeque<Task<()>> = VecDeque::new();
@@ -78,12 +106,17 @@
             open.pop_front();
         }
         let system = RpcSystem::new(network(stream, Side::Server), Some(bootstrap.clone()));
-        open.push_back(executor.spawn(serve_connection(system, report_drop.clone())));
+        let served = serve_connection(system, connections.enter(), report_drop.clone());
+        open.push_back(executor.spawn(served));
     }
 }
 
 /// Serves one connection until it ends.
-async fn serve_connection(system: RpcSystem<Side>, report_drop: DropReporter) {
+async fn serve_connection(
+    system: RpcSystem<Side>,
+    _counted: CountGuard,
+    report_drop: DropReporter,
+) {
     if let Err(error) = system.await
         && error.kind != ErrorKind::Disconnected
     {
--- a/crates/onyxshed-soak/tests/hosts/stops.rs
+++ b/crates/onyxshed-soak/tests/hosts/stops.rs
@@ -13,13 +13,14 @@
 use onyxshed_soak::direct::{
     DirectConnection, JobRequest, Outcome, Writing, send_on_new_connection,
 };
-use onyxshed_soak::fleet::Fleet;
+use onyxshed_soak::fleet::{Fleet, FleetOptions};
+use onyxshed_standins::faults::Mode;
 use rstest::rstest;
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::support::{
-    TIMEOUT, connect, job_body, one_zone, send_request, wait_for_owner, wait_until_host_ends,
-    wait_until_job_completes,
+    TIMEOUT, connect, job_body, one_zone, send_request, wait_for_owner, wait_until,
+    wait_until_host_ends, wait_until_job_completes,
 };
 
 /// The time from an owner's SIGTERM until its late job is sent, longer than the 2,200 ms for the balancer's notice.
@@ -269,3 +270,100 @@
         assert!(!started.contains(job.as_str()), "refused job {job} has run");
     }
 }
+
+/// Submits jobs of 20 ms to a host, one after another, until a time or until the host closes the connection.
+async fn send_jobs_until(host: SocketAddr, first_job: u64, until: Instant, outcomes: Outcomes) {
+    const JOB_MS: u64 = 20;
+    let mut connection = DirectConnection::open(host)
+        .await
+        .expect("the host accepts the connection");
+    for job in first_job.. {
+        if Instant::now() >= until {
+            return;
+        }
+        let job = format_smolstr!("{job:016x}");
+        let outcome = connection.send(&request(job.clone(), JOB_MS)).await;
+        let is_kept = matches!(&outcome, Outcome::Answered(reply) if !reply.closes_connection);
+        outcomes.borrow_mut().push((job, outcome));
+        if !is_kept {
+            return;
+        }
+    }
+}
+
+/// Guards against jobs that reach an owner just before it ends, and are answered as unknown though nothing ran.
+#[rstest]
+#[case::without_callers(None)]
+fn owner_that_stops_leaves_no_unstarted_job_of_other_hosts_unknown(
+    #[case] own_request: Option<Writing>,
+) {
+    const CALLERS: u64 = 20;
+    const SENT_FOR: Duration = Duration::from_millis(6_500);
+    let executor = Rc::new(LocalExecutor::new());
+    let test = async {
+        // The pool has one host, so that it has no next owner. All jobs of the other zone go to it.
+        let mut fleet = start_with_evacuated_zone_of_one_host().await;
+        let entry = fleet.direct_caller_addresses()[0];
+        let owner = fleet.host_names().remove(1);
+        let _own_caller = own_request.map(|writing| {
+            let request = JobRequest {
+                writing,
+                ..request("00000000000000dd", 10)
+            };
+            let owner_address = fleet.direct_caller_addresses()[1];
+            executor.spawn(async move { send_on_new_connection(owner_address, &request).await })
+        });
+        let delay = Mode::Delay { delay_ms: 60 };
+        let slowed = fleet.set_mode("peer-*", delay).await;
+        slowed.expect("the links are slowed");
+        let outcomes = Outcomes::default();
+        let until = Instant::now() + SENT_FOR;
+        let callers: Vec<_> = (1..=CALLERS)
+            .map(|number| send_jobs_until(entry, number << 32, until, outcomes.clone()))
+            .map(|caller| executor.spawn(caller))
+            .collect();
+        Timer::after(Duration::from_millis(500)).await;
+        request_stop(&mut fleet, &owner);
+        for caller in callers {
+            caller.await;
+        }
+        wait_until_host_ends(&mut fleet, &owner).await;
+        let outcomes = outcomes.take();
+        let records = fleet.take_records().await;
+        let started: BTreeSet<&str> = records
+            .iter()
+            .filter_map(|(_, record)| record.task.split('.').next())
+            .collect();
+        let unknown = outcomes.iter().filter(
+            |(_, outcome)| !matches!(outcome, Outcome::Answered(reply) if reply.status != 504),
+        );
+        let unstarted: Vec<_> = unknown
+            .filter(|(job, _)| !started.contains(job.as_str()))
+            .collect();
+        let log = fleet.log_tail(&owner);
+        let counts = format!("{} of {} jobs", unstarted.len(), outcomes.len());
+        assert!(unstarted.is_empty(), "{counts}: {unstarted:?}\n{log}");
+    };
+    block_on(executor.run(test));
+}
+
+/// Starts two zones of one host each, and evacuates the first one.
+async fn start_with_evacuated_zone_of_one_host() -> Fleet {
+    let options = FleetOptions {
+        zones: 2,
+        hosts: 1,
+        ..one_zone()
+    };
+    let fleet = Fleet::start(&options).await.expect("the fleet starts");
+    let evacuated = fleet.set_evacuated("z0", true).await;
+    evacuated.expect("the record is written");
+    for host_index in 0..2 {
+        wait_until_job_completes(&fleet, host_index).await;
+    }
+    wait_until("both hosts know of the evacuation", async || {
+        let lines = fleet.log_lines_with("ZoneEvacuated");
+        (lines.len() >= 2).then_some(())
+    })
+    .await;
+    fleet
+}
