The time for a pool's last jobs is counted from SIGTERM

What callers saw: 504 for jobs that other hosts submitted to a stopping owner and of which nothing had run.

Cause: an owner waits 1.5 s for a next owner, and then stops accepting jobs. This wait began when the services above had drained, which takes up to 5 s if a caller's job or half-received request lasts that long. The drain of the whole process ends at 5.5 s, so the pool was never closed, and accepted jobs until the process ended.

Change: services learn of the drain at its begin.

--- a/crates/onyxshed-host/src/engine.rs
+++ b/crates/onyxshed-host/src/engine.rs
@@ -42,16 +42,10 @@
 /// for each of the start and stop orders that are usually sent together.
 const IDLE_CONNECTIONS: usize = 4;
 
-/// How long a stopping owner waits for the jobs of its pool to end after it has stopped accepting
-/// jobs.
-const DRAIN_TIMEOUT: Duration = Duration::from_millis(3_000);
-
-/// How long a stopping owner continues to serve without a successor after its own callers are gone.
-///
-/// Together with the 2,200 ms for which the balancer may still send callers, this is about 3,700 ms
-/// of the platform's grace period of 6,000 ms; the last jobs have the rest. A zone that is
-/// partitioned from the store has no next owner until the partition heals.
-const SUCCESSOR_WAIT_MAX: Duration = Duration::from_millis(1_500);
+/// How long a stopping owner continues to accept jobs without a successor: about three fifths of the
+/// platform's grace period, so that the last jobs have the rest. A zone that is partitioned from the
+/// store has no next owner until the partition heals.
+const SUCCESSOR_WAIT_MAX: Duration = Duration::from_millis(3_700);
 
 /// Interval at which a stopping owner checks whether its jobs have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
@@ -217,6 +211,13 @@
         }
     }
 
+    /// Returns whether this host owns no pool, or the pool has stopped accepting jobs and has none.
+    fn has_drained(&self) -> bool {
+        let pool = self.pool.borrow();
+        pool.as_ref()
+            .is_none_or(|pool| (pool.is_closed() || pool.is_releasing()) && pool.job_count() == 0)
+    }
+
     /// Returns whether this host owns `pool` and has not begun to release it to the next owner.
     pub fn serves(&self, pool: &PoolId) -> bool {
         self.owned_pool.borrow().as_ref() == Some(pool) && !self.is_releasing()
@@ -450,12 +451,20 @@
 /// Service that registers the [`Engine`] and drains its pool at shutdown.
 pub struct EngineService {
     engine: Rc<Engine>,
+    drain_timeout: Duration,
+    /// Time at which unfinished jobs are given up; `None` until the process drains.
+    drain_deadline: Cell<Option<Instant>>,
 }
 
 impl EngineService {
-    /// Creates the service that registers and drains `engine`.
-    pub fn new(engine: Rc<Engine>) -> Self {
-        EngineService { engine }
+    /// Creates the service that registers and drains `engine`, within `drain_timeout` from the
+    /// start of the process's drain.
+    pub fn new(engine: Rc<Engine>, drain_timeout: Duration) -> Self {
+        EngineService {
+            engine,
+            drain_timeout,
+            drain_deadline: Cell::new(None),
+        }
     }
 }
 
@@ -474,19 +483,26 @@
         })
     }
 
-    /// Continues to serve for up to `SUCCESSOR_WAIT_MAX` until another host takes over the pool,
-    /// then rejects new jobs, returns those that have not started, and waits for the remaining jobs
-    /// to end.
+    /// Schedules the time at which the pool rejects jobs and returns those that have not started. It
+    /// does not depend on how long the services take that drain before this one.
+    fn begin_drain(&self, kernel: &Kernel) {
+        let now = Instant::now();
+        self.drain_deadline.set(Some(now + self.drain_timeout));
+        let close_at = now + SUCCESSOR_WAIT_MAX.min(self.drain_timeout);
+        let engine = self.engine.clone();
+        let close = async move {
+            Timer::at(close_at).await;
+            engine.dispatch_event(Pool::close);
+        };
+        kernel.spawn(close).detach();
+    }
+
+    /// Waits until another host has taken over the pool, or until the jobs that remain after
+    /// `SUCCESSOR_WAIT_MAX` have ended. Jobs that are unfinished at the deadline end as unknown.
     fn drain<'a>(&'a self, _kernel: &'a Kernel) -> LocalFuture<'a, ()> {
         Box::pin(async move {
-            let drain_at = Instant::now() + SUCCESSOR_WAIT_MAX;
-            let owns = || self.engine.owned_pool().is_some() && !self.engine.is_releasing();
-            while owns() && Instant::now() < drain_at {
-                Timer::after(DRAIN_POLL).await;
-            }
-            self.engine.dispatch_event(Pool::close);
-            let deadline = Instant::now() + DRAIN_TIMEOUT;
-            while self.engine.counts().1 > 0 && Instant::now() < deadline {
+            let deadline = self.drain_deadline.get().unwrap_or_else(Instant::now);
+            while !self.engine.has_drained() && Instant::now() < deadline {
                 Timer::after(DRAIN_POLL).await;
             }
             self.engine.step_down("this host is stopping");
--- a/crates/onyxshed-host/src/process.rs
+++ b/crates/onyxshed-host/src/process.rs
@@ -239,6 +239,7 @@
         evacuations.clone(),
         link_options,
     );
+    let drain_timeout = Millis(settings.grace_ms.0.saturating_sub(FINAL_REPLIES_MARGIN.0)).into();
     let callers = CallerOptions {
         address: settings.caller_address,
         server: ServerOptions {
@@ -247,7 +248,7 @@
             cancels_on_disconnect: true,
             ..ServerOptions::default()
         },
-        drain_timeout: Millis(settings.grace_ms.0.saturating_sub(FINAL_REPLIES_MARGIN.0)).into(),
+        drain_timeout,
     };
     vec![
         Box::new(AdminService::new(
@@ -263,7 +264,7 @@
             long_poll_wait(settings.manifest_within_ms),
             evacuations.clone(),
         )),
-        Box::new(EngineService::new(engine.clone())),
+        Box::new(EngineService::new(engine.clone(), drain_timeout)),
         Box::new(ShardLayoutService::new(
             shard_layouts.clone(),
             settings.store_address,
--- a/crates/onyxshed-kernel/src/process.rs
+++ b/crates/onyxshed-kernel/src/process.rs
@@ -180,10 +180,14 @@
         }
     }
 
-    /// Starts the drain: the process stops being ready before any service drains.
+    /// Starts the drain: the process stops being ready, and every service learns of the drain, before
+    /// any service drains.
     pub fn begin_drain(self) -> Process<Draining> {
         self.kernel.readiness().set_draining();
         self.emit(EventKind::ProcessDraining);
+        for service in self.services.iter().rev() {
+            service.begin_drain(&self.kernel);
+        }
         self.into_state(|running| Draining {
             _pause_monitor: running.pause_monitor,
         })
--- a/crates/onyxshed-kernel/src/service.rs
+++ b/crates/onyxshed-kernel/src/service.rs
@@ -45,6 +45,9 @@
     /// Starts the service: registers its handle and opens its addresses.
     fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>>;
 
+    /// Notes that the process has begun to drain; called for every service before any is drained.
+    fn begin_drain(&self, _kernel: &Kernel) {}
+
     /// Stops accepting new work and waits until the work in flight is finished.
     fn drain<'a>(&'a self, _kernel: &'a Kernel) -> LocalFuture<'a, ()> {
         Box::pin(ready(()))
--- a/crates/onyxshed-soak/tests/hosts/stops.rs
+++ b/crates/onyxshed-soak/tests/hosts/stops.rs
@@ -294,6 +294,7 @@
 /// Guards against jobs that reach an owner just before it ends, and are answered as unknown though nothing ran.
 #[rstest]
 #[case::without_callers(None)]
+#[case::with_a_request_that_never_arrives(Some(Writing::HeadFirst(TIMEOUT)))]
 fn owner_that_stops_leaves_no_unstarted_job_of_other_hosts_unknown(
     #[case] own_request: Option<Writing>,
 ) {
