A closing reply is not lost to a reset

What callers saw: nothing was reported; found by an audit of stops. While a process drains every reply closes its connection. If the caller has sent more bytes by then, closing the socket resets the connection, and on systems that drop what was received the reply is lost.

Cause: only rejections were followed by reading until the peer closes.

Change: every last reply is: the sending side is closed, and further bytes are discarded for up to 2 s.

Failing before: closing_reply_reaches_a_caller_that_has_sent_more_bytes, "Connection reset by peer".

--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -229,7 +229,7 @@
                     // The peer closed its side in the middle of a head.
                     return self.send_rejection(&stream, ResultCode::BadRequest).await;
                 }
-                Ok(ConnectionStatus::Close) => return,
+                Ok(ConnectionStatus::Close) => return close_after_reply(&stream).await,
                 Err(error) => {
                     let is_request = stream.read_bytes() > read_before;
                     if is_request && stream.phase() != Phase::Replying {
@@ -286,26 +286,34 @@
         (self.reject)(code).connection_close().into_response()
     }
 
-    /// Replies to a peer with the reason for the rejection, if the peer still reads.
+    /// Replies to a peer with the reason for the rejection.
     async fn send_rejection(&self, stream: &BoundedStream, code: ResultCode) {
         self.send_final(stream, self.rejection_response(code)).await;
     }
 
-    /// Sends the last response on a connection.
-    ///
-    /// If bytes from the peer are unread when the connection is closed, the operating system resets
-    /// the connection and the peer loses the reply. So further bytes are read and discarded for up
-    /// to [`LINGER_TIMEOUT`].
+    /// Sends the last response on a connection, if the peer still reads.
     async fn send_final(&self, stream: &BoundedStream, response: Response) {
         stream.begin_reply(LINGER_TIMEOUT);
         let mut reply = Encoder::new(response, Method::Get);
-        let mut stream = stream.clone();
-        if io::copy(&mut reply, &mut stream).await.is_ok() && stream.close().await.is_ok() {
-            let _ = with_timeout(LINGER_TIMEOUT, io::copy(&mut stream, &mut io::sink())).await;
+        let sent = io::copy(&mut reply, &mut stream.clone()).await;
+        if sent.is_ok() {
+            close_after_reply(stream).await;
         }
     }
 }
 
+/// Closes a connection on which the last reply has been sent.
+///
+/// If bytes from the peer are unread when the connection is closed, the operating system resets the
+/// connection and the peer loses the reply. So further bytes are read and discarded for up to
+/// [`LINGER_TIMEOUT`].
+async fn close_after_reply(stream: &BoundedStream) {
+    let mut stream = stream.clone();
+    if stream.close().await.is_ok() {
+        let _ = with_timeout(LINGER_TIMEOUT, io::copy(&mut stream, &mut io::sink())).await;
+    }
+}
+
 /// Waits until the peer has closed the connection, and forever if it has sent further bytes.
 /// Returns a reply that no peer will read.
 async fn wait_for_disconnect(stream: &BoundedStream) -> Reply {
@@ -331,7 +339,7 @@
 /// without a reply.
 const REJECTED_CONNECTIONS_MAX: usize = 256;
 
-/// Time limit for sending a rejection, and for discarding the peer's further bytes after it.
+/// Time limit for sending a rejection, and for discarding the peer's further bytes after a last reply.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The interim response to a request that asks whether to send its body.
--- a/crates/onyxshed-http/tests/shutdown.rs
+++ b/crates/onyxshed-http/tests/shutdown.rs
@@ -217,3 +217,23 @@
         assert_eq!(kind, std::io::ErrorKind::ConnectionRefused);
     });
 }
+
+/// Guards against replies that are lost because their connection is reset.
+#[test]
+fn closing_reply_reaches_a_caller_that_has_sent_more_bytes() {
+    run(|executor| async move {
+        let fixture = Fixture::start(&executor).await;
+        let mut stream = fixture.connect().await;
+        send(&mut stream, REQUEST).await;
+        while fixture.handled.get() == 0 {
+            future::yield_now().await;
+        }
+        let caller = async {
+            send(&mut stream, REQUEST).await;
+            read_all(&mut stream).await
+        };
+        let (reply, ()) = future::zip(caller, fixture.server.shut_down(never())).await;
+        assert!(reply.starts_with("HTTP/1.1 200"), "{reply}");
+        assert_eq!(fixture.handled.get(), 1);
+    });
+}
