A connection to a peer is closed when it is given up

The number of connections that an owner counts never fell.

Cause: rpc::connect left the connection to a detached task. capnp-rpc keeps it open when the client is dropped, contrary to what the comment said, so each link that was given up stayed connected until one of the processes ended, or the owner's limit of 640 closed it.

Change: rpc::connect returns the connection, which is closed on drop. Links, the query of a starting host, and the control process's connections to peers and to its entry process hold it as long as they use it.

--- a/crates/onyxshed-control/src/entry_link.rs
+++ b/crates/onyxshed-control/src/entry_link.rs
@@ -86,8 +86,8 @@
 ) {
     loop {
         let connected = rpc::connect::<entry_port::Client>(address, &kernel.executor()).await;
-        if let Ok(client) = connected {
-            send_until_disconnected(&kernel, &shared_state, &link, &client).await;
+        if let Ok(connection) = connected {
+            send_until_disconnected(&kernel, &shared_state, &link, &connection.client).await;
         }
         link.status.replace(None);
         Timer::after(RECONNECT_DELAY).await;
--- a/crates/onyxshed-control/src/peers.rs
+++ b/crates/onyxshed-control/src/peers.rs
@@ -53,6 +53,9 @@
     pub members: MemberOptions,
 }
 
+/// A connection to a peer. Clones share it.
+type PeerConnection = Rc<rpc::Connection<peer_port::Client>>;
+
 /// Handle to the member table, which is `None` until the entry process has reported its status
 /// once, and to the connections to peers.
 pub struct Peers {
@@ -62,7 +65,7 @@
     shared_state: Rc<SharedState>,
     table: RefCell<Option<MemberTable>>,
     last_host_list: RefCell<Option<HostList>>,
-    clients: RefCell<BTreeMap<SocketAddr, peer_port::Client>>,
+    connections: RefCell<BTreeMap<SocketAddr, PeerConnection>>,
     rounds: Cell<u32>,
 }
 
@@ -250,7 +253,7 @@
             shared_state: kernel.find(SHARED_STATE)?,
             table: RefCell::default(),
             last_host_list: RefCell::default(),
-            clients: RefCell::default(),
+            connections: RefCell::default(),
             rounds: Cell::new(0),
         });
         let client: peer_port::Client = capnp_rpc::new_client(port::Port::new(peers.clone()));
--- a/crates/onyxshed-control/src/peers/calls.rs
+++ b/crates/onyxshed-control/src/peers/calls.rs
@@ -6,12 +6,11 @@
 
 use onyxshed_core::Revision;
 use onyxshed_http::client::with_timeout;
-use onyxshed_proto::onyxshed_capnp::peer_port;
 use onyxshed_proto::{gossip, handover, rpc};
 use onyxshed_state::Handover;
 use onyxshed_state::member::{Gossip, OutgoingGossip};
 
-use super::Peers;
+use super::{PeerConnection, Peers};
 
 /// How long a peer may take to answer. A connection over which no answer arrives in this time is
 /// dropped, and opened again in the next round.
@@ -25,7 +24,7 @@
             .await
             .flatten();
         let Some(answer) = answer else {
-            self.clients.borrow_mut().remove(&outgoing.to);
+            self.connections.borrow_mut().remove(&outgoing.to);
             return;
         };
         let peer_revision = answer.from.config_revision;
@@ -40,8 +39,8 @@
     }
 
     async fn exchange(&self, outgoing: &OutgoingGossip) -> Option<Gossip> {
-        let client = self.client(outgoing.to).await?;
-        let mut request = client.exchange_request();
+        let connection = self.connection(outgoing.to).await?;
+        let mut request = connection.client.exchange_request();
         let stamp = self.kernel.clock().stamp();
         gossip::write(&outgoing.gossip, stamp, request.get().init_gossip());
         let reply = request.send().promise.await.ok()?;
@@ -58,8 +57,14 @@
     }
 
     async fn request_handover(&self, from: SocketAddr) -> Option<Handover> {
-        let client = self.client(from).await?;
-        let reply = client.handover_request().send().promise.await.ok()?;
+        let connection = self.connection(from).await?;
+        let reply = connection
+            .client
+            .handover_request()
+            .send()
+            .promise
+            .await
+            .ok()?;
         let reply = reply.get().ok()?;
         if !reply.has_handover() {
             return None;
@@ -67,13 +72,15 @@
         handover::read(reply.get_handover().ok()?).ok()
     }
 
-    async fn client(&self, address: SocketAddr) -> Option<peer_port::Client> {
-        if let Some(client) = self.clients.borrow().get(&address) {
-            return Some(client.clone());
+    async fn connection(&self, address: SocketAddr) -> Option<PeerConnection> {
+        if let Some(connection) = self.connections.borrow().get(&address) {
+            return Some(connection.clone());
         }
-        let client: peer_port::Client =
-            rpc::connect(address, &self.kernel.executor()).await.ok()?;
-        self.clients.borrow_mut().insert(address, client.clone());
-        Some(client)
+        let connection = rpc::connect(address, &self.kernel.executor()).await.ok()?;
+        let connection = Rc::new(connection);
+        self.connections
+            .borrow_mut()
+            .insert(address, connection.clone());
+        Some(connection)
     }
 }
--- a/crates/onyxshed-host/src/links/remote.rs
+++ b/crates/onyxshed-host/src/links/remote.rs
@@ -132,13 +132,14 @@
     async fn run_connection(self: &Rc<Self>) -> Option<&'static str> {
         let executor = self.links.kernel.executor();
         let connect = rpc::connect::<pool_port::Client>(self.address, &executor);
-        let client = with_timeout(CONNECT_TIMEOUT, connect).await?.ok()?;
+        let connection = with_timeout(CONNECT_TIMEOUT, connect).await?.ok()?;
+        let client = &connection.client;
         // Dropped when this function returns, which closes `lost` and ends the jobs that wait on
         // it.
         let (_lost_sender, lost): (Sender<()>, _) = async_channel::bounded(1);
         let start_deadline = Instant::now() + OWNER_START_TIMEOUT;
         loop {
-            let answer = with_timeout(ANSWER_TIMEOUT, self.heartbeat(&client)).await;
+            let answer = with_timeout(ANSWER_TIMEOUT, self.heartbeat(client)).await;
             self.mark_first_attempt_done();
             match answer {
                 None => return Some("no answer in time"),
@@ -152,7 +153,7 @@
                     self.wait_for_replies().await;
                     return None;
                 }
-                Some(Ok(Some(session))) => self.apply_session(&client, session, &lost),
+                Some(Ok(Some(session))) => self.apply_session(client, session, &lost),
             }
             if self.is_closed.get() && self.waiters.get() == 0 {
                 return Some("another host owns the pool");
--- a/crates/onyxshed-host/src/peer_state.rs
+++ b/crates/onyxshed-host/src/peer_state.rs
@@ -117,9 +117,14 @@
 
     async fn query(&self, seed: SocketAddr) -> capnp::Result<PeerState> {
         let executor = self.kernel.executor();
-        let client = rpc::connect::<pool_port::Client>(seed, &executor).await;
-        let client = client.map_err(|error| capnp::Error::failed(error.to_string()))?;
-        let reply = client.peer_state_request().send().promise.await?;
+        let connection = rpc::connect::<pool_port::Client>(seed, &executor).await;
+        let connection = connection.map_err(|error| capnp::Error::failed(error.to_string()))?;
+        let reply = connection
+            .client
+            .peer_state_request()
+            .send()
+            .promise
+            .await?;
         pool::read_peer_state(reply.get()?.get_state()?)
     }
 
--- a/crates/onyxshed-proto/src/rpc.rs
+++ b/crates/onyxshed-proto/src/rpc.rs
@@ -124,21 +124,30 @@
     }
 }
 
-/// Connects to an interface. The connection stays open as long as the client or one of its calls exists.
+/// An open connection to an interface, which is closed when it is dropped.
+pub struct Connection<T> {
+    /// The client of the interface. Its calls that are in progress when the connection is closed fail.
+    pub client: T,
+    _system: Task<()>,
+}
+
+/// Connects to an interface.
 pub async fn connect<T: FromClientHook>(
     address: SocketAddr,
     executor: &Rc<LocalExecutor<'static>>,
-) -> capnp::Result<T> {
+) -> capnp::Result<Connection<T>> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(capnp::Error::from)?;
     stream.set_nodelay(true).map_err(capnp::Error::from)?;
     let mut system = RpcSystem::new(network(stream, Side::Client), None);
     let client: T = system.bootstrap(Side::Server);
-    executor
-        .spawn(async move {
-            let _ = system.await;
-        })
-        .detach();
-    Ok(client)
+    let system = executor.spawn(async move {
+        // Calls report the failure of their connection.
+        let _ = system.await;
+    });
+    Ok(Connection {
+        client,
+        _system: system,
+    })
 }
