A stopping host takes requests until its pool is drained

Cause: the intake was ended 2.2 s after SIGTERM, while the owner of a pool goes on for seconds until another host takes it over. The balancer uses every host of a zone of which less than half is ready, so callers came to hosts that no longer listened.

Change: the callers' address is shut down last, when the balancer has noticed, the pool is handed over or has ended its jobs, and peers know it; at the latest 1 s before the end of the grace. Requests that come before are submitted to the pools of other hosts. What remains of the stop after the shutdown takes no time. The pool's time is limited by its own service from SIGTERM on.

--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -338,6 +338,21 @@
         last
     }
 
+    /// Waits until the balancer has noticed that this host is stopping and its pool is drained, at
+    /// the latest until `drain_deadline`.
+    ///
+    /// Until then the host may be the only one in its zone that callers reach.
+    async fn serve_until_drained(&self, drain_deadline: Instant) {
+        let drained = async {
+            Timer::after(BALANCER_NOTICE_TIME).await;
+            self.links.drain_own_pool().await;
+        };
+        let expired = async {
+            Timer::at(drain_deadline).await;
+        };
+        drained.or(expired).await;
+    }
+
     /// Ends the jobs that are unfinished at `drain_deadline`.
     async fn expire_drain(&self, drain_deadline: Instant) {
         Timer::at(drain_deadline).await;
@@ -446,8 +461,8 @@
         Box::pin(self.open(kernel))
     }
 
-    /// Continues to serve until the balancer has noticed that this host is not ready, then takes no
-    /// more requests and waits for the last reply.
+    /// Continues to serve until the balancer has noticed that this host is not ready and its pool is
+    /// drained, then takes no more requests and waits for the last reply.
     fn drain<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, ()> {
         Box::pin(async move {
             let Ok(callers) = kernel.find::<Callers>(CALLERS) else {
@@ -455,10 +470,10 @@
             };
             let drain_deadline = Instant::now() + self.options.drain_timeout;
             callers.drain_deadline.set(Some(drain_deadline));
-            Timer::after(BALANCER_NOTICE_TIME).await;
             let Some(server) = callers.server.get() else {
                 return;
             };
+            callers.serve_until_drained(drain_deadline).await;
             let shut_down = server.shut_down(drain_deadline);
             shut_down.or(callers.expire_drain(drain_deadline)).await;
         })
--- a/crates/onyxshed-host/src/engine.rs
+++ b/crates/onyxshed-host/src/engine.rs
@@ -54,6 +54,9 @@
 /// interval between two heartbeats of an idle link, and its answer.
 const PEER_NOTICE_TIME: Duration = Duration::from_millis(1_450);
 
+/// Reason for which a stopping owner gives up its pool, as logged.
+const STOPPING: &str = "this host is stopping";
+
 type PendingReplies = BTreeMap<(PeerIncarnation, SubmissionNumber), Sender<JobEnd>>;
 
 /// Handle to the pool that this host owns, if it owns one.
@@ -199,6 +202,16 @@
         let _ = self.peer_connections.set(connections);
     }
 
+    /// Waits until another host has taken over the pool, or until it has rejected further jobs and
+    /// ended those that remain. Returns when the peers know that this host owns no pool.
+    pub async fn drain(self: &Rc<Self>) {
+        while !self.has_drained() {
+            Timer::after(DRAIN_POLL).await;
+        }
+        self.step_down(STOPPING);
+        self.wait_for_peers().await;
+    }
+
     /// Waits until no peer is connected, for at most `PEER_NOTICE_TIME`. Replies to jobs have
     /// arrived by then, and no peer submits further ones to this host.
     async fn wait_for_peers(&self) {
@@ -448,22 +461,21 @@
     }
 }
 
-/// Service that registers the [`Engine`] and drains its pool at shutdown.
+/// Service that registers the [`Engine`] and limits the time for which it serves its pool while the
+/// process drains. The callers' service waits for [`Engine::drain`], since it serves callers until
+/// then.
 pub struct EngineService {
     engine: Rc<Engine>,
     drain_timeout: Duration,
-    /// Time at which unfinished jobs are given up; `None` until the process drains.
-    drain_deadline: Cell<Option<Instant>>,
 }
 
 impl EngineService {
-    /// Creates the service that registers and drains `engine`, within `drain_timeout` from the
-    /// start of the process's drain.
+    /// Creates the service. Jobs of the pool that are unfinished `drain_timeout` after the start of
+    /// the process's drain end as unknown.
     pub fn new(engine: Rc<Engine>, drain_timeout: Duration) -> Self {
         EngineService {
             engine,
             drain_timeout,
-            drain_deadline: Cell::new(None),
         }
     }
 }
@@ -483,30 +495,19 @@
         })
     }
 
-    /// Schedules the time at which the pool rejects jobs and returns those that have not started. It
-    /// does not depend on how long the services take that drain before this one.
+    /// Schedules the time at which the pool rejects jobs and returns those that have not started,
+    /// and the time at which it is given up.
     fn begin_drain(&self, kernel: &Kernel) {
         let now = Instant::now();
-        self.drain_deadline.set(Some(now + self.drain_timeout));
         let close_at = now + SUCCESSOR_WAIT_MAX.min(self.drain_timeout);
+        let end_at = now + self.drain_timeout;
         let engine = self.engine.clone();
-        let close = async move {
+        let end = async move {
             Timer::at(close_at).await;
             engine.dispatch_event(Pool::close);
+            Timer::at(end_at).await;
+            engine.step_down(STOPPING);
         };
-        kernel.spawn(close).detach();
-    }
-
-    /// Waits until another host has taken over the pool, or until the jobs that remain after
-    /// `SUCCESSOR_WAIT_MAX` have ended. Jobs that are unfinished at the deadline end as unknown.
-    fn drain<'a>(&'a self, _kernel: &'a Kernel) -> LocalFuture<'a, ()> {
-        Box::pin(async move {
-            let deadline = self.drain_deadline.get().unwrap_or_else(Instant::now);
-            while !self.engine.has_drained() && Instant::now() < deadline {
-                Timer::after(DRAIN_POLL).await;
-            }
-            self.engine.step_down("this host is stopping");
-            self.engine.wait_for_peers().await;
-        })
+        kernel.spawn(end).detach();
     }
 }
--- a/crates/onyxshed-host/src/links.rs
+++ b/crates/onyxshed-host/src/links.rs
@@ -166,6 +166,11 @@
         selector.rank_pools(&self.preferred_pool(), job.demand, job.tasks, &evacuations)
     }
 
+    /// Waits until this host's own pool is drained; see [`Engine::drain`].
+    pub async fn drain_own_pool(&self) {
+        self.engine.drain().await;
+    }
+
     /// Returns why there is no pool to submit a job to: every zone is evacuated, or no owner is
     /// known.
     pub fn no_pool_reason(&self) -> NotRunReason {
