A stopping owner does not answer "not run" for a job that is there

Cause: rejection tested is_closed and the session before it looked whether the job is there. After "not run" the entry host submits the copy to another pool at once, which can start tasks whose first runs still execute here.

Change: an owner that admits no jobs lets a copy join the job that runs there, as an open owner does. If only stopped runs of an earlier copy are left, the copy ends as unknown (end_of_dropped_job). A copy that names an old session does not join: its entry host may have given it up, and nothing would end the job if that host stays silent. It ends as unknown if the job is there or has runs, and as not run otherwise, as before.

--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -111,7 +111,8 @@
         self.executors.len()
     }
 
-    /// Stops admitting jobs; each later submission ends as not run.
+    /// Stops admitting jobs. A later submission joins its job if that still runs here, or ends as not run, or
+    /// as unknown while runs of an earlier submission are being stopped.
     ///
     /// Jobs that have not started are returned as well, so that their entry hosts submit them to other
     /// pools. This owner completes the others.
--- a/crates/onyxshed-pool/src/pool/admission.rs
+++ b/crates/onyxshed-pool/src/pool/admission.rs
@@ -109,27 +109,29 @@
 
     fn rejection(&self, now: Mono, session: Session, job: &Job) -> Option<JobEnd> {
         let request = &job.request;
-        let not_run = |reason| Some(JobEnd::NotRun(reason, self.retry_after(now)));
-        if self.has_stepped_down || self.is_closed() {
-            return not_run(NotRunReason::NotOwner);
-        }
-        let timeout = self.options.peer_timeout_ms;
-        if request.peer != self.own_incarnation
-            && !self.peers.is_current(now, request.peer, session, timeout)
-        {
-            return not_run(NotRunReason::OldSession);
+        let id = request.job;
+        let is_known = self.jobs.contains_key(&id);
+        let reject = |reason, unknown| {
+            let not_run = (reason, self.retry_after(now));
+            Some(self.end_of_dropped_job(id, not_run, unknown))
+        };
+        if !is_known && (self.has_stepped_down || self.is_closed()) {
+            return reject(NotRunReason::NotOwner, UnknownReason::OwnerChanged);
         }
-        if self.jobs.contains_key(&request.job) {
-            return None;
+        match (self.is_in_session(now, session, request.peer), is_known) {
+            (true, true) => return None,
+            // The entry host may have given this submission up, so it must not replace the earlier one.
+            (false, true) => return Some(JobEnd::Unknown(UnknownReason::PeerSilent)),
+            (false, false) => return reject(NotRunReason::OldSession, UnknownReason::PeerSilent),
+            (true, false) => {}
         }
         if self.zone_status != ZoneStatus::InService {
-            let not_run = (NotRunReason::ZoneEvacuated, self.retry_after(now));
-            let unknown = UnknownReason::ZoneEvacuated;
-            return Some(self.end_of_dropped_job(request.job, not_run, unknown));
+            return reject(NotRunReason::ZoneEvacuated, UnknownReason::ZoneEvacuated);
         }
-        if self.has_runs_of(request.job) {
+        if self.has_runs_of(id) {
             return None;
         }
+        let not_run = |reason| Some(JobEnd::NotRun(reason, self.retry_after(now)));
         if !self.is_placeable(now, request) {
             return not_run(NotRunReason::NoExecutor);
         }
@@ -139,6 +141,13 @@
         None
     }
 
+    /// Returns whether an entry host may submit jobs in a session: its current one, or any if it is this
+    /// process.
+    fn is_in_session(&self, now: Mono, session: Session, peer: PeerIncarnation) -> bool {
+        let timeout = self.options.peer_timeout_ms;
+        peer == self.own_incarnation || self.peers.is_current(now, peer, session, timeout)
+    }
+
     /// Returns the end of a job that this pool rejects or gives up: not run for the reason and with the retry
     /// delay in `not_run` if [`Pool::is_unstarted`], otherwise unknown.
     pub(super) fn end_of_dropped_job(
--- a/crates/onyxshed-pool/tests/pool/copies.rs
+++ b/crates/onyxshed-pool/tests/pool/copies.rs
@@ -1,25 +1,65 @@
-//! Copies of a job that arrive while runs of its earlier copy are being stopped.
+//! Copies of a job that arrive while it runs, or while runs of its earlier copy are being stopped.
 
 use onyxshed_core::Millis;
 use onyxshed_pool::{
-    FencingToken, HoldAnswer, JobEnd, JobId, JobRequest, SubmissionNumber, UnknownReason,
+    Action, FencingToken, HoldAnswer, JobEnd, JobId, JobRequest, RunEnd, SubmissionNumber,
+    UnknownReason,
 };
+use rstest::rstest;
 
-use crate::fixture::{Harness, OWN, at_ms, job};
+use crate::fixture::{Harness, OWN, PEER, at_ms, job};
 
-/// Creates a pool whose only executor is full with the cancelled run of a job, and submits a copy of the job,
-/// which is queued.
-fn harness_with_queued_copy(copy: JobRequest) -> Harness {
-    let mut harness = Harness::with_executors(&[("a", 32)]);
-    harness.submit_and_start(0, job(1, 1, 900));
+/// Creates the second submission of job 1.
+fn copy() -> JobRequest {
+    JobRequest {
+        submission: SubmissionNumber(2),
+        ..job(1, 1, 900)
+    }
+}
+
+fn cancel_first_submission(harness: &mut Harness, ms: u64) {
     let cancelled = harness.pool.cancel(
-        at_ms(10),
+        at_ms(ms),
         OWN,
         SubmissionNumber(1),
         JobId(1),
         UnknownReason::Cancelled,
     );
     harness.actions.extend(cancelled);
+}
+
+/// How an owner stops admitting jobs.
+#[derive(Debug, Clone, Copy)]
+enum Stop {
+    Close,
+    Release,
+}
+
+fn stop_admission(harness: &mut Harness, stop: Stop) {
+    let actions = match stop {
+        Stop::Close => harness.pool.close(),
+        Stop::Release => harness.pool.release(at_ms(5), FencingToken(100)).0,
+    };
+    harness.actions.extend(actions);
+}
+
+/// Returns the outcomes that were reported, by submission.
+fn ends_by_submission(harness: &Harness) -> Vec<(SubmissionNumber, JobEnd)> {
+    let ends = harness.actions.iter().filter_map(|action| match action {
+        Action::End {
+            submission, end, ..
+        } => Some((*submission, *end)),
+        _ => None,
+    });
+    ends.collect()
+}
+
+/// Creates a pool whose only executor is full with the cancelled run of a job, and submits a copy of the job,
+/// which is queued.
+fn harness_with_queued_copy(copy: JobRequest) -> Harness {
+    let mut harness = Harness::with_executors(&[("a", 32)]);
+    harness.submit_and_start(0, job(1, 1, 900));
+    cancel_first_submission(&mut harness, 10);
     harness.submit(
         11,
         JobRequest {
@@ -76,3 +116,67 @@
     let unknown = JobEnd::Unknown(UnknownReason::ExecutorsLost);
     assert_eq!(harness.take_ends(), [(JobId(1), unknown)]);
 }
+
+/// Another pool must not start a task that runs at an owner which admits no jobs any more.
+#[rstest]
+fn copy_joins_its_job_that_runs_at_stopping_owner(
+    #[values(Stop::Close, Stop::Release)] stop: Stop,
+) {
+    let mut harness = Harness::with_executors(&[("a", 32)]);
+    let (_, order) = harness.submit_and_start(0, job(1, 1, 900));
+    stop_admission(&mut harness, stop);
+    harness.submit(10, copy());
+    harness.report(900, "a", &[], &[(1, order.task, 1, RunEnd::Done)]);
+    let superseded = JobEnd::Unknown(UnknownReason::Superseded);
+    let expected = [
+        (SubmissionNumber(1), superseded),
+        (SubmissionNumber(2), JobEnd::Completed),
+    ];
+    assert_eq!(ends_by_submission(&harness), expected);
+}
+
+/// Another pool must not start a task whose stopped run still executes at an owner which admits no jobs.
+#[rstest]
+fn copy_is_not_refused_as_not_run_by_stopping_owner_while_runs_are_stopped(
+    #[values(Stop::Close, Stop::Release)] stop: Stop,
+) {
+    let mut harness = Harness::with_executors(&[("a", 32)]);
+    harness.submit_and_start(0, job(1, 1, 900));
+    stop_admission(&mut harness, stop);
+    cancel_first_submission(&mut harness, 10);
+    harness.take_ends();
+    harness.submit(11, copy());
+    let unknown = JobEnd::Unknown(UnknownReason::OwnerChanged);
+    assert_eq!(harness.take_ends(), [(JobId(1), unknown)]);
+}
+
+/// Where the earlier copy of a job is when its next copy arrives.
+#[derive(Debug, Clone, Copy)]
+enum Earlier {
+    Queued,
+    Running,
+    Stopping,
+}
+
+/// Another pool must not start a task of a job that is here, whatever session its copy names.
+#[rstest]
+fn copy_of_old_session_is_not_refused_as_not_run(
+    #[values(Earlier::Queued, Earlier::Running, Earlier::Stopping)] earlier: Earlier,
+) {
+    let mut harness = Harness::with_executors(&[("a", 32)]);
+    if matches!(earlier, Earlier::Queued) {
+        harness.submit_and_start(0, job(9, 1, 900));
+    }
+    harness.submit(1, job(1, 1, 900));
+    if matches!(earlier, Earlier::Stopping) {
+        cancel_first_submission(&mut harness, 10);
+        harness.take_ends();
+    }
+    let late = JobRequest {
+        peer: PEER,
+        ..copy()
+    };
+    harness.submit(11, late);
+    let unknown = JobEnd::Unknown(UnknownReason::PeerSilent);
+    assert_eq!(harness.take_ends(), [(JobId(1), unknown)]);
+}
