--- a/crates/onyxshed-soak/src/callers.rs
+++ b/crates/onyxshed-soak/src/callers.rs
@@ -7,7 +7,6 @@
 
 use async_io::Timer;
 use http_types::Method;
-use onyxshed_http::Reply;
 use onyxshed_http::client::{ClientOptions, Connection};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -17,14 +16,17 @@
 use crate::fleet::{ROUTE_HOST, ROUTE_PREFIX};
 
 /// The delay before a job whose outcome is unknown is submitted again.
-const RESEND_DELAY: Duration = Duration::from_millis(1_300);
+pub(crate) const RESEND_DELAY: Duration = Duration::from_millis(1_300);
 
 /// The greatest number of times that a job is submitted, including the first.
-const SENDS_MAX: u32 = 6;
+pub(crate) const SENDS_MAX: u32 = 6;
 
 /// The time that a caller waits for a reply; then the answer is [`Answer::Unknown`].
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(3_000);
 
+/// The deadline that a caller sends with a job, in milliseconds.
+pub(crate) const DEADLINE_MS: u64 = 2_500;
+
 /// The number of requests that a caller sends on one connection before it opens another.
 const REQUESTS_PER_CONNECTION: u32 = 20;
 
@@ -50,8 +52,8 @@
     pub tasks: u16,
     /// The answer to each submission, in order.
     pub answers: Vec<Answer>,
-    /// The number of submissions of the job whose connection broke before an answer arrived.
-    pub cut_off: u32,
+    /// How each submission was cut off whose connection broke before an answer arrived.
+    pub cut_off: Vec<SmolStr>,
     /// The time from the first submission to the last answer.
     pub elapsed: Duration,
 }
@@ -67,7 +69,7 @@
         hosts,
         connection: None,
         requests_on_connection: 0,
-        cut_off: 0,
+        cut_off: Vec::new(),
     };
     while Instant::now() < until {
         let pause = Duration::from_millis(rng.random_range(5..80));
@@ -83,13 +85,21 @@
     connection: Option<Connection>,
     /// The number of requests sent on the connection.
     requests_on_connection: u32,
-    /// The number of requests whose connection broke before an answer arrived.
-    cut_off: u32,
+    /// How the requests for the current job were cut off.
+    cut_off: Vec<SmolStr>,
 }
 
-impl Caller {
-    async fn submit_until_answered(&mut self, rng: &mut SmallRng) -> SubmittedJob {
-        let job = format_smolstr!("{:016x}", rng.random::<u64>());
+/// A job that is about to be submitted.
+pub(crate) struct NewJob {
+    pub(crate) id: SmolStr,
+    pub(crate) tasks: u16,
+    pub(crate) body: String,
+}
+
+impl NewJob {
+    /// Draws a job of 1 to 4 tasks.
+    pub(crate) fn draw(rng: &mut SmallRng) -> Self {
+        let id = format_smolstr!("{:016x}", rng.random::<u64>());
         let tasks = rng.random_range(1..5_u16);
         let ms = [20, 60, 200, 500][rng.random_range(0..4)];
         // The tasks of one job in forty fail in every run.
@@ -97,14 +107,29 @@
             0 => format!("{ms} fail"),
             _ => format!("{ms}"),
         };
-        let body = json!({
-            "spec": spec, "best_effort": true,
-            "phases": [{"count": tasks, "cpu": 1_000, "mem_mb": 1,
-                "est_runtime_ms": ms * rng.random_range(50..200) / 100}],
-        });
-        let body = body.to_string();
+        let estimate_ms = ms * rng.random_range(50..200) / 100;
+        let body = job_body(&spec, tasks, estimate_ms);
+        NewJob { id, tasks, body }
+    }
+}
+
+/// Returns the body of a best-effort job.
+pub(crate) fn job_body(spec: &str, tasks: u16, estimate_ms: u64) -> String {
+    let body = json!({
+        "spec": spec, "best_effort": true,
+        "phases": [{"count": tasks, "cpu": 1_000, "mem_mb": 1, "est_runtime_ms": estimate_ms}],
+    });
+    body.to_string()
+}
+
+impl Caller {
+    async fn submit_until_answered(&mut self, rng: &mut SmallRng) -> SubmittedJob {
+        let NewJob {
+            id: job,
+            tasks,
+            body,
+        } = NewJob::draw(rng);
         let started_at = Instant::now();
-        let cut_off_before = self.cut_off;
         let mut answers = Vec::new();
         for _ in 0..SENDS_MAX {
             let answer = self.submit(&job, &body, rng).await;
@@ -118,7 +143,7 @@
             job,
             tasks,
             answers,
-            cut_off: self.cut_off - cut_off_before,
+            cut_off: std::mem::take(&mut self.cut_off),
             elapsed: started_at.elapsed(),
         }
     }
@@ -142,7 +167,7 @@
         self.requests_on_connection += 1;
         let headers = [
             ("host", SmolStr::new_static(ROUTE_HOST)),
-            ("x-onyxshed-deadline-ms", SmolStr::new_static("2500")),
+            ("x-onyxshed-deadline-ms", format_smolstr!("{DEADLINE_MS}")),
             ("request-id", SmolStr::new(job)),
         ];
         let path = format!("{ROUTE_PREFIX}{job}");
@@ -158,22 +183,25 @@
                 let has_host_answered = self.requests_on_connection > 1;
                 let is_broken =
                     error.sent == onyxshed_http::SendState::MaybeSent && !error.is_timeout;
-                self.cut_off += u32::from(has_host_answered && is_broken);
+                if has_host_answered && is_broken {
+                    self.cut_off.push(error.reason);
+                }
                 return Answer::Unknown;
             }
         };
         if reply.header_value("connection") != Some("close") {
             self.connection = Some(connection);
         }
-        parse_answer(&reply)
+        parse_answer(reply.status, &reply.body)
     }
 }
 
-fn parse_answer(reply: &Reply) -> Answer {
-    let state: Option<SmolStr> = serde_json::from_slice(&reply.body)
+/// Returns the answer that a reply with this status and body gives.
+pub(crate) fn parse_answer(status: u16, body: &[u8]) -> Answer {
+    let state: Option<SmolStr> = serde_json::from_slice(body)
         .ok()
         .and_then(|body: serde_json::Value| Some(body.get("state")?.as_str()?.into()));
-    match (reply.status, state.as_deref()) {
+    match (status, state.as_deref()) {
         (200, Some("completed")) => Answer::Completed,
         (200, Some("failed")) => Answer::Failed,
         (429 | 503, _) => Answer::NotRun,
--- a/crates/onyxshed-soak/src/checks.rs
+++ b/crates/onyxshed-soak/src/checks.rs
@@ -118,12 +118,12 @@
 /// Returns a line for each job with a request whose connection broke before an answer arrived. This
 /// must not happen in a soak in which hosts are only stopped, reloaded and given new manifests.
 pub fn find_cut_off_requests(jobs: &[SubmittedJob]) -> Vec<String> {
-    let cut_off = jobs.iter().filter(|job| job.cut_off > 0);
+    let cut_off = jobs.iter().filter(|job| !job.cut_off.is_empty());
     cut_off
         .map(|job| {
             format!(
-                "planned work must not cut off a request: one for job {} got no answer",
-                job.job
+                "planned work must not cut off a request: one for job {} got no answer: {:?}",
+                job.job, job.cut_off
             )
         })
         .collect()
--- a/crates/onyxshed-soak/src/direct.rs
+++ b/crates/onyxshed-soak/src/direct.rs
@@ -128,6 +128,9 @@
             Writing::HeadFirst(pause) => {
                 self.stream.write_all(head.as_bytes()).await?;
                 Timer::after(pause).await;
+                if !self.is_open() {
+                    return Err(io::Error::other("only the head"));
+                }
                 self.stream.write_all(request.body.as_bytes()).await
             }
         }
--- a/crates/onyxshed-soak/src/faults.rs
+++ b/crates/onyxshed-soak/src/faults.rs
@@ -6,6 +6,7 @@
 use onyxshed_standins::fleet::store::StoreFaults;
 use rand::RngExt;
 use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::fleet::zone_of;
@@ -58,36 +59,103 @@
     Slow,
     /// Planned work only: stops, reloads and new manifests.
     Planned,
+    /// Rolling stops of several hosts, which overlap, with further signals and new manifests during the stops.
+    Stops,
     /// Evacuations of zones, together with kills and planned work. The store and the links have no faults, so
     /// that every host learns of an evacuation in time.
     Evacuations,
 }
 
-/// Draws a plan of 4 to 11 faults, which may overlap, ordered by time.
+impl FaultMix {
+    /// Returns whether the mix contains planned work only, which must cut off no request.
+    pub fn is_planned_work(self) -> bool {
+        matches!(self, FaultMix::Planned | FaultMix::Stops)
+    }
+}
+
+/// Draws a plan of faults, which may overlap, ordered by time: 4 to 11 faults, or any number for
+/// [`FaultMix::Stops`].
 pub fn draw_plan(
     rng: &mut SmallRng,
     mix: FaultMix,
     length: Duration,
     hosts: &[SmolStr],
     executors: &[SmolStr],
+) -> Vec<Planned> {
+    let mut plan = match mix {
+        FaultMix::All => draw_faults(rng, length, |rng| draw_any(rng, hosts, executors)),
+        FaultMix::Slow => draw_faults(rng, length, |rng| draw_slow(rng, hosts, executors)),
+        FaultMix::Planned => draw_faults(rng, length, |rng| draw_planned(rng, hosts)),
+        FaultMix::Stops => draw_rolling_stops(rng, length, hosts),
+        FaultMix::Evacuations => {
+            draw_faults(rng, length, |rng| draw_evacuation(rng, hosts, executors))
+        }
+    };
+    plan.sort_by_key(|planned| planned.at);
+    plan
+}
+
+/// Draws 4 to 11 faults with `draw`, at times within `length`.
+fn draw_faults(
+    rng: &mut SmallRng,
+    length: Duration,
+    draw: impl Fn(&mut SmallRng) -> Fault,
 ) -> Vec<Planned> {
     let length_ms = u64::try_from(length.as_millis()).unwrap_or(u64::MAX);
     let count = rng.random_range(4..12);
-    let mut plan: Vec<Planned> = (0..count)
+    (0..count)
         .map(|_| Planned {
             at: Duration::from_millis(rng.random_range(0..length_ms)),
-            fault: match mix {
-                FaultMix::All => draw_any(rng, hosts, executors),
-                FaultMix::Slow => draw_slow(rng, hosts, executors),
-                FaultMix::Planned => draw_planned(rng, hosts),
-                FaultMix::Evacuations => draw_evacuation(rng, hosts, executors),
-            },
+            fault: draw(rng),
         })
-        .collect();
-    plan.sort_by_key(|planned| planned.at);
+        .collect()
+}
+
+/// The longest time after SIGTERM at which something else happens to the stopping host; a host serves for longer
+/// than that before it ends.
+const DURING_STOP_MAX_MS: u64 = 2_000;
+
+/// Draws one or two series of stops, each of which goes round all hosts until `length` is over. Within a series the
+/// stops of neighbours overlap, and two series may stop a host at the same time.
+fn draw_rolling_stops(rng: &mut SmallRng, length: Duration, hosts: &[SmolStr]) -> Vec<Planned> {
+    let mut plan = Vec::new();
+    for _ in 0..rng.random_range(1..3) {
+        let mut hosts = hosts.to_vec();
+        hosts.shuffle(rng);
+        let mut at = Duration::from_millis(rng.random_range(0..1_500));
+        for host in hosts.iter().cycle() {
+            if at >= length {
+                break;
+            }
+            plan.extend(draw_stop(rng, at, host));
+            at += Duration::from_millis(rng.random_range(200..1_500));
+        }
+    }
+    plan.retain(|planned| planned.at < length);
     plan
 }
 
+/// Draws the stop of one host and what happens during it.
+fn draw_stop(rng: &mut SmallRng, at: Duration, host: &SmolStr) -> Vec<Planned> {
+    let mut faults = vec![Planned {
+        at,
+        fault: Fault::StopHost(host.clone()),
+    }];
+    let during = [
+        Fault::StopHost(host.clone()),
+        Fault::HangUp(host.clone()),
+        Fault::Manifest,
+    ];
+    for fault in during {
+        let after = Duration::from_millis(rng.random_range(100..DURING_STOP_MAX_MS));
+        if rng.random_range(0..3) == 0 {
+            let at = at + after;
+            faults.push(Planned { at, fault });
+        }
+    }
+    faults
+}
+
 fn draw_name(rng: &mut SmallRng, names: &[SmolStr]) -> SmolStr {
     names[rng.random_range(0..names.len())].clone()
 }
--- a/crates/onyxshed-soak/src/lib.rs
+++ b/crates/onyxshed-soak/src/lib.rs
@@ -2,13 +2,14 @@
 //!
 //! [`fleet`] starts the stand-ins of the store and the executors, the hosts, and a fault-injecting proxy
 //! between all of them. [`callers`] submits jobs and resubmits those whose outcome is unknown, as the
-//! platform's callers do. [`faults`] draws a plan of faults from a seed. [`run`] carries the plan out, and
+//! platform's callers do; [`direct_callers`] does so without the proxy. [`faults`] draws a plan of faults from a seed. [`run`] carries the plan out, and
 //! [`checks`] compares the answers that callers got with what executors recorded. Every process is ended
 //! by its id.
 
 pub mod callers;
 pub mod checks;
 pub mod direct;
+pub mod direct_callers;
 pub mod faults;
 pub mod fleet;
 pub mod run;
--- a/crates/onyxshed-soak/src/main.rs
+++ b/crates/onyxshed-soak/src/main.rs
@@ -44,6 +44,10 @@
             "planned",
             "Injects only stops, reloads and new manifests",
         ))
+        .arg(flag(
+            "stops",
+            "Injects rolling stops that overlap, with signals and new manifests during them",
+        ))
         .arg(flag("slow", "Injects mostly slow executors"))
         .arg(flag(
             "evacuations",
@@ -74,6 +78,9 @@
     if matches.get_flag("planned") {
         options.mix = FaultMix::Planned;
     }
+    if matches.get_flag("stops") {
+        options.mix = FaultMix::Stops;
+    }
     if matches.get_flag("slow") {
         options.mix = FaultMix::Slow;
     }
--- a/crates/onyxshed-soak/src/run.rs
+++ b/crates/onyxshed-soak/src/run.rs
@@ -16,6 +16,7 @@
 
 use crate::callers::{self, Answer, SubmittedJobs};
 use crate::checks::{self, EvacuationSpans};
+use crate::direct_callers::{DirectCaller, Habit, draw_habits};
 use crate::faults::{Fault, FaultMix, Planned, draw_plan};
 use crate::fleet::{Fleet, FleetOptions, STOP_GRACE, unmet};
 
@@ -94,14 +95,27 @@
         &fleet.executor_ids(),
     );
     let until = Instant::now() + options.length + RECOVERY_TIME / 2;
-    let callers_during_faults = spawn_callers(options, &fleet, &executor, options.seed, until);
+    let callers_during_faults = match options.mix.is_planned_work() {
+        true => {
+            let habits = draw_habits(&mut rng, options.mix, options.callers);
+            spawn_direct_callers(&fleet, &executor, &habits, options.seed, until)
+        }
+        false => spawn_callers(options, &fleet, &executor, options.seed, until),
+    };
     let mut injector = FaultInjector::default();
     injector.inject_all(&mut fleet, &faults).await?;
     let jobs_during_faults = callers_during_faults.finish().await;
     fleet.wait_ready().await?;
     Timer::after(RECOVERY_TIME).await;
     let until = Instant::now() + Duration::from_millis(1_500);
-    let callers_after_faults = spawn_callers(options, &fleet, &executor, options.seed ^ 1, until);
+    let seed = options.seed ^ 1;
+    let callers_after_faults = match options.mix.is_planned_work() {
+        true => {
+            let habits = vec![Habit::Steady; options.callers];
+            spawn_direct_callers(&fleet, &executor, &habits, seed, until)
+        }
+        false => spawn_callers(options, &fleet, &executor, seed, until),
+    };
     let jobs_after_faults = callers_after_faults.finish().await;
     let records = fleet.take_records().await;
     let all_jobs: Vec<callers::SubmittedJob> = jobs_during_faults
@@ -114,8 +128,8 @@
         &records,
         &injector.evacuations,
     ));
-    if options.mix == FaultMix::Planned {
-        violations.extend(checks::find_cut_off_requests(&jobs_during_faults));
+    if options.mix.is_planned_work() {
+        violations.extend(checks::find_cut_off_requests(&all_jobs));
     }
     let served = jobs_after_faults
         .iter()
@@ -160,6 +174,7 @@
     }
 }
 
+/// Starts callers that connect through the proxy.
 fn spawn_callers(
     options: &SoakOptions,
     fleet: &Fleet,
@@ -171,7 +186,7 @@
     let hosts = fleet.caller_addresses();
     let tasks = (0..options.callers)
         .map(|index| {
-            let seed = seed.wrapping_mul(1_000).wrapping_add(index as u64);
+            let seed = caller_seed(seed, index);
             executor.spawn(callers::run_caller(
                 hosts.clone(),
                 seed,
@@ -183,6 +198,31 @@
     CallerGroup { jobs, tasks }
 }
 
+/// Starts one caller for each habit.
+fn spawn_direct_callers(
+    fleet: &Fleet,
+    executor: &LocalExecutor<'static>,
+    habits: &[Habit],
+    seed: u64,
+    until: Instant,
+) -> CallerGroup {
+    let jobs = SubmittedJobs::default();
+    let hosts = fleet.direct_caller_addresses();
+    let callers = habits.iter().enumerate();
+    let tasks = callers
+        .map(|(index, habit)| {
+            let caller = DirectCaller::new(hosts.clone(), *habit, caller_seed(seed, index));
+            executor.spawn(caller.run(until, jobs.clone()))
+        })
+        .collect();
+    CallerGroup { jobs, tasks }
+}
+
+/// Returns the seed of one caller of a group.
+fn caller_seed(group_seed: u64, index: usize) -> u64 {
+    group_seed.wrapping_mul(1_000).wrapping_add(index as u64)
+}
+
 /// Injects the planned faults, and records kills and evacuations for the checks.
 #[derive(Default)]
 struct FaultInjector {
