--- a/crates/onyxshed-soak/tests/seeds.rs
+++ b/crates/onyxshed-soak/tests/seeds.rs
@@ -62,6 +62,19 @@
     run_without_violations(&options);
 }
 
+/// Guards against requests on open connections that a host takes while it stops, and cuts off when it ends.
+#[rstest]
+#[case(62)]
+#[case(65)]
+fn overlapping_rolling_stops_cut_off_no_request(#[case] seed: u64) {
+    let options = SoakOptions {
+        mix: FaultMix::Stops,
+        length: Duration::from_secs(3),
+        ..SoakOptions::with_seed(seed)
+    };
+    run_without_violations(&options);
+}
+
 /// Executors temporarily run tasks up to ten times slower, including runs in progress. Hosts refuse
 /// or abandon jobs by their estimates of the executors' speed; the answers to callers have to be
 /// true nevertheless.
