A task of a copy starts only after the stopped run of its earlier copy is gone

Cause: submit admits a copy while runs of the earlier copy are being stopped, and placement does not look at them. The copy's task was ordered from another executor at once, with the run number of the first run.

Change: at admission a task whose earlier run is still tracked becomes TaskState::Blocked, and its run number goes on from that run, so that the next one is higher. It waits for an executor from when that run has ended, is missing from a report after its stop was accepted, has lapsed, or another executor answers at the address. Placement passes over blocked tasks since they are not Waiting; the other executors are searched for a run of the task only when a run of a blocked task is gone.

--- a/crates/onyxshed-pool/src/job.rs
+++ b/crates/onyxshed-pool/src/job.rs
@@ -154,6 +154,9 @@
 pub(crate) enum TaskState {
     /// The task waits for an executor.
     Waiting,
+    /// A run that an earlier copy of the job ordered for the task is being stopped and may still
+    /// execute. Then the task waits for an executor.
+    Blocked,
     /// A run of the task was ordered from this executor and may execute.
     Running(ExecutorId),
     /// A run of the task has completed.
@@ -164,7 +167,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Task {
     pub state: TaskState,
-    /// Number of runs ordered for the task, which is also the number of the latest run.
+    /// Number of the latest run of the task; 0 before the first.
     pub runs: u32,
     /// Executors on which runs failed, one entry per failed run.
     pub failed_on: Vec<ExecutorId>,
@@ -181,6 +184,7 @@
     /// When the caller stops waiting.
     pub caller_deadline: Mono,
     pub tasks: Vec<Task>,
+    /// Number of tasks that are waiting or blocked.
     pub waiting: u16,
     pub done: u16,
     /// Whether a run of any task was ordered since this copy of the job was admitted.
@@ -291,6 +295,26 @@
         })
     }
 
+    /// Blocks a task because the run `number` that an earlier copy of the job ordered for it is being
+    /// stopped. The task's next run gets a higher number.
+    pub fn block_task(&mut self, index: u16, number: RunNumber) {
+        if let Some(task) = self.tasks.get_mut(usize::from(index)) {
+            task.state = TaskState::Blocked;
+            task.runs = task.runs.max(number.0);
+        }
+    }
+
+    /// Returns whether a run of an earlier copy of the job keeps a task from starting.
+    pub fn is_blocked(&self, index: u16) -> bool {
+        let task = self.tasks.get(usize::from(index));
+        task.is_some_and(|task| task.state == TaskState::Blocked)
+    }
+
+    /// Makes a blocked task wait for an executor.
+    pub fn unblock_task(&mut self, index: u16) {
+        self.tasks[usize::from(index)].state = TaskState::Waiting;
+    }
+
     /// Makes a task whose run has ended without success wait for an executor again.
     pub fn requeue_task(&mut self, index: u16) {
         self.tasks[usize::from(index)].state = TaskState::Waiting;
--- a/crates/onyxshed-pool/src/message.rs
+++ b/crates/onyxshed-pool/src/message.rs
@@ -216,7 +216,7 @@
     RunOrdered {
         /// Task that gets the new run.
         task: TaskId,
-        /// Number of the new run, counted from 1 for each task.
+        /// Number of the new run, higher than those of the runs of the task that are known here.
         run: RunNumber,
         /// Executor that gets the start order.
         executor: ExecutorId,
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -255,8 +255,8 @@
         self.place_after_report(now, id);
     }
 
-    /// Requeues a task whose run is known not to execute any more, or never to have started. Does
-    /// nothing if the run is not the current run of the task.
+    /// Requeues a task whose run is known not to execute any more, or never to have started. If the
+    /// run is not the current run of the task, the task only stops being blocked by it.
     fn requeue_run(
         &mut self,
         task: TaskId,
@@ -267,15 +267,30 @@
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        if job.is_current_run(task.index, number, id) {
-            job.requeue_task(task.index);
+        if !job.is_current_run(task.index, number, id) {
+            return self.unblock_task(task);
+        }
+        job.requeue_task(task.index);
+        self.requeued.push(task.job);
+        self.actions.push(Action::Log(Decision::RunEnded {
+            task,
+            run: number,
+            executor: id.clone(),
+            reason,
+        }));
+    }
+
+    /// Lets a blocked task start once no run of an earlier copy of its job is left.
+    fn unblock_task(&mut self, task: TaskId) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let mut executors = self.executors.values();
+        if job.is_blocked(task.index)
+            && executors.all(|executor| !executor.runs.contains_key(&task))
+        {
+            job.unblock_task(task.index);
             self.requeued.push(task.job);
-            self.actions.push(Action::Log(Decision::RunEnded {
-                task,
-                run: number,
-                executor: id.clone(),
-                reason,
-            }));
         }
     }
 
--- a/crates/onyxshed-pool/src/pool/admission.rs
+++ b/crates/onyxshed-pool/src/pool/admission.rs
@@ -9,8 +9,8 @@
 use super::Pool;
 use super::evacuation::ZoneStatus;
 use super::place::{Feasibility, LATE_WEIGHT};
-use crate::executor::Executor;
-use crate::id::{JobId, PeerIncarnation, Session, SubmissionNumber};
+use crate::executor::{Executor, Run};
+use crate::id::{JobId, PeerIncarnation, Session, SubmissionNumber, TaskId};
 use crate::job::{Job, JobEnd, JobRequest, NotRunReason, UnknownReason};
 use crate::message::Action;
 use crate::resources::Resources;
@@ -50,11 +50,11 @@
     /// Admits a job to the queue or rejects it.
     ///
     /// A resubmission of a job that is still queued or running joins that job; the earlier submission ends
-    /// as superseded.
+    /// as superseded. Tasks of which a run of an ended submission is still being stopped wait for its end.
     pub fn submit(&mut self, now: Mono, session: Session, request: JobRequest) -> Vec<Action> {
         self.detect_pause(now);
         let id = request.job;
-        let new_job = Job::new(now, request);
+        let mut new_job = Job::new(now, request);
         if let Some(rejection) = self.rejection(now, session, &new_job) {
             self.actions.push(Action::End {
                 peer: new_job.request.peer,
@@ -80,6 +80,9 @@
             }
             None => {
                 self.offered_load.record(now, new_job.request.work());
+                for (task, run) in self.runs_of(id) {
+                    new_job.block_task(task.index, run.number);
+                }
                 self.jobs.insert(id, new_job);
                 self.place_job(now, id);
             }
@@ -211,9 +214,13 @@
     }
 
     fn has_runs_of(&self, job: JobId) -> bool {
-        self.executors
-            .values()
-            .any(|executor| executor.task_count(job) > 0)
+        self.runs_of(job).next().is_some()
+    }
+
+    /// Returns the runs of a job on all executors, including runs that are being stopped.
+    fn runs_of(&self, job: JobId) -> impl Iterator<Item = (&TaskId, &Run)> {
+        let runs = self.executors.values().flat_map(|executor| &executor.runs);
+        runs.filter(move |(task, _)| task.job == job)
     }
 
     fn is_eligible(&self, now: Mono, executor: &Executor, request: &JobRequest) -> bool {
--- a/crates/onyxshed-pool/src/pool/reports.rs
+++ b/crates/onyxshed-pool/src/pool/reports.rs
@@ -138,7 +138,7 @@
             return;
         };
         if !job.is_current_run(task.index, number, id) {
-            return;
+            return self.unblock_task(task);
         }
         job.observe_run_time(took, run.expected);
         job.tasks[usize::from(task.index)].state = TaskState::Done;
@@ -163,7 +163,7 @@
             return;
         };
         if !job.is_current_run(task.index, number, id) {
-            return;
+            return self.unblock_task(task);
         }
         let failed_task = &mut job.tasks[usize::from(task.index)];
         failed_task.failed_on.push(id.clone());
--- a/crates/onyxshed-pool/src/pool/stalled.rs
+++ b/crates/onyxshed-pool/src/pool/stalled.rs
@@ -54,7 +54,7 @@
         job.waiting > 0
             || job.tasks.iter().any(|task| match &task.state {
                 TaskState::Running(id) => is_unresponsive(id),
-                TaskState::Waiting | TaskState::Done => false,
+                TaskState::Waiting | TaskState::Blocked | TaskState::Done => false,
             })
     }
 }
--- a/crates/onyxshed-pool/tests/pool/copies.rs
+++ b/crates/onyxshed-pool/tests/pool/copies.rs
@@ -2,12 +2,12 @@
 
 use onyxshed_core::Millis;
 use onyxshed_pool::{
-    Action, FencingToken, HoldAnswer, JobEnd, JobId, JobRequest, RunEnd, SubmissionNumber,
-    UnknownReason,
+    Action, ExecutorReport, FencingToken, HoldAnswer, JobEnd, JobId, JobRequest, RunEnd,
+    StartOrder, StopAnswer, SubmissionNumber, TaskId, UnknownReason,
 };
 use rstest::rstest;
 
-use crate::fixture::{Harness, OWN, PEER, at_ms, job};
+use crate::fixture::{Harness, OWN, PEER, at_ms, facts, id, job};
 
 /// Creates the second submission of job 1.
 fn copy() -> JobRequest {
@@ -180,3 +180,89 @@
     let unknown = JobEnd::Unknown(UnknownReason::PeerSilent);
     assert_eq!(harness.take_ends(), [(JobId(1), unknown)]);
 }
+
+/// How the owner learns that a stopped run does not execute any more.
+#[derive(Debug, Clone, Copy)]
+enum Gone {
+    Ended(RunEnd),
+    Missing,
+    Lapsed,
+    Replaced,
+}
+
+fn make_run_gone(harness: &mut Harness, name: &str, order: &StartOrder, gone: Gone) {
+    match gone {
+        Gone::Ended(end) => {
+            harness.report(30, name, &[], &[(1, order.task, order.run.0, end)]);
+        }
+        Gone::Missing => harness.report(30, name, &[], &[]),
+        Gone::Lapsed => {
+            harness.answer_hold(30, name, HoldAnswer::Unknown);
+            harness.advance(30, 700);
+        }
+        Gone::Replaced => {
+            let replaced = HoldAnswer::Report(ExecutorReport::OtherIncarnation);
+            harness.answer_hold(30, name, replaced);
+        }
+    }
+}
+
+fn tasks_and_runs(starts: &[(String, StartOrder)]) -> Vec<(TaskId, u32)> {
+    let starts = starts.iter();
+    starts.map(|(_, order)| (order.task, order.run.0)).collect()
+}
+
+/// A copy's run must not start while the stopped run of the same task still executes on another executor.
+#[rstest]
+fn copy_starts_task_only_after_earlier_run_is_gone(
+    #[values(
+        Gone::Ended(RunEnd::Stopped),
+        Gone::Ended(RunEnd::Done),
+        Gone::Ended(RunEnd::Failed),
+        Gone::Missing,
+        Gone::Lapsed,
+        Gone::Replaced
+    )]
+    gone: Gone,
+) {
+    let mut harness = Harness::with_executors(&[("a", 32), ("b", 32)]);
+    let (name, first) = harness.submit_and_start(0, job(1, 1, 900));
+    cancel_first_submission(&mut harness, 10);
+    harness.submit(11, copy());
+    let (task, run) = (first.task, first.run);
+    let stopped =
+        harness
+            .pool
+            .apply_stop_answer(at_ms(12), &id(&name), task, run, StopAnswer::Accepted);
+    harness.actions.extend(stopped);
+    harness.tick(20);
+    assert_eq!(tasks_and_runs(&harness.take_starts()), []);
+    make_run_gone(&mut harness, &name, &first, gone);
+    assert_eq!(tasks_and_runs(&harness.take_starts()), [(task, 2)]);
+}
+
+/// Tasks of a copy without an earlier run must not wait for the stopped runs of its other tasks.
+#[test]
+fn copy_starts_tasks_without_earlier_runs_at_once() {
+    let two_tasks = || job(1, 2, 900);
+    let mut harness = Harness::with_executors(&[("a", 32)]);
+    let (_, first) = harness.submit_and_start(0, two_tasks());
+    cancel_first_submission(&mut harness, 10);
+    let listed = harness
+        .pool
+        .record_listed_executor(at_ms(10), id("b"), facts(64));
+    harness.actions.extend(listed);
+    harness.report(10, "b", &[], &[]);
+    harness.submit(
+        11,
+        JobRequest {
+            submission: SubmissionNumber(2),
+            ..two_tasks()
+        },
+    );
+    let second = TaskId {
+        index: 1,
+        ..first.task
+    };
+    assert_eq!(tasks_and_runs(&harness.take_starts()), [(second, 1)]);
+}
