A peer that keeps a closed connection open does not hold up a stop

What callers saw: hosts and entries that stopped up to 2 s later than their last reply, and, with a half-received request at the end of the drain, "drain timed out" before the services below had drained (found by a reviewer).

Cause: after a last reply the server reads until its peer closes, for 2 s, and a shutdown waits for these connections as for the others.

Change: from the begin of a shutdown on, 250 ms are enough: longer than a round trip, after which no request can cross the reply. E608 also counts the idle connections that were closed. receive_expired is the better name.

--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -96,6 +96,8 @@
     pub body_bytes: Cell<u64>,
     /// Requests and connections that the server itself rejected, in total.
     pub rejected: Cell<u64>,
+    /// Connections without a request that a shutdown closed with a reply.
+    pub idle_refused: Cell<u64>,
 }
 
 /// An HTTP server. Clones share its counters and idle connections.
@@ -229,7 +231,7 @@
                     // The peer closed its side in the middle of a head.
                     return self.send_rejection(&stream, ResultCode::BadRequest).await;
                 }
-                Ok(ConnectionStatus::Close) => return close_after_reply(&stream).await,
+                Ok(ConnectionStatus::Close) => return self.close_after_reply(&stream).await,
                 Err(error) => {
                     let is_request = stream.read_bytes() > read_before;
                     if is_request && stream.phase() != Phase::Replying {
@@ -297,20 +299,24 @@
         let mut reply = Encoder::new(response, Method::Get);
         let sent = io::copy(&mut reply, &mut stream.clone()).await;
         if sent.is_ok() {
-            close_after_reply(stream).await;
+            self.close_after_reply(stream).await;
         }
     }
-}
 
-/// Closes a connection on which the last reply has been sent.
-///
-/// If bytes from the peer are unread when the connection is closed, the operating system resets the
-/// connection and the peer loses the reply. So further bytes are read and discarded for up to
-/// [`LINGER_TIMEOUT`].
-async fn close_after_reply(stream: &BoundedStream) {
-    let mut stream = stream.clone();
-    if stream.close().await.is_ok() {
-        let _ = with_timeout(LINGER_TIMEOUT, io::copy(&mut stream, &mut io::sink())).await;
+    /// Closes a connection on which the last reply has been sent.
+    ///
+    /// If bytes from the peer are unread when the connection is closed, the operating system resets
+    /// the connection and the peer loses the reply. So further bytes are read and discarded until
+    /// the peer closes its side, for up to [`LINGER_TIMEOUT`].
+    async fn close_after_reply(&self, stream: &BoundedStream) {
+        let mut stream = stream.clone();
+        if stream.close().await.is_err() {
+            return;
+        }
+        let discard = async {
+            let _ = with_timeout(LINGER_TIMEOUT, io::copy(&mut stream, &mut io::sink())).await;
+        };
+        discard.or(self.shutdown.linger_expiry()).await;
     }
 }
 
--- a/crates/onyxshed-http/src/server/shutdown.rs
+++ b/crates/onyxshed-http/src/server/shutdown.rs
@@ -19,6 +19,10 @@
 use crate::idle::is_idle;
 use crate::message::Reply;
 
+/// How long a shutdown leaves a peer to close a connection after its last reply: longer than a round
+/// trip, after which no request of the peer can cross the reply.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Interval at which a shutdown checks whether connections are open.
 const CLOSED_POLL: Duration = Duration::from_millis(10);
 
@@ -27,7 +31,7 @@
 pub(super) struct Shutdown {
     begun: Signal,
     /// Raised when requests that have not been received whole are no longer awaited.
-    receive_over: Signal,
+    receive_expired: Signal,
 }
 
 /// A condition that becomes true once and stays true.
@@ -74,13 +78,19 @@
         self.begun.is_raised()
     }
 
+    /// Waits until a connection that has sent its last reply need not be kept open any longer.
+    pub(super) async fn linger_expiry(&self) {
+        self.begun.wait().await;
+        Timer::after(LINGER_TIMEOUT).await;
+    }
+
     /// Waits until a connection has to be closed although it has not received a whole request.
     pub(super) async fn interruption(&self, stream: &BoundedStream) -> Interruption {
         self.begun.wait().await;
         if is_idle(stream) {
             return Interruption::Idle;
         }
-        self.receive_over.wait().await;
+        self.receive_expired.wait().await;
         match stream.phase() {
             Phase::Idle => Interruption::Idle,
             Phase::Head | Phase::Body => Interruption::HalfReceived,
@@ -103,16 +113,19 @@
     /// Stops listening, closes connections that carry no request, and waits until all others have
     /// been answered and closed. No request can arrive once the returned future has completed.
     ///
+    /// A connection whose handshake is under way when the listener is closed is reset by the
+    /// operating system.
+    ///
     /// Requests that have not arrived whole by `receive_deadline` are rejected with
     /// [`ResultCode::Draining`]. Handlers are not interrupted.
     pub async fn shut_down(&self, receive_deadline: Instant) {
         self.shutdown.begun.raise();
-        let receive_over = async {
+        let receive_expired = async {
             Timer::at(receive_deadline).await;
-            self.shutdown.receive_over.raise();
+            self.shutdown.receive_expired.raise();
             future::pending().await
         };
-        self.wait_until_closed().or(receive_over).await;
+        self.wait_until_closed().or(receive_expired).await;
     }
 
     async fn wait_until_closed(&self) {
@@ -153,6 +166,8 @@
                 self.send_rejection(stream, ResultCode::Draining).await;
             }
             (Interruption::Idle, Some(refusal)) => {
+                let refused = &self.stats.idle_refused;
+                refused.set(refused.get() + 1);
                 self.send_final(stream, refusal.clone().into_response())
                     .await;
             }
--- a/crates/onyxshed-http/tests/shutdown.rs
+++ b/crates/onyxshed-http/tests/shutdown.rs
@@ -10,6 +10,7 @@
 use async_net::TcpStream;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use onyxshed_core::ResultCode;
+use onyxshed_http::client::with_timeout;
 use onyxshed_http::server::PendingReply;
 use onyxshed_http::{Call, Reply, Server, ServerOptions};
 
@@ -24,6 +25,9 @@
 /// How long the handler takes for a request.
 const HANDLING_TIME: Duration = Duration::from_millis(100);
 
+/// Time limit of a test, which only a hang reaches.
+const TIMEOUT: Duration = Duration::from_secs(30);
+
 /// A deadline that no test reaches.
 fn never() -> Instant {
     Instant::now() + Duration::from_secs(60)
@@ -89,6 +93,17 @@
     stream.write_all(bytes).await.expect("the peer reads");
 }
 
+/// Requires one reply with this status, which closes its connection.
+fn assert_last_reply(received: &str, status: &str) {
+    let replies = received.matches("HTTP/1.1 ").count();
+    assert_eq!(replies, 1, "{received}");
+    assert!(
+        received.starts_with(&format!("HTTP/1.1 {status}")),
+        "{received}"
+    );
+    assert!(received.contains("connection: close"), "{received}");
+}
+
 /// Reads until the server closes the connection.
 async fn read_all(stream: &mut TcpStream) -> String {
     let mut text = String::new();
@@ -101,7 +116,9 @@
 
 fn run<Test: Future<Output = ()>>(test: impl FnOnce(Rc<LocalExecutor<'static>>) -> Test) {
     let executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(test(executor.clone())));
+    let test = with_timeout(TIMEOUT, test(executor.clone()));
+    let finished = async_io::block_on(executor.run(test));
+    assert!(finished.is_some(), "the test hangs");
 }
 
 /// Guards against requests that are cut off because no request was in flight when the stop looked.
@@ -119,8 +136,7 @@
             read_all(&mut stream).await
         };
         let (reply, ()) = future::zip(caller, shut_down).await;
-        assert!(reply.starts_with("HTTP/1.1 503"), "{reply}");
-        assert!(reply.contains("connection: close"), "{reply}");
+        assert_last_reply(&reply, "503");
         assert_eq!(fixture.handled.get(), 1);
     });
 }
@@ -164,8 +180,39 @@
         }
         let shut_down = fixture.server.shut_down(never());
         let (reply, ()) = future::zip(read_all(&mut stream), shut_down).await;
-        assert!(reply.starts_with("HTTP/1.1 200"), "{reply}");
-        assert!(reply.contains("connection: close"), "{reply}");
+        assert_last_reply(&reply, "200");
+    });
+}
+
+/// Guards against a refusal of a request that is being handled.
+#[test]
+fn request_in_progress_at_the_deadline_is_answered() {
+    run(|executor| async move {
+        let fixture = Fixture::start(&executor).await;
+        let mut stream = fixture.connect().await;
+        send(&mut stream, REQUEST).await;
+        while fixture.handled.get() == 0 {
+            future::yield_now().await;
+        }
+        let shut_down = fixture.server.shut_down(Instant::now());
+        let (reply, ()) = future::zip(read_all(&mut stream), shut_down).await;
+        assert_last_reply(&reply, "200");
+    });
+}
+
+/// Guards against stops that wait for callers that keep their side of a closed connection open.
+#[test]
+fn peers_that_do_not_close_delay_a_shutdown_by_less_than_a_second() {
+    run(|executor| async move {
+        let fixture = Fixture::start(&executor).await;
+        let _idle = fixture.used_connection().await;
+        let mut half_received = fixture.connect().await;
+        send(&mut half_received, HALF_REQUESTS[0]).await;
+        Timer::after(Duration::from_millis(20)).await;
+        let began_at = Instant::now();
+        fixture.server.shut_down(began_at).await;
+        let elapsed = began_at.elapsed();
+        assert!(elapsed < Duration::from_secs(1), "{elapsed:?}");
     });
 }
 
@@ -183,7 +230,7 @@
                 read_all(&mut stream).await
             };
             let (reply, ()) = future::zip(caller, fixture.server.shut_down(never())).await;
-            assert!(reply.starts_with("HTTP/1.1 200"), "{reply}");
+            assert_last_reply(&reply, "200");
         }
     });
 }
@@ -200,7 +247,7 @@
             let deadline = Instant::now() + Duration::from_millis(50);
             let shut_down = fixture.server.shut_down(deadline);
             let (reply, ()) = future::zip(read_all(&mut stream), shut_down).await;
-            assert!(reply.starts_with("HTTP/1.1 503"), "{reply}");
+            assert_last_reply(&reply, "503");
             assert_eq!(fixture.handled.get(), 0);
         }
     });
@@ -233,7 +280,7 @@
             read_all(&mut stream).await
         };
         let (reply, ()) = future::zip(caller, fixture.server.shut_down(never())).await;
-        assert!(reply.starts_with("HTTP/1.1 200"), "{reply}");
+        assert_last_reply(&reply, "200");
         assert_eq!(fixture.handled.get(), 1);
     });
 }
--- a/crates/onyxshed-process/src/requests.rs
+++ b/crates/onyxshed-process/src/requests.rs
@@ -37,8 +37,10 @@
         let stats = self.server.stats();
         let connections = stats.connections.get();
         let requests = stats.in_flight.get();
-        let detail =
-            format_smolstr!("{connections} connections open, {requests} requests in flight");
+        let closed = stats.idle_refused.get();
+        let detail = format_smolstr!(
+            "{connections} connections open, {requests} requests in flight, {closed} idle closed"
+        );
         let event = Event::new(kind).party(self.name);
         self.kernel.emit(event.detail(detail));
     }
