The entry takes requests until its last job has ended

What callers saw: nothing yet; found by a reviewer. Half a second after SIGTERM the entry's address for callers was closed, though its jobs went on for seconds. Callers that asked for a job met a closed address instead of a refusal or an answer, and docs/OPERATING.md says that new jobs are refused with 3005 until the end.

Change: the entry refuses new jobs for the half second and until its last job has ended, and shuts both addresses down after that.

--- a/crates/onyxshed-entry/src/callers.rs
+++ b/crates/onyxshed-entry/src/callers.rs
@@ -114,8 +114,8 @@
         })
     }
 
-    /// Rejects new jobs from now on, and after `DRAIN_GRACE` takes no more requests of callers. Requests
-    /// of peers are taken until the last job has ended, since they may concern it.
+    /// Rejects new jobs from now on, for `DRAIN_GRACE` and until the last job has ended. Then takes no
+    /// more requests of callers and peers.
     fn drain<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, ()> {
         Box::pin(async move {
             let answer_deadline = self.engine.begin_drain();
@@ -123,8 +123,8 @@
             let Ok(callers) = kernel.find::<Callers>(CALLERS) else {
                 return;
             };
-            callers.caller.shut_down(answer_deadline).await;
             self.engine.wait_for_jobs().await;
+            callers.caller.shut_down(answer_deadline).await;
             callers.peer.shut_down(answer_deadline).await;
         })
     }
@@ -139,7 +139,7 @@
     }
 }
 
-/// How long a drain takes requests of callers in order to reject them. With less, load balancers that
+/// How long a drain takes requests at least, in order to reject them. With less, load balancers that
 /// have not noticed yet that readiness is false meet a closed address.
 const DRAIN_GRACE: Duration = Duration::from_millis(500);
 
