A job that is queued when its entry host gives up ends as not run

Cause: Pool::cancel ended every job as unknown, and at the end of the drain the entry host dropped the future of the job, so that it did not hear the job's end.

Change: Pool::cancel uses end_of_dropped_job: not run if the job neither started nor has runs of an earlier copy. At the end of the drain the entry host cancels the job and goes on waiting for its end, for at most 150 ms (CANCELLED_ENDS_WAIT), then answers 504 as before. After "not run" it tries no further pool. An owner on another host is not told why the job is cancelled, so its "cancelled" is answered as "this host is stopping".

--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -33,6 +33,10 @@
 /// and stops sending callers after two failed polls.
 const BALANCER_NOTICE_TIME: Duration = Duration::from_millis(2_200);
 
+/// How long a stopping host waits for the ends of the jobs that it cancels when it can no longer wait
+/// for them: an owner answers within a few milliseconds, and the replies have to be written after it.
+const CANCELLED_ENDS_WAIT: Duration = Duration::from_millis(150);
+
 /// Time limit of a request whose deadline header is missing or is not a number.
 const TIME_LIMIT_DEFAULT: Millis = Millis(5_000);
 
@@ -252,13 +256,15 @@
         time_limit.min(Millis(u64::try_from(remaining).unwrap_or(u64::MAX)))
     }
 
-    /// Waits for the end of the drain, and returns the outcome of a job that is unfinished then.
+    /// Waits for the end of the drain and then for the ends of the jobs that are cancelled, and returns
+    /// the outcome of a job whose end has not arrived by then.
     ///
     /// The platform kills a host that is still running at the end of its grace period. Callers that
     /// receive an unknown outcome before that resubmit their jobs.
     async fn wait_for_drain_expiry(&self) -> Option<(JobEnd, SmolStr)> {
         // Completes when the channel is closed; no value is ever sent.
         let _ = self.drain_expired.recv().await;
+        Timer::after(CANCELLED_ENDS_WAIT).await;
         Some((
             JobEnd::Unknown(UnknownReason::EntryStopped),
             SmolStr::new_static("?"),
@@ -318,7 +324,8 @@
     }
 
     /// Submits a job to the pools in the order of [`Links::rank_pools`] until a pool does not
-    /// reject it. Returns the job's end and the pool that was tried last.
+    /// reject it or the drain has ended, which also cancels the job. Returns the job's end and the
+    /// pool that was tried last.
     async fn submit_to_pools(&self, job: &JobRequest, arrived: Mono) -> (JobEnd, SmolStr) {
         let mut last = (
             JobEnd::NotRun(self.links.no_pool_reason(), NO_POOL_RETRY_AFTER),
@@ -329,9 +336,9 @@
             job.submission = self.links.next_submission();
             job.elapsed = boot_clock::now().since(arrived).as_millis();
             job.time_left = Millis(job.time_left.0.saturating_sub(job.elapsed.0));
-            let end = self.links.run(&pool, job).await;
+            let end = self.links.run(&pool, job, &self.drain_expired).await;
             last = (end, format_smolstr!("{pool}"));
-            if !matches!(end, JobEnd::NotRun(..)) {
+            if !matches!(end, JobEnd::NotRun(..)) || self.drain_expired.is_closed() {
                 break;
             }
         }
--- a/crates/onyxshed-host/src/links.rs
+++ b/crates/onyxshed-host/src/links.rs
@@ -14,6 +14,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use async_channel::Receiver;
+use futures_lite::{FutureExt, future};
 use onyxshed_core::{Event, EventKind, Millis, Mono};
 use onyxshed_http::client::with_timeout;
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Notifier, Result, Service, ServiceName};
@@ -317,28 +319,40 @@
         }
     }
 
-    /// Submits a job to a pool and waits for its end. Dropping the future cancels the job.
-    pub async fn run(self: &Rc<Self>, pool: &PoolId, job: JobRequest) -> JobEnd {
+    /// Submits a job to a pool and waits for its end. Closing `cancelled` cancels the job, whose end
+    /// is still waited for; dropping the future cancels it as well.
+    pub async fn run(
+        self: &Rc<Self>,
+        pool: &PoolId,
+        job: JobRequest,
+        cancelled: &Receiver<()>,
+    ) -> JobEnd {
         self.selector
             .borrow_mut()
             .record_dispatch(pool, job.demand, job.tasks, job.estimate);
         if self.engine.serves(pool) {
-            return self.run_locally(job).await;
+            return self.run_locally(job, cancelled).await;
         }
         let link = self.remote.borrow().get(pool).cloned();
         match link {
-            Some(link) => link.run(job).await,
+            Some(link) => link.run(job, cancelled).await,
             None => JobEnd::NotRun(NotRunReason::NotOwner, Millis(0)),
         }
     }
 
-    async fn run_locally(&self, job: JobRequest) -> JobEnd {
+    async fn run_locally(&self, job: JobRequest, cancelled: &Receiver<()>) -> JobEnd {
         let guard = LocalCancelGuard {
             engine: self.engine.clone(),
             job: Some((job.submission, job.job)),
         };
         let receiver = self.engine.submit(onyxshed_pool::Session(0), job);
-        let end = receiver.recv().await;
+        let cancel = async {
+            // Completes when the channel is closed; no value is ever sent.
+            let _ = cancelled.recv().await;
+            guard.cancel(UnknownReason::EntryStopped);
+            future::pending().await
+        };
+        let end = receiver.recv().or(cancel).await;
         guard.disarm();
         end.unwrap_or(JobEnd::Unknown(UnknownReason::OwnerChanged))
     }
@@ -355,18 +369,21 @@
     fn disarm(mut self) {
         self.job = None;
     }
-}
 
-impl Drop for LocalCancelGuard {
-    fn drop(&mut self) {
+    fn cancel(&self, reason: UnknownReason) {
         if let Some((submission, job)) = self.job {
             let incarnation = self.engine.incarnation();
-            self.engine
-                .cancel(incarnation, submission, job, UnknownReason::Cancelled);
+            self.engine.cancel(incarnation, submission, job, reason);
         }
     }
 }
 
+impl Drop for LocalCancelGuard {
+    fn drop(&mut self) {
+        self.cancel(UnknownReason::Cancelled);
+    }
+}
+
 /// Service that accepts the connections of peers and registers the [`Links`].
 pub struct LinkService {
     links: Rc<Links>,
--- a/crates/onyxshed-host/src/links/remote.rs
+++ b/crates/onyxshed-host/src/links/remote.rs
@@ -8,7 +8,7 @@
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
-use futures_lite::FutureExt;
+use futures_lite::{FutureExt, future};
 use onyxshed_core::{Event, EventKind, Millis, Mono};
 use onyxshed_http::client::with_timeout;
 use onyxshed_kernel::Notifier;
@@ -319,8 +319,9 @@
     }
 
     /// Submits a job to the owner and waits for its end. Returns `NotRun` if the link is down or
-    /// its session cannot be renewed. Dropping the future cancels the job.
-    pub async fn run(self: Rc<Self>, job: JobRequest) -> JobEnd {
+    /// its session cannot be renewed. Closing `cancelled` cancels the job, whose end is still waited
+    /// for; dropping the future cancels it as well.
+    pub async fn run(self: Rc<Self>, job: JobRequest, cancelled: &Receiver<()>) -> JobEnd {
         let not_owner = JobEnd::NotRun(NotRunReason::NotOwner, Millis(0));
         let Some(last_known) = self.connection.borrow().clone() else {
             return not_owner;
@@ -343,10 +344,22 @@
             let _ = connection.lost.recv().await;
             None
         };
+        let cancel = async {
+            // Completes when the channel is closed; no value is ever sent.
+            let _ = cancelled.recv().await;
+            guard.cancel();
+            future::pending().await
+        };
         let end = async { Some(self.call(&connection, &job).await) }
             .or(lost)
+            .or(cancel)
             .await;
         match end {
+            // The owner is not told why this host cancels a job.
+            Some(Ok(JobEnd::Unknown(UnknownReason::Cancelled))) => {
+                guard.disarm();
+                JobEnd::Unknown(UnknownReason::EntryStopped)
+            }
             Some(Ok(end)) => {
                 guard.disarm();
                 end
@@ -417,10 +430,8 @@
     fn disarm(mut self) {
         self.job = None;
     }
-}
 
-impl Drop for RemoteCancelGuard {
-    fn drop(&mut self) {
+    fn cancel(&self) {
         let Some((submission, job)) = self.job else {
             return;
         };
@@ -439,3 +450,9 @@
         self.link.links.kernel.spawn(cancel).detach();
     }
 }
+
+impl Drop for RemoteCancelGuard {
+    fn drop(&mut self) {
+        self.cancel();
+    }
+}
--- a/crates/onyxshed-pool/src/pool/admission.rs
+++ b/crates/onyxshed-pool/src/pool/admission.rs
@@ -90,8 +90,8 @@
         self.take_actions()
     }
 
-    /// Cancels a job on behalf of its entry host. Does nothing if the submission has been
-    /// superseded or the job has ended.
+    /// Cancels a job on behalf of its entry host: it ends as not run if it has not started, otherwise as
+    /// unknown. Does nothing if the submission has been superseded or the job has ended.
     pub fn cancel(
         &mut self,
         now: Mono,
@@ -105,7 +105,9 @@
             active.request.peer == peer && active.request.submission == submission
         });
         if is_current_submission {
-            self.end_job(job, JobEnd::Unknown(reason));
+            let not_run = (NotRunReason::NoTime, self.retry_after(now));
+            let end = self.end_of_dropped_job(job, not_run, reason);
+            self.end_job(job, end);
         }
         self.take_actions()
     }
--- a/crates/onyxshed-pool/tests/pool/copies.rs
+++ b/crates/onyxshed-pool/tests/pool/copies.rs
@@ -107,6 +107,18 @@
     assert_eq!(harness.take_ends(), [(JobId(1), unknown)]);
 }
 
+/// Another entry host must not hear "not run" of a cancelled copy whose stopped run still executes.
+#[test]
+fn cancelled_copy_does_not_end_as_not_run_while_runs_are_stopped() {
+    let mut harness = harness_with_queued_copy(job(1, 1, 900));
+    let reason = UnknownReason::EntryStopped;
+    let cancelled = harness
+        .pool
+        .cancel(at_ms(20), OWN, SubmissionNumber(2), JobId(1), reason);
+    harness.actions.extend(cancelled);
+    assert_eq!(harness.take_ends(), [(JobId(1), JobEnd::Unknown(reason))]);
+}
+
 /// Another pool must not start a task whose stopped run may still execute on an unresponsive executor.
 #[test]
 fn copy_is_not_returned_with_lost_executors_while_runs_are_stopped() {
--- a/crates/onyxshed-pool/tests/pool/hosts.rs
+++ b/crates/onyxshed-pool/tests/pool/hosts.rs
@@ -116,6 +116,34 @@
     assert!(harness.take_stops().is_empty());
 }
 
+/// A job that is cancelled in the queue has not run, and its caller may send it again at once.
+#[test]
+fn cancelled_queued_job_does_not_end_as_unknown() {
+    let mut harness = Harness::with_executors(&[("x1", 32)]);
+    harness.submit_and_start(1, job(8, 1, 1_000));
+    harness.submit(2, job(9, 1, 1_000));
+    for number in [8, 9] {
+        let cancelled = harness.pool.cancel(
+            at_ms(50),
+            crate::fixture::OWN,
+            SubmissionNumber(number),
+            JobId(number),
+            UnknownReason::EntryStopped,
+        );
+        harness.actions.extend(cancelled);
+    }
+    let ends = harness.take_ends();
+    let unknown = JobEnd::Unknown(UnknownReason::EntryStopped);
+    let [started, queued] = ends[..] else {
+        panic!("{ends:?}");
+    };
+    assert_eq!(started, (JobId(8), unknown));
+    assert!(
+        matches!(queued, (JobId(9), JobEnd::NotRun(NotRunReason::NoTime, _))),
+        "{queued:?}"
+    );
+}
+
 #[test]
 fn cancelled_job_is_stopped_and_frees_resources() {
     let mut harness = Harness::with_executors(&[("x1", 64)]);
