--- a/crates/onyxshed-soak/tests/hosts/stops.rs
+++ b/crates/onyxshed-soak/tests/hosts/stops.rs
@@ -23,17 +23,23 @@
     wait_until_host_ends, wait_until_job_completes,
 };
 
-/// The time from an owner's SIGTERM until its late job is sent, longer than the 2,200 ms for the balancer's notice.
-const SENT_AFTER_STOP: Duration = Duration::from_millis(2_600);
-
 /// The duration of the job of another host, which keeps the stopping owner running.
 const OTHER_JOB_MS: u64 = 3_000;
 
-/// The duration of the job that is sent to the stopping owner; it would end after the other host's job.
+/// The duration of the jobs that are sent to the stopping owner.
 const LATE_JOB_MS: u64 = 900;
 
-/// The id of the job that is sent to the stopping owner.
-const LATE_JOB: &str = "00000000000000cc";
+/// The id of the job that waits in the pool of another host when its own host stops.
+const QUEUED_JOB: &str = "00000000000000cc";
+
+/// The number of jobs that are sent to the stopping owner.
+const LATE_JOBS: u32 = 60;
+
+/// The time from an owner's SIGTERM until the first late job is sent.
+const LATE_JOBS_FROM: Duration = Duration::from_millis(2_000);
+
+/// The time from one late job to the next; the last one is sent when the grace is over.
+const LATE_JOB_PERIOD: Duration = Duration::from_millis(70);
 
 fn request(job: impl Into<SmolStr>, ms: u64) -> JobRequest {
     JobRequest {
@@ -79,88 +85,77 @@
     (fleet, owner)
 }
 
-/// Returns whether the process of a host is running.
-fn is_running(fleet: &mut Fleet, name: &SmolStr) -> bool {
-    let mut is_running = false;
-    let checked = fleet.signal_host(name, |_| {
-        is_running = true;
-        Ok(())
-    });
-    checked.expect("the process can be checked");
-    is_running
-}
-
 fn request_stop(fleet: &mut Fleet, name: &SmolStr) {
     let signalled = fleet.signal_host(name, |process| process.request_stop());
     signalled.expect("the signal is sent");
 }
 
-/// Asks the owner to stop while its pool has a job of the other host, and sends a job to the owner with `send` when
-/// the owner has no request of its own callers left. Returns the outcome of `send`.
-async fn send_to_stopping_owner(
-    fleet: &mut Fleet,
-    owner: usize,
-    send: impl AsyncFnOnce(JobRequest) -> Outcome,
-) -> Outcome {
-    let name = fleet.host_names().remove(owner);
-    let mut other_host = connect(fleet.caller_addresses()[1 - owner]).await;
-    let other_body = job_body(OTHER_JOB_MS, 1);
-    let other_job = send_request(
-        &mut other_host,
-        Method::Post,
-        "00000000000000bb",
-        &other_body,
-    );
-    let stop_and_send = async {
-        Timer::after(Duration::from_millis(50)).await;
-        request_stop(fleet, &name);
-        Timer::after(SENT_AFTER_STOP).await;
-        assert!(is_running(fleet, &name), "the owner ended too early");
-        send(request(LATE_JOB, LATE_JOB_MS)).await
-    };
-    let (other_reply, outcome) = zip(other_job, stop_and_send).await;
-    let other_reply = other_reply.expect("the other host answers");
-    assert_eq!(other_reply.body, br#"{"state":"completed"}"#);
-    outcome
+/// A connection on which a late job is sent.
+enum LateConnection {
+    /// One that has been idle since before the stop.
+    Idle(DirectConnection),
+    /// One that is opened for the job.
+    New(SocketAddr),
 }
 
-/// Requires that a request was answered, and that its job has not run if the answer says so.
-async fn require_true_answer(fleet: &mut Fleet, name: &SmolStr, outcome: &Outcome) {
-    let Outcome::Answered(reply) = outcome else {
-        panic!("{outcome:?}\n{}", fleet.log_tail(name));
+/// Sends one job and records its outcome.
+async fn send_late_job(connection: LateConnection, number: u32, outcomes: Outcomes) {
+    let job = format_smolstr!("{:016x}", u64::from(number) << 32);
+    let request = request(job.clone(), LATE_JOB_MS);
+    let outcome = match connection {
+        LateConnection::Idle(mut connection) => connection.send(&request).await,
+        LateConnection::New(host) => send_on_new_connection(host, &request).await,
     };
-    assert!([200, 503, 504].contains(&reply.status), "{reply:?}");
-    wait_until_host_ends(fleet, name).await;
-    let is_false = reply.status == 503 && has_started(fleet, LATE_JOB).await;
-    assert!(!is_false, "a refused job has run: {reply:?}");
+    outcomes.borrow_mut().push((job, outcome));
 }
 
 /// Guards against requests that an owner takes after its last caller was answered, and cuts off when it ends.
-#[test]
-fn owner_that_stops_cuts_off_no_request_on_an_idle_connection() {
-    block_on(async {
-        let (mut fleet, owner) = start_with_owner().await;
-        let name = fleet.host_names().remove(owner);
-        let mut idle = open_used_connection(fleet.direct_caller_addresses()[owner]).await;
-        let send = async move |request| idle.send_unchecked(&request).await;
-        let outcome = send_to_stopping_owner(&mut fleet, owner, send).await;
-        require_true_answer(&mut fleet, &name, &outcome).await;
-    });
-}
-
-/// Guards against connections that an owner accepts after its last caller was answered, and cuts off.
-#[test]
-fn owner_that_stops_cuts_off_no_request_on_a_new_connection() {
-    block_on(async {
+#[rstest]
+#[case::on_idle_connections(true)]
+#[case::on_new_connections(false)]
+fn owner_that_stops_cuts_off_no_request(#[case] is_idle: bool) {
+    let executor = Rc::new(LocalExecutor::new());
+    let test = async {
         let (mut fleet, owner) = start_with_owner().await;
         let name = fleet.host_names().remove(owner);
         let host = fleet.direct_caller_addresses()[owner];
-        let send = async move |request| send_on_new_connection(host, &request).await;
-        let outcome = send_to_stopping_owner(&mut fleet, owner, send).await;
-        if outcome != Outcome::NotSent {
-            require_true_answer(&mut fleet, &name, &outcome).await;
+        let mut connections = Vec::new();
+        for _ in 0..LATE_JOBS {
+            connections.push(match is_idle {
+                true => LateConnection::Idle(open_used_connection(host).await),
+                false => LateConnection::New(host),
+            });
+        }
+        let other_host = fleet.caller_addresses()[1 - owner];
+        let other_job = executor.spawn(async move {
+            let body = job_body(OTHER_JOB_MS, 1);
+            let mut connection = connect(other_host).await;
+            send_request(&mut connection, Method::Post, "00000000000000bb", &body).await
+        });
+        Timer::after(Duration::from_millis(50)).await;
+        request_stop(&mut fleet, &name);
+        let outcomes = Outcomes::default();
+        let first_at = Instant::now() + LATE_JOBS_FROM;
+        let late_jobs = connections
+            .into_iter()
+            .zip(0..)
+            .map(|(connection, number)| {
+                let outcomes = outcomes.clone();
+                executor.spawn(async move {
+                    Timer::at(first_at + LATE_JOB_PERIOD * number).await;
+                    send_late_job(connection, number, outcomes).await;
+                })
+            });
+        let late_jobs: Vec<_> = late_jobs.collect();
+        for late_job in late_jobs {
+            late_job.await;
         }
-    });
+        let other_reply = other_job.await.expect("the other host answers");
+        assert_eq!(other_reply.body, br#"{"state":"completed"}"#);
+        wait_until_host_ends(&mut fleet, &name).await;
+        require_true_answers(&mut fleet, &name, &outcomes.take()).await;
+    };
+    block_on(executor.run(test));
 }
 
 /// The outcome of each job that the callers of one test sent.
@@ -368,3 +363,44 @@
     .await;
     fleet
 }
+
+/// Guards against jobs that are still queued when the drain of their host ends, and are answered as unknown.
+#[test]
+fn host_that_stops_leaves_no_queued_job_unknown() {
+    const LONG_JOB_MS: u64 = 12_000;
+    /// The zone's two executors fit two tasks each.
+    const SLOTS: u64 = 4;
+    let long_job = |job, tasks| JobRequest {
+        body: job_body(LONG_JOB_MS, tasks).to_string(),
+        ..request(job, LONG_JOB_MS)
+    };
+    let executor = LocalExecutor::new();
+    let test = async {
+        let (mut fleet, owner) = start_with_owner().await;
+        let name = fleet.host_names().remove(1 - owner);
+        let addresses = fleet.direct_caller_addresses();
+        let running = long_job("00000000000000bb", SLOTS);
+        let owner_address = addresses[owner];
+        let _running =
+            executor.spawn(async move { send_on_new_connection(owner_address, &running).await });
+        wait_until_job_starts(&mut fleet, "00000000000000bb").await;
+        let queued = long_job(QUEUED_JOB, 1);
+        let send = send_on_new_connection(addresses[1 - owner], &queued);
+        let stop = async {
+            Timer::after(Duration::from_millis(300)).await;
+            request_stop(&mut fleet, &name);
+        };
+        let (outcome, ()) = zip(send, stop).await;
+        wait_until_host_ends(&mut fleet, &name).await;
+        let is_refused = matches!(&outcome, Outcome::Answered(reply) if reply.status == 503 && reply.closes_connection);
+        assert!(is_refused, "{outcome:?}\n{}", fleet.log_tail(&name));
+        assert!(!has_started(&mut fleet, QUEUED_JOB).await);
+    };
+    block_on(executor.run(test));
+}
+
+async fn wait_until_job_starts(fleet: &mut Fleet, job: &str) {
+    while !has_started(fleet, job).await {
+        Timer::after(Duration::from_millis(20)).await;
+    }
+}
