onyxshed-http: names and a reason in the shutdown

No change of behaviour: the shutdown's time to linger has a name of its own, and run says why the listener is dropped by hand. onyxshed-http's tests pass.

--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -153,6 +153,7 @@
         let _listening = GaugeGuard::new(&self.stats, |stats| &stats.listeners);
         self.accept_until_shutdown(&listener, &executor).await;
         self.accept_queued(&listener, &executor).await;
+        // Closed before it is no longer counted.
         drop(listener);
     }
 
@@ -307,7 +308,7 @@
     ///
     /// If bytes from the peer are unread when the connection is closed, the operating system resets
     /// the connection and the peer loses the reply. So further bytes are read and discarded until
-    /// the peer closes its side, for up to [`LINGER_TIMEOUT`].
+    /// the peer closes its side, for up to [`LINGER_TIMEOUT`], or less during a shutdown.
     async fn close_after_reply(&self, stream: &BoundedStream) {
         let mut stream = stream.clone();
         if stream.close().await.is_err() {
--- a/crates/onyxshed-http/src/server/shutdown.rs
+++ b/crates/onyxshed-http/src/server/shutdown.rs
@@ -5,6 +5,7 @@
 //! that carries no request. It is over when no connection is left, after which no request can
 //! arrive.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
@@ -21,7 +22,7 @@
 
 /// How long a shutdown leaves a peer to close a connection after its last reply: longer than a round
 /// trip, after which no request of the peer can cross the reply.
-const LINGER_TIMEOUT: Duration = Duration::from_millis(250);
+const SHUTDOWN_LINGER_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Interval at which a shutdown checks whether connections are open.
 const CLOSED_POLL: Duration = Duration::from_millis(10);
@@ -81,7 +82,7 @@
     /// Waits until a connection that has sent its last reply need not be kept open any longer.
     pub(super) async fn linger_expiry(&self) {
         self.begun.wait().await;
-        Timer::after(LINGER_TIMEOUT).await;
+        Timer::after(SHUTDOWN_LINGER_TIMEOUT).await;
     }
 
     /// Waits until a connection has to be closed although it has not received a whole request.
@@ -138,7 +139,7 @@
     pub(super) async fn accept_until_shutdown(
         &self,
         listener: &TcpListener,
-        executor: &std::rc::Rc<LocalExecutor<'static>>,
+        executor: &Rc<LocalExecutor<'static>>,
     ) {
         let accept = self.accept_all(listener, executor);
         accept.or(self.shutdown.begun.wait()).await;
@@ -149,7 +150,7 @@
     pub(super) async fn accept_queued(
         &self,
         listener: &TcpListener,
-        executor: &std::rc::Rc<LocalExecutor<'static>>,
+        executor: &Rc<LocalExecutor<'static>>,
     ) {
         while let Some(accepted) = future::poll_once(listener.accept()).await {
             match accepted {
