--- a/crates/onyxshed-http/tests/shutdown.rs
+++ b/crates/onyxshed-http/tests/shutdown.rs
@@ -78,6 +78,16 @@
         stream
     }
 
+    /// Returns a connection whose request is being handled.
+    async fn connection_in_progress(&self) -> TcpStream {
+        let mut stream = self.connect().await;
+        send(&mut stream, REQUEST).await;
+        while self.handled.get() == 0 {
+            future::yield_now().await;
+        }
+        stream
+    }
+
     /// Returns a connection on which a request has been answered.
     async fn used_connection(&self) -> TcpStream {
         let mut stream = self.connect().await;
@@ -173,11 +183,7 @@
 fn request_in_progress_is_answered_and_its_connection_closed() {
     run(|executor| async move {
         let fixture = Fixture::start(&executor).await;
-        let mut stream = fixture.connect().await;
-        send(&mut stream, REQUEST).await;
-        while fixture.handled.get() == 0 {
-            future::yield_now().await;
-        }
+        let mut stream = fixture.connection_in_progress().await;
         let shut_down = fixture.server.shut_down(never());
         let (reply, ()) = future::zip(read_all(&mut stream), shut_down).await;
         assert_last_reply(&reply, "200");
@@ -189,11 +195,7 @@
 fn request_in_progress_at_the_deadline_is_answered() {
     run(|executor| async move {
         let fixture = Fixture::start(&executor).await;
-        let mut stream = fixture.connect().await;
-        send(&mut stream, REQUEST).await;
-        while fixture.handled.get() == 0 {
-            future::yield_now().await;
-        }
+        let mut stream = fixture.connection_in_progress().await;
         let shut_down = fixture.server.shut_down(Instant::now());
         let (reply, ()) = future::zip(read_all(&mut stream), shut_down).await;
         assert_last_reply(&reply, "200");
@@ -270,11 +272,7 @@
 fn closing_reply_reaches_a_caller_that_has_sent_more_bytes() {
     run(|executor| async move {
         let fixture = Fixture::start(&executor).await;
-        let mut stream = fixture.connect().await;
-        send(&mut stream, REQUEST).await;
-        while fixture.handled.get() == 0 {
-            future::yield_now().await;
-        }
+        let mut stream = fixture.connection_in_progress().await;
         let caller = async {
             send(&mut stream, REQUEST).await;
             read_all(&mut stream).await
