--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -29,8 +29,8 @@
 use crate::names::{CALLERS, LINKS, MANIFEST};
 use replies::{job_reply, rejection_reply};
 
-/// How long a stopping host continues to take requests: the balancer polls readiness once a second
-/// and stops sending callers after two failed polls.
+/// Shortest time for which a stopping host continues to take requests: the balancer polls readiness
+/// once a second and stops sending callers after two failed polls.
 const BALANCER_NOTICE_TIME: Duration = Duration::from_millis(2_200);
 
 /// How long a stopping host waits for the ends of the jobs that it cancels when it can no longer wait
