--- a/crates/onyxshed-http/tests/shutdown.rs
+++ b/crates/onyxshed-http/tests/shutdown.rs
@@ -13,6 +13,7 @@
 use onyxshed_http::client::with_timeout;
 use onyxshed_http::server::PendingReply;
 use onyxshed_http::{Call, Reply, Server, ServerOptions};
+use rstest::rstest;
 
 const REQUEST: &[u8] = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nok";
 
@@ -179,24 +180,15 @@
     });
 }
 
-#[test]
-fn request_in_progress_is_answered_and_its_connection_closed() {
-    run(|executor| async move {
-        let fixture = Fixture::start(&executor).await;
-        let mut stream = fixture.connection_in_progress().await;
-        let shut_down = fixture.server.shut_down(never());
-        let (reply, ()) = future::zip(read_all(&mut stream), shut_down).await;
-        assert_last_reply(&reply, "200");
-    });
-}
-
 /// Guards against a refusal of a request that is being handled.
-#[test]
-fn request_in_progress_at_the_deadline_is_answered() {
+#[rstest]
+#[case::before_the_deadline(never())]
+#[case::at_the_deadline(Instant::now())]
+fn request_in_progress_is_answered_and_its_connection_closed(#[case] deadline: Instant) {
     run(|executor| async move {
         let fixture = Fixture::start(&executor).await;
         let mut stream = fixture.connection_in_progress().await;
-        let shut_down = fixture.server.shut_down(Instant::now());
+        let shut_down = fixture.server.shut_down(deadline);
         let (reply, ()) = future::zip(read_all(&mut stream), shut_down).await;
         assert_last_reply(&reply, "200");
     });
