--- a/crates/onyxshed-cli/src/trace/cause.rs
+++ b/crates/onyxshed-cli/src/trace/cause.rs
@@ -54,6 +54,12 @@
     HostStopped,
     /// Operators have evacuated the zone, or all zones.
     ZoneEvacuated,
+    /// The class of the job had used its share of an overloaded pool.
+    ClassShare,
+    /// The caller had used its share of what its class may use.
+    CallerShare,
+    /// A host lacked the processor time to serve the job.
+    HostOverloaded,
     /// No executor that could run the remaining tasks responded.
     ExecutorsLost,
 }
@@ -113,6 +119,9 @@
         }
         NotRunReason::NotOwner => Cause::OwnerReleasing,
         NotRunReason::ZoneEvacuated => Cause::ZoneEvacuated,
+        NotRunReason::ClassShare => Cause::ClassShare,
+        NotRunReason::CallerShare => Cause::CallerShare,
+        NotRunReason::HostOverloaded => Cause::HostOverloaded,
     }
 }
 
@@ -198,6 +207,9 @@
             Cause::HostStopped => "who stopped the host, and how long its callers' jobs take",
             Cause::ExecutorsLost => "E821, E824 and E825: which executors the pool lost",
             Cause::ZoneEvacuated => "E846 and E847: which zones are evacuated, and since when",
+            Cause::ClassShare | Cause::CallerShare | Cause::HostOverloaded => {
+                "docs/OPERATIONS.md, callers are refused"
+            }
         }
     }
 }
@@ -261,6 +273,15 @@
                 f.write_str("unknown: no executor that could run the remaining tasks responded")
             }
             Cause::ZoneEvacuated => f.write_str("its zone, or every zone, is evacuated"),
+            Cause::ClassShare => {
+                f.write_str("not run: its class had used its share of an overloaded pool")
+            }
+            Cause::CallerShare => {
+                f.write_str("not run: its caller had used its share of what its class may use")
+            }
+            Cause::HostOverloaded => {
+                f.write_str("not run: a host lacked the processor time to serve it")
+            }
         }
     }
 }
--- a/crates/onyxshed-core/src/id.rs
+++ b/crates/onyxshed-core/src/id.rs
@@ -4,11 +4,13 @@
 //! caller. It contains its creation time and may contain the [`Incarnation`] of the only entry host
 //! that may start its tasks.
 
+mod caller;
 mod incarnation;
 mod name;
 mod number;
 mod submission;
 
+pub use caller::CallerId;
 pub use incarnation::Incarnation;
 pub use name::{ClassName, ExecutorName, HostName, UpstreamName, ZoneName};
 pub use number::{Offset, Revision};
--- a/crates/onyxshed-core/src/lib.rs
+++ b/crates/onyxshed-core/src/lib.rs
@@ -21,10 +21,10 @@
 pub use event::{Event, EventKind};
 pub use hlc::{Hlc, HlcClock};
 pub use id::{
-    ChangeId, ClassName, ExecutorName, HostName, Incarnation, Offset, Revision, SubmissionId,
-    TaskId, UpstreamName, ZoneName,
+    CallerId, ChangeId, ClassName, ExecutorName, HostName, Incarnation, Offset, Revision,
+    SubmissionId, TaskId, UpstreamName, ZoneName,
 };
 pub use outcome::Outcome;
 pub use target::ClassTarget;
 pub use time::{Mono, Now, UnixMs};
-pub use units::{Bytes, Micros, Millis, RatePerS, Slots};
+pub use units::{Bytes, Micros, Millis, RatePerS, Share, Slots};
--- a/crates/onyxshed-core/src/units.rs
+++ b/crates/onyxshed-core/src/units.rs
@@ -56,6 +56,66 @@
     Slots(u32), "number of slots", "slots"
 );
 
+/// Share of a whole in thousandths, 0 to 1,000.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Share(u16);
+
+impl Share {
+    /// The whole.
+    pub const ALL: Share = Share(1_000);
+
+    /// Nothing.
+    pub const NONE: Share = Share(0);
+
+    /// Creates a share; values above 1,000 become 1,000.
+    pub fn from_millis(millis: u64) -> Self {
+        Share(u16::try_from(millis).unwrap_or(u16::MAX).min(Share::ALL.0))
+    }
+
+    /// Returns `part` of `whole`, rounded down; everything if `whole` is 0.
+    pub fn of(part: u64, whole: u64) -> Self {
+        let millis = u128::from(part) * 1_000 / u128::from(whole.max(1));
+        match whole {
+            0 => Share::ALL,
+            _ => Share::from_millis(u64::try_from(millis).unwrap_or(u64::MAX)),
+        }
+    }
+
+    /// Returns the share in thousandths, 0 to 1,000.
+    pub fn millis(self) -> u16 {
+        self.0
+    }
+}
+
+impl Default for Share {
+    fn default() -> Self {
+        Share::ALL
+    }
+}
+
+impl fmt::Display for Share {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}%", self.0 / 10, self.0 % 10)
+    }
+}
+
+impl FromStr for Share {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let parsed = text.strip_suffix('%').and_then(|number| {
+            let (whole, tenths) = number.split_once('.')?;
+            let tenths: u16 = tenths.parse().ok().filter(|tenths| *tenths < 10)?;
+            let whole: u16 = whole.parse().ok()?;
+            whole.checked_mul(10)?.checked_add(tenths)
+        });
+        parsed
+            .filter(|millis| *millis <= Share::ALL.0)
+            .map(Share)
+            .ok_or_else(|| Error::id("share", text, "0.0% to 100.0%, with one decimal"))
+    }
+}
+
 impl Micros {
     /// Returns the duration in milliseconds, rounded down.
     pub fn as_millis(self) -> Millis {
--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -14,11 +14,13 @@
 use http_types::Method;
 use onyxshed_adapter::job::{self, DEADLINE_HEADER, REQUEST_HEADER, SimpleJob, Submission};
 use onyxshed_adapter::{Manifest, Route};
-use onyxshed_core::{Event, EventKind, Millis, Mono, ResultCode};
+use onyxshed_core::{CallerId, Event, EventKind, Millis, Mono, ResultCode};
 use onyxshed_http::client::with_timeout;
 use onyxshed_http::{Call, Reply, ServerOptions};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
-use onyxshed_pool::{JobEnd, JobId, JobRequest, JobSummary, SubmissionNumber, UnknownReason};
+use onyxshed_pool::{
+    ClassId, JobEnd, JobId, JobRequest, JobSummary, SubmissionNumber, UnknownReason,
+};
 use onyxshed_process::{RequestServer, serve_requests};
 use smol_str::{SmolStr, format_smolstr};
 
@@ -320,6 +322,10 @@
             label: simple.label,
             data_rack: simple.data_rack,
             per_executor_max: simple.per_executor_max,
+            class: ClassId(route.name.clone()),
+            priority: route.priority,
+            caller: CallerId::UNKNOWN,
+            transfers: 0,
         }
     }
 
--- a/crates/onyxshed-host/src/callers/replies.rs
+++ b/crates/onyxshed-host/src/callers/replies.rs
@@ -35,6 +35,9 @@
         NotRunReason::NoExecutor => "not run: no executor can run it",
         NotRunReason::NotOwner | NotRunReason::OldSession => "not run: no pool can be reached",
         NotRunReason::ZoneEvacuated => "not run: no zone is in service",
+        NotRunReason::ClassShare => "not run: its class has used its share",
+        NotRunReason::CallerShare => "not run: its caller has used its share",
+        NotRunReason::HostOverloaded => "not run: this host is overloaded",
     }
 }
 
--- a/crates/onyxshed-host/src/links/port.rs
+++ b/crates/onyxshed-host/src/links/port.rs
@@ -108,7 +108,7 @@
         if let (Some(session), Some(load)) = (session, self.engine.load()) {
             results.set_is_owner(true);
             results.set_session(session.0);
-            pool::write_load(&load, results.reborrow().init_load());
+            pool::write_load(&load, results.reborrow().init_load())?;
         }
         if let Some(transfer) = self.engine.transfer_ownership(peer, &self.member) {
             pool::write_transfer(&transfer, results.init_transfer())?;
@@ -140,7 +140,7 @@
         let mut results = results.get();
         pool::write_end(&end, results.reborrow().init_end());
         if let Some(load) = self.engine.load() {
-            pool::write_load(&load, results.init_load());
+            pool::write_load(&load, results.init_load())?;
         }
         Ok(())
     }
--- a/crates/onyxshed-host/src/process.rs
+++ b/crates/onyxshed-host/src/process.rs
@@ -12,7 +12,7 @@
 use onyxshed_core::{Incarnation, Millis};
 use onyxshed_http::ServerOptions;
 use onyxshed_kernel::{Kernel, RunEnd, RunOptions, Service};
-use onyxshed_pool::{PeerIncarnation, PoolOptions};
+use onyxshed_pool::{OverloadMode, PeerIncarnation, PoolOptions};
 use onyxshed_settings::{LogFormat, LogLevel, LogSettings};
 use onyxshed_telemetry::admin::AdminService;
 use onyxshed_telemetry::log::Log;
@@ -88,6 +88,13 @@
                 .value_parser(clap::value_parser!(SocketAddr))
                 .help("Address at which other hosts reach this host, if not on its own address"),
         )
+        .arg(
+            Arg::new("overload")
+                .long("overload")
+                .value_parser(clap::value_parser!(OverloadMode))
+                .default_value("off")
+                .help("Overload decisions: off, shadow (logged without effect) or on"),
+        )
         .arg(
             Arg::new("check")
                 .long("check")
@@ -125,6 +132,7 @@
         level,
         admin_port: admin_port.unwrap_or(ADMIN_PORT_DEFAULT),
         advertised: matches.get_one("advertise").copied(),
+        overload: matches.get_one("overload").copied().unwrap_or_default(),
     };
     run(&options, &settings)
 }
@@ -135,6 +143,7 @@
     level: LogLevel,
     admin_port: u16,
     advertised: Option<SocketAddr>,
+    overload: OverloadMode,
 }
 
 fn run(options: &HostOptions, settings: &HostSettings) -> ExitCode {
@@ -180,12 +189,13 @@
 ///
 /// The lease is capped at the longest lease that executors grant: they shorten a longer lease, and
 /// a run would then end while its owner still considers it leased.
-fn pool_options(settings: &HostSettings) -> PoolOptions {
+fn pool_options(settings: &HostSettings, overload: OverloadMode) -> PoolOptions {
     let options = PoolOptions::default();
     PoolOptions {
         lease_ms: options.lease_ms.min(settings.lease_max_ms),
         remote_millis: settings.remote_millis.unwrap_or(options.remote_millis),
         evacuation_grace_ms: evacuation_grace(settings, options.evacuation_grace_ms),
+        overload,
         ..options
     }
 }
@@ -212,7 +222,7 @@
     let engine = Engine::new(
         kernel,
         incarnation,
-        pool_options(settings),
+        pool_options(settings, options.overload),
         evacuations.clone(),
     );
     let link_options = LinkOptions {
--- a/crates/onyxshed-pool/examples/decision-cost.rs
+++ b/crates/onyxshed-pool/examples/decision-cost.rs
@@ -7,11 +7,11 @@
 use std::collections::VecDeque;
 use std::time::Instant;
 
-use onyxshed_core::{Millis, Mono, UnixMs};
+use onyxshed_core::{CallerId, Millis, Mono, UnixMs};
 use onyxshed_pool::{
-    Action, ExecutorFacts, ExecutorId, ExecutorLists, ExecutorReport, FencingToken, FinishedRun,
-    HoldAnswer, JobId, JobRequest, PeerIncarnation, Pool, PoolOptions, Resources, RunEnd,
-    RunningRun, Session, StartAnswer, StartOrder, SubmissionNumber,
+    Action, ClassId, ExecutorFacts, ExecutorId, ExecutorLists, ExecutorReport, FencingToken,
+    FinishedRun, HoldAnswer, JobId, JobRequest, PeerIncarnation, Pool, PoolOptions, Resources,
+    RunEnd, RunningRun, Session, StartAnswer, StartOrder, SubmissionNumber,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -150,6 +150,10 @@
         label: None,
         data_rack: None,
         per_executor_max: None,
+        class: ClassId("desk".into()),
+        priority: 0,
+        caller: CallerId::UNKNOWN,
+        transfers: 0,
     }
 }
 
--- a/crates/onyxshed-pool/src/id.rs
+++ b/crates/onyxshed-pool/src/id.rs
@@ -1,5 +1,6 @@
 //! Identifiers of jobs, tasks, runs, executors and hosts.
 
+use std::convert::Infallible;
 use std::fmt;
 use std::str::FromStr;
 
@@ -57,6 +58,24 @@
     }
 }
 
+/// Class of work that a job belongs to: the route that its caller selected.
+#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClassId(pub SmolStr);
+
+impl fmt::Display for ClassId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for ClassId {
+    type Err = Infallible;
+
+    fn from_str(text: &str) -> Result<Self, Infallible> {
+        Ok(ClassId(text.into()))
+    }
+}
+
 /// Progress of a run in whole percent, rounded down; 0 to 100.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Percent(u8);
--- a/crates/onyxshed-pool/src/job.rs
+++ b/crates/onyxshed-pool/src/job.rs
@@ -1,9 +1,9 @@
 //! Jobs as the owner of a pool tracks them: the request, the state of each task and the outcome.
 
-use onyxshed_core::{Micros, Millis, Mono};
+use onyxshed_core::{CallerId, Micros, Millis, Mono};
 use smol_str::SmolStr;
 
-use crate::id::{ExecutorId, JobId, PeerIncarnation, RunNumber, SubmissionNumber, TaskId};
+use crate::id::{ClassId, ExecutorId, JobId, PeerIncarnation, RunNumber, SubmissionNumber, TaskId};
 use crate::resources::Resources;
 use crate::speed::{as_f64, scaled};
 
@@ -47,6 +47,14 @@
     pub data_rack: Option<SmolStr>,
     /// Maximum number of tasks of the job on one executor, if limited.
     pub per_executor_max: Option<u16>,
+    /// Class of work, whose jobs share what an overloaded pool can run.
+    pub class: ClassId,
+    /// Urgency among the classes of an upstream; 0 is the most urgent.
+    pub priority: u32,
+    /// The caller, whose jobs share what its class may use.
+    pub caller: CallerId,
+    /// Number of owners that passed the job on.
+    pub transfers: u8,
 }
 
 impl JobRequest {
@@ -84,16 +92,25 @@
     OldSession,
     /// Operators have evacuated the pool's zone.
     ZoneEvacuated,
+    /// The job's class has used its share of an overloaded pool.
+    ClassShare,
+    /// The caller has used its share of what its class may use.
+    CallerShare,
+    /// The host lacks the processor time to serve the job.
+    HostOverloaded,
 }
 
 impl NotRunReason {
     /// All reasons. The index of a reason in this array is its encoding on the wire.
-    pub const ALL: [NotRunReason; 5] = [
+    pub const ALL: [NotRunReason; 8] = [
         NotRunReason::NoTime,
         NotRunReason::NoExecutor,
         NotRunReason::NotOwner,
         NotRunReason::OldSession,
         NotRunReason::ZoneEvacuated,
+        NotRunReason::ClassShare,
+        NotRunReason::CallerShare,
+        NotRunReason::HostOverloaded,
     ];
 }
 
--- a/crates/onyxshed-pool/src/lib.rs
+++ b/crates/onyxshed-pool/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod message;
 pub mod offered_load;
 pub mod options;
+pub mod overload;
 pub mod peers;
 pub mod pool;
 pub mod pool_selector;
@@ -36,7 +37,7 @@
 pub use evacuation::{EvacuationChange, EvacuationRecord, Evacuations, LogPosition};
 pub use executor::ExecutorFacts;
 pub use id::{
-    ExecutorId, FencingToken, JobId, PeerIncarnation, Percent, RunNumber, Session,
+    ClassId, ExecutorId, FencingToken, JobId, PeerIncarnation, Percent, RunNumber, Session,
     SubmissionNumber, TaskId,
 };
 pub use job::{JobEnd, JobRequest, NotRunReason, UnknownReason};
@@ -46,6 +47,7 @@
 };
 pub use offered_load::OfferedLoad;
 pub use options::PoolOptions;
+pub use overload::{CallerLimit, ClassAdmission, OverloadMode, OverloadState};
 pub use peers::PeerSessions;
 pub use pool::Pool;
 pub use pool_selector::{PoolLoad, PoolSelector};
--- a/crates/onyxshed-pool/src/options.rs
+++ b/crates/onyxshed-pool/src/options.rs
@@ -2,6 +2,8 @@
 
 use onyxshed_core::Millis;
 
+use crate::overload::OverloadMode;
+
 /// Time-outs, limits and factors that an owner applies to its executors, entry hosts and queue.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PoolOptions {
@@ -65,6 +67,8 @@
     /// Factor by which a task takes longer on an executor outside the rack that holds its data, in
     /// thousandths; default 2,000, unless the platform's settings specify another value.
     pub remote_millis: u32,
+    /// Whether overload decisions take effect; default [`OverloadMode::Off`].
+    pub overload: OverloadMode,
 }
 
 impl Default for PoolOptions {
@@ -91,6 +95,7 @@
             avoid_max_ms: Millis(4_000),
             evacuation_grace_ms: Millis(1_000),
             remote_millis: 2_000,
+            overload: OverloadMode::Off,
         }
     }
 }
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -168,6 +168,7 @@
             needs_replacement: self.stage >= HandoverStage::Draining || !self.has_read_executors,
             is_closed: self.is_closed(),
             successor: self.successor_selection.successor_address(),
+            ..PoolLoad::default()
         }
     }
 
--- a/crates/onyxshed-pool/src/pool_selector.rs
+++ b/crates/onyxshed-pool/src/pool_selector.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 
 use crate::evacuation::Evacuations;
+use crate::overload::{CallerLimit, ClassAdmission, OverloadState};
 use crate::resources::Resources;
 use crate::shard_layout::PoolId;
 use onyxshed_core::Millis;
@@ -28,6 +29,20 @@
     pub is_closed: bool,
     /// Address of the successor that the owner has selected, once it is taking the pool over.
     pub successor: Option<SocketAddr>,
+    /// Number of the report, counted by its owner from 1; 0 if the owner does not number its reports.
+    pub version: u64,
+    /// Remaining work of the runs that execute, in thousandths of a core times milliseconds.
+    pub running_work: u64,
+    /// Mean speed of the usable executors, in thousandths: 1,000 if tasks take as long as estimated. 0 if
+    /// it is not known.
+    pub speed_millis: u32,
+    /// Whether the pool is overloaded.
+    pub overload: OverloadState,
+    /// What the pool admits of each class, in the order of their names; empty unless it is overloaded.
+    pub admissions: Vec<ClassAdmission>,
+    /// What the pool admits of the callers that have used more than their shares; empty unless it is
+    /// overloaded.
+    pub limited_callers: Vec<CallerLimit>,
 }
 
 /// Advantage in waiting time from which another zone's pool is preferred. This is ten times the
--- a/crates/onyxshed-pool/tests/pool/fixture.rs
+++ b/crates/onyxshed-pool/tests/pool/fixture.rs
@@ -1,11 +1,11 @@
 //! Jobs, executors, answers and a test harness for single decisions of a pool.
 
-use onyxshed_core::{Millis, Mono, UnixMs};
+use onyxshed_core::{CallerId, Millis, Mono, UnixMs};
 use onyxshed_pool::{
-    Action, ExecutorFacts, ExecutorId, ExecutorLists, ExecutorReport, FencingToken, FinishedRun,
-    HoldAnswer, HoldOrder, JobEnd, JobId, JobRequest, PeerIncarnation, Percent, Pool, PoolOptions,
-    Resources, RunEnd, RunNumber, RunningRun, Session, StartAnswer, StartOrder, StopOrder,
-    SubmissionNumber, TaskId,
+    Action, ClassId, ExecutorFacts, ExecutorId, ExecutorLists, ExecutorReport, FencingToken,
+    FinishedRun, HoldAnswer, HoldOrder, JobEnd, JobId, JobRequest, PeerIncarnation, Percent, Pool,
+    PoolOptions, Resources, RunEnd, RunNumber, RunningRun, Session, StartAnswer, StartOrder,
+    StopOrder, SubmissionNumber, TaskId,
 };
 
 /// Incarnation of the host that owns the pool under test; its jobs need no session.
@@ -66,6 +66,10 @@
         label: None,
         data_rack: None,
         per_executor_max: None,
+        class: ClassId("desk".into()),
+        priority: 0,
+        caller: CallerId::UNKNOWN,
+        transfers: 0,
     }
 }
 
--- a/crates/onyxshed-pool/tests/pool/parts.rs
+++ b/crates/onyxshed-pool/tests/pool/parts.rs
@@ -63,6 +63,7 @@
         needs_replacement: false,
         successor: None,
         is_closed: false,
+        ..PoolLoad::default()
     }
 }
 
--- a/crates/onyxshed-proto/schema/pool.capnp
+++ b/crates/onyxshed-proto/schema/pool.capnp
@@ -14,6 +14,35 @@
   isLeaving @4 :Bool;
   # Where the successor is asked that takes the pool over; empty if there is none.
   successor @5 :Text;
+  # Number of the report, counted by its owner.
+  version @6 :UInt64;
+  # Remaining work of what runs, in thousandths of a core times milliseconds.
+  runningWork @7 :UInt64;
+  # Mean speed of the executors in thousandths: 1,000 if tasks take as long as estimated.
+  speedMillis @8 :UInt32;
+  overload @9 :OverloadState;
+  admissions @10 :List(ClassAdmission);
+  limitedCallers @11 :List(CallerLimit);
+}
+
+enum OverloadState {
+  normal @0;
+  overloaded @1;
+  saturated @2;
+}
+
+# What an overloaded pool admits of a class.
+struct ClassAdmission {
+  class @0 :Text;
+  # Share of the class's jobs that is admitted, in thousandths.
+  admittedMillis @1 :UInt16;
+  waitMs @2 :UInt64;
+}
+
+# What an overloaded pool admits of a caller that has used more than its share.
+struct CallerLimit {
+  caller @0 :UInt64;
+  admittedMillis @1 :UInt16;
 }
 
 # What a host that could own the pool tells of itself.
@@ -66,6 +95,13 @@
   # 0 where it is not bounded.
   perExecutorMax @15 :UInt16;
   spentMs @16 :UInt64;
+  class @17 :Text;
+  # 0 is the most urgent.
+  priority @18 :UInt32;
+  # 0 where the caller is not known.
+  caller @19 :UInt64;
+  # How often an owner has passed the job on.
+  transfers @20 :UInt8;
 }
 
 enum PoolEndKind {
--- a/crates/onyxshed-proto/src/pool.rs
+++ b/crates/onyxshed-proto/src/pool.rs
@@ -1,5 +1,6 @@
 //! Encoding and decoding of messages between entry hosts and owners of pools.
 
+mod admission;
 mod evacuation;
 mod peer_state;
 mod transfer;
@@ -7,10 +8,10 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use onyxshed_core::Millis;
+use onyxshed_core::{CallerId, Millis};
 use onyxshed_pool::{
-    ExecutorId, JobEnd, JobId, JobRequest, NotRunReason, PeerIncarnation, PoolLoad, Resources,
-    SubmissionNumber, UnknownReason,
+    ClassId, ExecutorId, JobEnd, JobId, JobRequest, NotRunReason, PeerIncarnation, PoolLoad,
+    Resources, SubmissionNumber, UnknownReason,
 };
 use smol_str::{SmolStr, format_smolstr};
 
@@ -22,7 +23,11 @@
 
 /// Writes the load of a pool as its owner computed it. The schema's names for `needs_replacement`
 /// and `is_closed` are `isLeaving` and `isClosing`.
-pub fn write_load(load: &PoolLoad, mut to: pool_load::Builder<'_>) {
+///
+/// # Errors
+///
+/// Fails if the load lists more classes or callers than a message can contain.
+pub fn write_load(load: &PoolLoad, mut to: pool_load::Builder<'_>) -> capnp::Result<()> {
     to.set_capacity_cpu_millis(load.capacity_cpu_millis);
     to.set_free_cpu_millis(load.free_cpu_millis);
     to.set_waiting_work(load.waiting_work);
@@ -31,6 +36,10 @@
     if let Some(successor) = load.successor {
         to.set_successor(format_smolstr!("{successor}").as_str());
     }
+    to.set_version(load.version);
+    to.set_running_work(load.running_work);
+    to.set_speed_millis(load.speed_millis);
+    admission::write_admissions(load, to)
 }
 
 /// Reads the load of a pool as its owner computed it.
@@ -43,6 +52,12 @@
         needs_replacement: from.get_is_leaving(),
         is_closed: from.get_is_closing(),
         successor: successor.as_deref().map(address).transpose()?,
+        version: from.get_version(),
+        running_work: from.get_running_work(),
+        speed_millis: from.get_speed_millis(),
+        overload: admission::read_state(from)?,
+        admissions: admission::read_classes(from)?,
+        limited_callers: admission::read_callers(from)?,
     })
 }
 
@@ -98,6 +113,10 @@
     to.set_label(job.label.as_deref().unwrap_or_default());
     to.set_data_rack(job.data_rack.as_deref().unwrap_or_default());
     to.set_per_executor_max(job.per_executor_max.unwrap_or_default());
+    to.set_class(job.class.0.as_str());
+    to.set_priority(job.priority);
+    to.set_caller(job.caller.0);
+    to.set_transfers(job.transfers);
 }
 
 /// Reads a job that the entry host `peer` submits.
@@ -124,6 +143,10 @@
         label: non_empty(text(from.get_label()?)?),
         data_rack: non_empty(text(from.get_data_rack()?)?),
         per_executor_max: (per_executor_max > 0).then_some(per_executor_max),
+        class: ClassId(text(from.get_class()?)?),
+        priority: from.get_priority(),
+        caller: CallerId(from.get_caller()),
+        transfers: from.get_transfers(),
     })
 }
 
--- a/crates/onyxshed-proto/src/pool_capnp.rs
+++ b/crates/onyxshed-proto/src/pool_capnp.rs
@@ -94,11 +94,888 @@
         pub fn has_successor(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn get_running_work(self) -> u64 {
+            self.reader.get_data_field::<u64>(5)
+        }
+        #[inline]
+        pub fn get_speed_millis(self) -> u32 {
+            self.reader.get_data_field::<u32>(7)
+        }
+        #[inline]
+        pub fn get_overload(self) -> ::core::result::Result<crate::pool_capnp::OverloadState,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(13))
+        }
+        #[inline]
+        pub fn get_admissions(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::pool_capnp::class_admission::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_admissions(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_limited_callers(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::pool_capnp::caller_limit::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_limited_callers(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 3 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_capacity_cpu_millis(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_capacity_cpu_millis(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_free_cpu_millis(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_free_cpu_millis(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_waiting_work(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_waiting_work(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_is_closing(self) -> bool {
+            self.builder.get_bool_field(192)
+        }
+        #[inline]
+        pub fn set_is_closing(&mut self, value: bool)  {
+            self.builder.set_bool_field(192, value);
+        }
+        #[inline]
+        pub fn get_is_leaving(self) -> bool {
+            self.builder.get_bool_field(193)
+        }
+        #[inline]
+        pub fn set_is_leaving(&mut self, value: bool)  {
+            self.builder.set_bool_field(193, value);
+        }
+        #[inline]
+        pub fn get_successor(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_successor(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_successor(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_successor(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_version(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
+        }
+        #[inline]
+        pub fn get_running_work(self) -> u64 {
+            self.builder.get_data_field::<u64>(5)
+        }
+        #[inline]
+        pub fn set_running_work(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(5, value);
+        }
+        #[inline]
+        pub fn get_speed_millis(self) -> u32 {
+            self.builder.get_data_field::<u32>(7)
+        }
+        #[inline]
+        pub fn set_speed_millis(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(7, value);
+        }
+        #[inline]
+        pub fn get_overload(self) -> ::core::result::Result<crate::pool_capnp::OverloadState,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(13))
+        }
+        #[inline]
+        pub fn set_overload(&mut self, value: crate::pool_capnp::OverloadState)  {
+            self.builder.set_data_field::<u16>(13, value as u16);
+        }
+        #[inline]
+        pub fn get_admissions(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::pool_capnp::class_admission::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_admissions(&mut self, value: ::capnp::struct_list::Reader<'_,crate::pool_capnp::class_admission::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_admissions(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::pool_capnp::class_admission::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_admissions(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_limited_callers(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::pool_capnp::caller_limit::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_limited_callers(&mut self, value: ::capnp::struct_list::Reader<'_,crate::pool_capnp::caller_limit::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_limited_callers(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::pool_capnp::caller_limit::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_limited_callers(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 217] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(62, 180, 29, 157, 27, 204, 88, 177),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 6, 0),
+            ::capnp::word(61, 151, 225, 184, 214, 164, 240, 194),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 80, 111, 111, 108, 76),
+            ::capnp::word(111, 97, 100, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 192, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 193, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(99, 97, 112, 97, 99, 105, 116, 121),
+            ::capnp::word(67, 112, 117, 77, 105, 108, 108, 105),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 114, 101, 101, 67, 112, 117, 77),
+            ::capnp::word(105, 108, 108, 105, 115, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 105, 116, 105, 110, 103, 87),
+            ::capnp::word(111, 114, 107, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 67, 108, 111, 115, 105, 110),
+            ::capnp::word(103, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 76, 101, 97, 118, 105, 110),
+            ::capnp::word(103, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 117, 99, 99, 101, 115, 115, 111),
+            ::capnp::word(114, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 117, 110, 110, 105, 110, 103, 87),
+            ::capnp::word(111, 114, 107, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 112, 101, 101, 100, 77, 105, 108),
+            ::capnp::word(108, 105, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 118, 101, 114, 108, 111, 97, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(237, 77, 36, 230, 29, 250, 109, 223),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 100, 109, 105, 115, 115, 105, 111),
+            ::capnp::word(110, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(122, 168, 69, 229, 202, 26, 83, 136),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 101, 100, 67),
+            ::capnp::word(97, 108, 108, 101, 114, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 232, 45, 21, 173, 49, 42, 180),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <crate::pool_capnp::OverloadState as ::capnp::introspect::Introspect>::introspect(),
+                10 => <::capnp::struct_list::Owned<crate::pool_capnp::class_admission::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                11 => <::capnp::struct_list::Owned<crate::pool_capnp::caller_limit::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[10,0,1,3,4,11,9,7,8,5,6,2];
+        pub(crate) const TYPE_ID: u64 = 0xb158_cc1b_9d1d_b43e;
+    }
+}
+
+#[repr(u16)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OverloadState {
+    Normal = 0,
+    Overloaded = 1,
+    Saturated = 2,
+}
+
+impl ::capnp::introspect::Introspect for OverloadState {
+    fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(&overload_state::ARENA, overload_state::get_annotation_types)).into() }
+}
+impl ::core::convert::From<OverloadState> for ::capnp::dynamic_value::Reader<'_> {
+    fn from(e: OverloadState) -> Self { ::capnp::dynamic_value::Enum::new(e.into(), ::capnp::introspect::RawEnumSchema::new(&overload_state::ARENA, overload_state::get_annotation_types).into()).into() }
+}
+impl ::core::convert::TryFrom<u16> for OverloadState {
+    type Error = ::capnp::NotInSchema;
+    fn try_from(value: u16) -> ::core::result::Result<Self, <OverloadState as ::core::convert::TryFrom<u16>>::Error> {
+        match value {
+            0 => ::core::result::Result::Ok(Self::Normal),
+            1 => ::core::result::Result::Ok(Self::Overloaded),
+            2 => ::core::result::Result::Ok(Self::Saturated),
+            n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
+        }
+    }
+}
+impl From<OverloadState> for u16 {
+    #[inline]
+    fn from(x: OverloadState) -> u16 { x as u16 }
+}
+impl ::capnp::traits::HasTypeId for OverloadState {
+    const TYPE_ID: u64 = 0xdf6d_fa1d_e624_4dedu64;
+}
+mod overload_state {
+pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+    ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+    ::capnp::word(237, 77, 36, 230, 29, 250, 109, 223),
+    ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
+    ::capnp::word(61, 151, 225, 184, 214, 164, 240, 194),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+    ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 79, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
+    ::capnp::word(110, 112, 58, 79, 118, 101, 114, 108),
+    ::capnp::word(111, 97, 100, 83, 116, 97, 116, 101),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+    ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 58, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 90, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(17, 0, 0, 0, 82, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(110, 111, 114, 109, 97, 108, 0, 0),
+    ::capnp::word(111, 118, 101, 114, 108, 111, 97, 100),
+    ::capnp::word(101, 100, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(115, 97, 116, 117, 114, 97, 116, 101),
+    ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+];
+pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+    ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+}
+pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+}
+
+pub mod class_admission {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_class(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_class(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_admitted_millis(self) -> u16 {
+            self.reader.get_data_field::<u16>(0)
+        }
+        #[inline]
+        pub fn get_wait_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_class(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_class(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_class(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_class(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_admitted_millis(self) -> u16 {
+            self.builder.get_data_field::<u16>(0)
+        }
+        #[inline]
+        pub fn set_admitted_millis(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(0, value);
+        }
+        #[inline]
+        pub fn get_wait_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_wait_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(122, 168, 69, 229, 202, 26, 83, 136),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(61, 151, 225, 184, 214, 164, 240, 194),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 67, 108, 97, 115, 115),
+            ::capnp::word(65, 100, 109, 105, 115, 115, 105, 111),
+            ::capnp::word(110, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(99, 108, 97, 115, 115, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 100, 109, 105, 116, 116, 101, 100),
+            ::capnp::word(77, 105, 108, 108, 105, 115, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 105, 116, 77, 115, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+        pub(crate) const TYPE_ID: u64 = 0x8853_1aca_e545_a87a;
+    }
+}
+
+pub mod caller_limit {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_caller(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_admitted_millis(self) -> u16 {
+            self.reader.get_data_field::<u16>(4)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -149,60 +1026,20 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_capacity_cpu_millis(self) -> u64 {
+        pub fn get_caller(self) -> u64 {
             self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_capacity_cpu_millis(&mut self, value: u64)  {
+        pub fn set_caller(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_free_cpu_millis(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn set_free_cpu_millis(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(1, value);
-        }
-        #[inline]
-        pub fn get_waiting_work(self) -> u64 {
-            self.builder.get_data_field::<u64>(2)
-        }
-        #[inline]
-        pub fn set_waiting_work(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(2, value);
-        }
-        #[inline]
-        pub fn get_is_closing(self) -> bool {
-            self.builder.get_bool_field(192)
-        }
-        #[inline]
-        pub fn set_is_closing(&mut self, value: bool)  {
-            self.builder.set_bool_field(192, value);
-        }
-        #[inline]
-        pub fn get_is_leaving(self) -> bool {
-            self.builder.get_bool_field(193)
-        }
-        #[inline]
-        pub fn set_is_leaving(&mut self, value: bool)  {
-            self.builder.set_bool_field(193, value);
-        }
-        #[inline]
-        pub fn get_successor(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_successor(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
-        }
-        #[inline]
-        pub fn init_successor(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
+        pub fn get_admitted_millis(self) -> u16 {
+            self.builder.get_data_field::<u16>(4)
         }
         #[inline]
-        pub fn has_successor(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
+        pub fn set_admitted_millis(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(4, value);
         }
     }
 
@@ -215,87 +1052,39 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 114] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(62, 180, 29, 157, 27, 204, 88, 177),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(76, 232, 45, 21, 173, 49, 42, 180),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(61, 151, 225, 184, 214, 164, 240, 194),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 80, 111, 111, 108, 76),
-            ::capnp::word(111, 97, 100, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 67, 97, 108, 108, 101),
+            ::capnp::word(114, 76, 105, 109, 105, 116, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 114, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 98, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 192, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 82, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 193, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 82, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 0, 0, 0, 82, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(99, 97, 112, 97, 99, 105, 116, 121),
-            ::capnp::word(67, 112, 117, 77, 105, 108, 108, 105),
-            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(102, 114, 101, 101, 67, 112, 117, 77),
-            ::capnp::word(105, 108, 108, 105, 115, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(119, 97, 105, 116, 105, 110, 103, 87),
-            ::capnp::word(111, 114, 107, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(99, 97, 108, 108, 101, 114, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -303,42 +1092,20 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 115, 67, 108, 111, 115, 105, 110),
-            ::capnp::word(103, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 115, 76, 101, 97, 118, 105, 110),
-            ::capnp::word(103, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 117, 99, 99, 101, 115, 115, 111),
-            ::capnp::word(114, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 100, 109, 105, 116, 116, 101, 100),
+            ::capnp::word(77, 105, 108, 108, 105, 115, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                5 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -352,10 +1119,10 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,3,4,5,2];
-        pub(crate) const TYPE_ID: u64 = 0xb158_cc1b_9d1d_b43e;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xb42a_31ad_152d_e84c;
     }
 }
 
@@ -1543,11 +2310,31 @@
         pub fn get_spent_ms(self) -> u64 {
             self.reader.get_data_field::<u64>(8)
         }
+        #[inline]
+        pub fn get_class(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_class(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
+        #[inline]
+        pub fn get_priority(self) -> u32 {
+            self.reader.get_data_field::<u32>(18)
+        }
+        #[inline]
+        pub fn get_caller(self) -> u64 {
+            self.reader.get_data_field::<u64>(10)
+        }
+        #[inline]
+        pub fn get_transfers(self) -> u8 {
+            self.reader.get_data_field::<u8>(76)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 9, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 11, pointers: 5 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1765,6 +2552,46 @@
         pub fn set_spent_ms(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(8, value);
         }
+        #[inline]
+        pub fn get_class(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_class(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_class(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(4).init_text(size)
+        }
+        #[inline]
+        pub fn has_class(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
+        #[inline]
+        pub fn get_priority(self) -> u32 {
+            self.builder.get_data_field::<u32>(18)
+        }
+        #[inline]
+        pub fn set_priority(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(18, value);
+        }
+        #[inline]
+        pub fn get_caller(self) -> u64 {
+            self.builder.get_data_field::<u64>(10)
+        }
+        #[inline]
+        pub fn set_caller(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(10, value);
+        }
+        #[inline]
+        pub fn get_transfers(self) -> u8 {
+            self.builder.get_data_field::<u8>(76)
+        }
+        #[inline]
+        pub fn set_transfers(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(76, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1776,143 +2603,171 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 284] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 346] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(91, 226, 254, 172, 142, 161, 184, 160),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 9, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 11, 0),
             ::capnp::word(61, 151, 225, 184, 214, 164, 240, 194),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 191, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 159, 4, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 80, 111, 111, 108, 74),
             ::capnp::word(111, 98, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(84, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(61, 2, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(65, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(73, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(81, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(85, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(89, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(97, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(105, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(113, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(121, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(129, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(137, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(145, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(153, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(157, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 2, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(165, 2, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(173, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(17, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(177, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(172, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(18, 0, 0, 0, 18, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(19, 0, 0, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(189, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(184, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 76, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(193, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(192, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(106, 111, 98, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2061,6 +2916,40 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 108, 97, 115, 115, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 105, 111, 114, 105, 116, 121),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 97, 108, 108, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 114, 97, 110, 115, 102, 101, 114),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2081,6 +2970,10 @@
                 14 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 15 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 16 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                17 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                18 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                19 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                20 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2094,9 +2987,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,9,5,14,8,0,13,6,11,15,3,16,10,1,4,12,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,9,19,17,5,14,8,0,13,6,11,15,18,3,16,10,1,4,12,20,2];
         pub(crate) const TYPE_ID: u64 = 0xa0b8_a18e_acfe_e25b;
     }
 }
