Detect overload of a pool from measures of each tick

Decisions for overload need to know whether a pool is overloaded, and nothing kept that. `OverloadDetector` evaluates offered work, usable room at the speeds seen, waits against slacks and the lateness of ticks; the owner evaluates it at each tick unless overload is off, logs changes as event 850 and counts them. In shadow mode the state has no effect.

A job's wait is held against its own slack, not against the least slack of what waits: the queue is ordered by work, so long jobs wait at ordinary load.

--- a/crates/onyxshed-host/src/decisions.rs
+++ b/crates/onyxshed-host/src/decisions.rs
@@ -85,6 +85,10 @@
             event_about(EventKind::PoolTransferred, format_smolstr!("{successor}"))
                 .detail(format_smolstr!("token {token}"))
         }
+        Decision::OverloadChanged { from, to, sample } => {
+            Event::new(EventKind::PoolOverloadChanged)
+                .detail(format_smolstr!("{from} to {to}: {sample}, token {token}"))
+        }
         Decision::Paused(span, jobs) => Event::new(EventKind::PauseDetected).detail(
             format_smolstr!("{}, {jobs} jobs given up", span.as_millis()),
         ),
--- a/crates/onyxshed-host/src/engine.rs
+++ b/crates/onyxshed-host/src/engine.rs
@@ -20,7 +20,7 @@
 use onyxshed_pool::{
     Action, Decision, ExecutorFacts, ExecutorId, FencingToken, JobEnd, JobId, JobRequest,
     NotRunReason, OwnershipTransfer, PeerIncarnation, Pool, PoolId, PoolLoad, PoolOptions, Session,
-    SubmissionNumber, SuccessorOffer, UnknownReason,
+    SubmissionNumber, SuccessorOffer, TICK_PERIOD, UnknownReason,
 };
 use onyxshed_proto::rpc::ConnectionCount;
 use smol_str::{SmolStr, format_smolstr};
@@ -28,12 +28,9 @@
 use crate::boot_clock;
 use crate::decisions;
 use crate::evacuations::ZoneEvacuations;
-use crate::measures::HostMetrics;
+use crate::measures::{HostMetrics, OverloadMetrics};
 use crate::names::ENGINE;
 
-/// Interval at which the pool's timers are evaluated.
-const TICK_PERIOD: Duration = Duration::from_millis(20);
-
 /// Timeout for opening a connection to an executor; a new connection takes up to 20 ms across
 /// zones.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
@@ -74,6 +71,7 @@
     past_members: RefCell<Vec<SmolStr>>,
     evacuations: Rc<ZoneEvacuations>,
     metrics: HostMetrics,
+    overload_metrics: OverloadMetrics,
     /// Number of connections of peers; empty until peers can connect.
     peer_connections: OnceCell<ConnectionCount>,
 }
@@ -98,6 +96,7 @@
             past_members: RefCell::default(),
             evacuations,
             metrics: HostMetrics::new(),
+            overload_metrics: OverloadMetrics::new(),
             peer_connections: OnceCell::new(),
         })
     }
@@ -153,6 +152,7 @@
             pool.await_predecessor();
         }
         *self.pool.borrow_mut() = Some(pool);
+        self.overload_metrics.record_begin(boot_clock::now());
         self.update_evacuation();
         self.kernel.spawn(self.clone().tick(token)).detach();
         self.kernel
@@ -168,6 +168,7 @@
         self.owned_pool.take();
         let jobs = pool.job_count();
         let token = pool.token();
+        self.overload_metrics.record_end(boot_clock::now());
         let actions = pool.step_down();
         self.execute(token, actions);
         self.connections.borrow_mut().clear();
@@ -310,8 +311,14 @@
     }
 
     fn log_decision(&self, token: FencingToken, decision: &Decision) {
-        if let Decision::ExecutorForgotten(id) = decision {
-            self.connections.borrow_mut().remove(id);
+        match decision {
+            Decision::ExecutorForgotten(id) => {
+                self.connections.borrow_mut().remove(id);
+            }
+            Decision::OverloadChanged { to, .. } => {
+                self.overload_metrics.record_change(boot_clock::now(), *to);
+            }
+            _ => {}
         }
         self.kernel.emit(decisions::event_of(decision, token));
     }
@@ -454,7 +461,7 @@
     /// Evaluates the timers of the pool while this host owns it under `token`.
     async fn tick(self: Rc<Self>, token: FencingToken) {
         while self.token() == Some(token) {
-            Timer::after(TICK_PERIOD).await;
+            Timer::after(TICK_PERIOD.into()).await;
             self.update_evacuation();
             self.dispatch_event(|pool| pool.tick(boot_clock::now()));
         }
--- a/crates/onyxshed-host/src/measures.rs
+++ b/crates/onyxshed-host/src/measures.rs
@@ -1,9 +1,11 @@
-//! Latency histograms of a host.
+//! Latency histograms of a host, and metrics of the state of overload of its pool.
 
-use metrics::Histogram;
-use onyxshed_core::Micros;
-use onyxshed_pool::JobEnd;
-use onyxshed_telemetry::metric::{labelled_seconds_histogram, seconds};
+use std::cell::Cell;
+
+use metrics::{Counter, Gauge, Histogram};
+use onyxshed_core::{Micros, Mono};
+use onyxshed_pool::{JobEnd, OverloadState};
+use onyxshed_telemetry::metric::{gauge, labelled_counter, labelled_seconds_histogram, seconds};
 
 /// Name of the histogram of the time from a job's arrival to its reply.
 pub const JOB_SECONDS: &str = "onyxshed_pool_job_seconds";
@@ -11,6 +13,16 @@
 /// Name of the histogram of the time that an executor takes to answer an order.
 pub const ORDER_SECONDS: &str = "onyxshed_pool_order_seconds";
 
+/// Name of the gauge of the detected state of overload: 0 if normal, 1 if overloaded, 2 if saturated.
+pub const OVERLOAD_STATE: &str = "onyxshed_pool_overload_state";
+
+/// Name of the histogram of the time spent in a state of overload before it was left; its sum is the
+/// time in the state.
+pub const OVERLOAD_STATE_SECONDS: &str = "onyxshed_pool_overload_state_seconds";
+
+/// Name of the counter of changes of the state of overload.
+pub const OVERLOAD_CHANGES_TOTAL: &str = "onyxshed_pool_overload_changes_total";
+
 /// Kind of an order to an executor, for metrics.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderKind {
@@ -79,3 +91,81 @@
         HostMetrics::new()
     }
 }
+
+/// Metrics of the state of overload of the owned pool.
+pub struct OverloadMetrics {
+    gauge: Gauge,
+    time_in_state: [Histogram; 3],
+    changes_to: [Counter; 3],
+    state: Cell<OverloadState>,
+    entered_at: Cell<Option<Mono>>,
+}
+
+impl OverloadMetrics {
+    /// Registers and describes every metric.
+    pub fn new() -> Self {
+        let text = "State of overload of the owned pool: 0 normal, 1 overloaded, 2 saturated.";
+        let gauge = gauge(OVERLOAD_STATE, text);
+        let time_text = "Time in a state of overload, recorded when it is left.";
+        let changes_text = "Changes of the state of overload, by the state that was entered.";
+        OverloadMetrics {
+            gauge,
+            time_in_state: STATE_LABELS.map(|label| {
+                labelled_seconds_histogram(
+                    OVERLOAD_STATE_SECONDS,
+                    time_text,
+                    "state",
+                    label.to_owned(),
+                )
+            }),
+            changes_to: STATE_LABELS
+                .map(|label| labelled_counter(OVERLOAD_CHANGES_TOTAL, changes_text, "to", label)),
+            state: Cell::default(),
+            entered_at: Cell::default(),
+        }
+    }
+
+    /// Records that a pool is owned, which begins in [`OverloadState::Normal`].
+    pub fn record_begin(&self, now: Mono) {
+        self.enter(OverloadState::Normal, Some(now));
+    }
+
+    /// Records that the state of the owned pool has changed to `state`.
+    pub fn record_change(&self, now: Mono, state: OverloadState) {
+        self.record_time(now);
+        self.changes_to[index(state)].increment(1);
+        self.enter(state, Some(now));
+    }
+
+    /// Records that the pool is no longer owned.
+    pub fn record_end(&self, now: Mono) {
+        self.record_time(now);
+        self.enter(OverloadState::Normal, None);
+    }
+
+    fn record_time(&self, now: Mono) {
+        if let Some(entered_at) = self.entered_at.get() {
+            let time = &self.time_in_state[index(self.state.get())];
+            time.record(seconds(now.since(entered_at)));
+        }
+    }
+
+    fn enter(&self, state: OverloadState, at: Option<Mono>) {
+        self.state.set(state);
+        self.entered_at.set(at);
+        self.gauge.set(f64::from(state as u8));
+    }
+}
+
+impl Default for OverloadMetrics {
+    fn default() -> Self {
+        OverloadMetrics::new()
+    }
+}
+
+/// Labels of the states, in the order of [`OverloadState::ALL`].
+const STATE_LABELS: [&str; 3] = ["normal", "overloaded", "saturated"];
+
+fn index(state: OverloadState) -> usize {
+    state as usize
+}
--- a/crates/onyxshed-pool/src/lib.rs
+++ b/crates/onyxshed-pool/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod offered_load;
 pub mod options;
 pub mod overload;
+pub mod overload_detector;
 pub mod peers;
 pub mod pool;
 pub mod pool_selector;
@@ -48,6 +49,7 @@
 pub use offered_load::OfferedLoad;
 pub use options::PoolOptions;
 pub use overload::{CallerLimit, ClassAdmission, OverloadMode, OverloadState};
+pub use overload_detector::{JobWait, LoadSample, OverloadChange, OverloadDetector, TICK_PERIOD};
 pub use peers::PeerSessions;
 pub use pool::Pool;
 pub use pool_selector::{PoolLoad, PoolSelector};
--- a/crates/onyxshed-pool/src/message.rs
+++ b/crates/onyxshed-pool/src/message.rs
@@ -12,6 +12,8 @@
     ExecutorId, FencingToken, JobId, PeerIncarnation, Percent, RunNumber, SubmissionNumber, TaskId,
 };
 use crate::job::JobEnd;
+use crate::overload::OverloadState;
+use crate::overload_detector::LoadSample;
 
 /// Order to an executor to start a run of a task.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -297,4 +299,13 @@
     EvacuationEnded,
     /// This stopping owner selected the host at the address as its successor.
     OwnershipTransferred(SocketAddr),
+    /// The state of overload changed, or would have if its decisions took effect.
+    OverloadChanged {
+        /// State that was left.
+        from: OverloadState,
+        /// State that was entered.
+        to: OverloadState,
+        /// Measures that caused the change.
+        sample: LoadSample,
+    },
 }
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -3,7 +3,7 @@
 //! [`admission`] admits jobs and sheds those that can't end in time, [`place`] orders the queue and
 //! starts runs, [`fit`] selects the executor of a task, [`orders`] handles the answers to start and
 //! stop orders, [`reports`] handles the executors' reports, [`progress`] moves runs off slow
-//! executors, [`watch`] handles time-outs, [`handover`] passes the pool to its next owner,
+//! executors, [`watch`] handles time-outs, [`overload`] evaluates the state of overload, [`handover`] passes the pool to its next owner,
 //! [`evacuation`] drains the pool when operators evacuate its zone, and [`stalled`] ends jobs that
 //! have lost their executors.
 
@@ -12,6 +12,7 @@
 mod fit;
 mod handover;
 mod orders;
+mod overload;
 mod place;
 mod progress;
 mod reports;
@@ -28,6 +29,8 @@
 use crate::message::{Action, Decision, HoldOrder, StopOrder};
 use crate::offered_load::OfferedLoad;
 use crate::options::PoolOptions;
+use crate::overload::OverloadState;
+use crate::overload_detector::OverloadDetector;
 use crate::peers::PeerSessions;
 use crate::pool_selector::PoolLoad;
 use crate::resources::Resources;
@@ -47,6 +50,9 @@
     executors: Executors,
     jobs: BTreeMap<JobId, Job>,
     offered_load: OfferedLoad,
+    overload_detector: OverloadDetector,
+    /// State of overload by which the pool decides.
+    overload_state: OverloadState,
     peers: PeerSessions,
     last_tick_at: Mono,
     stage: HandoverStage,
@@ -81,6 +87,8 @@
             executors: BTreeMap::new(),
             jobs: BTreeMap::new(),
             offered_load: OfferedLoad::default(),
+            overload_detector: OverloadDetector::default(),
+            overload_state: OverloadState::Normal,
             peers: PeerSessions::default(),
             last_tick_at: now,
             stage: HandoverStage::Serving,
@@ -168,6 +176,7 @@
             needs_replacement: self.stage >= HandoverStage::Draining || !self.has_read_executors,
             is_closed: self.is_closed(),
             successor: self.successor_selection.successor_address(),
+            overload: self.overload_state,
             ..PoolLoad::default()
         }
     }
--- a/crates/onyxshed-pool/src/pool/watch.rs
+++ b/crates/onyxshed-pool/src/pool/watch.rs
@@ -21,11 +21,13 @@
     /// process.
     pub fn tick(&mut self, now: Mono) -> Vec<Action> {
         self.detect_pause(now);
+        let since_last_tick = now.since(self.last_tick_at);
         self.last_tick_at = now;
         self.update_full_speed_capacity(now);
         self.expire_peers(now);
         self.expire_evacuation_grace(now);
         self.end_stalled_jobs(now);
+        self.observe_load(now, since_last_tick);
         self.shed_late_jobs(now);
         self.requeue_expired_runs(now);
         self.stop_stuck_runs(now);
