decision-cost: equal events at each number of waiting jobs

The table counted all jobs, so that a large pool had no queue at 100 jobs, and the mixture of jobs that ran changed with the length of the queue. It now counts waiting jobs; every job has four tasks, and the order of the queue does not depend on the demand. The sizes are 100, 1,000 and 10,000 jobs.

--- a/crates/onyxshed-pool/examples/decision-cost.rs
+++ b/crates/onyxshed-pool/examples/decision-cost.rs
@@ -2,9 +2,12 @@
 //!
 //! Drives a full pool directly. Each event is a submitted job or a report of an ended run, followed
 //! by a load report, since every answer to an entry host contains one. Prints microseconds per
-//! event by the numbers of executors and jobs.
+//! event by the numbers of executors and waiting jobs.
+//!
+//! Events are comparable between sizes: all jobs have the same number of tasks, and their order in the
+//! queue does not depend on their demand, so the pool runs the same mixture however long the queue is.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::time::Instant;
 
 use onyxshed_core::{CallerId, Millis, Mono, UnixMs};
@@ -33,6 +36,8 @@
     rng: SmallRng,
     now: Mono,
     next_job: u64,
+    /// Jobs of which no task has started.
+    waiting: BTreeSet<JobId>,
     running: VecDeque<(ExecutorId, StartOrder)>,
     ends: u64,
 }
@@ -46,6 +51,7 @@
             rng: SmallRng::seed_from_u64(executors),
             now,
             next_job: 0,
+            waiting: BTreeSet::new(),
             running: VecDeque::new(),
             ends: 0,
         };
@@ -60,10 +66,12 @@
     }
 
     fn submit(&mut self) {
-        let (tasks, estimate_ms) = [(8, 60), (4, 900), (2, 200)][self.rng.random_range(0..3)];
         let cpu_millis = self.rng.random_range(20_000..45_000);
+        let work = self.rng.random_range(2_000_000..30_000_000);
         self.next_job += 1;
-        let request = job(self.next_job, tasks, cpu_millis, Millis(estimate_ms));
+        let estimate = Millis(work / u64::from(cpu_millis));
+        let request = job(self.next_job, cpu_millis, estimate);
+        self.waiting.insert(request.job);
         let actions = self.pool.submit(self.now, Session(0), request);
         self.apply_actions(actions);
     }
@@ -105,7 +113,11 @@
 
     fn apply_actions(&mut self, actions: Vec<Action>) {
         for action in actions {
+            if let Action::End { job, .. } = &action {
+                self.waiting.remove(job);
+            }
             if let Action::Start(id, order) = action {
+                self.waiting.remove(&order.task.job);
                 let answer = StartAnswer::Started { clock: None };
                 let (task, run) = (order.task, order.run);
                 let next = self
@@ -126,16 +138,16 @@
     }
 }
 
-fn job(number: u64, tasks: u16, cpu_millis: u32, estimate: Millis) -> JobRequest {
+fn job(number: u64, cpu_millis: u32, estimate: Millis) -> JobRequest {
     /// Objective and caller's waiting time, long enough that no job is late or rejected.
-    const LONG: Millis = Millis(60_000);
+    const LONG: Millis = Millis(3_600_000);
     JobRequest {
         peer: OWN,
         submission: SubmissionNumber(number),
         job: JobId(number),
         upstream: "desk".into(),
         spec: "spec".into(),
-        tasks,
+        tasks: 4,
         demand: Resources {
             cpu_millis,
             memory_mb: 64,
@@ -174,15 +186,15 @@
     }
 }
 
-/// Returns the mean time per event in microseconds, with `jobs` jobs in the pool.
+/// Returns the mean time per event in microseconds, with `jobs` waiting jobs in the pool.
 fn measure(executors: u64, jobs: usize) -> f64 {
     let mut harness = Harness::new(executors);
-    while harness.pool.job_count() < jobs {
+    while harness.waiting.len() < jobs {
         harness.submit();
     }
     let started_at = Instant::now();
     for _ in 0..EVENTS {
-        match harness.pool.job_count() < jobs {
+        match harness.waiting.len() < jobs {
             true => harness.submit(),
             false => harness.complete_oldest(),
         }
@@ -193,11 +205,11 @@
 }
 
 fn main() {
-    println!("executors  jobs  us an event");
+    println!("executors   jobs  us an event");
     for executors in [16, 117, 350] {
-        for jobs in [100, 400, 1_600] {
+        for jobs in [100, 1_000, 10_000] {
             let cost = measure(executors, jobs);
-            println!("{executors:>9}  {jobs:>4}  {cost:>11.1}");
+            println!("{executors:>9}  {jobs:>5}  {cost:>11.1}");
         }
     }
 }
