Kept totals and indexes in place of walks over executors, runs and jobs

Cause: a load report, a submission, a freed executor and the end of a job each walked all jobs, runs or executors, so a queue made every event dearer.

Change: ExecutorSet keeps the usable capacity, the capacity and room of the executors that accept tasks, executors by free processor and runs by job. JobTable keeps the waiting work with its sum up to a limit (WorkSum), the queue by waiting work, waiting jobs by demand and jobs by the time from which they may be late. Predicates that change with time are tested on the few candidates. get_mut returns a guard that updates the indexes when dropped.

--- a/crates/onyxshed-pool/src/executor.rs
+++ b/crates/onyxshed-pool/src/executor.rs
@@ -6,7 +6,7 @@
 use onyxshed_core::{Micros, Millis, Mono, UnixMs};
 use smol_str::SmolStr;
 
-use crate::id::{ExecutorId, JobId, RunNumber, TaskId};
+use crate::id::{JobId, RunNumber, TaskId};
 use crate::options::PoolOptions;
 use crate::resources::Resources;
 use crate::speed::Slowdown;
@@ -225,6 +225,11 @@
         self.leases_expire_at = self.leases_expire_at.max(now + options.lease_bound());
     }
 
+    /// Returns whether a clock reading of the current incarnation has arrived.
+    pub fn has_clock(&self) -> bool {
+        self.clock_offset.is_some()
+    }
+
     /// Returns whether new runs may be started on the executor now.
     pub fn can_accept_tasks(&self, now: Mono, options: &PoolOptions) -> bool {
         let is_avoided = now < self.health.avoided_until;
@@ -232,7 +237,7 @@
         let is_on_probation = self.health.failures > 0 && !self.runs.is_empty();
         self.is_usable(now, options)
             && self.phase == Phase::Acquired
-            && self.clock_offset.is_some()
+            && self.has_clock()
             && !is_avoided
             && !is_on_probation
             && now >= self.full_until
@@ -348,6 +353,3 @@
         label.is_none_or(|label| self.facts.labels.contains(label))
     }
 }
-
-/// The executors of a pool by id.
-pub(crate) type Executors = BTreeMap<ExecutorId, Executor>;
--- /dev/null
+++ b/crates/onyxshed-pool/src/job_table.rs
@@ -0,0 +1,339 @@
+//! The jobs of a pool, with totals and indexes that are kept up to date.
+//!
+//! The place of a job in the queue changes with time, since a late job's work counts several
+//! times. The indexes contain only what changes with the job itself: its waiting work, which is a
+//! lower bound of the weighted work, and the time from which it may be late or may have timed out.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::{Deref, DerefMut};
+
+use onyxshed_core::{Micros, Mono};
+use smol_str::SmolStr;
+
+use crate::id::JobId;
+use crate::job::{Job, JobRequest};
+use crate::options::PoolOptions;
+use crate::resources::Resources;
+use crate::work_sum::WorkSum;
+
+/// Position of a job among those with waiting tasks: waiting work in thousandths of a core times
+/// milliseconds, arrival, id.
+pub(crate) type QueuePosition = (u64, Mono, JobId);
+
+/// What the totals and indexes contain of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Key {
+    position: QueuePosition,
+    cpu_millis: u32,
+    is_waiting: bool,
+    has_started: bool,
+    /// Time up to which the job can meet its target and its caller waits.
+    on_target_until: Mono,
+}
+
+/// Totals and indexes over the jobs.
+#[derive(Debug, Default)]
+struct Indexes {
+    /// Waiting work of the jobs with waiting tasks.
+    work: WorkSum,
+    /// Waiting work of those that have started.
+    started_work: WorkSum,
+    /// Jobs with waiting tasks in the order of their waiting work.
+    queue: BTreeSet<QueuePosition>,
+    /// Jobs with waiting tasks by the processor that a task needs, in thousandths of a core.
+    by_cpu: BTreeSet<(u32, JobId)>,
+    /// All jobs by the time up to which they are on target.
+    by_time: BTreeSet<(Mono, JobId)>,
+}
+
+impl Indexes {
+    fn add(&mut self, key: Key) {
+        let (work, _, id) = key.position;
+        self.by_time.insert((key.on_target_until, id));
+        if !key.is_waiting {
+            return;
+        }
+        self.work.add(work);
+        if key.has_started {
+            self.started_work.add(work);
+        }
+        self.queue.insert(key.position);
+        self.by_cpu.insert((key.cpu_millis, id));
+    }
+
+    fn remove(&mut self, key: Key) {
+        let (work, _, id) = key.position;
+        self.by_time.remove(&(key.on_target_until, id));
+        if !key.is_waiting {
+            return;
+        }
+        self.work.remove(work);
+        if key.has_started {
+            self.started_work.remove(work);
+        }
+        self.queue.remove(&key.position);
+        self.by_cpu.remove(&(key.cpu_millis, id));
+    }
+}
+
+/// Upstream and required label of jobs.
+type PlacementGroup = (SmolStr, Option<SmolStr>);
+
+/// Jobs that need executors of the same kind.
+#[derive(Debug, Default)]
+struct Group {
+    jobs: BTreeSet<JobId>,
+    /// Upper bound of each resource that a task needs.
+    demand_bound: Resources,
+}
+
+/// The jobs of a pool by id.
+#[derive(Debug)]
+pub(crate) struct JobTable {
+    jobs: BTreeMap<JobId, Job>,
+    indexes: Indexes,
+    groups: BTreeMap<PlacementGroup, Group>,
+    late_factor: u64,
+    transit: Micros,
+}
+
+impl JobTable {
+    pub fn new(options: &PoolOptions) -> Self {
+        JobTable {
+            jobs: BTreeMap::new(),
+            indexes: Indexes::default(),
+            groups: BTreeMap::new(),
+            late_factor: options.late_factor,
+            transit: options.transit_ms.into(),
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    pub fn contains_key(&self, id: &JobId) -> bool {
+        self.jobs.contains_key(id)
+    }
+
+    pub fn get(&self, id: &JobId) -> Option<&Job> {
+        self.jobs.get(id)
+    }
+
+    /// Returns a job for changes, which reach the totals and indexes when the value is dropped.
+    pub fn get_mut(&mut self, id: &JobId) -> Option<JobMut<'_>> {
+        let job = self.jobs.get_mut(id)?;
+        Some(JobMut {
+            key: key_of(job, self.late_factor, self.transit),
+            job,
+            indexes: &mut self.indexes,
+            late_factor: self.late_factor,
+            transit: self.transit,
+        })
+    }
+
+    pub fn keys(&self) -> impl Iterator<Item = &JobId> {
+        self.jobs.keys()
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (&JobId, &Job)> {
+        self.jobs.iter()
+    }
+
+    pub fn values(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values()
+    }
+
+    pub fn insert(&mut self, id: JobId, job: Job) {
+        self.remove(&id);
+        self.indexes
+            .add(key_of(&job, self.late_factor, self.transit));
+        let group = self.groups.entry(group_of(&job.request)).or_default();
+        group.jobs.insert(id);
+        group.demand_bound = max_of(group.demand_bound, job.request.demand);
+        self.jobs.insert(id, job);
+    }
+
+    pub fn remove(&mut self, id: &JobId) -> Option<Job> {
+        let job = self.jobs.remove(id)?;
+        self.indexes
+            .remove(key_of(&job, self.late_factor, self.transit));
+        let group = group_of(&job.request);
+        if let Some(jobs) = self.groups.get_mut(&group) {
+            jobs.jobs.remove(id);
+            if jobs.jobs.is_empty() {
+                self.groups.remove(&group);
+            }
+        }
+        Some(job)
+    }
+
+    /// Returns the work of all waiting tasks, in thousandths of a core times milliseconds.
+    pub fn waiting_work(&self) -> u64 {
+        self.indexes.work.total()
+    }
+
+    /// Returns the waiting work of the jobs with at most as much waiting work as `limit`, in
+    /// thousandths of a core times milliseconds.
+    pub fn waiting_work_up_to(&self, limit: u64) -> u64 {
+        self.indexes.work.up_to(limit)
+    }
+
+    /// Returns the waiting work of the jobs that have started or have at most as much waiting work
+    /// as `limit`, in thousandths of a core times milliseconds.
+    pub fn work_ahead_of(&self, limit: u64) -> u64 {
+        let started = &self.indexes.started_work;
+        self.indexes.work.up_to(limit) + started.total() - started.up_to(limit)
+    }
+
+    /// Returns the least processor that a waiting task needs, in thousandths of a core.
+    pub fn min_cpu_millis(&self) -> Option<u32> {
+        self.indexes
+            .by_cpu
+            .first()
+            .map(|(cpu_millis, _)| *cpu_millis)
+    }
+
+    /// Returns the jobs with waiting tasks that need at most `cpu_millis` thousandths of a core.
+    pub fn waiting_up_to_cpu(&self, cpu_millis: u32) -> impl Iterator<Item = (JobId, &Job)> {
+        let fitting = self.indexes.by_cpu.range(..=(cpu_millis, JobId(u64::MAX)));
+        fitting.filter_map(|(_, id)| self.jobs.get(id).map(|job| (*id, job)))
+    }
+
+    /// Returns the jobs with waiting tasks by their waiting work.
+    pub fn queue(&self) -> impl Iterator<Item = (QueuePosition, &Job)> {
+        let queue = self.indexes.queue.iter();
+        queue.filter_map(|position| self.jobs.get(&position.2).map(|job| (*position, job)))
+    }
+
+    /// Returns the jobs, in no particular order, that may be late or have timed out at `now`. The others can
+    /// meet their targets, and their callers wait.
+    pub fn maybe_late(&self, now: Mono) -> impl Iterator<Item = (JobId, &Job)> {
+        let late = self.indexes.by_time.range(..=(now, JobId(u64::MAX)));
+        late.filter_map(|(_, id)| self.jobs.get(id).map(|job| (*id, job)))
+    }
+
+    /// Returns the jobs for which `can_run` is not true. It must be monotonic: true for each request
+    /// whose demand is at most that of another request for which it is true.
+    pub fn unplaceable(
+        &mut self,
+        can_run: impl Fn(&SmolStr, Option<&SmolStr>, Resources) -> bool,
+    ) -> Vec<JobId> {
+        let mut unplaceable = Vec::new();
+        for ((upstream, label), group) in &mut self.groups {
+            if can_run(upstream, label.as_ref(), group.demand_bound) {
+                continue;
+            }
+            group.demand_bound = Resources::default();
+            for id in &group.jobs {
+                let Some(job) = self.jobs.get(id) else {
+                    continue;
+                };
+                let demand = job.request.demand;
+                group.demand_bound = max_of(group.demand_bound, demand);
+                if !can_run(upstream, label.as_ref(), demand) {
+                    unplaceable.push(*id);
+                }
+            }
+        }
+        unplaceable.sort_unstable();
+        unplaceable
+    }
+
+    /// Describes the first difference between the totals and indexes and a walk over all jobs.
+    pub fn difference(&self) -> Option<String> {
+        let mut walked = JobTable {
+            jobs: BTreeMap::new(),
+            indexes: Indexes::default(),
+            groups: BTreeMap::new(),
+            ..*self
+        };
+        for (id, job) in &self.jobs {
+            walked.insert(*id, job.clone());
+        }
+        let waiting = || self.jobs.values().filter(|job| job.waiting > 0);
+        let (known, walked_indexes) = (&self.indexes, &walked.indexes);
+        if known.queue != walked_indexes.queue {
+            return Some(format!("queue {:?}", known.queue));
+        }
+        if known.by_cpu != walked_indexes.by_cpu || known.by_time != walked_indexes.by_time {
+            return Some(format!("{:?}, {:?}", known.by_cpu, known.by_time));
+        }
+        for limit in waiting().map(Job::waiting_work).chain([0, u64::MAX]) {
+            let up_to = waiting().filter(|job| job.waiting_work() <= limit);
+            let up_to: u64 = up_to.map(Job::waiting_work).sum();
+            let ahead = waiting().filter(|job| job.has_started || job.waiting_work() <= limit);
+            let ahead: u64 = ahead.map(Job::waiting_work).sum();
+            if (up_to, ahead) != (self.waiting_work_up_to(limit), self.work_ahead_of(limit)) {
+                return Some(format!("work up to {limit} is not {up_to} and {ahead}"));
+            }
+        }
+        let groups = |table: &JobTable| -> Vec<_> {
+            let groups = table.groups.iter();
+            groups
+                .map(|(group, members)| (group.clone(), members.jobs.clone()))
+                .collect()
+        };
+        (groups(self) != groups(&walked)).then(|| format!("groups {:?}", self.groups))
+    }
+}
+
+/// A job that is being changed.
+#[derive(Debug)]
+pub(crate) struct JobMut<'a> {
+    job: &'a mut Job,
+    /// What the indexes contain of the job.
+    key: Key,
+    indexes: &'a mut Indexes,
+    late_factor: u64,
+    transit: Micros,
+}
+
+impl Deref for JobMut<'_> {
+    type Target = Job;
+
+    fn deref(&self) -> &Job {
+        self.job
+    }
+}
+
+impl DerefMut for JobMut<'_> {
+    fn deref_mut(&mut self) -> &mut Job {
+        self.job
+    }
+}
+
+impl Drop for JobMut<'_> {
+    fn drop(&mut self) {
+        let key = key_of(self.job, self.late_factor, self.transit);
+        if key != self.key {
+            self.indexes.remove(self.key);
+            self.indexes.add(key);
+        }
+    }
+}
+
+fn key_of(job: &Job, late_factor: u64, transit: Micros) -> Key {
+    let ends_by = job.target_at().min(job.useful_until(late_factor));
+    let run_time_us = job.estimate().0 + transit.0;
+    let starts_by = Mono(ends_by.0.saturating_sub(run_time_us));
+    Key {
+        position: (job.waiting_work(), job.arrived_at, job.request.job),
+        cpu_millis: job.request.demand.cpu_millis,
+        is_waiting: job.waiting > 0,
+        has_started: job.has_started,
+        on_target_until: starts_by.min(job.caller_deadline),
+    }
+}
+
+fn group_of(request: &JobRequest) -> PlacementGroup {
+    (request.upstream.clone(), request.label.clone())
+}
+
+fn max_of(one: Resources, other: Resources) -> Resources {
+    Resources {
+        cpu_millis: one.cpu_millis.max(other.cpu_millis),
+        memory_mb: one.memory_mb.max(other.memory_mb),
+        accelerators: one.accelerators.max(other.accelerators),
+    }
+}
--- a/crates/onyxshed-pool/src/lib.rs
+++ b/crates/onyxshed-pool/src/lib.rs
@@ -17,8 +17,10 @@
 pub mod error;
 pub mod evacuation;
 pub mod executor;
+mod executor_set;
 pub mod id;
 pub mod job;
+mod job_table;
 pub mod message;
 pub mod offered_load;
 pub mod options;
@@ -31,6 +33,7 @@
 pub mod speed;
 pub mod successor;
 pub mod summary;
+mod work_sum;
 
 pub use candidate::{Candidate, CandidateStep, LastOwner};
 pub use error::{Error, Result};
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -22,9 +22,11 @@
 
 use onyxshed_core::{Millis, Mono};
 
-use crate::executor::{Executor, ExecutorFacts, Executors, IncarnationMatch, Phase, RunState};
+use crate::executor::{Executor, ExecutorFacts, IncarnationMatch, Phase, RunState};
+use crate::executor_set::{AcceptingTotal, ExecutorSet};
 use crate::id::{ExecutorId, FencingToken, JobId, PeerIncarnation, Session, TaskId};
-use crate::job::{Job, JobEnd, NotRunReason, UnknownReason};
+use crate::job::{JobEnd, NotRunReason, UnknownReason};
+use crate::job_table::JobTable;
 use crate::message::{Action, Decision, HoldOrder, StopOrder};
 use crate::offered_load::OfferedLoad;
 use crate::options::PoolOptions;
@@ -44,8 +46,8 @@
     token: FencingToken,
     /// Incarnation of the entry host in this process. Its jobs need no session.
     own_incarnation: PeerIncarnation,
-    executors: Executors,
-    jobs: BTreeMap<JobId, Job>,
+    executors: ExecutorSet,
+    jobs: JobTable,
     offered_load: OfferedLoad,
     peers: PeerSessions,
     last_tick_at: Mono,
@@ -75,11 +77,11 @@
         options: PoolOptions,
     ) -> Self {
         Pool {
+            jobs: JobTable::new(&options),
             options,
             token,
             own_incarnation,
-            executors: BTreeMap::new(),
-            jobs: BTreeMap::new(),
+            executors: ExecutorSet::default(),
             offered_load: OfferedLoad::default(),
             peers: PeerSessions::default(),
             last_tick_at: now,
@@ -152,19 +154,14 @@
     /// still answers.
     pub fn load(&self, now: Mono) -> PoolLoad {
         let is_in_service = self.zone_status == ZoneStatus::InService;
-        let usable = self
-            .executors
-            .values()
-            .filter(|executor| is_in_service && executor.can_accept_tasks(now, &self.options));
-        let (mut capacity, mut free) = (0, 0);
-        for executor in usable {
-            capacity += u64::from(executor.facts.capacity.cpu_millis);
-            free += u64::from(executor.free.cpu_millis);
-        }
+        let accepting = match is_in_service {
+            true => self.executors.accepting(now, &self.options),
+            false => AcceptingTotal::default(),
+        };
         PoolLoad {
-            capacity_cpu_millis: capacity,
-            free_cpu_millis: free,
-            waiting_work: self.jobs.values().map(Job::waiting_work).sum(),
+            capacity_cpu_millis: accepting.capacity_cpu_millis,
+            free_cpu_millis: accepting.free_cpu_millis,
+            waiting_work: self.jobs.waiting_work(),
             needs_replacement: self.stage >= HandoverStage::Draining || !self.has_read_executors,
             is_closed: self.is_closed(),
             successor: self.successor_selection.successor_address(),
@@ -179,31 +176,46 @@
         id: ExecutorId,
         facts: ExecutorFacts,
     ) -> Vec<Action> {
-        match self.executors.get_mut(&id) {
-            Some(executor) => {
-                let started_at = facts.started_at;
-                let has_moved = started_at.is_none() && facts.address != executor.facts.address;
-                let incarnation = executor.match_incarnation(started_at);
-                if incarnation == IncarnationMatch::Past {
-                    return self.take_actions();
-                }
-                let starts_draining = facts.is_draining && !executor.facts.is_draining;
-                executor.update_facts(facts);
-                if incarnation == IncarnationMatch::New || has_moved {
-                    executor.record_restart(started_at);
-                }
-                if starts_draining {
-                    self.log(Decision::ExecutorDraining(id.clone()));
-                }
+        if self.executors.contains_key(&id) {
+            if self.update_listed_executor(&id, facts) == IncarnationMatch::Past {
+                return self.take_actions();
             }
-            // This executor was released to the next owner.
-            None if self.stage == HandoverStage::Releasing => {}
-            None => self.add_executor(now, id.clone(), facts),
+        } else if self.stage != HandoverStage::Releasing {
+            // While releasing, an unknown executor was released to the next owner.
+            self.add_executor(now, id.clone(), facts);
         }
         self.place_after_report(now, &id);
         self.take_actions()
     }
 
+    /// Updates an executor unless the entry is of a past incarnation. Returns which incarnation the
+    /// entry is of.
+    fn update_listed_executor(
+        &mut self,
+        id: &ExecutorId,
+        facts: ExecutorFacts,
+    ) -> IncarnationMatch {
+        let Some(mut executor) = self.executors.get_mut(id) else {
+            return IncarnationMatch::Past;
+        };
+        let started_at = facts.started_at;
+        let has_moved = started_at.is_none() && facts.address != executor.facts.address;
+        let incarnation = executor.match_incarnation(started_at);
+        if incarnation == IncarnationMatch::Past {
+            return incarnation;
+        }
+        let starts_draining = facts.is_draining && !executor.facts.is_draining;
+        executor.update_facts(facts);
+        if incarnation == IncarnationMatch::New || has_moved {
+            executor.record_restart(started_at);
+        }
+        drop(executor);
+        if starts_draining {
+            self.log(Decision::ExecutorDraining(id.clone()));
+        }
+        incarnation
+    }
+
     fn add_executor(&mut self, now: Mono, id: ExecutorId, facts: ExecutorFacts) {
         let mut executor = Executor::new(now, facts);
         if self.predecessor.can_hold(&id) {
@@ -218,7 +230,7 @@
     /// Records that the platform no longer lists an executor. It is still used for
     /// `unlisted_grace_ms` while it answers.
     pub fn record_unlisted_executor(&mut self, now: Mono, id: &ExecutorId) -> Vec<Action> {
-        if let Some(executor) = self.executors.get_mut(id) {
+        if let Some(mut executor) = self.executors.get_mut(id) {
             executor.unlisted_at.get_or_insert(now);
         }
         self.take_actions()
@@ -239,12 +251,13 @@
     /// Handles an answer from another executor at the address of `id`: no run that was ordered from
     /// `id` executes any more, so the tasks are requeued.
     fn apply_replacement(&mut self, now: Mono, id: &ExecutorId) {
-        let Some(executor) = self.executors.get_mut(id) else {
+        let Some(mut executor) = self.executors.get_mut(id) else {
             return;
         };
         executor.record_restart(None);
         executor.phase = Phase::Acquiring;
-        let runs = executor.take_runs();
+        drop(executor);
+        let runs = self.executors.take_runs(id);
         for (task, run) in runs {
             self.requeue_run(
                 task,
@@ -265,13 +278,15 @@
         id: &ExecutorId,
         reason: &'static str,
     ) {
-        let Some(job) = self.jobs.get_mut(&task.job) else {
+        let Some(mut job) = self.jobs.get_mut(&task.job) else {
             return;
         };
         if !job.is_current_run(task.index, number, id) {
+            drop(job);
             return self.unblock_task(task);
         }
         job.requeue_task(task.index);
+        drop(job);
         self.requeued.push(task.job);
         self.actions.push(Action::Log(Decision::RunEnded {
             task,
@@ -283,13 +298,11 @@
 
     /// Lets a blocked task start once no run of an earlier copy of its job is left.
     fn unblock_task(&mut self, task: TaskId) {
-        let Some(job) = self.jobs.get_mut(&task.job) else {
+        let Some(mut job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        let mut executors = self.executors.values();
-        if job.is_blocked(task.index)
-            && executors.all(|executor| !executor.runs.contains_key(&task))
-        {
+        let mut runs = self.executors.runs_of(task.job);
+        if job.is_blocked(task.index) && runs.all(|(_, other)| other != task) {
             job.unblock_task(task.index);
             self.requeued.push(task.job);
         }
@@ -310,18 +323,15 @@
     }
 
     fn stop_runs_of(&mut self, job: JobId) {
-        let mut stops = Vec::new();
-        for (id, executor) in &mut self.executors {
-            for (task, run) in &mut executor.runs {
-                if task.job == job && !matches!(run.state, RunState::Stopping { .. }) {
-                    run.state = RunState::Stopping { accepted_at: None };
-                    stops.push((id.clone(), *task, run.number));
-                }
+        let runs = self.executors.runs_of(job);
+        let runs: Vec<(ExecutorId, TaskId)> = runs.map(|(id, task)| (id.clone(), task)).collect();
+        for (id, task) in runs {
+            let executor = self.executors.get(&id);
+            let run = executor.and_then(|executor| executor.runs.get(&task));
+            if run.is_some_and(|run| !matches!(run.state, RunState::Stopping { .. })) {
+                self.stop_run(&id, task);
             }
         }
-        for (id, task, run) in stops {
-            self.send_stop(&id, task, run);
-        }
     }
 
     fn send_stop(&mut self, id: &ExecutorId, task: TaskId, run: crate::id::RunNumber) {
@@ -340,7 +350,7 @@
     fn send_hold(&mut self, now: Mono, id: &ExecutorId, pause: Millis) {
         let token = self.token;
         let options = &self.options;
-        let Some(executor) = self.executors.get_mut(id) else {
+        let Some(mut executor) = self.executors.get_mut(id) else {
             return;
         };
         // An unresponsive executor gets no renewal: its leases must expire before its tasks can run
@@ -369,6 +379,7 @@
                 Phase::Acquiring | Phase::Withheld => options.first_report_timeout_ms,
             },
         };
+        drop(executor);
         self.actions.push(Action::Hold(id.clone(), order, pause));
     }
 
@@ -384,6 +395,14 @@
         unstarted.len()
     }
 
+    /// Compares the kept totals and indexes with walks over all executors and jobs, for tests.
+    /// Describes the first difference.
+    #[doc(hidden)]
+    pub fn index_difference(&self, now: Mono) -> Option<String> {
+        let executors = self.executors.difference(now, &self.options);
+        executors.or_else(|| self.jobs.difference())
+    }
+
     fn log(&mut self, decision: Decision) {
         self.actions.push(Action::Log(decision));
     }
--- a/crates/onyxshed-pool/src/pool/admission.rs
+++ b/crates/onyxshed-pool/src/pool/admission.rs
@@ -9,9 +9,9 @@
 use super::Pool;
 use super::evacuation::ZoneStatus;
 use super::place::{Feasibility, LATE_WEIGHT};
-use crate::executor::{Executor, Run};
-use crate::id::{JobId, PeerIncarnation, Session, SubmissionNumber, TaskId};
+use crate::id::{JobId, PeerIncarnation, Session, SubmissionNumber};
 use crate::job::{Job, JobEnd, JobRequest, NotRunReason, UnknownReason};
+use crate::job_table::JobTable;
 use crate::message::Action;
 use crate::resources::Resources;
 
@@ -27,8 +27,9 @@
 
 /// Queued jobs that can still meet their targets, and the capacity that processes them.
 struct Backlog {
-    /// Waiting work of each job in ascending order, in thousandths of a core times milliseconds.
-    waiting_work: Vec<u64>,
+    /// Waiting work of each queued job that can't meet its target, in ascending order, and the sum
+    /// up to it, in thousandths of a core times milliseconds.
+    off_target: Vec<(u64, u64)>,
     /// Processor capacity of the pool, in thousandths of a core.
     capacity: u64,
     /// Part of `capacity` that the offered load leaves free.
@@ -38,11 +39,13 @@
 impl Backlog {
     /// Returns the total work of the jobs that go before a job with the waiting work `work`: those
     /// with at most as much.
-    fn work_ahead_of(&self, work: u64) -> u64 {
-        self.waiting_work
-            .iter()
-            .take_while(|other| **other <= work)
-            .sum()
+    fn work_ahead_of(&self, jobs: &JobTable, work: u64) -> u64 {
+        let off_target = self.off_target.partition_point(|(other, _)| *other <= work);
+        let off_target = match off_target {
+            0 => 0,
+            count => self.off_target[count - 1].1,
+        };
+        jobs.waiting_work_up_to(work) - off_target
     }
 }
 
@@ -64,28 +67,28 @@
             });
             return self.take_actions();
         }
-        match self.jobs.get_mut(&id) {
-            // The caller lost its answer and resubmitted the job while it runs. The runs continue, and
-            // the latest submission gets the answer.
-            Some(job) => {
-                let (peer, submission) = (job.request.peer, job.request.submission);
-                job.request.peer = new_job.request.peer;
-                job.request.submission = new_job.request.submission;
-                self.actions.push(Action::End {
-                    peer,
-                    submission,
-                    job: id,
-                    end: JobEnd::Unknown(UnknownReason::Superseded),
-                });
-            }
-            None => {
-                self.offered_load.record(now, new_job.request.work());
-                for (task, run) in self.runs_of(id) {
+        // The caller lost its answer and resubmitted the job while it runs. The runs continue, and
+        // the latest submission gets the answer.
+        if let Some(mut job) = self.jobs.get_mut(&id) {
+            let (peer, submission) = (job.request.peer, job.request.submission);
+            job.request.peer = new_job.request.peer;
+            job.request.submission = new_job.request.submission;
+            self.actions.push(Action::End {
+                peer,
+                submission,
+                job: id,
+                end: JobEnd::Unknown(UnknownReason::Superseded),
+            });
+        } else {
+            self.offered_load.record(now, new_job.request.work());
+            for (executor, task) in self.executors.runs_of(id) {
+                let executor = self.executors.get(executor);
+                if let Some(run) = executor.and_then(|executor| executor.runs.get(&task)) {
                     new_job.block_task(task.index, run.number);
                 }
-                self.jobs.insert(id, new_job);
-                self.place_job(now, id);
             }
+            self.jobs.insert(id, new_job);
+            self.place_job(now, id);
         }
         self.take_actions()
     }
@@ -188,15 +191,22 @@
         self.feasibility(starts_at, job) != Feasibility::Expired
     }
 
-    /// Returns the backlog of jobs that can meet their targets; late jobs queue behind it.
-    fn on_target_backlog(&self, now: Mono) -> Backlog {
-        let waiting = self.jobs.values().filter(|job| job.waiting > 0);
-        let on_target = waiting.filter(|job| self.feasibility(now, job) == Feasibility::OnTarget);
-        let mut amounts: Vec<u64> = on_target.map(Job::waiting_work).collect();
+    /// Returns the backlog of jobs that can meet their targets; late jobs queue behind it. All jobs
+    /// that can't meet their targets are among `maybe_late`.
+    fn on_target_backlog(&self, now: Mono, maybe_late: &[(JobId, &Job)]) -> Backlog {
+        let waiting = maybe_late.iter().filter(|(_, job)| job.waiting > 0);
+        let is_off_target = |job: &Job| self.feasibility(now, job) != Feasibility::OnTarget;
+        let off_target = waiting.filter(|(_, job)| is_off_target(job));
+        let mut amounts: Vec<u64> = off_target.map(|(_, job)| job.waiting_work()).collect();
         amounts.sort_unstable();
+        let mut sum = 0;
+        let summed = amounts.into_iter().map(|amount| {
+            sum += amount;
+            (amount, sum)
+        });
         let capacity = u64::from(self.usable_capacity(now).cpu_millis);
         Backlog {
-            waiting_work: amounts,
+            off_target: summed.collect(),
             capacity,
             spare: capacity.saturating_sub(self.offered_load.cpu_millis(now)),
         }
@@ -211,25 +221,13 @@
         let useful_until = job.useful_until(self.options.late_factor);
         let start_by = Mono(useful_until.0.saturating_sub(job.estimate().0));
         let drained = backlog.spare * start_by.since(now).as_millis().0;
-        let ahead = backlog.work_ahead_of(job.waiting_work().saturating_mul(LATE_WEIGHT));
+        let ahead =
+            backlog.work_ahead_of(&self.jobs, job.waiting_work().saturating_mul(LATE_WEIGHT));
         ahead > drained.max(SHED_BACKLOG_MIN.0 * backlog.capacity)
     }
 
     fn has_runs_of(&self, job: JobId) -> bool {
-        self.runs_of(job).next().is_some()
-    }
-
-    /// Returns the runs of a job on all executors, including runs that are being stopped.
-    fn runs_of(&self, job: JobId) -> impl Iterator<Item = (&TaskId, &Run)> {
-        let runs = self.executors.values().flat_map(|executor| &executor.runs);
-        runs.filter(move |(task, _)| task.job == job)
-    }
-
-    fn is_eligible(&self, now: Mono, executor: &Executor, request: &JobRequest) -> bool {
-        executor.is_usable(now, &self.options)
-            && executor.facts.upstream == request.upstream
-            && executor.facts.capacity.can_fit(request.demand)
-            && executor.has_label(request.label.as_ref())
+        self.executors.runs_of(job).next().is_some()
     }
 
     /// Returns how long a job would wait behind the jobs that go before it.
@@ -237,39 +235,27 @@
     /// The queue is ordered by work, so only jobs that have started and jobs with at most as much
     /// waiting work count. They are assumed to be processed by the whole pool.
     fn expected_wait(&self, now: Mono, request: &JobRequest) -> Micros {
-        let work = request.work();
-        let ahead: u64 = self
-            .jobs
-            .values()
-            .filter(|job| job.waiting > 0 && (job.has_started || job.waiting_work() <= work))
-            .map(Job::waiting_work)
-            .sum();
+        let ahead = self.jobs.work_ahead_of(request.work());
         let capacity = self.usable_capacity(now).cpu_millis;
         Micros(ahead * 1_000 / u64::from(capacity.max(1)))
     }
 
     fn usable_capacity(&self, now: Mono) -> Resources {
-        let mut capacity = Resources::default();
-        for executor in self.executors.values() {
-            if executor.is_usable(now, &self.options) {
-                capacity += executor.facts.capacity;
-            }
-        }
-        capacity
+        self.executors.usable_capacity(now, &self.options)
     }
 
     /// Returns the retry delay for a rejected caller: the time that the pool takes to process its
     /// queue, limited to [`RETRY_AFTER_MIN`] to [`RETRY_AFTER_MAX`].
     pub(super) fn retry_after(&self, now: Mono) -> Millis {
-        let waiting: u64 = self.jobs.values().map(Job::waiting_work).sum();
         let capacity = u64::from(self.usable_capacity(now).cpu_millis.max(1));
-        Millis((waiting / capacity).clamp(RETRY_AFTER_MIN.0, RETRY_AFTER_MAX.0))
+        Millis((self.jobs.waiting_work() / capacity).clamp(RETRY_AFTER_MIN.0, RETRY_AFTER_MAX.0))
     }
 
     /// Returns whether a usable executor can run the tasks of a job, now or once it has free resources.
-    pub(super) fn is_placeable(&self, now: Mono, request: &JobRequest) -> bool {
-        let mut executors = self.executors.values();
-        executors.any(|executor| self.is_eligible(now, executor, request))
+    fn is_placeable(&self, now: Mono, request: &JobRequest) -> bool {
+        let label = request.label.as_ref();
+        self.executors
+            .can_run(now, &self.options, &request.upstream, label, request.demand)
     }
 
     /// Sheds queued jobs that can't end while their answers are useful, and ends jobs whose callers no
@@ -278,11 +264,17 @@
     /// If such jobs were kept until they expire, their callers would wait for three targets to get the same
     /// answer.
     pub(super) fn shed_late_jobs(&mut self, now: Mono) {
-        let backlog = self.on_target_backlog(now);
+        let mut maybe_late: Vec<(JobId, &Job)> = self.jobs.maybe_late(now).collect();
+        if maybe_late.is_empty() {
+            return;
+        }
+        maybe_late.sort_unstable_by_key(|(id, _)| *id);
+        let backlog = self.on_target_backlog(now, &maybe_late);
+        let retry_after = self.retry_after(now);
         let mut ends = Vec::new();
-        for (id, job) in &self.jobs {
+        for (id, job) in maybe_late {
             if now >= job.caller_deadline {
-                ends.push((*id, JobEnd::Unknown(UnknownReason::TimeOut)));
+                ends.push((id, JobEnd::Unknown(UnknownReason::TimeOut)));
                 continue;
             }
             let is_feasible = match self.feasibility(now, job) {
@@ -291,9 +283,9 @@
                 Feasibility::Expired => false,
             };
             if !job.has_started && !is_feasible {
-                let not_run = (NotRunReason::NoTime, self.retry_after(now));
-                let end = self.end_of_dropped_job(*id, not_run, UnknownReason::TimeOut);
-                ends.push((*id, end));
+                let not_run = (NotRunReason::NoTime, retry_after);
+                let end = self.end_of_dropped_job(id, not_run, UnknownReason::TimeOut);
+                ends.push((id, end));
             }
         }
         for (id, end) in ends {
--- a/crates/onyxshed-pool/src/pool/evacuation.rs
+++ b/crates/onyxshed-pool/src/pool/evacuation.rs
@@ -50,16 +50,18 @@
     fn end_evacuation(&mut self, now: Mono) {
         self.zone_status = ZoneStatus::InService;
         self.log(Decision::EvacuationEnded);
-        let mut parked = Vec::new();
-        for (id, executor) in &mut self.executors {
-            if std::mem::take(&mut executor.is_parked) {
+        let parked = self
+            .executors
+            .iter()
+            .filter(|(_, executor)| executor.is_parked);
+        let parked: Vec<ExecutorId> = parked.map(|(id, _)| id.clone()).collect();
+        for id in parked {
+            if let Some(mut executor) = self.executors.get_mut(&id) {
+                executor.is_parked = false;
                 // The executor gets no task before a report shows its clock and its runs.
                 executor.phase = Phase::Acquiring;
                 executor.last_report_at = now;
-                parked.push(id.clone());
             }
-        }
-        for id in parked {
             self.send_hold(now, &id, Millis(0));
         }
     }
@@ -87,7 +89,7 @@
             return false;
         }
         let executor = self.executors.get_mut(id);
-        let Some(executor) = executor.filter(|executor| executor.runs.is_empty()) else {
+        let Some(mut executor) = executor.filter(|executor| executor.runs.is_empty()) else {
             return false;
         };
         executor.is_parked = true;
--- a/crates/onyxshed-pool/src/pool/fit.rs
+++ b/crates/onyxshed-pool/src/pool/fit.rs
@@ -55,8 +55,8 @@
         min_cpu_millis: u32,
     ) -> Vec<AvailableExecutor> {
         self.executors
-            .iter()
-            .filter(|(_, executor)| executor.free.cpu_millis >= min_cpu_millis)
+            .with_free_cpu(min_cpu_millis)
+            .into_iter()
             .filter(|(_, executor)| executor.can_accept_tasks(now, &self.options))
             .map(|(id, executor)| AvailableExecutor::of(now, id, executor))
             .collect()
--- a/crates/onyxshed-pool/src/pool/handover.rs
+++ b/crates/onyxshed-pool/src/pool/handover.rs
@@ -126,8 +126,7 @@
         // Waiting tasks of started jobs may need the idle executors, so these are released only
         // when no started job has waiting tasks.
         if self.jobs.values().all(|job| job.waiting == 0) {
-            self.executors
-                .retain(|_, executor| !executor.runs.is_empty());
+            self.executors.remove_idle();
         }
         let in_use = self.executors.keys().cloned().collect();
         (self.take_actions(), in_use)
@@ -160,7 +159,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in released {
-            if let Some(executor) = self.executors.get_mut(&id) {
+            if let Some(mut executor) = self.executors.get_mut(&id) {
                 executor.phase = Phase::Acquiring;
             }
             self.send_hold(now, &id, Millis(0));
--- a/crates/onyxshed-pool/src/pool/orders.rs
+++ b/crates/onyxshed-pool/src/pool/orders.rs
@@ -70,7 +70,7 @@
         answer: &StartAnswer,
     ) -> RunStep {
         let orders_max = self.options.start_orders_max;
-        let Some(executor) = self.executors.get_mut(id) else {
+        let Some(mut executor) = self.executors.get_mut(id) else {
             return RunStep::Keep;
         };
         if let StartAnswer::Started { clock: Some(clock) } = answer {
@@ -141,7 +141,7 @@
             return self.stop_run(id, task);
         };
         let spec = job.request.spec.clone();
-        let Some(executor) = self.executors.get_mut(id) else {
+        let Some(mut executor) = self.executors.get_mut(id) else {
             return;
         };
         let expires = executor.lease_end(now, lease);
@@ -152,6 +152,7 @@
         if let RunState::Ordered { orders_sent } = &mut run.state {
             *orders_sent += 1;
         }
+        drop(executor);
         let Some(expires) = expires else {
             return self.stop_run(id, task);
         };
@@ -168,7 +169,7 @@
     /// Sends an order to stop a run. The run remains tracked until a report shows that it has ended
     /// or its lease has expired.
     pub(super) fn stop_run(&mut self, id: &ExecutorId, task: TaskId) {
-        let Some(executor) = self.executors.get_mut(id) else {
+        let Some(mut executor) = self.executors.get_mut(id) else {
             return;
         };
         let Some(run) = executor.runs.get_mut(&task) else {
@@ -176,6 +177,7 @@
         };
         run.state = RunState::Stopping { accepted_at: None };
         let number = run.number;
+        drop(executor);
         self.send_stop(id, task, number);
     }
 
@@ -218,9 +220,10 @@
         task: TaskId,
         number: RunNumber,
     ) {
-        let executor = self.executors.get_mut(id);
-        let run = executor.and_then(|executor| executor.runs.get_mut(&task));
-        if let Some(run) = run
+        let Some(mut executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        if let Some(run) = executor.runs.get_mut(&task)
             && run.number == number
             && let RunState::Stopping { accepted_at } = &mut run.state
         {
@@ -236,9 +239,7 @@
         number: RunNumber,
         reason: &'static str,
     ) {
-        if let Some(executor) = self.executors.get_mut(id) {
-            executor.remove_run(task);
-        }
+        self.executors.remove_run(id, task);
         self.requeue_run(task, number, id, reason);
     }
 
@@ -255,10 +256,12 @@
     /// Records a failed run of a job in an executor's health and logs if the executor is avoided
     /// for it.
     pub(super) fn record_run_failure(&mut self, now: Mono, id: &ExecutorId, job: JobId) {
-        let Some(executor) = self.executors.get_mut(id) else {
+        let Some(mut executor) = self.executors.get_mut(id) else {
             return;
         };
-        if let Some(span) = executor.health.record_run_failure(now, job, &self.options) {
+        let span = executor.health.record_run_failure(now, job, &self.options);
+        drop(executor);
+        if let Some(span) = span {
             self.log(Decision::ExecutorAvoided(id.clone(), span));
         }
     }
@@ -266,10 +269,11 @@
     /// Records a failure that is attributed to the executor whatever its job is, such as a stuck
     /// run, in the executor's health.
     pub(super) fn record_failure(&mut self, now: Mono, id: &ExecutorId) {
-        let Some(executor) = self.executors.get_mut(id) else {
+        let Some(mut executor) = self.executors.get_mut(id) else {
             return;
         };
         let span = executor.health.record_failure(now, &self.options);
+        drop(executor);
         self.log(Decision::ExecutorAvoided(id.clone(), span));
     }
 }
--- a/crates/onyxshed-pool/src/pool/place.rs
+++ b/crates/onyxshed-pool/src/pool/place.rs
@@ -23,10 +23,16 @@
 /// Sort key of a job in the queue, smallest first: expired or not, weighted waiting work, arrival, id.
 type Rank = (bool, u64, Mono, JobId);
 
+/// A task that may start on an executor: rank and id of its job, its index, expected run time.
+type Placement = (Rank, JobId, u16, Micros);
+
 /// Factor on the waiting work of a job that can only be late. Such a job continues only if little of it
 /// is left.
 pub(super) const LATE_WEIGHT: u64 = 5;
 
+/// Number of waiting jobs that fit an executor up to which all of them are ranked.
+const FEW_JOBS: usize = 32;
+
 /// The best outcome that a job can still reach.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Feasibility {
@@ -48,8 +54,7 @@
         if !self.can_place() {
             return;
         }
-        let waiting = self.jobs.values().filter(|job| job.waiting > 0);
-        let Some(min_cpu_millis) = waiting.map(|job| job.request.demand.cpu_millis).min() else {
+        let Some(min_cpu_millis) = self.jobs.min_cpu_millis() else {
             return;
         };
         let mut available = self.available_executors(now, min_cpu_millis);
@@ -58,12 +63,12 @@
         };
         let mut queue: BinaryHeap<Reverse<(Rank, JobId)>> = self
             .jobs
-            .iter()
-            .filter(|(_, job)| job.waiting > 0 && job.request.demand.cpu_millis <= free_max)
-            .map(|(id, job)| Reverse((self.rank(now, *id, job), *id)))
+            .waiting_up_to_cpu(free_max)
+            .map(|(id, job)| Reverse((self.rank(now, id, job), id)))
             .collect();
         while let Some(Reverse((_, id))) = queue.pop() {
-            if self.jobs[&id].request.demand.cpu_millis > free_max {
+            let job = self.jobs.get(&id);
+            if job.is_none_or(|job| job.request.demand.cpu_millis > free_max) {
                 continue;
             }
             self.place_tasks_of(now, id, &mut available, min_cpu_millis);
@@ -113,18 +118,46 @@
         now: Mono,
         candidate: &AvailableExecutor,
     ) -> Option<(JobId, u16, Micros)> {
-        let candidates = self.jobs.iter().filter_map(|(id, job)| {
-            if job.waiting == 0 || !candidate.free.can_fit(job.request.demand) {
-                return None;
-            }
+        let place = |id, job: &Job| -> Option<Placement> {
             let index = job.next_waiting_task()?;
             let (expected, _) = self.fit(now, job, index, candidate)?;
-            Some((self.rank(now, *id, job), *id, index, expected))
-        });
-        let first = candidates.min_by_key(|(rank, ..)| *rank);
+            Some((self.rank(now, id, job), id, index, expected))
+        };
+        let free_cpu_millis = candidate.free.cpu_millis;
+        let small = || self.jobs.waiting_up_to_cpu(free_cpu_millis);
+        let first = match small().nth(FEW_JOBS) {
+            None => {
+                let placed = small().filter_map(|(id, job)| place(id, job));
+                placed.min_by_key(|(rank, ..)| *rank)
+            }
+            Some(_) => self.first_in_queue(place),
+        };
         first.map(|(_, id, index, expected)| (id, index, expected))
     }
 
+    /// Returns the first in queue order of the jobs for which `place` returns a result.
+    ///
+    /// The weighted work of a job is at least its waiting work, so the search ends at the first job
+    /// whose waiting work exceeds the weighted work of the best job before it.
+    fn first_in_queue(
+        &self,
+        place: impl Fn(JobId, &Job) -> Option<Placement>,
+    ) -> Option<Placement> {
+        let mut first: Option<Placement> = None;
+        for ((work, arrived_at, id), job) in self.jobs.queue() {
+            let lowest = (false, work, arrived_at, id);
+            if first.as_ref().is_some_and(|(rank, ..)| *rank < lowest) {
+                break;
+            }
+            if let Some(placed) = place(id, job)
+                && first.as_ref().is_none_or(|(rank, ..)| placed.0 < *rank)
+            {
+                first = Some(placed);
+            }
+        }
+        first
+    }
+
     fn can_place(&self) -> bool {
         !self.has_stepped_down && self.zone_status != ZoneStatus::Evacuated
     }
@@ -187,7 +220,7 @@
         executor_id: &ExecutorId,
         expected: Micros,
     ) {
-        let (Some(job), Some(executor)) =
+        let (Some(mut job), Some(mut executor)) =
             (self.jobs.get_mut(&id), self.executors.get_mut(executor_id))
         else {
             return;
@@ -205,8 +238,9 @@
             expected,
             estimate: job.estimate(),
         };
-        executor.add_run(task, run);
         executor.record_lease(now, &self.options);
+        drop(executor);
+        self.executors.add_run(executor_id, task, run);
         let order = StartOrder {
             task,
             run: number,
@@ -215,6 +249,7 @@
             token: self.token,
         };
         let waited = now.since(job.arrived_at);
+        drop(job);
         self.actions.push(Action::Start(executor_id.clone(), order));
         self.log(Decision::RunOrdered {
             task,
--- a/crates/onyxshed-pool/src/pool/progress.rs
+++ b/crates/onyxshed-pool/src/pool/progress.rs
@@ -35,7 +35,7 @@
     /// Updates an executor's slowdown by the progress of its runs, and moves the runs that would end too
     /// late there.
     pub(super) fn observe_progress(&mut self, now: Mono, id: &ExecutorId, running: &[RunningRun]) {
-        let Some(executor) = self.executors.get_mut(id) else {
+        let Some(mut executor) = self.executors.get_mut(id) else {
             return;
         };
         let mut forecasts = Vec::new();
@@ -49,16 +49,19 @@
             let Some(min_total) = min_total.filter(|_| is_running(run, reported)) else {
                 continue;
             };
-            executor
-                .slowdown
-                .observe_unfinished(now, min_total, run.estimate);
+            let estimate = run.estimate;
             forecasts.push(Forecast {
                 task: reported.task,
                 run: reported.run,
                 ends_at: run.ordered_at + min_total,
             });
+            executor
+                .slowdown
+                .observe_unfinished(now, min_total, estimate);
         }
-        if !executor.slowdown.is_slow(now) {
+        let is_slow = executor.slowdown.is_slow(now);
+        drop(executor);
+        if !is_slow {
             return;
         }
         for forecast in forecasts {
@@ -94,7 +97,7 @@
 
     fn move_run(&mut self, now: Mono, id: &ExecutorId, forecast: &Forecast) {
         let task = forecast.task;
-        if let Some(job) = self.jobs.get_mut(&task.job) {
+        if let Some(mut job) = self.jobs.get_mut(&task.job) {
             job.tasks[usize::from(task.index)].stopped_runs += 1;
         }
         self.log(Decision::RunMoved {
--- a/crates/onyxshed-pool/src/pool/reports.rs
+++ b/crates/onyxshed-pool/src/pool/reports.rs
@@ -63,7 +63,7 @@
         lists: &ExecutorLists,
     ) -> Millis {
         let started_at = lists.started_at;
-        let Some(executor) = self.executors.get_mut(id) else {
+        let Some(mut executor) = self.executors.get_mut(id) else {
             return Millis(0);
         };
         match executor.match_incarnation(started_at) {
@@ -78,6 +78,7 @@
         executor.last_seen = executor.last_seen.max(lists.listed_to);
         executor.last_report_at = now;
         let was_unresponsive = std::mem::take(&mut executor.is_unresponsive);
+        drop(executor);
         if was_unresponsive {
             self.log(Decision::ExecutorRecovered(id.clone()));
         }
@@ -87,7 +88,7 @@
         self.reconcile(now, id, sent_at, &lists.running);
         self.observe_progress(now, id, &lists.running);
         self.stop_orphans(id, &lists.running);
-        let Some(executor) = self.executors.get_mut(id) else {
+        let Some(mut executor) = self.executors.get_mut(id) else {
             return Millis(0);
         };
         if executor.phase == Phase::Acquired {
@@ -97,13 +98,14 @@
             return ACQUIRING_PAUSE;
         }
         executor.phase = Phase::Acquired;
+        drop(executor);
         self.log(Decision::ExecutorAcquired(id.clone()));
         Millis(0)
     }
 
     /// Applies the end of a run. Ends of runs that this owner does not track are ignored.
     fn apply_finished(&mut self, now: Mono, id: &ExecutorId, end: FinishedRun) {
-        let Some(executor) = self.executors.get_mut(id) else {
+        let Some(executor) = self.executors.get(id) else {
             return;
         };
         let is_tracked = executor
@@ -121,10 +123,10 @@
     }
 
     fn apply_run_completed(&mut self, now: Mono, id: &ExecutorId, task: TaskId, number: RunNumber) {
-        let Some(executor) = self.executors.get_mut(id) else {
+        let Some(run) = self.executors.remove_run(id, task) else {
             return;
         };
-        let Some(run) = executor.remove_run(task) else {
+        let Some(mut executor) = self.executors.get_mut(id) else {
             return;
         };
         let took = now.since(run.ordered_at);
@@ -134,16 +136,20 @@
         }
         executor.health = Default::default();
         executor.last_completed_at = now;
-        let Some(job) = self.jobs.get_mut(&task.job) else {
+        drop(executor);
+        let Some(mut job) = self.jobs.get_mut(&task.job) else {
             return;
         };
         if !job.is_current_run(task.index, number, id) {
+            drop(job);
             return self.unblock_task(task);
         }
         job.observe_run_time(took, run.expected);
         job.tasks[usize::from(task.index)].state = TaskState::Done;
         job.done += 1;
-        if job.done == job.request.tasks {
+        let is_completed = job.done == job.request.tasks;
+        drop(job);
+        if is_completed {
             self.end_job(task.job, JobEnd::Completed);
         }
     }
@@ -155,14 +161,13 @@
         task: TaskId,
         number: RunNumber,
     ) {
-        if let Some(executor) = self.executors.get_mut(id) {
-            executor.remove_run(task);
-        }
+        self.executors.remove_run(id, task);
         self.record_run_failure(now, id, task.job);
-        let Some(job) = self.jobs.get_mut(&task.job) else {
+        let Some(mut job) = self.jobs.get_mut(&task.job) else {
             return;
         };
         if !job.is_current_run(task.index, number, id) {
+            drop(job);
             return self.unblock_task(task);
         }
         let failed_task = &mut job.tasks[usize::from(task.index)];
@@ -170,6 +175,7 @@
         let failed_on = failed_task.failed_on.clone();
         let failures = u32::try_from(failed_on.len()).unwrap_or(u32::MAX);
         let is_job_failed = failures >= job.request.attempts_max;
+        drop(job);
         self.requeue_run(task, number, id, "failed");
         // A task that fails on several executors is faulty itself, so its failures no longer count
         // against these executors.
@@ -183,7 +189,7 @@
 
     fn clear_failures(&mut self, now: Mono, executors: &[ExecutorId]) {
         for id in executors {
-            if let Some(executor) = self.executors.get_mut(id) {
+            if let Some(mut executor) = self.executors.get_mut(id) {
                 executor.health.clear_failure(now);
             }
         }
@@ -191,7 +197,7 @@
 
     /// Reconciles the tracked runs of an executor with the runs that it reports as executing.
     fn reconcile(&mut self, now: Mono, id: &ExecutorId, sent_at: Mono, running: &[RunningRun]) {
-        let Some(executor) = self.executors.get_mut(id) else {
+        let Some(mut executor) = self.executors.get_mut(id) else {
             return;
         };
         let mut gone = Vec::new();
@@ -218,6 +224,7 @@
                 _ => {}
             }
         }
+        drop(executor);
         for (task, number) in gone {
             self.discard_run(id, task, number, "missing from the executor's report");
         }
@@ -252,10 +259,11 @@
     /// Marks an executor that did not answer as unresponsive, and returns whether it was responsive
     /// before.
     fn mark_unresponsive(&mut self, id: &ExecutorId) -> bool {
-        let Some(executor) = self.executors.get_mut(id) else {
+        let Some(mut executor) = self.executors.get_mut(id) else {
             return false;
         };
         let is_change = !std::mem::replace(&mut executor.is_unresponsive, true);
+        drop(executor);
         if is_change {
             self.log(Decision::ExecutorUnresponsive(id.clone()));
         }
--- a/crates/onyxshed-pool/src/pool/stalled.rs
+++ b/crates/onyxshed-pool/src/pool/stalled.rs
@@ -23,11 +23,18 @@
     /// unresponsive or was removed.
     pub(super) fn end_stalled_jobs(&mut self, now: Mono) {
         let before = std::mem::take(&mut self.stalled_since);
-        let stalled = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| !self.is_placeable(now, &job.request) && self.awaits_executor(job))
-            .map(|(id, _)| (*id, before.get(id).copied().unwrap_or(now)));
+        let (executors, options) = (&self.executors, &self.options);
+        let unplaceable = self.jobs.unplaceable(|upstream, label, demand| {
+            executors.can_run(now, options, upstream, label, demand)
+        });
+        let stalled = unplaceable
+            .into_iter()
+            .filter(|id| {
+                self.jobs
+                    .get(id)
+                    .is_some_and(|job| self.awaits_executor(job))
+            })
+            .map(|id| (id, before.get(&id).copied().unwrap_or(now)));
         let (ended, kept): (BTreeMap<JobId, Mono>, _) =
             stalled.partition(|(_, since)| now.since(*since) >= STALLED_GRACE.into());
         self.stalled_since = kept;
--- a/crates/onyxshed-pool/src/pool/watch.rs
+++ b/crates/onyxshed-pool/src/pool/watch.rs
@@ -37,6 +37,7 @@
     /// Detects whether this process was paused. Called before an answer, a submission, a
     /// cancellation, a release or a tick is processed.
     pub(super) fn detect_pause(&mut self, now: Mono) {
+        self.executors.advance_clock(now);
         let paused_for = now.since(self.last_tick_at);
         if paused_for >= self.options.pause_ms.into() {
             self.last_tick_at = now;
@@ -89,19 +90,14 @@
 
     /// Requeues the tasks on unresponsive executors on which every lease has expired.
     fn requeue_expired_runs(&mut self, now: Mono) {
+        let executors = self.executors.iter();
+        let silent = executors
+            .filter(|(_, executor)| executor.is_unresponsive && now >= executor.leases_expire_at);
+        let silent: Vec<ExecutorId> = silent.map(|(id, _)| id.clone()).collect();
         let mut expired = Vec::new();
-        for (id, executor) in &mut self.executors {
-            if executor.is_unresponsive
-                && now >= executor.leases_expire_at
-                && !executor.runs.is_empty()
-            {
-                let tasks: Vec<TaskId> = executor.runs.keys().copied().collect();
-                for task in tasks {
-                    if let Some(run) = executor.remove_run(task) {
-                        expired.push((id.clone(), task, run.number));
-                    }
-                }
-            }
+        for id in silent {
+            let runs = self.executors.take_runs(&id).into_iter();
+            expired.extend(runs.map(|(task, run)| (id.clone(), task, run.number)));
         }
         for (id, task, number) in expired {
             self.requeue_run(task, number, &id, "its lease ended in silence");
@@ -111,7 +107,7 @@
     /// Stops runs that take far longer than expected, so that their tasks run elsewhere.
     fn stop_stuck_runs(&mut self, now: Mono) {
         let mut stuck = Vec::new();
-        for (id, executor) in &self.executors {
+        for (id, executor) in self.executors.iter() {
             for (task, run) in &executor.runs {
                 if self.is_stuck(now, executor, *task, run) {
                     stuck.push((id.clone(), *task));
@@ -119,7 +115,7 @@
             }
         }
         for (id, task) in stuck {
-            if let Some(job) = self.jobs.get_mut(&task.job) {
+            if let Some(mut job) = self.jobs.get_mut(&task.job) {
                 job.tasks[usize::from(task.index)].stopped_runs += 1;
             }
             self.record_failure(now, &id);
