The queue is divided by demand, and the simulations check the indexes

Cause: an executor with little room skipped all jobs of the queue that need more, which grew with the queue.

Change: a queue for each sixteenth of a doubling of the demand; the search of a queue ends at the first job whose waiting work exceeds the rank of the best one. The simulations compare every total and index with a walk before and after each tick.

--- a/crates/onyxshed-pool/src/job_table.rs
+++ b/crates/onyxshed-pool/src/job_table.rs
@@ -38,8 +38,9 @@
     work: WorkSum,
     /// Waiting work of those that have started.
     started_work: WorkSum,
-    /// Jobs with waiting tasks in the order of their waiting work.
-    queue: BTreeSet<QueuePosition>,
+    /// Jobs with waiting tasks by [`queue_of`] and waiting work, with the processor that a task
+    /// needs, in thousandths of a core.
+    queues: BTreeMap<u32, BTreeMap<QueuePosition, u32>>,
     /// Jobs with waiting tasks by the processor that a task needs, in thousandths of a core.
     by_cpu: BTreeSet<(u32, JobId)>,
     /// All jobs by the time up to which they are on target.
@@ -57,7 +58,8 @@
         if key.has_started {
             self.started_work.add(work);
         }
-        self.queue.insert(key.position);
+        let queue = self.queues.entry(queue_of(key.cpu_millis)).or_default();
+        queue.insert(key.position, key.cpu_millis);
         self.by_cpu.insert((key.cpu_millis, id));
     }
 
@@ -71,7 +73,9 @@
         if key.has_started {
             self.started_work.remove(work);
         }
-        self.queue.remove(&key.position);
+        if let Some(queue) = self.queues.get_mut(&queue_of(key.cpu_millis)) {
+            queue.remove(&key.position);
+        }
         self.by_cpu.remove(&(key.cpu_millis, id));
     }
 }
@@ -82,7 +86,7 @@
 /// Jobs that need executors of the same kind.
 #[derive(Debug, Default)]
 struct Group {
-    jobs: BTreeSet<JobId>,
+    jobs: usize,
     /// Upper bound of each resource that a task needs.
     demand_bound: Resources,
 }
@@ -149,7 +153,7 @@
         self.indexes
             .add(key_of(&job, self.late_factor, self.transit));
         let group = self.groups.entry(group_of(&job.request)).or_default();
-        group.jobs.insert(id);
+        group.jobs += 1;
         group.demand_bound = max_of(group.demand_bound, job.request.demand);
         self.jobs.insert(id, job);
     }
@@ -160,8 +164,8 @@
             .remove(key_of(&job, self.late_factor, self.transit));
         let group = group_of(&job.request);
         if let Some(jobs) = self.groups.get_mut(&group) {
-            jobs.jobs.remove(id);
-            if jobs.jobs.is_empty() {
+            jobs.jobs -= 1;
+            if jobs.jobs == 0 {
                 self.groups.remove(&group);
             }
         }
@@ -194,16 +198,34 @@
             .map(|(cpu_millis, _)| *cpu_millis)
     }
 
+    /// Returns whether at most `count` jobs with waiting tasks need at most `cpu_millis` thousandths
+    /// of a core.
+    pub fn has_few_up_to_cpu(&self, cpu_millis: u32, count: usize) -> bool {
+        let fitting = &self.indexes.by_cpu;
+        let mut fitting = fitting.range(..=(cpu_millis, JobId(u64::MAX)));
+        fitting.nth(count).is_none()
+    }
+
     /// Returns the jobs with waiting tasks that need at most `cpu_millis` thousandths of a core.
     pub fn waiting_up_to_cpu(&self, cpu_millis: u32) -> impl Iterator<Item = (JobId, &Job)> {
         let fitting = self.indexes.by_cpu.range(..=(cpu_millis, JobId(u64::MAX)));
         fitting.filter_map(|(_, id)| self.jobs.get(id).map(|job| (*id, job)))
     }
 
-    /// Returns the jobs with waiting tasks by their waiting work.
-    pub fn queue(&self) -> impl Iterator<Item = (QueuePosition, &Job)> {
-        let queue = self.indexes.queue.iter();
-        queue.filter_map(|position| self.jobs.get(&position.2).map(|job| (*position, job)))
+    /// Returns the jobs with waiting tasks that need at most `cpu_millis` thousandths of a core, in
+    /// several queues that are each ordered by waiting work.
+    pub fn queues(
+        &self,
+        cpu_millis: u32,
+    ) -> impl Iterator<Item = impl Iterator<Item = (QueuePosition, &Job)>> {
+        let queues = self.indexes.queues.range(..=queue_of(cpu_millis));
+        queues.map(move |(_, queue)| {
+            let fitting = queue.iter().filter(move |(_, cpu)| **cpu <= cpu_millis);
+            fitting.filter_map(|(position, _)| {
+                let job = self.jobs.get(&position.2)?;
+                Some((*position, job))
+            })
+        })
     }
 
     /// Returns the jobs, in no particular order, that may be late or have timed out at `now`. The others can
@@ -225,10 +247,10 @@
                 continue;
             }
             group.demand_bound = Resources::default();
-            for id in &group.jobs {
-                let Some(job) = self.jobs.get(id) else {
+            for (id, job) in &self.jobs {
+                if job.request.upstream != *upstream || job.request.label != *label {
                     continue;
-                };
+                }
                 let demand = job.request.demand;
                 group.demand_bound = max_of(group.demand_bound, demand);
                 if !can_run(upstream, label.as_ref(), demand) {
@@ -253,8 +275,12 @@
         }
         let waiting = || self.jobs.values().filter(|job| job.waiting > 0);
         let (known, walked_indexes) = (&self.indexes, &walked.indexes);
-        if known.queue != walked_indexes.queue {
-            return Some(format!("queue {:?}", known.queue));
+        let queues = |indexes: &Indexes| -> Vec<_> {
+            let queues = indexes.queues.values().flatten();
+            queues.map(|(position, cpu)| (*position, *cpu)).collect()
+        };
+        if queues(known) != queues(walked_indexes) {
+            return Some(format!("queues {:?}", known.queues));
         }
         if known.by_cpu != walked_indexes.by_cpu || known.by_time != walked_indexes.by_time {
             return Some(format!("{:?}, {:?}", known.by_cpu, known.by_time));
@@ -271,7 +297,7 @@
         let groups = |table: &JobTable| -> Vec<_> {
             let groups = table.groups.iter();
             groups
-                .map(|(group, members)| (group.clone(), members.jobs.clone()))
+                .map(|(group, members)| (group.clone(), members.jobs))
                 .collect()
         };
         (groups(self) != groups(&walked)).then(|| format!("groups {:?}", self.groups))
@@ -326,6 +352,13 @@
     }
 }
 
+/// Returns the number of the queue for tasks that need `cpu_millis` thousandths of a core. Tasks that need
+/// more have no smaller numbers, and those of a queue differ by at most a sixteenth.
+fn queue_of(cpu_millis: u32) -> u32 {
+    let shift = (u32::BITS - cpu_millis.leading_zeros()).saturating_sub(5);
+    (shift << 4) + (cpu_millis >> shift)
+}
+
 fn group_of(request: &JobRequest) -> PlacementGroup {
     (request.upstream.clone(), request.label.clone())
 }
--- a/crates/onyxshed-pool/src/pool/place.rs
+++ b/crates/onyxshed-pool/src/pool/place.rs
@@ -124,35 +124,38 @@
             Some((self.rank(now, id, job), id, index, expected))
         };
         let free_cpu_millis = candidate.free.cpu_millis;
-        let small = || self.jobs.waiting_up_to_cpu(free_cpu_millis);
-        let first = match small().nth(FEW_JOBS) {
-            None => {
-                let placed = small().filter_map(|(id, job)| place(id, job));
-                placed.min_by_key(|(rank, ..)| *rank)
+        let first = match self.jobs.has_few_up_to_cpu(free_cpu_millis, FEW_JOBS) {
+            true => {
+                let few = self.jobs.waiting_up_to_cpu(free_cpu_millis);
+                let placements = few.filter_map(|(id, job)| place(id, job));
+                placements.min_by_key(|(rank, ..)| *rank)
             }
-            Some(_) => self.first_in_queue(place),
+            false => self.first_in_queue(free_cpu_millis, place),
         };
         first.map(|(_, id, index, expected)| (id, index, expected))
     }
 
     /// Returns the first in queue order of the jobs for which `place` returns a result.
     ///
-    /// The weighted work of a job is at least its waiting work, so the search ends at the first job
+    /// The weighted work of a job is at least its waiting work, so the search of a queue ends at the first job
     /// whose waiting work exceeds the weighted work of the best job before it.
     fn first_in_queue(
         &self,
+        free_cpu_millis: u32,
         place: impl Fn(JobId, &Job) -> Option<Placement>,
     ) -> Option<Placement> {
         let mut first: Option<Placement> = None;
-        for ((work, arrived_at, id), job) in self.jobs.queue() {
-            let lowest = (false, work, arrived_at, id);
-            if first.as_ref().is_some_and(|(rank, ..)| *rank < lowest) {
-                break;
-            }
-            if let Some(placed) = place(id, job)
-                && first.as_ref().is_none_or(|(rank, ..)| placed.0 < *rank)
-            {
-                first = Some(placed);
+        for queue in self.jobs.queues(free_cpu_millis) {
+            for ((work, arrived_at, id), job) in queue {
+                let lowest = (false, work, arrived_at, id);
+                if first.is_some_and(|(rank, ..)| rank < lowest) {
+                    break;
+                }
+                let placement = place(id, job);
+                if placement.is_some_and(|placement| first.is_none_or(|best| placement.0 < best.0))
+                {
+                    first = placement;
+                }
             }
         }
         first
--- a/crates/onyxshed-pool/tests/pool/simulation/owners.rs
+++ b/crates/onyxshed-pool/tests/pool/simulation/owners.rs
@@ -212,11 +212,19 @@
         if self.defer_if_away(owner, Event::Tick(owner)) {
             return;
         }
+        self.check_indexes(owner);
         let actions = self.owners[owner].pool.tick(self.now);
+        self.check_indexes(owner);
         self.apply_actions(owner, actions);
         self.schedule_after(TICK, Event::Tick(owner));
     }
 
+    /// Checks that every kept total and index of a pool agrees with a walk.
+    fn check_indexes(&self, owner: OwnerIndex) {
+        let difference = self.owners[owner].pool.index_difference(self.now);
+        assert_eq!(difference, None, "at {:?}", self.now);
+    }
+
     pub(super) fn apply_answer(
         &mut self,
         owner: OwnerIndex,
