Refuse at one level where requests arrive

Under three times the load each refusal costs the owner a call. The owner now learns by class the share that it admits, over 300 ms, and reports it while it is overloaded. Entry hosts let a request through with the largest share of all pools that they can reach, before its body is parsed.

The owner sees only what entry hosts let through.

Levels presuppose an order by arrival within the class (class shares).

--- a/crates/onyxshed-core/src/units.rs
+++ b/crates/onyxshed-core/src/units.rs
@@ -68,8 +68,12 @@
     pub const NONE: Share = Share(0);
 
     /// Creates a share; values above 1,000 become 1,000.
-    pub fn from_millis(millis: u64) -> Self {
-        Share(u16::try_from(millis).unwrap_or(u16::MAX).min(Share::ALL.0))
+    #[allow(clippy::cast_possible_truncation)]
+    pub const fn from_millis(millis: u64) -> Self {
+        match millis < Share::ALL.0 as u64 {
+            true => Share(millis as u16),
+            false => Share::ALL,
+        }
     }
 
     /// Returns `part` of `whole`, rounded down; everything if `whole` is 0.
--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -1,6 +1,7 @@
 //! The HTTP interface for callers: parses each request, submits its job to a pool and sends the
 //! reply.
 
+mod in_progress;
 mod replies;
 
 use std::cell::{Cell, OnceCell};
@@ -19,7 +20,7 @@
 use onyxshed_http::{Call, Reply, ServerOptions};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_pool::{
-    ClassId, JobEnd, JobId, JobRequest, JobSummary, SubmissionNumber, UnknownReason,
+    ClassId, EntryDecision, JobEnd, JobId, JobRequest, JobSummary, SubmissionNumber, UnknownReason,
 };
 use onyxshed_process::{RequestServer, serve_requests};
 use smol_str::{SmolStr, format_smolstr};
@@ -27,9 +28,10 @@
 use crate::boot_clock;
 use crate::links::Links;
 use crate::manifest::ManifestHolder;
-use crate::measures::HostMetrics;
+use crate::measures::{ArrivalMetrics, HostMetrics};
 use crate::names::{CALLERS, LINKS, MANIFEST};
-use replies::{job_reply, rejection_reply};
+use in_progress::JobsInProgress;
+use replies::{job_reply, not_run_text, rejection_reply};
 
 /// Shortest time for which a stopping host continues to take requests: the balancer polls readiness
 /// once a second and stops sending callers after two failed polls.
@@ -83,6 +85,8 @@
     /// The HTTP server; empty until it listens.
     server: OnceCell<RequestServer>,
     metrics: HostMetrics,
+    arrival_metrics: ArrivalMetrics,
+    in_progress: Rc<JobsInProgress>,
     /// Closed when this host can serve requests or [`STARTUP_WAIT_MAX`] has elapsed.
     startup_over: Receiver<()>,
     /// Closed when a stopping host can no longer wait for unfinished jobs.
@@ -202,6 +206,9 @@
             job,
             arrived,
         };
+        if let Some(reply) = self.refuse_on_arrival(&context) {
+            return reply;
+        }
         let simple = match job::parse(&call.body) {
             Ok(Submission::Simple(simple)) if !route.needs_advice => simple,
             Ok(Submission::Simple(_)) => return self.reject_unsupported(&context, "advice"),
@@ -210,6 +217,7 @@
         };
         let time_limit = self.limit_to_drain_deadline(requested_time_limit(call));
         let job = self.job_request(route, &context, simple, time_limit);
+        let _in_progress = self.in_progress.begin(context.job);
         let disconnect_guard = DisconnectGuard::arm(&self.kernel, &context);
         let elapsed = boot_clock::now().since(arrived);
         let timeout = Duration::from(job.time_left).saturating_sub(elapsed.into());
@@ -226,6 +234,38 @@
         self.reply(&end)
     }
 
+    /// Refuses a request of a class of which every pool admits less than it is offered, by the levels that
+    /// the pools report; returns `None` if the request is to be submitted.
+    ///
+    /// No pool has seen the request, so its job can't run because of it. Requests for a job that is
+    /// in progress here are copies and are submitted.
+    fn refuse_on_arrival(&self, context: &SubmissionContext) -> Option<Reply> {
+        let class = ClassId(context.route.clone());
+        let EntryDecision::Refuse {
+            retry_after,
+            reason,
+            admitted,
+        } = self.links.decide_arrival(&class, context.job)
+        else {
+            return None;
+        };
+        if self.in_progress.contains(context.job) {
+            return None;
+        }
+        let end = JobEnd::NotRun(reason, retry_after);
+        let elapsed = boot_clock::now().since(context.arrived);
+        self.metrics.record_reply(&end, elapsed);
+        self.arrival_metrics.record_refusal(reason);
+        let event = context
+            .event(EventKind::PoolJobRefused)
+            .detail(format_smolstr!(
+                "on arrival: {}, {admitted} of its class are let through, retry after {retry_after}",
+                not_run_text(reason)
+            ));
+        self.kernel.emit(event);
+        Some(self.reply(&end))
+    }
+
     /// Returns the reply to a job. A rejection closes the connection if another host may serve the
     /// caller, since the balancer only redirects new connections.
     fn reply(&self, end: &JobEnd) -> Reply {
@@ -429,6 +469,8 @@
             links: kernel.find(LINKS)?,
             server: OnceCell::new(),
             metrics: HostMetrics::new(),
+            arrival_metrics: ArrivalMetrics::new(),
+            in_progress: Rc::default(),
             startup_over,
             drain_expired,
             drain_expired_sender,
--- a/crates/onyxshed-host/src/callers/replies.rs
+++ b/crates/onyxshed-host/src/callers/replies.rs
@@ -29,7 +29,8 @@
     }
 }
 
-fn not_run_text(reason: NotRunReason) -> &'static str {
+/// Returns the text of a reply to a job that was not run.
+pub fn not_run_text(reason: NotRunReason) -> &'static str {
     match reason {
         NotRunReason::NoTime => "not run: it could not end in time",
         NotRunReason::NoExecutor => "not run: no executor can run it",
--- a/crates/onyxshed-host/src/engine.rs
+++ b/crates/onyxshed-host/src/engine.rs
@@ -5,6 +5,7 @@
 //! fencing token are ignored.
 
 mod calls;
+mod levels;
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,8 +20,8 @@
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_pool::{
     Action, Decision, ExecutorFacts, ExecutorId, FencingToken, JobEnd, JobId, JobRequest,
-    NotRunReason, OwnershipTransfer, PeerIncarnation, Pool, PoolId, PoolLoad, PoolOptions, Session,
-    SubmissionNumber, SuccessorOffer, TICK_PERIOD, UnknownReason,
+    LevelTable, NotRunReason, OwnershipTransfer, PeerIncarnation, Pool, PoolId, PoolLoad,
+    PoolOptions, Session, SubmissionNumber, SuccessorOffer, TICK_PERIOD, UnknownReason,
 };
 use onyxshed_proto::rpc::ConnectionCount;
 use smol_str::{SmolStr, format_smolstr};
@@ -72,6 +73,7 @@
     evacuations: Rc<ZoneEvacuations>,
     metrics: HostMetrics,
     overload_metrics: OverloadMetrics,
+    levels: RefCell<LevelTable>,
     /// Number of connections of peers; empty until peers can connect.
     peer_connections: OnceCell<ConnectionCount>,
 }
@@ -97,6 +99,7 @@
             evacuations,
             metrics: HostMetrics::new(),
             overload_metrics: OverloadMetrics::new(),
+            levels: RefCell::default(),
             peer_connections: OnceCell::new(),
         })
     }
@@ -165,7 +168,9 @@
         let Some(mut pool) = self.pool.borrow_mut().take() else {
             return;
         };
-        self.owned_pool.take();
+        if let Some(owned) = self.owned_pool.take() {
+            self.forget_report(&owned);
+        }
         let jobs = pool.job_count();
         let token = pool.token();
         self.overload_metrics.record_end(boot_clock::now());
@@ -464,6 +469,7 @@
             Timer::after(TICK_PERIOD.into()).await;
             self.update_evacuation();
             self.dispatch_event(|pool| pool.tick(boot_clock::now()));
+            self.update_levels();
         }
     }
 }
--- a/crates/onyxshed-host/src/links.rs
+++ b/crates/onyxshed-host/src/links.rs
@@ -20,8 +20,8 @@
 use onyxshed_http::client::with_timeout;
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Notifier, Result, Service, ServiceName};
 use onyxshed_pool::{
-    JobEnd, JobRequest, NotRunReason, OwnershipTransfer, PeerIncarnation, PoolId, PoolLoad,
-    PoolSelector, SubmissionNumber, UnknownReason,
+    ClassId, EntryDecision, JobEnd, JobId, JobRequest, NotRunReason, OwnershipTransfer,
+    PeerIncarnation, PoolId, PoolLoad, PoolSelector, SubmissionNumber, UnknownReason,
 };
 use onyxshed_process::{listen, serve_rpc};
 use onyxshed_proto::pool_capnp::pool_port;
@@ -203,6 +203,12 @@
         !self.evacuations.contains(&pool.zone)
     }
 
+    /// Decides whether a request that has just arrived is submitted to a pool; see
+    /// [`Engine::decide_arrival`].
+    pub fn decide_arrival(&self, class: &ClassId, job: JobId) -> EntryDecision {
+        self.engine.decide_arrival(class, job)
+    }
+
     /// Returns whether any pool is known to have executors that accept work.
     pub fn can_reach_executor(&self) -> bool {
         let own_load = self.engine.load();
@@ -222,6 +228,7 @@
         }
         self.superseded.borrow_mut().remove(pool);
         self.selector.borrow_mut().remove_pool(pool);
+        self.engine.forget_report(pool);
         let party = match owner {
             Some(address) => {
                 let link = RemoteLink::open(self.clone(), pool.clone(), address);
@@ -313,6 +320,7 @@
             self.owner_changed.notify();
         }
         let successor = load.successor;
+        self.engine.record_report(pool, &load);
         self.selector.borrow_mut().update_load(pool, load);
         if let Some(successor) = successor {
             self.follow_successor(pool, successor);
@@ -362,7 +370,7 @@
 /// ends, for example because the caller has disconnected.
 struct LocalCancelGuard {
     engine: Rc<Engine>,
-    job: Option<(SubmissionNumber, onyxshed_pool::JobId)>,
+    job: Option<(SubmissionNumber, JobId)>,
 }
 
 impl LocalCancelGuard {
--- a/crates/onyxshed-host/src/links/remote.rs
+++ b/crates/onyxshed-host/src/links/remote.rs
@@ -306,6 +306,7 @@
         if self.connection.borrow_mut().take().is_some() {
             if !self.is_closed.get() {
                 self.links.selector.borrow_mut().remove_pool(&self.pool);
+                self.links.engine.forget_report(&self.pool);
                 self.links.owner_changed.notify();
             }
             self.log_event(EventKind::PoolLinkDown, reason);
--- a/crates/onyxshed-host/src/measures.rs
+++ b/crates/onyxshed-host/src/measures.rs
@@ -4,7 +4,7 @@
 
 use metrics::{Counter, Gauge, Histogram};
 use onyxshed_core::{Micros, Mono};
-use onyxshed_pool::{JobEnd, OverloadState};
+use onyxshed_pool::{JobEnd, NotRunReason, OverloadState};
 use onyxshed_telemetry::metric::{gauge, labelled_counter, labelled_seconds_histogram, seconds};
 
 /// Name of the histogram of the time from a job's arrival to its reply.
@@ -23,6 +23,9 @@
 /// Name of the counter of changes of the state of overload.
 pub const OVERLOAD_CHANGES_TOTAL: &str = "onyxshed_pool_overload_changes_total";
 
+/// Name of the counter of requests that were refused on arrival, before they were submitted to a pool.
+pub const REFUSED_ON_ARRIVAL_TOTAL: &str = "onyxshed_refused_on_arrival_total";
+
 /// Kind of an order to an executor, for metrics.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderKind {
@@ -169,3 +172,35 @@
 fn index(state: OverloadState) -> usize {
     state as usize
 }
+
+/// Counters of requests that this host refused on arrival, by reason.
+pub struct ArrivalMetrics {
+    class_share: Counter,
+    host_overloaded: Counter,
+}
+
+impl ArrivalMetrics {
+    /// Registers and describes both counters.
+    pub fn new() -> Self {
+        let text = "Requests refused on arrival because pools are overloaded, by reason.";
+        let counter = |reason| labelled_counter(REFUSED_ON_ARRIVAL_TOTAL, text, "reason", reason);
+        ArrivalMetrics {
+            class_share: counter("class_share"),
+            host_overloaded: counter("host_overloaded"),
+        }
+    }
+
+    /// Counts a refused request.
+    pub fn record_refusal(&self, reason: NotRunReason) {
+        match reason {
+            NotRunReason::HostOverloaded => self.host_overloaded.increment(1),
+            _ => self.class_share.increment(1),
+        }
+    }
+}
+
+impl Default for ArrivalMetrics {
+    fn default() -> Self {
+        ArrivalMetrics::new()
+    }
+}
--- a/crates/onyxshed-pool/src/lib.rs
+++ b/crates/onyxshed-pool/src/lib.rs
@@ -13,12 +13,14 @@
 //! - the runs of the jobs that an unresponsive entry host has submitted are stopped well before its
 //!   callers resubmit these jobs.
 
+pub mod admission_levels;
 pub mod candidate;
 pub mod error;
 pub mod evacuation;
 pub mod executor;
 pub mod id;
 pub mod job;
+pub mod level_table;
 pub mod message;
 pub mod offered_load;
 pub mod options;
@@ -33,6 +35,7 @@
 pub mod successor;
 pub mod summary;
 
+pub use admission_levels::{Arrival, ClassLevels};
 pub use candidate::{Candidate, CandidateStep, LastOwner};
 pub use error::{Error, Result};
 pub use evacuation::{EvacuationChange, EvacuationRecord, Evacuations, LogPosition};
@@ -42,6 +45,7 @@
     SubmissionNumber, TaskId,
 };
 pub use job::{JobEnd, JobRequest, NotRunReason, UnknownReason};
+pub use level_table::{EntryDecision, LevelTable};
 pub use message::{
     Action, Decision, ExecutorLists, ExecutorReport, FinishedRun, HoldAnswer, HoldOrder,
     RefuseReason, RunEnd, RunningRun, StartAnswer, StartOrder, StopAnswer, StopOrder,
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -19,10 +19,12 @@
 mod stalled;
 mod watch;
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 
 use onyxshed_core::{Millis, Mono};
 
+use crate::admission_levels::ClassLevels;
 use crate::executor::{Executor, ExecutorFacts, Executors, IncarnationMatch, Phase, RunState};
 use crate::id::{ExecutorId, FencingToken, JobId, PeerIncarnation, Session, TaskId};
 use crate::job::{Job, JobEnd, NotRunReason, UnknownReason};
@@ -53,6 +55,9 @@
     overload_detector: OverloadDetector,
     /// State of overload by which the pool decides.
     overload_state: OverloadState,
+    class_levels: ClassLevels,
+    /// Number of the last load report.
+    report_version: Cell<u64>,
     peers: PeerSessions,
     last_tick_at: Mono,
     stage: HandoverStage,
@@ -89,6 +94,8 @@
             offered_load: OfferedLoad::default(),
             overload_detector: OverloadDetector::default(),
             overload_state: OverloadState::Normal,
+            class_levels: ClassLevels::default(),
+            report_version: Cell::new(0),
             peers: PeerSessions::default(),
             last_tick_at: now,
             stage: HandoverStage::Serving,
@@ -169,14 +176,17 @@
             capacity += u64::from(executor.facts.capacity.cpu_millis);
             free += u64::from(executor.free.cpu_millis);
         }
+        let waiting_work = self.jobs.values().map(Job::waiting_work).sum();
         PoolLoad {
             capacity_cpu_millis: capacity,
             free_cpu_millis: free,
-            waiting_work: self.jobs.values().map(Job::waiting_work).sum(),
+            waiting_work,
             needs_replacement: self.stage >= HandoverStage::Draining || !self.has_read_executors,
             is_closed: self.is_closed(),
             successor: self.successor_selection.successor_address(),
+            version: self.next_report_version(),
             overload: self.overload_state,
+            admissions: self.admissions(Millis(waiting_work / capacity.max(1))),
             ..PoolLoad::default()
         }
     }
@@ -309,6 +319,7 @@
         let Some(job) = self.jobs.remove(&id) else {
             return;
         };
+        self.record_shed(&job.request.class, &end);
         self.actions.push(Action::End {
             peer: job.request.peer,
             submission: job.request.submission,
--- a/crates/onyxshed-pool/src/pool/admission.rs
+++ b/crates/onyxshed-pool/src/pool/admission.rs
@@ -55,7 +55,9 @@
         self.detect_pause(now);
         let id = request.job;
         let mut new_job = Job::new(now, request);
-        if let Some(rejection) = self.rejection(now, session, &new_job) {
+        let rejection = self.rejection(now, session, &new_job);
+        self.record_arrival(now, &new_job.request, rejection.as_ref());
+        if let Some(rejection) = rejection {
             self.actions.push(Action::End {
                 peer: new_job.request.peer,
                 submission: new_job.request.submission,
@@ -215,7 +217,7 @@
         ahead > drained.max(SHED_BACKLOG_MIN.0 * backlog.capacity)
     }
 
-    fn has_runs_of(&self, job: JobId) -> bool {
+    pub(super) fn has_runs_of(&self, job: JobId) -> bool {
         self.runs_of(job).next().is_some()
     }
 
--- a/crates/onyxshed-pool/src/pool/overload.rs
+++ b/crates/onyxshed-pool/src/pool/overload.rs
@@ -1,14 +1,17 @@
-//! The state of overload of the pool, evaluated at each tick.
+//! The state of overload of the pool and the levels of admission, evaluated at each tick.
 
-use onyxshed_core::{Micros, Mono};
+use onyxshed_core::{Micros, Millis, Mono, Share};
 
 use super::Pool;
 use super::evacuation::ZoneStatus;
 use super::place::Feasibility;
-use crate::job::Job;
+use crate::admission_levels::Arrival;
+use crate::id::{ClassId, JobId};
+use crate::job::{Job, JobEnd, JobRequest, NotRunReason};
 use crate::message::Decision;
-use crate::overload::{OverloadMode, OverloadState};
-use crate::overload_detector::{JobWait, LoadSample, TICK_PERIOD};
+use crate::overload::{ClassAdmission, OverloadMode, OverloadState};
+use crate::overload_detector::{JobWait, LoadSample, OverloadChange, TICK_PERIOD};
+use crate::resources::Resources;
 use crate::speed::as_f64;
 
 impl Pool {
@@ -24,6 +27,16 @@
         self.overload_detector.state()
     }
 
+    /// Returns whether a job is queued or has runs here, which may still be executing.
+    pub fn has_job(&self, job: JobId) -> bool {
+        self.jobs.contains_key(&job) || self.has_runs_of(job)
+    }
+
+    /// Sets the share of each class's requests that entry hosts let through.
+    pub fn set_let_through(&mut self, let_through: impl Fn(&ClassId) -> Share) {
+        self.class_levels.set_applied(let_through);
+    }
+
     /// Measures the load at a tick that comes `since_last_tick` after the one before, and enters the
     /// state that it shows.
     pub(super) fn observe_load(&mut self, now: Mono, since_last_tick: Micros) {
@@ -31,9 +44,13 @@
             return;
         }
         let sample = self.load_sample(now, since_last_tick);
-        let Some(change) = self.overload_detector.observe(now, &sample) else {
-            return;
-        };
+        if let Some(change) = self.overload_detector.observe(now, &sample) {
+            self.apply_change(now, change);
+        }
+        self.update_levels(now);
+    }
+
+    fn apply_change(&mut self, now: Mono, change: OverloadChange) {
         self.log(Decision::OverloadChanged {
             from: change.from,
             to: change.to,
@@ -103,4 +120,80 @@
         }
         (room as u64, free as u64)
     }
+
+    /// Records a job that was admitted, or refused for want of room, in the levels of admission.
+    pub(super) fn record_arrival(
+        &mut self,
+        now: Mono,
+        request: &JobRequest,
+        rejection: Option<&JobEnd>,
+    ) {
+        let arrival = match rejection {
+            None => Arrival::Admitted,
+            Some(end) if is_for_want_of_room(end) => Arrival::Refused,
+            Some(_) => return,
+        };
+        if self.options.overload == OverloadMode::On {
+            let size = (request.tasks, request.demand);
+            self.class_levels
+                .record_arrival(now, &request.class, size, arrival);
+        }
+    }
+
+    /// Records the end of an admitted job in the levels of admission, if it was refused for want of room.
+    pub(super) fn record_shed(&mut self, class: &ClassId, end: &JobEnd) {
+        if is_for_want_of_room(end) {
+            self.class_levels.record_shed(class);
+        }
+    }
+
+    /// Returns what the pool admits of its classes; empty unless it is overloaded.
+    pub(super) fn admissions(&self, wait: Millis) -> Vec<ClassAdmission> {
+        match self.overload_state {
+            OverloadState::Normal => Vec::new(),
+            OverloadState::Overloaded | OverloadState::Saturated => {
+                self.class_levels.admissions(wait)
+            }
+        }
+    }
+
+    /// Returns the number of the next load report; 0 if overload is not evaluated.
+    pub(super) fn next_report_version(&self) -> u64 {
+        if self.options.overload != OverloadMode::Off {
+            self.report_version.set(self.report_version.get() + 1);
+        }
+        self.report_version.get()
+    }
+
+    fn update_levels(&mut self, now: Mono) {
+        let is_overloaded = self.overload_state != OverloadState::Normal;
+        let mut levels = std::mem::take(&mut self.class_levels);
+        levels.update(now, is_overloaded, |tasks, demand| {
+            self.has_free_room(now, tasks, demand)
+        });
+        self.class_levels = levels;
+    }
+
+    /// Returns whether the executors that accept tasks have free room for `tasks` tasks.
+    fn has_free_room(&self, now: Mono, tasks: u16, demand: Resources) -> bool {
+        let accepting = self
+            .executors
+            .values()
+            .filter(|executor| executor.can_accept_tasks(now, &self.options));
+        let places: u32 = accepting
+            .map(|executor| executor.free.count_of(demand))
+            .fold(0, u32::saturating_add);
+        places >= u32::from(tasks)
+    }
+}
+
+/// Returns whether a job was refused because executors lack room for it.
+fn is_for_want_of_room(end: &JobEnd) -> bool {
+    let JobEnd::NotRun(reason, _) = end else {
+        return false;
+    };
+    matches!(
+        reason,
+        NotRunReason::NoTime | NotRunReason::ClassShare | NotRunReason::HostOverloaded
+    )
 }
--- a/crates/onyxshed-pool/src/resources.rs
+++ b/crates/onyxshed-pool/src/resources.rs
@@ -24,6 +24,14 @@
             && self.accelerators >= demand.accelerators
     }
 
+    /// Returns how many times a demand fits into these resources; `u32::MAX` if it is empty.
+    pub fn count_of(self, demand: Resources) -> u32 {
+        let count = |have: u32, need: u32| have.checked_div(need).unwrap_or(u32::MAX);
+        count(self.cpu_millis, demand.cpu_millis)
+            .min(count(self.memory_mb, demand.memory_mb))
+            .min(count(self.accelerators, demand.accelerators))
+    }
+
     /// Returns the resources left after subtracting a demand, each at least zero.
     pub fn saturating_sub(self, demand: Resources) -> Resources {
         Resources {
--- a/crates/onyxshed-pool/tests/pool/main.rs
+++ b/crates/onyxshed-pool/tests/pool/main.rs
@@ -7,6 +7,7 @@
 mod fixture;
 mod handover;
 mod hosts;
+mod levels;
 mod load;
 mod lost;
 mod order;
--- a/crates/onyxshed-pool/tests/pool/simulation.rs
+++ b/crates/onyxshed-pool/tests/pool/simulation.rs
@@ -16,8 +16,8 @@
 
 use onyxshed_core::{Micros, Millis, Mono};
 use onyxshed_pool::{
-    ExecutorId, HoldAnswer, HoldOrder, JobEnd, JobId, JobRequest, PeerIncarnation, Pool,
-    PoolOptions, RunNumber, Session, StartAnswer, StartOrder, StopAnswer, StopOrder,
+    ExecutorId, HoldAnswer, HoldOrder, JobEnd, JobId, JobRequest, LevelTable, PeerIncarnation,
+    Pool, PoolOptions, RunNumber, Session, StartAnswer, StartOrder, StopAnswer, StopOrder,
     SubmissionNumber, TaskId,
 };
 use onyxshed_standins::fleet::ExecutorModel;
@@ -110,6 +110,7 @@
     session: Session,
     /// Time of the last contact with each owner.
     last_contact: BTreeMap<OwnerIndex, Mono>,
+    levels: LevelTable,
     paused_until: Mono,
 }
 
@@ -162,12 +163,25 @@
     started_at: BTreeMap<TaskId, Mono>,
     rng: SmallRng,
     options: PoolOptions,
+    /// Whether entry hosts apply the levels of admission that owners report.
+    pub applies_levels: bool,
+    /// Number of submissions that reached an owner.
+    pub owner_calls: u32,
     /// Events of each task, printed when a check fails.
     trace: Vec<(Mono, TaskId, String)>,
 }
 
 impl Simulation {
     pub fn new(seed: u64, executors: Vec<ExecutorModel>, entries: usize) -> Self {
+        Simulation::with_options(seed, executors, entries, PoolOptions::default())
+    }
+
+    pub fn with_options(
+        seed: u64,
+        executors: Vec<ExecutorModel>,
+        entries: usize,
+        options: PoolOptions,
+    ) -> Self {
         let named = executors
             .into_iter()
             .enumerate()
@@ -192,7 +206,9 @@
             pending_holds: BTreeMap::new(),
             started_at: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(seed),
-            options: PoolOptions::default(),
+            options,
+            applies_levels: false,
+            owner_calls: 0,
             trace: Vec::new(),
         };
         for index in 0..entries {
@@ -201,6 +217,7 @@
                 incarnation,
                 session: Session(0),
                 last_contact: BTreeMap::new(),
+                levels: LevelTable::default(),
                 paused_until: Mono(0),
             });
             simulation.schedule_after(Millis(0), Event::Heartbeat(index));
--- a/crates/onyxshed-pool/tests/pool/simulation/callers.rs
+++ b/crates/onyxshed-pool/tests/pool/simulation/callers.rs
@@ -2,7 +2,8 @@
 
 use onyxshed_core::{Millis, Mono};
 use onyxshed_pool::{
-    JobEnd, JobId, JobRequest, NotRunReason, SubmissionNumber, TaskId, UnknownReason,
+    EntryDecision, Evacuations, JobEnd, JobId, JobRequest, LevelTable, NotRunReason, PoolId,
+    SubmissionNumber, TaskId, UnknownReason,
 };
 use rand::RngExt;
 
@@ -10,6 +11,13 @@
     Event, HEARTBEAT, LINK_TIMEOUT, OwnerIndex, RESUBMIT_AFTER, SUBMISSIONS_MAX, Simulation,
 };
 
+fn pool_id() -> PoolId {
+    PoolId {
+        zone: "a".into(),
+        index: 0,
+    }
+}
+
 impl Simulation {
     pub(super) fn heartbeat(&mut self, index: usize) {
         let until = self.entries[index].paused_until;
@@ -41,6 +49,7 @@
             self.entries[index].last_contact.insert(owner, self.now);
             if is_current {
                 self.entries[index].session = session;
+                self.update_levels(index, owner);
             }
         } else if self.now.since(last) > LINK_TIMEOUT.into() {
             self.drop_link(index, owner);
@@ -76,6 +85,11 @@
         call.owner = owner;
         call.submission = submission;
         call.is_open = true;
+        if self.applies_levels && !self.is_let_through(entry, job) {
+            let end = JobEnd::NotRun(NotRunReason::ClassShare, Millis(100));
+            return self.apply_end(entry, submission, job, end);
+        }
+        let call = self.calls.get_mut(&job).expect("a known job");
         let request = JobRequest {
             peer: incarnation,
             submission,
@@ -92,6 +106,7 @@
         }
         // A paused owner does not process the submission.
         if self.now >= self.owners[owner].paused_until {
+            self.owner_calls += 1;
             let actions = self.owners[owner].pool.submit(self.now, session, request);
             self.apply_actions(owner, actions);
         }
@@ -100,6 +115,36 @@
         self.schedule_after(late, Event::Ended(entry, submission, job, over));
     }
 
+    /// Passes the load report of an answer of the current owner to an entry host.
+    fn update_levels(&mut self, entry: usize, owner: OwnerIndex) {
+        if !self.applies_levels || owner != self.current_owner() {
+            return;
+        }
+        let load = self.owners[owner].pool.load(self.now);
+        let pool = pool_id();
+        self.entries[entry].levels.update(self.now, &pool, &load);
+    }
+
+    /// Passes to an owner the shares that entry hosts let through, as its host knows them.
+    pub(super) fn share_let_through(&mut self, owner: OwnerIndex) {
+        if self.applies_levels {
+            let load = self.owners[owner].pool.load(self.now);
+            let mut levels = LevelTable::default();
+            levels.update(self.now, &pool_id(), &load);
+            let none = Evacuations::default();
+            let pool = &mut self.owners[owner].pool;
+            pool.set_let_through(|class| levels.let_through(self.now, class, &none));
+        }
+    }
+
+    fn is_let_through(&mut self, entry: usize, job: JobId) -> bool {
+        let draw = self.rng.random();
+        let class = &self.calls[&job].request.class;
+        let levels = &self.entries[entry].levels;
+        let decision = levels.decide(self.now, class, &Evacuations::default(), draw);
+        decision == EntryDecision::Submit
+    }
+
     pub(super) fn apply_end(
         &mut self,
         entry: usize,
@@ -117,6 +162,11 @@
             return self.schedule_at(until, Event::Ended(entry, submission, job, end));
         }
         call.is_open = false;
+        let owner = call.owner;
+        if !matches!(end, JobEnd::Unknown(_)) {
+            self.update_levels(entry, owner);
+        }
+        let call = self.calls.get_mut(&job).expect("a known job");
         let tasks = call.request.tasks;
         for index in 0..tasks {
             let task = TaskId { job, index };
--- a/crates/onyxshed-pool/tests/pool/simulation/owners.rs
+++ b/crates/onyxshed-pool/tests/pool/simulation/owners.rs
@@ -214,6 +214,7 @@
         }
         let actions = self.owners[owner].pool.tick(self.now);
         self.apply_actions(owner, actions);
+        self.share_let_through(owner);
         self.schedule_after(TICK, Event::Tick(owner));
     }
 
