Show refusals on arrival to operators, and prove them on real hosts

A request refused by a level had no explanation in `onyxshed explain`, no page, and no test with real hosts. Copies of jobs that a host has in its hands, as entry host or owner, are let through, so that they join; why other copies can be refused truthfully is in docs/design/admission-levels.md.

--- a/crates/onyxshed-cli/src/trace/cause.rs
+++ b/crates/onyxshed-cli/src/trace/cause.rs
@@ -36,6 +36,8 @@
     OldSession,
     /// This kind of job is not supported.
     Unsupported(SmolStr),
+    /// The host refused the request on arrival because all pools were overloaded; with the reason.
+    OnArrival(SmolStr),
     /// The request was rejected before it became a job; with status and reason.
     Rejected(SmolStr),
     /// The owner or the link to it was lost; with the last event about that.
@@ -84,6 +86,9 @@
         EventKind::PoolJobRefused if line.event.detail.starts_with("status ") => {
             Cause::Rejected(line.event.detail.clone())
         }
+        EventKind::PoolJobRefused if line.event.detail.starts_with("on arrival: ") => {
+            Cause::OnArrival(line.event.detail.clone())
+        }
         EventKind::PoolJobRefused => Cause::Unsupported(line.event.detail.clone()),
         _ => Cause::CallerCancelled,
     }
@@ -207,6 +212,9 @@
             Cause::HostStopped => "who stopped the host, and how long its callers' jobs take",
             Cause::ExecutorsLost => "E821, E824 and E825: which executors the pool lost",
             Cause::ZoneEvacuated => "E846 and E847: which zones are evacuated, and since when",
+            Cause::OnArrival(_) => {
+                "E850 of the pools' owners: which were overloaded, and since when"
+            }
             Cause::ClassShare | Cause::CallerShare | Cause::HostOverloaded => {
                 "docs/OPERATIONS.md, callers are refused"
             }
@@ -249,7 +257,9 @@
             Cause::OldSession => {
                 f.write_str("not run: the owner had received nothing from the host for too long")
             }
-            Cause::Unsupported(reason) | Cause::Rejected(reason) => write!(f, "not run: {reason}"),
+            Cause::Unsupported(reason) | Cause::Rejected(reason) | Cause::OnArrival(reason) => {
+                write!(f, "not run: {reason}")
+            }
             Cause::OwnerLost(seen) => write!(f, "unknown: the owner was lost; {seen}"),
             Cause::OwnerPaused(seen) => {
                 write!(f, "unknown: the owner's process was paused; {seen}")
--- a/crates/onyxshed-cli/src/trace/select.rs
+++ b/crates/onyxshed-cli/src/trace/select.rs
@@ -117,8 +117,9 @@
             return false;
         }
         match event.kind {
-            // Changes of a pool's owner are context on whichever host they were logged.
-            EventKind::PoolOwned
+            // Changes of a pool's owner or state are context on whichever host they were logged.
+            EventKind::PoolOverloadChanged
+            | EventKind::PoolOwned
             | EventKind::PoolGivenUp
             | EventKind::PoolHandoverBegun
             | EventKind::PoolHandoverEnded
--- a/crates/onyxshed-cli/tests/story.rs
+++ b/crates/onyxshed-cli/tests/story.rs
@@ -134,6 +134,23 @@
     insta::assert_snapshot!(logs.explain(REQUEST));
 }
 
+/// A request that an entry host refuses by a pool's level is traced to the overload of the pool.
+#[test]
+fn a_request_refused_on_arrival_is_traced_to_the_overload() {
+    let overloaded = Event::new(EventKind::PoolOverloadChanged)
+        .detail("normal to overloaded: offered 850mcpu, room 3483mcpu, token 256");
+    let refused = Event::new(EventKind::PoolJobRefused)
+        .request(REQUEST)
+        .detail("on arrival: not run: its class has used its share");
+    let logs = Logs::new()
+        .host("a-1", &[(0, overloaded)])
+        .host("a-2", &[(300, refused)]);
+    let output = logs.explain(REQUEST);
+    assert!(output.contains("normal to overloaded"), "{output}");
+    assert!(output.contains("cause: not run: on arrival"), "{output}");
+    assert!(output.contains("E850"), "{output}");
+}
+
 /// A log collector has merged all logs into one file, with the time and the host before each line, and
 /// lines of other programs in between.
 #[test]
--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -259,7 +259,7 @@
         let event = context
             .event(EventKind::PoolJobRefused)
             .detail(format_smolstr!(
-                "on arrival: {}, {admitted} of its class are let through, retry after {retry_after}",
+                "on arrival: {}; {admitted} of its class are let through, retry after {retry_after}",
                 not_run_text(reason)
             ));
         self.kernel.emit(event);
--- a/crates/onyxshed-pool/tests/pool/copies.rs
+++ b/crates/onyxshed-pool/tests/pool/copies.rs
@@ -278,3 +278,17 @@
     };
     assert_eq!(tasks_and_runs(&harness.take_starts()), [(second, 1)]);
 }
+
+/// An entry host must not refuse a copy on arrival while its own pool has the job or runs of it.
+#[test]
+fn a_job_that_the_pool_has_is_known() {
+    let mut harness = Harness::with_executors(&[("a", 32)]);
+    assert!(!harness.pool.has_job(JobId(1)));
+    let (_, order) = harness.submit_and_start(0, job(1, 1, 900));
+    assert!(harness.pool.has_job(JobId(1)));
+    cancel_first_submission(&mut harness, 10);
+    assert!(harness.pool.has_job(JobId(1)));
+    let stopped = (1, order.task, 1, RunEnd::Stopped);
+    harness.report(40, "a", &[], &[stopped]);
+    assert!(!harness.pool.has_job(JobId(1)));
+}
--- a/crates/onyxshed-soak/tests/hosts/main.rs
+++ b/crates/onyxshed-soak/tests/hosts/main.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod evacuation;
+mod overload;
 mod owners;
 mod stops;
 mod support;
