Prove that no job starts after it was refused on arrival

Whether a refusal by a level is true of a copy followed from a table of times only. A search with overloaded pools, levels and the faults of the other searches checks it, and the simulation now checks at each start of every search that the caller was not told "not run" before.

--- a/crates/onyxshed-pool/tests/pool/search.rs
+++ b/crates/onyxshed-pool/tests/pool/search.rs
@@ -1,7 +1,9 @@
 //! Simulations with random faults, in sequence and overlapping, that check the invariants.
 
 use onyxshed_core::{Millis, Mono};
-use onyxshed_pool::{ExecutorId, JobEnd, JobId, JobRequest, Resources};
+use onyxshed_pool::{
+    ExecutorId, JobEnd, JobId, JobRequest, NotRunReason, OverloadMode, PoolOptions, Resources,
+};
 use onyxshed_standins::fleet::ExecutorModel;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -131,6 +133,32 @@
     run_to_end(simulation)
 }
 
+/// Runs a simulation of a burst, in which entry hosts apply levels of admission, with faults.
+fn run_overloaded(seed: u64) -> Simulation {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0x1e7e);
+    let options = PoolOptions {
+        overload: OverloadMode::On,
+        ..PoolOptions::default()
+    };
+    let mut simulation = Simulation::with_options(seed, executors(&mut rng), ENTRIES, options);
+    simulation.applies_levels = true;
+    simulation.message_faults = MessageFaults {
+        late_share: 0.03,
+        lost_answer_share: 0.03,
+        until: FAULTS_END,
+    };
+    for number in 0..JOBS * 4 {
+        let at = Mono(3_000_000 + rng.random_range(0..6_000_000));
+        let (request, true_ms) = random_job(&mut rng, number);
+        simulation.schedule_call(at, 0, request, true_ms);
+    }
+    for _ in 0..rng.random_range(2..8) {
+        let at = Mono(rng.random_range(3_000_000..9_000_000));
+        simulation.schedule_fault(at, random_fault(&mut rng));
+    }
+    run_to_end(simulation)
+}
+
 fn completed_jobs(simulation: &Simulation) -> usize {
     let ends = simulation.calls.values().filter_map(|call| call.ended);
     ends.filter(|(_, end)| *end == JobEnd::Completed).count()
@@ -188,6 +216,29 @@
     assert!(served * 5 > jobs * 2, "{served} of {jobs} jobs");
 }
 
+/// Three times the load on overloaded pools, with the faults of the other searches: no task of a job starts
+/// after its caller was told "not run" by a level of admission.
+#[rstest]
+fn no_job_starts_after_it_was_refused_on_arrival(#[values(0, 1, 2, 3, 4)] block: u64) {
+    let seeds = seeds_per_block();
+    let (mut refused, mut refused_copies) = (0, 0);
+    for seed in block * seeds..(block + 1) * seeds {
+        let simulation = run_overloaded(seed);
+        let ends = simulation.calls.values().filter(|call| {
+            matches!(
+                call.ended,
+                Some((_, JobEnd::NotRun(NotRunReason::ClassShare, _)))
+            )
+        });
+        for call in ends {
+            refused += 1;
+            refused_copies += usize::from(call.submissions > 1);
+        }
+    }
+    println!("{refused} refused on arrival, {refused_copies} of them copies");
+    assert!(refused > 0 && refused_copies > 0);
+}
+
 /// A pool is handed over three times without other faults: every job completes.
 #[test]
 fn handovers_without_other_faults_lose_no_job() {
--- a/crates/onyxshed-pool/tests/pool/simulation/executors.rs
+++ b/crates/onyxshed-pool/tests/pool/simulation/executors.rs
@@ -2,7 +2,7 @@
 
 use onyxshed_core::{Micros, Mono};
 use onyxshed_pool::{
-    ExecutorId, HoldAnswer, HoldOrder, RunEnd, RunNumber, StartAnswer, StartOrder, TaskId,
+    ExecutorId, HoldAnswer, HoldOrder, JobEnd, RunEnd, RunNumber, StartAnswer, StartOrder, TaskId,
 };
 
 use super::{Answer, Event, Order, OwnerIndex, Simulation};
@@ -53,6 +53,12 @@
         }
         let call = self.calls.get_mut(&order.task.job).expect("a known job");
         call.started = true;
+        if let Some((at, JobEnd::NotRun(..))) = call.ended {
+            panic!(
+                "{} starts at {now:?}, was \"not run\" at {at:?}",
+                order.task
+            );
+        }
         self.log(order.task, format!("run {} starts on {id}", order.run));
         self.check_runs_nowhere_else(id, order.task);
         self.started_at.insert(order.task, now);
