--- a/crates/onyxshed-pool/src/lib.rs
+++ b/crates/onyxshed-pool/src/lib.rs
@@ -13,6 +13,7 @@
 //! - the runs of the jobs that an unresponsive entry host has submitted are stopped well before its
 //!   callers resubmit these jobs.
 
+pub mod admission_levels;
 pub mod candidate;
 pub mod error;
 pub mod evacuation;
@@ -21,6 +22,7 @@
 pub mod id;
 pub mod job;
 mod job_table;
+pub mod level_table;
 pub mod message;
 pub mod offered_load;
 pub mod options;
@@ -36,6 +38,7 @@
 pub mod summary;
 mod work_sum;
 
+pub use admission_levels::{Arrival, ClassLevels};
 pub use candidate::{Candidate, CandidateStep, LastOwner};
 pub use error::{Error, Result};
 pub use evacuation::{EvacuationChange, EvacuationRecord, Evacuations, LogPosition};
@@ -45,6 +48,7 @@
     SubmissionNumber, TaskId,
 };
 pub use job::{JobEnd, JobRequest, NotRunReason, UnknownReason};
+pub use level_table::{EntryDecision, LevelTable};
 pub use message::{
     Action, Decision, ExecutorLists, ExecutorReport, FinishedRun, HoldAnswer, HoldOrder,
     RefuseReason, RunEnd, RunningRun, StartAnswer, StartOrder, StopAnswer, StopOrder,
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -19,10 +19,12 @@
 mod stalled;
 mod watch;
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 
 use onyxshed_core::{Millis, Mono};
 
+use crate::admission_levels::ClassLevels;
 use crate::executor::{Executor, ExecutorFacts, IncarnationMatch, Phase, RunState};
 use crate::executor_set::{AcceptingTotal, ExecutorSet};
 use crate::id::{ExecutorId, FencingToken, JobId, PeerIncarnation, Session, TaskId};
@@ -55,6 +57,9 @@
     overload_detector: OverloadDetector,
     /// State of overload by which the pool decides.
     overload_state: OverloadState,
+    class_levels: ClassLevels,
+    /// Number of the last load report.
+    report_version: Cell<u64>,
     peers: PeerSessions,
     last_tick_at: Mono,
     stage: HandoverStage,
@@ -91,6 +96,8 @@
             offered_load: OfferedLoad::default(),
             overload_detector: OverloadDetector::default(),
             overload_state: OverloadState::Normal,
+            class_levels: ClassLevels::default(),
+            report_version: Cell::new(0),
             peers: PeerSessions::default(),
             last_tick_at: now,
             stage: HandoverStage::Serving,
@@ -166,14 +173,18 @@
             true => self.executors.accepting(now, &self.options),
             false => AcceptingTotal::default(),
         };
+        let waiting_work = self.jobs.waiting_work();
         PoolLoad {
             capacity_cpu_millis: accepting.capacity_cpu_millis,
             free_cpu_millis: accepting.free_cpu_millis,
-            waiting_work: self.jobs.waiting_work(),
+            waiting_work,
             needs_replacement: self.stage >= HandoverStage::Draining || !self.has_read_executors,
             is_closed: self.is_closed(),
             successor: self.successor_selection.successor_address(),
+            version: self.next_report_version(),
             overload: self.overload_state,
+            admissions: self
+                .admissions(Millis(waiting_work / accepting.capacity_cpu_millis.max(1))),
             ..PoolLoad::default()
         }
     }
@@ -322,6 +333,7 @@
         let Some(job) = self.jobs.remove(&id) else {
             return;
         };
+        self.record_shed(&job.request.class, &end);
         self.actions.push(Action::End {
             peer: job.request.peer,
             submission: job.request.submission,
--- a/crates/onyxshed-pool/tests/pool/simulation/owners.rs
+++ b/crates/onyxshed-pool/tests/pool/simulation/owners.rs
@@ -216,6 +216,7 @@
         let actions = self.owners[owner].pool.tick(self.now);
         self.check_indexes(owner);
         self.apply_actions(owner, actions);
+        self.share_let_through(owner);
         self.schedule_after(TICK, Event::Tick(owner));
     }
 
