Only the changed index entries of a job are replaced

Cause: each start and each completed run removed and added the job in every index, and most entries were the same again.

Change: the indexes by time and by demand are touched only if the job's entry changed. Queues are divided twice as finely, and up to 8 fitting jobs are ranked directly in place of 32.

--- a/crates/onyxshed-pool/src/job_table.rs
+++ b/crates/onyxshed-pool/src/job_table.rs
@@ -48,27 +48,43 @@
 }
 
 impl Indexes {
-    fn add(&mut self, key: Key) {
-        let (work, _, id) = key.position;
-        self.by_time.insert((key.on_target_until, id));
-        if !key.is_waiting {
-            return;
+    /// Replaces what the indexes contain of a job; `None` if they contain or should contain nothing.
+    /// Entries that stay the same are not touched.
+    fn replace(&mut self, old: Option<Key>, new: Option<Key>) {
+        let time = |key: Key| (key.on_target_until, key.position.2);
+        let (old_time, new_time) = (old.map(time), new.map(time));
+        if old_time != new_time {
+            old_time.map(|time| self.by_time.remove(&time));
+            self.by_time.extend(new_time);
         }
+        let old = old.filter(|key| key.is_waiting);
+        let new = new.filter(|key| key.is_waiting);
+        let cpu = |key: Key| (key.cpu_millis, key.position.2);
+        let (old_cpu, new_cpu) = (old.map(cpu), new.map(cpu));
+        if old_cpu != new_cpu {
+            old_cpu.map(|cpu| self.by_cpu.remove(&cpu));
+            self.by_cpu.extend(new_cpu);
+        }
+        if let Some(old) = old {
+            self.dequeue(old);
+        }
+        if let Some(new) = new {
+            self.enqueue(new);
+        }
+    }
+
+    fn enqueue(&mut self, key: Key) {
+        let work = key.position.0;
         self.work.add(work);
         if key.has_started {
             self.started_work.add(work);
         }
         let queue = self.queues.entry(queue_of(key.cpu_millis)).or_default();
         queue.insert(key.position, key.cpu_millis);
-        self.by_cpu.insert((key.cpu_millis, id));
     }
 
-    fn remove(&mut self, key: Key) {
-        let (work, _, id) = key.position;
-        self.by_time.remove(&(key.on_target_until, id));
-        if !key.is_waiting {
-            return;
-        }
+    fn dequeue(&mut self, key: Key) {
+        let work = key.position.0;
         self.work.remove(work);
         if key.has_started {
             self.started_work.remove(work);
@@ -76,7 +92,6 @@
         if let Some(queue) = self.queues.get_mut(&queue_of(key.cpu_millis)) {
             queue.remove(&key.position);
         }
-        self.by_cpu.remove(&(key.cpu_millis, id));
     }
 }
 
@@ -150,8 +165,8 @@
 
     pub fn insert(&mut self, id: JobId, job: Job) {
         self.remove(&id);
-        self.indexes
-            .add(key_of(&job, self.late_factor, self.transit));
+        let key = key_of(&job, self.late_factor, self.transit);
+        self.indexes.replace(None, Some(key));
         let group = self.groups.entry(group_of(&job.request)).or_default();
         group.jobs += 1;
         group.demand_bound = max_of(group.demand_bound, job.request.demand);
@@ -160,8 +175,8 @@
 
     pub fn remove(&mut self, id: &JobId) -> Option<Job> {
         let job = self.jobs.remove(id)?;
-        self.indexes
-            .remove(key_of(&job, self.late_factor, self.transit));
+        let key = key_of(&job, self.late_factor, self.transit);
+        self.indexes.replace(Some(key), None);
         let group = group_of(&job.request);
         if let Some(jobs) = self.groups.get_mut(&group) {
             jobs.jobs -= 1;
@@ -333,8 +348,7 @@
     fn drop(&mut self) {
         let key = key_of(self.job, self.late_factor, self.transit);
         if key != self.key {
-            self.indexes.remove(self.key);
-            self.indexes.add(key);
+            self.indexes.replace(Some(self.key), Some(key));
         }
     }
 }
@@ -353,10 +367,10 @@
 }
 
 /// Returns the number of the queue for tasks that need `cpu_millis` thousandths of a core. Tasks that need
-/// more have no smaller numbers, and those of a queue differ by at most a sixteenth.
+/// more have no smaller numbers, and those of a queue differ by less than a thirty-second.
 fn queue_of(cpu_millis: u32) -> u32 {
-    let shift = (u32::BITS - cpu_millis.leading_zeros()).saturating_sub(5);
-    (shift << 4) + (cpu_millis >> shift)
+    let shift = (u32::BITS - cpu_millis.leading_zeros()).saturating_sub(6);
+    (shift << 5) + (cpu_millis >> shift)
 }
 
 fn group_of(request: &JobRequest) -> PlacementGroup {
--- a/crates/onyxshed-pool/src/pool/place.rs
+++ b/crates/onyxshed-pool/src/pool/place.rs
@@ -38,7 +38,7 @@
 pub(super) const LATE_WEIGHT: u64 = 5;
 
 /// Number of waiting jobs that fit an executor up to which all of them are ranked.
-const FEW_JOBS: usize = 32;
+const FEW_JOBS: usize = 8;
 
 /// The best outcome that a job can still reach.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
