--- a/crates/onyxshed-pool/tests/pool/levels.rs
+++ b/crates/onyxshed-pool/tests/pool/levels.rs
@@ -4,7 +4,6 @@
 use onyxshed_pool::{
     Arrival, ClassAdmission, ClassId, ClassLevels, EntryDecision, Evacuations, JobEnd, JobRequest,
     LevelTable, NotRunReason, OverloadMode, OverloadState, PoolId, PoolLoad, PoolOptions,
-    Resources,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -236,21 +235,15 @@
     assert_eq!(offered.level(), 1_000);
 }
 
-#[test]
-fn a_class_with_free_room_has_no_level() {
+#[rstest]
+#[case::free_room_for_the_class(true, true)]
+#[case::not_overloaded(false, false)]
+fn no_level_without_want_of_room(#[case] is_overloaded: bool, #[case] has_room: bool) {
     let mut offered = Offered::new();
     offered.run(0, 3_000, 3);
     assert!(offered.level() < 500);
-    let has_room = |tasks, demand: Resources| tasks == 1 && demand == resources(1);
-    offered.levels.update(at_ms(3_000), true, has_room);
-    assert_eq!(offered.level(), 1_000);
-}
-
-#[test]
-fn a_pool_that_is_not_overloaded_has_no_levels() {
-    let mut offered = Offered::new();
-    offered.run(0, 3_000, 3);
-    offered.levels.update(at_ms(3_000), false, |_, _| false);
+    let room_for = |tasks, demand| has_room && tasks == 1 && demand == resources(1);
+    offered.levels.update(at_ms(3_000), is_overloaded, room_for);
     assert_eq!(offered.level(), 1_000);
 }
 
--- a/crates/onyxshed-pool/tests/pool/overload.rs
+++ b/crates/onyxshed-pool/tests/pool/overload.rs
@@ -60,6 +60,7 @@
 #[case::half_of_the_slack_waited(waited(50, 10), 2, OverloadState::Overloaded)]
 #[case::less_than_half_waited(waited(49, 10), 100, OverloadState::Normal)]
 #[case::waited_while_others_are_free(waited(90, 60), 100, OverloadState::Normal)]
+#[case::no_room(LoadSample { room_cpu_millis: 0, ..offered(200) }, 100, OverloadState::Normal)]
 #[case::late_ticks(late(48), 2, OverloadState::Saturated)]
 #[case::one_late_tick(late(300), 1, OverloadState::Normal)]
 #[case::ticks_late_by_less(late(47), 100, OverloadState::Normal)]
@@ -69,16 +70,6 @@
     assert_eq!(detector.state(), state);
 }
 
-#[test]
-fn a_pool_without_room_is_not_overloaded() {
-    let mut detector = OverloadDetector::default();
-    let sample = LoadSample {
-        room_cpu_millis: 0,
-        ..offered(200)
-    };
-    assert!(observe(&mut detector, 0, [sample; 100]).is_empty());
-}
-
 #[rstest]
 #[case::load_is_over(offered(20), Some(540))]
 #[case::at_the_bound_for_leaving(offered(85), Some(540))]
@@ -143,22 +134,13 @@
     assert_eq!(detector.state(), OverloadState::Normal);
 }
 
-/// Submits three times the work that the executor can do, from 0 to `to_ms`, and ticks.
-fn overload(harness: &mut Harness, from_ms: u64, to_ms: u64) {
-    for ms in (from_ms..to_ms).step_by(20) {
-        harness.submit(ms, job(ms + 1, 1, 60));
-        harness.tick(ms + 20);
+fn options(overload: OverloadMode) -> PoolOptions {
+    PoolOptions {
+        overload,
+        ..PoolOptions::default()
     }
 }
 
-fn changes(actions: &[Action]) -> Vec<OverloadState> {
-    let changes = actions.iter().filter_map(|action| match action {
-        Action::Log(Decision::OverloadChanged { to, .. }) => Some(*to),
-        _ => None,
-    });
-    changes.collect()
-}
-
 #[rstest]
 #[case::off(OverloadMode::Off, &[], OverloadState::Normal)]
 #[case::shadow(OverloadMode::Shadow, &[OverloadState::Overloaded], OverloadState::Normal)]
@@ -168,24 +150,23 @@
     #[case] logged: &[OverloadState],
     #[case] effective: OverloadState,
 ) {
-    let options = PoolOptions {
-        overload: mode,
-        ..PoolOptions::default()
-    };
-    let mut harness = Harness::with_options(&[("x", 27)], options);
-    overload(&mut harness, 0, 400);
-    assert_eq!(changes(&harness.actions), logged);
+    let mut harness = Harness::with_options(&[("x", 27)], options(mode));
+    for ms in (0..400).step_by(20) {
+        harness.submit(ms, job(ms + 1, 1, 60));
+        harness.tick(ms + 20);
+    }
+    let changes = harness.actions.iter().filter_map(|action| match action {
+        Action::Log(Decision::OverloadChanged { to, .. }) => Some(*to),
+        _ => None,
+    });
+    assert_eq!(changes.collect::<Vec<_>>(), logged);
     assert_eq!(harness.pool.overload_state(), effective);
     assert_eq!(harness.pool.load(at_ms(400)).overload, effective);
 }
 
 #[test]
 fn a_pause_of_the_owner_is_not_lateness_of_ticks() {
-    let options = PoolOptions {
-        overload: OverloadMode::On,
-        ..PoolOptions::default()
-    };
-    let mut harness = Harness::with_options(&[("x", 64)], options);
+    let mut harness = Harness::with_options(&[("x", 64)], options(OverloadMode::On));
     harness.submit(0, job(1, 1, 60));
     for ms in [20, 40, 640, 1_240, 1_840, 1_860] {
         harness.tick(ms);
