Shares of callers and planned returns in an overloaded pool

Cause: in an overloaded pool a caller at many times its rate takes the room of the others of its class, and all refused callers are told the same time, so that they come back as a second burst.

The host identifies callers by address or header (--caller-identity). E858, E859, counters of refusals by reason, a gauge of limited callers and a histogram of planned returns.

--- a/crates/onyxshed-core/src/event.rs
+++ b/crates/onyxshed-core/src/event.rs
@@ -151,6 +151,8 @@
     845 PeerStateLearned Info "This host has just started and received the state known to another host.";
     846 ZoneEvacuated Info "An operator evacuated an availability zone; it gets no tasks until it is restored.";
     847 ZoneRestored Info "An evacuated availability zone was restored and gets tasks again.";
+    858 PoolCallerLimited Warn "Jobs of a caller are refused because it offers more than its share of an overloaded pool.";
+    859 PoolCallerWithinShare Info "A caller is within its share of a pool again.";
 }
 
 impl EventKind {
--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -25,10 +25,12 @@
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::boot_clock;
+use crate::caller_identity::CallerIdentity;
 use crate::links::Links;
 use crate::manifest::ManifestHolder;
 use crate::measures::HostMetrics;
 use crate::names::{CALLERS, LINKS, MANIFEST};
+use crate::refusal_metrics::RefusalMetrics;
 use replies::{job_reply, rejection_reply};
 
 /// Shortest time for which a stopping host continues to take requests: the balancer polls readiness
@@ -65,7 +67,7 @@
 const UNSUPPORTED_RETRY_AFTER: Millis = Millis(60_000);
 
 /// Address and limits of the callers' interface.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct CallerOptions {
     /// Address on which the host listens for callers, from the host's settings.
     pub address: SocketAddr,
@@ -73,6 +75,8 @@
     pub server: ServerOptions,
     /// How long a stopping host waits for unfinished jobs, from the start of its drain.
     pub drain_timeout: Duration,
+    /// What identifies a caller.
+    pub identity: CallerIdentity,
 }
 
 /// Handler of callers' requests, with the state that all requests share.
@@ -83,6 +87,8 @@
     /// The HTTP server; empty until it listens.
     server: OnceCell<RequestServer>,
     metrics: HostMetrics,
+    refusal_metrics: RefusalMetrics,
+    identity: CallerIdentity,
     /// Closed when this host can serve requests or [`STARTUP_WAIT_MAX`] has elapsed.
     startup_over: Receiver<()>,
     /// Closed when a stopping host can no longer wait for unfinished jobs.
@@ -98,6 +104,7 @@
     route: SmolStr,
     manifest_version: u64,
     job: JobId,
+    caller: CallerId,
     arrived: Mono,
 }
 
@@ -200,6 +207,7 @@
             route: route.name.clone(),
             manifest_version: manifest.version,
             job,
+            caller: self.identity.caller_of(call),
             arrived,
         };
         let simple = match job::parse(&call.body) {
@@ -324,7 +332,7 @@
             per_executor_max: simple.per_executor_max,
             class: ClassId(route.name.clone()),
             priority: route.priority,
-            caller: CallerId::UNKNOWN,
+            caller: context.caller,
             transfers: 0,
         }
     }
@@ -387,6 +395,9 @@
         };
         let elapsed = boot_clock::now().since(context.arrived);
         self.metrics.record_reply(end, elapsed);
+        if let JobEnd::NotRun(reason, wait) = end {
+            self.refusal_metrics.record(*reason, *wait);
+        }
         let summary = JobSummary {
             end: *end,
             took: elapsed.as_millis(),
@@ -429,6 +440,8 @@
             links: kernel.find(LINKS)?,
             server: OnceCell::new(),
             metrics: HostMetrics::new(),
+            refusal_metrics: RefusalMetrics::new(),
+            identity: self.options.identity.clone(),
             startup_over,
             drain_expired,
             drain_expired_sender,
--- a/crates/onyxshed-host/src/decisions.rs
+++ b/crates/onyxshed-host/src/decisions.rs
@@ -85,6 +85,25 @@
             event_about(EventKind::PoolTransferred, format_smolstr!("{successor}"))
                 .detail(format_smolstr!("token {token}"))
         }
+        Decision::CallerLimited {
+            caller,
+            class,
+            admitted,
+            mode,
+        } => event_about(EventKind::PoolCallerLimited, format_smolstr!("{caller}")).detail(
+            format_smolstr!("class {class}, {admitted} admitted, overload mode {mode}"),
+        ),
+        Decision::CallerWithinShare {
+            caller,
+            class,
+            exceeded,
+        } => event_about(
+            EventKind::PoolCallerWithinShare,
+            format_smolstr!("{caller}"),
+        )
+        .detail(format_smolstr!(
+            "class {class}, {exceeded} jobs above its share"
+        )),
         Decision::Paused(span, jobs) => Event::new(EventKind::PauseDetected).detail(
             format_smolstr!("{}, {jobs} jobs given up", span.as_millis()),
         ),
--- a/crates/onyxshed-host/src/engine.rs
+++ b/crates/onyxshed-host/src/engine.rs
@@ -30,6 +30,7 @@
 use crate::evacuations::ZoneEvacuations;
 use crate::measures::HostMetrics;
 use crate::names::ENGINE;
+use crate::refusal_metrics::RefusalMetrics;
 
 /// Interval at which the pool's timers are evaluated.
 const TICK_PERIOD: Duration = Duration::from_millis(20);
@@ -74,6 +75,7 @@
     past_members: RefCell<Vec<SmolStr>>,
     evacuations: Rc<ZoneEvacuations>,
     metrics: HostMetrics,
+    refusal_metrics: RefusalMetrics,
     /// Number of connections of peers; empty until peers can connect.
     peer_connections: OnceCell<ConnectionCount>,
 }
@@ -98,6 +100,7 @@
             past_members: RefCell::default(),
             evacuations,
             metrics: HostMetrics::new(),
+            refusal_metrics: RefusalMetrics::new(),
             peer_connections: OnceCell::new(),
         })
     }
@@ -457,7 +460,11 @@
             Timer::after(TICK_PERIOD).await;
             self.update_evacuation();
             self.dispatch_event(|pool| pool.tick(boot_clock::now()));
+            let limited = self.pool.borrow().as_ref().map(Pool::limited_caller_count);
+            self.refusal_metrics
+                .set_limited_callers(limited.unwrap_or_default());
         }
+        self.refusal_metrics.set_limited_callers(0);
     }
 }
 
--- a/crates/onyxshed-host/src/lib.rs
+++ b/crates/onyxshed-host/src/lib.rs
@@ -11,6 +11,7 @@
 //! inputs of the pool's state machine, and the actions that it returns into calls.
 
 pub mod boot_clock;
+pub mod caller_identity;
 pub mod callers;
 pub mod decisions;
 pub mod directory;
@@ -26,6 +27,7 @@
 pub mod peer_state;
 pub mod process;
 pub mod ready;
+pub mod refusal_metrics;
 pub mod reload;
 pub mod shard_layouts;
 pub mod store_watch;
--- a/crates/onyxshed-host/src/process.rs
+++ b/crates/onyxshed-host/src/process.rs
@@ -18,6 +18,7 @@
 use onyxshed_telemetry::log::Log;
 use onyxshed_telemetry::{Telemetry, TelemetryOptions};
 
+use crate::caller_identity::CallerIdentity;
 use crate::callers::{CallerOptions, CallerService};
 use crate::engine::{Engine, EngineService};
 use crate::evacuations::ZoneEvacuations;
@@ -95,6 +96,14 @@
                 .default_value("off")
                 .help("Overload decisions: off, shadow (logged without effect) or on"),
         )
+        .arg(
+            Arg::new("caller-identity")
+                .long("caller-identity")
+                .value_name("IDENTITY")
+                .value_parser(clap::value_parser!(CallerIdentity))
+                .default_value("address")
+                .help("What identifies a caller: address or header:NAME"),
+        )
         .arg(
             Arg::new("check")
                 .long("check")
@@ -133,6 +142,10 @@
         admin_port: admin_port.unwrap_or(ADMIN_PORT_DEFAULT),
         advertised: matches.get_one("advertise").copied(),
         overload: matches.get_one("overload").copied().unwrap_or_default(),
+        caller_identity: matches
+            .get_one("caller-identity")
+            .cloned()
+            .unwrap_or_default(),
     };
     run(&options, &settings)
 }
@@ -144,6 +157,7 @@
     admin_port: u16,
     advertised: Option<SocketAddr>,
     overload: OverloadMode,
+    caller_identity: CallerIdentity,
 }
 
 fn run(options: &HostOptions, settings: &HostSettings) -> ExitCode {
@@ -259,6 +273,7 @@
             ..ServerOptions::default()
         },
         drain_timeout,
+        identity: options.caller_identity.clone(),
     };
     vec![
         Box::new(AdminService::new(
--- a/crates/onyxshed-http/src/message.rs
+++ b/crates/onyxshed-http/src/message.rs
@@ -1,5 +1,7 @@
 //! Requests and replies whose bodies are read in full.
 
+use std::net::SocketAddr;
+
 use http_types::headers::{HeaderValues, RETRY_AFTER};
 use http_types::{Method, Response, StatusCode, mime};
 use serde::Serialize;
@@ -12,6 +14,8 @@
     pub head: http_types::Request,
     /// The request's body.
     pub body: Vec<u8>,
+    /// Address of the connection's peer; `None` if it disconnected.
+    pub peer_address: Option<SocketAddr>,
 }
 
 impl Call {
--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -270,6 +270,7 @@
         let call = Call {
             head: request,
             body,
+            peer_address: stream.inner().peer_addr().ok(),
         };
         let reply = match self.options.cancels_on_disconnect {
             true => (self.handler)(call).or(wait_for_disconnect(&stream)).await,
--- a/crates/onyxshed-pool/src/message.rs
+++ b/crates/onyxshed-pool/src/message.rs
@@ -5,13 +5,15 @@
 
 use std::net::SocketAddr;
 
-use onyxshed_core::{Micros, Millis, UnixMs};
+use onyxshed_core::{CallerId, Micros, Millis, Share, UnixMs};
 use smol_str::SmolStr;
 
 use crate::id::{
-    ExecutorId, FencingToken, JobId, PeerIncarnation, Percent, RunNumber, SubmissionNumber, TaskId,
+    ClassId, ExecutorId, FencingToken, JobId, PeerIncarnation, Percent, RunNumber,
+    SubmissionNumber, TaskId,
 };
 use crate::job::JobEnd;
+use crate::overload::OverloadMode;
 
 /// Order to an executor to start a run of a task.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -297,4 +299,24 @@
     EvacuationEnded,
     /// This stopping owner selected the host at the address as its successor.
     OwnershipTransferred(SocketAddr),
+    /// Jobs of a caller are refused because it offers more than its share of an overloaded pool.
+    CallerLimited {
+        /// The caller.
+        caller: CallerId,
+        /// Class of the jobs that are refused.
+        class: ClassId,
+        /// Share of the caller's arriving jobs that is admitted.
+        admitted: Share,
+        /// Whether jobs are really refused, or only would be.
+        mode: OverloadMode,
+    },
+    /// No job of a caller has exceeded its share for a while.
+    CallerWithinShare {
+        /// The caller.
+        caller: CallerId,
+        /// Class of the jobs that were refused.
+        class: ClassId,
+        /// Number of jobs that exceeded the share, refused or not according to the mode.
+        exceeded: u64,
+    },
 }
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -5,9 +5,11 @@
 //! stop orders, [`reports`] handles the executors' reports, [`progress`] moves runs off slow
 //! executors, [`watch`] handles time-outs, [`handover`] passes the pool to its next owner,
 //! [`evacuation`] drains the pool when operators evacuate its zone, and [`stalled`] ends jobs that
-//! have lost their executors.
+//! have lost their executors. [`caller_limits`] applies the shares of callers and plans the returns of
+//! refused jobs while the pool is overloaded.
 
 mod admission;
+mod caller_limits;
 mod evacuation;
 mod fit;
 mod handover;
@@ -32,6 +34,7 @@
 use crate::pool_selector::PoolLoad;
 use crate::resources::Resources;
 use crate::successor::{SuccessorOffer, SuccessorSelection};
+use caller_limits::CallerLimits;
 use evacuation::ZoneStatus;
 use handover::{HandoverStage, Predecessor};
 
@@ -63,6 +66,7 @@
     requeued: Vec<JobId>,
     /// For each stalled job, the time since which no usable executor can run its tasks.
     stalled_since: BTreeMap<JobId, Mono>,
+    caller_limits: CallerLimits,
     actions: Vec<Action>,
 }
 
@@ -92,6 +96,7 @@
             predecessor: Predecessor::None,
             requeued: Vec::new(),
             stalled_since: BTreeMap::new(),
+            caller_limits: CallerLimits::default(),
             actions: Vec::new(),
         }
     }
@@ -168,6 +173,7 @@
             needs_replacement: self.stage >= HandoverStage::Draining || !self.has_read_executors,
             is_closed: self.is_closed(),
             successor: self.successor_selection.successor_address(),
+            limited_callers: self.limited_callers(),
             ..PoolLoad::default()
         }
     }
--- a/crates/onyxshed-pool/src/pool/admission.rs
+++ b/crates/onyxshed-pool/src/pool/admission.rs
@@ -55,7 +55,8 @@
         self.detect_pause(now);
         let id = request.job;
         let mut new_job = Job::new(now, request);
-        if let Some(rejection) = self.rejection(now, session, &new_job) {
+        let rejection = self.rejection(now, session, &new_job);
+        if let Some(rejection) = self.apply_caller_share(now, &new_job.request, rejection) {
             self.actions.push(Action::End {
                 peer: new_job.request.peer,
                 submission: new_job.request.submission,
@@ -215,7 +216,7 @@
         ahead > drained.max(SHED_BACKLOG_MIN.0 * backlog.capacity)
     }
 
-    fn has_runs_of(&self, job: JobId) -> bool {
+    pub(super) fn has_runs_of(&self, job: JobId) -> bool {
         self.runs_of(job).next().is_some()
     }
 
@@ -248,7 +249,7 @@
         Micros(ahead * 1_000 / u64::from(capacity.max(1)))
     }
 
-    fn usable_capacity(&self, now: Mono) -> Resources {
+    pub(super) fn usable_capacity(&self, now: Mono) -> Resources {
         let mut capacity = Resources::default();
         for executor in self.executors.values() {
             if executor.is_usable(now, &self.options) {
@@ -297,6 +298,7 @@
             }
         }
         for (id, end) in ends {
+            let end = self.with_planned_return(now, id, end);
             self.end_job(id, end);
         }
     }
--- a/crates/onyxshed-pool/src/pool/watch.rs
+++ b/crates/onyxshed-pool/src/pool/watch.rs
@@ -23,6 +23,7 @@
         self.detect_pause(now);
         self.last_tick_at = now;
         self.update_full_speed_capacity(now);
+        self.update_caller_limits(now);
         self.expire_peers(now);
         self.expire_evacuation_grace(now);
         self.end_stalled_jobs(now);
--- a/crates/onyxshed-pool/src/resources.rs
+++ b/crates/onyxshed-pool/src/resources.rs
@@ -24,6 +24,14 @@
             && self.accelerators >= demand.accelerators
     }
 
+    /// Returns how many times a demand fits into these resources.
+    pub fn places_for(self, demand: Resources) -> u32 {
+        let by = |whole: u32, part: u32| whole.checked_div(part).unwrap_or(u32::MAX);
+        by(self.cpu_millis, demand.cpu_millis)
+            .min(by(self.memory_mb, demand.memory_mb))
+            .min(by(self.accelerators, demand.accelerators))
+    }
+
     /// Returns the resources left after subtracting a demand, each at least zero.
     pub fn saturating_sub(self, demand: Resources) -> Resources {
         Resources {
--- a/crates/onyxshed-standins/src/serve.rs
+++ b/crates/onyxshed-standins/src/serve.rs
@@ -56,15 +56,23 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let mut server = Server::new(stream, |request| handle_request(request, handler.clone()));
+    let peer_address = stream.peer_addr().ok();
+    let mut server = Server::new(stream, |request| {
+        handle_request(request, peer_address, handler.clone())
+    });
     while let Ok(ConnectionStatus::KeepAlive) = server.accept_one().await {}
 }
 
-async fn handle_request(mut request: Request, handler: Handler) -> http_types::Result<Response> {
+async fn handle_request(
+    mut request: Request,
+    peer_address: Option<SocketAddr>,
+    handler: Handler,
+) -> http_types::Result<Response> {
     let body = request.body_bytes().await?;
     let action = handler(Call {
         head: request,
         body,
+        peer_address,
     })
     .await;
     match action {
