--- a/crates/onyxshed-admission/src/caller_shares.rs
+++ b/crates/onyxshed-admission/src/caller_shares.rs
@@ -3,7 +3,8 @@
 //! While the class offers more than its room, the room is divided max-min fairly: all callers may use
 //! equal parts, and what a caller leaves is lent to the others. A lender that comes back is admitted at
 //! once, since nothing of its part has been admitted; the borrowers' parts shrink as its work enters the
-//! window of one second.
+//! window of one second. What is still unused of the room, because callers' jobs come irregularly, is lent
+//! in equal parts to the callers above the level.
 //!
 //! The table of callers is bounded. The least active ones are forgotten and count as within their
 //! shares; their work is deducted from the room that the remembered ones divide.
@@ -74,6 +75,8 @@
     callers: BTreeMap<CallerId, CallerWork>,
     /// Offered work of all callers, remembered or not.
     offered: RecentWork,
+    /// Admitted work of all callers, remembered or not.
+    admitted: RecentWork,
     /// When the room was divided last; `None` if it is not short.
     divided_at: Option<Mono>,
     /// Work per second up to which a caller is within its share; `None` if every caller is.
@@ -108,6 +111,7 @@
 
     /// Records that the job of a caller was admitted.
     pub fn record_admitted(&mut self, now: Mono, caller: CallerId, work: u64) {
+        self.admitted.record(now, work);
         if let Some(entry) = self.callers.get_mut(&caller) {
             entry.admitted.record(now, work);
             entry.refusals = Refusals::default();
@@ -212,7 +216,12 @@
         let offered = self.offered.total(now).max(remembered);
         let proportional = part(room_per_s, remembered, offered);
         let left = room_per_s.saturating_sub(offered - remembered);
-        self.level = fair_level(&mut demands, left.max(proportional));
+        let level = fair_level(&mut demands, left.max(proportional));
+        self.level = level.map(|level| {
+            let above = demands.iter().filter(|demand| **demand > level).count() as u64;
+            let unused = room_per_s.saturating_sub(self.admitted.total(now));
+            level.saturating_add(unused / above.max(1))
+        });
     }
 }
 
--- /dev/null
+++ b/crates/onyxshed-admission/tests/admission/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the decisions on callers under overload.
+
+mod caller_shares;
+mod return_plan;
--- a/crates/onyxshed-pool/src/pool/caller_limits.rs
+++ b/crates/onyxshed-pool/src/pool/caller_limits.rs
@@ -292,13 +292,24 @@
         match self.overload_state() {
             OverloadState::Normal => Room::Enough,
             OverloadState::Overloaded | OverloadState::Saturated => {
-                let room_per_s = self.room_per_s(now);
+                let room_per_s = self.arrivals_room_per_s(now);
                 self.caller_limits
                     .class_room(now, &request.class, request.work(), room_per_s)
             }
         }
     }
 
+    /// Returns the work that may be admitted within a second: what the executors do less what waits.
+    ///
+    /// If callers above their shares could keep the queue long, jobs of the others would be refused
+    /// because they can't end in time.
+    fn arrivals_room_per_s(&self, now: Mono) -> u64 {
+        let room_per_s = self.room_per_s(now);
+        room_per_s
+            .saturating_sub(self.waiting_work())
+            .max(room_per_s / 2)
+    }
+
     /// Returns whether executors have places for all tasks of a job now.
     fn has_places_for(&self, now: Mono, request: &JobRequest) -> bool {
         let job = Job::new(now, request.clone());
@@ -317,7 +328,7 @@
 
     fn load_now(&self, now: Mono) -> LoadNow {
         let room_per_s = self.room_per_s(now);
-        let waiting: u64 = self.jobs.values().map(Job::waiting_work).sum();
+        let waiting = self.waiting_work();
         LoadNow {
             room_per_s,
             offered_per_s: self.caller_limits.offered(now),
@@ -325,6 +336,10 @@
         }
     }
 
+    fn waiting_work(&self) -> u64 {
+        self.jobs.values().map(Job::waiting_work).sum()
+    }
+
     /// Returns the work that the usable executors do in a second.
     fn room_per_s(&self, now: Mono) -> u64 {
         u64::from(self.usable_capacity(now).cpu_millis) * 1_000
--- a/crates/onyxshed-pool/tests/pool/main.rs
+++ b/crates/onyxshed-pool/tests/pool/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduling decisions of a pool.
 
+mod caller_limits;
 mod calls;
 mod candidate;
 mod copies;
