Caller shares and planned returns in the own interface, off by default

Cause: an entry host tells all refused callers a time that follows from the deadline they missed, and one caller can fill the queue of a class.

Change: the policy applies CallerShares and ReturnPlan of onyxshed-admission to refusals for want of room, if the settings caller_shares and return_plan of onyxshed-entry ask for it. The setting is the entry host's and not a field of ClassTarget: its records are refused by hosts that do not know the field. CallerIdentity moves to onyxshed-http, which both products use.

--- a/crates/onyxshed-dispatch/src/dispatch.rs
+++ b/crates/onyxshed-dispatch/src/dispatch.rs
@@ -113,9 +113,10 @@
             Input::Submit {
                 request,
                 submission,
+                caller,
                 is_forwarded,
             } => {
-                self.submit(now, request, submission, is_forwarded);
+                self.submit(now, request, submission, caller, is_forwarded);
             }
             Input::Fetch {
                 request,
--- a/crates/onyxshed-dispatch/src/dispatch/admit.rs
+++ b/crates/onyxshed-dispatch/src/dispatch/admit.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use onyxshed_core::{Incarnation, Micros, Mono, Now, ResultCode, SubmissionId};
+use onyxshed_core::{CallerId, Incarnation, Micros, Mono, Now, ResultCode, SubmissionId};
 use onyxshed_policy::Admission;
 use onyxshed_wire::ContentHash;
 use onyxshed_wire::caller::{Answer, CopyMark, Submission};
@@ -44,7 +44,7 @@
     pub(super) fn admit(
         &mut self,
         now: Now,
-        request: RequestId,
+        (request, caller): (RequestId, CallerId),
         submission: Submission,
         content: ContentHash,
         step: &SubmitStep,
@@ -68,7 +68,10 @@
         };
 
         let count = submission.tasks.len();
-        match self.policy.admit(now, &head.class, count, head.deadline) {
+        let admission = self
+            .policy
+            .admit_from(now, caller, &head.class, count, head.deadline);
+        match admission {
             Admission::Refuse {
                 code,
                 retry_after_ms,
--- a/crates/onyxshed-dispatch/src/dispatch/caller.rs
+++ b/crates/onyxshed-dispatch/src/dispatch/caller.rs
@@ -1,6 +1,8 @@
 //! Requests of callers: submit, fetch and cancel, received directly or forwarded by peers.
 
-use onyxshed_core::{ClassName, Event, EventKind, Incarnation, Now, ResultCode, SubmissionId};
+use onyxshed_core::{
+    CallerId, ClassName, Event, EventKind, Incarnation, Now, ResultCode, SubmissionId,
+};
 use onyxshed_state::ClaimStep;
 use onyxshed_wire::ContentHash;
 use onyxshed_wire::caller::{Answer, CopyMark, Submission};
@@ -18,6 +20,7 @@
         now: Now,
         request: RequestId,
         submission: Submission,
+        caller: CallerId,
         is_forwarded: bool,
     ) {
         let id = submission.submission;
@@ -41,7 +44,7 @@
                 self.refuse_submission(request, &submission, ResultCode::HolderUnreachable);
             }
             SubmitStep::Refuse(code) => self.refuse_submission(request, &submission, code),
-            step => self.admit(now, request, submission, content, &step),
+            step => self.admit(now, (request, caller), submission, content, &step),
         }
     }
 
--- a/crates/onyxshed-dispatch/src/input.rs
+++ b/crates/onyxshed-dispatch/src/input.rs
@@ -1,7 +1,7 @@
 //! Inputs of the state machine: requests, replies and state changes, as reported by the entry
 //! process.
 
-use onyxshed_core::{Incarnation, Micros, Offset, SubmissionId};
+use onyxshed_core::{CallerId, Incarnation, Micros, Offset, SubmissionId};
 use onyxshed_policy::{AttemptOutcome, ExecutorInfo};
 use onyxshed_state::claim::AppendFailure;
 use onyxshed_state::{Config, Member};
@@ -59,6 +59,9 @@
         request: RequestId,
         /// Submitted job: its id, class, deadline and task payloads.
         submission: Submission,
+        /// The caller; [`CallerId::UNKNOWN`] if a peer forwarded the request or callers are not told
+        /// apart.
+        caller: CallerId,
         /// Whether a peer forwarded the request.
         is_forwarded: bool,
     },
--- a/crates/onyxshed-dispatch/tests/machine.rs
+++ b/crates/onyxshed-dispatch/tests/machine.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
+use onyxshed_core::{CallerId, SubmissionId, UnixMs};
 use onyxshed_core::{ClassTarget, Incarnation, Millis, Mono, Now, Offset, ResultCode, Revision};
-use onyxshed_core::{SubmissionId, UnixMs};
 use onyxshed_dispatch::output::ForwardedCall;
 use onyxshed_dispatch::{Dispatch, DispatchOptions, Input, Output, RequestId};
 use onyxshed_policy::ExecutorInfo;
@@ -71,6 +71,7 @@
         Input::Submit {
             request,
             submission,
+            caller: CallerId::UNKNOWN,
             is_forwarded: false,
         },
     )
@@ -189,6 +190,7 @@
         Input::Submit {
             request: RequestId(number),
             submission,
+            caller: CallerId::UNKNOWN,
             is_forwarded: false,
         },
     )
--- a/crates/onyxshed-dispatch/tests/search/simulation/callers.rs
+++ b/crates/onyxshed-dispatch/tests/search/simulation/callers.rs
@@ -1,6 +1,7 @@
 //! Actions of callers, and faults of hosts.
 
 use super::*;
+use onyxshed_core::CallerId;
 
 impl Simulation {
     pub(super) fn submit(&mut self) {
@@ -63,6 +64,7 @@
             Input::Submit {
                 request,
                 submission,
+                caller: CallerId::UNKNOWN,
                 is_forwarded: false,
             },
         );
--- a/crates/onyxshed-dispatch/tests/search/simulation/wire.rs
+++ b/crates/onyxshed-dispatch/tests/search/simulation/wire.rs
@@ -1,6 +1,7 @@
 //! Delivery of messages in random order; some are lost.
 
 use super::*;
+use onyxshed_core::CallerId;
 
 impl Simulation {
     /// Delivers or loses one message selected at random, so the order and the delay of messages are
@@ -241,6 +242,7 @@
             ForwardedCall::Submit(submission) => Input::Submit {
                 request: peer_request,
                 submission: *submission,
+                caller: CallerId::UNKNOWN,
                 is_forwarded: true,
             },
             ForwardedCall::Fetch(id) => Input::Fetch {
--- a/crates/onyxshed-entry/src/callers.rs
+++ b/crates/onyxshed-entry/src/callers.rs
@@ -6,9 +6,9 @@
 
 use async_io::Timer;
 use http_types::Method;
-use onyxshed_core::{Millis, ResultCode, SubmissionId};
+use onyxshed_core::{CallerId, Millis, ResultCode, SubmissionId};
 use onyxshed_dispatch::Input;
-use onyxshed_http::{Call, Reply, ServerOptions};
+use onyxshed_http::{Call, CallerIdentity, Reply, ServerOptions};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_process::{RequestServer, serve_requests};
 use onyxshed_wire::caller::{Answer, FORWARDED_HEADER, JOBS_PATH, Submission};
@@ -36,12 +36,14 @@
 }
 
 /// Addresses and limits of the two listeners.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct CallerOptions {
     /// Address of the listener for callers.
     pub caller_address: SocketAddr,
     /// Address of the listener for peers.
     pub peer_address: SocketAddr,
+    /// What identifies a caller; `None` if callers are not told apart.
+    pub identity: Option<CallerIdentity>,
     /// Limits that apply to each listener separately.
     pub server: ServerOptions,
 }
@@ -73,9 +75,10 @@
         listener: ListenerKind,
     ) -> Result<RequestServer> {
         let engine = self.engine.clone();
+        let identity = Rc::new(self.options.identity.clone());
         let handle = move |call| {
-            let engine = engine.clone();
-            async move { handle(&engine, listener, call).await }
+            let (engine, identity) = (engine.clone(), identity.clone());
+            async move { handle(&engine, listener, identity.as_ref().as_ref(), call).await }
         };
         let reject = |code| reply_of(&rejection(code));
         let options = self.options.server;
@@ -143,10 +146,19 @@
 /// have not noticed yet that readiness is false meet a closed address.
 const DRAIN_GRACE: Duration = Duration::from_millis(500);
 
-async fn handle(engine: &Engine, listener: ListenerKind, mut call: Call) -> Reply {
+async fn handle(
+    engine: &Engine,
+    listener: ListenerKind,
+    identity: Option<&CallerIdentity>,
+    mut call: Call,
+) -> Reply {
     let is_forwarded = listener == ListenerKind::Peer && call.header(FORWARDED_HEADER).is_some();
     let answer = match route(&call) {
-        Route::Submit => submit(engine, std::mem::take(&mut call.body), is_forwarded).await,
+        Route::Submit => {
+            let identity = identity.filter(|_| listener == ListenerKind::Caller);
+            let caller = identity.map_or(CallerId::UNKNOWN, |identity| identity.caller_of(&call));
+            submit(engine, std::mem::take(&mut call.body), caller, is_forwarded).await
+        }
         Route::Fetch(id) => {
             engine
                 .request(|request| Input::Fetch {
@@ -170,7 +182,7 @@
     reply_of(&answer)
 }
 
-async fn submit(engine: &Engine, body: Vec<u8>, is_forwarded: bool) -> Answer {
+async fn submit(engine: &Engine, body: Vec<u8>, caller: CallerId, is_forwarded: bool) -> Answer {
     let decoded = Submission::decode(&body);
     // The job owns its payloads; the body would take the same memory again until the answer.
     drop(body);
@@ -180,6 +192,7 @@
             let make_input = |request| Input::Submit {
                 request,
                 submission,
+                caller,
                 is_forwarded,
             };
             let answer = engine.request(make_input).await;
--- a/crates/onyxshed-entry/src/process.rs
+++ b/crates/onyxshed-entry/src/process.rs
@@ -3,13 +3,13 @@
 use std::rc::Rc;
 
 use onyxshed_dispatch::{Dispatch, DispatchOptions};
-use onyxshed_http::{ClientOptions, ServerOptions};
+use onyxshed_http::{CallerIdentity, ClientOptions, ServerOptions};
 use onyxshed_kernel::{Kernel, Service};
 use onyxshed_platform::PlatformOptions;
 use onyxshed_policy::PolicyOptions;
 use onyxshed_policy::placement::PlacementKind;
 use onyxshed_process::{CommonSettings, Process, ServiceContext};
-use onyxshed_settings::{EntrySettings, Placement};
+use onyxshed_settings::{CallerShareMode, EntrySettings, Placement, ReturnPlanMode};
 use onyxshed_state::ClaimOptions;
 use onyxshed_telemetry::telemetry::StatusParts;
 use onyxshed_telemetry::{AdminService, Telemetry};
@@ -131,6 +131,8 @@
         },
         policy: PolicyOptions {
             placement: placement_of(settings.placement),
+            has_caller_shares: settings.caller_shares != CallerShareMode::Off,
+            plans_returns: settings.return_plan == ReturnPlanMode::On,
             ..PolicyOptions::default()
         },
         ..DispatchOptions::default()
@@ -161,6 +163,10 @@
     CallerOptions {
         caller_address: settings.caller_address,
         peer_address: settings.peer_address,
+        identity: match settings.caller_shares {
+            CallerShareMode::Off => None,
+            CallerShareMode::Address => Some(CallerIdentity::Address),
+        },
         server: ServerOptions {
             connections_max: settings.connections_max,
             body_max_bytes: settings.body_max_bytes.0,
--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -16,7 +16,7 @@
 use onyxshed_adapter::{Manifest, Route};
 use onyxshed_core::{CallerId, Event, EventKind, Millis, Mono, ResultCode};
 use onyxshed_http::client::with_timeout;
-use onyxshed_http::{Call, Reply, ServerOptions};
+use onyxshed_http::{Call, CallerIdentity, Reply, ServerOptions};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_pool::{
     ClassId, JobEnd, JobId, JobRequest, JobSummary, SubmissionNumber, UnknownReason,
@@ -25,7 +25,6 @@
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::boot_clock;
-use crate::caller_identity::CallerIdentity;
 use crate::links::Links;
 use crate::manifest::ManifestHolder;
 use crate::measures::HostMetrics;
--- a/crates/onyxshed-host/src/lib.rs
+++ b/crates/onyxshed-host/src/lib.rs
@@ -11,7 +11,6 @@
 //! inputs of the pool's state machine, and the actions that it returns into calls.
 
 pub mod boot_clock;
-pub mod caller_identity;
 pub mod callers;
 pub mod decisions;
 pub mod directory;
--- a/crates/onyxshed-host/src/process.rs
+++ b/crates/onyxshed-host/src/process.rs
@@ -10,7 +10,7 @@
 use onyxshed_adapter::HostSettings;
 use onyxshed_adapter::settings::SETTINGS_VARIABLE;
 use onyxshed_core::{Incarnation, Millis};
-use onyxshed_http::ServerOptions;
+use onyxshed_http::{CallerIdentity, ServerOptions};
 use onyxshed_kernel::{Kernel, RunEnd, RunOptions, Service};
 use onyxshed_pool::{OverloadMode, PeerIncarnation, PoolOptions};
 use onyxshed_settings::{LogFormat, LogLevel, LogSettings};
@@ -18,7 +18,6 @@
 use onyxshed_telemetry::log::Log;
 use onyxshed_telemetry::{Telemetry, TelemetryOptions};
 
-use crate::caller_identity::CallerIdentity;
 use crate::callers::{CallerOptions, CallerService};
 use crate::engine::{Engine, EngineService};
 use crate::evacuations::ZoneEvacuations;
--- a/crates/onyxshed-host/src/caller_identity.rs
+++ b/crates/onyxshed-http/src/caller_identity.rs
@@ -1,4 +1,4 @@
-//! What identifies a caller, for the shares of callers in an overloaded pool.
+//! What identifies a caller, for the shares of callers under overload.
 
 use std::fmt;
 use std::net::IpAddr;
@@ -6,10 +6,11 @@
 
 use onyxshed_core::CallerId;
 use onyxshed_core::error::{Error, Result};
-use onyxshed_http::Call;
 use smol_str::SmolStr;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::message::Call;
+
 /// Text form of [`CallerIdentity::Address`].
 const ADDRESS: &str = "address";
 
--- a/crates/onyxshed-http/src/lib.rs
+++ b/crates/onyxshed-http/src/lib.rs
@@ -6,6 +6,7 @@
 //! "not run" relies on that.
 
 pub mod bounded;
+pub mod caller_identity;
 pub mod client;
 pub mod connections;
 pub mod error;
@@ -14,6 +15,7 @@
 pub mod message;
 pub mod server;
 
+pub use caller_identity::CallerIdentity;
 pub use client::{ClientOptions, Connection};
 pub use error::{CallError, Error, Result, SendState};
 pub use message::{Call, Reply};
--- a/crates/onyxshed-policy/src/policy.rs
+++ b/crates/onyxshed-policy/src/policy.rs
@@ -1,6 +1,7 @@
 //! The state machine [`Policy`], which the dispatch calls to admit jobs, queue tasks, select the
 //! next start and record the ends of attempts. Each submodule implements one of these steps.
 
+mod caller_limits;
 mod end;
 mod hedge;
 mod intake;
@@ -26,6 +27,7 @@
 use crate::running::RunningTask;
 use crate::upstream::Upstream;
 use crate::work::{ExecutorInfo, ExpiredTask};
+use caller_limits::CallerLimits;
 
 /// Limit of the queue and placement algorithm of a [`Policy`], fixed when it is created.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -35,6 +37,12 @@
     /// Algorithm that selects executors. The default is least expected finish; the others are
     /// baselines.
     pub placement: PlacementKind,
+    /// Whether a class's share of an upstream is divided among its callers while the upstream is short
+    /// of room. Default `false`.
+    pub has_caller_shares: bool,
+    /// Whether callers refused for want of room are told times at which there will be room. Default
+    /// `false`: the times follow from the deadline that was missed.
+    pub plans_returns: bool,
 }
 
 impl Default for PolicyOptions {
@@ -42,6 +50,8 @@
         PolicyOptions {
             queue_max: 20_000,
             placement: PlacementKind::default(),
+            has_caller_shares: false,
+            plans_returns: false,
         }
     }
 }
@@ -74,6 +84,7 @@
     placement: Placement,
     decisions: DecisionBuffer,
     wasted_messages: WastedMessages,
+    caller_limits: CallerLimits,
 }
 
 impl Policy {
@@ -99,6 +110,7 @@
             job_faults: JobFaults::default(),
             decisions: DecisionBuffer::default(),
             wasted_messages: WastedMessages::default(),
+            caller_limits: CallerLimits::default(),
         }
     }
 
@@ -119,6 +131,7 @@
             let waiting = queue.map_or(0, |queue| queue.class_len(name));
             class.is_configured || class.in_flight > 0 || waiting > 0
         });
+        self.retain_caller_limits();
     }
 
     /// Replaces the list of known executors. An executor that is missing from the list gets no new
--- a/crates/onyxshed-policy/src/policy/intake.rs
+++ b/crates/onyxshed-policy/src/policy/intake.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 
 use onyxshed_core::{
-    ClassName, Micros, Millis, Mono, Now, ResultCode, SubmissionId, TaskId, UpstreamName,
+    CallerId, ClassName, Micros, Millis, Mono, Now, ResultCode, SubmissionId, TaskId, UpstreamName,
 };
 
 use super::Policy;
+use super::caller_limits::Applicant;
 use crate::admission::{FinishEstimate, class_share, longest_task_quantile, safe_quantile};
 use crate::class::Class;
 use crate::queue::{Depth, Ticket};
@@ -40,7 +41,8 @@
 const RETRY_AFTER_JITTER: f64 = 0.25;
 
 impl Policy {
-    /// Decides whether to admit a job of `tasks` tasks that must finish by `deadline`.
+    /// Decides whether to admit a job of `tasks` tasks of an unknown caller that must finish by
+    /// `deadline`.
     pub fn admit(
         &mut self,
         now: Now,
@@ -48,8 +50,34 @@
         tasks: usize,
         deadline: Mono,
     ) -> Admission {
-        match self.rejection(now.mono, class, tasks, deadline) {
+        self.admit_from(now, CallerId::UNKNOWN, class, tasks, deadline)
+    }
+
+    /// Decides whether to admit a job of `caller` with `tasks` tasks that must finish by `deadline`.
+    pub fn admit_from(
+        &mut self,
+        now: Now,
+        caller: CallerId,
+        class: &ClassName,
+        tasks: usize,
+        deadline: Mono,
+    ) -> Admission {
+        let mut rejection = self.rejection(now.mono, class, tasks, deadline);
+        if self.options.has_caller_shares || self.options.plans_returns {
+            let job = Applicant {
+                caller,
+                class,
+                tasks,
+                deadline,
+            };
+            rejection = self.limit_caller(now.mono, &job, rejection);
+        }
+        match rejection {
             None => Admission::Accept,
+            Some((code, retry_after)) if self.options.plans_returns => Admission::Refuse {
+                code,
+                retry_after_ms: retry_after.as_millis().max(Millis(1)),
+            },
             Some((code, retry_after)) => {
                 let factor = 1.0 + RETRY_AFTER_JITTER * self.draw();
                 let retry_after = to_micros(as_us(retry_after) * factor);
--- a/crates/onyxshed-policy/tests/policy/main.rs
+++ b/crates/onyxshed-policy/tests/policy/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the policy: single calls, and runs in a queueing model with virtual time.
 
+mod caller_limits;
 mod facade;
 mod faults;
 mod figures;
--- a/crates/onyxshed-settings/src/kind.rs
+++ b/crates/onyxshed-settings/src/kind.rs
@@ -15,7 +15,7 @@
 use crate::tables;
 
 pub use control::ControlSettings;
-pub use entry::{EntrySettings, Placement};
+pub use entry::{CallerShareMode, EntrySettings, Placement, ReturnPlanMode};
 pub use operator::{OperatorSettings, ProcessAddress};
 pub use shared::{LogFormat, LogLevel, LogSettings};
 
--- a/crates/onyxshed-settings/src/kind/entry.rs
+++ b/crates/onyxshed-settings/src/kind/entry.rs
@@ -22,6 +22,28 @@
     LeastOutstanding,
 }
 
+/// Whether the share of a class is divided among its callers, and what identifies them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum CallerShareMode {
+    /// Callers are not told apart.
+    #[default]
+    Off,
+    /// By the address of the caller's connection.
+    Address,
+}
+
+/// Whether refused callers are told a time at which there will be room for them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ReturnPlanMode {
+    /// The time follows from the deadline that would be missed.
+    #[default]
+    Off,
+    /// The time is planned.
+    On,
+}
+
 /// Settings of `onyxshed-entry`; [`crate::tables::ENTRY`] describes each field.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -76,6 +98,10 @@
     pub timeline_events_max: usize,
     /// The rule by which executors are selected for tasks.
     pub placement: Placement,
+    /// Whether the share of a class is divided among its callers.
+    pub caller_shares: CallerShareMode,
+    /// Whether the returns of refused callers are planned.
+    pub return_plan: ReturnPlanMode,
     /// Time limit for a request's head, from its first byte, in milliseconds.
     pub head_timeout_ms: Millis,
     /// Time limit for a request's body, in milliseconds.
--- a/crates/onyxshed-settings/src/lib.rs
+++ b/crates/onyxshed-settings/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use error::{Fault, Result, SettingsError};
 pub use kind::{
-    ControlSettings, EntrySettings, LogFormat, LogLevel, LogSettings, OperatorSettings, Placement,
-    ProcessAddress, Settings, SettingsKind,
+    CallerShareMode, ControlSettings, EntrySettings, LogFormat, LogLevel, LogSettings,
+    OperatorSettings, Placement, ProcessAddress, ReturnPlanMode, Settings, SettingsKind,
 };
 pub use load::{check_text, load, read};
--- a/crates/onyxshed-settings/src/tables.rs
+++ b/crates/onyxshed-settings/src/tables.rs
@@ -243,6 +243,18 @@
         "least-expected-finish",
         "Rule by which executors are selected for tasks; all but the default are for comparison in experiments only.",
     ),
+    choice(
+        "caller_shares",
+        &["off", "address"],
+        "off",
+        "Whether the share of a class is divided among its callers while an upstream is short of room, and what identifies a caller: the address of its connection. Callers behind one address share a part.",
+    ),
+    choice(
+        "return_plan",
+        &["off", "on"],
+        "off",
+        "Whether callers that are refused for want of room are told a time at which there will be room for them, up to 10 s ahead. Otherwise the time follows from the deadline that would be missed.",
+    ),
     duration(
         "head_timeout_ms",
         (10, 600_000),
