A sole caller is never limited

Cause: where all connections come from one address, callers' shares would limit the class as a whole to what its executors do less what waits, and name the caller as the reason.

Change: the room is divided only among two callers or more. Times to return are planned only in mode on, before the request is copied.

--- a/crates/onyxshed-admission/src/caller_shares.rs
+++ b/crates/onyxshed-admission/src/caller_shares.rs
@@ -6,6 +6,9 @@
 //! window of one second. What is still unused of the room, because callers' jobs come irregularly, is lent
 //! in equal parts to the callers above the level.
 //!
+//! A sole caller is never limited: it takes nothing from others, and what can't be served in time is
+//! refused for that reason.
+//!
 //! The table of callers is bounded. The least active ones are forgotten and count as within their
 //! shares; their work is deducted from the room that the remembered ones divide.
 
@@ -210,7 +213,13 @@
         let mut demands = Vec::with_capacity(self.callers.len());
         for entry in self.callers.values_mut() {
             entry.active = entry.offered.total(now);
-            demands.push(entry.active);
+            if entry.active > 0 {
+                demands.push(entry.active);
+            }
+        }
+        if demands.len() < 2 {
+            self.level = None;
+            return;
         }
         let remembered = demands.iter().copied().fold(0, u64::saturating_add);
         let offered = self.offered.total(now).max(remembered);
--- a/crates/onyxshed-pool/src/pool/caller_limits.rs
+++ b/crates/onyxshed-pool/src/pool/caller_limits.rs
@@ -201,10 +201,12 @@
 
     /// Returns the end of a queued job that is given up, with its planned time to return.
     pub(super) fn with_planned_return(&mut self, now: Mono, id: JobId, end: JobEnd) -> JobEnd {
-        let request = self.jobs.get(&id).map(|job| job.request.clone());
-        match request {
-            Some(request) if is_want_of_room(end) => self.planned_end(now, &request, end),
-            _ => end,
+        if self.options.overload != OverloadMode::On || !is_want_of_room(end) {
+            return end;
+        }
+        match self.jobs.get(&id).map(|job| job.request.clone()) {
+            Some(request) => self.planned_end(now, &request, end),
+            None => end,
         }
     }
 
