--- a/crates/onyxshed-pool/src/pool/caller_limits.rs
+++ b/crates/onyxshed-pool/src/pool/caller_limits.rs
@@ -57,6 +57,8 @@
     plan: ReturnPlan,
     excesses: BTreeMap<(CallerId, ClassId), Excess>,
     reported: Vec<CallerLimit>,
+    /// Work that the usable executors do in a second, as of the last tick; 0 if it is not known.
+    room_per_s: u64,
 }
 
 impl Default for CallerLimits {
@@ -66,6 +68,7 @@
             plan: ReturnPlan::new(RETURN_UNIT),
             excesses: BTreeMap::new(),
             reported: Vec::new(),
+            room_per_s: 0,
         }
     }
 }
@@ -216,6 +219,7 @@
         if self.options.overload == OverloadMode::Off {
             return;
         }
+        self.caller_limits.room_per_s = u64::from(self.usable_capacity(now).cpu_millis) * 1_000;
         let load = self.load_now(now);
         let is_normal = self.overload_state() == OverloadState::Normal;
         let limits = &mut self.caller_limits;
@@ -293,8 +297,9 @@
     fn caller_room(&self, now: Mono, request: &JobRequest) -> Room {
         match self.overload_state() {
             OverloadState::Normal => Room::Enough,
+            _ if self.caller_limits.room_per_s == 0 => Room::Enough,
             OverloadState::Overloaded | OverloadState::Saturated => {
-                let room_per_s = self.arrivals_room_per_s(now);
+                let room_per_s = self.arrivals_room_per_s();
                 self.caller_limits
                     .class_room(now, &request.class, request.work(), room_per_s)
             }
@@ -305,8 +310,8 @@
     ///
     /// If callers above their shares could keep the queue long, jobs of the others would be refused
     /// because they can't end in time.
-    fn arrivals_room_per_s(&self, now: Mono) -> u64 {
-        let room_per_s = self.room_per_s(now);
+    fn arrivals_room_per_s(&self) -> u64 {
+        let room_per_s = self.caller_limits.room_per_s;
         room_per_s
             .saturating_sub(self.waiting_work())
             .max(room_per_s / 2)
@@ -329,7 +334,7 @@
     }
 
     fn load_now(&self, now: Mono) -> LoadNow {
-        let room_per_s = self.room_per_s(now);
+        let room_per_s = self.caller_limits.room_per_s;
         let waiting = self.waiting_work();
         LoadNow {
             room_per_s,
@@ -341,11 +346,6 @@
     fn waiting_work(&self) -> u64 {
         self.jobs.values().map(Job::waiting_work).sum()
     }
-
-    /// Returns the work that the usable executors do in a second.
-    fn room_per_s(&self, now: Mono) -> u64 {
-        u64::from(self.usable_capacity(now).cpu_millis) * 1_000
-    }
 }
 
 /// Returns whether a job was refused because the pool is short of room.
@@ -366,7 +366,7 @@
 impl Pool {
     fn overload_state(&self) -> OverloadState {
         let now = self.last_tick_at;
-        match self.caller_limits.offered(now) > self.room_per_s(now) {
+        match self.caller_limits.offered(now) > self.caller_limits.room_per_s {
             true => OverloadState::Overloaded,
             false => OverloadState::Normal,
         }
