--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -17,7 +17,7 @@
 use onyxshed_adapter::{Manifest, Route};
 use onyxshed_core::{CallerId, Event, EventKind, Millis, Mono, ResultCode};
 use onyxshed_http::client::with_timeout;
-use onyxshed_http::{Call, Reply, ServerOptions};
+use onyxshed_http::{Call, CallerIdentity, Reply, ServerOptions};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_pool::{
     ClassId, EntryDecision, JobEnd, JobId, JobRequest, JobSummary, SubmissionNumber, UnknownReason,
@@ -30,6 +30,7 @@
 use crate::manifest::ManifestHolder;
 use crate::measures::{ArrivalMetrics, HostMetrics};
 use crate::names::{CALLERS, LINKS, MANIFEST};
+use crate::refusal_metrics::RefusalMetrics;
 use in_progress::JobsInProgress;
 use replies::{job_reply, not_run_text, rejection_reply};
 
@@ -67,7 +68,7 @@
 const UNSUPPORTED_RETRY_AFTER: Millis = Millis(60_000);
 
 /// Address and limits of the callers' interface.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct CallerOptions {
     /// Address on which the host listens for callers, from the host's settings.
     pub address: SocketAddr,
@@ -75,6 +76,8 @@
     pub server: ServerOptions,
     /// How long a stopping host waits for unfinished jobs, from the start of its drain.
     pub drain_timeout: Duration,
+    /// What identifies a caller.
+    pub identity: CallerIdentity,
 }
 
 /// Handler of callers' requests, with the state that all requests share.
@@ -87,6 +90,8 @@
     metrics: HostMetrics,
     arrival_metrics: ArrivalMetrics,
     in_progress: Rc<JobsInProgress>,
+    refusal_metrics: RefusalMetrics,
+    identity: CallerIdentity,
     /// Closed when this host can serve requests or [`STARTUP_WAIT_MAX`] has elapsed.
     startup_over: Receiver<()>,
     /// Closed when a stopping host can no longer wait for unfinished jobs.
@@ -102,6 +107,7 @@
     route: SmolStr,
     manifest_version: u64,
     job: JobId,
+    caller: CallerId,
     arrived: Mono,
 }
 
@@ -204,6 +210,7 @@
             route: route.name.clone(),
             manifest_version: manifest.version,
             job,
+            caller: self.identity.caller_of(call),
             arrived,
         };
         if let Some(reply) = self.refuse_on_arrival(&context) {
@@ -364,7 +371,7 @@
             per_executor_max: simple.per_executor_max,
             class: ClassId(route.name.clone()),
             priority: route.priority,
-            caller: CallerId::UNKNOWN,
+            caller: context.caller,
             transfers: 0,
         }
     }
@@ -427,6 +434,9 @@
         };
         let elapsed = boot_clock::now().since(context.arrived);
         self.metrics.record_reply(end, elapsed);
+        if let JobEnd::NotRun(reason, wait) = end {
+            self.refusal_metrics.record(*reason, *wait);
+        }
         let summary = JobSummary {
             end: *end,
             took: elapsed.as_millis(),
@@ -471,6 +481,8 @@
             metrics: HostMetrics::new(),
             arrival_metrics: ArrivalMetrics::new(),
             in_progress: Rc::default(),
+            refusal_metrics: RefusalMetrics::new(),
+            identity: self.options.identity.clone(),
             startup_over,
             drain_expired,
             drain_expired_sender,
--- a/crates/onyxshed-host/src/engine.rs
+++ b/crates/onyxshed-host/src/engine.rs
@@ -31,6 +31,7 @@
 use crate::evacuations::ZoneEvacuations;
 use crate::measures::{HostMetrics, OverloadMetrics};
 use crate::names::ENGINE;
+use crate::refusal_metrics::RefusalMetrics;
 
 /// Timeout for opening a connection to an executor; a new connection takes up to 20 ms across
 /// zones.
@@ -74,6 +75,7 @@
     metrics: HostMetrics,
     overload_metrics: OverloadMetrics,
     levels: RefCell<LevelTable>,
+    refusal_metrics: RefusalMetrics,
     /// Number of connections of peers; empty until peers can connect.
     peer_connections: OnceCell<ConnectionCount>,
 }
@@ -100,6 +102,7 @@
             metrics: HostMetrics::new(),
             overload_metrics: OverloadMetrics::new(),
             levels: RefCell::default(),
+            refusal_metrics: RefusalMetrics::new(),
             peer_connections: OnceCell::new(),
         })
     }
@@ -470,7 +473,11 @@
             self.update_evacuation();
             self.dispatch_event(|pool| pool.tick(boot_clock::now()));
             self.update_levels();
+            let limited = self.pool.borrow().as_ref().map(Pool::limited_caller_count);
+            self.refusal_metrics
+                .set_limited_callers(limited.unwrap_or_default());
         }
+        self.refusal_metrics.set_limited_callers(0);
     }
 }
 
--- a/crates/onyxshed-host/src/lib.rs
+++ b/crates/onyxshed-host/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod peer_state;
 pub mod process;
 pub mod ready;
+pub mod refusal_metrics;
 pub mod reload;
 pub mod shard_layouts;
 pub mod store_watch;
--- a/crates/onyxshed-host/src/process.rs
+++ b/crates/onyxshed-host/src/process.rs
@@ -10,7 +10,7 @@
 use onyxshed_adapter::HostSettings;
 use onyxshed_adapter::settings::SETTINGS_VARIABLE;
 use onyxshed_core::{Incarnation, Millis};
-use onyxshed_http::ServerOptions;
+use onyxshed_http::{CallerIdentity, ServerOptions};
 use onyxshed_kernel::{Kernel, RunEnd, RunOptions, Service};
 use onyxshed_pool::{OverloadMode, PeerIncarnation, PoolOptions};
 use onyxshed_settings::{LogFormat, LogLevel, LogSettings};
@@ -95,6 +95,14 @@
                 .default_value("off")
                 .help("Overload decisions: off, shadow (logged without effect) or on"),
         )
+        .arg(
+            Arg::new("caller-identity")
+                .long("caller-identity")
+                .value_name("IDENTITY")
+                .value_parser(clap::value_parser!(CallerIdentity))
+                .default_value("address")
+                .help("What identifies a caller: address or header:NAME"),
+        )
         .arg(
             Arg::new("check")
                 .long("check")
@@ -133,6 +141,10 @@
         admin_port: admin_port.unwrap_or(ADMIN_PORT_DEFAULT),
         advertised: matches.get_one("advertise").copied(),
         overload: matches.get_one("overload").copied().unwrap_or_default(),
+        caller_identity: matches
+            .get_one("caller-identity")
+            .cloned()
+            .unwrap_or_default(),
     };
     run(&options, &settings)
 }
@@ -144,6 +156,7 @@
     admin_port: u16,
     advertised: Option<SocketAddr>,
     overload: OverloadMode,
+    caller_identity: CallerIdentity,
 }
 
 fn run(options: &HostOptions, settings: &HostSettings) -> ExitCode {
@@ -259,6 +272,7 @@
             ..ServerOptions::default()
         },
         drain_timeout,
+        identity: options.caller_identity.clone(),
     };
     vec![
         Box::new(AdminService::new(
--- a/crates/onyxshed-pool/src/message.rs
+++ b/crates/onyxshed-pool/src/message.rs
@@ -5,14 +5,15 @@
 
 use std::net::SocketAddr;
 
-use onyxshed_core::{Micros, Millis, UnixMs};
+use onyxshed_core::{CallerId, Micros, Millis, Share, UnixMs};
 use smol_str::SmolStr;
 
 use crate::id::{
-    ExecutorId, FencingToken, JobId, PeerIncarnation, Percent, RunNumber, SubmissionNumber, TaskId,
+    ClassId, ExecutorId, FencingToken, JobId, PeerIncarnation, Percent, RunNumber,
+    SubmissionNumber, TaskId,
 };
 use crate::job::JobEnd;
-use crate::overload::OverloadState;
+use crate::overload::{OverloadMode, OverloadState};
 use crate::overload_detector::LoadSample;
 
 /// Order to an executor to start a run of a task.
@@ -308,4 +309,24 @@
         /// Measures that caused the change.
         sample: LoadSample,
     },
+    /// Jobs of a caller are refused because it offers more than its share of an overloaded pool.
+    CallerLimited {
+        /// The caller.
+        caller: CallerId,
+        /// Class of the jobs that are refused.
+        class: ClassId,
+        /// Share of the caller's arriving jobs that is admitted.
+        admitted: Share,
+        /// Whether jobs are really refused, or only would be.
+        mode: OverloadMode,
+    },
+    /// No job of a caller has exceeded its share for a while.
+    CallerWithinShare {
+        /// The caller.
+        caller: CallerId,
+        /// Class of the jobs that were refused.
+        class: ClassId,
+        /// Number of jobs that exceeded the share, refused or not according to the mode.
+        exceeded: u64,
+    },
 }
--- a/crates/onyxshed-pool/src/pool/admission.rs
+++ b/crates/onyxshed-pool/src/pool/admission.rs
@@ -59,6 +59,7 @@
         let id = request.job;
         let mut new_job = Job::new(now, request);
         let rejection = self.rejection(now, session, &new_job);
+        let rejection = self.apply_caller_share(now, &new_job.request, rejection);
         self.record_arrival(now, &new_job.request, rejection.as_ref());
         if let Some(rejection) = rejection {
             self.actions.push(Action::End {
@@ -242,7 +243,7 @@
         Micros(ahead * 1_000 / u64::from(capacity.max(1)))
     }
 
-    fn usable_capacity(&self, now: Mono) -> Resources {
+    pub(super) fn usable_capacity(&self, now: Mono) -> Resources {
         self.executors.usable_capacity(now, &self.options)
     }
 
@@ -291,6 +292,7 @@
             }
         }
         for (id, end) in ends {
+            let end = self.with_planned_return(now, id, end);
             self.end_job(id, end);
         }
     }
--- a/crates/onyxshed-pool/src/pool/watch.rs
+++ b/crates/onyxshed-pool/src/pool/watch.rs
@@ -24,6 +24,7 @@
         let since_last_tick = now.since(self.last_tick_at);
         self.last_tick_at = now;
         self.update_full_speed_capacity(now);
+        self.update_caller_limits(now);
         self.expire_peers(now);
         self.expire_evacuation_grace(now);
         self.end_stalled_jobs(now);
