--- a/crates/onyxshed-core/src/event.rs
+++ b/crates/onyxshed-core/src/event.rs
@@ -151,6 +151,8 @@
     845 PeerStateLearned Info "This host has just started and received the state known to another host.";
     846 ZoneEvacuated Info "An operator evacuated an availability zone; it gets no tasks until it is restored.";
     847 ZoneRestored Info "An evacuated availability zone was restored and gets tasks again.";
+    851 PoolOverloadRefused Info "An overloaded pool refused a job before any of its tasks ran; the detail gives the reason and the wait against the slack.";
+    852 PoolOverloadGivenUp Warn "An overloaded pool ended a job that has begun, since its answer can't be useful any more.";
 }
 
 impl EventKind {
--- a/crates/onyxshed-host/src/decisions.rs
+++ b/crates/onyxshed-host/src/decisions.rs
@@ -81,6 +81,28 @@
         Decision::EvacuationEnded => {
             Event::new(EventKind::PoolEvacuationEnded).detail(format_smolstr!("token {token}"))
         }
+        Decision::JobRefused {
+            job,
+            class,
+            reason,
+            wait,
+            slack,
+        } => Event::new(EventKind::PoolOverloadRefused)
+            .job(format_smolstr!("{job}"))
+            .detail(format_smolstr!(
+                "{reason:?}, class {class}, wait {wait}, slack {slack}, token {token}"
+            )),
+        Decision::JobGivenUp {
+            job,
+            class,
+            waiting_tasks,
+            elapsed,
+        } => Event::new(EventKind::PoolOverloadGivenUp)
+            .job(format_smolstr!("{job}"))
+            .detail(format_smolstr!(
+                "class {class}, {waiting_tasks} tasks waiting after {}, token {token}",
+                elapsed.as_millis()
+            )),
         Decision::OwnershipTransferred(successor) => {
             event_about(EventKind::PoolTransferred, format_smolstr!("{successor}"))
                 .detail(format_smolstr!("token {token}"))
--- a/crates/onyxshed-pool/src/executor.rs
+++ b/crates/onyxshed-pool/src/executor.rs
@@ -9,6 +9,7 @@
 use crate::id::{ExecutorId, JobId, RunNumber, TaskId};
 use crate::options::PoolOptions;
 use crate::resources::Resources;
+use crate::room_forecast::RoomSlot;
 use crate::speed::Slowdown;
 
 /// Properties of an executor as listed by the platform.
@@ -60,6 +61,8 @@
     /// Expected run time on this executor, including its slowdown and the cost of remote data.
     pub expected: Micros,
     pub estimate: Micros,
+    /// Where the run is entered in the forecast of room, if it is.
+    pub room: Option<RoomSlot>,
 }
 
 /// Relation of the incarnation that sent a message to the one that the owner regards as current.
--- a/crates/onyxshed-pool/src/job.rs
+++ b/crates/onyxshed-pool/src/job.rs
@@ -66,7 +66,7 @@
 
     /// Returns the time from arrival within which the job should end if its longest task takes
     /// `task`.
-    fn target_for(&self, task: Micros) -> Micros {
+    pub(crate) fn target_for(&self, task: Micros) -> Micros {
         let stretched_us = task.0 * u64::from(self.stretch_millis) / 1_000;
         Micros(stretched_us + Micros::from(self.objective).0)
     }
--- a/crates/onyxshed-pool/src/lib.rs
+++ b/crates/onyxshed-pool/src/lib.rs
@@ -14,6 +14,10 @@
 //!   callers resubmit these jobs.
 
 pub mod candidate;
+pub mod class_estimates;
+pub mod class_queues;
+pub mod class_shares;
+pub mod commitments;
 pub mod error;
 pub mod evacuation;
 pub mod executor;
@@ -27,6 +31,7 @@
 pub mod pool;
 pub mod pool_selector;
 pub mod resources;
+pub mod room_forecast;
 pub mod shard_layout;
 pub mod speed;
 pub mod successor;
--- a/crates/onyxshed-pool/src/message.rs
+++ b/crates/onyxshed-pool/src/message.rs
@@ -9,9 +9,10 @@
 use smol_str::SmolStr;
 
 use crate::id::{
-    ExecutorId, FencingToken, JobId, PeerIncarnation, Percent, RunNumber, SubmissionNumber, TaskId,
+    ClassId, ExecutorId, FencingToken, JobId, PeerIncarnation, Percent, RunNumber,
+    SubmissionNumber, TaskId,
 };
-use crate::job::JobEnd;
+use crate::job::{JobEnd, NotRunReason};
 
 /// Order to an executor to start a run of a task.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -295,6 +296,30 @@
     },
     /// Operators have restored the zone, and the pool starts tasks again.
     EvacuationEnded,
+    /// An overloaded pool refused a job of which no task has run.
+    JobRefused {
+        /// Job that was refused.
+        job: JobId,
+        /// Class of the job.
+        class: ClassId,
+        /// Why it was refused.
+        reason: NotRunReason,
+        /// How long it would have waited, or has waited, to begin.
+        wait: Millis,
+        /// How long it could have waited and end on target.
+        slack: Millis,
+    },
+    /// An overloaded pool ended a job that has begun, because its answer can't be useful any more.
+    JobGivenUp {
+        /// Job that was ended.
+        job: JobId,
+        /// Class of the job.
+        class: ClassId,
+        /// Number of its tasks that were waiting.
+        waiting_tasks: u16,
+        /// Time since the job arrived at its entry host.
+        elapsed: Micros,
+    },
     /// This stopping owner selected the host at the address as its successor.
     OwnershipTransferred(SocketAddr),
 }
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -5,13 +5,17 @@
 //! stop orders, [`reports`] handles the executors' reports, [`progress`] moves runs off slow
 //! executors, [`watch`] handles time-outs, [`handover`] passes the pool to its next owner,
 //! [`evacuation`] drains the pool when operators evacuate its zone, and [`stalled`] ends jobs that
-//! have lost their executors.
+//! have lost their executors. While the pool is overloaded, [`overloaded_admission`] and
+//! [`overloaded_place`] decide in place of [`admission`] and [`place`], by what [`overloaded`] keeps.
 
 mod admission;
 mod evacuation;
 mod fit;
 mod handover;
 mod orders;
+mod overloaded;
+mod overloaded_admission;
+mod overloaded_place;
 mod place;
 mod progress;
 mod reports;
@@ -22,18 +26,22 @@
 
 use onyxshed_core::{Millis, Mono};
 
+use crate::class_estimates::ClassEstimates;
+use crate::class_shares::ClassShares;
 use crate::executor::{Executor, ExecutorFacts, Executors, IncarnationMatch, Phase, RunState};
 use crate::id::{ExecutorId, FencingToken, JobId, PeerIncarnation, Session, TaskId};
 use crate::job::{Job, JobEnd, NotRunReason, UnknownReason};
 use crate::message::{Action, Decision, HoldOrder, StopOrder};
 use crate::offered_load::OfferedLoad;
 use crate::options::PoolOptions;
+use crate::overload::OverloadState;
 use crate::peers::PeerSessions;
 use crate::pool_selector::PoolLoad;
 use crate::resources::Resources;
 use crate::successor::{SuccessorOffer, SuccessorSelection};
 use evacuation::ZoneStatus;
 use handover::{HandoverStage, Predecessor};
+use overloaded::OverloadPlan;
 
 /// State of a pool of executors and its queue, as known to its owner.
 ///
@@ -63,6 +71,13 @@
     requeued: Vec<JobId>,
     /// For each stalled job, the time since which no usable executor can run its tasks.
     stalled_since: BTreeMap<JobId, Mono>,
+    overload_state: OverloadState,
+    /// When the offered load was last close to the room.
+    last_loaded_at: Mono,
+    /// Queues, commitments and forecasts while overload decisions take effect.
+    plan: Option<Box<OverloadPlan>>,
+    class_shares: ClassShares,
+    class_estimates: ClassEstimates,
     actions: Vec<Action>,
 }
 
@@ -92,6 +107,11 @@
             predecessor: Predecessor::None,
             requeued: Vec::new(),
             stalled_since: BTreeMap::new(),
+            overload_state: OverloadState::Normal,
+            last_loaded_at: now,
+            plan: None,
+            class_shares: ClassShares::default(),
+            class_estimates: ClassEstimates::default(),
             actions: Vec::new(),
         }
     }
@@ -300,6 +320,7 @@
         let Some(job) = self.jobs.remove(&id) else {
             return;
         };
+        self.forget_job(id);
         self.actions.push(Action::End {
             peer: job.request.peer,
             submission: job.request.submission,
--- a/crates/onyxshed-pool/src/pool/admission.rs
+++ b/crates/onyxshed-pool/src/pool/admission.rs
@@ -83,8 +83,13 @@
                 for (task, run) in self.runs_of(id) {
                     new_job.block_task(task.index, run.number);
                 }
-                self.jobs.insert(id, new_job);
-                self.place_job(now, id);
+                match self.is_overloaded() {
+                    true => self.submit_overloaded(now, new_job),
+                    false => {
+                        self.jobs.insert(id, new_job);
+                        self.place_job(now, id);
+                    }
+                }
             }
         }
         self.take_actions()
@@ -140,7 +145,8 @@
         if !self.is_placeable(now, request) {
             return not_run(NotRunReason::NoExecutor);
         }
-        if !self.is_feasible(now, job) {
+        // An overloaded pool refuses a job only after it has tried to begin it.
+        if !self.is_overloaded() && !self.is_feasible(now, job) {
             return not_run(NotRunReason::NoTime);
         }
         None
@@ -215,7 +221,7 @@
         ahead > drained.max(SHED_BACKLOG_MIN.0 * backlog.capacity)
     }
 
-    fn has_runs_of(&self, job: JobId) -> bool {
+    pub(super) fn has_runs_of(&self, job: JobId) -> bool {
         self.runs_of(job).next().is_some()
     }
 
@@ -278,6 +284,9 @@
     /// If such jobs were kept until they expire, their callers would wait for three targets to get the same
     /// answer.
     pub(super) fn shed_late_jobs(&mut self, now: Mono) {
+        if self.is_overloaded() {
+            return self.shed_overloaded(now);
+        }
         let backlog = self.on_target_backlog(now);
         let mut ends = Vec::new();
         for (id, job) in &self.jobs {
--- a/crates/onyxshed-pool/src/pool/fit.rs
+++ b/crates/onyxshed-pool/src/pool/fit.rs
@@ -23,7 +23,7 @@
 pub(super) struct AvailableExecutor {
     pub id: ExecutorId,
     pub free: Resources,
-    slowdown: f64,
+    pub slowdown: f64,
     pub is_slow: bool,
 }
 
--- a/crates/onyxshed-pool/src/pool/orders.rs
+++ b/crates/onyxshed-pool/src/pool/orders.rs
@@ -236,9 +236,7 @@
         number: RunNumber,
         reason: &'static str,
     ) {
-        if let Some(executor) = self.executors.get_mut(id) {
-            executor.remove_run(task);
-        }
+        self.remove_run(id, task);
         self.requeue_run(task, number, id, reason);
     }
 
--- a/crates/onyxshed-pool/src/pool/place.rs
+++ b/crates/onyxshed-pool/src/pool/place.rs
@@ -44,6 +44,9 @@
     /// Ranks each job that may fit on some executor. For events that concern a single executor or
     /// job, [`Pool::place_after_report`] and [`Pool::place_job`] are cheaper.
     pub(super) fn place(&mut self, now: Mono) {
+        if self.is_overloaded() {
+            return self.place_overloaded(now);
+        }
         self.requeued.clear();
         if !self.can_place() {
             return;
@@ -77,6 +80,9 @@
     /// Starts the tasks that can start because of an executor's report: tasks on that executor, and
     /// tasks that the report has requeued, on any executor.
     pub(super) fn place_after_report(&mut self, now: Mono, id: &ExecutorId) {
+        if self.is_overloaded() {
+            return self.place_overloaded(now);
+        }
         let requeued = std::mem::take(&mut self.requeued);
         self.place_on_executor(now, id);
         for job in requeued {
@@ -125,7 +131,7 @@
         first.map(|(_, id, index, expected)| (id, index, expected))
     }
 
-    fn can_place(&self) -> bool {
+    pub(super) fn can_place(&self) -> bool {
         !self.has_stepped_down && self.zone_status != ZoneStatus::Evacuated
     }
 
@@ -179,7 +185,7 @@
         Some(chosen)
     }
 
-    fn start_run(
+    pub(super) fn start_run(
         &mut self,
         now: Mono,
         id: JobId,
@@ -204,6 +210,7 @@
             ordered_at: now,
             expected,
             estimate: job.estimate(),
+            room: None,
         };
         executor.add_run(task, run);
         executor.record_lease(now, &self.options);
@@ -215,6 +222,7 @@
             token: self.token,
         };
         let waited = now.since(job.arrived_at);
+        self.forecast_run(now, executor_id, task);
         self.actions.push(Action::Start(executor_id.clone(), order));
         self.log(Decision::RunOrdered {
             task,
--- a/crates/onyxshed-pool/src/pool/reports.rs
+++ b/crates/onyxshed-pool/src/pool/reports.rs
@@ -9,6 +9,7 @@
 use crate::message::{
     Action, Decision, ExecutorLists, ExecutorReport, FinishedRun, HoldAnswer, RunEnd, RunningRun,
 };
+use crate::overload::OverloadMode;
 
 /// Pause before the next hold order to an executor that did not answer.
 const UNRESPONSIVE_PAUSE: Millis = Millis(50);
@@ -134,17 +135,24 @@
         }
         executor.health = Default::default();
         executor.last_completed_at = now;
+        self.forget_room(&run);
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
         if !job.is_current_run(task.index, number, id) {
             return self.unblock_task(task);
         }
+        if self.options.overload != OverloadMode::Off && job.log_ratio.1 == 0 {
+            let class = &job.request.class;
+            self.class_estimates.observe(now, class, took, run.expected);
+        }
         job.observe_run_time(took, run.expected);
         job.tasks[usize::from(task.index)].state = TaskState::Done;
         job.done += 1;
         if job.done == job.request.tasks {
             self.end_job(task.job, JobEnd::Completed);
+        } else {
+            self.update_commitment(now, task.job);
         }
     }
 
@@ -155,9 +163,7 @@
         task: TaskId,
         number: RunNumber,
     ) {
-        if let Some(executor) = self.executors.get_mut(id) {
-            executor.remove_run(task);
-        }
+        self.remove_run(id, task);
         self.record_run_failure(now, id, task.job);
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
--- a/crates/onyxshed-pool/src/pool/watch.rs
+++ b/crates/onyxshed-pool/src/pool/watch.rs
@@ -23,6 +23,8 @@
         self.detect_pause(now);
         self.last_tick_at = now;
         self.update_full_speed_capacity(now);
+        self.update_overload_state(now);
+        self.update_forecast(now);
         self.expire_peers(now);
         self.expire_evacuation_grace(now);
         self.end_stalled_jobs(now);
--- a/crates/onyxshed-pool/src/resources.rs
+++ b/crates/onyxshed-pool/src/resources.rs
@@ -24,6 +24,14 @@
             && self.accelerators >= demand.accelerators
     }
 
+    /// Returns how many times a demand fits into these resources.
+    pub fn count_of(self, demand: Resources) -> u32 {
+        let times = |free: u32, needed: u32| free.checked_div(needed).unwrap_or(u32::MAX);
+        times(self.cpu_millis, demand.cpu_millis)
+            .min(times(self.memory_mb, demand.memory_mb))
+            .min(times(self.accelerators, demand.accelerators))
+    }
+
     /// Returns the resources left after subtracting a demand, each at least zero.
     pub fn saturating_sub(self, demand: Resources) -> Resources {
         Resources {
--- a/crates/onyxshed-pool/tests/pool/load.rs
+++ b/crates/onyxshed-pool/tests/pool/load.rs
@@ -45,7 +45,12 @@
 ];
 
 pub fn executors() -> Vec<ExecutorModel> {
-    (0..16)
+    executors_of(16)
+}
+
+/// Creates `count` executors of three speeds and two sizes.
+pub fn executors_of(count: usize) -> Vec<ExecutorModel> {
+    (0..count)
         .map(|index| {
             let capacity = Resources {
                 memory_mb: 100_000,
--- a/crates/onyxshed-pool/tests/pool/main.rs
+++ b/crates/onyxshed-pool/tests/pool/main.rs
@@ -10,6 +10,7 @@
 mod load;
 mod lost;
 mod order;
+mod overload;
 mod parts;
 mod search;
 mod shard_layout;
--- a/crates/onyxshed-pool/tests/pool/simulation.rs
+++ b/crates/onyxshed-pool/tests/pool/simulation.rs
@@ -168,6 +168,16 @@
 
 impl Simulation {
     pub fn new(seed: u64, executors: Vec<ExecutorModel>, entries: usize) -> Self {
+        Simulation::with_options(seed, executors, entries, PoolOptions::default())
+    }
+
+    /// Creates a simulation whose owners have the given options.
+    pub fn with_options(
+        seed: u64,
+        executors: Vec<ExecutorModel>,
+        entries: usize,
+        options: PoolOptions,
+    ) -> Self {
         let named = executors
             .into_iter()
             .enumerate()
@@ -192,7 +202,7 @@
             pending_holds: BTreeMap::new(),
             started_at: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(seed),
-            options: PoolOptions::default(),
+            options,
             trace: Vec::new(),
         };
         for index in 0..entries {
