--- a/crates/onyxshed-pool/src/class_shares.rs
+++ b/crates/onyxshed-pool/src/class_shares.rs
@@ -10,6 +10,7 @@
 
 use crate::id::ClassId;
 use crate::offered_load::OfferedLoad;
+use crate::size_limit::SizeLimit;
 
 /// Time without a job after which a class is forgotten.
 const FORGET_AFTER: Millis = Millis(10_000);
@@ -19,6 +20,7 @@
     priority: u32,
     offered: OfferedLoad,
     begun: OfferedLoad,
+    sizes: SizeLimit,
     last_offered_at: Mono,
     /// Part of the room, in thousandths of a core, as of the last division.
     part: u64,
@@ -32,12 +34,14 @@
 
 impl ClassShares {
     /// Records an arriving job of a class, with its work in thousandths of a core times
-    /// milliseconds. `priority` is the urgency of the class; 0 is the most urgent.
-    pub fn record_offered(&mut self, now: Mono, class: &ClassId, priority: u32, work: u64) {
+    /// milliseconds, and returns whether its size is admitted. `priority` is the urgency of the
+    /// class; 0 is the most urgent.
+    pub fn record_offered(&mut self, now: Mono, class: &ClassId, priority: u32, work: u64) -> bool {
         let load = self.class_mut(class);
         load.priority = priority;
         load.offered.record(now, work);
         load.last_offered_at = now;
+        load.sizes.admit(work)
     }
 
     /// Records work of a class that begins, in thousandths of a core times milliseconds.
@@ -90,6 +94,9 @@
             }
             begin = end;
         }
+        for load in self.classes.values_mut() {
+            load.sizes.update(now, load.part);
+        }
     }
 
     /// Returns the part of a class, in thousandths of a core, as of the last division.
@@ -99,8 +106,12 @@
 
     /// Returns how long `work` of a class, in thousandths of a core times milliseconds, takes in its
     /// part.
-    pub fn expected_wait(&self, class: &ClassId, work: u64) -> Millis {
-        Millis(work / self.part(class).max(1))
+    pub fn expected_wait(&self, now: Mono, class: &ClassId, work: u64) -> Millis {
+        let load = self.classes.get(class);
+        let rate = load.map_or(0, |load| {
+            load.begun.cpu_millis(now).clamp(load.part / 4, load.part)
+        });
+        Millis(work / rate.max(1))
     }
 
     /// Sorts classes by which begins next: those below their parts before those above, the former by
--- a/crates/onyxshed-pool/src/lib.rs
+++ b/crates/onyxshed-pool/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod resources;
 pub mod room_forecast;
 pub mod shard_layout;
+pub mod size_limit;
 pub mod speed;
 pub mod successor;
 pub mod summary;
--- a/crates/onyxshed-pool/src/pool/overloaded_admission.rs
+++ b/crates/onyxshed-pool/src/pool/overloaded_admission.rs
@@ -34,19 +34,21 @@
     pub(super) fn submit_overloaded(&mut self, now: Mono, job: Job) {
         let id = job.request.job;
         let request = &job.request;
-        self.class_shares
-            .record_offered(now, &request.class, request.priority, request.work());
+        let is_size_admitted =
+            self.class_shares
+                .record_offered(now, &request.class, request.priority, request.work());
         self.jobs.insert(id, job);
         self.queue_job(now, id);
         self.place_overloaded(now);
-        match self.admission(now, id) {
+        self.begin_on_arrival(now, id);
+        match self.admission(now, id, is_size_admitted) {
             Admission::Wait => {}
             Admission::WaitLate => self.keep_late(now, id),
             Admission::Refuse(refusal) => self.refuse(now, id, refusal),
         }
     }
 
-    fn admission(&self, now: Mono, id: JobId) -> Admission {
+    fn admission(&self, now: Mono, id: JobId, is_size_admitted: bool) -> Admission {
         let Some(plan) = &self.plan else {
             return Admission::Wait;
         };
@@ -67,8 +69,11 @@
         }
         let slack = queued.latest_start.since(now).as_millis();
         let ahead = plan.queues.work(&queued.class).saturating_sub(queued.work);
-        let wait = self.class_shares.expected_wait(&queued.class, ahead);
-        if wait.0 <= slack.0 / 2 || self.has_runs_of(id) || self.has_free_places(now, id) {
+        let wait = self.class_shares.expected_wait(now, &queued.class, ahead);
+        if is_size_admitted && wait.0 <= slack.0 / 2
+            || self.has_runs_of(id)
+            || self.has_free_places(now, id)
+        {
             return Admission::Wait;
         }
         let least_wait = Millis(ahead / plan.room.max(1));
--- a/crates/onyxshed-pool/src/pool/overloaded_place.rs
+++ b/crates/onyxshed-pool/src/pool/overloaded_place.rs
@@ -56,6 +56,19 @@
         while !available.is_empty() && self.begin_next(now, &mut available, min_cpu_millis) {}
     }
 
+    /// Begins a job that has just arrived if executors have room for it that those before it did not
+    /// take.
+    pub(super) fn begin_on_arrival(&mut self, now: Mono, id: JobId) {
+        let Some(job) = self.jobs.get(&id).filter(|job| !job.has_started) else {
+            return;
+        };
+        let demand = job.request.demand.cpu_millis;
+        let mut available = self.available_executors(now, demand);
+        if self.can_place() && self.free_places(now, job, &available) >= u64::from(job.waiting) {
+            self.place_begun(now, id, &mut available, demand);
+        }
+    }
+
     /// Returns whether each task of a job has a place in room that is free now.
     pub(super) fn has_free_places(&self, now: Mono, id: JobId) -> bool {
         let Some(job) = self.jobs.get(&id) else {
