--- a/crates/onyxshed-pool/src/class_shares.rs
+++ b/crates/onyxshed-pool/src/class_shares.rs
@@ -56,6 +56,13 @@
         self.classes.entry(class.clone()).or_default()
     }
 
+    /// Records that a job of a class whose size was admitted could not be served.
+    pub fn record_excess(&mut self, class: &ClassId) {
+        if let Some(load) = self.classes.get_mut(class) {
+            load.sizes.record_excess();
+        }
+    }
+
     /// Divides a room, in thousandths of a core, among the classes, and forgets those without jobs.
     pub fn divide(&mut self, now: Mono, room: u64) {
         self.classes
--- a/crates/onyxshed-pool/src/pool/overloaded_admission.rs
+++ b/crates/onyxshed-pool/src/pool/overloaded_admission.rs
@@ -44,7 +44,18 @@
         match self.admission(now, id, is_size_admitted) {
             Admission::Wait => {}
             Admission::WaitLate => self.keep_late(now, id),
-            Admission::Refuse(refusal) => self.refuse(now, id, refusal),
+            Admission::Refuse(refusal) => {
+                if is_size_admitted {
+                    self.record_excess(id);
+                }
+                self.refuse(now, id, refusal);
+            }
+        }
+    }
+
+    fn record_excess(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get(&id) {
+            self.class_shares.record_excess(&job.request.class);
         }
     }
 
@@ -76,6 +87,7 @@
         {
             return Admission::Wait;
         }
+        if std::env::var("DBG2").is_ok() { eprintln!("REF {} {}", if is_size_admitted {"wait"} else {"size"}, queued.class); }
         let least_wait = Millis(ahead / plan.room.max(1));
         Admission::Refuse(Refusal {
             reason: match least_wait.0 > slack.0 / 2 {
@@ -144,6 +156,8 @@
     }
 
     fn refuse_waiting(&mut self, now: Mono, id: JobId) {
+        self.record_excess(id);
+        if std::env::var("DBG2").is_ok() { eprintln!("REF expired {}", self.jobs[&id].request.class); }
         let wait = self.jobs.get(&id).map(|job| now.since(job.arrived_at));
         let refusal = Refusal {
             reason: NotRunReason::NoTime,
--- a/crates/onyxshed-pool/src/pool/overloaded_place.rs
+++ b/crates/onyxshed-pool/src/pool/overloaded_place.rs
@@ -64,7 +64,7 @@
         };
         let demand = job.request.demand.cpu_millis;
         let mut available = self.available_executors(now, demand);
-        if self.can_place() && self.free_places(now, job, &available) >= u64::from(job.waiting) {
+        if self.can_place() && self.can_begin(now, id, &available) {
             self.place_begun(now, id, &mut available, demand);
         }
     }
@@ -245,7 +245,7 @@
                     .freed_by(band, times.latest_start(band.factor()))
             })
             .sum();
-        let usable = as_f64(freed) * plan.forecast.usable_share();
+        let usable = as_f64(freed) * gain();
         let promised = plan.commitments.promised_until(latest_start);
         if as_f64(promised + cpu_millis) > usable {
             return false;
@@ -255,7 +255,7 @@
         let freed: u64 = SpeedBand::all()
             .map(|band| plan.forecast.freed_by(band, last_start.max(latest_start)))
             .sum();
-        as_f64(promised + cpu_millis) <= as_f64(freed) * plan.forecast.usable_share()
+        as_f64(promised + cpu_millis) <= as_f64(freed) * gain()
     }
 
     /// Returns how many tasks of a job have a place on target now.
@@ -298,3 +298,4 @@
         places
     }
 }
+fn gain() -> f64 { std::env::var("GAIN").ok().and_then(|g| g.parse().ok()).unwrap_or(1.0) }
--- a/crates/onyxshed-pool/src/size_limit.rs
+++ b/crates/onyxshed-pool/src/size_limit.rs
@@ -10,7 +10,17 @@
 
 /// Share in which jobs above the limit are admitted, as a part of the share of all jobs of the
 /// class.
-const LARGE_SHARE: f64 = 0.7;
+const LARGE_SHARE: f64 = 0.6;
+
+/// Factor on the filled part at an update after jobs of admitted sizes could not be served.
+const FILL_DECREASE: f64 = 0.97;
+
+/// Increase of the filled part at any other update.
+const FILL_INCREASE: f64 = 0.02;
+
+/// Bounds of the filled part.
+const FILL_MIN: f64 = 0.3;
+const FILL_MAX: f64 = 1.5;
 
 /// Number of size buckets, two for each doubling of the work.
 const BUCKETS: usize = 64;
@@ -36,6 +46,10 @@
     share_at_limit: f64,
     /// Share admitted above the limit.
     share_above: f64,
+    /// Part of the class's room that is filled, corrected by what could not be served.
+    fill: f64,
+    /// Whether a job of an admitted size was refused since the last update.
+    has_excess: bool,
     /// Shares of arrivals that have not been admitted yet.
     credit: f64,
 }
@@ -48,6 +62,8 @@
             limit: BUCKETS,
             share_at_limit: 1.0,
             share_above: 1.0,
+            fill: 1.0,
+            has_excess: false,
             credit: 0.0,
         }
     }
@@ -73,6 +89,11 @@
         is_admitted
     }
 
+    /// Records that a job of an admitted size could not be served.
+    pub fn record_excess(&mut self) {
+        self.has_excess = true;
+    }
+
     /// Sets the limit so that what is admitted fills `part`, in thousandths of a core.
     pub fn update(&mut self, now: Mono, part: u64) {
         let age = as_f64(now.since(self.updated_at).0) / as_f64(SPAN.0);
@@ -86,7 +107,11 @@
             total.jobs += arrivals.jobs;
         }
         // The averages cover one second; the part is work in a millisecond.
-        let room = as_f64(part) * as_f64(SPAN.as_millis().0);
+        self.fill = match std::mem::take(&mut self.has_excess) {
+            true => (self.fill * FILL_DECREASE).max(FILL_MIN),
+            false => (self.fill + FILL_INCREASE).min(FILL_MAX),
+        };
+        let room = self.fill * as_f64(part) * as_f64(SPAN.as_millis().0);
         let mut below = Arrivals::default();
         for (bucket, arrivals) in self.arrivals.iter().enumerate() {
             let share = LARGE_SHARE * below.jobs / total.jobs.max(f64::MIN_POSITIVE);
