--- a/crates/onyxshed-pool/src/class_shares.rs
+++ b/crates/onyxshed-pool/src/class_shares.rs
@@ -116,7 +116,7 @@
     pub fn expected_wait(&self, now: Mono, class: &ClassId, work: u64) -> Millis {
         let load = self.classes.get(class);
         let rate = load.map_or(0, |load| {
-            load.begun.cpu_millis(now).clamp(load.part / 4, load.part)
+            load.begun.cpu_millis(now).clamp(load.part / 2, load.part)
         });
         Millis(work / rate.max(1))
     }
--- a/crates/onyxshed-pool/src/pool/overloaded.rs
+++ b/crates/onyxshed-pool/src/pool/overloaded.rs
@@ -199,33 +199,6 @@
         plan.fast_factor = fast_factor(&mut factors, capacity);
         plan.room = scaled_room(room * plan.forecast.usable_share());
         self.class_shares.divide(now, plan.room);
-        if now.0 / 20_000 % 25 == 0 && std::env::var("DBG").is_ok() {
-            let cl: Vec<String> = plan
-                .queues
-                .classes()
-                .map(|c| {
-                    format!(
-                        "{c} q={} f={:.2} part={} wait={:?}",
-                        plan.queues.of_class(c).count(),
-                        self.class_estimates.factor(now, c),
-                        self.class_shares.part(c) / 1000,
-                        self.class_shares.expected_wait(now, c, plan.queues.work(c))
-                    )
-                })
-                .collect();
-            eprintln!(
-                "{} used {:.2} fast {:.2} room {} offered {} share {:.2} promised {:?} waiting jobs {} begun {} {cl:?}",
-                now.0 / 1000,
-                used as f64 / capacity as f64,
-                plan.fast_factor,
-                plan.room / 1000,
-                self.offered_load.cpu_millis(now) / 1000,
-                plan.forecast.usable_share(),
-                plan.commitments.promised().0 / 1000,
-                plan.queues.len(),
-                plan.commitments.waiting().count()
-            );
-        }
         self.plan = Some(plan);
     }
 
--- a/crates/onyxshed-pool/src/pool/overloaded_admission.rs
+++ b/crates/onyxshed-pool/src/pool/overloaded_admission.rs
@@ -87,7 +87,6 @@
         {
             return Admission::Wait;
         }
-        if std::env::var("DBG2").is_ok() { eprintln!("REF {} {}", if is_size_admitted {"wait"} else {"size"}, queued.class); }
         let least_wait = Millis(ahead / plan.room.max(1));
         Admission::Refuse(Refusal {
             reason: match least_wait.0 > slack.0 / 2 {
@@ -157,7 +156,6 @@
 
     fn refuse_waiting(&mut self, now: Mono, id: JobId) {
         self.record_excess(id);
-        if std::env::var("DBG2").is_ok() { eprintln!("REF expired {}", self.jobs[&id].request.class); }
         let wait = self.jobs.get(&id).map(|job| now.since(job.arrived_at));
         let refusal = Refusal {
             reason: NotRunReason::NoTime,
--- a/crates/onyxshed-pool/src/pool/overloaded_place.rs
+++ b/crates/onyxshed-pool/src/pool/overloaded_place.rs
@@ -15,7 +15,7 @@
 use crate::id::{ClassId, JobId};
 use crate::job::Job;
 use crate::room_forecast::SpeedBand;
-use crate::speed::{as_f64, scaled};
+use crate::speed::scaled;
 
 /// Maximum number of committed jobs considered at an event.
 const COMMITTED_MAX: usize = 32;
@@ -245,9 +245,8 @@
                     .freed_by(band, times.latest_start(band.factor()))
             })
             .sum();
-        let usable = as_f64(freed) * gain();
         let promised = plan.commitments.promised_until(latest_start);
-        if as_f64(promised + cpu_millis) > usable {
+        if promised + cpu_millis > freed {
             return false;
         }
         // Tasks that start later count on the same room.
@@ -255,7 +254,7 @@
         let freed: u64 = SpeedBand::all()
             .map(|band| plan.forecast.freed_by(band, last_start.max(latest_start)))
             .sum();
-        as_f64(promised + cpu_millis) <= as_f64(freed) * gain()
+        promised + cpu_millis <= freed
     }
 
     /// Returns how many tasks of a job have a place on target now.
@@ -298,4 +297,3 @@
         places
     }
 }
-fn gain() -> f64 { std::env::var("GAIN").ok().and_then(|g| g.parse().ok()).unwrap_or(1.0) }
--- a/crates/onyxshed-pool/src/size_limit.rs
+++ b/crates/onyxshed-pool/src/size_limit.rs
@@ -10,13 +10,13 @@
 
 /// Share in which jobs above the limit are admitted, as a part of the share of all jobs of the
 /// class.
-const LARGE_SHARE: f64 = 0.6;
+const LARGE_SHARE: f64 = 0.45;
 
 /// Factor on the filled part at an update after jobs of admitted sizes could not be served.
-const FILL_DECREASE: f64 = 0.97;
+const FILL_DECREASE: f64 = 0.9;
 
 /// Increase of the filled part at any other update.
-const FILL_INCREASE: f64 = 0.02;
+const FILL_INCREASE: f64 = 0.01;
 
 /// Bounds of the filled part.
 const FILL_MIN: f64 = 0.3;
--- a/crates/onyxshed-pool/tests/pool/overload.rs
+++ b/crates/onyxshed-pool/tests/pool/overload.rs
@@ -191,6 +191,12 @@
             let mut best = [0.0; 3];
             let mut late = 0.0;
             let mut after = 0.0;
+            let mut used = [0.0; 3];
+            let mut rng0 = SmallRng::seed_from_u64(9);
+            let mean_work: f64 = (0..4000)
+                .map(|n| random_job(&mut rng0, n).2.iter().sum::<u64>() as f64)
+                .sum::<f64>()
+                / 4000.0;
             let mut kinds: BTreeMap<&str, usize> = BTreeMap::new();
             for seed in 0..seeds {
                 let play = Play::new(executors, load, seed, mode).run();
@@ -202,6 +208,12 @@
                     best[class] += known[class] / 3.0;
                 }
                 for class in 0..3 {
+                    let all: f64 = play
+                        .overloaded_calls(class)
+                        .filter(|c| matches!(c.ended, Some((_, JobEnd::Completed))))
+                        .map(|c| work(c) as f64)
+                        .sum();
+                    used[class] += all / mean_work / jobs_per_s_of_room(executors) / 5.0 / 3.0;
                     for call in play.overloaded_calls(class) {
                         let kind = match call.ended {
                             Some((_, JobEnd::Completed)) if is_in_time(call) => "intime",
@@ -219,7 +231,7 @@
                 after += Share::of(calls, is_in_time).value() / 3.0;
             }
             println!(
-                "{executors} {load} own {shares:.3?} mean {:.3} | largest {largest:.2?} | known {best:.3?} ratio {:.3} | after {after:.3} {kinds:?}",
+                "{executors} {load} own {shares:.3?} mean {:.3} | largest {largest:.2?} | known {best:.3?} ratio {:.3} | after {after:.3} {kinds:?} used {used:.2?}",
                 mean(shares),
                 mean(shares) / best.iter().copied().fold(0.0, f64::max)
             );
