--- a/crates/onyxshed-pool/src/class_shares.rs
+++ b/crates/onyxshed-pool/src/class_shares.rs
@@ -84,22 +84,14 @@
         }
         // Within a priority, the class that lacks least comes first, so what it leaves goes to the others.
         wanting.sort_by_key(|(priority, offered, _)| (*priority, *offered));
-        let mut begin = 0;
-        while begin < wanting.len() {
-            let priority = wanting[begin].0;
-            let end = begin
-                + wanting[begin..]
-                    .iter()
-                    .take_while(|row| row.0 == priority)
-                    .count();
-            for index in begin..end {
-                let sharing = u64::try_from(end - index).unwrap_or(1);
-                let (_, offered, load) = &mut wanting[index];
-                let lent = (left / sharing).min(offered.saturating_sub(load.part));
+        for group in wanting.chunk_by_mut(|one, other| one.0 == other.0) {
+            let mut sharing = u64::try_from(group.len()).unwrap_or(1);
+            for (_, offered, load) in group {
+                let lent = (left / sharing.max(1)).min(offered.saturating_sub(load.part));
                 load.part += lent;
                 left -= lent;
+                sharing -= 1;
             }
-            begin = end;
         }
         for load in self.classes.values_mut() {
             load.sizes.update(now, load.part);
--- a/crates/onyxshed-pool/tests/pool/overload.rs
+++ b/crates/onyxshed-pool/tests/pool/overload.rs
@@ -11,7 +11,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::load::{CLASSES, executors_of, random_job};
+use crate::load::{executors_of, random_job};
 use crate::simulation::{Call, Simulation, Timeouts};
 use clairvoyant::Order;
 
