--- a/crates/onyxshed-pool/tests/pool/fixture.rs
+++ b/crates/onyxshed-pool/tests/pool/fixture.rs
@@ -113,7 +113,12 @@
 impl Harness {
     /// Creates a pool whose executors are all acquired at 0 ms.
     pub fn with_executors(executors: &[(&str, u32)]) -> Self {
-        let pool = Pool::new(at_ms(0), FencingToken(7), OWN, PoolOptions::default());
+        Harness::with_options(executors, PoolOptions::default())
+    }
+
+    /// Creates a pool with the given options, whose executors are all acquired at 0 ms.
+    pub fn with_options(executors: &[(&str, u32)], options: PoolOptions) -> Self {
+        let pool = Pool::new(at_ms(0), FencingToken(7), OWN, options);
         let mut harness = Harness {
             pool,
             actions: Vec::new(),
--- a/crates/onyxshed-pool/tests/pool/main.rs
+++ b/crates/onyxshed-pool/tests/pool/main.rs
@@ -11,6 +11,7 @@
 mod lost;
 mod order;
 mod overload;
+mod overload_failures;
 mod parts;
 mod search;
 mod shard_layout;
--- a/crates/onyxshed-pool/tests/pool/overload.rs
+++ b/crates/onyxshed-pool/tests/pool/overload.rs
@@ -3,13 +3,14 @@
 
 mod clairvoyant;
 
-use std::collections::BTreeMap;
+use std::sync::OnceLock;
 
 use onyxshed_core::{Micros, Millis, Mono};
-use onyxshed_pool::{ClassId, JobEnd, JobId, OverloadMode, PoolOptions};
+use onyxshed_pool::{ClassId, JobEnd, OverloadMode, PoolOptions};
 use onyxshed_standins::fleet::ExecutorModel;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
+use rstest::rstest;
 
 use crate::load::{executors_of, random_job};
 use crate::simulation::{Call, Simulation, Timeouts};
@@ -30,6 +31,12 @@
 /// Processor that each task needs, in cores.
 const TASK_CORES: u64 = 27;
 
+/// Offered loads, as multiples of the room.
+const LOADS: [f64; 5] = [1.0, 1.5, 2.0, 3.0, 5.0];
+
+/// Number of seeds.
+const SEEDS: u32 = 3;
+
 /// Share of a group's jobs in time, and the number of its jobs.
 #[derive(Debug, Clone, Copy, Default)]
 struct Share {
@@ -156,15 +163,55 @@
         Share::of(calls.into_iter().take(tenth), is_in_time).value()
     }
 
-    /// Returns the mean share over classes of the best known order.
-    fn best_known(&self) -> (f64, [f64; 3]) {
+    /// Returns the mean share over classes by each order of the clairvoyant scheduler.
+    fn known(&self) -> [f64; 3] {
         let orders = [Order::LeastWork, Order::EarliestDeadline, Order::EqualParts];
-        let means = orders.map(|order| {
-            let served =
-                clairvoyant::served(order, &executors_of(self.executors), &self.simulation.calls);
+        orders.map(|order| {
+            let models = executors_of(self.executors);
+            let served = clairvoyant::served(order, &models, &self.simulation.calls);
             mean(self.shares(|call| served.contains(&call.request.job)))
-        });
-        (means.into_iter().fold(0.0, f64::max), means)
+        })
+    }
+
+    /// Returns the share in time of the jobs that arrive from a second after the overload.
+    fn share_after(&self) -> f64 {
+        let end_ms = BEGIN_MS + LENGTH_MS;
+        let calls = self.calls_between(end_ms + 1_000, end_ms + AFTER_MS);
+        Share::of(calls, is_in_time).value()
+    }
+}
+
+/// What is served at one load, as the mean over [`SEEDS`].
+#[derive(Debug, Clone, Copy, Default)]
+struct Row {
+    /// Share in time by class.
+    shares: [f64; 3],
+    /// Share in time of the largest tenth of each class.
+    largest: [f64; 3],
+    /// Mean share over classes by each order of the clairvoyant scheduler.
+    known: [f64; 3],
+    /// Share in time from a second after the overload.
+    after: f64,
+}
+
+impl Row {
+    fn of(executors: usize, load: f64) -> Row {
+        let mut row = Row::default();
+        for seed in 0..SEEDS {
+            let play = Play::new(executors, load, seed.into(), OverloadMode::On).run();
+            let (shares, known) = (play.shares(is_in_time), play.known());
+            for index in 0..3 {
+                row.shares[index] += shares[index] / f64::from(SEEDS);
+                row.largest[index] += play.share_of_largest(index) / f64::from(SEEDS);
+                row.known[index] += known[index] / f64::from(SEEDS);
+            }
+            row.after += play.share_after() / f64::from(SEEDS);
+        }
+        row
+    }
+
+    fn best_known(&self) -> f64 {
+        self.known.into_iter().fold(0.0, f64::max)
     }
 }
 
@@ -172,72 +219,58 @@
     shares.iter().sum::<f64>() / 3.0
 }
 
-#[test]
-fn table() {
-    let mode = match std::env::var("OVERLOAD").as_deref() {
-        Ok("off") => OverloadMode::Off,
-        _ => OverloadMode::On,
-    };
-    let pools: Vec<usize> = match std::env::var("POOLS").as_deref() {
-        Ok("117") => vec![117],
-        Ok("16") => vec![16],
-        _ => vec![16, 117],
-    };
-    for executors in pools {
-        for load in [1.0, 1.5, 2.0, 3.0, 5.0] {
-            let seeds = 3;
-            let mut shares = [0.0; 3];
-            let mut largest = [0.0; 3];
-            let mut best = [0.0; 3];
-            let mut late = 0.0;
-            let mut after = 0.0;
-            let mut used = [0.0; 3];
-            let mut rng0 = SmallRng::seed_from_u64(9);
-            let mean_work: f64 = (0..4000)
-                .map(|n| random_job(&mut rng0, n).2.iter().sum::<u64>() as f64)
-                .sum::<f64>()
-                / 4000.0;
-            let mut kinds: BTreeMap<&str, usize> = BTreeMap::new();
-            for seed in 0..seeds {
-                let play = Play::new(executors, load, seed, mode).run();
-                let own = play.shares(is_in_time);
-                let (_, known) = play.best_known();
-                for class in 0..3 {
-                    shares[class] += own[class] / 3.0;
-                    largest[class] += play.share_of_largest(class) / 3.0;
-                    best[class] += known[class] / 3.0;
-                }
-                for class in 0..3 {
-                    let all: f64 = play
-                        .overloaded_calls(class)
-                        .filter(|c| matches!(c.ended, Some((_, JobEnd::Completed))))
-                        .map(|c| work(c) as f64)
-                        .sum();
-                    used[class] += all / mean_work / jobs_per_s_of_room(executors) / 5.0 / 3.0;
-                    for call in play.overloaded_calls(class) {
-                        let kind = match call.ended {
-                            Some((_, JobEnd::Completed)) if is_in_time(call) => "intime",
-                            Some((_, JobEnd::Completed)) => "late",
-                            Some((_, JobEnd::NotRun(..))) => "notrun",
-                            _ => "unknown",
-                        };
-                        *kinds.entry(kind).or_default() += 1;
-                    }
-                }
-                let calls = play.calls_between(
-                    BEGIN_MS + LENGTH_MS + 1_000,
-                    BEGIN_MS + LENGTH_MS + AFTER_MS,
-                );
-                after += Share::of(calls, is_in_time).value() / 3.0;
-            }
-            println!(
-                "{executors} {load} own {shares:.3?} mean {:.3} | largest {largest:.2?} | known {best:.3?} ratio {:.3} | after {after:.3} {kinds:?} used {used:.2?}",
-                mean(shares),
-                mean(shares) / best.iter().copied().fold(0.0, f64::max)
-            );
-            let _: (f64, Option<JobId>) = (late, None);
-            late += 0.0;
-            let _ = late;
+/// Returns what is served by a pool at each of [`LOADS`].
+fn rows(executors: usize) -> &'static [Row] {
+    static SMALL: OnceLock<Vec<Row>> = OnceLock::new();
+    static LARGE: OnceLock<Vec<Row>> = OnceLock::new();
+    let rows = if executors == 16 { &SMALL } else { &LARGE };
+    rows.get_or_init(|| {
+        let rows: Vec<Row> = LOADS.map(|load| Row::of(executors, load)).into();
+        for (load, row) in LOADS.iter().zip(&rows) {
+            println!("{executors} executors, load {load}: {row:.3?}");
         }
+        rows
+    })
+}
+
+#[rstest]
+fn serves_nine_tenths_of_the_best_known_order(
+    #[values(16, 117)] executors: usize,
+    #[values(0, 1, 2, 3, 4)] load: usize,
+) {
+    let row = rows(executors)[load];
+    assert!(mean(row.shares) >= 0.9 * row.best_known(), "{row:.3?}");
+}
+
+#[rstest]
+fn serves_no_less_at_a_higher_load(#[values(16, 117)] executors: usize) {
+    // What is served is the share times what is offered.
+    let served: Vec<f64> = rows(executors)
+        .iter()
+        .zip(LOADS)
+        .map(|(row, load)| mean(row.shares) * load)
+        .collect();
+    for pair in served.windows(2) {
+        assert!(pair[1] >= pair[0] - 0.02, "{served:.3?}");
+    }
+}
+
+#[rstest]
+fn serves_the_largest_tenth_half_as_well(
+    #[values(16, 117)] executors: usize,
+    #[values(0, 1, 2, 3, 4)] load: usize,
+) {
+    let row = rows(executors)[load];
+    for (largest, share) in row.largest.into_iter().zip(row.shares) {
+        assert!(largest >= 0.5 * share, "{row:.3?}");
     }
 }
+
+#[rstest]
+fn all_are_in_time_a_second_after(
+    #[values(16, 117)] executors: usize,
+    #[values(0, 1, 2, 3, 4)] load: usize,
+) {
+    let row = rows(executors)[load];
+    assert!(row.after >= 1.0, "{row:.3?}");
+}
