--- a/crates/onyxshed-pool/tests/pool/overload.rs
+++ b/crates/onyxshed-pool/tests/pool/overload.rs
@@ -125,6 +125,10 @@
             let at_ms = begin_ms + rng.random_range(0..length_ms);
             let number = self.simulation.calls.len() as u64;
             let (class, mut request, true_ms) = random_job(rng, number);
+            if load <= ORDINARY_LOAD {
+                // Wrong estimates make jobs late at any load.
+                request.estimate = Millis(true_ms.iter().max().copied().unwrap_or_default());
+            }
             request.class = ClassId(["many", "long", "pairs"][class].into());
             request.time_left = Millis(2_500);
             let at = Mono(at_ms * 1_000);
