Merge commitment and class shares

Cause: jobs were begun whose last task found no place in time, and the queue's order by work starved the long and the wide.

Change: part-commitment, joined with the detector (its own simple rule of overload is dropped), the kept totals and the planned returns.

Off by default: not switched on yet.

--- a/crates/onyxshed-core/src/event.rs
+++ b/crates/onyxshed-core/src/event.rs
@@ -152,6 +152,8 @@
     846 ZoneEvacuated Info "An operator evacuated an availability zone; it gets no tasks until it is restored.";
     847 ZoneRestored Info "An evacuated availability zone was restored and gets tasks again.";
     850 PoolOverloadChanged Warn "The state of overload of a pool changed; in shadow mode without effect.";
+    851 PoolOverloadRefused Info "An overloaded pool refused a job before any of its tasks ran; the detail gives the reason and the wait against the slack.";
+    852 PoolOverloadGivenUp Warn "An overloaded pool ended a job that has begun, since its answer can't be useful any more.";
     858 PoolCallerLimited Warn "Jobs of a caller are refused because it offers more than its share of an overloaded pool.";
     859 PoolCallerWithinShare Info "A caller is within its share of a pool again.";
 }
--- a/crates/onyxshed-pool/src/executor_set.rs
+++ b/crates/onyxshed-pool/src/executor_set.rs
@@ -198,6 +198,11 @@
         self.entries.values().map(|entry| &entry.executor)
     }
 
+    /// Returns every executor, for changes of what neither totals nor indexes contain.
+    pub fn iter_unindexed_mut(&mut self) -> impl Iterator<Item = &mut Executor> {
+        self.entries.values_mut().map(|entry| &mut entry.executor)
+    }
+
     /// Adds an executor on which nothing runs.
     pub fn insert(&mut self, id: ExecutorId, executor: Executor) {
         self.remove(&id);
--- a/crates/onyxshed-pool/src/lib.rs
+++ b/crates/onyxshed-pool/src/lib.rs
@@ -15,6 +15,10 @@
 
 pub mod admission_levels;
 pub mod candidate;
+pub mod class_estimates;
+pub mod class_queues;
+pub mod class_shares;
+pub mod commitments;
 pub mod error;
 pub mod evacuation;
 pub mod executor;
@@ -32,7 +36,9 @@
 pub mod pool;
 pub mod pool_selector;
 pub mod resources;
+pub mod room_forecast;
 pub mod shard_layout;
+pub mod size_limit;
 pub mod speed;
 pub mod successor;
 pub mod summary;
--- a/crates/onyxshed-pool/src/message.rs
+++ b/crates/onyxshed-pool/src/message.rs
@@ -12,7 +12,7 @@
     ClassId, ExecutorId, FencingToken, JobId, PeerIncarnation, Percent, RunNumber,
     SubmissionNumber, TaskId,
 };
-use crate::job::JobEnd;
+use crate::job::{JobEnd, NotRunReason};
 use crate::overload::{OverloadMode, OverloadState};
 use crate::overload_detector::LoadSample;
 
@@ -298,6 +298,30 @@
     },
     /// Operators have restored the zone, and the pool starts tasks again.
     EvacuationEnded,
+    /// An overloaded pool refused a job of which no task has run.
+    JobRefused {
+        /// Job that was refused.
+        job: JobId,
+        /// Class of the job.
+        class: ClassId,
+        /// Why it was refused.
+        reason: NotRunReason,
+        /// How long it would have waited, or has waited, to begin.
+        wait: Millis,
+        /// How long it could have waited and end on target.
+        slack: Millis,
+    },
+    /// An overloaded pool ended a job that has begun, because its answer can't be useful any more.
+    JobGivenUp {
+        /// Job that was ended.
+        job: JobId,
+        /// Class of the job.
+        class: ClassId,
+        /// Number of its tasks that were waiting.
+        waiting_tasks: u16,
+        /// Time since the job arrived at its entry host.
+        elapsed: Micros,
+    },
     /// This stopping owner selected the host at the address as its successor.
     OwnershipTransferred(SocketAddr),
     /// The state of overload changed, or would have if its decisions took effect.
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -5,8 +5,9 @@
 //! stop orders, [`reports`] handles the executors' reports, [`progress`] moves runs off slow
 //! executors, [`watch`] handles time-outs, [`overload`] evaluates the state of overload, [`handover`] passes the pool to its next owner,
 //! [`evacuation`] drains the pool when operators evacuate its zone, and [`stalled`] ends jobs that
-//! have lost their executors. [`caller_limits`] applies the shares of callers and plans the returns of
-//! refused jobs while the pool is overloaded.
+//! have lost their executors. While the pool is overloaded, [`overloaded_admission`] and
+//! [`overloaded_place`] decide in place of [`admission`] and [`place`], by what [`overloaded`] keeps, and
+//! [`caller_limits`] applies the shares of callers and plans the returns of refused jobs.
 
 mod admission;
 mod caller_limits;
@@ -16,6 +17,9 @@
 mod handover;
 mod orders;
 mod overload;
+mod overloaded;
+mod overloaded_admission;
+mod overloaded_place;
 mod place;
 mod progress;
 mod reports;
@@ -28,6 +32,8 @@
 use onyxshed_core::{Millis, Mono};
 
 use crate::admission_levels::ClassLevels;
+use crate::class_estimates::ClassEstimates;
+use crate::class_shares::ClassShares;
 use crate::executor::{Executor, ExecutorFacts, IncarnationMatch, Phase, RunState};
 use crate::executor_set::{AcceptingTotal, ExecutorSet};
 use crate::id::{ExecutorId, FencingToken, JobId, PeerIncarnation, Session, TaskId};
@@ -45,6 +51,7 @@
 use caller_limits::CallerLimits;
 use evacuation::ZoneStatus;
 use handover::{HandoverStage, Predecessor};
+use overloaded::OverloadPlan;
 
 /// State of a pool of executors and its queue, as known to its owner.
 ///
@@ -81,6 +88,10 @@
     /// For each stalled job, the time since which no usable executor can run its tasks.
     stalled_since: BTreeMap<JobId, Mono>,
     caller_limits: CallerLimits,
+    /// Queues, commitments and forecasts while overload decisions take effect.
+    plan: Option<Box<OverloadPlan>>,
+    class_shares: ClassShares,
+    class_estimates: ClassEstimates,
     actions: Vec<Action>,
 }
 
@@ -115,6 +126,9 @@
             requeued: Vec::new(),
             stalled_since: BTreeMap::new(),
             caller_limits: CallerLimits::default(),
+            plan: None,
+            class_shares: ClassShares::default(),
+            class_estimates: ClassEstimates::default(),
             actions: Vec::new(),
         }
     }
@@ -341,6 +355,7 @@
             return;
         };
         self.record_shed(&job.request.class, &end);
+        self.forget_job(id);
         self.actions.push(Action::End {
             peer: job.request.peer,
             submission: job.request.submission,
--- a/crates/onyxshed-pool/src/pool/admission.rs
+++ b/crates/onyxshed-pool/src/pool/admission.rs
@@ -90,8 +90,13 @@
                     new_job.block_task(task.index, run.number);
                 }
             }
-            self.jobs.insert(id, new_job);
-            self.place_job(now, id);
+            match self.is_overloaded() {
+                true => self.submit_overloaded(now, new_job),
+                false => {
+                    self.jobs.insert(id, new_job);
+                    self.place_job(now, id);
+                }
+            }
         }
         self.take_actions()
     }
@@ -146,7 +151,8 @@
         if !self.is_placeable(now, request) {
             return not_run(NotRunReason::NoExecutor);
         }
-        if !self.is_feasible(now, job) {
+        // An overloaded pool refuses a job only after it has tried to begin it.
+        if !self.is_overloaded() && !self.is_feasible(now, job) {
             return not_run(NotRunReason::NoTime);
         }
         None
@@ -267,6 +273,9 @@
     /// If such jobs were kept until they expire, their callers would wait for three targets to get the same
     /// answer.
     pub(super) fn shed_late_jobs(&mut self, now: Mono) {
+        if self.is_overloaded() {
+            return self.shed_overloaded(now);
+        }
         let mut maybe_late: Vec<(JobId, &Job)> = self.jobs.maybe_late(now).collect();
         if maybe_late.is_empty() {
             return;
--- a/crates/onyxshed-pool/src/pool/caller_limits.rs
+++ b/crates/onyxshed-pool/src/pool/caller_limits.rs
@@ -185,7 +185,7 @@
         let is_excess = decision == CallerDecision::Refuse && is_refusable;
         let is_excess = is_excess && !self.has_places_for(now, request);
         if is_excess {
-            self.record_excess(now, request);
+            self.record_caller_excess(now, request);
         }
         let end = match (is_excess, mode) {
             (true, OverloadMode::On) => Some(JobEnd::NotRun(NotRunReason::CallerShare, Millis(0))),
@@ -278,7 +278,7 @@
         JobEnd::NotRun(reason, wait)
     }
 
-    fn record_excess(&mut self, now: Mono, request: &JobRequest) {
+    fn record_caller_excess(&mut self, now: Mono, request: &JobRequest) {
         if !self.caller_limits.record_excess(now, request) {
             return;
         }
--- a/crates/onyxshed-pool/src/pool/orders.rs
+++ b/crates/onyxshed-pool/src/pool/orders.rs
@@ -239,7 +239,7 @@
         number: RunNumber,
         reason: &'static str,
     ) {
-        self.executors.remove_run(id, task);
+        self.remove_run(id, task);
         self.requeue_run(task, number, id, reason);
     }
 
--- a/crates/onyxshed-pool/src/pool/overload.rs
+++ b/crates/onyxshed-pool/src/pool/overload.rs
@@ -57,14 +57,10 @@
             sample: change.sample,
         });
         if self.options.overload == OverloadMode::On {
-            self.enter_state(now, change.to);
+            self.set_overload_state(now, change.to);
         }
     }
 
-    fn enter_state(&mut self, _now: Mono, state: OverloadState) {
-        self.overload_state = state;
-    }
-
     fn load_sample(&self, now: Mono, since_last_tick: Micros) -> LoadSample {
         let (room_cpu_millis, free_cpu_millis) = self.usable_room(now);
         let mut sample = LoadSample {
--- a/crates/onyxshed-pool/src/pool/reports.rs
+++ b/crates/onyxshed-pool/src/pool/reports.rs
@@ -9,6 +9,7 @@
 use crate::message::{
     Action, Decision, ExecutorLists, ExecutorReport, FinishedRun, HoldAnswer, RunEnd, RunningRun,
 };
+use crate::overload::OverloadMode;
 
 /// Pause before the next hold order to an executor that did not answer.
 const UNRESPONSIVE_PAUSE: Millis = Millis(50);
@@ -137,6 +138,7 @@
         executor.health = Default::default();
         executor.last_completed_at = now;
         drop(executor);
+        self.forget_room(&run);
         let Some(mut job) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -144,6 +146,10 @@
             drop(job);
             return self.unblock_task(task);
         }
+        if self.options.overload != OverloadMode::Off && job.log_ratio.1 == 0 {
+            let class = &job.request.class;
+            self.class_estimates.observe(now, class, took, run.expected);
+        }
         job.observe_run_time(took, run.expected);
         job.tasks[usize::from(task.index)].state = TaskState::Done;
         job.done += 1;
@@ -151,6 +157,8 @@
         drop(job);
         if is_completed {
             self.end_job(task.job, JobEnd::Completed);
+        } else {
+            self.update_commitment(now, task.job);
         }
     }
 
@@ -161,7 +169,7 @@
         task: TaskId,
         number: RunNumber,
     ) {
-        self.executors.remove_run(id, task);
+        self.remove_run(id, task);
         self.record_run_failure(now, id, task.job);
         let Some(mut job) = self.jobs.get_mut(&task.job) else {
             return;
--- a/crates/onyxshed-pool/src/pool/watch.rs
+++ b/crates/onyxshed-pool/src/pool/watch.rs
@@ -29,6 +29,7 @@
         self.expire_evacuation_grace(now);
         self.end_stalled_jobs(now);
         self.observe_load(now, since_last_tick);
+        self.update_forecast(now);
         self.shed_late_jobs(now);
         self.requeue_expired_runs(now);
         self.stop_stuck_runs(now);
--- a/crates/onyxshed-pool/tests/pool/fixture.rs
+++ b/crates/onyxshed-pool/tests/pool/fixture.rs
@@ -116,7 +116,7 @@
         Harness::with_options(executors, PoolOptions::default())
     }
 
-    /// Like [`Harness::with_executors`], with other options.
+    /// Creates a pool with the given options, whose executors are all acquired at 0 ms.
     pub fn with_options(executors: &[(&str, u32)], options: PoolOptions) -> Self {
         let pool = Pool::new(at_ms(0), FencingToken(7), OWN, options);
         let mut harness = Harness {
--- a/crates/onyxshed-pool/tests/pool/main.rs
+++ b/crates/onyxshed-pool/tests/pool/main.rs
@@ -13,6 +13,8 @@
 mod lost;
 mod order;
 mod overload;
+mod overload_failures;
+mod overload_state;
 mod parts;
 mod search;
 mod shard_layout;
--- a/crates/onyxshed-pool/tests/pool/simulation.rs
+++ b/crates/onyxshed-pool/tests/pool/simulation.rs
@@ -165,6 +165,9 @@
     options: PoolOptions,
     /// Whether entry hosts apply the levels of admission that owners report.
     pub applies_levels: bool,
+    /// Whether the kept totals and indexes are compared with walks at each tick, which takes most of the
+    /// time of a large pool.
+    pub checks_indexes: bool,
     /// Number of submissions that reached an owner.
     pub owner_calls: u32,
     /// Events of each task, printed when a check fails.
@@ -176,6 +179,7 @@
         Simulation::with_options(seed, executors, entries, PoolOptions::default())
     }
 
+    /// Creates a simulation whose owners have the given options.
     pub fn with_options(
         seed: u64,
         executors: Vec<ExecutorModel>,
@@ -208,6 +212,7 @@
             rng: SmallRng::seed_from_u64(seed),
             options,
             applies_levels: false,
+            checks_indexes: true,
             owner_calls: 0,
             trace: Vec::new(),
         };
--- a/crates/onyxshed-pool/tests/pool/simulation/owners.rs
+++ b/crates/onyxshed-pool/tests/pool/simulation/owners.rs
@@ -222,6 +222,9 @@
     /// Checks that every kept total and index of a pool agrees with a walk. Nothing rebuilds them, so
     /// a difference caused by an earlier event is still there.
     fn check_indexes(&self, owner: OwnerIndex) {
+        if !self.checks_indexes {
+            return;
+        }
         let difference = self.owners[owner].pool.index_difference(self.now);
         assert_eq!(difference, None, "at {:?}", self.now);
     }
