--- a/crates/onyxshed-pool/src/size_limit.rs
+++ b/crates/onyxshed-pool/src/size_limit.rs
@@ -10,7 +10,7 @@
 
 /// Share in which jobs above the limit are admitted, as a part of the share of all jobs of the
 /// class.
-const LARGE_SHARE: f64 = 0.75;
+const LARGE_SHARE: f64 = 0.65;
 
 /// Factor on the filled part at an update after jobs of admitted sizes could not be served.
 const FILL_DECREASE: f64 = 0.9;
