--- a/crates/onyxshed-pool/src/pool/overloaded_place.rs
+++ b/crates/onyxshed-pool/src/pool/overloaded_place.rs
@@ -4,7 +4,7 @@
 //! begins only if each of its tasks has a place on an executor that ends it on target: in room that
 //! is free now, or in room that running tasks are expected to make by its latest start and that is
 //! not promised. Class shares decide which class begins next. Tasks go to the slowest executor that
-//! ends them on target, so that fast ones remain for long tasks.
+//! ends them on target with some time to spare, so that fast ones remain for long tasks.
 
 use std::cmp::Reverse;
 
@@ -23,8 +23,12 @@
 /// Maximum number of jobs of a class considered at an event.
 const CANDIDATES_MAX: usize = 4;
 
-/// Score of an executor for a task, where less is better: whether the task would be late there, its
-/// expected run time if it would be, the speed band, and the processor that would remain free.
+/// Part of the expected run time that a task should have to spare on a slow executor.
+const MARGIN: f64 = 0.1;
+
+/// Score of an executor for a task, where less is better: whether the task would be late there or
+/// nearly so, its expected run time if it would, the speed band, and the processor that would remain
+/// free.
 type Score = (bool, Micros, Reverse<SpeedBand>, u32);
 
 /// Jobs of one class that may begin next, in order of arrival.
@@ -139,10 +143,11 @@
                 continue;
             };
             let ends_at = now + scaled(expected, times.correction);
-            let score = if ends_at <= times.end_by {
+            let margin = scaled(expected, MARGIN);
+            let score = if ends_at + margin <= times.end_by {
                 let band = SpeedBand::of(candidate.slowdown);
                 (false, Micros(0), Reverse(band), cpu_left)
-            } else if is_late && ends_at <= times.useful_end_by {
+            } else if ends_at <= times.end_by || is_late && ends_at <= times.useful_end_by {
                 (true, expected, Reverse(SpeedBand::of(1.0)), cpu_left)
             } else {
                 continue;
