--- a/crates/onyxshed-pool/src/pool/overloaded_place.rs
+++ b/crates/onyxshed-pool/src/pool/overloaded_place.rs
@@ -124,8 +124,8 @@
         has_started
     }
 
-    /// Selects the executor of a task: the slowest that ends it on target, or the fastest if no other
-    /// job waits for it, then the one on which the least processor remains free. A job that has missed its latest start takes the fastest on
+    /// Selects the executor of a task: the slowest that ends it on target, or the fastest while less
+    /// is offered than the pool has room for, then the one on which the least processor remains free. A job that has missed its latest start takes the fastest on
     /// which its answer is useful. Returns the index of the candidate and the expected run time.
     fn choose_overloaded(
         &self,
@@ -137,7 +137,7 @@
         let times = self.times_of(now, job);
         let plan = self.plan.as_ref()?;
         let fast_factor = plan.fast_factor;
-        let is_alone = plan.queues.len() <= 1;
+        let has_spare_room = self.offered_load.cpu_millis(now) < plan.room;
         let is_late = now > times.latest_start(fast_factor);
         let mut best: Option<(Score, usize, Micros)> = None;
         for (position, candidate) in available.iter().enumerate() {
@@ -146,7 +146,7 @@
             };
             let ends_at = now + scaled(expected, times.correction);
             let margin = scaled(expected, MARGIN);
-            let score = if is_alone && ends_at <= times.end_by {
+            let score = if has_spare_room && ends_at <= times.end_by {
                 (false, expected, Reverse(SpeedBand::of(1.0)), cpu_left)
             } else if ends_at + margin <= times.end_by {
                 let band = SpeedBand::of(candidate.slowdown);
