--- a/crates/onyxshed-admission/src/caller_shares.rs
+++ b/crates/onyxshed-admission/src/caller_shares.rs
@@ -60,6 +60,10 @@
     pub since: Mono,
 }
 
+/// Factor on the median of the callers' work up to which a caller is within its share: jobs arrive at
+/// random, so callers of equal rates differ by that much within a second.
+const USUAL_EXCESS: u64 = 2;
+
 /// Work of a caller within the last second.
 #[derive(Debug, Default)]
 struct CallerWork {
@@ -221,6 +225,7 @@
             self.level = None;
             return;
         }
+        let usual = median(&mut demands).saturating_mul(USUAL_EXCESS);
         let remembered = demands.iter().copied().fold(0, u64::saturating_add);
         let offered = self.offered.total(now).max(remembered);
         let proportional = part(room_per_s, remembered, offered);
@@ -229,11 +234,17 @@
         self.level = level.map(|level| {
             let above = demands.iter().filter(|demand| **demand > level).count() as u64;
             let unused = room_per_s.saturating_sub(self.admitted.total(now));
-            level.saturating_add(unused / above.max(1))
+            level.saturating_add(unused / above.max(1)).max(usual)
         });
     }
 }
 
+/// Returns the median of the demands, the higher one of two; 0 if there are none.
+fn median(demands: &mut [u64]) -> u64 {
+    demands.sort_unstable();
+    demands.get(demands.len() / 2).copied().unwrap_or_default()
+}
+
 /// Returns the part of `room` that `share` is of `whole`.
 fn part(room: u64, share: u64, whole: u64) -> u64 {
     let product = u128::from(room) * u128::from(share);
--- a/crates/onyxshed-host/src/ownership/contender.rs
+++ b/crates/onyxshed-host/src/ownership/contender.rs
@@ -189,10 +189,12 @@
         if self.links.has_stable_owner(pool) {
             return LastOwner::Active;
         }
-        // On the first start of the deployment there is no previous owner.
-        if self.links.has_known_owner(pool) || self.options.is_first_start {
+        if self.links.has_known_owner(pool) {
             return LastOwner::Gone;
         }
+        if self.options.is_first_start {
+            return LastOwner::None;
+        }
         let address = match last_owner::read(&mut self.store, pool).await {
             Ok(member) => member.and_then(|member| address_of(&member)),
             Err(error) => {
--- a/crates/onyxshed-pool/src/candidate.rs
+++ b/crates/onyxshed-pool/src/candidate.rs
@@ -32,6 +32,10 @@
 /// this time, and a host with a third of it for twice this time.
 const SMALL_HOST_DELAY: Millis = Millis(200);
 
+/// Delay by which a host without any processor time would join later than a host with
+/// [`OWNER_CPU_MILLIS`] when the deployment starts for the first time and nobody waits for a pool yet.
+const FIRST_JOIN_SPREAD: Millis = Millis(1_000);
+
 /// Next step of a host for a vacant pool.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CandidateStep {
@@ -46,7 +50,9 @@
 pub enum LastOwner {
     /// The owner answers and needs no replacement.
     Active,
-    /// The owner does not answer or reports that it needs to be replaced, or there was none.
+    /// The deployment starts for the first time, so the pool has never had an owner.
+    None,
+    /// The owner does not answer or reports that it needs to be replaced.
     Gone,
     /// This host has never had contact with an owner of the pool, and could not read from the store
     /// which host it was.
@@ -95,21 +101,35 @@
         let grace = match last_owner {
             LastOwner::Active => ACTIVE_OWNER_GRACE,
             LastOwner::Unknown => UNKNOWN_OWNER_GRACE,
-            LastOwner::Gone => Millis(0),
+            LastOwner::Gone | LastOwner::None => Millis(0),
         };
         if now.since(since) < grace.into() {
             return CandidateStep::Defer;
         }
-        CandidateStep::JoinAfter(self.join_delay(draw))
+        CandidateStep::JoinAfter(match last_owner {
+            LastOwner::None => self.first_join_delay(draw),
+            LastOwner::Active | LastOwner::Unknown | LastOwner::Gone => self.join_delay(draw),
+        })
     }
 
     /// Returns the delay before this host joins for a vacant pool. The load of an owner grows with its pool,
     /// so hosts with a larger processor share go first.
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     fn join_delay(&self, draw: f64) -> Millis {
         let cpu_millis = self.cpu_millis.clamp(1, OWNER_CPU_MILLIS);
         let shortage = u64::from(OWNER_CPU_MILLIS / cpu_millis - 1);
-        let spread_ms = (draw.clamp(0.0, 1.0) * crate::speed::as_f64(JOIN_JITTER_MAX.0)) as u64;
-        Millis(spread_ms + SMALL_HOST_DELAY.0 * shortage)
+        Millis(jitter(draw).0 + SMALL_HOST_DELAY.0 * shortage)
+    }
+
+    /// Like [`Candidate::join_delay`] for the first owner of a pool: any host that is too small for the
+    /// pool leaves it to a larger one.
+    fn first_join_delay(&self, draw: f64) -> Millis {
+        let missing = OWNER_CPU_MILLIS - self.cpu_millis.min(OWNER_CPU_MILLIS);
+        let spread_ms = FIRST_JOIN_SPREAD.0 * u64::from(missing) / u64::from(OWNER_CPU_MILLIS);
+        Millis(jitter(draw).0 + spread_ms)
     }
 }
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn jitter(draw: f64) -> Millis {
+    Millis((draw.clamp(0.0, 1.0) * crate::speed::as_f64(JOIN_JITTER_MAX.0)) as u64)
+}
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -29,7 +29,7 @@
 use std::cell::Cell;
 use std::collections::BTreeMap;
 
-use onyxshed_core::{Millis, Mono};
+use onyxshed_core::{Micros, Millis, Mono};
 
 use crate::admission_levels::ClassLevels;
 use crate::class_estimates::ClassEstimates;
@@ -68,6 +68,8 @@
     overload_detector: OverloadDetector,
     /// State of overload by which the pool decides.
     overload_state: OverloadState,
+    /// Time by which the last tick was late; 0 if overload is not evaluated.
+    tick_lateness: Micros,
     class_levels: ClassLevels,
     /// Number of the last load report.
     report_version: Cell<u64>,
@@ -112,6 +114,7 @@
             offered_load: OfferedLoad::default(),
             overload_detector: OverloadDetector::default(),
             overload_state: OverloadState::Normal,
+            tick_lateness: Micros(0),
             class_levels: ClassLevels::default(),
             report_version: Cell::new(0),
             peers: PeerSessions::default(),
--- a/crates/onyxshed-pool/src/pool/admission.rs
+++ b/crates/onyxshed-pool/src/pool/admission.rs
@@ -93,6 +93,7 @@
             match self.is_overloaded() {
                 true => self.submit_overloaded(now, new_job),
                 false => {
+                    self.record_class_work(now, &new_job.request);
                     self.jobs.insert(id, new_job);
                     self.place_job(now, id);
                 }
--- a/crates/onyxshed-pool/src/pool/overload.rs
+++ b/crates/onyxshed-pool/src/pool/overload.rs
@@ -6,6 +6,7 @@
 use super::evacuation::ZoneStatus;
 use super::place::Feasibility;
 use crate::admission_levels::Arrival;
+use crate::executor::Run;
 use crate::id::{ClassId, JobId};
 use crate::job::{Job, JobEnd, JobRequest, NotRunReason};
 use crate::message::Decision;
@@ -44,6 +45,7 @@
             return;
         }
         let sample = self.load_sample(now, since_last_tick);
+        self.tick_lateness = sample.tick_lateness;
         if let Some(change) = self.overload_detector.observe(now, &sample) {
             self.apply_change(now, change);
         }
@@ -61,6 +63,16 @@
         }
     }
 
+    /// Returns how long a run took, without the time by which this host's own events are late.
+    ///
+    /// Otherwise executors would seem slow whenever the host lacks processor time, and an owner that has
+    /// fallen behind would refuse what the executors could run.
+    pub(super) fn run_time(&self, now: Mono, run: &Run) -> Micros {
+        let took = now.since(run.ordered_at);
+        let late = self.tick_lateness.min(Micros(took.0 / 2));
+        Micros(took.0 - late.0)
+    }
+
     fn load_sample(&self, now: Mono, since_last_tick: Micros) -> LoadSample {
         let (room_cpu_millis, free_cpu_millis) = self.usable_room(now);
         let mut sample = LoadSample {
--- a/crates/onyxshed-pool/src/pool/overloaded_admission.rs
+++ b/crates/onyxshed-pool/src/pool/overloaded_admission.rs
@@ -9,8 +9,9 @@
 
 use super::Pool;
 use crate::id::JobId;
-use crate::job::{Job, JobEnd, NotRunReason, UnknownReason};
+use crate::job::{Job, JobEnd, JobRequest, NotRunReason, UnknownReason};
 use crate::message::Decision;
+use crate::overload::OverloadMode;
 
 /// What becomes of a job that has arrived and not begun.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -53,6 +54,16 @@
         }
     }
 
+    /// Records the work of a job that arrives before the pool is overloaded, so that the classes' parts of
+    /// the room are known when it is.
+    pub(super) fn record_class_work(&mut self, now: Mono, request: &JobRequest) {
+        if self.options.overload == OverloadMode::On {
+            let work = request.work();
+            self.class_shares
+                .record_offered(now, &request.class, request.priority, work);
+        }
+    }
+
     fn record_excess(&mut self, id: JobId) {
         if let Some(job) = self.jobs.get(&id) {
             self.class_shares.record_excess(&job.request.class);
--- a/crates/onyxshed-pool/src/pool/reports.rs
+++ b/crates/onyxshed-pool/src/pool/reports.rs
@@ -127,10 +127,10 @@
         let Some(run) = self.executors.remove_run(id, task) else {
             return;
         };
+        let took = self.run_time(now, &run);
         let Some(mut executor) = self.executors.get_mut(id) else {
             return;
         };
-        let took = now.since(run.ordered_at);
         let was_stopping = matches!(run.state, RunState::Stopping { .. });
         if !was_stopping {
             executor.slowdown.observe(now, took, run.estimate);
