The test of the drain timeout waits until the host knows its peer

Cause: the test submits a copy to host a1 99 ms after the hosts have read the platform's list (time line of a failed run: list at 892.962, copy at 893.061), and hosts hear of each other up to 190 ms after it. a1 had read a2's claim in the log, but had not heard of a2, and answered 4001 (holder unreachable), which is true then. By the code, a host waits up to a second for its listed peers before it counts as ready; the list is empty when the hosts of this test start, so a1 counts as ready at once.

Change: the test waits until the status of a1 shows one live peer, as the test of the time line does; both use `zone::wait_until_peers_are_known`. What the test guards is unchanged: the request in flight is forwarded, and a drain that times out answers both requests.

--- a/crates/onyxshed-proof/src/zone.rs
+++ b/crates/onyxshed-proof/src/zone.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use onyxshed_core::{ClassTarget, Millis, Outcome, SubmissionId};
-use onyxshed_wire::admin::{TIMELINE_PATH, TimelinePage};
+use onyxshed_wire::admin::{STATUS_PATH, Status, TIMELINE_PATH, TimelinePage};
 use onyxshed_wire::caller::{CopyMark, Submission};
 use ulid::Ulid;
 
@@ -100,6 +100,23 @@
     }
 }
 
+/// Waits until the status of a host's entry process shows `peers` live peers. Before that, the host
+/// answers a copy of a job that a peer holds as "holder unreachable".
+pub async fn wait_until_peers_are_known(cluster: &mut Cluster, host: &str, peers: u64) {
+    let address = cluster
+        .host(host)
+        .expect("the host is part of the cluster")
+        .admin_address(ProcessKind::Entry)
+        .expect("the entry process runs");
+    let knows_peers = async || {
+        let status: Status = get(address, STATUS_PATH)
+            .await
+            .expect("the entry process answers");
+        status.details["live_peers"] == peers
+    };
+    wait_until("the host knows its peers", knows_peers).await;
+}
+
 /// Fetches the time line of one process of an entry host: the events that it has recorded and still
 /// keeps.
 pub async fn timeline(
--- a/crates/onyxshed-proof/tests/stop.rs
+++ b/crates/onyxshed-proof/tests/stop.rs
@@ -193,6 +193,7 @@
         let address = zone::caller_address(&mut cluster, host);
         block_on(zone::run_one_job(address, "wipe"));
     }
+    block_on(zone::wait_until_peers_are_known(&mut cluster, "a1", 1));
     let (own, held_by_peer) = (slow_job(25_000), slow_job(25_000));
     let results = block_on(stop_with_requests_in_flight(
         &mut cluster,
--- a/crates/onyxshed-proof/tests/timeline.rs
+++ b/crates/onyxshed-proof/tests/timeline.rs
@@ -10,9 +10,7 @@
 use onyxshed_proof::caller::{ResubmitPolicy, TimedCallResult, submit};
 use onyxshed_proof::cluster::{Cluster, ClusterOptions, ProcessKind};
 use onyxshed_proof::process::find_binary;
-use onyxshed_proof::remote::get;
 use onyxshed_proof::zone;
-use onyxshed_wire::admin::{STATUS_PATH, Status};
 use onyxshed_wire::caller::{CopyMark, Submission};
 use serde_json::json;
 use tempfile::TempDir;
@@ -122,14 +120,7 @@
                 zone::MAY_RUN_TWICE,
             )
             .await;
-            let knows_peer = async || {
-                let address = admin(&mut cluster, host, ProcessKind::Entry);
-                let status: Status = get(address, STATUS_PATH)
-                    .await
-                    .expect("the entry process answers");
-                status.details["live_peers"] == 1
-            };
-            zone::wait_until("peers know each other", knows_peer).await;
+            zone::wait_until_peers_are_known(&mut cluster, host, 1).await;
         }
         let (first, second) = submit_twice(&mut cluster, &job).await;
         assert_eq!(first.result, second.result);
