Choose the pool in which a job ends first, with credits on other pools

Cause: each entry host ranks pools by the wait in one report half a heartbeat old, which knows neither when runs make room nor how fast executors are, and every host sends to the same free room. A job that its owner refuses for want of room tries every other pool in turn.

Change, effective only with `OverloadMode::On`: owners number their reports and fill in the work of their runs and the speed of their executors, computed once a tick. Entry hosts forecast the end of a job from these, and leave the home pool only for a gain of 20 ms and half of the time that the job would have left there. On the room of other pools a host has a credit: a share that is halved whenever the pool refuses or a queue grows there, and grows in steps. Reports older than a second and older versions do not count. A refused job is passed on once, if a fresh report shows that it can still end on target; otherwise the refusal is final. Without the mode the ranking is unchanged.

--- a/crates/onyxshed-pool/src/lib.rs
+++ b/crates/onyxshed-pool/src/lib.rs
@@ -14,6 +14,7 @@
 //!   callers resubmit these jobs.
 
 pub mod candidate;
+pub mod end_forecast;
 pub mod error;
 pub mod evacuation;
 pub mod executor;
@@ -25,14 +26,17 @@
 pub mod overload;
 pub mod peers;
 pub mod pool;
+pub mod pool_choice;
 pub mod pool_selector;
 pub mod resources;
+pub mod room_credit;
 pub mod shard_layout;
 pub mod speed;
 pub mod successor;
 pub mod summary;
 
 pub use candidate::{Candidate, CandidateStep, LastOwner};
+pub use end_forecast::JobNeeds;
 pub use error::{Error, Result};
 pub use evacuation::{EvacuationChange, EvacuationRecord, Evacuations, LogPosition};
 pub use executor::ExecutorFacts;
@@ -50,8 +54,10 @@
 pub use overload::{CallerLimit, ClassAdmission, OverloadMode, OverloadState};
 pub use peers::PeerSessions;
 pub use pool::Pool;
+pub use pool_choice::{AfterEnd, PoolChoices};
 pub use pool_selector::{PoolLoad, PoolSelector};
 pub use resources::Resources;
+pub use room_credit::RoomCredit;
 pub use shard_layout::{PoolId, ShardLayout};
 pub use successor::{OwnershipTransfer, SuccessorOffer};
 pub use summary::JobSummary;
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -3,7 +3,7 @@
 //! [`admission`] admits jobs and sheds those that can't end in time, [`place`] orders the queue and
 //! starts runs, [`fit`] selects the executor of a task, [`orders`] handles the answers to start and
 //! stop orders, [`reports`] handles the executors' reports, [`progress`] moves runs off slow
-//! executors, [`watch`] handles time-outs, [`handover`] passes the pool to its next owner,
+//! executors, [`running_work`] sums up what runs, [`watch`] handles time-outs, [`handover`] passes the pool to its next owner,
 //! [`evacuation`] drains the pool when operators evacuate its zone, and [`stalled`] ends jobs that
 //! have lost their executors.
 
@@ -15,6 +15,7 @@
 mod place;
 mod progress;
 mod reports;
+mod running_work;
 mod stalled;
 mod watch;
 
@@ -34,6 +35,7 @@
 use crate::successor::{SuccessorOffer, SuccessorSelection};
 use evacuation::ZoneStatus;
 use handover::{HandoverStage, Predecessor};
+use running_work::RunningTotals;
 
 /// State of a pool of executors and its queue, as known to its owner.
 ///
@@ -63,6 +65,7 @@
     requeued: Vec<JobId>,
     /// For each stalled job, the time since which no usable executor can run its tasks.
     stalled_since: BTreeMap<JobId, Mono>,
+    running: RunningTotals,
     actions: Vec<Action>,
 }
 
@@ -92,6 +95,7 @@
             predecessor: Predecessor::None,
             requeued: Vec::new(),
             stalled_since: BTreeMap::new(),
+            running: RunningTotals::default(),
             actions: Vec::new(),
         }
     }
@@ -168,6 +172,9 @@
             needs_replacement: self.stage >= HandoverStage::Draining || !self.has_read_executors,
             is_closed: self.is_closed(),
             successor: self.successor_selection.successor_address(),
+            version: self.running.next_version(),
+            running_work: self.running.work(now),
+            speed_millis: self.running.speed_millis(),
             ..PoolLoad::default()
         }
     }
--- a/crates/onyxshed-pool/src/pool/watch.rs
+++ b/crates/onyxshed-pool/src/pool/watch.rs
@@ -31,6 +31,7 @@
         self.stop_stuck_runs(now);
         self.forget_unlisted_executors(now);
         self.place(now);
+        self.update_running_totals(now);
         self.take_actions()
     }
 
--- a/crates/onyxshed-pool/src/pool_selector.rs
+++ b/crates/onyxshed-pool/src/pool_selector.rs
@@ -9,10 +9,11 @@
 use std::net::SocketAddr;
 
 use crate::evacuation::Evacuations;
-use crate::overload::{CallerLimit, ClassAdmission, OverloadState};
+use crate::overload::{CallerLimit, ClassAdmission, OverloadMode, OverloadState};
+use crate::pool_choice::PoolChoices;
 use crate::resources::Resources;
 use crate::shard_layout::PoolId;
-use onyxshed_core::Millis;
+use onyxshed_core::{Millis, Mono};
 
 /// Load report of a pool's owner, sent in each answer to an entry host.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -54,13 +55,51 @@
 /// reports of a pool to which the host submits no jobs are infrequent.
 const SAME_ZONE_MARGIN: Millis = Millis(10);
 
+impl PoolLoad {
+    /// Subtracts the processor of a job's tasks that fit from the free part, and adds the other tasks to
+    /// the waiting work.
+    pub(crate) fn record_dispatch(&mut self, demand: Resources, tasks: u16, estimate: Millis) {
+        let task_cpu_millis = u64::from(demand.cpu_millis.max(1));
+        let fitting_tasks = (self.free_cpu_millis / task_cpu_millis).min(u64::from(tasks));
+        self.free_cpu_millis -= fitting_tasks * task_cpu_millis;
+        self.waiting_work += (u64::from(tasks) - fitting_tasks) * task_cpu_millis * estimate.0;
+    }
+}
+
 /// Latest load report of each pool, adjusted for the jobs that this entry host has submitted since.
 #[derive(Debug, Default)]
 pub struct PoolSelector {
     loads: BTreeMap<PoolId, PoolLoad>,
+    /// `None` unless overload decisions take effect.
+    choices: Option<PoolChoices>,
 }
 
 impl PoolSelector {
+    /// Creates a selector without reports. With [`OverloadMode::On`], it selects the pool in which a job
+    /// ends first; see [`PoolChoices`].
+    pub fn new(mode: OverloadMode) -> Self {
+        PoolSelector {
+            loads: BTreeMap::new(),
+            choices: (mode == OverloadMode::On).then(PoolChoices::default),
+        }
+    }
+
+    /// Returns the choices by the end of a job, `None` unless overload decisions take effect.
+    pub fn choices(&mut self) -> Option<&mut PoolChoices> {
+        self.choices.as_mut()
+    }
+
+    /// Applies a report that arrived at `now`. A report that its owner sent before the last one is
+    /// ignored if overload decisions take effect.
+    pub fn record_report(&mut self, now: Mono, pool: &PoolId, load: PoolLoad) {
+        if let Some(choices) = &mut self.choices
+            && !choices.record_report(now, pool, load.clone())
+        {
+            return;
+        }
+        self.update_load(pool, load);
+    }
+
     /// Replaces the load of a pool, including adjustments for submitted jobs, by a new report.
     pub fn update_load(&mut self, pool: &PoolId, load: PoolLoad) {
         self.loads.insert(pool.clone(), load);
@@ -70,6 +109,9 @@
     /// pool before its next report.
     pub fn remove_pool(&mut self, pool: &PoolId) {
         self.loads.remove(pool);
+        if let Some(choices) = &mut self.choices {
+            choices.remove_pool(pool);
+        }
     }
 
     /// Returns whether any pool reports executors that accept tasks.
@@ -94,13 +136,9 @@
         tasks: u16,
         estimate: Millis,
     ) {
-        let Some(load) = self.loads.get_mut(pool) else {
-            return;
-        };
-        let task_cpu_millis = u64::from(demand.cpu_millis.max(1));
-        let fitting_tasks = (load.free_cpu_millis / task_cpu_millis).min(u64::from(tasks));
-        load.free_cpu_millis -= fitting_tasks * task_cpu_millis;
-        load.waiting_work += (u64::from(tasks) - fitting_tasks) * task_cpu_millis * estimate.0;
+        if let Some(load) = self.loads.get_mut(pool) {
+            load.record_dispatch(demand, tasks, estimate);
+        }
     }
 
     /// Returns the pools in the order in which a job should be submitted to them. Closed pools and
@@ -132,7 +170,7 @@
 }
 
 /// Returns the advantage in waiting time from which a pool is preferred to the home pool.
-fn margin(home: &PoolId, pool: &PoolId) -> Millis {
+pub(crate) fn margin(home: &PoolId, pool: &PoolId) -> Millis {
     match (pool == home, pool.zone == home.zone) {
         (true, _) => Millis(0),
         (false, true) => SAME_ZONE_MARGIN,
--- a/crates/onyxshed-pool/tests/pool/main.rs
+++ b/crates/onyxshed-pool/tests/pool/main.rs
@@ -18,3 +18,4 @@
 mod successor;
 mod summary;
 mod taking;
+mod transfers;
