Pass a refused job on once, to the pool that can still end it

Cause: a job that its owner refuses for want of room is submitted to every other pool in turn, each a call between zones, whether or not a report shows that it could end there on target.

Change: with `--overload on`, the entry host asks `PoolChoices` what follows an end. A job refused for want of room goes to one other pool with `transfers` 1, or its refusal is final at once; pools that are closed, evacuated or not owned by the host asked are still tried in order. E860 and `onyxshed_pool_jobs_sent_away_total{reason}` show it. With the other modes all pools are tried, as before.

--- a/crates/onyxshed-core/src/event.rs
+++ b/crates/onyxshed-core/src/event.rs
@@ -151,6 +151,7 @@
     845 PeerStateLearned Info "This host has just started and received the state known to another host.";
     846 ZoneEvacuated Info "An operator evacuated an availability zone; it gets no tasks until it is restored.";
     847 ZoneRestored Info "An evacuated availability zone was restored and gets tasks again.";
+    860 PoolJobPassedOn Info "A job that its pool had no room for was submitted to another pool.";
 }
 
 impl EventKind {
--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -4,6 +4,7 @@
 mod replies;
 
 use std::cell::{Cell, OnceCell};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -19,7 +20,8 @@
 use onyxshed_http::{Call, Reply, ServerOptions};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_pool::{
-    ClassId, JobEnd, JobId, JobRequest, JobSummary, SubmissionNumber, UnknownReason,
+    AfterEnd, ClassId, JobEnd, JobId, JobRequest, JobSummary, PoolId, SubmissionNumber,
+    UnknownReason,
 };
 use onyxshed_process::{RequestServer, serve_requests};
 use smol_str::{SmolStr, format_smolstr};
@@ -27,7 +29,7 @@
 use crate::boot_clock;
 use crate::links::Links;
 use crate::manifest::ManifestHolder;
-use crate::measures::HostMetrics;
+use crate::measures::{HostMetrics, SentAway};
 use crate::names::{CALLERS, LINKS, MANIFEST};
 use replies::{job_reply, rejection_reply};
 
@@ -329,28 +331,58 @@
         }
     }
 
-    /// Submits a job to the pools in the order of [`Links::rank_pools`] until a pool does not
-    /// reject it or the drain has ended, which also cancels the job. Returns the job's end and the
+    /// Submits a job to the pools in the order of [`Links::rank_pools`] until [`Links::after_end`] lets
+    /// an end stand or the drain has ended, which also cancels the job. Returns the job's end and the
     /// pool that was tried last.
     async fn submit_to_pools(&self, job: &JobRequest, arrived: Mono) -> (JobEnd, SmolStr) {
         let mut last = (
             JobEnd::NotRun(self.links.no_pool_reason(), NO_POOL_RETRY_AFTER),
             SmolStr::new_static("none"),
         );
-        for pool in self.links.rank_pools(job) {
-            let mut job = job.clone();
-            job.submission = self.links.next_submission();
-            job.elapsed = boot_clock::now().since(arrived).as_millis();
-            job.time_left = Millis(job.time_left.0.saturating_sub(job.elapsed.0));
-            let end = self.links.run(&pool, job, &self.drain_expired).await;
+        let mut pools = VecDeque::from(self.links.rank_pools(job));
+        if let Some(first) = pools.front()
+            && *first != self.links.preferred_pool()
+        {
+            self.metrics.record_sent_away(SentAway::Chosen);
+        }
+        let mut transfers = job.transfers;
+        while let Some(pool) = pools.pop_front() {
+            let attempt = JobRequest {
+                submission: self.links.next_submission(),
+                transfers,
+                ..job_after_wait(job, arrived)
+            };
+            let end = self.links.run(&pool, attempt, &self.drain_expired).await;
             last = (end, format_smolstr!("{pool}"));
-            if !matches!(end, JobEnd::NotRun(..)) || self.drain_expired.is_closed() {
+            if self.drain_expired.is_closed() {
                 break;
             }
+            let waited = JobRequest {
+                transfers,
+                ..job_after_wait(job, arrived)
+            };
+            match self.links.after_end(&pool, &end, &waited) {
+                AfterEnd::Answer => break,
+                AfterEnd::TryNext => {}
+                AfterEnd::PassOn(next) => {
+                    self.record_passed_on(job.job, &pool, &next, &end);
+                    transfers += 1;
+                    pools = VecDeque::from([next]);
+                }
+            }
         }
         last
     }
 
+    fn record_passed_on(&self, job: JobId, from: &PoolId, to: &PoolId, end: &JobEnd) {
+        self.metrics.record_sent_away(SentAway::Refused);
+        let event = Event::new(EventKind::PoolJobPassedOn)
+            .job(format_smolstr!("{job}"))
+            .party(format_smolstr!("{to}"))
+            .detail(format_smolstr!("pool {from}: {end}"));
+        self.kernel.emit(event);
+    }
+
     /// Waits until the balancer has noticed that this host is stopping and its pool is drained, at
     /// the latest until `drain_deadline`.
     ///
@@ -402,6 +434,16 @@
     }
 }
 
+/// Returns a job with the time that has passed since it arrived.
+fn job_after_wait(job: &JobRequest, arrived: Mono) -> JobRequest {
+    let elapsed = boot_clock::now().since(arrived).as_millis();
+    JobRequest {
+        elapsed,
+        time_left: Millis(job.time_left.0.saturating_sub(elapsed.0)),
+        ..job.clone()
+    }
+}
+
 fn requested_time_limit(call: &Call) -> Millis {
     let header = call.header(DEADLINE_HEADER);
     header
--- a/crates/onyxshed-host/src/links.rs
+++ b/crates/onyxshed-host/src/links.rs
@@ -20,13 +20,14 @@
 use onyxshed_http::client::with_timeout;
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Notifier, Result, Service, ServiceName};
 use onyxshed_pool::{
-    JobEnd, JobRequest, NotRunReason, OwnershipTransfer, PeerIncarnation, PoolId, PoolLoad,
-    PoolSelector, SubmissionNumber, UnknownReason,
+    AfterEnd, JobEnd, JobNeeds, JobRequest, NotRunReason, OverloadMode, OwnershipTransfer,
+    PeerIncarnation, PoolId, PoolLoad, PoolSelector, SubmissionNumber, UnknownReason,
 };
 use onyxshed_process::{listen, serve_rpc};
 use onyxshed_proto::pool_capnp::pool_port;
 use smol_str::{SmolStr, format_smolstr};
 
+use crate::boot_clock;
 use crate::directory::member_name;
 use crate::engine::Engine;
 use crate::evacuations::ZoneEvacuations;
@@ -85,13 +86,15 @@
 }
 
 impl Links {
-    /// Creates the handle, without any links.
+    /// Creates the handle, without any links. With [`OverloadMode::On`], jobs go to the pool in which they
+    /// end first.
     pub fn new(
         kernel: &Kernel,
         engine: Rc<Engine>,
         shard_layouts: Rc<ShardLayouts>,
         evacuations: Rc<ZoneEvacuations>,
         options: LinkOptions,
+        overload: OverloadMode,
     ) -> Rc<Self> {
         Rc::new(Links {
             shard_layouts,
@@ -99,7 +102,7 @@
             kernel: kernel.clone(),
             engine,
             options,
-            selector: RefCell::default(),
+            selector: RefCell::new(PoolSelector::new(overload)),
             remote: RefCell::default(),
             last_submission: Cell::new(0),
             known_pools: RefCell::default(),
@@ -156,16 +159,36 @@
 
     /// Returns the pools in the order in which a job should be submitted to them.
     pub fn rank_pools(self: &Rc<Self>, job: &JobRequest) -> Vec<PoolId> {
+        let now = boot_clock::now();
         if let (Some(load), Some(owned)) = (self.engine.load(), self.engine.owned_pool()) {
             if self.engine.serves(&owned) {
-                self.selector.borrow_mut().update_load(&owned, load);
+                let mut selector = self.selector.borrow_mut();
+                selector.record_report(now, &owned, load);
             } else if let Some(successor) = load.successor {
                 self.follow_successor(&owned, successor);
             }
         }
-        let selector = self.selector.borrow();
+        let mut selector = self.selector.borrow_mut();
         let evacuations = self.evacuations.known();
-        selector.rank_pools(&self.preferred_pool(), job.demand, job.tasks, &evacuations)
+        let home = self.preferred_pool();
+        if let Some(choices) = selector.choices() {
+            return choices.rank(now, &home, &JobNeeds::of(job), &evacuations);
+        }
+        selector.rank_pools(&home, job.demand, job.tasks, &evacuations)
+    }
+
+    /// Returns what follows the end of a job in a pool.
+    pub fn after_end(&self, pool: &PoolId, end: &JobEnd, job: &JobRequest) -> AfterEnd {
+        let mut selector = self.selector.borrow_mut();
+        match (selector.choices(), end) {
+            (Some(choices), _) => {
+                let evacuations = self.evacuations.known();
+                let home = self.preferred_pool();
+                choices.after_end(boot_clock::now(), &home, (pool, end), job, &evacuations)
+            }
+            (None, JobEnd::NotRun(..)) => AfterEnd::TryNext,
+            (None, _) => AfterEnd::Answer,
+        }
     }
 
     /// Waits until this host's own pool is drained; see [`Engine::drain`].
@@ -313,7 +336,8 @@
             self.owner_changed.notify();
         }
         let successor = load.successor;
-        self.selector.borrow_mut().update_load(pool, load);
+        let now = boot_clock::now();
+        self.selector.borrow_mut().record_report(now, pool, load);
         if let Some(successor) = successor {
             self.follow_successor(pool, successor);
         }
@@ -327,9 +351,7 @@
         job: JobRequest,
         cancelled: &Receiver<()>,
     ) -> JobEnd {
-        self.selector
-            .borrow_mut()
-            .record_dispatch(pool, job.demand, job.tasks, job.estimate);
+        self.record_dispatch(pool, &job);
         if self.engine.serves(pool) {
             return self.run_locally(job, cancelled).await;
         }
@@ -340,6 +362,14 @@
         }
     }
 
+    fn record_dispatch(&self, pool: &PoolId, job: &JobRequest) {
+        let mut selector = self.selector.borrow_mut();
+        selector.record_dispatch(pool, job.demand, job.tasks, job.estimate);
+        if let Some(choices) = selector.choices() {
+            choices.record_dispatch(pool, &JobNeeds::of(job));
+        }
+    }
+
     async fn run_locally(&self, job: JobRequest, cancelled: &Receiver<()>) -> JobEnd {
         let guard = LocalCancelGuard {
             engine: self.engine.clone(),
--- a/crates/onyxshed-host/src/measures.rs
+++ b/crates/onyxshed-host/src/measures.rs
@@ -1,9 +1,9 @@
-//! Latency histograms of a host.
+//! Latency histograms and counters of a host.
 
-use metrics::Histogram;
+use metrics::{Counter, Histogram};
 use onyxshed_core::Micros;
 use onyxshed_pool::JobEnd;
-use onyxshed_telemetry::metric::{labelled_seconds_histogram, seconds};
+use onyxshed_telemetry::metric::{labelled_counter, labelled_seconds_histogram, seconds};
 
 /// Name of the histogram of the time from a job's arrival to its reply.
 pub const JOB_SECONDS: &str = "onyxshed_pool_job_seconds";
@@ -11,6 +11,19 @@
 /// Name of the histogram of the time that an executor takes to answer an order.
 pub const ORDER_SECONDS: &str = "onyxshed_pool_order_seconds";
 
+/// Name of the counter of jobs that were submitted to another pool than the home pool.
+pub const SENT_AWAY_TOTAL: &str = "onyxshed_pool_jobs_sent_away_total";
+
+/// Why a job was submitted to another pool than the home pool of its entry host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SentAway {
+    /// The pool came first in the order, because the job ends earlier there or the home pool can't be
+    /// used.
+    Chosen,
+    /// A pool had refused the job for want of room.
+    Refused,
+}
+
 /// Kind of an order to an executor, for metrics.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderKind {
@@ -29,6 +42,8 @@
     unknown: Histogram,
     start: Histogram,
     stop: Histogram,
+    chosen_away: Counter,
+    refused_away: Counter,
 }
 
 impl HostMetrics {
@@ -42,6 +57,10 @@
             let text = "Time that an executor takes to answer an order, by kind.";
             labelled_seconds_histogram(ORDER_SECONDS, text, "order", kind.to_owned())
         };
+        let sent_away = |reason: &'static str| {
+            let text = "Jobs submitted to another pool than the host's home pool, by reason.";
+            labelled_counter(SENT_AWAY_TOTAL, text, "reason", reason)
+        };
         HostMetrics {
             completed: job("completed"),
             failed: job("failed"),
@@ -49,6 +68,8 @@
             unknown: job("unknown"),
             start: order("start"),
             stop: order("stop"),
+            chosen_away: sent_away("chosen"),
+            refused_away: sent_away("refused"),
         }
     }
 
@@ -64,6 +85,15 @@
         histogram.record(seconds(took));
     }
 
+    /// Counts a job that is submitted to another pool than the home pool.
+    pub fn record_sent_away(&self, reason: SentAway) {
+        let counter = match reason {
+            SentAway::Chosen => &self.chosen_away,
+            SentAway::Refused => &self.refused_away,
+        };
+        counter.increment(1);
+    }
+
     /// Records the time that an executor took to answer an order, in the histogram for its kind.
     pub fn record_order(&self, kind: OrderKind, took: Micros) {
         let histogram = match kind {
--- a/crates/onyxshed-host/src/process.rs
+++ b/crates/onyxshed-host/src/process.rs
@@ -248,6 +248,7 @@
         shard_layouts.clone(),
         evacuations.clone(),
         link_options,
+        options.overload,
     );
     let drain_timeout = Millis(settings.grace_ms.0.saturating_sub(FINAL_REPLIES_MARGIN.0)).into();
     let callers = CallerOptions {
