Credits that fit small pools, and a test with real hosts

Cause: in a pool of four cores an eighth of the room is less than a task, and a task of 50 ms was counted as if it took its core for the whole time between two reports. Home pools then refused callers while the other zone had room.

Change: the share begins at one half, and a job takes the room that it needs in the mean of a round. The fleet of the soak gets arguments for its hosts.

--- a/crates/onyxshed-pool/src/end_forecast.rs
+++ b/crates/onyxshed-pool/src/end_forecast.rs
@@ -48,9 +48,10 @@
         u64::from(self.demand.cpu_millis.max(1))
     }
 
-    /// Returns the processor that all tasks take together, in thousandths of a core.
-    pub fn cpu_millis(&self) -> u64 {
-        u64::from(self.tasks) * self.task_cpu_millis()
+    /// Returns the processor that all tasks together take in the mean of `span`, in thousandths of a core.
+    pub fn cpu_millis_for(&self, span: Millis) -> u64 {
+        let cpu_millis = u64::from(self.tasks) * self.task_cpu_millis();
+        cpu_millis.saturating_mul(self.estimate.min(span).0) / span.0.max(1)
     }
 }
 
--- a/crates/onyxshed-pool/src/pool_choice.rs
+++ b/crates/onyxshed-pool/src/pool_choice.rs
@@ -182,7 +182,7 @@
         };
         view.load
             .record_dispatch(needs.demand, needs.tasks, needs.estimate);
-        view.credit.spend(needs.cpu_millis());
+        view.credit.spend(needs.cpu_millis_for(ROUND));
         view.has_dispatched = true;
     }
 
--- a/crates/onyxshed-pool/src/room_credit.rs
+++ b/crates/onyxshed-pool/src/room_credit.rs
@@ -14,8 +14,9 @@
 /// Time between two reports on a link in use, in which the full share is granted.
 pub const ROUND: Millis = Millis(150);
 
-/// Initial share of the free room, in thousandths.
-const INITIAL_SHARE_MILLIS: u64 = 125;
+/// Initial share of the room, in thousandths. In small pools a smaller share would be less than a job, and
+/// callers would be refused until it has grown; hosts that share a large pool soon see it overrun.
+const INITIAL_SHARE_MILLIS: u64 = 500;
 
 /// Bounds of the share, in thousandths.
 const SHARE_MILLIS_MIN: u64 = 1;
@@ -82,7 +83,7 @@
         self.refilled_at = Some(now);
     }
 
-    /// Records that a submitted job uses room.
+    /// Records that a submitted job takes this much room in the mean of a round.
     pub fn spend(&mut self, cpu_millis: u64) {
         let spent = i64::try_from(cpu_millis).unwrap_or(i64::MAX);
         self.balance_cpu_millis = self.balance_cpu_millis.saturating_sub(spent);
--- a/crates/onyxshed-soak/src/fleet.rs
+++ b/crates/onyxshed-soak/src/fleet.rs
@@ -44,6 +44,8 @@
     pub executors: usize,
     /// Whether the executors' clocks are accurate.
     pub clocks: ExecutorClocks,
+    /// Arguments that every host gets in addition to its settings and its address.
+    pub host_arguments: Vec<String>,
 }
 
 /// The accuracy of the executors' clocks.
@@ -73,6 +75,7 @@
             hosts: 2,
             executors: 3,
             clocks: ExecutorClocks::Accurate,
+            host_arguments: Vec::new(),
         }
     }
 }
@@ -179,9 +182,7 @@
                 ip,
                 advertised,
             };
-            fleet
-                .add_host(host, options.zones, &configured_peers)
-                .await?;
+            fleet.add_host(host, options, &configured_peers).await?;
         }
         fleet.wait_ready().await?;
         Ok(fleet)
@@ -190,7 +191,7 @@
     async fn add_host(
         &mut self,
         host: NewHost,
-        zones: usize,
+        options: &FleetOptions,
         configured_peers: &[SocketAddr],
     ) -> Result<()> {
         let NewHost {
@@ -205,8 +206,9 @@
         let caller_address = self
             .open_route(&format!("callers-{name}"), address_at(8_161))
             .await?;
-        let zones: BTreeMap<String, &str> =
-            (0..zones).map(|zone| (format!("z{zone}"), "r")).collect();
+        let zones: BTreeMap<String, &str> = (0..options.zones)
+            .map(|zone| (format!("z{zone}"), "r"))
+            .collect();
         let settings = json!({
             "node_name": name, "ip": ip, "zone": format!("z{zone}"), "zones": zones,
             "listen_addrs": {"front": address_at(8_161), "ready": address_at(8_167),
@@ -220,12 +222,14 @@
         let path = self.folder.path().join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string())
             .map_err(|error| unmet("settings", &error.to_string()))?;
+        let mut arguments = vec![
+            format!("--settings={}", path.display()),
+            format!("--advertise={advertised}"),
+        ];
+        arguments.extend(options.host_arguments.iter().cloned());
         let host = Host {
             process: None,
-            arguments: vec![
-                format!("--settings={}", path.display()),
-                format!("--advertise={advertised}"),
-            ],
+            arguments,
             caller_address,
             direct_caller_address: address_at(8_161),
             ready_address: address_at(8_167),
--- a/crates/onyxshed-soak/tests/hosts/main.rs
+++ b/crates/onyxshed-soak/tests/hosts/main.rs
@@ -5,3 +5,4 @@
 mod owners;
 mod stops;
 mod support;
+mod transfers;
