Merge transferred work, off by default; findings of the review mended

Cause: pools compared one number each, half a heartbeat old.

Jobs may wait three quarters of their slack.

--- a/crates/onyxshed-core/src/event.rs
+++ b/crates/onyxshed-core/src/event.rs
@@ -156,6 +156,7 @@
     852 PoolOverloadGivenUp Warn "An overloaded pool ended a job that has begun, since its answer can't be useful any more.";
     858 PoolCallerLimited Warn "Jobs of a caller are refused because it offers more than its share of an overloaded pool.";
     859 PoolCallerWithinShare Info "A caller is within its share of a pool again.";
+    860 PoolJobPassedOn Info "A job that its pool had no room for was submitted to another pool.";
 }
 
 impl EventKind {
--- a/crates/onyxshed-host/src/measures.rs
+++ b/crates/onyxshed-host/src/measures.rs
@@ -1,4 +1,4 @@
-//! Latency histograms of a host, and metrics of the state of overload of its pool.
+//! Latency histograms and counters of a host, and metrics of the state of overload of its pool.
 
 use std::cell::Cell;
 
@@ -25,6 +25,18 @@
 
 /// Name of the counter of requests that were refused on arrival, before they were submitted to a pool.
 pub const REFUSED_ON_ARRIVAL_TOTAL: &str = "onyxshed_refused_on_arrival_total";
+/// Name of the counter of jobs that were submitted to another pool than the home pool.
+pub const SENT_AWAY_TOTAL: &str = "onyxshed_pool_jobs_sent_away_total";
+
+/// Why a job was submitted to another pool than the home pool of its entry host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SentAway {
+    /// The pool came first in the order, because the job ends earlier there or the home pool can't be
+    /// used.
+    Chosen,
+    /// A pool had refused the job for want of room.
+    Refused,
+}
 
 /// Kind of an order to an executor, for metrics.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,6 +56,8 @@
     unknown: Histogram,
     start: Histogram,
     stop: Histogram,
+    chosen_away: Counter,
+    refused_away: Counter,
 }
 
 impl HostMetrics {
@@ -57,6 +71,10 @@
             let text = "Time that an executor takes to answer an order, by kind.";
             labelled_seconds_histogram(ORDER_SECONDS, text, "order", kind.to_owned())
         };
+        let sent_away = |reason: &'static str| {
+            let text = "Jobs submitted to another pool than the host's home pool, by reason.";
+            labelled_counter(SENT_AWAY_TOTAL, text, "reason", reason)
+        };
         HostMetrics {
             completed: job("completed"),
             failed: job("failed"),
@@ -64,6 +82,8 @@
             unknown: job("unknown"),
             start: order("start"),
             stop: order("stop"),
+            chosen_away: sent_away("chosen"),
+            refused_away: sent_away("refused"),
         }
     }
 
@@ -79,6 +99,15 @@
         histogram.record(seconds(took));
     }
 
+    /// Counts a job that is submitted to another pool than the home pool.
+    pub fn record_sent_away(&self, reason: SentAway) {
+        let counter = match reason {
+            SentAway::Chosen => &self.chosen_away,
+            SentAway::Refused => &self.refused_away,
+        };
+        counter.increment(1);
+    }
+
     /// Records the time that an executor took to answer an order, in the histogram for its kind.
     pub fn record_order(&self, kind: OrderKind, took: Micros) {
         let histogram = match kind {
--- a/crates/onyxshed-host/src/process.rs
+++ b/crates/onyxshed-host/src/process.rs
@@ -103,6 +103,13 @@
                 .default_value("address")
                 .help("What identifies a caller: address or header:NAME"),
         )
+        .arg(
+            Arg::new("transfers")
+                .long("transfers")
+                .value_parser(["off", "on"])
+                .default_value("off")
+                .help("Choose pools by when a job ends there, and pass refused jobs on once: off or on"),
+        )
         .arg(
             Arg::new("check")
                 .long("check")
@@ -141,6 +148,9 @@
         admin_port: admin_port.unwrap_or(ADMIN_PORT_DEFAULT),
         advertised: matches.get_one("advertise").copied(),
         overload: matches.get_one("overload").copied().unwrap_or_default(),
+        transfers_work: matches
+            .get_one::<String>("transfers")
+            .is_some_and(|mode| mode == "on"),
         caller_identity: matches
             .get_one("caller-identity")
             .cloned()
@@ -156,6 +166,8 @@
     admin_port: u16,
     advertised: Option<SocketAddr>,
     overload: OverloadMode,
+    /// Whether jobs go to the pool in which they end first.
+    transfers_work: bool,
     caller_identity: CallerIdentity,
 }
 
@@ -261,6 +273,7 @@
         shard_layouts.clone(),
         evacuations.clone(),
         link_options,
+        options.transfers_work,
     );
     let drain_timeout = Millis(settings.grace_ms.0.saturating_sub(FINAL_REPLIES_MARGIN.0)).into();
     let callers = CallerOptions {
--- a/crates/onyxshed-pool/src/admission_levels.rs
+++ b/crates/onyxshed-pool/src/admission_levels.rs
@@ -30,6 +30,9 @@
 /// Factor on the share that was admitted, in thousandths.
 const HEADROOM_MILLIS: u64 = 1_250;
 
+/// Factor on the room of a class, in thousandths: the owner needs a choice of jobs that fit its places.
+const ROOM_HEADROOM_MILLIS: u64 = 2_000;
+
 /// Number of jobs that were offered within the window below which no level is lowered; fewer refusals
 /// than that cost an owner little.
 const OFFERED_MIN: u64 = 5;
@@ -87,15 +90,27 @@
         }
     }
 
-    fn end_step(&mut self) {
-        self.admitted = match self.steps[0].refused {
-            0 => Share::from_millis(u64::from(self.admitted.millis()) + RISE_MILLIS),
-            _ => self.measured(),
+    /// `room_share` is the share of the arriving work for which the class has room, if it is known.
+    fn end_step(&mut self, room_share: Option<Share>) {
+        self.admitted = match (self.steps[0].refused, room_share) {
+            (0, _) => Share::from_millis(u64::from(self.admitted.millis()) + RISE_MILLIS),
+            (_, Some(room_share)) => self.by_room(room_share),
+            (_, None) => self.measured(),
         };
         self.steps.rotate_right(1);
         self.steps[0] = Step::default();
     }
 
+    /// Returns the level at which twice the work arrives that the class has room for.
+    ///
+    /// By what was admitted, a level would fall until hardly anything is refused: a pool with few places
+    /// refuses many jobs of several tasks at any load.
+    fn by_room(&self, room_share: Share) -> Share {
+        let applied_millis = u64::from(self.applied.max(LET_THROUGH_MIN).millis());
+        let room_millis = u64::from(room_share.millis());
+        Share::from_millis(applied_millis * room_millis * ROOM_HEADROOM_MILLIS / 1_000_000)
+    }
+
     /// Returns the level by what was admitted of what was offered.
     fn measured(&self) -> Share {
         let sum = |value: fn(&Step) -> u64| self.steps.iter().map(value).sum::<u64>();
@@ -156,12 +171,14 @@
 
     /// Updates the levels. `is_overloaded` tells whether the pool is overloaded; if it is not, everything
     /// is admitted. `has_room` tells whether executors have free room for a job of the given number
-    /// of tasks and demand. The owner calls this at each tick.
+    /// of tasks and demand, `room_share` the share of a class's arriving work for which it has room, if that
+    /// is known. The owner calls this at each tick.
     pub fn update(
         &mut self,
         now: Mono,
         is_overloaded: bool,
         has_room: impl Fn(u16, Resources) -> bool,
+        room_share: impl Fn(&ClassId) -> Option<Share>,
     ) {
         let is_step_over = now.since(self.step_began_at) >= STEP.into();
         if is_step_over {
@@ -170,9 +187,9 @@
                 |level: &ClassLevel| now.since(level.last_arrival_at) < FORGET_AFTER.into();
             self.classes.retain(|_, level| is_known(level));
         }
-        for level in self.classes.values_mut() {
+        for (class, level) in &mut self.classes {
             if is_step_over {
-                level.end_step();
+                level.end_step(room_share(class));
             }
             if !is_overloaded {
                 level.admitted = Share::ALL;
--- a/crates/onyxshed-pool/src/class_queues.rs
+++ b/crates/onyxshed-pool/src/class_queues.rs
@@ -79,11 +79,6 @@
         self.jobs.is_empty()
     }
 
-    /// Returns the number of jobs.
-    pub fn len(&self) -> usize {
-        self.jobs.len()
-    }
-
     /// Returns the classes of the jobs.
     pub fn classes(&self) -> impl Iterator<Item = &ClassId> {
         self.classes.keys()
@@ -102,6 +97,13 @@
         self.classes.get(class).map_or(0, |queue| queue.work)
     }
 
+    /// Returns whether the latest start of a job has not passed.
+    pub fn has_on_target(&self, now: Mono) -> bool {
+        self.by_latest_start
+            .last()
+            .is_some_and(|(at, _)| *at >= now)
+    }
+
     /// Returns the next job whose latest start has passed.
     pub fn next_expired(&self, now: Mono) -> Option<JobId> {
         let (at, id) = self.by_latest_start.first()?;
--- a/crates/onyxshed-pool/src/class_shares.rs
+++ b/crates/onyxshed-pool/src/class_shares.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use onyxshed_core::{Millis, Mono};
+use onyxshed_core::{Millis, Mono, Share};
 
 use crate::id::ClassId;
 use crate::offered_load::OfferedLoad;
@@ -103,6 +103,14 @@
         self.classes.get(class).map_or(0, |load| load.part)
     }
 
+    /// Returns the share of a class's arriving work for which it has room; `None` if nothing arrived within
+    /// the last second.
+    pub fn room_share(&self, now: Mono, class: &ClassId) -> Option<Share> {
+        let load = self.classes.get(class)?;
+        let offered = load.offered.cpu_millis(now);
+        (offered > 0).then(|| Share::of(load.part, offered))
+    }
+
     /// Returns how long `work` of a class, in thousandths of a core times milliseconds, takes in its
     /// part.
     pub fn expected_wait(&self, now: Mono, class: &ClassId, work: u64) -> Millis {
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -3,7 +3,8 @@
 //! [`admission`] admits jobs and sheds those that can't end in time, [`place`] orders the queue and
 //! starts runs, [`fit`] selects the executor of a task, [`orders`] handles the answers to start and
 //! stop orders, [`reports`] handles the executors' reports, [`progress`] moves runs off slow
-//! executors, [`watch`] handles time-outs, [`overload`] evaluates the state of overload, [`handover`] passes the pool to its next owner,
+//! executors, [`running_work`] sums up what runs, [`watch`] handles time-outs, [`overload`] evaluates the
+//! state of overload, [`handover`] passes the pool to its next owner,
 //! [`evacuation`] drains the pool when operators evacuate its zone, and [`stalled`] ends jobs that
 //! have lost their executors. While the pool is overloaded, [`overloaded_admission`] and
 //! [`overloaded_place`] decide in place of [`admission`] and [`place`], by what [`overloaded`] keeps, and
@@ -23,6 +24,7 @@
 mod place;
 mod progress;
 mod reports;
+mod running_work;
 mod stalled;
 mod watch;
 
@@ -52,6 +54,7 @@
 use evacuation::ZoneStatus;
 use handover::{HandoverStage, Predecessor};
 use overloaded::OverloadPlan;
+use running_work::RunningTotals;
 
 /// State of a pool of executors and its queue, as known to its owner.
 ///
@@ -94,6 +97,7 @@
     plan: Option<Box<OverloadPlan>>,
     class_shares: ClassShares,
     class_estimates: ClassEstimates,
+    running: RunningTotals,
     actions: Vec<Action>,
 }
 
@@ -132,6 +136,7 @@
             plan: None,
             class_shares: ClassShares::default(),
             class_estimates: ClassEstimates::default(),
+            running: RunningTotals::default(),
             actions: Vec::new(),
         }
     }
@@ -205,11 +210,12 @@
             is_closed: self.is_closed(),
             successor: self.successor_selection.successor_address(),
             version: self.next_report_version(),
+            running_work: self.running.work(now),
+            speed_millis: self.running.speed_millis(),
             overload: self.overload_state,
             admissions: self
                 .admissions(Millis(waiting_work / accepting.capacity_cpu_millis.max(1))),
             limited_callers: self.limited_callers(),
-            ..PoolLoad::default()
         }
     }
 
--- a/crates/onyxshed-pool/src/pool/caller_limits.rs
+++ b/crates/onyxshed-pool/src/pool/caller_limits.rs
@@ -191,15 +191,36 @@
             (true, OverloadMode::On) => Some(JobEnd::NotRun(NotRunReason::CallerShare, Millis(0))),
             _ => rejection,
         };
-        let (caller, work) = (request.caller, request.work());
-        let plan = &mut self.caller_limits.plan;
-        plan.record_arrival(now, caller, work, end.is_none());
         match end {
-            None if is_excess => {}
-            None => self.caller_limits.record_admitted(now, request),
-            Some(end) => return Some(self.planned_end(now, request, end)),
+            // Whether an overloaded pool admits the job is decided later.
+            None if self.is_overloaded() => None,
+            None => {
+                self.record_caller_arrival(now, request, !is_excess);
+                None
+            }
+            Some(end) => {
+                self.record_caller_arrival(now, request, false);
+                Some(self.planned_end(now, request, end))
+            }
+        }
+    }
+
+    /// Records in the plan and in the caller's share whether an arriving job was admitted.
+    pub(super) fn record_caller_arrival(
+        &mut self,
+        now: Mono,
+        request: &JobRequest,
+        is_admitted: bool,
+    ) {
+        if self.options.overload == OverloadMode::Off {
+            return;
+        }
+        let (caller, work) = (request.caller, request.work());
+        let limits = &mut self.caller_limits;
+        limits.plan.record_arrival(now, caller, work, is_admitted);
+        if is_admitted {
+            limits.record_admitted(now, request);
         }
-        None
     }
 
     /// Returns the end of a queued job that is given up, with its planned time to return.
--- a/crates/onyxshed-pool/src/pool/overload.rs
+++ b/crates/onyxshed-pool/src/pool/overload.rs
@@ -176,9 +176,12 @@
     fn update_levels(&mut self, now: Mono) {
         let is_overloaded = self.overload_state != OverloadState::Normal;
         let mut levels = std::mem::take(&mut self.class_levels);
-        levels.update(now, is_overloaded, |tasks, demand| {
-            self.has_free_room(now, tasks, demand)
-        });
+        levels.update(
+            now,
+            is_overloaded,
+            |tasks, demand| self.has_free_room(now, tasks, demand),
+            |class| self.class_shares.room_share(now, class),
+        );
         self.class_levels = levels;
     }
 
--- a/crates/onyxshed-pool/src/pool/overloaded.rs
+++ b/crates/onyxshed-pool/src/pool/overloaded.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Returns whether tasks of begun jobs wait, or a job whose latest start has not passed.
+    pub fn has_others_on_target(&self, now: Mono) -> bool {
+        self.queues.has_on_target(now) || self.commitments.promised().0 > 0
+    }
+
     /// Returns whether a job that can still be on target waits.
     pub fn has_on_target(&self) -> bool {
         !self.queues.is_empty() || self.commitments.promised().0 > 0
--- a/crates/onyxshed-pool/src/pool/overloaded_admission.rs
+++ b/crates/onyxshed-pool/src/pool/overloaded_admission.rs
@@ -42,7 +42,12 @@
         self.queue_job(now, id);
         self.place_overloaded(now);
         self.begin_on_arrival(now, id);
-        match self.admission(now, id, is_size_admitted) {
+        let admission = self.admission(now, id, is_size_admitted);
+        if let Some(request) = self.jobs.get(&id).map(|job| job.request.clone()) {
+            let is_admitted = !matches!(admission, Admission::Refuse(_));
+            self.record_caller_arrival(now, &request, is_admitted);
+        }
+        match admission {
             Admission::Wait => {}
             Admission::WaitLate => self.keep_late(now, id),
             Admission::Refuse(refusal) => {
@@ -78,7 +83,7 @@
             return Admission::Wait;
         };
         if queued.latest_start < now {
-            let is_alone = plan.queues.len() == 1 && plan.commitments.promised().0 == 0;
+            let is_alone = !plan.has_others_on_target(now);
             let slack = Millis(0);
             return match is_alone {
                 true => Admission::WaitLate,
@@ -92,7 +97,7 @@
         let slack = queued.latest_start.since(now).as_millis();
         let ahead = plan.queues.work(&queued.class).saturating_sub(queued.work);
         let wait = self.class_shares.expected_wait(now, &queued.class, ahead);
-        if is_size_admitted && wait.0 <= slack.0 / 2
+        if is_size_admitted && wait.0 <= slack.0 * 3 / 4
             || self.has_runs_of(id)
             || self.has_free_places(now, id)
         {
@@ -100,7 +105,7 @@
         }
         let least_wait = Millis(ahead / plan.room.max(1));
         Admission::Refuse(Refusal {
-            reason: match least_wait.0 > slack.0 / 2 {
+            reason: match least_wait.0 > slack.0 * 3 / 4 {
                 true => NotRunReason::NoTime,
                 false => NotRunReason::ClassShare,
             },
@@ -129,9 +134,9 @@
         while let Some(plan) = &self.plan
             && let Some(id) = plan.queues.next_expired(now)
         {
-            match plan.queues.len() == 1 && plan.commitments.promised().0 == 0 {
-                true => self.keep_late(now, id),
-                false => self.refuse_waiting(now, id),
+            match plan.has_others_on_target(now) {
+                true => self.refuse_waiting(now, id),
+                false => self.keep_late(now, id),
             }
         }
     }
--- a/crates/onyxshed-pool/src/pool/overloaded_place.rs
+++ b/crates/onyxshed-pool/src/pool/overloaded_place.rs
@@ -114,7 +114,9 @@
             && let Some((chosen, expected)) = self.choose_overloaded(now, job, index, available)
         {
             let executor = available[chosen].id.clone();
-            self.start_run(now, id, index, &executor, expected);
+            if !self.start_run(now, id, index, &executor, expected) {
+                break;
+            }
             self.refresh_available(now, available, chosen, min_cpu_millis);
             has_started = true;
         }
--- a/crates/onyxshed-pool/src/pool/place.rs
+++ b/crates/onyxshed-pool/src/pool/place.rs
@@ -120,7 +120,9 @@
             && let Some(candidate) = self.available_executor(now, id)
             && let Some(first) = self.first_task_for(now, &candidate)
         {
-            self.start_run(now, first.job, first.index, id, first.expected);
+            if !self.start_run(now, first.job, first.index, id, first.expected) {
+                return;
+            }
         }
     }
 
@@ -233,10 +235,12 @@
         let index = job.next_waiting_task()?;
         let (chosen, expected) = self.choose_executor(now, job, index, available)?;
         let executor = available[chosen].id.clone();
-        self.start_run(now, id, index, &executor, expected);
-        Some(chosen)
+        let has_started = self.start_run(now, id, index, &executor, expected);
+        has_started.then_some(chosen)
     }
 
+    /// Orders a run of a waiting task, and returns whether it could be ordered: no lease can be given while
+    /// the executor's clock is unknown or out of range.
     pub(super) fn start_run(
         &mut self,
         now: Mono,
@@ -244,14 +248,14 @@
         index: u16,
         executor_id: &ExecutorId,
         expected: Micros,
-    ) {
+    ) -> bool {
         let (Some(mut job), Some(mut executor)) =
             (self.jobs.get_mut(&id), self.executors.get_mut(executor_id))
         else {
-            return;
+            return false;
         };
         let Some(expires) = executor.lease_end(now, self.options.lease_ms) else {
-            return;
+            return false;
         };
         let number = job.record_run_ordered(index, executor_id);
         let task = job.task_id(index);
@@ -285,5 +289,6 @@
             expected,
             waited,
         });
+        true
     }
 }
--- a/crates/onyxshed-pool/tests/pool/main.rs
+++ b/crates/onyxshed-pool/tests/pool/main.rs
@@ -23,3 +23,4 @@
 mod successor;
 mod summary;
 mod taking;
+mod transfers;
--- a/crates/onyxshed-soak/tests/hosts/main.rs
+++ b/crates/onyxshed-soak/tests/hosts/main.rs
@@ -6,3 +6,4 @@
 mod owners;
 mod stops;
 mod support;
+mod transfers;
