Refused jobs try only pools that may admit them

Cause: in a fleet that is overloaded everywhere, each refused job was submitted to all pools in turn, three calls for one answer, on owners without processor time to spare.

Change: after a refusal for want of room, pools whose last report says that they are overloaded without free room for the job are left out. One function says which refusals are for want of room.

--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -410,6 +410,10 @@
             };
             match self.links.after_end(&pool, &end, &waited) {
                 AfterEnd::Answer => break,
+                // Each refusal costs an owner a call, which an overloaded fleet has no time for.
+                AfterEnd::TryNext if is_want_of_room(&end) => {
+                    pools.retain(|next| self.links.may_admit(next, job));
+                }
                 AfterEnd::TryNext => {}
                 AfterEnd::PassOn(next) => {
                     self.record_passed_on(job.job, &pool, &next, &end);
@@ -495,6 +499,10 @@
     }
 }
 
+fn is_want_of_room(end: &JobEnd) -> bool {
+    matches!(end, JobEnd::NotRun(reason, _) if reason.is_want_of_room())
+}
+
 fn requested_time_limit(call: &Call) -> Millis {
     let header = call.header(DEADLINE_HEADER);
     header
--- a/crates/onyxshed-host/src/links.rs
+++ b/crates/onyxshed-host/src/links.rs
@@ -192,6 +192,14 @@
         }
     }
 
+    /// Returns whether a pool may admit a job that another pool has refused for want of room; see
+    /// [`PoolSelector::may_admit`].
+    pub fn may_admit(&self, pool: &PoolId, job: &JobRequest) -> bool {
+        self.selector
+            .borrow()
+            .may_admit(pool, job.demand, job.tasks)
+    }
+
     /// Waits until this host's own pool is drained; see [`Engine::drain`].
     pub async fn drain_own_pool(&self) {
         self.engine.drain().await;
--- a/crates/onyxshed-pool/src/job.rs
+++ b/crates/onyxshed-pool/src/job.rs
@@ -112,6 +112,20 @@
         NotRunReason::CallerShare,
         NotRunReason::HostOverloaded,
     ];
+
+    /// Returns whether the job was refused because the pool is short of room.
+    pub fn is_want_of_room(self) -> bool {
+        match self {
+            NotRunReason::NoTime
+            | NotRunReason::ClassShare
+            | NotRunReason::CallerShare
+            | NotRunReason::HostOverloaded => true,
+            NotRunReason::NoExecutor
+            | NotRunReason::NotOwner
+            | NotRunReason::OldSession
+            | NotRunReason::ZoneEvacuated => false,
+        }
+    }
 }
 
 /// Why the outcome of a job is unknown.
--- a/crates/onyxshed-pool/src/pool/caller_limits.rs
+++ b/crates/onyxshed-pool/src/pool/caller_limits.rs
@@ -371,14 +371,5 @@
 
 /// Returns whether a job was refused because the pool is short of room.
 fn is_want_of_room(end: JobEnd) -> bool {
-    match end {
-        JobEnd::NotRun(reason, _) => matches!(
-            reason,
-            NotRunReason::NoTime
-                | NotRunReason::ClassShare
-                | NotRunReason::CallerShare
-                | NotRunReason::HostOverloaded
-        ),
-        JobEnd::Completed | JobEnd::Failed | JobEnd::Unknown(_) => false,
-    }
+    matches!(end, JobEnd::NotRun(reason, _) if reason.is_want_of_room())
 }
--- a/crates/onyxshed-pool/src/pool/overload.rs
+++ b/crates/onyxshed-pool/src/pool/overload.rs
@@ -198,13 +198,8 @@
     }
 }
 
-/// Returns whether a job was refused because executors lack room for it.
+/// Returns whether a job was refused because executors lack room for its class.
 fn is_for_want_of_room(end: &JobEnd) -> bool {
-    let JobEnd::NotRun(reason, _) = end else {
-        return false;
-    };
-    matches!(
-        reason,
-        NotRunReason::NoTime | NotRunReason::ClassShare | NotRunReason::HostOverloaded
-    )
+    matches!(end, JobEnd::NotRun(reason, _)
+        if reason.is_want_of_room() && *reason != NotRunReason::CallerShare)
 }
--- a/crates/onyxshed-pool/src/size_limit.rs
+++ b/crates/onyxshed-pool/src/size_limit.rs
@@ -19,7 +19,7 @@
 const FILL_INCREASE: f64 = 0.01;
 
 /// Bounds of the filled part.
-const FILL_MIN: f64 = 0.9;
+const FILL_MIN: f64 = 0.3;
 const FILL_MAX: f64 = 1.5;
 
 /// Number of size buckets, two for each doubling of the work.
