Levels leave a quarter above the room, refused jobs go to pools in the normal state

Change: levels leave a quarter above the class's room; a refused job tries only pools that are not overloaded; jobs may wait five eighths of their slack. The median of two callers is the lower one, or the eager one of two was never above its share.

--- a/crates/onyxshed-admission/src/caller_shares.rs
+++ b/crates/onyxshed-admission/src/caller_shares.rs
@@ -239,10 +239,11 @@
     }
 }
 
-/// Returns the median of the demands, the higher one of two; 0 if there are none.
+/// Returns the median of the demands, the lower one of two; 0 if there are none.
 fn median(demands: &mut [u64]) -> u64 {
     demands.sort_unstable();
-    demands.get(demands.len() / 2).copied().unwrap_or_default()
+    let middle = demands.len().saturating_sub(1) / 2;
+    demands.get(middle).copied().unwrap_or_default()
 }
 
 /// Returns the part of `room` that `share` is of `whole`.
--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -412,7 +412,7 @@
                 AfterEnd::Answer => break,
                 // Each refusal costs an owner a call, which an overloaded fleet has no time for.
                 AfterEnd::TryNext if is_want_of_room(&end) => {
-                    pools.retain(|next| self.links.may_admit(next, job));
+                    pools.retain(|next| self.links.may_admit(next));
                 }
                 AfterEnd::TryNext => {}
                 AfterEnd::PassOn(next) => {
--- a/crates/onyxshed-host/src/links.rs
+++ b/crates/onyxshed-host/src/links.rs
@@ -194,10 +194,8 @@
 
     /// Returns whether a pool may admit a job that another pool has refused for want of room; see
     /// [`PoolSelector::may_admit`].
-    pub fn may_admit(&self, pool: &PoolId, job: &JobRequest) -> bool {
-        self.selector
-            .borrow()
-            .may_admit(pool, job.demand, job.tasks)
+    pub fn may_admit(&self, pool: &PoolId) -> bool {
+        self.selector.borrow().may_admit(pool)
     }
 
     /// Waits until this host's own pool is drained; see [`Engine::drain`].
--- a/crates/onyxshed-pool/src/admission_levels.rs
+++ b/crates/onyxshed-pool/src/admission_levels.rs
@@ -31,7 +31,7 @@
 const HEADROOM_MILLIS: u64 = 1_250;
 
 /// Factor on the room of a class, in thousandths: the owner needs a choice of jobs that fit its places.
-const ROOM_HEADROOM_MILLIS: u64 = 2_000;
+const ROOM_HEADROOM_MILLIS: u64 = 1_250;
 
 /// Number of jobs that were offered within the window below which no level is lowered; fewer refusals
 /// than that cost an owner little.
@@ -101,7 +101,7 @@
         self.steps[0] = Step::default();
     }
 
-    /// Returns the level at which twice the work arrives that the class has room for.
+    /// Returns the level at which a quarter more work arrives than the class has room for.
     ///
     /// By what was admitted, a level would fall until hardly anything is refused: a pool with few places
     /// refuses many jobs of several tasks at any load.
--- a/crates/onyxshed-pool/src/pool/overloaded_admission.rs
+++ b/crates/onyxshed-pool/src/pool/overloaded_admission.rs
@@ -97,7 +97,7 @@
         let slack = queued.latest_start.since(now).as_millis();
         let ahead = plan.queues.work(&queued.class).saturating_sub(queued.work);
         let wait = self.class_shares.expected_wait(now, &queued.class, ahead);
-        if is_size_admitted && wait.0 <= slack.0 * 3 / 4
+        if is_size_admitted && wait.0 <= slack.0 * 5 / 8
             || self.has_runs_of(id)
             || self.has_free_places(now, id)
         {
@@ -105,7 +105,7 @@
         }
         let least_wait = Millis(ahead / plan.room.max(1));
         Admission::Refuse(Refusal {
-            reason: match least_wait.0 > slack.0 * 3 / 4 {
+            reason: match least_wait.0 > slack.0 * 5 / 8 {
                 true => NotRunReason::NoTime,
                 false => NotRunReason::ClassShare,
             },
--- a/crates/onyxshed-pool/src/pool_selector.rs
+++ b/crates/onyxshed-pool/src/pool_selector.rs
@@ -106,12 +106,10 @@
     }
 
     /// Returns whether a pool may admit a job that another pool has refused for want of room: by its last
-    /// report, it is not overloaded or has free room for all tasks of the job.
-    pub fn may_admit(&self, pool: &PoolId, demand: Resources, tasks: u16) -> bool {
-        self.loads.get(pool).is_some_and(|load| {
-            let needed = u64::from(demand.cpu_millis) * u64::from(tasks);
-            load.overload == OverloadState::Normal || load.free_cpu_millis >= needed
-        })
+    /// report, it is not overloaded.
+    pub fn may_admit(&self, pool: &PoolId) -> bool {
+        let load = self.loads.get(pool);
+        load.is_some_and(|load| load.overload == OverloadState::Normal)
     }
 
     /// Removes the load of a pool whose owner is unreachable, so that no job is submitted to the
