--- a/crates/onyxshed-pool/src/pool/overloaded_admission.rs
+++ b/crates/onyxshed-pool/src/pool/overloaded_admission.rs
@@ -1,7 +1,7 @@
 //! What an overloaded pool admits, refuses and gives up.
 //!
 //! A job begins on arrival if its turn has come and it has a place. Otherwise it waits if its class
-//! leaves it half of its slack, and is refused at once if not. A job that waits is refused when its
+//! leaves it enough of its slack, and is refused at once if not. A job that waits is refused when its
 //! latest start passes. Jobs that can only be late are kept while nothing that can be on target
 //! waits.
 
@@ -13,6 +13,10 @@
 use crate::message::Decision;
 use crate::overload::OverloadMode;
 
+/// Part of a job's slack, in thousandths, that it may have to wait behind its class. Estimates of run times
+/// are off, so jobs that need the whole slack would often miss their targets.
+const WAIT_MAX_MILLIS: u64 = 625;
+
 /// What becomes of a job that has arrived and not begun.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Admission {
@@ -97,7 +101,8 @@
         let slack = queued.latest_start.since(now).as_millis();
         let ahead = plan.queues.work(&queued.class).saturating_sub(queued.work);
         let wait = self.class_shares.expected_wait(now, &queued.class, ahead);
-        if is_size_admitted && wait.0 <= slack.0 * 5 / 8
+        let longest_wait = Millis(slack.0 * WAIT_MAX_MILLIS / 1_000);
+        if is_size_admitted && wait <= longest_wait
             || self.has_runs_of(id)
             || self.has_free_places(now, id)
         {
@@ -105,7 +110,7 @@
         }
         let least_wait = Millis(ahead / plan.room.max(1));
         Admission::Refuse(Refusal {
-            reason: match least_wait.0 > slack.0 * 5 / 8 {
+            reason: match least_wait > longest_wait {
                 true => NotRunReason::NoTime,
                 false => NotRunReason::ClassShare,
             },
