--- a/crates/onyxshed-soak/src/main.rs
+++ b/crates/onyxshed-soak/src/main.rs
@@ -40,6 +40,13 @@
             "The number of executors in each zone",
         ))
         .arg(number("callers", "8", "The number of callers at a time"))
+        .arg(
+            Arg::new("overload")
+                .long("overload")
+                .value_parser(["off", "shadow", "on"])
+                .default_value("on")
+                .help("Overload decisions of the hosts"),
+        )
         .arg(flag(
             "planned",
             "Injects only stops, reloads and new manifests",
@@ -71,6 +78,12 @@
     options.fleet.hosts = count("hosts");
     options.fleet.executors = count("executors");
     options.callers = count("callers");
+    if let Some(mode) = matches.get_one::<String>("overload") {
+        options
+            .fleet
+            .host_arguments
+            .push(format!("--overload={mode}"));
+    }
     options.fleet.clocks = match matches.get_flag("true-clocks") {
         true => ExecutorClocks::Accurate,
         false => ExecutorClocks::Skewed,
