--- a/crates/onyxshed-pool/src/pool/overload.rs
+++ b/crates/onyxshed-pool/src/pool/overload.rs
@@ -155,13 +155,12 @@
         }
     }
 
-    /// Returns what the pool admits of its classes; empty unless it is overloaded.
+    /// Returns what the pool admits of its classes; empty unless jobs are planned. Without plan, the queue is
+    /// ordered by work, and of fewer jobs it would choose worse ones.
     pub(super) fn admissions(&self, wait: Millis) -> Vec<ClassAdmission> {
-        match self.overload_state {
-            OverloadState::Normal => Vec::new(),
-            OverloadState::Overloaded | OverloadState::Saturated => {
-                self.class_levels.admissions(wait)
-            }
+        match self.is_overloaded() {
+            true => self.class_levels.admissions(wait),
+            false => Vec::new(),
         }
     }
 
@@ -174,7 +173,7 @@
     }
 
     fn update_levels(&mut self, now: Mono) {
-        let is_overloaded = self.overload_state != OverloadState::Normal;
+        let is_overloaded = self.is_overloaded();
         let mut levels = std::mem::take(&mut self.class_levels);
         levels.update(
             now,
--- a/crates/onyxshed-soak/tests/hosts/overload.rs
+++ b/crates/onyxshed-soak/tests/hosts/overload.rs
@@ -16,16 +16,16 @@
 /// Number of jobs, which are sent to the two hosts in turn.
 const JOBS: u64 = 1_000;
 
-/// Time between two jobs. Two executors on which two tasks fit each do a third of what is offered.
+/// Time between two jobs. Two executors on which eight tasks fit each do a third of what is offered.
 const PAUSE: Duration = Duration::from_millis(5);
 
-/// Submits a job whose task takes 50 ms and half of an executor, and returns the status of the reply.
+/// Submits a job whose task takes 240 ms and an eighth of an executor, and returns the status of the reply.
 async fn submit(host: SocketAddr, id: u64) -> Option<u16> {
     let mut connection = Connection::open(host, ClientOptions::default())
         .await
         .ok()?;
-    let body = json!({"spec": "50", "best_effort": true,
-        "phases": [{"count": 1, "cpu": 1_000, "mem_mb": 1, "est_runtime_ms": 50}]});
+    let body = json!({"spec": "240", "best_effort": true,
+        "phases": [{"count": 1, "cpu": 250, "mem_mb": 1, "est_runtime_ms": 240}]});
     let path = format!("{id:016x}");
     let reply = send_request(&mut connection, Method::Post, &path, &body).await;
     reply.ok().map(|reply| reply.status)
