Reading: heads of modules and pages say what is built

The head of the levels still told how they were learned before the class's room; planned pools, the median of callers and the load answered were not named; a note read as if executor profiles were built; a promise left out that refusals while executors have room are not zero. Comments and pages only.

--- a/crates/onyxshed-admission/src/caller_shares.rs
+++ b/crates/onyxshed-admission/src/caller_shares.rs
@@ -6,6 +6,9 @@
 //! window of one second. What is still unused of the room, because callers' jobs come irregularly, is lent
 //! in equal parts to the callers above the level.
 //!
+//! A caller is within its share below twice the median of the callers' work, whatever the room: jobs arrive
+//! at random, so callers of equal rates differ within a second.
+//!
 //! A sole caller is never limited: it takes nothing from others, and what can't be served in time is
 //! refused for that reason.
 //!
--- a/crates/onyxshed-pool/src/admission_levels.rs
+++ b/crates/onyxshed-pool/src/admission_levels.rs
@@ -1,10 +1,12 @@
 //! Levels of admission that a pool's owner learns: by class, the share of arriving jobs that it admits.
 //!
+//! Load answered: far more requests than the pool has room for, each of which would cost the owner a call.
+//!
 //! Entry hosts apply the levels where requests arrive ([`crate::LevelTable`]), so the owner sees only a
-//! part of what is offered. Each arriving job therefore counts as the inverse of the share that entry
-//! hosts let through, which the owner's host knows as an entry host itself, and the level becomes what
-//! was admitted over what was offered by that count, and a quarter more: jobs arrive at random, and the
-//! owner has to have a choice. Steps of 100 ms with a refusal for want of room set a level, steps
+//! part of what is offered. The level is the share of what is offered for which the class has room, and a
+//! quarter more: jobs arrive at random, and the owner has to have a choice. Where the class's room is not
+//! known, the share that was admitted takes its place. An arriving job counts as the inverse of the share
+//! that entry hosts let through, which the owner's host knows as an entry host itself. Steps of 100 ms with a refusal for want of room set a level, steps
 //! without one raise it by a tenth of everything. A class for whose jobs executors have free room has no
 //! level.
 
@@ -27,7 +29,7 @@
 /// second after the last refusal.
 const RISE_MILLIS: u64 = 100;
 
-/// Factor on the share that was admitted, in thousandths.
+/// Factor on the share that was admitted, in thousandths, where the class's room is not known.
 const HEADROOM_MILLIS: u64 = 1_250;
 
 /// Factor on the room of a class, in thousandths: the owner needs a choice of jobs that fit its places.
--- a/crates/onyxshed-pool/src/class_shares.rs
+++ b/crates/onyxshed-pool/src/class_shares.rs
@@ -1,5 +1,7 @@
 //! Parts of an overloaded pool's room by class.
 //!
+//! Load answered: classes compete for less room than they offer work.
+//!
 //! Each class that offers work is guaranteed an equal part. What a class leaves of its part is lent
 //! to classes that offer more than theirs, the most urgent first, and among equally urgent ones in
 //! equal parts.
--- a/crates/onyxshed-pool/src/pool/overloaded.rs
+++ b/crates/onyxshed-pool/src/pool/overloaded.rs
@@ -1,5 +1,9 @@
 //! What an overloaded pool keeps besides its jobs and executors, and the state of overload.
 //!
+//! Load answered: more is offered than the executors can do in time. Jobs are then planned: one begins only
+//! with a place for each task, and classes share the room. A pool that can run only a few tasks at a time
+//! keeps no plan, and the order of the normal state.
+//!
 //! All of it follows from the jobs and runs, so it is rebuilt when the pool becomes overloaded and
 //! dropped when it no longer is. The forecast of room is rebuilt at each tick, which also accounts
 //! for executors that stopped answering, drain or have changed their speed.
--- a/crates/onyxshed-pool/src/pool_selector.rs
+++ b/crates/onyxshed-pool/src/pool_selector.rs
@@ -39,7 +39,7 @@
     pub speed_millis: u32,
     /// Whether the pool is overloaded.
     pub overload: OverloadState,
-    /// What the pool admits of each class, in the order of their names; empty unless it is overloaded.
+    /// What the pool admits of each class, in the order of their names; empty unless its jobs are planned.
     pub admissions: Vec<ClassAdmission>,
     /// What the pool admits of the callers that have used more than their shares; empty unless it is
     /// overloaded.
@@ -84,7 +84,7 @@
         }
     }
 
-    /// Returns the choices by the end of a job, `None` unless overload decisions take effect.
+    /// Returns the choices by the end of a job, `None` unless work is transferred.
     pub fn choices(&mut self) -> Option<&mut PoolChoices> {
         self.choices.as_mut()
     }
