Hosts that join late read the list of executors late

Cause: a host that waits to join for a vacant pool reads the whole list of executors meanwhile, and every host of a zone waits, small ones for up to 0.9 s: 238 hosts read 1 MB each at a start, one of twelve needs it. Change: the list is read in the last 120 ms, after another look whether the pool is still vacant. What is left are hosts that wait while a zone is resharded.

--- a/crates/onyxshed-host/src/ownership/contender.rs
+++ b/crates/onyxshed-host/src/ownership/contender.rs
@@ -50,6 +50,10 @@
 /// the handover. The next owner has joined by then and sends its request within one or two calls.
 const HANDOVER_WAIT: Millis = Millis(1_000);
 
+/// How long before it joins a host begins to read the executors' list. The list is large, and every host
+/// of a zone waits to join for a vacant pool.
+const PREFETCH_LEAD: Millis = Millis(120);
+
 /// State machine of this host, which contends for a pool of its zone or owns such a pool.
 pub(super) struct Contender {
     kernel: Kernel,
@@ -82,6 +86,17 @@
     Leave(PoolId),
 }
 
+/// What the store shows of a pool that was vacant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Vacancy {
+    /// No member holds the pool.
+    Open,
+    /// This process holds the pool.
+    HeldByThisProcess,
+    /// Another member holds the pool, or the store does not answer.
+    Ended,
+}
+
 impl Contender {
     /// Creates a contender that owns no pool yet.
     pub fn new(kernel: &Kernel, service: &OwnershipService, directory: Rc<Directory>) -> Self {
@@ -229,19 +244,34 @@
     /// that join at the same time move the pool twice. After their random pauses all hosts except
     /// the first find the pool owned.
     async fn recheck_and_join(&mut self, pool: PoolId, pause: Millis) -> OwnershipStep {
-        let address = self.options.store;
-        self.prefetched_executors = Some(self.kernel.spawn(executors::read_all(address)));
-        Timer::after(pause.into()).await;
-        match self.read_holder(&pool).await {
+        let wait = Millis(pause.0.saturating_sub(PREFETCH_LEAD.0));
+        if wait.0 > 0 {
+            Timer::after(wait.into()).await;
+            if self.check_vacancy(&pool).await == Vacancy::Ended {
+                return OwnershipStep::Contend;
+            }
+        }
+        let list = executors::read_all(self.options.store);
+        self.prefetched_executors = Some(self.kernel.spawn(list));
+        Timer::after(pause.min(PREFETCH_LEAD).into()).await;
+        match self.check_vacancy(&pool).await {
             // The last owner answers, and the store is about to assign the partition to it again.
-            Some(None) if self.takeover_pause(&pool).await.is_none() => OwnershipStep::Contend,
-            Some(None) => OwnershipStep::Join(pool),
-            Some(Some(owner)) if owner == self.member => OwnershipStep::Join(pool),
+            Vacancy::Open if self.takeover_pause(&pool).await.is_none() => OwnershipStep::Contend,
+            Vacancy::Open | Vacancy::HeldByThisProcess => OwnershipStep::Join(pool),
+            Vacancy::Ended => OwnershipStep::Contend,
+        }
+    }
+
+    /// Reads from the store whether a pool that was vacant still is.
+    async fn check_vacancy(&mut self, pool: &PoolId) -> Vacancy {
+        match self.read_holder(pool).await {
+            Some(None) => Vacancy::Open,
+            Some(Some(holder)) if holder == self.member => Vacancy::HeldByThisProcess,
             Some(Some(_)) => {
-                self.directory.remove_vacant(&pool);
-                OwnershipStep::Contend
+                self.directory.remove_vacant(pool);
+                Vacancy::Ended
             }
-            None => OwnershipStep::Contend,
+            None => Vacancy::Ended,
         }
     }
 
