Owners of other zones' pools are received as records, not looked up at the start

Cause: every host looked up every pool at its start and then all pools of its zone in turn: calls grow with hosts times pools.

--- a/crates/onyxshed-host/src/directory.rs
+++ b/crates/onyxshed-host/src/directory.rs
@@ -131,6 +131,7 @@
     /// Pools that the store still assigns to an earlier process of this host, with its member name.
     orphaned: RefCell<BTreeMap<PoolId, SmolStr>>,
     watch: StoreWatch,
+    created_at: Mono,
     /// Notified when a pool is found that this host may acquire.
     pool_available: Notifier,
 }
@@ -155,6 +156,7 @@
             vacant: RefCell::default(),
             orphaned: RefCell::default(),
             watch,
+            created_at: boot_clock::now(),
             pool_available: Notifier::default(),
         })
     }
@@ -223,9 +225,14 @@
 
     /// Returns the time of the next lookup of a pool, or `None` while this host owns it.
     fn due_at(&self, pool: &PoolId, pools: usize) -> Option<Mono> {
-        let interval = self.status_of(pool).lookup_interval(pools)?;
+        let status = self.status_of(pool);
+        let interval = status.lookup_interval(pools)?;
         let last = self.looked_up_at.borrow().get(pool).copied();
-        Some(last.map_or(Mono(0), |last| last + interval))
+        Some(match last {
+            Some(last) => last + interval,
+            None if status.is_looked_up_first() => Mono(0),
+            None => self.created_at + interval,
+        })
     }
 
     fn status_of(&self, pool: &PoolId) -> OwnerStatus {
@@ -235,6 +242,7 @@
         match (self.links.has_stable_owner(pool), pool.zone == self.zone) {
             (false, true) => OwnerStatus::UnsettledLocal,
             (false, false) => OwnerStatus::UnsettledRemote,
+            (true, true) if *pool == self.links.preferred_pool() => OwnerStatus::SettledHome,
             (true, true) => OwnerStatus::SettledLocal,
             (true, false) => OwnerStatus::SettledRemote,
         }
@@ -278,6 +286,15 @@
         self.orphaned.borrow_mut().pop_first()
     }
 
+    /// Applies a record that was written before this host followed the owner records, if it is of another
+    /// zone's pool whose owner this host does not reach. The member may have ended; a link to it does no
+    /// harm then.
+    pub fn observe_past_owner(&self, pool: &PoolId, member: SmolStr) {
+        if pool.zone != self.zone && !self.links.is_up(pool) {
+            self.observe_owner_record(pool, member);
+        }
+    }
+
     /// Applies an owner record: `member` is the member name of a pool's new owner. Ignored if that
     /// name contains no valid address, if the owner is a process of this host, or if this host
     /// serves the pool.
--- a/crates/onyxshed-host/src/directory/lookup.rs
+++ b/crates/onyxshed-host/src/directory/lookup.rs
@@ -1,9 +1,10 @@
 //! Intervals at which a host looks up the owner of a pool in the store.
 //!
-//! Every host looks up the owner of every pool, so at a fixed interval the number of lookups would
-//! grow with the number of hosts times the number of pools. An owner that stops announces this over
-//! its links, and a new owner writes a record that every host reads. Lookups only have to find the
-//! changes that are announced in neither way, so their interval grows with the number of pools.
+//! At a fixed interval the number of lookups would grow with the number of hosts times the number of
+//! pools. An owner that stops announces this over its links, and a new owner writes a record that
+//! every host receives. Lookups only have to find the changes that are announced in neither way, so
+//! their interval grows with the number of pools, and each pool is looked up mainly by the hosts whose
+//! home pool it is.
 
 use onyxshed_core::Millis;
 
@@ -15,9 +16,13 @@
 /// owner announces itself.
 const UNSETTLED_REMOTE_INTERVAL: Millis = Millis(500);
 
-/// Lookup interval for a pool of the host's own zone whose owner answers and is not stopping.
-/// Detects a running owner whose membership in the store has expired.
-const SETTLED_LOCAL_INTERVAL: Millis = Millis(2_000);
+/// Lookup interval for the home pool of a host, whose owner answers and is not stopping. Detects a
+/// running owner whose membership in the store has expired.
+const SETTLED_HOME_INTERVAL: Millis = Millis(2_000);
+
+/// Lookup interval for another pool of the host's own zone whose owner answers and is not stopping. The
+/// hosts whose home pool it is look it up more often.
+const SETTLED_LOCAL_INTERVAL: Millis = Millis(20_000);
 
 /// Lookup interval for a pool of another zone whose owner answers and is not stopping. This host
 /// never owns such a pool.
@@ -29,7 +34,7 @@
 
 /// Pause of the lookup loop while no pool needs a lookup, for example because this host owns the
 /// only pool.
-pub const LOOKUP_INTERVAL_MAX: Millis = SETTLED_LOCAL_INTERVAL;
+pub const LOOKUP_INTERVAL_MAX: Millis = SETTLED_HOME_INTERVAL;
 
 /// Whether a host owns a pool, and otherwise the zone of the pool and the state of its owner.
 /// Determines the lookup interval.
@@ -37,7 +42,9 @@
 pub enum OwnerStatus {
     /// This host owns the pool, so that the owner is not looked up.
     Owned,
-    /// The pool is in this host's zone; its owner answers and is not stopping.
+    /// The pool is this host's home pool; its owner answers and is not stopping.
+    SettledHome,
+    /// The pool is another one of this host's zone; its owner answers and is not stopping.
     SettledLocal,
     /// The pool is in another zone; its owner answers and is not stopping.
     SettledRemote,
@@ -48,11 +55,21 @@
 }
 
 impl OwnerStatus {
+    /// Returns whether a pool is looked up as soon as it is known. The owners of other zones' pools are
+    /// received as records first.
+    pub fn is_looked_up_first(self) -> bool {
+        matches!(
+            self,
+            OwnerStatus::SettledHome | OwnerStatus::SettledLocal | OwnerStatus::UnsettledLocal
+        )
+    }
+
     /// Returns the time between two lookups of a pool's owner if the deployment has `pools` pools,
     /// or `None` if this host is the owner.
     pub fn lookup_interval(self, pools: usize) -> Option<Millis> {
         let interval = match self {
             OwnerStatus::Owned => return None,
+            OwnerStatus::SettledHome => SETTLED_HOME_INTERVAL,
             OwnerStatus::SettledLocal => SETTLED_LOCAL_INTERVAL,
             OwnerStatus::SettledRemote => SETTLED_REMOTE_INTERVAL,
             OwnerStatus::UnsettledLocal => UNSETTLED_LOCAL_INTERVAL,
--- a/crates/onyxshed-host/src/last_owner.rs
+++ b/crates/onyxshed-host/src/last_owner.rs
@@ -61,15 +61,23 @@
     absent_period: Some(ABSENT_TOPIC_PERIOD),
 };
 
-/// Passes the records of new owners to the directory. The snapshot is ignored, since it may name
-/// owners that no longer exist.
+/// Passes the records of owners to the directory. The snapshot may name owners that no longer exist.
 impl TopicReader for Directory {
-    fn apply_snapshot(&self, _newest: Records) {}
+    fn apply_snapshot(&self, newest: Records) {
+        for (pool, member) in newest.records.into_iter().filter_map(owner_of) {
+            self.observe_past_owner(&pool, member);
+        }
+    }
 
     fn apply_record(&self, record: KeyedRecord) {
-        let pool: Option<PoolId> = record.key.parse().ok();
-        if let (Some(pool), Some(member)) = (pool, member_of(record)) {
+        if let Some((pool, member)) = owner_of(record) {
             self.observe_owner_record(&pool, member);
         }
     }
 }
+
+/// Returns the pool and the member name of an owner record, or `None` if it is malformed.
+fn owner_of(record: KeyedRecord) -> Option<(PoolId, SmolStr)> {
+    let pool = record.key.parse().ok()?;
+    Some((pool, member_of(record)?))
+}
--- a/crates/onyxshed-host/src/ownership/contender.rs
+++ b/crates/onyxshed-host/src/ownership/contender.rs
@@ -11,6 +11,7 @@
 use onyxshed_kernel::Kernel;
 use onyxshed_pool::{
     Candidate, CandidateStep, FencingToken, LastOwner, OwnershipTransfer, PoolId, ShardLayout,
+    wait_before_list,
 };
 use smol_str::SmolStr;
 
@@ -50,10 +51,6 @@
 /// the handover. The next owner has joined by then and sends its request within one or two calls.
 const HANDOVER_WAIT: Millis = Millis(1_000);
 
-/// How long before it joins a host begins to read the executors' list. The list is large, and every host
-/// of a zone waits to join for a vacant pool.
-const PREFETCH_LEAD: Millis = Millis(120);
-
 /// State machine of this host, which contends for a pool of its zone or owns such a pool.
 pub(super) struct Contender {
     kernel: Kernel,
@@ -244,7 +241,7 @@
     /// that join at the same time move the pool twice. After their random pauses all hosts except
     /// the first find the pool owned.
     async fn recheck_and_join(&mut self, pool: PoolId, pause: Millis) -> OwnershipStep {
-        let wait = Millis(pause.0.saturating_sub(PREFETCH_LEAD.0));
+        let wait = wait_before_list(pause);
         if wait.0 > 0 {
             Timer::after(wait.into()).await;
             if self.check_vacancy(&pool).await == Vacancy::Ended {
@@ -253,7 +250,7 @@
         }
         let list = executors::read_all(self.options.store);
         self.prefetched_executors = Some(self.kernel.spawn(list));
-        Timer::after(pause.min(PREFETCH_LEAD).into()).await;
+        Timer::after(Millis(pause.0 - wait.0).into()).await;
         match self.check_vacancy(&pool).await {
             // The last owner answers, and the store is about to assign the partition to it again.
             Vacancy::Open if self.takeover_pause(&pool).await.is_none() => OwnershipStep::Contend,
--- a/crates/onyxshed-pool/src/candidate.rs
+++ b/crates/onyxshed-pool/src/candidate.rs
@@ -36,6 +36,10 @@
 /// [`OWNER_CPU_MILLIS`] when the deployment starts for the first time and nobody waits for a pool yet.
 const FIRST_JOIN_SPREAD: Millis = Millis(1_000);
 
+/// How long before it joins a host begins to read the list of executors: a host without delay joins after
+/// the jitter at the latest.
+const LIST_LEAD: Millis = JOIN_JITTER_MAX;
+
 /// Next step of a host for a vacant pool.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CandidateStep {
@@ -129,6 +133,15 @@
     }
 }
 
+/// Returns how long a host that joins after `pause` waits until it begins to read the list of executors, so
+/// that it serves as soon as it has joined.
+///
+/// The list is large, and all hosts of a zone wait to join for a vacant pool. A host that waits longer than
+/// the first ones checks whether the pool is still vacant before it reads the list.
+pub fn wait_before_list(pause: Millis) -> Millis {
+    Millis(pause.0.saturating_sub(LIST_LEAD.0))
+}
+
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn jitter(draw: f64) -> Millis {
     Millis((draw.clamp(0.0, 1.0) * crate::speed::as_f64(JOIN_JITTER_MAX.0)) as u64)
--- a/crates/onyxshed-pool/src/lib.rs
+++ b/crates/onyxshed-pool/src/lib.rs
@@ -48,7 +48,7 @@
 mod work_sum;
 
 pub use admission_levels::{Arrival, ClassLevels};
-pub use candidate::{Candidate, CandidateStep, LastOwner};
+pub use candidate::{Candidate, CandidateStep, LastOwner, wait_before_list};
 pub use end_forecast::JobNeeds;
 pub use error::{Error, Result};
 pub use evacuation::{EvacuationChange, EvacuationRecord, Evacuations, LogPosition};
--- a/crates/onyxshed-pool/tests/pool/candidate.rs
+++ b/crates/onyxshed-pool/tests/pool/candidate.rs
@@ -1,7 +1,7 @@
 //! Decisions of a host about a vacant pool.
 
 use onyxshed_core::Millis;
-use onyxshed_pool::{Candidate, CandidateStep, LastOwner};
+use onyxshed_pool::{Candidate, CandidateStep, LastOwner, wait_before_list};
 
 use crate::fixture::at_ms;
 
@@ -85,3 +85,14 @@
     assert_eq!(pause(250, 0.0), CandidateStep::JoinAfter(Millis(0)));
     assert_eq!(pause(90, 0.0), CandidateStep::JoinAfter(Millis(600)));
 }
+
+/// Guards against a burst of reads when a pool becomes vacant: every host of the zone would read the whole list
+/// of executors although only the first to join needs it.
+#[test]
+fn hosts_that_join_late_read_the_list_late() {
+    for pause_ms in [0, 60, 120] {
+        assert_eq!(wait_before_list(Millis(pause_ms)), Millis(0));
+    }
+    // A host with a tenth of a core waits for 600 ms; the first hosts have joined by then.
+    assert!(wait_before_list(Millis(600)) >= Millis(400));
+}
