The first job on an idle link makes a heartbeat due

Cause: with more than 12 links an idle link sends a heartbeat each 600 ms or more, up to a second, and an owner gives up the jobs of a host that was silent for 600 ms. A job on an idle link did not move its next heartbeat forward, so the job was given up if it came within 300 ms after the last one: callers got 504 after 370 to 560 ms, mostly in the first two seconds. It held only while a deployment had few pools. Change: the schedule is code of its own; the first job on an idle link makes a heartbeat due at once.

--- a/crates/onyxshed-host/src/links.rs
+++ b/crates/onyxshed-host/src/links.rs
@@ -4,6 +4,7 @@
 //! session of this host and the load report of the pool. If the owner does not answer in time, the
 //! link goes down, and every job that was submitted on it ends immediately with an unknown outcome.
 
+mod heartbeat_schedule;
 mod port;
 mod remote;
 mod successors;
@@ -35,6 +36,7 @@
 use crate::names::{ENGINE, LINKS, MANIFEST};
 use crate::shard_layouts::ShardLayouts;
 
+pub use heartbeat_schedule::{HEARTBEAT_PERIOD, HeartbeatSchedule};
 pub use remote::{RemoteLink, WaiterGuard};
 
 /// Number of pools up to which every idle link sends heartbeats at the full rate.
@@ -143,7 +145,7 @@
     fn idle_heartbeat_period(&self) -> Duration {
         let pools = u32::try_from(self.remote.borrow().len()).unwrap_or(u32::MAX);
         let scale = pools.div_ceil(POOLS_AT_FULL_RATE).max(1);
-        (remote::HEARTBEAT_PERIOD * scale).min(IDLE_HEARTBEAT_MAX)
+        (HEARTBEAT_PERIOD * scale).min(IDLE_HEARTBEAT_MAX)
     }
 
     /// Closes the links to pools that are not in `pools`, which contains all pools that exist.
--- a/crates/onyxshed-host/src/links/remote.rs
+++ b/crates/onyxshed-host/src/links/remote.rs
@@ -21,15 +21,9 @@
 use smol_str::format_smolstr;
 
 use super::Links;
+use super::heartbeat_schedule::HeartbeatSchedule;
 use crate::boot_clock;
 
-/// Interval between two heartbeats: a quarter of the time after which an owner considers a host
-/// unresponsive.
-pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(150);
-
-/// Time without a job after which a link is idle and may send heartbeats less often.
-const IDLE_AFTER: Millis = Millis(2_000);
-
 /// Age of the owner's last answer up to which the session of a link is used without a renewal: half
 /// of the time after which an owner ends the session of an unresponsive host.
 const SESSION_FRESH_MAX: Millis = Millis(300);
@@ -73,7 +67,9 @@
     is_closed: Cell<bool>,
     /// Number of jobs and handovers that wait on the link.
     waiters: Cell<usize>,
-    last_used_at: Cell<Mono>,
+    heartbeats: RefCell<HeartbeatSchedule>,
+    /// Notified when a job is submitted on an idle link.
+    used: Notifier,
     last_answer_at: Cell<Mono>,
     /// Whether the first connection has succeeded or failed.
     is_first_attempt_done: Cell<bool>,
@@ -90,7 +86,8 @@
             connection: RefCell::default(),
             is_closed: Cell::new(false),
             waiters: Cell::new(0),
-            last_used_at: Cell::new(Mono(0)),
+            heartbeats: RefCell::default(),
+            used: Notifier::default(),
             last_answer_at: Cell::new(Mono(0)),
             is_first_attempt_done: Cell::new(false),
             first_attempt_done: Notifier::default(),
@@ -158,7 +155,7 @@
             if self.is_closed.get() && self.waiters.get() == 0 {
                 return Some("another host owns the pool");
             }
-            Timer::after(self.heartbeat_pause()).await;
+            self.wait_for_next_heartbeat().await;
         }
     }
 
@@ -185,16 +182,31 @@
         }
     }
 
-    /// Returns the time until the next heartbeat, which is longer on an idle link.
-    fn heartbeat_pause(&self) -> Duration {
-        let idle = boot_clock::now().since(self.last_used_at.get());
-        if self.waiters.get() > 0 || idle < IDLE_AFTER.into() {
-            HEARTBEAT_PERIOD
-        } else {
-            self.links.idle_heartbeat_period()
+    /// Waits until the next heartbeat is due, which a job on an idle link moves forward.
+    async fn wait_for_next_heartbeat(&self) {
+        let answered_at = boot_clock::now();
+        self.heartbeats.borrow_mut().record_heartbeat(answered_at);
+        loop {
+            let used = self.used.subscribe();
+            let now = boot_clock::now();
+            let remaining = self.next_heartbeat_at(now).since(now);
+            if remaining.0 == 0 {
+                return;
+            }
+            let due = async {
+                Timer::after(remaining.into()).await;
+            };
+            used.wait().or(due).await;
         }
     }
 
+    fn next_heartbeat_at(&self, now: Mono) -> Mono {
+        let is_waited_on = self.waiters.get() > 0;
+        let idle_period = self.links.idle_heartbeat_period();
+        let schedule = self.heartbeats.borrow();
+        schedule.next_at(now, is_waited_on, idle_period)
+    }
+
     /// Renews the session before a job is submitted if the last answer is older than
     /// [`SESSION_FRESH_MAX`]. Returns whether the session is valid.
     async fn renew_session(&self, connection: &OpenConnection) -> bool {
@@ -327,7 +339,9 @@
         let Some(last_known) = self.connection.borrow().clone() else {
             return not_owner;
         };
-        self.last_used_at.set(boot_clock::now());
+        if self.heartbeats.borrow_mut().record_use(boot_clock::now()) {
+            self.used.notify();
+        }
         if !self.renew_session(&last_known).await {
             return not_owner;
         }
