Hosts follow the store's topics through the owner of their home pool

Cause: every host polled three topics (manifest, layouts, owner records), and each new owner or manifest woke every host: calls grow with hosts times changes. Change: owners poll, the other hosts follow the owner of their home pool with a call that is answered at a change. Answers carry the age of the owner's confirmation; a host reads the store itself as soon as a change could have stayed unknown for longer than before, and when its owner does not answer. A host that cannot reach the store gets manifests from its owner.

--- a/crates/onyxshed-host/src/last_owner.rs
+++ b/crates/onyxshed-host/src/last_owner.rs
@@ -20,8 +20,8 @@
 /// Topic of the owner records, with the pool as key.
 const TOPIC: &str = "keyed.onyxshed.owners";
 
-/// How long a read waits in the store for the record of a new owner.
-const LONG_POLL_WAIT: Millis = Millis(10_000);
+/// How long the record of a new owner may stay unknown.
+const UNKNOWN_MAX: Millis = Millis(10_000);
 
 /// Interval between two reads while the topic does not exist.
 const ABSENT_TOPIC_PERIOD: Duration = Duration::from_millis(1_000);
@@ -57,7 +57,7 @@
 pub const TOPIC_OPTIONS: TopicOptions = TopicOptions {
     name: TOPIC,
     purpose: StorePurpose::OwnerRecords,
-    wait: LONG_POLL_WAIT,
+    unknown_max: UNKNOWN_MAX,
     absent_period: Some(ABSENT_TOPIC_PERIOD),
 };
 
--- a/crates/onyxshed-host/src/lib.rs
+++ b/crates/onyxshed-host/src/lib.rs
@@ -32,3 +32,4 @@
 pub mod store_calls;
 pub mod store_watch;
 pub mod topic;
+pub mod topic_relay;
--- a/crates/onyxshed-host/src/links.rs
+++ b/crates/onyxshed-host/src/links.rs
@@ -8,6 +8,7 @@
 mod port;
 mod remote;
 mod successors;
+mod topic_message;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -35,10 +36,17 @@
 use crate::evacuations::ZoneEvacuations;
 use crate::names::{ENGINE, LINKS, MANIFEST};
 use crate::shard_layouts::ShardLayouts;
+use crate::topic::{TopicUpdate, Topics};
 
 pub use heartbeat_schedule::{HEARTBEAT_PERIOD, HeartbeatSchedule};
 pub use remote::{RemoteLink, WaiterGuard};
 
+/// A topic and the offset from which a peer reads it on.
+pub type TopicPosition = (SmolStr, u64);
+
+/// A topic and what its owner knows beyond a peer's position.
+pub type NamedUpdate = (SmolStr, TopicUpdate);
+
 /// Number of pools up to which every idle link sends heartbeats at the full rate.
 const POOLS_AT_FULL_RATE: u32 = 4;
 
@@ -313,6 +321,16 @@
         link.filter(|link| link.is_up())
     }
 
+    /// Returns the link to the owner of the home pool, through which this host follows the topics of
+    /// the store. Returns `None` if that owner is unknown or does not answer, and for a host that owns
+    /// a pool: owners read the store themselves.
+    pub fn home_link(&self) -> Option<Rc<RemoteLink>> {
+        match self.engine.owned_pool() {
+            Some(_) => None,
+            None => self.link_to(&self.preferred_pool()),
+        }
+    }
+
     /// Returns the pools whose owners answer, with the owners' addresses. Includes the pool that
     /// this host serves.
     pub fn owners(&self) -> Vec<(PoolId, SocketAddr)> {
@@ -434,12 +452,14 @@
 /// Service that accepts the connections of peers and registers the [`Links`].
 pub struct LinkService {
     links: Rc<Links>,
+    topics: Rc<Topics>,
 }
 
 impl LinkService {
-    /// Creates the service, which listens on the address in the options of `links`.
-    pub fn new(links: Rc<Links>) -> Self {
-        LinkService { links }
+    /// Creates the service, which listens on the address in the options of `links`. Peers follow
+    /// `topics` through it.
+    pub fn new(links: Rc<Links>, topics: Rc<Topics>) -> Self {
+        LinkService { links, topics }
     }
 }
 
@@ -462,6 +482,7 @@
                 manifest: kernel.find(MANIFEST)?,
                 shard_layouts: links.shard_layouts.clone(),
                 evacuations: links.evacuations.clone(),
+                topics: self.topics.clone(),
             };
             let port = port::Port::new(links.engine.clone(), member, deployment);
             let client: pool_port::Client = capnp_rpc::new_client(port);
--- a/crates/onyxshed-host/src/links/port.rs
+++ b/crates/onyxshed-host/src/links/port.rs
@@ -2,7 +2,9 @@
 
 use std::rc::Rc;
 
+use async_io::Timer;
 use capnp::capability::Rc as ServerRc;
+use futures_lite::FutureExt;
 use onyxshed_core::Millis;
 use onyxshed_pool::{
     FencingToken, JobEnd, JobId, NotRunReason, PeerIncarnation, PoolId, Session, SubmissionNumber,
@@ -12,11 +14,16 @@
 use onyxshed_proto::pool_capnp::pool_port;
 use smol_str::SmolStr;
 
-use super::Links;
+use super::{Links, NamedUpdate, TopicPosition, topic_message};
+use crate::boot_clock;
 use crate::engine::Engine;
 use crate::evacuations::ZoneEvacuations;
 use crate::manifest::ManifestHolder;
 use crate::shard_layouts::ShardLayouts;
+use crate::topic::Topics;
+
+/// Longest time for which a peer's call waits for a change of a topic.
+const FOLLOW_WAIT_MAX: Millis = Millis(2_000);
 
 /// RPC server for entry hosts and other peers.
 pub struct Port {
@@ -37,6 +44,8 @@
     pub shard_layouts: Rc<ShardLayouts>,
     /// The evacuations of zones that this host knows.
     pub evacuations: Rc<ZoneEvacuations>,
+    /// The topics of the store that this host follows.
+    pub topics: Rc<Topics>,
 }
 
 impl DeploymentState {
@@ -60,6 +69,41 @@
         }
     }
 
+    /// Returns what this host knows beyond a peer's positions, and whether any topic goes on there.
+    fn topic_updates(&self, positions: &[TopicPosition]) -> (Vec<NamedUpdate>, bool) {
+        let mut goes_on = false;
+        let mut updates = Vec::new();
+        for (name, position) in positions {
+            let update = self.deployment.topics.update_since(name, *position);
+            goes_on |= update
+                .as_ref()
+                .is_some_and(|update| update.next > *position);
+            updates.extend(update.map(|update| (name.clone(), update)));
+        }
+        (updates, goes_on)
+    }
+
+    /// Waits until a topic goes on behind a peer's positions, for at most `wait`.
+    async fn wait_for_updates(
+        &self,
+        positions: &[TopicPosition],
+        wait: Millis,
+    ) -> Vec<NamedUpdate> {
+        let deadline = boot_clock::now() + wait;
+        loop {
+            let advanced = self.deployment.topics.advanced().subscribe();
+            let (updates, goes_on) = self.topic_updates(positions);
+            let remaining = deadline.since(boot_clock::now());
+            if goes_on || remaining.0 == 0 {
+                return updates;
+            }
+            let expiry = async {
+                Timer::after(remaining.into()).await;
+            };
+            advanced.wait().or(expiry).await;
+        }
+    }
+
     fn owns(&self, pool: &str) -> bool {
         let requested: Option<PoolId> = pool.parse().ok();
         requested.is_some() && requested == self.engine.owned_pool()
@@ -177,6 +221,24 @@
         pool::write_held_executors(&executors, results)
     }
 
+    async fn follow_topics(
+        self: ServerRc<Self>,
+        params: pool_port::FollowTopicsParams,
+        mut results: pool_port::FollowTopicsResults,
+    ) -> capnp::Result<()> {
+        if self.engine.owned_pool().is_none() {
+            return Ok(());
+        }
+        let params = params.get()?;
+        let positions = pool::read_positions(params.get_positions()?)?;
+        let wait = Millis(params.get_wait_ms()).min(FOLLOW_WAIT_MAX);
+        let updates = self.wait_for_updates(&positions, wait).await;
+        let mut results = results.get();
+        results.set_is_owner(self.engine.owned_pool().is_some());
+        let list = results.init_updates(pool::length(&updates)?);
+        topic_message::write_updates(&updates, list)
+    }
+
     async fn peer_state(
         self: ServerRc<Self>,
         _params: pool_port::PeerStateParams,
--- a/crates/onyxshed-host/src/links/remote.rs
+++ b/crates/onyxshed-host/src/links/remote.rs
@@ -20,8 +20,8 @@
 use onyxshed_proto::{pool, rpc};
 use smol_str::format_smolstr;
 
-use super::Links;
 use super::heartbeat_schedule::HeartbeatSchedule;
+use super::{Links, NamedUpdate, topic_message};
 use crate::boot_clock;
 
 /// Age of the owner's last answer up to which the session of a link is used without a renewal: half
@@ -297,11 +297,7 @@
     /// executors that the previous owner still uses, or `None` if the link is down, no readable
     /// answer arrives in time, or the previous owner no longer owns the pool.
     pub async fn release(&self, next: FencingToken) -> Option<BTreeSet<ExecutorId>> {
-        let client = self
-            .connection
-            .borrow()
-            .as_ref()
-            .map(|connection| connection.client.clone())?;
+        let client = self.client()?;
         let mut request = client.release_request();
         let mut params = request.get();
         params.set_pool(format_smolstr!("{}", self.pool).as_str());
@@ -313,6 +309,38 @@
         reply.get_is_owner().then_some(executors)
     }
 
+    /// Asks the owner what it knows of topics beyond this host's positions; it answers when a topic goes
+    /// on, at the latest after `wait`. Returns `None` if the link is down, no readable answer arrives in
+    /// time, or the host owns no pool.
+    pub async fn follow_topics(
+        &self,
+        positions: &[(&'static str, u64)],
+        wait: Millis,
+    ) -> Option<Vec<NamedUpdate>> {
+        let client = self.client()?;
+        let mut request = client.follow_topics_request();
+        let mut params = request.get();
+        params.set_wait_ms(wait.0);
+        let mut list = params.init_positions(pool::length(positions).ok()?);
+        for (index, (name, next)) in (0..).zip(positions) {
+            let mut entry = list.reborrow().get(index);
+            entry.set_topic(*name);
+            entry.set_next(*next);
+        }
+        let timeout = ANSWER_TIMEOUT + Duration::from(wait);
+        // A failed call is not logged: the link's heartbeats report why the owner does not answer.
+        let reply = with_timeout(timeout, request.send().promise).await?.ok()?;
+        let reply = reply.get().ok().filter(|reply| reply.get_is_owner())?;
+        topic_message::read_updates(reply.get_updates().ok()?).ok()
+    }
+
+    fn client(&self) -> Option<pool_port::Client> {
+        let connection = self.connection.borrow();
+        connection
+            .as_ref()
+            .map(|connection| connection.client.clone())
+    }
+
     /// Marks the link as down, if it was up, and logs the reason.
     fn mark_down(&self, reason: &'static str) {
         if self.connection.borrow_mut().take().is_some() {
@@ -452,12 +480,7 @@
         };
         let link = self.link.clone();
         // A link that has reconnected reaches the owner even if the old connection does not.
-        let current = link
-            .connection
-            .borrow()
-            .as_ref()
-            .map(|connection| connection.client.clone());
-        let client = current.unwrap_or_else(|| self.client.clone());
+        let client = link.client().unwrap_or_else(|| self.client.clone());
         let cancel = async move {
             // If this fails, the owner cancels the job when it considers this host unresponsive.
             let _ = with_timeout(ANSWER_TIMEOUT, link.cancel(&client, submission, job)).await;
--- a/crates/onyxshed-host/src/manifest.rs
+++ b/crates/onyxshed-host/src/manifest.rs
@@ -16,21 +16,23 @@
 use crate::names::MANIFEST;
 use crate::store_calls::StorePurpose;
 use crate::store_watch::StoreWatch;
-use crate::topic::{self, TopicOptions, TopicReader};
-
-/// Minimum time that a read waits in the store for a change.
-const LONG_POLL_WAIT_MIN: Millis = Millis(1_500);
-
-/// Difference between the time within which a manifest has to take effect and the wait of a read:
-/// covers the timeout of the answer, a new connection and the read that finds the change.
-const LONG_POLL_MARGIN: Millis = Millis(1_200);
-
-/// Returns how long a read waits in the store for a change. `manifest_within` is the time within
-/// which a manifest has to take effect; with `None` the minimum wait is used. The wait limits how
-/// long an unresponsive connection is used.
-pub fn long_poll_wait(manifest_within: Option<Millis>) -> Millis {
-    let wait_ms = manifest_within.map_or(0, |within| within.0.saturating_sub(LONG_POLL_MARGIN.0));
-    LONG_POLL_WAIT_MIN.max(Millis(wait_ms))
+use crate::topic::{TopicOptions, TopicReader, Topics};
+
+/// Shortest time for which a manifest may stay unknown.
+const UNKNOWN_MAX_MIN: Millis = Millis(1_500);
+
+/// Difference between the time within which a manifest has to take effect and the time for which it
+/// may stay unknown: covers the timeout of the answer, a new connection and the read that finds the
+/// change.
+const UNKNOWN_MAX_MARGIN: Millis = Millis(1_200);
+
+/// Returns how long a manifest may stay unknown before it is read from the store on a new connection.
+/// `manifest_within` is the time within which a manifest has to take effect; with `None` the shortest
+/// time is used.
+pub fn manifest_unknown_max(manifest_within: Option<Millis>) -> Millis {
+    let limit_ms =
+        manifest_within.map_or(0, |within| within.0.saturating_sub(UNKNOWN_MAX_MARGIN.0));
+    UNKNOWN_MAX_MIN.max(Millis(limit_ms))
 }
 
 /// The newest manifest that this host knows.
@@ -101,22 +103,25 @@
 /// Service that follows the operators' topic and registers the [`ManifestHolder`].
 pub struct ManifestService {
     store: SocketAddr,
-    long_poll_wait: Millis,
+    unknown_max: Millis,
     evacuations: Rc<ZoneEvacuations>,
+    topics: Rc<Topics>,
 }
 
 impl ManifestService {
-    /// Creates the service for a store's address. Reads wait up to `long_poll_wait` for a change.
-    /// Evacuations are passed to `evacuations`.
+    /// Creates the service for a store's address. A change stays unknown for `unknown_max` at most
+    /// while the store is reachable. Evacuations are passed to `evacuations`.
     pub fn new(
         store: SocketAddr,
-        long_poll_wait: Millis,
+        unknown_max: Millis,
         evacuations: Rc<ZoneEvacuations>,
+        topics: Rc<Topics>,
     ) -> Self {
         ManifestService {
             store,
-            long_poll_wait,
+            unknown_max,
             evacuations,
+            topics,
         }
     }
 }
@@ -140,11 +145,12 @@
             let topic = TopicOptions {
                 name: OPERATORS_TOPIC,
                 purpose: StorePurpose::Operators,
-                wait: self.long_poll_wait,
+                unknown_max: self.unknown_max,
                 absent_period: None,
             };
             let watch = StoreWatch::new(kernel, "manifest");
-            let follow = topic::follow(topic, self.store, watch, Rc::new(reader));
+            let topics = self.topics.clone();
+            let follow = topics.follow(topic, self.store, watch, Rc::new(reader));
             kernel.spawn(follow).detach();
             let descriptor = Descriptor {
                 name: MANIFEST,
--- a/crates/onyxshed-host/src/names.rs
+++ b/crates/onyxshed-host/src/names.rs
@@ -23,6 +23,9 @@
 /// Service that fetches the state of the deployment from peers at startup.
 pub const PEER_STATE: ServiceName = ServiceName::new("peer_state");
 
+/// Service that follows the topics of the store through the owner of the home pool.
+pub const TOPIC_RELAY: ServiceName = ServiceName::new("topic_relay");
+
 /// Service that accepts requests of callers.
 pub const CALLERS: ServiceName = ServiceName::new("callers");
 
--- a/crates/onyxshed-host/src/ownership.rs
+++ b/crates/onyxshed-host/src/ownership.rs
@@ -29,7 +29,7 @@
 use crate::names::{ENGINE, LINKS, OWNERSHIP, SHARD_LAYOUTS};
 use crate::shard_layouts::ShardLayouts;
 use crate::store_watch::StoreWatch;
-use crate::topic;
+use crate::topic::Topics;
 use contender::Contender;
 
 /// Settings with which this host joins the pools' groups.
@@ -55,6 +55,7 @@
     shard_layouts: Rc<ShardLayouts>,
     engine: Rc<Engine>,
     links: Rc<Links>,
+    topics: Rc<Topics>,
 }
 
 impl OwnershipService {
@@ -64,12 +65,14 @@
         shard_layouts: Rc<ShardLayouts>,
         engine: Rc<Engine>,
         links: Rc<Links>,
+        topics: Rc<Topics>,
     ) -> Self {
         OwnershipService {
             options,
             shard_layouts,
             engine,
             links,
+            topics,
         }
     }
 }
@@ -99,7 +102,7 @@
                 .detach();
             let record_watch = StoreWatch::new(kernel, "owner records");
             let topic_options = last_owner::TOPIC_OPTIONS;
-            let follow = topic::follow(
+            let follow = self.topics.clone().follow(
                 topic_options,
                 options.store,
                 record_watch,
--- a/crates/onyxshed-host/src/process.rs
+++ b/crates/onyxshed-host/src/process.rs
@@ -22,12 +22,14 @@
 use crate::engine::{Engine, EngineService};
 use crate::evacuations::ZoneEvacuations;
 use crate::links::{LinkOptions, LinkService, Links};
-use crate::manifest::{ManifestService, long_poll_wait};
+use crate::manifest::{ManifestService, manifest_unknown_max};
 use crate::ownership::{OwnershipOptions, OwnershipService};
 use crate::peer_state::PeerStateService;
 use crate::ready::ReadyService;
 use crate::reload::ReloadService;
 use crate::shard_layouts::{ShardLayoutService, ShardLayouts};
+use crate::topic::Topics;
+use crate::topic_relay::TopicRelayService;
 
 /// Name of the binary, as shown in its help, log and error messages.
 const NAME: &str = "onyxshed-host";
@@ -275,6 +277,7 @@
         link_options,
         options.transfers_work,
     );
+    let topics = Topics::new();
     let drain_timeout = Millis(settings.grace_ms.0.saturating_sub(FINAL_REPLIES_MARGIN.0)).into();
     let callers = CallerOptions {
         address: settings.caller_address,
@@ -298,20 +301,24 @@
         )),
         Box::new(ManifestService::new(
             settings.store_address,
-            long_poll_wait(settings.manifest_within_ms),
+            manifest_unknown_max(settings.manifest_within_ms),
             evacuations.clone(),
+            topics.clone(),
         )),
         Box::new(EngineService::new(engine.clone(), drain_timeout)),
         Box::new(ShardLayoutService::new(
             shard_layouts.clone(),
             settings.store_address,
+            topics.clone(),
         )),
-        Box::new(LinkService::new(links.clone())),
+        Box::new(LinkService::new(links.clone(), topics.clone())),
+        Box::new(TopicRelayService::new(topics.clone())),
         Box::new(OwnershipService::new(
             ownership,
             shard_layouts,
             engine,
             links,
+            topics,
         )),
         Box::new(PeerStateService::new(
             advertised,
--- a/crates/onyxshed-host/src/shard_layouts.rs
+++ b/crates/onyxshed-host/src/shard_layouts.rs
@@ -17,7 +17,7 @@
 use crate::names::SHARD_LAYOUTS;
 use crate::store_calls::StorePurpose;
 use crate::store_watch::{ANSWER_TIMEOUT, StoreWatch};
-use crate::topic::{self, TopicOptions, TopicReader};
+use crate::topic::{TopicOptions, TopicReader, Topics};
 
 /// Topic of the shard layouts, with the zone as key.
 const TOPIC: &str = "keyed.onyxshed.pools";
@@ -25,9 +25,8 @@
 /// Interval between two reads while the topic does not exist, since no layout has been published.
 const ABSENT_TOPIC_PERIOD: Duration = Duration::from_millis(3_000);
 
-/// How long a read waits in the store for a change. Layouts change rarely, with the size of a
-/// deployment.
-const LONG_POLL_WAIT: Millis = Millis(10_000);
+/// How long a layout may stay unknown. Layouts change rarely, with the size of a deployment.
+const UNKNOWN_MAX: Millis = Millis(10_000);
 
 /// The shard layouts that this host knows; a zone without a known layout has the default layout.
 pub struct ShardLayouts {
@@ -135,14 +134,16 @@
 pub struct ShardLayoutService {
     shard_layouts: Rc<ShardLayouts>,
     store: SocketAddr,
+    topics: Rc<Topics>,
 }
 
 impl ShardLayoutService {
     /// Creates the service, which reads the layouts from the store at address `store`.
-    pub fn new(shard_layouts: Rc<ShardLayouts>, store: SocketAddr) -> Self {
+    pub fn new(shard_layouts: Rc<ShardLayouts>, store: SocketAddr, topics: Rc<Topics>) -> Self {
         ShardLayoutService {
             shard_layouts,
             store,
+            topics,
         }
     }
 }
@@ -158,10 +159,11 @@
             let topic = TopicOptions {
                 name: TOPIC,
                 purpose: StorePurpose::Layouts,
-                wait: LONG_POLL_WAIT,
+                unknown_max: UNKNOWN_MAX,
                 absent_period: Some(ABSENT_TOPIC_PERIOD),
             };
-            let follow = topic::follow(topic, self.store, watch, self.shard_layouts.clone());
+            let topics = self.topics.clone();
+            let follow = topics.follow(topic, self.store, watch, self.shard_layouts.clone());
             kernel.spawn(follow).detach();
             let descriptor = Descriptor {
                 name: SHARD_LAYOUTS,
--- a/crates/onyxshed-host/tests/lookup.rs
+++ b/crates/onyxshed-host/tests/lookup.rs
@@ -2,7 +2,7 @@
 
 use onyxshed_core::Millis;
 use onyxshed_host::directory::OwnerStatus;
-use onyxshed_host::manifest::long_poll_wait;
+use onyxshed_host::manifest::manifest_unknown_max;
 
 /// Returns the lookups per minute of a host that owns no pool, while every owner answers.
 fn lookups_per_minute(zones: usize, pools_per_zone: usize) -> u64 {
@@ -45,9 +45,12 @@
 #[test]
 fn unresponsive_connection_is_replaced_before_manifest_is_overdue() {
     let within = Millis(4_000);
-    let found_after_ms = long_poll_wait(Some(within)).0 + 700;
+    let found_after_ms = manifest_unknown_max(Some(within)).0 + 700;
     assert!(found_after_ms < within.0);
-    assert_eq!(long_poll_wait(Some(Millis(2_000))), long_poll_wait(None));
+    assert_eq!(
+        manifest_unknown_max(Some(Millis(2_000))),
+        manifest_unknown_max(None)
+    );
 }
 
 /// Guards against a burst of calls when many hosts start at the same time: each would look up every pool at
--- a/crates/onyxshed-proto/schema/pool.capnp
+++ b/crates/onyxshed-proto/schema/pool.capnp
@@ -147,6 +147,31 @@
   evacuations @3 :List(ZoneEvacuation);
 }
 
+# A record of a keyed topic of the store.
+struct TopicRecord {
+  key @0 :Text;
+  # Empty if the key was removed.
+  value @1 :Data;
+  offset @2 :UInt64;
+}
+
+# Offset from which a reader of a topic continues.
+struct TopicPosition {
+  topic @0 :Text;
+  next @1 :UInt64;
+}
+
+# What an owner knows of a topic beyond a reader's position.
+struct TopicUpdate {
+  topic @0 :Text;
+  # Offset at which the owner's knowledge ends.
+  next @1 :UInt64;
+  # Time since the store confirmed to the owner that the topic ends there.
+  ageMs @2 :UInt64;
+  # Newest record of each key from the reader's position on; left out if they are too large.
+  records @3 :List(TopicRecord);
+}
+
 # Served by every host; one that owns no pool answers so.
 interface PoolPort {
   # The offer is left out by hosts that can't own the pool, the transfer for all but the successor.
@@ -157,4 +182,6 @@
   release @3 (pool :Text, token :UInt64) -> (isOwner :Bool, held :List(Text));
   # Asked by a host that has just started and can't read the store.
   peerState @4 () -> (state :PeerState);
+  # Answered when a topic goes on behind its position, at the latest after the wait.
+  followTopics @5 (positions :List(TopicPosition), waitMs :UInt64) -> (isOwner :Bool, updates :List(TopicUpdate));
 }
--- a/crates/onyxshed-proto/src/pool.rs
+++ b/crates/onyxshed-proto/src/pool.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use capnp::struct_list;
 use onyxshed_core::{CallerId, Millis};
 use onyxshed_pool::{
     ClassId, ExecutorId, JobEnd, JobId, JobRequest, NotRunReason, PeerIncarnation, PoolLoad,
@@ -15,7 +16,7 @@
 };
 use smol_str::{SmolStr, format_smolstr};
 
-use crate::pool_capnp::{PoolEndKind, pool_end, pool_job, pool_load, pool_port};
+use crate::pool_capnp::{PoolEndKind, pool_end, pool_job, pool_load, pool_port, topic_position};
 
 pub use evacuation::{read_evacuations, write_evacuations};
 pub use peer_state::{PeerState, read_peer_state, write_peer_state};
@@ -94,6 +95,15 @@
     held.iter().map(|id| Ok(ExecutorId(text(id?)?))).collect()
 }
 
+/// Reads the topics that a host follows through an owner, with its position in each.
+pub fn read_positions(
+    from: struct_list::Reader<'_, topic_position::Owned>,
+) -> capnp::Result<Vec<(SmolStr, u64)>> {
+    from.iter()
+        .map(|entry| Ok((text(entry.get_topic()?)?, entry.get_next())))
+        .collect()
+}
+
 /// Writes a job that an entry host submits to an owner.
 pub fn write_job(job: &JobRequest, mut to: pool_job::Builder<'_>) {
     to.set_job(job.job.0);
--- a/crates/onyxshed-soak/src/fleet.rs
+++ b/crates/onyxshed-soak/src/fleet.rs
@@ -123,6 +123,9 @@
 /// The port on which hosts accept connections of other hosts.
 const PEER_PORT: u16 = 8_166;
 
+/// The port on which hosts serve their metrics.
+const ADMIN_PORT: u16 = 9_464;
+
 /// The greatest number of hosts that the settings of a host name as peers to contact first; the
 /// platform also names only a few.
 const CONFIGURED_PEERS_MAX: usize = 3;
@@ -311,6 +314,19 @@
         request.await.ok().map(|reply| reply.status)
     }
 
+    /// Returns how often a host has called the store for a purpose, by its metrics; `None` if the host is
+    /// unknown or does not answer.
+    pub async fn store_call_count(&self, name: &SmolStr, purpose: &str) -> Option<u64> {
+        let mut address = self.hosts.get(name)?.ready_address;
+        address.set_port(ADMIN_PORT);
+        let request = call_once(address, Method::Get, "metrics", Vec::new(), CALL_TIMEOUT);
+        let metrics = String::from_utf8(request.await.ok()?.body).ok()?;
+        let prefix = format!("onyxshed_store_calls_total{{purpose=\"{purpose}\"}} ");
+        metrics
+            .lines()
+            .find_map(|line| line.strip_prefix(&prefix)?.parse().ok())
+    }
+
     /// Waits until every host is ready. Fails after 60 s with the log of a host that is not.
     pub async fn wait_ready(&self) -> Result<()> {
         let started_at = std::time::Instant::now();
--- a/crates/onyxshed-soak/tests/hosts/main.rs
+++ b/crates/onyxshed-soak/tests/hosts/main.rs
@@ -6,4 +6,5 @@
 mod owners;
 mod stops;
 mod support;
+mod topics;
 mod transfers;
--- /dev/null
+++ b/crates/onyxshed-soak/tests/hosts/topics.rs
@@ -0,0 +1,103 @@
+//! Topics of the store that hosts follow through the owner of their home pool.
+
+use std::time::Duration;
+
+use async_io::{Timer, block_on};
+use onyxshed_soak::fleet::{Fleet, FleetOptions};
+use onyxshed_standins::faults::Mode;
+use smol_str::SmolStr;
+
+use crate::support::{one_zone, wait_for_owner, wait_until, wait_until_job_completes};
+
+/// The purposes of the calls by which hosts follow topics.
+const TOPICS: [&str; 3] = ["operators", "layouts", "owner_records"];
+
+async fn topic_call_count(fleet: &Fleet, host: &SmolStr) -> u64 {
+    let mut count = 0;
+    for purpose in TOPICS {
+        let calls = fleet.store_call_count(host, purpose).await;
+        count += calls.unwrap_or_default();
+    }
+    count
+}
+
+/// Failure: the calls to the store grow with the hosts, because each host polls it for changes.
+#[test]
+fn hosts_that_own_no_pool_do_not_poll_the_store() {
+    block_on(async {
+        let options = FleetOptions {
+            hosts: 4,
+            ..one_zone()
+        };
+        let fleet = Fleet::start(&options).await.expect("the fleet starts");
+        let owner = wait_for_owner(&fleet).await;
+        let names = fleet.host_names();
+        // Reads that were pending when the owner appeared have ended by then.
+        Timer::after(Duration::from_secs(6)).await;
+        let mut before = Vec::new();
+        for name in &names {
+            before.push(topic_call_count(&fleet, name).await);
+        }
+        Timer::after(Duration::from_secs(4)).await;
+        for (index, name) in names.iter().enumerate() {
+            let calls = topic_call_count(&fleet, name).await - before[index];
+            match index == owner {
+                true => assert!(calls > 0, "the owner follows the topics"),
+                false => assert_eq!(calls, 0, "{name} follows the owner"),
+            }
+        }
+    });
+}
+
+/// Failure: a host that cannot reach the store keeps an old manifest although its owner knows the new one.
+#[test]
+fn host_without_the_store_gets_the_manifest_from_its_owner() {
+    block_on(async {
+        let fleet = Fleet::start(&one_zone()).await.expect("the fleet starts");
+        let owner = wait_for_owner(&fleet).await;
+        let other = 1 - owner;
+        wait_until_job_completes(&fleet, other).await;
+        let names = fleet.host_names();
+        fleet
+            .set_mode(&format!("store-{}", names[other]), Mode::Cut)
+            .await
+            .expect("the routes are cut");
+        fleet
+            .put_manifest(70, 60)
+            .await
+            .expect("the manifest is written");
+        wait_until("the host has the manifest", async || {
+            let log = fleet.log_tail(&names[other]);
+            log.contains("version 70").then_some(())
+        })
+        .await;
+    });
+}
+
+/// Failure: a host whose owner is cut off from the store, but answers, misses a manifest.
+#[test]
+fn host_reads_the_store_when_its_owner_cannot() {
+    block_on(async {
+        let fleet = Fleet::start(&one_zone()).await.expect("the fleet starts");
+        let owner = wait_for_owner(&fleet).await;
+        let other = 1 - owner;
+        wait_until_job_completes(&fleet, other).await;
+        let names = fleet.host_names();
+        fleet
+            .set_mode(&format!("store-{}", names[owner]), Mode::Hold)
+            .await
+            .expect("the routes are held");
+        fleet
+            .put_manifest(71, 60)
+            .await
+            .expect("the manifest is written");
+        let written_at = std::time::Instant::now();
+        wait_until("the host has the manifest", async || {
+            let log = fleet.log_tail(&names[other]);
+            log.contains("version 71").then_some(())
+        })
+        .await;
+        // A manifest may stay unknown for 1.5 s with these settings; the rest is the read.
+        assert!(written_at.elapsed() < Duration::from_secs(3));
+    });
+}
