Hosts of a zone contend for different pools

Cause: a host contended for the first vacant pool that it found, so all hosts of a zone went for the same one, and its other pools waited for another round; hosts that had not read the layout took every zone for one pool.

--- a/crates/onyxshed-host/src/directory.rs
+++ b/crates/onyxshed-host/src/directory.rs
@@ -37,6 +37,9 @@
 /// immediately, half of a call's timeout is added on average.
 const SUCCESSOR_REGISTRATION_MAX: Millis = Millis(500);
 
+/// How long a starting host waits for the shard layouts before it looks up owners: two calls to the store.
+const LAYOUTS_WAIT_MAX: Duration = Duration::from_millis(300);
+
 /// Minimum pause between two rounds of lookups.
 const ROUND_PAUSE: Duration = Duration::from_millis(20);
 
@@ -132,7 +135,7 @@
     orphaned: RefCell<BTreeMap<PoolId, SmolStr>>,
     watch: StoreWatch,
     created_at: Mono,
-    /// Notified when a pool is found that this host may acquire.
+    /// Notified after a round of lookups with pools that this host may acquire.
     pool_available: Notifier,
 }
 
@@ -184,27 +187,19 @@
     /// Looks up the owners of pools until the process ends.
     pub async fn follow(self: Rc<Self>, address: SocketAddr) {
         let mut store = store_calls::open(address, StorePurpose::Lookups);
+        self.shard_layouts.wait_until_read(LAYOUTS_WAIT_MAX).await;
         loop {
             let owner_changed = self.links.owner_changed().subscribe();
             let pools = self.shard_layouts.pools();
             self.links.retain_pools(&pools);
-            for pool in &pools {
-                if !self.is_due(pool, pools.len()) {
-                    continue;
-                }
-                match read_owner(&mut store, pool).await {
-                    Ok(owner) => {
-                        self.watch.record_answer();
-                        self.apply_owner(pool, owner);
-                    }
-                    Err(Error::Status {
-                        status: TOO_MANY_REQUESTS,
-                    }) => {
-                        Timer::after(TOO_MANY_REQUESTS_PAUSE).await;
-                    }
-                    Err(error) => self.watch.record_failure(&error),
-                }
+            let (local, remote): (Vec<&PoolId>, Vec<&PoolId>) =
+                pools.iter().partition(|pool| pool.zone == self.zone);
+            // All vacant pools of the zone are known before the first is taken over, so that hosts
+            // contend for different ones.
+            if self.look_up(&mut store, &local, pools.len()).await {
+                self.pool_available.notify();
             }
+            self.look_up(&mut store, &remote, pools.len()).await;
             Timer::after(ROUND_PAUSE).await;
             let next_lookup = async {
                 Timer::after(self.time_until_due(&pools)).await;
@@ -213,6 +208,35 @@
         }
     }
 
+    /// Looks up the owners of those of `pools` that are due; `count` is the number of all pools. Returns
+    /// whether this host may acquire one of them.
+    async fn look_up(&self, store: &mut Store, pools: &[&PoolId], count: usize) -> bool {
+        let mut is_any_available = false;
+        for pool in pools {
+            if !self.is_due(pool, count) {
+                continue;
+            }
+            match read_owner(store, pool).await {
+                Ok(owner) => {
+                    self.watch.record_answer();
+                    self.apply_owner(pool, owner);
+                    is_any_available |= self.is_available(pool);
+                }
+                Err(Error::Status {
+                    status: TOO_MANY_REQUESTS,
+                }) => {
+                    Timer::after(TOO_MANY_REQUESTS_PAUSE).await;
+                }
+                Err(error) => self.watch.record_failure(&error),
+            }
+        }
+        is_any_available
+    }
+
+    fn is_available(&self, pool: &PoolId) -> bool {
+        self.vacant.borrow().contains(pool) || self.orphaned.borrow().contains_key(pool)
+    }
+
     /// Returns whether the lookup of a pool is due, and records the time of the lookup if so.
     fn is_due(&self, pool: &PoolId, pools: usize) -> bool {
         let now = boot_clock::now();
@@ -322,12 +346,10 @@
             }
             Owner::EarlierProcess(member) => {
                 self.orphaned.borrow_mut().insert(pool.clone(), member);
-                self.pool_available.notify();
             }
             // The link stays open: the last owner may continue to serve until a new one takes over.
             Owner::Vacant | Owner::ThisProcess => {
                 self.vacant.borrow_mut().insert(pool.clone());
-                self.pool_available.notify();
             }
         }
     }
--- a/crates/onyxshed-host/src/shard_layouts.rs
+++ b/crates/onyxshed-host/src/shard_layouts.rs
@@ -1,7 +1,7 @@
 //! Shard layouts: the number of pools of each zone. The owner of a zone's first pool publishes the
 //! layout in the store, and every host follows it.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,7 +10,8 @@
 use onyxshed_adapter::Store;
 use onyxshed_adapter::store::{KeyedRecord, Records};
 use onyxshed_core::Millis;
-use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
+use onyxshed_http::client::with_timeout;
+use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Notifier, Result, Service, ServiceName};
 use onyxshed_pool::{PoolId, ShardLayout};
 use smol_str::SmolStr;
 
@@ -32,6 +33,9 @@
 pub struct ShardLayouts {
     zones: Vec<SmolStr>,
     known: RefCell<BTreeMap<SmolStr, ShardLayout>>,
+    /// Whether the published layouts have been read.
+    is_read: Cell<bool>,
+    read: Notifier,
 }
 
 impl ShardLayouts {
@@ -40,6 +44,8 @@
         Rc::new(ShardLayouts {
             zones,
             known: RefCell::default(),
+            is_read: Cell::new(false),
+            read: Notifier::default(),
         })
     }
 
@@ -60,6 +66,20 @@
         pools.collect()
     }
 
+    /// Waits until the published layouts have been read, for at most `timeout`. Before that, every zone seems
+    /// to have a single pool.
+    pub async fn wait_until_read(&self, timeout: Duration) {
+        let read = self.read.subscribe();
+        if !self.is_read.get() {
+            with_timeout(timeout, read.wait()).await;
+        }
+    }
+
+    fn mark_read(&self) {
+        self.is_read.set(true);
+        self.read.notify();
+    }
+
     /// Returns the zones with a known shard layout, and the layouts.
     pub fn known(&self) -> Vec<(SmolStr, ShardLayout)> {
         let known = self.known.borrow();
@@ -120,6 +140,11 @@
         for record in newest.records {
             self.apply_record(record);
         }
+        self.mark_read();
+    }
+
+    fn apply_absence(&self) {
+        self.mark_read();
     }
 
     fn apply_record(&self, record: KeyedRecord) {
--- a/crates/onyxshed-host/src/topic.rs
+++ b/crates/onyxshed-host/src/topic.rs
@@ -40,6 +40,9 @@
 
     /// Applies a record that was written after the snapshot.
     fn apply_record(&self, record: KeyedRecord);
+
+    /// Notes that the topic does not exist yet.
+    fn apply_absence(&self) {}
 }
 
 /// A topic and how it is followed.
@@ -141,6 +144,7 @@
                 ) => {
                     watch.record_answer();
                     topic.log.borrow_mut().begin_empty(boot_clock::now());
+                    topic.reader.apply_absence();
                     Timer::after(period).await;
                 }
                 (read, _) => {
