Hosts link to some owners, drawn by rendezvous hashing

Cause: every host had a link to every owner: an owner's links grow with the hosts, and above 640 each further one closed another, whose jobs were lost. Change: a host links to 6 pools of its zone and 6 of others, drawn by a hash, in turn over the zones; owners also to the one that reads their zone's entries. A pool to which a host keeps no link is probed before the host takes it over. 2,000 hosts on 48 pools have about 500 links an owner.

--- a/crates/onyxshed-host/src/directory.rs
+++ b/crates/onyxshed-host/src/directory.rs
@@ -131,6 +131,10 @@
     links: Rc<Links>,
     looked_up_at: RefCell<BTreeMap<PoolId, Mono>>,
     vacant: RefCell<BTreeSet<PoolId>>,
+    /// Pools to whose owners this host keeps links.
+    planned: RefCell<BTreeSet<PoolId>>,
+    /// Owner of each pool that was last looked up or recorded.
+    last_seen: RefCell<BTreeMap<PoolId, SocketAddr>>,
     /// Pools that the store still assigns to an earlier process of this host, with its member name.
     orphaned: RefCell<BTreeMap<PoolId, SmolStr>>,
     watch: StoreWatch,
@@ -157,6 +161,8 @@
             links,
             looked_up_at: RefCell::default(),
             vacant: RefCell::default(),
+            planned: RefCell::default(),
+            last_seen: RefCell::default(),
             orphaned: RefCell::default(),
             watch,
             created_at: boot_clock::now(),
@@ -191,7 +197,7 @@
         loop {
             let owner_changed = self.links.owner_changed().subscribe();
             let pools = self.shard_layouts.pools();
-            self.links.retain_pools(&pools);
+            self.update_plan();
             let (local, remote): (Vec<&PoolId>, Vec<&PoolId>) =
                 pools.iter().partition(|pool| pool.zone == self.zone);
             // All vacant pools of the zone are known before the first is taken over, so that hosts
@@ -237,6 +243,25 @@
         self.vacant.borrow().contains(pool) || self.orphaned.borrow().contains_key(pool)
     }
 
+    /// Updates the pools to whose owners this host keeps links. Links to vacant pools are kept: this host
+    /// may be about to take them over from owners that still answer.
+    fn update_plan(&self) {
+        let planned: BTreeSet<PoolId> = self.links.planned_pools().into_iter().collect();
+        let kept = planned.union(&self.vacant.borrow()).cloned().collect();
+        self.links.retain_pools(&kept);
+        let added: Vec<PoolId> = planned
+            .difference(&self.planned.borrow())
+            .cloned()
+            .collect();
+        *self.planned.borrow_mut() = planned;
+        for pool in added {
+            let owner = self.last_seen.borrow().get(&pool).copied();
+            if owner.is_some() && !self.engine.serves(&pool) {
+                self.links.set_owner(&pool, owner);
+            }
+        }
+    }
+
     /// Returns whether the lookup of a pool is due, and records the time of the lookup if so.
     fn is_due(&self, pool: &PoolId, pools: usize) -> bool {
         let now = boot_clock::now();
@@ -263,7 +288,14 @@
         if self.engine.serves(pool) {
             return OwnerStatus::Owned;
         }
-        match (self.links.has_stable_owner(pool), pool.zone == self.zone) {
+        let is_local = pool.zone == self.zone;
+        if !self.planned.borrow().contains(pool) {
+            return match is_local {
+                true => OwnerStatus::UnlinkedLocal,
+                false => OwnerStatus::UnlinkedRemote,
+            };
+        }
+        match (self.links.has_stable_owner(pool), is_local) {
             (false, true) => OwnerStatus::UnsettledLocal,
             (false, false) => OwnerStatus::UnsettledRemote,
             (true, true) if *pool == self.links.preferred_pool() => OwnerStatus::SettledHome,
@@ -332,6 +364,16 @@
         }
     }
 
+    /// Records the owner of a pool, and links to it if this host keeps a link to the pool.
+    fn record_owner(&self, pool: &PoolId, address: Option<SocketAddr>) {
+        if let Some(address) = address {
+            self.last_seen.borrow_mut().insert(pool.clone(), address);
+        }
+        if self.planned.borrow().contains(pool) {
+            self.links.set_owner(pool, address);
+        }
+    }
+
     /// Applies the result of an owner lookup, or an owner record; `owner` is a member name.
     fn apply_owner(&self, pool: &PoolId, owner: Option<SmolStr>) {
         match Owner::classify(owner, &self.member) {
@@ -342,7 +384,7 @@
             Owner::Other(address) => {
                 self.vacant.borrow_mut().remove(pool);
                 self.orphaned.borrow_mut().remove(pool);
-                self.links.set_owner(pool, address);
+                self.record_owner(pool, address);
             }
             Owner::EarlierProcess(member) => {
                 self.orphaned.borrow_mut().insert(pool.clone(), member);
--- a/crates/onyxshed-host/src/directory/lookup.rs
+++ b/crates/onyxshed-host/src/directory/lookup.rs
@@ -28,6 +28,10 @@
 /// never owns such a pool.
 const SETTLED_REMOTE_INTERVAL: Millis = Millis(20_000);
 
+/// Lookup interval for a pool of the host's own zone to whose owner the host keeps no link. Finds a
+/// vacancy that no host with a link can end, because each of them owns another pool.
+const UNLINKED_LOCAL_INTERVAL: Millis = Millis(2_000);
+
 /// Number of pools up to which the intervals above apply; with more pools they are multiplied by
 /// the number of pools divided by this number, rounded up.
 const POOLS_AT_FULL_RATE: usize = 4;
@@ -52,6 +56,10 @@
     UnsettledLocal,
     /// The pool is in another zone; its owner is unknown, does not answer or is stopping.
     UnsettledRemote,
+    /// The pool is in this host's zone, and the host keeps no link to its owner.
+    UnlinkedLocal,
+    /// The pool is in another zone, and the host keeps no link to its owner.
+    UnlinkedRemote,
 }
 
 impl OwnerStatus {
@@ -65,15 +73,16 @@
     }
 
     /// Returns the time between two lookups of a pool's owner if the deployment has `pools` pools,
-    /// or `None` if this host is the owner.
+    /// or `None` if the owner is not looked up.
     pub fn lookup_interval(self, pools: usize) -> Option<Millis> {
         let interval = match self {
-            OwnerStatus::Owned => return None,
+            OwnerStatus::Owned | OwnerStatus::UnlinkedRemote => return None,
             OwnerStatus::SettledHome => SETTLED_HOME_INTERVAL,
             OwnerStatus::SettledLocal => SETTLED_LOCAL_INTERVAL,
             OwnerStatus::SettledRemote => SETTLED_REMOTE_INTERVAL,
             OwnerStatus::UnsettledLocal => UNSETTLED_LOCAL_INTERVAL,
             OwnerStatus::UnsettledRemote => UNSETTLED_REMOTE_INTERVAL,
+            OwnerStatus::UnlinkedLocal => UNLINKED_LOCAL_INTERVAL,
         };
         let scale = u64::try_from(pools.div_ceil(POOLS_AT_FULL_RATE)).unwrap_or(1);
         Some(Millis(interval.0 * scale.max(1)))
--- a/crates/onyxshed-host/src/links.rs
+++ b/crates/onyxshed-host/src/links.rs
@@ -24,7 +24,7 @@
 use onyxshed_pool::{
     AfterEnd, ClassId, EntryDecision, JobEnd, JobId, JobNeeds, JobRequest, NotRunReason,
     OwnershipTransfer, PeerIncarnation, PoolId, PoolLoad, PoolSelector, SubmissionNumber,
-    UnknownReason,
+    UnknownReason, linked_pools,
 };
 use onyxshed_process::{listen, serve_rpc};
 use onyxshed_proto::pool_capnp::pool_port;
@@ -34,6 +34,7 @@
 use crate::directory::member_name;
 use crate::engine::Engine;
 use crate::evacuations::ZoneEvacuations;
+use crate::executors::first_pool;
 use crate::names::{ENGINE, LINKS, MANIFEST};
 use crate::shard_layouts::ShardLayouts;
 use crate::topic::{TopicUpdate, Topics};
@@ -55,7 +56,8 @@
 
 /// Maximum number of hosts that an owner serves at the same time.
 ///
-/// Above this limit each new connection closes the oldest one, whose jobs are lost. Together with
+/// Above this limit each new connection closes the oldest one, whose jobs are lost. Hosts link to some
+/// owners only ([`linked_pools`]), so that 2,000 hosts stay below it. Together with
 /// the connections of callers and executors the limit stays below the number of file descriptors of
 /// small hosts (3,075).
 pub const PEERS_MAX: usize = 640;
@@ -156,8 +158,26 @@
         (HEARTBEAT_PERIOD * scale).min(IDLE_HEARTBEAT_MAX)
     }
 
-    /// Closes the links to pools that are not in `pools`, which contains all pools that exist.
-    pub fn retain_pools(self: &Rc<Self>, pools: &[PoolId]) {
+    /// Returns the pools to whose owners this host keeps links. An owner also keeps a link to the owner
+    /// that reads the executors' entries for its zone.
+    pub fn planned_pools(&self) -> Vec<PoolId> {
+        let pools = self.shard_layouts.pools();
+        let zone = &self.options.zone;
+        let mut planned = linked_pools(&self.options.host, zone, &self.preferred_pool(), &pools);
+        let reader = first_pool(zone);
+        if self.engine.owned_pool().is_some() && !planned.contains(&reader) {
+            planned.push(reader);
+        }
+        planned
+    }
+
+    /// Returns whether this host keeps a link to the owner of a pool.
+    pub fn is_planned(&self, pool: &PoolId) -> bool {
+        self.planned_pools().contains(pool)
+    }
+
+    /// Closes the links to pools that are not in `pools`.
+    pub fn retain_pools(self: &Rc<Self>, pools: &BTreeSet<PoolId>) {
         let removed: Vec<PoolId> = {
             let remote = self.remote.borrow();
             let removed = remote.keys().filter(|pool| !pools.contains(pool));
--- a/crates/onyxshed-host/src/ownership/contender.rs
+++ b/crates/onyxshed-host/src/ownership/contender.rs
@@ -197,15 +197,16 @@
     }
 
     /// Returns the status of a vacant pool's last owner. Probes that owner if this host has never
-    /// been connected to an owner of the pool.
+    /// been connected to an owner of the pool, or keeps no link to it.
     async fn last_owner(&mut self, pool: &PoolId) -> LastOwner {
         if self.links.has_stable_owner(pool) {
             return LastOwner::Active;
         }
-        if self.links.has_known_owner(pool) {
+        let is_planned = self.links.is_planned(pool);
+        if is_planned && self.links.has_known_owner(pool) {
             return LastOwner::Gone;
         }
-        if self.options.is_first_start {
+        if is_planned && self.options.is_first_start {
             return LastOwner::None;
         }
         let address = match last_owner::read(&mut self.store, pool).await {
@@ -219,6 +220,7 @@
         let Some(address) = address.filter(|address| *address != self.options.address) else {
             return LastOwner::Gone;
         };
+        // Opens a link also to a pool to which this host keeps none.
         self.links.set_owner(pool, Some(address));
         match self.links.probe_owner(pool, PROBE_TIMEOUT).await {
             true => LastOwner::Active,
--- a/crates/onyxshed-pool/src/lib.rs
+++ b/crates/onyxshed-pool/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod job;
 mod job_table;
 pub mod level_table;
+pub mod link_plan;
 pub mod message;
 pub mod offered_load;
 pub mod options;
@@ -60,6 +61,7 @@
 };
 pub use job::{JobEnd, JobRequest, NotRunReason, UnknownReason};
 pub use level_table::{EntryDecision, LevelTable};
+pub use link_plan::linked_pools;
 pub use message::{
     Action, Decision, ExecutorLists, ExecutorReport, FinishedRun, HoldAnswer, HoldOrder,
     RefuseReason, RunEnd, RunningRun, StartAnswer, StartOrder, StopAnswer, StopOrder,
--- a/crates/onyxshed-pool/tests/pool/main.rs
+++ b/crates/onyxshed-pool/tests/pool/main.rs
@@ -9,6 +9,7 @@
 mod handover;
 mod hosts;
 mod levels;
+mod link_plan;
 mod load;
 mod lost;
 mod order;
