--- a/crates/onyxshed-host/src/topic.rs
+++ b/crates/onyxshed-host/src/topic.rs
@@ -226,8 +226,8 @@
         positions.collect()
     }
 
-    /// Returns what this host knows beyond a reader's position in a topic, or `None` if it does not
-    /// know all changes from there on.
+    /// Returns what this host knows beyond a reader's position in a topic, or `None` if it has not read the
+    /// topic.
     pub fn update_since(&self, name: &str, position: u64) -> Option<TopicUpdate> {
         let followed = self.followed.borrow();
         let log = followed.get(name)?.log.borrow();
--- a/crates/onyxshed-host/src/topic/log.rs
+++ b/crates/onyxshed-host/src/topic/log.rs
@@ -19,8 +19,8 @@
     pub next: u64,
     /// Time since the store confirmed that the topic ends there.
     pub age: Millis,
-    /// Newest record of each key from the reader's position on; empty if there are none or they are
-    /// too large.
+    /// Newest record of each key from the reader's position on; empty if there are none, if they are too
+    /// large, or if not all changes from there on are known.
     pub records: Vec<KeyedRecord>,
 }
 
@@ -85,7 +85,7 @@
     }
 
     /// Applies the update of another host that arrived at `now`. Returns the records that were not
-    /// known; empty if the other host knows less, or if its records are too large to be passed on.
+    /// known; empty if the other host knows less, or does not pass on what it knows.
     pub fn apply_update(&mut self, now: Mono, update: TopicUpdate) -> Vec<KeyedRecord> {
         let Some(known) = self.next else {
             return Vec::new();
@@ -100,22 +100,20 @@
         self.advance(records, update.next, confirmed_at)
     }
 
-    /// Returns what is known beyond `position`, or `None` if changes from there on are not known.
+    /// Returns what is known beyond `position`, without records if changes from there on are not all known;
+    /// `None` before the first read.
     pub fn update_since(&self, now: Mono, position: u64) -> Option<TopicUpdate> {
         let next = self.next?;
-        if position < self.first {
-            return None;
-        }
         let newer = self.newest.values();
         let records: Vec<KeyedRecord> = newer
             .filter(|record| record.offset >= position)
             .cloned()
             .collect();
-        let is_small = byte_size(&records) <= UPDATE_MAX_BYTES;
+        let is_passed_on = position >= self.first && byte_size(&records) <= UPDATE_MAX_BYTES;
         Some(TopicUpdate {
             next,
             age: now.since(self.confirmed_at).as_millis(),
-            records: if is_small { records } else { Vec::new() },
+            records: if is_passed_on { records } else { Vec::new() },
         })
     }
 
