An unreadable record does not hide an executor's newest entry

Cause: of several records of one executor in a read only the newest was considered; if another writer's record followed, that an executor drains was known only with its next renewal.

--- a/crates/onyxshed-host/src/executors.rs
+++ b/crates/onyxshed-host/src/executors.rs
@@ -205,8 +205,12 @@
         if self.position.replace(read.next).is_none() {
             self.remove_missing(&read.records);
         }
-        for record in newest_of_each_key(&read.records) {
-            self.apply_record(record);
+        let (entries, unreadable) = newest_entries(&read.records);
+        for (id, error) in unreadable {
+            self.log_unreadable(id, &error);
+        }
+        for (id, entry) in entries {
+            self.apply_entry(id, entry);
         }
         self.read_at = boot_clock::now();
         self.update_zone(|_| {});
@@ -288,21 +292,16 @@
         }
     }
 
-    fn apply_record(&mut self, record: &KeyedRecord) {
-        let Some(value) = &record.value else {
-            return self.remove_unlisted(&record.key);
-        };
-        // An entry that cannot be parsed was not written by an executor and describes none. Known
-        // facts about an executor with that id are kept.
-        let entry = match ExecutorEntry::parse(value) {
-            Ok(entry) => entry,
-            Err(error) => return self.log_unreadable(&record.key, &error),
+    /// Applies the newest entry of an executor; `None` if it was removed.
+    fn apply_entry(&mut self, id: &SmolStr, entry: Option<ExecutorEntry>) {
+        let Some(entry) = entry else {
+            return self.remove_unlisted(id);
         };
-        self.unreadable.remove(&record.key);
+        self.unreadable.remove(id);
         if entry.zone != self.pool.zone {
             return;
         }
-        let id = ExecutorId(record.key.clone());
+        let id = ExecutorId(id.clone());
         let facts = facts_of(entry);
         self.update_zone(|zone| zone.record_listed(id.clone(), facts.clone()));
         if self.layout.index_of(&id) == self.pool.index {
@@ -333,12 +332,31 @@
     }
 }
 
-/// Returns the last record of each key: an executor that drains must not get a task because of an
-/// older entry.
-fn newest_of_each_key(records: &[KeyedRecord]) -> impl Iterator<Item = &KeyedRecord> {
-    let newest: BTreeMap<&SmolStr, &KeyedRecord> =
-        records.iter().map(|record| (&record.key, record)).collect();
-    newest.into_values()
+/// Newest entry of each executor, by its id; `None` if it was removed.
+type NewestEntries<'a> = BTreeMap<&'a SmolStr, Option<ExecutorEntry>>;
+
+/// Returns the newest entry of each executor in `records`, and the ids and errors of the records that cannot
+/// be parsed. An executor that drains must not get a task because of an older entry.
+///
+/// A record that cannot be parsed was not written by an executor and describes none, so an older entry with
+/// its id still holds.
+pub fn newest_entries(records: &[KeyedRecord]) -> (NewestEntries<'_>, Vec<(&SmolStr, Error)>) {
+    let mut entries = NewestEntries::new();
+    let mut unreadable = Vec::new();
+    for record in records {
+        match record
+            .value
+            .as_deref()
+            .map(ExecutorEntry::parse)
+            .transpose()
+        {
+            Ok(entry) => {
+                entries.insert(&record.key, entry);
+            }
+            Err(error) => unreadable.push((&record.key, error)),
+        }
+    }
+    (entries, unreadable)
 }
 
 /// Returns the pool whose owner reads the executors' entries for the other owners of its zone.
