--- a/crates/onyxshed-host/src/links/remote.rs
+++ b/crates/onyxshed-host/src/links/remote.rs
@@ -349,6 +349,7 @@
         params.set_zone(zone);
         params.set_token(token.0);
         params.set_version(version);
+        // A failed call is not logged: the link's heartbeats report why the owner does not answer.
         let reply = with_timeout(ANSWER_TIMEOUT, request.send().promise).await?;
         let reply = reply.ok()?;
         let reply = reply.get().ok().filter(|reply| reply.get_is_reader())?;
--- a/crates/onyxshed-host/src/ownership/contender.rs
+++ b/crates/onyxshed-host/src/ownership/contender.rs
@@ -11,7 +11,7 @@
 use onyxshed_kernel::Kernel;
 use onyxshed_pool::{
     Candidate, CandidateStep, FencingToken, LastOwner, OwnershipTransfer, PoolId, ShardLayout,
-    wait_before_list,
+    takeover_order, wait_before_list,
 };
 use smol_str::SmolStr;
 
@@ -162,14 +162,9 @@
         if let Some((pool, member)) = self.directory.take_orphaned(boot_clock::now()) {
             return self.replace_earlier_process(pool, member).await;
         }
-        // Hosts start at different pools, so that they do not all contend for the same one.
-        let preferred = self.links.preferred_pool();
-        let count = vacant.len();
-        let first = vacant.iter().position(|pool| *pool >= preferred);
-        for step in 0..count {
-            let pool = &vacant[(first.unwrap_or(0) + step) % count];
-            if let Some(pause) = self.takeover_pause(pool).await {
-                return self.recheck_and_join(pool.clone(), pause).await;
+        for pool in takeover_order(&self.links.preferred_pool(), &vacant) {
+            if let Some(pause) = self.takeover_pause(&pool).await {
+                return self.recheck_and_join(pool, pause).await;
             }
         }
         OwnershipStep::Contend
--- a/crates/onyxshed-host/tests/executors.rs
+++ b/crates/onyxshed-host/tests/executors.rs
@@ -19,7 +19,7 @@
     }
 }
 
-/// Failure: an executor that drains gets tasks, because the read also returns an older entry, or a record of
+/// Guards against: an executor that drains gets tasks, because the read also returns an older entry, or a record of
 /// another writer under its id.
 #[test]
 fn newest_readable_entry_of_each_executor_counts() {
--- a/crates/onyxshed-host/tests/heartbeats.rs
+++ b/crates/onyxshed-host/tests/heartbeats.rs
@@ -13,7 +13,7 @@
     Mono(millis * 1_000)
 }
 
-/// Failure: an owner gives up a job that comes on an idle link, because the link's next heartbeat comes after
+/// Guards against: an owner gives up a job that comes on an idle link, because the link's next heartbeat comes after
 /// the peer timeout.
 #[test]
 fn job_on_an_idle_link_makes_a_heartbeat_due() {
@@ -29,7 +29,7 @@
     }
 }
 
-/// Failure: heartbeats of all hosts on all links use up an owner's processor.
+/// Guards against: heartbeats of all hosts on all links use up an owner's processor.
 #[test]
 fn idle_links_send_heartbeats_rarely() {
     let mut schedule = HeartbeatSchedule::default();
--- a/crates/onyxshed-host/tests/topics.rs
+++ b/crates/onyxshed-host/tests/topics.rs
@@ -34,7 +34,7 @@
     records.iter().map(|record| record.offset).collect()
 }
 
-/// Failure: a record is applied again after a newer one, because it came from the store and from an owner.
+/// Guards against: a record is applied again after a newer one, because it came from the store and from an owner.
 #[test]
 fn records_are_applied_once() {
     let mut owner = log_at(5);
@@ -54,7 +54,7 @@
     assert_eq!(offsets(&overlapping), [8]);
 }
 
-/// Failure: a host relies on an owner that is itself cut off from the store, and misses a manifest.
+/// Guards against: a host relies on an owner that is itself cut off from the store, and misses a manifest.
 #[test]
 fn host_reads_the_store_when_its_owner_is_out_of_date() {
     let owner = log_at(5);
@@ -71,7 +71,7 @@
     assert_eq!(host.read_due(UNKNOWN_MAX), Some(at(7_300)));
 }
 
-/// Failure: a host takes a position from an owner that has not read as far, and loses what it knows.
+/// Guards against: a host takes a position from an owner that has not read as far, and loses what it knows.
 #[test]
 fn owner_that_knows_less_confirms_nothing() {
     let mut host = log_at(9);
@@ -83,7 +83,7 @@
     assert_eq!(host.read_due(UNKNOWN_MAX), Some(at(3_800)));
 }
 
-/// Failure: a removed key stays with hosts whose owner has read the topic only after the removal.
+/// Guards against: a removed key stays with hosts whose owner has read the topic only after the removal.
 #[test]
 fn owner_passes_on_only_what_it_knows_completely() {
     let mut owner = log_at(5);
@@ -105,7 +105,7 @@
     assert_eq!(update.records, vec![removal]);
 }
 
-/// Failure: owners on small hosts spend their links on large manifests instead of jobs.
+/// Guards against: owners on small hosts spend their links on large manifests instead of jobs.
 #[test]
 fn large_records_are_read_from_the_store_at_once() {
     let mut owner = log_at(5);
@@ -126,7 +126,7 @@
     assert_eq!(host.read_due(UNKNOWN_MAX), None);
 }
 
-/// Failure: a host that starts before the first record of a topic skips it.
+/// Guards against: a host that starts before the first record of a topic skips it.
 #[test]
 fn first_record_of_a_topic_is_applied() {
     let mut host = TopicLog::default();
--- a/crates/onyxshed-pool/src/candidate.rs
+++ b/crates/onyxshed-pool/src/candidate.rs
@@ -5,6 +5,8 @@
 
 use onyxshed_core::{Millis, Mono};
 
+use crate::shard_layout::PoolId;
+
 /// How long no host replaces an owner that still answers but is missing in the store. Single hosts
 /// are cut off from the store for up to 9 s. The owner's list of executors is outdated meanwhile,
 /// but executors are replaced over minutes.
@@ -133,6 +135,14 @@
     }
 }
 
+/// Returns the vacant pools of a host's zone in the order in which the host tries to take them over, from its
+/// home pool on, so that the hosts of a zone contend for different pools. `vacant` is sorted.
+pub fn takeover_order(home: &PoolId, vacant: &[PoolId]) -> Vec<PoolId> {
+    let first = vacant.iter().position(|pool| pool >= home);
+    let (before, from_home) = vacant.split_at(first.unwrap_or(0));
+    [from_home, before].concat()
+}
+
 /// Returns how long a host that joins after `pause` waits until it begins to read the list of executors, so
 /// that it serves as soon as it has joined.
 ///
--- a/crates/onyxshed-pool/src/lib.rs
+++ b/crates/onyxshed-pool/src/lib.rs
@@ -50,7 +50,7 @@
 pub mod zone_executors;
 
 pub use admission_levels::{Arrival, ClassLevels};
-pub use candidate::{Candidate, CandidateStep, LastOwner, wait_before_list};
+pub use candidate::{Candidate, CandidateStep, LastOwner, takeover_order, wait_before_list};
 pub use end_forecast::JobNeeds;
 pub use error::{Error, Result};
 pub use evacuation::{EvacuationChange, EvacuationRecord, Evacuations, LogPosition};
--- a/crates/onyxshed-pool/tests/pool/candidate.rs
+++ b/crates/onyxshed-pool/tests/pool/candidate.rs
@@ -1,7 +1,9 @@
 //! Decisions of a host about a vacant pool.
 
 use onyxshed_core::Millis;
-use onyxshed_pool::{Candidate, CandidateStep, LastOwner, wait_before_list};
+use onyxshed_pool::{
+    Candidate, CandidateStep, LastOwner, PoolId, ShardLayout, takeover_order, wait_before_list,
+};
 
 use crate::fixture::at_ms;
 
@@ -96,3 +98,31 @@
     // A host with a tenth of a core waits for 600 ms; the first hosts have joined by then.
     assert!(wait_before_list(Millis(600)) >= Millis(400));
 }
+
+/// Guards against pools of a zone that are taken over one after the other, because all hosts contend for the
+/// same one first.
+#[test]
+fn hosts_of_a_zone_contend_for_different_pools() {
+    let layout = ShardLayout {
+        version: 1,
+        pools: 4,
+    };
+    let pool = |index| PoolId {
+        zone: "a".into(),
+        index,
+    };
+    let vacant: Vec<PoolId> = (0..4).map(pool).collect();
+    let mut first_choices = [0; 4];
+    for host in 0..50 {
+        let home = pool(layout.preferred_index(&format!("host-{host}")));
+        let order = takeover_order(&home, &vacant);
+        assert_eq!((order.len(), &order[0]), (4, &home));
+        first_choices[order[0].index as usize] += 1;
+    }
+    assert!(
+        first_choices.iter().all(|hosts| *hosts >= 5),
+        "{first_choices:?}"
+    );
+    let rest = takeover_order(&pool(2), &[pool(0), pool(1), pool(3)]);
+    assert_eq!(rest, [pool(3), pool(0), pool(1)]);
+}
--- a/crates/onyxshed-pool/tests/pool/link_plan.rs
+++ b/crates/onyxshed-pool/tests/pool/link_plan.rs
@@ -44,7 +44,7 @@
     (0..hosts).map(plan).collect()
 }
 
-/// Failure: the links of all hosts exceed what an owner accepts; each further one closes another, whose jobs
+/// Guards against: the links of all hosts exceed what an owner accepts; each further one closes another, whose jobs
 /// are lost.
 #[rstest]
 fn owners_accept_the_links_of_all_hosts(
@@ -62,7 +62,7 @@
     assert!(*most <= PEERS_MAX, "{most} links at one owner");
 }
 
-/// Failure: the links of a host grow with the pools, or its callers depend on one other zone.
+/// Guards against: the links of a host grow with the pools, or its callers depend on one other zone.
 #[test]
 fn hosts_link_to_some_pools_of_every_zone() {
     for (zone, linked) in links_of(500, 5, 16) {
@@ -75,7 +75,7 @@
     }
 }
 
-/// Failure: small deployments lose links that they had.
+/// Guards against: small deployments lose links that they had.
 #[test]
 fn hosts_of_a_small_deployment_link_to_every_pool() {
     for (_, linked) in links_of(41, 3, 1) {
@@ -83,7 +83,7 @@
     }
 }
 
-/// Failure: a pool that goes away moves the links of hosts that did not use it.
+/// Guards against: a pool that goes away moves the links of hosts that did not use it.
 #[test]
 fn a_removed_pool_changes_only_its_own_links() {
     let pools = pools_of(5, 16);
--- a/crates/onyxshed-pool/tests/pool/zone_executors.rs
+++ b/crates/onyxshed-pool/tests/pool/zone_executors.rs
@@ -31,7 +31,7 @@
     zone
 }
 
-/// Failure: the owners of a large zone are sent every renewal of every executor.
+/// Guards against: the owners of a large zone are sent every renewal of every executor.
 #[test]
 fn renewals_without_a_change_are_not_passed_on() {
     let mut zone = zone_of(2_000);
@@ -45,7 +45,7 @@
     assert!(!changes.is_complete);
 }
 
-/// Failure: an owner starts tasks on an executor that drains or has left, because its reader did not pass the
+/// Guards against: an owner starts tasks on an executor that drains or has left, because its reader did not pass the
 /// change on.
 #[test]
 fn changes_are_passed_on_once() {
@@ -65,7 +65,7 @@
     assert_eq!(zone.changes_since(changes.version).listed, Vec::new());
 }
 
-/// Failure: an owner keeps executors that left while it did not reach the reader, or that it knows from
+/// Guards against: an owner keeps executors that left while it did not reach the reader, or that it knows from
 /// another reader.
 #[test]
 fn unknown_versions_get_the_complete_list() {
@@ -80,7 +80,7 @@
     assert!(zone.changes_since(changes.version + 1).is_complete);
 }
 
-/// Failure: while executors are replaced one after the other, those that drain count beside their
+/// Guards against: while executors are replaced one after the other, those that drain count beside their
 /// replacements; the zone is resharded, and its jobs are lost.
 #[test]
 fn replaced_executors_do_not_reshard_the_zone() {
--- a/crates/onyxshed-soak/tests/hosts/topics.rs
+++ b/crates/onyxshed-soak/tests/hosts/topics.rs
@@ -1,6 +1,6 @@
 //! Topics of the store that hosts follow through the owner of their home pool.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::{Timer, block_on};
 use onyxshed_soak::fleet::{Fleet, FleetOptions};
@@ -21,7 +21,7 @@
     count
 }
 
-/// Failure: the calls to the store grow with the hosts, because each host polls it for changes.
+/// Guards against: the calls to the store grow with the hosts, because each host polls it for changes.
 #[test]
 fn hosts_that_own_no_pool_do_not_poll_the_store() {
     block_on(async {
@@ -49,55 +49,50 @@
     });
 }
 
-/// Failure: a host that cannot reach the store keeps an old manifest although its owner knows the new one.
+/// Starts a fleet of two hosts and returns it with the names of the host that owns the pool and of the other one,
+/// which has served a job.
+async fn start_with_owner() -> (Fleet, SmolStr, SmolStr) {
+    let fleet = Fleet::start(&one_zone()).await.expect("the fleet starts");
+    let owner = wait_for_owner(&fleet).await;
+    wait_until_job_completes(&fleet, 1 - owner).await;
+    let names = fleet.host_names();
+    (fleet, names[owner].clone(), names[1 - owner].clone())
+}
+
+/// Puts the routes of a host to the store into a mode, publishes a manifest, and waits until `reader` has it.
+async fn publish_while_store_is(fleet: &Fleet, mode: Mode, cut_off: &SmolStr, reader: &SmolStr) {
+    fleet
+        .set_mode(&format!("store-{cut_off}"), mode)
+        .await
+        .expect("the mode is set");
+    fleet
+        .put_manifest(70, 60)
+        .await
+        .expect("the manifest is written");
+    wait_until("the host has the manifest", async || {
+        let log = fleet.log_tail(reader);
+        log.contains("version 70").then_some(())
+    })
+    .await;
+}
+
+/// Guards against: a host that cannot reach the store keeps an old manifest although its owner knows the new one.
 #[test]
 fn host_without_the_store_gets_the_manifest_from_its_owner() {
     block_on(async {
-        let fleet = Fleet::start(&one_zone()).await.expect("the fleet starts");
-        let owner = wait_for_owner(&fleet).await;
-        let other = 1 - owner;
-        wait_until_job_completes(&fleet, other).await;
-        let names = fleet.host_names();
-        fleet
-            .set_mode(&format!("store-{}", names[other]), Mode::Cut)
-            .await
-            .expect("the routes are cut");
-        fleet
-            .put_manifest(70, 60)
-            .await
-            .expect("the manifest is written");
-        wait_until("the host has the manifest", async || {
-            let log = fleet.log_tail(&names[other]);
-            log.contains("version 70").then_some(())
-        })
-        .await;
+        let (fleet, _, other) = start_with_owner().await;
+        publish_while_store_is(&fleet, Mode::Cut, &other, &other).await;
     });
 }
 
-/// Failure: a host whose owner is cut off from the store, but answers, misses a manifest.
+/// Guards against: a host whose owner is cut off from the store, but answers, misses a manifest.
 #[test]
 fn host_reads_the_store_when_its_owner_cannot() {
     block_on(async {
-        let fleet = Fleet::start(&one_zone()).await.expect("the fleet starts");
-        let owner = wait_for_owner(&fleet).await;
-        let other = 1 - owner;
-        wait_until_job_completes(&fleet, other).await;
-        let names = fleet.host_names();
-        fleet
-            .set_mode(&format!("store-{}", names[owner]), Mode::Hold)
-            .await
-            .expect("the routes are held");
-        fleet
-            .put_manifest(71, 60)
-            .await
-            .expect("the manifest is written");
-        let written_at = std::time::Instant::now();
-        wait_until("the host has the manifest", async || {
-            let log = fleet.log_tail(&names[other]);
-            log.contains("version 71").then_some(())
-        })
-        .await;
+        let (fleet, owner, other) = start_with_owner().await;
+        let started_at = Instant::now();
+        publish_while_store_is(&fleet, Mode::Hold, &owner, &other).await;
         // A manifest may stay unknown for 1.5 s with these settings; the rest is the read.
-        assert!(written_at.elapsed() < Duration::from_secs(3));
+        assert!(started_at.elapsed() < Duration::from_secs(3));
     });
 }
