What owners rely on from their zone's reader is decided without clock and sockets

Cause: when to accept an answer of the zone's reader and when to read the store stood among calls, with its own clock, and no test failed without it. Change: ZoneList and ZoneView in onyxshed-pool, time passed in; tests for a reader that dies, stands still, loses the store or is replaced. A host that gives its pool up forgets the list.

--- a/crates/onyxshed-host/src/engine.rs
+++ b/crates/onyxshed-host/src/engine.rs
@@ -183,6 +183,7 @@
         let actions = pool.step_down();
         self.execute(token, actions);
         self.connections.borrow_mut().clear();
+        self.zone_reader.clear();
         let detail = format_smolstr!("{reason}, token {token}, {jobs} jobs");
         self.kernel
             .emit(Event::new(EventKind::PoolGivenUp).detail(detail));
--- a/crates/onyxshed-host/src/executors.rs
+++ b/crates/onyxshed-host/src/executors.rs
@@ -14,10 +14,11 @@
 use async_io::Timer;
 use onyxshed_adapter::store::{EXECUTORS_TOPIC, KeyedRecord, Records};
 use onyxshed_adapter::{Error, ExecutorEntry, Store};
-use onyxshed_core::{Event, EventKind, Micros, Millis, Mono};
+use onyxshed_core::{Event, EventKind, Millis};
 use onyxshed_kernel::Kernel;
 use onyxshed_pool::{
     ExecutorFacts, ExecutorId, FencingToken, PoolId, ShardLayout, ZoneChanges, ZoneExecutors,
+    ZoneView,
 };
 use smol_str::{SmolStr, format_smolstr};
 
@@ -32,10 +33,6 @@
 /// must receive no new task after 2 s.
 const READ_PERIOD: Duration = Duration::from_millis(300);
 
-/// Age of the zone's list from which an owner reads the store itself. With the period of both reads a
-/// draining executor is known within 2 s.
-const ENTRIES_AGE_MAX: Millis = Millis(1_000);
-
 /// Index of the pool whose owner reads the entries for the zone.
 const FIRST_POOL: u32 = 0;
 
@@ -86,8 +83,7 @@
         unreadable: BTreeSet::new(),
         position: None,
         initial_list: None,
-        reader_version: (FencingToken(0), 0),
-        read_at: Mono(0),
+        view: ZoneView::default(),
     };
     match initial {
         InitialExecutors::None => {}
@@ -121,10 +117,8 @@
     position: Option<u64>,
     /// List whose read was started before this host became the owner.
     initial_list: Option<ExecutorsRead>,
-    /// Last version of the zone's list that the zone's reader has sent, with the reader's token.
-    reader_version: (FencingToken, u64),
-    /// When the entries that this follower knows were read from the store.
-    read_at: Mono,
+    /// What the zone's reader has sent, unless this owner is the reader.
+    view: ZoneView,
 }
 
 impl Follower {
@@ -145,8 +139,10 @@
         watch: &StoreWatch,
     ) -> onyxshed_adapter::Result<()> {
         while self.is_owner() {
-            let is_current = self.read_from_zone_reader().await || self.is_fresh();
-            if !is_current {
+            if !self.is_zone_reader() {
+                self.read_from_zone_reader().await;
+            }
+            if self.is_zone_reader() || self.view.is_store_read_due(boot_clock::now()) {
                 self.read_from_store(store).await?;
                 watch.record_answer();
             }
@@ -158,34 +154,19 @@
         Ok(())
     }
 
-    /// Returns whether the known entries of a zone with a reader are recent enough to wait for it: a
-    /// read of the whole list is large.
-    fn is_fresh(&self) -> bool {
-        let age = boot_clock::now().since(self.read_at);
-        !self.is_zone_reader() && age < ENTRIES_AGE_MAX.into()
-    }
-
-    /// Asks the owner of the zone's first pool for changes. Returns whether its answer is recent.
-    async fn read_from_zone_reader(&mut self) -> bool {
-        if self.is_zone_reader() {
-            return false;
-        }
+    /// Asks the owner of the zone's first pool for changes, and applies them unless they are too old.
+    async fn read_from_zone_reader(&mut self) {
         let Some(link) = self.links.link_to(&first_pool(&self.pool.zone)) else {
-            return false;
+            return;
         };
-        let answer = link
-            .zone_executors(&self.pool.zone, self.reader_version)
-            .await;
-        let Some(answer) = answer.filter(|answer| answer.age < ENTRIES_AGE_MAX) else {
-            return false;
+        let version = self.view.version();
+        let answer = link.zone_executors(&self.pool.zone, version).await;
+        let Some(answer) = answer.filter(|_| self.is_owner()) else {
+            return;
         };
-        if self.is_owner() {
-            let age = Micros::from(answer.age);
-            self.read_at = Mono(boot_clock::now().0.saturating_sub(age.0));
-            self.reader_version = (answer.token, answer.changes.version);
+        if self.view.accept(boot_clock::now(), &answer) {
             self.apply_changes(answer.changes);
         }
-        true
     }
 
     /// Reads the list, or the entries that have changed since the last read.
@@ -212,7 +193,7 @@
         for (id, entry) in entries {
             self.apply_entry(id, entry);
         }
-        self.read_at = boot_clock::now();
+        self.view.record_store_read(boot_clock::now());
         self.update_zone(|_| {});
         self.engine.mark_executors_read();
         Ok(())
--- a/crates/onyxshed-host/src/links/remote.rs
+++ b/crates/onyxshed-host/src/links/remote.rs
@@ -14,7 +14,7 @@
 use onyxshed_kernel::Notifier;
 use onyxshed_pool::{
     ExecutorId, FencingToken, JobEnd, JobId, JobRequest, NotRunReason, PoolId, Session,
-    SubmissionNumber, UnknownReason,
+    SubmissionNumber, UnknownReason, ZoneAnswer,
 };
 use onyxshed_proto::pool_capnp::{pool_load, pool_port};
 use onyxshed_proto::{pool, rpc};
@@ -23,7 +23,6 @@
 use super::heartbeat_schedule::HeartbeatSchedule;
 use super::{Links, NamedUpdate, topic_message};
 use crate::boot_clock;
-use crate::zone_reader::ZoneAnswer;
 
 /// Age of the owner's last answer up to which the session of a link is used without a renewal: half
 /// of the time after which an owner ends the session of an unresponsive host.
--- a/crates/onyxshed-pool/src/lib.rs
+++ b/crates/onyxshed-pool/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod summary;
 mod work_sum;
 pub mod zone_executors;
+pub mod zone_reader;
 
 pub use admission_levels::{Arrival, ClassLevels};
 pub use candidate::{Candidate, CandidateStep, LastOwner, takeover_order, wait_before_list};
@@ -80,3 +81,4 @@
 pub use successor::{OwnershipTransfer, SuccessorOffer};
 pub use summary::JobSummary;
 pub use zone_executors::{ZoneChanges, ZoneExecutors};
+pub use zone_reader::{ZoneAnswer, ZoneList, ZoneView};
--- a/crates/onyxshed-pool/tests/pool/main.rs
+++ b/crates/onyxshed-pool/tests/pool/main.rs
@@ -26,3 +26,4 @@
 mod taking;
 mod transfers;
 mod zone_executors;
+mod zone_reader;
