Logs say which submission a run belongs to and why an owner dropped a job

Change: E803 names the submission and its entry host. E807 is new: an owner ends a job that had begun with an unknown outcome; submission, reason, age of the last contact. E832 counts what waited on the link. No decision changes.

Result: formatter, linter and the tests of core, cli and host pass, and those of hosts, copies and calls of the pool.

--- a/crates/onyxshed-core/src/event.rs
+++ b/crates/onyxshed-core/src/event.rs
@@ -125,6 +125,7 @@
     804 PoolRunEnded Info "A run ended without completing its task.";
     805 PoolStrayStopped Info "A run that this owner did not request was found on an executor and is stopped.";
     806 PoolRunMoved Info "A run on an executor that became slow is stopped and started again elsewhere.";
+    807 PoolJobDropped Info "An owner ended a job that had begun with an unknown outcome; the detail names the submission, the reason and how long ago its entry host was heard.";
     810 PoolOwned Info "This host became the owner of a pool.";
     811 PoolGivenUp Warn "This host is no longer the owner of a pool.";
     812 PoolOwnerChanged Info "Another host is now considered the owner of a pool.";
--- a/crates/onyxshed-host/src/decisions.rs
+++ b/crates/onyxshed-host/src/decisions.rs
@@ -13,11 +13,28 @@
             executor,
             expected,
             waited,
+            submitted_as: (peer, submission),
         } => run_event(EventKind::PoolRunOrdered, *task, executor).detail(format_smolstr!(
-            "run {run}, expected {}, waited {}, token {token}",
+            "run {run}, expected {}, waited {}, submission {submission} of {peer}, token {token}",
             expected.as_millis(),
             waited.as_millis()
         )),
+        Decision::JobDropped {
+            job,
+            submitted_as: (peer, submission),
+            reason,
+            last_contact,
+        } => {
+            let last_contact = match last_contact {
+                Some(ago) => format_smolstr!("heard {} ago", ago.as_millis()),
+                None => SmolStr::new_static("not heard"),
+            };
+            event_about(EventKind::PoolJobDropped, format_smolstr!("{peer}"))
+                .job(format_smolstr!("{job}"))
+                .detail(format_smolstr!(
+                    "{reason:?}, submission {submission}, {last_contact}, token {token}"
+                ))
+        }
         Decision::RunEnded {
             task,
             run,
--- a/crates/onyxshed-host/src/links/remote.rs
+++ b/crates/onyxshed-host/src/links/remote.rs
@@ -375,7 +375,9 @@
                 self.links.engine.forget_report(&self.pool);
                 self.links.owner_changed.notify();
             }
-            self.log_event(EventKind::PoolLinkDown, reason);
+            let waiting = self.waiters.get();
+            let detail = format_smolstr!("{reason}, {waiting} jobs and handovers wait on it");
+            self.log_event(EventKind::PoolLinkDown, &detail);
         }
     }
 
--- a/crates/onyxshed-pool/src/executor_set.rs
+++ b/crates/onyxshed-pool/src/executor_set.rs
@@ -160,6 +160,11 @@
         self.clock = self.clock.max(now);
     }
 
+    /// Returns the latest time that was passed to [`Self::advance_clock`].
+    pub fn clock(&self) -> Mono {
+        self.clock
+    }
+
     pub fn len(&self) -> usize {
         self.entries.len()
     }
--- a/crates/onyxshed-pool/src/id.rs
+++ b/crates/onyxshed-pool/src/id.rs
@@ -181,3 +181,9 @@
 /// matches the outcome.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SubmissionNumber(pub u64);
+
+impl fmt::Display for SubmissionNumber {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- a/crates/onyxshed-pool/src/message.rs
+++ b/crates/onyxshed-pool/src/message.rs
@@ -12,7 +12,7 @@
     ClassId, ExecutorId, FencingToken, JobId, PeerIncarnation, Percent, RunNumber,
     SubmissionNumber, TaskId,
 };
-use crate::job::{JobEnd, NotRunReason};
+use crate::job::{JobEnd, NotRunReason, UnknownReason};
 use crate::overload::{OverloadMode, OverloadState};
 use crate::overload_detector::LoadSample;
 
@@ -227,6 +227,20 @@
         expected: Micros,
         /// Time since the job arrived at its entry host.
         waited: Micros,
+        /// Incarnation of the entry host that submitted the job, and its number for the submission.
+        submitted_as: (PeerIncarnation, SubmissionNumber),
+    },
+    /// A job that had begun ended with an unknown outcome, and its runs are stopped.
+    JobDropped {
+        /// Job that was ended.
+        job: JobId,
+        /// Incarnation of the entry host that submitted the job, and its number for the submission.
+        submitted_as: (PeerIncarnation, SubmissionNumber),
+        /// Why the outcome is unknown.
+        reason: UnknownReason,
+        /// Time since the last contact with the entry host; `None` if this is the owner's own host or a
+        /// host that is no longer known.
+        last_contact: Option<Micros>,
     },
     /// A run ended, was lost or never started, and its task was requeued.
     RunEnded {
--- a/crates/onyxshed-pool/src/peers.rs
+++ b/crates/onyxshed-pool/src/peers.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use onyxshed_core::{Millis, Mono};
+use onyxshed_core::{Micros, Millis, Mono};
 
 use crate::id::{PeerIncarnation, Session};
 
@@ -64,6 +64,12 @@
         })
     }
 
+    /// Returns how long ago the last contact with a peer was, or `None` if the peer is not known.
+    pub fn time_since_contact(&self, now: Mono, incarnation: PeerIncarnation) -> Option<Micros> {
+        let peer = self.peers.get(&incarnation)?;
+        Some(now.since(peer.last_contact_at))
+    }
+
     /// Marks the peers without contact for `timeout` as unresponsive and returns those newly
     /// marked. Also removes the peers without contact for `FORGET_AFTER`.
     pub fn mark_unresponsive(&mut self, now: Mono, timeout: Millis) -> Vec<PeerIncarnation> {
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -39,7 +39,7 @@
 use crate::executor::{Executor, ExecutorFacts, IncarnationMatch, Phase, RunState};
 use crate::executor_set::{AcceptingTotal, ExecutorSet};
 use crate::id::{ExecutorId, FencingToken, JobId, PeerIncarnation, Session, TaskId};
-use crate::job::{JobEnd, NotRunReason, UnknownReason};
+use crate::job::{JobEnd, JobRequest, NotRunReason, UnknownReason};
 use crate::job_table::JobTable;
 use crate::message::{Action, Decision, HoldOrder, StopOrder};
 use crate::offered_load::OfferedLoad;
@@ -365,6 +365,11 @@
         };
         self.record_shed(&job.request.class, &end);
         self.forget_job(id);
+        if let JobEnd::Unknown(reason) = end
+            && job.has_started
+        {
+            self.log_dropped(&job.request, reason);
+        }
         self.actions.push(Action::End {
             peer: job.request.peer,
             submission: job.request.submission,
@@ -374,6 +379,16 @@
         self.stop_runs_of(id);
     }
 
+    fn log_dropped(&mut self, request: &JobRequest, reason: UnknownReason) {
+        let now = self.executors.clock();
+        self.log(Decision::JobDropped {
+            job: request.job,
+            submitted_as: (request.peer, request.submission),
+            reason,
+            last_contact: self.peers.time_since_contact(now, request.peer),
+        });
+    }
+
     fn stop_runs_of(&mut self, job: JobId) {
         let runs = self.executors.runs_of(job);
         let runs: Vec<(ExecutorId, TaskId)> = runs.map(|(id, task)| (id.clone(), task)).collect();
--- a/crates/onyxshed-pool/src/pool/place.rs
+++ b/crates/onyxshed-pool/src/pool/place.rs
@@ -279,6 +279,7 @@
             token: self.token,
         };
         let waited = now.since(job.arrived_at);
+        let submitted_as = (job.request.peer, job.request.submission);
         drop(job);
         self.forecast_run(now, executor_id, task);
         self.actions.push(Action::Start(executor_id.clone(), order));
@@ -288,6 +289,7 @@
             executor: executor_id.clone(),
             expected,
             waited,
+            submitted_as,
         });
         true
     }
