Tests of owners that keep the jobs of connections that have ended

Cause: an entry host answers 504 450 ms after its last unanswered heartbeat and opens its link again 100 ms later under the same incarnation. If that heartbeat arrived and only its answer was lost, the owner hears from the host again after 552 ms, less than the 600 ms after which it ends the host's jobs; the old connection's close is lost with the connection, and the cancellation goes over it. Neither is repeated.

Two more ways to keep such jobs, each with a test that fails: - A heartbeat that comes after the time-out but before the owner's next tick goes on with the old session. - An owner that closes a connection in favour of a newer one doesn't end its jobs, though the host sees the close.

No mode of the proxy is new: BlackholeDown for 200 ms and then StallExisting give the fault.

--- a/crates/onyxshed-host/tests/peers.rs
+++ b/crates/onyxshed-host/tests/peers.rs
@@ -8,17 +8,22 @@
 use async_io::Timer;
 use async_net::TcpListener;
 use capnp::capability::Rc as ServerRc;
-use futures_lite::future::block_on;
+use futures_lite::future::{self, block_on};
 use onyxshed_host::links::PEERS_MAX;
 use onyxshed_http::client::with_timeout;
 use onyxshed_proto::pool_capnp::pool_port;
 use onyxshed_proto::rpc::{self, ConnectionCount};
+use rstest::rstest;
 
 /// Number of hosts in the largest deployment that was measured.
 const HOSTS: usize = 302;
 
-/// An owner that answers every heartbeat.
-struct Owner;
+/// An owner that answers every heartbeat and never ends a job.
+#[derive(Default)]
+struct Owner {
+    /// Shared by the jobs in progress.
+    jobs: Rc<()>,
+}
 
 impl pool_port::Server for Owner {
     async fn heartbeat(
@@ -29,6 +34,15 @@
         results.get().set_is_owner(true);
         Ok(())
     }
+
+    async fn run(
+        self: ServerRc<Self>,
+        _params: pool_port::RunParams,
+        _results: pool_port::RunResults,
+    ) -> capnp::Result<()> {
+        let _job = self.jobs.clone();
+        future::pending().await
+    }
 }
 
 async fn is_answered(client: &pool_port::Client) -> bool {
@@ -38,19 +52,27 @@
 
 /// Starts an owner, and returns its address and the number of its connections.
 async fn start_owner(executor: &Rc<LocalExecutor<'static>>) -> (SocketAddr, ConnectionCount) {
+    serve_owner(executor, Owner::default(), PEERS_MAX).await
+}
+
+async fn serve_owner(
+    executor: &Rc<LocalExecutor<'static>>,
+    owner: Owner,
+    connections_max: usize,
+) -> (SocketAddr, ConnectionCount) {
     let any: SocketAddr = ([127, 0, 0, 1], 0).into();
     let listener = TcpListener::bind(any)
         .await
         .expect("binding to a free port succeeds");
     let address = listener.local_addr().expect("the listener has an address");
-    let owner: pool_port::Client = capnp_rpc::new_client(Owner);
+    let owner: pool_port::Client = capnp_rpc::new_client(owner);
     let dropped: rpc::DropReporter = Rc::new(|_| {});
     let count = ConnectionCount::default();
     let serve = rpc::serve(
         listener,
         owner.client,
         executor.clone(),
-        PEERS_MAX,
+        connections_max,
         count.clone(),
         dropped,
     );
@@ -105,3 +127,58 @@
         assert!(closed.is_some(), "the connection is open after 5 s");
     }));
 }
+
+/// How the connection of a host ends while its job runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// The host closes it.
+    ByHost,
+    /// The owner closes it in favour of a new connection.
+    ByOwner,
+}
+
+/// Guards against jobs that an owner keeps after the end of the connection on which they were submitted.
+#[rstest]
+#[case::by_host(End::ByHost)]
+#[case::by_owner(End::ByOwner)]
+fn job_ends_with_its_connection(#[case] end: End) {
+    let executor: Rc<LocalExecutor<'static>> = Rc::new(LocalExecutor::new());
+    let serving = executor.clone();
+    block_on(executor.run(async move {
+        let owner = Owner::default();
+        let jobs = Rc::downgrade(&owner.jobs);
+        let (address, _) = serve_owner(&serving, owner, 1).await;
+        let link = rpc::connect::<pool_port::Client>(address, &serving)
+            .await
+            .expect("the owner accepts the connection");
+        let run = link.client.run_request().send().promise;
+        let wait_for_jobs = async |count: usize| {
+            let reached = async {
+                // The owner itself holds one reference.
+                while jobs.strong_count() != count + 1 {
+                    Timer::after(Duration::from_millis(5)).await;
+                }
+            };
+            with_timeout(Duration::from_secs(5), reached).await
+        };
+        assert!(wait_for_jobs(1).await.is_some(), "the job begins");
+        let _kept = match end {
+            End::ByHost => {
+                drop(link);
+                None
+            }
+            End::ByOwner => {
+                let next = rpc::connect::<pool_port::Client>(address, &serving).await;
+                let next = next.expect("the owner accepts the connection");
+                assert!(is_answered(&next.client).await);
+                let reply = with_timeout(Duration::from_secs(5), run).await;
+                assert!(
+                    reply.is_some_and(|reply| reply.is_err()),
+                    "the host notices"
+                );
+                Some((link, next))
+            }
+        };
+        assert!(wait_for_jobs(0).await.is_some(), "the job runs after 5 s");
+    }));
+}
--- a/crates/onyxshed-pool/tests/pool/hosts.rs
+++ b/crates/onyxshed-pool/tests/pool/hosts.rs
@@ -37,6 +37,26 @@
     );
 }
 
+/// Guards against an owner that keeps the jobs of an entry host that was silent for too long, because the
+/// host's next heartbeat comes before the owner's next tick.
+#[test]
+fn heartbeat_after_the_timeout_does_not_keep_jobs() {
+    let mut harness = Harness::with_executors(&[("x1", 64)]);
+    let old = heartbeat(&mut harness, 0);
+    let submitted = harness.pool.submit(at_ms(1), old, from_peer(9));
+    harness.actions.extend(submitted);
+    assert_eq!(harness.take_starts().len(), 1);
+    harness.advance(0, 590);
+    let new = heartbeat(&mut harness, 700);
+    assert_ne!(old, new);
+    harness.advance(700, 740);
+    assert_eq!(harness.take_stops().len(), 1);
+    assert_eq!(
+        harness.take_ends(),
+        [(JobId(9), JobEnd::Unknown(UnknownReason::PeerSilent))]
+    );
+}
+
 /// An entry host is paused with a submission in its socket, and resumes while the resubmitted job
 /// runs elsewhere. The delayed submission names the old session and must be rejected.
 #[test]
--- /dev/null
+++ b/crates/onyxshed-soak/tests/hosts/links.rs
@@ -0,0 +1,134 @@
+//! The connections between hosts and owners of pools, and the jobs that were sent over them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::{Timer, block_on};
+use http_types::Method;
+use onyxshed_soak::checks::find_violations;
+use onyxshed_soak::fleet::{Fleet, FleetOptions};
+use onyxshed_standins::faults::Mode;
+use rstest::rstest;
+
+use crate::support::{connect, job_body, one_zone, send_request, wait_until};
+
+/// Run time of the task of a job, at full speed: the job is in progress when its copy arrives elsewhere.
+const TASK_MS: u64 = 4_000;
+
+/// The shortest time after which callers send a job again that was answered 504.
+const RESEND_PAUSE: Duration = Duration::from_millis(1_300);
+
+/// How long answers of the owner are lost before the connections go silent: longer than the time between two
+/// heartbeats, and shorter than the time after which a link goes down.
+const ANSWERS_LOST: Duration = Duration::from_millis(200);
+
+/// Times between the start of a task and the fault.
+const FAULT_MOMENTS_MS: [u64; 3] = [400, 450, 500];
+
+/// How open connections to an owner fail; new ones work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Failure {
+    /// Nothing passes in either direction any more, and no close.
+    Silence,
+    /// As in `Silence`, but the owner has received one heartbeat more than it could answer.
+    SilenceAfterHeartbeat,
+    /// Nothing passes from the owner any more; what is sent to it arrives, and so does the close.
+    AnswersLost,
+}
+
+async fn break_connections(fleet: &Fleet, route: &str, failure: Failure) {
+    let set_mode = async |mode| {
+        let result = fleet.set_mode(route, mode).await;
+        result.expect("the mode is set");
+    };
+    if failure != Failure::Silence {
+        set_mode(Mode::BlackholeDown).await;
+        Timer::after(ANSWERS_LOST).await;
+    }
+    match failure {
+        // Connections on which bytes were discarded stay silent in that direction.
+        Failure::AnswersLost => set_mode(Mode::Pass).await,
+        Failure::Silence | Failure::SilenceAfterHeartbeat => set_mode(Mode::StallExisting).await,
+    }
+}
+
+async fn submit(host: SocketAddr, job: &str, ms: u64) -> u16 {
+    let mut connection = connect(host).await;
+    let body = job_body(ms, 1);
+    let reply = send_request(&mut connection, Method::Post, job, &body).await;
+    reply.expect("the host answers").status
+}
+
+/// Returns whether a task of a job has started in the first zone.
+async fn has_started(fleet: &mut Fleet, job: &str) -> bool {
+    let records = fleet.take_records().await;
+    let mut runs = records.iter();
+    runs.any(|(id, record)| id.starts_with("x-0-") && record.task.starts_with(job))
+}
+
+/// Returns the indexes of a host of the first zone that does not own its pool, and of the owner. Waits until
+/// that host sends its jobs to the owner.
+async fn wait_for_link(fleet: &mut Fleet) -> (usize, usize) {
+    let names = fleet.host_names();
+    let owner = wait_until("a host of the first zone owns its pool", async || {
+        let mut hosts = names[..2].iter();
+        hosts.position(|name| fleet.log_tail(name).contains("\"PoolOwned\""))
+    });
+    let owner = owner.await;
+    let entry = 1 - owner;
+    let address = fleet.direct_caller_addresses()[entry];
+    wait_until("a job is sent to the owner", async || {
+        submit(address, "00000000000000aa", 10).await;
+        has_started(fleet, "00000000000000aa").await.then_some(())
+    })
+    .await;
+    (entry, owner)
+}
+
+/// Guards against an owner that keeps a job whose entry host has answered 504, because that host has opened
+/// its link again in the meantime.
+#[rstest]
+#[case::silence(Failure::Silence)]
+#[case::silence_after_heartbeat(Failure::SilenceAfterHeartbeat)]
+#[case::answers_lost(Failure::AnswersLost)]
+fn job_of_a_broken_connection_is_stopped_before_its_copy_starts(#[case] failure: Failure) {
+    let executor = LocalExecutor::new();
+    block_on(executor.run(async {
+        let options = FleetOptions {
+            zones: 2,
+            ..one_zone()
+        };
+        let mut fleet = Fleet::start(&options).await.expect("the fleet starts");
+        let (entry, owner) = wait_for_link(&mut fleet).await;
+        let route = format!("peer-{}", fleet.host_names()[owner]);
+        let hosts = fleet.direct_caller_addresses();
+        let jobs = ["0000000000000001", "0000000000000002", "0000000000000003"];
+        let mut statuses = Vec::new();
+        for (job, moment_ms) in jobs.into_iter().zip(FAULT_MOMENTS_MS) {
+            let first = executor.spawn(submit(hosts[entry], job, TASK_MS));
+            wait_until("the task has started", async || {
+                let is_answered = first.is_finished();
+                let is_started = has_started(&mut fleet, job).await;
+                assert!(
+                    is_started || !is_answered,
+                    "{:#?}",
+                    fleet.log_lines_with(job)
+                );
+                is_started.then_some(())
+            })
+            .await;
+            Timer::after(Duration::from_millis(moment_ms)).await;
+            break_connections(&fleet, &route, failure).await;
+            statuses.push(first.await);
+            Timer::after(RESEND_PAUSE).await;
+            statuses.push(submit(hosts[2], job, TASK_MS).await);
+        }
+        let records = fleet.take_records().await;
+        let violations = find_violations(&[], &records, &BTreeMap::new());
+        let lines = fleet.log_lines_with("\"Pool");
+        assert!(violations.is_empty(), "{violations:#?}\n{lines:#?}");
+        assert_eq!(statuses, [504, 200].repeat(jobs.len()), "{lines:#?}");
+    }));
+}
--- a/crates/onyxshed-soak/tests/hosts/main.rs
+++ b/crates/onyxshed-soak/tests/hosts/main.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod evacuation;
+mod links;
 mod overload;
 mod owners;
 mod stops;
