Test of submissions that arrive after their entry host has given them up

Cause: a submission names a session of its host, not the connection on which it was sent. If the host is heard on a new connection before the session ends, a submission that the old one delivers later is in session and starts.

Evidence: the answer to one heartbeat is lost, then the open connections hold what is sent, while new ones work; the copy is sent elsewhere 1,300 ms after the 504 and the held connection delivers 400 ms later. 9 of 9 such submissions were started beside the copy's run and stopped 0 to 10 ms later, when the owner read the close.

The proxy gets the mode HoldExisting: open connections hold their bytes until the mode changes, new ones work.

--- a/crates/onyxshed-soak/tests/hosts/links.rs
+++ b/crates/onyxshed-soak/tests/hosts/links.rs
@@ -6,6 +6,7 @@
 
 use async_executor::LocalExecutor;
 use async_io::{Timer, block_on};
+use futures_lite::future::zip;
 use http_types::Method;
 use onyxshed_soak::checks::find_violations;
 use onyxshed_soak::fleet::{Fleet, FleetOptions};
@@ -24,6 +25,9 @@
 /// heartbeats, and shorter than the time after which a link goes down.
 const ANSWERS_LOST: Duration = Duration::from_millis(200);
 
+/// Run time of the task of a job that is given up before it starts.
+const SHORT_TASK_MS: u64 = 1_500;
+
 /// Times between the start of a task and the fault.
 const FAULT_MOMENTS_MS: [u64; 3] = [400, 450, 500];
 
@@ -132,3 +136,62 @@
         assert_eq!(statuses, [504, 200].repeat(jobs.len()), "{lines:#?}");
     }));
 }
+
+/// Guards against an owner that starts a job that its entry host gave up long ago, because the submission
+/// arrives after the host has opened its link again.
+#[test]
+fn late_submission_of_a_broken_connection_starts_no_run() {
+    /// How long answers are lost before the connections are held: a heartbeat arrives in this time, and the
+    /// session is still used without a renewal after it.
+    const ANSWERS_LOST: Duration = Duration::from_millis(160);
+    /// Time from the start of the copy elsewhere to the arrival of the submission.
+    const LATE_BY: Duration = Duration::from_millis(400);
+    let executor = LocalExecutor::new();
+    block_on(executor.run(async {
+        let options = FleetOptions {
+            zones: 2,
+            ..one_zone()
+        };
+        let mut fleet = Fleet::start(&options).await.expect("the fleet starts");
+        let (entry, owner) = wait_for_link(&mut fleet).await;
+        let route = format!("peer-{}", fleet.host_names()[owner]);
+        let hosts = fleet.direct_caller_addresses();
+        let set_mode = async |mode| {
+            let result = fleet.set_mode(&route, mode).await;
+            result.expect("the mode is set");
+        };
+        let mut given_up = Vec::new();
+        for number in 1..=5 {
+            let job = format!("{number:016x}");
+            set_mode(Mode::BlackholeDown).await;
+            Timer::after(ANSWERS_LOST).await;
+            set_mode(Mode::HoldExisting).await;
+            let status = submit(hosts[entry], &job, SHORT_TASK_MS).await;
+            if status != 504 {
+                // The session was renewed, and the job was sent elsewhere.
+                set_mode(Mode::Pass).await;
+                Timer::after(RESEND_PAUSE).await;
+                continue;
+            }
+            given_up.push(job.clone());
+            Timer::after(RESEND_PAUSE).await;
+            let copy = submit(hosts[2], &job, SHORT_TASK_MS);
+            let release = async {
+                Timer::after(LATE_BY).await;
+                set_mode(Mode::Pass).await;
+            };
+            zip(copy, release).await;
+        }
+        let records = fleet.take_records().await;
+        let mut runs = records.iter();
+        let late = runs.find(|(id, record)| {
+            let mut jobs = given_up.iter();
+            id.starts_with("x-0-") && jobs.any(|job| record.task.starts_with(job.as_str()))
+        });
+        let violations = find_violations(&[], &records, &BTreeMap::new());
+        let lines = fleet.log_lines_with("\"Pool");
+        assert!(late.is_none(), "{late:?}\n{violations:#?}\n{lines:#?}");
+        assert!(violations.is_empty(), "{violations:#?}\n{lines:#?}");
+        assert!(!given_up.is_empty(), "{lines:#?}");
+    }));
+}
--- a/crates/onyxshed-standins/src/faults/mode.rs
+++ b/crates/onyxshed-standins/src/faults/mode.rs
@@ -36,6 +36,8 @@
     DropAnswer,
     /// Stops forwarding on the connections that are open now, which stay open; forwards new ones.
     StallExisting,
+    /// Holds back all bytes on the connections that are open now until the mode changes; forwards new ones.
+    HoldExisting,
 }
 
 /// A direction of bytes through the proxy.
--- a/crates/onyxshed-standins/src/faults/pump.rs
+++ b/crates/onyxshed-standins/src/faults/pump.rs
@@ -71,6 +71,7 @@
         _ if link.is_closed.get() => Step::Close,
         Mode::Cut => Step::Close,
         Mode::Hold => Step::Wait,
+        Mode::HoldExisting if link.is_held() => Step::Wait,
         _ if link.is_stalled(direction) => Step::Wait,
         _ => Step::Read,
     }
--- a/crates/onyxshed-standins/src/faults/route.rs
+++ b/crates/onyxshed-standins/src/faults/route.rs
@@ -18,6 +18,7 @@
     target: Cell<SocketAddr>,
     mode: Cell<Mode>,
     stall_count: Cell<u64>,
+    hold_count: Cell<u64>,
     connections: Cell<u64>,
     changed: Notifier,
 }
@@ -27,6 +28,7 @@
 pub struct Link {
     pub(super) route: Rc<Route>,
     stall_count_at_open: u64,
+    hold_count_at_open: u64,
     pub(super) forwarded_down_bytes: Cell<u64>,
     pub(super) closed: Notifier,
     pub(super) is_closed: Cell<bool>,
@@ -41,6 +43,7 @@
             target: Cell::new(target),
             mode: Cell::default(),
             stall_count: Cell::default(),
+            hold_count: Cell::default(),
             connections: Cell::default(),
             changed: Notifier::default(),
         }
@@ -63,6 +66,10 @@
                 self.stall_count.set(self.stall_count.get() + 1);
                 self.mode.set(Mode::Pass);
             }
+            Mode::HoldExisting => {
+                self.hold_count.set(self.hold_count.get() + 1);
+                self.mode.set(mode);
+            }
             mode => self.mode.set(mode),
         }
         self.changed.notify();
@@ -108,6 +115,7 @@
     fn new(route: Rc<Route>) -> Self {
         Link {
             stall_count_at_open: route.stall_count.get(),
+            hold_count_at_open: route.hold_count.get(),
             route,
             forwarded_down_bytes: Cell::default(),
             closed: Notifier::default(),
@@ -146,6 +154,11 @@
             || self.lossy_directions.borrow().contains(&direction)
     }
 
+    /// Returns whether the connection was open when [`Mode::HoldExisting`] was last set.
+    pub(super) fn is_held(&self) -> bool {
+        self.hold_count_at_open < self.route.hold_count.get()
+    }
+
     /// Records that bytes of a direction were discarded.
     pub(super) fn record_lost_bytes(&self, direction: Direction) {
         self.lossy_directions.borrow_mut().push(direction);
--- a/crates/onyxshed-standins/tests/standins.rs
+++ b/crates/onyxshed-standins/tests/standins.rs
@@ -291,3 +291,26 @@
         call(route_address, Get, path, "").await.unwrap();
     });
 }
+
+// A partition heals: new connections work, and what was sent on an open one arrives later.
+#[test]
+fn held_connection_forwards_when_the_mode_changes_and_new_one_works() {
+    run(|executor| async move {
+        let (route_address, control) = route(&executor).await;
+        let mut old = Connection::open(route_address, ClientOptions::default())
+            .await
+            .unwrap();
+        let path = "/control/counts";
+        old.call(Get, path, &[], Vec::new(), TIMEOUT).await.unwrap();
+        let hold = r#"{"routes":["r"],"mode":"hold_existing"}"#;
+        call(control, Post, "/control/mode", hold).await.unwrap();
+        let held =
+            executor.spawn(async move { old.call(Get, path, &[], Vec::new(), TIMEOUT).await });
+        call(route_address, Get, path, "").await.unwrap();
+        Timer::after(Duration::from_millis(200)).await;
+        assert!(!held.is_finished());
+        let pass = r#"{"routes":["r"],"mode":"pass"}"#;
+        call(control, Post, "/control/mode", pass).await.unwrap();
+        held.await.unwrap();
+    });
+}
