Test of submissions that were made to an earlier ownership of the same host

Cause: the sessions of an owner are numbered from 1 anew with each ownership, and a submission names no token. Evidence: on the state machine, a submission of session 1 of the earlier ownership starts under the later one. Not seen with real processes.

--- a/crates/onyxshed-pool/tests/pool/fixture.rs
+++ b/crates/onyxshed-pool/tests/pool/fixture.rs
@@ -119,6 +119,16 @@
     /// Creates a pool with the given options, whose executors are all acquired at 0 ms.
     pub fn with_options(executors: &[(&str, u32)], options: PoolOptions) -> Self {
         let pool = Pool::new(at_ms(0), FencingToken(7), OWN, options);
+        Harness::acquire_all(pool, executors)
+    }
+
+    /// Creates a pool of an owner with the given token, whose executors are all acquired at 0 ms.
+    pub fn with_token(token: FencingToken, executors: &[(&str, u32)]) -> Self {
+        let pool = Pool::new(at_ms(0), token, OWN, PoolOptions::default());
+        Harness::acquire_all(pool, executors)
+    }
+
+    fn acquire_all(pool: Pool, executors: &[(&str, u32)]) -> Self {
         let mut harness = Harness {
             pool,
             actions: Vec::new(),
--- a/crates/onyxshed-pool/tests/pool/hosts.rs
+++ b/crates/onyxshed-pool/tests/pool/hosts.rs
@@ -2,7 +2,7 @@
 
 use onyxshed_core::Millis;
 use onyxshed_pool::{
-    JobEnd, JobId, JobRequest, NotRunReason, Session, SubmissionNumber, UnknownReason,
+    FencingToken, JobEnd, JobId, JobRequest, NotRunReason, Session, SubmissionNumber, UnknownReason,
 };
 
 use crate::fixture::{Harness, PEER, at_ms, job};
@@ -77,6 +77,23 @@
     assert_eq!(harness.take_starts().len(), 1);
 }
 
+/// Guards against a host that gives up its pool, takes it over again and starts a submission that was made to it as
+/// the earlier owner.
+#[test]
+fn submission_to_earlier_ownership_is_rejected() {
+    let mut earlier = Harness::with_executors(&[]);
+    let old = heartbeat(&mut earlier, 0);
+    let mut harness = Harness::with_token(FencingToken(8), &[("x1", 64)]);
+    heartbeat(&mut harness, 0);
+    let late = harness.pool.submit(at_ms(1), old, from_peer(9));
+    harness.actions.extend(late);
+    assert!(harness.take_starts().is_empty());
+    assert!(matches!(
+        harness.take_ends()[..],
+        [(JobId(9), JobEnd::NotRun(NotRunReason::OldSession, _))]
+    ));
+}
+
 /// The owner's process is paused for 500 ms, and entry hosts may have answered their callers meanwhile.
 /// When it resumes, it must end their jobs before it processes any other event.
 #[test]
