Reproduction: a host starts runs for callers that gave up before it read their requests

A host that is frozen reads, when it thaws, requests whose callers have long given up and sent the jobs again to another zone. The server polls the handler before it looks whether the peer is still there, and the time that a caller waits counts from the moment at which its request is read.

--- a/crates/onyxshed-soak/tests/hosts/main.rs
+++ b/crates/onyxshed-soak/tests/hosts/main.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod evacuation;
 mod links;
+mod late_requests;
 mod overload;
 mod owners;
 mod stops;
