Requests that waited in their sockets start no run for callers that gave up

Cause: the server polled the handler before it looked whether the peer had closed its connection, so an owner ordered runs that it stopped a moment later, beside the runs of the copy that the caller had sent elsewhere. And the time that a caller waits counted from the moment at which its request was read, so after a pause of the process a caller that was still connected got a run for a whole new deadline.

The server now looks once whether the peer has left before it calls the handler; a reply that is ready is still delivered.

A request whose bytes are held up on the way, not in the socket, can't be told from a new one.

--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -21,12 +21,13 @@
 use onyxshed_http::{Call, CallerIdentity, Reply, ServerOptions};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_pool::{
-    AfterEnd, ClassId, EntryDecision, JobEnd, JobId, JobRequest, JobSummary, PoolId,
+    AfterEnd, ClassId, EntryDecision, JobEnd, JobId, JobRequest, JobSummary, NotRunReason, PoolId,
     SubmissionNumber, UnknownReason,
 };
 use onyxshed_process::{RequestServer, serve_requests};
 use smol_str::{SmolStr, format_smolstr};
 
+use crate::arrivals::ArrivalClock;
 use crate::boot_clock;
 use crate::links::Links;
 use crate::manifest::ManifestHolder;
@@ -65,6 +66,10 @@
 /// Retry-after time while this host is stopping: other hosts accept the request at once.
 const STOPPING_RETRY_AFTER: Millis = Millis(0);
 
+/// Retry-after time for a request that waited until its caller's time was over: only the wait stood in
+/// its way.
+const EXPIRED_RETRY_AFTER: Millis = Millis(0);
+
 /// Retry-after time for a kind of job that is not supported; a sooner retry would be rejected as
 /// well.
 const UNSUPPORTED_RETRY_AFTER: Millis = Millis(60_000);
@@ -94,6 +99,7 @@
     in_progress: Rc<JobsInProgress>,
     refusal_metrics: RefusalMetrics,
     identity: CallerIdentity,
+    arrivals: Rc<ArrivalClock>,
     /// Closed when this host can serve requests or [`STARTUP_WAIT_MAX`] has elapsed.
     startup_over: Receiver<()>,
     /// Closed when a stopping host can no longer wait for unfinished jobs.
@@ -158,7 +164,7 @@
 
 impl Callers {
     async fn handle(&self, call: Call) -> Reply {
-        let arrived = boot_clock::now();
+        let arrived = self.arrivals.earliest_arrival(boot_clock::now());
         self.wait_for_startup().await;
         let Some(manifest) = self.manifest.get() else {
             let retry = Some(NO_POOL_RETRY_AFTER);
@@ -226,6 +232,9 @@
         };
         let time_limit = self.limit_to_drain_deadline(requested_time_limit(call));
         let job = self.job_request(route, &context, simple, time_limit);
+        if job_after_wait(&job, arrived).time_left.0 == 0 {
+            return self.refuse_expired(&context, &job);
+        }
         let _in_progress = self.in_progress.begin(context.job);
         let disconnect_guard = DisconnectGuard::arm(&self.kernel, &context);
         let elapsed = boot_clock::now().since(arrived);
@@ -275,6 +284,17 @@
         Some(self.reply(&end))
     }
 
+    /// Refuses a job whose caller no longer waits for it. The outcome is unknown if an earlier request
+    /// for the job is in progress here.
+    fn refuse_expired(&self, context: &SubmissionContext, job: &JobRequest) -> Reply {
+        let end = match self.in_progress.contains(context.job) {
+            true => JobEnd::Unknown(UnknownReason::TimeOut),
+            false => JobEnd::NotRun(NotRunReason::NoTime, EXPIRED_RETRY_AFTER),
+        };
+        self.record_end(context, job, &end, &SmolStr::new_static("none"));
+        self.reply(&end)
+    }
+
     /// Returns the reply to a job. A rejection closes the connection if another host may serve the
     /// caller, since the balancer only redirects new connections.
     fn reply(&self, end: &JobEnd) -> Reply {
@@ -534,6 +554,7 @@
             in_progress: Rc::default(),
             refusal_metrics: RefusalMetrics::new(),
             identity: self.options.identity.clone(),
+            arrivals: Rc::new(ArrivalClock::new(boot_clock::now())),
             startup_over,
             drain_expired,
             drain_expired_sender,
@@ -542,6 +563,7 @@
         kernel
             .spawn(callers.clone().watch_startup(startup_sender))
             .detach();
+        kernel.spawn(callers.arrivals.clone().run()).detach();
         let handler_state = callers.clone();
         let handle = move |call| {
             let callers = handler_state.clone();
--- a/crates/onyxshed-host/src/lib.rs
+++ b/crates/onyxshed-host/src/lib.rs
@@ -10,6 +10,7 @@
 //! This crate makes no scheduling decisions. Its services translate socket and timer events into
 //! inputs of the pool's state machine, and the actions that it returns into calls.
 
+pub mod arrivals;
 pub mod boot_clock;
 pub mod callers;
 pub mod decisions;
--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -53,7 +53,8 @@
     /// Time limit for the peer to read a reply; default 10 s.
     pub reply_timeout: Duration,
     /// Whether a request is cancelled when its peer closes the connection; default false. A peer
-    /// that closes only its sending side counts as disconnected too.
+    /// that closes only its sending side counts as disconnected too. The request of a peer that has
+    /// disconnected before its request is read whole is not handled.
     pub cancels_on_disconnect: bool,
 }
 
@@ -273,7 +274,7 @@
             peer_address: stream.inner().peer_addr().ok(),
         };
         let reply = match self.options.cancels_on_disconnect {
-            true => (self.handler)(call).or(wait_for_disconnect(&stream)).await,
+            true => self.handle_while_connected(&stream, call).await,
             false => (self.handler)(call).await,
         };
         stream.begin_reply(self.options.reply_timeout);
@@ -285,6 +286,15 @@
         Ok(reply.into_response())
     }
 
+    /// Handles a request until its peer closes the connection. The handler is not called for a peer that
+    /// left while its request waited to be read.
+    async fn handle_while_connected(&self, stream: &BoundedStream, call: Call) -> Reply {
+        if let Some(reply) = future::poll_once(wait_for_disconnect(stream)).await {
+            return reply;
+        }
+        (self.handler)(call).or(wait_for_disconnect(stream)).await
+    }
+
     fn rejection_response(&self, code: ResultCode) -> Response {
         self.stats.rejected.set(self.stats.rejected.get() + 1);
         (self.reject)(code).connection_close().into_response()
