Test: an owner that reads heartbeats late serves a job beside its copy

Cause (H1): PeerSessions::record_contact counts a heartbeat when it is read, so an owner behind a slow link, or behind its sockets, hears its entry host every 250 ms while all that it hears is old. The cancellation waits behind the heartbeats, and the answers come after the entry host's 450 ms.

Evidence: the new test of real hosts. The link to the owner forwards 900 bytes a second to it and delays its answers by 1,600 ms (new mode SlowLink of the proxy); jobs that arrive when the last answer is 310 ms old each send a heartbeat before the link is given up.

--- a/crates/onyxshed-soak/tests/hosts/main.rs
+++ b/crates/onyxshed-soak/tests/hosts/main.rs
@@ -4,6 +4,7 @@
 mod evacuation;
 mod links;
 mod late_requests;
+mod lagging_owners;
 mod overload;
 mod owners;
 mod stops;
--- a/crates/onyxshed-standins/src/faults/mode.rs
+++ b/crates/onyxshed-standins/src/faults/mode.rs
@@ -27,6 +27,13 @@
         /// The delay of each chunk in either direction, in milliseconds.
         delay_ms: u64,
     },
+    /// Forwards bytes to the target at a limited rate, and each chunk of bytes from it after a delay.
+    SlowLink {
+        /// The rate of each connection towards the target, in bytes per second.
+        up_bytes_per_s: u64,
+        /// The delay of each chunk from the target, in milliseconds.
+        down_delay_ms: u64,
+    },
     /// Closes a connection at the first byte from the target beyond a limit.
     CloseAfterBytes {
         /// The number of bytes from the target that are forwarded.
--- a/crates/onyxshed-standins/src/faults/pump.rs
+++ b/crates/onyxshed-standins/src/faults/pump.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::Shutdown;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use async_net::TcpStream;
@@ -15,6 +15,9 @@
 /// The size of the buffer for one read, in bytes.
 const CHUNK_BYTES: usize = 16 << 10;
 
+/// The number of bytes that are forwarded at a time at a limited rate.
+const LIMITED_RATE_BYTES: usize = 16;
+
 /// The next action of a pump.
 enum Step {
     /// Read from the source until bytes arrive, the mode changes or the connection is closed.
@@ -100,14 +103,38 @@
                 .set(link.forwarded_down_bytes.get() + forwarded as u64);
             to.write_all(&bytes[..forwarded]).await.is_err() || forwarded < bytes.len()
         }
-        (Mode::Delay { delay_ms }, _) => {
+        (Mode::Delay { delay_ms }, _)
+        | (
+            Mode::SlowLink {
+                down_delay_ms: delay_ms,
+                ..
+            },
+            Direction::Down,
+        ) => {
             Timer::after(Duration::from_millis(delay_ms)).await;
             to.write_all(bytes).await.is_err()
         }
+        (Mode::SlowLink { up_bytes_per_s, .. }, Direction::Up) => {
+            forward_at_rate(up_bytes_per_s, to, bytes).await
+        }
         _ => to.write_all(bytes).await.is_err(),
     }
 }
 
+/// Forwards bytes at a rate; returns whether to close the connection.
+async fn forward_at_rate(bytes_per_s: u64, to: &mut TcpStream, bytes: &[u8]) -> bool {
+    let started_at = Instant::now();
+    let mut forwarded = 0;
+    for piece in bytes.chunks(LIMITED_RATE_BYTES) {
+        forwarded += piece.len() as u64;
+        Timer::at(started_at + Duration::from_millis(forwarded * 1_000 / bytes_per_s)).await;
+        if to.write_all(piece).await.is_err() {
+            return true;
+        }
+    }
+    false
+}
+
 /// Forwards the end of one direction; returns whether to close the whole connection.
 fn handle_end_of_stream(link: &Link, direction: Direction, to: &TcpStream) -> bool {
     if link.route.mode().discards(direction) || link.is_stalled(direction) {
