Test: a starved owner starts runs for a host that it should hold for silent

Cause: only a tick looks for unresponsive entry hosts (expire_peers), while reports and answers of executors start runs and renew leases at any time. With ticks just under pause_ms apart, that is up to 400 ms later than peer_timeout_ms: runs start until 1,000 ms after the last contact, not 600.

Evidence: state machine alone, last contact at 0 ms, ticks at 290 and 580 ms, a report at 870 ms starts a run.

--- a/crates/onyxshed-pool/tests/pool/hosts.rs
+++ b/crates/onyxshed-pool/tests/pool/hosts.rs
@@ -120,6 +120,32 @@
     );
 }
 
+/// Guards against a run that starts for an unresponsive entry host because ticks of a starved owner are far
+/// apart.
+#[test]
+fn no_run_starts_between_ticks_for_unresponsive_entry_host() {
+    let mut harness = Harness::with_executors(&[("x1", 64)]);
+    let session = heartbeat(&mut harness, 0);
+    let many = JobRequest {
+        tasks: 5,
+        ..from_peer(9)
+    };
+    let submitted = harness.pool.submit(at_ms(1), session, many);
+    harness.actions.extend(submitted);
+    let running = harness.take_starts();
+    assert_eq!(running.len(), 2);
+    for tick_ms in [290, 580] {
+        harness.tick(tick_ms);
+    }
+    let task = running[0].1.task;
+    harness.report(870, "x1", &[], &[(1, task, 1, onyxshed_pool::RunEnd::Done)]);
+    assert!(harness.take_starts().is_empty());
+    assert_eq!(
+        harness.take_ends(),
+        [(JobId(9), JobEnd::Unknown(UnknownReason::PeerSilent))]
+    );
+}
+
 /// A caller loses its answer and resubmits the running job through another entry host. The runs continue,
 /// and the second entry host gets the answer.
 #[test]
