--- a/crates/onyxshed-soak/tests/hosts/lagging_owners.rs
+++ b/crates/onyxshed-soak/tests/hosts/lagging_owners.rs
@@ -23,9 +23,9 @@
 /// Time from an answer of unknown outcome until a caller sends the job again.
 const RESEND_DELAY: Duration = Duration::from_millis(1_300);
 
-/// A rate at which each heartbeat takes about 250 ms, less than the time after which an owner considers a
+/// A rate at which each heartbeat takes about 200 ms, less than the time after which an owner considers a
 /// host unresponsive.
-const UP_BYTES_PER_S: u64 = 900;
+const UP_BYTES_PER_S: u64 = 1_200;
 
 /// Delay of the owner's answers, above the time that an entry host waits for them.
 const DOWN_DELAY_MS: u64 = 1_600;
@@ -34,8 +34,8 @@
 const SESSION_RENEWED_AFTER: Duration = Duration::from_millis(310);
 
 /// Number of jobs that are sent before the entry host gives up the link, and the time between two.
-const RENEWING_JOBS: u64 = 12;
-const RENEWING_PAUSE: Duration = Duration::from_millis(10);
+const RENEWING_JOBS: u64 = 16;
+const RENEWING_PAUSE: Duration = Duration::from_millis(8);
 
 /// Starts two zones whose hosts have the manifest and reach both pools.
 async fn start_two_zones(hosts: usize) -> Fleet {
@@ -88,11 +88,21 @@
         let owner = owner_of_first_zone(&fleet);
         let addresses = fleet.direct_caller_addresses();
         let (entry, other_zone) = (addresses[1 - owner], addresses[2]);
-        let route = format!("peer-{}", fleet.host_names()[owner]);
-        let first = executor.spawn(submit(entry, 0xaa, TASK_MS));
-        wait_until("the task runs", async || {
+        let owner_name = fleet.host_names()[owner].clone();
+        let route = format!("peer-{owner_name}");
+        let has_ordered = |job: &str| {
             let ordered = fleet.log_lines_with("PoolRunOrdered");
-            (!ordered.is_empty()).then_some(())
+            let mut of_owner = ordered.iter().filter(|line| line.starts_with(&*owner_name));
+            of_owner.any(|line| line.contains(job))
+        };
+        wait_until("the entry host uses the pool of its zone", async || {
+            submit(entry, 0xbb, 10).await;
+            has_ordered("00000000000000bb").then_some(())
+        })
+        .await;
+        let first = executor.spawn(submit(entry, 0xaa, TASK_MS));
+        wait_until("the task runs in the entry host's zone", async || {
+            has_ordered("00000000000000aa").then_some(())
         })
         .await;
         Timer::after(Duration::from_millis(300)).await;
