A session of an entry host belongs to one connection

Callers saw: a task that must run once at work in two zones at once. The first run had been given up by its entry host, which had answered 504; the caller's copy went to another pool, since the link to the first owner was down.

Cause: an entry host gives up the jobs of a connection that it considers lost, and opens the link again under the same incarnation. The owner knew only the incarnation: heartbeats on the new connection kept the jobs of the lost one running, and submissions that were read late from the lost one were in session and started. Two times of 450 and 600 ms were to keep this apart; after a heartbeat whose answer was lost they don't (552 ms).

Evidence: links::job_of_a_broken_connection_is_stopped_before_its_copy_starts (case 2) failed before in 29 of 30 faults, overlaps of 1,569 to 3,490 ms, without any line of the owner; links::late_submission_of_a_broken_connection_starts_no_run in 14 of 14 submissions.

Change: sessions are kept for each connection, by a number that the entry host gives it. A connection that is given up gets no more heartbeats, so its session ends after 600 ms with its jobs, whatever is heard on others. Links that are open twice to one owner no longer answer for each other's jobs.

Result: both tests of links pass, and the new hosts::jobs_of_lost_connection_end_while_host_is_heard_on_next_connection.

--- a/crates/onyxshed-host/src/engine.rs
+++ b/crates/onyxshed-host/src/engine.rs
@@ -20,8 +20,8 @@
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_pool::{
     Action, Decision, ExecutorFacts, ExecutorId, FencingToken, JobEnd, JobId, JobRequest,
-    LevelTable, NotRunReason, OwnershipTransfer, PeerIncarnation, Pool, PoolId, PoolLoad,
-    PoolOptions, Session, SubmissionNumber, SuccessorOffer, TICK_PERIOD, UnknownReason,
+    LevelTable, NotRunReason, OwnershipTransfer, PeerConnection, PeerIncarnation, Pool, PoolId,
+    PoolLoad, PoolOptions, Session, SubmissionNumber, SuccessorOffer, TICK_PERIOD, UnknownReason,
 };
 use onyxshed_proto::rpc::ConnectionCount;
 use smol_str::{SmolStr, format_smolstr};
@@ -383,16 +383,16 @@
             .remove(&(peer, submission));
     }
 
-    /// Records a heartbeat of an entry host, with its offer to become the successor. Returns the
-    /// host's session, or `None` if no pool is owned.
+    /// Records a heartbeat on a connection of an entry host, with the host's offer to become the
+    /// successor. Returns the connection's session, or `None` if no pool is owned.
     pub fn record_peer_contact(
         &self,
-        peer: PeerIncarnation,
+        connection: PeerConnection,
         offer: Option<SuccessorOffer>,
     ) -> Option<Session> {
         let mut pool = self.pool.borrow_mut();
         pool.as_mut()
-            .map(|pool| pool.record_peer_contact(boot_clock::now(), peer, offer))
+            .map(|pool| pool.record_peer_contact(boot_clock::now(), connection, offer))
     }
 
     /// Sets whether this owner needs a successor because the store has not appointed a new owner.
--- a/crates/onyxshed-host/src/links.rs
+++ b/crates/onyxshed-host/src/links.rs
@@ -22,9 +22,9 @@
 use onyxshed_http::client::with_timeout;
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Notifier, Result, Service, ServiceName};
 use onyxshed_pool::{
-    AfterEnd, ClassId, EntryDecision, JobEnd, JobId, JobNeeds, JobRequest, NotRunReason,
-    OwnershipTransfer, PeerIncarnation, PoolId, PoolLoad, PoolSelector, SubmissionNumber,
-    UnknownReason, linked_pools,
+    AfterEnd, ClassId, ConnectionNumber, EntryDecision, JobEnd, JobId, JobNeeds, JobRequest,
+    NotRunReason, OwnershipTransfer, PeerIncarnation, PoolId, PoolLoad, PoolSelector,
+    SubmissionNumber, UnknownReason, linked_pools,
 };
 use onyxshed_process::{listen, serve_rpc};
 use onyxshed_proto::pool_capnp::pool_port;
@@ -87,6 +87,7 @@
     selector: RefCell<PoolSelector>,
     remote: RefCell<BTreeMap<PoolId, Rc<RemoteLink>>>,
     last_submission: Cell<u64>,
+    last_connection: Cell<u64>,
     /// Pools for which this process has known an owner or has read the owner record.
     known_pools: RefCell<BTreeSet<PoolId>>,
     /// Previous owners that a successor has replaced, which the store may still list.
@@ -118,6 +119,7 @@
             selector: RefCell::new(PoolSelector::new(transfers_work)),
             remote: RefCell::default(),
             last_submission: Cell::new(0),
+            last_connection: Cell::new(0),
             known_pools: RefCell::default(),
             superseded: RefCell::default(),
             pending_transfer: RefCell::default(),
@@ -137,6 +139,13 @@
         SubmissionNumber(self.last_submission.get())
     }
 
+    /// Returns the number of a new connection to an owner. Numbers start at 1 and are unique within this
+    /// incarnation.
+    fn next_connection(&self) -> ConnectionNumber {
+        self.last_connection.set(self.last_connection.get() + 1);
+        ConnectionNumber(self.last_connection.get())
+    }
+
     /// Returns the pool to which this host submits its jobs first: a pool of its zone, determined
     /// by the host's name.
     pub fn preferred_pool(&self) -> PoolId {
--- a/crates/onyxshed-host/src/links/port.rs
+++ b/crates/onyxshed-host/src/links/port.rs
@@ -7,8 +7,8 @@
 use futures_lite::FutureExt;
 use onyxshed_core::Millis;
 use onyxshed_pool::{
-    FencingToken, JobEnd, JobId, NotRunReason, PeerIncarnation, PoolId, Session, SubmissionNumber,
-    UnknownReason,
+    ConnectionNumber, FencingToken, JobEnd, JobId, NotRunReason, PeerConnection, PeerIncarnation,
+    PoolId, Session, SubmissionNumber, UnknownReason,
 };
 use onyxshed_proto::pool;
 use onyxshed_proto::pool_capnp::pool_port;
@@ -136,6 +136,10 @@
             return Ok(());
         }
         let peer = PeerIncarnation(params.get_life());
+        let connection = PeerConnection {
+            peer,
+            number: ConnectionNumber(params.get_connection()),
+        };
         let offer = match params.has_offer() {
             true => Some(pool::read_offer(params.get_offer()?)?),
             false => None,
@@ -144,7 +148,7 @@
         self.deployment
             .evacuations
             .apply(evacuations, "an entry host");
-        let session = self.engine.record_peer_contact(peer, offer);
+        let session = self.engine.record_peer_contact(connection, offer);
         let mut results = results.get();
         let records = self.deployment.evacuations.records();
         let list = results.reborrow().init_evacuations(pool::length(&records)?);
--- a/crates/onyxshed-host/src/links/remote.rs
+++ b/crates/onyxshed-host/src/links/remote.rs
@@ -13,8 +13,8 @@
 use onyxshed_http::client::with_timeout;
 use onyxshed_kernel::Notifier;
 use onyxshed_pool::{
-    ExecutorId, FencingToken, JobEnd, JobId, JobRequest, NotRunReason, PoolId, Session,
-    SubmissionNumber, UnknownReason, ZoneAnswer,
+    ConnectionNumber, ExecutorId, FencingToken, JobEnd, JobId, JobRequest, NotRunReason, PoolId,
+    Session, SubmissionNumber, UnknownReason, ZoneAnswer,
 };
 use onyxshed_proto::pool_capnp::{pool_load, pool_port};
 use onyxshed_proto::{pool, rpc};
@@ -50,14 +50,20 @@
 /// is opened again.
 const OWNER_START_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// An open connection on which the owner has answered.
-struct OpenConnection {
+/// A connection to an owner.
+struct Channel {
     client: pool_port::Client,
-    session: Session,
+    number: ConnectionNumber,
     /// Closed when the link goes down, which ends every job that waits on it.
     lost: Receiver<()>,
 }
 
+/// An open connection on which the owner has answered.
+struct OpenConnection {
+    channel: Rc<Channel>,
+    session: Session,
+}
+
 /// A link to an owner on another host, which reconnects until it is closed.
 pub struct RemoteLink {
     links: Rc<Links>,
@@ -130,13 +136,17 @@
         let executor = self.links.kernel.executor();
         let connect = rpc::connect::<pool_port::Client>(self.address, &executor);
         let connection = with_timeout(CONNECT_TIMEOUT, connect).await?.ok()?;
-        let client = &connection.client;
         // Dropped when this function returns, which closes `lost` and ends the jobs that wait on
         // it.
         let (_lost_sender, lost): (Sender<()>, _) = async_channel::bounded(1);
+        let channel = Rc::new(Channel {
+            client: connection.client.clone(),
+            number: self.links.next_connection(),
+            lost,
+        });
         let start_deadline = Instant::now() + OWNER_START_TIMEOUT;
         loop {
-            let answer = with_timeout(ANSWER_TIMEOUT, self.heartbeat(client)).await;
+            let answer = with_timeout(ANSWER_TIMEOUT, self.heartbeat(&channel)).await;
             self.mark_first_attempt_done();
             match answer {
                 None => return Some("no answer in time"),
@@ -150,7 +160,7 @@
                     self.wait_for_replies().await;
                     return None;
                 }
-                Some(Ok(Some(session))) => self.apply_session(client, session, &lost),
+                Some(Ok(Some(session))) => self.apply_session(&channel, session),
             }
             if self.is_closed.get() && self.waiters.get() == 0 {
                 return Some("another host owns the pool");
@@ -214,9 +224,10 @@
         if elapsed < SESSION_FRESH_MAX.into() {
             return true;
         }
-        match with_timeout(ANSWER_TIMEOUT, self.heartbeat(&connection.client)).await {
+        let channel = &connection.channel;
+        match with_timeout(ANSWER_TIMEOUT, self.heartbeat(channel)).await {
             Some(Ok(Some(session))) => {
-                self.apply_session(&connection.client, session, &connection.lost);
+                self.apply_session(channel, session);
                 true
             }
             _ => false,
@@ -225,9 +236,9 @@
 
     /// Records an answer of the owner, and marks the link as up. If the owner has started a new
     /// session for this host, later jobs are submitted in that session.
-    fn apply_session(&self, client: &pool_port::Client, session: Session, lost: &Receiver<()>) {
+    fn apply_session(&self, channel: &Rc<Channel>, session: Session) {
         // A renewal may be answered after its connection has failed.
-        if lost.is_closed() {
+        if channel.lost.is_closed() {
             return;
         }
         let was_up = self.is_up();
@@ -239,9 +250,8 @@
             .is_some_and(|connection| connection.session == session);
         if !is_same {
             *self.connection.borrow_mut() = Some(Rc::new(OpenConnection {
-                client: client.clone(),
+                channel: channel.clone(),
                 session,
-                lost: lost.clone(),
             }));
         }
         if !was_up {
@@ -252,10 +262,11 @@
 
     /// Sends a heartbeat. Returns the session of this host, or `None` if the host at this address
     /// does not own the pool.
-    async fn heartbeat(&self, client: &pool_port::Client) -> capnp::Result<Option<Session>> {
-        let mut request = client.heartbeat_request();
+    async fn heartbeat(&self, channel: &Channel) -> capnp::Result<Option<Session>> {
+        let mut request = channel.client.heartbeat_request();
         let mut params = request.get();
         params.set_life(self.links.engine.incarnation().0);
+        params.set_connection(channel.number.0);
         params.set_pool(format_smolstr!("{}", self.pool).as_str());
         let records = self.links.evacuations.records();
         let list = params.reborrow().init_evacuations(pool::length(&records)?);
@@ -364,7 +375,7 @@
         let connection = self.connection.borrow();
         connection
             .as_ref()
-            .map(|connection| connection.client.clone())
+            .map(|connection| connection.channel.client.clone())
     }
 
     /// Marks the link as down, if it was up, and logs the reason.
@@ -407,12 +418,12 @@
         let _waiter = WaiterGuard::new(self.clone());
         let guard = RemoteCancelGuard {
             link: self.clone(),
-            client: connection.client.clone(),
+            client: connection.channel.client.clone(),
             job: Some((job.submission, job.job)),
         };
         let lost = async {
             // Completes when the link goes down, which closes the channel.
-            let _ = connection.lost.recv().await;
+            let _ = connection.channel.lost.recv().await;
             None
         };
         let cancel = async {
@@ -441,7 +452,7 @@
     }
 
     async fn call(&self, connection: &OpenConnection, job: &JobRequest) -> capnp::Result<JobEnd> {
-        let mut request = connection.client.run_request();
+        let mut request = connection.channel.client.run_request();
         let mut params = request.get();
         params.set_life(self.links.engine.incarnation().0);
         params.set_pool(format_smolstr!("{}", self.pool).as_str());
--- a/crates/onyxshed-pool/src/id.rs
+++ b/crates/onyxshed-pool/src/id.rs
@@ -171,9 +171,22 @@
     }
 }
 
-/// Identifier of a session of an entry host with an owner: the time during which no gap between its
-/// heartbeats reaches `peer_timeout_ms` and the owner's process is not paused. 0 means no session,
-/// as for the owner's own host.
+/// Number of a connection that an entry host opened, unique within the host's incarnation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnectionNumber(pub u64);
+
+/// A connection of an entry host to an owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PeerConnection {
+    /// Incarnation of the entry host.
+    pub peer: PeerIncarnation,
+    /// The entry host's number for the connection.
+    pub number: ConnectionNumber,
+}
+
+/// Identifier of a session of an entry host with an owner: the time during which no gap between the
+/// heartbeats on one connection reaches `peer_timeout_ms` and the owner's process is not paused. 0 means
+/// no session, as for the owner's own host.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Session(pub u64);
 
--- a/crates/onyxshed-pool/src/job.rs
+++ b/crates/onyxshed-pool/src/job.rs
@@ -3,7 +3,9 @@
 use onyxshed_core::{CallerId, Micros, Millis, Mono};
 use smol_str::SmolStr;
 
-use crate::id::{ClassId, ExecutorId, JobId, PeerIncarnation, RunNumber, SubmissionNumber, TaskId};
+use crate::id::{
+    ClassId, ExecutorId, JobId, PeerIncarnation, RunNumber, Session, SubmissionNumber, TaskId,
+};
 use crate::resources::Resources;
 use crate::speed::{as_f64, scaled};
 
@@ -210,6 +212,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Job {
     pub request: JobRequest,
+    /// Session in which the entry host submitted the job.
+    pub session: Session,
     /// When the job arrived at its entry host.
     pub arrived_at: Mono,
     /// When the caller stops waiting.
@@ -228,7 +232,7 @@
 }
 
 impl Job {
-    pub fn new(now: Mono, request: JobRequest) -> Self {
+    pub fn new(now: Mono, session: Session, request: JobRequest) -> Self {
         let task = Task {
             state: TaskState::Waiting,
             runs: 0,
@@ -244,6 +248,7 @@
             has_started: false,
             log_ratio: (0.0, 0),
             estimate: request.estimate.into(),
+            session,
             request,
         }
     }
--- a/crates/onyxshed-pool/src/lib.rs
+++ b/crates/onyxshed-pool/src/lib.rs
@@ -57,8 +57,8 @@
 pub use evacuation::{EvacuationChange, EvacuationRecord, Evacuations, LogPosition};
 pub use executor::ExecutorFacts;
 pub use id::{
-    ClassId, ExecutorId, FencingToken, JobId, PeerIncarnation, Percent, RunNumber, Session,
-    SubmissionNumber, TaskId,
+    ClassId, ConnectionNumber, ExecutorId, FencingToken, JobId, PeerConnection, PeerIncarnation,
+    Percent, RunNumber, Session, SubmissionNumber, TaskId,
 };
 pub use job::{JobEnd, JobRequest, NotRunReason, UnknownReason};
 pub use level_table::{EntryDecision, LevelTable};
--- a/crates/onyxshed-pool/src/peers.rs
+++ b/crates/onyxshed-pool/src/peers.rs
@@ -3,92 +3,127 @@
 //! Callers of an unresponsive entry host resubmit their jobs elsewhere, so after a time-out without
 //! heartbeats the owner stops the runs of that host's jobs. With the host's next heartbeat a new
 //! session begins, and submissions of the old session that were delayed in transit are rejected.
+//!
+//! Each connection has sessions of its own. An entry host gives up the jobs of a connection that it
+//! considers lost, and its heartbeats on the next connection must not keep them running.
 
 use std::collections::BTreeMap;
 
 use onyxshed_core::{Micros, Millis, Mono};
 
-use crate::id::{PeerIncarnation, Session};
+use crate::id::{ConnectionNumber, PeerConnection, PeerIncarnation, Session};
 
 #[derive(Debug, Clone, Copy)]
-struct Peer {
+struct Link {
     session: Session,
     last_contact_at: Mono,
     is_unresponsive: bool,
 }
 
-/// The current session and last contact of each entry host, by the host's incarnation.
+/// A session that ended because no heartbeat arrived on its connection in time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ExpiredSession {
+    /// Incarnation of the entry host.
+    pub peer: PeerIncarnation,
+    /// The session that ended.
+    pub session: Session,
+}
+
+/// The current session and last contact on each connection of entry hosts.
 #[derive(Debug, Default)]
 pub struct PeerSessions {
-    peers: BTreeMap<PeerIncarnation, Peer>,
+    links: BTreeMap<PeerConnection, Link>,
     last_session: u64,
 }
 
-/// Time without contact after which an entry host (peer) is removed.
+/// Time without contact after which a connection is removed.
 const FORGET_AFTER: Millis = Millis(60_000);
 
 impl PeerSessions {
-    /// Records contact with a peer and returns its session: a new one if the peer was unresponsive.
-    pub fn record_contact(&mut self, now: Mono, incarnation: PeerIncarnation) -> Session {
+    /// Records a heartbeat on a connection and returns the connection's session: a new one if the
+    /// connection was unresponsive.
+    pub fn record_contact(&mut self, now: Mono, connection: PeerConnection) -> Session {
         let last_session = &mut self.last_session;
         let mut open_session = || {
             *last_session += 1;
             Session(*last_session)
         };
-        let peer = self.peers.entry(incarnation).or_insert_with(|| Peer {
+        let link = self.links.entry(connection).or_insert_with(|| Link {
             session: open_session(),
             last_contact_at: now,
             is_unresponsive: false,
         });
-        if peer.is_unresponsive {
-            peer.session = open_session();
-            peer.is_unresponsive = false;
+        if link.is_unresponsive {
+            link.session = open_session();
+            link.is_unresponsive = false;
         }
-        peer.last_contact_at = now;
-        peer.session
+        link.last_contact_at = now;
+        link.session
     }
 
-    /// Returns whether a session is the peer's current one and the peer's last contact is less than
-    /// `timeout` ago.
+    /// Returns whether a session is current on one of the peer's connections and the last contact on
+    /// that connection is less than `timeout` ago.
     pub fn is_current(
         &self,
         now: Mono,
-        incarnation: PeerIncarnation,
+        peer: PeerIncarnation,
         session: Session,
         timeout: Millis,
     ) -> bool {
-        self.peers.get(&incarnation).is_some_and(|peer| {
-            !peer.is_unresponsive
-                && peer.session == session
-                && now.since(peer.last_contact_at) < timeout.into()
+        self.links_of(peer).any(|link| {
+            !link.is_unresponsive
+                && link.session == session
+                && now.since(link.last_contact_at) < timeout.into()
         })
     }
 
-    /// Returns how long ago the last contact with a peer was, or `None` if the peer is not known.
-    pub fn time_since_contact(&self, now: Mono, incarnation: PeerIncarnation) -> Option<Micros> {
-        let peer = self.peers.get(&incarnation)?;
-        Some(now.since(peer.last_contact_at))
+    /// Returns whether any connection of a peer is responsive.
+    pub fn is_responsive(&self, peer: PeerIncarnation) -> bool {
+        self.links_of(peer).any(|link| !link.is_unresponsive)
     }
 
-    /// Marks the peers without contact for `timeout` as unresponsive and returns those newly
-    /// marked. Also removes the peers without contact for `FORGET_AFTER`.
-    pub fn mark_unresponsive(&mut self, now: Mono, timeout: Millis) -> Vec<PeerIncarnation> {
-        self.peers
-            .retain(|_, peer| now.since(peer.last_contact_at) < FORGET_AFTER.into());
-        let mut unresponsive = Vec::new();
-        for (incarnation, peer) in &mut self.peers {
-            if !peer.is_unresponsive && now.since(peer.last_contact_at) >= timeout.into() {
-                peer.is_unresponsive = true;
-                unresponsive.push(*incarnation);
+    /// Returns how long ago the last contact in a session was, or `None` if the session is not known.
+    pub fn time_since_contact(
+        &self,
+        now: Mono,
+        peer: PeerIncarnation,
+        session: Session,
+    ) -> Option<Micros> {
+        let link = self.links_of(peer).find(|link| link.session == session)?;
+        Some(now.since(link.last_contact_at))
+    }
+
+    /// Ends the sessions on connections without contact for `timeout` and returns them. Also removes
+    /// the connections without contact for `FORGET_AFTER`.
+    pub fn expire(&mut self, now: Mono, timeout: Millis) -> Vec<ExpiredSession> {
+        self.links
+            .retain(|_, link| now.since(link.last_contact_at) < FORGET_AFTER.into());
+        let mut expired = Vec::new();
+        for (connection, link) in &mut self.links {
+            if !link.is_unresponsive && now.since(link.last_contact_at) >= timeout.into() {
+                link.is_unresponsive = true;
+                expired.push(ExpiredSession {
+                    peer: connection.peer,
+                    session: link.session,
+                });
             }
         }
-        unresponsive
+        expired
     }
 
     /// Ends every session, so that submissions made before a pause of this process are rejected.
     pub fn end_all_sessions(&mut self) {
-        for peer in self.peers.values_mut() {
-            peer.is_unresponsive = true;
+        for link in self.links.values_mut() {
+            link.is_unresponsive = true;
         }
     }
+
+    fn links_of(&self, peer: PeerIncarnation) -> impl Iterator<Item = &Link> {
+        let connection = |number| PeerConnection {
+            peer,
+            number: ConnectionNumber(number),
+        };
+        let links = self.links.range(connection(0)..=connection(u64::MAX));
+        links.map(|(_, link)| link)
+    }
 }
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -38,8 +38,10 @@
 use crate::class_shares::ClassShares;
 use crate::executor::{Executor, ExecutorFacts, IncarnationMatch, Phase, RunState};
 use crate::executor_set::{AcceptingTotal, ExecutorSet};
-use crate::id::{ExecutorId, FencingToken, JobId, PeerIncarnation, Session, TaskId};
-use crate::job::{JobEnd, JobRequest, NotRunReason, UnknownReason};
+use crate::id::{
+    ExecutorId, FencingToken, JobId, PeerConnection, PeerIncarnation, Session, TaskId,
+};
+use crate::job::{Job, JobEnd, NotRunReason, UnknownReason};
 use crate::job_table::JobTable;
 use crate::message::{Action, Decision, HoldOrder, StopOrder};
 use crate::offered_load::OfferedLoad;
@@ -172,17 +174,17 @@
         self.stage >= HandoverStage::Closed
     }
 
-    /// Records a heartbeat of an entry host with its offer to own the pool, if any, and returns the
-    /// host's session.
+    /// Records a heartbeat on a connection of an entry host, with the host's offer to own the pool, if
+    /// any, and returns the connection's session.
     pub fn record_peer_contact(
         &mut self,
         now: Mono,
-        incarnation: PeerIncarnation,
+        connection: PeerConnection,
         offer: Option<SuccessorOffer>,
     ) -> Session {
         self.successor_selection
-            .record_offer(now, incarnation, offer);
-        self.peers.record_contact(now, incarnation)
+            .record_offer(now, connection.peer, offer);
+        self.peers.record_contact(now, connection)
     }
 
     /// Records that the list of executors has been read, from the store or from the previous owner.
@@ -368,7 +370,7 @@
         if let JobEnd::Unknown(reason) = end
             && job.has_started
         {
-            self.log_dropped(&job.request, reason);
+            self.log_dropped(&job, reason);
         }
         self.actions.push(Action::End {
             peer: job.request.peer,
@@ -379,13 +381,16 @@
         self.stop_runs_of(id);
     }
 
-    fn log_dropped(&mut self, request: &JobRequest, reason: UnknownReason) {
+    fn log_dropped(&mut self, job: &Job, reason: UnknownReason) {
         let now = self.executors.clock();
+        let request = &job.request;
         self.log(Decision::JobDropped {
             job: request.job,
             submitted_as: (request.peer, request.submission),
             reason,
-            last_contact: self.peers.time_since_contact(now, request.peer),
+            last_contact: self
+                .peers
+                .time_since_contact(now, request.peer, job.session),
         });
     }
 
--- a/crates/onyxshed-pool/src/pool/admission.rs
+++ b/crates/onyxshed-pool/src/pool/admission.rs
@@ -57,7 +57,7 @@
     pub fn submit(&mut self, now: Mono, session: Session, request: JobRequest) -> Vec<Action> {
         self.detect_pause(now);
         let id = request.job;
-        let mut new_job = Job::new(now, request);
+        let mut new_job = Job::new(now, session, request);
         let rejection = self.rejection(now, session, &new_job);
         let rejection = self.apply_caller_share(now, &new_job.request, rejection);
         self.record_arrival(now, &new_job.request, rejection.as_ref());
@@ -76,6 +76,7 @@
             let (peer, submission) = (job.request.peer, job.request.submission);
             job.request.peer = new_job.request.peer;
             job.request.submission = new_job.request.submission;
+            job.session = session;
             self.actions.push(Action::End {
                 peer,
                 submission,
--- a/crates/onyxshed-pool/src/pool/caller_limits.rs
+++ b/crates/onyxshed-pool/src/pool/caller_limits.rs
@@ -15,7 +15,7 @@
 use onyxshed_core::{CallerId, Micros, Millis, Mono, Share};
 
 use super::Pool;
-use crate::id::{ClassId, JobId};
+use crate::id::{ClassId, JobId, Session};
 use crate::job::{Job, JobEnd, JobRequest, NotRunReason};
 use crate::message::Decision;
 use crate::overload::{CallerLimit, OverloadMode, OverloadState};
@@ -340,7 +340,7 @@
 
     /// Returns whether executors have places for all tasks of a job now.
     fn has_places_for(&self, now: Mono, request: &JobRequest) -> bool {
-        let job = Job::new(now, request.clone());
+        let job = Job::new(now, Session(0), request.clone());
         let mut places = 0;
         for candidate in self.available_executors(now, request.demand.cpu_millis) {
             if self.fit(now, &job, 0, &candidate).is_some() {
--- a/crates/onyxshed-pool/src/pool/watch.rs
+++ b/crates/onyxshed-pool/src/pool/watch.rs
@@ -8,6 +8,7 @@
 use crate::id::{ExecutorId, JobId, TaskId};
 use crate::job::{JobEnd, UnknownReason};
 use crate::message::{Action, Decision};
+use crate::peers::ExpiredSession;
 
 /// Time without a report after which an executor that is no longer listed is removed.
 const FORGET_AFTER: Millis = Millis(10_000);
@@ -70,17 +71,17 @@
     }
 
     fn expire_peers(&mut self, now: Mono) {
-        for peer in self
-            .peers
-            .mark_unresponsive(now, self.options.peer_timeout_ms)
+        for ExpiredSession { peer, session } in self.peers.expire(now, self.options.peer_timeout_ms)
         {
             // Without this, the offer of a host that is gone would be kept for as long as this owner
             // serves the pool.
-            self.successor_selection.record_offer(now, peer, None);
+            if !self.peers.is_responsive(peer) {
+                self.successor_selection.record_offer(now, peer, None);
+            }
             let jobs: Vec<JobId> = self
                 .jobs
                 .iter()
-                .filter(|(_, job)| job.request.peer == peer)
+                .filter(|(_, job)| job.request.peer == peer && job.session == session)
                 .map(|(id, _)| *id)
                 .collect();
             // Hosts without jobs here send heartbeats rarely, so their time-out is not logged.
--- a/crates/onyxshed-pool/tests/pool/fixture.rs
+++ b/crates/onyxshed-pool/tests/pool/fixture.rs
@@ -2,10 +2,10 @@
 
 use onyxshed_core::{CallerId, Millis, Mono, UnixMs};
 use onyxshed_pool::{
-    Action, ClassId, ExecutorFacts, ExecutorId, ExecutorLists, ExecutorReport, FencingToken,
-    FinishedRun, HoldAnswer, HoldOrder, JobEnd, JobId, JobRequest, PeerIncarnation, Percent, Pool,
-    PoolOptions, Resources, RunEnd, RunNumber, RunningRun, Session, StartAnswer, StartOrder,
-    StopOrder, SubmissionNumber, TaskId,
+    Action, ClassId, ConnectionNumber, ExecutorFacts, ExecutorId, ExecutorLists, ExecutorReport,
+    FencingToken, FinishedRun, HoldAnswer, HoldOrder, JobEnd, JobId, JobRequest, PeerConnection,
+    PeerIncarnation, Percent, Pool, PoolOptions, Resources, RunEnd, RunNumber, RunningRun, Session,
+    StartAnswer, StartOrder, StopOrder, SubmissionNumber, TaskId,
 };
 
 /// Incarnation of the host that owns the pool under test; its jobs need no session.
@@ -17,6 +17,14 @@
 /// How far the executors' clocks are ahead of the clock of the host under test.
 pub const CLOCK_AHEAD_MS: u64 = 5_000;
 
+/// Returns the connection of an entry host with the given number.
+pub fn connection_of(peer: PeerIncarnation, number: u64) -> PeerConnection {
+    PeerConnection {
+        peer,
+        number: ConnectionNumber(number),
+    }
+}
+
 pub fn at_ms(ms: u64) -> Mono {
     Mono(ms * 1_000)
 }
--- a/crates/onyxshed-pool/tests/pool/hosts.rs
+++ b/crates/onyxshed-pool/tests/pool/hosts.rs
@@ -5,7 +5,7 @@
     FencingToken, JobEnd, JobId, JobRequest, NotRunReason, Session, SubmissionNumber, UnknownReason,
 };
 
-use crate::fixture::{Harness, PEER, at_ms, job};
+use crate::fixture::{Harness, PEER, at_ms, connection_of, job};
 
 fn from_peer(number: u64) -> JobRequest {
     JobRequest {
@@ -15,7 +15,15 @@
 }
 
 fn heartbeat(harness: &mut Harness, ms: u64) -> Session {
-    harness.pool.record_peer_contact(at_ms(ms), PEER, None)
+    heartbeat_on(harness, ms, 1)
+}
+
+/// Processes a heartbeat on the connection with this number.
+fn heartbeat_on(harness: &mut Harness, ms: u64, number: u64) -> Session {
+    let connection = connection_of(PEER, number);
+    harness
+        .pool
+        .record_peer_contact(at_ms(ms), connection, None)
 }
 
 /// An entry host crashes with a running job. Its caller resubmits the job 1,300 ms later, so the runs must
@@ -280,3 +288,24 @@
     );
     assert_eq!(harness.take_stops().len(), 1);
 }
+
+/// Guards against heartbeats on a new connection that keep the jobs of a lost one running.
+#[test]
+fn jobs_of_lost_connection_end_while_host_is_heard_on_next_connection() {
+    let mut harness = Harness::with_executors(&[("x1", 64)]);
+    let session = heartbeat_on(&mut harness, 0, 1);
+    let submitted = harness.pool.submit(at_ms(1), session, from_peer(9));
+    harness.actions.extend(submitted);
+    assert_eq!(harness.take_starts().len(), 1);
+    harness.advance(0, 550);
+    for ms in [552, 700, 850] {
+        let next = heartbeat_on(&mut harness, ms, 2);
+        assert_ne!(next, session);
+        harness.advance(ms, ms + 140);
+    }
+    assert_eq!(harness.take_stops().len(), 1);
+    assert_eq!(
+        harness.take_ends(),
+        [(JobId(9), JobEnd::Unknown(UnknownReason::PeerSilent))]
+    );
+}
--- a/crates/onyxshed-pool/tests/pool/successor.rs
+++ b/crates/onyxshed-pool/tests/pool/successor.rs
@@ -9,7 +9,7 @@
 };
 use rstest::rstest;
 
-use crate::fixture::{Harness, PEER, at_ms, facts, id};
+use crate::fixture::{Harness, PEER, at_ms, connection_of, facts, id};
 
 const OTHER: PeerIncarnation = PeerIncarnation(3);
 
@@ -36,7 +36,7 @@
 ) -> Option<OwnershipTransfer> {
     harness
         .pool
-        .record_peer_contact(at_ms(ms), incarnation, offer);
+        .record_peer_contact(at_ms(ms), connection_of(incarnation, 1), offer);
     harness
         .pool
         .transfer_ownership(at_ms(ms), incarnation, vec![MEMBER.into()])
--- a/crates/onyxshed-proto/src/pool_capnp.rs
+++ b/crates/onyxshed-proto/src/pool_capnp.rs
@@ -5816,11 +5816,15 @@
             pub fn has_evacuations(&self) -> bool {
                 !self.reader.get_pointer_field(2).is_null()
             }
+            #[inline]
+            pub fn get_connection(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5926,6 +5930,14 @@
             pub fn has_evacuations(&self) -> bool {
                 !self.builder.is_pointer_field_null(2)
             }
+            #[inline]
+            pub fn get_connection(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_connection(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5940,17 +5952,17 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 83] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 99] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(241, 163, 40, 75, 224, 204, 138, 216),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
@@ -5958,35 +5970,42 @@
                 ::capnp::word(111, 114, 116, 46, 104, 101, 97, 114),
                 ::capnp::word(116, 98, 101, 97, 116, 36, 80, 97),
                 ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(137, 0, 0, 0, 98, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(161, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(108, 105, 102, 101, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6024,6 +6043,15 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 110, 110, 101, 99, 116, 105),
+                ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -6031,6 +6059,7 @@
                     1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     2 => <crate::pool_capnp::successor_offer::Owned as ::capnp::introspect::Introspect>::introspect(),
                     3 => <::capnp::struct_list::Owned<crate::pool_capnp::zone_evacuation::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6044,9 +6073,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,2,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,3,0,2,1];
             pub(crate) const TYPE_ID: u64 = 0xd88a_cce0_4b28_a3f1;
         }
     }
