Contact with an entry host counts from when it was heard of last, not from when that is read

The first owner had fallen behind its sockets, or was reached late, without a pause.

Cause: an owner counted a heartbeat as contact when it read it. Besides, only ticks looked for hosts that had not been heard of in time: between two ticks up to 400 ms apart, reports of executors started runs and renewed leases, and a heartbeat that came after the time-out went on with the session.

Change: an answer to a heartbeat carries the owner's clock; the next heartbeat returns it with the time for which it was held. The sum is no later than the heartbeat's sending, however late it arrives. Sessions that have expired end before each event is processed. So an owner starts and renews for 600 ms at most after an entry host has given a connection up; with the lease and the stop that is 1,262 ms, less than the 1,300 ms until a copy comes. Hosts of an earlier version send no stamps and count as before.

Cost: jobs on a link whose round trips take more than 225 ms are dropped, where 450 ms were allowed.

--- a/crates/onyxshed-host/src/engine.rs
+++ b/crates/onyxshed-host/src/engine.rs
@@ -19,9 +19,9 @@
 use onyxshed_http::connections::ConnectionPool;
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_pool::{
-    Action, Decision, ExecutorFacts, ExecutorId, FencingToken, JobEnd, JobId, JobRequest,
-    LevelTable, NotRunReason, OwnershipTransfer, PeerConnection, PeerIncarnation, Pool, PoolId,
-    PoolLoad, PoolOptions, Session, SubmissionNumber, SuccessorOffer, TICK_PERIOD, UnknownReason,
+    Action, Decision, ExecutorFacts, ExecutorId, FencingToken, Heartbeat, JobEnd, JobId,
+    JobRequest, LevelTable, NotRunReason, OwnershipTransfer, PeerIncarnation, Pool, PoolId,
+    PoolLoad, PoolOptions, Session, SubmissionNumber, TICK_PERIOD, UnknownReason,
 };
 use onyxshed_proto::rpc::ConnectionCount;
 use smol_str::{SmolStr, format_smolstr};
@@ -383,16 +383,16 @@
             .remove(&(peer, submission));
     }
 
-    /// Records a heartbeat on a connection of an entry host, with the host's offer to become the
-    /// successor. Returns the connection's session, or `None` if no pool is owned.
-    pub fn record_peer_contact(
-        &self,
-        connection: PeerConnection,
-        offer: Option<SuccessorOffer>,
-    ) -> Option<Session> {
-        let mut pool = self.pool.borrow_mut();
-        pool.as_mut()
-            .map(|pool| pool.record_peer_contact(boot_clock::now(), connection, offer))
+    /// Records a heartbeat of an entry host. Returns the session of its connection, or `None` if no
+    /// pool is owned.
+    pub fn record_peer_contact(self: &Rc<Self>, heartbeat: &Heartbeat) -> Option<Session> {
+        let mut session = None;
+        self.dispatch_event(|pool| {
+            let (actions, current) = pool.record_peer_contact(boot_clock::now(), heartbeat);
+            session = Some(current);
+            actions
+        });
+        session
     }
 
     /// Sets whether this owner needs a successor because the store has not appointed a new owner.
--- a/crates/onyxshed-host/src/links/port.rs
+++ b/crates/onyxshed-host/src/links/port.rs
@@ -5,10 +5,10 @@
 use async_io::Timer;
 use capnp::capability::Rc as ServerRc;
 use futures_lite::FutureExt;
-use onyxshed_core::Millis;
+use onyxshed_core::{Millis, Mono};
 use onyxshed_pool::{
-    ConnectionNumber, FencingToken, JobEnd, JobId, NotRunReason, PeerConnection, PeerIncarnation,
-    PoolId, Session, SubmissionNumber, UnknownReason,
+    ConnectionNumber, FencingToken, Heartbeat, JobEnd, JobId, NotRunReason, PeerConnection,
+    PeerIncarnation, PoolId, Session, SubmissionNumber, UnknownReason,
 };
 use onyxshed_proto::pool;
 use onyxshed_proto::pool_capnp::pool_port;
@@ -125,6 +125,27 @@
     }
 }
 
+fn read_heartbeat(params: pool_port::heartbeat_params::Reader<'_>) -> capnp::Result<Heartbeat> {
+    let offer = match params.has_offer() {
+        true => Some(pool::read_offer(params.get_offer()?)?),
+        false => None,
+    };
+    let sent_after = match (params.get_connection(), params.get_stamp_us()) {
+        // A host of an earlier version numbers no connections and returns no stamps.
+        (0, _) => Some(boot_clock::now()),
+        (_, 0) => None,
+        (_, stamp_us) => Some(Mono(stamp_us.saturating_add(params.get_held_us()))),
+    };
+    Ok(Heartbeat {
+        connection: PeerConnection {
+            peer: PeerIncarnation(params.get_life()),
+            number: ConnectionNumber(params.get_connection()),
+        },
+        sent_after,
+        offer,
+    })
+}
+
 impl pool_port::Server for Port {
     async fn heartbeat(
         self: ServerRc<Self>,
@@ -136,19 +157,12 @@
             return Ok(());
         }
         let peer = PeerIncarnation(params.get_life());
-        let connection = PeerConnection {
-            peer,
-            number: ConnectionNumber(params.get_connection()),
-        };
-        let offer = match params.has_offer() {
-            true => Some(pool::read_offer(params.get_offer()?)?),
-            false => None,
-        };
+        let heartbeat = read_heartbeat(params)?;
         let evacuations = pool::read_evacuations(params.get_evacuations()?)?;
         self.deployment
             .evacuations
             .apply(evacuations, "an entry host");
-        let session = self.engine.record_peer_contact(connection, offer);
+        let session = self.engine.record_peer_contact(&heartbeat);
         let mut results = results.get();
         let records = self.deployment.evacuations.records();
         let list = results.reborrow().init_evacuations(pool::length(&records)?);
@@ -156,6 +170,7 @@
         if let (Some(session), Some(load)) = (session, self.engine.load()) {
             results.set_is_owner(true);
             results.set_session(session.0);
+            results.set_stamp_us(boot_clock::now().0);
             pool::write_load(&load, results.reborrow().init_load())?;
         }
         if let Some(transfer) = self.engine.transfer_ownership(peer, &self.member) {
--- a/crates/onyxshed-host/src/links/remote.rs
+++ b/crates/onyxshed-host/src/links/remote.rs
@@ -50,10 +50,19 @@
 /// is opened again.
 const OWNER_START_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The owner's clock in an answer, and when the answer arrived here.
+#[derive(Debug, Clone, Copy)]
+struct OwnerStamp {
+    stamp_us: u64,
+    received_at: Mono,
+}
+
 /// A connection to an owner.
 struct Channel {
     client: pool_port::Client,
     number: ConnectionNumber,
+    /// From the last answer to a heartbeat; `None` before the first.
+    last_stamp: Cell<Option<OwnerStamp>>,
     /// Closed when the link goes down, which ends every job that waits on it.
     lost: Receiver<()>,
 }
@@ -142,6 +151,7 @@
         let channel = Rc::new(Channel {
             client: connection.client.clone(),
             number: self.links.next_connection(),
+            last_stamp: Cell::new(None),
             lost,
         });
         let start_deadline = Instant::now() + OWNER_START_TIMEOUT;
@@ -267,6 +277,10 @@
         let mut params = request.get();
         params.set_life(self.links.engine.incarnation().0);
         params.set_connection(channel.number.0);
+        if let Some(last) = channel.last_stamp.get() {
+            params.set_stamp_us(last.stamp_us);
+            params.set_held_us(boot_clock::now().since(last.received_at).0);
+        }
         params.set_pool(format_smolstr!("{}", self.pool).as_str());
         let records = self.links.evacuations.records();
         let list = params.reborrow().init_evacuations(pool::length(&records)?);
@@ -279,6 +293,10 @@
         if !reply.get_is_owner() {
             return Ok(None);
         }
+        channel.last_stamp.set(Some(OwnerStamp {
+            stamp_us: reply.get_stamp_us(),
+            received_at: boot_clock::now(),
+        }));
         let evacuations = pool::read_evacuations(reply.get_evacuations()?)?;
         self.links.evacuations.apply(evacuations, "an owner");
         self.update_load(reply.get_load()?)?;
--- a/crates/onyxshed-pool/src/lib.rs
+++ b/crates/onyxshed-pool/src/lib.rs
@@ -71,7 +71,7 @@
 pub use options::PoolOptions;
 pub use overload::{CallerLimit, ClassAdmission, OverloadMode, OverloadState};
 pub use overload_detector::{JobWait, LoadSample, OverloadChange, OverloadDetector, TICK_PERIOD};
-pub use peers::PeerSessions;
+pub use peers::{ExpiredSession, Heartbeat, PeerSessions};
 pub use pool::Pool;
 pub use pool_choice::{AfterEnd, PoolChoices};
 pub use pool_selector::{PoolLoad, PoolSelector};
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -38,9 +38,7 @@
 use crate::class_shares::ClassShares;
 use crate::executor::{Executor, ExecutorFacts, IncarnationMatch, Phase, RunState};
 use crate::executor_set::{AcceptingTotal, ExecutorSet};
-use crate::id::{
-    ExecutorId, FencingToken, JobId, PeerConnection, PeerIncarnation, Session, TaskId,
-};
+use crate::id::{ExecutorId, FencingToken, JobId, PeerIncarnation, Session, TaskId};
 use crate::job::{Job, JobEnd, NotRunReason, UnknownReason};
 use crate::job_table::JobTable;
 use crate::message::{Action, Decision, HoldOrder, StopOrder};
@@ -48,10 +46,10 @@
 use crate::options::PoolOptions;
 use crate::overload::OverloadState;
 use crate::overload_detector::OverloadDetector;
-use crate::peers::PeerSessions;
+use crate::peers::{Heartbeat, PeerSessions};
 use crate::pool_selector::PoolLoad;
 use crate::resources::Resources;
-use crate::successor::{SuccessorOffer, SuccessorSelection};
+use crate::successor::SuccessorSelection;
 use caller_limits::CallerLimits;
 use evacuation::ZoneStatus;
 use handover::{HandoverStage, Predecessor};
@@ -174,17 +172,17 @@
         self.stage >= HandoverStage::Closed
     }
 
-    /// Records a heartbeat on a connection of an entry host, with the host's offer to own the pool, if
-    /// any, and returns the connection's session.
+    /// Records a heartbeat of an entry host and returns the actions and the session of its connection.
     pub fn record_peer_contact(
         &mut self,
         now: Mono,
-        connection: PeerConnection,
-        offer: Option<SuccessorOffer>,
-    ) -> Session {
+        heartbeat: &Heartbeat,
+    ) -> (Vec<Action>, Session) {
+        self.advance_clock(now);
         self.successor_selection
-            .record_offer(now, connection.peer, offer);
-        self.peers.record_contact(now, connection)
+            .record_offer(now, heartbeat.connection.peer, heartbeat.offer);
+        let session = self.peers.record_contact(now, heartbeat);
+        (self.take_actions(), session)
     }
 
     /// Records that the list of executors has been read, from the store or from the previous owner.
--- a/crates/onyxshed-pool/src/pool/orders.rs
+++ b/crates/onyxshed-pool/src/pool/orders.rs
@@ -37,7 +37,7 @@
         number: RunNumber,
         answer: &StartAnswer,
     ) -> Vec<Action> {
-        self.detect_pause(now);
+        self.advance_clock(now);
         if self.has_released(id) {
             return self.take_actions();
         }
@@ -191,7 +191,7 @@
         number: RunNumber,
         answer: StopAnswer,
     ) -> Vec<Action> {
-        self.detect_pause(now);
+        self.advance_clock(now);
         if self.has_released(id) {
             return self.take_actions();
         }
--- a/crates/onyxshed-pool/src/pool/reports.rs
+++ b/crates/onyxshed-pool/src/pool/reports.rs
@@ -30,7 +30,7 @@
         sent_at: Mono,
         answer: HoldAnswer,
     ) -> Vec<Action> {
-        self.detect_pause(now);
+        self.advance_clock(now);
         if self.has_stepped_down || !self.executors.contains_key(id) {
             return self.take_actions();
         }
--- a/crates/onyxshed-pool/src/pool/watch.rs
+++ b/crates/onyxshed-pool/src/pool/watch.rs
@@ -21,12 +21,11 @@
     /// calls this every few hundredths of a second; a gap of `pause_ms` counts as a pause of the
     /// process.
     pub fn tick(&mut self, now: Mono) -> Vec<Action> {
-        self.detect_pause(now);
+        self.advance_clock(now);
         let since_last_tick = now.since(self.last_tick_at);
         self.last_tick_at = now;
         self.update_full_speed_capacity(now);
         self.update_caller_limits(now);
-        self.expire_peers(now);
         self.expire_evacuation_grace(now);
         self.end_stalled_jobs(now);
         self.observe_load(now, since_last_tick);
@@ -40,10 +39,16 @@
         self.take_actions()
     }
 
-    /// Detects whether this process was paused. Called before an answer, a submission, a
-    /// cancellation, a release or a tick is processed.
-    pub(super) fn detect_pause(&mut self, now: Mono) {
+    /// Applies the passage of time that must not be left to the next tick: a pause of this process, and
+    /// sessions that have expired. Called before each event is processed, since an event can renew leases
+    /// and start runs.
+    pub(super) fn advance_clock(&mut self, now: Mono) {
         self.executors.advance_clock(now);
+        self.detect_pause(now);
+        self.expire_peers(now);
+    }
+
+    fn detect_pause(&mut self, now: Mono) {
         let paused_for = now.since(self.last_tick_at);
         if paused_for >= self.options.pause_ms.into() {
             self.last_tick_at = now;
--- a/crates/onyxshed-pool/tests/pool/fixture.rs
+++ b/crates/onyxshed-pool/tests/pool/fixture.rs
@@ -3,9 +3,9 @@
 use onyxshed_core::{CallerId, Millis, Mono, UnixMs};
 use onyxshed_pool::{
     Action, ClassId, ConnectionNumber, ExecutorFacts, ExecutorId, ExecutorLists, ExecutorReport,
-    FencingToken, FinishedRun, HoldAnswer, HoldOrder, JobEnd, JobId, JobRequest, PeerConnection,
-    PeerIncarnation, Percent, Pool, PoolOptions, Resources, RunEnd, RunNumber, RunningRun, Session,
-    StartAnswer, StartOrder, StopOrder, SubmissionNumber, TaskId,
+    FencingToken, FinishedRun, Heartbeat, HoldAnswer, HoldOrder, JobEnd, JobId, JobRequest,
+    PeerConnection, PeerIncarnation, Percent, Pool, PoolOptions, Resources, RunEnd, RunNumber,
+    RunningRun, Session, StartAnswer, StartOrder, StopOrder, SubmissionNumber, TaskId,
 };
 
 /// Incarnation of the host that owns the pool under test; its jobs need no session.
@@ -17,11 +17,15 @@
 /// How far the executors' clocks are ahead of the clock of the host under test.
 pub const CLOCK_AHEAD_MS: u64 = 5_000;
 
-/// Returns the connection of an entry host with the given number.
-pub fn connection_of(peer: PeerIncarnation, number: u64) -> PeerConnection {
-    PeerConnection {
-        peer,
-        number: ConnectionNumber(number),
+/// Creates a heartbeat on an entry host's connection with the given number, sent at `sent_at`.
+pub fn heartbeat_of(peer: PeerIncarnation, number: u64, sent_at: Mono) -> Heartbeat {
+    Heartbeat {
+        connection: PeerConnection {
+            peer,
+            number: ConnectionNumber(number),
+        },
+        sent_after: Some(sent_at),
+        offer: None,
     }
 }
 
--- a/crates/onyxshed-pool/tests/pool/hosts.rs
+++ b/crates/onyxshed-pool/tests/pool/hosts.rs
@@ -5,7 +5,7 @@
     FencingToken, JobEnd, JobId, JobRequest, NotRunReason, Session, SubmissionNumber, UnknownReason,
 };
 
-use crate::fixture::{Harness, PEER, at_ms, connection_of, job};
+use crate::fixture::{Harness, PEER, at_ms, heartbeat_of, job};
 
 fn from_peer(number: u64) -> JobRequest {
     JobRequest {
@@ -20,10 +20,10 @@
 
 /// Processes a heartbeat on the connection with this number.
 fn heartbeat_on(harness: &mut Harness, ms: u64, number: u64) -> Session {
-    let connection = connection_of(PEER, number);
-    harness
-        .pool
-        .record_peer_contact(at_ms(ms), connection, None)
+    let heartbeat = heartbeat_of(PEER, number, at_ms(ms));
+    let (actions, session) = harness.pool.record_peer_contact(at_ms(ms), &heartbeat);
+    harness.actions.extend(actions);
+    session
 }
 
 /// An entry host crashes with a running job. Its caller resubmits the job 1,300 ms later, so the runs must
@@ -309,3 +309,42 @@
         [(JobId(9), JobEnd::Unknown(UnknownReason::PeerSilent))]
     );
 }
+
+/// Guards against an owner that counts a delayed heartbeat as contact when it processes it.
+#[test]
+fn delayed_heartbeats_do_not_keep_jobs_running() {
+    let mut harness = Harness::with_executors(&[("x1", 64)]);
+    let session = heartbeat(&mut harness, 0);
+    let submitted = harness.pool.submit(at_ms(1), session, from_peer(9));
+    harness.actions.extend(submitted);
+    assert_eq!(harness.take_starts().len(), 1);
+    for ms in [150, 300, 450, 600] {
+        harness.advance(ms - 150, ms);
+        let delayed = heartbeat_of(PEER, 1, at_ms(ms / 30));
+        let (actions, _) = harness.pool.record_peer_contact(at_ms(ms), &delayed);
+        harness.actions.extend(actions);
+    }
+    harness.advance(600, 640);
+    assert_eq!(harness.take_stops().len(), 1);
+    assert_eq!(
+        harness.take_ends(),
+        [(JobId(9), JobEnd::Unknown(UnknownReason::PeerSilent))]
+    );
+}
+
+/// Guards against an owner that fell behind and applies a report before it ends the jobs of a host not heard in time.
+#[test]
+fn session_that_expired_since_the_last_tick_ends_before_a_report_is_applied() {
+    let mut harness = Harness::with_executors(&[("x1", 64)]);
+    let session = heartbeat(&mut harness, 0);
+    let submitted = harness.pool.submit(at_ms(1), session, from_peer(9));
+    harness.actions.extend(submitted);
+    let task = harness.take_starts()[0].1.task;
+    harness.advance(0, 400);
+    harness.report(790, "x1", &[(task, 1)], &[]);
+    assert!(!harness.take_stops().is_empty());
+    assert_eq!(
+        harness.take_ends(),
+        [(JobId(9), JobEnd::Unknown(UnknownReason::PeerSilent))]
+    );
+}
--- a/crates/onyxshed-pool/tests/pool/simulation/callers.rs
+++ b/crates/onyxshed-pool/tests/pool/simulation/callers.rs
@@ -7,7 +7,7 @@
 };
 use rand::RngExt;
 
-use crate::fixture::connection_of;
+use crate::fixture::heartbeat_of;
 
 use super::{
     Event, HEARTBEAT, LINK_TIMEOUT, OwnerIndex, RESUBMIT_AFTER, SUBMISSIONS_MAX, Simulation,
@@ -45,11 +45,10 @@
         let last_contact = self.entries[index].last_contact.get(&owner);
         let last = last_contact.copied().unwrap_or(Mono(1_000_000));
         if !is_unreachable {
-            let session = self.owners[owner].pool.record_peer_contact(
-                self.now,
-                connection_of(incarnation, 1),
-                None,
-            );
+            let heartbeat = heartbeat_of(incarnation, 1, self.now);
+            let pool = &mut self.owners[owner].pool;
+            let (actions, session) = pool.record_peer_contact(self.now, &heartbeat);
+            self.apply_actions(owner, actions);
             self.entries[index].last_contact.insert(owner, self.now);
             if is_current {
                 self.entries[index].session = session;
--- a/crates/onyxshed-pool/tests/pool/successor.rs
+++ b/crates/onyxshed-pool/tests/pool/successor.rs
@@ -4,12 +4,12 @@
 
 use onyxshed_core::UnixMs;
 use onyxshed_pool::{
-    ExecutorFacts, FencingToken, OwnershipTransfer, PeerIncarnation, PoolId, ShardLayout,
-    SuccessorOffer,
+    ExecutorFacts, FencingToken, Heartbeat, OwnershipTransfer, PeerIncarnation, PoolId,
+    ShardLayout, SuccessorOffer,
 };
 use rstest::rstest;
 
-use crate::fixture::{Harness, PEER, at_ms, connection_of, facts, id};
+use crate::fixture::{Harness, PEER, at_ms, facts, heartbeat_of, id};
 
 const OTHER: PeerIncarnation = PeerIncarnation(3);
 
@@ -34,9 +34,12 @@
     incarnation: PeerIncarnation,
     offer: Option<SuccessorOffer>,
 ) -> Option<OwnershipTransfer> {
-    harness
-        .pool
-        .record_peer_contact(at_ms(ms), connection_of(incarnation, 1), offer);
+    let heartbeat = Heartbeat {
+        offer,
+        ..heartbeat_of(incarnation, 1, at_ms(ms))
+    };
+    let (actions, _) = harness.pool.record_peer_contact(at_ms(ms), &heartbeat);
+    harness.actions.extend(actions);
     harness
         .pool
         .transfer_ownership(at_ms(ms), incarnation, vec![MEMBER.into()])
--- a/crates/onyxshed-proto/schema/pool.capnp
+++ b/crates/onyxshed-proto/schema/pool.capnp
@@ -186,8 +186,10 @@
 # Served by every host; one that owns no pool answers so.
 interface PoolPort {
   # The offer is left out by hosts that can't own the pool, the transfer for all but the successor. The
-  # connection is a number that the entry host gives to each connection that it opens.
-  heartbeat @0 (life :UInt64, pool :Text, offer :SuccessorOffer, evacuations :List(ZoneEvacuation), connection :UInt64) -> (isOwner :Bool, session :UInt64, load :PoolLoad, transfer :OwnershipTransfer, evacuations :List(ZoneEvacuation));
+  # connection is a number that the entry host gives to each connection that it opens. The stamp is the
+  # owner's clock when it answered; the next heartbeat on the connection returns it with the time for which
+  # the entry host has held it. 0 before the first answer.
+  heartbeat @0 (life :UInt64, pool :Text, offer :SuccessorOffer, evacuations :List(ZoneEvacuation), connection :UInt64, stampUs :UInt64, heldUs :UInt64) -> (isOwner :Bool, session :UInt64, load :PoolLoad, transfer :OwnershipTransfer, evacuations :List(ZoneEvacuation), stampUs :UInt64);
   run @1 (life :UInt64, pool :Text, session :UInt64, job :PoolJob) -> (end :PoolEnd, load :PoolLoad);
   cancel @2 (life :UInt64, pool :Text, job :UInt64, submission :UInt64) -> ();
   # Asked by the pool's next owner until nothing is held any more; the token is the next owner's.
--- a/crates/onyxshed-proto/src/pool_capnp.rs
+++ b/crates/onyxshed-proto/src/pool_capnp.rs
@@ -5820,11 +5820,19 @@
             pub fn get_connection(self) -> u64 {
                 self.reader.get_data_field::<u64>(1)
             }
+            #[inline]
+            pub fn get_stamp_us(self) -> u64 {
+                self.reader.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn get_held_us(self) -> u64 {
+                self.reader.get_data_field::<u64>(3)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 3 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5938,6 +5946,22 @@
             pub fn set_connection(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(1, value);
             }
+            #[inline]
+            pub fn get_stamp_us(self) -> u64 {
+                self.builder.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn set_stamp_us(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(2, value);
+            }
+            #[inline]
+            pub fn get_held_us(self) -> u64 {
+                self.builder.get_data_field::<u64>(3)
+            }
+            #[inline]
+            pub fn set_held_us(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(3, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5952,17 +5976,17 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 99] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 129] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(241, 163, 40, 75, 224, 204, 138, 216),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 143, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
@@ -5970,42 +5994,56 @@
                 ::capnp::word(111, 114, 116, 46, 104, 101, 97, 114),
                 ::capnp::word(116, 98, 101, 97, 116, 36, 80, 97),
                 ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
-                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(129, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(185, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(189, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(137, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(193, 0, 0, 0, 98, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(161, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(217, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(225, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(229, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(108, 105, 102, 101, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6052,6 +6090,22 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 116, 97, 109, 112, 85, 115, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 101, 108, 100, 85, 115, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -6060,6 +6114,8 @@
                     2 => <crate::pool_capnp::successor_offer::Owned as ::capnp::introspect::Introspect>::introspect(),
                     3 => <::capnp::struct_list::Owned<crate::pool_capnp::zone_evacuation::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6073,9 +6129,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,3,0,2,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,3,6,0,2,1,5];
             pub(crate) const TYPE_ID: u64 = 0xd88a_cce0_4b28_a3f1;
         }
     }
@@ -6173,11 +6229,15 @@
             pub fn has_evacuations(&self) -> bool {
                 !self.reader.get_pointer_field(2).is_null()
             }
+            #[inline]
+            pub fn get_stamp_us(self) -> u64 {
+                self.reader.get_data_field::<u64>(2)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6291,6 +6351,14 @@
             pub fn has_evacuations(&self) -> bool {
                 !self.builder.is_pointer_field_null(2)
             }
+            #[inline]
+            pub fn get_stamp_us(self) -> u64 {
+                self.builder.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn set_stamp_us(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(2, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6308,17 +6376,17 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 99] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 114] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(106, 144, 228, 131, 58, 151, 183, 215),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
@@ -6326,42 +6394,49 @@
                 ::capnp::word(111, 114, 116, 46, 104, 101, 97, 114),
                 ::capnp::word(116, 98, 101, 97, 116, 36, 82, 101),
                 ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
-                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(157, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(161, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(137, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(165, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(145, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(173, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(197, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(105, 115, 79, 119, 110, 101, 114, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6408,6 +6483,14 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 116, 97, 109, 112, 85, 115, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -6416,6 +6499,7 @@
                     2 => <crate::pool_capnp::pool_load::Owned as ::capnp::introspect::Introspect>::introspect(),
                     3 => <crate::pool_capnp::ownership_transfer::Owned as ::capnp::introspect::Introspect>::introspect(),
                     4 => <::capnp::struct_list::Owned<crate::pool_capnp::zone_evacuation::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6429,9 +6513,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,0,2,1,3];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,0,2,1,5,3];
             pub(crate) const TYPE_ID: u64 = 0xd7b7_973a_83e4_906a;
         }
     }
