A run of a dropped job is not renewed while its stop is not accepted

Callers saw: nothing known; found while looking for the cause of two runs at two pools elsewhere.

Cause: a renewal applies to all runs of an executor. After a stop order was lost, the hold orders for the other runs went on renewing the lease of the run that was to be stopped, so that it did not end with its lease as docs/PLATFORM-DESIGN.md says.

Evidence: calls::lost_stop_order_does_not_keep_run_of_cancelled_job_leased failed before. Not seen with real processes.

Change: an executor on which the stop of a dropped job's run has not been accepted gets hold orders without a renewal. The stop is repeated with each report (150 ms), and a lease is 600 ms, so the other runs outlast two lost stops.

--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -415,10 +415,25 @@
         ));
     }
 
+    /// Returns whether a run of a job that this owner has dropped may execute on an executor that has not
+    /// accepted the order to stop it.
+    fn has_unstopped_run(&self, id: &ExecutorId) -> bool {
+        self.executors.get(id).is_some_and(|executor| {
+            executor.runs.iter().any(|(task, run)| {
+                run.state == RunState::Stopping { accepted_at: None }
+                    && !self.jobs.contains_key(&task.job)
+            })
+        })
+    }
+
     /// Sends a hold order, which requests the next report, after `pause`. If the executor is
     /// acquired, responsive and not idle, the order also renews the leases of its runs.
+    ///
+    /// A lease applies to all runs of an executor. None is renewed while the stop of a dropped job's run is
+    /// not accepted, so that the run ends with its last lease even if every stop order is lost.
     fn send_hold(&mut self, now: Mono, id: &ExecutorId, pause: Millis) {
         let token = self.token;
+        let has_unstopped_run = self.has_unstopped_run(id);
         let options = &self.options;
         let Some(mut executor) = self.executors.get_mut(id) else {
             return;
@@ -427,7 +442,7 @@
         // elsewhere.
         let is_renewed = executor.phase == Phase::Acquired && !executor.is_unresponsive;
         let is_idle = executor.runs.is_empty();
-        let expires = match is_renewed && !is_idle {
+        let expires = match is_renewed && !is_idle && !has_unstopped_run {
             true => executor.lease_end(now, options.lease_ms),
             false => None,
         };
--- a/crates/onyxshed-pool/tests/pool/calls.rs
+++ b/crates/onyxshed-pool/tests/pool/calls.rs
@@ -3,10 +3,10 @@
 use onyxshed_core::{Millis, UnixMs};
 use onyxshed_pool::{
     Action, ExecutorReport, HoldAnswer, JobEnd, JobId, NotRunReason, RefuseReason, RunEnd,
-    StartAnswer, StopAnswer, TaskId, UnknownReason,
+    RunNumber, StartAnswer, StopAnswer, SubmissionNumber, TaskId, UnknownReason,
 };
 
-use crate::fixture::{CLOCK_AHEAD_MS, Harness, at_ms, facts, id, job};
+use crate::fixture::{CLOCK_AHEAD_MS, Harness, OWN, at_ms, facts, id, job};
 
 fn started() -> StartAnswer {
     StartAnswer::Started { clock: None }
@@ -358,3 +358,53 @@
     harness.report(50, &name, &[], &[(1, order.task, 1, RunEnd::Done)]);
     assert_eq!(harness.take_ends(), [(JobId(9), JobEnd::Completed)]);
 }
+
+/// Guards against a lost stop order, after which renewals for other runs keep a cancelled job's run alive.
+#[test]
+fn lost_stop_order_does_not_keep_run_of_cancelled_job_leased() {
+    let mut harness = Harness::with_executors(&[("x1", 64)]);
+    harness.submit(0, job(1, 1, 2_000));
+    harness.submit(0, job(2, 1, 2_000));
+    let tasks: Vec<TaskId> = harness
+        .take_starts()
+        .iter()
+        .map(|(_, order)| order.task)
+        .collect();
+    let running: Vec<(TaskId, u32)> = tasks.iter().map(|task| (*task, 1)).collect();
+    harness.report(20, "x1", &running, &[]);
+    harness.take_holds();
+    let cancelled = harness.pool.cancel(
+        at_ms(30),
+        OWN,
+        SubmissionNumber(1),
+        JobId(1),
+        UnknownReason::Cancelled,
+    );
+    harness.actions.extend(cancelled);
+    for ms in [70, 220, 370] {
+        assert_eq!(harness.take_stops().len(), 1);
+        stop_answered(&mut harness, ms, tasks[0], StopAnswer::Unknown);
+        harness.report(ms, "x1", &running, &[]);
+        assert!(
+            harness
+                .take_holds()
+                .iter()
+                .all(|(_, hold)| hold.expires.is_none())
+        );
+    }
+    stop_answered(&mut harness, 380, tasks[0], StopAnswer::Accepted);
+    harness.report(390, "x1", &running[1..], &[]);
+    assert!(
+        harness
+            .take_holds()
+            .iter()
+            .all(|(_, hold)| hold.expires.is_some())
+    );
+}
+
+fn stop_answered(harness: &mut Harness, ms: u64, task: TaskId, answer: StopAnswer) {
+    let actions = harness
+        .pool
+        .apply_stop_answer(at_ms(ms), &id("x1"), task, RunNumber(1), answer);
+    harness.actions.extend(actions);
+}
