A connection that an owner closes takes its jobs along

The host that loses it answers 504, and the owner goes on with its jobs.

Cause: the RPC system of the closed connection was dropped. Its calls in progress refer to it and are kept, and with them the guard that cancels a job.

Evidence: job_ends_with_its_connection::case_2_by_owner failed before (3 of 3 runs): the job was there 5 s after the host had seen the close.

Change: the connection is disconnected first, which cancels its calls.

--- a/crates/onyxshed-proto/src/rpc.rs
+++ b/crates/onyxshed-proto/src/rpc.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use async_net::{TcpListener, TcpStream};
@@ -18,6 +19,7 @@
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::twoparty::VatNetwork;
+use futures_lite::FutureExt;
 use smol_str::SmolStr;
 
 /// Maximum size of a message between processes, in 8-byte words (8 MiB).
@@ -89,7 +91,7 @@
     connections: ConnectionCount,
     report_drop: DropReporter,
 ) {
-    let mut open: VecDeque<Task<()>> = VecDeque::new();
+    let mut open: VecDeque<ServedConnection> = VecDeque::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             Timer::after(ACCEPT_PAUSE).await;
@@ -98,26 +100,54 @@
         if stream.set_nodelay(true).is_err() {
             continue;
         }
-        open.retain(|connection| !connection.is_finished());
+        open.retain(|connection| !connection.served.is_finished());
         if open.len() >= connections_max {
             report_drop(SmolStr::new_static(
                 "closed the oldest connection: too many connections",
             ));
-            open.pop_front();
+            if let Some(oldest) = open.pop_front() {
+                oldest.close();
+            }
         }
         let system = RpcSystem::new(network(stream, Side::Server), Some(bootstrap.clone()));
-        let served = serve_connection(system, connections.enter(), report_drop.clone());
-        open.push_back(executor.spawn(served));
+        let (close_sender, close) = async_channel::bounded(1);
+        let served = serve_connection(system, close, connections.enter(), report_drop.clone());
+        open.push_back(ServedConnection {
+            served: executor.spawn(served),
+            close_sender,
+        });
     }
 }
 
-/// Serves one connection until it ends.
+/// A connection that is being served.
+struct ServedConnection {
+    served: Task<()>,
+    close_sender: Sender<()>,
+}
+
+impl ServedConnection {
+    /// Closes the connection, which cancels the calls in progress on it.
+    fn close(self) {
+        self.close_sender.close();
+        self.served.detach();
+    }
+}
+
+/// Serves one connection until it ends or `close` is closed.
 async fn serve_connection(
     system: RpcSystem<Side>,
+    close: Receiver<()>,
     _counted: CountGuard,
     report_drop: DropReporter,
 ) {
-    if let Err(error) = system.await
+    let disconnector = system.get_disconnector();
+    let closed = async {
+        // Completes when the channel is closed; no value is ever sent.
+        let _ = close.recv().await;
+        // A system that is only dropped keeps the calls in progress.
+        disconnector.await
+    };
+    if let Err(error) = system.or(closed).await
         && error.kind != ErrorKind::Disconnected
     {
         report_drop(smol_str::format_smolstr!("malformed message: {error}"));
--- a/crates/onyxshed-soak/tests/hosts/main.rs
+++ b/crates/onyxshed-soak/tests/hosts/main.rs
@@ -2,9 +2,9 @@
 
 mod callers;
 mod evacuation;
-mod links;
-mod late_requests;
 mod lagging_owners;
+mod late_requests;
+mod links;
 mod overload;
 mod owners;
 mod stops;
