Sessions of different ownerships have different numbers

A host that gives up its pool and takes it over again numbers sessions from 1 anew, so a submission that was made to it as the earlier owner, and is read late, is in session and starts.

Evidence: hosts::submission_to_earlier_ownership_is_rejected failed before.

Change: the numbers of an ownership begin with its fencing token.

--- a/crates/onyxshed-pool/src/peers.rs
+++ b/crates/onyxshed-pool/src/peers.rs
@@ -15,7 +15,7 @@
 
 use onyxshed_core::{Micros, Millis, Mono};
 
-use crate::id::{ConnectionNumber, PeerConnection, PeerIncarnation, Session};
+use crate::id::{ConnectionNumber, FencingToken, PeerConnection, PeerIncarnation, Session};
 use crate::successor::SuccessorOffer;
 
 /// A heartbeat of an entry host.
@@ -59,7 +59,18 @@
 /// Time without contact after which a connection is removed.
 const FORGET_AFTER: Millis = Millis(60_000);
 
+/// Number of low-order bits of a session that count the sessions of one ownership.
+const SESSION_BITS: u32 = 20;
+
 impl PeerSessions {
+    /// Creates the sessions of an owner, none of which has the number of another ownership's session.
+    pub fn new(token: FencingToken) -> Self {
+        PeerSessions {
+            last_session: token.0 << SESSION_BITS,
+            ..PeerSessions::default()
+        }
+    }
+
     /// Records a heartbeat and returns the session of its connection: a new one if the connection was
     /// unresponsive.
     pub fn record_contact(&mut self, now: Mono, heartbeat: &Heartbeat) -> Session {
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -121,7 +121,7 @@
             tick_lateness: Micros(0),
             class_levels: ClassLevels::default(),
             report_version: Cell::new(0),
-            peers: PeerSessions::default(),
+            peers: PeerSessions::new(token),
             last_tick_at: now,
             stage: HandoverStage::Serving,
             zone_status: ZoneStatus::InService,
