Only pauses that copies can outlast change the arrival of requests

Cause: after a pause of 300 ms all requests of the next 500 ms counted as having waited for it, also those that had just arrived. A caller sends its copy 1,300 ms after it has given up, and an owner stops its runs within 650 ms, so that pauses below 650 ms can't make two runs overlap.

Change: 600 ms. The tests of arrivals and of late requests are as before and pass.

--- a/crates/onyxshed-host/src/arrivals.rs
+++ b/crates/onyxshed-host/src/arrivals.rs
@@ -17,8 +17,8 @@
 const RECORD_PERIOD: Duration = Duration::from_millis(100);
 
 /// Shortest time without a record that counts as a pause. Callers resubmit a job 1,300 ms after they gave
-/// up its request at the earliest, so shorter pauses do no harm.
-const PAUSE_MIN: Millis = Millis(300);
+/// up its request at the earliest, and an owner stops its runs within 650 ms, so shorter pauses do no harm.
+const PAUSE_MIN: Millis = Millis(600);
 
 /// Time after a pause within which the requests that waited during it are read.
 const BACKLOG_TIME: Millis = Millis(500);
