Soak: starved hosts, late links and callers that wait for a short time

Cause: the users saw two runs of one task at two pools on small hosts; the soak had no host that falls behind without standing still, no link later than 300 ms, and callers that waited 3 s.

Change: a mix of starved hosts (SIGSTOP and SIGCONT in series, each stop under 400 ms), delays of one direction, connections that go silent; callers with a deadline of 1.5 s that close their connections, some earlier; jobs of 2 to 8 tasks of 50 to 760 ms. Violations name the owner of each run by the fencing token that executors record, and how long the runs overlapped. A stop of a later run number is recorded as the end of the run that it ends.

--- a/crates/onyxshed-soak/src/callers.rs
+++ b/crates/onyxshed-soak/src/callers.rs
@@ -21,11 +21,72 @@
 /// The greatest number of times that a job is submitted, including the first.
 pub(crate) const SENDS_MAX: u32 = 6;
 
-/// The time that a caller waits for a reply; then the answer is [`Answer::Unknown`].
+/// The deadline that a caller sends with a job by default, in milliseconds.
+pub(crate) const DEADLINE_MS: u64 = 2_500;
+
+/// The time that a caller waits for a reply by default.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(3_000);
 
-/// The deadline that a caller sends with a job, in milliseconds.
-pub(crate) const DEADLINE_MS: u64 = 2_500;
+/// The deadline of hurried callers, in milliseconds.
+const HURRIED_DEADLINE_MS: u64 = 1_500;
+
+/// The time after which a hurried caller that gives up early closes its connection, in milliseconds.
+const EARLY_MS: std::ops::Range<u64> = 50..1_500;
+
+/// How long callers wait for their jobs, and which jobs they submit.
+#[derive(Debug, Clone)]
+pub struct CallerOptions {
+    /// The deadline that a caller sends with a job, in milliseconds.
+    pub deadline_ms: u64,
+    /// The time that a caller waits for a reply; then it closes the connection, and the answer is
+    /// [`Answer::Unknown`].
+    pub request_timeout: Duration,
+    /// Whether callers close the connection of one request in eight before `request_timeout`.
+    pub gives_up_early: bool,
+    /// The sizes of the jobs.
+    pub sizes: JobSizes,
+}
+
+/// The sizes of the jobs that callers submit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JobSizes {
+    /// 1 to 4 tasks of 20 to 500 ms.
+    Small,
+    /// Many short tasks, or fewer long ones: 2 to 8 tasks of 50 to 760 ms.
+    Mixed,
+}
+
+impl CallerOptions {
+    /// Returns the options of callers that wait no longer than their deadline, which is short, and give up some
+    /// requests even earlier.
+    pub fn hurried() -> Self {
+        CallerOptions {
+            deadline_ms: HURRIED_DEADLINE_MS,
+            request_timeout: Duration::from_millis(HURRIED_DEADLINE_MS),
+            gives_up_early: true,
+            sizes: JobSizes::Mixed,
+        }
+    }
+
+    /// Draws the time that a caller waits for the reply to one request.
+    fn draw_timeout(&self, rng: &mut SmallRng) -> Duration {
+        match self.gives_up_early && rng.random_range(0..8) == 0 {
+            true => Duration::from_millis(rng.random_range(EARLY_MS)).min(self.request_timeout),
+            false => self.request_timeout,
+        }
+    }
+}
+
+impl Default for CallerOptions {
+    fn default() -> Self {
+        CallerOptions {
+            deadline_ms: DEADLINE_MS,
+            request_timeout: REQUEST_TIMEOUT,
+            gives_up_early: false,
+            sizes: JobSizes::Small,
+        }
+    }
+}
 
 /// The number of requests that a caller sends on one connection before it opens another.
 const REQUESTS_PER_CONNECTION: u32 = 20;
@@ -48,7 +109,7 @@
 pub struct SubmittedJob {
     /// The id of the job: 16 hexadecimal digits, which are also sent as the `request-id` header.
     pub job: SmolStr,
-    /// The number of its tasks, from 1 to 4.
+    /// The number of its tasks.
     pub tasks: u16,
     /// The answer to each submission, in order.
     pub answers: Vec<Answer>,
@@ -63,9 +124,16 @@
 
 /// Submits jobs one after another until the time `until`. The seed determines the jobs, the pauses
 /// and the hosts.
-pub async fn run_caller(hosts: Vec<SocketAddr>, seed: u64, until: Instant, jobs: SubmittedJobs) {
+pub async fn run_caller(
+    hosts: Vec<SocketAddr>,
+    options: CallerOptions,
+    seed: u64,
+    until: Instant,
+    jobs: SubmittedJobs,
+) {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut caller = Caller {
+        options,
         hosts,
         connection: None,
         requests_on_connection: 0,
@@ -81,6 +149,7 @@
 
 /// One caller, which uses a connection for at most `REQUESTS_PER_CONNECTION` requests.
 struct Caller {
+    options: CallerOptions,
     hosts: Vec<SocketAddr>,
     connection: Option<Connection>,
     /// The number of requests sent on the connection.
@@ -97,11 +166,16 @@
 }
 
 impl NewJob {
-    /// Draws a job of 1 to 4 tasks.
-    pub(crate) fn draw(rng: &mut SmallRng) -> Self {
+    /// Draws a job.
+    pub(crate) fn draw(rng: &mut SmallRng, sizes: JobSizes) -> Self {
         let id = format_smolstr!("{:016x}", rng.random::<u64>());
-        let tasks = rng.random_range(1..5_u16);
-        let ms = [20, 60, 200, 500][rng.random_range(0..4)];
+        let (tasks, ms) = match sizes {
+            JobSizes::Small => {
+                let tasks = rng.random_range(1..5_u16);
+                (tasks, [20, 60, 200, 500][rng.random_range(0..4)])
+            }
+            JobSizes::Mixed => [(8, 50), (2, 170), (2, 170), (4, 760)][rng.random_range(0..4)],
+        };
         // The tasks of one job in forty fail in every run.
         let spec = match rng.random_range(0..40) {
             0 => format!("{ms} fail"),
@@ -128,7 +202,7 @@
             id: job,
             tasks,
             body,
-        } = NewJob::draw(rng);
+        } = NewJob::draw(rng, self.options.sizes);
         let started_at = Instant::now();
         let mut answers = Vec::new();
         for _ in 0..SENDS_MAX {
@@ -165,14 +239,16 @@
             }
         };
         self.requests_on_connection += 1;
+        let deadline_ms = self.options.deadline_ms;
+        let timeout = self.options.draw_timeout(rng);
         let headers = [
             ("host", SmolStr::new_static(ROUTE_HOST)),
-            ("x-onyxshed-deadline-ms", format_smolstr!("{DEADLINE_MS}")),
+            ("x-onyxshed-deadline-ms", format_smolstr!("{deadline_ms}")),
             ("request-id", SmolStr::new(job)),
         ];
         let path = format!("{ROUTE_PREFIX}{job}");
         let reply = connection
-            .call(Method::Post, &path, &headers, body.into(), REQUEST_TIMEOUT)
+            .call(Method::Post, &path, &headers, body.into(), timeout)
             .await;
         let reply = match reply {
             Ok(reply) => reply,
--- a/crates/onyxshed-soak/src/checks.rs
+++ b/crates/onyxshed-soak/src/checks.rs
@@ -1,6 +1,7 @@
 //! The checks of a soak: they compare the answers that callers got with the runs that executors recorded.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 
 use onyxshed_standins::fleet::executor::RunRecord;
 use smol_str::SmolStr;
@@ -12,16 +13,54 @@
 /// in milliseconds.
 const ROUNDING_MS: u64 = 2;
 
+/// The hosts that have owned pools, by zone and fencing token; owners of different zones may have the same
+/// token.
+#[derive(Debug, Clone, Default)]
+pub struct OwnersByZone {
+    owners: BTreeMap<(SmolStr, u64), SmolStr>,
+}
+
+impl OwnersByZone {
+    /// Records that a host has owned a pool of a zone under a fencing token.
+    pub fn insert(&mut self, zone: SmolStr, token: u64, host: SmolStr) {
+        self.owners.insert((zone, token), host);
+    }
+
+    /// Returns the host that ordered a run on an executor; `None` if it is not known.
+    fn owner_of(&self, executor: &str, token: u64) -> Option<SmolStr> {
+        self.owners.get(&(zone_of(executor)?, token)).cloned()
+    }
+}
+
 /// A run with its start and end, in milliseconds since the Unix epoch; a run without a recorded end may still
 /// be in progress.
 #[derive(Debug, Clone)]
 struct Span {
     executor: SmolStr,
     run: u32,
+    token: u64,
+    /// The owner that ordered the run, if it is known.
+    owner: Option<SmolStr>,
     from_ms: u64,
     to_ms: Option<u64>,
 }
 
+impl fmt::Display for Span {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let owner = self.owner.as_deref().unwrap_or("an unknown owner");
+        let (run, executor, token) = (self.run, &self.executor, self.token);
+        write!(
+            f,
+            "run {run} on {executor} by {owner} with token {token} from {}",
+            self.from_ms
+        )?;
+        match self.to_ms {
+            Some(to_ms) => write!(f, " to {to_ms}"),
+            None => write!(f, " with no recorded end"),
+        }
+    }
+}
+
 /// Returns the violations of two promises: at most one run of a task at a time, and true answers to
 /// callers. Each line names the promise and the task or job. `killed_ms` contains the times at
 /// which each executor was killed.
@@ -29,8 +68,9 @@
     jobs: &[SubmittedJob],
     records: &[(SmolStr, RunRecord)],
     killed_ms: &BTreeMap<SmolStr, Vec<u64>>,
+    owners: &OwnersByZone,
 ) -> Vec<String> {
-    let spans = pair_runs(records, killed_ms);
+    let spans = pair_runs(records, killed_ms, owners);
     let mut violations = Vec::new();
     for (task, spans) in &spans {
         violations.extend(find_overlapping_runs(task, spans));
@@ -138,6 +178,7 @@
 fn pair_runs(
     records: &[(SmolStr, RunRecord)],
     killed_ms: &BTreeMap<SmolStr, Vec<u64>>,
+    owners: &OwnersByZone,
 ) -> BTreeMap<SmolStr, Vec<Span>> {
     let mut spans: BTreeMap<SmolStr, Vec<Span>> = BTreeMap::new();
     for (executor, record) in records {
@@ -146,6 +187,8 @@
             task_spans.push(Span {
                 executor: executor.clone(),
                 run: record.run,
+                token: record.token,
+                owner: owners.owner_of(executor, record.token),
                 from_ms: record.at_ms,
                 to_ms: None,
             });
@@ -170,8 +213,12 @@
     for (index, first) in spans.iter().enumerate() {
         for second in &spans[index + 1..] {
             if is_overlap(first, second) {
+                let overlap = match overlap_ms(first, second) {
+                    Some(ms) => format!("for {ms} ms"),
+                    None => "without an end".to_owned(),
+                };
                 violations.push(format!(
-                    "a task has at most one run at a time: {task} had {first:?} and {second:?}"
+                    "a task has at most one run at a time: {task} had two {overlap}: {first}; {second}"
                 ));
             }
         }
@@ -188,6 +235,14 @@
     !ends_before(first, second) && !ends_before(second, first)
 }
 
+/// Returns how long two runs overlapped; `None` if neither has a recorded end.
+fn overlap_ms(first: &Span, second: &Span) -> Option<u64> {
+    let from_ms = first.from_ms.max(second.from_ms);
+    let ends = [first.to_ms, second.to_ms];
+    let to_ms = ends.into_iter().flatten().min()?;
+    Some(to_ms.saturating_sub(from_ms))
+}
+
 /// Returns the answers about a job that the executors' records contradict.
 fn find_false_answers(
     submitted_job: &SubmittedJob,
--- a/crates/onyxshed-soak/src/direct_callers.rs
+++ b/crates/onyxshed-soak/src/direct_callers.rs
@@ -11,8 +11,8 @@
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::callers::{
-    Answer, DEADLINE_MS, NewJob, RESEND_DELAY, SENDS_MAX, SubmittedJob, SubmittedJobs, job_body,
-    parse_answer,
+    Answer, DEADLINE_MS, JobSizes, NewJob, RESEND_DELAY, SENDS_MAX, SubmittedJob, SubmittedJobs,
+    job_body, parse_answer,
 };
 use crate::direct::{DirectConnection, JobRequest, Outcome, Writing};
 use crate::faults::FaultMix;
@@ -152,7 +152,7 @@
                 let ms = SLOW_JOB_MS[self.rng.random_range(0..SLOW_JOB_MS.len())];
                 (self.new_job(ms, ms), SLOW_JOB_DEADLINE_MS)
             }
-            _ => (NewJob::draw(&mut self.rng), DEADLINE_MS),
+            _ => (NewJob::draw(&mut self.rng, JobSizes::Small), DEADLINE_MS),
         }
     }
 
--- a/crates/onyxshed-soak/src/faults.rs
+++ b/crates/onyxshed-soak/src/faults.rs
@@ -18,6 +18,9 @@
     KillHost(SmolStr, Duration),
     /// Freezes the process of a host for the duration.
     FreezeHost(SmolStr, Duration),
+    /// Lets the process of a host run only for the second duration between stops of the first duration, until
+    /// the third one is over.
+    StarveHost(SmolStr, Duration, Duration, Duration),
     /// Asks a host to stop and starts it again once it has ended.
     StopHost(SmolStr),
     /// Signals a host to reload its settings.
@@ -61,6 +64,9 @@
     Planned,
     /// Rolling stops of several hosts, which overlap, with further signals and new manifests during the stops.
     Stops,
+    /// Starved and frozen hosts, and links that are slow or go silent; in one draw of ten any kind of
+    /// [`FaultMix::All`].
+    Starved,
     /// Evacuations of zones, together with kills and planned work. The store and the links have no faults, so
     /// that every host learns of an evacuation in time.
     Evacuations,
@@ -73,8 +79,11 @@
     }
 }
 
-/// Draws a plan of faults, which may overlap, ordered by time: 4 to 11 faults, or any number for
-/// [`FaultMix::Stops`].
+/// The number of hosts for which [`FaultMix::Starved`] draws 4 to 11 groups of faults.
+const HOSTS_PER_DRAW: usize = 6;
+
+/// Draws a plan of faults, which may overlap, ordered by time: 4 to 11 faults, or more for
+/// [`FaultMix::Stops`] and [`FaultMix::Starved`].
 pub fn draw_plan(
     rng: &mut SmallRng,
     mix: FaultMix,
@@ -84,6 +93,7 @@
 ) -> Vec<Planned> {
     let mut plan = match mix {
         FaultMix::All => draw_faults(rng, length, |rng| draw_any(rng, hosts, executors)),
+        FaultMix::Starved => draw_starved_groups(rng, length, hosts, executors),
         FaultMix::Slow => draw_faults(rng, length, |rng| draw_slow(rng, hosts, executors)),
         FaultMix::Planned => draw_faults(rng, length, |rng| draw_planned(rng, hosts)),
         FaultMix::Stops => draw_rolling_stops(rng, length, hosts),
@@ -196,6 +206,83 @@
     }
 }
 
+/// Draws 4 to 11 groups of faults for every six hosts. A group comes to one host, or to all hosts of a zone.
+fn draw_starved_groups(
+    rng: &mut SmallRng,
+    length: Duration,
+    hosts: &[SmolStr],
+    executors: &[SmolStr],
+) -> Vec<Planned> {
+    let length_ms = u64::try_from(length.as_millis()).unwrap_or(u64::MAX);
+    let count = hosts.len().div_ceil(HOSTS_PER_DRAW) * rng.random_range(4..12);
+    let mut plan = Vec::new();
+    for _ in 0..count {
+        let at = Duration::from_millis(rng.random_range(0..length_ms));
+        match rng.random_range(0..10) {
+            0..=3 => {
+                let host = draw_name(rng, hosts);
+                plan.extend(draw_starvation(rng, at, &host));
+            }
+            4 => {
+                let zone = zone_of(&draw_name(rng, hosts));
+                let neighbours = hosts.iter().filter(|host| zone_of(host) == zone);
+                for host in neighbours {
+                    plan.extend(draw_starvation(rng, at, host));
+                }
+            }
+            5 => {
+                let span = Duration::from_millis(rng.random_range(1_000..4_500));
+                let fault = Fault::FreezeHost(draw_name(rng, hosts), span);
+                plan.push(Planned { at, fault });
+            }
+            6..=8 => {
+                let (route, mode) = (draw_route(rng, hosts, executors), draw_delay(rng));
+                let fault = Fault::Route(route, mode, draw_duration(rng));
+                plan.push(Planned { at, fault });
+            }
+            _ => {
+                let fault = draw_any(rng, hosts, executors);
+                plan.push(Planned { at, fault });
+            }
+        }
+    }
+    plan
+}
+
+/// Draws a time for which a host is starved, and up to three faults of the links to it during that time.
+fn draw_starvation(rng: &mut SmallRng, at: Duration, host: &SmolStr) -> Vec<Planned> {
+    // A host takes a gap of 400 ms between its own ticks for a pause.
+    let stopped = Duration::from_millis(rng.random_range(60..380));
+    let running = Duration::from_millis([1, 2, 4, 8, 16, 32][rng.random_range(0..6)]);
+    let span_ms = rng.random_range(1_500..6_000);
+    let span = Duration::from_millis(span_ms);
+    let mut faults = vec![Planned {
+        at,
+        fault: Fault::StarveHost(host.clone(), stopped, running, span),
+    }];
+    for _ in 0..rng.random_range(0..4) {
+        let mode = match rng.random_range(0..3) {
+            0 => draw_delay(rng),
+            _ => Mode::StallExisting,
+        };
+        let route = format_smolstr!("peer-{host}");
+        let fault = Fault::Route(route, mode, draw_duration(rng));
+        let at = at + Duration::from_millis(rng.random_range(0..span_ms));
+        faults.push(Planned { at, fault });
+    }
+    faults
+}
+
+/// Draws a delay of up to 2.5 s in one direction or in both.
+fn draw_delay(rng: &mut SmallRng) -> Mode {
+    let delay_ms = rng.random_range(200..2_500);
+    match rng.random_range(0..3) {
+        0 => Mode::Delay { delay_ms },
+        1 => Mode::DelayUp { delay_ms },
+        _ => Mode::DelayDown { delay_ms },
+    }
+}
+
 fn draw_any(rng: &mut SmallRng, hosts: &[SmolStr], executors: &[SmolStr]) -> Fault {
     match rng.random_range(0..14) {
         0 => Fault::KillHost(draw_name(rng, hosts), draw_duration(rng)),
--- a/crates/onyxshed-soak/src/fleet.rs
+++ b/crates/onyxshed-soak/src/fleet.rs
@@ -18,6 +18,8 @@
 use smol_str::{SmolStr, format_smolstr};
 use tempfile::TempDir;
 
+use crate::checks::OwnersByZone;
+
 /// The timeout of a call to a stand-in or of a readiness check, long enough for a busy machine.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -361,6 +363,22 @@
         logs.flatten().collect()
     }
 
+    /// Returns the hosts that have owned pools, by the lines in their logs.
+    pub fn owners(&self) -> OwnersByZone {
+        let mut owners = OwnersByZone::default();
+        for (host, process) in &self.hosts {
+            let Some(process) = &process.process else {
+                continue;
+            };
+            for line in process.log().lines() {
+                if let Some((zone, token)) = parse_owned_pool(line) {
+                    owners.insert(zone, token, host.clone());
+                }
+            }
+        }
+        owners
+    }
+
     /// Returns the folder of settings and logs.
     pub fn folder(&self) -> &Path {
         self.folder.path()
@@ -374,6 +392,18 @@
     }
 }
 
+/// Returns the zone and the fencing token of the pool that a host took over, if a line of its log tells so.
+fn parse_owned_pool(line: &str) -> Option<(SmolStr, u64)> {
+    let (_, detail) = line.split_once("PoolOwned")?;
+    let (_, detail) = detail.split_once("pool ")?;
+    let (pool, detail) = detail.split_once(", token ")?;
+    let (zone, _) = pool.split_once('/')?;
+    let digits = detail
+        .split(|letter: char| !letter.is_ascii_digit())
+        .next()?;
+    Some((zone.into(), digits.parse().ok()?))
+}
+
 /// Returns the error for an expectation that is not met, with what was found instead.
 pub fn unmet(expectation: &str, found: &str) -> Error {
     Error::ExpectationNotMet {
--- a/crates/onyxshed-soak/src/main.rs
+++ b/crates/onyxshed-soak/src/main.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use onyxshed_soak::callers::CallerOptions;
 use onyxshed_soak::faults::FaultMix;
 use onyxshed_soak::fleet::ExecutorClocks;
 use onyxshed_soak::{SoakOptions, soak};
@@ -56,6 +57,20 @@
             "Injects rolling stops that overlap, with signals and new manifests during them",
         ))
         .arg(flag("slow", "Injects mostly slow executors"))
+        .arg(flag(
+            "starved",
+            "Injects starved and frozen hosts and slow or silent links, with callers that wait for 1.5 s",
+        ))
+        .arg(
+            Arg::new("deadline-ms")
+                .long("deadline-ms")
+                .value_parser(value_parser!(u64))
+                .help("The deadline of the callers' jobs, after which callers close their connections"),
+        )
+        .arg(flag(
+            "debug-logs",
+            "Lets hosts log every run that they order",
+        ))
         .arg(flag(
             "evacuations",
             "Injects evacuations of zones, kills and planned work",
@@ -100,6 +115,18 @@
     if matches.get_flag("evacuations") {
         options.mix = FaultMix::Evacuations;
     }
+    if matches.get_flag("starved") {
+        options.mix = FaultMix::Starved;
+        options.caller = CallerOptions::hurried();
+    }
+    if let Some(deadline_ms) = matches.get_one::<u64>("deadline-ms") {
+        options.caller.deadline_ms = *deadline_ms;
+        options.caller.request_timeout = Duration::from_millis(*deadline_ms);
+    }
+    if matches.get_flag("debug-logs") {
+        let level = "--log-level=debug".to_owned();
+        options.fleet.host_arguments.push(level);
+    }
     options.length = Duration::from_secs(number("seconds"));
     options
 }
--- a/crates/onyxshed-soak/src/run.rs
+++ b/crates/onyxshed-soak/src/run.rs
@@ -14,7 +14,7 @@
 use rand::rngs::SmallRng;
 use smol_str::SmolStr;
 
-use crate::callers::{self, Answer, SubmittedJobs};
+use crate::callers::{self, Answer, CallerOptions, SubmittedJobs};
 use crate::checks::{self, EvacuationSpans};
 use crate::direct_callers::{DirectCaller, Habit, draw_habits};
 use crate::faults::{Fault, FaultMix, Planned, draw_plan};
@@ -37,6 +37,9 @@
     pub fleet: FleetOptions,
     /// The number of callers that submit jobs concurrently.
     pub callers: usize,
+    /// How long these callers wait, and which jobs they submit. Callers without the proxy, which a mix of
+    /// planned work has, wait as long as their own habits tell.
+    pub caller: CallerOptions,
     /// The time from the start of the plan within which all faults begin; each lasts for its own
     /// duration.
     pub length: Duration,
@@ -51,12 +54,26 @@
             seed,
             fleet: FleetOptions::default(),
             callers: 8,
+            caller: CallerOptions::default(),
             length: Duration::from_secs(8),
             mix: FaultMix::All,
         }
     }
 }
 
+impl SoakOptions {
+    /// Returns the options of a soak of [`FaultMix::Starved`] with a seed: callers that wait for a short time, and
+    /// places enough for their jobs.
+    pub fn starved(seed: u64) -> Self {
+        let mut options = SoakOptions::with_seed(seed);
+        options.fleet.hosts = 3;
+        options.fleet.executors = 8;
+        options.caller = CallerOptions::hurried();
+        options.mix = FaultMix::Starved;
+        options
+    }
+}
+
 /// The results of one soak.
 #[derive(Debug, Clone)]
 pub struct Report {
@@ -123,7 +140,8 @@
         .chain(&jobs_after_faults)
         .cloned()
         .collect();
-    let mut violations = checks::find_violations(&all_jobs, &records, &injector.killed_ms);
+    let owners = fleet.owners();
+    let mut violations = checks::find_violations(&all_jobs, &records, &injector.killed_ms, &owners);
     violations.extend(checks::find_starts_in_evacuated_zones(
         &records,
         &injector.evacuations,
@@ -189,6 +207,7 @@
             let seed = caller_seed(seed, index);
             executor.spawn(callers::run_caller(
                 hosts.clone(),
+                options.caller.clone(),
                 seed,
                 until,
                 jobs.clone(),
@@ -233,10 +252,21 @@
     evacuations: EvacuationSpans,
 }
 
+/// A host whose process is stopped and continued in turn.
+struct StarvedHost {
+    name: SmolStr,
+    stopped: Duration,
+    running: Duration,
+    until: Instant,
+    is_stopped: bool,
+}
+
 /// An action that ends a fault.
 enum Repair {
     StartHost(SmolStr),
     ThawHost(SmolStr),
+    /// Stops a starved host again, or lets it run until its next stop.
+    StarveHost(StarvedHost),
     /// Starts a host again once its process has ended: the host, the id of the process that was
     /// asked to stop, and the time at which this process is killed if it still runs.
     RestartStopped(SmolStr, u32, Instant),
@@ -296,6 +326,16 @@
                 fleet.signal_host(name, |process| process.freeze())?;
                 self.schedule_repair(*span, Repair::ThawHost(name.clone()));
             }
+            Fault::StarveHost(name, stopped, running, span) => {
+                let starved = StarvedHost {
+                    name: name.clone(),
+                    stopped: *stopped,
+                    running: *running,
+                    until: Instant::now() + *span,
+                    is_stopped: false,
+                };
+                self.starve(fleet, starved)?;
+            }
             Fault::StopHost(name) => {
                 let mut stopped = None;
                 fleet.signal_host(name, |process| {
@@ -346,6 +386,7 @@
         match repair {
             Repair::StartHost(name) => fleet.start_host(&name),
             Repair::ThawHost(name) => fleet.signal_host(&name, |process| process.thaw()),
+            Repair::StarveHost(host) => self.starve(fleet, host),
             Repair::RestartStopped(name, process, kill_at) => {
                 self.restart(fleet, name, process, kill_at)
             }
@@ -361,6 +402,24 @@
         }
     }
 
+    /// Stops a starved host that runs, and continues one that is stopped, until the end of the fault.
+    fn starve(&mut self, fleet: &mut Fleet, mut host: StarvedHost) -> Result<()> {
+        let span = match host.is_stopped {
+            true => {
+                fleet.signal_host(&host.name, |process| process.thaw())?;
+                host.running
+            }
+            false if Instant::now() >= host.until => return Ok(()),
+            false => {
+                fleet.signal_host(&host.name, |process| process.freeze())?;
+                host.stopped
+            }
+        };
+        host.is_stopped = !host.is_stopped;
+        self.schedule_repair(span, Repair::StarveHost(host));
+        Ok(())
+    }
+
     /// Starts a host again once the process that was asked to stop has ended, and kills that process after
     /// its grace. Another process that is running by then was started for an earlier stop and is not touched.
     fn restart(
--- a/crates/onyxshed-standins/src/faults/mode.rs
+++ b/crates/onyxshed-standins/src/faults/mode.rs
@@ -1,6 +1,7 @@
 //! The faults that the proxy can inject into the connections of a route, and the bodies of its commands.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -34,6 +35,16 @@
         /// The delay of each chunk from the target, in milliseconds.
         down_delay_ms: u64,
     },
+    /// Forwards each chunk of bytes to the target after a delay; the other direction is not delayed.
+    DelayUp {
+        /// The delay of each chunk, in milliseconds.
+        delay_ms: u64,
+    },
+    /// Forwards each chunk of bytes from the target after a delay; the other direction is not delayed.
+    DelayDown {
+        /// The delay of each chunk, in milliseconds.
+        delay_ms: u64,
+    },
     /// Closes a connection at the first byte from the target beyond a limit.
     CloseAfterBytes {
         /// The number of bytes from the target that are forwarded.
@@ -57,6 +68,18 @@
 }
 
 impl Mode {
+    /// Returns the delay of bytes in this direction; `None` if they are not delayed.
+    pub fn delay(self, direction: Direction) -> Option<Duration> {
+        let delay_ms = match (self, direction) {
+            (Mode::Delay { delay_ms }, _)
+            | (Mode::DelayUp { delay_ms }, Direction::Up)
+            | (Mode::DelayDown { delay_ms }, Direction::Down) => delay_ms,
+            (Mode::SlowLink { down_delay_ms, .. }, Direction::Down) => down_delay_ms,
+            _ => return None,
+        };
+        Some(Duration::from_millis(delay_ms))
+    }
+
     /// Returns whether bytes in this direction are discarded.
     pub fn discards(self, direction: Direction) -> bool {
         matches!(
--- a/crates/onyxshed-standins/src/faults/pump.rs
+++ b/crates/onyxshed-standins/src/faults/pump.rs
@@ -103,21 +103,15 @@
                 .set(link.forwarded_down_bytes.get() + forwarded as u64);
             to.write_all(&bytes[..forwarded]).await.is_err() || forwarded < bytes.len()
         }
-        (Mode::Delay { delay_ms }, _)
-        | (
-            Mode::SlowLink {
-                down_delay_ms: delay_ms,
-                ..
-            },
-            Direction::Down,
-        ) => {
-            Timer::after(Duration::from_millis(delay_ms)).await;
-            to.write_all(bytes).await.is_err()
-        }
         (Mode::SlowLink { up_bytes_per_s, .. }, Direction::Up) => {
             forward_at_rate(up_bytes_per_s, to, bytes).await
         }
-        _ => to.write_all(bytes).await.is_err(),
+        _ => {
+            if let Some(delay) = mode.delay(direction) {
+                Timer::after(delay).await;
+            }
+            to.write_all(bytes).await.is_err()
+        }
     }
 }
 
--- a/crates/onyxshed-standins/src/fleet/executor.rs
+++ b/crates/onyxshed-standins/src/fleet/executor.rs
@@ -96,6 +96,8 @@
     pub task: SmolStr,
     /// The number of the run among those of the task.
     pub run: u32,
+    /// The fencing token of the owner that ordered the run.
+    pub token: u64,
     /// The time of the event by the wall clock, in milliseconds since the Unix epoch.
     pub at_ms: u64,
     /// The event: `start`, `done`, `failed`, `stopped`, or `lapsed` for a run that ended with its lease.
@@ -263,19 +265,34 @@
         }
     }
 
-    fn record_event(&self, task: TaskId, run: RunNumber, event: &str) {
+    fn record_event(&self, task: TaskId, run: (RunNumber, FencingToken), event: &str) {
         self.record_event_at(task, run, event, now_ms().0);
     }
 
-    fn record_event_at(&self, task: TaskId, run: RunNumber, event: &str, at_ms: u64) {
+    /// Records an event of a run, which its number and the token of the order that started it identify.
+    fn record_event_at(
+        &self,
+        task: TaskId,
+        (run, token): (RunNumber, FencingToken),
+        event: &str,
+        at_ms: u64,
+    ) {
         self.inner.records.borrow_mut().push(RunRecord {
             task: format_smolstr!("{task}"),
             run: run.0,
+            token: token.0,
             at_ms,
             event: event.into(),
         });
     }
 
+    /// Returns the number of the run in progress of a task, and the token of the order that started it.
+    fn run_of(&self, task: TaskId) -> Option<(RunNumber, FencingToken)> {
+        let model = self.inner.model.borrow();
+        let run = model.runs.get(&task)?;
+        Some((run.number, run.token))
+    }
+
     fn clock_ms(&self) -> u64 {
         self.inner.model.borrow().clock_ms(self.now())
     }
@@ -314,7 +331,7 @@
             .borrow_mut()
             .start(now, &start, demand, spec.work);
         if is_new {
-            self.record_event(task, start.run, "start");
+            self.record_event(task, (start.run, start.token), "start");
             let work = self.clone().execute(task, start.run, spec);
             self.inner.executor.spawn(work).detach();
         }
@@ -376,12 +393,10 @@
     }
 
     fn end_run_at(&self, task: TaskId, end: RunEnd, event: &str, at_ms: u64) {
-        let mut model = self.inner.model.borrow_mut();
-        let number = model.runs.get(&task).map(|run| run.number);
-        model.end(task, end);
-        drop(model);
-        if let Some(number) = number {
-            self.record_event_at(task, number, event, at_ms);
+        let run = self.run_of(task);
+        self.inner.model.borrow_mut().end(task, end);
+        if let Some(run) = run {
+            self.record_event_at(task, run, event, at_ms);
         }
         self.inner.run_ended.notify();
     }
@@ -400,13 +415,15 @@
             token: FencingToken(order.fencing_token),
         };
         self.stop_expired_runs();
-        let was_running = self.inner.model.borrow().runs.contains_key(&task);
+        let was_running = self.run_of(task);
         match self.inner.model.borrow_mut().stop(&stop) {
             StopAnswer::Fenced => return self.refuse("fence"),
             StopAnswer::Accepted | StopAnswer::OtherIncarnation | StopAnswer::Unknown => {}
         }
-        if was_running && !self.inner.model.borrow().runs.contains_key(&task) {
-            self.record_event(task, stop.run, "stopped");
+        if let Some(run) = was_running
+            && self.run_of(task).is_none()
+        {
+            self.record_event(task, run, "stopped");
             self.inner.run_ended.notify();
         }
         self.accept()
--- a/crates/onyxshed-standins/src/fleet/executor_model.rs
+++ b/crates/onyxshed-standins/src/fleet/executor_model.rs
@@ -6,8 +6,9 @@
 
 use onyxshed_core::{Micros, Mono, UnixMs};
 use onyxshed_pool::{
-    ExecutorLists, ExecutorReport, FinishedRun, HoldOrder, Percent, RefuseReason, Resources,
-    RunEnd, RunNumber, RunningRun, StartAnswer, StartOrder, StopAnswer, StopOrder, TaskId,
+    ExecutorLists, ExecutorReport, FencingToken, FinishedRun, HoldOrder, Percent, RefuseReason,
+    Resources, RunEnd, RunNumber, RunningRun, StartAnswer, StartOrder, StopAnswer, StopOrder,
+    TaskId,
 };
 
 /// The longest lease that an executor accepts, in milliseconds; longer ones are cut to it.
@@ -18,6 +19,8 @@
 pub struct ActiveRun {
     /// The number of the run among those of its task.
     pub number: RunNumber,
+    /// The fencing token of the owner that ordered the run.
+    pub token: FencingToken,
     /// The resources that the run occupies.
     pub demand: Resources,
     /// The time that the run needs at speed 1.
@@ -201,6 +204,7 @@
         }
         let run = ActiveRun {
             number: order.run,
+            token: order.token,
             demand,
             work,
             work_done: Micros(0),
