Soak: callers wait for different times

Cause: the users' record has jobs that their hosts served for 3.7 s; with one deadline of 1.5 s for all, a forgotten job ends before its copy comes.

Change: of hurried callers' requests, one in eight is given up early and one in eight has four times the deadline.

--- a/crates/onyxshed-soak/src/callers.rs
+++ b/crates/onyxshed-soak/src/callers.rs
@@ -42,12 +42,21 @@
     /// The time that a caller waits for a reply; then it closes the connection, and the answer is
     /// [`Answer::Unknown`].
     pub request_timeout: Duration,
-    /// Whether callers close the connection of one request in eight before `request_timeout`.
-    pub gives_up_early: bool,
+    /// Whether all callers wait for the same time.
+    pub patience: Patience,
     /// The sizes of the jobs.
     pub sizes: JobSizes,
 }
 
+/// Whether all callers wait for the same time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Patience {
+    /// Every request has the same deadline and timeout.
+    Same,
+    /// One request in eight is given up early, and one in eight has a deadline and a timeout four times as long.
+    Varied,
+}
+
 /// The sizes of the jobs that callers submit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum JobSizes {
@@ -59,13 +68,12 @@
 }
 
 impl CallerOptions {
-    /// Returns the options of callers that wait no longer than their deadline, which is short, and give up some
-    /// requests even earlier.
+    /// Returns the options of callers that wait no longer than their deadline, which is short for most requests.
     pub fn hurried() -> Self {
         CallerOptions {
             deadline_ms: HURRIED_DEADLINE_MS,
             request_timeout: Duration::from_millis(HURRIED_DEADLINE_MS),
-            gives_up_early: true,
+            patience: Patience::Varied,
             sizes: JobSizes::Mixed,
         }
     }
@@ -74,17 +82,25 @@
     /// without early ends of requests.
     pub fn served_soon(&self) -> Self {
         CallerOptions {
-            gives_up_early: false,
+            patience: Patience::Same,
             sizes: JobSizes::Small,
             ..self.clone()
         }
     }
 
-    /// Draws the time that a caller waits for the reply to one request.
-    fn draw_timeout(&self, rng: &mut SmallRng) -> Duration {
-        match self.gives_up_early && rng.random_range(0..8) == 0 {
-            true => Duration::from_millis(rng.random_range(EARLY_MS)).min(self.request_timeout),
-            false => self.request_timeout,
+    /// Draws the deadline in milliseconds and the timeout of one request.
+    fn draw_wait(&self, rng: &mut SmallRng) -> (u64, Duration) {
+        let draw = match self.patience {
+            Patience::Same => None,
+            Patience::Varied => Some(rng.random_range(0..8)),
+        };
+        match draw {
+            Some(0) => {
+                let early = Duration::from_millis(rng.random_range(EARLY_MS));
+                (self.deadline_ms, early.min(self.request_timeout))
+            }
+            Some(1) => (self.deadline_ms * 4, self.request_timeout * 4),
+            _ => (self.deadline_ms, self.request_timeout),
         }
     }
 }
@@ -94,7 +110,7 @@
         CallerOptions {
             deadline_ms: DEADLINE_MS,
             request_timeout: REQUEST_TIMEOUT,
-            gives_up_early: false,
+            patience: Patience::Same,
             sizes: JobSizes::Small,
         }
     }
@@ -256,8 +272,7 @@
             }
         };
         self.requests_on_connection += 1;
-        let deadline_ms = self.options.deadline_ms;
-        let timeout = self.options.draw_timeout(rng);
+        let (deadline_ms, timeout) = self.options.draw_wait(rng);
         let headers = [
             ("host", SmolStr::new_static(ROUTE_HOST)),
             ("x-onyxshed-deadline-ms", format_smolstr!("{deadline_ms}")),
