Soak: runs that are in progress when their caller sends the job again

Cause: copies at two pools are kept apart only by the end of all runs before the copy comes; two runs meet only if the copy also reaches another pool, so a soak shows the fault rarely.

Tests of the checks' lines; the proxy's new modes are in its test of modes.

--- a/crates/onyxshed-soak/src/callers.rs
+++ b/crates/onyxshed-soak/src/callers.rs
@@ -13,6 +13,7 @@
 use serde_json::json;
 use smol_str::{SmolStr, format_smolstr};
 
+use crate::checks::now_ms;
 use crate::fleet::executors::TASK_CPU_MILLIS;
 use crate::fleet::{ROUTE_HOST, ROUTE_PREFIX};
 
@@ -53,7 +54,7 @@
 pub enum Patience {
     /// Every request has the same deadline and timeout.
     Same,
-    /// One request in eight is given up early, and one in eight has a deadline and a timeout four times as long.
+    /// One request in eight is given up early, and one in four has a deadline and a timeout four times as long.
     Varied,
 }
 
@@ -63,7 +64,7 @@
     /// 1 to 4 tasks of 20 to 500 ms.
     Small,
     /// Many short tasks, or fewer long ones: 2 to 8 tasks of 50 to 760 ms in the mean. The tasks of one job in
-    /// eight take seven times as long as expected.
+    /// four take seven times as long as expected.
     Mixed,
 }
 
@@ -99,7 +100,7 @@
                 let early = Duration::from_millis(rng.random_range(EARLY_MS));
                 (self.deadline_ms, early.min(self.request_timeout))
             }
-            Some(1) => (self.deadline_ms * 4, self.request_timeout * 4),
+            Some(1 | 2) => (self.deadline_ms * 4, self.request_timeout * 4),
             _ => (self.deadline_ms, self.request_timeout),
         }
     }
@@ -139,6 +140,8 @@
     pub job: SmolStr,
     /// The number of its tasks.
     pub tasks: u16,
+    /// The time of each submission, in milliseconds since the Unix epoch.
+    pub sent_ms: Vec<u64>,
     /// The answer to each submission, in order.
     pub answers: Vec<Answer>,
     /// How each submission was cut off whose connection broke before an answer arrived.
@@ -205,7 +208,7 @@
             }
             JobSizes::Mixed => {
                 let (tasks, ms) = [(8, 50), (2, 170), (2, 170), (4, 760)][rng.random_range(0..4)];
-                let factor = if rng.random_range(0..8) == 0 { 7 } else { 1 };
+                let factor = if rng.random_range(0..4) == 0 { 7 } else { 1 };
                 (tasks, ms, ms * factor * rng.random_range(60..140) / 100)
             }
         };
@@ -237,8 +240,9 @@
             body,
         } = NewJob::draw(rng, self.options.sizes);
         let started_at = Instant::now();
-        let mut answers = Vec::new();
+        let (mut sent_ms, mut answers) = (Vec::new(), Vec::new());
         for _ in 0..SENDS_MAX {
+            sent_ms.push(now_ms());
             let answer = self.submit(&job, &body, rng).await;
             answers.push(answer);
             if answer != Answer::Unknown {
@@ -249,6 +253,7 @@
         SubmittedJob {
             job,
             tasks,
+            sent_ms,
             answers,
             cut_off: std::mem::take(&mut self.cut_off),
             elapsed: started_at.elapsed(),
--- a/crates/onyxshed-soak/src/checks.rs
+++ b/crates/onyxshed-soak/src/checks.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use onyxshed_standins::fleet::executor::RunRecord;
 use smol_str::SmolStr;
@@ -45,6 +46,12 @@
     to_ms: Option<u64>,
 }
 
+impl Span {
+    fn contains(&self, at_ms: u64) -> bool {
+        self.from_ms < at_ms && self.to_ms.is_none_or(|to_ms| to_ms > at_ms + ROUNDING_MS)
+    }
+}
+
 impl fmt::Display for Span {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let owner = self.owner.as_deref().unwrap_or("an unknown owner");
@@ -82,6 +89,36 @@
     violations
 }
 
+/// Returns a line for each run that was in progress when the caller sent its job again. A copy that reaches
+/// another pool then starts beside that run.
+pub fn find_runs_at_resend(
+    jobs: &[SubmittedJob],
+    records: &[(SmolStr, RunRecord)],
+    killed_ms: &BTreeMap<SmolStr, Vec<u64>>,
+    owners: &OwnersByZone,
+) -> Vec<String> {
+    let spans = pair_runs(records, killed_ms, owners);
+    let mut lines = Vec::new();
+    for job in jobs {
+        let prefix = format!("{}.", job.job);
+        let tasks = spans.range(SmolStr::from(prefix.as_str())..);
+        let tasks = tasks.take_while(|(task, _)| task.starts_with(&prefix));
+        for (task, span) in
+            tasks.flat_map(|(task, spans)| spans.iter().map(move |span| (task, span)))
+        {
+            let resent = job
+                .sent_ms
+                .iter()
+                .skip(1)
+                .find(|sent_ms| span.contains(**sent_ms));
+            if let Some(sent_ms) = resent {
+                lines.push(format!("{task} was sent again at {sent_ms} during {span}"));
+            }
+        }
+    }
+    lines
+}
+
 /// How long after the confirmation of a zone's evacuation tasks may still start in the zone, if its
 /// hosts reach the store: the grace for jobs in progress (1,000 ms), and as much for a restarted
 /// host to learn of the evacuation.
@@ -243,6 +280,13 @@
     Some(to_ms.saturating_sub(from_ms))
 }
 
+/// Returns the time of the wall clock, in milliseconds since the Unix epoch.
+pub(crate) fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let ms = since.map(|span| span.as_millis()).unwrap_or_default();
+    u64::try_from(ms).unwrap_or(u64::MAX)
+}
+
 /// Returns the answers about a job that the executors' records contradict.
 fn find_false_answers(
     submitted_job: &SubmittedJob,
--- a/crates/onyxshed-soak/src/direct_callers.rs
+++ b/crates/onyxshed-soak/src/direct_callers.rs
@@ -14,6 +14,7 @@
     Answer, DEADLINE_MS, JobSizes, NewJob, RESEND_DELAY, SENDS_MAX, SubmittedJob, SubmittedJobs,
     job_body, parse_answer,
 };
+use crate::checks::now_ms;
 use crate::direct::{DirectConnection, JobRequest, Outcome, Writing};
 use crate::faults::FaultMix;
 
@@ -178,9 +179,9 @@
         Timer::after(pause).await;
         let job = self.new_job(LONG_JOB_MS, LONG_JOB_ESTIMATE_MS);
         let request = self.request(&job, LONG_JOB_DEADLINE_MS);
-        let started_at = Instant::now();
+        let (started_at, sent_ms) = (Instant::now(), now_ms());
         let answer = self.submit(&request).await;
-        self.submitted(job, vec![answer], started_at)
+        self.submitted(job, vec![(sent_ms, answer)], started_at)
     }
 
     fn request(&mut self, job: &NewJob, deadline_ms: u64) -> JobRequest {
@@ -198,8 +199,9 @@
         let mut answers = Vec::new();
         for _ in 0..SENDS_MAX {
             let request = self.request(&job, deadline_ms);
+            let sent_ms = now_ms();
             let answer = self.submit(&request).await;
-            answers.push(answer);
+            answers.push((sent_ms, answer));
             if answer != Answer::Unknown {
                 break;
             }
@@ -211,12 +213,14 @@
     fn submitted(
         &mut self,
         job: NewJob,
-        answers: Vec<Answer>,
+        answers: Vec<(u64, Answer)>,
         started_at: Instant,
     ) -> SubmittedJob {
+        let (sent_ms, answers) = answers.into_iter().unzip();
         SubmittedJob {
             job: job.id,
             tasks: job.tasks,
+            sent_ms,
             answers,
             cut_off: std::mem::take(&mut self.cut_off),
             elapsed: started_at.elapsed(),
--- a/crates/onyxshed-soak/src/faults.rs
+++ b/crates/onyxshed-soak/src/faults.rs
@@ -249,7 +249,7 @@
     plan
 }
 
-/// Draws a time for which a host is starved, and up to three faults of the links to it during that time.
+/// Draws a time for which a host is starved, and one to four faults of the links to it during that time.
 fn draw_starvation(rng: &mut SmallRng, at: Duration, host: &SmolStr) -> Vec<Planned> {
     // A host takes a gap of 400 ms between its own ticks for a pause.
     let stopped = Duration::from_millis(rng.random_range(60..380));
@@ -260,7 +260,7 @@
         at,
         fault: Fault::StarveHost(host.clone(), stopped, running, span),
     }];
-    for _ in 0..rng.random_range(0..4) {
+    for _ in 0..rng.random_range(1..5) {
         let mode = match rng.random_range(0..3) {
             0 => draw_delay(rng),
             _ => Mode::StallExisting,
--- a/crates/onyxshed-soak/src/main.rs
+++ b/crates/onyxshed-soak/src/main.rs
@@ -72,6 +72,10 @@
                 .value_parser(value_parser!(u64))
                 .help("The deadline of the callers' jobs, after which callers close their connections"),
         )
+        .arg(flag(
+            "keep-logs",
+            "Keeps the logs of a soak that breaks no promise as well",
+        ))
         .arg(flag(
             "debug-logs",
             "Lets hosts log every run that they order",
@@ -129,6 +133,7 @@
         options.caller.deadline_ms = *deadline_ms;
         options.caller.request_timeout = Duration::from_millis(*deadline_ms);
     }
+    options.keeps_logs = matches.get_flag("keep-logs");
     if matches.get_flag("debug-logs") {
         let level = "--log-level=debug".to_owned();
         options.fleet.host_arguments.push(level);
@@ -150,18 +155,24 @@
         match soak(&options(&matches, seed)) {
             Ok(report) => {
                 println!(
-                    "seed {seed}: {} jobs, {} completed, {} runs, {} faults, {} broken",
+                    "seed {seed}: {} jobs, {} completed, {} runs ({} when sent again), {} faults, {} broken",
                     report.jobs,
                     report.completed,
                     report.runs,
+                    report.runs_at_resend.len(),
                     report.faults.len(),
                     report.violations.len()
                 );
                 for line in &report.violations {
                     println!("  {line}");
                 }
+                for line in &report.runs_at_resend {
+                    println!("  when sent again: {line}");
+                }
                 if !report.violations.is_empty() {
                     failed += 1;
+                }
+                if report.logs.is_some() {
                     println!("  logs in {:?}; faults {:#?}", report.logs, report.faults);
                 }
             }
--- a/crates/onyxshed-soak/src/run.rs
+++ b/crates/onyxshed-soak/src/run.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
@@ -15,7 +15,7 @@
 use smol_str::SmolStr;
 
 use crate::callers::{self, Answer, CallerOptions, SubmittedJobs};
-use crate::checks::{self, EvacuationSpans};
+use crate::checks::{self, EvacuationSpans, now_ms};
 use crate::direct_callers::{DirectCaller, Habit, draw_habits};
 use crate::faults::{Fault, FaultMix, Planned, draw_plan};
 use crate::fleet::{Fleet, FleetOptions, STOP_GRACE, unmet};
@@ -45,6 +45,8 @@
     pub length: Duration,
     /// The kinds of faults that the plan draws from.
     pub mix: FaultMix,
+    /// Whether the folder of settings and logs is kept although no promise was broken.
+    pub keeps_logs: bool,
 }
 
 impl SoakOptions {
@@ -57,6 +59,7 @@
             caller: CallerOptions::default(),
             length: Duration::from_secs(8),
             mix: FaultMix::All,
+            keeps_logs: false,
         }
     }
 }
@@ -89,8 +92,9 @@
     pub faults: Vec<Planned>,
     /// The promises that were broken, one line for each violation.
     pub violations: Vec<String>,
-    /// The folder of the settings and logs; `None` if there are no violations, since the folder is
-    /// then removed.
+    /// The runs that were in progress when their caller sent the job again, one line for each.
+    pub runs_at_resend: Vec<String>,
+    /// The folder of the settings and logs; `None` if it was removed, since there are no violations.
     pub logs: Option<String>,
 }
 
@@ -148,6 +152,8 @@
         .collect();
     let owners = fleet.owners();
     let mut violations = checks::find_violations(&all_jobs, &records, &injector.killed_ms, &owners);
+    let runs_at_resend =
+        checks::find_runs_at_resend(&all_jobs, &records, &injector.killed_ms, &owners);
     violations.extend(checks::find_starts_in_evacuated_zones(
         &records,
         &injector.evacuations,
@@ -168,7 +174,7 @@
     let completed = all_jobs
         .iter()
         .filter(|job| job.answers.last() == Some(&Answer::Completed));
-    let logs = (!violations.is_empty()).then(|| fleet.keep_folder());
+    let logs = (options.keeps_logs || !violations.is_empty()).then(|| fleet.keep_folder());
     Ok(Report {
         seed: options.seed,
         jobs: all_jobs.len(),
@@ -179,6 +185,7 @@
             .count(),
         faults,
         violations,
+        runs_at_resend,
         logs,
     })
 }
@@ -455,12 +462,6 @@
     }
 }
 
-fn now_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let ms = since.map(|span| span.as_millis()).unwrap_or_default();
-    u64::try_from(ms).unwrap_or(u64::MAX)
-}
-
 /// Returns an error with the first violation of a report, if there is one, and the faults and logs.
 pub fn require_no_violations(report: &Report) -> Result<()> {
     match report.violations.first() {
--- a/crates/onyxshed-soak/tests/hosts/lagging_owners.rs
+++ b/crates/onyxshed-soak/tests/hosts/lagging_owners.rs
@@ -8,7 +8,7 @@
 use async_io::{Timer, block_on};
 use http_types::Method;
 use onyxshed_http::client::{ClientOptions, Connection};
-use onyxshed_soak::checks::find_violations;
+use onyxshed_soak::checks::{OwnersByZone, find_violations};
 use onyxshed_soak::fleet::{Fleet, FleetOptions};
 use onyxshed_standins::faults::Mode;
 
@@ -128,7 +128,7 @@
                 && record.task.starts_with("00000000000000aa")
         });
         assert!(has_copy_started, "{records:#?}");
-        let violations = find_violations(&[], &records, &BTreeMap::new());
+        let violations = find_violations(&[], &records, &BTreeMap::new(), &OwnersByZone::default());
         let dropped = fleet.log_lines_with("PoolJobDropped");
         let down = fleet.log_lines_with("PoolLinkDown");
         assert!(
--- a/crates/onyxshed-soak/tests/hosts/late_requests.rs
+++ b/crates/onyxshed-soak/tests/hosts/late_requests.rs
@@ -7,7 +7,7 @@
 
 use async_executor::{LocalExecutor, Task};
 use async_io::{Timer, block_on};
-use onyxshed_soak::checks::find_violations;
+use onyxshed_soak::checks::{OwnersByZone, find_violations};
 use onyxshed_soak::direct::{DirectConnection, JobRequest, Writing};
 use onyxshed_soak::fleet::{Fleet, FleetOptions};
 use onyxshed_standins::fleet::executor::RunRecord;
@@ -138,7 +138,7 @@
         };
         let copies = records.iter().filter(|run| is_start("x-1", run)).count();
         assert!(copies > 0, "no copy runs: {records:?}");
-        let violations = find_violations(&[], &records, &BTreeMap::new());
+        let violations = find_violations(&[], &records, &BTreeMap::new(), &OwnersByZone::default());
         let log = fleet.log_tail(&host);
         assert!(violations.is_empty(), "{violations:#?}\n{log}");
         let late: Vec<_> = records.iter().filter(|run| is_start("x-0", run)).collect();
--- a/crates/onyxshed-soak/tests/hosts/links.rs
+++ b/crates/onyxshed-soak/tests/hosts/links.rs
@@ -8,7 +8,7 @@
 use async_io::{Timer, block_on};
 use futures_lite::future::zip;
 use http_types::Method;
-use onyxshed_soak::checks::find_violations;
+use onyxshed_soak::checks::{OwnersByZone, find_violations};
 use onyxshed_soak::fleet::{Fleet, FleetOptions};
 use onyxshed_standins::faults::Mode;
 use rstest::rstest;
@@ -130,7 +130,7 @@
             statuses.push(submit(hosts[2], job, TASK_MS).await);
         }
         let records = fleet.take_records().await;
-        let violations = find_violations(&[], &records, &BTreeMap::new());
+        let violations = find_violations(&[], &records, &BTreeMap::new(), &OwnersByZone::default());
         let lines = fleet.log_lines_with("\"Pool");
         assert!(violations.is_empty(), "{violations:#?}\n{lines:#?}");
         assert_eq!(statuses, [504, 200].repeat(jobs.len()), "{lines:#?}");
@@ -188,7 +188,7 @@
             let mut jobs = given_up.iter();
             id.starts_with("x-0-") && jobs.any(|job| record.task.starts_with(job.as_str()))
         });
-        let violations = find_violations(&[], &records, &BTreeMap::new());
+        let violations = find_violations(&[], &records, &BTreeMap::new(), &OwnersByZone::default());
         let lines = fleet.log_lines_with("\"Pool");
         assert!(late.is_none(), "{late:?}\n{violations:#?}\n{lines:#?}");
         assert!(violations.is_empty(), "{violations:#?}\n{lines:#?}");
--- a/crates/onyxshed-standins/tests/standins.rs
+++ b/crates/onyxshed-standins/tests/standins.rs
@@ -254,6 +254,8 @@
 #[case(Mode::CloseAfterBytes { bytes: 10 }, false)]
 #[case(Mode::Delay { delay_ms: 20 }, true)]
 #[case(Mode::SlowLink { up_bytes_per_s: 10_000, down_delay_ms: 20 }, true)]
+#[case(Mode::DelayUp { delay_ms: 20 }, true)]
+#[case(Mode::DelayDown { delay_ms: 20 }, true)]
 #[case(Mode::Pass, true)]
 fn route_mode_decides_whether_call_is_answered(#[case] mode: Mode, #[case] is_answered: bool) {
     run(|executor| async move {
