Test: a job of which a run was ordered never ends as not run

The code keeps a job as started from its first start order on, whatever becomes of the order, and 42 combinations of the answer to that order and the cause of the drop end as unknown.

--- a/crates/onyxshed-pool/tests/pool/main.rs
+++ b/crates/onyxshed-pool/tests/pool/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod candidate;
 mod copies;
+mod dropped;
 mod evacuation;
 mod fixture;
 mod handover;
