Start orders do not extend the lease of a dropped run either

A lease applies to all runs of an executor, also one that comes with a start order, so that orders for other jobs kept a run alive whose stop orders were lost.

Evidence: hosts::start_of_another_job_does_not_renew_lease_of_dropped_run failed before: the lease went from 6,190 to 6,300 ms while no stop was accepted.

Change: leases are granted in one place. While the stop of a dropped run is not accepted, a start order gets the last lease again, not a longer one, and no order if that has expired.

--- a/crates/onyxshed-pool/src/executor.rs
+++ b/crates/onyxshed-pool/src/executor.rs
@@ -63,6 +63,8 @@
     pub estimate: Micros,
     /// Where the run is entered in the forecast of room, if it is.
     pub room: Option<RoomSlot>,
+    /// Whether the job of the run has ended, so that the run is to be stopped.
+    pub is_dropped: bool,
 }
 
 /// Relation of the incarnation that sent a message to the one that the owner regards as current.
@@ -170,6 +172,8 @@
     /// When the last completion of a run was reported; 0 before the first.
     pub last_completed_at: Mono,
     pub is_unresponsive: bool,
+    /// When the last lease expires on the executor's clock; `None` if the current incarnation has none.
+    granted_until: Option<UnixMs>,
     /// Time on this host's clock at which every lease granted until now has certainly expired.
     pub leases_expire_at: Mono,
     pub slowdown: Slowdown,
@@ -196,6 +200,7 @@
             last_report_at: now,
             last_completed_at: Mono(0),
             is_unresponsive: false,
+            granted_until: None,
             leases_expire_at: now,
             slowdown: Slowdown::default(),
             health: Health::default(),
@@ -217,14 +222,14 @@
 
     /// Returns when a lease granted now expires on the executor's clock, or `None` while that clock is
     /// unknown.
-    pub fn lease_end(&self, now: Mono, lease: Millis) -> Option<UnixMs> {
+    fn lease_end(&self, now: Mono, lease: Millis) -> Option<UnixMs> {
         let remote_ms = i128::from(now.0 / 1_000) + self.clock_offset?;
         let end_ms = remote_ms + i128::from(lease.0);
         u64::try_from(end_ms).ok().map(UnixMs)
     }
 
     /// Extends `leases_expire_at` for an order with a lease that is sent at `now`.
-    pub fn record_lease(&mut self, now: Mono, options: &PoolOptions) {
+    fn record_lease(&mut self, now: Mono, options: &PoolOptions) {
         self.leases_expire_at = self.leases_expire_at.max(now + options.lease_bound());
     }
 
@@ -233,6 +238,32 @@
         self.clock_offset.is_some()
     }
 
+    /// Grants a lease for an order that is sent at `now`, and returns when it expires on the executor's clock;
+    /// `None` if no lease can be granted.
+    ///
+    /// A lease applies to all runs of an executor. While a run of a job that has ended is not stopped, the
+    /// last lease is not extended, so that the run ends with it even if every stop order is lost.
+    pub fn grant_lease(&mut self, now: Mono, options: &PoolOptions) -> Option<UnixMs> {
+        let full = self.lease_end(now, options.lease_ms)?;
+        let end = match self.has_unstopped_run() {
+            true => self.granted_until?.min(full),
+            false => full,
+        };
+        if end <= self.lease_end(now, Millis(0))? {
+            return None;
+        }
+        self.granted_until = self.granted_until.max(Some(end));
+        self.record_lease(now, options);
+        Some(end)
+    }
+
+    /// Returns whether a run of a job that has ended may execute and its stop is not accepted.
+    pub fn has_unstopped_run(&self) -> bool {
+        self.runs
+            .values()
+            .any(|run| run.is_dropped && run.state == RunState::Stopping { accepted_at: None })
+    }
+
     /// Returns whether new runs may be started on the executor now.
     pub fn can_accept_tasks(&self, now: Mono, options: &PoolOptions) -> bool {
         let is_avoided = now < self.health.avoided_until;
@@ -334,6 +365,7 @@
         }
         self.last_seen = 0;
         self.clock_offset = None;
+        self.granted_until = None;
         self.health = Health::default();
         self.slowdown = Slowdown::default();
     }
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -396,14 +396,24 @@
         let runs = self.executors.runs_of(job);
         let runs: Vec<(ExecutorId, TaskId)> = runs.map(|(id, task)| (id.clone(), task)).collect();
         for (id, task) in runs {
-            let executor = self.executors.get(&id);
-            let run = executor.and_then(|executor| executor.runs.get(&task));
-            if run.is_some_and(|run| !matches!(run.state, RunState::Stopping { .. })) {
+            if self.mark_dropped(&id, task) {
                 self.stop_run(&id, task);
             }
         }
     }
 
+    /// Marks a run as one of a job that has ended, and returns whether it is still to be stopped.
+    fn mark_dropped(&mut self, id: &ExecutorId, task: TaskId) -> bool {
+        let Some(mut executor) = self.executors.get_mut(id) else {
+            return false;
+        };
+        let Some(run) = executor.runs.get_mut(&task) else {
+            return false;
+        };
+        run.is_dropped = true;
+        !matches!(run.state, RunState::Stopping { .. })
+    }
+
     fn send_stop(&mut self, id: &ExecutorId, task: TaskId, run: crate::id::RunNumber) {
         self.actions.push(Action::Stop(
             id.clone(),
@@ -415,25 +425,11 @@
         ));
     }
 
-    /// Returns whether a run of a job that this owner has dropped may execute on an executor that has not
-    /// accepted the order to stop it.
-    fn has_unstopped_run(&self, id: &ExecutorId) -> bool {
-        self.executors.get(id).is_some_and(|executor| {
-            executor.runs.iter().any(|(task, run)| {
-                run.state == RunState::Stopping { accepted_at: None }
-                    && !self.jobs.contains_key(&task.job)
-            })
-        })
-    }
-
     /// Sends a hold order, which requests the next report, after `pause`. If the executor is
-    /// acquired, responsive and not idle, the order also renews the leases of its runs.
-    ///
-    /// A lease applies to all runs of an executor. None is renewed while the stop of a dropped job's run is
-    /// not accepted, so that the run ends with its last lease even if every stop order is lost.
+    /// acquired, responsive and not idle, and has no run left to stop, the order also renews the leases of
+    /// its runs.
     fn send_hold(&mut self, now: Mono, id: &ExecutorId, pause: Millis) {
         let token = self.token;
-        let has_unstopped_run = self.has_unstopped_run(id);
         let options = &self.options;
         let Some(mut executor) = self.executors.get_mut(id) else {
             return;
@@ -442,8 +438,8 @@
         // elsewhere.
         let is_renewed = executor.phase == Phase::Acquired && !executor.is_unresponsive;
         let is_idle = executor.runs.is_empty();
-        let expires = match is_renewed && !is_idle && !has_unstopped_run {
-            true => executor.lease_end(now, options.lease_ms),
+        let expires = match is_renewed && !is_idle && !executor.has_unstopped_run() {
+            true => executor.grant_lease(now, options),
             false => None,
         };
         let wait = match (is_renewed, is_idle) {
@@ -451,9 +447,6 @@
             (true, false) => options.hold_wait_ms,
             (false, _) => Millis(0),
         };
-        if expires.is_some() {
-            executor.record_lease(now, options);
-        }
         let order = HoldOrder {
             expires,
             token,
--- a/crates/onyxshed-pool/src/pool/orders.rs
+++ b/crates/onyxshed-pool/src/pool/orders.rs
@@ -136,7 +136,6 @@
     /// order only extends the lease. The run is stopped if its job has ended or no lease can be
     /// given.
     fn resend_start(&mut self, now: Mono, id: &ExecutorId, task: TaskId, number: RunNumber) {
-        let lease = self.options.lease_ms;
         let Some(job) = self.jobs.get(&task.job) else {
             return self.stop_run(id, task);
         };
@@ -144,8 +143,7 @@
         let Some(mut executor) = self.executors.get_mut(id) else {
             return;
         };
-        let expires = executor.lease_end(now, lease);
-        executor.record_lease(now, &self.options);
+        let expires = executor.grant_lease(now, &self.options);
         let Some(run) = executor.runs.get_mut(&task) else {
             return;
         };
--- a/crates/onyxshed-pool/src/pool/place.rs
+++ b/crates/onyxshed-pool/src/pool/place.rs
@@ -254,7 +254,7 @@
         else {
             return false;
         };
-        let Some(expires) = executor.lease_end(now, self.options.lease_ms) else {
+        let Some(expires) = executor.grant_lease(now, &self.options) else {
             return false;
         };
         let number = job.record_run_ordered(index, executor_id);
@@ -267,8 +267,8 @@
             expected,
             estimate: job.estimate(),
             room: None,
+            is_dropped: false,
         };
-        executor.record_lease(now, &self.options);
         drop(executor);
         self.executors.add_run(executor_id, task, run);
         let order = StartOrder {
--- a/crates/onyxshed-pool/tests/pool/hosts.rs
+++ b/crates/onyxshed-pool/tests/pool/hosts.rs
@@ -348,3 +348,29 @@
         [(JobId(9), JobEnd::Unknown(UnknownReason::PeerSilent))]
     );
 }
+
+/// Guards against a start order that renews the lease of a dropped job's run, whose stop orders are lost.
+#[test]
+fn start_of_another_job_does_not_renew_lease_of_dropped_run() {
+    let mut harness = Harness::with_executors(&[("x1", 64)]);
+    let session = heartbeat(&mut harness, 0);
+    let submitted = harness.pool.submit(at_ms(1), session, from_peer(9));
+    harness.actions.extend(submitted);
+    let task = harness.take_starts()[0].1.task;
+    harness.advance(0, 590);
+    harness.report(590, "x1", &[(task, 1)], &[]);
+    let last_lease = harness.take_holds().pop().expect("a hold order").1.expires;
+    let last_lease = last_lease.expect("a renewal");
+    harness.advance(590, 620);
+    assert_eq!(harness.take_stops().len(), 1);
+    harness.submit(700, job(10, 1, 100));
+    let later: Vec<_> = harness
+        .take_starts()
+        .into_iter()
+        .map(|(_, order)| order.expires)
+        .collect();
+    assert!(
+        later.iter().all(|expires| *expires <= last_lease),
+        "{later:?} > {last_lease:?}"
+    );
+}
