An owner that resumes applies the pause before any event

Cause: after a pause, a change of the list of executors was applied before the pause was noticed, and started jobs of entry hosts that had given them up. Jobs of the owner's own callers were left to their deadlines, which only ticks look at, so that a report that is read first restarted their tasks after their time was over.

Evidence: hosts::listed_executor_after_a_pause_starts_no_job_of_other_hosts and hosts::resumed_owner_starts_no_run_for_own_caller_that_gave_up failed before.

Change: the passage of time is applied before lists of executors and the predecessor's answers as well, and a pause ends the jobs of own callers whose time is over. Both tests pass.

--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -178,7 +178,7 @@
         now: Mono,
         heartbeat: &Heartbeat,
     ) -> (Vec<Action>, Session) {
-        self.advance_clock(now);
+        self.apply_elapsed_time(now);
         self.successor_selection
             .record_offer(now, heartbeat.connection.peer, heartbeat.offer);
         let session = self.peers.record_contact(now, heartbeat);
@@ -226,6 +226,7 @@
         id: ExecutorId,
         facts: ExecutorFacts,
     ) -> Vec<Action> {
+        self.apply_elapsed_time(now);
         if self.executors.contains_key(&id) {
             if self.update_listed_executor(&id, facts) == IncarnationMatch::Past {
                 return self.take_actions();
--- a/crates/onyxshed-pool/src/pool/admission.rs
+++ b/crates/onyxshed-pool/src/pool/admission.rs
@@ -55,7 +55,7 @@
     /// A resubmission of a job that is still queued or running joins that job; the earlier submission ends
     /// as superseded. Tasks of which a run of an ended submission is still being stopped wait for its end.
     pub fn submit(&mut self, now: Mono, session: Session, request: JobRequest) -> Vec<Action> {
-        self.advance_clock(now);
+        self.apply_elapsed_time(now);
         let id = request.job;
         let mut new_job = Job::new(now, session, request);
         let rejection = self.rejection(now, session, &new_job);
@@ -113,7 +113,7 @@
         job: JobId,
         reason: UnknownReason,
     ) -> Vec<Action> {
-        self.advance_clock(now);
+        self.apply_elapsed_time(now);
         let is_current_submission = self.jobs.get(&job).is_some_and(|active| {
             active.request.peer == peer && active.request.submission == submission
         });
--- a/crates/onyxshed-pool/src/pool/handover.rs
+++ b/crates/onyxshed-pool/src/pool/handover.rs
@@ -108,7 +108,7 @@
     /// The first call ends the jobs that have not started as not run; this owner completes the
     /// others. Idle executors are released once no started job has waiting tasks.
     pub fn release(&mut self, now: Mono, next: FencingToken) -> (Vec<Action>, Vec<ExecutorId>) {
-        self.advance_clock(now);
+        self.apply_elapsed_time(now);
         if self.token.successor() == Some(next) {
             self.successor_selection.record_takeover();
         }
@@ -145,6 +145,7 @@
         now: Mono,
         in_use: BTreeSet<ExecutorId>,
     ) -> Vec<Action> {
+        self.apply_elapsed_time(now);
         if self.predecessor == Predecessor::None {
             return self.take_actions();
         }
--- a/crates/onyxshed-pool/src/pool/orders.rs
+++ b/crates/onyxshed-pool/src/pool/orders.rs
@@ -37,7 +37,7 @@
         number: RunNumber,
         answer: &StartAnswer,
     ) -> Vec<Action> {
-        self.advance_clock(now);
+        self.apply_elapsed_time(now);
         if self.has_released(id) {
             return self.take_actions();
         }
@@ -189,7 +189,7 @@
         number: RunNumber,
         answer: StopAnswer,
     ) -> Vec<Action> {
-        self.advance_clock(now);
+        self.apply_elapsed_time(now);
         if self.has_released(id) {
             return self.take_actions();
         }
--- a/crates/onyxshed-pool/src/pool/reports.rs
+++ b/crates/onyxshed-pool/src/pool/reports.rs
@@ -30,7 +30,7 @@
         sent_at: Mono,
         answer: HoldAnswer,
     ) -> Vec<Action> {
-        self.advance_clock(now);
+        self.apply_elapsed_time(now);
         if self.has_stepped_down || !self.executors.contains_key(id) {
             return self.take_actions();
         }
--- a/crates/onyxshed-pool/src/pool/watch.rs
+++ b/crates/onyxshed-pool/src/pool/watch.rs
@@ -21,7 +21,7 @@
     /// calls this every few hundredths of a second; a gap of `pause_ms` counts as a pause of the
     /// process.
     pub fn tick(&mut self, now: Mono) -> Vec<Action> {
-        self.advance_clock(now);
+        self.apply_elapsed_time(now);
         let since_last_tick = now.since(self.last_tick_at);
         self.last_tick_at = now;
         self.update_full_speed_capacity(now);
@@ -42,7 +42,7 @@
     /// Applies the passage of time that must not be left to the next tick: a pause of this process, and
     /// sessions that have expired. Called before each event is processed, since an event can renew leases
     /// and start runs.
-    pub(super) fn advance_clock(&mut self, now: Mono) {
+    pub(super) fn apply_elapsed_time(&mut self, now: Mono) {
         self.executors.advance_clock(now);
         self.detect_pause(now);
         self.expire_peers(now);
@@ -52,25 +52,29 @@
         let paused_for = now.since(self.last_tick_at);
         if paused_for >= self.options.pause_ms.into() {
             self.last_tick_at = now;
-            self.end_jobs_after_pause(paused_for);
+            self.end_jobs_after_pause(now, paused_for);
         }
     }
 
-    /// Ends every job of other entry hosts after a pause of this process.
+    /// Ends every job of other entry hosts after a pause of this process, and the jobs of this host's own
+    /// callers whose time is over.
     ///
     /// The entry hosts may have answered their callers during the pause, and resubmitted jobs may run
-    /// elsewhere; starting their remaining tasks here would run them twice. Jobs of this host's own callers
-    /// end at their deadlines, which include the pause.
-    fn end_jobs_after_pause(&mut self, paused_for: Micros) {
-        let jobs: Vec<JobId> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| job.request.peer != self.own_incarnation)
-            .map(|(id, _)| *id)
-            .collect();
-        self.log(Decision::Paused(paused_for, jobs.len()));
-        for job in jobs {
-            self.end_job(job, JobEnd::Unknown(UnknownReason::OwnerPaused));
+    /// elsewhere; starting their remaining tasks here would run them twice.
+    fn end_jobs_after_pause(&mut self, now: Mono, paused_for: Micros) {
+        let own = self.own_incarnation;
+        let ended = self.jobs.iter().filter_map(|(id, job)| {
+            let reason = match job.request.peer == own {
+                false => UnknownReason::OwnerPaused,
+                true if now >= job.caller_deadline => UnknownReason::TimeOut,
+                true => return None,
+            };
+            Some((*id, reason))
+        });
+        let ended: Vec<(JobId, UnknownReason)> = ended.collect();
+        self.log(Decision::Paused(paused_for, ended.len()));
+        for (job, reason) in ended {
+            self.end_job(job, JobEnd::Unknown(reason));
         }
         self.peers.end_all_sessions();
     }
--- a/crates/onyxshed-pool/tests/pool/hosts.rs
+++ b/crates/onyxshed-pool/tests/pool/hosts.rs
@@ -2,10 +2,11 @@
 
 use onyxshed_core::Millis;
 use onyxshed_pool::{
-    FencingToken, JobEnd, JobId, JobRequest, NotRunReason, Session, SubmissionNumber, UnknownReason,
+    FencingToken, JobEnd, JobId, JobRequest, NotRunReason, RefuseReason, Session, StartAnswer,
+    SubmissionNumber, UnknownReason,
 };
 
-use crate::fixture::{Harness, PEER, at_ms, heartbeat_of, job};
+use crate::fixture::{Harness, PEER, at_ms, facts, heartbeat_of, id, job};
 
 fn from_peer(number: u64) -> JobRequest {
     JobRequest {
@@ -374,3 +375,42 @@
         "{later:?} > {last_lease:?}"
     );
 }
+
+/// Guards against an owner that resumes and starts a run for a caller of its own whose time is over.
+#[test]
+fn resumed_owner_starts_no_run_for_own_caller_that_gave_up() {
+    let mut harness = Harness::with_executors(&[("x1", 64)]);
+    let impatient = JobRequest {
+        time_left: Millis(1_500),
+        ..job(9, 1, 400)
+    };
+    let (name, order) = harness.submit_and_start(1, impatient);
+    harness.tick(20);
+    let ended = [(1, order.task, 1, onyxshed_pool::RunEnd::Stopped)];
+    harness.report(3_500, &name, &[], &ended);
+    let starts = harness.take_starts();
+    assert!(starts.is_empty(), "{starts:?}");
+}
+
+/// Guards against a resumed owner that starts the jobs of other hosts because the list of executors is read first.
+#[test]
+fn listed_executor_after_a_pause_starts_no_job_of_other_hosts() {
+    let mut harness = Harness::with_executors(&[("x1", 64)]);
+    let session = heartbeat(&mut harness, 0);
+    let submitted = harness.pool.submit(at_ms(1), session, from_peer(9));
+    harness.actions.extend(submitted);
+    let (name, order) = harness.take_starts().pop().expect("a start order");
+    harness.answer_start(
+        5,
+        &name,
+        &order,
+        &StartAnswer::Refused(RefuseReason::NoRoom),
+    );
+    assert!(harness.take_starts().is_empty());
+    let listed = harness
+        .pool
+        .record_listed_executor(at_ms(3_500), id("x1"), facts(64));
+    harness.actions.extend(listed);
+    let starts = harness.take_starts();
+    assert!(starts.is_empty(), "{starts:?}");
+}
