--- a/crates/onyxshed-host/src/arrivals.rs
+++ b/crates/onyxshed-host/src/arrivals.rs
@@ -17,7 +17,8 @@
 const RECORD_PERIOD: Duration = Duration::from_millis(100);
 
 /// Shortest time without a record that counts as a pause. Callers resubmit a job 1,300 ms after they gave
-/// up its request at the earliest, and an owner stops its runs within 650 ms, so shorter pauses do no harm.
+/// up its request at the earliest, and runs end within a lease and a stop (662 ms), so shorter pauses do
+/// no harm.
 const PAUSE_MIN: Millis = Millis(600);
 
 /// Time after a pause within which the requests that waited during it are read.
--- a/crates/onyxshed-host/src/links/port.rs
+++ b/crates/onyxshed-host/src/links/port.rs
@@ -125,23 +125,27 @@
     }
 }
 
-fn read_heartbeat(params: pool_port::heartbeat_params::Reader<'_>) -> capnp::Result<Heartbeat> {
-    let offer = match params.has_offer() {
-        true => Some(pool::read_offer(params.get_offer()?)?),
-        false => None,
-    };
-    let sent_after = match (params.get_connection(), params.get_stamp_us()) {
+/// Returns the time on this host's clock before which a heartbeat was certainly not sent, if it proves one.
+fn read_earliest_sending(params: pool_port::heartbeat_params::Reader<'_>) -> Option<Mono> {
+    match (params.get_connection(), params.get_stamp_us()) {
         // A host of an earlier version numbers no connections and returns no stamps.
         (0, _) => Some(boot_clock::now()),
         (_, 0) => None,
         (_, stamp_us) => Some(Mono(stamp_us.saturating_add(params.get_held_us()))),
+    }
+}
+
+fn read_heartbeat(params: pool_port::heartbeat_params::Reader<'_>) -> capnp::Result<Heartbeat> {
+    let offer = match params.has_offer() {
+        true => Some(pool::read_offer(params.get_offer()?)?),
+        false => None,
     };
     Ok(Heartbeat {
         connection: PeerConnection {
             peer: PeerIncarnation(params.get_life()),
             number: ConnectionNumber(params.get_connection()),
         },
-        sent_after,
+        sent_no_earlier_than: read_earliest_sending(params),
         offer,
     })
 }
--- a/crates/onyxshed-host/src/links/remote.rs
+++ b/crates/onyxshed-host/src/links/remote.rs
@@ -28,9 +28,9 @@
 /// of the time after which an owner ends the session of an unresponsive host.
 const SESSION_FRESH_MAX: Millis = Millis(300);
 
-/// Time without an answer after which the link goes down: less than the time after which the owner
-/// considers this host unresponsive, so that a job is stopped there no later than its caller
-/// resubmits it.
+/// Time without an answer after which the link goes down. Callers of its jobs are answered then and
+/// resubmit them 1,300 ms later, when the owner has stopped their runs; see
+/// [`onyxshed_pool::PoolOptions::peer_timeout_ms`].
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(450);
 
 /// Timeout for opening a connection to an owner.
--- a/crates/onyxshed-pool/src/options.rs
+++ b/crates/onyxshed-pool/src/options.rs
@@ -35,8 +35,9 @@
     /// Maximum number of start orders for a run; default 3. If none is answered, the run is
     /// stopped.
     pub start_orders_max: u32,
-    /// Time without a heartbeat after which an entry host is unresponsive; default 600 ms, which is
-    /// four heartbeats, and 700 ms less than callers wait before they resubmit a job.
+    /// Age of the last proof that an entry host runs after which it is unresponsive; default 600 ms. With
+    /// the longest lease (600 ms, 612 ms on a slow clock) and the time to stop a run (50 ms) that is 38 ms
+    /// less than the 1,300 ms that callers wait before they resubmit a job.
     pub peer_timeout_ms: Millis,
     /// Pause of the owner's own process after which it ends the jobs of other entry hosts; default
     /// 400 ms. Those hosts may have given the jobs up after `peer_timeout_ms` less one heartbeat.
--- a/crates/onyxshed-pool/tests/pool/fixture.rs
+++ b/crates/onyxshed-pool/tests/pool/fixture.rs
@@ -24,7 +24,7 @@
             peer,
             number: ConnectionNumber(number),
         },
-        sent_after: Some(sent_at),
+        sent_no_earlier_than: Some(sent_at),
         offer: None,
     }
 }
