Soak: a short seeded case of starved hosts

Hurried callers submit a job three times at most, since jobs that take longer than expected never end in 1.5 s.

--- a/crates/onyxshed-soak/src/callers.rs
+++ b/crates/onyxshed-soak/src/callers.rs
@@ -20,7 +20,7 @@
 /// The delay before a job whose outcome is unknown is submitted again.
 pub(crate) const RESEND_DELAY: Duration = Duration::from_millis(1_300);
 
-/// The greatest number of times that a job is submitted, including the first.
+/// The greatest number of times that a job is submitted by default, including the first.
 pub(crate) const SENDS_MAX: u32 = 6;
 
 /// The deadline that a caller sends with a job by default, in milliseconds.
@@ -32,6 +32,9 @@
 /// The deadline of hurried callers, in milliseconds.
 const HURRIED_DEADLINE_MS: u64 = 1_500;
 
+/// The greatest number of times that a hurried caller submits a job: some of its jobs can't end in time.
+const HURRIED_SENDS_MAX: u32 = 3;
+
 /// The time after which a hurried caller that gives up early closes its connection, in milliseconds.
 const EARLY_MS: std::ops::Range<u64> = 50..1_500;
 
@@ -43,6 +46,8 @@
     /// The time that a caller waits for a reply; then it closes the connection, and the answer is
     /// [`Answer::Unknown`].
     pub request_timeout: Duration,
+    /// The greatest number of times that a job is submitted, including the first.
+    pub sends_max: u32,
     /// Whether all callers wait for the same time.
     pub patience: Patience,
     /// The sizes of the jobs.
@@ -74,6 +79,7 @@
         CallerOptions {
             deadline_ms: HURRIED_DEADLINE_MS,
             request_timeout: Duration::from_millis(HURRIED_DEADLINE_MS),
+            sends_max: HURRIED_SENDS_MAX,
             patience: Patience::Varied,
             sizes: JobSizes::Mixed,
         }
@@ -111,6 +117,7 @@
         CallerOptions {
             deadline_ms: DEADLINE_MS,
             request_timeout: REQUEST_TIMEOUT,
+            sends_max: SENDS_MAX,
             patience: Patience::Same,
             sizes: JobSizes::Small,
         }
@@ -241,7 +248,7 @@
         } = NewJob::draw(rng, self.options.sizes);
         let started_at = Instant::now();
         let (mut sent_ms, mut answers) = (Vec::new(), Vec::new());
-        for _ in 0..SENDS_MAX {
+        for _ in 0..self.options.sends_max {
             sent_ms.push(now_ms());
             let answer = self.submit(&job, &body, rng).await;
             answers.push(answer);
--- a/crates/onyxshed-soak/src/run.rs
+++ b/crates/onyxshed-soak/src/run.rs
@@ -70,7 +70,8 @@
     pub fn starved(seed: u64) -> Self {
         let mut options = SoakOptions::with_seed(seed);
         options.fleet.hosts = 3;
-        options.fleet.executors = 8;
+        options.fleet.executors = 4;
+        options.fleet.places = 8;
         options.caller = CallerOptions::hurried();
         options.mix = FaultMix::Starved;
         options
--- a/crates/onyxshed-soak/tests/seeds.rs
+++ b/crates/onyxshed-soak/tests/seeds.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use onyxshed_soak::callers::Patience;
 use onyxshed_soak::faults::FaultMix;
 use onyxshed_soak::fleet::ExecutorClocks;
 use onyxshed_soak::run::require_no_violations;
@@ -87,6 +88,19 @@
     run_without_violations(&options);
 }
 
+/// Guards against two runs of a task at two pools, of which one is ordered by an owner that has fallen behind or by
+/// a link whose connection went silent.
+#[rstest]
+#[case(1395)]
+#[case(2244)]
+fn starved_hosts_run_no_task_twice(#[case] seed: u64) {
+    let mut options = SoakOptions::starved(seed);
+    options.length = Duration::from_millis(1_500);
+    options.fleet.hosts = 2;
+    options.caller.patience = Patience::Same;
+    run_without_violations(&options);
+}
+
 /// Guards against starts of tasks in an evacuated zone while owners and executors are killed, and
 /// against callers that are not served after the zones are restored.
 #[rstest]
