Requests of callers that have left are logged as rejected

Cause: since the server looks whether a peer has left before it calls the handler, such a request left no line.

--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -289,15 +289,20 @@
     /// Handles a request until its peer closes the connection. The handler is not called for a peer that
     /// left while its request waited to be read.
     async fn handle_while_connected(&self, stream: &BoundedStream, call: Call) -> Reply {
-        if let Some(reply) = future::poll_once(wait_for_disconnect(stream)).await {
-            return reply;
+        let has_left = future::poll_once(wait_for_disconnect(stream)).await;
+        if has_left.is_some() {
+            return self.rejection_reply(ResultCode::CancelledUnstarted);
         }
         (self.handler)(call).or(wait_for_disconnect(stream)).await
     }
 
     fn rejection_response(&self, code: ResultCode) -> Response {
+        self.rejection_reply(code).into_response()
+    }
+
+    fn rejection_reply(&self, code: ResultCode) -> Reply {
         self.stats.rejected.set(self.stats.rejected.get() + 1);
-        (self.reject)(code).connection_close().into_response()
+        (self.reject)(code).connection_close()
     }
 
     /// Replies to a peer with the reason for the rejection.
