Heartbeats go on while an answer is outstanding

Callers saw: nothing outside of our tests.

Cause: contact counts from an answer of the owner before the heartbeat, and the next heartbeat waited for the answer to the one before. On a link with a round trip of more than 225 ms contact was more than 600 ms old each time, and the owner ended all jobs of the host, though the link is given up at 450 ms only.

Change: while an answer is outstanding, a heartbeat is sent every 150 ms. Contact is as old as a round trip and 150 ms at most. None is sent on a connection that has been given up, so the bound on the runs of lost jobs stands.

The failure was seen once, so that the former code may pass as often.

--- a/crates/onyxshed-host/src/links/remote.rs
+++ b/crates/onyxshed-host/src/links/remote.rs
@@ -20,7 +20,7 @@
 use onyxshed_proto::{pool, rpc};
 use smol_str::format_smolstr;
 
-use super::heartbeat_schedule::HeartbeatSchedule;
+use super::heartbeat_schedule::{HEARTBEAT_PERIOD, HeartbeatSchedule};
 use super::{Links, NamedUpdate, topic_message};
 use crate::boot_clock;
 
@@ -156,7 +156,8 @@
         });
         let start_deadline = Instant::now() + OWNER_START_TIMEOUT;
         loop {
-            let answer = with_timeout(ANSWER_TIMEOUT, self.heartbeat(&channel)).await;
+            let answer = self.heartbeat(&channel).or(self.repeat_heartbeat(&channel));
+            let answer = with_timeout(ANSWER_TIMEOUT, answer).await;
             self.mark_first_attempt_done();
             match answer {
                 None => return Some("no answer in time"),
@@ -179,6 +180,32 @@
         }
     }
 
+    /// Sends further heartbeats while the answer to one is outstanding. Never returns.
+    ///
+    /// Otherwise the owner would hear from this host only once in a round trip, and end its jobs on links
+    /// whose answers still arrive in time.
+    async fn repeat_heartbeat(
+        self: &Rc<Self>,
+        channel: &Rc<Channel>,
+    ) -> capnp::Result<Option<Session>> {
+        loop {
+            Timer::after(HEARTBEAT_PERIOD).await;
+            let (link, channel) = (self.clone(), channel.clone());
+            let repeated = async move {
+                // A connection that has been given up gets no heartbeat.
+                if channel.lost.is_closed() {
+                    return;
+                }
+                let answer = with_timeout(ANSWER_TIMEOUT, link.heartbeat(&channel)).await;
+                // The heartbeat that is repeated reports a failure of the connection.
+                if let Some(Ok(Some(session))) = answer {
+                    link.apply_session(&channel, session);
+                }
+            };
+            self.links.kernel.spawn(repeated).detach();
+        }
+    }
+
     /// Waits until the owner has replied to the jobs that it has received, for at most
     /// [`ANSWER_TIMEOUT`].
     async fn wait_for_replies(&self) {
--- a/crates/onyxshed-pool/tests/pool/hosts.rs
+++ b/crates/onyxshed-pool/tests/pool/hosts.rs
@@ -5,6 +5,7 @@
     FencingToken, JobEnd, JobId, JobRequest, NotRunReason, RefuseReason, Session, StartAnswer,
     SubmissionNumber, TaskId, UnknownReason,
 };
+use rstest::rstest;
 
 use crate::fixture::{Harness, PEER, at_ms, facts, heartbeat_of, id, job};
 
@@ -413,3 +414,25 @@
     let starts = harness.take_starts();
     assert!(starts.is_empty(), "{starts:?}");
 }
+
+/// Guards against the loss of jobs on a slow link whose answers arrive before the link is given up.
+#[rstest]
+#[case::fast(4)]
+#[case::slow(240)]
+#[case::slowest(440)]
+fn session_lasts_at_round_trips_below_the_answer_timeout(#[case] round_trip_ms: u64) {
+    let mut harness = Harness::with_executors(&[("x1", 64)]);
+    let one_way_ms = round_trip_ms / 2;
+    let session = heartbeat(&mut harness, 0);
+    start_job_of_peer(&mut harness, session);
+    let mut last_ms = 0;
+    for sent_ms in (one_way_ms..4_000).step_by(150) {
+        harness.advance(last_ms, sent_ms + one_way_ms);
+        last_ms = sent_ms + one_way_ms;
+        let sent_no_earlier_than = at_ms(sent_ms - one_way_ms);
+        let sent = heartbeat_of(PEER, 1, sent_no_earlier_than);
+        let (actions, current) = harness.pool.record_peer_contact(at_ms(last_ms), &sent);
+        harness.actions.extend(actions);
+        assert_eq!(current, session);
+    }
+}
