--- a/crates/onyxshed-pool/src/pool/watch.rs
+++ b/crates/onyxshed-pool/src/pool/watch.rs
@@ -40,8 +40,7 @@
     }
 
     /// Applies the passage of time that must not be left to the next tick: a pause of this process, and
-    /// sessions that have expired. Called before each event is processed, since an event can renew leases
-    /// and start runs.
+    /// sessions that have expired. Called before each event that can renew leases or start runs.
     pub(super) fn apply_elapsed_time(&mut self, now: Mono) {
         self.executors.advance_clock(now);
         self.detect_pause(now);
