An unanswered start order is not repeated to the next incarnation

What callers saw: nothing yet; found by a search on related paths. The task of an order that an executor did not answer before it crashed would start on its next incarnation, whatever its kind.

Cause: an order without an answer is sent again to the same id. The run did not tell which incarnation it was ordered from.

Change: a run keeps the start time of the incarnation that it was ordered from. If another one has been reported when the answer is missing, the run is stopped, so that the task is placed anew.

Measured: unanswered_start_order_is_not_repeated_to_the_next_incarnation and the search failed before; both pass now.

--- a/crates/onyxshed-pool/src/executor.rs
+++ b/crates/onyxshed-pool/src/executor.rs
@@ -56,6 +56,8 @@
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct Run {
     pub number: RunNumber,
+    /// Start time of the incarnation that the run was ordered from, if known.
+    pub incarnation: Option<UnixMs>,
     pub demand: Resources,
     pub state: RunState,
     pub ordered_at: Mono,
--- a/crates/onyxshed-pool/src/pool/orders.rs
+++ b/crates/onyxshed-pool/src/pool/orders.rs
@@ -77,6 +77,7 @@
             executor.observe_clock(now, *clock);
         }
         let is_unresponsive = executor.is_unresponsive;
+        let incarnation = executor.started_at;
         let Some(run) = executor.runs.get_mut(&task) else {
             return RunStep::Keep;
         };
@@ -86,6 +87,7 @@
         if run.number != number {
             return RunStep::Keep;
         }
+        let has_restarted = run.incarnation != incarnation;
         match answer {
             StartAnswer::Started { .. } => {
                 run.state = RunState::Running { since: now };
@@ -122,6 +124,8 @@
                 executor.full_until = now + FULL_BACKOFF;
                 RunStep::Requeue("executor is unreachable")
             }
+            // The task was placed by the properties of an earlier incarnation.
+            StartAnswer::NotSent | StartAnswer::Unknown if has_restarted => RunStep::Stop,
             StartAnswer::NotSent | StartAnswer::Unknown
                 if orders_sent < orders_max && !is_unresponsive =>
             {
--- a/crates/onyxshed-pool/src/pool/place.rs
+++ b/crates/onyxshed-pool/src/pool/place.rs
@@ -261,6 +261,7 @@
         let task = job.task_id(index);
         let run = Run {
             number,
+            incarnation: executor.started_at,
             demand: job.request.demand,
             state: RunState::Ordered { orders_sent: 1 },
             ordered_at: now,
--- a/crates/onyxshed-pool/tests/pool/restarts.rs
+++ b/crates/onyxshed-pool/tests/pool/restarts.rs
@@ -1,7 +1,7 @@
 //! Executors that restart under their id: what is known of an earlier incarnation does not hold for the next.
 
 use onyxshed_core::UnixMs;
-use onyxshed_pool::{ExecutorFacts, JobRequest, PeerIncarnation, SuccessorOffer};
+use onyxshed_pool::{ExecutorFacts, JobRequest, PeerIncarnation, StartAnswer, SuccessorOffer};
 
 use crate::fixture::{Harness, PEER, at_ms, facts, heartbeat_of, id, job};
 
@@ -73,6 +73,20 @@
     assert_eq!(harness.take_ends().len(), 1, "the job is returned");
 }
 
+/// Guards against a start order that is repeated to the incarnation after the one that it was meant for.
+#[test]
+fn unanswered_start_order_is_not_repeated_to_the_next_incarnation() {
+    let mut harness = Harness::with_executors(&[("x1", 64)]);
+    harness.submit(1, labelled_job(1, "a"));
+    let (name, order) = harness.take_starts().pop().expect("a start order");
+    harness.report_of_incarnation(RESTARTED_AT, 30, "x1", &[]);
+    harness.answer_start(41, &name, &order, &StartAnswer::Unknown);
+    assert_eq!(harness.take_starts(), []);
+    let stops = harness.take_stops();
+    let stopped = stops.last().map(|(_, stop)| (stop.task, stop.run));
+    assert_eq!(stopped, Some((order.task, order.run)));
+}
+
 /// Guards against a successor that starts tasks by the label of an earlier incarnation, which it is told as the
 /// current one's.
 #[test]
--- a/crates/onyxshed-pool/tests/pool/search.rs
+++ b/crates/onyxshed-pool/tests/pool/search.rs
@@ -10,7 +10,7 @@
 use rstest::rstest;
 
 use crate::fixture::{job, resources};
-use crate::simulation::{Fault, MessageFaults, Simulation, Timeouts};
+use crate::simulation::{Fault, MessageFaults, Simulation, Timeouts, kind_label};
 
 const EXECUTORS: usize = 6;
 const ENTRIES: usize = 3;
@@ -133,6 +133,27 @@
     run_to_end(simulation)
 }
 
+/// Runs a simulation, with seeds of its own, in which most jobs need executors of one kind, and executors restart as
+/// the other kind beside the other faults.
+fn run_with_kinds(seed: u64, timeouts: Timeouts) -> Simulation {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0x51d5);
+    let mut simulation = random_simulation(seed, &mut rng);
+    simulation.timeouts = timeouts;
+    for call in simulation.calls.values_mut() {
+        let kind = rng.random_range(0..3);
+        call.request.label = (kind < 2).then(|| kind_label(kind));
+    }
+    for _ in 0..rng.random_range(8..40) {
+        let at = Mono(rng.random_range(2_000_000..FAULTS_END.0));
+        let fault = match rng.random_bool(0.7) {
+            true => Fault::CrashExecutor(random_executor(&mut rng)),
+            false => random_fault(&mut rng),
+        };
+        simulation.schedule_fault(at, fault);
+    }
+    run_to_end(simulation)
+}
+
 /// Runs a simulation of a burst, in which entry hosts apply levels of admission, with faults.
 fn run_overloaded(seed: u64) -> Simulation {
     let mut rng = SmallRng::seed_from_u64(seed ^ 0x1e7e);
@@ -216,6 +237,22 @@
     assert!(served * 5 > jobs * 2, "{served} of {jobs} jobs");
 }
 
+/// Guards against tasks that start on an executor by the label of an earlier incarnation: executors restart as
+/// another kind, several in succession, beside the faults of the other searches.
+#[rstest]
+fn no_task_starts_by_the_label_of_an_earlier_incarnation(
+    #[values(0, 1, 2)] block: u64,
+    #[values(Timeouts::LONG, Timeouts::HOST)] timeouts: Timeouts,
+) {
+    let seeds = seeds_per_block();
+    let mut served = 0;
+    for seed in block * seeds..(block + 1) * seeds {
+        served += completed_jobs(&run_with_kinds(seed, timeouts));
+    }
+    let jobs = usize::try_from(JOBS * seeds).expect("a count that fits into usize");
+    assert!(served * 4 > jobs, "{served} of {jobs} jobs");
+}
+
 /// Three times the load on overloaded pools, with the faults of the other searches: no task of a job starts
 /// after its caller was told "not run" by a level of admission.
 #[rstest]
--- a/crates/onyxshed-pool/tests/pool/simulation.rs
+++ b/crates/onyxshed-pool/tests/pool/simulation.rs
@@ -26,6 +26,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
+pub use entries::kind_label;
 pub use faults::Fault;
 
 /// Time until a caller resubmits a job with an unknown outcome.
--- a/crates/onyxshed-pool/tests/pool/simulation/entries.rs
+++ b/crates/onyxshed-pool/tests/pool/simulation/entries.rs
@@ -14,7 +14,7 @@
 const KINDS: u64 = 2;
 
 /// Returns the label of a kind of executor.
-fn kind_label(kind: u64) -> SmolStr {
+pub fn kind_label(kind: u64) -> SmolStr {
     format_smolstr!("kind-{kind}")
 }
 
