A late start answer of an earlier incarnation sets no clock

What callers saw: nothing; found beside the restarts. An executor's clock begins anew with each life. An answer of the earlier life that the owner reads after the first report of the next one replaced its clock offset: orders then carried leases far in the future, which the executor cuts to 1,000 ms, while the owner counts on 648 ms. Copies of a job at two pools are kept apart by that bound.

Cause: a start answer names no incarnation, and its clock reading was taken whatever run it belonged to.

Change: the reading counts only if the run was ordered from the current incarnation.

Measured: late_start_answer_of_earlier_incarnation_sets_no_clock failed before (a lease until 5,622 in place of 633 on the executor's clock) and passes now.

--- a/crates/onyxshed-pool/src/executor.rs
+++ b/crates/onyxshed-pool/src/executor.rs
@@ -391,6 +391,12 @@
         runs.into_iter().collect()
     }
 
+    /// Returns whether a run is tracked that was ordered from the current incarnation.
+    pub fn is_ordered_from_current(&self, task: TaskId, number: RunNumber) -> bool {
+        let run = self.runs.get(&task);
+        run.is_some_and(|run| run.number == number && run.incarnation == self.started_at)
+    }
+
     /// Returns the number of a job's tasks with a run on the executor, including runs that are
     /// being stopped.
     pub fn task_count(&self, job: JobId) -> usize {
--- a/crates/onyxshed-pool/src/pool/orders.rs
+++ b/crates/onyxshed-pool/src/pool/orders.rs
@@ -73,7 +73,9 @@
         let Some(mut executor) = self.executors.get_mut(id) else {
             return RunStep::Keep;
         };
-        if let StartAnswer::Started { clock: Some(clock) } = answer {
+        if let StartAnswer::Started { clock: Some(clock) } = answer
+            && executor.is_ordered_from_current(task, number)
+        {
             executor.observe_clock(now, *clock);
         }
         let is_unresponsive = executor.is_unresponsive;
--- a/crates/onyxshed-pool/tests/pool/restarts.rs
+++ b/crates/onyxshed-pool/tests/pool/restarts.rs
@@ -3,7 +3,7 @@
 use onyxshed_core::UnixMs;
 use onyxshed_pool::{ExecutorFacts, JobRequest, PeerIncarnation, StartAnswer, SuccessorOffer};
 
-use crate::fixture::{Harness, PEER, at_ms, facts, heartbeat_of, id, job};
+use crate::fixture::{CLOCK_AHEAD_MS, Harness, PEER, at_ms, facts, heartbeat_of, id, job};
 
 /// Start time of the incarnation that follows the one in [`facts`].
 const RESTARTED_AT: u64 = 77;
@@ -87,6 +87,25 @@
     assert_eq!(stopped, Some((order.task, order.run)));
 }
 
+/// Guards against leases by the clock of the earlier incarnation, which outlast the time that the owner counts
+/// with.
+#[test]
+fn late_start_answer_of_earlier_incarnation_sets_no_clock() {
+    let mut harness = Harness::with_executors(&[("x1", 64)]);
+    harness.submit(1, job(1, 1, 100));
+    let (name, order) = harness.take_starts().pop().expect("a start order");
+    harness.report_of_incarnation(RESTARTED_AT, 30, "x1", &[]);
+    harness.take_holds();
+    let late = StartAnswer::Started {
+        clock: Some(UnixMs(CLOCK_AHEAD_MS + 20)),
+    };
+    harness.answer_start(31, &name, &order, &late);
+    list(&mut harness, 32, new_facts());
+    harness.submit(33, job(2, 1, 100));
+    let (_, next) = harness.take_starts().pop().expect("a start order");
+    assert_eq!(next.expires, UnixMs(33 + 600));
+}
+
 /// Guards against a successor that starts tasks by the label of an earlier incarnation, which it is told as the
 /// current one's.
 #[test]
