Idle connections to the store are replaced instead of reused

Cause: a host that follows its owner keeps the connection on which it read the operators' topic at its start. It can be silent by the time at which the owner stops answering. The host notices the owner after up to 825 ms (375 ms wait and 450 ms), then reads with a wait of 750 ms and a timeout of 700 ms more on the silent connection, pauses 150 ms, and only then opens a new one: 2,425 ms. Each bound was chosen by itself.

--- a/crates/onyxshed-host/src/topic.rs
+++ b/crates/onyxshed-host/src/topic.rs
@@ -129,7 +129,10 @@
         watch: &StoreWatch,
     ) -> onyxshed_adapter::Result<()> {
         loop {
-            self.wait_while_relayed(topic).await;
+            if self.wait_while_relayed(topic).await {
+                // The connection may have become unresponsive while it was idle.
+                store.disconnect();
+            }
             let position = topic.log.borrow().position();
             let read = match position {
                 None => self.read_newest(topic, store).await,
@@ -189,16 +192,18 @@
         Ok(())
     }
 
-    /// Waits until the topic has to be read from the store.
-    async fn wait_while_relayed(&self, topic: &FollowedTopic) {
+    /// Waits until the topic has to be read from the store. Returns whether there was anything to wait for.
+    async fn wait_while_relayed(&self, topic: &FollowedTopic) -> bool {
+        let mut has_waited = false;
         loop {
             let needed = self.read_needed.subscribe();
             let due = topic.log.borrow().read_due(topic.options.unknown_max);
             let remaining = due.map(|due| due.since(boot_clock::now()));
             let Some(remaining) = remaining.filter(|time| self.is_relayed.get() && time.0 > 0)
             else {
-                return;
+                return has_waited;
             };
+            has_waited = true;
             let expiry = async {
                 Timer::after(remaining.into()).await;
             };
--- a/crates/onyxshed-soak/src/fleet.rs
+++ b/crates/onyxshed-soak/src/fleet.rs
@@ -224,7 +224,8 @@
             "port_range": [7_720, 7_735], "seeds": configured_peers,
             "limits": {"cpu_share": 0.25, "cpu_cores": 1, "memory_mb": 260},
             "heartbeat_ms": 500,
-            "bounds": {"hold_max_ms": 1000, "grace_s": STOP_GRACE.as_secs(), "resend_ms": 1300},
+            "bounds": {"config_apply_ms": 2000, "hold_max_ms": 1000, "grace_s": STOP_GRACE.as_secs(),
+                "resend_ms": 1300},
             "platform": {"address": store, "ttl_min_ms": 1000},
         });
         let path = self.folder.path().join(format!("{name}.json"));
--- a/crates/onyxshed-soak/tests/hosts/topics.rs
+++ b/crates/onyxshed-soak/tests/hosts/topics.rs
@@ -96,3 +96,40 @@
         assert!(started_at.elapsed() < Duration::from_secs(3));
     });
 }
+
+/// Time within which a manifest has to take effect, as the settings of the hosts say.
+const MANIFEST_WITHIN: Duration = Duration::from_millis(2_000);
+
+/// Guards against a host that is late with a manifest because it reads the store on a connection that went silent
+/// while the host followed its owner.
+#[test]
+fn manifest_is_in_force_in_time_if_an_idle_store_connection_is_silent_and_the_owner_stops() {
+    block_on(async {
+        let (mut fleet, owner, other) = start_with_owner().await;
+        // Reads that were pending when the owner appeared have ended by then.
+        Timer::after(Duration::from_secs(3)).await;
+        let store = format!("store-{other}");
+        let silenced = fleet.set_mode(&store, Mode::StallExisting).await;
+        silenced.expect("the mode is set");
+        // Readers that are not idle have replaced their connections by then.
+        Timer::after(Duration::from_secs(6)).await;
+        let frozen = fleet.signal_host(&owner, |process| process.freeze());
+        frozen.expect("the owner is frozen");
+        let published = fleet.put_manifest(70, 60).await;
+        published.expect("the manifest is written");
+        let published_at = Instant::now();
+        wait_until("the host has the manifest", async || {
+            let log = fleet.log_tail(&other);
+            log.contains("version 70").then_some(())
+        })
+        .await;
+        let took = published_at.elapsed();
+        let thawed = fleet.signal_host(&owner, |process| process.thaw());
+        thawed.expect("the owner is thawed");
+        assert!(
+            took < MANIFEST_WITHIN,
+            "{took:?}\n{}",
+            fleet.log_tail(&other)
+        );
+    });
+}
