The time for which a manifest may stay unknown follows from its target

What callers saw: nothing at the target of the deployments (2 s). With a target under 1.9 s a manifest could be late by design.

Cause: the lower limit of 1,500 ms overrode the margin that is taken from config_apply_ms, and nothing added up the times that a host needs to give up its owner or an unresponsive connection.

Change: TopicOptions::known_within adds them up, and unknown_max_for is its inverse. At 2 s the result is 1,500 ms as before: 1,900 ms for a host that follows its owner (1,500, a read on a new connection 400) and 2,000 ms for one that reads the store (wait 750, timeout 700, pause 150, read 400).

--- a/crates/onyxshed-host/src/manifest.rs
+++ b/crates/onyxshed-host/src/manifest.rs
@@ -18,21 +18,29 @@
 use crate::store_watch::StoreWatch;
 use crate::topic::{TopicOptions, TopicReader, Topics};
 
-/// Shortest time for which a manifest may stay unknown.
-const UNKNOWN_MAX_MIN: Millis = Millis(1_500);
+/// How long a manifest may stay unknown if no time is set within which it has to take effect.
+const UNKNOWN_MAX_DEFAULT: Millis = Millis(1_500);
 
-/// Difference between the time within which a manifest has to take effect and the time for which it
-/// may stay unknown: covers the timeout of the answer, a new connection and the read that finds the
-/// change.
+/// Shortest time for which a manifest may stay unknown; bounds the rate of the reads.
+const UNKNOWN_MAX_MIN: Millis = Millis(200);
+
+/// Difference between the time within which a manifest has to take effect and the time for which it may stay
+/// unknown, if the former is long: covers the timeout of the answer, a new connection and the read that finds
+/// the change.
 const UNKNOWN_MAX_MARGIN: Millis = Millis(1_200);
 
 /// Returns how long a manifest may stay unknown before it is read from the store on a new connection.
-/// `manifest_within` is the time within which a manifest has to take effect; with `None` the shortest
-/// time is used.
+/// `manifest_within` is the time within which a manifest has to take effect, also if an open connection to the
+/// store is unresponsive; times under 1,350 ms can't be kept then.
 pub fn manifest_unknown_max(manifest_within: Option<Millis>) -> Millis {
-    let limit_ms =
-        manifest_within.map_or(0, |within| within.0.saturating_sub(UNKNOWN_MAX_MARGIN.0));
-    UNKNOWN_MAX_MIN.max(Millis(limit_ms))
+    let Some(within) = manifest_within else {
+        return UNKNOWN_MAX_DEFAULT;
+    };
+    let with_margin = Millis(within.0.saturating_sub(UNKNOWN_MAX_MARGIN.0));
+    UNKNOWN_MAX_DEFAULT
+        .max(with_margin)
+        .min(TopicOptions::unknown_max_for(within))
+        .max(UNKNOWN_MAX_MIN)
 }
 
 /// The newest manifest that this host knows.
--- a/crates/onyxshed-host/src/store_watch.rs
+++ b/crates/onyxshed-host/src/store_watch.rs
@@ -17,7 +17,7 @@
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Pause after a failed call before a topic is read again from its newest state.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
+pub const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
 /// Logs one event when the store stops answering, and one when it answers again.
 pub struct StoreWatch {
--- a/crates/onyxshed-host/src/topic.rs
+++ b/crates/onyxshed-host/src/topic.rs
@@ -22,13 +22,22 @@
 
 use crate::boot_clock;
 use crate::store_calls::{self, StorePurpose};
-use crate::store_watch::{ANSWER_TIMEOUT, StoreWatch};
+use crate::store_watch::{ANSWER_TIMEOUT, RETRY_PAUSE, StoreWatch};
 
 pub use log::{TopicLog, TopicUpdate};
 
 /// HTTP status of a topic that has never been written to.
 const NO_SUCH_TOPIC: u16 = 404;
 
+/// Time within which a read on a new connection finds a change at a store that answers, on a host at its CPU
+/// limit.
+const FRESH_READ_MAX: Duration = Duration::from_millis(400);
+
+/// Time after the wait of a read on an unresponsive connection until a read on a new one has found a change.
+const UNRESPONSIVE_READ_COST: Duration = ANSWER_TIMEOUT
+    .saturating_add(RETRY_PAUSE)
+    .saturating_add(FRESH_READ_MAX);
+
 /// Longest time for which an owner waits for a change before it confirms that there is none.
 const CONFIRMATION_PERIOD_MAX: Millis = Millis(1_000);
 
@@ -61,6 +70,35 @@
     pub absent_period: Option<Duration>,
 }
 
+impl TopicOptions {
+    /// Returns how long a read waits in the store for a change.
+    fn read_wait(&self) -> Millis {
+        Millis(self.unknown_max.0 / 2)
+    }
+
+    /// Returns the time within which a change is known at a store that answers, although an open connection of
+    /// this host to the store is unresponsive, or its owner is.
+    ///
+    /// A host that follows its owner reads the store on a new connection when its knowledge is as old as
+    /// [`Self::unknown_max`]. A host that reads the store notices an unresponsive connection by the timeout of
+    /// a read.
+    pub fn known_within(&self) -> Duration {
+        let followed = Duration::from(self.unknown_max) + FRESH_READ_MAX;
+        let read = Duration::from(self.read_wait()) + UNRESPONSIVE_READ_COST;
+        followed.max(read)
+    }
+
+    /// Returns the longest [`Self::unknown_max`] with which a change is known within `limit`; 0 if there is
+    /// none.
+    pub fn unknown_max_for(limit: Millis) -> Millis {
+        let limit = Duration::from(limit);
+        let followed = limit.saturating_sub(FRESH_READ_MAX);
+        let read = limit.saturating_sub(UNRESPONSIVE_READ_COST) * 2;
+        let longest = followed.min(read).as_millis();
+        Millis(u64::try_from(longest).unwrap_or(u64::MAX))
+    }
+}
+
 /// A topic that is followed, and what is known of it.
 struct FollowedTopic {
     options: TopicOptions,
@@ -178,7 +216,7 @@
         store: &mut Store,
         position: u64,
     ) -> onyxshed_adapter::Result<()> {
-        let wait = Millis(topic.options.unknown_max.0 / 2);
+        let wait = topic.options.read_wait();
         let timeout = ANSWER_TIMEOUT + Duration::from(wait);
         let read = store
             .read_keyed(topic.options.name, position, wait, timeout)
--- a/crates/onyxshed-host/tests/lookup.rs
+++ b/crates/onyxshed-host/tests/lookup.rs
@@ -1,8 +1,13 @@
 //! Rate at which a host calls the store while nothing changes.
 
+use std::time::Duration;
+
 use onyxshed_core::Millis;
 use onyxshed_host::directory::OwnerStatus;
 use onyxshed_host::manifest::manifest_unknown_max;
+use onyxshed_host::store_calls::StorePurpose;
+use onyxshed_host::topic::TopicOptions;
+use rstest::rstest;
 
 /// Returns the lookups per minute of a host that owns no pool, while every owner answers.
 fn lookups_per_minute(zones: usize, pools_per_zone: usize) -> u64 {
@@ -75,3 +80,19 @@
     };
     assert!(rate(1_000, 16) <= rate(1_000, 1));
 }
+
+/// Guards against bounds that add up to more than the time within which a manifest has to take effect, if a
+/// connection to the store or the owner is unresponsive.
+#[rstest]
+fn manifest_is_known_within_its_time_despite_an_unresponsive_connection(
+    #[values(1_350, 1_500, 2_000, 2_400, 3_000, 4_000, 10_000)] within_ms: u64,
+) {
+    let within = Millis(within_ms);
+    let options = TopicOptions {
+        name: "keyed.op",
+        purpose: StorePurpose::Operators,
+        unknown_max: manifest_unknown_max(Some(within)),
+        absent_period: None,
+    };
+    assert!(options.known_within() <= Duration::from(within));
+}
