A renewal without a reply is repeated before the membership expires

When the owner's connection to the store went silent, the store dropped its membership, and the pool had no holder for a moment: a host that looks it up then may take it over if the link to the owner fails too.

Cause: a renewal on a silent connection times out after 700 ms, and the next one waits for the interval again: 350 + 700 + 350 ms, and the call, is more than the 1,400 ms that a membership lives.

Change: a renewal without a reply is repeated after 100 ms, on a new connection. A store that answers, also with a refusal, is called as often as before.

--- a/crates/onyxshed-host/src/ownership/contender.rs
+++ b/crates/onyxshed-host/src/ownership/contender.rs
@@ -6,7 +6,7 @@
 
 use async_io::Timer;
 use futures_lite::FutureExt;
-use onyxshed_adapter::Store;
+use onyxshed_adapter::{Error, Store};
 use onyxshed_core::{Millis, Mono};
 use onyxshed_kernel::Kernel;
 use onyxshed_pool::{
@@ -35,6 +35,10 @@
 /// Interval at which an owner renews its membership: a quarter of its time to live.
 const RENEW_PERIOD: Duration = Duration::from_millis(350);
 
+/// Pause before a renewal that got no reply is repeated. The interval, the timeout of the lost call, this pause
+/// and the repeated call on a new connection fit into the membership's time to live.
+const RENEW_RETRY_PAUSE: Duration = Duration::from_millis(100);
+
 /// Time to live of a membership without renewal: long enough for one lost call and a slow store,
 /// short enough that a crashed owner is replaced within two seconds.
 const MEMBER_TTL: Millis = Millis(1_400);
@@ -62,6 +66,8 @@
     pub(super) member: SmolStr,
     store: Store,
     watch: StoreWatch,
+    /// Whether the last join got no reply.
+    is_join_unanswered: bool,
     generation: u64,
     candidates: BTreeMap<PoolId, Candidate>,
     /// Executor list that is fetched while this host waits to join, so that a new owner can use it
@@ -107,6 +113,7 @@
             member: member_name(options.address, service.engine.incarnation()),
             store: store_calls::open(options.store, StorePurpose::Ownership),
             watch: StoreWatch::new(kernel, "ownership"),
+            is_join_unanswered: false,
             generation: 0,
             candidates: BTreeMap::new(),
             prefetched_executors: None,
@@ -300,6 +307,7 @@
                 ANSWER_TIMEOUT,
             )
             .await;
+        self.is_join_unanswered = matches!(joined, Err(Error::NoReply { .. }));
         match joined {
             Ok(membership) => {
                 self.watch.record_answer();
@@ -424,9 +432,10 @@
     async fn renew(&mut self, pool: PoolId) -> OwnershipStep {
         let past_members = self.engine.past_members();
         let is_registered = past_members.is_empty();
-        let period = match is_registered {
-            true => RENEW_PERIOD,
-            false => REGISTER_PERIOD,
+        let period = match (is_registered, self.is_join_unanswered) {
+            (false, _) => REGISTER_PERIOD,
+            (true, true) => RENEW_RETRY_PAUSE,
+            (true, false) => RENEW_PERIOD,
         };
         Timer::after(period).await;
         if self.engine.take_fenced() || self.engine.owned_pool().is_none() {
--- a/crates/onyxshed-soak/src/fleet/commands.rs
+++ b/crates/onyxshed-soak/src/fleet/commands.rs
@@ -9,7 +9,7 @@
 use onyxshed_standins::faults::{Mode, NewRoute, SetMode};
 use onyxshed_standins::fleet::store::StoreFaults;
 use serde::Serialize;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use super::{CALL_TIMEOUT, Fleet, ROUTE_HOST, ROUTE_PREFIX, unmet};
 
@@ -114,6 +114,18 @@
         serde_json::from_slice(&reply.body).map_err(|error| unmet(path, &error.to_string()))
     }
 
+    /// Returns whether a member of a pool's group holds a partition of it, as the store shows.
+    pub async fn has_holder(&self, group: &str) -> Result<bool> {
+        let store = self.store.address("store")?;
+        let path = format!("log-owners?group={group}");
+        let reply = call_once(store, Method::Get, &path, Vec::new(), CALL_TIMEOUT).await;
+        let reply = reply.map_err(|error| unmet(&path, &error.to_string()))?;
+        let owners: Value = serde_json::from_slice(&reply.body)
+            .map_err(|error| unmet(&path, &error.to_string()))?;
+        let rows = owners["parts"].as_array();
+        Ok(rows.is_some_and(|rows| !rows.is_empty()))
+    }
+
     /// Joins a member that is not a host to the group of a pool, and removes it again.
     pub async fn join_and_leave_group(&self, pool: &str) -> Result<()> {
         let store = self.store.address("store")?;
--- a/crates/onyxshed-soak/tests/hosts/owners.rs
+++ b/crates/onyxshed-soak/tests/hosts/owners.rs
@@ -1,6 +1,6 @@
 //! The ownership of pools, and the links between hosts and owners.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::{Timer, block_on};
 use http_types::Method;
@@ -240,3 +240,29 @@
         }
     });
 }
+
+/// Guards against a membership that expires because the owner's connection to the store has become unresponsive,
+/// while new ones work.
+#[test]
+fn owner_keeps_its_membership_if_its_connection_to_the_store_is_unresponsive() {
+    /// Longer than the membership lives without a renewal.
+    const OBSERVED: Duration = Duration::from_millis(2_000);
+    block_on(async {
+        let fleet = Fleet::start(&one_zone()).await.expect("the fleet starts");
+        let owner = wait_for_owner(&fleet).await;
+        let store = format!("store-{}", fleet.host_names()[owner]);
+        for _ in 0..4 {
+            let stalled = fleet.set_mode(&store, Mode::StallExisting).await;
+            stalled.expect("the mode is set");
+            let until = Instant::now() + OBSERVED;
+            while Instant::now() < until {
+                let is_held = fleet.has_holder("pool.z0.0").await;
+                assert!(
+                    is_held.expect("the store answers"),
+                    "the membership expired"
+                );
+                Timer::after(Duration::from_millis(5)).await;
+            }
+        }
+    });
+}
