An older answer of the zone's reader does not replace newer entries

An owner that had read the executors' entries itself applied an answer of the zone's reader that was up to 1 s older: a draining executor was taken for ready again, or a removed one for listed, until the reader's next change.

Cause: an answer's age was compared with a fixed limit only, not with what the owner had read since.

Change: an answer that is older than the owner's last read of the store is ignored.

Measured: answer_that_is_older_than_a_read_of_the_store_is_ignored failed before and passes now.

--- a/crates/onyxshed-pool/src/zone_reader.rs
+++ b/crates/onyxshed-pool/src/zone_reader.rs
@@ -81,6 +81,8 @@
 pub struct ZoneView {
     version: Option<(FencingToken, u64)>,
     read_at: Option<Mono>,
+    /// When this owner itself last read the entries from the store.
+    store_read_at: Option<Mono>,
 }
 
 impl ZoneView {
@@ -91,13 +93,14 @@
     }
 
     /// Records an answer that arrived at `now`. Returns whether its changes are to be applied: an answer that
-    /// is too old is ignored.
+    /// is too old, or older than what this owner has read itself, is ignored.
     pub fn accept(&mut self, now: Mono, answer: &ZoneAnswer) -> bool {
-        if answer.age >= ENTRIES_AGE_MAX {
+        let age = Micros::from(answer.age);
+        let read_at = Mono(now.0.saturating_sub(age.0));
+        if answer.age >= ENTRIES_AGE_MAX || self.store_read_at > Some(read_at) {
             return false;
         }
-        let age = Micros::from(answer.age);
-        self.read_at = Some(Mono(now.0.saturating_sub(age.0)));
+        self.read_at = Some(read_at);
         self.version = Some((answer.token, answer.changes.version));
         true
     }
@@ -105,6 +108,7 @@
     /// Records that the entries were read from the store.
     pub fn record_store_read(&mut self, now: Mono) {
         self.read_at = Some(now);
+        self.store_read_at = Some(now);
     }
 
     /// Returns whether the entries have to be read from the store. A missing answer is waited for first, since
--- a/crates/onyxshed-pool/tests/pool/zone_reader.rs
+++ b/crates/onyxshed-pool/tests/pool/zone_reader.rs
@@ -60,3 +60,15 @@
     let changes = answer(&next, &view, 100).changes;
     assert!(changes.is_complete);
 }
+
+/// Guards against tasks on a draining executor: an answer of the reader replaces entries that this owner has read
+/// from the store since.
+#[test]
+fn answer_that_is_older_than_a_read_of_the_store_is_ignored() {
+    let list = list_read_at(0, 1);
+    let mut view = ZoneView::default();
+    view.record_store_read(at_ms(400));
+    assert!(!view.accept(at_ms(600), &answer(&list, &view, 600)));
+    let newer = list_read_at(450, 1);
+    assert!(view.accept(at_ms(600), &answer(&newer, &view, 600)));
+}
