The counter of replaced connections counts those that a reader closes

Cause: a connection that a reader closes because it has been idle was closed outside a call and not counted.

No other change of behaviour.

--- a/crates/onyxshed-host/src/store_calls.rs
+++ b/crates/onyxshed-host/src/store_calls.rs
@@ -20,8 +20,7 @@
 /// Time since the last reply after which a connection to the store is replaced.
 ///
 /// Existing connections may permanently stop delivering data while new ones work, and a call on such a
-/// connection is lost with its whole timeout. Calls that are repeated within less time find it out by
-/// themselves.
+/// connection is lost with its whole timeout.
 const CONNECTION_REUSE_WITHIN: Duration = Duration::from_secs(1);
 
 /// What a call to the store is for.
@@ -68,6 +67,6 @@
     Store::new(address, reuse).metered(move |usage: CallUsage| {
         calls.increment(1);
         bytes.increment(usage.sent_bytes + usage.received_bytes);
-        replaced.increment(u64::from(usage.replaced_connection));
+        replaced.increment(usage.replaced_connections);
     })
 }
--- a/crates/onyxshed-host/src/topic.rs
+++ b/crates/onyxshed-host/src/topic.rs
@@ -76,12 +76,11 @@
         Millis(self.unknown_max.0 / 2)
     }
 
-    /// Returns the time within which a change is known at a store that answers, although an open connection of
-    /// this host to the store is unresponsive, or its owner is.
+    /// Returns the time within which a change is known, if the store answers on new connections.
     ///
     /// A host that follows its owner reads the store on a new connection when its knowledge is as old as
-    /// [`Self::unknown_max`]. A host that reads the store notices an unresponsive connection by the timeout of
-    /// a read.
+    /// [`Self::unknown_max`], or earlier if the owner does not answer. A host that reads the store notices an
+    /// unresponsive connection by the timeout of a read.
     pub fn known_within(&self) -> Duration {
         let followed = Duration::from(self.unknown_max) + FRESH_READ_MAX;
         let read = Duration::from(self.read_wait()) + UNRESPONSIVE_READ_COST;
@@ -230,7 +229,7 @@
         Ok(())
     }
 
-    /// Waits until the topic has to be read from the store. Returns whether there was anything to wait for.
+    /// Waits until the topic has to be read from the store. Returns `false` if it had to be at once.
     async fn wait_while_relayed(&self, topic: &FollowedTopic) -> bool {
         let mut has_waited = false;
         loop {
--- a/crates/onyxshed-pool/tests/pool/restarts.rs
+++ b/crates/onyxshed-pool/tests/pool/restarts.rs
@@ -1,7 +1,9 @@
 //! Executors that restart under their id: what is known of an earlier incarnation does not hold for the next.
 
 use onyxshed_core::UnixMs;
-use onyxshed_pool::{ExecutorFacts, JobRequest, PeerIncarnation, StartAnswer, SuccessorOffer};
+use onyxshed_pool::{
+    ExecutorFacts, ExecutorId, Heartbeat, JobRequest, StartAnswer, SuccessorOffer,
+};
 
 use crate::fixture::{CLOCK_AHEAD_MS, Harness, PEER, at_ms, facts, heartbeat_of, id, job};
 
@@ -114,26 +116,23 @@
     harness.report_of_incarnation(RESTARTED_AT, 30, "x1", &[]);
     harness.pool.begin_drain();
     harness.pool.set_successor_needed(true);
-    let transfer = transfer_to(&mut harness, PEER);
-    let ids: Vec<String> = transfer.iter().map(|(id, _)| id.to_string()).collect();
+    let transferred = transferred_executors(&mut harness);
+    let ids: Vec<String> = transferred.iter().map(|(id, _)| id.to_string()).collect();
     assert_eq!(ids, ["x2"]);
 }
 
-/// Returns the executors that a stopping owner transfers to the host `peer`.
-fn transfer_to(
-    harness: &mut Harness,
-    peer: PeerIncarnation,
-) -> Vec<(onyxshed_pool::ExecutorId, ExecutorFacts)> {
+/// Returns the executors that a stopping owner transfers to another host.
+fn transferred_executors(harness: &mut Harness) -> Vec<(ExecutorId, ExecutorFacts)> {
     let offer = SuccessorOffer {
         address: "10.0.0.2:7000".parse().expect("a socket address"),
         cpu_millis: 500,
     };
-    let heartbeat = onyxshed_pool::Heartbeat {
+    let heartbeat = Heartbeat {
         offer: Some(offer),
-        ..heartbeat_of(peer, 1, at_ms(40))
+        ..heartbeat_of(PEER, 1, at_ms(40))
     };
     let (actions, _) = harness.pool.record_peer_contact(at_ms(40), &heartbeat);
     harness.actions.extend(actions);
-    let transfer = harness.pool.transfer_ownership(at_ms(50), peer, Vec::new());
+    let transfer = harness.pool.transfer_ownership(at_ms(50), PEER, Vec::new());
     transfer.expect("an ownership transfer").executors
 }
--- a/crates/onyxshed-pool/tests/pool/simulation/entries.rs
+++ b/crates/onyxshed-pool/tests/pool/simulation/entries.rs
@@ -2,7 +2,7 @@
 //! incarnation.
 
 use onyxshed_core::{Millis, UnixMs};
-use onyxshed_pool::{ExecutorFacts, ExecutorId, HoldAnswer, StartOrder};
+use onyxshed_pool::{ExecutorFacts, ExecutorId, ExecutorReport, HoldAnswer, StartOrder};
 use smol_str::{SmolStr, format_smolstr};
 
 use super::{Event, OwnerIndex, Simulation};
@@ -60,9 +60,10 @@
         id: &ExecutorId,
         answer: &HoldAnswer,
     ) {
-        if let HoldAnswer::Report(onyxshed_pool::ExecutorReport::Lists(lists)) = answer {
-            self.reported
-                .insert((owner, id.clone()), lists.started_at.map_or(0, |at| at.0));
+        if let HoldAnswer::Report(ExecutorReport::Lists(lists)) = answer
+            && let Some(started_at) = lists.started_at
+        {
+            self.reported.insert((owner, id.clone()), started_at.0);
         }
     }
 
