explain shows restarts of the executors of a job

Cause: onyxshed explain prints what was believed of a job's executors, and left out the new event on restarts (E827).

Change: E827 is context like the other events on executors.

--- a/crates/onyxshed-cli/src/trace/select.rs
+++ b/crates/onyxshed-cli/src/trace/select.rs
@@ -128,6 +128,7 @@
             | EventKind::PoolExecutorBack
             | EventKind::PoolExecutorAvoided
             | EventKind::PoolExecutorDraining
+            | EventKind::PoolExecutorRestarted
             | EventKind::PoolExecutorGone => self.parties.contains(&event.party),
             EventKind::PoolLinkUp | EventKind::PoolLinkDown | EventKind::PoolOwnerChanged => {
                 self.hosts.contains(&line.host) && self.names_pool(&event.detail)
