--- a/review/tools-2/harness.rs
+++ b/review/tools-2/harness.rs
@@ -1525,6 +1525,82 @@
         }
     });
     pause(500);
+    report_overlaps(&deployment)
+}
+
+/// TWICE: a record that another writer wrote, without the fields of an executor, changes the address of an
+/// executor, and its runs are given up while they work.
+fn foreign_address(folder: &Path) -> ! {
+    let all = [
+        facts("x1", "z1", &["a", "r1-1"], 2),
+        facts("x2", "z1", &["a", "r1-1"], 4),
+    ];
+    let deployment = Deployment::start(folder, &["z1", "z1"], &all);
+    thread::scope(|scope| {
+        let phase = "{\"count\":4,\"cpu\":1000,\"mem_mb\":64,\"est_runtime_ms\":1000}";
+        let submitted = &deployment;
+        scope.spawn(move || submitted.submit(0, 0xd1, phase, 1_000, 6_000));
+        let deadline = Instant::now() + Duration::from_secs(2);
+        while deployment.runs().len() < 4 && Instant::now() < deadline {
+            pause(5);
+        }
+        pause(200);
+        if has_trouble() {
+            let address = deployment.executors[1].address;
+            let entry = format!(
+                "{{\"service\":\"desk\",\"address\":\"{address}\",\"zone\":\"z1\",\"state\":\"ready\",\
+                 \"capacity\":{{\"cpu\":2000,\"mem_mb\":100000}},\"labels\":[\"a\",\"r1-1\"]}}"
+            );
+            deployment.record.add(format!(
+                "another writer: servers/x1 = {entry}, the address of x2"
+            ));
+            deployment.store.put("keyed.servers", "x1", Some(&entry));
+        }
+    });
+    pause(500);
+    report_overlaps(&deployment)
+}
+
+/// FAULT: records that another writer wrote once end the service of a pool for good.
+fn foreign_outage(folder: &Path) -> ! {
+    let all = [
+        facts("x1", "z1", &["a", "r1-1"], 2),
+        facts("x2", "z1", &["a", "r1-1"], 2),
+    ];
+    let deployment = Deployment::start(folder, &["z1", "z1"], &all);
+    let phase = "{\"count\":2,\"cpu\":1000,\"mem_mb\":64,\"est_runtime_ms\":100}";
+    // Halfway between two status reports of the executors.
+    pause(700);
+    if has_trouble() {
+        for (id, other) in [("x1", 1), ("x2", 0)] {
+            let address = deployment.executors[other].address;
+            let entry = format!(
+                "{{\"service\":\"desk\",\"address\":\"{address}\",\"zone\":\"z1\",\"state\":\"ready\",\
+                 \"capacity\":{{\"cpu\":2000,\"mem_mb\":100000}},\"labels\":[\"a\",\"r1-1\"]}}"
+            );
+            deployment
+                .record
+                .add(format!("another writer: servers/{id} = {entry}"));
+            deployment.store.put("keyed.servers", id, Some(&entry));
+        }
+    }
+    pause(3_000);
+    let (mut served, mut sent) = (0, 0);
+    while sent < 30 {
+        sent += 1;
+        let host = sent % deployment.hosts.len();
+        let answer = deployment.submit(host, 0xe000 + sent as u64, phase, 100, 1_500);
+        served += usize::from(answer.is_some_and(|(status, _)| status == 200));
+        pause(900);
+    }
+    deployment.record.add(format!(
+        "{served} of {sent} jobs were served, from 3 s after the last foreign record on"
+    ));
+    deployment.finish(i32::from(served == 0))
+}
+
+/// Ends a case with 1 if two runs of one task were at work at the same time.
+fn report_overlaps(deployment: &Deployment) -> ! {
     let runs = deployment.runs();
     if runs.is_empty() {
         deployment.finish(2);
@@ -1648,6 +1724,8 @@
         "foreign-entry" => foreign_entry(folder),
         "cancelled-job" => cancelled_job(folder),
         "late-manifest" => late_manifest(folder),
+        "foreign-address" => foreign_address(folder),
+        "foreign-outage" => foreign_outage(folder),
         "late-order" => late_order(folder),
         _ => {
             eprintln!("no such case: {case}");
