--- a/review/tools-2/harness.rs
+++ b/review/tools-2/harness.rs
@@ -1615,6 +1615,58 @@
     deployment.finish(i32::from(!overlaps.is_empty()))
 }
 
+/// DRAIN: a status report that the store carries out late is taken for the newest.
+fn late_report(folder: &Path) -> ! {
+    const DRAIN_MS: u64 = 2_000;
+    const LATE_MS: u64 = 5_000;
+    let all = [
+        facts("x1", "z1", &["a", "r1-1"], 4),
+        facts("x2", "z1", &["a", "r1-1"], 4),
+    ];
+    let deployment = Deployment::start(folder, &["z1", "z1"], &all);
+    let record = deployment.record.clone();
+    let executor = deployment.executors[0].clone();
+    if has_trouble() {
+        let entry = executor.entry();
+        record.add(format!(
+            "executor x1: the store does not answer a status report, and carries it out in {LATE_MS} ms: {entry}"
+        ));
+        let (record, store) = (record.clone(), deployment.store.clone());
+        thread::spawn(move || {
+            pause(LATE_MS);
+            record.add("the store carries the late status report of x1 out".into());
+            store.put("keyed.servers", "x1", Some(&entry));
+        });
+    }
+    // The next report.
+    pause(1_000);
+    *lock(&executor.state) = "draining";
+    executor.register();
+    let drained = record.add("executor x1: the store accepts that it is draining".into());
+    let phase = "{\"count\":6,\"cpu\":1000,\"mem_mb\":64,\"est_runtime_ms\":100}";
+    let mut id = 0x8000;
+    while record.now() < drained + 8_000 {
+        id += 1;
+        deployment.submit(usize::from(id % 2 == 0), id, phase, 100, 2_000);
+        pause(50);
+    }
+    let runs = deployment.runs();
+    let on_drained = runs
+        .iter()
+        .filter(|seen| seen.executor == "x1" && seen.began > drained);
+    let late = on_drained
+        .filter(|seen| seen.began > drained + DRAIN_MS)
+        .count();
+    record.add(format!(
+        "{late} of {} starts were on x1 later than {DRAIN_MS} ms after the store accepted that it drains",
+        runs.len()
+    ));
+    if runs.is_empty() {
+        deployment.finish(2);
+    }
+    deployment.finish(i32::from(late > 0))
+}
+
 /// CONFIG: a manifest is late at hosts in touch while the owner that they follow loses its path to the store.
 fn late_manifest(folder: &Path) -> ! {
     const APPLY_MS: u64 = 2_000;
@@ -1726,6 +1778,7 @@
         "late-manifest" => late_manifest(folder),
         "foreign-address" => foreign_address(folder),
         "foreign-outage" => foreign_outage(folder),
+        "late-report" => late_report(folder),
         "late-order" => late_order(folder),
         _ => {
             eprintln!("no such case: {case}");
