Tests of clients that do not behave, at every door of a host

What callers saw: in the users' trial a process ran out of memory. Crowds of 400 clients (900 with bodies of 60 KiB) on a host whose settings state 64 MB and 400 descriptors: nothing, heads, bodies whole, in pieces and in chunks of 16 KiB and of one byte, stopping short of their end, over the limit by their length or by what is sent, many headers, tasks and steps, requests behind one another, replies that are not read. Doors: callers, readiness, admin; and an owner that other hosts send their jobs.

Each checks that the process lives, that resident and unread bytes stay within memory_mb, that sockets and pipes stay within max_fds less the 200 that are for files, and that an ordinary job is completed while the crowd's connections are open.

--- a/crates/onyxshed-soak/src/fleet.rs
+++ b/crates/onyxshed-soak/src/fleet.rs
@@ -50,6 +50,26 @@
     pub clocks: ExecutorClocks,
     /// Arguments that every host gets in addition to its settings and its address.
     pub host_arguments: Vec<String>,
+    /// The limits of each host's machine.
+    pub limits: MachineLimits,
+}
+
+/// The limits of the machine of a host, which its settings state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MachineLimits {
+    /// The memory of a process, in megabytes.
+    pub memory_mb: u64,
+    /// The number of descriptors of a process.
+    pub max_fds: u64,
+}
+
+impl Default for MachineLimits {
+    fn default() -> Self {
+        MachineLimits {
+            memory_mb: 260,
+            max_fds: 4_100,
+        }
+    }
 }
 
 /// The accuracy of the executors' clocks.
@@ -81,6 +101,7 @@
             places: 2,
             clocks: ExecutorClocks::Accurate,
             host_arguments: Vec::new(),
+            limits: MachineLimits::default(),
         }
     }
 }
@@ -222,7 +243,8 @@
             "listen_addrs": {"front": address_at(8_161), "ready": address_at(8_167),
                 "control": address_at(PEER_PORT)},
             "port_range": [7_720, 7_735], "seeds": configured_peers,
-            "limits": {"cpu_share": 0.25, "cpu_cores": 1, "memory_mb": 260},
+            "limits": {"cpu_share": 0.25, "cpu_cores": 1,
+                "memory_mb": options.limits.memory_mb, "max_fds": options.limits.max_fds},
             "heartbeat_ms": 500,
             "bounds": {"config_apply_ms": 2000, "hold_max_ms": 1000, "grace_s": STOP_GRACE.as_secs(),
                 "resend_ms": 1300},
@@ -307,6 +329,24 @@
             .collect()
     }
 
+    /// Returns the address at which a host serves its readiness check; `None` if the host is unknown.
+    pub fn ready_address(&self, name: &SmolStr) -> Option<SocketAddr> {
+        self.hosts.get(name).map(|host| host.ready_address)
+    }
+
+    /// Returns the address at which a host serves its metrics; `None` if the host is unknown.
+    pub fn admin_address(&self, name: &SmolStr) -> Option<SocketAddr> {
+        let mut address = self.ready_address(name)?;
+        address.set_port(ADMIN_PORT);
+        Some(address)
+    }
+
+    /// Returns the id of a host's process; `None` if the host was not started.
+    pub fn process_id(&self, name: &SmolStr) -> Option<u32> {
+        let host = self.hosts.get(name)?;
+        host.process.as_ref().map(Process::id)
+    }
+
     /// Returns the status of a host's readiness check; `None` if the host is unknown or does not answer.
     pub async fn readiness_status(&self, name: &SmolStr) -> Option<u16> {
         let ready_address = self.hosts.get(name)?.ready_address;
@@ -323,8 +363,7 @@
     /// Returns how often a host has called the store for a purpose, by its metrics; `None` if the host is
     /// unknown or does not answer.
     pub async fn store_call_count(&self, name: &SmolStr, purpose: &str) -> Option<u64> {
-        let mut address = self.hosts.get(name)?.ready_address;
-        address.set_port(ADMIN_PORT);
+        let address = self.admin_address(name)?;
         let request = call_once(address, Method::Get, "metrics", Vec::new(), CALL_TIMEOUT);
         let metrics = String::from_utf8(request.await.ok()?.body).ok()?;
         let prefix = format!("onyxshed_store_calls_total{{purpose=\"{purpose}\"}} ");
--- /dev/null
+++ b/crates/onyxshed-soak/tests/clients/crowd.rs
@@ -0,0 +1,64 @@
+//! A crowd of clients that send at the same time and keep their connections open.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use async_net::TcpStream;
+use futures_lite::{AsyncWriteExt, FutureExt};
+
+use crate::requests::Misbehavior;
+
+/// How long a client waits for the host to read a piece. Only a host that has stopped reading
+/// reaches it.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The connections that a crowd keeps open.
+#[derive(Debug)]
+pub struct Crowd {
+    _streams: Vec<TcpStream>,
+}
+
+/// Sends the requests of a crowd, and returns when every client has sent all or has been stopped by
+/// the host.
+pub async fn send(address: SocketAddr, misbehavior: Misbehavior, clients: usize) -> Crowd {
+    let executor = LocalExecutor::new();
+    let send_all = async {
+        let tasks: Vec<_> = (0..clients)
+            .map(|client| executor.spawn(send_one(address, misbehavior, client)))
+            .collect();
+        let mut streams = Vec::new();
+        for task in tasks {
+            streams.extend(task.await);
+        }
+        streams
+    };
+    Crowd {
+        _streams: executor.run(send_all).await,
+    }
+}
+
+/// Sends one client's requests. Returns `None` if the host refuses the connection.
+async fn send_one(
+    address: SocketAddr,
+    misbehavior: Misbehavior,
+    client: usize,
+) -> Option<TcpStream> {
+    let connect = async { TcpStream::connect(address).await.ok() };
+    let mut stream = connect.or(expire()).await?;
+    let bytes = misbehavior.bytes(client);
+    for piece in bytes.chunks(misbehavior.piece_bytes().min(bytes.len()).max(1)) {
+        let write = async { stream.write_all(piece).await.ok() };
+        // A client that is refused does not close its side.
+        if write.or(expire()).await.is_none() {
+            break;
+        }
+    }
+    Some(stream)
+}
+
+async fn expire<T>() -> Option<T> {
+    Timer::after(WRITE_TIMEOUT).await;
+    None
+}
--- /dev/null
+++ b/crates/onyxshed-soak/tests/clients/footprint.rs
@@ -0,0 +1,166 @@
+//! The memory and the descriptors of the processes of hosts, as the operating system shows them.
+
+use std::fs;
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use async_io::Timer;
+use onyxshed_soak::fleet::{Fleet, MachineLimits};
+
+/// Descriptors that are reserved for files; sockets and pipes share the others.
+const FILE_DESCRIPTORS: u64 = 200;
+
+/// Interval between two readings of the footprints.
+pub const SAMPLE_PERIOD: Duration = Duration::from_millis(10);
+
+/// The highest footprints of all hosts of a fleet.
+#[derive(Debug)]
+pub struct Watch {
+    hosts: Vec<WatchedHost>,
+}
+
+#[derive(Debug)]
+struct WatchedHost {
+    process_id: u32,
+    ip: IpAddr,
+    highest: Footprint,
+}
+
+impl Watch {
+    /// Begins to watch the hosts of a fleet.
+    pub fn new(fleet: &Fleet) -> Self {
+        let names = fleet.host_names();
+        let addresses = fleet.direct_caller_addresses();
+        let hosts = names.iter().zip(addresses).filter_map(|(name, address)| {
+            Some(WatchedHost {
+                process_id: fleet.process_id(name)?,
+                ip: address.ip(),
+                highest: Footprint::default(),
+            })
+        });
+        Watch {
+            hosts: hosts.collect(),
+        }
+    }
+
+    /// Reads the footprints periodically until the future is dropped.
+    pub async fn sample<T>(&mut self) -> Option<T> {
+        loop {
+            for host in &mut self.hosts {
+                let footprint = Footprint::read(host.process_id, host.ip);
+                host.highest = host.highest.max(footprint);
+            }
+            Timer::after(SAMPLE_PERIOD).await;
+        }
+    }
+
+    /// Panics if a host has exceeded a limit of its machine.
+    pub fn assert_within(&self, limits: MachineLimits) {
+        let memory_bytes = limits.memory_mb * 1_000_000;
+        let channels_max = limits.max_fds - FILE_DESCRIPTORS;
+        for host in &self.hosts {
+            let peak = peak_resident_bytes(host.process_id);
+            let Footprint { channels, .. } = host.highest;
+            println!("peak {peak} bytes resident, {:?}", host.highest);
+            assert!(
+                host.highest.memory_bytes().max(peak) <= memory_bytes,
+                "{:?}, peak {peak} bytes, of {memory_bytes} bytes",
+                host.highest
+            );
+            assert!(
+                channels <= channels_max,
+                "{channels} sockets and pipes, of {channels_max}"
+            );
+        }
+    }
+}
+
+/// Memory and descriptors of a process at one moment.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct Footprint {
+    /// Resident memory, in bytes.
+    resident_bytes: u64,
+    /// Bytes that clients have sent and the process has not read.
+    unread_bytes: u64,
+    /// Open sockets and pipes.
+    channels: u64,
+}
+
+impl Footprint {
+    /// Reads the footprint of a process that listens on `ip`.
+    fn read(process_id: u32, ip: IpAddr) -> Footprint {
+        Footprint {
+            resident_bytes: status_bytes(process_id, "VmRSS:"),
+            unread_bytes: unread_bytes(ip),
+            channels: channel_count(process_id),
+        }
+    }
+
+    /// Returns the memory that counts towards the limit of the machine.
+    fn memory_bytes(&self) -> u64 {
+        self.resident_bytes + self.unread_bytes
+    }
+
+    /// Returns the larger value of each figure, with the memory of one moment.
+    fn max(self, other: Footprint) -> Footprint {
+        let larger = match self.memory_bytes() >= other.memory_bytes() {
+            true => self,
+            false => other,
+        };
+        Footprint {
+            channels: self.channels.max(other.channels),
+            ..larger
+        }
+    }
+}
+
+/// Returns the largest resident memory that a process has had, in bytes.
+fn peak_resident_bytes(process_id: u32) -> u64 {
+    status_bytes(process_id, "VmHWM:")
+}
+
+fn status_bytes(process_id: u32, field: &str) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{process_id}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix(field));
+    let kibibytes = line.and_then(|rest| rest.split_whitespace().next()?.parse::<u64>().ok());
+    kibibytes.unwrap_or_default() * 1_024
+}
+
+fn channel_count(process_id: u32) -> u64 {
+    let Ok(entries) = fs::read_dir(format!("/proc/{process_id}/fd")) else {
+        return 0;
+    };
+    let targets = entries.filter_map(|entry| fs::read_link(entry.ok()?.path()).ok());
+    let channels = targets.filter(|target| {
+        let target = target.to_string_lossy();
+        target.starts_with("socket:") || target.starts_with("pipe:")
+    });
+    channels.count() as u64
+}
+
+/// Returns the bytes in the receive queues of all sockets of an address, also of connections that the process
+/// has not accepted.
+fn unread_bytes(ip: IpAddr) -> u64 {
+    let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let rows = table.lines().skip(1);
+    rows.filter_map(|row| queued_bytes(row, ip)).sum()
+}
+
+/// Parses a row of the kernel's table of sockets. Returns `None` for a listener, whose queue counts
+/// connections, and for another address.
+fn queued_bytes(row: &str, ip: IpAddr) -> Option<u64> {
+    const STATE_LISTEN: &str = "0A";
+    let mut fields = row.split_whitespace().skip(1);
+    let local = fields.next()?;
+    let state = fields.nth(1)?;
+    let (_, received) = fields.next()?.split_once(':')?;
+    (state != STATE_LISTEN && parse_address(local)?.ip() == ip)
+        .then(|| u64::from_str_radix(received, 16).ok())?
+}
+
+/// Parses an address of the table, whose bytes are in the order of a little-endian machine.
+fn parse_address(text: &str) -> Option<SocketAddr> {
+    let (ip, port) = text.split_once(':')?;
+    let ip = u32::from_str_radix(ip, 16).ok()?.to_le_bytes();
+    Some(SocketAddr::from((ip, u16::from_str_radix(port, 16).ok()?)))
+}
--- /dev/null
+++ b/crates/onyxshed-soak/tests/clients/hosts.rs
@@ -0,0 +1,264 @@
+//! Crowds at the doors of `onyxshed-host`: callers, readiness and admin.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_io::{Timer, block_on};
+use futures_lite::FutureExt;
+use http_types::Method;
+use onyxshed_http::client::{ClientOptions, Connection};
+use onyxshed_soak::fleet::{
+    ExecutorClocks, Fleet, FleetOptions, MachineLimits, ROUTE_HOST, ROUTE_PREFIX,
+};
+use rstest::rstest;
+use serde_json::json;
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::crowd;
+use crate::footprint::{SAMPLE_PERIOD, Watch};
+use crate::requests::Misbehavior;
+
+/// The limits of a host's machine in these tests.
+const LIMITS: MachineLimits = MachineLimits {
+    memory_mb: 64,
+    max_fds: 400,
+};
+
+/// Number of clients in a crowd.
+const CLIENTS: usize = 400;
+
+/// Number of clients in a crowd whose bodies are small.
+const CLIENTS_WITH_SMALL_BODIES: usize = 900;
+
+/// Time within which an ordinary request is answered. Only a host that no longer serves reaches it.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// An address of a host that a client can reach.
+#[derive(Debug, Clone, Copy)]
+enum Door {
+    Callers,
+    Readiness,
+    Admin,
+}
+
+/// Only one crowd at a time, since others would add to the load of the machine.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+fn options() -> FleetOptions {
+    FleetOptions {
+        zones: 1,
+        hosts: 1,
+        executors: 2,
+        clocks: ExecutorClocks::Accurate,
+        limits: LIMITS,
+        ..FleetOptions::default()
+    }
+}
+
+/// Sends a crowd to a door of every host, and checks the hosts' footprints and an ordinary request to each.
+fn test_crowd(options: &FleetOptions, door: Door, misbehavior: Misbehavior, clients: usize) {
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    block_on(async {
+        let mut fleet = Fleet::start(options).await.expect("the fleet starts");
+        serve_ordinary_requests(&fleet, 0).await;
+        let mut watch = Watch::new(&fleet);
+        let mut crowds = Vec::new();
+        for name in fleet.host_names() {
+            let address = address_of(&fleet, &name, door);
+            let send = async { Some(crowd::send(address, misbehavior, clients).await) };
+            crowds.extend(send.or(watch.sample()).await);
+        }
+        // The hosts may read on after the last client has sent.
+        let settle = async {
+            serve_ordinary_requests(&fleet, 1).await;
+            Timer::after(SAMPLE_PERIOD * 20).await;
+            Some(())
+        };
+        settle.or(watch.sample()).await;
+        assert_all_live(&mut fleet);
+        watch.assert_within(options.limits);
+        drop(crowds);
+    });
+}
+
+fn assert_all_live(fleet: &mut Fleet) {
+    for name in fleet.host_names() {
+        let mut is_alive = false;
+        let checked = fleet.signal_host(&name, |_| {
+            is_alive = true;
+            Ok(())
+        });
+        checked.expect("the process can be checked");
+        assert!(is_alive, "{name} has ended: {}", fleet.log_tail(&name));
+    }
+}
+
+fn address_of(fleet: &Fleet, name: &SmolStr, door: Door) -> SocketAddr {
+    match door {
+        Door::Callers => fleet.direct_caller_addresses()[0],
+        Door::Readiness => fleet.ready_address(name).expect("the host is known"),
+        Door::Admin => fleet.admin_address(name).expect("the host is known"),
+    }
+}
+
+/// Sends an ordinary job to each host; see [`serve_ordinary_request`].
+async fn serve_ordinary_requests(fleet: &Fleet, round: u64) {
+    for (host, address) in (0..).zip(fleet.direct_caller_addresses()) {
+        serve_ordinary_request(fleet, address, round << 8 | host).await;
+    }
+}
+
+/// Sends an ordinary job until it is completed, as a caller does that is told to come back.
+async fn serve_ordinary_request(fleet: &Fleet, address: SocketAddr, number: u64) {
+    let body = json!({"spec": "10", "best_effort": true,
+        "phases": [{"count": 1, "cpu": 1_000, "mem_mb": 1, "est_runtime_ms": 10}]});
+    let started_at = Instant::now();
+    loop {
+        if send_job(address, number, &body.to_string()).await == Some(200) {
+            return;
+        }
+        let logs = || fleet.log_lines_with("").join("\n");
+        assert!(started_at.elapsed() < ANSWER_TIMEOUT, "{}", logs());
+        Timer::after(Duration::from_millis(50)).await;
+    }
+}
+
+async fn send_job(address: SocketAddr, number: u64, body: &str) -> Option<u16> {
+    let mut connection = Connection::open(address, ClientOptions::default())
+        .await
+        .ok()?;
+    let headers = [
+        ("host", SmolStr::new_static(ROUTE_HOST)),
+        ("x-onyxshed-deadline-ms", SmolStr::new_static("20000")),
+    ];
+    let path = format_smolstr!("{ROUTE_PREFIX}{:016x}", 0xaa00_0000 + number);
+    let call = connection.call(
+        Method::Post,
+        &path,
+        &headers,
+        body.as_bytes().to_vec(),
+        Duration::from_secs(20),
+    );
+    call.await.ok().map(|reply| reply.status)
+}
+
+/// Guards against a host that ends or stops serving because its callers send more than its machine can hold.
+#[rstest]
+#[case::silence(Misbehavior::Silence)]
+#[case::unfinished_head(Misbehavior::UnfinishedHead)]
+#[case::many_headers(Misbehavior::ManyHeaders)]
+#[case::whole_body(Misbehavior::WholeBody)]
+#[case::whole_spec(Misbehavior::WholeSpec)]
+#[case::many_tasks(Misbehavior::ManyTasks)]
+#[case::most_tasks(Misbehavior::MostTasks)]
+#[case::many_steps(Misbehavior::ManySteps)]
+#[case::unfinished_body(Misbehavior::UnfinishedBody)]
+#[case::unfinished_pieces(Misbehavior::UnfinishedPieces)]
+#[case::unfinished_large_chunks(Misbehavior::UnfinishedLargeChunks)]
+#[case::unfinished_tiny_chunks(Misbehavior::UnfinishedTinyChunks)]
+#[case::unfinished_trailer(Misbehavior::UnfinishedTrailer)]
+#[case::unfinished_over_limit(Misbehavior::UnfinishedOverLimit)]
+#[case::announced_over_limit(Misbehavior::AnnouncedOverLimit)]
+#[case::announced_far_over_limit(Misbehavior::AnnouncedFarOverLimit)]
+#[case::sent_over_limit(Misbehavior::SentOverLimit)]
+#[case::pipelined(Misbehavior::Pipelined)]
+fn callers_door_holds(#[case] misbehavior: Misbehavior) {
+    test_crowd(&options(), Door::Callers, misbehavior, CLIENTS);
+}
+
+/// Guards against many small bodies that exhaust the memory together.
+#[test]
+fn callers_door_holds_against_unfinished_small_bodies() {
+    let misbehavior = Misbehavior::UnfinishedSmallBody;
+    test_crowd(
+        &options(),
+        Door::Callers,
+        misbehavior,
+        CLIENTS_WITH_SMALL_BODIES,
+    );
+}
+
+/// Guards against a host that ends or stops serving because of clients at the address of its readiness check.
+#[rstest]
+#[case::silence(Misbehavior::Silence)]
+#[case::unfinished_head(Misbehavior::UnfinishedHead)]
+#[case::unfinished_body(Misbehavior::UnfinishedBody)]
+#[case::unfinished_large_chunks(Misbehavior::UnfinishedLargeChunks)]
+#[case::unfinished_tiny_chunks(Misbehavior::UnfinishedTinyChunks)]
+#[case::unfinished_over_limit(Misbehavior::UnfinishedOverLimit)]
+#[case::announced_over_limit(Misbehavior::AnnouncedOverLimit)]
+#[case::sent_over_limit(Misbehavior::SentOverLimit)]
+#[case::pipelined(Misbehavior::Pipelined)]
+fn readiness_door_holds(#[case] misbehavior: Misbehavior) {
+    test_crowd(&options(), Door::Readiness, misbehavior, CLIENTS);
+}
+
+/// Guards against a host that ends or stops serving because of clients at its admin address.
+#[rstest]
+#[case::silence(Misbehavior::Silence)]
+#[case::unfinished_head(Misbehavior::UnfinishedHead)]
+#[case::unfinished_body(Misbehavior::UnfinishedBody)]
+#[case::unfinished_large_chunks(Misbehavior::UnfinishedLargeChunks)]
+#[case::unfinished_tiny_chunks(Misbehavior::UnfinishedTinyChunks)]
+#[case::unfinished_over_limit(Misbehavior::UnfinishedOverLimit)]
+#[case::announced_over_limit(Misbehavior::AnnouncedOverLimit)]
+#[case::sent_over_limit(Misbehavior::SentOverLimit)]
+#[case::pipelined(Misbehavior::Pipelined)]
+#[case::unread_replies(Misbehavior::UnreadReplies)]
+fn admin_door_holds(#[case] misbehavior: Misbehavior) {
+    test_crowd(&options(), Door::Admin, misbehavior, CLIENTS);
+}
+
+/// Guards against an owner that ends or stops serving because other hosts send it more jobs than it can hold.
+#[rstest]
+#[case::whole_spec(Misbehavior::WholeSpec)]
+#[case::many_tasks(Misbehavior::ManyTasks)]
+#[case::most_tasks(Misbehavior::MostTasks)]
+fn owner_holds_against_jobs_of_other_hosts(#[case] misbehavior: Misbehavior) {
+    let options = FleetOptions {
+        hosts: 3,
+        ..options()
+    };
+    test_crowd(&options, Door::Callers, misbehavior, CLIENTS);
+}
+
+/// Guards against limits that refuse a single request of the largest legal size.
+#[test]
+fn single_request_of_legal_size_is_served() {
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    block_on(async {
+        let fleet = Fleet::start(&options()).await.expect("the fleet starts");
+        let callers = fleet.direct_caller_addresses()[0];
+        serve_ordinary_request(&fleet, callers, 0).await;
+        let request = Misbehavior::WholeBody.bytes(7);
+        assert_eq!(exchange(callers, &request).await, "200");
+    });
+}
+
+/// Guards against limits that refuse a single body of legal size in chunks of one byte.
+#[test]
+fn single_body_in_tiny_chunks_is_served() {
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    block_on(async {
+        let fleet = Fleet::start(&options()).await.expect("the fleet starts");
+        let callers = fleet.direct_caller_addresses()[0];
+        serve_ordinary_request(&fleet, callers, 0).await;
+        let request = Misbehavior::tiny_chunks_of_whole_job();
+        assert_eq!(exchange(callers, &request).await, "200");
+    });
+}
+
+/// Sends a request, and returns the status of its reply.
+async fn exchange(address: SocketAddr, request: &[u8]) -> String {
+    use futures_lite::{AsyncReadExt, AsyncWriteExt};
+    let stream = async_net::TcpStream::connect(address).await;
+    let mut stream = stream.expect("the host accepts the connection");
+    stream.write_all(request).await.expect("the host reads");
+    let mut reply = [0; 12];
+    stream
+        .read_exact(&mut reply)
+        .await
+        .expect("the host answers");
+    String::from_utf8_lossy(&reply[9..]).into_owned()
+}
--- /dev/null
+++ b/crates/onyxshed-soak/tests/clients/main.rs
@@ -0,0 +1,10 @@
+//! Clients that do not behave, in small crowds on real hosts whose machines have low limits.
+//!
+//! Each test checks what does not depend on the machine's speed: the process lives, its memory and its
+//! descriptors stay within the limits in its settings, and an ordinary request is answered while the crowd
+//! keeps its connections open.
+
+mod crowd;
+mod footprint;
+mod hosts;
+mod requests;
