Unread bytes of clients are bounded to 32 KiB a connection

What callers saw: a host that its machine ends. Bytes that a process has received and not read count as its memory, and the operating system buffers up to several megabytes of them a connection.

Cause: no listener set the size of its buffers. A client that sends on while its request is served, or sends to a host that is paused, fills them.

Why it works: the listener sets 16 KiB, which Linux doubles, and accepted connections inherit it; a peer's window is never larger. Connections between our own processes keep the system's sizes, since their messages are large.

--- a/crates/onyxshed-control/src/peers.rs
+++ b/crates/onyxshed-control/src/peers.rs
@@ -15,6 +15,7 @@
 
 use async_io::Timer;
 use onyxshed_core::{Event, EventKind, HostName, Millis, Now, ZoneName};
+use onyxshed_http::ListenOptions;
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_process::{listen, serve_rpc};
 use onyxshed_proto::onyxshed_capnp::peer_port;
@@ -245,7 +246,14 @@
     }
 
     async fn open(&self, kernel: &Kernel) -> Result<()> {
-        let (listener, address) = listen(kernel, PEERS, "peer", self.options.address).await?;
+        let (listener, address) = listen(
+            kernel,
+            PEERS,
+            "peer",
+            self.options.address,
+            ListenOptions::for_peers(),
+        )
+        .await?;
         let peers = Rc::new(Peers {
             kernel: kernel.clone(),
             options: self.options.clone(),
--- a/crates/onyxshed-entry/src/control_port.rs
+++ b/crates/onyxshed-entry/src/control_port.rs
@@ -13,6 +13,7 @@
 use capnp::capability::Rc as ServerRc;
 use onyxshed_core::{Event, EventKind, HostName, Incarnation, Millis, Mono, UnixMs};
 use onyxshed_dispatch::{Dispatch, Input};
+use onyxshed_http::ListenOptions;
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_process::{listen, serve_rpc};
 use onyxshed_proto::onyxshed_capnp::entry_port;
@@ -219,7 +220,14 @@
                 is_connected: Cell::new(false),
             });
             let address = self.options.control_address;
-            let (listener, _) = listen(kernel, CONTROL_PORT, "control", address).await?;
+            let (listener, _) = listen(
+                kernel,
+                CONTROL_PORT,
+                "control",
+                address,
+                ListenOptions::for_peers(),
+            )
+            .await?;
             let client: entry_port::Client =
                 capnp_rpc::new_client(EntryPort { port: port.clone() });
             serve_rpc(kernel, listener, client.client, rpc::CONNECTIONS_MAX);
--- a/crates/onyxshed-host/src/links.rs
+++ b/crates/onyxshed-host/src/links.rs
@@ -19,6 +19,7 @@
 use async_channel::Receiver;
 use futures_lite::{FutureExt, future};
 use onyxshed_core::{Event, EventKind, Millis, Mono};
+use onyxshed_http::ListenOptions;
 use onyxshed_http::client::with_timeout;
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Notifier, Result, Service, ServiceName};
 use onyxshed_pool::{
@@ -504,7 +505,14 @@
     fn start<'a>(&'a self, kernel: &'a Kernel) -> LocalFuture<'a, Result<()>> {
         Box::pin(async move {
             let links = &self.links;
-            let (listener, _) = listen(kernel, LINKS, "peer", links.options.address).await?;
+            let (listener, _) = listen(
+                kernel,
+                LINKS,
+                "peer",
+                links.options.address,
+                ListenOptions::for_peers(),
+            )
+            .await?;
             let member = member_name(links.options.advertised, links.incarnation());
             let deployment = port::DeploymentState {
                 links: links.clone(),
--- a/crates/onyxshed-host/src/ready.rs
+++ b/crates/onyxshed-host/src/ready.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use onyxshed_core::ResultCode;
-use onyxshed_http::{Call, Handler, Reply, Server, ServerOptions};
+use onyxshed_http::{Call, Handler, ListenOptions, Reply, Server, ServerOptions};
 use onyxshed_kernel::{Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_process::listen;
 
@@ -50,7 +50,14 @@
             ..ServerOptions::default()
         };
         let server = Server::new(options, handler, reject);
-        let (listener, _) = listen(kernel, READY, "ready", self.address).await?;
+        let (listener, _) = listen(
+            kernel,
+            READY,
+            "ready",
+            self.address,
+            ListenOptions::default(),
+        )
+        .await?;
         kernel
             .spawn(server.run(listener, kernel.executor()))
             .detach();
--- a/crates/onyxshed-http/src/lib.rs
+++ b/crates/onyxshed-http/src/lib.rs
@@ -12,11 +12,13 @@
 pub mod error;
 pub mod head;
 mod idle;
+pub mod listen;
 pub mod message;
 pub mod server;
 
 pub use caller_identity::CallerIdentity;
 pub use client::{ClientOptions, Connection};
 pub use error::{CallError, Error, Result, SendState};
+pub use listen::ListenOptions;
 pub use message::{Call, Reply};
 pub use server::{Handler, Server, ServerOptions, ServerStats};
--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -17,13 +17,13 @@
 use futures_lite::{AsyncWriteExt, Future, FutureExt, future, io};
 use http_types::{Method, Request, Response};
 use onyxshed_core::ResultCode;
-use snafu::ResultExt;
 
 use crate::bounded::{BoundedStream, Phase};
 use crate::client::with_timeout;
-use crate::error::{ListenSnafu, Result};
+use crate::error::Result;
 use crate::head::EXPECT_HEADER;
 use crate::idle::{IdleEntry, IdleStreams};
+use crate::listen::{ListenOptions, listen};
 
 pub use body::SMALL_BODY_BYTES;
 
@@ -135,17 +135,9 @@
         self.stats.clone()
     }
 
-    /// Listens on an address; port 0 selects a free port.
+    /// Listens on an address with the default [`ListenOptions`]; port 0 selects a free port.
     pub async fn listen(address: SocketAddr) -> Result<TcpListener> {
-        let listener = TcpListener::bind(address)
-            .await
-            .context(ListenSnafu { address })?;
-        // The standard library sets a backlog of 128; a second call of `listen` only changes that
-        // number.
-        rustix::net::listen(&listener, LISTEN_BACKLOG)
-            .map_err(std::io::Error::from)
-            .context(ListenSnafu { address })?;
-        Ok(listener)
+        listen(address, ListenOptions::default()).await
     }
 
     /// Accepts and serves connections until a shutdown begins or the returned future is dropped.
@@ -350,14 +342,6 @@
     }
 }
 
-/// Connections that the operating system queues until the process accepts them.
-///
-/// If a burst fills the queue while the process is busy, the system silently drops the next
-/// caller's SYN, and the caller sends it again a second later, when its objective has been missed.
-/// With a backlog of 128, the 130th connection of a burst was still not established after 900 ms
-/// on loopback. This value suffices for half of a second's burst on a host of ordinary size.
-const LISTEN_BACKLOG: i32 = 1_024;
-
 /// Connections beyond the limit that still get a rejection reply; any further ones are closed
 /// without a reply.
 const REJECTED_CONNECTIONS_MAX: usize = 256;
--- a/crates/onyxshed-process/src/listen.rs
+++ b/crates/onyxshed-process/src/listen.rs
@@ -6,7 +6,7 @@
 use async_net::TcpListener;
 use capnp::capability::Client;
 use onyxshed_core::{Event, EventKind, ResultCode};
-use onyxshed_http::Server;
+use onyxshed_http::ListenOptions;
 use onyxshed_kernel::{Error, Kernel, Result, ServiceName};
 use onyxshed_proto::rpc::{self, ConnectionCount};
 use smol_str::SmolStr;
@@ -18,8 +18,9 @@
     service: ServiceName,
     name: &'static str,
     address: SocketAddr,
+    options: ListenOptions,
 ) -> Result<(TcpListener, SocketAddr)> {
-    let listener = Server::listen(address)
+    let listener = onyxshed_http::listen::listen(address, options)
         .await
         .map_err(|error| Error::start(service, error.code(), error))?;
     let bound = listener
--- a/crates/onyxshed-process/src/requests.rs
+++ b/crates/onyxshed-process/src/requests.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use onyxshed_core::{Event, EventKind, ResultCode};
-use onyxshed_http::{Call, Handler, Reply, Server, ServerOptions};
+use onyxshed_http::{Call, Handler, ListenOptions, Reply, Server, ServerOptions};
 use onyxshed_kernel::{Kernel, Result, ServiceName};
 use smol_str::format_smolstr;
 
@@ -83,7 +83,7 @@
         reject(code)
     });
     let server = Server::new(options, handler, reject).refuse_idle_with(idle_refusal);
-    let (listener, _) = listen(kernel, service, name, address).await?;
+    let (listener, _) = listen(kernel, service, name, address, ListenOptions::default()).await?;
     kernel
         .spawn(server.clone().run(listener, kernel.executor()))
         .detach();
