Limits on connections follow from the machine's memory and descriptors

What callers saw: a host that its machine ends, or that accepts no connection.

Cause: 1,500 connections of callers, 32 and 64 at the readiness and admin addresses and 256 rejections at each were constants that knew neither memory_mb nor max_fds. A connection costs up to 64 KiB of buffers and parsed head and 32 KiB of unread bytes, whatever its request holds beyond that. And an address whose connections all carried requests that never arrive whole refused everyone else until their time was over, 10 s.

Change: CapacityPlan divides memory_mb and max_fds once; a property test holds the sum of its parts within both for machines of 40 MB and 264 descriptors or more. A full address closes its longest idle connection, then gives up the request that has been arriving the longest, if for 2 s or more (503); a request that has arrived whole is never given up. A crowded address accepts one connection in 2 ms.

New in onyxshed-http: tests/crowded.rs (slow requests give way, fresh and whole ones do not), tests/capacity.rs.

--- a/crates/onyxshed-entry/src/callers.rs
+++ b/crates/onyxshed-entry/src/callers.rs
@@ -8,9 +8,9 @@
 use http_types::Method;
 use onyxshed_core::{CallerId, Millis, ResultCode, SubmissionId};
 use onyxshed_dispatch::Input;
-use onyxshed_http::{Call, CallerIdentity, Reply, ServerOptions};
+use onyxshed_http::{Call, CallerIdentity, ListenerLimits, Reply, ServerOptions};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
-use onyxshed_process::{RequestServer, serve_requests};
+use onyxshed_process::{RequestListener, RequestServer, serve_requests};
 use onyxshed_wire::caller::{Answer, FORWARDED_HEADER, JOBS_PATH, Submission};
 
 use crate::engine::Engine;
@@ -44,7 +44,9 @@
     pub peer_address: SocketAddr,
     /// What identifies a caller; `None` if callers are not told apart.
     pub identity: Option<CallerIdentity>,
-    /// Limits that apply to each listener separately.
+    /// Limits on connections, which apply to each listener separately.
+    pub limits: ListenerLimits,
+    /// Limits on each connection and on bodies, which apply to each listener separately.
     pub server: ServerOptions,
 }
 
@@ -72,17 +74,22 @@
         kernel: &Kernel,
         name: &'static str,
         address: SocketAddr,
-        listener: ListenerKind,
+        kind: ListenerKind,
     ) -> Result<RequestServer> {
         let engine = self.engine.clone();
         let identity = Rc::new(self.options.identity.clone());
         let handle = move |call| {
             let (engine, identity) = (engine.clone(), identity.clone());
-            async move { handle(&engine, listener, identity.as_ref().as_ref(), call).await }
+            async move { handle(&engine, kind, identity.as_ref().as_ref(), call).await }
         };
         let reject = |code| reply_of(&rejection(code));
-        let options = self.options.server;
-        serve_requests(kernel, CALLERS, name, address, options, handle, reject).await
+        let listener = RequestListener {
+            name,
+            address,
+            limits: self.options.limits,
+            server: self.options.server,
+        };
+        serve_requests(kernel, CALLERS, listener, handle, reject).await
     }
 }
 
--- a/crates/onyxshed-entry/src/process.rs
+++ b/crates/onyxshed-entry/src/process.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 
 use onyxshed_dispatch::{Dispatch, DispatchOptions};
-use onyxshed_http::{CallerIdentity, ClientOptions, ServerOptions};
+use onyxshed_http::listen::LISTEN_BACKLOG;
+use onyxshed_http::{CallerIdentity, ClientOptions, ListenerLimits, ServerOptions};
 use onyxshed_kernel::{Kernel, Service};
 use onyxshed_platform::PlatformOptions;
 use onyxshed_policy::PolicyOptions;
@@ -167,8 +168,12 @@
             CallerShareMode::Off => None,
             CallerShareMode::Address => Some(CallerIdentity::Address),
         },
-        server: ServerOptions {
+        limits: ListenerLimits {
             connections_max: settings.connections_max,
+            rejected_max: ServerOptions::default().rejected_max,
+            backlog: LISTEN_BACKLOG,
+        },
+        server: ServerOptions {
             body_max_bytes: settings.body_max_bytes.0,
             head_timeout: settings.head_timeout_ms.into(),
             body_timeout: settings.body_timeout_ms.into(),
--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -18,13 +18,13 @@
 use onyxshed_adapter::{Manifest, Route};
 use onyxshed_core::{CallerId, Event, EventKind, Millis, Mono, ResultCode};
 use onyxshed_http::client::with_timeout;
-use onyxshed_http::{Call, CallerIdentity, Reply, ServerOptions};
+use onyxshed_http::{Call, CallerIdentity, ListenerLimits, Reply, ServerOptions};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_pool::{
     AfterEnd, ClassId, EntryDecision, JobEnd, JobId, JobRequest, JobSummary, NotRunReason, PoolId,
     SubmissionNumber, UnknownReason,
 };
-use onyxshed_process::{RequestServer, serve_requests};
+use onyxshed_process::{RequestListener, RequestServer, serve_requests};
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::arrivals::ArrivalClock;
@@ -79,7 +79,9 @@
 pub struct CallerOptions {
     /// Address on which the host listens for callers, from the host's settings.
     pub address: SocketAddr,
-    /// Limits of the HTTP server, such as the maximum number of connections.
+    /// Limits on the connections of callers.
+    pub limits: ListenerLimits,
+    /// Limits of the HTTP server on each connection.
     pub server: ServerOptions,
     /// How long a stopping host waits for unfinished jobs, from the start of its drain.
     pub drain_timeout: Duration,
@@ -573,11 +575,13 @@
             let retry_after = (code == ResultCode::Draining).then_some(STOPPING_RETRY_AFTER);
             rejection_reply(code.http_status(), &format_smolstr!("{code}"), retry_after)
         };
-        let CallerOptions {
-            address, server, ..
-        } = self.options;
-        let server =
-            serve_requests(kernel, CALLERS, "caller", address, server, handle, reject).await?;
+        let listener = RequestListener {
+            name: "caller",
+            address: self.options.address,
+            limits: self.options.limits,
+            server: self.options.server,
+        };
+        let server = serve_requests(kernel, CALLERS, listener, handle, reject).await?;
         // Cannot fail: the cell is set only here.
         let _ = callers.server.set(server);
         let descriptor = Descriptor {
--- a/crates/onyxshed-host/src/lib.rs
+++ b/crates/onyxshed-host/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod arrivals;
 pub mod boot_clock;
 pub mod callers;
+pub mod capacity;
 pub mod decisions;
 pub mod directory;
 pub mod engine;
--- a/crates/onyxshed-host/src/links.rs
+++ b/crates/onyxshed-host/src/links.rs
@@ -20,6 +20,7 @@
 use futures_lite::{FutureExt, future};
 use onyxshed_core::{Event, EventKind, Millis, Mono};
 use onyxshed_http::ListenOptions;
+pub use onyxshed_http::capacity::PEERS_MAX;
 use onyxshed_http::client::with_timeout;
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Notifier, Result, Service, ServiceName};
 use onyxshed_pool::{
@@ -55,14 +56,6 @@
 /// Maximum interval between two heartbeats on an idle link.
 const IDLE_HEARTBEAT_MAX: Duration = Duration::from_millis(1_000);
 
-/// Maximum number of hosts that an owner serves at the same time.
-///
-/// Above this limit each new connection closes the oldest one, whose jobs are lost. Hosts link to some
-/// owners only ([`linked_pools`]), so that 2,000 hosts stay below it. Together with
-/// the connections of callers and executors the limit stays below the number of file descriptors of
-/// small hosts (3,075).
-pub const PEERS_MAX: usize = 640;
-
 /// Addresses and properties of this host that concern its peers.
 #[derive(Debug, Clone)]
 pub struct LinkOptions {
@@ -76,6 +69,11 @@
     pub zone: SmolStr,
     /// Name of this host, which determines the pool to which it submits its jobs first.
     pub host: SmolStr,
+    /// Maximum number of hosts that an owner serves at the same time.
+    ///
+    /// Above this limit each new connection closes the oldest one, whose jobs are lost. Hosts link to
+    /// some owners only ([`linked_pools`]), so that 2,000 hosts stay below [`PEERS_MAX`].
+    pub peers_max: usize,
 }
 
 /// Links to the owners of the pools that this host does not own.
@@ -523,7 +521,7 @@
             };
             let port = port::Port::new(links.engine.clone(), member, deployment);
             let client: pool_port::Client = capnp_rpc::new_client(port);
-            let connections = serve_rpc(kernel, listener, client.client, PEERS_MAX);
+            let connections = serve_rpc(kernel, listener, client.client, links.options.peers_max);
             links.engine.set_peer_connections(connections);
             let descriptor = Descriptor {
                 name: LINKS,
--- a/crates/onyxshed-host/src/process.rs
+++ b/crates/onyxshed-host/src/process.rs
@@ -19,6 +19,7 @@
 use onyxshed_telemetry::{Telemetry, TelemetryOptions};
 
 use crate::callers::{CallerOptions, CallerService};
+use crate::capacity;
 use crate::engine::{Engine, EngineService};
 use crate::evacuations::ZoneEvacuations;
 use crate::links::{LinkOptions, LinkService, Links};
@@ -50,9 +51,6 @@
 /// limit needs a few hundred milliseconds to write a hundred replies.
 const FINAL_REPLIES_MARGIN: Millis = Millis(1_000);
 
-/// Maximum number of concurrent caller connections, well below the file descriptor limit of a host.
-const CONNECTIONS_MAX: usize = 1_500;
-
 /// How long a caller's connection may be idle before it is closed; the manifest specifies 15 s.
 const IDLE_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(60);
 
@@ -242,6 +240,7 @@
     settings: &HostSettings,
     telemetry: Rc<Telemetry>,
 ) -> Vec<Box<dyn Service>> {
+    let capacity = capacity::plan(settings);
     let incarnation = PeerIncarnation(rand::random());
     let default_address = SocketAddr::new(settings.ip, settings.first_own_port);
     let peer_address = settings.peer_address.unwrap_or(default_address);
@@ -258,6 +257,7 @@
         cpu_millis: settings.cpu_millis,
         zone: settings.zone.clone(),
         host: settings.host.clone(),
+        peers_max: capacity.peers_max,
     };
     let shard_layouts = ShardLayouts::new(settings.zones.clone());
     let advertised = link_options.advertised;
@@ -281,8 +281,8 @@
     let drain_timeout = Millis(settings.grace_ms.0.saturating_sub(FINAL_REPLIES_MARGIN.0)).into();
     let callers = CallerOptions {
         address: settings.caller_address,
+        limits: capacity.callers,
         server: ServerOptions {
-            connections_max: CONNECTIONS_MAX,
             idle_timeout: IDLE_TIMEOUT,
             cancels_on_disconnect: true,
             ..ServerOptions::default()
@@ -291,10 +291,10 @@
         identity: options.caller_identity.clone(),
     };
     vec![
-        Box::new(AdminService::new(
-            telemetry,
-            SocketAddr::new(settings.ip, options.admin_port),
-        )),
+        Box::new(
+            AdminService::new(telemetry, SocketAddr::new(settings.ip, options.admin_port))
+                .with_limits(capacity.minor),
+        ),
         Box::new(ReloadService::new(
             options.settings_path.clone(),
             settings.clone(),
@@ -325,7 +325,7 @@
             settings.seeds.clone(),
             evacuations,
         )),
-        Box::new(ReadyService::new(settings.ready_address)),
+        Box::new(ReadyService::new(settings.ready_address, capacity.minor)),
         Box::new(CallerService::new(callers)),
     ]
 }
--- a/crates/onyxshed-host/src/ready.rs
+++ b/crates/onyxshed-host/src/ready.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use onyxshed_core::ResultCode;
-use onyxshed_http::{Call, Handler, ListenOptions, Reply, Server, ServerOptions};
+use onyxshed_http::{Call, Handler, ListenerLimits, Reply, Server, ServerOptions};
 use onyxshed_kernel::{Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_process::listen;
 
@@ -22,12 +22,13 @@
 /// Service that answers the balancer's readiness checks.
 pub struct ReadyService {
     address: SocketAddr,
+    limits: ListenerLimits,
 }
 
 impl ReadyService {
     /// Creates the service, which listens on `address`.
-    pub fn new(address: SocketAddr) -> Self {
-        ReadyService { address }
+    pub fn new(address: SocketAddr, limits: ListenerLimits) -> Self {
+        ReadyService { address, limits }
     }
 
     async fn open(&self, kernel: &Kernel) -> Result<()> {
@@ -45,17 +46,14 @@
             Box::pin(async move { Reply::bytes(status, Vec::new()) })
         });
         let reject = Rc::new(|_code: ResultCode| Reply::bytes(STATUS_NOT_READY, Vec::new()));
-        let options = ServerOptions {
-            connections_max: 32,
-            ..ServerOptions::default()
-        };
+        let options = self.limits.apply(ServerOptions::default());
         let server = Server::new(options, handler, reject);
         let (listener, _) = listen(
             kernel,
             READY,
             "ready",
             self.address,
-            ListenOptions::default(),
+            self.limits.listen_options(),
         )
         .await?;
         kernel
--- a/crates/onyxshed-http/src/bounded.rs
+++ b/crates/onyxshed-http/src/bounded.rs
@@ -8,12 +8,13 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use async_net::TcpStream;
 use futures_lite::{AsyncRead, AsyncWrite, Future};
+use onyxshed_core::ResultCode;
 
 use crate::head::HeadScan;
 
@@ -41,6 +42,12 @@
     timer: Option<Timer>,
     head_timeout: Option<Duration>,
     head: HeadScan,
+    /// When the first byte of the request arrived that is being received.
+    receiving_since: Option<Instant>,
+    /// Set while the request that is being received is given up.
+    eviction: Option<ResultCode>,
+    /// The task that waits for bytes of a request.
+    reader: Option<Waker>,
 }
 
 /// A TCP stream with limits. Clones share the stream and its limits.
@@ -62,6 +69,9 @@
             timer: None,
             head_timeout: None,
             head: HeadScan::default(),
+            receiving_since: None,
+            eviction: None,
+            reader: None,
         };
         BoundedStream {
             inner,
@@ -105,6 +115,28 @@
         self.lock().head.bytes_after_head()
     }
 
+    /// Returns when the first byte arrived of the request that is being received; `None` if no request
+    /// is, or if it has been given up.
+    pub fn receiving_since(&self) -> Option<Instant> {
+        let bounds = self.lock();
+        bounds.receiving_since.filter(|_| bounds.eviction.is_none())
+    }
+
+    /// Gives up the request that is being received: reads fail from now on, until a reply begins. `code`
+    /// is the reason for the reply.
+    pub fn evict(&self, code: ResultCode) {
+        let mut bounds = self.lock();
+        bounds.eviction = Some(code);
+        if let Some(reader) = bounds.reader.take() {
+            reader.wake();
+        }
+    }
+
+    /// Returns why the request that is being received was given up.
+    pub fn eviction(&self) -> Option<ResultCode> {
+        self.lock().eviction
+    }
+
     /// Returns the phase begun last; the first byte received in [`Phase::Idle`] begins
     /// [`Phase::Head`].
     pub fn phase(&self) -> Phase {
@@ -136,6 +168,10 @@
         self.phase = phase;
         self.read_remaining_bytes = read_max_bytes;
         self.head_timeout = None;
+        if !matches!(phase, Phase::Head | Phase::Body) {
+            self.receiving_since = None;
+            self.eviction = None;
+        }
         self.set_deadline(timeout);
     }
 
@@ -170,6 +206,7 @@
         self.read_remaining_bytes -= count_bytes;
         if let Some(head_timeout) = self.head_timeout.take() {
             self.phase = Phase::Head;
+            self.receiving_since = Some(Instant::now());
             self.set_deadline(Some(head_timeout));
         }
         self.head.scan(bytes)?;
@@ -183,13 +220,19 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
+        if self.eviction().is_some() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         let polled = Pin::new(&mut self.inner).poll_read(cx, buf);
         let mut bounds = self.lock();
         match polled {
             Poll::Ready(Ok(0)) => Poll::Ready(Ok(0)),
             Poll::Ready(Ok(count)) => Poll::Ready(bounds.record_read(&mut buf[..count])),
             Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
-            Poll::Pending => bounds.poll_deadline(cx),
+            Poll::Pending => {
+                bounds.reader = bounds.receiving_since.map(|_| cx.waker().clone());
+                bounds.poll_deadline(cx)
+            }
         }
     }
 }
--- a/crates/onyxshed-http/src/idle.rs
+++ b/crates/onyxshed-http/src/idle.rs
@@ -1,16 +1,19 @@
 //! The connections of an address, ordered by the time at which each last became idle.
 //!
-//! Connections that never send a request could otherwise occupy the address up to its limit, and a
-//! caller with a request would be rejected until they time out. When the address is full, the
-//! connection that has been idle the longest is closed.
+//! Connections that never send a whole request could otherwise occupy the address up to its limit, and
+//! a caller with a request would be rejected until they time out. When the address is full, the
+//! connection that has been idle the longest is closed; if none is idle, the request that has been
+//! arriving the longest is given up.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_io::Async;
+use onyxshed_core::ResultCode;
 
 use crate::bounded::{BoundedStream, Phase};
 
@@ -50,14 +53,37 @@
             true
         })
     }
+
+    /// Gives up the request that has been arriving the longest, if that is longer than
+    /// [`RECEIVE_GRACE`]. Returns false if there is none.
+    ///
+    /// A request that has arrived whole is never given up, since its job may have begun.
+    pub(crate) fn evict_slowest(&self, code: ResultCode) -> bool {
+        let streams = self.streams.borrow();
+        let receiving = streams
+            .values()
+            .filter_map(|stream| Some((stream.receiving_since()?, stream)));
+        let slowest = receiving
+            .min_by_key(|(since, _)| *since)
+            .filter(|(since, _)| since.elapsed() >= RECEIVE_GRACE);
+        if let Some((_, stream)) = slowest {
+            stream.evict(code);
+        }
+        slowest.is_some()
+    }
 }
 
+/// How long a request may take to arrive before it can be given up for another connection.
+const RECEIVE_GRACE: Duration = Duration::from_secs(2);
+
 /// Returns whether no byte of a request has arrived, read or unread, so that closing the connection
 /// cuts off no caller.
 pub(crate) fn is_idle(stream: &BoundedStream) -> bool {
+    if stream.phase() != Phase::Idle {
+        return false;
+    }
     let inner: Arc<Async<TcpStream>> = stream.inner().clone().into();
-    let has_unread = matches!(inner.get_ref().peek(&mut [0]), Ok(1));
-    stream.phase() == Phase::Idle && !has_unread
+    !matches!(inner.get_ref().peek(&mut [0]), Ok(1))
 }
 
 /// The entry of a connection in [`IdleStreams`], removed on drop.
--- a/crates/onyxshed-http/src/lib.rs
+++ b/crates/onyxshed-http/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod bounded;
 pub mod caller_identity;
+pub mod capacity;
 pub mod client;
 pub mod connections;
 pub mod error;
@@ -17,6 +18,7 @@
 pub mod server;
 
 pub use caller_identity::CallerIdentity;
+pub use capacity::{CapacityPlan, ListenerLimits, MachineLimits};
 pub use client::{ClientOptions, Connection};
 pub use error::{CallError, Error, Result, SendState};
 pub use listen::ListenOptions;
--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -13,6 +13,7 @@
 
 use async_executor::LocalExecutor;
 use async_h1::server::{ConnectionStatus, Encoder, Server as H1Server};
+use async_io::Timer;
 use async_net::{TcpListener, TcpStream};
 use futures_lite::{AsyncWriteExt, Future, FutureExt, future, io};
 use http_types::{Method, Request, Response};
@@ -37,6 +38,9 @@
 pub struct ServerOptions {
     /// Largest number of open connections; default 4096.
     pub connections_max: usize,
+    /// Largest number of connections beyond `connections_max` that get a rejection before they are
+    /// closed; default 256. Any further ones are closed without a reply.
+    pub rejected_max: usize,
     /// Largest request head in bytes; default 16 KiB.
     pub head_max_bytes: u64,
     /// Largest request body in bytes; default 8 MiB.
@@ -62,6 +66,7 @@
     fn default() -> Self {
         ServerOptions {
             connections_max: 4_096,
+            rejected_max: 256,
             head_max_bytes: 16 << 10,
             body_max_bytes: 8 << 20,
             bodies_max_bytes: 256 << 20,
@@ -156,11 +161,25 @@
                 Ok((stream, _)) => self.admit(stream, executor),
                 Err(_) => pause_after_failed_accept().await,
             }
-            // A burst of new connections must not starve those already open.
-            future::yield_now().await;
+            match self.is_crowded() {
+                // Those that have been closed for others leave when they are next polled.
+                true => drop(Timer::after(CROWDED_ACCEPT_DELAY).await),
+                // A burst of new connections must not starve those already open.
+                false => future::yield_now().await,
+            }
         }
     }
 
+    /// Returns whether neither a connection to be served nor one to be rejected has a place.
+    fn is_crowded(&self) -> bool {
+        let ServerOptions {
+            connections_max,
+            rejected_max,
+            ..
+        } = self.options;
+        self.stats.connections.get() >= connections_max + rejected_max
+    }
+
     fn admit(&self, stream: TcpStream, executor: &Rc<LocalExecutor<'static>>) {
         let server = self.clone();
         let open = GaugeGuard::new(&self.stats, |stats| &stats.connections);
@@ -169,8 +188,8 @@
             .connections
             .get()
             .saturating_sub(self.options.connections_max);
-        let has_capacity = excess == 0 || self.idle.close_oldest();
-        if !has_capacity && excess > REJECTED_CONNECTIONS_MAX {
+        let has_capacity = excess == 0 || self.make_place();
+        if excess > self.options.rejected_max {
             self.stats.rejected.set(self.stats.rejected.get() + 1);
             return;
         }
@@ -191,6 +210,15 @@
             .detach();
     }
 
+    /// Makes place for a new connection, at the cost of one that carries no whole request. Returns
+    /// false if there is none.
+    ///
+    /// Peers that send their requests slowly, or never to the end, could otherwise occupy the address
+    /// up to its limit.
+    fn make_place(&self) -> bool {
+        self.idle.close_oldest() || self.idle.evict_slowest(ResultCode::TooManyConnections)
+    }
+
     /// Serves one connection until it is closed.
     async fn serve(self, stream: BoundedStream, mut idle_entry: IdleEntry) {
         if stream.inner().set_nodelay(true).is_err() {
@@ -229,7 +257,8 @@
                 Err(error) => {
                     let is_request = stream.read_bytes() > read_before;
                     if is_request && stream.phase() != Phase::Replying {
-                        self.send_rejection(&stream, code_of(&error)).await;
+                        let code = stream.eviction().unwrap_or_else(|| code_of(&error));
+                        self.send_rejection(&stream, code).await;
                     }
                     return;
                 }
@@ -342,9 +371,8 @@
     }
 }
 
-/// Connections beyond the limit that still get a rejection reply; any further ones are closed
-/// without a reply.
-const REJECTED_CONNECTIONS_MAX: usize = 256;
+/// Pause between two connections that are accepted while the address is crowded.
+const CROWDED_ACCEPT_DELAY: Duration = Duration::from_millis(2);
 
 /// Time limit for sending a rejection, and for discarding the peer's further bytes after a last reply.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -355,5 +383,5 @@
 /// Waits after a failed accept, so that a shortage of file descriptors does not cause a busy loop.
 async fn pause_after_failed_accept() {
     const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-    async_io::Timer::after(ACCEPT_RETRY_DELAY).await;
+    Timer::after(ACCEPT_RETRY_DELAY).await;
 }
--- /dev/null
+++ b/crates/onyxshed-http/tests/crowded.rs
@@ -0,0 +1,115 @@
+//! An address on which all connections are taken.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use async_net::TcpStream;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use onyxshed_core::ResultCode;
+use onyxshed_http::client::with_timeout;
+use onyxshed_http::server::PendingReply;
+use onyxshed_http::{Call, Reply, Server, ServerOptions};
+use rstest::rstest;
+
+const REQUEST: &[u8] = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nok";
+
+/// Time limit of a test, which only a hang reaches.
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Longer than a request may take to arrive before it can be given up.
+const SLOW: Duration = Duration::from_millis(2_200);
+
+/// Starts a server for one connection, whose handler answers `/wait` never and anything else at once.
+async fn start(executor: &Rc<LocalExecutor<'static>>) -> SocketAddr {
+    let handler = Rc::new(|call: Call| -> PendingReply {
+        Box::pin(async move {
+            match call.path() {
+                "/wait" => future::pending().await,
+                _ => Reply::bytes(200, "handled"),
+            }
+        })
+    });
+    let reject = Rc::new(|code: ResultCode| Reply::bytes(code.http_status(), code.to_string()));
+    let options = ServerOptions {
+        connections_max: 1,
+        rejected_max: 1,
+        ..ServerOptions::default()
+    };
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = Server::listen(any).await.expect("test setup succeeds");
+    let address = listener.local_addr().expect("test setup succeeds");
+    let server = Server::new(options, handler, reject);
+    executor
+        .spawn(server.run(listener, executor.clone()))
+        .detach();
+    address
+}
+
+fn run<Test: Future<Output = ()>>(test: impl FnOnce(Rc<LocalExecutor<'static>>) -> Test) {
+    let executor = Rc::new(LocalExecutor::new());
+    let test = with_timeout(TIMEOUT, test(executor.clone()));
+    let finished = async_io::block_on(executor.run(test));
+    assert!(finished.is_some(), "the test hangs");
+}
+
+async fn send(address: SocketAddr, bytes: &[u8]) -> TcpStream {
+    let stream = TcpStream::connect(address).await;
+    let mut stream = stream.expect("the server accepts");
+    stream.write_all(bytes).await.expect("the server reads");
+    stream
+}
+
+async fn reply(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let mut byte = [0; 256];
+    while !bytes.ends_with(b"handled") && !bytes.ends_with(b"3108") {
+        let count = stream.read(&mut byte).await.expect("a reply arrives");
+        assert_ne!(count, 0, "the connection is closed without a reply");
+        bytes.extend_from_slice(&byte[..count]);
+    }
+    String::from_utf8(bytes).expect("a reply is text")
+}
+
+/// Guards against peers that lock others out by requests that never arrive whole.
+#[rstest]
+#[case::in_the_head(20)]
+#[case::in_the_body(REQUEST.len() - 1)]
+fn slow_request_gives_way_to_a_new_connection(#[case] sent_bytes: usize) {
+    run(|executor| async move {
+        let address = start(&executor).await;
+        let mut slow = send(address, &REQUEST[..sent_bytes]).await;
+        Timer::after(SLOW).await;
+        let mut ordinary = send(address, REQUEST).await;
+        assert!(reply(&mut ordinary).await.starts_with("HTTP/1.1 200"));
+        assert!(reply(&mut slow).await.starts_with("HTTP/1.1 503"));
+    });
+}
+
+/// Guards against an ordinary caller whose request is given up while it arrives.
+#[test]
+fn request_that_has_just_begun_keeps_its_connection() {
+    run(|executor| async move {
+        let address = start(&executor).await;
+        let mut first = send(address, &REQUEST[..REQUEST.len() - 1]).await;
+        Timer::after(SLOW / 10).await;
+        let mut second = send(address, REQUEST).await;
+        assert!(reply(&mut second).await.starts_with("HTTP/1.1 503"));
+        first.write_all(b"k").await.expect("the server reads");
+        assert!(reply(&mut first).await.starts_with("HTTP/1.1 200"));
+    });
+}
+
+/// Guards against giving up a request whose job may have begun.
+#[test]
+fn request_that_is_being_served_is_never_given_up() {
+    run(|executor| async move {
+        let address = start(&executor).await;
+        let _served = send(address, b"GET /wait HTTP/1.1\r\nHost: x\r\n\r\n").await;
+        Timer::after(SLOW).await;
+        let mut ordinary = send(address, REQUEST).await;
+        assert!(reply(&mut ordinary).await.starts_with("HTTP/1.1 503"));
+    });
+}
--- a/crates/onyxshed-process/src/lib.rs
+++ b/crates/onyxshed-process/src/lib.rs
@@ -10,5 +10,5 @@
 pub mod run;
 
 pub use listen::{listen, serve_rpc};
-pub use requests::{RequestServer, serve_requests};
+pub use requests::{RequestListener, RequestServer, serve_requests};
 pub use run::{CommonSettings, Process, ServiceContext};
--- a/crates/onyxshed-process/src/requests.rs
+++ b/crates/onyxshed-process/src/requests.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use onyxshed_core::{Event, EventKind, ResultCode};
-use onyxshed_http::{Call, Handler, ListenOptions, Reply, Server, ServerOptions};
+use onyxshed_http::{Call, Handler, ListenerLimits, Reply, Server, ServerOptions};
 use onyxshed_kernel::{Kernel, Result, ServiceName};
 use smol_str::format_smolstr;
 
@@ -46,6 +46,19 @@
     }
 }
 
+/// Address and limits of a listener for HTTP requests.
+#[derive(Debug, Clone, Copy)]
+pub struct RequestListener {
+    /// Name of the listener, as the ready line and events show it.
+    pub name: &'static str,
+    /// Address on which the process listens.
+    pub address: SocketAddr,
+    /// Limits on connections.
+    pub limits: ListenerLimits,
+    /// Limits on each connection and on bodies.
+    pub server: ServerOptions,
+}
+
 /// Serves HTTP requests on an address until the process exits.
 ///
 /// While the process drains, each reply closes its connection, so that the peer reconnects to
@@ -54,9 +67,7 @@
 pub async fn serve_requests<Pending>(
     kernel: &Kernel,
     service: ServiceName,
-    name: &'static str,
-    address: SocketAddr,
-    options: ServerOptions,
+    listener: RequestListener,
     handle: impl Fn(Call) -> Pending + 'static,
     reject: impl Fn(ResultCode) -> Reply + 'static,
 ) -> Result<RequestServer>
@@ -82,8 +93,17 @@
         reporter.emit(event.detail(format_smolstr!("{code}")));
         reject(code)
     });
+    let RequestListener { name, limits, .. } = listener;
+    let options = limits.apply(listener.server);
     let server = Server::new(options, handler, reject).refuse_idle_with(idle_refusal);
-    let (listener, _) = listen(kernel, service, name, address, ListenOptions::default()).await?;
+    let (listener, _) = listen(
+        kernel,
+        service,
+        name,
+        listener.address,
+        limits.listen_options(),
+    )
+    .await?;
     kernel
         .spawn(server.clone().run(listener, kernel.executor()))
         .detach();
--- a/crates/onyxshed-telemetry/src/admin.rs
+++ b/crates/onyxshed-telemetry/src/admin.rs
@@ -11,8 +11,9 @@
 use async_io::Timer;
 use http_types::Method;
 use onyxshed_core::{ResultCode, UnixMs};
+use onyxshed_http::listen::listen;
 use onyxshed_http::server::{PendingReply, RejectReply};
-use onyxshed_http::{Call, Handler, Reply, Server, ServerOptions};
+use onyxshed_http::{Call, Handler, ListenerLimits, Reply, Server, ServerOptions};
 use onyxshed_kernel::{
     Descriptor, Error as KernelError, Kernel, LocalFuture, Result, Service, ServiceName,
     StopRequest,
@@ -28,9 +29,17 @@
 /// How often the metrics that are not counted event by event are updated.
 const UPKEEP_PERIOD: Duration = Duration::from_secs(5);
 
+/// Limits of the admin server's connections, unless others are set.
+const LIMITS: ListenerLimits = ListenerLimits {
+    connections_max: 64,
+    rejected_max: 64,
+    backlog: 128,
+};
+
 /// Limits of the admin server: few connections, small requests.
 const OPTIONS: ServerOptions = ServerOptions {
-    connections_max: 64,
+    connections_max: LIMITS.connections_max,
+    rejected_max: LIMITS.rejected_max,
     head_max_bytes: 8 << 10,
     body_max_bytes: 4 << 10,
     bodies_max_bytes: 1 << 20,
@@ -45,6 +54,7 @@
 pub struct AdminService {
     telemetry: Rc<Telemetry>,
     address: SocketAddr,
+    limits: ListenerLimits,
     tasks: RefCell<Vec<Task<()>>>,
 }
 
@@ -57,10 +67,17 @@
         AdminService {
             telemetry,
             address,
+            limits: LIMITS,
             tasks: RefCell::default(),
         }
     }
 
+    /// Replaces the limits on connections.
+    pub fn with_limits(mut self, limits: ListenerLimits) -> Self {
+        self.limits = limits;
+        self
+    }
+
     async fn open(&self, kernel: &Kernel) -> Result<()> {
         let descriptor = Descriptor {
             name: Self::NAME,
@@ -69,12 +86,18 @@
         kernel.register(descriptor, self.telemetry.clone())?;
         let listen_error =
             |error: onyxshed_http::Error| KernelError::start(Self::NAME, error.code(), error);
-        let listener = Server::listen(self.address).await.map_err(listen_error)?;
+        let listener = listen(self.address, self.limits.listen_options())
+            .await
+            .map_err(listen_error)?;
         let address = listener
             .local_addr()
             .map_err(|error| KernelError::start(Self::NAME, ResultCode::AddressInUse, error))?;
         kernel.announce("admin", address);
-        let server = Server::new(OPTIONS, self.handler(kernel), rejection());
+        let server = Server::new(
+            self.limits.apply(OPTIONS),
+            self.handler(kernel),
+            rejection(),
+        );
         let server_task = kernel.spawn(server.run(listener, kernel.executor()));
         let upkeep_task = kernel.spawn(run_upkeep(self.telemetry.clone()));
         self.tasks.borrow_mut().extend([server_task, upkeep_task]);
