Bodies and replies count until they are done, within the machine's memory

What callers saw: a host that its machine ends. Bodies far over the manifest's 256 KiB, announced or just sent, took up to 8 MiB each.

Cause: the limits of 8 MiB a body and 256 MiB for all knew neither the manifest nor memory_mb. Bodies up to 64 KiB were not counted; the share of a larger one ended when it was read, though its request lived on; the buffer grew to twice what was counted; replies were not counted at all.

Change: a body's buffer is reserved before it grows and counts until its request is answered. Large and small bodies and replies each have a limit from CapacityPlan; up to 4 KiB they are part of their connection's share. Where there is no memory, a body that has been arriving for 2 s is given up (503), else the new one is refused (503). Sizes and the time of a head come from the manifest in force. A body of legal size may be sent in chunks of one byte, so 6 bytes may arrive for each. The readiness address takes 4 KiB.

New in onyxshed-http: tests/memory.rs.

--- a/crates/onyxshed-entry/src/callers.rs
+++ b/crates/onyxshed-entry/src/callers.rs
@@ -88,6 +88,7 @@
             address,
             limits: self.options.limits,
             server: self.options.server,
+            request_limits: Rc::new(|| None),
         };
         serve_requests(kernel, CALLERS, listener, handle, reject).await
     }
--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -18,6 +18,7 @@
 use onyxshed_adapter::{Manifest, Route};
 use onyxshed_core::{CallerId, Event, EventKind, Millis, Mono, ResultCode};
 use onyxshed_http::client::with_timeout;
+use onyxshed_http::server::RequestLimits;
 use onyxshed_http::{Call, CallerIdentity, ListenerLimits, Reply, ServerOptions};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_pool::{
@@ -532,6 +533,15 @@
         .map_or(TIME_LIMIT_DEFAULT, Millis)
 }
 
+/// Returns the limits that a manifest sets for requests.
+fn limits_of(manifest: &Manifest) -> RequestLimits {
+    RequestLimits {
+        head_max_bytes: manifest.head_max_bytes,
+        body_max_bytes: manifest.body_max_bytes,
+        head_timeout: manifest.head_timeout_ms.into(),
+    }
+}
+
 /// Service that accepts requests of callers.
 pub struct CallerService {
     options: CallerOptions,
@@ -567,6 +577,7 @@
             .detach();
         kernel.spawn(callers.arrivals.clone().run()).detach();
         let handler_state = callers.clone();
+        let manifest = callers.manifest.clone();
         let handle = move |call| {
             let callers = handler_state.clone();
             async move { callers.handle(call).await }
@@ -580,6 +591,7 @@
             address: self.options.address,
             limits: self.options.limits,
             server: self.options.server,
+            request_limits: Rc::new(move || manifest.get().map(|manifest| limits_of(&manifest))),
         };
         let server = serve_requests(kernel, CALLERS, listener, handle, reject).await?;
         // Cannot fail: the cell is set only here.
--- a/crates/onyxshed-host/src/process.rs
+++ b/crates/onyxshed-host/src/process.rs
@@ -285,6 +285,8 @@
         server: ServerOptions {
             idle_timeout: IDLE_TIMEOUT,
             cancels_on_disconnect: true,
+            bodies_max_bytes: capacity.large_bodies.0,
+            small_bodies_max_bytes: capacity.small_bodies.0,
             ..ServerOptions::default()
         },
         drain_timeout,
@@ -293,7 +295,8 @@
     vec![
         Box::new(
             AdminService::new(telemetry, SocketAddr::new(settings.ip, options.admin_port))
-                .with_limits(capacity.minor),
+                .with_limits(capacity.minor)
+                .with_reply_memory(capacity.replies),
         ),
         Box::new(ReloadService::new(
             options.settings_path.clone(),
--- a/crates/onyxshed-host/src/ready.rs
+++ b/crates/onyxshed-host/src/ready.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use onyxshed_core::ResultCode;
+use onyxshed_http::server::IN_CONNECTION_BYTES;
 use onyxshed_http::{Call, Handler, ListenerLimits, Reply, Server, ServerOptions};
 use onyxshed_kernel::{Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_process::listen;
@@ -46,7 +47,10 @@
             Box::pin(async move { Reply::bytes(status, Vec::new()) })
         });
         let reject = Rc::new(|_code: ResultCode| Reply::bytes(STATUS_NOT_READY, Vec::new()));
-        let options = self.limits.apply(ServerOptions::default());
+        let options = self.limits.apply(ServerOptions {
+            body_max_bytes: IN_CONNECTION_BYTES,
+            ..ServerOptions::default()
+        });
         let server = Server::new(options, handler, reject);
         let (listener, _) = listen(
             kernel,
--- a/crates/onyxshed-http/src/bounded.rs
+++ b/crates/onyxshed-http/src/bounded.rs
@@ -32,6 +32,15 @@
     Replying,
 }
 
+/// Size of a body, by which the memory for bodies is divided.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodySize {
+    /// Up to [`SMALL_BODY_BYTES`](crate::server::SMALL_BODY_BYTES).
+    Small,
+    /// Any larger body.
+    Large,
+}
+
 #[derive(Debug)]
 struct Bounds {
     phase: Phase,
@@ -46,6 +55,8 @@
     receiving_since: Option<Instant>,
     /// Set while the request that is being received is given up.
     eviction: Option<ResultCode>,
+    /// Size of the body that is being received, once it has memory.
+    body_size: Option<BodySize>,
     /// The task that waits for bytes of a request.
     reader: Option<Waker>,
 }
@@ -71,6 +82,7 @@
             head: HeadScan::default(),
             receiving_since: None,
             eviction: None,
+            body_size: None,
             reader: None,
         };
         BoundedStream {
@@ -122,6 +134,16 @@
         bounds.receiving_since.filter(|_| bounds.eviction.is_none())
     }
 
+    /// Sets the size of the body that is being received.
+    pub fn set_body_size(&self, size: BodySize) {
+        self.lock().body_size = Some(size);
+    }
+
+    /// Returns the size of the body that is being received, once it has memory.
+    pub fn body_size(&self) -> Option<BodySize> {
+        self.lock().body_size
+    }
+
     /// Gives up the request that is being received: reads fail from now on, until a reply begins. `code`
     /// is the reason for the reply.
     pub fn evict(&self, code: ResultCode) {
@@ -171,6 +193,7 @@
         if !matches!(phase, Phase::Head | Phase::Body) {
             self.receiving_since = None;
             self.eviction = None;
+            self.body_size = None;
         }
         self.set_deadline(timeout);
     }
--- a/crates/onyxshed-http/src/idle.rs
+++ b/crates/onyxshed-http/src/idle.rs
@@ -15,7 +15,7 @@
 use async_io::Async;
 use onyxshed_core::ResultCode;
 
-use crate::bounded::{BoundedStream, Phase};
+use crate::bounded::{BodySize, BoundedStream, Phase};
 
 /// The connections of an address, those that became idle first in front. A connection with a
 /// request in flight keeps its place, but is not closed.
@@ -59,9 +59,23 @@
     ///
     /// A request that has arrived whole is never given up, since its job may have begun.
     pub(crate) fn evict_slowest(&self, code: ResultCode) -> bool {
+        self.evict_slowest_of(|_| true, code)
+    }
+
+    /// Like [`IdleStreams::evict_slowest`], of the requests whose bodies have memory for this size.
+    pub(crate) fn evict_slowest_body(&self, size: BodySize, code: ResultCode) -> bool {
+        self.evict_slowest_of(|stream| stream.body_size() == Some(size), code)
+    }
+
+    fn evict_slowest_of(
+        &self,
+        is_eligible: impl Fn(&BoundedStream) -> bool,
+        code: ResultCode,
+    ) -> bool {
         let streams = self.streams.borrow();
         let receiving = streams
             .values()
+            .filter(|stream| is_eligible(stream))
             .filter_map(|stream| Some((stream.receiving_since()?, stream)));
         let slowest = receiving
             .min_by_key(|(since, _)| *since)
--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod gauge;
+mod memory;
 mod rejection;
 mod shutdown;
 
@@ -26,10 +27,12 @@
 use crate::idle::{IdleEntry, IdleStreams};
 use crate::listen::{ListenOptions, listen};
 
-pub use body::SMALL_BODY_BYTES;
+pub use memory::{IN_CONNECTION_BYTES, SMALL_BODY_BYTES};
 
 use crate::message::{Call, Reply};
+use body::ReceivedBody;
 use gauge::GaugeGuard;
+use memory::{ReplyShare, RequestMemory};
 use rejection::{code_of, rejection_error};
 use shutdown::Shutdown;
 
@@ -45,9 +48,13 @@
     pub head_max_bytes: u64,
     /// Largest request body in bytes; default 8 MiB.
     pub body_max_bytes: u64,
-    /// Memory for all bodies that are being read, except bodies of at most [`SMALL_BODY_BYTES`];
+    /// Memory for all bodies above [`SMALL_BODY_BYTES`], until their requests have been answered;
     /// default 256 MiB.
     pub bodies_max_bytes: u64,
+    /// Memory for all other bodies above [`IN_CONNECTION_BYTES`]; default 64 MiB.
+    pub small_bodies_max_bytes: u64,
+    /// Memory for all replies above [`IN_CONNECTION_BYTES`] that are being sent; default 64 MiB.
+    pub replies_max_bytes: u64,
     /// How long a connection may be idle between requests; default 60 s.
     pub idle_timeout: Duration,
     /// Time limit for a request's head, from its first byte; default 5 s.
@@ -70,6 +77,8 @@
             head_max_bytes: 16 << 10,
             body_max_bytes: 8 << 20,
             bodies_max_bytes: 256 << 20,
+            small_bodies_max_bytes: 64 << 20,
+            replies_max_bytes: 64 << 20,
             idle_timeout: Duration::from_secs(60),
             head_timeout: Duration::from_secs(5),
             body_timeout: Duration::from_secs(10),
@@ -98,7 +107,8 @@
     pub connections: Cell<usize>,
     /// Requests whose reply has not been written yet.
     pub in_flight: Cell<usize>,
-    /// Memory held by bodies being read that are larger than [`SMALL_BODY_BYTES`], in bytes.
+    /// Bytes that have arrived of bodies larger than [`SMALL_BODY_BYTES`], until their requests have been
+    /// answered.
     pub body_bytes: Cell<u64>,
     /// Requests and connections that the server itself rejected, in total.
     pub rejected: Cell<u64>,
@@ -106,10 +116,27 @@
     pub idle_refused: Cell<u64>,
 }
 
+/// Limits of one request, which may change while a server runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestLimits {
+    /// Largest request head in bytes.
+    pub head_max_bytes: u64,
+    /// Largest request body in bytes.
+    pub body_max_bytes: u64,
+    /// Time limit for a request's head, from its first byte.
+    pub head_timeout: Duration,
+}
+
+/// A function that returns the limits of requests that begin now; `None` if those of the
+/// [`ServerOptions`] apply.
+pub type LimitsSource = Rc<dyn Fn() -> Option<RequestLimits>>;
+
 /// An HTTP server. Clones share its counters and idle connections.
 #[derive(Clone)]
 pub struct Server {
     options: ServerOptions,
+    limits: LimitsSource,
+    memory: Rc<RequestMemory>,
     handler: Handler,
     reject: RejectReply,
     stats: Rc<ServerStats>,
@@ -118,23 +145,51 @@
     idle_refusal: Option<Reply>,
 }
 
-/// Number of bytes that a transfer encoding may add to a body, beyond the limit on the body's size.
+/// Number of bytes with which a transfer encoding may send one byte of a body: a chunk's size, two line
+/// ends and the byte.
+const FRAMED_BYTE_BYTES: u64 = 6;
+
+/// Number of bytes that a transfer encoding may add to a body besides: its last chunk and its trailer.
 const FRAMING_SLACK_BYTES: u64 = 64 << 10;
 
+/// Returns the number of bytes with which a body may be sent.
+fn framed_max_bytes(body_max_bytes: u64) -> u64 {
+    body_max_bytes
+        .saturating_mul(FRAMED_BYTE_BYTES)
+        .saturating_add(FRAMING_SLACK_BYTES)
+}
+
 impl Server {
     /// Creates a server from its limits, its request handler and its source of rejection replies.
     pub fn new(options: ServerOptions, handler: Handler, reject: RejectReply) -> Self {
+        let stats = Rc::default();
         Server {
             options,
+            limits: Rc::new(|| None),
+            memory: RequestMemory::new(&options, Rc::clone(&stats)),
             handler,
             reject,
-            stats: Rc::default(),
+            stats,
             idle: Rc::default(),
             shutdown: Rc::default(),
             idle_refusal: None,
         }
     }
 
+    /// Sets the source of the limits of each request.
+    pub fn with_limits(mut self, limits: LimitsSource) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    fn request_limits(&self) -> RequestLimits {
+        (self.limits)().unwrap_or(RequestLimits {
+            head_max_bytes: self.options.head_max_bytes,
+            body_max_bytes: self.options.body_max_bytes,
+            head_timeout: self.options.head_timeout,
+        })
+    }
+
     /// Returns the counters, which the server keeps up to date.
     pub fn stats(&self) -> Rc<ServerStats> {
         self.stats.clone()
@@ -227,22 +282,25 @@
         // A request is counted as in flight until its reply is written, so that a graceful stop
         // cuts off no reply.
         let in_flight = RefCell::new(None);
+        let reply_share = RefCell::new(None);
         let endpoint = |request| {
             in_flight.replace(Some(GaugeGuard::new(&self.stats, |stats| &stats.in_flight)));
-            self.handle_request(stream.clone(), request)
+            self.handle_request(stream.clone(), request, &reply_share)
         };
         let mut h1 = H1Server::new(stream.clone(), endpoint);
         loop {
             let read_before = stream.read_bytes();
+            let limits = self.request_limits();
             stream.begin_idle(
                 self.options.idle_timeout,
-                self.options.head_timeout,
-                self.options.head_max_bytes,
+                limits.head_timeout,
+                limits.head_max_bytes,
             );
             let accepted = async { Ok(h1.accept_one().await) };
             let interrupted = async { Err(self.shutdown.interruption(&stream).await) };
             let accepted = accepted.or(interrupted).await;
             in_flight.replace(None);
+            reply_share.replace(None);
             let accepted = match accepted {
                 Ok(accepted) => accepted,
                 Err(cause) => return self.close_interrupted(&stream, cause).await,
@@ -270,9 +328,10 @@
         &self,
         stream: BoundedStream,
         mut request: Request,
+        reply_share: &RefCell<Option<ReplyShare>>,
     ) -> http_types::Result<Response> {
-        let max_bytes = self.options.body_max_bytes;
-        stream.begin_body(self.options.body_timeout, max_bytes + FRAMING_SLACK_BYTES);
+        let max_bytes = self.request_limits().body_max_bytes;
+        stream.begin_body(self.options.body_timeout, framed_max_bytes(max_bytes));
         let content_length = request.len().map(|len| len as u64);
         if content_length.is_some_and(|len| len > max_bytes) {
             return Err(rejection_error(ResultCode::BodyTooLarge));
@@ -280,8 +339,9 @@
         if request.header(EXPECT_HEADER).is_some() {
             stream.clone().write_all(CONTINUE_RESPONSE).await?;
         }
-        let body = self.read_body(request.take_body()).await?;
-        if content_length.is_some_and(|len| len != body.len() as u64) {
+        let body = request.take_body();
+        let ReceivedBody { bytes, share } = self.read_body(&stream, body, max_bytes).await?;
+        if content_length.is_some_and(|len| len != bytes.len() as u64) {
             return Err(rejection_error(ResultCode::BadRequest));
         }
         // The library may have read bytes after the body and discards them with the request, so a
@@ -291,13 +351,21 @@
         stream.begin_handling();
         let call = Call {
             head: request,
-            body,
+            body: bytes,
             peer_address: stream.inner().peer_addr().ok(),
         };
         let reply = match self.options.cancels_on_disconnect {
             true => self.handle_while_connected(&stream, call).await,
             false => (self.handler)(call).await,
         };
+        drop(share);
+        let reply = match self.memory.reply_share(reply.body.len()) {
+            Some(share) => {
+                reply_share.replace(Some(share));
+                reply
+            }
+            None => self.rejection_reply(ResultCode::EntryFull),
+        };
         stream.begin_reply(self.options.reply_timeout);
         let reply = if closes_connection || self.shutdown.has_begun() {
             reply.connection_close()
--- /dev/null
+++ b/crates/onyxshed-http/tests/memory.rs
@@ -0,0 +1,122 @@
+//! The memory of bodies whose requests are served, of small bodies, and of replies.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_net::TcpStream;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use onyxshed_core::ResultCode;
+use onyxshed_http::client::with_timeout;
+use onyxshed_http::server::PendingReply;
+use onyxshed_http::{Call, Reply, Server, ServerOptions};
+
+const MIB: usize = 1 << 20;
+
+/// Time limit of a test, which only a hang reaches.
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Starts a server that answers `/wait` never, `/large` by a reply of 1 MiB and anything else by its body's
+/// length.
+async fn start(executor: &Rc<LocalExecutor<'static>>) -> SocketAddr {
+    let handler = Rc::new(|call: Call| -> PendingReply {
+        Box::pin(async move {
+            match call.path() {
+                "/wait" => future::pending().await,
+                "/large" => Reply::bytes(200, vec![b'x'; MIB]),
+                _ => Reply::bytes(200, call.body.len().to_string()),
+            }
+        })
+    });
+    let reject = Rc::new(|code: ResultCode| Reply::bytes(code.http_status(), code.to_string()));
+    let options = ServerOptions {
+        body_max_bytes: MIB as u64,
+        bodies_max_bytes: MIB as u64,
+        small_bodies_max_bytes: 100 << 10,
+        replies_max_bytes: MIB as u64,
+        ..ServerOptions::default()
+    };
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = Server::listen(any).await.expect("test setup succeeds");
+    let address = listener.local_addr().expect("test setup succeeds");
+    let server = Server::new(options, handler, reject);
+    executor
+        .spawn(server.run(listener, executor.clone()))
+        .detach();
+    address
+}
+
+fn run<Test: Future<Output = ()>>(test: impl FnOnce(Rc<LocalExecutor<'static>>) -> Test) {
+    let executor = Rc::new(LocalExecutor::new());
+    let test = with_timeout(TIMEOUT, test(executor.clone()));
+    let finished = async_io::block_on(executor.run(test));
+    assert!(finished.is_some(), "the test hangs");
+}
+
+/// Sends a body of `len` bytes without its last `missing` ones.
+async fn send(address: SocketAddr, path: &str, len: usize, missing: usize) -> TcpStream {
+    let stream = TcpStream::connect(address).await;
+    let mut stream = stream.expect("the server accepts");
+    let head = format!("POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len}\r\n\r\n");
+    let body = vec![b'x'; len - missing];
+    // The server may refuse the request before all of it is sent.
+    let _ = stream.write_all(&[head.as_bytes(), &body].concat()).await;
+    stream
+}
+
+async fn status(stream: &mut TcpStream) -> String {
+    let mut bytes = [0; 12];
+    stream
+        .read_exact(&mut bytes)
+        .await
+        .expect("a reply arrives");
+    String::from_utf8_lossy(&bytes[9..]).into_owned()
+}
+
+/// Guards against bodies that are not counted any more while their requests are served.
+#[test]
+fn body_is_counted_until_its_request_is_answered() {
+    run(|executor| async move {
+        let address = start(&executor).await;
+        let served = send(address, "/wait", MIB, 0).await;
+        // The refusal shows that the first body has been counted; the server reads it in several steps.
+        while status(&mut send(address, "/", MIB, 0).await).await != "503" {}
+        assert_eq!(status(&mut send(address, "/", 1_000, 0).await).await, "200");
+        assert_eq!(status(&mut send(address, "/", MIB, 0).await).await, "503");
+        drop(served);
+    });
+}
+
+/// Guards against many small bodies that exhaust the memory together.
+#[test]
+fn small_bodies_share_a_limit() {
+    run(|executor| async move {
+        let address = start(&executor).await;
+        let _stalled = send(address, "/", 64 << 10, 1).await;
+        while status(&mut send(address, "/", 64 << 10, 0).await).await != "503" {}
+        assert_eq!(status(&mut send(address, "/", 4_000, 0).await).await, "200");
+        assert_eq!(status(&mut send(address, "/", MIB, 0).await).await, "200");
+    });
+}
+
+/// Guards against large replies that peers do not read.
+#[test]
+fn replies_that_are_not_read_share_a_limit() {
+    run(|executor| async move {
+        let address = start(&executor).await;
+        let mut unread = send(address, "/large", 0, 0).await;
+        assert_eq!(status(&mut unread).await, "200");
+        assert_eq!(
+            status(&mut send(address, "/large", 0, 0).await).await,
+            "503"
+        );
+        assert_eq!(status(&mut send(address, "/", 0, 0).await).await, "200");
+        let mut rest = vec![0; MIB];
+        unread
+            .read_exact(&mut rest)
+            .await
+            .expect("the reply arrives");
+        while status(&mut send(address, "/large", 0, 0).await).await != "200" {}
+    });
+}
--- a/crates/onyxshed-process/src/requests.rs
+++ b/crates/onyxshed-process/src/requests.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use onyxshed_core::{Event, EventKind, ResultCode};
+use onyxshed_http::server::LimitsSource;
 use onyxshed_http::{Call, Handler, ListenerLimits, Reply, Server, ServerOptions};
 use onyxshed_kernel::{Kernel, Result, ServiceName};
 use smol_str::format_smolstr;
@@ -47,7 +48,7 @@
 }
 
 /// Address and limits of a listener for HTTP requests.
-#[derive(Debug, Clone, Copy)]
+#[derive(Clone)]
 pub struct RequestListener {
     /// Name of the listener, as the ready line and events show it.
     pub name: &'static str,
@@ -57,6 +58,8 @@
     pub limits: ListenerLimits,
     /// Limits on each connection and on bodies.
     pub server: ServerOptions,
+    /// Source of the limits on each request.
+    pub request_limits: LimitsSource,
 }
 
 /// Serves HTTP requests on an address until the process exits.
@@ -95,7 +98,9 @@
     });
     let RequestListener { name, limits, .. } = listener;
     let options = limits.apply(listener.server);
-    let server = Server::new(options, handler, reject).refuse_idle_with(idle_refusal);
+    let server = Server::new(options, handler, reject)
+        .with_limits(listener.request_limits)
+        .refuse_idle_with(idle_refusal);
     let (listener, _) = listen(
         kernel,
         service,
--- a/crates/onyxshed-telemetry/src/admin.rs
+++ b/crates/onyxshed-telemetry/src/admin.rs
@@ -10,7 +10,7 @@
 use async_executor::Task;
 use async_io::Timer;
 use http_types::Method;
-use onyxshed_core::{ResultCode, UnixMs};
+use onyxshed_core::{Bytes, ResultCode, UnixMs};
 use onyxshed_http::listen::listen;
 use onyxshed_http::server::{PendingReply, RejectReply};
 use onyxshed_http::{Call, Handler, ListenerLimits, Reply, Server, ServerOptions};
@@ -43,6 +43,8 @@
     head_max_bytes: 8 << 10,
     body_max_bytes: 4 << 10,
     bodies_max_bytes: 1 << 20,
+    small_bodies_max_bytes: 1 << 20,
+    replies_max_bytes: 64 << 20,
     idle_timeout: Duration::from_secs(30),
     head_timeout: Duration::from_secs(5),
     body_timeout: Duration::from_secs(5),
@@ -55,6 +57,7 @@
     telemetry: Rc<Telemetry>,
     address: SocketAddr,
     limits: ListenerLimits,
+    reply_memory: Bytes,
     tasks: RefCell<Vec<Task<()>>>,
 }
 
@@ -68,6 +71,7 @@
             telemetry,
             address,
             limits: LIMITS,
+            reply_memory: Bytes(OPTIONS.replies_max_bytes),
             tasks: RefCell::default(),
         }
     }
@@ -78,6 +82,12 @@
         self
     }
 
+    /// Replaces the limit on the memory of replies that are being sent.
+    pub fn with_reply_memory(mut self, reply_memory: Bytes) -> Self {
+        self.reply_memory = reply_memory;
+        self
+    }
+
     async fn open(&self, kernel: &Kernel) -> Result<()> {
         let descriptor = Descriptor {
             name: Self::NAME,
