Start and stop orders in progress are limited

What callers saw: a host that runs out of descriptors. 400 clients with jobs of 550 small tasks, all of legal size, made the owner open 9,755 sockets.

Cause: every order made its own call at once, on a connection of its own if none was idle, whatever the host could open.

--- a/crates/onyxshed-host/src/engine.rs
+++ b/crates/onyxshed-host/src/engine.rs
@@ -14,6 +14,7 @@
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
+use async_lock::Semaphore;
 use onyxshed_core::{Event, EventKind};
 use onyxshed_http::ClientOptions;
 use onyxshed_http::connections::ConnectionPool;
@@ -78,16 +79,20 @@
     levels: RefCell<LevelTable>,
     refusal_metrics: RefusalMetrics,
     zone_reader: ZoneReader,
+    /// Permits for start and stop orders in progress, each of which may use a connection of its own.
+    order_permits: Semaphore,
     /// Number of connections of peers; empty until peers can connect.
     peer_connections: OnceCell<ConnectionCount>,
 }
 
 impl Engine {
-    /// Creates the handle of a host that owns no pool yet.
+    /// Creates the handle of a host that owns no pool yet, and that makes at most `orders_max` calls for
+    /// start and stop orders at the same time.
     pub fn new(
         kernel: &Kernel,
         incarnation: PeerIncarnation,
         options: PoolOptions,
+        orders_max: usize,
         evacuations: Rc<ZoneEvacuations>,
     ) -> Rc<Self> {
         Rc::new(Engine {
@@ -101,6 +106,7 @@
             was_fenced: Cell::new(false),
             past_members: RefCell::default(),
             evacuations,
+            order_permits: Semaphore::new(orders_max),
             metrics: HostMetrics::new(),
             overload_metrics: OverloadMetrics::new(),
             levels: RefCell::default(),
--- a/crates/onyxshed-host/src/engine/calls.rs
+++ b/crates/onyxshed-host/src/engine/calls.rs
@@ -39,8 +39,10 @@
     ) {
         let engine = self.clone();
         let call = async move {
+            let _permit = engine.order_permits.acquire().await;
             let sent_at = boot_clock::now();
-            let answer = engine.start(&id, &order).await;
+            // Boxed, so that an order that waits for its permit has no memory for its call.
+            let answer = Box::pin(engine.start(&id, &order)).await;
             let elapsed = boot_clock::now().since(sent_at);
             engine.metrics.record_order(OrderKind::Start, elapsed);
             engine.dispatch_call_result(token, |pool| {
@@ -72,8 +74,9 @@
     ) {
         let engine = self.clone();
         let call = async move {
+            let _permit = engine.order_permits.acquire().await;
             let sent_at = boot_clock::now();
-            let answer = engine.stop(&id, &order).await;
+            let answer = Box::pin(engine.stop(&id, &order)).await;
             let elapsed = boot_clock::now().since(sent_at);
             engine.metrics.record_order(OrderKind::Stop, elapsed);
             engine.dispatch_call_result(token, |pool| {
--- a/crates/onyxshed-host/src/process.rs
+++ b/crates/onyxshed-host/src/process.rs
@@ -249,6 +249,7 @@
         kernel,
         incarnation,
         pool_options(settings, options.overload),
+        capacity.calls_max,
         evacuations.clone(),
     );
     let link_options = LinkOptions {
