An owner refuses jobs beyond its memory for them

What callers saw: an owner that its machine ends. Clients of other hosts filled it with jobs: whole_spec took it to 207 MB, of 64 MB.

Cause: an owner admitted jobs by their time alone; nothing counted what their descriptions and tasks hold.

Change: a job counts 2 KiB, its description and 1 KiB a task; one with which all would exceed three sixteenths of what the machine leaves for clients (31 MB on 260 MB) is refused as not run, for the new reason MemoryFull, with the pool's usual retry delay. A copy of a job that is known still joins it.

--- a/crates/onyxshed-cli/src/trace/cause.rs
+++ b/crates/onyxshed-cli/src/trace/cause.rs
@@ -62,6 +62,8 @@
     CallerShare,
     /// A host lacked the processor time to serve the job.
     HostOverloaded,
+    /// The jobs of a pool used the memory that its owner had for them.
+    MemoryFull,
     /// No executor that could run the remaining tasks responded.
     ExecutorsLost,
 }
@@ -127,6 +129,7 @@
         NotRunReason::ClassShare => Cause::ClassShare,
         NotRunReason::CallerShare => Cause::CallerShare,
         NotRunReason::HostOverloaded => Cause::HostOverloaded,
+        NotRunReason::MemoryFull => Cause::MemoryFull,
     }
 }
 
@@ -218,6 +221,7 @@
             Cause::ClassShare | Cause::CallerShare | Cause::HostOverloaded => {
                 "docs/OPERATIONS.md, callers are refused"
             }
+            Cause::MemoryFull => "docs/OPERATIONS.md, clients are refused at a limit",
         }
     }
 }
@@ -292,6 +296,7 @@
             Cause::HostOverloaded => {
                 f.write_str("not run: a host lacked the processor time to serve it")
             }
+            Cause::MemoryFull => f.write_str("not run: the owner's memory for jobs was full"),
         }
     }
 }
--- a/crates/onyxshed-host/src/callers/replies.rs
+++ b/crates/onyxshed-host/src/callers/replies.rs
@@ -39,6 +39,7 @@
         NotRunReason::ClassShare => "not run: its class has used its share",
         NotRunReason::CallerShare => "not run: its caller has used its share",
         NotRunReason::HostOverloaded => "not run: this host is overloaded",
+        NotRunReason::MemoryFull => "not run: the memory for jobs is full",
     }
 }
 
--- a/crates/onyxshed-host/src/process.rs
+++ b/crates/onyxshed-host/src/process.rs
@@ -248,7 +248,10 @@
     let engine = Engine::new(
         kernel,
         incarnation,
-        pool_options(settings, options.overload),
+        PoolOptions {
+            jobs_memory: capacity.jobs,
+            ..pool_options(settings, options.overload)
+        },
         capacity.calls_max,
         evacuations.clone(),
     );
--- a/crates/onyxshed-host/src/refusal_metrics.rs
+++ b/crates/onyxshed-host/src/refusal_metrics.rs
@@ -72,5 +72,6 @@
         NotRunReason::ClassShare => "class_share",
         NotRunReason::CallerShare => "caller_share",
         NotRunReason::HostOverloaded => "host_overloaded",
+        NotRunReason::MemoryFull => "memory_full",
     }
 }
--- a/crates/onyxshed-pool/src/job.rs
+++ b/crates/onyxshed-pool/src/job.rs
@@ -1,6 +1,6 @@
 //! Jobs as the owner of a pool tracks them: the request, the state of each task and the outcome.
 
-use onyxshed_core::{CallerId, Micros, Millis, Mono};
+use onyxshed_core::{Bytes, CallerId, Micros, Millis, Mono};
 use smol_str::SmolStr;
 
 use crate::id::{
@@ -73,6 +73,15 @@
         Micros(stretched_us + Micros::from(self.objective).0)
     }
 
+    /// Returns the memory that the job and its orders to executors use at most at the owner of a pool.
+    pub fn memory(&self) -> Bytes {
+        /// A job with its names and its places in the indexes.
+        const JOB_BYTES: u64 = 2 << 10;
+        /// A task with its state, its run and the order that starts or stops it.
+        const TASK_BYTES: u64 = 1 << 10;
+        Bytes(JOB_BYTES + self.spec.len() as u64 + u64::from(self.tasks) * TASK_BYTES)
+    }
+
     /// Returns the total work of the job according to the caller's estimate, in thousandths of a
     /// core times milliseconds.
     pub fn work(&self) -> u64 {
@@ -100,11 +109,13 @@
     CallerShare,
     /// The host lacks the processor time to serve the job.
     HostOverloaded,
+    /// The jobs of the pool use the memory that its owner has for them.
+    MemoryFull,
 }
 
 impl NotRunReason {
     /// All reasons. The index of a reason in this array is its encoding on the wire.
-    pub const ALL: [NotRunReason; 8] = [
+    pub const ALL: [NotRunReason; 9] = [
         NotRunReason::NoTime,
         NotRunReason::NoExecutor,
         NotRunReason::NotOwner,
@@ -113,6 +124,7 @@
         NotRunReason::ClassShare,
         NotRunReason::CallerShare,
         NotRunReason::HostOverloaded,
+        NotRunReason::MemoryFull,
     ];
 
     /// Returns whether the job was refused because the pool is short of room.
@@ -121,7 +133,8 @@
             NotRunReason::NoTime
             | NotRunReason::ClassShare
             | NotRunReason::CallerShare
-            | NotRunReason::HostOverloaded => true,
+            | NotRunReason::HostOverloaded
+            | NotRunReason::MemoryFull => true,
             NotRunReason::NoExecutor
             | NotRunReason::NotOwner
             | NotRunReason::OldSession
--- a/crates/onyxshed-pool/src/job_table.rs
+++ b/crates/onyxshed-pool/src/job_table.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::{Deref, DerefMut};
 
-use onyxshed_core::{Micros, Mono};
+use onyxshed_core::{Bytes, Micros, Mono};
 use smol_str::SmolStr;
 
 use crate::id::JobId;
@@ -112,6 +112,8 @@
     jobs: BTreeMap<JobId, Job>,
     indexes: Indexes,
     groups: BTreeMap<PlacementGroup, Group>,
+    /// Memory that the jobs use at most.
+    memory: Bytes,
     late_factor: u64,
     transit: Micros,
 }
@@ -122,11 +124,17 @@
             jobs: BTreeMap::new(),
             indexes: Indexes::default(),
             groups: BTreeMap::new(),
+            memory: Bytes(0),
             late_factor: options.late_factor,
             transit: options.transit_ms.into(),
         }
     }
 
+    /// Returns the memory that the jobs use at most.
+    pub fn memory(&self) -> Bytes {
+        self.memory
+    }
+
     pub fn len(&self) -> usize {
         self.jobs.len()
     }
@@ -167,6 +175,7 @@
         self.remove(&id);
         let key = key_of(&job, self.late_factor, self.transit);
         self.indexes.replace(None, Some(key));
+        self.memory.0 += job.request.memory().0;
         let group = self.groups.entry(group_of(&job.request)).or_default();
         group.jobs += 1;
         group.demand_bound = max_of(group.demand_bound, job.request.demand);
@@ -177,6 +186,7 @@
         let job = self.jobs.remove(id)?;
         let key = key_of(&job, self.late_factor, self.transit);
         self.indexes.replace(Some(key), None);
+        self.memory.0 -= job.request.memory().0;
         let group = group_of(&job.request);
         if let Some(jobs) = self.groups.get_mut(&group) {
             jobs.jobs -= 1;
@@ -283,6 +293,7 @@
             jobs: BTreeMap::new(),
             indexes: Indexes::default(),
             groups: BTreeMap::new(),
+            memory: Bytes(0),
             ..*self
         };
         for (id, job) in &self.jobs {
@@ -309,6 +320,9 @@
                 return Some(format!("work up to {limit} is not {up_to} and {ahead}"));
             }
         }
+        if self.memory != walked.memory {
+            return Some(format!("memory {} is not {}", self.memory, walked.memory));
+        }
         let groups = |table: &JobTable| -> Vec<_> {
             let groups = table.groups.iter();
             groups
--- a/crates/onyxshed-pool/src/options.rs
+++ b/crates/onyxshed-pool/src/options.rs
@@ -1,6 +1,6 @@
 //! Options of a pool's owner, with their defaults and the reasons for them.
 
-use onyxshed_core::Millis;
+use onyxshed_core::{Bytes, Millis};
 
 use crate::overload::OverloadMode;
 
@@ -70,6 +70,8 @@
     pub remote_millis: u32,
     /// Whether overload decisions take effect; default [`OverloadMode::Off`].
     pub overload: OverloadMode,
+    /// Memory for the pool's jobs, above which a job is refused; default without limit.
+    pub jobs_memory: Bytes,
     /// Number of tasks that a pool must be able to run at a time for jobs to be begun only with a place for
     /// each task; default 16, twice the tasks of a wide job. In a smaller pool, hardly any wide job finds
     /// places for all its tasks within its slack, and late answers serve more callers.
@@ -101,6 +103,7 @@
             evacuation_grace_ms: Millis(1_000),
             remote_millis: 2_000,
             overload: OverloadMode::Off,
+            jobs_memory: Bytes(u64::MAX),
             planned_places_min: 16,
         }
     }
--- a/crates/onyxshed-pool/src/pool/admission.rs
+++ b/crates/onyxshed-pool/src/pool/admission.rs
@@ -150,6 +150,9 @@
             return None;
         }
         let not_run = |reason| Some(JobEnd::NotRun(reason, self.retry_after(now)));
+        if self.jobs.memory().0 + request.memory().0 > self.options.jobs_memory.0 {
+            return not_run(NotRunReason::MemoryFull);
+        }
         if !self.is_placeable(now, request) {
             return not_run(NotRunReason::NoExecutor);
         }
--- a/crates/onyxshed-pool/src/pool_choice.rs
+++ b/crates/onyxshed-pool/src/pool_choice.rs
@@ -65,9 +65,10 @@
             return EndKind::Outcome;
         };
         match reason {
-            NotRunReason::NoTime | NotRunReason::ClassShare | NotRunReason::HostOverloaded => {
-                EndKind::NoRoom
-            }
+            NotRunReason::NoTime
+            | NotRunReason::ClassShare
+            | NotRunReason::HostOverloaded
+            | NotRunReason::MemoryFull => EndKind::NoRoom,
             NotRunReason::CallerShare => EndKind::Outcome,
             NotRunReason::NoExecutor
             | NotRunReason::NotOwner
--- a/crates/onyxshed-pool/tests/pool/main.rs
+++ b/crates/onyxshed-pool/tests/pool/main.rs
@@ -13,6 +13,7 @@
 mod link_plan;
 mod load;
 mod lost;
+mod memory;
 mod order;
 mod overload;
 mod overload_failures;
