Callers refused at a limit learn when to come back

What callers saw: 503 without a Retry-After, at the limits on connections and on memory, though our pages promise one with every refusal that may be repeated.

Cause: the host's replies to requests that the server itself rejects carried a Retry-After for a stopping host only; the entry process has one for these.

Change: 1 s for a full listener, for full memory and for a request that was too slow. A new connection may reach another host at once; on this one requests that arrive slowly give way after 2 s.

--- a/crates/onyxshed-host/src/callers.rs
+++ b/crates/onyxshed-host/src/callers.rs
@@ -67,6 +67,10 @@
 /// Retry-after time while this host is stopping: other hosts accept the request at once.
 const STOPPING_RETRY_AFTER: Millis = Millis(0);
 
+/// Retry-after time while a limit on connections or memory is met: a new connection may reach another
+/// host, and requests that arrive slowly are given up after 2 s.
+const LIMIT_RETRY_AFTER: Millis = Millis(1_000);
+
 /// Retry-after time for a request that waited until its caller's time was over: only the wait stood in
 /// its way.
 const EXPIRED_RETRY_AFTER: Millis = Millis(0);
@@ -533,6 +537,17 @@
         .map_or(TIME_LIMIT_DEFAULT, Millis)
 }
 
+/// Returns when a caller may come back whose request the server itself has rejected.
+fn retry_after(code: ResultCode) -> Option<Millis> {
+    match code {
+        ResultCode::Draining => Some(STOPPING_RETRY_AFTER),
+        ResultCode::TooManyConnections | ResultCode::EntryFull | ResultCode::TooSlow => {
+            Some(LIMIT_RETRY_AFTER)
+        }
+        _ => None,
+    }
+}
+
 /// Returns the limits that a manifest sets for requests.
 fn limits_of(manifest: &Manifest) -> RequestLimits {
     RequestLimits {
@@ -583,8 +598,8 @@
             async move { callers.handle(call).await }
         };
         let reject = |code: ResultCode| {
-            let retry_after = (code == ResultCode::Draining).then_some(STOPPING_RETRY_AFTER);
-            rejection_reply(code.http_status(), &format_smolstr!("{code}"), retry_after)
+            let reason = format_smolstr!("{code}");
+            rejection_reply(code.http_status(), &reason, retry_after(code))
         };
         let listener = RequestListener {
             name: "caller",
--- a/crates/onyxshed-soak/tests/clients/crowd.rs
+++ b/crates/onyxshed-soak/tests/clients/crowd.rs
@@ -6,7 +6,7 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_net::TcpStream;
-use futures_lite::{AsyncWriteExt, FutureExt};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future};
 
 use crate::requests::Misbehavior;
 
@@ -17,7 +17,25 @@
 /// The connections that a crowd keeps open.
 #[derive(Debug)]
 pub struct Crowd {
-    _streams: Vec<TcpStream>,
+    streams: Vec<TcpStream>,
+}
+
+impl Crowd {
+    /// Reads what the host has sent to each client; empty for a client that has no reply.
+    pub async fn replies(&mut self) -> Vec<String> {
+        let mut replies = Vec::new();
+        for stream in &mut self.streams {
+            let mut bytes = vec![0; 4 << 10];
+            let read = async { stream.read(&mut bytes).await.ok() };
+            let none = async {
+                future::yield_now().await;
+                None
+            };
+            let count = read.or(none).await.unwrap_or_default();
+            replies.push(String::from_utf8_lossy(&bytes[..count]).to_lowercase());
+        }
+        replies
+    }
 }
 
 /// Sends the requests of a crowd, and returns when every client has sent all or has been stopped by
@@ -35,7 +53,7 @@
         streams
     };
     Crowd {
-        _streams: executor.run(send_all).await,
+        streams: executor.run(send_all).await,
     }
 }
 
--- a/crates/onyxshed-soak/tests/clients/hosts.rs
+++ b/crates/onyxshed-soak/tests/clients/hosts.rs
@@ -223,6 +223,37 @@
     test_crowd(&options, Door::Callers, misbehavior, CLIENTS);
 }
 
+/// Guards against callers that are refused at a limit and do not learn when to come back.
+#[rstest]
+#[case::connections(Misbehavior::UnfinishedHead)]
+#[case::memory_of_small_bodies(Misbehavior::UnfinishedTinyChunks)]
+#[case::memory_of_large_bodies(Misbehavior::UnfinishedBody)]
+fn refusal_at_a_limit_says_when_to_come_back(#[case] misbehavior: Misbehavior) {
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    block_on(async {
+        let fleet = Fleet::start(&options()).await.expect("the fleet starts");
+        let callers = fleet.direct_caller_addresses()[0];
+        let mut crowd = crowd::send(callers, misbehavior, CLIENTS).await;
+        let started_at = Instant::now();
+        let refusals = loop {
+            let mut replies = crowd.replies().await;
+            replies.retain(|reply| reply.starts_with("http/1.1 503"));
+            if !replies.is_empty() {
+                break replies;
+            }
+            assert!(
+                started_at.elapsed() < ANSWER_TIMEOUT,
+                "no client is refused"
+            );
+            Timer::after(SAMPLE_PERIOD).await;
+        };
+        let without = refusals
+            .iter()
+            .find(|reply| !reply.contains("retry-after: "));
+        assert_eq!(without, None);
+    });
+}
+
 /// Guards against limits that refuse a single request of the largest legal size.
 #[test]
 fn single_request_of_legal_size_is_served() {
