Logs and metrics name the limit at which a client is refused

What operators saw: E106 with a result code, which does not tell whether connections, rejections, slow requests, bodies or replies met their limit, nor at which address; nothing for a connection closed without a reply, and nothing at all for the readiness and admin addresses.

Change: a server reports each refusal with its limit. E106 names the listener and the limit, onyxshed_limits_met_total{listener,limit} counts them. The admin listener's limit on replies, which was set and not passed on, takes effect.

--- a/crates/onyxshed-host/src/ready.rs
+++ b/crates/onyxshed-host/src/ready.rs
@@ -9,6 +9,7 @@
 use onyxshed_http::{Call, Handler, ListenerLimits, Reply, Server, ServerOptions};
 use onyxshed_kernel::{Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_process::listen;
+use onyxshed_telemetry::refusals;
 
 use crate::links::Links;
 use crate::manifest::ManifestHolder;
@@ -51,7 +52,8 @@
             body_max_bytes: IN_CONNECTION_BYTES,
             ..ServerOptions::default()
         });
-        let server = Server::new(options, handler, reject);
+        let server = Server::new(options, handler, reject)
+            .report_refusals(refusals::reporter(kernel, "ready"));
         let (listener, _) = listen(
             kernel,
             READY,
--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -3,6 +3,7 @@
 mod body;
 mod gauge;
 mod memory;
+mod refusal;
 mod rejection;
 mod shutdown;
 
@@ -28,6 +29,7 @@
 use crate::listen::{ListenOptions, listen};
 
 pub use memory::{IN_CONNECTION_BYTES, SMALL_BODY_BYTES};
+pub use refusal::{Limit, Refusal, RefusalReporter};
 
 use crate::message::{Call, Reply};
 use body::ReceivedBody;
@@ -139,6 +141,7 @@
     memory: Rc<RequestMemory>,
     handler: Handler,
     reject: RejectReply,
+    reporter: RefusalReporter,
     stats: Rc<ServerStats>,
     idle: Rc<IdleStreams>,
     shutdown: Rc<Shutdown>,
@@ -169,6 +172,7 @@
             memory: RequestMemory::new(&options, Rc::clone(&stats)),
             handler,
             reject,
+            reporter: Rc::new(|_| {}),
             stats,
             idle: Rc::default(),
             shutdown: Rc::default(),
@@ -182,6 +186,12 @@
         self
     }
 
+    /// Sets the function that is told every refusal.
+    pub fn report_refusals(mut self, reporter: RefusalReporter) -> Self {
+        self.reporter = reporter;
+        self
+    }
+
     fn request_limits(&self) -> RequestLimits {
         (self.limits)().unwrap_or(RequestLimits {
             head_max_bytes: self.options.head_max_bytes,
@@ -245,8 +255,8 @@
             .saturating_sub(self.options.connections_max);
         let has_capacity = excess == 0 || self.make_place();
         if excess > self.options.rejected_max {
-            self.stats.rejected.set(self.stats.rejected.get() + 1);
-            return;
+            let code = ResultCode::TooManyConnections;
+            return self.record_refusal(Refusal::at(Limit::Rejections, code));
         }
         let stream = BoundedStream::new(stream);
         let idle_entry = self.idle.add(&stream);
@@ -256,9 +266,8 @@
                 match has_capacity {
                     true => server.serve(stream, idle_entry).await,
                     false => {
-                        server
-                            .send_rejection(&stream, ResultCode::TooManyConnections)
-                            .await;
+                        let refusal = Refusal::of_code(ResultCode::TooManyConnections);
+                        server.send_rejection(&stream, refusal).await;
                     }
                 }
             })
@@ -309,14 +318,18 @@
                 Ok(ConnectionStatus::KeepAlive) => idle_entry = idle_entry.move_to_back(&stream),
                 Ok(ConnectionStatus::Close) if stream.phase() == Phase::Head => {
                     // The peer closed its side in the middle of a head.
-                    return self.send_rejection(&stream, ResultCode::BadRequest).await;
+                    let refusal = Refusal::of_code(ResultCode::BadRequest);
+                    return self.send_rejection(&stream, refusal).await;
                 }
                 Ok(ConnectionStatus::Close) => return self.close_after_reply(&stream).await,
                 Err(error) => {
                     let is_request = stream.read_bytes() > read_before;
                     if is_request && stream.phase() != Phase::Replying {
-                        let code = stream.eviction().unwrap_or_else(|| code_of(&error));
-                        self.send_rejection(&stream, code).await;
+                        let refusal = match stream.eviction() {
+                            Some(code) => Refusal::at(Limit::SlowRequest, code),
+                            None => Refusal::of_code(code_of(&error)),
+                        };
+                        self.send_rejection(&stream, refusal).await;
                     }
                     return;
                 }
@@ -364,7 +377,7 @@
                 reply_share.replace(Some(share));
                 reply
             }
-            None => self.rejection_reply(ResultCode::EntryFull),
+            None => self.rejection_reply(Refusal::at(Limit::ReplyMemory, ResultCode::EntryFull)),
         };
         stream.begin_reply(self.options.reply_timeout);
         let reply = if closes_connection || self.shutdown.has_begun() {
@@ -380,23 +393,25 @@
     async fn handle_while_connected(&self, stream: &BoundedStream, call: Call) -> Reply {
         let has_left = future::poll_once(wait_for_disconnect(stream)).await;
         if has_left.is_some() {
-            return self.rejection_reply(ResultCode::CancelledUnstarted);
+            return self.rejection_reply(Refusal::of_code(ResultCode::CancelledUnstarted));
         }
         (self.handler)(call).or(wait_for_disconnect(stream)).await
     }
 
-    fn rejection_response(&self, code: ResultCode) -> Response {
-        self.rejection_reply(code).into_response()
+    fn record_refusal(&self, refusal: Refusal) {
+        self.stats.rejected.set(self.stats.rejected.get() + 1);
+        (self.reporter)(refusal);
     }
 
-    fn rejection_reply(&self, code: ResultCode) -> Reply {
-        self.stats.rejected.set(self.stats.rejected.get() + 1);
-        (self.reject)(code).connection_close()
+    fn rejection_reply(&self, refusal: Refusal) -> Reply {
+        self.record_refusal(refusal);
+        (self.reject)(refusal.code).connection_close()
     }
 
     /// Replies to a peer with the reason for the rejection.
-    async fn send_rejection(&self, stream: &BoundedStream, code: ResultCode) {
-        self.send_final(stream, self.rejection_response(code)).await;
+    async fn send_rejection(&self, stream: &BoundedStream, refusal: Refusal) {
+        let reply = self.rejection_reply(refusal);
+        self.send_final(stream, reply.into_response()).await;
     }
 
     /// Sends the last response on a connection, if the peer still reads.
--- a/crates/onyxshed-http/src/server/shutdown.rs
+++ b/crates/onyxshed-http/src/server/shutdown.rs
@@ -15,7 +15,7 @@
 use futures_lite::{FutureExt, future};
 use onyxshed_core::ResultCode;
 
-use super::{Server, pause_after_failed_accept};
+use super::{Refusal, Server, pause_after_failed_accept};
 use crate::bounded::{BoundedStream, Phase};
 use crate::idle::is_idle;
 use crate::message::Reply;
@@ -164,7 +164,8 @@
     pub(super) async fn close_interrupted(&self, stream: &BoundedStream, cause: Interruption) {
         match (cause, &self.idle_refusal) {
             (Interruption::HalfReceived, _) => {
-                self.send_rejection(stream, ResultCode::Draining).await;
+                let refusal = Refusal::of_code(ResultCode::Draining);
+                self.send_rejection(stream, refusal).await;
             }
             (Interruption::Idle, Some(refusal)) => {
                 let refused = &self.stats.idle_refused;
--- a/crates/onyxshed-process/src/requests.rs
+++ b/crates/onyxshed-process/src/requests.rs
@@ -9,6 +9,7 @@
 use onyxshed_http::server::LimitsSource;
 use onyxshed_http::{Call, Handler, ListenerLimits, Reply, Server, ServerOptions};
 use onyxshed_kernel::{Kernel, Result, ServiceName};
+use onyxshed_telemetry::refusals;
 use smol_str::format_smolstr;
 
 use crate::listen::listen;
@@ -90,16 +91,12 @@
         })
     });
     let idle_refusal = reject(ResultCode::Draining);
-    let reporter = kernel.clone();
-    let reject = Rc::new(move |code: ResultCode| {
-        let event = Event::new(EventKind::RequestRejected);
-        reporter.emit(event.detail(format_smolstr!("{code}")));
-        reject(code)
-    });
     let RequestListener { name, limits, .. } = listener;
+    let reporter = refusals::reporter(kernel, name);
     let options = limits.apply(listener.server);
-    let server = Server::new(options, handler, reject)
+    let server = Server::new(options, handler, Rc::new(reject))
         .with_limits(listener.request_limits)
+        .report_refusals(reporter)
         .refuse_idle_with(idle_refusal);
     let (listener, _) = listen(
         kernel,
--- a/crates/onyxshed-soak/src/fleet.rs
+++ b/crates/onyxshed-soak/src/fleet.rs
@@ -363,13 +363,20 @@
     /// Returns how often a host has called the store for a purpose, by its metrics; `None` if the host is
     /// unknown or does not answer.
     pub async fn store_call_count(&self, name: &SmolStr, purpose: &str) -> Option<u64> {
+        let series = format!("onyxshed_store_calls_total{{purpose=\"{purpose}\"}}");
+        self.counter(name, &series).await
+    }
+
+    /// Returns the value of a counter of a host, which its metrics show with its labels; `None` if the host
+    /// is unknown, does not answer or has no such counter.
+    pub async fn counter(&self, name: &SmolStr, series: &str) -> Option<u64> {
         let address = self.admin_address(name)?;
         let request = call_once(address, Method::Get, "metrics", Vec::new(), CALL_TIMEOUT);
         let metrics = String::from_utf8(request.await.ok()?.body).ok()?;
-        let prefix = format!("onyxshed_store_calls_total{{purpose=\"{purpose}\"}} ");
-        metrics
-            .lines()
-            .find_map(|line| line.strip_prefix(&prefix)?.parse().ok())
+        metrics.lines().find_map(|line| {
+            let value = line.strip_prefix(series)?;
+            value.trim_start().parse().ok()
+        })
     }
 
     /// Waits until every host is ready. Fails after 60 s with the log of a host that is not.
--- a/crates/onyxshed-soak/tests/clients/hosts.rs
+++ b/crates/onyxshed-soak/tests/clients/hosts.rs
@@ -223,12 +223,16 @@
     test_crowd(&options, Door::Callers, misbehavior, CLIENTS);
 }
 
-/// Guards against callers that are refused at a limit and do not learn when to come back.
+/// Guards against callers that are refused at a limit and do not learn when to come back, and operators who
+/// do not learn which limit that is.
 #[rstest]
-#[case::connections(Misbehavior::UnfinishedHead)]
-#[case::memory_of_small_bodies(Misbehavior::UnfinishedTinyChunks)]
-#[case::memory_of_large_bodies(Misbehavior::UnfinishedBody)]
-fn refusal_at_a_limit_says_when_to_come_back(#[case] misbehavior: Misbehavior) {
+#[case::connections(Misbehavior::UnfinishedHead, "connections")]
+#[case::memory_of_small_bodies(Misbehavior::UnfinishedTinyChunks, "body_memory")]
+#[case::memory_of_large_bodies(Misbehavior::UnfinishedBody, "body_memory")]
+fn refusal_at_a_limit_says_when_to_come_back(
+    #[case] misbehavior: Misbehavior,
+    #[case] limit: &str,
+) {
     let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     block_on(async {
         let fleet = Fleet::start(&options()).await.expect("the fleet starts");
@@ -251,6 +255,16 @@
             .iter()
             .find(|reply| !reply.contains("retry-after: "));
         assert_eq!(without, None);
+        let name = fleet.host_names().remove(0);
+        let labels = format!("listener=\"caller\",limit=\"{limit}\"");
+        let series = format!("onyxshed_limits_met_total{{{labels}}}");
+        let count = fleet.counter(&name, &series).await;
+        assert!(
+            count.is_some_and(|count| count > 0),
+            "{series} is {count:?}"
+        );
+        let lines = fleet.log_lines_with(&format!("limit {limit}"));
+        assert!(!lines.is_empty(), "no line names the limit");
     });
 }
 
--- a/crates/onyxshed-telemetry/src/admin.rs
+++ b/crates/onyxshed-telemetry/src/admin.rs
@@ -23,6 +23,7 @@
 };
 use smol_str::{SmolStr, format_smolstr};
 
+use crate::refusals;
 use crate::telemetry::Telemetry;
 use crate::timeline::Filter;
 
@@ -103,11 +104,12 @@
             .local_addr()
             .map_err(|error| KernelError::start(Self::NAME, ResultCode::AddressInUse, error))?;
         kernel.announce("admin", address);
-        let server = Server::new(
-            self.limits.apply(OPTIONS),
-            self.handler(kernel),
-            rejection(),
-        );
+        let options = self.limits.apply(ServerOptions {
+            replies_max_bytes: self.reply_memory.0,
+            ..OPTIONS
+        });
+        let server = Server::new(options, self.handler(kernel), rejection())
+            .report_refusals(refusals::reporter(kernel, "admin"));
         let server_task = kernel.spawn(server.run(listener, kernel.executor()));
         let upkeep_task = kernel.spawn(run_upkeep(self.telemetry.clone()));
         self.tasks.borrow_mut().extend([server_task, upkeep_task]);
--- a/crates/onyxshed-telemetry/src/lib.rs
+++ b/crates/onyxshed-telemetry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod line;
 pub mod log;
 pub mod metric;
+pub mod refusals;
 pub mod telemetry;
 pub mod timeline;
 
--- a/crates/onyxshed-telemetry/src/metric.rs
+++ b/crates/onyxshed-telemetry/src/metric.rs
@@ -104,6 +104,17 @@
     metrics::counter!(name, label => value)
 }
 
+/// Returns a counter of a listener with a further label, whose name must end in `_total`.
+pub fn listener_counter(
+    name: &'static str,
+    description: &'static str,
+    listener: &'static str,
+    (label, value): (&'static str, &'static str),
+) -> Counter {
+    metrics::describe_counter!(name, description);
+    metrics::counter!(name, "listener" => listener, label => value)
+}
+
 /// Returns a gauge, whose name must end in its unit if it has one.
 pub fn gauge(name: &'static str, description: &'static str) -> Gauge {
     metrics::describe_gauge!(name, description);
