A host logs the limits that it derives from its machine

E610 shows the limits and their sum at the start, E611 in its place warns of a machine that is too small for one connection at each listener; its limits then exceed it. The collection of a body is split into a buffer and the loop that reserves its memory. Found while splitting: nothing; no behaviour changes besides the event.

--- a/crates/onyxshed-core/src/event.rs
+++ b/crates/onyxshed-core/src/event.rs
@@ -115,6 +115,8 @@
     607 LogLinesLeftOut Warn "Lines were omitted from the log to limit its volume.";
     608 RequestsDrained Info "A stopping process has finished the requests on one of its addresses; the detail counts what is still open.";
     609 RequestsCutOff Error "The process ended before requests on one of its addresses were answered.";
+    610 LimitsInForce Info "The limits on clients, divided from those of the machine.";
+    611 MachineTooSmall Warn "The machine has less memory or fewer descriptors than the limits on clients add up to.";
     700 PlatformLost Warn "The platform's log can't be reached.";
     701 PlatformBack Info "The platform's log can be reached again.";
     702 HostListStale Warn "The platform's host list is stale.";
--- a/crates/onyxshed-host/src/process.rs
+++ b/crates/onyxshed-host/src/process.rs
@@ -240,7 +240,7 @@
     settings: &HostSettings,
     telemetry: Rc<Telemetry>,
 ) -> Vec<Box<dyn Service>> {
-    let capacity = capacity::plan(settings);
+    let capacity = capacity::divide(kernel, settings);
     let incarnation = PeerIncarnation(rand::random());
     let default_address = SocketAddr::new(settings.ip, settings.first_own_port);
     let peer_address = settings.peer_address.unwrap_or(default_address);
--- a/crates/onyxshed-http/src/capacity.rs
+++ b/crates/onyxshed-http/src/capacity.rs
@@ -7,6 +7,8 @@
 //! [`CapacityPlan::committed_sockets`] never exceeds the sockets that a process may open.
 //! docs/LIMITS.md has the sum.
 
+use std::fmt;
+
 use onyxshed_core::Bytes;
 
 use crate::listen::{LISTEN_BACKLOG, ListenOptions, UNREAD_MAX_BYTES};
@@ -61,6 +63,17 @@
     }
 }
 
+impl fmt::Display for ListenerLimits {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            connections_max,
+            rejected_max,
+            backlog,
+        } = self;
+        write!(f, "{connections_max}+{rejected_max} (backlog {backlog})")
+    }
+}
+
 /// Memory that one connection may use: its unread bytes, and the parsed head, the buffers and the
 /// decoded request behind them.
 pub const CONNECTION_BYTES: u64 = UNREAD_MAX_BYTES as u64 + (64 << 10);
@@ -139,6 +152,12 @@
         Bytes(self.process.0 + listeners + requests)
     }
 
+    /// Returns whether the limits keep within those of the machine. They do not on a machine that is too
+    /// small for one connection at each listener.
+    pub fn fits(&self, limits: MachineLimits) -> bool {
+        self.committed_bytes() <= limits.memory && self.committed_sockets() <= sockets_max(limits)
+    }
+
     /// Returns the most sockets that clients, peers and calls to executors use. Idle connections to
     /// executors and to the platform's store use others.
     pub fn committed_sockets(&self) -> u64 {
@@ -147,6 +166,30 @@
     }
 }
 
+impl fmt::Display for CapacityPlan {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            callers,
+            minor,
+            large_bodies,
+            small_bodies,
+            replies,
+            jobs,
+            peers_max,
+            calls_max,
+            ..
+        } = self;
+        write!(
+            f,
+            "{} and {} sockets: callers {callers}, others {minor}, large bodies {large_bodies}, \
+             small bodies {small_bodies}, replies {replies}, jobs {jobs}, peers {peers_max}, \
+             orders {calls_max}",
+            self.committed_bytes(),
+            self.committed_sockets()
+        )
+    }
+}
+
 /// The part of the callers' backlog that another listener has.
 const MINOR_PART: u64 = 16;
 
--- a/crates/onyxshed-http/src/server/body.rs
+++ b/crates/onyxshed-http/src/server/body.rs
@@ -3,7 +3,7 @@
 use std::panic::AssertUnwindSafe;
 use std::time::Duration;
 
-use futures_lite::{AsyncReadExt, FutureExt};
+use futures_lite::{AsyncReadExt, FutureExt, io};
 use http_types::Body;
 use onyxshed_core::ResultCode;
 
@@ -22,6 +22,49 @@
     pub share: BodyShare,
 }
 
+/// The bytes of a body that have arrived, in memory that has been reserved.
+#[derive(Debug, Default)]
+struct BodyBuffer {
+    /// All memory of the buffer; the bytes from `received` on are free.
+    bytes: Vec<u8>,
+    received: usize,
+}
+
+/// Bytes that have been read from a body.
+enum NextBytes {
+    /// They are in the buffer.
+    Stored,
+    /// The buffer was full, and this byte is not in it.
+    NeedRoom(u8),
+}
+
+impl BodyBuffer {
+    /// Reads what has arrived. Returns `None` at the end of the body.
+    async fn read_from(&mut self, body: &mut Body) -> io::Result<Option<NextBytes>> {
+        if self.received == self.bytes.len() {
+            let mut next = [0];
+            let count = body.read(&mut next).await?;
+            return Ok((count > 0).then_some(NextBytes::NeedRoom(next[0])));
+        }
+        let count = body.read(&mut self.bytes[self.received..]).await?;
+        self.received += count;
+        Ok((count > 0).then_some(NextBytes::Stored))
+    }
+
+    /// Grows the memory to `capacity`, which is above its present size, and stores `next`.
+    fn grow(&mut self, capacity: usize, next: u8) {
+        self.bytes.reserve_exact(capacity - self.bytes.len());
+        self.bytes.resize(capacity, 0);
+        self.bytes[self.received] = next;
+        self.received += 1;
+    }
+
+    fn into_bytes(mut self) -> Vec<u8> {
+        self.bytes.truncate(self.received);
+        self.bytes
+    }
+}
+
 impl Server {
     /// Reads a body in full.
     ///
@@ -54,37 +97,25 @@
         mut body: Body,
         max_bytes: u64,
     ) -> http_types::Result<ReceivedBody> {
-        let announced = body.len();
         let max = usize::try_from(max_bytes).unwrap_or(usize::MAX);
-        let mut share = self.memory.body_share(announced.map(|len| len as u64));
-        let mut bytes = Vec::new();
-        let mut received = 0;
-        loop {
-            if received == bytes.len() {
-                let mut next = [0];
-                if body.read(&mut next).await? == 0 {
-                    bytes.truncate(received);
-                    return Ok(ReceivedBody { bytes, share });
-                }
-                if received == max {
+        let expected = body.len().unwrap_or(max).min(max);
+        let mut share = self.memory.body_share(body.len().map(|len| len as u64));
+        let mut buffer = BodyBuffer::default();
+        while let Some(next) = buffer.read_from(&mut body).await? {
+            if let NextBytes::NeedRoom(first) = next {
+                if buffer.received == max {
                     return Err(rejection_error(ResultCode::BodyTooLarge));
                 }
-                let capacity = next_capacity(received, announced.unwrap_or(max).min(max));
+                let capacity = next_capacity(buffer.received, expected);
                 self.reserve(stream, &mut share, capacity as u64).await?;
-                bytes.reserve_exact(capacity - received);
-                bytes.resize(capacity, 0);
-                bytes[received] = next[0];
-                received += 1;
-            } else {
-                let count = body.read(&mut bytes[received..]).await?;
-                if count == 0 {
-                    bytes.truncate(received);
-                    return Ok(ReceivedBody { bytes, share });
-                }
-                received += count;
+                buffer.grow(capacity, first);
             }
-            share.record_received(received as u64);
+            share.record_received(buffer.received as u64);
         }
+        Ok(ReceivedBody {
+            bytes: buffer.into_bytes(),
+            share,
+        })
     }
 
     /// Grows a body's share, if necessary at the cost of bodies that have been arriving for long.
--- a/crates/onyxshed-http/tests/capacity.rs
+++ b/crates/onyxshed-http/tests/capacity.rs
@@ -21,6 +21,7 @@
     ) {
         let limits = MachineLimits { memory: Bytes(memory), descriptors_max };
         let plan = CapacityPlan::new(limits);
+        prop_assert!(plan.fits(limits));
         prop_assert!(plan.committed_bytes() <= limits.memory, "{plan:?}");
         prop_assert!(plan.committed_sockets() <= sockets_max(limits), "{plan:?}");
         prop_assert!(plan.callers.connections_max >= 8, "{plan:?}");
@@ -37,3 +38,13 @@
     });
     insta::assert_debug_snapshot!(plan);
 }
+
+/// Guards against a machine whose limits are exceeded without notice.
+#[test]
+fn machine_that_is_too_small_is_told_apart() {
+    let limits = MachineLimits {
+        memory: Bytes(20_000_000),
+        ..SMALLEST
+    };
+    assert!(!CapacityPlan::new(limits).fits(limits));
+}
