Tests of clients that do not behave, at the doors of an entry host

400 clients of eight kinds at the callers', peers' and admin addresses of onyxshed-entry and at the admin address of onyxshed-control, with bodies of at most 64 KiB and 64 connections by the test's settings: the process lives, keeps within 64 MB, and serves an ordinary job.

The limits of these processes are settings; they do not follow from the machine.

--- a/crates/onyxshed-soak/tests/clients/footprint.rs
+++ b/crates/onyxshed-soak/tests/clients/footprint.rs
@@ -1,7 +1,7 @@
-//! The memory and the descriptors of the processes of hosts, as the operating system shows them.
+//! The memory and the descriptors of processes, as the operating system shows them.
 
 use std::fs;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use async_io::Timer;
@@ -13,59 +13,67 @@
 /// Interval between two readings of the footprints.
 pub const SAMPLE_PERIOD: Duration = Duration::from_millis(10);
 
-/// The highest footprints of all hosts of a fleet.
-#[derive(Debug)]
+/// The highest footprints of several processes.
+#[derive(Debug, Default)]
 pub struct Watch {
-    hosts: Vec<WatchedHost>,
+    processes: Vec<WatchedProcess>,
 }
 
 #[derive(Debug)]
-struct WatchedHost {
+struct WatchedProcess {
     process_id: u32,
-    ip: IpAddr,
+    /// Addresses on which the process listens for clients.
+    addresses: Vec<SocketAddr>,
     highest: Footprint,
 }
 
 impl Watch {
     /// Begins to watch the hosts of a fleet.
-    pub fn new(fleet: &Fleet) -> Self {
+    pub fn of_fleet(fleet: &Fleet) -> Self {
+        let mut watch = Watch::default();
         let names = fleet.host_names();
-        let addresses = fleet.direct_caller_addresses();
-        let hosts = names.iter().zip(addresses).filter_map(|(name, address)| {
-            Some(WatchedHost {
-                process_id: fleet.process_id(name)?,
-                ip: address.ip(),
-                highest: Footprint::default(),
-            })
-        });
-        Watch {
-            hosts: hosts.collect(),
+        for (name, callers) in names.iter().zip(fleet.direct_caller_addresses()) {
+            let others = [fleet.ready_address(name), fleet.admin_address(name)];
+            let addresses = others.into_iter().flatten().chain([callers]);
+            if let Some(process_id) = fleet.process_id(name) {
+                watch.add(process_id, addresses.collect());
+            }
         }
+        watch
+    }
+
+    /// Begins to watch a process that listens on these addresses.
+    pub fn add(&mut self, process_id: u32, addresses: Vec<SocketAddr>) {
+        self.processes.push(WatchedProcess {
+            process_id,
+            addresses,
+            highest: Footprint::default(),
+        });
     }
 
     /// Reads the footprints periodically until the future is dropped.
     pub async fn sample<T>(&mut self) -> Option<T> {
         loop {
-            for host in &mut self.hosts {
-                let footprint = Footprint::read(host.process_id, host.ip);
-                host.highest = host.highest.max(footprint);
+            for process in &mut self.processes {
+                let footprint = Footprint::read(process.process_id, &process.addresses);
+                process.highest = process.highest.max(footprint);
             }
             Timer::after(SAMPLE_PERIOD).await;
         }
     }
 
-    /// Panics if a host has exceeded a limit of its machine.
+    /// Panics if a process has exceeded a limit of its machine.
     pub fn assert_within(&self, limits: MachineLimits) {
         let memory_bytes = limits.memory_mb * 1_000_000;
         let channels_max = limits.max_fds - FILE_DESCRIPTORS;
-        for host in &self.hosts {
-            let peak = peak_resident_bytes(host.process_id);
-            let Footprint { channels, .. } = host.highest;
-            println!("peak {peak} bytes resident, {:?}", host.highest);
+        for process in &self.processes {
+            let peak = peak_resident_bytes(process.process_id);
+            let Footprint { channels, .. } = process.highest;
+            println!("peak {peak} bytes resident, {:?}", process.highest);
             assert!(
-                host.highest.memory_bytes().max(peak) <= memory_bytes,
+                process.highest.memory_bytes().max(peak) <= memory_bytes,
                 "{:?}, peak {peak} bytes, of {memory_bytes} bytes",
-                host.highest
+                process.highest
             );
             assert!(
                 channels <= channels_max,
@@ -87,11 +95,11 @@
 }
 
 impl Footprint {
-    /// Reads the footprint of a process that listens on `ip`.
-    fn read(process_id: u32, ip: IpAddr) -> Footprint {
+    /// Reads the footprint of a process that listens on `addresses`.
+    fn read(process_id: u32, addresses: &[SocketAddr]) -> Footprint {
         Footprint {
             resident_bytes: status_bytes(process_id, "VmRSS:"),
-            unread_bytes: unread_bytes(ip),
+            unread_bytes: unread_bytes(addresses),
             channels: channel_count(process_id),
         }
     }
@@ -138,23 +146,23 @@
     channels.count() as u64
 }
 
-/// Returns the bytes in the receive queues of all sockets of an address, also of connections that the process
-/// has not accepted.
-fn unread_bytes(ip: IpAddr) -> u64 {
+/// Returns the bytes in the receive queues of all connections to these addresses, also of those that the
+/// process has not accepted.
+fn unread_bytes(addresses: &[SocketAddr]) -> u64 {
     let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
     let rows = table.lines().skip(1);
-    rows.filter_map(|row| queued_bytes(row, ip)).sum()
+    rows.filter_map(|row| queued_bytes(row, addresses)).sum()
 }
 
 /// Parses a row of the kernel's table of sockets. Returns `None` for a listener, whose queue counts
 /// connections, and for another address.
-fn queued_bytes(row: &str, ip: IpAddr) -> Option<u64> {
+fn queued_bytes(row: &str, addresses: &[SocketAddr]) -> Option<u64> {
     const STATE_LISTEN: &str = "0A";
     let mut fields = row.split_whitespace().skip(1);
     let local = fields.next()?;
     let state = fields.nth(1)?;
     let (_, received) = fields.next()?.split_once(':')?;
-    (state != STATE_LISTEN && parse_address(local)?.ip() == ip)
+    (state != STATE_LISTEN && addresses.contains(&parse_address(local)?))
         .then(|| u64::from_str_radix(received, 16).ok())?
 }
 
--- a/crates/onyxshed-soak/tests/clients/hosts.rs
+++ b/crates/onyxshed-soak/tests/clients/hosts.rs
@@ -1,7 +1,7 @@
 //! Crowds at the doors of `onyxshed-host`: callers, readiness and admin.
 
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::PoisonError;
 use std::time::{Duration, Instant};
 
 use async_io::{Timer, block_on};
@@ -15,6 +15,7 @@
 use serde_json::json;
 use smol_str::{SmolStr, format_smolstr};
 
+use crate::ONE_AT_A_TIME;
 use crate::crowd;
 use crate::footprint::{SAMPLE_PERIOD, Watch};
 use crate::requests::Misbehavior;
@@ -42,9 +43,6 @@
     Admin,
 }
 
-/// Only one crowd at a time, since others would add to the load of the machine.
-static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
-
 fn options() -> FleetOptions {
     FleetOptions {
         zones: 1,
@@ -62,7 +60,7 @@
     block_on(async {
         let mut fleet = Fleet::start(options).await.expect("the fleet starts");
         serve_ordinary_requests(&fleet, 0).await;
-        let mut watch = Watch::new(&fleet);
+        let mut watch = Watch::of_fleet(&fleet);
         let mut crowds = Vec::new();
         for name in fleet.host_names() {
             let address = address_of(&fleet, &name, door);
--- a/crates/onyxshed-soak/tests/clients/main.rs
+++ b/crates/onyxshed-soak/tests/clients/main.rs
@@ -5,6 +5,12 @@
 //! keeps its connections open.
 
 mod crowd;
+mod entries;
 mod footprint;
 mod hosts;
 mod requests;
+
+use std::sync::Mutex;
+
+/// Only one crowd at a time, since others would add to the load of the machine.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
