An answer is never replaced because of the memory of replies

What callers would see: 3008, "not run", for a job that has run. Replies of onyxshed-host to callers are far below the 4 KiB that count; answers of onyxshed-entry are not.

The default for small bodies is 256 MiB, so that no client within the limits of docs/CALLERS.md meets it. A test holds the default.

--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -53,9 +53,12 @@
     /// Memory for all bodies above [`SMALL_BODY_BYTES`], until their requests have been answered;
     /// default 256 MiB.
     pub bodies_max_bytes: u64,
-    /// Memory for all other bodies above [`IN_CONNECTION_BYTES`]; default 64 MiB.
+    /// Memory for all other bodies above [`IN_CONNECTION_BYTES`]; default 256 MiB, enough for one on
+    /// each connection.
     pub small_bodies_max_bytes: u64,
-    /// Memory for all replies above [`IN_CONNECTION_BYTES`] that are being sent; default 64 MiB.
+    /// Memory for all replies above [`IN_CONNECTION_BYTES`] that are being sent; default without limit.
+    /// A reply beyond it is replaced by a rejection, so only a server whose requests have no effect may
+    /// have a limit.
     pub replies_max_bytes: u64,
     /// How long a connection may be idle between requests; default 60 s.
     pub idle_timeout: Duration,
@@ -79,8 +82,8 @@
             head_max_bytes: 16 << 10,
             body_max_bytes: 8 << 20,
             bodies_max_bytes: 256 << 20,
-            small_bodies_max_bytes: 64 << 20,
-            replies_max_bytes: 64 << 20,
+            small_bodies_max_bytes: 256 << 20,
+            replies_max_bytes: u64::MAX,
             idle_timeout: Duration::from_secs(60),
             head_timeout: Duration::from_secs(5),
             body_timeout: Duration::from_secs(10),
--- a/crates/onyxshed-http/tests/memory.rs
+++ b/crates/onyxshed-http/tests/memory.rs
@@ -120,3 +120,9 @@
         while status(&mut send(address, "/large", 0, 0).await).await != "200" {}
     });
 }
+
+/// Guards against the answer to a request that has run and is replaced by a rejection.
+#[test]
+fn replies_have_no_limit_unless_one_is_set() {
+    assert_eq!(ServerOptions::default().replies_max_bytes, u64::MAX);
+}
