--- a/crates/onyxshed-http/src/lib.rs
+++ b/crates/onyxshed-http/src/lib.rs
@@ -12,9 +12,9 @@
 pub mod connections;
 pub mod error;
 pub mod head;
-mod idle;
 pub mod listen;
 pub mod message;
+mod open_streams;
 pub mod server;
 
 pub use caller_identity::CallerIdentity;
--- a/crates/onyxshed-http/src/idle.rs
+++ b/crates/onyxshed-http/src/open_streams.rs
@@ -20,18 +20,18 @@
 /// The connections of an address, those that became idle first in front. A connection with a
 /// request in flight keeps its place, but is not closed.
 #[derive(Debug, Default)]
-pub(crate) struct IdleStreams {
+pub(crate) struct OpenStreams {
     streams: RefCell<BTreeMap<u64, BoundedStream>>,
     last_id: Cell<u64>,
 }
 
-impl IdleStreams {
+impl OpenStreams {
     /// Adds a connection that is idle from now on. Dropping the returned entry removes it.
-    pub(crate) fn add(self: &Rc<Self>, stream: &BoundedStream) -> IdleEntry {
+    pub(crate) fn add(self: &Rc<Self>, stream: &BoundedStream) -> StreamEntry {
         let id = self.last_id.get() + 1;
         self.last_id.set(id);
         self.streams.borrow_mut().insert(id, stream.clone());
-        IdleEntry {
+        StreamEntry {
             streams: self.clone(),
             id,
         }
@@ -62,7 +62,7 @@
         self.evict_slowest_of(|_| true, code)
     }
 
-    /// Like [`IdleStreams::evict_slowest`], of the requests whose bodies have memory for this size.
+    /// Like [`OpenStreams::evict_slowest`], of the requests whose bodies have memory for this size.
     pub(crate) fn evict_slowest_body(&self, size: BodySize, code: ResultCode) -> bool {
         self.evict_slowest_of(|stream| stream.body_size() == Some(size), code)
     }
@@ -100,21 +100,21 @@
     !matches!(inner.get_ref().peek(&mut [0]), Ok(1))
 }
 
-/// The entry of a connection in [`IdleStreams`], removed on drop.
+/// The entry of a connection in [`OpenStreams`], removed on drop.
 #[derive(Debug)]
-pub(crate) struct IdleEntry {
-    streams: Rc<IdleStreams>,
+pub(crate) struct StreamEntry {
+    streams: Rc<OpenStreams>,
     id: u64,
 }
 
-impl IdleEntry {
+impl StreamEntry {
     /// Moves the connection, which has just become idle again, to the end of the order.
     pub(crate) fn move_to_back(self, stream: &BoundedStream) -> Self {
         self.streams.add(stream)
     }
 }
 
-impl Drop for IdleEntry {
+impl Drop for StreamEntry {
     fn drop(&mut self) {
         self.streams.streams.borrow_mut().remove(&self.id);
     }
--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -25,8 +25,8 @@
 use crate::client::with_timeout;
 use crate::error::Result;
 use crate::head::EXPECT_HEADER;
-use crate::idle::{IdleEntry, IdleStreams};
 use crate::listen::{ListenOptions, listen};
+use crate::open_streams::{OpenStreams, StreamEntry};
 
 pub use memory::{IN_CONNECTION_BYTES, SMALL_BODY_BYTES};
 pub use refusal::{Limit, Refusal, RefusalReporter};
@@ -136,7 +136,7 @@
 /// [`ServerOptions`] apply.
 pub type LimitsSource = Rc<dyn Fn() -> Option<RequestLimits>>;
 
-/// An HTTP server. Clones share its counters and idle connections.
+/// An HTTP server. Clones share its counters and connections.
 #[derive(Clone)]
 pub struct Server {
     options: ServerOptions,
@@ -146,7 +146,7 @@
     reject: RejectReply,
     reporter: RefusalReporter,
     stats: Rc<ServerStats>,
-    idle: Rc<IdleStreams>,
+    streams: Rc<OpenStreams>,
     shutdown: Rc<Shutdown>,
     idle_refusal: Option<Reply>,
 }
@@ -177,7 +177,7 @@
             reject,
             reporter: Rc::new(|_| {}),
             stats,
-            idle: Rc::default(),
+            streams: Rc::default(),
             shutdown: Rc::default(),
             idle_refusal: None,
         }
@@ -262,12 +262,12 @@
             return self.record_refusal(Refusal::at(Limit::Rejections, code));
         }
         let stream = BoundedStream::new(stream);
-        let idle_entry = self.idle.add(&stream);
+        let entry = self.streams.add(&stream);
         executor
             .spawn(async move {
                 let _open = open;
                 match has_capacity {
-                    true => server.serve(stream, idle_entry).await,
+                    true => server.serve(stream, entry).await,
                     false => {
                         let refusal = Refusal::of_code(ResultCode::TooManyConnections);
                         server.send_rejection(&stream, refusal).await;
@@ -283,11 +283,11 @@
     /// Peers that send their requests slowly, or never to the end, could otherwise occupy the address
     /// up to its limit.
     fn make_place(&self) -> bool {
-        self.idle.close_oldest() || self.idle.evict_slowest(ResultCode::TooManyConnections)
+        self.streams.close_oldest() || self.streams.evict_slowest(ResultCode::TooManyConnections)
     }
 
     /// Serves one connection until it is closed.
-    async fn serve(self, stream: BoundedStream, mut idle_entry: IdleEntry) {
+    async fn serve(self, stream: BoundedStream, mut entry: StreamEntry) {
         if stream.inner().set_nodelay(true).is_err() {
             return;
         }
@@ -318,7 +318,7 @@
                 Err(cause) => return self.close_interrupted(&stream, cause).await,
             };
             match accepted {
-                Ok(ConnectionStatus::KeepAlive) => idle_entry = idle_entry.move_to_back(&stream),
+                Ok(ConnectionStatus::KeepAlive) => entry = entry.move_to_back(&stream),
                 Ok(ConnectionStatus::Close) if stream.phase() == Phase::Head => {
                     // The peer closed its side in the middle of a head.
                     let refusal = Refusal::of_code(ResultCode::BadRequest);
--- a/crates/onyxshed-http/src/server/body.rs
+++ b/crates/onyxshed-http/src/server/body.rs
@@ -127,7 +127,7 @@
     ) -> http_types::Result<()> {
         while !share.try_grow(wanted) {
             let size = share.size_of(wanted);
-            if !self.idle.evict_slowest_body(size, ResultCode::EntryFull) {
+            if !self.streams.evict_slowest_body(size, ResultCode::EntryFull) {
                 return Err(rejection_error(ResultCode::EntryFull));
             }
             // The memory is released when the task of the other request is next polled.
--- a/crates/onyxshed-http/src/server/shutdown.rs
+++ b/crates/onyxshed-http/src/server/shutdown.rs
@@ -17,8 +17,8 @@
 
 use super::{Refusal, Server, pause_after_failed_accept};
 use crate::bounded::{BoundedStream, Phase};
-use crate::idle::is_idle;
 use crate::message::Reply;
+use crate::open_streams::is_idle;
 
 /// How long a shutdown leaves a peer to close a connection after its last reply: longer than a round
 /// trip, after which no request of the peer can cross the reply.
--- a/crates/onyxshed-http/tests/crowded.rs
+++ b/crates/onyxshed-http/tests/crowded.rs
@@ -1,5 +1,8 @@
 //! An address on which all connections are taken.
 
+#[path = "support/server.rs"]
+mod server;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,17 +11,13 @@
 use async_io::Timer;
 use async_net::TcpStream;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
-use onyxshed_core::ResultCode;
-use onyxshed_http::client::with_timeout;
 use onyxshed_http::server::PendingReply;
-use onyxshed_http::{Call, Reply, Server, ServerOptions};
+use onyxshed_http::{Call, Reply, ServerOptions};
 use rstest::rstest;
+use server::{run, send};
 
 const REQUEST: &[u8] = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nok";
 
-/// Time limit of a test, which only a hang reaches.
-const TIMEOUT: Duration = Duration::from_secs(30);
-
 /// Longer than a request may take to arrive before it can be given up.
 const SLOW: Duration = Duration::from_millis(2_200);
 
@@ -32,34 +31,12 @@
             }
         })
     });
-    let reject = Rc::new(|code: ResultCode| Reply::bytes(code.http_status(), code.to_string()));
     let options = ServerOptions {
         connections_max: 1,
         rejected_max: 1,
         ..ServerOptions::default()
     };
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let listener = Server::listen(any).await.expect("test setup succeeds");
-    let address = listener.local_addr().expect("test setup succeeds");
-    let server = Server::new(options, handler, reject);
-    executor
-        .spawn(server.run(listener, executor.clone()))
-        .detach();
-    address
-}
-
-fn run<Test: Future<Output = ()>>(test: impl FnOnce(Rc<LocalExecutor<'static>>) -> Test) {
-    let executor = Rc::new(LocalExecutor::new());
-    let test = with_timeout(TIMEOUT, test(executor.clone()));
-    let finished = async_io::block_on(executor.run(test));
-    assert!(finished.is_some(), "the test hangs");
-}
-
-async fn send(address: SocketAddr, bytes: &[u8]) -> TcpStream {
-    let stream = TcpStream::connect(address).await;
-    let mut stream = stream.expect("the server accepts");
-    stream.write_all(bytes).await.expect("the server reads");
-    stream
+    server::start(executor, options, handler).await
 }
 
 async fn reply(stream: &mut TcpStream) -> String {
--- a/crates/onyxshed-http/tests/memory.rs
+++ b/crates/onyxshed-http/tests/memory.rs
@@ -1,22 +1,20 @@
 //! The memory of bodies whose requests are served, of small bodies, and of replies.
 
+#[path = "support/server.rs"]
+mod server;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use async_executor::LocalExecutor;
 use async_net::TcpStream;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
-use onyxshed_core::ResultCode;
-use onyxshed_http::client::with_timeout;
+use futures_lite::{AsyncReadExt, future};
 use onyxshed_http::server::PendingReply;
-use onyxshed_http::{Call, Reply, Server, ServerOptions};
+use onyxshed_http::{Call, Reply, ServerOptions};
+use server::run;
 
 const MIB: usize = 1 << 20;
 
-/// Time limit of a test, which only a hang reaches.
-const TIMEOUT: Duration = Duration::from_secs(30);
-
 /// Starts a server that answers `/wait` never, `/large` by a reply of 1 MiB and anything else by its body's
 /// length.
 async fn start(executor: &Rc<LocalExecutor<'static>>) -> SocketAddr {
@@ -29,7 +27,6 @@
             }
         })
     });
-    let reject = Rc::new(|code: ResultCode| Reply::bytes(code.http_status(), code.to_string()));
     let options = ServerOptions {
         body_max_bytes: MIB as u64,
         bodies_max_bytes: MIB as u64,
@@ -37,32 +34,14 @@
         replies_max_bytes: MIB as u64,
         ..ServerOptions::default()
     };
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let listener = Server::listen(any).await.expect("test setup succeeds");
-    let address = listener.local_addr().expect("test setup succeeds");
-    let server = Server::new(options, handler, reject);
-    executor
-        .spawn(server.run(listener, executor.clone()))
-        .detach();
-    address
-}
-
-fn run<Test: Future<Output = ()>>(test: impl FnOnce(Rc<LocalExecutor<'static>>) -> Test) {
-    let executor = Rc::new(LocalExecutor::new());
-    let test = with_timeout(TIMEOUT, test(executor.clone()));
-    let finished = async_io::block_on(executor.run(test));
-    assert!(finished.is_some(), "the test hangs");
+    server::start(executor, options, handler).await
 }
 
 /// Sends a body of `len` bytes without its last `missing` ones.
 async fn send(address: SocketAddr, path: &str, len: usize, missing: usize) -> TcpStream {
-    let stream = TcpStream::connect(address).await;
-    let mut stream = stream.expect("the server accepts");
     let head = format!("POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len}\r\n\r\n");
     let body = vec![b'x'; len - missing];
-    // The server may refuse the request before all of it is sent.
-    let _ = stream.write_all(&[head.as_bytes(), &body].concat()).await;
-    stream
+    server::send(address, &[head.as_bytes(), &body].concat()).await
 }
 
 async fn status(stream: &mut TcpStream) -> String {
