A body that gives way for memory takes no other body with it

What callers saw: 503 for a body that arrives slowly and has its memory.

Cause: a body that could not grow gave up the slowest body, which may be itself; it then went on and gave up the next one as well, until its growth fitted, and was rejected all the same.

Change: a body that has been given up asks for no memory.

Evidence: body_that_gives_way_takes_no_other_with_it: the younger of two bodies was answered 503 before (1 of 1), and is answered 200 now.

--- a/crates/onyxshed-http/src/server/body.rs
+++ b/crates/onyxshed-http/src/server/body.rs
@@ -127,7 +127,9 @@
     ) -> http_types::Result<()> {
         while !share.try_grow(wanted) {
             let size = share.size_of(wanted);
-            if !self.streams.evict_slowest_body(size, ResultCode::EntryFull) {
+            let has_evicted = self.streams.evict_slowest_body(size, ResultCode::EntryFull);
+            // The slowest body may be this one.
+            if !has_evicted || stream.eviction().is_some() {
                 return Err(rejection_error(ResultCode::EntryFull));
             }
             // The memory is released when the task of the other request is next polled.
--- a/crates/onyxshed-http/tests/memory.rs
+++ b/crates/onyxshed-http/tests/memory.rs
@@ -5,10 +5,12 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use async_executor::LocalExecutor;
+use async_io::Timer;
 use async_net::TcpStream;
-use futures_lite::{AsyncReadExt, future};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use onyxshed_http::server::PendingReply;
 use onyxshed_http::{Call, Reply, ServerOptions};
 use server::run;
@@ -105,3 +107,21 @@
 fn replies_have_no_limit_unless_one_is_set() {
     assert_eq!(ServerOptions::default().replies_max_bytes, u64::MAX);
 }
+
+/// Guards against a body that is given up for its own growth and takes the next one with it.
+#[test]
+fn body_that_gives_way_takes_no_other_with_it() {
+    run(|executor| async move {
+        let address = start(&executor).await;
+        let mut older = send(address, "/", MIB, MIB - 200_000).await;
+        Timer::after(Duration::from_millis(50)).await;
+        let mut younger = send(address, "/", MIB, MIB - 400_000).await;
+        Timer::after(Duration::from_millis(2_200)).await;
+        // Fails when the server gives the request up.
+        let _ = older.write_all(&vec![b'x'; MIB - 200_000]).await;
+        assert_eq!(status(&mut older).await, "503");
+        let rest = vec![b'x'; MIB - 400_000];
+        younger.write_all(&rest).await.expect("the server reads");
+        assert_eq!(status(&mut younger).await, "200");
+    });
+}
