The handling of a request is split into receiving, handling and replying

A newcomer's reading: handle_request had three concerns in one function. No change of behaviour; the tests of onyxshed-http pass.

--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -34,7 +34,7 @@
 use crate::message::{Call, Reply};
 use body::ReceivedBody;
 use gauge::GaugeGuard;
-use memory::{ReplyShare, RequestMemory};
+use memory::{BodyShare, ReplyShare, RequestMemory};
 use rejection::{code_of, rejection_error};
 use shutdown::Shutdown;
 
@@ -151,6 +151,15 @@
     idle_refusal: Option<Reply>,
 }
 
+/// A request that has arrived whole.
+struct ReceivedRequest {
+    call: Call,
+    /// Share of the memory for bodies, to be kept until the request has been handled.
+    share: BodyShare,
+    /// Whether the connection is closed after the reply.
+    closes_connection: bool,
+}
+
 /// Number of bytes with which a transfer encoding may send one byte of a body: a chunk's size, two line
 /// ends and the byte.
 const FRAMED_BYTE_BYTES: u64 = 6;
@@ -343,9 +352,36 @@
     async fn handle_request(
         &self,
         stream: BoundedStream,
-        mut request: Request,
+        request: Request,
         reply_share: &RefCell<Option<ReplyShare>>,
     ) -> http_types::Result<Response> {
+        let ReceivedRequest {
+            call,
+            share,
+            closes_connection,
+        } = self.receive(&stream, request).await?;
+        stream.begin_handling();
+        let reply = match self.options.cancels_on_disconnect {
+            true => self.handle_while_connected(&stream, call).await,
+            false => (self.handler)(call).await,
+        };
+        drop(share);
+        let reply = self.limit_reply(reply, reply_share);
+        stream.begin_reply(self.options.reply_timeout);
+        let reply = if closes_connection || self.shutdown.has_begun() {
+            reply.connection_close()
+        } else {
+            reply
+        };
+        Ok(reply.into_response())
+    }
+
+    /// Receives the body of a request.
+    async fn receive(
+        &self,
+        stream: &BoundedStream,
+        mut request: Request,
+    ) -> http_types::Result<ReceivedRequest> {
         let max_bytes = self.request_limits().body_max_bytes;
         stream.begin_body(self.options.body_timeout, framed_max_bytes(max_bytes));
         let content_length = request.len().map(|len| len as u64);
@@ -356,39 +392,34 @@
             stream.clone().write_all(CONTINUE_RESPONSE).await?;
         }
         let body = request.take_body();
-        let ReceivedBody { bytes, share } = self.read_body(&stream, body, max_bytes).await?;
+        let ReceivedBody { bytes, share } = self.read_body(stream, body, max_bytes).await?;
         if content_length.is_some_and(|len| len != bytes.len() as u64) {
             return Err(rejection_error(ResultCode::BadRequest));
         }
-        // The library may have read bytes after the body and discards them with the request, so a
-        // request among them would never be answered: the connection is closed instead. After a
-        // body without a length, it is unknown whether there are such bytes.
-        let closes_connection = content_length != Some(stream.bytes_after_head());
-        stream.begin_handling();
         let call = Call {
             head: request,
             body: bytes,
             peer_address: stream.inner().peer_addr().ok(),
         };
-        let reply = match self.options.cancels_on_disconnect {
-            true => self.handle_while_connected(&stream, call).await,
-            false => (self.handler)(call).await,
-        };
-        drop(share);
-        let reply = match self.memory.reply_share(reply.body.len()) {
+        Ok(ReceivedRequest {
+            call,
+            share,
+            // The library may have read bytes after the body and discards them with the request, so a
+            // request among them would never be answered. After a body without a length, it is unknown
+            // whether there are such bytes.
+            closes_connection: content_length != Some(stream.bytes_after_head()),
+        })
+    }
+
+    /// Reserves the memory of a reply until it has been sent, or replaces the reply by a rejection.
+    fn limit_reply(&self, reply: Reply, reply_share: &RefCell<Option<ReplyShare>>) -> Reply {
+        match self.memory.reply_share(reply.body.len()) {
             Some(share) => {
                 reply_share.replace(Some(share));
                 reply
             }
             None => self.rejection_reply(Refusal::at(Limit::ReplyMemory, ResultCode::EntryFull)),
-        };
-        stream.begin_reply(self.options.reply_timeout);
-        let reply = if closes_connection || self.shutdown.has_begun() {
-            reply.connection_close()
-        } else {
-            reply
-        };
-        Ok(reply.into_response())
+        }
     }
 
     /// Handles a request until its peer closes the connection. The handler is not called for a peer that
--- a/crates/onyxshed-soak/src/footprint.rs
+++ b/crates/onyxshed-soak/src/footprint.rs
@@ -4,9 +4,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::fleet::{Fleet, MachineLimits};
 use async_io::Timer;
 
+use crate::fleet::{Fleet, MachineLimits};
+
 /// Descriptors that are reserved for files; sockets and pipes share the others.
 const FILE_DESCRIPTORS: u64 = 200;
 
--- a/crates/onyxshed-soak/tests/clients/crowd.rs
+++ b/crates/onyxshed-soak/tests/clients/crowd.rs
@@ -7,7 +7,6 @@
 use async_io::Timer;
 use async_net::TcpStream;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future};
-
 use onyxshed_soak::misbehavior::Misbehavior;
 
 /// How long a client waits for the host to read a piece. Only a host that has stopped reading
