An idle connection that is ended for another gets a reply

What callers saw: a request that ended without an answer, though its job may have run. A full listener shut an idle connection down while a request crossed.

Cause: Linux still hands over bytes that arrive after a shutdown of the sending and receiving side, so the request was read, run, and its reply could not be written.

Change: the connection is given up like a slow request: nothing more is read and the caller gets 503 with a Retry-After. While an address is full, a peer has 250 ms in place of 2 s to close its side.

New: a test in crowded.rs.

--- a/crates/onyxshed-http/src/bounded.rs
+++ b/crates/onyxshed-http/src/bounded.rs
@@ -53,11 +53,11 @@
     head: HeadScan,
     /// When the first byte of the request arrived that is being received.
     receiving_since: Option<Instant>,
-    /// Set while the request that is being received is given up.
+    /// Set while the request that is being received or awaited is given up.
     eviction: Option<ResultCode>,
     /// Size of the body that is being received, once it has memory.
     body_size: Option<BodySize>,
-    /// The task that waits for bytes of a request.
+    /// The task that waits for bytes.
     reader: Option<Waker>,
 }
 
@@ -144,8 +144,8 @@
         self.lock().body_size
     }
 
-    /// Gives up the request that is being received: reads fail from now on, until a reply begins. `code`
-    /// is the reason for the reply.
+    /// Gives up the request that is being received or awaited: reads fail from now on, until a reply
+    /// begins. `code` is the reason for the reply.
     pub fn evict(&self, code: ResultCode) {
         let mut bounds = self.lock();
         bounds.eviction = Some(code);
@@ -154,7 +154,7 @@
         }
     }
 
-    /// Returns why the request that is being received was given up.
+    /// Returns why the request that is being received or awaited was given up.
     pub fn eviction(&self) -> Option<ResultCode> {
         self.lock().eviction
     }
@@ -253,7 +253,7 @@
             Poll::Ready(Ok(count)) => Poll::Ready(bounds.record_read(&mut buf[..count])),
             Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
             Poll::Pending => {
-                bounds.reader = bounds.receiving_since.map(|_| cx.waker().clone());
+                bounds.reader = Some(cx.waker().clone());
                 bounds.poll_deadline(cx)
             }
         }
--- a/crates/onyxshed-http/src/open_streams.rs
+++ b/crates/onyxshed-http/src/open_streams.rs
@@ -7,7 +7,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::net::{Shutdown, TcpStream};
+use std::net::TcpStream;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -37,21 +37,17 @@
         }
     }
 
-    /// Closes the connection that has been idle the longest. Returns false if none is idle.
-    pub(crate) fn close_oldest(&self) -> bool {
-        let mut streams = self.streams.borrow_mut();
-        let mut entries = streams.iter();
-        let oldest = entries.find(|(_, stream)| is_idle(stream));
-        let Some(id) = oldest.map(|(id, _)| *id) else {
-            return false;
-        };
-        let closed = streams.remove(&id);
-        // Shutdown fails if the peer has already closed the connection, which frees its place as
-        // well.
-        closed.is_some_and(|stream| {
-            let _ = stream.inner().shutdown(Shutdown::Both);
-            true
-        })
+    /// Ends the connection that has been idle the longest, with a reply for the reason `code`. Returns false
+    /// if none is idle.
+    ///
+    /// A request that crosses the end is not read, so its caller needs the reply as its answer.
+    pub(crate) fn close_oldest(&self, code: ResultCode) -> bool {
+        let streams = self.streams.borrow();
+        let oldest = streams.values().find(|stream| is_idle(stream));
+        if let Some(stream) = oldest {
+            stream.evict(code);
+        }
+        oldest.is_some()
     }
 
     /// Gives up the request that has been arriving the longest, if that is longer than
@@ -93,7 +89,7 @@
 /// Returns whether no byte of a request has arrived, read or unread, so that closing the connection
 /// cuts off no caller.
 pub(crate) fn is_idle(stream: &BoundedStream) -> bool {
-    if stream.phase() != Phase::Idle {
+    if stream.phase() != Phase::Idle || stream.eviction().is_some() {
         return false;
     }
     let inner: Arc<Async<TcpStream>> = stream.inner().clone().into();
--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -292,7 +292,8 @@
     /// Peers that send their requests slowly, or never to the end, could otherwise occupy the address
     /// up to its limit.
     fn make_place(&self) -> bool {
-        self.streams.close_oldest() || self.streams.evict_slowest(ResultCode::TooManyConnections)
+        let code = ResultCode::TooManyConnections;
+        self.streams.close_oldest(code) || self.streams.evict_slowest(code)
     }
 
     /// Serves one connection until it is closed.
@@ -336,12 +337,20 @@
                 Ok(ConnectionStatus::Close) => return self.close_after_reply(&stream).await,
                 Err(error) => {
                     let is_request = stream.read_bytes() > read_before;
-                    if is_request && stream.phase() != Phase::Replying {
-                        let refusal = match stream.eviction() {
-                            Some(code) => Refusal::at(Limit::SlowRequest, code),
-                            None => Refusal::of_code(code_of(&error)),
-                        };
-                        self.send_rejection(&stream, refusal).await;
+                    match stream.eviction() {
+                        Some(code) if is_request => {
+                            let refusal = Refusal::at(Limit::SlowRequest, code);
+                            self.send_rejection(&stream, refusal).await;
+                        }
+                        Some(code) => {
+                            let refusal = Refusal::at(Limit::IdleConnection, code);
+                            self.send_rejection(&stream, refusal).await;
+                        }
+                        None if is_request && stream.phase() != Phase::Replying => {
+                            let refusal = Refusal::of_code(code_of(&error));
+                            self.send_rejection(&stream, refusal).await;
+                        }
+                        None => {}
                     }
                     return;
                 }
@@ -462,14 +471,19 @@
     ///
     /// If bytes from the peer are unread when the connection is closed, the operating system resets
     /// the connection and the peer loses the reply. So further bytes are read and discarded until
-    /// the peer closes its side, for up to [`LINGER_TIMEOUT`], or less during a shutdown.
+    /// the peer closes its side, for up to [`LINGER_TIMEOUT`], or less during a shutdown or while the
+    /// address is full.
     async fn close_after_reply(&self, stream: &BoundedStream) {
         let mut stream = stream.clone();
         if stream.close().await.is_err() {
             return;
         }
+        let timeout = match self.stats.connections.get() > self.options.connections_max {
+            true => CROWDED_LINGER_TIMEOUT,
+            false => LINGER_TIMEOUT,
+        };
         let discard = async {
-            let _ = with_timeout(LINGER_TIMEOUT, io::copy(&mut stream, &mut io::sink())).await;
+            let _ = with_timeout(timeout, io::copy(&mut stream, &mut io::sink())).await;
         };
         discard.or(self.shutdown.linger_expiry()).await;
     }
@@ -494,6 +508,10 @@
 /// Time limit for sending a rejection, and for discarding the peer's further bytes after a last reply.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time limit for discarding the peer's further bytes while others wait for the connection's place: longer
+/// than a round trip, after which no request of the peer can cross the reply.
+const CROWDED_LINGER_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// The interim response to a request that asks whether to send its body.
 const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
--- a/crates/onyxshed-http/src/server/refusal.rs
+++ b/crates/onyxshed-http/src/server/refusal.rs
@@ -11,6 +11,8 @@
     Connections,
     /// The connections that are served and those that are rejected: one was closed without a reply.
     Rejections,
+    /// The connections that are served: an idle one was ended for another.
+    IdleConnection,
     /// The time for which a request that arrives slowly keeps others from being served.
     SlowRequest,
     /// The memory of bodies.
@@ -25,9 +27,10 @@
 
 impl Limit {
     /// All limits.
-    pub const ALL: [Limit; 7] = [
+    pub const ALL: [Limit; 8] = [
         Limit::Connections,
         Limit::Rejections,
+        Limit::IdleConnection,
         Limit::SlowRequest,
         Limit::BodyMemory,
         Limit::ReplyMemory,
@@ -40,6 +43,7 @@
         match self {
             Limit::Connections => "connections",
             Limit::Rejections => "rejections",
+            Limit::IdleConnection => "idle_connection",
             Limit::SlowRequest => "slow_request",
             Limit::BodyMemory => "body_memory",
             Limit::ReplyMemory => "reply_memory",
--- a/crates/onyxshed-http/tests/crowded.rs
+++ b/crates/onyxshed-http/tests/crowded.rs
@@ -90,3 +90,21 @@
         assert!(reply(&mut ordinary).await.starts_with("HTTP/1.1 503"));
     });
 }
+
+/// Guards against a request that crosses the end of its idle connection: it must be answered and not run.
+#[test]
+fn idle_connection_ends_with_a_reply_and_reads_no_further_request() {
+    run(|executor| async move {
+        let address = start(&executor).await;
+        let mut idle = send(address, b"").await;
+        Timer::after(SLOW / 40).await;
+        let mut ordinary = send(address, REQUEST).await;
+        assert!(reply(&mut ordinary).await.starts_with("HTTP/1.1 200"));
+        // Crosses the reply, which the caller has not read.
+        let _ = idle.write_all(REQUEST).await;
+        assert!(reply(&mut idle).await.starts_with("HTTP/1.1 503"));
+        let mut rest = Vec::new();
+        let _ = idle.read_to_end(&mut rest).await;
+        assert_eq!(rest, [0; 0], "the request that crossed has run");
+    });
+}
