A connection that has no place is answered before it is closed

What callers saw: a connection that is reset.

Cause: the reply to a rejection was tied to a place for the time in which the peer reads it, of which there were 256 before this issue.

Change: such a connection gets its reply, and what it has sent is read and discarded, in the same turn in which it is closed; that takes no memory and no time. E106 and the counter name it rejections as before.

Evidence: connection_without_a_place_is_answered_and_closed fails before and passes now.

--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -8,16 +8,18 @@
 mod shutdown;
 
 use std::cell::{Cell, RefCell};
+use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
 use async_h1::server::{ConnectionStatus, Encoder, Server as H1Server};
-use async_io::Timer;
+use async_io::{Async, Timer};
 use async_net::{TcpListener, TcpStream};
-use futures_lite::{AsyncWriteExt, Future, FutureExt, future, io};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, Future, FutureExt, future, io};
 use http_types::{Method, Request, Response};
 use onyxshed_core::ResultCode;
 
@@ -25,7 +27,7 @@
 use crate::client::with_timeout;
 use crate::error::Result;
 use crate::head::EXPECT_HEADER;
-use crate::listen::{ListenOptions, listen};
+use crate::listen::{ListenOptions, UNREAD_MAX_BYTES, listen};
 use crate::open_streams::{OpenStreams, StreamEntry};
 
 pub use memory::{IN_CONNECTION_BYTES, SMALL_BODY_BYTES};
@@ -43,8 +45,8 @@
 pub struct ServerOptions {
     /// Largest number of open connections; default 4096.
     pub connections_max: usize,
-    /// Largest number of connections beyond `connections_max` that get a rejection before they are
-    /// closed; default 256. Any further ones are closed without a reply.
+    /// Largest number of connections beyond `connections_max` that are open until their peers have read a
+    /// rejection; default 256. Any further ones get theirs and are closed at once.
     pub rejected_max: usize,
     /// Largest request head in bytes; default 16 KiB.
     pub head_max_bytes: u64,
@@ -267,8 +269,7 @@
             .saturating_sub(self.options.connections_max);
         let has_capacity = excess == 0 || self.make_place();
         if excess > self.options.rejected_max {
-            let code = ResultCode::TooManyConnections;
-            return self.record_refusal(Refusal::at(Limit::Rejections, code));
+            return self.reject_at_once(stream);
         }
         let stream = BoundedStream::new(stream);
         let entry = self.streams.add(&stream);
@@ -286,6 +287,30 @@
             .detach();
     }
 
+    /// Rejects a connection that has no place, as far as that takes no time.
+    fn reject_at_once(&self, stream: TcpStream) {
+        /// Number of reads that empty a receive buffer.
+        const READS_MAX: usize = UNREAD_MAX_BYTES.div_ceil(READ_BYTES);
+        const READ_BYTES: usize = 4 << 10;
+        let refusal = Refusal::at(Limit::Rejections, ResultCode::TooManyConnections);
+        let response = self.rejection_reply(refusal).into_response();
+        let mut reply = Vec::new();
+        let mut encoder = Encoder::new(response, Method::Get);
+        // Completes at once: the response is in memory.
+        future::block_on(future::poll_once(encoder.read_to_end(&mut reply)));
+        let inner: Arc<Async<std::net::TcpStream>> = stream.into();
+        let mut inner = inner.get_ref();
+        // Unread bytes would reset the connection. All errors are those of a peer that has left.
+        let mut unread = [0; READ_BYTES];
+        for _ in 0..READS_MAX {
+            if !matches!(inner.read(&mut unread), Ok(1..)) {
+                break;
+            }
+        }
+        let _ = inner.write_all(&reply);
+        let _ = inner.shutdown(std::net::Shutdown::Write);
+    }
+
     /// Makes place for a new connection, at the cost of one that carries no whole request. Returns
     /// false if there is none.
     ///
--- a/crates/onyxshed-http/src/server/refusal.rs
+++ b/crates/onyxshed-http/src/server/refusal.rs
@@ -9,7 +9,7 @@
 pub enum Limit {
     /// The connections that are served.
     Connections,
-    /// The connections that are served and those that are rejected: one was closed without a reply.
+    /// The connections that are served and those that are rejected: one was closed at once.
     Rejections,
     /// The connections that are served: an idle one was ended for another.
     IdleConnection,
--- a/crates/onyxshed-http/tests/crowded.rs
+++ b/crates/onyxshed-http/tests/crowded.rs
@@ -108,3 +108,20 @@
         assert_eq!(rest, [0; 0], "the request that crossed has run");
     });
 }
+
+/// Guards against callers whose connections are closed without an answer when rejections have no place either.
+#[test]
+fn connection_without_a_place_is_answered_and_closed() {
+    run(|executor| async move {
+        let address = start(&executor).await;
+        let _served = send(address, b"GET /wait HTTP/1.1\r\nHost: x\r\n\r\n").await;
+        Timer::after(SLOW / 40).await;
+        let mut others = Vec::new();
+        for _ in 0..4 {
+            others.push(send(address, REQUEST).await);
+        }
+        for other in &mut others {
+            assert!(reply(other).await.starts_with("HTTP/1.1 503"));
+        }
+    });
+}
