Tests of clients that do not behave: the smallest machine, long texts, a slow body

The smallest machine of the platform's pages has 120 MB and 3,075 descriptors: 2,000 clients of eight kinds. Names that fill a head, and a text of 256 KiB in place of a number, at the callers' address. A single body of legal size that takes 5 s while others are served.

--- a/crates/onyxshed-soak/src/footprint.rs
+++ b/crates/onyxshed-soak/src/footprint.rs
@@ -34,16 +34,14 @@
         let mut watch = Watch::default();
         let names = fleet.host_names();
         for (name, callers) in names.iter().zip(fleet.direct_caller_addresses()) {
-            let others = [fleet.ready_address(name), fleet.admin_address(name)];
-            let addresses = others.into_iter().flatten().chain([callers]);
             if let Some(process_id) = fleet.process_id(name) {
-                watch.add(process_id, addresses.collect());
+                watch.add(process_id, vec![SocketAddr::new(callers.ip(), ANY_PORT)]);
             }
         }
         watch
     }
 
-    /// Begins to watch a process that listens on these addresses.
+    /// Begins to watch a process that listens on these addresses; [`ANY_PORT`] stands for all ports.
     pub fn add(&mut self, process_id: u32, addresses: Vec<SocketAddr>) {
         self.processes.push(WatchedProcess {
             process_id,
@@ -81,6 +79,9 @@
 /// Bytes in a megabyte of the settings.
 const BYTES_PER_MB: u64 = 1_000_000;
 
+/// Stands for all ports of an address.
+pub const ANY_PORT: u16 = 0;
+
 /// Memory and descriptors of a process at one moment.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 struct Footprint {
@@ -160,8 +161,10 @@
     let local = fields.next()?;
     let state = fields.nth(1)?;
     let (_, received) = fields.next()?.split_once(':')?;
-    (state != STATE_LISTEN && addresses.contains(&parse_address(local)?))
-        .then(|| u64::from_str_radix(received, 16).ok())?
+    let local = parse_address(local)?;
+    let any_port = SocketAddr::new(local.ip(), ANY_PORT);
+    let is_watched = addresses.contains(&local) || addresses.contains(&any_port);
+    (state != STATE_LISTEN && is_watched).then(|| u64::from_str_radix(received, 16).ok())?
 }
 
 /// Parses an address of the table, whose bytes are in the order of a little-endian machine.
--- a/crates/onyxshed-soak/src/misbehavior.rs
+++ b/crates/onyxshed-soak/src/misbehavior.rs
@@ -46,10 +46,17 @@
     SentOverLimit,
     /// A whole job, and 1 MiB of further requests behind it.
     Pipelined,
+    /// A whole job whose path and request id fill a head, of a route that is not known.
+    LongNames,
+    /// A whole job with a text of the largest legal size in place of a number.
+    TextForNumber,
     /// Requests for the time line whose replies are not read.
     UnreadReplies,
 }
 
+/// Number of requests that a client sends behind one another without reading their replies.
+const REPEATED: usize = 16;
+
 /// Length of a body far over the limit.
 const OVER_LIMIT_BYTES: usize = 4 << 20;
 
@@ -121,9 +128,21 @@
                 let job = with_length(client, &padded_job());
                 job.repeat((1 << 20) / BODY_MAX_BYTES + 1)
             }
+            Misbehavior::LongNames => {
+                let path = "<".repeat(5_000);
+                let id = "i".repeat(2_000);
+                format!("POST /{path} HTTP/1.1\r\nHost: x\r\nRequest-Id: {id}\r\n\r\n")
+                    .repeat(REPEATED)
+                    .into_bytes()
+            }
+            Misbehavior::TextForNumber => {
+                let start = r#"{"spec":"500","best_effort":true,"phases":[{"count":""#;
+                let text = "7".repeat(BODY_MAX_BYTES - start.len() - 4);
+                with_length(client, format!("{start}{text}\"}}]}}").as_bytes()).repeat(2)
+            }
             Misbehavior::UnreadReplies => {
                 let request = b"GET /v1/timeline?limit=100000 HTTP/1.1\r\nHost: x\r\n\r\n";
-                request.repeat(16)
+                request.repeat(REPEATED)
             }
         }
     }
--- a/crates/onyxshed-soak/tests/clients/hosts.rs
+++ b/crates/onyxshed-soak/tests/clients/hosts.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use async_io::{Timer, block_on};
-use futures_lite::FutureExt;
+use async_net::TcpStream;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use http_types::Method;
 use onyxshed_http::client::{ClientOptions, Connection};
 use onyxshed_soak::fleet::{
@@ -26,6 +27,15 @@
     max_fds: 400,
 };
 
+/// The limits of the smallest machine of the platform.
+const SMALLEST_LIMITS: MachineLimits = MachineLimits {
+    memory_mb: 120,
+    max_fds: 3_075,
+};
+
+/// Number of clients in a crowd on the smallest machine of the platform.
+const CLIENTS_OF_SMALLEST: usize = 2_000;
+
 /// Number of clients in a crowd.
 const CLIENTS: usize = 400;
 
@@ -161,6 +171,8 @@
 #[case::announced_far_over_limit(Misbehavior::AnnouncedFarOverLimit)]
 #[case::sent_over_limit(Misbehavior::SentOverLimit)]
 #[case::pipelined(Misbehavior::Pipelined)]
+#[case::long_names(Misbehavior::LongNames)]
+#[case::text_for_number(Misbehavior::TextForNumber)]
 fn callers_door_holds(#[case] misbehavior: Misbehavior) {
     test_crowd(&options(), Door::Callers, misbehavior, CLIENTS);
 }
@@ -208,6 +220,24 @@
     test_crowd(&options(), Door::Admin, misbehavior, CLIENTS);
 }
 
+/// Guards against a host on the smallest machine of the platform that ends or stops serving because of clients.
+#[rstest]
+#[case::silence(Misbehavior::Silence)]
+#[case::many_headers(Misbehavior::ManyHeaders)]
+#[case::most_tasks(Misbehavior::MostTasks)]
+#[case::unfinished_body(Misbehavior::UnfinishedBody)]
+#[case::unfinished_small_body(Misbehavior::UnfinishedSmallBody)]
+#[case::unfinished_trailer(Misbehavior::UnfinishedTrailer)]
+#[case::sent_over_limit(Misbehavior::SentOverLimit)]
+#[case::pipelined(Misbehavior::Pipelined)]
+fn smallest_machine_holds(#[case] misbehavior: Misbehavior) {
+    let options = FleetOptions {
+        limits: SMALLEST_LIMITS,
+        ..options()
+    };
+    test_crowd(&options, Door::Callers, misbehavior, CLIENTS_OF_SMALLEST);
+}
+
 /// Guards against an owner that ends or stops serving because other hosts send it more jobs than it can hold.
 #[rstest]
 #[case::whole_spec(Misbehavior::WholeSpec)]
@@ -279,6 +309,27 @@
     });
 }
 
+/// Guards against limits that refuse a single body of legal size that takes seconds to arrive.
+#[test]
+fn single_slow_body_is_served() {
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    block_on(async {
+        let fleet = Fleet::start(&options()).await.expect("the fleet starts");
+        let callers = fleet.direct_caller_addresses()[0];
+        serve_ordinary_request(&fleet, callers, 0).await;
+        let request = Misbehavior::WholeBody.bytes(7);
+        let stream = TcpStream::connect(callers).await;
+        let mut stream = stream.expect("the host accepts the connection");
+        // Every other piece is followed by an ordinary request of another caller.
+        for (number, piece) in (1..).zip(request.chunks(request.len() / 8 + 1)) {
+            stream.write_all(piece).await.expect("the host reads");
+            Timer::after(Duration::from_millis(600)).await;
+            serve_ordinary_request(&fleet, callers, number).await;
+        }
+        assert_eq!(read_status(&mut stream).await, "200");
+    });
+}
+
 /// Guards against limits that refuse a single body of legal size in chunks of one byte.
 #[test]
 fn single_body_in_tiny_chunks_is_served() {
@@ -294,10 +345,13 @@
 
 /// Sends a request, and returns the status of its reply.
 async fn exchange(address: SocketAddr, request: &[u8]) -> String {
-    use futures_lite::{AsyncReadExt, AsyncWriteExt};
-    let stream = async_net::TcpStream::connect(address).await;
+    let stream = TcpStream::connect(address).await;
     let mut stream = stream.expect("the host accepts the connection");
     stream.write_all(request).await.expect("the host reads");
+    read_status(&mut stream).await
+}
+
+async fn read_status(stream: &mut TcpStream) -> String {
     let mut reply = [0; 12];
     stream
         .read_exact(&mut reply)
