A stalled request gives way before the next ordinary caller is refused

What callers saw: 503 for up to 2 s at a full listener or with full memory, while requests that had stopped just short of their end kept their places: the next caller was refused, not the client that held the place.

Cause: only the time since a request's first byte counted.

Change: a request of which no byte has arrived for 500 ms gives way at once, the one that has paused longest first; then, as before, the one that has been arriving the longest, for 2 s or more.

--- a/crates/onyxshed-http/src/bounded.rs
+++ b/crates/onyxshed-http/src/bounded.rs
@@ -41,6 +41,33 @@
     Large,
 }
 
+/// When the bytes of a request have arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Arrival {
+    first_byte_at: Instant,
+    last_byte_at: Instant,
+}
+
+impl Arrival {
+    fn new() -> Self {
+        let now = Instant::now();
+        Arrival {
+            first_byte_at: now,
+            last_byte_at: now,
+        }
+    }
+
+    /// Returns how long the request has been arriving.
+    pub fn duration(&self) -> Duration {
+        self.first_byte_at.elapsed()
+    }
+
+    /// Returns how long no byte of the request has arrived.
+    pub fn pause(&self) -> Duration {
+        self.last_byte_at.elapsed()
+    }
+}
+
 #[derive(Debug)]
 struct Bounds {
     phase: Phase,
@@ -51,8 +78,8 @@
     timer: Option<Timer>,
     head_timeout: Option<Duration>,
     head: HeadScan,
-    /// When the first byte of the request arrived that is being received.
-    receiving_since: Option<Instant>,
+    /// Progress of the request that is being received.
+    arrival: Option<Arrival>,
     /// Set while the request that is being received or awaited is given up.
     eviction: Option<ResultCode>,
     /// Size of the body that is being received, once it has memory.
@@ -80,7 +107,7 @@
             timer: None,
             head_timeout: None,
             head: HeadScan::default(),
-            receiving_since: None,
+            arrival: None,
             eviction: None,
             body_size: None,
             reader: None,
@@ -127,11 +154,11 @@
         self.lock().head.bytes_after_head()
     }
 
-    /// Returns when the first byte arrived of the request that is being received; `None` if no request
-    /// is, or if it has been given up.
-    pub fn receiving_since(&self) -> Option<Instant> {
+    /// Returns the progress of the request that is being received; `None` if no request is, or if it has
+    /// been given up.
+    pub fn arrival(&self) -> Option<Arrival> {
         let bounds = self.lock();
-        bounds.receiving_since.filter(|_| bounds.eviction.is_none())
+        bounds.arrival.filter(|_| bounds.eviction.is_none())
     }
 
     /// Sets the size of the body that is being received.
@@ -191,7 +218,7 @@
         self.read_remaining_bytes = read_max_bytes;
         self.head_timeout = None;
         if !matches!(phase, Phase::Head | Phase::Body) {
-            self.receiving_since = None;
+            self.arrival = None;
             self.eviction = None;
             self.body_size = None;
         }
@@ -220,6 +247,9 @@
         let count = bytes.len();
         let count_bytes = count as u64;
         self.read_total_bytes += count_bytes;
+        if let Some(arrival) = &mut self.arrival {
+            arrival.last_byte_at = Instant::now();
+        }
         if self.read_remaining_bytes < count_bytes {
             return Err(io::Error::new(
                 io::ErrorKind::FileTooLarge,
@@ -229,7 +259,7 @@
         self.read_remaining_bytes -= count_bytes;
         if let Some(head_timeout) = self.head_timeout.take() {
             self.phase = Phase::Head;
-            self.receiving_since = Some(Instant::now());
+            self.arrival = Some(Arrival::new());
             self.set_deadline(Some(head_timeout));
         }
         self.head.scan(bytes)?;
--- a/crates/onyxshed-http/src/open_streams.rs
+++ b/crates/onyxshed-http/src/open_streams.rs
@@ -2,8 +2,8 @@
 //!
 //! Connections that never send a whole request could otherwise occupy the address up to its limit, and
 //! a caller with a request would be rejected until they time out. When the address is full, the
-//! connection that has been idle the longest is closed; if none is idle, the request that has been
-//! arriving the longest is given up.
+//! connection that has been idle the longest is closed; if none is idle, the request that makes the
+//! least progress is given up.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -15,7 +15,7 @@
 use async_io::Async;
 use onyxshed_core::ResultCode;
 
-use crate::bounded::{BodySize, BoundedStream, Phase};
+use crate::bounded::{Arrival, BodySize, BoundedStream, Phase};
 
 /// The connections of an address, those that became idle first in front. A connection with a
 /// request in flight keeps its place, but is not closed.
@@ -50,7 +50,8 @@
         oldest.is_some()
     }
 
-    /// Gives up the request that has been arriving the longest, if that is longer than
+    /// Gives up the request that makes the least progress: the one without a byte for the longest time, if
+    /// that is [`STALL_TIMEOUT`], else the one that has been arriving the longest, if that is
     /// [`RECEIVE_GRACE`]. Returns false if there is none.
     ///
     /// A request that has arrived whole is never given up, since its job may have begun.
@@ -69,21 +70,32 @@
         code: ResultCode,
     ) -> bool {
         let streams = self.streams.borrow();
-        let receiving = streams
+        let arriving: Vec<(Arrival, &BoundedStream)> = streams
             .values()
             .filter(|stream| is_eligible(stream))
-            .filter_map(|stream| Some((stream.receiving_since()?, stream)));
-        let slowest = receiving
-            .min_by_key(|(since, _)| *since)
-            .filter(|(since, _)| since.elapsed() >= RECEIVE_GRACE);
-        if let Some((_, stream)) = slowest {
+            .filter_map(|stream| Some((stream.arrival()?, stream)))
+            .collect();
+        let stalled = arriving
+            .iter()
+            .max_by_key(|(arrival, _)| arrival.pause())
+            .filter(|(arrival, _)| arrival.pause() >= STALL_TIMEOUT);
+        let slow = arriving
+            .iter()
+            .max_by_key(|(arrival, _)| arrival.duration())
+            .filter(|(arrival, _)| arrival.duration() >= RECEIVE_GRACE);
+        let evicted = stalled.or(slow);
+        if let Some((_, stream)) = evicted {
             stream.evict(code);
         }
-        slowest.is_some()
+        evicted.is_some()
     }
 }
 
-/// How long a request may take to arrive before it can be given up for another connection.
+/// How long no byte of a request may arrive before it can be given up for another: longer than a lost
+/// packet takes to be sent again.
+const STALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long a request may take to arrive before it can be given up for another.
 const RECEIVE_GRACE: Duration = Duration::from_secs(2);
 
 /// Returns whether no byte of a request has arrived, read or unread, so that closing the connection
--- a/crates/onyxshed-http/tests/crowded.rs
+++ b/crates/onyxshed-http/tests/crowded.rs
@@ -21,6 +21,9 @@
 /// Longer than a request may take to arrive before it can be given up.
 const SLOW: Duration = Duration::from_millis(2_200);
 
+/// Longer than a request may pause before it can be given up.
+const STALLED: Duration = Duration::from_millis(600);
+
 /// Starts a server for one connection, whose handler answers `/wait` never and anything else at once.
 async fn start(executor: &Rc<LocalExecutor<'static>>) -> SocketAddr {
     let handler = Rc::new(|call: Call| -> PendingReply {
@@ -65,6 +68,19 @@
     });
 }
 
+/// Guards against peers that stop just short of the end of their requests, and lock others out meanwhile.
+#[test]
+fn stalled_request_gives_way_before_a_slow_one() {
+    run(|executor| async move {
+        let address = start(&executor).await;
+        let mut stalled = send(address, &REQUEST[..REQUEST.len() - 1]).await;
+        Timer::after(STALLED).await;
+        let mut ordinary = send(address, REQUEST).await;
+        assert!(reply(&mut ordinary).await.starts_with("HTTP/1.1 200"));
+        assert!(reply(&mut stalled).await.starts_with("HTTP/1.1 503"));
+    });
+}
+
 /// Guards against an ordinary caller whose request is given up while it arrives.
 #[test]
 fn request_that_has_just_begun_keeps_its_connection() {
