--- a/crates/onyxshed-core/src/event.rs
+++ b/crates/onyxshed-core/src/event.rs
@@ -266,6 +266,24 @@
         self
     }
 
+    /// Truncates each text to a length in bytes: callers choose request ids and paths.
+    pub fn with_texts_up_to(mut self, max_bytes: usize) -> Self {
+        let Event {
+            request,
+            job,
+            party,
+            detail,
+            ..
+        } = &mut self;
+        for text in [request, job, party, detail] {
+            if text.len() > max_bytes {
+                let end = text.floor_char_boundary(max_bytes);
+                *text = text[..end].into();
+            }
+        }
+        self
+    }
+
     /// Sets the text with further details, such as the reason for a refusal.
     pub fn detail(mut self, detail: impl Into<SmolStr>) -> Self {
         self.detail = detail.into();
--- a/crates/onyxshed-telemetry/src/log.rs
+++ b/crates/onyxshed-telemetry/src/log.rs
@@ -19,7 +19,10 @@
 use crate::line;
 
 /// Largest number of queued lines; any further line is dropped.
-const QUEUED_LINES_MAX: usize = 8_192;
+const QUEUED_LINES_MAX: usize = 4_096;
+
+/// Longest text of a line, in bytes: callers choose some of them, and all queued lines may be as long.
+const TEXT_MAX_BYTES: usize = 512;
 
 /// Longest time that [`Log::flush`] waits for queued lines.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
@@ -128,7 +131,8 @@
 
     fn write_line(&self, event: &Event) {
         self.counts.queued.fetch_add(1, Ordering::Relaxed);
-        let line = line::format(event, self.format);
+        let event = event.clone().with_texts_up_to(TEXT_MAX_BYTES);
+        let line = line::format(&event, self.format);
         let level = library_level(event.kind.level());
         spdlog::log!(logger: self.logger, level, "{line}");
     }
--- a/crates/onyxshed-telemetry/tests/log.rs
+++ b/crates/onyxshed-telemetry/tests/log.rs
@@ -126,3 +126,16 @@
     drop(release);
     block_on(log.flush());
 }
+
+/// Guards against queued lines that are as long as callers choose.
+#[test]
+fn line_is_bounded_whatever_its_texts() {
+    let written = MemoryWriter::default();
+    let log = open(LogLevel::Debug, written.clone());
+    let long = "i".repeat(100_000);
+    let event = Event::new(EventKind::PoolJobRefused).request(&*long);
+    log.write(&event.party(&*long).detail(&*long));
+    block_on(log.flush());
+    let bytes = written.0.lock().expect("no writer panics").len();
+    assert!(bytes < 2_000, "{bytes} bytes");
+}
--- a/crates/onyxshed-telemetry/tests/timeline.rs
+++ b/crates/onyxshed-telemetry/tests/timeline.rs
@@ -60,3 +60,18 @@
         prop_assert_eq!(kept + timeline.dropped(), lengths.len() as u64);
     }
 }
+
+/// Guards against texts that callers choose, and with which the time line grows.
+#[test]
+fn texts_of_callers_are_truncated() {
+    let long = "i".repeat(8_000);
+    let mut timeline = Timeline::new(16);
+    for at_ms in 0..16 {
+        timeline.record(&event(at_ms, &long).request(&*long).job(&*long));
+    }
+    let texts_max_bytes = 3 * 256 + 16;
+    let most = 16 * 2 * (size_of::<Event>() + texts_max_bytes) as u64;
+    assert!(timeline.memory_bytes() <= most);
+    let events = timeline.find(&Filter::default()).events;
+    assert!(events.iter().all(|event| event.request.len() <= 256));
+}
