The sum counts what a connection, a job, a link and an order cost

What callers could do: make a host hold more than its sum said. Found by reading the change as a newcomer and by measuring each part.

Cause: a connection was counted with 64 KiB besides its unread bytes, and costs up to 81 KB with a URL of characters that take three bytes, 100 headers, a body of 4 KiB and its job; a job was counted at its owner with 7 KB and costs 14 KB; unread bytes of linked hosts, through which jobs of clients come, were not counted and up to several megabytes each; idle connections to executors were limited by their number of executors only.

Change: 96 KiB and 32 KiB unread a connection, 16 KiB and its description and 1 KiB a task for a job; linked hosts have the buffers of clients and 48 KiB each in the sum, orders in progress 32 KiB, and their idle connections an eighth of the sockets together. A body up to 8 KiB is part of its connection, so that the largest job never needs memory that another body can take.

--- a/crates/onyxshed-host/src/engine.rs
+++ b/crates/onyxshed-host/src/engine.rs
@@ -17,7 +17,7 @@
 use async_lock::Semaphore;
 use onyxshed_core::{Event, EventKind};
 use onyxshed_http::ClientOptions;
-use onyxshed_http::connections::ConnectionPool;
+use onyxshed_http::connections::{ConnectionPool, IdleLimit};
 use onyxshed_kernel::{Descriptor, Kernel, LocalFuture, Result, Service, ServiceName};
 use onyxshed_pool::{
     Action, Decision, ExecutorFacts, ExecutorId, FencingToken, Heartbeat, JobEnd, JobId,
@@ -60,6 +60,15 @@
 
 type PendingReplies = BTreeMap<(PeerIncarnation, SubmissionNumber), Sender<JobEnd>>;
 
+/// Limits on the connections to executors for start and stop orders.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallLimits {
+    /// Largest number of orders in progress, each of which may use a connection of its own.
+    pub in_progress_max: usize,
+    /// Largest number of idle connections.
+    pub idle_max: usize,
+}
+
 /// Handle to the pool that this host owns, if it owns one.
 pub struct Engine {
     kernel: Kernel,
@@ -81,18 +90,19 @@
     zone_reader: ZoneReader,
     /// Permits for start and stop orders in progress, each of which may use a connection of its own.
     order_permits: Semaphore,
+    /// Limit on the idle connections to all executors.
+    idle_limit: IdleLimit,
     /// Number of connections of peers; empty until peers can connect.
     peer_connections: OnceCell<ConnectionCount>,
 }
 
 impl Engine {
-    /// Creates the handle of a host that owns no pool yet, and that makes at most `orders_max` calls for
-    /// start and stop orders at the same time.
+    /// Creates the handle of a host that owns no pool yet.
     pub fn new(
         kernel: &Kernel,
         incarnation: PeerIncarnation,
         options: PoolOptions,
-        orders_max: usize,
+        calls: CallLimits,
         evacuations: Rc<ZoneEvacuations>,
     ) -> Rc<Self> {
         Rc::new(Engine {
@@ -106,7 +116,8 @@
             was_fenced: Cell::new(false),
             past_members: RefCell::default(),
             evacuations,
-            order_permits: Semaphore::new(orders_max),
+            order_permits: Semaphore::new(calls.in_progress_max),
+            idle_limit: IdleLimit::new(calls.idle_max),
             metrics: HostMetrics::new(),
             overload_metrics: OverloadMetrics::new(),
             levels: RefCell::default(),
@@ -470,7 +481,8 @@
             connect_timeout: CONNECT_TIMEOUT,
             ..ClientOptions::default()
         };
-        let pool = ConnectionPool::new(facts.address, options, IDLE_CONNECTIONS);
+        let pool = ConnectionPool::new(facts.address, options, IDLE_CONNECTIONS)
+            .with_idle_limit(self.idle_limit.clone());
         connections.insert(id.clone(), Rc::new(pool));
     }
 
--- a/crates/onyxshed-host/src/links.rs
+++ b/crates/onyxshed-host/src/links.rs
@@ -508,7 +508,7 @@
                 LINKS,
                 "peer",
                 links.options.address,
-                ListenOptions::for_peers(),
+                ListenOptions::default(),
             )
             .await?;
             let member = member_name(links.options.advertised, links.incarnation());
--- a/crates/onyxshed-host/src/process.rs
+++ b/crates/onyxshed-host/src/process.rs
@@ -20,7 +20,7 @@
 
 use crate::callers::{CallerOptions, CallerService};
 use crate::capacity;
-use crate::engine::{Engine, EngineService};
+use crate::engine::{CallLimits, Engine, EngineService};
 use crate::evacuations::ZoneEvacuations;
 use crate::links::{LinkOptions, LinkService, Links};
 use crate::manifest::{ManifestService, manifest_unknown_max};
@@ -252,7 +252,10 @@
             jobs_memory: capacity.jobs,
             ..pool_options(settings, options.overload)
         },
-        capacity.calls_max,
+        CallLimits {
+            in_progress_max: capacity.calls_max,
+            idle_max: capacity.idle_calls_max,
+        },
         evacuations.clone(),
     );
     let link_options = LinkOptions {
--- a/crates/onyxshed-http/src/capacity.rs
+++ b/crates/onyxshed-http/src/capacity.rs
@@ -76,12 +76,19 @@
 
 /// Memory that one connection may use: its unread bytes, and the parsed head, the buffers and the
 /// decoded request behind them.
-pub const CONNECTION_BYTES: u64 = UNREAD_MAX_BYTES as u64 + (64 << 10);
+pub const CONNECTION_BYTES: u64 = UNREAD_MAX_BYTES as u64 + (96 << 10);
 
 /// Descriptors of a process that are reserved for files.
 const FILE_DESCRIPTORS: u64 = 200;
 
-/// Memory of a process without clients, besides the eighth of its machine's memory in
+/// Memory that the link of another process of the system may use: its unread bytes, and the message that
+/// is being read.
+const PEER_BYTES: u64 = UNREAD_MAX_BYTES as u64 + (16 << 10);
+
+/// Memory that a call to an executor may use: its task, its connection and the parser's buffers.
+const CALL_BYTES: u64 = 32 << 10;
+
+/// Memory of a process without clients, besides the sixteenth of its machine's memory in
 /// [`CapacityPlan::process`].
 const PROCESS_MIN_BYTES: u64 = 24_000_000;
 
@@ -100,8 +107,8 @@
 /// The parts of a machine that a process's listeners and requests may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CapacityPlan {
-    /// Memory for the process itself: code, state, links to peers, and one body that is copied as it
-    /// grows.
+    /// Memory for the process itself: code, state, events that wait to be written, and one body that is
+    /// copied as it grows.
     pub process: Bytes,
     /// Limits of the listener for callers.
     pub callers: ListenerLimits,
@@ -119,6 +126,8 @@
     pub peers_max: usize,
     /// Largest number of calls to executors in progress.
     pub calls_max: usize,
+    /// Largest number of idle connections to executors.
+    pub idle_calls_max: usize,
 }
 
 impl CapacityPlan {
@@ -126,11 +135,16 @@
     pub fn new(limits: MachineLimits) -> Self {
         let memory = limits.memory.0;
         let sockets = sockets_max(limits);
-        let process = PROCESS_MIN_BYTES + memory / 8;
+        let process = PROCESS_MIN_BYTES + memory / 16;
+        let peers_max = (sockets / 4).min(memory / 6 / PEER_BYTES);
+        let peers_max = count(peers_max).min(PEERS_MAX);
+        let calls_max = (sockets / 8).min(memory / 16 / CALL_BYTES);
+        let calls_max = count(calls_max).min(CALLS_MAX);
+        let trusted = peers_max as u64 * PEER_BYTES + calls_max as u64 * CALL_BYTES;
         // The backlogs may fill while the process is paused.
         let backlog = memory / 8 / UNREAD_MAX_BYTES as u64;
         let queued = memory / 8 + MINOR_LISTENERS * (memory / 8 / MINOR_PART);
-        let rest = memory.saturating_sub(process + queued);
+        let rest = memory.saturating_sub(process + trusted + queued);
         CapacityPlan {
             process: Bytes(process),
             callers: listener(rest * 3 / 8, sockets * 5 / 16, backlog),
@@ -139,8 +153,9 @@
             small_bodies: Bytes(rest / 16),
             replies: Bytes(rest / 16),
             jobs: Bytes(rest * 3 / 16),
-            peers_max: count(sockets / 4).min(PEERS_MAX),
-            calls_max: count(sockets / 8).min(CALLS_MAX),
+            peers_max,
+            calls_max,
+            idle_calls_max: count(sockets / 8),
         }
     }
 
@@ -149,7 +164,8 @@
         let listeners =
             self.callers.committed_bytes() + MINOR_LISTENERS * self.minor.committed_bytes();
         let requests = self.large_bodies.0 + self.small_bodies.0 + self.replies.0 + self.jobs.0;
-        Bytes(self.process.0 + listeners + requests)
+        let trusted = self.peers_max as u64 * PEER_BYTES + self.calls_max as u64 * CALL_BYTES;
+        Bytes(self.process.0 + trusted + listeners + requests)
     }
 
     /// Returns whether the limits keep within those of the machine. They do not on a machine that is too
@@ -158,11 +174,12 @@
         self.committed_bytes() <= limits.memory && self.committed_sockets() <= sockets_max(limits)
     }
 
-    /// Returns the most sockets that clients, peers and calls to executors use. Idle connections to
-    /// executors and to the platform's store use others.
+    /// Returns the most sockets that clients, peers and connections to executors for starts and stops use.
+    /// The connections on which executors are held, and those to owners and to the platform's store, use
+    /// others; clients do not change their number.
     pub fn committed_sockets(&self) -> u64 {
         let listeners = self.callers.sockets() + MINOR_LISTENERS * self.minor.sockets();
-        listeners + (self.peers_max + self.calls_max) as u64
+        listeners + (self.peers_max + self.calls_max + self.idle_calls_max) as u64
     }
 }
 
--- a/crates/onyxshed-http/src/connections.rs
+++ b/crates/onyxshed-http/src/connections.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use crate::client::{ClientOptions, Connection};
@@ -21,13 +22,49 @@
     AnsweredWithin(Duration),
 }
 
+/// Limit on the idle connections of several pools together. Clones share it.
+#[derive(Debug, Clone)]
+pub struct IdleLimit {
+    max: usize,
+    count: Rc<Cell<usize>>,
+}
+
+impl IdleLimit {
+    /// Creates a limit of `max` connections.
+    pub fn new(max: usize) -> Self {
+        IdleLimit {
+            max,
+            count: Rc::default(),
+        }
+    }
+
+    fn try_take(&self) -> Option<IdlePlace> {
+        let count = self.count.get();
+        (count < self.max).then(|| {
+            self.count.set(count + 1);
+            IdlePlace(self.clone())
+        })
+    }
+}
+
+/// The place of one idle connection, given back on drop.
+#[derive(Debug)]
+struct IdlePlace(IdleLimit);
+
+impl Drop for IdlePlace {
+    fn drop(&mut self) {
+        self.0.count.set(self.0.count.get() - 1);
+    }
+}
+
 /// A pool of connections to one address.
 #[derive(Debug)]
 pub struct ConnectionPool {
     address: SocketAddr,
     options: ClientOptions,
     idle_max: usize,
-    idle: RefCell<Vec<Connection>>,
+    idle_limit: IdleLimit,
+    idle: RefCell<Vec<(Connection, IdlePlace)>>,
     replaced_count: Cell<u64>,
 }
 
@@ -38,11 +75,18 @@
             address,
             options,
             idle_max,
+            idle_limit: IdleLimit::new(usize::MAX),
             idle: RefCell::default(),
             replaced_count: Cell::new(0),
         }
     }
 
+    /// Sets a limit that the pool shares with others.
+    pub fn with_idle_limit(mut self, limit: IdleLimit) -> Self {
+        self.idle_limit = limit;
+        self
+    }
+
     /// Returns the address of the peer.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -69,8 +113,11 @@
     /// is about to close it.
     pub fn put(&self, connection: Connection) {
         let mut idle = self.idle.borrow_mut();
-        if idle.len() < self.idle_max && !connection.is_closing() {
-            idle.push(connection);
+        if idle.len() < self.idle_max
+            && !connection.is_closing()
+            && let Some(place) = self.idle_limit.try_take()
+        {
+            idle.push((connection, place));
         }
     }
 
@@ -81,7 +128,8 @@
     }
 
     fn take_idle(&self) -> Option<Connection> {
-        self.idle.borrow_mut().pop()
+        let taken = self.idle.borrow_mut().pop();
+        taken.map(|(connection, _place)| connection)
     }
 }
 
--- a/crates/onyxshed-http/src/listen.rs
+++ b/crates/onyxshed-http/src/listen.rs
@@ -28,7 +28,8 @@
 }
 
 impl ListenOptions {
-    /// Returns options for connections of the system's own processes, whose messages may be large.
+    /// Returns options for connections of the system's own processes whose messages may be large and do not
+    /// come from clients.
     pub fn for_peers() -> Self {
         ListenOptions {
             buffer_bytes: None,
--- a/crates/onyxshed-http/src/server/memory.rs
+++ b/crates/onyxshed-http/src/server/memory.rs
@@ -12,8 +12,9 @@
 /// Bodies up to this size have a limit on memory that larger ones do not use.
 pub const SMALL_BODY_BYTES: u64 = 64 << 10;
 
-/// A body or a reply up to this size counts as part of its connection.
-pub const IN_CONNECTION_BYTES: u64 = 4 << 10;
+/// A body or a reply up to this size counts as part of its connection. The largest job fits, so that no
+/// other body takes the memory of an ordinary one.
+pub const IN_CONNECTION_BYTES: u64 = 8 << 10;
 
 /// Memory in use, and its limit.
 #[derive(Debug)]
--- a/crates/onyxshed-http/tests/reuse.rs
+++ b/crates/onyxshed-http/tests/reuse.rs
@@ -8,7 +8,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use http_types::Method;
 use onyxshed_http::ClientOptions;
-use onyxshed_http::connections::{ConnectionPool, ReusePolicy};
+use onyxshed_http::connections::{ConnectionPool, IdleLimit, ReusePolicy};
 use rstest::rstest;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -99,3 +99,36 @@
     let expected_connections = if closes { 2 } else { 1 };
     assert_eq!((served, found), (expected_connections, vec![closes; 2]));
 }
+
+/// Guards against idle connections to many executors that use up the descriptors.
+#[test]
+fn pools_share_a_limit_on_idle_connections() {
+    block_on(async {
+        let limit = IdleLimit::new(1);
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("the address opens");
+        let address = listener.local_addr().expect("the address is known");
+        let pool = || {
+            let pool = ConnectionPool::new(address, ClientOptions::default(), 4);
+            pool.with_idle_limit(limit.clone())
+        };
+        let pools = [pool(), pool()];
+        for pool in &pools {
+            let connection = pool.get(ReusePolicy::AnyOpen).await;
+            pool.put(connection.expect("the connection opens"));
+        }
+        let mut open = 0;
+        while let Some(Ok((mut accepted, _))) =
+            futures_lite::future::poll_once(listener.accept()).await
+        {
+            let read = futures_lite::future::poll_once(accepted.read(&mut [0])).await;
+            open += usize::from(read.is_none());
+        }
+        assert_eq!(open, 1, "one of the two connections is kept");
+        pools[0].clear();
+        let connection = pools[1].get(ReusePolicy::AnyOpen).await;
+        pools[1].put(connection.expect("the connection opens"));
+        assert_eq!(pools[0].replaced_count(), 1);
+    });
+}
--- a/crates/onyxshed-pool/src/job.rs
+++ b/crates/onyxshed-pool/src/job.rs
@@ -75,11 +75,16 @@
 
     /// Returns the memory that the job and its orders to executors use at most at the owner of a pool.
     pub fn memory(&self) -> Bytes {
-        /// A job with its names and its places in the indexes.
-        const JOB_BYTES: u64 = 2 << 10;
+        JobRequest::memory_of(self.spec.len(), self.tasks)
+    }
+
+    /// Returns the memory of a job with a description of this size and this number of tasks.
+    pub fn memory_of(spec_bytes: usize, tasks: u16) -> Bytes {
+        /// A job with its names, its places in the indexes and the message that submitted it.
+        const JOB_BYTES: u64 = 16 << 10;
         /// A task with its state, its run and the order that starts or stops it.
         const TASK_BYTES: u64 = 1 << 10;
-        Bytes(JOB_BYTES + self.spec.len() as u64 + u64::from(self.tasks) * TASK_BYTES)
+        Bytes(JOB_BYTES + spec_bytes as u64 + u64::from(tasks) * TASK_BYTES)
     }
 
     /// Returns the total work of the job according to the caller's estimate, in thousandths of a
--- a/crates/onyxshed-soak/src/footprint.rs
+++ b/crates/onyxshed-soak/src/footprint.rs
@@ -122,7 +122,7 @@
 }
 
 /// Returns the largest resident memory that a process has had, in bytes.
-fn peak_resident_bytes(process_id: u32) -> u64 {
+pub fn peak_resident_bytes(process_id: u32) -> u64 {
     status_bytes(process_id, "VmHWM:")
 }
 
--- a/crates/onyxshed-soak/src/misbehavior.rs
+++ b/crates/onyxshed-soak/src/misbehavior.rs
@@ -50,6 +50,10 @@
     LongNames,
     /// A whole job with a text of the largest legal size in place of a number.
     TextForNumber,
+    /// A head that takes the most memory for its size, and a chunk of 8 KiB without its last byte.
+    LargestHead,
+    /// Such a head, and a whole job with the largest description, whose task takes 5 s.
+    LargestJob,
     /// Requests for the time line whose replies are not read.
     UnreadReplies,
 }
@@ -140,6 +144,17 @@
                 let text = "7".repeat(BODY_MAX_BYTES - start.len() - 4);
                 with_length(client, format!("{start}{text}\"}}]}}").as_bytes()).repeat(2)
             }
+            Misbehavior::LargestHead => {
+                let mut request = largest_head(client, "Transfer-Encoding: chunked\r\n");
+                request.extend(b"2000\r\n");
+                request.extend([b' '; (8 << 10) - 1]);
+                request
+            }
+            Misbehavior::LargestJob => {
+                let body = longest_job();
+                let length = format!("Content-Length: {}\r\n", body.len());
+                with_body(&largest_head(client, &length), &body)
+            }
             Misbehavior::UnreadReplies => {
                 let request = b"GET /v1/timeline?limit=100000 HTTP/1.1\r\nHost: x\r\n\r\n";
                 request.repeat(REPEATED)
@@ -183,6 +198,24 @@
     .into_bytes()
 }
 
+/// Returns a head of some 8 KiB: characters of a URL take three bytes in memory, and each line of a header
+/// has an entry of its own.
+fn largest_head(client: usize, headers: &str) -> Vec<u8> {
+    let query = "<".repeat(4_500);
+    let lines: String = (0..100).map(|number| format!("a{number}: b\r\n")).collect();
+    format!(
+        "POST {ROUTE_PREFIX}{client:016x}?{query} HTTP/1.1\r\nHost: {ROUTE_HOST}\r\n\
+         X-Onyxshed-Deadline-Ms: 20000\r\n{lines}{headers}\r\n"
+    )
+    .into_bytes()
+}
+
+fn longest_job() -> Vec<u8> {
+    let spec = format!("{:0>4000}", 5_000);
+    let phase = r#"{"count":1,"cpu":1,"est_runtime_ms":5000}"#;
+    format!(r#"{{"spec":"{spec}","best_effort":true,"phases":[{phase}]}}"#).into_bytes()
+}
+
 fn with_body(head: &[u8], body: &[u8]) -> Vec<u8> {
     [head, body].concat()
 }
--- a/crates/onyxshed-soak/tests/clients/main.rs
+++ b/crates/onyxshed-soak/tests/clients/main.rs
@@ -4,6 +4,7 @@
 //! descriptors stay within the limits in its settings, and an ordinary request is answered while the crowd
 //! keeps its connections open.
 
+mod costs;
 mod crowd;
 mod entries;
 mod hosts;
