Tests of clients share their setup

The readiness and the admin address take the same kinds in one test, now with the far announced length left to the callers' address and the body over the limit at both; single requests of legal size are cases of one test, in one setup with the slow body; disconnect.rs uses the shared server; slow and stalled requests are cases of one test, as are the limits of two machines. Crowds, bounds and checks are as they were: 400 and 900 clients, 64 MB, 400 descriptors, 60 s.

--- a/crates/onyxshed-http/tests/capacity.rs
+++ b/crates/onyxshed-http/tests/capacity.rs
@@ -2,6 +2,7 @@
 
 use onyxshed_core::Bytes;
 use onyxshed_http::capacity::{CapacityPlan, MachineLimits, sockets_max};
+use rstest::rstest;
 
 /// The smallest machine whose limits are kept.
 const SMALLEST: MachineLimits = MachineLimits {
@@ -30,23 +31,19 @@
 }
 
 /// Guards against a change of the limits on the machines that the users have.
-#[test]
-fn limits_of_an_ordinary_machine() {
-    let plan = CapacityPlan::new(MachineLimits {
-        memory: Bytes(260_000_000),
-        descriptors_max: 4_100,
-    });
-    insta::assert_debug_snapshot!(plan);
-}
-
-/// Guards against a change of the limits on the smallest machine of the users' platform.
-#[test]
-fn limits_of_the_smallest_machine() {
+#[rstest]
+#[case::limits_of_an_ordinary_machine("limits_of_an_ordinary_machine", 260, 4_100)]
+#[case::limits_of_the_smallest_machine("limits_of_the_smallest_machine", 120, 3_075)]
+fn limits_are_as_documented(
+    #[case] snapshot: &str,
+    #[case] megabytes: u64,
+    #[case] descriptors_max: u64,
+) {
     let plan = CapacityPlan::new(MachineLimits {
-        memory: Bytes(120_000_000),
-        descriptors_max: 3_075,
+        memory: Bytes(megabytes * 1_000_000),
+        descriptors_max,
     });
-    insta::assert_debug_snapshot!(plan);
+    insta::assert_debug_snapshot!(snapshot, plan);
 }
 
 /// Guards against a machine whose limits are exceeded without notice.
--- a/crates/onyxshed-http/tests/crowded.rs
+++ b/crates/onyxshed-http/tests/crowded.rs
@@ -55,32 +55,20 @@
 
 /// Guards against peers that lock others out by requests that never arrive whole.
 #[rstest]
-#[case::in_the_head(20)]
-#[case::in_the_body(REQUEST.len() - 1)]
-fn slow_request_gives_way_to_a_new_connection(#[case] sent_bytes: usize) {
+#[case::in_the_head(20, SLOW)]
+#[case::in_the_body(REQUEST.len() - 1, SLOW)]
+#[case::stalled(REQUEST.len() - 1, STALLED)]
+fn slow_request_gives_way_to_a_new_connection(#[case] sent_bytes: usize, #[case] pause: Duration) {
     run(|executor| async move {
         let address = start(&executor).await;
         let mut slow = send(address, &REQUEST[..sent_bytes]).await;
-        Timer::after(SLOW).await;
+        Timer::after(pause).await;
         let mut ordinary = send(address, REQUEST).await;
         assert!(reply(&mut ordinary).await.starts_with("HTTP/1.1 200"));
         assert!(reply(&mut slow).await.starts_with("HTTP/1.1 503"));
     });
 }
 
-/// Guards against peers that stop just short of the end of their requests, and lock others out meanwhile.
-#[test]
-fn stalled_request_gives_way_before_a_slow_one() {
-    run(|executor| async move {
-        let address = start(&executor).await;
-        let mut stalled = send(address, &REQUEST[..REQUEST.len() - 1]).await;
-        Timer::after(STALLED).await;
-        let mut ordinary = send(address, REQUEST).await;
-        assert!(reply(&mut ordinary).await.starts_with("HTTP/1.1 200"));
-        assert!(reply(&mut stalled).await.starts_with("HTTP/1.1 503"));
-    });
-}
-
 /// Guards against an ordinary caller whose request is given up while it arrives.
 #[test]
 fn request_that_has_just_begun_keeps_its_connection() {
--- a/crates/onyxshed-http/tests/disconnect.rs
+++ b/crates/onyxshed-http/tests/disconnect.rs
@@ -1,5 +1,8 @@
 //! Requests of peers that close their connections before they are handled.
 
+#[path = "support/server.rs"]
+mod server;
+
 use std::cell::Cell;
 use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
@@ -9,17 +12,13 @@
 use async_io::Timer;
 use async_net::TcpStream;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use onyxshed_core::ResultCode;
-use onyxshed_http::client::with_timeout;
 use onyxshed_http::server::PendingReply;
-use onyxshed_http::{Call, Reply, Server, ServerOptions};
+use onyxshed_http::{Call, Reply, ServerOptions};
 use rstest::rstest;
+use server::{run, send};
 
 const REQUEST: &[u8] = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nok";
 
-/// Time limit of a test, which only a hang reaches.
-const TIMEOUT: Duration = Duration::from_secs(30);
-
 /// How a peer ends a connection on which it has sent a request.
 #[derive(Debug, Clone, Copy)]
 enum Ending {
@@ -39,28 +38,14 @@
             Reply::bytes(200, "handled")
         })
     });
-    let reject = Rc::new(|code: ResultCode| Reply::bytes(code.http_status(), "rejected"));
     let options = ServerOptions {
         cancels_on_disconnect: true,
         ..ServerOptions::default()
     };
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let listener = Server::listen(any).await.expect("test setup succeeds");
-    let address = listener.local_addr().expect("test setup succeeds");
-    let server = Server::new(options, handler, reject);
-    executor
-        .spawn(server.run(listener, executor.clone()))
-        .detach();
+    let address = server::start(executor, options, handler).await;
     (address, handled)
 }
 
-fn run<Test: Future<Output = ()>>(test: impl FnOnce(Rc<LocalExecutor<'static>>) -> Test) {
-    let executor = Rc::new(LocalExecutor::new());
-    let test = with_timeout(TIMEOUT, test(executor.clone()));
-    let finished = async_io::block_on(executor.run(test));
-    assert!(finished.is_some(), "the test hangs");
-}
-
 /// Guards against work for a peer that left while its request waited in the socket.
 #[rstest]
 #[case::closes(Ending::Closes)]
@@ -99,11 +84,7 @@
 fn request_before_a_pipelined_one_is_handled() {
     run(|executor| async move {
         let (address, handled) = start(&executor).await;
-        let mut stream = TcpStream::connect(address)
-            .await
-            .expect("the server accepts");
-        let both = [REQUEST, REQUEST].concat();
-        stream.write_all(&both).await.expect("the server reads");
+        let mut stream = send(address, &[REQUEST, REQUEST].concat()).await;
         let mut reply = [0; 256];
         let count = stream.read(&mut reply).await.expect("a reply arrives");
         assert!(reply[..count].starts_with(b"HTTP/1.1 200"));
--- a/crates/onyxshed-soak/tests/clients/hosts.rs
+++ b/crates/onyxshed-soak/tests/clients/hosts.rs
@@ -189,35 +189,31 @@
     );
 }
 
-/// Guards against a host that ends or stops serving because of clients at the address of its readiness check.
+/// Guards against a host that ends or stops serving because of clients at the address of its readiness check or
+/// at its admin address.
 #[rstest]
-#[case::silence(Misbehavior::Silence)]
-#[case::unfinished_head(Misbehavior::UnfinishedHead)]
-#[case::unfinished_body(Misbehavior::UnfinishedBody)]
-#[case::unfinished_large_chunks(Misbehavior::UnfinishedLargeChunks)]
-#[case::unfinished_tiny_chunks(Misbehavior::UnfinishedTinyChunks)]
-#[case::unfinished_over_limit(Misbehavior::UnfinishedOverLimit)]
-#[case::announced_over_limit(Misbehavior::AnnouncedOverLimit)]
-#[case::sent_over_limit(Misbehavior::SentOverLimit)]
-#[case::pipelined(Misbehavior::Pipelined)]
-fn readiness_door_holds(#[case] misbehavior: Misbehavior) {
-    test_crowd(&options(), Door::Readiness, misbehavior, CLIENTS);
+fn minor_door_holds(
+    #[values(Door::Readiness, Door::Admin)] door: Door,
+    #[values(
+        Misbehavior::Silence,
+        Misbehavior::UnfinishedHead,
+        Misbehavior::UnfinishedBody,
+        Misbehavior::UnfinishedLargeChunks,
+        Misbehavior::UnfinishedTinyChunks,
+        Misbehavior::UnfinishedOverLimit,
+        Misbehavior::AnnouncedOverLimit,
+        Misbehavior::SentOverLimit,
+        Misbehavior::Pipelined
+    )]
+    misbehavior: Misbehavior,
+) {
+    test_crowd(&options(), door, misbehavior, CLIENTS);
 }
 
-/// Guards against a host that ends or stops serving because of clients at its admin address.
-#[rstest]
-#[case::silence(Misbehavior::Silence)]
-#[case::unfinished_head(Misbehavior::UnfinishedHead)]
-#[case::unfinished_body(Misbehavior::UnfinishedBody)]
-#[case::unfinished_large_chunks(Misbehavior::UnfinishedLargeChunks)]
-#[case::unfinished_tiny_chunks(Misbehavior::UnfinishedTinyChunks)]
-#[case::unfinished_over_limit(Misbehavior::UnfinishedOverLimit)]
-#[case::announced_over_limit(Misbehavior::AnnouncedOverLimit)]
-#[case::sent_over_limit(Misbehavior::SentOverLimit)]
-#[case::pipelined(Misbehavior::Pipelined)]
-#[case::unread_replies(Misbehavior::UnreadReplies)]
-fn admin_door_holds(#[case] misbehavior: Misbehavior) {
-    test_crowd(&options(), Door::Admin, misbehavior, CLIENTS);
+/// Guards against replies that no one reads.
+#[test]
+fn admin_door_holds_against_unread_replies() {
+    test_crowd(&options(), Door::Admin, Misbehavior::UnreadReplies, CLIENTS);
 }
 
 /// Guards against a host on the smallest machine of the platform that ends or stops serving because of clients.
@@ -296,15 +292,23 @@
     });
 }
 
-/// Guards against limits that refuse a single request of the largest legal size.
-#[test]
-fn single_request_of_legal_size_is_served() {
+/// Runs a test with a host that has served an ordinary request, and the address of its callers.
+fn with_host_in_calm(test: impl AsyncFnOnce(&Fleet, SocketAddr)) {
     let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     block_on(async {
         let fleet = Fleet::start(&options()).await.expect("the fleet starts");
         let callers = fleet.direct_caller_addresses()[0];
         serve_ordinary_request(&fleet, callers, 0).await;
-        let request = Misbehavior::WholeBody.bytes(7);
+        test(&fleet, callers).await;
+    });
+}
+
+/// Guards against limits that refuse a single request of the largest legal size, whole or in chunks of one byte.
+#[rstest]
+#[case::whole(Misbehavior::WholeBody.bytes(7))]
+#[case::in_tiny_chunks(Misbehavior::tiny_chunks_of_whole_job())]
+fn single_request_of_legal_size_is_served(#[case] request: Vec<u8>) {
+    with_host_in_calm(async |_, callers| {
         assert_eq!(exchange(callers, &request).await, "200");
     });
 }
@@ -312,37 +316,20 @@
 /// Guards against limits that refuse a single body of legal size that takes seconds to arrive.
 #[test]
 fn single_slow_body_is_served() {
-    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
-    block_on(async {
-        let fleet = Fleet::start(&options()).await.expect("the fleet starts");
-        let callers = fleet.direct_caller_addresses()[0];
-        serve_ordinary_request(&fleet, callers, 0).await;
+    with_host_in_calm(async |fleet, callers| {
         let request = Misbehavior::WholeBody.bytes(7);
         let stream = TcpStream::connect(callers).await;
         let mut stream = stream.expect("the host accepts the connection");
-        // Every other piece is followed by an ordinary request of another caller.
+        // Each piece is followed by an ordinary request of another caller.
         for (number, piece) in (1..).zip(request.chunks(request.len() / 8 + 1)) {
             stream.write_all(piece).await.expect("the host reads");
             Timer::after(Duration::from_millis(600)).await;
-            serve_ordinary_request(&fleet, callers, number).await;
+            serve_ordinary_request(fleet, callers, number).await;
         }
         assert_eq!(read_status(&mut stream).await, "200");
     });
 }
 
-/// Guards against limits that refuse a single body of legal size in chunks of one byte.
-#[test]
-fn single_body_in_tiny_chunks_is_served() {
-    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
-    block_on(async {
-        let fleet = Fleet::start(&options()).await.expect("the fleet starts");
-        let callers = fleet.direct_caller_addresses()[0];
-        serve_ordinary_request(&fleet, callers, 0).await;
-        let request = Misbehavior::tiny_chunks_of_whole_job();
-        assert_eq!(exchange(callers, &request).await, "200");
-    });
-}
-
 /// Sends a request, and returns the status of its reply.
 async fn exchange(address: SocketAddr, request: &[u8]) -> String {
     let stream = TcpStream::connect(address).await;
