The time line cuts the texts that callers choose

What callers could do: make the time line keep 1,000 request ids of up to 8 KiB and as many job ids.

Change: the time line uses the same cut of all texts as the log, and counts request and job ids in its memory; its own copy of the cut is gone.

--- a/crates/onyxshed-telemetry/src/timeline.rs
+++ b/crates/onyxshed-telemetry/src/timeline.rs
@@ -6,11 +6,10 @@
 use onyxshed_core::{ClassName, Event, SubmissionId, UnixMs};
 use smol_str::SmolStr;
 
-/// Largest length of the `party` and the `detail` of a kept event, in bytes; longer texts are
-/// truncated.
+/// Longest text of a kept event, in bytes; longer ones are truncated.
 ///
-/// An upstream's long error text in every event would otherwise make the memory of the ring
-/// unbounded, although the number of events is bounded.
+/// A caller's long request id or an upstream's long error text in every event would otherwise make the
+/// memory of the ring unbounded, although the number of events is bounded.
 const TEXT_MAX_BYTES: usize = 256;
 
 /// Longest text that [`SmolStr`] stores inline, without a heap allocation, in bytes.
@@ -105,7 +104,7 @@
                 self.dropped += 1;
             }
         }
-        let event = with_truncated_texts(event);
+        let event = event.clone().with_texts_up_to(TEXT_MAX_BYTES);
         self.text_bytes += text_bytes(&event);
         self.events.push_back(event);
     }
@@ -142,19 +141,7 @@
 
 fn text_bytes(event: &Event) -> usize {
     let class = event.class.as_ref().map_or(0, |class| class.as_str().len());
-    [class, event.party.len(), event.detail.len()]
-        .into_iter()
-        .filter(|len| *len > INLINE_BYTES)
-        .sum()
-}
-
-fn with_truncated_texts(event: &Event) -> Event {
-    let mut event = event.clone();
-    for text in [&mut event.party, &mut event.detail] {
-        if text.len() > TEXT_MAX_BYTES {
-            let end = text.floor_char_boundary(TEXT_MAX_BYTES);
-            *text = text[..end].into();
-        }
-    }
-    event
+    let texts = [&event.request, &event.job, &event.party, &event.detail];
+    let lengths = texts.into_iter().map(|text| text.len()).chain([class]);
+    lengths.filter(|len| *len > INLINE_BYTES).sum()
 }
