A connection that is rejected ends no idle one

What callers saw: in a burst of 100 connections at 54 places, 84 were refused and 16 served; 46 of the refused ones had a place and had just connected.

Cause: admit made a place, by ending the longest idle connection, before it checked whether the newcomer can use the place. While connections that have been ended keep their sockets for up to 250 ms, the places for rejections are taken, so each further newcomer was rejected and took an idle connection with it.

Change: the check comes first.

Checks and bounds are as before.

--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -267,10 +267,11 @@
             .connections
             .get()
             .saturating_sub(self.options.connections_max);
-        let has_capacity = excess == 0 || self.make_place();
+        // Before a place is made, which the connection could not use.
         if excess > self.options.rejected_max {
             return self.reject_at_once(stream);
         }
+        let has_capacity = excess == 0 || self.make_place();
         let stream = BoundedStream::new(stream);
         let entry = self.streams.add(&stream);
         executor
