Metrics tell a body that is given up for memory from one given up for its connection

What operators saw: slow_request counted both, so that the metrics did not tell which limit had been met; only the result code of the log line did.

Change: the limit slow_body, for a body that another one's memory needs.

Evidence: body_that_is_given_up_names_its_limit, red before (SlowRequest).

--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -364,12 +364,8 @@
                 Err(error) => {
                     let is_request = stream.read_bytes() > read_before;
                     match stream.eviction() {
-                        Some(code) if is_request => {
-                            let refusal = Refusal::at(Limit::SlowRequest, code);
-                            self.send_rejection(&stream, refusal).await;
-                        }
                         Some(code) => {
-                            let refusal = Refusal::at(Limit::IdleConnection, code);
+                            let refusal = Refusal::of_eviction(code, is_request);
                             self.send_rejection(&stream, refusal).await;
                         }
                         None if is_request && stream.phase() != Phase::Replying => {
--- a/crates/onyxshed-http/src/server/refusal.rs
+++ b/crates/onyxshed-http/src/server/refusal.rs
@@ -13,8 +13,10 @@
     Rejections,
     /// The connections that are served: an idle one was ended for another.
     IdleConnection,
-    /// The time for which a request that arrives slowly keeps others from being served.
+    /// The connections that are served: a request that arrived slowly was given up for another connection.
     SlowRequest,
+    /// The memory of bodies: a body that arrived slowly was given up for another one.
+    SlowBody,
     /// The memory of bodies.
     BodyMemory,
     /// The memory of replies.
@@ -27,11 +29,12 @@
 
 impl Limit {
     /// All limits.
-    pub const ALL: [Limit; 8] = [
+    pub const ALL: [Limit; 9] = [
         Limit::Connections,
         Limit::Rejections,
         Limit::IdleConnection,
         Limit::SlowRequest,
+        Limit::SlowBody,
         Limit::BodyMemory,
         Limit::ReplyMemory,
         Limit::RequestSize,
@@ -45,6 +48,7 @@
             Limit::Rejections => "rejections",
             Limit::IdleConnection => "idle_connection",
             Limit::SlowRequest => "slow_request",
+            Limit::SlowBody => "slow_body",
             Limit::BodyMemory => "body_memory",
             Limit::ReplyMemory => "reply_memory",
             Limit::RequestSize => "request_size",
@@ -82,6 +86,17 @@
         }
     }
 
+    /// Creates the refusal of a request, or of the connection of the next one, that was given up for
+    /// another because of `code`.
+    pub(super) fn of_eviction(code: ResultCode, has_begun: bool) -> Self {
+        let limit = match (code, has_begun) {
+            (ResultCode::EntryFull, _) => Limit::SlowBody,
+            (_, true) => Limit::SlowRequest,
+            (_, false) => Limit::IdleConnection,
+        };
+        Refusal::at(limit, code)
+    }
+
     /// Creates a refusal because of a limit.
     pub(super) fn at(limit: Limit, code: ResultCode) -> Self {
         Refusal {
--- a/crates/onyxshed-http/tests/crowded.rs
+++ b/crates/onyxshed-http/tests/crowded.rs
@@ -44,7 +44,7 @@
         rejected_max: 1,
         ..ServerOptions::default()
     };
-    server::start(executor, options, handler).await
+    server::start(executor, options, handler, Rc::new(|_| {})).await
 }
 
 async fn reply(stream: &mut TcpStream) -> String {
--- a/crates/onyxshed-http/tests/disconnect.rs
+++ b/crates/onyxshed-http/tests/disconnect.rs
@@ -42,7 +42,7 @@
         cancels_on_disconnect: true,
         ..ServerOptions::default()
     };
-    let address = server::start(executor, options, handler).await;
+    let address = server::start(executor, options, handler, Rc::new(|_| {})).await;
     (address, handled)
 }
 
--- a/crates/onyxshed-http/tests/memory.rs
+++ b/crates/onyxshed-http/tests/memory.rs
@@ -3,6 +3,7 @@
 #[path = "support/server.rs"]
 mod server;
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,7 +12,7 @@
 use async_io::Timer;
 use async_net::TcpStream;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
-use onyxshed_http::server::PendingReply;
+use onyxshed_http::server::{Limit, PendingReply, Refusal, RefusalReporter};
 use onyxshed_http::{Call, Reply, ServerOptions};
 use server::run;
 
@@ -20,6 +21,13 @@
 /// Starts a server that answers `/wait` never, `/large` by a reply of 1 MiB and anything else by its body's
 /// length.
 async fn start(executor: &Rc<LocalExecutor<'static>>) -> SocketAddr {
+    start_reporting(executor, Rc::new(|_| {})).await
+}
+
+async fn start_reporting(
+    executor: &Rc<LocalExecutor<'static>>,
+    reporter: RefusalReporter,
+) -> SocketAddr {
     let handler = Rc::new(|call: Call| -> PendingReply {
         Box::pin(async move {
             match call.path() {
@@ -36,7 +44,7 @@
         replies_max_bytes: MIB as u64,
         ..ServerOptions::default()
     };
-    server::start(executor, options, handler).await
+    server::start(executor, options, handler, reporter).await
 }
 
 /// Sends a body of `len` bytes without its last `missing` ones.
@@ -128,3 +136,24 @@
         assert_eq!(status(&mut younger).await, "200");
     });
 }
+
+/// Guards against operators who can't tell from the metrics that a request was given up for want of memory.
+#[test]
+fn body_that_is_given_up_names_its_limit() {
+    run(|executor| async move {
+        let refusals: Rc<RefCell<Vec<Refusal>>> = Rc::default();
+        let recorded = refusals.clone();
+        let reporter = Rc::new(move |refusal| recorded.borrow_mut().push(refusal));
+        let address = start_reporting(&executor, reporter).await;
+        let mut stalled = send(address, "/", MIB, 1).await;
+        Timer::after(Duration::from_millis(700)).await;
+        assert_eq!(status(&mut send(address, "/", MIB, 0).await).await, "200");
+        assert_eq!(status(&mut stalled).await, "503");
+        let limits: Vec<_> = refusals
+            .borrow()
+            .iter()
+            .map(|refusal| refusal.limit)
+            .collect();
+        assert_eq!(limits, [Some(Limit::SlowBody)]);
+    });
+}
--- a/crates/onyxshed-http/tests/support/server.rs
+++ b/crates/onyxshed-http/tests/support/server.rs
@@ -9,22 +9,25 @@
 use futures_lite::AsyncWriteExt;
 use onyxshed_core::ResultCode;
 use onyxshed_http::client::with_timeout;
+use onyxshed_http::server::RefusalReporter;
 use onyxshed_http::{Handler, Reply, Server, ServerOptions};
 
 /// Time limit of a test, which only a hang reaches.
 const TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Starts a server that rejects with the status and the number of a result code.
+/// Starts a server that rejects with the status and the number of a result code, and tells `reporter` every
+/// refusal.
 pub async fn start(
     executor: &Rc<LocalExecutor<'static>>,
     options: ServerOptions,
     handler: Handler,
+    reporter: RefusalReporter,
 ) -> SocketAddr {
     let reject = Rc::new(|code: ResultCode| Reply::bytes(code.http_status(), code.to_string()));
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let listener = Server::listen(any).await.expect("test setup succeeds");
     let address = listener.local_addr().expect("test setup succeeds");
-    let server = Server::new(options, handler, reject);
+    let server = Server::new(options, handler, reject).report_refusals(reporter);
     executor
         .spawn(server.run(listener, executor.clone()))
         .detach();
