Tests of clients that do not behave: whole jobs at the addresses of an entry host

400 clients at once send whole jobs of nearly the largest size (45 KiB of payload, tasks of 5 s) to the callers' and the peers' address of an entry host, at once and in pieces. The crowd, the lowered limits and the checks are those of the other tests of entry hosts.

--- a/crates/onyxshed-soak/tests/clients/crowd.rs
+++ b/crates/onyxshed-soak/tests/clients/crowd.rs
@@ -40,10 +40,20 @@
 /// Sends the requests of a crowd, and returns when every client has sent all or has been stopped by
 /// the host.
 pub async fn send(address: SocketAddr, misbehavior: Misbehavior, clients: usize) -> Crowd {
+    let requests = (0..clients).map(|client| misbehavior.bytes(client));
+    send_requests(address, requests, misbehavior.piece_bytes()).await
+}
+
+/// Like [`send`], with requests of any kind, each of which a client sends in pieces.
+pub async fn send_requests(
+    address: SocketAddr,
+    requests: impl Iterator<Item = Vec<u8>>,
+    piece_bytes: usize,
+) -> Crowd {
     let executor = LocalExecutor::new();
     let send_all = async {
-        let tasks: Vec<_> = (0..clients)
-            .map(|client| executor.spawn(send_one(address, misbehavior, client)))
+        let tasks: Vec<_> = requests
+            .map(|request| executor.spawn(send_one(address, request, piece_bytes)))
             .collect();
         let mut streams = Vec::new();
         for task in tasks {
@@ -57,15 +67,10 @@
 }
 
 /// Sends one client's requests. Returns `None` if the host refuses the connection.
-async fn send_one(
-    address: SocketAddr,
-    misbehavior: Misbehavior,
-    client: usize,
-) -> Option<TcpStream> {
+async fn send_one(address: SocketAddr, bytes: Vec<u8>, piece_bytes: usize) -> Option<TcpStream> {
     let connect = async { TcpStream::connect(address).await.ok() };
     let mut stream = connect.or(expire()).await?;
-    let bytes = misbehavior.bytes(client);
-    for piece in bytes.chunks(misbehavior.piece_bytes().min(bytes.len()).max(1)) {
+    for piece in bytes.chunks(piece_bytes.min(bytes.len()).max(1)) {
         let write = async { stream.write_all(piece).await.ok() };
         // A client that is refused does not close its side.
         if write.or(expire()).await.is_none() {
--- a/crates/onyxshed-soak/tests/clients/entries.rs
+++ b/crates/onyxshed-soak/tests/clients/entries.rs
@@ -57,22 +57,8 @@
     watch
 }
 
-/// Guards against an entry host that ends or stops serving because of clients at any of its addresses.
-#[rstest]
-fn doors_of_an_entry_host_hold(
-    #[values(CALLERS, PEERS, ENTRY_ADMIN, CONTROL_ADMIN)] door: Door,
-    #[values(
-        Misbehavior::Silence,
-        Misbehavior::UnfinishedHead,
-        Misbehavior::UnfinishedBody,
-        Misbehavior::UnfinishedSmallBody,
-        Misbehavior::UnfinishedLargeChunks,
-        Misbehavior::UnfinishedTinyChunks,
-        Misbehavior::SentOverLimit,
-        Misbehavior::Pipelined
-    )]
-    misbehavior: Misbehavior,
-) {
+/// Sends a crowd to a door of an entry host, and checks the footprint of the process and an ordinary job.
+fn test_crowd(door: Door, requests: Vec<Vec<u8>>, piece_bytes: usize) {
     let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     block_on(async {
         let mut cluster = zone::start(1, options()).await;
@@ -80,7 +66,8 @@
         zone::run_one_job(callers, zone::MAY_RUN_TWICE).await;
         let mut watch = watch(&mut cluster, door.0, &[door]);
         let target = address(&mut cluster, door);
-        let send = async { Some(crowd::send(target, misbehavior, CLIENTS).await) };
+        let requests = requests.into_iter();
+        let send = async { Some(crowd::send_requests(target, requests, piece_bytes).await) };
         let crowd = send.or(watch.sample()).await;
         let settle = async {
             zone::run_one_job(callers, zone::MAY_RUN_TWICE).await;
@@ -101,3 +88,44 @@
         drop(crowd);
     });
 }
+
+/// Guards against an entry host that ends or stops serving because of clients at any of its addresses.
+#[rstest]
+fn doors_of_an_entry_host_hold(
+    #[values(CALLERS, PEERS, ENTRY_ADMIN, CONTROL_ADMIN)] door: Door,
+    #[values(
+        Misbehavior::Silence,
+        Misbehavior::UnfinishedHead,
+        Misbehavior::UnfinishedBody,
+        Misbehavior::UnfinishedSmallBody,
+        Misbehavior::UnfinishedLargeChunks,
+        Misbehavior::UnfinishedTinyChunks,
+        Misbehavior::SentOverLimit,
+        Misbehavior::Pipelined
+    )]
+    misbehavior: Misbehavior,
+) {
+    let requests = (0..CLIENTS).map(|client| misbehavior.bytes(client));
+    test_crowd(door, requests.collect(), misbehavior.piece_bytes());
+}
+
+/// Guards against an entry host that ends or stops serving because of many whole jobs of nearly the largest size.
+#[rstest]
+#[case::of_callers(CALLERS, usize::MAX)]
+#[case::of_callers_in_pieces(CALLERS, 8 << 10)]
+#[case::of_peers(PEERS, usize::MAX)]
+fn doors_of_an_entry_host_hold_against_whole_jobs(#[case] door: Door, #[case] piece_bytes: usize) {
+    let requests = (0..CLIENTS).map(|_| whole_job());
+    test_crowd(door, requests.collect(), piece_bytes);
+}
+
+/// Returns a request with a job whose task takes 5 s.
+fn whole_job() -> Vec<u8> {
+    let mut payload = br#"{"service_ms": 5000}"#.to_vec();
+    payload.resize(45 << 10, b' ');
+    let body = serde_json::to_vec(&zone::job(zone::MAY_RUN_TWICE, &payload));
+    let body = body.expect("a submission can be serialized");
+    let length = body.len();
+    let head = format!("POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n");
+    [head.as_bytes(), &body].concat()
+}
