--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -363,16 +363,8 @@
                 Ok(ConnectionStatus::Close) => return self.close_after_reply(&stream).await,
                 Err(error) => {
                     let is_request = stream.read_bytes() > read_before;
-                    match stream.eviction() {
-                        Some(code) => {
-                            let refusal = Refusal::of_eviction(code, is_request);
-                            self.send_rejection(&stream, refusal).await;
-                        }
-                        None if is_request && stream.phase() != Phase::Replying => {
-                            let refusal = Refusal::of_code(code_of(&error));
-                            self.send_rejection(&stream, refusal).await;
-                        }
-                        None => {}
+                    if let Some(refusal) = refusal_of(&stream, &error, is_request) {
+                        self.send_rejection(&stream, refusal).await;
                     }
                     return;
                 }
@@ -511,6 +503,22 @@
     }
 }
 
+/// Returns the refusal that a peer is told after an error on its connection; `None` if it does not wait for
+/// a reply. `is_request` is whether a byte of the request has arrived.
+fn refusal_of(
+    stream: &BoundedStream,
+    error: &http_types::Error,
+    is_request: bool,
+) -> Option<Refusal> {
+    match stream.eviction() {
+        Some(code) => Some(Refusal::of_eviction(code, is_request)),
+        None if is_request && stream.phase() != Phase::Replying => {
+            Some(Refusal::of_code(code_of(error)))
+        }
+        None => None,
+    }
+}
+
 /// Waits until the peer has closed the connection, and forever if it has sent further bytes.
 /// Returns a reply that no peer will read.
 async fn wait_for_disconnect(stream: &BoundedStream) -> Reply {
