Runs of ended jobs count in the memory for jobs

What callers could do: submit a job of many tasks, cancel it, and submit the next, again and again. The owner kept the runs of each with their stop orders, outside the memory that it admits jobs by.

Cause: a job's share ended with the job; its runs are tracked until they are stopped and reported gone.

Change: the set of executors counts the runs of ended jobs, and admission adds 1 KiB for each, what a task counts for while its job lives. Marking a run as one of an ended job moves to the set, which keeps the number.

Evidence: runs_of_ended_jobs_use_memory_until_they_are_gone fails without the count (the second job is admitted). memory_of_an_ended_job_is_available_again has room for four tasks a job in place of one, since 50 runs of ended jobs that no report has removed now count; it still admits one job at a time.

--- a/crates/onyxshed-pool/src/executor_set.rs
+++ b/crates/onyxshed-pool/src/executor_set.rs
@@ -10,7 +10,7 @@
 use onyxshed_core::Mono;
 use smol_str::SmolStr;
 
-use crate::executor::{Executor, Phase, Run};
+use crate::executor::{Executor, Phase, Run, RunState};
 use crate::id::{ExecutorId, JobId, TaskId};
 use crate::options::PoolOptions;
 use crate::resources::Resources;
@@ -151,6 +151,8 @@
     indexes: Indexes,
     /// Every tracked run by job, executor and task index.
     runs: BTreeSet<(JobId, ExecutorId, u16)>,
+    /// Number of tracked runs whose jobs have ended.
+    dropped_runs: usize,
     /// Latest known time, from which on an executor may count as accepting at any time.
     clock: Mono,
 }
@@ -220,8 +222,8 @@
     pub fn remove(&mut self, id: &ExecutorId) {
         if let Some(entry) = self.entries.remove(id) {
             self.indexes.remove(id, entry.key);
-            for task in entry.executor.runs.keys() {
-                self.runs.remove(&(task.job, id.clone(), task.index));
+            for (task, run) in &entry.executor.runs {
+                self.remove_from_index(id, *task, run);
             }
         }
     }
@@ -249,7 +251,7 @@
     /// run of the task on the executor.
     pub fn remove_run(&mut self, id: &ExecutorId, task: TaskId) -> Option<Run> {
         let run = self.get_mut(id)?.remove_run(task)?;
-        self.runs.remove(&(task.job, id.clone(), task.index));
+        self.remove_from_index(id, task, &run);
         Some(run)
     }
 
@@ -257,12 +259,37 @@
     pub fn take_runs(&mut self, id: &ExecutorId) -> Vec<(TaskId, Run)> {
         let runs = self.get_mut(id).map(|mut executor| executor.take_runs());
         let runs = runs.unwrap_or_default();
-        for (task, _) in &runs {
-            self.runs.remove(&(task.job, id.clone(), task.index));
+        for (task, run) in &runs {
+            self.remove_from_index(id, *task, run);
         }
         runs
     }
 
+    fn remove_from_index(&mut self, id: &ExecutorId, task: TaskId, run: &Run) {
+        self.runs.remove(&(task.job, id.clone(), task.index));
+        self.dropped_runs -= usize::from(run.is_dropped);
+    }
+
+    /// Marks a run as one of a job that has ended, and returns whether it is still to be stopped.
+    pub fn mark_dropped(&mut self, id: &ExecutorId, task: TaskId) -> bool {
+        let Some(mut executor) = self.get_mut(id) else {
+            return false;
+        };
+        let Some(run) = executor.runs.get_mut(&task) else {
+            return false;
+        };
+        let was_dropped = std::mem::replace(&mut run.is_dropped, true);
+        let is_to_stop = !matches!(run.state, RunState::Stopping { .. });
+        drop(executor);
+        self.dropped_runs += usize::from(!was_dropped);
+        is_to_stop
+    }
+
+    /// Returns the number of tracked runs whose jobs have ended.
+    pub fn dropped_run_count(&self) -> usize {
+        self.dropped_runs
+    }
+
     /// Returns the executor and task of each run of a job, including runs that are being stopped,
     /// by executor.
     pub fn runs_of(&self, job: JobId) -> impl Iterator<Item = (&ExecutorId, TaskId)> {
--- a/crates/onyxshed-pool/src/job.rs
+++ b/crates/onyxshed-pool/src/job.rs
@@ -73,6 +73,9 @@
         Micros(stretched_us + Micros::from(self.objective).0)
     }
 
+    /// Memory of a task with its state, its run and the order that starts or stops it.
+    pub(crate) const TASK_BYTES: u64 = 1 << 10;
+
     /// Returns the memory that the job and its orders to executors use at most at the owner of a pool.
     pub fn memory(&self) -> Bytes {
         JobRequest::memory_of(self.spec.len(), self.tasks)
@@ -82,9 +85,7 @@
     pub fn memory_of(spec_bytes: usize, tasks: u16) -> Bytes {
         /// A job with its names, its places in the indexes and the message that submitted it.
         const JOB_BYTES: u64 = 16 << 10;
-        /// A task with its state, its run and the order that starts or stops it.
-        const TASK_BYTES: u64 = 1 << 10;
-        Bytes(JOB_BYTES + spec_bytes as u64 + u64::from(tasks) * TASK_BYTES)
+        Bytes(JOB_BYTES + spec_bytes as u64 + u64::from(tasks) * JobRequest::TASK_BYTES)
     }
 
     /// Returns the total work of the job according to the caller's estimate, in thousandths of a
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -36,7 +36,7 @@
 use crate::admission_levels::ClassLevels;
 use crate::class_estimates::ClassEstimates;
 use crate::class_shares::ClassShares;
-use crate::executor::{Executor, ExecutorFacts, IncarnationMatch, Phase, RunState};
+use crate::executor::{Executor, ExecutorFacts, IncarnationMatch, Phase};
 use crate::executor_set::{AcceptingTotal, ExecutorSet};
 use crate::id::{ExecutorId, FencingToken, JobId, PeerIncarnation, Session, TaskId};
 use crate::job::{Job, JobEnd, NotRunReason, UnknownReason};
@@ -412,24 +412,12 @@
         let runs = self.executors.runs_of(job);
         let runs: Vec<(ExecutorId, TaskId)> = runs.map(|(id, task)| (id.clone(), task)).collect();
         for (id, task) in runs {
-            if self.mark_dropped(&id, task) {
+            if self.executors.mark_dropped(&id, task) {
                 self.stop_run(&id, task);
             }
         }
     }
 
-    /// Marks a run as one of a job that has ended, and returns whether it is still to be stopped.
-    fn mark_dropped(&mut self, id: &ExecutorId, task: TaskId) -> bool {
-        let Some(mut executor) = self.executors.get_mut(id) else {
-            return false;
-        };
-        let Some(run) = executor.runs.get_mut(&task) else {
-            return false;
-        };
-        run.is_dropped = true;
-        !matches!(run.state, RunState::Stopping { .. })
-    }
-
     fn send_stop(&mut self, id: &ExecutorId, task: TaskId, run: crate::id::RunNumber) {
         self.actions.push(Action::Stop(
             id.clone(),
--- a/crates/onyxshed-pool/src/pool/admission.rs
+++ b/crates/onyxshed-pool/src/pool/admission.rs
@@ -4,7 +4,7 @@
 //! soon as this is known, on arrival or while it is queued. Keeping it would only delay its caller's
 //! retry elsewhere.
 
-use onyxshed_core::{Micros, Millis, Mono};
+use onyxshed_core::{Bytes, Micros, Millis, Mono};
 
 use super::Pool;
 use super::evacuation::ZoneStatus;
@@ -125,6 +125,12 @@
         self.take_actions()
     }
 
+    /// Returns the memory of the jobs, and of the runs of ended jobs that are still to be stopped.
+    fn memory(&self) -> Bytes {
+        let dropped = self.executors.dropped_run_count() as u64;
+        Bytes(self.jobs.memory().0 + dropped * JobRequest::TASK_BYTES)
+    }
+
     fn rejection(&self, now: Mono, session: Session, job: &Job) -> Option<JobEnd> {
         let request = &job.request;
         let id = request.job;
@@ -150,7 +156,7 @@
             return None;
         }
         let not_run = |reason| Some(JobEnd::NotRun(reason, self.retry_after(now)));
-        if self.jobs.memory().0 + request.memory().0 > self.options.jobs_memory.0 {
+        if self.memory().0 + request.memory().0 > self.options.jobs_memory.0 {
             return not_run(NotRunReason::MemoryFull);
         }
         if !self.is_placeable(now, request) {
