An owner sends no more start orders than it can have in progress

What callers saw: an ordinary job at an owner with seven jobs of 550 tasks was not answered in 60 s, in 1 of 5 runs of the tests of clients.

Cause: orders waited for one of the permits in the order in which the pool had decided on them. Thousands waited, so leases expired in the queue; the executors refused those orders, the tasks were ordered again, up to 40 times each, and each report of an executor sent every stop order that it had not accepted once more. The queue grew faster than it was emptied, and nothing that came later could pass it.

Evidence: the lines of such a run show over 12,000 runs that end with "lease expired before the order arrived" or "executor lacks free resources".

Change: the pool counts start orders without an answer and sends none while there are as many as may be in progress, until half of them are answered; then it places tasks of all jobs, so that no kind of executor takes all orders. What waits are tasks, in the pool's order, not orders. A stop order that waits or is in progress is not entered again.

--- a/crates/onyxshed-host/src/engine.rs
+++ b/crates/onyxshed-host/src/engine.rs
@@ -6,6 +6,7 @@
 
 mod calls;
 mod levels;
+pub mod order_turns;
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,7 +15,6 @@
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
-use async_lock::Semaphore;
 use onyxshed_core::{Event, EventKind};
 use onyxshed_http::ClientOptions;
 use onyxshed_http::connections::{ConnectionPool, IdleLimit};
@@ -34,6 +34,7 @@
 use crate::names::ENGINE;
 use crate::refusal_metrics::RefusalMetrics;
 use crate::zone_reader::ZoneReader;
+use order_turns::OrderTurns;
 
 /// Timeout for opening a connection to an executor; a new connection takes up to 20 ms across
 /// zones.
@@ -88,8 +89,7 @@
     levels: RefCell<LevelTable>,
     refusal_metrics: RefusalMetrics,
     zone_reader: ZoneReader,
-    /// Permits for start and stop orders in progress, each of which may use a connection of its own.
-    order_permits: Semaphore,
+    order_turns: OrderTurns,
     /// Limit on the idle connections to all executors.
     idle_limit: IdleLimit,
     /// Number of connections of peers; empty until peers can connect.
@@ -116,7 +116,7 @@
             was_fenced: Cell::new(false),
             past_members: RefCell::default(),
             evacuations,
-            order_permits: Semaphore::new(calls.in_progress_max),
+            order_turns: OrderTurns::new(calls.in_progress_max),
             idle_limit: IdleLimit::new(calls.idle_max),
             metrics: HostMetrics::new(),
             overload_metrics: OverloadMetrics::new(),
--- a/crates/onyxshed-host/src/engine/calls.rs
+++ b/crates/onyxshed-host/src/engine/calls.rs
@@ -39,12 +39,7 @@
     ) {
         let engine = self.clone();
         let call = async move {
-            let _permit = engine.order_permits.acquire().await;
-            let sent_at = boot_clock::now();
-            // Boxed, so that an order that waits for its permit has no memory for its call.
-            let answer = Box::pin(engine.start(&id, &order)).await;
-            let elapsed = boot_clock::now().since(sent_at);
-            engine.metrics.record_order(OrderKind::Start, elapsed);
+            let answer = engine.start_in_turn(&id, &order).await;
             engine.dispatch_call_result(token, |pool| {
                 pool.apply_start_answer(boot_clock::now(), &id, order.task, order.run, &answer)
             });
@@ -52,6 +47,16 @@
         self.kernel.spawn(call).detach();
     }
 
+    async fn start_in_turn(&self, id: &ExecutorId, order: &StartOrder) -> StartAnswer {
+        let _turn = self.order_turns.wait().await;
+        let sent_at = boot_clock::now();
+        // Boxed, so that an order that waits for its turn has no memory for its call.
+        let answer = Box::pin(self.start(id, order)).await;
+        let elapsed = boot_clock::now().since(sent_at);
+        self.metrics.record_order(OrderKind::Start, elapsed);
+        answer
+    }
+
     async fn start(&self, id: &ExecutorId, order: &StartOrder) -> StartAnswer {
         let call = async |connection: &mut Connection| {
             orders::start(connection, &id.0, order, ORDER_TIMEOUT).await
@@ -72,13 +77,14 @@
         id: ExecutorId,
         order: StopOrder,
     ) {
+        let Some(entry) = self.order_turns.enter_stop(&id, &order) else {
+            return;
+        };
         let engine = self.clone();
         let call = async move {
-            let _permit = engine.order_permits.acquire().await;
-            let sent_at = boot_clock::now();
-            let answer = Box::pin(engine.stop(&id, &order)).await;
-            let elapsed = boot_clock::now().since(sent_at);
-            engine.metrics.record_order(OrderKind::Stop, elapsed);
+            let answer = engine.stop_in_turn(&id, &order).await;
+            // Before the answer is applied, after which the order may have to be sent again.
+            engine.order_turns.leave_stop(&entry);
             engine.dispatch_call_result(token, |pool| {
                 pool.apply_stop_answer(boot_clock::now(), &id, order.task, order.run, answer)
             });
@@ -86,6 +92,15 @@
         self.kernel.spawn(call).detach();
     }
 
+    async fn stop_in_turn(&self, id: &ExecutorId, order: &StopOrder) -> StopAnswer {
+        let _turn = self.order_turns.wait().await;
+        let sent_at = boot_clock::now();
+        let answer = Box::pin(self.stop(id, order)).await;
+        let elapsed = boot_clock::now().since(sent_at);
+        self.metrics.record_order(OrderKind::Stop, elapsed);
+        answer
+    }
+
     async fn stop(&self, id: &ExecutorId, order: &StopOrder) -> StopAnswer {
         let call = async |connection: &mut Connection| {
             orders::stop(connection, &id.0, order, ORDER_TIMEOUT).await
--- a/crates/onyxshed-host/src/process.rs
+++ b/crates/onyxshed-host/src/process.rs
@@ -250,6 +250,7 @@
         incarnation,
         PoolOptions {
             jobs_memory: capacity.jobs,
+            unanswered_starts_max: capacity.calls_max,
             ..pool_options(settings, options.overload)
         },
         CallLimits {
--- a/crates/onyxshed-pool/src/lib.rs
+++ b/crates/onyxshed-pool/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod shard_layout;
 pub mod size_limit;
 pub mod speed;
+mod start_window;
 pub mod successor;
 pub mod summary;
 mod work_sum;
--- a/crates/onyxshed-pool/src/message.rs
+++ b/crates/onyxshed-pool/src/message.rs
@@ -33,7 +33,7 @@
 }
 
 /// Order to an executor to stop a run, or not to start it if its start order arrives later.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StopOrder {
     /// Task whose run is to stop.
     pub task: TaskId,
--- a/crates/onyxshed-pool/src/options.rs
+++ b/crates/onyxshed-pool/src/options.rs
@@ -35,6 +35,8 @@
     /// Maximum number of start orders for a run; default 3. If none is answered, the run is
     /// stopped.
     pub start_orders_max: u32,
+    /// Maximum number of start orders without an answer; default without limit.
+    pub unanswered_starts_max: usize,
     /// Age of the last proof that an entry host runs after which it is unresponsive; default 600 ms. With
     /// the longest lease (600 ms, 612 ms on a slow clock) and the time to stop a run (50 ms) that is 38 ms
     /// less than the 1,300 ms that callers wait before they resubmit a job.
@@ -90,6 +92,7 @@
             clock_drift_millis: 30,
             lease_margin_ms: Millis(30),
             start_orders_max: 3,
+            unanswered_starts_max: usize::MAX,
             peer_timeout_ms: Millis(600),
             pause_ms: Millis(400),
             unlisted_grace_ms: Millis(2_500),
--- a/crates/onyxshed-pool/src/pool.rs
+++ b/crates/onyxshed-pool/src/pool.rs
@@ -49,6 +49,7 @@
 use crate::peers::{Heartbeat, PeerSessions};
 use crate::pool_selector::PoolLoad;
 use crate::resources::Resources;
+use crate::start_window::StartWindow;
 use crate::successor::SuccessorSelection;
 use caller_limits::CallerLimits;
 use evacuation::ZoneStatus;
@@ -78,6 +79,7 @@
     report_version: Cell<u64>,
     peers: PeerSessions,
     last_tick_at: Mono,
+    start_window: StartWindow,
     stage: HandoverStage,
     zone_status: ZoneStatus,
     successor_selection: SuccessorSelection,
@@ -111,6 +113,7 @@
     ) -> Self {
         Pool {
             jobs: JobTable::new(&options),
+            start_window: StartWindow::new(options.unanswered_starts_max),
             options,
             token,
             own_incarnation,
--- a/crates/onyxshed-pool/src/pool/orders.rs
+++ b/crates/onyxshed-pool/src/pool/orders.rs
@@ -37,6 +37,7 @@
         number: RunNumber,
         answer: &StartAnswer,
     ) -> Vec<Action> {
+        let has_opened = self.start_window.count_answered();
         self.apply_elapsed_time(now);
         if self.has_released(id) {
             return self.take_actions();
@@ -55,7 +56,9 @@
             RunStep::Stop => self.stop_run(id, task),
             RunStep::Failed => self.apply_run_failed(now, id, task, number),
         }
-        if !self.requeued.is_empty() {
+        if has_opened {
+            self.place(now);
+        } else if !self.requeued.is_empty() {
             self.place_after_report(now, id);
         }
         self.take_actions()
@@ -167,7 +170,7 @@
             expires,
             token: self.token,
         };
-        self.actions.push(Action::Start(id.clone(), order));
+        self.push_start(id, order);
     }
 
     /// Sends an order to stop a run. The run remains tracked until a report shows that it has ended
--- a/crates/onyxshed-pool/src/pool/place.rs
+++ b/crates/onyxshed-pool/src/pool/place.rs
@@ -76,7 +76,9 @@
             .waiting_up_to_cpu(free_max)
             .map(|(id, job)| Reverse((self.rank(now, id, job), id)))
             .collect();
-        while let Some(Reverse((_, id))) = queue.pop() {
+        while self.start_window.is_open()
+            && let Some(Reverse((_, id))) = queue.pop()
+        {
             let job = self.jobs.get(&id);
             if job.is_none_or(|job| job.request.demand.cpu_millis > free_max) {
                 continue;
@@ -186,7 +188,14 @@
     }
 
     pub(super) fn can_place(&self) -> bool {
-        !self.has_stepped_down && self.zone_status != ZoneStatus::Evacuated
+        !self.has_stepped_down
+            && self.zone_status != ZoneStatus::Evacuated
+            && self.start_window.is_open()
+    }
+
+    pub(super) fn push_start(&mut self, id: &ExecutorId, order: StartOrder) {
+        self.start_window.count_sent();
+        self.actions.push(Action::Start(id.clone(), order));
     }
 
     fn place_tasks_of(
@@ -240,7 +249,8 @@
     }
 
     /// Orders a run of a waiting task, and returns whether it could be ordered: no lease can be given while
-    /// the executor's clock is unknown or out of range.
+    /// the executor's clock is unknown or out of range, and no order can be sent while too many are
+    /// unanswered.
     pub(super) fn start_run(
         &mut self,
         now: Mono,
@@ -249,6 +259,9 @@
         executor_id: &ExecutorId,
         expected: Micros,
     ) -> bool {
+        if !self.start_window.is_open() {
+            return false;
+        }
         let (Some(mut job), Some(mut executor)) =
             (self.jobs.get_mut(&id), self.executors.get_mut(executor_id))
         else {
@@ -283,7 +296,7 @@
         let submitted_as = (job.request.peer, job.request.submission);
         drop(job);
         self.forecast_run(now, executor_id, task);
-        self.actions.push(Action::Start(executor_id.clone(), order));
+        self.push_start(executor_id, order);
         self.log(Decision::RunOrdered {
             task,
             run: number,
--- a/crates/onyxshed-pool/tests/pool/calls.rs
+++ b/crates/onyxshed-pool/tests/pool/calls.rs
@@ -2,8 +2,8 @@
 
 use onyxshed_core::{Millis, UnixMs};
 use onyxshed_pool::{
-    Action, ExecutorReport, HoldAnswer, JobEnd, JobId, NotRunReason, RefuseReason, RunEnd,
-    RunNumber, StartAnswer, StopAnswer, SubmissionNumber, TaskId, UnknownReason,
+    Action, ExecutorReport, HoldAnswer, JobEnd, JobId, NotRunReason, PoolOptions, RefuseReason,
+    RunEnd, RunNumber, StartAnswer, StopAnswer, SubmissionNumber, TaskId, UnknownReason,
 };
 
 use crate::fixture::{CLOCK_AHEAD_MS, Harness, OWN, at_ms, facts, id, job};
@@ -408,3 +408,31 @@
         .apply_stop_answer(at_ms(ms), &id("x1"), task, RunNumber(1), answer);
     harness.actions.extend(actions);
 }
+
+/// Guards against start orders that wait behind thousands of others until their leases have expired, so that a
+/// small job waits as long as the largest one.
+#[test]
+fn tasks_wait_in_the_pool_while_too_many_orders_are_unanswered() {
+    let options = PoolOptions {
+        unanswered_starts_max: 4,
+        ..PoolOptions::default()
+    };
+    let mut harness = Harness::with_options(&[("a", 1_000), ("b", 1_000)], options);
+    harness.submit(0, job(1, 20, 50));
+    let starts = harness.take_starts();
+    assert_eq!(starts.len(), 4);
+    harness.submit(1, job(2, 1, 50));
+    harness.tick(2);
+    let (name, first) = &starts[0];
+    harness.answer_start(3, name, first, &started());
+    assert_eq!(harness.take_starts(), []);
+    let (name, second) = &starts[1];
+    harness.answer_start(4, name, second, &started());
+    let next = harness.take_starts();
+    let jobs: Vec<JobId> = next.iter().map(|(_, order)| order.task.job).collect();
+    assert_eq!(
+        jobs,
+        [JobId(2), JobId(1)],
+        "the job with the least work is first"
+    );
+}
