Test of start orders for all kinds of executors

Guards the placement of tasks of all jobs when start orders may be sent again: with a placement on the executor that has answered only, the next order goes to that one, and a task that fits only another executor waits.

--- a/crates/onyxshed-pool/tests/pool/calls.rs
+++ b/crates/onyxshed-pool/tests/pool/calls.rs
@@ -2,11 +2,12 @@
 
 use onyxshed_core::{Millis, UnixMs};
 use onyxshed_pool::{
-    Action, ExecutorReport, HoldAnswer, JobEnd, JobId, NotRunReason, PoolOptions, RefuseReason,
-    RunEnd, RunNumber, StartAnswer, StopAnswer, SubmissionNumber, TaskId, UnknownReason,
+    Action, ExecutorReport, HoldAnswer, JobEnd, JobId, JobRequest, NotRunReason, PoolOptions,
+    RefuseReason, RunEnd, RunNumber, StartAnswer, StopAnswer, SubmissionNumber, TaskId,
+    UnknownReason,
 };
 
-use crate::fixture::{CLOCK_AHEAD_MS, Harness, OWN, at_ms, facts, id, job};
+use crate::fixture::{CLOCK_AHEAD_MS, Harness, OWN, at_ms, facts, id, job, resources};
 
 fn started() -> StartAnswer {
     StartAnswer::Started { clock: None }
@@ -436,3 +437,31 @@
         "the job with the least work is first"
     );
 }
+
+/// Guards against an executor that takes all start orders, so that tasks for others never start.
+#[test]
+fn tasks_of_all_executors_are_placed_when_orders_are_answered() {
+    let options = PoolOptions {
+        unanswered_starts_max: 4,
+        ..PoolOptions::default()
+    };
+    let mut harness = Harness::with_options(&[("small", 1_000)], options);
+    harness.submit(0, job(1, 20, 50));
+    let starts = harness.take_starts();
+    let large = facts(2_000);
+    let listed = harness
+        .pool
+        .record_listed_executor(at_ms(1), id("large"), large);
+    harness.actions.extend(listed);
+    harness.report(1, "large", &[], &[]);
+    let for_large = JobRequest {
+        demand: resources(1_500),
+        ..job(2, 1, 5)
+    };
+    harness.submit(2, for_large);
+    for (name, order) in &starts[..2] {
+        harness.answer_start(3, name, order, &started());
+    }
+    let (name, first) = &harness.take_starts()[0];
+    assert_eq!((name.as_str(), first.task.job), ("large", JobId(2)));
+}
