The connection of a refused body ends after the body

Cause: since the manifest's size is a limit of the server, such a body is refused when its length is announced; before, it was read whole. The host ended its side right after the reply, the proxy passed that on as the end of the connection, and a client that reads only after it has sent all lost the reply.

Change: a request that is refused while it arrives is read and discarded until its peer pauses for 250 ms, then the host ends its side. The limits of 2 s, and of 250 ms while the address is full, hold for both together, as before.

--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -360,7 +360,7 @@
                     let refusal = Refusal::of_code(ResultCode::BadRequest);
                     return self.send_rejection(&stream, refusal).await;
                 }
-                Ok(ConnectionStatus::Close) => return self.close_after_reply(&stream).await,
+                Ok(ConnectionStatus::Close) => return self.close_after_reply(&stream, false).await,
                 Err(error) => {
                     let is_request = stream.read_bytes() > read_before;
                     if let Some(refusal) = refusal_of(&stream, &error, is_request) {
@@ -473,11 +473,12 @@
 
     /// Sends the last response on a connection, if the peer still reads.
     async fn send_final(&self, stream: &BoundedStream, response: Response) {
+        let is_sending = matches!(stream.phase(), Phase::Head | Phase::Body);
         stream.begin_reply(LINGER_TIMEOUT);
         let mut reply = Encoder::new(response, Method::Get);
         let sent = io::copy(&mut reply, &mut stream.clone()).await;
         if sent.is_ok() {
-            self.close_after_reply(stream).await;
+            self.close_after_reply(stream, is_sending).await;
         }
     }
 
@@ -487,22 +488,37 @@
     /// the connection and the peer loses the reply. So further bytes are read and discarded until
     /// the peer closes its side, for up to [`LINGER_TIMEOUT`], or less during a shutdown or while the
     /// address is full.
-    async fn close_after_reply(&self, stream: &BoundedStream) {
+    ///
+    /// While the peer `is_sending` a request that has been refused, this side stays open until the peer pauses:
+    /// a proxy before the peer may take the end of one side for that of the connection, and a peer that reads
+    /// only after it has sent all would lose the reply.
+    async fn close_after_reply(&self, stream: &BoundedStream, is_sending: bool) {
         let mut stream = stream.clone();
-        if stream.close().await.is_err() {
-            return;
-        }
         let timeout = match self.stats.connections.get() > self.options.connections_max {
             true => CROWDED_LINGER_TIMEOUT,
             false => LINGER_TIMEOUT,
         };
         let discard = async {
-            let _ = with_timeout(timeout, io::copy(&mut stream, &mut io::sink())).await;
+            if is_sending {
+                discard_until_pause(&mut stream).await;
+            }
+            if stream.close().await.is_ok() {
+                let _ = io::copy(&mut stream, &mut io::sink()).await;
+            }
+        };
+        let discard = async {
+            let _ = with_timeout(timeout, discard).await;
         };
         discard.or(self.shutdown.linger_expiry()).await;
     }
 }
 
+/// Reads and discards bytes until none arrives for [`SENDING_PAUSE`].
+async fn discard_until_pause(stream: &mut BoundedStream) {
+    let mut bytes = [0; DISCARD_BYTES];
+    while let Some(Ok(1..)) = with_timeout(SENDING_PAUSE, stream.read(&mut bytes)).await {}
+}
+
 /// Returns the refusal that a peer is told after an error on its connection; `None` if it does not wait for
 /// a reply. `is_request` is whether a byte of the request has arrived.
 fn refusal_of(
@@ -538,6 +554,13 @@
 /// Time limit for sending a rejection, and for discarding the peer's further bytes after a last reply.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How long a peer that sends a refused request may pause before its connection is closed: longer than a round
+/// trip, for which a peer with a full window waits.
+const SENDING_PAUSE: Duration = Duration::from_millis(250);
+
+/// Number of bytes that are discarded at a time.
+const DISCARD_BYTES: usize = 4 << 10;
+
 /// Time limit for discarding the peer's further bytes while others wait for the connection's place: longer
 /// than a round trip, after which no request of the peer can cross the reply.
 const CROWDED_LINGER_TIMEOUT: Duration = Duration::from_millis(250);
--- a/crates/onyxshed-http/tests/memory.rs
+++ b/crates/onyxshed-http/tests/memory.rs
@@ -157,3 +157,22 @@
         assert_eq!(limits, [Some(Limit::SlowBody)]);
     });
 }
+
+/// Guards against a refusal that is lost by a client, or a proxy before it, that sends all before it reads.
+#[test]
+fn connection_of_a_refused_body_ends_after_the_body() {
+    run(|executor| async move {
+        let address = start(&executor).await;
+        let len = 2 * MIB;
+        let mut stream = send(address, "/", len, len).await;
+        assert_eq!(status(&mut stream).await, "413");
+        let mut rest = [0; 256];
+        for piece in vec![b'x'; len].chunks(MIB / 4) {
+            stream.write_all(piece).await.expect("the server reads");
+            Timer::after(Duration::from_millis(50)).await;
+            let read = future::poll_once(stream.read(&mut rest)).await;
+            assert!(!matches!(read, Some(Ok(0) | Err(_))), "{read:?}");
+        }
+        while !matches!(stream.read(&mut rest).await, Ok(0)) {}
+    });
+}
