Other tasks run while a body of tiny chunks is read

What callers saw: beside a crowd, requests were cut off at planned stops. A host began to drain 1.1 s after SIGTERM and was killed at the end of its grace, or its drain timed out with 36 requests in flight because its timers were 0.8 s late.

Cause: a read of a body returns one chunk at most, and a task reads on as long as bytes have arrived. Since a client can fill what is read, a body of a hundred thousand chunks of one byte was read in one go; 54 such bodies at a time kept signals, timers and other callers waiting. The same holds for bytes that are discarded after a refusal.

Change: after 32 reads of a body, and after each read of bytes to be discarded, other tasks run first.

Evidence: other_tasks_run_while_a_body_of_tiny_chunks_is_read fails before (no other task ran during the last 34,464 chunks) and passes now (32 bytes between two turns).

--- a/crates/onyxshed-http/src/server.rs
+++ b/crates/onyxshed-http/src/server.rs
@@ -500,10 +500,10 @@
         };
         let discard = async {
             if is_sending {
-                discard_until_pause(&mut stream).await;
+                discard(&mut stream, SENDING_PAUSE).await;
             }
             if stream.close().await.is_ok() {
-                let _ = io::copy(&mut stream, &mut io::sink()).await;
+                discard(&mut stream, timeout).await;
             }
         };
         let discard = async {
@@ -513,10 +513,13 @@
     }
 }
 
-/// Reads and discards bytes until none arrives for [`SENDING_PAUSE`].
-async fn discard_until_pause(stream: &mut BoundedStream) {
+/// Reads and discards bytes until the peer closes its side or pauses for `pause`. Other tasks run between two
+/// reads, however fast the peer sends.
+async fn discard(stream: &mut BoundedStream, pause: Duration) {
     let mut bytes = [0; DISCARD_BYTES];
-    while let Some(Ok(1..)) = with_timeout(SENDING_PAUSE, stream.read(&mut bytes)).await {}
+    while let Some(Ok(1..)) = with_timeout(pause, stream.read(&mut bytes)).await {
+        future::yield_now().await;
+    }
 }
 
 /// Returns the refusal that a peer is told after an error on its connection; `None` if it does not wait for
--- a/crates/onyxshed-http/src/server/body.rs
+++ b/crates/onyxshed-http/src/server/body.rs
@@ -3,7 +3,7 @@
 use std::panic::AssertUnwindSafe;
 use std::time::Duration;
 
-use futures_lite::{AsyncReadExt, FutureExt, io};
+use futures_lite::{AsyncReadExt, FutureExt, future, io};
 use http_types::Body;
 use onyxshed_core::ResultCode;
 
@@ -101,6 +101,7 @@
         let expected = body.len().unwrap_or(max).min(max);
         let mut share = self.memory.body_share(body.len().map(|len| len as u64));
         let mut buffer = BodyBuffer::default();
+        let mut reads = 0;
         while let Some(next) = buffer.read_from(&mut body).await? {
             if let NextBytes::NeedRoom(first) = next {
                 if buffer.received == max {
@@ -111,6 +112,10 @@
                 buffer.grow(capacity, first);
             }
             share.record_received(buffer.received as u64);
+            reads = (reads + 1) % READS_AT_ONCE;
+            if reads == 0 {
+                future::yield_now().await;
+            }
         }
         Ok(ReceivedBody {
             bytes: buffer.into_bytes(),
@@ -144,6 +149,10 @@
 /// again.
 const RELEASE_WAIT: Duration = Duration::from_millis(10);
 
+/// Number of reads of a body between which other tasks run: each returns one chunk at most, and the unread
+/// bytes of a connection may be thousands of chunks.
+const READS_AT_ONCE: u32 = 32;
+
 /// Memory of a body's first bytes.
 const FIRST_CAPACITY: usize = 4 << 10;
 
--- a/crates/onyxshed-http/tests/memory.rs
+++ b/crates/onyxshed-http/tests/memory.rs
@@ -3,7 +3,7 @@
 #[path = "support/server.rs"]
 mod server;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,8 +12,9 @@
 use async_io::Timer;
 use async_net::TcpStream;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use onyxshed_core::ResultCode;
 use onyxshed_http::server::{Limit, PendingReply, Refusal, RefusalReporter};
-use onyxshed_http::{Call, Reply, ServerOptions};
+use onyxshed_http::{Call, Reply, Server, ServerOptions};
 use server::run;
 
 const MIB: usize = 1 << 20;
@@ -158,6 +159,47 @@
     });
 }
 
+/// Guards against chunks of one byte that are read in one go, while signals, timers and other callers wait.
+#[test]
+fn other_tasks_run_while_a_body_of_tiny_chunks_is_read() {
+    const CHUNKS: usize = 100_000;
+    run(|executor| async move {
+        let handler = Rc::new(|_: Call| -> PendingReply {
+            Box::pin(async { Reply::bytes(200, Vec::new()) })
+        });
+        let reject = Rc::new(|_: ResultCode| Reply::bytes(503, Vec::new()));
+        let server = Server::new(ServerOptions::default(), handler, reject);
+        let stats = server.stats();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listener = Server::listen(any).await.expect("test setup succeeds");
+        let address = listener.local_addr().expect("test setup succeeds");
+        executor
+            .spawn(server.run(listener, executor.clone()))
+            .detach();
+        let most = Rc::new(Cell::new(0));
+        let seen = most.clone();
+        let watch = async move {
+            let mut last = stats.body_bytes.get();
+            loop {
+                let received = stats.body_bytes.get();
+                // The bytes of a body count once it is large.
+                if last > 0 {
+                    seen.set(seen.get().max(received.saturating_sub(last)));
+                }
+                last = received;
+                future::yield_now().await;
+            }
+        };
+        executor.spawn(watch).detach();
+        let head = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let request = format!("{head}{}0\r\n\r\n", "1\r\nx\r\n".repeat(CHUNKS));
+        let mut stream = server::send(address, request.as_bytes()).await;
+        assert_eq!(status(&mut stream).await, "200");
+        // 0 if all bytes that were watched arrived in one go.
+        assert!((1..=100).contains(&most.get()), "{}", most.get());
+    });
+}
+
 /// Guards against a refusal that is lost by a client, or a proxy before it, that sends all before it reads.
 #[test]
 fn connection_of_a_refused_body_ends_after_the_body() {
